Lay out the project: design page, core types, events and effects, build and checks

The module contracts (events in, effects out, store calls and peer messages as data) come first so that the modules can be written side by side.

--- /dev/null
+++ b/include/catkinwell/core/Clock.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <chrono>
+
+namespace Catkinwell {
+
+using Duration = std::chrono::nanoseconds;
+// Time for deadlines, leases and rates. It is read from CLOCK_BOOTTIME, so it
+// never jumps and includes the time that a suspended machine was asleep.
+using MonotonicTime = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+// Time for logs and for expiry dates that operators write. It may jump.
+using WallTime = std::chrono::system_clock::time_point;
+
+// Source of time. Production code uses SystemClock, tests use ManualClock.
+// Implementations may be read from any thread.
+class Clock {
+public:
+    virtual ~Clock() = default;
+    virtual MonotonicTime monotonicNow() const = 0;
+    virtual WallTime wallNow() const = 0;
+};
+
+class SystemClock final : public Clock {
+public:
+    MonotonicTime monotonicNow() const override;
+    WallTime wallNow() const override;
+};
+
+// A clock that moves only when it is told to. Not thread safe.
+class ManualClock final : public Clock {
+public:
+    MonotonicTime monotonicNow() const override { return m_now; }
+    WallTime wallNow() const override { return m_wall; }
+
+    // Moves both readings forward. Precondition: step is not negative.
+    void advance(Duration step);
+    // Moves the wall clock alone, in either direction.
+    void jumpWallClock(Duration step);
+
+private:
+    MonotonicTime m_now { std::chrono::hours(1) };
+    WallTime m_wall { std::chrono::hours(24 * 365 * 50) };
+};
+
+} // namespace Catkinwell
--- /dev/null
+++ b/include/catkinwell/endpoint/EndpointReport.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <catkinwell/core/Clock.h>
+#include <catkinwell/core/Identifiers.h>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Catkinwell {
+
+enum class ReplicaState {
+    Loading,
+    Loaded,
+    Unloading,
+};
+
+std::string_view nameOf(ReplicaState);
+
+// What an engine says of one model in its accelerator memory.
+struct ReportedReplica {
+    ModelId model;
+    ReplicaState state = ReplicaState::Loaded;
+    std::uint64_t memoryBytes = 0;
+    // The placement command that loaded it, 0 if unknown.
+    CommandId command;
+};
+
+// Where a checkpoint is cached on the endpoint's server; a load from a nearer tier is faster.
+enum class CacheTier {
+    Memory,
+    Disk,
+    Remote,
+};
+
+std::string_view nameOf(CacheTier);
+
+struct CachedCheckpoint {
+    ModelId model;
+    CacheTier tier = CacheTier::Remote;
+};
+
+// An endpoint's own account of its state. It lags behind the truth.
+struct EndpointReport {
+    EndpointId endpoint;
+    // When the request for this report was sent and when its answer had arrived.
+    MonotonicTime requestedAt {};
+    MonotonicTime receivedAt {};
+    bool leaving = false;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t capacity = 0;
+    std::uint64_t memoryBytes = 0;
+    std::uint64_t memoryUsedBytes = 0;
+    std::uint64_t highestFencingToken = 0;
+    std::vector<ReportedReplica> replicas;
+    std::vector<CachedCheckpoint> cachedCheckpoints;
+};
+
+// An event: a report could not be fetched.
+struct EndpointReportFailed {
+    EndpointId endpoint;
+    std::string reason;
+};
+
+// An effect: fetches the endpoint's report; answered by EndpointReport or EndpointReportFailed.
+struct FetchEndpointReport {
+    EndpointId endpoint;
+    std::string address;
+    Duration timeout = std::chrono::seconds(1);
+};
+
+} // namespace Catkinwell
--- /dev/null
+++ b/include/catkinwell/logging/LogEvent.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace Catkinwell {
+
+enum class LogSeverity {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+std::string_view nameOf(LogSeverity);
+
+// The numbered events of docs/log-events.md. Each module has a range of one hundred numbers;
+// a number is never used again for another meaning.
+enum class LogEvent : int {
+    // 1000: process
+    ProcessStarted = 1000,
+    ShutdownRequested = 1001,
+    ShutdownFinished = 1002,
+    ShutdownForced = 1003,
+    LogEventsSuppressed = 1004,
+    LoopStalled = 1005,
+    // 1100: requests
+    RequestRefused = 1100,
+    RequestFinished = 1101,
+    RequestFailed = 1102,
+    RequestQueued = 1103,
+    CallerDisconnected = 1104,
+    AuthenticationFailed = 1105,
+    // 1200: routing
+    EndpointChosen = 1200,
+    AttemptFailedEvent = 1201,
+    RequestRetried = 1202,
+    RetryBudgetExhausted = 1203,
+    FingerprintQuarantined = 1204,
+    EndpointStateChanged = 1205,
+    // 1300: shares
+    // 1400: orders
+    // 1500: placement
+    // 1600: membership
+    // 1700: configuration
+    // 1800: peer
+    // 1900: store
+    HostLeaseAcquired = 1900,
+    HostLeaseLost = 1901,
+    StoreUnreachable = 1902,
+    StoreReachable = 1903,
+    // 2000: administration
+};
+
+struct LogEventDescription {
+    LogEvent event;
+    LogSeverity severity;
+    // Stable name, for example "request_refused".
+    std::string_view name;
+    // One sentence that says what happened.
+    std::string_view meaning;
+    // What an operator should do; empty if nothing.
+    std::string_view action;
+};
+
+// Returns the whole catalogue in the order of the numbers. Thread safe.
+const std::vector<LogEventDescription>& logEventCatalogue();
+
+// Precondition: the event is in the catalogue. Thread safe.
+const LogEventDescription& describe(LogEvent);
+
+// An effect: writes one numbered event with structured fields. Fields never hold keys or bodies.
+struct LogEntry {
+    LogEvent event;
+    std::vector<std::pair<std::string, std::string>> fields;
+};
+
+} // namespace Catkinwell
--- /dev/null
+++ b/include/catkinwell/reducer/Effect.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <catkinwell/endpoint/EndpointReport.h>
+#include <catkinwell/http/HttpTypes.h>
+#include <catkinwell/logging/LogEvent.h>
+#include <catkinwell/metrics/Metric.h>
+#include <catkinwell/peer/PeerMessage.h>
+#include <catkinwell/placement/PlacementCommand.h>
+#include <catkinwell/store/StoreTypes.h>
+#include <variant>
+#include <vector>
+
+namespace Catkinwell {
+
+// The last effect of a process: the loop ends with this exit code.
+struct ExitProcess {
+    int code = 0;
+};
+
+// Everything that the reducer can ask the runtime to do.
+using Effect = std::variant<SendResponseHead, SendResponseData, FinishResponse, SendWholeResponse, AbortResponse,
+    StartAttempt, CancelAttempt, ThrottleAttempt, StoreCall, SendToPeer, FetchEndpointReport, PlacementCommand,
+    LogEntry, RecordMetric, ExitProcess>;
+
+using EffectList = std::vector<Effect>;
+
+} // namespace Catkinwell
--- /dev/null
+++ b/include/catkinwell/store/StoreCallIds.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <catkinwell/core/Identifiers.h>
+#include <cstdint>
+
+namespace Catkinwell {
+
+// The modules that call the store. The identifier of a call tells which module gets the reply.
+enum class StoreUser : std::uint8_t {
+    HostLease = 1,
+    Shares,
+    Orders,
+    Placement,
+    Configuration,
+    Membership,
+    Administration,
+};
+
+// Hands out call identifiers for one module. Part of the reducer's state; not thread safe.
+class StoreCallIds {
+public:
+    explicit StoreCallIds(StoreUser user)
+        : m_user(user)
+    {
+    }
+
+    StoreCallId next() { return StoreCallId((static_cast<std::uint64_t>(m_user) << userShift) | ++m_last); }
+
+    static StoreUser userOf(StoreCallId id) { return static_cast<StoreUser>(id.value >> userShift); }
+
+private:
+    static constexpr unsigned userShift = 56;
+
+    StoreUser m_user;
+    std::uint64_t m_last = 0;
+};
+
+} // namespace Catkinwell
--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/tests/CatchMain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
