Add the HTTP listener and client, the store and engine adapters and their stand-ins

Cause: the decision modules need edges that only translate. Change: CallerListener and HttpClient on evhttp, ConsulStoreClient on the published key-value API, EngineClient on the OpenAI and model repository routes, stand-ins for store and engine, numbered event log on Boost.Log, checked process settings, request parsing and endpoint table. The path is not wired yet; nothing was measured.

--- /dev/null
+++ b/include/catkinwell/emulator/StoreEmulator.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <catkinwell/core/Error.h>
+#include <catkinwell/loop/EventLoop.h>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace Catkinwell {
+
+// A stand-in for the platform's key-value service with the part of Consul's HTTP API
+// that ConsulStoreClient uses: reads, blocking queries, lists, transactions of one write,
+// sessions with a TTL. PUT /emulator/faults with {"down": bool, "drop_answers": n,
+// "delay_ms": n} brings about outages, answers lost after taking effect, and delays.
+// GET /emulator/statistics counts reads, writes and waiting watches. Not thread safe.
+class StoreEmulator {
+public:
+    StoreEmulator(EventLoop&, std::string address);
+    ~StoreEmulator();
+
+    // Errors: as CallerListener::start().
+    Status start();
+    std::uint16_t port() const;
+
+private:
+    class Implementation;
+    std::unique_ptr<Implementation> m_implementation;
+};
+
+} // namespace Catkinwell
--- /dev/null
+++ b/include/catkinwell/requests/ApiError.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <catkinwell/http/HttpTypes.h>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Catkinwell {
+
+// Why a request was refused or failed. The names are stable and part of the callers' API.
+enum class ApiErrorCode {
+    InvalidRequest,
+    InvalidJson,
+    BodyTooLarge,
+    MethodNotAllowed,
+    UnknownRoute,
+    ModelNotFound,
+    InvalidApiKey,
+    KeyRevoked,
+    RateLimitExceeded,
+    RequestExceedsBurst,
+    QueueFull,
+    DeadlineTooShort,
+    DeadlineExceeded,
+    NoEndpoint,
+    EndpointFailed,
+    OutcomeUnknown,
+    RequestInProgress,
+    IdempotencyKeyReused,
+    IdempotencyKeyRequired,
+    StoreUnavailable,
+    RequestQuarantined,
+    ShuttingDown,
+    CallerTooSlow,
+};
+
+// Whether the refused or failed request ran on an endpoint.
+enum class RunOutcome {
+    NotRun,
+    Unknown,
+    Ran,
+};
+
+struct ApiErrorDescription {
+    ApiErrorCode code;
+    std::string_view name;
+    int httpStatus;
+    // The type field of the OpenAI error object.
+    std::string_view type;
+    std::string_view remedy;
+};
+
+const ApiErrorDescription& describe(ApiErrorCode);
+std::string_view nameOf(RunOutcome);
+
+struct ApiError {
+    ApiErrorCode code = ApiErrorCode::InvalidRequest;
+    std::string message;
+    RunOutcome outcome = RunOutcome::NotRun;
+    // The request's field that is wrong; empty if none.
+    std::string parameter {};
+    // Set where waiting helps.
+    std::optional<Duration> retryAfter {};
+};
+
+// Returns the JSON error object: the fields of the OpenAI API, and outcome and remedy. Thread safe.
+std::string apiErrorBody(const ApiError&);
+
+// Returns the whole answer with status, Retry-After and body. Thread safe.
+SendWholeResponse apiErrorResponse(RequestId, const ApiError&);
+
+} // namespace Catkinwell
--- /dev/null
+++ b/src/emulator/EmulatedModels.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <catkinwell/endpoint/EndpointReport.h>
+#include <catkinwell/placement/PlacementCommand.h>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace Catkinwell {
+
+// The models in an emulated engine's memory. Not thread safe.
+class EmulatedModels {
+public:
+    explicit EmulatedModels(std::uint64_t memoryBytes)
+        : m_memoryBytes(memoryBytes)
+    {
+    }
+
+    // Splits "/v2/repository/models/<model>/load" or ".../unload".
+    static std::optional<std::pair<ModelId, PlacementAction>> parseTarget(const std::string& path);
+
+    void addLoaded(const ModelId&);
+
+    // Returns false for a token below the highest one seen.
+    bool acceptFencingToken(FencingToken);
+
+    // Starts a load or an unload. Returns the reason if the engine refuses it.
+    std::optional<std::string> begin(const PlacementCommand&);
+    // Ends what begin() started.
+    void complete(const PlacementCommand&);
+
+    bool isLoaded(const ModelId&) const;
+    void fill(EndpointReport&) const;
+
+private:
+    std::uint64_t usedBytes() const;
+
+    std::uint64_t m_memoryBytes;
+    FencingToken m_highestToken = 0;
+    std::map<ModelId, ReportedReplica> m_replicas;
+};
+
+} // namespace Catkinwell
--- /dev/null
+++ b/src/endpoint/EngineClient.cpp
@@ -0,0 +1,153 @@
+#include <catkinwell/endpoint/EngineClient.h>
+
+#include "endpoint/EngineProtocol.h"
+
+namespace Catkinwell {
+
+namespace {
+
+    constexpr std::size_t maximumReportBytes = 4 * 1024 * 1024;
+
+    // A small answer that is collected before it is interpreted.
+    struct CollectedAnswer {
+        int status = 0;
+        std::string body;
+    };
+
+} // namespace
+
+EngineClient::EngineClient(EventLoop& loop, HttpClient& client, const Clock& clock)
+    : m_loop(loop)
+    , m_client(client)
+    , m_clock(clock)
+{
+}
+
+void EngineClient::execute(const StartAttempt& attempt)
+{
+    HttpExchange request;
+    request.address = attempt.address;
+    request.method = attempt.method;
+    request.target = attempt.target;
+    request.headers = attempt.headers;
+    request.body = attempt.body;
+    request.connectTimeout = attempt.connectTimeout;
+    request.silenceTimeout = attempt.silenceTimeout;
+    HttpExchangeObserver observer;
+    const AttemptId id = attempt.id;
+    observer.onHead = [this, id](int status, const HeaderList& headers) {
+        m_signalHead.emit(AttemptHead { id, status, headers });
+    };
+    observer.onData = [this, id](std::string data) { m_signalData.emit(AttemptData { id, std::move(data) }); };
+    observer.onFinished = [this, id] {
+        m_exchanges.erase(id);
+        m_signalFinished.emit(AttemptFinished { id });
+    };
+    observer.onFailed = [this, id](AttemptOutcome outcome, std::string reason) {
+        m_exchanges.erase(id);
+        m_signalFailed.emit(AttemptFailed { id, outcome, std::move(reason) });
+    };
+    m_exchanges[id] = m_client.start(request, std::move(observer));
+}
+
+void EngineClient::execute(const CancelAttempt& cancel)
+{
+    const auto found = m_exchanges.find(cancel.id);
+    if (found == m_exchanges.end())
+        return;
+    m_client.cancel(found->second);
+    m_exchanges.erase(found);
+}
+
+void EngineClient::execute(const ThrottleAttempt& throttle)
+{
+    const auto found = m_exchanges.find(throttle.id);
+    if (found != m_exchanges.end())
+        m_client.setPaused(found->second, throttle.paused);
+}
+
+void EngineClient::execute(const FetchEndpointReport& fetch)
+{
+    HttpExchange request;
+    request.address = fetch.address;
+    request.target = engineReportTarget;
+    request.silenceTimeout = fetch.timeout;
+    auto answer = std::make_shared<CollectedAnswer>();
+    const MonotonicTime requestedAt = m_clock.monotonicNow();
+    const EndpointId endpoint = fetch.endpoint;
+    HttpExchangeObserver observer;
+    observer.onHead = [answer](int status, const HeaderList&) { answer->status = status; };
+    observer.onData = [answer](const std::string& data) {
+        if (answer->body.size() + data.size() <= maximumReportBytes)
+            answer->body += data;
+    };
+    observer.onFinished = [this, answer, endpoint, requestedAt] {
+        auto report = answer->status == 200
+            ? parseEngineReport(answer->body)
+            : Error { ErrorKind::Unavailable, "the engine answered with status " + std::to_string(answer->status) };
+        if (isError(report)) {
+            m_signalReportFailed.emit(EndpointReportFailed { endpoint, errorOf(report).message });
+            return;
+        }
+        EndpointReport complete = takeValue(std::move(report));
+        complete.endpoint = endpoint;
+        complete.requestedAt = requestedAt;
+        complete.receivedAt = m_clock.monotonicNow();
+        m_signalReport.emit(complete);
+    };
+    observer.onFailed = [this, endpoint](AttemptOutcome, std::string reason) {
+        m_signalReportFailed.emit(EndpointReportFailed { endpoint, std::move(reason) });
+    };
+    m_client.start(request, std::move(observer));
+}
+
+void EngineClient::execute(const PlacementCommand& command)
+{
+    // A report first: it opens the connection, so that only writing stays between the lease check and the engine.
+    HttpExchange probe;
+    probe.address = command.address;
+    probe.target = engineReportTarget;
+    probe.silenceTimeout = std::chrono::seconds(2);
+    HttpExchangeObserver observer;
+    observer.onHead = [](int, const HeaderList&) {};
+    observer.onData = [](const std::string&) {};
+    observer.onFinished = [this, command] { sendCommand(command); };
+    observer.onFailed = [this, command](AttemptOutcome, const std::string& reason) {
+        m_signalCommandFinished.emit(PlacementCommandFinished { command.id, CommandOutcome::NotDone, reason });
+    };
+    m_client.start(probe, std::move(observer));
+}
+
+void EngineClient::sendCommand(const PlacementCommand& command)
+{
+    HttpExchange request;
+    request.address = command.address;
+    request.method = "POST";
+    request.target = commandTarget(command);
+    request.headers = { { "Content-Type", "application/json" } };
+    request.body = commandBody(command);
+    request.silenceTimeout = command.timeout;
+    auto answer = std::make_shared<CollectedAnswer>();
+    const CommandId id = command.id;
+    HttpExchangeObserver observer;
+    observer.onHead = [answer](int status, const HeaderList&) { answer->status = status; };
+    observer.onData = [answer](const std::string& data) {
+        if (answer->body.size() < 1024)
+            answer->body += data;
+    };
+    observer.onFinished = [this, answer, id] {
+        m_signalCommandFinished.emit(PlacementCommandFinished { id, commandOutcomeOf(answer->status), answer->body });
+    };
+    observer.onFailed = [this, id](AttemptOutcome outcome, const std::string& reason) {
+        m_signalCommandFinished.emit(PlacementCommandFinished {
+            id, outcome == AttemptOutcome::NotSent ? CommandOutcome::NotDone : CommandOutcome::Unknown, reason });
+    };
+    if (m_clock.monotonicNow() >= command.validUntil) {
+        m_signalCommandFinished.emit(PlacementCommandFinished {
+            id, CommandOutcome::NotDone, "the owner's lease ended before the command was sent" });
+        return;
+    }
+    m_client.start(request, std::move(observer));
+}
+
+} // namespace Catkinwell
--- /dev/null
+++ b/src/http/RequestSanitizer.cpp
@@ -0,0 +1,163 @@
+#include "http/RequestSanitizer.h"
+
+#include <algorithm>
+#include <array>
+#include <catkinwell/core/Digest.h>
+#include <cctype>
+#include <cstdlib>
+#include <event2/http.h>
+#include <memory>
+#include <optional>
+
+namespace Catkinwell {
+
+namespace {
+
+    constexpr std::array<std::string_view, 10> keyParameterNames { "key", "api_key", "apikey", "api-key",
+        "access_token", "token", "authorization", "auth", "secret", "password" };
+
+    // Shorter texts could stand in an honest body by chance; no granted key is this short.
+    constexpr std::size_t shortestScannedKey = 8;
+    constexpr std::size_t maximumHeaders = 100;
+
+    std::string toLower(std::string_view text)
+    {
+        std::string lower(text);
+        std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char c) { return std::tolower(c); });
+        return lower;
+    }
+
+    std::string_view trimmed(std::string_view text)
+    {
+        while (!text.empty() && (text.front() == ' ' || text.front() == '\t'))
+            text.remove_prefix(1);
+        while (!text.empty() && (text.back() == ' ' || text.back() == '\t'))
+            text.remove_suffix(1);
+        return text;
+    }
+
+    std::string percentDecoded(const std::string& text)
+    {
+        std::size_t size = 0;
+        const std::unique_ptr<char, decltype(&std::free)> decoded(evhttp_uridecode(text.c_str(), 1, &size), &std::free);
+        return decoded ? std::string(decoded.get(), size) : text;
+    }
+
+    // Returns the token of "Bearer <token>", or nothing for another scheme.
+    std::optional<std::string> bearerToken(std::string_view value)
+    {
+        constexpr std::string_view scheme = "bearer ";
+        value = trimmed(value);
+        if (value.size() <= scheme.size() || toLower(value.substr(0, scheme.size())) != scheme)
+            return std::nullopt;
+        return std::string(trimmed(value.substr(scheme.size())));
+    }
+
+    bool isKeyParameter(const std::string& name)
+    {
+        const std::string lower = toLower(percentDecoded(name));
+        return std::find(keyParameterNames.begin(), keyParameterNames.end(), lower) != keyParameterNames.end();
+    }
+
+    std::string withoutKeyParameters(const std::string& query)
+    {
+        std::string kept;
+        std::size_t start = 0;
+        while (start < query.size()) {
+            const std::size_t end = std::min(query.find('&', start), query.size());
+            const std::string parameter = query.substr(start, end - start);
+            if (!isKeyParameter(parameter.substr(0, parameter.find('='))))
+                kept += (kept.empty() ? "" : "&") + parameter;
+            start = end + 1;
+        }
+        return kept;
+    }
+
+    // What the sanitizer learns from the headers.
+    struct HeaderReading {
+        std::string key;
+        bool conflictingKeys = false;
+        HeaderList allowed;
+    };
+
+    void interpretHeader(const std::string& name, const std::string& value, RequestArrived& request)
+    {
+        struct Interpreted {
+            std::string_view name;
+            std::string RequestArrived::*target;
+        };
+        static constexpr std::array<Interpreted, 3> interpreted { {
+            { "idempotency-key", &RequestArrived::idempotencyKey },
+            { "x-request-deadline-ms", &RequestArrived::deadlineHeader },
+            { "x-request-priority", &RequestArrived::priorityHeader },
+        } };
+        for (const auto& entry : interpreted) {
+            if (entry.name == name)
+                request.*entry.target = value;
+        }
+    }
+
+    HeaderReading readHeaders(
+        const HeaderList& headers, const std::vector<std::string>& allowedHeaders, RequestArrived& request)
+    {
+        HeaderReading reading;
+        for (const auto& [name, value] : headers) {
+            const std::string lower = toLower(name);
+            if (lower == "authorization") {
+                const auto token = bearerToken(value);
+                if (!token)
+                    continue;
+                reading.conflictingKeys = reading.conflictingKeys || (!reading.key.empty() && reading.key != *token);
+                reading.key = *token;
+                continue;
+            }
+            interpretHeader(lower, value, request);
+            if (std::find(allowedHeaders.begin(), allowedHeaders.end(), lower) != allowedHeaders.end())
+                reading.allowed.emplace_back(lower, value);
+        }
+        return reading;
+    }
+
+    bool carriesKey(const RequestArrived& request, const std::string& key)
+    {
+        if (key.size() < shortestScannedKey)
+            return false;
+        const auto holds = [&key](const std::string& text) { return text.find(key) != std::string::npos; };
+        if (holds(request.body) || holds(request.path) || holds(percentDecoded(request.path)) || holds(request.query)
+            || holds(percentDecoded(request.query)) || holds(request.idempotencyKey))
+            return true;
+        return std::any_of(
+            request.headers.begin(), request.headers.end(), [&](const auto& entry) { return holds(entry.second); });
+    }
+
+} // namespace
+
+RequestArrived sanitizeRequest(RawRequest raw, const std::vector<std::string>& allowedHeaders)
+{
+    RequestArrived request;
+    request.method = std::move(raw.method);
+    request.path = std::move(raw.path);
+    request.query = withoutKeyParameters(raw.query);
+    request.body = std::move(raw.body);
+    if (raw.headers.size() > maximumHeaders) {
+        request.rejection = "the request has more than " + std::to_string(maximumHeaders) + " headers; send fewer";
+        return request;
+    }
+    HeaderReading reading = readHeaders(raw.headers, allowedHeaders, request);
+    request.headers = std::move(reading.allowed);
+    if (!reading.key.empty())
+        request.keyDigest = sha256Hex(reading.key);
+    if (reading.conflictingKeys)
+        request.rejection = "the request has several different Authorization headers; send one";
+    if (carriesKey(request, reading.key)) {
+        request.rejection = "the key stands outside the Authorization header; send it only there";
+        request.path = "/";
+        request.query.clear();
+        request.body.clear();
+        request.headers.clear();
+        request.idempotencyKey.clear();
+    }
+    return request;
+}
+
+} // namespace Catkinwell
--- /dev/null
+++ b/src/http/SocketAddress.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Catkinwell {
+
+struct SocketAddress {
+    std::string host;
+    std::uint16_t port = 0;
+};
+
+// Parses "127.0.0.1:8080" or "[::1]:8080". Returns nothing for any other text; names are not resolved.
+std::optional<SocketAddress> parseSocketAddress(std::string_view text);
+
+} // namespace Catkinwell
--- /dev/null
+++ b/src/requests/StreamFilter.cpp
@@ -0,0 +1,80 @@
+#include <catkinwell/requests/StreamFilter.h>
+
+#include <nlohmann/json.hpp>
+
+namespace Catkinwell {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr std::size_t maximumEventBytes = 1024 * 1024;
+    constexpr std::string_view dataField = "data:";
+
+    std::optional<TokenCount> totalTokensOf(const Json& document)
+    {
+        if (!document.is_object() || !document.contains("usage") || !document["usage"].is_object())
+            return std::nullopt;
+        const Json& usage = document["usage"];
+        if (!usage.contains("total_tokens") || !usage["total_tokens"].is_number_unsigned())
+            return std::nullopt;
+        return usage["total_tokens"].get<TokenCount>();
+    }
+
+    std::string_view payloadOf(std::string_view event)
+    {
+        if (!event.starts_with(dataField))
+            return {};
+        event.remove_prefix(dataField.size());
+        while (!event.empty() && event.front() == ' ')
+            event.remove_prefix(1);
+        while (!event.empty() && (event.back() == '\n' || event.back() == '\r'))
+            event.remove_suffix(1);
+        return event;
+    }
+
+} // namespace
+
+std::string StreamFilter::feed(std::string_view data)
+{
+    m_partial.append(data);
+    std::string passed;
+    std::size_t start = 0;
+    for (std::size_t end = m_partial.find("\n\n"); end != std::string::npos; end = m_partial.find("\n\n", start)) {
+        const std::string_view event = std::string_view(m_partial).substr(start, end + 2 - start);
+        if (keepEvent(event))
+            passed.append(event);
+        start = end + 2;
+    }
+    m_partial.erase(0, start);
+    return passed;
+}
+
+bool StreamFilter::keepEvent(std::string_view event)
+{
+    const std::string_view payload = payloadOf(event);
+    ++m_events;
+    if (payload == "[DONE]") {
+        m_complete = true;
+        return true;
+    }
+    // Most events hold a token and no usage; only those that mention it are parsed.
+    if (payload.find("\"usage\"") == std::string_view::npos)
+        return true;
+    const Json document = Json::parse(payload, nullptr, false);
+    const auto total = totalTokensOf(document);
+    if (!total)
+        return true;
+    m_totalTokens = total;
+    const bool usageOnly = document.contains("choices") && document["choices"].empty();
+    return !(m_removeUsage && usageOnly);
+}
+
+bool StreamFilter::isOverlong() const { return m_partial.size() > maximumEventBytes; }
+
+std::optional<TokenCount> totalTokensOfAnswer(const std::string& body)
+{
+    return totalTokensOf(Json::parse(body, nullptr, false));
+}
+
+} // namespace Catkinwell
--- /dev/null
+++ b/src/routing/EndpointTable.cpp
@@ -0,0 +1,288 @@
+#include <catkinwell/routing/EndpointTable.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace Catkinwell {
+
+namespace {
+
+    // A report is about 400 bytes with few models; four a second keep this part of the control traffic under 2 KB/s.
+    constexpr std::int64_t reportsPerSecond = 4;
+    constexpr Duration shortestReportInterval = std::chrono::milliseconds(500);
+    constexpr Duration suspicionAfterFailure = std::chrono::seconds(2);
+    // One lost report is no sign of a dead endpoint.
+    constexpr std::uint32_t failedReportsBeforeSuspicion = 3;
+    constexpr Duration prefixLifetime = std::chrono::minutes(5);
+    constexpr std::size_t rememberedPrefixes = 64;
+
+    // Weights of the score, in units of a full endpoint.
+    constexpr double prefixBonus = 0.25;
+    constexpr double otherDataCentrePenalty = 0.5;
+    // A replica whose queue is longer than this many times its capacity gets no further requests;
+    // they wait in the host's fair queue instead.
+    constexpr double fullScore = 1.0;
+
+    std::string shortNumber(double value)
+    {
+        std::string text = std::to_string(value);
+        return text.substr(0, text.find('.') + 4);
+    }
+
+} // namespace
+
+EndpointTable::EndpointTable(DataCentreId ownDataCentre, std::uint64_t seed)
+    : m_ownDataCentre(std::move(ownDataCentre))
+    , m_random(seed)
+{
+}
+
+void EndpointTable::configure(const FleetConfiguration& configuration)
+{
+    std::erase_if(m_entries, [&](const auto& entry) { return !configuration.endpoints.contains(entry.first); });
+    for (const auto& [id, settings] : configuration.endpoints)
+        m_entries[id].settings = settings;
+}
+
+void EndpointTable::handle(const EndpointReport& report, MonotonicTime, EffectList& effects)
+{
+    const auto found = m_entries.find(report.endpoint);
+    if (found == m_entries.end())
+        return;
+    Entry& entry = found->second;
+    entry.reportPending = false;
+    entry.failedReports = 0;
+    entry.reportedAt = report.requestedAt;
+    entry.reportedLoad = report.running + report.waiting;
+    entry.reportedCapacity = report.capacity;
+    // Attempts that started after the request for the report are not part of it; the others are.
+    entry.ownSinceReport = entry.ownSinceRequest;
+    entry.ownSinceRequest = 0;
+    entry.loaded.clear();
+    for (const auto& replica : report.replicas) {
+        if (replica.state == ReplicaState::Loaded)
+            entry.loaded.insert(replica.model);
+    }
+    if (report.leaving && !entry.reportedLeaving)
+        effects.push_back(LogEntry { LogEvent::EndpointStateChanged,
+            { { "endpoint", report.endpoint.value }, { "state", "leaving" }, { "source", "report" } } });
+    entry.reportedLeaving = report.leaving;
+}
+
+void EndpointTable::handle(const EndpointReportFailed& failure, MonotonicTime now, EffectList& effects)
+{
+    const auto found = m_entries.find(failure.endpoint);
+    if (found == m_entries.end())
+        return;
+    Entry& entry = found->second;
+    entry.reportPending = false;
+    if (++entry.failedReports >= failedReportsBeforeSuspicion)
+        suspect(entry, now + std::max(reportInterval() * 2, suspicionAfterFailure), failure.reason, effects);
+}
+
+void EndpointTable::setLeaving(const std::set<EndpointId>& leaving, MonotonicTime, EffectList& effects)
+{
+    for (auto& [id, entry] : m_entries) {
+        const bool isLeaving = leaving.contains(id);
+        if (isLeaving != entry.leaving)
+            effects.push_back(LogEntry { LogEvent::EndpointStateChanged,
+                { { "endpoint", id.value }, { "state", isLeaving ? "leaving" : "usable" },
+                    { "source", "platform" } } });
+        entry.leaving = isLeaving;
+    }
+}
+
+void EndpointTable::noteReplica(const EndpointId& endpoint, const ModelId& model, bool loaded)
+{
+    const auto found = m_entries.find(endpoint);
+    if (found == m_entries.end())
+        return;
+    if (loaded)
+        found->second.loaded.insert(model);
+    else
+        found->second.loaded.erase(model);
+}
+
+Duration EndpointTable::reportInterval() const
+{
+    const auto count = static_cast<std::int64_t>(m_entries.size());
+    return std::max<Duration>(shortestReportInterval, std::chrono::milliseconds(1000 * count / reportsPerSecond));
+}
+
+void EndpointTable::tick(MonotonicTime now, EffectList& effects)
+{
+    for (auto& [id, entry] : m_entries) {
+        if (entry.settings.kind != EndpointKind::Engine || entry.reportPending || now < entry.nextReportAt)
+            continue;
+        entry.reportPending = true;
+        entry.ownSinceRequest = 0;
+        // The jitter keeps hosts that started together from asking together.
+        const auto jitter = static_cast<std::int64_t>(m_random.below(200));
+        entry.nextReportAt = now + reportInterval() + std::chrono::milliseconds(jitter);
+        effects.push_back(FetchEndpointReport { id, entry.settings.address });
+    }
+}
+
+void EndpointTable::refreshSoon(const EndpointId& endpoint)
+{
+    const auto found = m_entries.find(endpoint);
+    if (found != m_entries.end())
+        found->second.nextReportAt = MonotonicTime {};
+}
+
+bool EndpointTable::isUsable(const Entry& entry, MonotonicTime now) const
+{
+    return !entry.leaving && !entry.reportedLeaving && now >= entry.suspectedUntil;
+}
+
+bool EndpointTable::serves(const Entry& entry, const EndpointDemand& demand, MonotonicTime now) const
+{
+    if (entry.settings.pool != demand.pool || !isUsable(entry, now) || demand.excluded.contains(entry.settings.id))
+        return false;
+    return demand.model.value.empty() ? entry.settings.kind == EndpointKind::Service
+                                      : entry.loaded.contains(demand.model);
+}
+
+EndpointScore EndpointTable::scoreOf(const Entry& entry, const EndpointDemand& demand, MonotonicTime now) const
+{
+    const std::uint32_t capacity
+        = std::max<std::uint32_t>(1, entry.reportedCapacity ? entry.reportedCapacity : entry.settings.capacity);
+    const std::uint32_t load = std::max(entry.ownRunning, entry.reportedLoad + entry.ownSinceReport);
+    EndpointScore score;
+    score.endpoint = entry.settings.id;
+    score.score = static_cast<double>(load) / capacity;
+    score.hasRoom = score.score < fullScore;
+    if (entry.settings.dataCentre != m_ownDataCentre)
+        score.score += otherDataCentrePenalty;
+    const bool cached = std::any_of(entry.recentPrefixes.begin(), entry.recentPrefixes.end(),
+        [&](const PrefixUse& use) { return use.hash == demand.prefixHash && now - use.at < prefixLifetime; });
+    if (cached && demand.prefixHash != 0)
+        score.score -= prefixBonus;
+    return score;
+}
+
+std::optional<EndpointSettings> EndpointTable::choose(
+    const EndpointDemand& demand, MonotonicTime now, EffectList& effects)
+{
+    std::vector<EndpointScore> scores;
+    for (const auto& [id, entry] : m_entries) {
+        if (serves(entry, demand, now))
+            scores.push_back(scoreOf(entry, demand, now));
+    }
+    std::vector<EndpointScore> best;
+    for (const auto& score : scores) {
+        if (!score.hasRoom)
+            continue;
+        if (!best.empty() && score.score < best.front().score)
+            best.clear();
+        if (best.empty() || score.score == best.front().score)
+            best.push_back(score);
+    }
+    if (best.empty())
+        return std::nullopt;
+    const EndpointId chosen = best[m_random.below(best.size())].endpoint;
+    std::string candidates;
+    for (const auto& score : scores)
+        candidates += (candidates.empty() ? "" : " ") + score.endpoint.value + "=" + shortNumber(score.score);
+    effects.push_back(LogEntry { LogEvent::EndpointChosen,
+        { { "request", std::to_string(demand.request.value) }, { "model", demand.model.value }, { "pool", demand.pool },
+            { "endpoint", chosen.value }, { "candidates", candidates } } });
+    Entry& entry = m_entries[chosen];
+    ++entry.ownRunning;
+    ++entry.ownSinceReport;
+    ++entry.ownSinceRequest;
+    if (demand.prefixHash != 0)
+        rememberPrefix(entry, demand.prefixHash, now);
+    return entry.settings;
+}
+
+void EndpointTable::rememberPrefix(Entry& entry, std::uint64_t hash, MonotonicTime now)
+{
+    for (auto& use : entry.recentPrefixes) {
+        if (use.hash == hash) {
+            use.at = now;
+            return;
+        }
+    }
+    if (entry.recentPrefixes.size() >= rememberedPrefixes)
+        entry.recentPrefixes.erase(entry.recentPrefixes.begin());
+    entry.recentPrefixes.push_back({ hash, now });
+}
+
+bool EndpointTable::hasRoom(const std::string& pool, const ModelId& model, MonotonicTime now) const
+{
+    const EndpointDemand demand { RequestId(), pool, model, 0, {} };
+    return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto& entry) {
+        return serves(entry.second, demand, now) && scoreOf(entry.second, demand, now).hasRoom;
+    });
+}
+
+bool EndpointTable::isLoaded(const std::string& pool, const ModelId& model, MonotonicTime now) const
+{
+    const EndpointDemand demand { RequestId(), pool, model, 0, {} };
+    return std::any_of(
+        m_entries.begin(), m_entries.end(), [&](const auto& entry) { return serves(entry.second, demand, now); });
+}
+
+bool EndpointTable::hasUsableEndpoint(const std::string& pool, MonotonicTime now) const
+{
+    return std::any_of(m_entries.begin(), m_entries.end(),
+        [&](const auto& entry) { return entry.second.settings.pool == pool && isUsable(entry.second, now); });
+}
+
+void EndpointTable::attemptEnded(const EndpointId& endpoint)
+{
+    const auto found = m_entries.find(endpoint);
+    if (found == m_entries.end())
+        return;
+    Entry& entry = found->second;
+    if (entry.ownRunning > 0)
+        --entry.ownRunning;
+    if (entry.ownSinceRequest > 0)
+        --entry.ownSinceRequest;
+    // The report may still count the ended attempt; it is corrected in whichever part holds it.
+    if (entry.ownSinceReport > 0)
+        --entry.ownSinceReport;
+    else if (entry.reportedLoad > 0)
+        --entry.reportedLoad;
+}
+
+void EndpointTable::attemptFailed(const EndpointId& endpoint, MonotonicTime now, EffectList& effects)
+{
+    const auto found = m_entries.find(endpoint);
+    if (found == m_entries.end())
+        return;
+    suspect(found->second, now + suspicionAfterFailure, "an attempt failed", effects);
+    found->second.nextReportAt = now;
+}
+
+void EndpointTable::suspect(Entry& entry, MonotonicTime until, const std::string& reason, EffectList& effects)
+{
+    entry.suspectedUntil = std::max(entry.suspectedUntil, until);
+    effects.push_back(LogEntry { LogEvent::EndpointStateChanged,
+        { { "endpoint", entry.settings.id.value }, { "state", "suspected" }, { "reason", reason } } });
+}
+
+const EndpointSettings* EndpointTable::find(const EndpointId& endpoint) const
+{
+    const auto found = m_entries.find(endpoint);
+    return found == m_entries.end() ? nullptr : &found->second.settings;
+}
+
+std::string EndpointTable::statusJson(MonotonicTime now) const
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto& [id, entry] : m_entries) {
+        nlohmann::json models = nlohmann::json::array();
+        for (const ModelId& model : entry.loaded)
+            models.push_back(model.value);
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - entry.reportedAt).count();
+        list.push_back(
+            { { "endpoint", id.value }, { "address", entry.settings.address }, { "usable", isUsable(entry, now) },
+                { "leaving", entry.leaving || entry.reportedLeaving }, { "own_running", entry.ownRunning },
+                { "reported_load", entry.reportedLoad }, { "report_age_ms", age }, { "loaded_models", models } });
+    }
+    return list.dump();
+}
+
+} // namespace Catkinwell
