--- a/include/catkinwell/http/HttpTypes.h
+++ b/include/catkinwell/http/HttpTypes.h
@@ -85,6 +85,8 @@
     Duration connectTimeout = std::chrono::milliseconds(500);
     // Longest silence before the head and between pieces of the body.
     Duration silenceTimeout = std::chrono::seconds(30);
+    // Set for requests that must not be repeated: an idle connection may be lost at the moment of sending.
+    bool needsFreshConnection = false;
 };
 
 // An effect: gives the attempt up. No event with this identifier follows.
--- a/include/catkinwell/requests/ApiError.h
+++ b/include/catkinwell/requests/ApiError.h
@@ -25,6 +25,7 @@
     NoEndpoint,
     EndpointFailed,
     OutcomeUnknown,
+    EarlierOutcomeUnknown,
     RequestInProgress,
     IdempotencyKeyReused,
     IdempotencyKeyRequired,
--- a/include/catkinwell/requests/CompletionRequest.h
+++ b/include/catkinwell/requests/CompletionRequest.h
@@ -3,6 +3,7 @@
 #include <catkinwell/core/TokenAmount.h>
 #include <catkinwell/requests/ApiError.h>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <variant>
 
@@ -27,8 +28,11 @@
     std::string engineBody;
 };
 
-// Reads a request's body. defaultMaxTokens is put in where the caller set no limit, so
+// Returns the token limit of a model for requests that name none.
+using DefaultMaxTokens = std::function<TokenCount(const std::string& model)>;
+
+// Reads a request's body. The default limit is put in where the caller set none, so
 // that the reservation is an upper bound. Errors: the code and the wrong field. Thread safe.
-std::variant<CompletionRequest, ApiError> parseCompletionRequest(const std::string& body, TokenCount defaultMaxTokens);
+std::variant<CompletionRequest, ApiError> parseCompletionRequest(const std::string& body, const DefaultMaxTokens&);
 
 } // namespace Catkinwell
--- a/include/catkinwell/requests/StreamFilter.h
+++ b/include/catkinwell/requests/StreamFilter.h
@@ -25,6 +25,7 @@
     bool isComplete() const { return m_complete; }
     // Total tokens of prompt and answer, once the engine has told them.
     std::optional<TokenCount> totalTokens() const { return m_totalTokens; }
+    bool removesUsage() const { return m_removeUsage; }
     std::uint64_t eventsSeen() const { return m_events; }
     // Whether the unfinished event exceeds what an engine may send in one.
     bool isOverlong() const;
--- a/src/endpoint/EngineClient.cpp
+++ b/src/endpoint/EngineClient.cpp
@@ -33,6 +33,7 @@
     request.body = attempt.body;
     request.connectTimeout = attempt.connectTimeout;
     request.silenceTimeout = attempt.silenceTimeout;
+    request.needsFreshConnection = attempt.needsFreshConnection;
     HttpExchangeObserver observer;
     const AttemptId id = attempt.id;
     observer.onHead = [this, id](int status, const HeaderList& headers) {
--- a/src/requests/ApiError.cpp
+++ b/src/requests/ApiError.cpp
@@ -12,7 +12,7 @@
     constexpr std::string_view invalidRequestType = "invalid_request_error";
     constexpr std::string_view serverErrorType = "server_error";
 
-    constexpr std::array<ApiErrorDescription, 23> descriptions { {
+    constexpr std::array<ApiErrorDescription, 24> descriptions { {
         { ApiErrorCode::InvalidRequest, "invalid_request", 400, invalidRequestType, "Correct the named field." },
         { ApiErrorCode::InvalidJson, "invalid_json", 400, invalidRequestType, "Send a JSON object in UTF-8." },
         { ApiErrorCode::BodyTooLarge, "body_too_large", 413, invalidRequestType, "Send a shorter body." },
@@ -38,7 +38,8 @@
             "Try again; if it repeats, tell the operators the request identifier." },
         { ApiErrorCode::OutcomeUnknown, "outcome_unknown", 502, serverErrorType,
             "The request may have run. Check its effect before sending it again." },
-        { ApiErrorCode::RequestInProgress, "request_in_progress", 409, invalidRequestType,
+        { ApiErrorCode::EarlierOutcomeUnknown, "earlier_outcome_unknown", 409, invalidRequestType, "An earlier request with this idempotency key may have run. Check its effect before using a new key." },
+    { ApiErrorCode::RequestInProgress, "request_in_progress", 409, invalidRequestType,
             "Send the same request again later to get its outcome." },
         { ApiErrorCode::IdempotencyKeyReused, "idempotency_key_reused", 422, invalidRequestType,
             "Use a new idempotency key for a different request." },
--- a/src/requests/CompletionRequest.cpp
+++ b/src/requests/CompletionRequest.cpp
@@ -121,7 +121,7 @@
 
 } // namespace
 
-std::variant<CompletionRequest, ApiError> parseCompletionRequest(const std::string& body, TokenCount defaultMaxTokens)
+std::variant<CompletionRequest, ApiError> parseCompletionRequest(const std::string& body, const DefaultMaxTokens& defaultMaxTokens)
 {
     auto parsed = parseObject(body);
     if (std::holds_alternative<ApiError>(parsed))
@@ -147,8 +147,8 @@
     request.contentHash = stableHash(request.model + '\n' + text);
     bool rewritten = false;
     if (request.maxTokens == 0) {
-        request.maxTokens = defaultMaxTokens;
-        document["max_tokens"] = defaultMaxTokens;
+        request.maxTokens = defaultMaxTokens(request.model);
+        document["max_tokens"] = request.maxTokens;
         rewritten = true;
     }
     if (request.stream && !request.wantsStreamUsage) {
--- /dev/null
+++ b/src/requests/RequestAnswers.cpp
@@ -0,0 +1,343 @@
+#include <algorithm>
+#include <catkinwell/requests/RequestFlow.h>
+#include <catkinwell/requests/StreamFilter.h>
+#include <cctype>
+#include <set>
+
+// The part of RequestFlow that takes an endpoint's answer to the caller.
+
+namespace Catkinwell {
+
+namespace {
+
+// A whole answer up to this size is held back until it is complete, so that a broken one can still be repeated.
+constexpr std::size_t maximumCollectedBytes = 4 * 1024 * 1024;
+constexpr std::uint32_t maximumAttempts = 4;
+
+bool isHopHeader(std::string name)
+{
+    static const std::set<std::string> hopHeaders { "connection", "keep-alive", "transfer-encoding", "content-length",
+        "trailer", "upgrade", "proxy-authenticate", "server", "date" };
+    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
+    return hopHeaders.contains(name);
+}
+
+bool isTemporaryFailure(int status)
+{
+    return status == 429 || status == 502 || status == 503 || status == 504;
+}
+
+HeaderList callerHeaders(const HeaderList& received)
+{
+    HeaderList headers;
+    for (const auto& header : received) {
+        if (!isHopHeader(header.first))
+            headers.push_back(header);
+    }
+    return headers;
+}
+
+} // namespace
+
+void RequestFlow::handle(const CallerLeft& left, MonotonicTime now, EffectList& effects)
+{
+    ActiveRequest* request = find(left.id);
+    if (!request)
+        return;
+    effects.push_back(LogEntry { LogEvent::CallerDisconnected,
+        { { "request", std::to_string(left.id.value) }, { "account", request->account.value } } });
+    request->callerGone = true;
+    const bool running = request->stage == RequestStage::Running;
+    if (running && !request->idempotent)
+        return; // It runs to its outcome, which a repeat may ask for.
+    const TokenCount used = running ? tokensSoFar(*request) : 0;
+    if (running)
+        abandonAttempt(*request, effects);
+    settle(*request, used, now);
+    settleClaim(*request, now, effects);
+    erase(left.id);
+}
+
+void RequestFlow::handle(const CallerBackpressure& backpressure, EffectList& effects)
+{
+    const ActiveRequest* request = find(backpressure.id);
+    if (request && request->stage == RequestStage::Running)
+        effects.push_back(ThrottleAttempt { request->attempt, backpressure.full });
+}
+
+void RequestFlow::handle(const AttemptHead& head)
+{
+    ActiveRequest* request = findByAttempt(head.id);
+    if (!request)
+        return;
+    request->status = head.status;
+    request->responseHeaders = callerHeaders(head.headers);
+}
+
+void RequestFlow::handle(const AttemptData& data, MonotonicTime now, EffectList& effects)
+{
+    ActiveRequest* request = findByAttempt(data.id);
+    if (!request)
+        return;
+    if (request->filter && request->status == 200)
+        passStream(*request, data.data, now, effects);
+    else
+        collect(*request, data.data, effects);
+}
+
+void RequestFlow::passStream(ActiveRequest& request, const std::string& data, MonotonicTime now, EffectList& effects)
+{
+    std::string passed = request.filter->feed(data);
+    if (request.filter->isOverlong()) {
+        abandonAttempt(request, effects);
+        breakAnswer(request, "the endpoint sent an event without an end", now, effects);
+        return;
+    }
+    if (passed.empty())
+        return;
+    if (!request.headSent) {
+        request.headSent = true;
+        effects.push_back(SendResponseHead { request.id, request.status, request.responseHeaders });
+        const double seconds = std::chrono::duration<double>(now - request.arrivedAt).count();
+        effects.push_back(RecordMetric { Metric::FirstByteSeconds, request.model.value, seconds });
+    }
+    effects.push_back(SendResponseData { request.id, std::move(passed) });
+}
+
+void RequestFlow::collect(ActiveRequest& request, const std::string& data, EffectList& effects)
+{
+    if (!request.headSent && request.collected.size() + data.size() <= maximumCollectedBytes) {
+        request.collected += data;
+        return;
+    }
+    if (request.answered || request.callerGone)
+        return;
+    if (!request.headSent) {
+        request.headSent = true;
+        effects.push_back(SendResponseHead { request.id, request.status, request.responseHeaders });
+        effects.push_back(SendResponseData { request.id, request.collected });
+    }
+    effects.push_back(SendResponseData { request.id, data });
+}
+
+void RequestFlow::handle(const AttemptFinished& finished, MonotonicTime now, EffectList& effects)
+{
+    ActiveRequest* request = findByAttempt(finished.id);
+    if (!request)
+        return;
+    if (request->filter && request->status == 200) {
+        finishStream(*request, now, effects);
+        return;
+    }
+    // The table was behind: the engine has unloaded the model meanwhile, so the request did not run.
+    if (request->status == 404 && !request->model.value.empty()) {
+        m_modules.endpoints.noteReplica(request->endpoint, request->model, false);
+        m_modules.endpoints.refreshSoon(request->endpoint);
+        endAttempt(*request);
+        enqueue(*request, now, effects);
+        return;
+    }
+    if (request->idempotent && isTemporaryFailure(request->status) && !request->headSent) {
+        const std::string reason = "the endpoint answered with status " + std::to_string(request->status);
+        endAttempt(*request);
+        retryOrFail(*request, true, reason, now, effects);
+        return;
+    }
+    finishWhole(*request, now, effects);
+}
+
+void RequestFlow::finishStream(ActiveRequest& request, MonotonicTime now, EffectList& effects)
+{
+    endAttempt(request);
+    if (!request.filter->isComplete()) {
+        retryOrFail(request, true, "the stream ended without its end marker", now, effects);
+        return;
+    }
+    effects.push_back(FinishResponse { request.id });
+    const std::optional<TokenCount> used = request.filter->totalTokens();
+    completeRequest(request, used, now, effects);
+}
+
+void RequestFlow::finishWhole(ActiveRequest& request, MonotonicTime now, EffectList& effects)
+{
+    endAttempt(request);
+    if (request.hasClaim) {
+        m_modules.claims.recordOutcome(
+            request.id, request.status, request.responseHeaders, request.collected, now, effects);
+        request.hasClaim = false;
+    }
+    if (!request.answered && !request.callerGone) {
+        if (request.headSent)
+            effects.push_back(FinishResponse { request.id });
+        else
+            effects.push_back(
+                SendWholeResponse { request.id, request.status, request.responseHeaders, request.collected });
+    }
+    const std::optional<TokenCount> used
+        = request.model.value.empty() ? std::optional(request.reservedTokens) : totalTokensOfAnswer(request.collected);
+    completeRequest(request, used, now, effects);
+}
+
+void RequestFlow::handle(const AttemptFailed& failed, MonotonicTime now, EffectList& effects)
+{
+    ActiveRequest* request = findByAttempt(failed.id);
+    if (!request)
+        return;
+    effects.push_back(LogEntry { LogEvent::AttemptFailedEvent,
+        { { "request", std::to_string(request->id.value) }, { "endpoint", request->endpoint.value },
+            { "outcome", std::string(nameOf(failed.outcome)) }, { "reason", failed.reason } } });
+    m_modules.endpoints.attemptFailed(request->endpoint, now, effects);
+    request->excluded.insert(request->endpoint);
+    endAttempt(*request);
+    retryOrFail(*request, failed.outcome != AttemptOutcome::NotSent, failed.reason, now, effects);
+}
+
+void RequestFlow::retryOrFail(
+    ActiveRequest& request, bool mayHaveRun, const std::string& reason, MonotonicTime now, EffectList& effects)
+{
+    if (request.headSent) {
+        breakAnswer(request, reason, now, effects);
+        return;
+    }
+    if (!mayHaveRun)
+        request.mayHaveRun = false;
+    const bool safe = request.idempotent || !request.mayHaveRun;
+    if (safe && request.attempts < maximumAttempts && now < request.deadline && !request.answered) {
+        effects.push_back(LogEntry { LogEvent::RequestRetried,
+            { { "request", std::to_string(request.id.value) }, { "attempt", std::to_string(request.attempts + 1) },
+                { "reason", reason } } });
+        effects.push_back(RecordMetric { Metric::RetriesTotal, request.pool });
+        if (request.filter)
+            request.filter = std::make_unique<StreamFilter>(request.filter->removesUsage());
+        enqueue(request, now, effects);
+        return;
+    }
+    ApiError error { ApiErrorCode::EndpointFailed, "the endpoint failed: " + reason, RunOutcome::Unknown };
+    if (!request.mayHaveRun && !mayHaveRun)
+        error.outcome = RunOutcome::NotRun;
+    else if (!request.idempotent)
+        error.code = ApiErrorCode::OutcomeUnknown;
+    failRequest(request, error, now, effects);
+}
+
+void RequestFlow::breakAnswer(ActiveRequest& request, const std::string& reason, MonotonicTime now, EffectList& effects)
+{
+    failRequest(request,
+        { ApiErrorCode::EndpointFailed, "the answer is incomplete: " + reason, RunOutcome::Unknown }, now, effects);
+}
+
+void RequestFlow::answerWithError(ActiveRequest& request, const ApiError& error, EffectList& effects)
+{
+    if (request.answered || request.callerGone)
+        return;
+    request.answered = true;
+    effects.push_back(RecordMetric { Metric::RefusalsTotal, std::string(describe(error.code).name) });
+    const LogEvent event = error.outcome == RunOutcome::NotRun ? LogEvent::RequestRefused : LogEvent::RequestFailed;
+    effects.push_back(LogEntry { event,
+        { { "request", std::to_string(request.id.value) }, { "account", request.account.value },
+            { "model", request.model.value }, { "code", std::string(describe(error.code).name) },
+            { "outcome", std::string(nameOf(error.outcome)) }, { "reason", error.message } } });
+    if (!request.headSent) {
+        effects.push_back(apiErrorResponse(request.id, error));
+        return;
+    }
+    if (!request.filter) {
+        effects.push_back(AbortResponse { request.id });
+        return;
+    }
+    // The missing end marker and the error event tell a truncated stream from a complete one.
+    effects.push_back(SendResponseData { request.id, "data: " + apiErrorBody(error) + "\n\n" });
+    effects.push_back(FinishResponse { request.id });
+}
+
+void RequestFlow::failRequest(ActiveRequest& request, const ApiError& error, MonotonicTime now, EffectList& effects)
+{
+    answerWithError(request, error, effects);
+    const bool ran = error.outcome != RunOutcome::NotRun && request.attempts > 0;
+    settle(request, ran ? tokensSoFar(request) : 0, now);
+    settleClaim(request, now, effects);
+    erase(request.id);
+}
+
+void RequestFlow::refuse(RequestId id, const AccountId& account, const ApiError& error, EffectList& effects)
+{
+    effects.push_back(RecordMetric { Metric::RefusalsTotal, std::string(describe(error.code).name) });
+    effects.push_back(LogEntry { LogEvent::RequestRefused,
+        { { "request", std::to_string(id.value) }, { "account", account.value },
+            { "code", std::string(describe(error.code).name) }, { "outcome", std::string(nameOf(error.outcome)) },
+            { "reason", error.message } } });
+    effects.push_back(apiErrorResponse(id, error));
+}
+
+void RequestFlow::completeRequest(
+    ActiveRequest& request, std::optional<TokenCount> usedTokens, MonotonicTime now, EffectList& effects)
+{
+    const TokenCount used = usedTokens.value_or(request.reservedTokens);
+    const double seconds = std::chrono::duration<double>(now - request.arrivedAt).count();
+    const std::string label = request.model.value.empty() ? request.pool : request.model.value;
+    effects.push_back(RecordMetric { Metric::RequestsTotal, request.account.value });
+    effects.push_back(RecordMetric { Metric::RequestSeconds, label, seconds });
+    effects.push_back(RecordMetric { Metric::TokensTotal, request.account.value, static_cast<double>(used) });
+    effects.push_back(LogEntry { LogEvent::RequestFinished,
+        { { "request", std::to_string(request.id.value) }, { "account", request.account.value },
+            { "model", request.model.value }, { "endpoint", request.endpoint.value },
+            { "status", std::to_string(request.status) }, { "tokens", std::to_string(used) },
+            { "seconds", std::to_string(seconds) } } });
+    settle(request, used, now);
+    settleClaim(request, now, effects);
+    erase(request.id);
+}
+
+TokenCount RequestFlow::tokensSoFar(const ActiveRequest& request) const
+{
+    if (!request.filter)
+        return request.reservedTokens;
+    if (const auto total = request.filter->totalTokens())
+        return *total;
+    // An event carries at least one token. The prompt is charged as it was reserved.
+    const auto events = static_cast<TokenCount>(request.filter->eventsSeen());
+    return std::min(request.reservedTokens, request.promptReservation + events);
+}
+
+void RequestFlow::settle(ActiveRequest& request, TokenCount usedTokens, MonotonicTime now)
+{
+    if (request.hasReservation)
+        m_modules.shares.settle(request.id, usedTokens, now);
+    else if (request.stage == RequestStage::AwaitingTokens)
+        m_modules.shares.cancel(request.id, now);
+    request.hasReservation = false;
+}
+
+void RequestFlow::settleClaim(ActiveRequest& request, MonotonicTime now, EffectList& effects)
+{
+    if (!request.hasClaim)
+        return;
+    request.hasClaim = false;
+    if (request.mayHaveRun)
+        m_modules.claims.recordUnknown(request.id, now, effects);
+    else
+        m_modules.claims.recordNotSent(request.id, now, effects);
+}
+
+void RequestFlow::endAttempt(ActiveRequest& request)
+{
+    m_modules.endpoints.attemptEnded(request.endpoint);
+    m_attempts.erase(request.attempt);
+}
+
+void RequestFlow::abandonAttempt(ActiveRequest& request, EffectList& effects)
+{
+    effects.push_back(CancelAttempt { request.attempt });
+    endAttempt(request);
+}
+
+void RequestFlow::erase(RequestId id)
+{
+    const auto found = m_requests.find(id);
+    if (found == m_requests.end())
+        return;
+    m_deadlines.erase({ found->second->deadline, id });
+    m_requests.erase(found);
+}
+
+} // namespace Catkinwell
--- /dev/null
+++ b/src/requests/RequestFlow.cpp
@@ -0,0 +1,337 @@
+#include <catkinwell/requests/RequestFlow.h>
+
+#include "requests/RequestIntake.h"
+#include <algorithm>
+#include <catkinwell/core/Digest.h>
+
+namespace Catkinwell {
+
+namespace {
+
+constexpr Duration longestStreamSilence = std::chrono::seconds(20);
+constexpr std::size_t maximumQueued = 8192;
+
+ApiError shareError(const ShareRefused& refused)
+{
+    ApiError error;
+    switch (refused.reason) {
+    case ShareRefusal::ExceedsBurst:
+    case ShareRefusal::ExceedsHostLimit:
+        error.code = ApiErrorCode::RequestExceedsBurst;
+        error.message = "the request needs more tokens than the client account may use at once";
+        return error;
+    case ShareRefusal::ShuttingDown:
+        error.code = ApiErrorCode::ShuttingDown;
+        error.message = "this host is shutting down";
+        return error;
+    case ShareRefusal::QueueFull:
+    case ShareRefusal::TooManyReservations:
+        error.code = ApiErrorCode::QueueFull;
+        break;
+    default:
+        error.code = ApiErrorCode::RateLimitExceeded;
+    }
+    error.message = "the client account's token rate is used up (" + std::string(nameOf(refused.reason)) + ")";
+    if (refused.retryAfter > Duration::zero())
+        error.retryAfter = refused.retryAfter;
+    return error;
+}
+
+ApiError claimError(const ClaimNotRun& refused)
+{
+    ApiError error;
+    error.retryAfter = refused.retryAfter;
+    switch (refused.reason) {
+    case NotRunReason::Deadline:
+        error.code = ApiErrorCode::DeadlineExceeded;
+        break;
+    case NotRunReason::ShuttingDown:
+        error.code = ApiErrorCode::ShuttingDown;
+        break;
+    case NotRunReason::TooManyClaims:
+    case NotRunReason::ShardFull:
+        error.code = ApiErrorCode::QueueFull;
+        break;
+    case NotRunReason::StoreUnavailable:
+    case NotRunReason::ShardUnreadable:
+        error.code = ApiErrorCode::StoreUnavailable;
+        break;
+    }
+    error.message = "the idempotency key could not be claimed (" + std::string(nameOf(refused.reason)) + ")";
+    return error;
+}
+
+} // namespace
+
+RequestFlow::RequestFlow(RequestModules modules)
+    : m_modules(modules)
+{
+}
+
+RequestFlow::~RequestFlow() = default;
+
+ActiveRequest* RequestFlow::find(RequestId id)
+{
+    const auto found = m_requests.find(id);
+    return found == m_requests.end() ? nullptr : found->second.get();
+}
+
+ActiveRequest* RequestFlow::findByAttempt(AttemptId id)
+{
+    const auto found = m_attempts.find(id);
+    return found == m_attempts.end() ? nullptr : find(found->second);
+}
+
+void RequestFlow::reserve(ActiveRequest& request, MonotonicTime now, EffectList& effects)
+{
+    request.stage = RequestStage::AwaitingTokens;
+    if (request.reservedTokens == 0) {
+        claim(request, now, effects);
+        return;
+    }
+    const ShareResult result = m_modules.shares.reserve(
+        request.id, request.account, request.reservedTokens, request.deadline, now, effects);
+    if (!std::holds_alternative<SharePending>(result))
+        apply(ShareDecision { request.id, request.account, result }, now, effects);
+}
+
+void RequestFlow::apply(const ShareDecision& decision, MonotonicTime now, EffectList& effects)
+{
+    ActiveRequest* request = find(decision.request);
+    if (!request || request->stage != RequestStage::AwaitingTokens)
+        return;
+    if (const auto* refused = std::get_if<ShareRefused>(&decision.result)) {
+        failRequest(*request, shareError(*refused), now, effects);
+        return;
+    }
+    request->hasReservation = true;
+    claim(*request, now, effects);
+}
+
+void RequestFlow::claim(ActiveRequest& request, MonotonicTime now, EffectList& effects)
+{
+    request.stage = RequestStage::AwaitingClaim;
+    if (request.idempotencyKey.empty()) {
+        enqueue(request, now, effects);
+        return;
+    }
+    const std::string digest = sha256Hex(request.method + '\n' + request.target + '\n' + request.body);
+    m_modules.claims.claim(
+        request.id, request.account, request.idempotencyKey, digest, request.deadline, now, effects);
+}
+
+void RequestFlow::apply(const ClaimDecision& decision, MonotonicTime now, EffectList& effects)
+{
+    ActiveRequest* request = find(decision.request);
+    if (!request) {
+        // The caller left before the claim was confirmed, so the request was never sent.
+        if (std::holds_alternative<ClaimRun>(decision.verdict))
+            m_modules.claims.recordNotSent(decision.request, now, effects);
+        return;
+    }
+    if (std::holds_alternative<ClaimRun>(decision.verdict)) {
+        request->hasClaim = true;
+        enqueue(*request, now, effects);
+    } else if (const auto* repeat = std::get_if<ClaimRepeat>(&decision.verdict)) {
+        HeaderList headers = repeat->headers;
+        headers.emplace_back("Idempotent-Replayed", "true");
+        if (!repeat->bodyKept)
+            headers.emplace_back("Idempotent-Body-Sha256", repeat->bodyDigest);
+        effects.push_back(SendWholeResponse { request->id, repeat->status, headers, repeat->body });
+        request->answered = true;
+        completeRequest(*request, 0, now, effects);
+    } else if (std::holds_alternative<ClaimInProgress>(decision.verdict)) {
+        failRequest(*request,
+            { ApiErrorCode::RequestInProgress, "the first request with this idempotency key is still running",
+                RunOutcome::Unknown, "", std::chrono::seconds(1) },
+            now, effects);
+    } else if (std::holds_alternative<ClaimUnknownOutcome>(decision.verdict)) {
+        failRequest(*request,
+            { ApiErrorCode::EarlierOutcomeUnknown, "the first request with this idempotency key may have run",
+                RunOutcome::Unknown },
+            now, effects);
+    } else if (std::holds_alternative<ClaimBodyMismatch>(decision.verdict)) {
+        failRequest(*request,
+            { ApiErrorCode::IdempotencyKeyReused, "the idempotency key was used with a different request" }, now, effects);
+    } else {
+        failRequest(*request, claimError(std::get<ClaimNotRun>(decision.verdict)), now, effects);
+    }
+}
+
+void RequestFlow::enqueue(ActiveRequest& request, MonotonicTime now, EffectList& effects)
+{
+    request.stage = RequestStage::Queued;
+    if (!m_modules.endpoints.hasUsableEndpoint(request.pool, now) && request.model.value.empty()) {
+        failRequest(request,
+            { ApiErrorCode::NoEndpoint, "no endpoint of the pool \"" + request.pool + "\" is usable now",
+                RunOutcome::NotRun, "", std::chrono::seconds(2) },
+            now, effects);
+        return;
+    }
+    if (m_queue.empty() && startAttempt(request, now, effects))
+        return;
+    if (m_queue.size() >= maximumQueued) {
+        failRequest(request,
+            { ApiErrorCode::QueueFull, "too many requests wait on this host", RunOutcome::NotRun, "",
+                std::chrono::seconds(1) },
+            now, effects);
+        return;
+    }
+    if (!request.coldSince && !m_modules.endpoints.isLoaded(request.pool, request.model, now))
+        request.coldSince = now;
+    effects.push_back(LogEntry { LogEvent::RequestQueued,
+        { { "request", std::to_string(request.id.value) }, { "account", request.account.value },
+            { "model", request.model.value }, { "cold", request.coldSince ? "true" : "false" } } });
+    m_queue.push_back(request.id);
+}
+
+void RequestFlow::dispatchQueued(MonotonicTime now, EffectList& effects)
+{
+    std::deque<RequestId> stillWaiting;
+    for (const RequestId id : m_queue) {
+        ActiveRequest* request = find(id);
+        if (request && request->stage == RequestStage::Queued && !startAttempt(*request, now, effects))
+            stillWaiting.push_back(id);
+    }
+    m_queue = std::move(stillWaiting);
+}
+
+bool RequestFlow::startAttempt(ActiveRequest& request, MonotonicTime now, EffectList& effects)
+{
+    const auto endpoint = m_modules.endpoints.choose(
+        { request.id, request.pool, request.model, request.prefixHash, request.excluded }, now, effects);
+    if (!endpoint)
+        return false;
+    if (request.coldSince) {
+        const double seconds = std::chrono::duration<double>(now - *request.coldSince).count();
+        effects.push_back(RecordMetric { Metric::ColdStartSeconds, request.model.value, seconds });
+        request.coldSince.reset();
+    }
+    request.stage = RequestStage::Running;
+    request.attempt = AttemptId(++m_lastAttempt);
+    request.endpoint = endpoint->id;
+    request.status = 0;
+    request.collected.clear();
+    ++request.attempts;
+    m_attempts[request.attempt] = request.id;
+    StartAttempt attempt;
+    attempt.id = request.attempt;
+    attempt.endpoint = endpoint->id;
+    attempt.address = endpoint->address;
+    attempt.method = request.method;
+    attempt.target = request.target;
+    attempt.headers = request.headers;
+    attempt.body = request.body;
+    const Duration remaining = std::max<Duration>(request.deadline - now, std::chrono::milliseconds(1));
+    attempt.silenceTimeout = request.stream ? std::min(remaining, longestStreamSilence) : remaining;
+    attempt.needsFreshConnection = !request.idempotent;
+    effects.push_back(std::move(attempt));
+    effects.push_back(RecordMetric { Metric::AttemptsTotal, endpoint->pool });
+    request.mayHaveRun = request.mayHaveRun || !request.idempotent;
+    return true;
+}
+
+void RequestFlow::advance(MonotonicTime now, EffectList& effects)
+{
+    for (const ShareDecision& decision : m_modules.shares.takeDecisions())
+        apply(decision, now, effects);
+    for (const ClaimDecision& decision : m_modules.claims.takeDecisions())
+        apply(decision, now, effects);
+    if (!m_queue.empty())
+        dispatchQueued(now, effects);
+}
+
+void RequestFlow::tick(MonotonicTime now, EffectList& effects)
+{
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
+        const RequestId id = m_deadlines.begin()->second;
+        m_deadlines.erase(m_deadlines.begin());
+        if (ActiveRequest* request = find(id))
+            expire(*request, now, effects);
+    }
+}
+
+void RequestFlow::expire(ActiveRequest& request, MonotonicTime now, EffectList& effects)
+{
+    if (request.headSent || request.answered)
+        return;
+    if (request.stage == RequestStage::AwaitingTokens || request.stage == RequestStage::AwaitingClaim)
+        return; // Both modules decide at the deadline themselves, with a more exact reason.
+    if (request.stage == RequestStage::Queued) {
+        failRequest(request,
+            { ApiErrorCode::DeadlineExceeded, "no replica had room before the deadline", RunOutcome::NotRun, "",
+                std::chrono::seconds(1) },
+            now, effects);
+        return;
+    }
+    const ApiError late { ApiErrorCode::DeadlineExceeded, "the endpoint did not answer before the deadline",
+        RunOutcome::Unknown };
+    if (request.idempotent) {
+        m_modules.endpoints.refreshSoon(request.endpoint);
+        abandonAttempt(request, effects);
+        failRequest(request, late, now, effects);
+        return;
+    }
+    // The request goes on, so that its outcome can be recorded.
+    answerWithError(request, late, effects);
+}
+
+void RequestFlow::configurationChanged(MonotonicTime now, EffectList& effects)
+{
+    const auto& keys = m_modules.configuration.effective().keys;
+    std::vector<RequestId> revoked;
+    for (const auto& [id, request] : m_requests) {
+        if (!request->keyDigest.empty() && !keys.contains(request->keyDigest))
+            revoked.push_back(id);
+    }
+    for (const RequestId id : revoked)
+        revoke(*m_requests[id], now, effects);
+}
+
+void RequestFlow::revoke(ActiveRequest& request, MonotonicTime now, EffectList& effects)
+{
+    if (request.answered)
+        return;
+    const RunOutcome outcome = request.stage == RequestStage::Running ? RunOutcome::Unknown : RunOutcome::NotRun;
+    const ApiError error { ApiErrorCode::KeyRevoked, "the API key was revoked", outcome };
+    if (request.stage == RequestStage::Running && !request.idempotent) {
+        answerWithError(request, error, effects);
+        return;
+    }
+    if (request.stage == RequestStage::Running)
+        abandonAttempt(request, effects);
+    failRequest(request, error, now, effects);
+}
+
+void RequestFlow::beginShutdown()
+{
+    m_shuttingDown = true;
+}
+
+std::vector<RequestId> RequestFlow::unfinished() const
+{
+    std::vector<RequestId> ids;
+    for (const auto& [id, request] : m_requests)
+        ids.push_back(id);
+    std::sort(ids.begin(), ids.end());
+    return ids;
+}
+
+std::map<ModelId, ModelDemand> RequestFlow::takeDemand()
+{
+    std::map<ModelId, ModelDemand> demand;
+    for (const auto& [model, arrivals] : m_arrivals)
+        demand[model].arrivals = arrivals;
+    m_arrivals.clear();
+    for (const auto& [id, request] : m_requests) {
+        if (request->model.value.empty())
+            continue;
+        if (request->stage == RequestStage::Queued)
+            ++demand[request->model].waiting;
+        else if (request->stage == RequestStage::Running)
+            ++demand[request->model].running;
+    }
+    return demand;
+}
+
+} // namespace Catkinwell
