Add ClaimManager: claims of keyed requests by compare-and-swap

Change: ClaimManager with per-shard state, a framed shard value that is edited without decoding, forwarding, outcome values and backoff. Not yet tested.

--- a/include/catkinwell/logging/LogEvent.h
+++ b/include/catkinwell/logging/LogEvent.h
@@ -42,6 +42,13 @@
     EndpointStateChanged = 1205,
     // 1300: shares
     // 1400: orders
+    ClaimDecided = 1400,
+    ClaimWithdrawn = 1401,
+    OutcomeEntryLost = 1402,
+    ClaimShardUnreadable = 1403,
+    ClaimsSuspended = 1404,
+    ClaimsResumed = 1405,
+    ClaimExpirySuspended = 1406,
     // 1500: placement
     // 1600: membership
     // 1700: configuration
--- a/src/logging/LogEvent.cpp
+++ b/src/logging/LogEvent.cpp
@@ -61,6 +61,23 @@
             "An endpoint became usable, suspected or leaving.", "" },
         // 1300: shares
         // 1400: orders
+        { LogEvent::ClaimDecided, Info, "claim_decided",
+            "A keyed request may run, gets the first outcome, or is refused; the fields give which.", "" },
+        { LogEvent::ClaimWithdrawn, Info, "claim_withdrawn",
+            "A confirmed keyed request was not sent; a repeat with its key may run.", "" },
+        { LogEvent::OutcomeEntryLost, Error, "outcome_entry_lost",
+            "The entry of a finished keyed request was replaced before its outcome was stored.",
+            "Check that the retention is longer than any request and that the hosts' wall clocks agree." },
+        { LogEvent::ClaimShardUnreadable, Error, "claim_shard_unreadable",
+            "A shard of the keyed requests has a format that this version cannot read; its requests are refused.",
+            "Check for hosts of a newer version and for other writers of the store's orders/ keys." },
+        { LogEvent::ClaimsSuspended, Error, "claims_suspended",
+            "The store does not answer; keyed requests are refused and recorded outcomes are kept in memory.",
+            "See the chapter on platform outages in docs/operations.md." },
+        { LogEvent::ClaimsResumed, Info, "claims_resumed", "The store answers; keyed requests are taken again.", "" },
+        { LogEvent::ClaimExpirySuspended, Warning, "claim_expiry_suspended",
+            "The wall clock jumped; this host removes no expired keyed requests until it is restarted.",
+            "Correct the machine's wall clock and restart the host." },
         // 1500: placement
         // 1600: membership
         // 1700: configuration
--- /dev/null
+++ b/src/orders/ClaimManagerStore.cpp
@@ -0,0 +1,239 @@
+// The store traffic of ClaimManager: limits, backoff, outcome values and expiry.
+
+#include "orders/ClaimShard.h"
+
+#include <algorithm>
+#include <catkinwell/orders/ClaimManager.h>
+
+namespace Catkinwell {
+
+namespace {
+
+    // Failures of the store that last longer count as an outage; single lost answers do not.
+    constexpr Duration unavailableAfter = std::chrono::milliseconds(500);
+    constexpr Duration firstBackoff = std::chrono::milliseconds(25);
+    constexpr unsigned maximumBackoffDoublings = 7;
+    // Wall clocks of hosts agree better than this; a larger jump of one stops its expiry of entries.
+    constexpr Duration clockJumpLimit = std::chrono::minutes(5);
+
+} // namespace
+
+StoreCallId ClaimManager::send(StoreOperation operation, EffectList& effects)
+{
+    const bool isWrite
+        = std::holds_alternative<StoreCompareAndSwap>(operation) || std::holds_alternative<StoreDelete>(operation);
+    ++(isWrite ? m_totals.storeWrites : m_totals.storeReads);
+    if (isWrite)
+        m_writeTokens -= 1;
+    const auto id = m_callIds.next();
+    effects.emplace_back(StoreCall { id, std::move(operation), m_settings.storeTimeout });
+    return id;
+}
+
+double ClaimManager::writeBurst() const { return std::max(4.0, m_settings.storeWritesPerSecond / 10); }
+
+void ClaimManager::refillWriteTokens(MonotonicTime now)
+{
+    const double seconds = std::chrono::duration<double>(now - m_tokensAt).count();
+    m_writeTokens = std::min(writeBurst(), m_writeTokens + seconds * m_settings.storeWritesPerSecond);
+    m_tokensAt = now;
+}
+
+bool ClaimManager::isUnavailable(MonotonicTime now) const
+{
+    return m_failures > 0 && now - m_failingSince >= unavailableAfter;
+}
+
+void ClaimManager::noteStoreReply(StoreStatus status, MonotonicTime now, EffectList& effects)
+{
+    const bool failed
+        = status == StoreStatus::Unknown || status == StoreStatus::Unavailable || status == StoreStatus::RateLimited;
+    if (!failed) {
+        m_failures = 0;
+        m_retryAt = {};
+    } else {
+        if (m_failures++ == 0)
+            m_failingSince = now;
+        const auto backoff = firstBackoff * (1U << std::min(m_failures - 1, maximumBackoffDoublings));
+        // The random half keeps hosts from asking a recovering store at the same moment.
+        m_retryAt = now + backoff / 2
+            + std::chrono::duration_cast<Duration>(m_random.unit() * std::chrono::duration<double>(backoff) / 2);
+    }
+    if (isUnavailable(now)) {
+        for (auto& shard : m_shards)
+            applyNotices(shard->refuseUnwritten(contextAt(now)), now, effects);
+    }
+    if (isUnavailable(now) == m_wasUnavailable)
+        return;
+    m_wasUnavailable = !m_wasUnavailable;
+    effects.emplace_back(LogEntry { m_wasUnavailable ? LogEvent::ClaimsSuspended : LogEvent::ClaimsResumed, {} });
+}
+
+void ClaimManager::handle(const StoreReply& reply, MonotonicTime now, EffectList& effects)
+{
+    if (StoreCallIds::userOf(reply.id) != StoreUser::Orders)
+        return;
+    noteStoreReply(reply.status, now, effects);
+    if (const auto call = m_shardCalls.find(reply.id); call != m_shardCalls.end()) {
+        ClaimShard& shard = *m_shards[call->second];
+        m_shardCalls.erase(call);
+        applyNotices(shard.handle(reply, contextAt(now)), now, effects);
+        pumpShard(shard, now, effects);
+    } else if (const auto write = m_outcomeWrites.find(reply.id); write != m_outcomeWrites.end()) {
+        const Place place = write->second;
+        m_outcomeWrites.erase(write);
+        handleOutcomeWrite(place, reply.status);
+        pumpShard(*m_shards[place.shard], now, effects);
+    } else if (const auto expired = m_expiredReads.find(reply.id); expired != m_expiredReads.end()) {
+        if (reply.status == StoreStatus::Ok)
+            send(StoreDelete { expired->second, reply.version }, effects);
+        m_expiredReads.erase(expired);
+    } else {
+        const auto read = std::find_if(m_outcomeReads.begin(), m_outcomeReads.end(),
+            [&](const OutcomeRead& candidate) { return candidate.call == reply.id; });
+        if (read == m_outcomeReads.end())
+            return;
+        read->call = {};
+        const bool isAnswered = reply.status == StoreStatus::Ok || reply.status == StoreStatus::NotFound;
+        if (!isAnswered)
+            return;
+        const OutcomeRead finished = std::move(*read);
+        m_outcomeReads.erase(read);
+        handleOutcomeRead(finished, reply, effects);
+    }
+}
+
+void ClaimManager::handleOutcomeRead(const OutcomeRead& read, const StoreReply& reply, EffectList& effects)
+{
+    const auto outcome = reply.status == StoreStatus::Ok ? decodeOutcome(reply.value) : std::nullopt;
+    if (!outcome)
+        return decide(read.request, ClaimUnknownOutcome {}, effects);
+    decide(read.request, ClaimRepeat { outcome->status, outcome->headers, outcome->body, true, {} }, effects);
+}
+
+// The key contains the nonce, so a conflict means that an earlier write of the same outcome took effect.
+void ClaimManager::handleOutcomeWrite(const Place& place, StoreStatus status)
+{
+    OwnClaim* claim = m_shards[place.shard]->find(place.nonce);
+    if (!claim)
+        return;
+    claim->ownValueInFlight = false;
+    claim->ownValueWritten = status == StoreStatus::Ok || status == StoreStatus::Conflict;
+}
+
+void ClaimManager::noteClocks(MonotonicTime now, WallTime wallNow)
+{
+    const auto offset = std::chrono::duration_cast<Duration>(wallNow.time_since_epoch()) - now.time_since_epoch();
+    if (!m_ticked)
+        m_clockOffset = offset;
+    m_clockJumped = m_clockJumped || std::chrono::abs(offset - m_clockOffset) > clockJumpLimit;
+    m_ticked = true;
+    m_tickedAt = now;
+    m_wallAtTick = wallNow;
+}
+
+void ClaimManager::tick(MonotonicTime now, WallTime wallNow, EffectList& effects)
+{
+    const bool hadJumped = m_clockJumped;
+    noteClocks(now, wallNow);
+    if (m_clockJumped && !hadJumped)
+        effects.emplace_back(LogEntry { LogEvent::ClaimExpirySuspended, {} });
+    const auto context = contextAt(now);
+    std::vector<HostId> silentPeers;
+    for (auto& shard : m_shards)
+        applyNotices(shard->expire(context, silentPeers), now, effects);
+    for (const auto& peer : silentPeers)
+        m_forwardAgainAt[peer] = now + std::chrono::seconds(2);
+    std::erase_if(m_forwardAgainAt, [&](const auto& item) { return item.second <= now; });
+    std::erase_if(m_outcomeReads, [&](const OutcomeRead& read) {
+        if (now < read.deadline)
+            return false;
+        decide(read.request, ClaimUnknownOutcome {}, effects);
+        return true;
+    });
+    // The start rotates so that no shard waits for ever when writes are scarce.
+    const auto count = m_shards.size();
+    const auto first = m_nextShard;
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto index = (first + i) % count;
+        const auto writes = m_totals.storeWrites;
+        pumpShard(*m_shards[index], now, effects, 0);
+        if (m_totals.storeWrites != writes)
+            m_nextShard = (index + 1) % count;
+    }
+    pumpOutcomeValues(now, effects);
+    pumpExpiredValues(now, effects);
+    dropIdleValues(context);
+}
+
+// Makes the shard's next call. Outside of tick() half of the write tokens stay in reserve
+// for the shards that have waited longer.
+void ClaimManager::pumpShard(ClaimShard& shard, MonotonicTime now, EffectList& effects, double reservedTokens)
+{
+    const auto context = contextAt(now);
+    if (now < m_retryAt || !shard.needsCall(context))
+        return;
+    refillWriteTokens(now);
+    const double reserve = reservedTokens < 0 ? writeBurst() / 2 : reservedTokens;
+    auto step = shard.nextCall(context, m_writeTokens >= 1 + reserve);
+    if (step.operation) {
+        const auto id = send(std::move(*step.operation), effects);
+        shard.callSent(id);
+        m_shardCalls[id] = shard.number();
+    }
+    applyNotices(std::move(step.notices), now, effects);
+}
+
+void ClaimManager::pumpOutcomeValues(MonotonicTime now, EffectList& effects)
+{
+    if (now < m_retryAt)
+        return;
+    for (auto& read : m_outcomeReads) {
+        if (read.call == StoreCallId())
+            read.call = send(StoreGet { read.storeKey }, effects);
+    }
+    refillWriteTokens(now);
+    for (auto& shard : m_shards) {
+        for (auto& [nonce, claim] : shard->claims()) {
+            const bool isWanted = claim.phase == ClaimPhase::Finished && claim.entry.state == EntryState::Done
+                && claim.entry.outcome.place == BodyPlace::OwnValue && !claim.ownValueWritten
+                && !claim.ownValueInFlight;
+            if (!isWanted || m_writeTokens < 1)
+                continue;
+            claim.ownValueInFlight = true;
+            const auto id = send(
+                StoreCompareAndSwap { shard->outcomeKey(claim.entry), encodeOutcome(claim.entry.outcome), 0 }, effects);
+            m_outcomeWrites[id] = { shard->number(), nonce };
+        }
+    }
+}
+
+void ClaimManager::pumpExpiredValues(MonotonicTime now, EffectList& effects)
+{
+    // Deleting can wait until requests leave tokens unused.
+    while (!m_expiredValues.empty() && now >= m_retryAt && m_writeTokens - m_expiredReads.size() > writeBurst() / 2) {
+        m_expiredReads[send(StoreGet { m_expiredValues.back() }, effects)] = m_expiredValues.back();
+        m_expiredValues.pop_back();
+    }
+}
+
+void ClaimManager::dropIdleValues(const ClaimContext& context)
+{
+    std::size_t bytes = 0;
+    for (const auto& shard : m_shards)
+        bytes += shard->cachedBytes();
+    while (bytes > m_settings.maximumCachedBytes) {
+        ClaimShard* oldest = nullptr;
+        for (auto& shard : m_shards) {
+            const bool isIdle = shard->cachedBytes() > 0 && !shard->isCallInFlight() && !shard->needsCall(context);
+            if (isIdle && (!oldest || shard->lastCallAt() < oldest->lastCallAt()))
+                oldest = shard.get();
+        }
+        if (!oldest)
+            return;
+        bytes -= oldest->cachedBytes();
+        oldest->dropValue();
+    }
+}
+
+} // namespace Catkinwell
