Check histories of several ClaimManagers under faults

Cause: the at-most-once rule depends on every interleaving of lost answers, late writes, deaths, pauses and forwards.

--- /dev/null
+++ b/tests/orders/ClaimSimulation.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "orders/ClaimHistory.h"
+
+#include <catkinwell/core/RandomGenerator.h>
+#include <catkinwell/orders/ClaimManager.h>
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace Catkinwell {
+
+// A wrong behaviour that a checker must find.
+enum class Breakage {
+    None,
+    // The adapter reports a write with an unknown outcome as done.
+    UnknownWriteAsDone,
+    // The request is sent when it is claimed.
+    SendBeforeConfirmation,
+    // A host restarts with the incarnation of its earlier run.
+    SameIncarnation,
+    // A request whose outcome is unknown is recorded as not sent.
+    UnknownAsNotSent,
+    // The store confirms some writes without taking them.
+    LostWrites,
+    // The host's ticks stop.
+    NoTicks,
+};
+
+// Several ClaimManagers on simulated time with a small store and faults of the store, the
+// network and the hosts. The same seed gives the same history.
+class ClaimSimulation {
+public:
+    ClaimSimulation(std::uint64_t seed, Breakage breakage);
+    void run();
+
+    const ClaimHistory& history() const { return m_history; }
+    MonotonicTime now() const { return m_now; }
+    std::size_t runs() const { return m_runs; }
+
+private:
+    struct Host {
+        HostId id;
+        Incarnation incarnation = 0;
+        // Counts the starts, also when the incarnation stays the same.
+        unsigned process = 0;
+        bool isAlive = false;
+        MonotonicTime pausedUntil {};
+        std::unique_ptr<ClaimManager> manager;
+    };
+
+    bool chance(unsigned percent) { return m_random.below(100) < percent; }
+    Duration upTo(int milliseconds) { return std::chrono::milliseconds(1 + m_random.below(milliseconds)); }
+    void at(Duration delay, std::function<void()> action) { m_queue.emplace(m_now + delay, std::move(action)); }
+    void start(std::size_t index);
+    void kill(std::size_t index);
+    std::vector<LiveHost> liveHosts() const;
+    // Runs the action on the host when it is not paused, unless it has died since.
+    void onHost(std::size_t index, Duration delay, std::function<void(ClaimManager&, EffectList&)> action);
+    void tickLoop(std::size_t index);
+    void perform(std::size_t index, EffectList effects);
+    void callStore(std::size_t index, StoreCall call);
+    StoreReply apply(const StoreCall& call);
+    void ask(std::size_t index, const std::string& key, bool otherBody, bool isFinalProbe);
+    void decided(std::size_t index, const ClaimDecision& decision);
+    void send(std::size_t index, RequestId request);
+    void note(ClaimRecord::Kind kind, std::size_t index, std::uint64_t request, const std::string& key);
+
+    RandomGenerator m_random;
+    Breakage m_breakage;
+    MonotonicTime m_now { std::chrono::hours(1) };
+    std::multimap<MonotonicTime, std::function<void()>> m_queue;
+    std::map<std::string, StoreEntry> m_store;
+    StoreVersion m_version = 0;
+    bool m_outage = false;
+    bool m_faulty = true;
+    std::vector<Host> m_hosts;
+    std::uint64_t m_lastRequest = 0;
+    std::map<std::uint64_t, std::string> m_keys;
+    std::map<std::uint64_t, bool> m_probes;
+    ClaimHistory m_history;
+    std::size_t m_runs = 0;
+};
+
+} // namespace Catkinwell
