--- a/include/catkinwell/logging/LogEvent.h
+++ b/include/catkinwell/logging/LogEvent.h
@@ -43,6 +43,17 @@
     // 1300: shares
     // 1400: orders
     // 1500: placement
+    PlacementOwnershipGained = 1500,
+    PlacementOwnershipLost = 1501,
+    LoadDecided = 1502,
+    UnloadDecided = 1503,
+    PlacementCommandSent = 1504,
+    PlacementCommandSettled = 1505,
+    PlacementCommandFailed = 1506,
+    UnplannedReplicaAdopted = 1507,
+    PlannedReplicaMissing = 1508,
+    PlanTooLarge = 1509,
+    PlanUnreadable = 1510,
     // 1600: membership
     // 1700: configuration
     // 1800: peer
--- a/src/logging/LogEvent.cpp
+++ b/src/logging/LogEvent.cpp
@@ -62,6 +62,32 @@
         // 1300: shares
         // 1400: orders
         // 1500: placement
+        { LogEvent::PlacementOwnershipGained, Info, "placement_ownership_gained",
+            "This host decides the loads and unloads of its data centre.", "" },
+        { LogEvent::PlacementOwnershipLost, Info, "placement_ownership_lost",
+            "This host no longer decides the loads and unloads of its data centre.", "" },
+        { LogEvent::LoadDecided, Info, "load_decided",
+            "A model will be loaded on the chosen endpoint; the fields give the reason.", "" },
+        { LogEvent::UnloadDecided, Info, "unload_decided",
+            "A model will be unloaded from the endpoint; the fields give the reason.", "" },
+        { LogEvent::PlacementCommandSent, Info, "placement_command_sent",
+            "A recorded load or unload was handed to the engine's connection.", "" },
+        { LogEvent::PlacementCommandSettled, Info, "placement_command_settled",
+            "The effect of a load or unload is known.", "" },
+        { LogEvent::PlacementCommandFailed, Warning, "placement_command_failed",
+            "A load or unload had no effect, or its outcome is unknown until the engine's next report.",
+            "If one endpoint repeats, drain it and look at its log." },
+        { LogEvent::UnplannedReplicaAdopted, Warning, "unplanned_replica_adopted",
+            "An engine holds a model that the plan did not contain; its memory is counted from now on.",
+            "Load and unload models through catkinwell only." },
+        { LogEvent::PlannedReplicaMissing, Warning, "planned_replica_missing",
+            "An engine no longer holds a model that the plan had as loaded.", "Check whether the engine restarted." },
+        { LogEvent::PlanTooLarge, Error, "plan_too_large",
+            "The plan does not fit into one value of the store; nothing further is loaded.",
+            "Lower maximumReplicas, or split the data centre's endpoints." },
+        { LogEvent::PlanUnreadable, Error, "plan_unreadable",
+            "The stored plan or an announced change could not be decoded.",
+            "Run the same catkinwell version on every host." },
         // 1600: membership
         // 1700: configuration
         // 1800: peer
--- /dev/null
+++ b/src/placement/EngineLedger.cpp
@@ -0,0 +1,429 @@
+#include "placement/EngineLedger.h"
+
+#include <algorithm>
+
+namespace Catkinwell {
+
+namespace {
+
+    // A report describes the engine as it was at most this long before the report was requested.
+    constexpr Duration reportLag = std::chrono::seconds(1);
+    // Added to an engine's receive timeout: covers the drift of two clocks and the engine's own timer.
+    constexpr Duration waitMargin = std::chrono::seconds(1);
+    // Between the announcement of an unload and its command: hosts stop sending new requests there.
+    constexpr Duration unloadNotice = std::chrono::milliseconds(100);
+    constexpr Duration steadyFetchInterval = std::chrono::seconds(2);
+    constexpr Duration urgentFetchInterval = std::chrono::milliseconds(500);
+    constexpr Duration fetchTimeout = std::chrono::seconds(1);
+    // Endpoints without a report for this long get no loads.
+    constexpr Duration reportLifetime = std::chrono::seconds(10);
+    constexpr Duration minimumCommandTimeout = std::chrono::seconds(60);
+
+    const ReportedReplica* findReported(const EndpointReport& report, const ModelId& model)
+    {
+        const auto found = std::find_if(report.replicas.begin(), report.replicas.end(),
+            [&](const ReportedReplica& replica) { return replica.model == model; });
+        return found == report.replicas.end() ? nullptr : &*found;
+    }
+
+    LogEntry commandEntry(LogEvent event, const EndpointId& endpoint, const ModelId& model, std::string detail)
+    {
+        return { event, { { "endpoint", endpoint.value }, { "model", model.value }, { "detail", std::move(detail) } } };
+    }
+
+} // namespace
+
+Duration EngineLedger::lateArrivalTime(const Engine& engine) { return engine.settings.receiveTimeout + waitMargin; }
+
+void EngineLedger::configure(const FleetConfiguration& effective, const DataCentreId& dataCentre)
+{
+    m_models = effective.models;
+    std::map<EndpointId, Engine> kept;
+    for (const auto& [id, settings] : effective.endpoints) {
+        if (settings.dataCentre != dataCentre || settings.kind != EndpointKind::Engine)
+            continue;
+        const auto known = m_engines.find(id);
+        Engine engine = known == m_engines.end() ? Engine {} : std::move(known->second);
+        if (known == m_engines.end())
+            engine.readyAfter = m_startedAt + reportLag;
+        engine.settings = settings;
+        kept.emplace(id, std::move(engine));
+    }
+    m_engines = std::move(kept);
+}
+
+void EngineLedger::start(MonotonicTime now)
+{
+    stop();
+    m_active = true;
+    m_startedAt = now;
+    for (auto& [id, engine] : m_engines) {
+        engine.ready = false;
+        engine.fetchPending = false;
+        engine.fetchedAt = {};
+        engine.report.reset();
+        engine.changedAt.clear();
+        const bool waits = engine.settings.fencing == FencingSupport::Ignored;
+        engine.readyAfter = now + reportLag + (waits ? lateArrivalTime(engine) : Duration {});
+    }
+    for (const auto& [endpoint, row] : m_recorder.working().replicas) {
+        const auto engine = m_engines.find(endpoint);
+        const Duration late = engine == m_engines.end() ? waitMargin : lateArrivalTime(engine->second);
+        for (const auto& [model, replica] : row) {
+            if (replica.state != PlannedState::Loading && replica.state != PlannedState::Unloading)
+                continue;
+            const auto action
+                = replica.state == PlannedState::Loading ? PlacementAction::Load : PlacementAction::Unload;
+            m_commands[replica.command]
+                = { replica.command, endpoint, model, action, true, now, now + late + reportLag };
+        }
+    }
+}
+
+void EngineLedger::stop()
+{
+    m_active = false;
+    m_commands.clear();
+    m_settlements.clear();
+    m_startedLoads.clear();
+}
+
+void EngineLedger::markLeaving(const EndpointId& endpoint)
+{
+    const auto found = m_engines.find(endpoint);
+    if (found != m_engines.end())
+        found->second.leaving = true;
+}
+
+void EngineLedger::markDead(const EndpointId& endpoint, EffectList& effects)
+{
+    const auto found = m_engines.find(endpoint);
+    if (found == m_engines.end())
+        return;
+    Engine& engine = found->second;
+    engine.dead = true;
+    engine.ready = false;
+    engine.fetchPending = false;
+    engine.report.reset();
+    engine.changedAt.clear();
+    if (!m_active)
+        return;
+    for (auto command = m_commands.begin(); command != m_commands.end();) {
+        if (command->second.endpoint != endpoint) {
+            ++command;
+            continue;
+        }
+        m_settlements.push_back(
+            { command->first, endpoint, command->second.model, command->second.action, false });
+        command = m_commands.erase(command);
+    }
+    if (m_recorder.working().replicas.erase(endpoint) > 0) {
+        m_recorder.markChanged();
+        effects.push_back(commandEntry(LogEvent::PlannedReplicaMissing, endpoint, {}, "the endpoint is gone"));
+    }
+}
+
+void EngineLedger::markAlive(const EndpointId& endpoint, MonotonicTime now)
+{
+    const auto found = m_engines.find(endpoint);
+    if (found == m_engines.end())
+        return;
+    Engine& engine = found->second;
+    if (engine.dead)
+        engine.readyAfter = now + lateArrivalTime(engine);
+    engine.dead = false;
+    engine.leaving = false;
+}
+
+void EngineLedger::handle(const EndpointReport& report, MonotonicTime now, EffectList& effects)
+{
+    const auto found = m_engines.find(report.endpoint);
+    if (found == m_engines.end() || !m_active || found->second.dead)
+        return;
+    Engine& engine = found->second;
+    engine.fetchPending = false;
+    const bool isOlder = engine.report && report.requestedAt < engine.report->requestedAt;
+    if (report.requestedAt < m_startedAt || isOlder)
+        return;
+    engine.leaving = engine.leaving || report.leaving;
+    std::uint64_t explained = 0;
+    for (const ReportedReplica& replica : report.replicas)
+        explained += replica.memoryBytes;
+    engine.overheadBytes = report.memoryUsedBytes > explained ? report.memoryUsedBytes - explained : 0;
+    settleByReport(engine, report, now, effects);
+    removeMissing(engine, report, effects);
+    adoptUnplanned(engine, report, effects);
+    engine.report = report;
+    engine.ready = engine.ready || report.requestedAt >= engine.readyAfter;
+}
+
+void EngineLedger::handle(const EndpointReportFailed& failure)
+{
+    const auto found = m_engines.find(failure.endpoint);
+    if (found != m_engines.end())
+        found->second.fetchPending = false;
+}
+
+void EngineLedger::settleByReport(
+    const Engine& engine, const EndpointReport& report, MonotonicTime now, EffectList& effects)
+{
+    std::vector<std::pair<Command, bool>> settled;
+    for (const auto& [id, command] : m_commands) {
+        if (command.endpoint != report.endpoint || !command.settleAfter)
+            continue;
+        const ReportedReplica* replica = findReported(report, command.model);
+        const bool isFenced = engine.settings.fencing == FencingSupport::Enforced
+            && report.highestFencingToken >= m_recorder.token() && report.requestedAt >= m_startedAt + reportLag;
+        const bool isFinal = isFenced || report.requestedAt >= *command.settleAfter;
+        const bool isLoaded = replica != nullptr && replica->state == ReplicaState::Loaded;
+        if (command.action == PlacementAction::Load) {
+            if (isLoaded && (isFinal || replica->command == id))
+                settled.emplace_back(command, true);
+            else if (replica == nullptr && isFinal)
+                settled.emplace_back(command, false);
+        } else if (isFinal && (replica == nullptr || isLoaded)) {
+            settled.emplace_back(command, replica == nullptr);
+        }
+    }
+    for (const auto& [command, succeeded] : settled)
+        settle(command, succeeded, now, effects);
+}
+
+// Ends a command and brings the working plan in line with its effect.
+void EngineLedger::settle(const Command& ended, bool succeeded, MonotonicTime now, EffectList& effects)
+{
+    const Command command = ended;
+    m_commands.erase(command.id);
+    m_settlements.push_back({ command.id, command.endpoint, command.model, command.action, succeeded });
+    const auto engine = m_engines.find(command.endpoint);
+    if (engine != m_engines.end())
+        engine->second.changedAt[command.model] = now;
+    PlannedReplica* replica = m_recorder.working().find(command.endpoint, command.model);
+    if (replica != nullptr && replica->command == command.id) {
+        const bool isPresent = (command.action == PlacementAction::Load) == succeeded;
+        if (isPresent)
+            replica->state = PlannedState::Loaded;
+        else
+            m_recorder.working().erase(command.endpoint, command.model);
+        m_recorder.markChanged();
+    }
+    effects.push_back(commandEntry(succeeded ? LogEvent::PlacementCommandSettled : LogEvent::PlacementCommandFailed,
+        command.endpoint, command.model, std::string(nameOf(command.action)) + (succeeded ? " done" : " not done")));
+    effects.push_back(RecordMetric { Metric::PlacementCommandsTotal,
+        std::string(nameOf(command.action)) + (succeeded ? ":done" : ":not_done"), 1 });
+}
+
+// Whether the report is younger than the last known change of the model, by this owner or its predecessor.
+bool EngineLedger::isReportCurrent(const Engine& engine, const ModelId& model, const EndpointReport& report) const
+{
+    const auto changed = engine.changedAt.find(model);
+    const MonotonicTime since = changed == engine.changedAt.end() ? m_startedAt : changed->second;
+    return report.requestedAt >= since + reportLag;
+}
+
+void EngineLedger::removeMissing(Engine& engine, const EndpointReport& report, EffectList& effects)
+{
+    const auto row = m_recorder.working().replicas.find(report.endpoint);
+    if (row == m_recorder.working().replicas.end())
+        return;
+    std::vector<ModelId> missing;
+    for (auto& [model, replica] : row->second) {
+        const ReportedReplica* reported = findReported(report, model);
+        if (reported != nullptr && reported->memoryBytes > replica.memoryBytes && replica.occupiesMemory()) {
+            replica.memoryBytes = reported->memoryBytes;
+            m_recorder.markChanged();
+        }
+        if (reported == nullptr && replica.state == PlannedState::Loaded && isReportCurrent(engine, model, report))
+            missing.push_back(model);
+    }
+    for (const ModelId& model : missing) {
+        m_recorder.working().erase(report.endpoint, model);
+        m_recorder.markChanged();
+        effects.push_back(commandEntry(
+            LogEvent::PlannedReplicaMissing, report.endpoint, model, "the engine's report does not list it"));
+    }
+}
+
+void EngineLedger::adoptUnplanned(Engine& engine, const EndpointReport& report, EffectList& effects)
+{
+    for (const ReportedReplica& reported : report.replicas) {
+        PlannedReplica* replica = m_recorder.working().find(report.endpoint, reported.model);
+        if (replica != nullptr && replica->occupiesMemory())
+            continue;
+        if (!isReportCurrent(engine, reported.model, report))
+            continue;
+        const CommandId abandoned = replica == nullptr ? CommandId {} : replica->command;
+        if (abandoned.value != 0)
+            m_settlements.push_back({ abandoned, report.endpoint, reported.model, PlacementAction::Load, true });
+        m_recorder.working().put(
+            { report.endpoint, reported.model, PlannedState::Loaded, CommandId {}, reported.memoryBytes });
+        m_recorder.markChanged();
+        effects.push_back(commandEntry(LogEvent::UnplannedReplicaAdopted, report.endpoint, reported.model,
+            std::to_string(reported.memoryBytes) + " bytes"));
+    }
+}
+
+bool EngineLedger::handle(const PlacementCommandFinished& finished, MonotonicTime now, EffectList& effects)
+{
+    const auto found = m_commands.find(finished.id);
+    if (found == m_commands.end())
+        return false;
+    Command& command = found->second;
+    if (finished.outcome == CommandOutcome::Unknown) {
+        const auto engine = m_engines.find(command.endpoint);
+        const Duration late = engine == m_engines.end() ? waitMargin : lateArrivalTime(engine->second);
+        command.settleAfter = now + late + reportLag;
+        effects.push_back(commandEntry(LogEvent::PlacementCommandFailed, command.endpoint, command.model,
+            std::string(nameOf(command.action)) + " outcome unknown: " + finished.reason));
+        return false;
+    }
+    settle(command, finished.outcome == CommandOutcome::Done, now, effects);
+    return finished.outcome == CommandOutcome::FencedOff;
+}
+
+void EngineLedger::beginLoad(PlannedReplica& replica, MonotonicTime now)
+{
+    replica.state = PlannedState::Loading;
+    m_commands[replica.command]
+        = { replica.command, replica.endpoint, replica.model, PlacementAction::Load, false, now, std::nullopt };
+    m_recorder.markChanged();
+}
+
+void EngineLedger::beginUnload(PlannedReplica& replica, CommandId id, MonotonicTime now)
+{
+    replica.state = PlannedState::Unloading;
+    replica.command = id;
+    m_commands[id]
+        = { id, replica.endpoint, replica.model, PlacementAction::Unload, false, now + unloadNotice, std::nullopt };
+    m_recorder.markChanged();
+}
+
+void EngineLedger::tick(MonotonicTime now, MonotonicTime leaseValidUntil, EffectList& effects)
+{
+    if (!m_active)
+        return;
+    fetchReports(now, effects);
+    std::vector<CommandId> abandoned;
+    for (auto& [id, command] : m_commands) {
+        if (command.sent || now < command.sendAfter)
+            continue;
+        const PlannedReplica* confirmed = m_recorder.confirmed().find(command.endpoint, command.model);
+        if (confirmed == nullptr || confirmed->command != id || !confirmed->occupiesMemory())
+            continue;
+        const auto engine = m_engines.find(command.endpoint);
+        if (engine == m_engines.end() || !engine->second.ready)
+            continue;
+        // A replica that was adopted after the decision can have taken the memory.
+        const bool isOvercommitted = usedBytes(command.endpoint) > engine->second.settings.memoryBytes;
+        if (command.action == PlacementAction::Load && isOvercommitted) {
+            abandoned.push_back(id);
+            continue;
+        }
+        send(command, engine->second, *confirmed, leaseValidUntil, effects);
+    }
+    for (const CommandId id : abandoned)
+        settle(m_commands.at(id), false, now, effects);
+}
+
+void EngineLedger::send(Command& command, const Engine& engine, const PlannedReplica& replica,
+    MonotonicTime leaseValidUntil, EffectList& effects)
+{
+    const auto model = m_models.find(command.model);
+    PlacementCommand effect;
+    effect.id = command.id;
+    effect.endpoint = command.endpoint;
+    effect.address = engine.settings.address;
+    effect.action = command.action;
+    effect.model = command.model;
+    effect.memoryBytes = replica.memoryBytes;
+    effect.fencingToken = m_recorder.token();
+    effect.validUntil = leaseValidUntil;
+    effect.timeout = minimumCommandTimeout;
+    if (model != m_models.end()) {
+        effect.baseModel = model->second.baseModel.value_or(ModelId {});
+        // Five times the expected time: a slowed weight store must not turn every load into an unknown outcome.
+        effect.timeout = std::max(minimumCommandTimeout, 5 * model->second.expectedLoadTime);
+    }
+    command.sent = true;
+    if (command.action == PlacementAction::Load)
+        m_startedLoads.push_back(command.id);
+    effects.push_back(commandEntry(LogEvent::PlacementCommandSent, command.endpoint, command.model,
+        std::string(nameOf(command.action)) + " command " + std::to_string(command.id.value)));
+    effects.push_back(std::move(effect));
+}
+
+void EngineLedger::fetchReports(MonotonicTime now, EffectList& effects)
+{
+    for (auto& [id, engine] : m_engines) {
+        if (engine.dead || (engine.fetchPending && now - engine.fetchedAt < 2 * fetchTimeout))
+            continue;
+        const bool isAwaited = (!engine.ready && now >= engine.readyAfter)
+            || std::any_of(m_commands.begin(), m_commands.end(), [&](const auto& entry) {
+                   return entry.second.endpoint == id && entry.second.settleAfter;
+               });
+        const MonotonicTime last = std::max(engine.fetchedAt, engine.report ? engine.report->requestedAt : m_startedAt);
+        const bool isFirst = engine.fetchedAt == MonotonicTime {};
+        if (!isFirst && now - last < (isAwaited ? urgentFetchInterval : steadyFetchInterval))
+            continue;
+        engine.fetchPending = true;
+        engine.fetchedAt = now;
+        effects.push_back(FetchEndpointReport { id, engine.settings.address, fetchTimeout });
+    }
+}
+
+std::vector<CommandId> EngineLedger::loadsInForce() const
+{
+    std::vector<CommandId> result;
+    for (const auto& [id, command] : m_commands) {
+        if (command.sent && command.action == PlacementAction::Load)
+            result.push_back(id);
+    }
+    return result;
+}
+
+bool EngineLedger::hasUnfinishedCommands() const
+{
+    return std::any_of(m_commands.begin(), m_commands.end(),
+        [](const auto& entry) { return entry.second.sent && !entry.second.settleAfter; });
+}
+
+bool EngineLedger::isUsable(const EndpointId& endpoint, MonotonicTime now) const
+{
+    const auto found = m_engines.find(endpoint);
+    if (found == m_engines.end())
+        return false;
+    const Engine& engine = found->second;
+    return engine.ready && !engine.leaving && !engine.dead && engine.report
+        && now - engine.report->requestedAt < reportLifetime;
+}
+
+std::uint64_t EngineLedger::usedBytes(const EndpointId& endpoint) const
+{
+    const auto found = m_engines.find(endpoint);
+    if (found == m_engines.end())
+        return 0;
+    std::uint64_t used = found->second.overheadBytes;
+    const auto row = m_recorder.working().replicas.find(endpoint);
+    if (row != m_recorder.working().replicas.end()) {
+        for (const auto& [model, replica] : row->second)
+            used += replica.occupiesMemory() ? replica.memoryBytes : 0;
+    }
+    return used;
+}
+
+std::uint64_t EngineLedger::memoryBytes(const EndpointId& endpoint) const
+{
+    const auto found = m_engines.find(endpoint);
+    return found == m_engines.end() ? 0 : found->second.settings.memoryBytes;
+}
+
+bool EngineLedger::isSteady(const PlannedReplica& replica, MonotonicTime now) const
+{
+    const auto engine = m_engines.find(replica.endpoint);
+    if (engine == m_engines.end())
+        return false;
+    const auto changed = engine->second.changedAt.find(replica.model);
+    return changed == engine->second.changedAt.end() || now >= changed->second + lateArrivalTime(engine->second);
+}
+
+} // namespace Catkinwell
--- /dev/null
+++ b/src/placement/IdlePolicy.cpp
@@ -0,0 +1,199 @@
+#include <catkinwell/placement/IdlePolicy.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Catkinwell {
+
+namespace {
+
+    constexpr double secondsPerHour = 3600;
+    // The load time at which a cold start costs coldStartCost; the default expectedLoadTime.
+    constexpr double referenceLoadSeconds = 20;
+    // Older gaps lose 3% of their weight with each new one, so that the last hundred or so decide.
+    constexpr double decay = 0.97;
+    // A model without history behaves as if two gaps had been seen, spread evenly over the
+    // logarithmic bins; a single observed gap then does not decide alone.
+    constexpr double priorWeight = 2;
+    // Requests less than this apart belong to one period of use.
+    constexpr double sessionGapSeconds = 60;
+    // Arrivals count as regular when the gaps' standard deviation is below this part of their mean.
+    constexpr double regularDeviation = 0.15;
+    constexpr double lossHorizonSeconds = 600;
+    constexpr Duration minimumKeepAlive = std::chrono::seconds(10);
+
+    double toSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+    Duration fromSeconds(double seconds)
+    {
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    }
+
+    double upperEdge(std::size_t bin) { return std::exp2(static_cast<double>(bin) / 2); }
+
+    double middleOf(std::size_t bin) { return bin == 0 ? 0.5 : upperEdge(bin) * 0.85; }
+
+} // namespace
+
+void IdlePolicy::configure(const FleetConfiguration& effective)
+{
+    std::unordered_map<std::string, std::uint64_t> poolMemory;
+    for (const auto& [id, endpoint] : effective.endpoints) {
+        auto& largest = poolMemory[endpoint.pool];
+        largest = std::max(largest, endpoint.memoryBytes);
+    }
+    std::erase_if(m_models, [&](const auto& entry) { return !effective.models.contains(entry.first); });
+    for (const auto& [id, model] : effective.models) {
+        const auto memory = poolMemory.find(model.pool);
+        const double part = memory == poolMemory.end() || memory->second == 0
+            ? 1.0
+            : std::min(1.0, static_cast<double>(model.memoryBytes) / static_cast<double>(memory->second));
+        auto [entry, isNew] = m_models.try_emplace(id);
+        History& history = entry->second;
+        history.idleCostPerSecond = effective.defaults.idleHourCost * part / secondsPerHour;
+        history.coldStartCost
+            = effective.defaults.coldStartCost * toSeconds(model.expectedLoadTime) / referenceLoadSeconds;
+        history.loadTime = model.expectedLoadTime;
+        if (isNew)
+            history.bins.fill(priorWeight / binCount);
+        updateKeepAlive(history);
+    }
+}
+
+void IdlePolicy::noteArrivals(const ModelId& model, std::uint32_t count, MonotonicTime now)
+{
+    const auto found = m_models.find(model);
+    if (found == m_models.end() || count == 0)
+        return;
+    History& history = found->second;
+    if (!history.lastArrival) {
+        history.sessionStart = now;
+    } else {
+        const double gap = toSeconds(now - *history.lastArrival);
+        addGap(history, gap);
+        if (gap >= sessionGapSeconds) {
+            history.sessionGaps[history.sessionGapCount++ % regularGaps] = toSeconds(now - history.sessionStart);
+            history.sessionStart = now;
+            updatePeriod(history);
+        }
+    }
+    history.lastArrival = now;
+    updateKeepAlive(history);
+}
+
+void IdlePolicy::addGap(History& history, double seconds)
+{
+    const double position = seconds <= 1 ? 0 : std::ceil(2 * std::log2(seconds));
+    const auto bin = std::min(binCount - 1, static_cast<std::size_t>(position));
+    for (double& weight : history.bins)
+        weight *= decay;
+    history.bins[bin] += 1;
+}
+
+// Evaluates the expected cost of one gap for every bin edge as the keep-alive time.
+void IdlePolicy::updateKeepAlive(History& history)
+{
+    double total = 0;
+    for (const double weight : history.bins)
+        total += weight;
+    double remaining = total;
+    double idleBelow = 0;
+    double bestCost = history.coldStartCost * total;
+    double best = 0;
+    for (std::size_t bin = 0; bin < binCount; ++bin) {
+        remaining -= history.bins[bin];
+        idleBelow += history.bins[bin] * middleOf(bin);
+        const double edge = upperEdge(bin);
+        const double cost = history.idleCostPerSecond * (idleBelow + remaining * edge)
+            + history.coldStartCost * std::max(0.0, remaining);
+        if (cost < bestCost) {
+            bestCost = cost;
+            best = edge;
+        }
+    }
+    history.keepAlive = std::max(minimumKeepAlive, fromSeconds(best));
+}
+
+void IdlePolicy::updatePeriod(History& history)
+{
+    history.period.reset();
+    if (history.sessionGapCount < regularGaps)
+        return;
+    double sum = 0;
+    double squares = 0;
+    for (const double gap : history.sessionGaps) {
+        sum += gap;
+        squares += gap * gap;
+    }
+    const double mean = sum / regularGaps;
+    const double deviation = std::sqrt(std::max(0.0, squares / regularGaps - mean * mean));
+    if (deviation > regularDeviation * mean)
+        return;
+    history.period = fromSeconds(mean);
+    history.periodSpread = fromSeconds(2 * deviation) + std::chrono::seconds(5);
+}
+
+Duration IdlePolicy::keepAlive(const ModelId& model) const
+{
+    const auto found = m_models.find(model);
+    if (found == m_models.end())
+        return minimumKeepAlive;
+    const History& history = found->second;
+    if (!history.period)
+        return history.keepAlive;
+    // Leaving a regular model loaded until its next use is cheaper than a short pause that saves
+    // less idle time than the window ahead of the predicted use takes.
+    const Duration lead = history.loadTime + history.periodSpread;
+    const Duration saved = *history.period - lead;
+    return saved < 2 * lead ? std::max(history.keepAlive, *history.period + history.periodSpread)
+                            : std::min(history.keepAlive, Duration(std::chrono::seconds(60)));
+}
+
+std::optional<IdlePolicy::Window> IdlePolicy::prefetchWindow(const ModelId& model) const
+{
+    const auto found = m_models.find(model);
+    if (found == m_models.end() || !found->second.period)
+        return std::nullopt;
+    const History& history = found->second;
+    const MonotonicTime predicted = history.sessionStart + *history.period;
+    return Window { predicted - history.periodSpread - history.loadTime, predicted + history.periodSpread };
+}
+
+bool IdlePolicy::isWorthLoading(
+    const ModelId& model, std::optional<MonotonicTime> lastUse, MonotonicTime now) const
+{
+    if (lastUse && now - *lastUse <= keepAlive(model))
+        return true;
+    const auto window = prefetchWindow(model);
+    return window && window->from <= now && now <= window->until;
+}
+
+double IdlePolicy::probabilityOfUse(const History& history, double idleSeconds, double horizonSeconds)
+{
+    double later = 0;
+    double within = 0;
+    for (std::size_t bin = 0; bin < binCount; ++bin) {
+        const double gap = middleOf(bin);
+        if (gap <= idleSeconds)
+            continue;
+        later += history.bins[bin];
+        if (gap <= idleSeconds + horizonSeconds)
+            within += history.bins[bin];
+    }
+    return later > 0 ? within / later : 0;
+}
+
+double IdlePolicy::lossCost(const ModelId& model, MonotonicTime now) const
+{
+    const auto found = m_models.find(model);
+    if (found == m_models.end())
+        return 0;
+    const History& history = found->second;
+    const auto window = prefetchWindow(model);
+    if (window && window->from <= now && now <= window->until)
+        return history.coldStartCost;
+    const double idle = history.lastArrival ? toSeconds(now - *history.lastArrival) : secondsPerHour;
+    return history.coldStartCost * probabilityOfUse(history, idle, lossHorizonSeconds);
+}
+
+} // namespace Catkinwell
