--- /dev/null
+++ b/src/metrics/MetricCatalogue.cpp
@@ -0,0 +1,48 @@
+#include <catkinwell/metrics/MetricCatalogue.h>
+
+#include <algorithm>
+
+namespace Catkinwell {
+
+const std::vector<MetricDescription>& metricCatalogue()
+{
+    using enum MetricKind;
+    static const std::vector<MetricDescription> catalogue {
+        { Metric::RequestsTotal, Counter, "requests_total", "account", "Requests that arrived from callers." },
+        { Metric::RequestSeconds, Summary, "request_seconds", "model",
+            "Time from the arrival of a request to the end of its response." },
+        { Metric::FirstByteSeconds, Summary, "first_byte_seconds", "model",
+            "Time from the arrival of a request to the first byte of its response." },
+        { Metric::QueueLength, Gauge, "queue_length", "model", "Requests that wait for a replica on this host." },
+        { Metric::RefusalsTotal, Counter, "refusals_total", "reason", "Requests that were refused." },
+        { Metric::AttemptsTotal, Counter, "attempts_total", "endpoint", "Attempts that were started." },
+        { Metric::RetriesTotal, Counter, "retries_total", "reason", "Attempts that repeat an earlier one." },
+        { Metric::TokensTotal, Counter, "tokens_total", "account", "Tokens that were charged to client accounts." },
+        { Metric::ShareLevel, Gauge, "share_level", "account", "Tokens available in this host's buckets." },
+        { Metric::ShareLoansTotal, Counter, "share_loans_total", "account", "Tokens borrowed from peers." },
+        { Metric::ClaimsTotal, Counter, "claims_total", "outcome", "Claims of keyed requests." },
+        { Metric::PlacementCommandsTotal, Counter, "placement_commands_total", "outcome",
+            "Load and unload commands that were sent to engines." },
+        { Metric::ColdStartSeconds, Summary, "cold_start_seconds", "model",
+            "Time that a request waited for its model to be loaded." },
+        { Metric::ReplicasLoaded, Gauge, "replicas_loaded", "model", "Loaded replicas that this host knows." },
+        { Metric::PeerMessagesTotal, Counter, "peer_messages_total", "kind", "Messages exchanged with peers." },
+        { Metric::PeerMessagesDropped, Counter, "peer_messages_dropped_total", "reason",
+            "Peer messages that were dropped." },
+        { Metric::StoreCallsTotal, Counter, "store_calls_total", "status", "Calls to the platform's store." },
+        { Metric::StateAgeSeconds, Gauge, "state_age_seconds", "state", "Age of the state that the host acts on." },
+        { Metric::AuthenticationFailuresTotal, Counter, "authentication_failures_total", "listener",
+            "Requests that came without a valid key or token." },
+    };
+    return catalogue;
+}
+
+const MetricDescription* describe(Metric metric)
+{
+    const auto& catalogue = metricCatalogue();
+    const auto found = std::find_if(catalogue.begin(), catalogue.end(),
+        [metric](const MetricDescription& description) { return description.metric == metric; });
+    return found == catalogue.end() ? nullptr : &*found;
+}
+
+} // namespace Catkinwell
