--- /dev/null
+++ b/include/catkinwell/admin/UsageAccounting.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <catkinwell/admin/UsageReport.h>
+#include <catkinwell/reducer/Effect.h>
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace Catkinwell {
+
+enum class ReplicaOrigin {
+    // The load finished under this host's eyes and counts as a load.
+    LoadedNow,
+    // The replica was already loaded when this host began to count it.
+    FoundLoaded,
+};
+
+// Counts accelerator time, loads, cold starts, tokens and refusals of this host.
+// The replica functions are called only by the host that owns the placement of the
+// replica's data centre, so that each replica is counted once in the fleet; the
+// other functions are called by the host that served the request. Not thread safe.
+class UsageAccounting {
+public:
+    // Further models or accounts are counted together under "other"; further replicas are not counted.
+    static constexpr std::size_t maximumModels = 4096;
+    static constexpr std::size_t maximumAccounts = 256;
+    static constexpr std::size_t maximumReplicas = 16384;
+    static constexpr std::size_t maximumReasons = 32;
+
+    UsageAccounting(HostId, MonotonicTime now, WallTime wallNow);
+
+    // accelerators: the part of the endpoint's accelerators that the replica occupies, for example
+    // its share of the memory times the number of accelerators. Repeated calls for a known replica are ignored.
+    void replicaLoaded(const EndpointId&, const ModelId&, ReplicaOrigin, MonotonicTime now, double accelerators = 1);
+    void replicaUnloaded(const EndpointId&, const ModelId&, MonotonicTime now);
+    // Unknown replicas are ignored.
+    void setReplicaBusy(const EndpointId&, const ModelId&, bool busy, MonotonicTime now);
+    // Ends the counting of all replicas, when this host loses the placement of its data centre.
+    void stopCountingReplicas(MonotonicTime now);
+
+    void coldStart(const AccountId&, const ModelId&);
+    // Amounts of zero or less are ignored.
+    void tokensUsed(const AccountId&, const ModelId&, TokenCount);
+    void requestRefused(const AccountId&, const ModelId&, const std::string& reason);
+
+    // Logs BudgetNearlyExceeded once a month when four fifths of the budget are used or the forecast exceeds
+    // it, and BudgetExceeded once a month. A budget of 0 means none.
+    void tick(MonotonicTime now, WallTime wallNow, double monthlyBudgetHours, EffectList& effects);
+
+    // Includes the replicas that are loaded now.
+    UsageReport report(MonotonicTime now, WallTime wallNow);
+
+private:
+    struct Replica {
+        double accelerators = 1;
+        bool busy = false;
+        MonotonicTime countedUntil {};
+    };
+    struct Bucket {
+        MonotonicTime since {};
+        double hours = 0;
+    };
+    using ReplicaKey = std::pair<EndpointId, ModelId>;
+
+    void settle(const ReplicaKey&, Replica&, MonotonicTime now);
+    void settleAll(MonotonicTime now);
+    void integrate(MonotonicTime now);
+    void enterMonth(WallTime wallNow);
+    double meanAccelerators(MonotonicTime now) const;
+    ModelId boundedModel(const ModelId&) const;
+    AccountId boundedAccount(const AccountId&) const;
+
+    UsageReport m_report;
+    std::map<ReplicaKey, Replica> m_replicas;
+    double m_loadedAccelerators = 0;
+    MonotonicTime m_integratedUntil;
+    // One for each of the last 24 hours.
+    std::deque<Bucket> m_buckets;
+    int m_month = 0;
+    bool m_warned = false;
+    bool m_exceeded = false;
+};
+
+} // namespace Catkinwell
--- a/include/catkinwell/logging/LogEvent.h
+++ b/include/catkinwell/logging/LogEvent.h
@@ -52,6 +52,12 @@
     StoreUnreachable = 1902,
     StoreReachable = 1903,
     // 2000: administration
+    AdminChangeAccepted = 2000,
+    AdminChangeRefused = 2001,
+    AdminChangeUnknown = 2002,
+    AdminAuthenticationFailed = 2003,
+    BudgetNearlyExceeded = 2004,
+    BudgetExceeded = 2005,
 };
 
 struct LogEventDescription {
--- a/src/logging/LogEvent.cpp
+++ b/src/logging/LogEvent.cpp
@@ -74,6 +74,22 @@
             "See the chapter on platform outages in docs/operations.md." },
         { LogEvent::StoreReachable, Info, "store_reachable", "The store answers again.", "" },
         // 2000: administration
+        { LogEvent::AdminChangeAccepted, Info, "admin_change_accepted",
+            "An operator changed something; the fields give who, what, why and the new version.", "" },
+        { LogEvent::AdminChangeRefused, Warning, "admin_change_refused",
+            "An operator's change was not made; the fields give the reason.", "" },
+        { LogEvent::AdminChangeUnknown, Warning, "admin_change_unknown",
+            "The store did not confirm an operator's change; it may have taken effect.",
+            "Read the configuration, or repeat the change with the same change identifier." },
+        { LogEvent::AdminAuthenticationFailed, Warning, "admin_authentication_failed",
+            "A request for the administration API came without a valid token.",
+            "If it repeats, find its origin and replace the token if it may be known to others." },
+        { LogEvent::BudgetNearlyExceeded, Warning, "budget_nearly_exceeded",
+            "The accelerator hours counted by this host, or their forecast, come close to the monthly budget.",
+            "Run `catkinwell admin report` over all hosts; lower minimum replicas or raise the budget." },
+        { LogEvent::BudgetExceeded, Error, "budget_exceeded",
+            "The accelerator hours counted by this host exceed the monthly budget.",
+            "Run `catkinwell admin report` over all hosts; lower minimum replicas or raise the budget." },
     };
     return catalogue;
 }
