--- a/include/catkinwell/logging/LogEvent.h
+++ b/include/catkinwell/logging/LogEvent.h
@@ -44,8 +44,22 @@
     // 1400: orders
     // 1500: placement
     // 1600: membership
+    HostStateChanged = 1600,
+    HostDeclaredDead = 1601,
+    HostListRead = 1602,
+    HostListUnreadable = 1603,
+    EndpointLeaving = 1604,
     // 1700: configuration
+    ConfigurationApplied = 1700,
+    ConfigurationRejected = 1701,
+    ConfigurationProposalFinished = 1702,
+    KeyRevokedLocally = 1703,
+    KeyRevocationWritten = 1704,
+    ConfigurationStoreBehind = 1705,
+    ConfigurationExceptionsChanged = 1706,
     // 1800: peer
+    PeerMessageDropped = 1800,
+    PeerTransportFailed = 1801,
     // 1900: store
     HostLeaseAcquired = 1900,
     HostLeaseLost = 1901,
--- a/include/catkinwell/peer/PeerMessage.h
+++ b/include/catkinwell/peer/PeerMessage.h
@@ -83,11 +83,14 @@
 // configuration: asks for the head and parts of a version, and the answer.
 struct ConfigurationRequest {
     ConfigurationVersion haveVersion = 0;
+    // Content hashes of the parts that the sender has, so that the answer carries only the others.
+    std::vector<std::string> haveParts {};
 };
 
 struct ConfigurationOffer {
     ConfigurationVersion version = 0;
     std::string headJson;
+    // Texts of parts that the asker lacks; an answer that would be too large carries only some of them.
     std::vector<std::string> parts;
 };
 
--- a/src/configuration/ConfigurationDocument.cpp
+++ b/src/configuration/ConfigurationDocument.cpp
@@ -1,5 +1,6 @@
 #include <catkinwell/configuration/ConfigurationAccess.h>
 
+#include "ConfigurationParts.h"
 #include "ConfigurationValidation.h"
 #include "FieldJson.h"
 #include "NearestName.h"
@@ -96,6 +97,8 @@
     Status readRoutes(const Json& document, std::vector<RouteSettings>& target)
     {
         std::set<std::string> prefixes;
+        for (const auto& route : target)
+            prefixes.insert(route.pathPrefix);
         return readList<RouteSettings>(
             document, "routes", [&](RouteSettings&& route, const std::string& path) -> Status {
                 if (!prefixes.insert(route.pathPrefix).second)
@@ -192,6 +195,21 @@
     return configuration;
 }
 
+Result<FleetConfiguration> joinConfiguration(const std::vector<std::string_view>& parts)
+{
+    FleetConfiguration configuration;
+    for (const auto& part : parts) {
+        const auto document = parseJson(part);
+        if (isError(document))
+            return errorOf(document);
+        if (auto status = readDocument(valueOf(document), configuration); isError(status))
+            return errorOf(status);
+    }
+    if (auto status = validateConfiguration(configuration); isError(status))
+        return errorOf(status);
+    return configuration;
+}
+
 std::string fleetConfigurationToJson(const FleetConfiguration& configuration)
 {
     std::string text = "{\"version\": " + std::to_string(configuration.version);
--- /dev/null
+++ b/src/configuration/ConfigurationWatcher.cpp
@@ -0,0 +1,166 @@
+#include "ConfigurationWatcher.h"
+
+#include <catkinwell/core/Digest.h>
+
+namespace Catkinwell {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // A change must be in force within 10 s even if the answer to a watch is lost: the next watch then
+    // starts after watchWait + watchMargin and is answered at once.
+    constexpr Duration watchWait = 5s;
+    constexpr Duration watchMargin = 2s;
+    constexpr Duration partTimeout = 2s;
+    // The adapter answers every call by its timeout; this guards against a reply that never comes.
+    constexpr Duration lostReplyMargin = 1s;
+    constexpr Duration firstBackoff = 200ms;
+    constexpr Duration longestBackoff = 5s;
+    // Spreads the reads of all hosts after a change, so that they stay below the store's rate.
+    constexpr Duration partReadSpread = 300ms;
+    constexpr unsigned olderAnswersUntilBehind = 5;
+
+} // namespace
+
+ConfigurationWatcher::ConfigurationWatcher(
+    std::map<std::string, std::string>& parts, RandomGenerator& random, StoreCallIds& ids)
+    : m_parts(parts)
+    , m_random(random)
+    , m_ids(ids)
+    , m_watchBackoff(firstBackoff, longestBackoff)
+    , m_partBackoff(firstBackoff, longestBackoff)
+{
+}
+
+void ConfigurationWatcher::tick(MonotonicTime now, ConfigurationVersion accepted, EffectList& effects)
+{
+    if (m_watch && now >= m_watch->lostAt)
+        handleWatch({ .id = m_watch->id, .status = StoreStatus::Unknown }, now, accepted);
+    if (m_partRead && now >= m_partRead->lostAt)
+        handlePart({ .id = m_partRead->id, .status = StoreStatus::Unknown }, now);
+    if (m_pending && m_pending->version <= accepted)
+        m_pending.reset();
+    if (!m_watch && now >= m_nextWatchAt)
+        startWatch(now, effects);
+    if (!m_partRead && now >= m_nextPartAt && missingPart())
+        startPartRead(now, effects);
+}
+
+bool ConfigurationWatcher::handle(const StoreReply& reply, MonotonicTime now, ConfigurationVersion accepted)
+{
+    if (m_watch && reply.id == m_watch->id) {
+        handleWatch(reply, now, accepted);
+        return true;
+    }
+    if (m_partRead && reply.id == m_partRead->id) {
+        handlePart(reply, now);
+        return true;
+    }
+    return false;
+}
+
+void ConfigurationWatcher::startWatch(MonotonicTime now, EffectList& effects)
+{
+    const Duration timeout = watchWait + watchMargin;
+    m_watch = Call { m_ids.next(), now, now + timeout + lostReplyMargin };
+    const StoreWatch watch { std::string(configurationHeadKey), m_headStoreVersion, watchWait };
+    effects.push_back(StoreCall { m_watch->id, watch, timeout });
+}
+
+void ConfigurationWatcher::startPartRead(MonotonicTime now, EffectList& effects)
+{
+    m_partHash = *missingPart();
+    m_partRead = Call { m_ids.next(), now, now + partTimeout + lostReplyMargin };
+    effects.push_back(
+        StoreCall { m_partRead->id, StoreGet { std::string(configurationPartPrefix) + m_partHash }, partTimeout });
+}
+
+void ConfigurationWatcher::handleWatch(const StoreReply& reply, MonotonicTime now, ConfigurationVersion accepted)
+{
+    const MonotonicTime sentAt = m_watch->sentAt;
+    m_watch.reset();
+    if (reply.status != StoreStatus::Ok && reply.status != StoreStatus::NotFound) {
+        m_reachable = false;
+        m_nextWatchAt = now + m_watchBackoff.next(m_random);
+        return;
+    }
+    m_reachable = true;
+    takeHead(reply, now, accepted);
+    const bool older = reply.version < m_headStoreVersion || m_olderAnswers > 0;
+    // An answer without news before the wait is over means a stale or missing value; asking again at once would spin.
+    if (older || (now - sentAt < watchWait && reply.version <= m_headStoreVersion && !m_pending)) {
+        m_nextWatchAt = now + m_watchBackoff.next(m_random);
+    } else {
+        m_watchBackoff.reset();
+        m_nextWatchAt = now;
+    }
+    m_headStoreVersion = std::max(m_headStoreVersion, reply.version);
+    if (m_olderAnswers == 0)
+        m_confirmedAt = sentAt;
+}
+
+void ConfigurationWatcher::takeHead(const StoreReply& reply, MonotonicTime now, ConfigurationVersion accepted)
+{
+    ConfigurationHead head;
+    if (reply.status == StoreStatus::Ok) {
+        auto parsed = parseHead(reply.value);
+        if (isError(parsed)) {
+            if (reply.version > m_headStoreVersion)
+                m_headError = errorOf(parsed);
+            return;
+        }
+        head = takeValue(std::move(parsed));
+    }
+    if (head.version < accepted) {
+        if (++m_olderAnswers == olderAnswersUntilBehind)
+            m_storeBehind = head.version;
+        return;
+    }
+    m_olderAnswers = 0;
+    const bool isNews = head.version > accepted && (!m_pending || head.version > m_pending->version);
+    if (!isNews)
+        return;
+    m_pending = std::move(head);
+    m_partBackoff.reset();
+    m_nextPartAt = now + Duration(static_cast<Duration::rep>(m_random.unit() * partReadSpread.count()));
+}
+
+void ConfigurationWatcher::handlePart(const StoreReply& reply, MonotonicTime now)
+{
+    m_partRead.reset();
+    if (reply.status == StoreStatus::Ok && sha256Hex(reply.value) == m_partHash) {
+        m_parts[m_partHash] = reply.value;
+        m_partBackoff.reset();
+        m_nextPartAt = now;
+        return;
+    }
+    m_nextPartAt = now + m_partBackoff.next(m_random);
+}
+
+const std::string* ConfigurationWatcher::missingPart() const
+{
+    if (!m_pending)
+        return nullptr;
+    for (const auto& hash : m_pending->parts) {
+        if (m_parts.count(hash) == 0)
+            return &hash;
+    }
+    return nullptr;
+}
+
+std::optional<ConfigurationHead> ConfigurationWatcher::takeComplete()
+{
+    if (!m_pending || missingPart())
+        return std::nullopt;
+    return std::exchange(m_pending, std::nullopt);
+}
+
+std::optional<Error> ConfigurationWatcher::takeHeadError() { return std::exchange(m_headError, std::nullopt); }
+
+std::optional<ConfigurationVersion> ConfigurationWatcher::takeStoreBehind()
+{
+    return std::exchange(m_storeBehind, std::nullopt);
+}
+
+} // namespace Catkinwell
