--- a/include/catkinwell/http/CallerListener.h
+++ b/include/catkinwell/http/CallerListener.h
@@ -66,6 +66,8 @@
     void execute(const AbortResponse&);
 
     std::size_t openRequests() const;
+    // Finished answers that have not left completely.
+    std::size_t unflushedAnswers() const;
 
     sigc::signal<void(RequestArrived)>& signalRequest();
     sigc::signal<void(CallerLeft)>& signalCallerLeft();
--- a/include/catkinwell/reducer/Effect.h
+++ b/include/catkinwell/reducer/Effect.h
@@ -17,10 +17,16 @@
     int code = 0;
 };
 
+// Tells the peer transport where to reach a host. An empty address forgets the host.
+struct SetPeerAddress {
+    HostId host;
+    std::string address;
+};
+
 // Everything that the reducer can ask the runtime to do.
 using Effect = std::variant<SendResponseHead, SendResponseData, FinishResponse, SendWholeResponse, AbortResponse,
     StartAttempt, CancelAttempt, ThrottleAttempt, StoreCall, SendToPeer, FetchEndpointReport, PlacementCommand,
-    LogEntry, RecordMetric, ExitProcess>;
+    LogEntry, RecordMetric, SetPeerAddress, ExitProcess>;
 
 using EffectList = std::vector<Effect>;
 
--- /dev/null
+++ b/include/catkinwell/reducer/Reducer.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <catkinwell/admin/AdminApi.h>
+#include <catkinwell/admin/DecisionJournal.h>
+#include <catkinwell/admin/UsageAccounting.h>
+#include <catkinwell/configuration/ConfigurationManager.h>
+#include <catkinwell/membership/EndpointDrains.h>
+#include <catkinwell/membership/MembershipManager.h>
+#include <catkinwell/metrics/MetricsRegistry.h>
+#include <catkinwell/orders/ClaimManager.h>
+#include <catkinwell/placement/PlacementManager.h>
+#include <catkinwell/reducer/Effect.h>
+#include <catkinwell/reducer/Event.h>
+#include <catkinwell/requests/RequestFlow.h>
+#include <catkinwell/routing/EndpointTable.h>
+#include <catkinwell/settings/ProcessSettings.h>
+#include <catkinwell/shares/ShareManager.h>
+#include <catkinwell/store/HostLease.h>
+
+namespace Catkinwell {
+
+struct ReducerSettings {
+    HostRegistration host;
+    std::uint64_t seed = 0;
+    std::vector<AdminCredential> credentials;
+    std::map<HostId, std::string> seedPeers;
+};
+
+ReducerSettings reducerSettingsOf(const ProcessSettings&, Incarnation);
+
+// The state of a host and the one function that changes it. apply() is pure but for
+// SecretSource: the same state, events and times give the same effects. Not thread safe.
+class Reducer final : private StatusSource, private ReadinessSource, private DrainControl, private QuarantineControl {
+public:
+    Reducer(ReducerSettings, SecretSource&, MonotonicTime now, WallTime wallNow);
+    ~Reducer() override;
+
+    // Takes one event and returns what the runtime has to do, in this order.
+    // Precondition: times do not decrease.
+    EffectList apply(const Event&, MonotonicTime now);
+
+private:
+    enum class Phase {
+        Serving,
+        // Requests run to their end.
+        Draining,
+        // The modules hand back what they hold.
+        Releasing,
+        // The host's lease is revoked.
+        Revoking,
+        Finished,
+    };
+
+    struct Dispatch;
+
+    void handleTick(const Tick&, MonotonicTime now, EffectList&);
+    void handleShutdown(MonotonicTime now, EffectList&);
+    void handleStoreReply(const StoreReply&, MonotonicTime now, EffectList&);
+    void handlePeerMessage(const PeerMessageReceived&, MonotonicTime now, EffectList&);
+    // Passes changes of one module on to the others.
+    void propagate(MonotonicTime now, EffectList&);
+    void propagateConfiguration(MonotonicTime now, EffectList&);
+    void propagateMembership(MonotonicTime now, EffectList&);
+    void propagatePlan(MonotonicTime now);
+    void reportDemand(MonotonicTime now);
+    void countReplicas(const EndpointReport&, MonotonicTime now);
+    void advanceShutdown(MonotonicTime now, EffectList&);
+    void absorb(MonotonicTime now, EffectList&);
+
+    std::string statusJson(std::string_view section, MonotonicTime now) const override;
+    std::string reasonNotReady(MonotonicTime now) const override;
+    std::vector<EndpointId> draining() const override;
+    Status setDraining(const EndpointId&, bool draining, const std::string& reason, MonotonicTime now,
+        EffectList& effects) override;
+    std::vector<QuarantinedRequest> quarantined() const override;
+    Status release(std::uint64_t fingerprint, MonotonicTime now, EffectList& effects) override;
+
+    ReducerSettings m_settings;
+    MetricsRegistry m_metrics;
+    DecisionJournal m_journal;
+    UsageAccounting m_usage;
+    HostLease m_lease;
+    ConfigurationManager m_configuration;
+    MembershipManager m_membership;
+    EndpointDrains m_drains;
+    EndpointTable m_endpoints;
+    ShareManager m_shares;
+    ClaimManager m_claims;
+    PlacementManager m_placement;
+    RequestFlow m_requests;
+    AdminApi m_admin;
+    WallTime m_wallNow;
+    Phase m_phase = Phase::Serving;
+    MonotonicTime m_phaseDeadline {};
+    MonotonicTime m_nextDemandAt {};
+    std::uint64_t m_seenPlanVersion = 0;
+    bool m_wasOwner = false;
+    std::map<HostId, std::string> m_peerAddresses;
+    std::set<EndpointId> m_leavingEndpoints;
+    // The replicas that this host counts for the bill.
+    std::map<EndpointId, std::set<ModelId>> m_countedReplicas;
+};
+
+} // namespace Catkinwell
--- a/include/catkinwell/requests/RequestFlow.h
+++ b/include/catkinwell/requests/RequestFlow.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <catkinwell/admin/UsageAccounting.h>
 #include <catkinwell/configuration/ConfigurationAccess.h>
 #include <catkinwell/orders/ClaimManager.h>
 #include <catkinwell/reducer/Effect.h>
@@ -22,6 +23,7 @@
     EndpointTable& endpoints;
     ShareManager& shares;
     ClaimManager& claims;
+    UsageAccounting& usage;
 };
 
 // What the placement should know of a model's requests on this host.
@@ -66,6 +68,8 @@
 
     // Requests by model; the arrivals are those since the last call.
     std::map<ModelId, ModelDemand> takeDemand();
+    // Whether a request began to wait for a model that is loaded nowhere, since the last call.
+    bool takeNewlyCold();
 
 private:
     struct Intake;
@@ -112,6 +116,7 @@
 
     RequestModules m_modules;
     bool m_shuttingDown = false;
+    bool m_newlyCold = false;
     std::uint64_t m_lastAttempt = 0;
     std::unordered_map<RequestId, std::unique_ptr<ActiveRequest>> m_requests;
     std::unordered_map<AttemptId, RequestId> m_attempts;
--- a/src/http/CallerListener.cpp
+++ b/src/http/CallerListener.cpp
@@ -89,6 +89,7 @@
     sigc::signal<void(CallerBackpressure)> m_signalBackpressure;
 
     std::size_t openRequests() const { return m_requests.size(); }
+    std::size_t unflushedAnswers() const { return m_unflushed.size(); }
 
 private:
     struct OpenRequest {
@@ -113,6 +114,8 @@
     static void stopWatching(OpenRequest&);
     OpenRequest* find(RequestId);
     void addHeaders(const OpenRequest&, const HeaderList&);
+    // Counts the answer as unflushed until evhttp has written it or its connection is gone.
+    void trackFlush(evhttp_request*);
     // Removes the entry, so that a callback during the last write cannot see it.
     void forget(RequestId);
 
@@ -123,6 +126,7 @@
     evhttp_bound_socket* m_boundSocket = nullptr;
     std::unique_ptr<TlsContext> m_tls;
     bool m_stopping = false;
+    std::unordered_set<evhttp_connection*> m_unflushed;
     std::unordered_map<RequestId, std::unique_ptr<OpenRequest>> m_requests;
 };
 
@@ -282,6 +286,24 @@
     m_requests.erase(found);
 }
 
+void CallerListener::Implementation::trackFlush(evhttp_request* request)
+{
+    evhttp_connection* connection = evhttp_request_get_connection(request);
+    m_unflushed.insert(connection);
+    const auto flushed = [](evhttp_connection* gone, void* context) {
+        static_cast<Implementation*>(context)->m_unflushed.erase(gone);
+    };
+    evhttp_connection_set_closecb(connection, flushed, this);
+    evhttp_request_set_on_complete_cb(
+        request,
+        [](evhttp_request* complete, void* context) {
+            evhttp_connection* written = evhttp_request_get_connection(complete);
+            evhttp_connection_set_closecb(written, nullptr, nullptr);
+            static_cast<Implementation*>(context)->m_unflushed.erase(written);
+        },
+        this);
+}
+
 void CallerListener::Implementation::addHeaders(const OpenRequest& open, const HeaderList& headers)
 {
     evkeyvalq* output = evhttp_request_get_output_headers(open.request);
@@ -334,6 +356,7 @@
         return;
     evhttp_request* request = open->request;
     forget(id);
+    trackFlush(request);
     evhttp_send_reply_end(request);
 }
 
@@ -346,6 +369,7 @@
     evhttp_request* request = open->request;
     const bool headOnly = open->headOnly;
     forget(response.id);
+    trackFlush(request);
     evbuffer* body = evbuffer_new();
     if (headOnly)
         evhttp_add_header(
@@ -391,6 +415,11 @@
 
 void CallerListener::execute(const AbortResponse& effect) { m_implementation->abort(effect.id); }
 
+std::size_t CallerListener::unflushedAnswers() const
+{
+    return m_implementation->unflushedAnswers();
+}
+
 std::size_t CallerListener::openRequests() const { return m_implementation->openRequests(); }
 
 sigc::signal<void(RequestArrived)>& CallerListener::signalRequest() { return m_implementation->m_signalRequest; }
--- /dev/null
+++ b/src/reducer/Reducer.cpp
@@ -0,0 +1,362 @@
+#include <catkinwell/reducer/Reducer.h>
+
+#include <algorithm>
+#include <catkinwell/core/Digest.h>
+
+namespace Catkinwell {
+
+namespace {
+
+// The placement hears of a newly cold model at once, and of other changes a few times a second.
+constexpr Duration demandInterval = std::chrono::milliseconds(250);
+// How long a stopping host waits for the store before it leaves its leases to lapse.
+constexpr Duration longestRelease = std::chrono::seconds(10);
+constexpr Duration longestRevoke = std::chrono::seconds(2);
+
+// Seeds of the modules' generators, derived from one so that hosts differ and a history replays.
+std::uint64_t derivedSeed(std::uint64_t seed, std::string_view module)
+{
+    return seed ^ stableHash(module);
+}
+
+AdminApiSettings adminSettingsOf(const ReducerSettings& settings)
+{
+    AdminApiSettings admin;
+    admin.credentials = settings.credentials;
+    return admin;
+}
+
+std::vector<AdminRole> rolesOf(const std::vector<std::string>& names)
+{
+    std::vector<AdminRole> roles;
+    for (const AdminRole role : { AdminRole::Read, AdminRole::Operate, AdminRole::GrantKeys }) {
+        if (std::find(names.begin(), names.end(), nameOf(role)) != names.end())
+            roles.push_back(role);
+    }
+    return roles;
+}
+
+} // namespace
+
+ReducerSettings reducerSettingsOf(const ProcessSettings& settings, Incarnation incarnation)
+{
+    ReducerSettings reducer;
+    reducer.host = { settings.host, incarnation, settings.dataCentre, settings.peerAddress };
+    reducer.seed = stableHash(settings.host.value) ^ incarnation;
+    for (const auto& credential : settings.credentials)
+        reducer.credentials.push_back({ credential.name, credential.tokenSha256, rolesOf(credential.roles) });
+    reducer.seedPeers = settings.seedPeers;
+    return reducer;
+}
+
+Reducer::Reducer(ReducerSettings settings, SecretSource& secrets, MonotonicTime now, WallTime wallNow)
+    : m_settings(std::move(settings))
+    , m_usage(m_settings.host.host, now, wallNow)
+    , m_lease(m_settings.host, derivedSeed(m_settings.seed, "lease"))
+    , m_configuration(derivedSeed(m_settings.seed, "configuration"))
+    , m_membership(membershipSettingsOf(m_settings), derivedSeed(m_settings.seed, "membership"))
+    , m_drains(derivedSeed(m_settings.seed, "drains"))
+    , m_endpoints(m_settings.host.dataCentre, derivedSeed(m_settings.seed, "endpoints"))
+    , m_shares(m_settings.host.host, m_settings.host.incarnation, derivedSeed(m_settings.seed, "shares"), now)
+    , m_claims(derivedSeed(m_settings.seed, "claims"))
+    , m_placement(m_settings.host.host, m_settings.host.incarnation, m_settings.host.dataCentre,
+          derivedSeed(m_settings.seed, "placement"))
+    , m_requests({ m_configuration, m_endpoints, m_shares, m_claims, m_usage })
+    , m_admin(adminSettingsOf(m_settings),
+          { m_configuration, *this, *this, *this, *this, secrets, m_metrics, m_journal, m_usage })
+    , m_wallNow(wallNow)
+{
+    ClaimSettings claims;
+    claims.self = m_settings.host.host;
+    claims.incarnation = m_settings.host.incarnation;
+    m_claims.configure(claims, { { claims.self, claims.incarnation } });
+    m_placement.configure(m_configuration.effective());
+}
+
+Reducer::~Reducer() = default;
+
+struct Reducer::Dispatch {
+    Reducer& reducer;
+    MonotonicTime now;
+    EffectList& effects;
+
+    void operator()(const Tick& tick) const { reducer.handleTick(tick, now, effects); }
+    void operator()(const ShutdownSignal&) const { reducer.handleShutdown(now, effects); }
+    void operator()(const RequestArrived& event) const { reducer.m_requests.handle(event, now, effects); }
+    void operator()(const AdminRequestArrived& event) const
+    {
+        reducer.m_admin.handle(event, now, reducer.m_wallNow, effects);
+    }
+    void operator()(const CallerLeft& event) const { reducer.m_requests.handle(event, now, effects); }
+    void operator()(const CallerBackpressure& event) const { reducer.m_requests.handle(event, effects); }
+    void operator()(const AttemptHead& event) const { reducer.m_requests.handle(event); }
+    void operator()(const AttemptData& event) const { reducer.m_requests.handle(event, now, effects); }
+    void operator()(const AttemptFinished& event) const { reducer.m_requests.handle(event, now, effects); }
+    void operator()(const AttemptFailed& event) const { reducer.m_requests.handle(event, now, effects); }
+    void operator()(const StoreReply& event) const { reducer.handleStoreReply(event, now, effects); }
+    void operator()(const PeerMessageReceived& event) const { reducer.handlePeerMessage(event, now, effects); }
+    void operator()(const EndpointReport& event) const
+    {
+        reducer.m_endpoints.handle(event, now, effects);
+        reducer.m_placement.handle(event, now, effects);
+        reducer.countReplicas(event, now);
+    }
+    void operator()(const EndpointReportFailed& event) const
+    {
+        reducer.m_endpoints.handle(event, now, effects);
+        reducer.m_placement.handle(event, now);
+    }
+    void operator()(const PlacementCommandFinished& event) const { reducer.m_placement.handle(event, now, effects); }
+};
+
+EffectList Reducer::apply(const Event& event, MonotonicTime now)
+{
+    EffectList effects;
+    std::visit(Dispatch { *this, now, effects }, event);
+    propagate(now, effects);
+    absorb(now, effects);
+    return effects;
+}
+
+void Reducer::absorb(MonotonicTime now, EffectList& effects)
+{
+    for (const Effect& effect : effects) {
+        if (const auto* metric = std::get_if<RecordMetric>(&effect))
+            m_metrics.record(*metric);
+        else if (const auto* entry = std::get_if<LogEntry>(&effect))
+            m_journal.add(*entry, now);
+    }
+    std::erase_if(effects, [](const Effect& effect) { return std::holds_alternative<RecordMetric>(effect); });
+}
+
+void Reducer::handleTick(const Tick& tick, MonotonicTime now, EffectList& effects)
+{
+    m_wallNow = tick.wallNow;
+    m_lease.tick(now, effects);
+    m_configuration.tick(now, tick.wallNow, effects);
+    m_membership.tick(now, effects);
+    m_drains.tick(now, effects);
+    m_endpoints.tick(now, effects);
+    m_shares.tick(now, effects);
+    m_claims.tick(now, tick.wallNow, effects);
+    m_placement.tick(now, effects);
+    m_requests.tick(now, effects);
+    m_admin.poll(now, effects);
+    m_usage.tick(now, tick.wallNow, m_configuration.effective().defaults.monthlyAcceleratorHours, effects);
+    advanceShutdown(now, effects);
+}
+
+void Reducer::handleStoreReply(const StoreReply& reply, MonotonicTime now, EffectList& effects)
+{
+    effects.push_back(RecordMetric { Metric::StoreCallsTotal, std::string(nameOf(reply.status)) });
+    switch (StoreCallIds::userOf(reply.id)) {
+    case StoreUser::HostLease:
+        m_lease.handle(reply, now, effects);
+        break;
+    case StoreUser::Shares:
+        m_shares.handle(reply, now, effects);
+        break;
+    case StoreUser::Orders:
+        m_claims.handle(reply, now, effects);
+        break;
+    case StoreUser::Placement:
+        m_placement.handle(reply, now, effects);
+        break;
+    case StoreUser::Configuration:
+        m_configuration.handle(reply, now, effects);
+        m_admin.poll(now, effects);
+        break;
+    case StoreUser::Membership:
+        m_membership.handle(reply, now, effects);
+        break;
+    case StoreUser::Administration:
+        m_drains.handle(reply, now, effects);
+        break;
+    }
+}
+
+void Reducer::handlePeerMessage(const PeerMessageReceived& received, MonotonicTime now, EffectList& effects)
+{
+    struct PeerDispatch {
+        Reducer& reducer;
+        const PeerMessageReceived& envelope;
+        MonotonicTime now;
+        EffectList& effects;
+
+        void operator()(const BorrowTokens& message) const
+        {
+            reducer.m_shares.handle(envelope.from, message, now, effects);
+        }
+        void operator()(const LendTokens& message) const { reducer.m_shares.handle(envelope.from, message, now, effects); }
+        void operator()(const ModelWanted& message) const { reducer.m_placement.handle(envelope.from, message, now); }
+        void operator()(const PlanAnnounced& message) const
+        {
+            reducer.m_placement.handle(envelope.from, message, now, effects);
+        }
+        void operator()(const ForwardedClaim& message) const
+        {
+            reducer.m_claims.handle(envelope.from, message, now, effects);
+        }
+        void operator()(const ForwardedClaimResult& message) const
+        {
+            reducer.m_claims.handle(envelope.from, message, now, effects);
+        }
+        void operator()(const MembershipDigest& message) const
+        {
+            reducer.m_membership.handle(envelope.from, message, now, effects);
+            reducer.m_configuration.noteDigest(
+                envelope.from, message.configurationVersion, message.revokedKeys, now, effects);
+        }
+        void operator()(const ConfigurationRequest& message) const
+        {
+            reducer.m_configuration.handle(envelope.from, message, now, effects);
+        }
+        void operator()(const ConfigurationOffer& message) const
+        {
+            reducer.m_configuration.handle(envelope.from, message, now, effects);
+        }
+    };
+    std::visit(PeerDispatch { *this, received, now, effects }, received.message);
+}
+
+void Reducer::propagate(MonotonicTime now, EffectList& effects)
+{
+    if (m_lease.changedSinceLastTake()) {
+        m_shares.setLease(m_lease.status(), now);
+        m_placement.setLease(m_lease.status());
+    }
+    propagateConfiguration(now, effects);
+    propagateMembership(now, effects);
+    propagatePlan(now);
+    m_requests.advance(now, effects);
+    reportDemand(now);
+}
+
+void Reducer::propagateConfiguration(MonotonicTime now, EffectList& effects)
+{
+    if (!m_configuration.changedSinceLastTake())
+        return;
+    const FleetConfiguration& configuration = m_configuration.effective();
+    m_endpoints.configure(configuration);
+    m_shares.configure(configuration.accounts, now, effects);
+    m_placement.configure(configuration);
+    m_requests.configurationChanged(now, effects);
+}
+
+void Reducer::propagatePlan(MonotonicTime now)
+{
+    if (m_wasOwner && !m_placement.isOwner()) {
+        m_usage.stopCountingReplicas(now);
+        m_countedReplicas.clear();
+    }
+    m_wasOwner = m_placement.isOwner();
+    const PlacementPlan& plan = m_placement.plan();
+    if (plan.version == m_seenPlanVersion)
+        return;
+    m_seenPlanVersion = plan.version;
+    for (const auto& [endpoint, models] : plan.replicas) {
+        for (const auto& [model, replica] : models)
+            m_endpoints.noteReplica(endpoint, model, replica.state == PlannedState::Loaded);
+    }
+}
+
+void Reducer::reportDemand(MonotonicTime now)
+{
+    if (now < m_nextDemandAt && !m_requests.takeNewlyCold())
+        return;
+    m_nextDemandAt = now + demandInterval;
+    for (const auto& [model, demand] : m_requests.takeDemand())
+        m_placement.noteDemand(model, demand.waiting, demand.running, demand.arrivals, now);
+}
+
+void Reducer::countReplicas(const EndpointReport& report, MonotonicTime now)
+{
+    // One host of a data centre counts its replicas, so that each is counted once in the fleet.
+    if (!m_placement.isOwner())
+        return;
+    const bool busy = report.running > 0;
+    std::set<ModelId> loaded;
+    for (const ReportedReplica& replica : report.replicas) {
+        if (replica.state != ReplicaState::Loaded)
+            continue;
+        loaded.insert(replica.model);
+        const PlannedReplica* planned = m_placement.plan().find(report.endpoint, replica.model);
+        const bool loadedHere = planned && planned->command == replica.command && replica.command.value != 0;
+        m_usage.replicaLoaded(report.endpoint, replica.model,
+            loadedHere ? ReplicaOrigin::LoadedNow : ReplicaOrigin::FoundLoaded, now,
+            report.memoryBytes ? static_cast<double>(replica.memoryBytes) / static_cast<double>(report.memoryBytes) : 1);
+        m_usage.setReplicaBusy(report.endpoint, replica.model, busy, now);
+    }
+    std::set<ModelId>& counted = m_countedReplicas[report.endpoint];
+    for (const ModelId& model : counted) {
+        if (!loaded.contains(model))
+            m_usage.replicaUnloaded(report.endpoint, model, now);
+    }
+    counted = std::move(loaded);
+}
+
+void Reducer::handleShutdown(MonotonicTime now, EffectList& effects)
+{
+    if (m_phase != Phase::Serving) {
+        std::string cut;
+        for (const RequestId id : m_requests.unfinished())
+            cut += (cut.empty() ? "" : " ") + std::to_string(id.value);
+        effects.push_back(LogEntry { LogEvent::ShutdownForced, { { "cut_requests", cut } } });
+        effects.push_back(ExitProcess { 1 });
+        m_phase = Phase::Finished;
+        return;
+    }
+    m_phase = Phase::Draining;
+    m_requests.beginShutdown();
+    m_lease.announceLeaving(now);
+    effects.push_back(
+        LogEntry { LogEvent::ShutdownRequested, { { "running", std::to_string(m_requests.activeRequests()) } } });
+}
+
+void Reducer::advanceShutdown(MonotonicTime now, EffectList& effects)
+{
+    if (m_phase == Phase::Draining && m_requests.isIdle() && m_admin.pendingChanges() == 0) {
+        m_phase = Phase::Releasing;
+        m_phaseDeadline = now + longestRelease;
+        m_shares.beginShutdown(now);
+        m_claims.beginShutdown();
+        m_placement.beginShutdown(now);
+    } else if (m_phase == Phase::Releasing) {
+        const bool released = m_shares.isReleased() && m_claims.isSettled() && m_placement.isReleased(now);
+        if (!released && now < m_phaseDeadline)
+            return;
+        m_phase = Phase::Revoking;
+        m_phaseDeadline = now + longestRevoke;
+        m_lease.revoke(effects);
+    } else if (m_phase == Phase::Revoking && (m_lease.isRevoked() || now >= m_phaseDeadline)) {
+        m_phase = Phase::Finished;
+        effects.push_back(LogEntry { LogEvent::ShutdownFinished, {} });
+        effects.push_back(ExitProcess { 0 });
+    }
+}
+
+std::string Reducer::reasonNotReady(MonotonicTime) const
+{
+    if (m_phase != Phase::Serving)
+        return "the host is shutting down";
+    if (m_configuration.accepted().version == 0)
+        return "the host has no fleet configuration yet";
+    return {};
+}
+
+std::vector<EndpointId> Reducer::draining() const
+{
+    return { m_leavingEndpoints.begin(), m_leavingEndpoints.end() };
+}
+
+Status Reducer::setDraining(
+    const EndpointId& endpoint, bool draining, const std::string& reason, MonotonicTime now, EffectList&)
+{
+    if (!m_endpoints.find(endpoint))
+        return Error { ErrorKind::NotFound,
+            "the endpoint \"" + endpoint.value + "\" does not exist; list them with `catkinwell admin endpoints list`" };
+    m_drains.set(endpoint, draining, reason, now);
+    return std::monostate {};
+}
+
+} // namespace Catkinwell
--- a/src/requests/RequestAnswers.cpp
+++ b/src/requests/RequestAnswers.cpp
@@ -232,6 +232,7 @@
         return;
     request.answered = true;
     effects.push_back(RecordMetric { Metric::RefusalsTotal, std::string(describe(error.code).name) });
+    m_modules.usage.requestRefused(request.account, request.model, std::string(describe(error.code).name));
     const LogEvent event = error.outcome == RunOutcome::NotRun ? LogEvent::RequestRefused : LogEvent::RequestFailed;
     effects.push_back(LogEntry { event,
         { { "request", std::to_string(request.id.value) }, { "account", request.account.value },
@@ -262,6 +263,7 @@
 void RequestFlow::refuse(RequestId id, const AccountId& account, const ApiError& error, EffectList& effects)
 {
     effects.push_back(RecordMetric { Metric::RefusalsTotal, std::string(describe(error.code).name) });
+    m_modules.usage.requestRefused(account, ModelId(), std::string(describe(error.code).name));
     effects.push_back(LogEntry { LogEvent::RequestRefused,
         { { "request", std::to_string(id.value) }, { "account", account.value },
             { "code", std::string(describe(error.code).name) }, { "outcome", std::string(nameOf(error.outcome)) },
@@ -278,6 +280,7 @@
     effects.push_back(RecordMetric { Metric::RequestsTotal, request.account.value });
     effects.push_back(RecordMetric { Metric::RequestSeconds, label, seconds });
     effects.push_back(RecordMetric { Metric::TokensTotal, request.account.value, static_cast<double>(used) });
+    m_modules.usage.tokensUsed(request.account, request.model, used);
     effects.push_back(LogEntry { LogEvent::RequestFinished,
         { { "request", std::to_string(request.id.value) }, { "account", request.account.value },
             { "model", request.model.value }, { "endpoint", request.endpoint.value },
--- a/src/requests/RequestFlow.cpp
+++ b/src/requests/RequestFlow.cpp
@@ -177,8 +177,11 @@
             now, effects);
         return;
     }
-    if (!request.coldSince && !m_modules.endpoints.isLoaded(request.pool, request.model, now))
+    if (!request.coldSince && !m_modules.endpoints.isLoaded(request.pool, request.model, now)) {
         request.coldSince = now;
+        m_newlyCold = true;
+        m_modules.usage.coldStart(request.account, request.model);
+    }
     effects.push_back(LogEntry { LogEvent::RequestQueued,
         { { "request", std::to_string(request.id.value) }, { "account", request.account.value },
             { "model", request.model.value }, { "cold", request.coldSince ? "true" : "false" } } });
@@ -317,6 +320,11 @@
     return ids;
 }
 
+bool RequestFlow::takeNewlyCold()
+{
+    return std::exchange(m_newlyCold, false);
+}
+
 std::map<ModelId, ModelDemand> RequestFlow::takeDemand()
 {
     std::map<ModelId, ModelDemand> demand;
--- /dev/null
+++ b/src/runtime/Runtime.cpp
@@ -0,0 +1,245 @@
+#include <catkinwell/runtime/Runtime.h>
+
+#include "peer/PeerTransport.h"
+#include <catkinwell/core/Digest.h>
+#include <catkinwell/endpoint/EngineClient.h>
+#include <catkinwell/http/CallerListener.h>
+#include <catkinwell/http/HttpClient.h>
+#include <catkinwell/logging/EventLog.h>
+#include <catkinwell/reducer/Reducer.h>
+#include <catkinwell/store/ConsulStoreClient.h>
+#include <csignal>
+#include <deque>
+
+namespace Catkinwell {
+
+namespace {
+
+constexpr Duration tickInterval = std::chrono::milliseconds(20);
+constexpr Duration stallThreshold = std::chrono::milliseconds(500);
+// Answers that are still in output buffers when the reducer has finished get this long to leave.
+constexpr Duration longestFlush = std::chrono::seconds(5);
+constexpr Duration flushCheckInterval = std::chrono::milliseconds(20);
+// Requests on the administration listener have identifiers above this one.
+constexpr std::uint64_t firstAdministrationId = 1ULL << 62;
+
+class SystemSecretSource final : public SecretSource {
+public:
+    std::string nextSecretHex(std::size_t bytes) override { return randomHex(bytes); }
+};
+
+// Distinguishes two runs of one host even if its clock went back a little between them.
+Incarnation newIncarnation(const Clock& clock)
+{
+    return static_cast<Incarnation>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(clock.wallNow().time_since_epoch()).count());
+}
+
+} // namespace
+
+class Runtime::Implementation {
+public:
+    explicit Implementation(ProcessSettings);
+
+    Status start();
+    int run();
+
+    std::uint16_t callerPort() const { return m_callers.port(); }
+    std::uint16_t administrationPort() const { return m_administration.port(); }
+
+private:
+    struct EffectExecutor;
+
+    void connectSignals();
+    void post(Event);
+    void tick();
+    void finishWhenFlushed(MonotonicTime deadline);
+    CallerListener& listenerOf(RequestId id) { return id.value > firstAdministrationId ? m_administration : m_callers; }
+
+    ProcessSettings m_settings;
+    SystemClock m_clock;
+    SystemSecretSource m_secrets;
+    Incarnation m_incarnation;
+    EventLoop m_loop;
+    EventLog m_log;
+    HttpClient m_client;
+    CallerListener m_callers;
+    CallerListener m_administration;
+    ConsulStoreClient m_store;
+    EngineClient m_engines;
+    PeerTransport m_peers;
+    Reducer m_reducer;
+    std::deque<Event> m_events;
+    bool m_dispatching = false;
+    bool m_exiting = false;
+    int m_exitCode = 0;
+    MonotonicTime m_lastTick;
+};
+
+// Carries out effects; one overload for each kind.
+struct Runtime::Implementation::EffectExecutor {
+    Implementation& runtime;
+
+    void operator()(const SendResponseHead& effect) const { runtime.listenerOf(effect.id).execute(effect); }
+    void operator()(const SendResponseData& effect) const { runtime.listenerOf(effect.id).execute(effect); }
+    void operator()(const FinishResponse& effect) const { runtime.listenerOf(effect.id).execute(effect); }
+    void operator()(const SendWholeResponse& effect) const { runtime.listenerOf(effect.id).execute(effect); }
+    void operator()(const AbortResponse& effect) const { runtime.listenerOf(effect.id).execute(effect); }
+    void operator()(const StartAttempt& effect) const { runtime.m_engines.execute(effect); }
+    void operator()(const CancelAttempt& effect) const { runtime.m_engines.execute(effect); }
+    void operator()(const ThrottleAttempt& effect) const { runtime.m_engines.execute(effect); }
+    void operator()(const FetchEndpointReport& effect) const { runtime.m_engines.execute(effect); }
+    void operator()(const PlacementCommand& effect) const { runtime.m_engines.execute(effect); }
+    void operator()(const StoreCall& effect) const { runtime.m_store.execute(effect); }
+    void operator()(const SendToPeer& effect) const { runtime.m_peers.send(effect); }
+    void operator()(const SetPeerAddress& effect) const { runtime.m_peers.setAddress(effect.host, effect.address); }
+    void operator()(const LogEntry& effect) const { runtime.m_log.write(effect); }
+    // The reducer keeps the metrics itself.
+    void operator()(const RecordMetric&) const { }
+    void operator()(const ExitProcess& effect) const
+    {
+        runtime.m_exitCode = effect.code;
+        runtime.m_exiting = true;
+        if (effect.code == 0)
+            runtime.finishWhenFlushed(runtime.m_clock.monotonicNow() + longestFlush);
+        else
+            runtime.m_loop.stop();
+    }
+};
+
+Runtime::Implementation::Implementation(ProcessSettings settings)
+    : m_settings(std::move(settings))
+    , m_incarnation(newIncarnation(m_clock))
+    , m_log(m_settings.log, m_clock)
+    , m_client(m_loop)
+    , m_callers(m_loop, m_settings.callers, 0)
+    , m_administration(m_loop, m_settings.administration, firstAdministrationId)
+    , m_store(m_loop, m_client, m_clock, m_settings.storeAddress)
+    , m_engines(m_loop, m_client, m_clock)
+    , m_peers(m_loop, PeerTransportSettings { m_settings.host, m_incarnation, m_settings.peerAddress, m_settings.clusterSecret })
+    , m_reducer(reducerSettingsOf(m_settings, m_incarnation), m_secrets, m_clock.monotonicNow(), m_clock.wallNow())
+    , m_lastTick(m_clock.monotonicNow())
+{
+    connectSignals();
+}
+
+void Runtime::Implementation::connectSignals()
+{
+    const auto postEvent = [this](const auto& event) { post(event); };
+    m_callers.signalRequest().connect(postEvent);
+    m_callers.signalCallerLeft().connect(postEvent);
+    m_callers.signalBackpressure().connect(postEvent);
+    m_administration.signalRequest().connect(
+        [this](const RequestArrived& request) { post(AdminRequestArrived { request }); });
+    m_administration.signalCallerLeft().connect(postEvent);
+    m_store.signalReply().connect(postEvent);
+    m_engines.signalHead().connect(postEvent);
+    m_engines.signalData().connect(postEvent);
+    m_engines.signalFinished().connect(postEvent);
+    m_engines.signalFailed().connect(postEvent);
+    m_engines.signalReport().connect(postEvent);
+    m_engines.signalReportFailed().connect(postEvent);
+    m_engines.signalCommandFinished().connect(postEvent);
+    m_peers.signalMessage().connect(postEvent);
+}
+
+Status Runtime::Implementation::start()
+{
+    for (CallerListener* listener : { &m_callers, &m_administration }) {
+        Status status = listener->start();
+        if (isError(status))
+            return status;
+    }
+    Status peerStatus = m_peers.start();
+    if (isError(peerStatus))
+        return peerStatus;
+    for (const auto& [host, address] : m_settings.seedPeers)
+        m_peers.setAddress(host, address);
+    m_loop.callEvery(tickInterval, [this] { tick(); });
+    for (const int signalNumber : { SIGTERM, SIGINT })
+        m_loop.onSignal(signalNumber, [this] { post(ShutdownSignal {}); });
+    m_loop.onSignal(SIGHUP, [this] {
+        for (CallerListener* listener : { &m_callers, &m_administration })
+            listener->reloadCertificates();
+    });
+    m_log.write({ LogEvent::ProcessStarted,
+        { { "host", m_settings.host.value }, { "data_centre", m_settings.dataCentre.value },
+            { "caller_port", std::to_string(m_callers.port()) },
+            { "administration_port", std::to_string(m_administration.port()) } } });
+    return std::monostate {};
+}
+
+int Runtime::Implementation::run()
+{
+    m_loop.run();
+    return m_exitCode;
+}
+
+void Runtime::Implementation::tick()
+{
+    const MonotonicTime now = m_clock.monotonicNow();
+    if (now - m_lastTick > stallThreshold) {
+        const auto stalled = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_lastTick).count();
+        m_log.write({ LogEvent::LoopStalled, { { "milliseconds", std::to_string(stalled) } } });
+    }
+    m_lastTick = now;
+    post(Tick { m_clock.wallNow() });
+}
+
+void Runtime::Implementation::post(Event event)
+{
+    if (m_exiting)
+        return;
+    // An adapter may announce an event while an effect is carried out; it waits for its turn.
+    m_events.push_back(std::move(event));
+    if (m_dispatching)
+        return;
+    m_dispatching = true;
+    while (!m_events.empty()) {
+        const Event next = std::move(m_events.front());
+        m_events.pop_front();
+        const EffectList effects = m_reducer.apply(next, m_clock.monotonicNow());
+        for (const Effect& effect : effects)
+            std::visit(EffectExecutor { *this }, effect);
+    }
+    m_dispatching = false;
+}
+
+void Runtime::Implementation::finishWhenFlushed(MonotonicTime deadline)
+{
+    const bool flushed = m_callers.unflushedAnswers() == 0 && m_administration.unflushedAnswers() == 0;
+    if (flushed || m_clock.monotonicNow() >= deadline) {
+        m_loop.stop();
+        return;
+    }
+    m_loop.callLater(flushCheckInterval, [this, deadline] { finishWhenFlushed(deadline); });
+}
+
+Runtime::Runtime(ProcessSettings settings)
+    : m_implementation(std::make_unique<Implementation>(std::move(settings)))
+{
+}
+
+Runtime::~Runtime() = default;
+
+Status Runtime::start()
+{
+    return m_implementation->start();
+}
+
+int Runtime::run()
+{
+    return m_implementation->run();
+}
+
+std::uint16_t Runtime::callerPort() const
+{
+    return m_implementation->callerPort();
+}
+
+std::uint16_t Runtime::administrationPort() const
+{
+    return m_implementation->administrationPort();
+}
+
+} // namespace Catkinwell
--- /dev/null
+++ b/src/store/HostLease.cpp
@@ -0,0 +1,148 @@
+#include <catkinwell/store/HostLease.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace Catkinwell {
+
+namespace {
+
+// Short enough that the rate shares of a crashed host are free again within 20 s; the store may double it.
+constexpr Duration leaseTtl = std::chrono::seconds(10);
+// Three attempts fit into the validity.
+constexpr Duration renewalInterval = std::chrono::seconds(3);
+constexpr Duration callTimeout = std::chrono::seconds(1);
+constexpr Duration shortestRetry = std::chrono::milliseconds(250);
+constexpr Duration longestRetry = std::chrono::seconds(5);
+
+MonotonicTime validityEnd(MonotonicTime sentAt)
+{
+    return sentAt + leaseTtl - leaseTtl / 10;
+}
+
+} // namespace
+
+HostLease::HostLease(HostRegistration registration, std::uint64_t seed)
+    : m_registration(std::move(registration))
+    , m_random(seed)
+{
+}
+
+std::string HostLease::registrationValue() const
+{
+    return nlohmann::json { { "data_centre", m_registration.dataCentre.value }, { "address", m_registration.peerAddress },
+        { "incarnation", m_registration.incarnation }, { "leaving", m_leaving } }
+        .dump();
+}
+
+void HostLease::start(Call call, StoreOperation operation, EffectList& effects)
+{
+    m_pending = call;
+    m_pendingId = m_callIds.next();
+    effects.push_back(StoreCall { m_pendingId, std::move(operation), callTimeout });
+}
+
+Duration HostLease::retryDelay()
+{
+    const Duration ceiling = std::min<Duration>(longestRetry, shortestRetry * (1U << std::min(m_failures, 5U)));
+    return ceiling / 2 + Duration(m_random.below(static_cast<std::uint64_t>(ceiling.count() / 2 + 1)));
+}
+
+void HostLease::tick(MonotonicTime now, EffectList& effects)
+{
+    if (!m_status.id.empty() && now >= m_status.validUntil)
+        lose(effects);
+    if (m_revoked || m_pending != Call::None || now < m_nextAt)
+        return;
+    if (m_status.id.empty())
+        start(Call::Create, LeaseCreate { leaseTtl }, effects);
+    else if (!m_registered)
+        start(Call::Register,
+            StoreCompareAndSwap { "hosts/" + m_registration.host.value, registrationValue(), 0, m_status.id }, effects);
+    else
+        start(Call::Renew, LeaseRenew { m_status.id }, effects);
+}
+
+void HostLease::handle(const StoreReply& reply, MonotonicTime now, EffectList& effects)
+{
+    if (reply.id != m_pendingId || m_pending == Call::None)
+        return;
+    const Call call = m_pending;
+    m_pending = Call::None;
+    if (call == Call::Revoke) {
+        m_revoked = true;
+        return;
+    }
+    const bool reached = reply.status != StoreStatus::Unknown && reply.status != StoreStatus::Unavailable;
+    noteReachable(reached, effects);
+    if (!reached || reply.status == StoreStatus::RateLimited) {
+        ++m_failures;
+        m_nextAt = now + retryDelay();
+        return;
+    }
+    m_failures = 0;
+    if (call == Call::Register) {
+        m_registered = reply.status == StoreStatus::Ok;
+        // An entry of an earlier run of this host is free once its lease has lapsed.
+        m_nextAt = m_registered ? m_status.lastRenewalSentAt + renewalInterval : now + std::chrono::seconds(1);
+        return;
+    }
+    if (reply.status != StoreStatus::Ok) {
+        lose(effects);
+        m_nextAt = now;
+        return;
+    }
+    if (call == Call::Create) {
+        m_status.id = reply.value;
+        m_registered = false;
+        effects.push_back(LogEntry { LogEvent::HostLeaseAcquired, { { "lease", reply.value } } });
+    }
+    m_status.lastRenewalSentAt = reply.sentAt;
+    m_status.validUntil = validityEnd(reply.sentAt);
+    m_changed = true;
+    m_nextAt = call == Call::Create ? now : reply.sentAt + renewalInterval;
+}
+
+void HostLease::noteReachable(bool reachable, EffectList& effects)
+{
+    if (reachable != m_storeReachable)
+        effects.push_back(LogEntry { reachable ? LogEvent::StoreReachable : LogEvent::StoreUnreachable, {} });
+    m_storeReachable = reachable;
+}
+
+void HostLease::lose(EffectList& effects)
+{
+    if (m_status.id.empty())
+        return;
+    effects.push_back(LogEntry { LogEvent::HostLeaseLost, { { "lease", m_status.id } } });
+    m_status = LeaseStatus {};
+    m_registered = false;
+    m_changed = true;
+}
+
+void HostLease::announceLeaving(MonotonicTime now)
+{
+    if (m_leaving)
+        return;
+    m_leaving = true;
+    m_registered = false;
+    m_nextAt = now;
+}
+
+void HostLease::revoke(EffectList& effects)
+{
+    if (m_status.id.empty()) {
+        m_revoked = true;
+        return;
+    }
+    start(Call::Revoke, LeaseRevoke { m_status.id }, effects);
+    m_status = LeaseStatus {};
+    m_changed = true;
+}
+
+bool HostLease::changedSinceLastTake()
+{
+    return std::exchange(m_changed, false);
+}
+
+} // namespace Catkinwell
