Add the administration API

Cause: operators change the fleet configuration and look into a host while it serves. Change: AdminApi answers the resources under /admin/v1 with roles, versions, dry runs, an audit list and one error object; changes go through ConfigurationAccess and are answered when their outcome is known. A change identifier makes a repeat after a lost answer safe.

--- /dev/null
+++ b/src/admin/AdminCall.cpp
@@ -0,0 +1,192 @@
+#include <admin/AdminCall.h>
+
+#include <algorithm>
+#include <catkinwell/core/Digest.h>
+#include <charconv>
+#include <cstdlib>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <event2/util.h>
+#include <memory>
+
+namespace Catkinwell {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    // Deeper JSON could exhaust the stack when it is written again.
+    constexpr int maximumJsonDepth = 32;
+    constexpr std::size_t maximumReasonBytes = 512;
+    constexpr std::size_t maximumIdentifierBytes = 200;
+
+    std::string headerValue(const HeaderList& headers, const char* name)
+    {
+        for (const auto& [candidate, value] : headers) {
+            if (evutil_ascii_strcasecmp(candidate.c_str(), name) == 0)
+                return value;
+        }
+        return {};
+    }
+
+    std::string decodePercent(const std::string& text)
+    {
+        std::size_t size = 0;
+        const std::unique_ptr<char, decltype(&std::free)> decoded(evhttp_uridecode(text.c_str(), 0, &size), &std::free);
+        return decoded ? std::string(decoded.get(), size) : std::string();
+    }
+
+    std::map<std::string, std::string> parseQuery(const std::string& query)
+    {
+        std::map<std::string, std::string> parameters;
+        evkeyvalq pairs {};
+        if (evhttp_parse_query_str(query.c_str(), &pairs) != 0)
+            return parameters;
+        for (const evkeyval* pair = pairs.tqh_first; pair; pair = pair->next.tqe_next)
+            parameters[pair->key] = pair->value;
+        evhttp_clear_headers(&pairs);
+        return parameters;
+    }
+
+    std::optional<ConfigurationVersion> parseVersion(std::string_view text)
+    {
+        ConfigurationVersion version = 0;
+        const auto result = std::from_chars(text.data(), text.data() + text.size(), version);
+        const bool whole = result.ec == std::errc() && result.ptr == text.data() + text.size();
+        return whole ? std::optional(version) : std::nullopt;
+    }
+
+    // Accepts a strong entity tag with quotes, or the bare number.
+    std::string_view unquoted(std::string_view tag)
+    {
+        if (tag.size() >= 2 && tag.front() == '"' && tag.back() == '"')
+            return tag.substr(1, tag.size() - 2);
+        return tag;
+    }
+
+    std::optional<Json> parseBody(const std::string& body)
+    {
+        bool tooDeep = false;
+        const Json json = Json::parse(
+            body,
+            [&tooDeep](int depth, Json::parse_event_t, const Json&) {
+                tooDeep = tooDeep || depth > maximumJsonDepth;
+                return depth <= maximumJsonDepth;
+            },
+            false);
+        return json.is_discarded() || tooDeep ? std::nullopt : std::optional(json);
+    }
+
+    // Takes the expected version from If-Match, the query or the body; they must not differ.
+    std::optional<AdminProblem> readVersion(const RequestArrived& request, AdminCall& call)
+    {
+        const auto take = [&](std::string_view text) {
+            const auto version = parseVersion(text);
+            if (!version || call.expectedVersion.value_or(*version) != *version)
+                return false;
+            call.expectedVersion = version;
+            return true;
+        };
+        const AdminProblem problem = invalidRequest("expected_version",
+            "the version must be one whole number, the same in If-Match and expected_version",
+            "send the version of the last answer, for example If-Match: \"17\"");
+        const std::string header = headerValue(request.headers, "If-Match");
+        if (!header.empty() && !take(unquoted(header)))
+            return problem;
+        if (const auto parameter = call.query.find("expected_version");
+            parameter != call.query.end() && !take(parameter->second))
+            return problem;
+        if (!call.body.is_object() || !call.body.contains("expected_version"))
+            return std::nullopt;
+        const Json field = call.body["expected_version"];
+        call.body.erase("expected_version");
+        if (!field.is_number_unsigned() || !take(field.dump()))
+            return problem;
+        return std::nullopt;
+    }
+
+    // Reads a text that may come in a header, the query or the body.
+    std::optional<AdminProblem> readText(const RequestArrived& request, AdminCall& call, const char* header,
+        const char* field, bool keepField, std::string& text)
+    {
+        text = headerValue(request.headers, header);
+        if (const auto parameter = call.query.find(field); text.empty() && parameter != call.query.end())
+            text = parameter->second;
+        if (!call.body.is_object() || !call.body.contains(field))
+            return std::nullopt;
+        const Json value = call.body[field];
+        if (!value.is_string())
+            return invalidRequest(field, std::string("the field ") + field + " must be a string", "send a string");
+        if (text.empty())
+            text = value.get<std::string>();
+        if (!keepField)
+            call.body.erase(field);
+        return std::nullopt;
+    }
+
+    std::optional<AdminProblem> readDryRun(AdminCall& call)
+    {
+        const auto parameter = call.query.find("dry_run");
+        if (parameter == call.query.end())
+            return std::nullopt;
+        if (parameter->second != "true" && parameter->second != "false")
+            return invalidRequest("dry_run", "dry_run must be true or false", "send ?dry_run=true");
+        call.dryRun = parameter->second == "true";
+        return std::nullopt;
+    }
+
+    std::optional<AdminProblem> checkTexts(AdminCall& call)
+    {
+        if (!call.target.empty() && !isPlainIdentifier(call.target))
+            return invalidRequest("path", "an identifier has 1 to 200 printable ASCII characters",
+                "send a valid identifier, percent-encoded if needed");
+        if (!call.changeId.empty() && !isPlainIdentifier(call.changeId))
+            return invalidRequest("change_id", "a change identifier has 1 to 200 printable ASCII characters",
+                "send a random identifier such as a UUID");
+        if (call.reason.size() > maximumReasonBytes)
+            return invalidRequest("reason", "the reason is longer than 512 bytes", "shorten the reason");
+        std::replace_if(
+            call.reason.begin(), call.reason.end(), [](unsigned char c) { return c < 0x20 || c == 0x7f; }, ' ');
+        return std::nullopt;
+    }
+
+} // namespace
+
+bool isPlainIdentifier(std::string_view text)
+{
+    return !text.empty() && text.size() <= maximumIdentifierBytes
+        && std::all_of(text.begin(), text.end(), [](char c) { return c >= 0x20 && c < 0x7f; });
+}
+
+std::variant<AdminCall, AdminProblem> parseAdminCall(
+    const RequestArrived& request, const AdminCredential& who, MonotonicTime now, WallTime wallNow)
+{
+    AdminCall call { request.id, now, wallNow, who, request.method, {}, {}, parseQuery(request.query), {}, {}, {}, {},
+        false, sha256Hex(request.method + "\n" + request.path + "\n" + request.body) };
+    const std::string rest = request.path.substr(adminPathPrefix.size());
+    const std::size_t slash = rest.find('/');
+    call.resource = rest.substr(0, slash);
+    if (slash != std::string::npos)
+        call.target = decodePercent(rest.substr(slash + 1));
+    if (!request.body.empty()) {
+        auto body = parseBody(request.body);
+        if (!body)
+            return invalidRequest("body", "the body is not valid JSON, or is nested deeper than 32 levels",
+                "send one JSON document in UTF-8");
+        call.body = std::move(*body);
+    }
+    if (auto problem = readVersion(request, call))
+        return *problem;
+    const bool reasonIsContent = call.resource == "exceptions";
+    if (auto problem = readText(request, call, "X-Audit-Reason", "reason", reasonIsContent, call.reason))
+        return *problem;
+    if (auto problem = readText(request, call, "X-Change-Id", "change_id", false, call.changeId))
+        return *problem;
+    if (auto problem = readDryRun(call))
+        return *problem;
+    if (auto problem = checkTexts(call))
+        return *problem;
+    return call;
+}
+
+} // namespace Catkinwell
--- /dev/null
+++ b/src/admin/AdminReads.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <admin/AdminCall.h>
+#include <catkinwell/admin/AdminApi.h>
+
+namespace Catkinwell {
+
+// Answers a GET of a resource. Precondition: the resource is one of AdminApi's.
+AdminAnswer answerRead(const AdminCall&, const AdminDependencies&, const AuditLog&);
+
+} // namespace Catkinwell
