--- a/include/catkinwell/orders/ClaimManager.h
+++ b/include/catkinwell/orders/ClaimManager.h
@@ -91,9 +91,9 @@
 
     // Precondition: called before the first claim; later calls may change every field
     // but self, incarnation and shardCount.
-    void configure(ClaimSettings settings, std::vector<LiveHost> liveHosts);
+    void configure(ClaimSettings settings, const std::vector<LiveHost>& liveHosts);
     // A claim of a host that is not listed with the same incarnation counts as abandoned.
-    void setLiveHosts(std::vector<LiveHost> liveHosts);
+    void setLiveHosts(const std::vector<LiveHost>& liveHosts);
 
     // Asks whether the request may run. The body's digest must cover everything that makes two requests the
     // same (method, path and body). Key and digest are stored as hashes, scoped by the account.
--- a/src/orders/ClaimManager.cpp
+++ b/src/orders/ClaimManager.cpp
@@ -36,7 +36,7 @@
 
 ClaimManager::~ClaimManager() = default;
 
-void ClaimManager::configure(ClaimSettings settings, std::vector<LiveHost> liveHosts)
+void ClaimManager::configure(ClaimSettings settings, const std::vector<LiveHost>& liveHosts)
 {
     m_settings = std::move(settings);
     if (m_shards.empty()) {
@@ -44,13 +44,13 @@
             m_shards.push_back(std::make_unique<ClaimShard>(i));
         m_writeTokens = writeBurst();
     }
-    setLiveHosts(std::move(liveHosts));
+    setLiveHosts(liveHosts);
 }
 
-void ClaimManager::setLiveHosts(std::vector<LiveHost> liveHosts)
+void ClaimManager::setLiveHosts(const std::vector<LiveHost>& liveHosts)
 {
     m_live.clear();
-    for (auto& host : liveHosts)
+    for (const auto& host : liveHosts)
         m_live[host.host] = host.incarnation;
     // This host knows of itself that it is alive, whatever the platform's list says.
     m_live[m_settings.self] = m_settings.incarnation;
@@ -77,7 +77,7 @@
 {
     std::size_t count = m_outcomeReads.size();
     for (const auto& shard : m_shards)
-        count += shard->claims().size();
+        count += shard->claimCount();
     return count;
 }
 
@@ -123,7 +123,8 @@
     const auto nonce = claim.entry.owner.nonce;
     m_places[request] = { shard.number(), nonce };
     shard.insert(std::move(claim));
-    forward(shard, nonce, now, effects);
+    if (shard.find(nonce))
+        forward(shard, nonce, now, effects);
     pumpShard(shard, now, effects);
 }
 
@@ -188,8 +189,9 @@
         claim->forwardedUntil.reset();
         // Only this host withdraws its claims, so the entry that the peer saw confirmed still stands.
         if (message.status == "confirmed") {
-            claim->phase = ClaimPhase::Running;
+            shard->confirm(*claim, now);
             decide(claim->request, ClaimRun {}, effects);
+            applyNotices(shard->reviewFollowers(contextAt(now)), now, effects);
         } else if (message.status == "exists" && !shard->isCallInFlight()) {
             shard->dropValue();
         }
@@ -262,7 +264,7 @@
             break;
         case Kind::OutcomeToRead:
             m_places.erase(notice.request);
-            m_outcomeReads.push_back({ notice.request, std::move(notice.storeKey), notice.deadline, {} });
+            m_outcomeReads.push_back({ notice.request, std::move(notice.storeKey), notice.deadline, StoreCallId() });
             break;
         case Kind::Settled:
             m_unwrittenBytes -= notice.bytes;
@@ -302,6 +304,7 @@
     ClaimCounts counts = m_totals;
     for (const auto& shard : m_shards) {
         counts.cachedBytes += shard->cachedBytes();
+        counts.waiting += shard->followerCount();
         for (const auto& [nonce, claim] : shard->claims()) {
             switch (claim.phase) {
             case ClaimPhase::Waiting:
--- a/src/orders/ClaimManagerStore.cpp
+++ b/src/orders/ClaimManagerStore.cpp
@@ -61,7 +61,7 @@
     }
     if (isUnavailable(now)) {
         for (auto& shard : m_shards)
-            applyNotices(shard->refuseUnwritten(contextAt(now)), now, effects);
+            applyNotices(shard->refuseUnwritten(), now, effects);
     }
     if (isUnavailable(now) == m_wasUnavailable)
         return;
@@ -78,7 +78,10 @@
         ClaimShard& shard = *m_shards[call->second];
         m_shardCalls.erase(call);
         applyNotices(shard.handle(reply, contextAt(now)), now, effects);
+        applyNotices(shard.reviewFollowers(contextAt(now)), now, effects);
         pumpShard(shard, now, effects);
+        if (!m_outcomeReads.empty())
+            pumpOutcomeValues(now, effects);
     } else if (const auto write = m_outcomeWrites.find(reply.id); write != m_outcomeWrites.end()) {
         const Place place = write->second;
         m_outcomeWrites.erase(write);
@@ -140,8 +143,10 @@
         effects.emplace_back(LogEntry { LogEvent::ClaimExpirySuspended, {} });
     const auto context = contextAt(now);
     std::vector<HostId> silentPeers;
-    for (auto& shard : m_shards)
+    for (auto& shard : m_shards) {
         applyNotices(shard->expire(context, silentPeers), now, effects);
+        applyNotices(shard->reviewFollowers(context), now, effects);
+    }
     for (const auto& peer : silentPeers)
         m_forwardAgainAt[peer] = now + std::chrono::seconds(2);
     std::erase_if(m_forwardAgainAt, [&](const auto& item) { return item.second <= now; });
--- a/src/orders/ClaimShard.cpp
+++ b/src/orders/ClaimShard.cpp
@@ -95,6 +95,9 @@
     if (nonce == m_nonces.end())
         return m_value ? judge(claim, context) : std::nullopt;
     const OwnClaim& first = m_claims.at(nonce->second);
+    // The first claim may yet lose to another host's, which may have another body.
+    if (first.phase == ClaimPhase::Waiting)
+        return std::nullopt;
     if (first.entry.body != claim.entry.body)
         return decided(claim.request, ClaimBodyMismatch {});
     if (first.phase != ClaimPhase::Finished)
@@ -107,10 +110,34 @@
 void ClaimShard::insert(OwnClaim claim)
 {
     const auto nonce = claim.entry.owner.nonce;
+    if (m_nonces.contains(claim.entry.key)) {
+        m_followers.push_back(std::move(claim));
+        return;
+    }
     m_nonces[claim.entry.key] = nonce;
     m_claims.emplace(nonce, std::move(claim));
 }
 
+std::vector<ClaimNotice> ClaimShard::reviewFollowers(const ClaimContext& context)
+{
+    std::vector<ClaimNotice> notices;
+    for (auto& claim : std::exchange(m_followers, {})) {
+        if (context.now >= claim.deadline)
+            notices.push_back(notRun(claim.request, NotRunReason::Deadline));
+        else if (auto known = lookUp(claim, context))
+            notices.push_back(std::move(*known));
+        else
+            insert(std::move(claim));
+    }
+    return notices;
+}
+
+void ClaimShard::confirm(OwnClaim& claim, MonotonicTime now) const
+{
+    claim.phase = ClaimPhase::Running;
+    claim.writtenElsewhereAt = now;
+}
+
 OwnClaim* ClaimShard::find(std::uint64_t nonce)
 {
     const auto found = m_claims.find(nonce);
@@ -167,7 +194,7 @@
     return notices;
 }
 
-std::vector<ClaimNotice> ClaimShard::refuseUnwritten(const ClaimContext&)
+std::vector<ClaimNotice> ClaimShard::refuseUnwritten()
 {
     std::vector<ClaimNotice> notices;
     eraseIf(m_claims, [&](auto& item) {
@@ -178,6 +205,12 @@
         notices.push_back(notRun(claim.request, NotRunReason::StoreUnavailable));
         return true;
     });
+    std::erase_if(m_followers, [&](const OwnClaim& claim) {
+        const bool isAlone = !m_nonces.contains(claim.entry.key);
+        if (isAlone)
+            notices.push_back(notRun(claim.request, NotRunReason::StoreUnavailable));
+        return isAlone;
+    });
     return notices;
 }
 
@@ -213,6 +246,8 @@
         const OwnClaim& claim = item.second;
         if (claim.phase == ClaimPhase::Withdrawing)
             return claim.wasForwarded && context.now >= claim.checkAt && m_valueAt < claim.checkAt;
+        if (claim.phase == ClaimPhase::Finished)
+            return context.now >= claim.checkAt && m_valueAt < claim.writtenElsewhereAt;
         return isInLine(claim) && claim.arrivedAt > m_valueAt && !isVacant(m_value->find(claim.entry.key), context);
     });
 }
@@ -269,6 +304,7 @@
         return step;
     }
     forgetSettled(step.notices);
+    reconcileForeign(context, step.notices);
     if (!mayWrite || context.now - m_lastWriteAt < context.settings.groupingWindow)
         return step;
     ShardValue::Changes changes;
@@ -425,6 +461,8 @@
     const auto entry = m_value->find(claim.entry.key);
     const bool isOurs = isOwnedBy(entry, claim);
     if (claim.phase == ClaimPhase::Finished) {
+        if (m_valueAt < claim.writtenElsewhereAt)
+            return false;
         if (entry && !isOurs)
             notices.push_back({ .kind = ClaimNotice::Kind::EntryLost, .request = claim.request });
         return entry && (!isOurs || entry->state != EntryState::Claimed);
--- a/src/orders/ClaimShard.h
+++ b/src/orders/ClaimShard.h
@@ -45,6 +45,8 @@
     MonotonicTime checkAt {};
     // For Withdrawing: an entry that is absent from a value read later than this stays absent.
     MonotonicTime settledAfter {};
+    // A value that was read earlier may lack the entry, because another host wrote it.
+    MonotonicTime writtenElsewhereAt {};
     // For an outcome with a value of its own.
     bool ownValueWritten = false;
     bool ownValueInFlight = false;
@@ -101,8 +103,16 @@
 
     // Decides from what this host knows of the key; nothing when the store has to be asked.
     std::optional<ClaimNotice> lookUp(OwnClaim&, const ClaimContext&) const;
-    // Precondition: lookUp() returned nothing.
+    // Precondition: lookUp() returned nothing. A claim whose key this host already
+    // claims waits until that claim is decided.
     void insert(OwnClaim);
+    // Decides the claims that waited for another one. To be called after every other step.
+    std::vector<ClaimNotice> reviewFollowers(const ClaimContext&);
+    // Claims that are held, followers included.
+    std::size_t claimCount() const { return m_claims.size() + m_followers.size(); }
+    std::size_t followerCount() const { return m_followers.size(); }
+    // The other host has written the claim and seen it confirmed.
+    void confirm(OwnClaim&, MonotonicTime now) const;
     OwnClaim* find(std::uint64_t nonce);
     // Marks the request as not run.
     void withdraw(std::uint64_t nonce, MonotonicTime now);
@@ -112,7 +122,7 @@
     // Ends the waiting claims whose deadline has come, forwards that were not answered, and stale foreign claims.
     std::vector<ClaimNotice> expire(const ClaimContext&, std::vector<HostId>& silentPeers);
     // Refuses the waiting claims that cannot be in the store.
-    std::vector<ClaimNotice> refuseUnwritten(const ClaimContext&);
+    std::vector<ClaimNotice> refuseUnwritten();
 
     bool isCallInFlight() const { return m_inFlight.has_value(); }
     // Whether a store call is needed now.
@@ -132,7 +142,6 @@
     void dropValue() { m_value.reset(); }
     std::map<std::uint64_t, OwnClaim>& claims() { return m_claims; }
     const std::map<std::uint64_t, OwnClaim>& claims() const { return m_claims; }
-    const std::vector<ForeignClaim>& foreignClaims() const { return m_foreign; }
     MonotonicTime lastCallAt() const { return m_lastCallAt; }
     // Size of the last known value, also after it was dropped.
     std::size_t lastSize() const { return m_lastSize; }
@@ -173,6 +182,7 @@
     std::map<std::uint64_t, OwnClaim> m_claims;
     // Nonce of the claim of a key that is not withdrawn.
     std::unordered_map<ShortDigest, std::uint64_t> m_nonces;
+    std::vector<OwnClaim> m_followers;
     std::vector<ForeignClaim> m_foreign;
     std::optional<ShardValue> m_value;
     // Nothing when the store did not tell the version.
