--- /dev/null
+++ b/tests/placement/HistoryRecord.cpp
@@ -0,0 +1,133 @@
+#include "placement/HistoryRecord.h"
+
+#include <algorithm>
+#include <deque>
+#include <set>
+
+namespace Catkinwell {
+
+namespace {
+
+    std::string describe(const RecordEntry& entry, const std::string& what)
+    {
+        return std::to_string(std::chrono::duration<double>(entry.at.time_since_epoch()).count()) + " s: "
+            + entry.endpoint.value + " " + entry.model.value + ": " + what;
+    }
+
+} // namespace
+
+Violations checkLoadedWithinDecided(const Record& record)
+{
+    Violations violations;
+    std::map<DataCentreId, PlacementPlan> plans;
+    std::map<std::pair<EndpointId, ModelId>, DataCentreId> held;
+    const auto isDecided = [&](const DataCentreId& dataCentre, const EndpointId& endpoint, const ModelId& model) {
+        const PlannedReplica* replica = plans[dataCentre].find(endpoint, model);
+        return replica != nullptr && replica->occupiesMemory();
+    };
+    for (const RecordEntry& entry : record) {
+        const std::pair<EndpointId, ModelId> key(entry.endpoint, entry.model);
+        if (entry.kind == RecordKind::LoadStarted && !entry.byHand) {
+            held[key] = entry.dataCentre;
+            if (!isDecided(entry.dataCentre, entry.endpoint, entry.model))
+                violations.push_back(describe(entry, "loaded without a recorded decision"));
+        } else if (entry.kind == RecordKind::Gone) {
+            held.erase(key);
+        } else if (entry.kind == RecordKind::PlanStored) {
+            plans[entry.dataCentre] = entry.plan;
+            for (const auto& [replica, dataCentre] : held) {
+                if (dataCentre == entry.dataCentre && !isDecided(dataCentre, replica.first, replica.second))
+                    violations.push_back(
+                        describe(entry, "plan drops " + replica.first.value + " " + replica.second.value));
+            }
+        }
+    }
+    return violations;
+}
+
+Violations checkMemory(const Record& record, const std::map<EndpointId, std::uint64_t>& memoryBytes)
+{
+    Violations violations;
+    std::map<EndpointId, std::map<ModelId, std::uint64_t>> held;
+    for (const RecordEntry& entry : record) {
+        auto& row = held[entry.endpoint];
+        if (entry.kind == RecordKind::Gone)
+            row.erase(entry.model);
+        if (entry.kind != RecordKind::LoadStarted)
+            continue;
+        row[entry.model] = entry.bytes;
+        std::uint64_t sum = 0;
+        for (const auto& [model, bytes] : row)
+            sum += bytes;
+        if (sum > memoryBytes.at(entry.endpoint))
+            violations.push_back(describe(entry, "memory in use " + std::to_string(sum)));
+    }
+    return violations;
+}
+
+Violations checkLoadSlots(const Record& record)
+{
+    Violations violations;
+    std::set<std::pair<EndpointId, ModelId>> running[2];
+    const std::size_t limits[2] = { 4, 32 };
+    std::vector<MonotonicTime> starts;
+    for (const RecordEntry& entry : record) {
+        const std::pair<EndpointId, ModelId> key(entry.endpoint, entry.model);
+        auto& loads = running[entry.isAdapter ? 1 : 0];
+        if (entry.kind == RecordKind::LoadEnded || entry.kind == RecordKind::Gone)
+            loads.erase(key);
+        if (entry.kind != RecordKind::LoadStarted || entry.byHand)
+            continue;
+        loads.insert(key);
+        if (loads.size() > limits[entry.isAdapter ? 1 : 0])
+            violations.push_back(describe(entry, std::to_string(loads.size()) + " loads at once"));
+        if (entry.isAdapter)
+            continue;
+        starts.push_back(entry.at);
+        for (std::size_t first = 0; first < starts.size(); ++first) {
+            const double window = std::chrono::duration<double>(starts.back() - starts[first]).count();
+            const auto count = static_cast<double>(starts.size() - first);
+            if (count > 4 + 3 * window) {
+                violations.push_back(describe(entry,
+                    std::to_string(starts.size() - first) + " starts in " + std::to_string(window) + " s"));
+                break;
+            }
+        }
+    }
+    return violations;
+}
+
+Violations checkOneOwnerInForce(const Record& record)
+{
+    Violations violations;
+    std::map<EndpointId, FencingToken> highest;
+    for (const RecordEntry& entry : record) {
+        if (entry.kind != RecordKind::CommandArrived || !entry.ignoresFencing)
+            continue;
+        FencingToken& token = highest[entry.endpoint];
+        if (entry.token < token)
+            violations.push_back(describe(entry,
+                "command with token " + std::to_string(entry.token) + " after one with " + std::to_string(token)));
+        token = std::max(token, entry.token);
+    }
+    return violations;
+}
+
+Violations checkServed(const Record& record)
+{
+    std::map<std::pair<HostId, ModelId>, RecordEntry> open;
+    for (const RecordEntry& entry : record) {
+        if (entry.kind == RecordKind::Wanted)
+            open.emplace(std::pair(entry.host, entry.model), entry);
+        if (entry.kind == RecordKind::Served)
+            open.erase({ entry.host, entry.model });
+        if (entry.kind == RecordKind::HostGone)
+            std::erase_if(open, [&](const auto& wanted) { return wanted.first.first == entry.host; });
+    }
+    Violations violations;
+    for (const auto& [key, entry] : open)
+        violations.push_back(describe(entry, "wanted by " + key.first.value + " and never served"));
+    return violations;
+}
+
+} // namespace Catkinwell
