Add a token bucket with exact refunds

Change: TokenBucket keeps the running maximum of refills minus debits minus capacity between unsettled reservations, in exact integer arithmetic and a bounded number of segments. Conclusion: refunds are exact up to 1024 unsettled reservations and smaller beyond.

--- /dev/null
+++ b/include/catkinwell/shares/TokenBucket.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <catkinwell/core/Clock.h>
+#include <catkinwell/core/TokenAmount.h>
+#include <cstdint>
+#include <deque>
+#include <optional>
+
+namespace Catkinwell {
+
+// Millionths of a token. A piece of p parts per million of a rate of r tokens a second refills r × p of them a second.
+using MicroTokens = std::int64_t;
+
+// A token bucket whose refunds have the same result as if the reservation had been
+// smaller from the start: a refund never restores tokens that the full bucket would
+// have discarded meanwhile. Arithmetic is exact. Not thread safe. The time given to
+// the methods must not run backwards; an earlier time counts as the latest one seen.
+//
+// With W(t) the refills minus the debits up to t and C(t) the capacity, the level is
+// W(t) − max over all u ≤ t of (W(u) − C(u)). A refund of d to a reservation made at s
+// raises W(u) by d for every u ≥ s. The bucket keeps the maximum separately for the
+// time between each two unsettled reservations, which makes the refund exact.
+class TokenBucket {
+public:
+    // Names a reservation for its settlement.
+    struct Reservation {
+        std::uint64_t segment = 0;
+    };
+
+    // Memory is bounded by the number of segments. While that many reservations are
+    // unsettled, later ones share the last segment; their refunds can only be smaller than exact.
+    // Precondition: maxSegments > 0.
+    explicit TokenBucket(MonotonicTime start, std::size_t maxSegments = 1024);
+
+    // Changes refill rate (a second) and capacity from the given time on. A smaller capacity discards
+    // the tokens above it; a larger one adds none. Precondition: both are at least 0.
+    void setLimits(MicroTokens ratePerSecond, MicroTokens capacity, MonotonicTime at);
+
+    // Returns whole tokens; negative while usage above a reservation is owed.
+    TokenCount available(MonotonicTime now);
+    MicroTokens level(MonotonicTime now);
+    MicroTokens capacity() const { return m_capacity; }
+    MicroTokens ratePerSecond() const { return m_rate; }
+
+    // Debits the tokens and returns the reservation, or returns nothing and
+    // leaves the level unchanged if it is too low. Precondition: tokens ≥ 0.
+    std::optional<Reservation> reserve(TokenCount tokens, MonotonicTime now);
+
+    // Debits tokens that will not be settled. Returns false if the level is too low. Precondition: tokens ≥ 0.
+    bool take(TokenCount tokens, MonotonicTime now);
+
+    // Ends a reservation and returns the refund in millionths; usage above the reservation is
+    // debited and may make the level negative. Precondition: the reservation comes from this bucket,
+    // is settled for the first time, and reserved is its size.
+    MicroTokens settle(Reservation, TokenCount reserved, TokenCount used, MonotonicTime now);
+
+    std::size_t segmentCount() const { return m_segments.size(); }
+
+private:
+    // The time from one unsettled reservation to the next.
+    struct Segment {
+        std::uint64_t id = 0;
+        MicroTokens peak = 0;
+        std::size_t unsettled = 0;
+    };
+
+    void advance(MonotonicTime now);
+    void notePeak();
+    void rebase();
+    void removeSegment(std::deque<Segment>::iterator);
+
+    MonotonicTime m_last;
+    std::size_t m_maxSegments;
+    MicroTokens m_rate = 0;
+    MicroTokens m_capacity = 0;
+    // Refill below a millionth, in millionths × nanoseconds.
+    std::int64_t m_remainder = 0;
+    MicroTokens m_net = 0;
+    MicroTokens m_peak = 0;
+    std::uint64_t m_lastSegment = 0;
+    std::deque<Segment> m_segments;
+};
+
+} // namespace Catkinwell
