--- a/include/catkinwell/logging/LogEvent.h
+++ b/include/catkinwell/logging/LogEvent.h
@@ -41,6 +41,12 @@
     FingerprintQuarantined = 1204,
     EndpointStateChanged = 1205,
     // 1300: shares
+    ShareChanged = 1300,
+    ShareRefused = 1301,
+    ShareReclaimed = 1302,
+    ShareValueInvalid = 1303,
+    SharesReleased = 1304,
+    HolderLeaseAbsent = 1305,
     // 1400: orders
     // 1500: placement
     // 1600: membership
--- a/include/catkinwell/shares/TokenBucket.h
+++ b/include/catkinwell/shares/TokenBucket.h
@@ -67,7 +67,7 @@
     void advance(MonotonicTime now);
     void notePeak();
     void rebase();
-    void removeSegment(std::deque<Segment>::iterator);
+    void mergeIntoEarlier(std::size_t index);
 
     MonotonicTime m_last;
     std::size_t m_maxSegments;
--- a/src/logging/LogEvent.cpp
+++ b/src/logging/LogEvent.cpp
@@ -60,6 +60,19 @@
         { LogEvent::EndpointStateChanged, Info, "endpoint_state_changed",
             "An endpoint became usable, suspected or leaving.", "" },
         // 1300: shares
+        { LogEvent::ShareChanged, Info, "share_changed",
+            "This host's usable piece of an account changed; the fields give the parts per million before and after.",
+            "" },
+        { LogEvent::ShareRefused, Info, "share_refused",
+            "A reservation of tokens was refused; the fields give the reason and the bucket's state.", "" },
+        { LogEvent::ShareReclaimed, Info, "share_reclaimed",
+            "Pieces of hosts whose lease is gone were returned to the unassigned part.", "" },
+        { LogEvent::ShareValueInvalid, Error, "share_value_invalid",
+            "The stored value of an account's shares cannot be read; the host keeps what it holds and changes nothing.",
+            "Stop all hosts for 66 minutes before you delete the value; an earlier deletion can exceed the rate." },
+        { LogEvent::SharesReleased, Info, "shares_released", "The host gave all its pieces back.", "" },
+        { LogEvent::HolderLeaseAbsent, Info, "holder_lease_absent",
+            "The store no longer knows the lease of a holder; its floating pieces may be reclaimed.", "" },
         // 1400: orders
         // 1500: placement
         // 1600: membership
--- /dev/null
+++ b/src/shares/HeldPiece.cpp
@@ -0,0 +1,91 @@
+#include "HeldPiece.h"
+
+#include <algorithm>
+
+namespace Catkinwell {
+
+namespace {
+
+    // Leases whose renewal time is remembered. A host replaces its lease only after it lapsed,
+    // so an entry that names an older one has long been reclaimed.
+    constexpr std::size_t maxOwnLeases = 16;
+
+} // namespace
+
+void HeldPiece::setLease(const LeaseStatus& status)
+{
+    m_status = status;
+    if (status.id.empty())
+        return;
+    const auto known = std::find_if(
+        m_ownLeases.begin(), m_ownLeases.end(), [&](const auto& entry) { return entry.first == status.id; });
+    if (known != m_ownLeases.end()) {
+        known->second = status.lastRenewalSentAt;
+        return;
+    }
+    if (m_ownLeases.size() == maxOwnLeases)
+        m_ownLeases.erase(m_ownLeases.begin());
+    m_ownLeases.emplace_back(status.id, status.lastRenewalSentAt);
+}
+
+MonotonicTime HeldPiece::lastRenewalOf(const LeaseId& lease) const
+{
+    const auto known
+        = std::find_if(m_ownLeases.begin(), m_ownLeases.end(), [&](const auto& entry) { return entry.first == lease; });
+    return known == m_ownLeases.end() ? MonotonicTime::min() : known->second;
+}
+
+MonotonicTime HeldPiece::floatingUntil() const
+{
+    return !m_entry.empty() && m_status.id == m_entry ? m_status.validUntil : MonotonicTime::min();
+}
+
+MonotonicTime HeldPiece::standingUntil() const
+{
+    const MonotonicTime renewal = m_entry.empty() ? MonotonicTime::min() : lastRenewalOf(m_entry);
+    return renewal == MonotonicTime::min() ? renewal : renewal + m_standingValidity;
+}
+
+void HeldPiece::beginWrite(const Piece& intended, StoreVersion expected)
+{
+    m_intended = intended;
+    m_expected = expected;
+    m_floating = std::min(m_floating, intended.floating);
+    m_standing = std::min(m_standing, intended.standing);
+}
+
+void HeldPiece::confirmWrite()
+{
+    m_candidates.clear();
+    adopt(m_intended);
+}
+
+void HeldPiece::loseWrite()
+{
+    if (std::find(m_candidates.begin(), m_candidates.end(), m_intended.lease) == m_candidates.end())
+        m_candidates.push_back(m_intended.lease);
+}
+
+bool HeldPiece::observe(const PieceTable& table, StoreVersion version)
+{
+    if (isUncertain() && version <= m_expected)
+        return false;
+    m_candidates.push_back(m_entry);
+    const Piece* stored = nullptr;
+    for (const LeaseId& lease : m_candidates) {
+        if (stored == nullptr && !lease.empty())
+            stored = table.find(lease);
+    }
+    adopt(stored == nullptr ? Piece {} : *stored);
+    m_candidates.clear();
+    return true;
+}
+
+void HeldPiece::adopt(const Piece& piece)
+{
+    m_entry = piece.lease;
+    m_floating = piece.floating;
+    m_standing = piece.standing;
+}
+
+} // namespace Catkinwell
--- /dev/null
+++ b/src/shares/LoanDesk.cpp
@@ -0,0 +1,111 @@
+#include "LoanDesk.h"
+
+#include <algorithm>
+#include <catkinwell/core/Digest.h>
+
+namespace Catkinwell {
+
+namespace {
+
+    // Peers asked in one round; with answers within 2 ms they fit into the window many times over.
+    constexpr std::size_t maxQuestions = 6;
+    // Two messages a second each way of about 150 bytes take 0.6 KB/s at 400 hosts; smaller fleets may send more.
+    constexpr double messageBudget = 800;
+    constexpr double fewestMessages = 2;
+    constexpr double mostMessages = 40;
+    constexpr double messageBurst = 40;
+
+    double messagesPerSecond(std::size_t liveHosts)
+    {
+        return std::clamp(
+            messageBudget / static_cast<double>(std::max<std::size_t>(1, liveHosts)), fewestMessages, mostMessages);
+    }
+
+} // namespace
+
+LoanDesk::LoanDesk(const HostId& host, Incarnation incarnation, Duration window, MonotonicTime now)
+    : m_window(window)
+    // Starts each run at a different place, so that answers to an earlier run match no question of this one.
+    , m_lastLoan(stableHash(host.value + "/" + std::to_string(incarnation)))
+    , m_questions(mostMessages, messageBurst, now)
+    , m_answers(mostMessages, messageBurst, now)
+{
+}
+
+void LoanDesk::setPeers(std::vector<HostId> peers, std::size_t liveHosts)
+{
+    m_peers = std::move(peers);
+    m_questions.setLimits(messagesPerSecond(liveHosts), messageBurst);
+    m_answers.setLimits(messagesPerSecond(liveHosts), messageBurst);
+}
+
+std::optional<SendToPeer> LoanDesk::start(
+    const AccountId& account, RequestId request, TokenCount missing, MonotonicTime now, RandomGenerator& random)
+{
+    if (m_peers.empty() || !m_questions.isOpen(now))
+        return std::nullopt;
+    Round round;
+    round.request = request;
+    round.until = now + m_window;
+    const std::size_t first = random.below(m_peers.size());
+    for (std::size_t i = 0; i < std::min(maxQuestions, m_peers.size()); ++i)
+        round.candidates.push_back(m_peers[(first + i) % m_peers.size()]);
+    m_rounds.insert_or_assign(account, std::move(round));
+    return askNext(account, missing, now);
+}
+
+std::optional<SendToPeer> LoanDesk::askNext(const AccountId& account, TokenCount missing, MonotonicTime now)
+{
+    const auto found = m_rounds.find(account);
+    if (found == m_rounds.end())
+        return std::nullopt;
+    Round& round = found->second;
+    if (round.asked || round.candidates.empty() || now >= round.until || !m_questions.isOpen(now))
+        return std::nullopt;
+    m_questions.spend(1);
+    round.asked = round.candidates.back();
+    round.candidates.pop_back();
+    round.loanId = ++m_lastLoan;
+    round.askedTokens = missing;
+    return SendToPeer { *round.asked, BorrowTokens { account, round.loanId, missing } };
+}
+
+bool LoanDesk::collect(const HostId& from, const LendTokens& loan, MonotonicTime now)
+{
+    const auto found = m_rounds.find(loan.account);
+    if (found == m_rounds.end())
+        return false;
+    Round& round = found->second;
+    if (!round.asked || *round.asked != from || round.loanId != loan.loanId || now >= round.until || loan.tokens < 0
+        || loan.tokens > round.askedTokens)
+        return false;
+    round.asked.reset();
+    round.collected += loan.tokens;
+    return true;
+}
+
+TokenCount LoanDesk::collected(const AccountId& account, RequestId request, MonotonicTime now) const
+{
+    const auto found = m_rounds.find(account);
+    if (found == m_rounds.end() || found->second.request != request || now >= found->second.until)
+        return 0;
+    return found->second.collected;
+}
+
+bool LoanDesk::isOver(const AccountId& account, RequestId request, MonotonicTime now) const
+{
+    const auto found = m_rounds.find(account);
+    return found != m_rounds.end()
+        && (found->second.request != request || now >= found->second.until
+            || (!found->second.asked && found->second.candidates.empty()));
+}
+
+bool LoanDesk::mayAnswer(MonotonicTime now)
+{
+    if (!m_answers.isOpen(now))
+        return false;
+    m_answers.spend(1);
+    return true;
+}
+
+} // namespace Catkinwell
--- /dev/null
+++ b/src/shares/PiecePlan.cpp
@@ -0,0 +1,194 @@
+#include "PiecePlan.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdlib>
+
+namespace Catkinwell {
+
+namespace {
+
+    // Part of the whole that is divided evenly, whatever the demand, so that an idle host can serve a first request.
+    constexpr double evenPart = 0.1;
+    // A holder counts as short only below this part of its aim. Demand estimates fluctuate by
+    // about this much, and each move of units discards the tokens they held.
+    constexpr double shortBelow = 0.85;
+    // A change of the published demand is worth a write from 6 steps of 5% (a third) on.
+    constexpr int wantSteps = 6;
+
+    class Planner {
+    public:
+        Planner(const PieceTable& table, const PlanInput& input)
+            : m_input(input)
+            , m_before(table)
+        {
+            m_plan.table = table;
+        }
+
+        PiecePlan run()
+        {
+            reclaim();
+            if (m_input.leaving) {
+                leave();
+                return std::move(m_plan);
+            }
+            registerOwn();
+            countHolders();
+            planStanding();
+            planFloating();
+            publishWant();
+            return std::move(m_plan);
+        }
+
+    private:
+        Piece& own() { return m_plan.table.pieces[m_own]; }
+        bool isOwn(const Piece& piece) const { return piece.lease == m_input.lease || piece.lease == m_input.ownEntry; }
+
+        void reclaim()
+        {
+            auto& pieces = m_plan.table.pieces;
+            for (Piece& piece : pieces) {
+                if (isOwn(piece) || !m_input.floatingGone(piece.lease))
+                    continue;
+                const bool standingToo = m_input.standingGone(piece.lease);
+                m_plan.reclaimed += piece.floating + (standingToo ? piece.standing : 0);
+                piece.floating = 0;
+                piece.want = 0;
+                if (standingToo)
+                    piece.standing = 0;
+            }
+            std::erase_if(pieces, [&](const Piece& piece) {
+                return !isOwn(piece) && piece.floating == 0 && piece.standing == 0 && m_input.floatingGone(piece.lease);
+            });
+            m_plan.changed = m_plan.reclaimed > 0 || pieces.size() != m_before.pieces.size();
+        }
+
+        void leave()
+        {
+            if (std::erase_if(m_plan.table.pieces, [&](const Piece& piece) { return isOwn(piece); }) > 0)
+                m_plan.changed = true;
+        }
+
+        void registerOwn()
+        {
+            auto& pieces = m_plan.table.pieces;
+            const auto found
+                = std::find_if(pieces.begin(), pieces.end(), [&](const Piece& piece) { return isOwn(piece); });
+            m_own = static_cast<std::size_t>(found - pieces.begin());
+            if (found == pieces.end()) {
+                pieces.push_back({ m_input.lease, 0, 0, 0 });
+                m_plan.changed = true;
+            } else if (found->lease != m_input.lease) {
+                found->lease = m_input.lease;
+                m_plan.changed = true;
+            }
+            m_oldWant = own().want;
+            own().want = wantCode(m_input.want);
+        }
+
+        void countHolders()
+        {
+            const double even = evenPart * totalUnits / m_input.liveHosts;
+            double weights = 0;
+            for (const Piece& piece : m_plan.table.pieces) {
+                m_isLive.push_back(isOwn(piece) || !m_input.floatingGone(piece.lease));
+                m_liveHolders += m_isLive.back() ? 1 : 0;
+                m_weights.push_back(m_isLive.back() ? wantUnits(piece.want) + even : 0);
+                weights += m_weights.back();
+            }
+            // Hosts that have no entry yet are assumed to need as much as this one.
+            m_missing = m_input.liveHosts - std::min(m_input.liveHosts, m_liveHolders);
+            m_weightSum = weights + m_missing * m_weights[m_own];
+        }
+
+        void planStanding()
+        {
+            const std::uint32_t even = m_input.standingTotal / std::max(m_input.liveHosts, m_liveHolders);
+            const std::uint32_t sum = m_plan.table.standingSum();
+            const std::uint32_t pool = m_input.standingTotal - std::min(sum, m_input.standingTotal);
+            if (own().standing < even) {
+                const std::uint32_t gain = std::min(pool, even - own().standing);
+                if (gain > even / 10 || (gain > 0 && own().standing == 0))
+                    change(own().standing, own().standing + gain);
+                return;
+            }
+            if (own().standing <= even + even / 10)
+                return;
+            std::uint32_t missing = m_missing * even;
+            for (std::size_t i = 0; i < m_plan.table.pieces.size(); ++i) {
+                if (m_isLive[i])
+                    missing += even - std::min(even, m_plan.table.pieces[i].standing);
+            }
+            if (missing > pool)
+                change(own().standing, own().standing - std::min(own().standing - even, missing - pool));
+        }
+
+        double aimOf(std::size_t index) const { return totalUnits * m_weights[index] / m_weightSum; }
+
+        void planFloating()
+        {
+            const std::uint32_t total = totalUnits - m_input.standingTotal;
+            const std::uint32_t sum = m_plan.table.floatingSum();
+            const std::uint32_t pool = total - std::min(sum, total);
+            const std::uint32_t held = own().floating;
+            const auto aim = static_cast<std::uint32_t>(std::max(0.0, aimOf(m_own) - own().standing));
+            // Unassigned units beyond the aim are used as far as demand needs them, half of the rest at a time.
+            const auto wanted = static_cast<std::uint32_t>(std::max(0.0, m_input.want - own().standing));
+            const std::uint32_t desired = std::max(aim, std::min(wanted, held + pool / 2));
+            if (desired > held && pool > 0) {
+                const std::uint32_t gain = std::min(pool, desired - held);
+                if (gain > held / 20 || m_input.waiting)
+                    change(own().floating, held + gain);
+                return;
+            }
+            const std::uint32_t shortage = shortageOfOthers();
+            if (held <= aim + aim / 10 || shortage <= pool)
+                return;
+            const std::uint32_t reduction = std::min(held - aim, shortage - pool);
+            if (reduction > held / 20)
+                change(own().floating, held - reduction);
+        }
+
+        std::uint32_t shortageOfOthers() const
+        {
+            double shortage = 0;
+            for (std::size_t i = 0; i < m_plan.table.pieces.size(); ++i) {
+                const double held = m_plan.table.pieces[i].floating + m_plan.table.pieces[i].standing;
+                if (i != m_own && m_isLive[i] && held < shortBelow * aimOf(i))
+                    shortage += aimOf(i) - held;
+            }
+            return static_cast<std::uint32_t>(shortage);
+        }
+
+        // Others give units back only for a demand that they can see.
+        void publishWant()
+        {
+            const std::uint32_t total = totalUnits - m_input.standingTotal;
+            const bool scarce = total - std::min(total, m_plan.table.floatingSum()) < total / 20;
+            if (scarce && std::abs(int { own().want } - int { m_oldWant }) >= wantSteps)
+                m_plan.changed = true;
+        }
+
+        void change(std::uint32_t& field, std::uint32_t value)
+        {
+            m_plan.changed = m_plan.changed || field != value;
+            field = value;
+        }
+
+        const PlanInput& m_input;
+        const PieceTable& m_before;
+        PiecePlan m_plan;
+        std::size_t m_own = 0;
+        std::uint8_t m_oldWant = 0;
+        std::vector<bool> m_isLive;
+        std::vector<double> m_weights;
+        double m_weightSum = 0;
+        std::uint32_t m_liveHolders = 0;
+        std::uint32_t m_missing = 0;
+    };
+
+} // namespace
+
+PiecePlan planPieces(const PieceTable& table, const PlanInput& input) { return Planner(table, input).run(); }
+
+} // namespace Catkinwell
--- /dev/null
+++ b/src/shares/PieceTable.cpp
@@ -0,0 +1,150 @@
+#include "PieceTable.h"
+
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <numeric>
+
+namespace Catkinwell {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr double wantStep = 1.05;
+    constexpr std::size_t uuidLength = 36;
+    constexpr std::size_t maxLeaseLength = 64;
+    constexpr std::size_t maxHolders = 4096;
+    constexpr std::string_view hexDigits = "0123456789abcdef";
+
+    bool isDashPosition(std::size_t index) { return index == 8 || index == 13 || index == 18 || index == 23; }
+
+    // Returns the 16 bytes of a canonical lower-case UUID, or nothing for any other lease identifier.
+    std::optional<std::vector<std::uint8_t>> packUuid(const LeaseId& lease)
+    {
+        if (lease.size() != uuidLength)
+            return std::nullopt;
+        std::vector<std::uint8_t> bytes;
+        bool high = true;
+        for (std::size_t i = 0; i < uuidLength; ++i) {
+            if (isDashPosition(i)) {
+                if (lease[i] != '-')
+                    return std::nullopt;
+                continue;
+            }
+            const auto digit = hexDigits.find(lease[i]);
+            if (digit == std::string_view::npos)
+                return std::nullopt;
+            if (high)
+                bytes.push_back(static_cast<std::uint8_t>(digit << 4));
+            else
+                bytes.back() |= static_cast<std::uint8_t>(digit);
+            high = !high;
+        }
+        return bytes;
+    }
+
+    std::string unpackUuid(const std::vector<std::uint8_t>& bytes)
+    {
+        std::string lease;
+        for (const std::uint8_t byte : bytes) {
+            if (isDashPosition(lease.size()))
+                lease += '-';
+            lease += hexDigits[byte >> 4];
+            lease += hexDigits[byte & 15];
+        }
+        return lease;
+    }
+
+    std::optional<LeaseId> readLease(const Json& item)
+    {
+        if (item.is_binary() && item.get_binary().size() == 16)
+            return unpackUuid(item.get_binary());
+        if (item.is_string() && item.get_ref<const std::string&>().size() <= maxLeaseLength)
+            return item.get<std::string>();
+        return std::nullopt;
+    }
+
+    bool areCounts(const Json& array, std::size_t size, std::uint64_t largest)
+    {
+        return array.is_array() && array.size() == size
+            && std::all_of(array.begin(), array.end(),
+                [&](const Json& item) { return item.is_number_unsigned() && item.get<std::uint64_t>() <= largest; });
+    }
+
+} // namespace
+
+const Piece* PieceTable::find(const LeaseId& lease) const
+{
+    const auto found
+        = std::find_if(pieces.begin(), pieces.end(), [&](const Piece& piece) { return piece.lease == lease; });
+    return found == pieces.end() ? nullptr : &*found;
+}
+
+std::uint32_t PieceTable::floatingSum() const
+{
+    return std::accumulate(pieces.begin(), pieces.end(), std::uint32_t { 0 },
+        [](std::uint32_t sum, const Piece& piece) { return sum + piece.floating; });
+}
+
+std::uint32_t PieceTable::standingSum() const
+{
+    return std::accumulate(pieces.begin(), pieces.end(), std::uint32_t { 0 },
+        [](std::uint32_t sum, const Piece& piece) { return sum + piece.standing; });
+}
+
+std::uint8_t wantCode(double units)
+{
+    if (units < 1)
+        return 0;
+    return static_cast<std::uint8_t>(std::min(255.0, 1 + std::ceil(std::log(units) / std::log(wantStep))));
+}
+
+double wantUnits(std::uint8_t code) { return code == 0 ? 0 : std::pow(wantStep, code - 1); }
+
+std::string encodePieceTable(const PieceTable& table)
+{
+    Json leases = Json::array();
+    Json floating = Json::array();
+    Json standing = Json::array();
+    Json wants = Json::array();
+    for (const Piece& piece : table.pieces) {
+        if (auto packed = packUuid(piece.lease))
+            leases.push_back(Json::binary(std::move(*packed)));
+        else
+            leases.push_back(piece.lease);
+        floating.push_back(piece.floating);
+        standing.push_back(piece.standing);
+        wants.push_back(piece.want);
+    }
+    const auto bytes = Json::to_cbor(Json { { "l", leases }, { "f", floating }, { "s", standing }, { "w", wants } });
+    return { bytes.begin(), bytes.end() };
+}
+
+std::optional<PieceTable> decodePieceTable(std::string_view value)
+{
+    if (value.empty())
+        return PieceTable {};
+    const Json document = Json::from_cbor(value, true, false);
+    if (!document.is_object() || !document.contains("l") || !document.contains("f") || !document.contains("s")
+        || !document.contains("w"))
+        return std::nullopt;
+    const Json& leases = document["l"];
+    if (!leases.is_array() || leases.size() > maxHolders || !areCounts(document["f"], leases.size(), totalUnits)
+        || !areCounts(document["s"], leases.size(), totalUnits) || !areCounts(document["w"], leases.size(), 255))
+        return std::nullopt;
+    PieceTable table;
+    table.pieces.reserve(leases.size());
+    for (std::size_t i = 0; i < leases.size(); ++i) {
+        const auto lease = readLease(leases[i]);
+        if (!lease)
+            return std::nullopt;
+        table.pieces.push_back({ *lease, document["f"][i].get<std::uint32_t>(), document["s"][i].get<std::uint32_t>(),
+            document["w"][i].get<std::uint8_t>() });
+    }
+    if (table.floatingSum() + table.standingSum() > totalUnits)
+        return std::nullopt;
+    return table;
+}
+
+} // namespace Catkinwell
--- /dev/null
+++ b/src/shares/ShareManager.cpp
@@ -0,0 +1,532 @@
+#include <catkinwell/shares/ShareManager.h>
+
+#include "AccountShare.h"
+#include "LeaseObserver.h"
+#include "LoanDesk.h"
+#include "Pace.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Catkinwell {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // A waiting reservation looks for a larger piece at most this often.
+    constexpr Duration urgentInterval = 1s;
+    constexpr Duration conflictBackoff = 50ms;
+    constexpr Duration longestConflictBackoff = 5s;
+    constexpr Duration failureBackoff = 500ms;
+    constexpr Duration longestFailureBackoff = 30s;
+    constexpr unsigned maxDoublings = 10;
+    constexpr Duration invalidValueInterval = 30s;
+    // Lease reads of the whole fleet a second: at 400 hosts each lease is read by some host every 8 s.
+    constexpr double fleetLeaseReadsPerSecond = 50;
+    constexpr Duration leaseReadInterval = 1s;
+    constexpr int leaseReadTries = 8;
+    // Requests a second that one host may start at once after a pause, for example at its start.
+    constexpr double adjustBurst = 10;
+    constexpr double byteBurst = 65536;
+    // Headers of a call and its reply.
+    constexpr double callOverheadBytes = 200;
+    constexpr Duration loanRoundInterval = 250ms;
+    constexpr Duration metricsInterval = 1s;
+    // A loan below this part of what was asked is rarely of use, and unused loans are lost.
+    constexpr TokenCount smallestLoanPart = 8;
+
+    Duration seconds(double value)
+    {
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
+    }
+
+    Duration doubled(Duration first, unsigned times, Duration longest)
+    {
+        return std::min<Duration>(longest, first * (1U << std::min(times, maxDoublings)));
+    }
+
+} // namespace
+
+ShareManager::ShareManager(
+    const HostId& host, Incarnation incarnation, std::uint64_t seed, MonotonicTime now, const ShareOptions& options)
+    : m_options(options)
+    , m_random(seed)
+    , m_callIds(StoreUser::Shares)
+    , m_loans(std::make_unique<LoanDesk>(host, incarnation, options.loanWindow, now))
+    , m_observer(std::make_unique<LeaseObserver>(options.standingReclaimAfter))
+    , m_writePace(std::make_unique<Pace>(options.fleetWritesPerSecond, adjustBurst, now))
+    , m_bytePace(std::make_unique<Pace>(options.storeBytesPerSecond, byteBurst, now))
+{
+}
+
+ShareManager::~ShareManager() = default;
+
+AccountShare* ShareManager::find(const AccountId& account)
+{
+    const auto found = m_shares.find(account);
+    return found == m_shares.end() ? nullptr : found->second.get();
+}
+
+void ShareManager::configure(const std::map<AccountId, ClientAccount>& accounts, MonotonicTime now, EffectList& effects)
+{
+    for (const auto& [id, account] : accounts) {
+        if (AccountShare* share = find(id)) {
+            share->configure(account, now);
+            share->isRemoved = false;
+            continue;
+        }
+        auto share = std::make_unique<AccountShare>(account, m_options, now);
+        share->setLease(m_lease, now);
+        share->setLending(m_hasPeers && m_options.lending, now);
+        // Hosts that start at the same time spread their first writes over the fleet's write budget.
+        share->nextAdjustAt = now + seconds(m_random.unit() * m_liveHosts / m_options.fleetWritesPerSecond);
+        m_shares.emplace(id, std::move(share));
+    }
+    for (auto& [id, share] : m_shares) {
+        if (accounts.contains(id))
+            continue;
+        share->isRemoved = true;
+        while (!share->waiting().empty())
+            decideRefused(*share, 0, ShareRefusal::UnknownAccount, now, effects);
+    }
+}
+
+void ShareManager::setLease(const LeaseStatus& status, MonotonicTime now)
+{
+    m_lease = status;
+    for (auto& [id, share] : m_shares)
+        share->setLease(status, now);
+}
+
+void ShareManager::setPeers(std::vector<HostId> sameDataCentre, std::size_t liveHosts, MonotonicTime now)
+{
+    m_hasPeers = !sameDataCentre.empty();
+    m_liveHosts = static_cast<std::uint32_t>(std::clamp<std::size_t>(liveHosts, 1, totalUnits));
+    m_loans->setPeers(std::move(sameDataCentre), liveHosts);
+    const double perHost = m_options.fleetWritesPerSecond / m_liveHosts;
+    m_writePace->setLimits(perHost, std::clamp(perHost, 1.0, adjustBurst));
+    for (auto& [id, share] : m_shares)
+        share->setLending(m_hasPeers && m_options.lending, now);
+}
+
+ShareResult ShareManager::refuse(RequestId request, const AccountId& account, TokenCount tokens, ShareRefusal reason,
+    Duration retryAfter, EffectList& effects)
+{
+    effects.push_back(LogEntry { LogEvent::ShareRefused,
+        { { "request", std::to_string(request.value) }, { "account", account.value },
+            { "tokens", std::to_string(tokens) }, { "reason", std::string(nameOf(reason)) },
+            { "retry_after_ms", std::to_string(retryAfter / 1ms) } } });
+    return ShareRefused { reason, retryAfter };
+}
+
+std::optional<ShareRefusal> ShareManager::refusalAtOnce(
+    AccountShare& share, TokenCount tokens, MonotonicTime deadline, MonotonicTime now)
+{
+    if (m_leaving)
+        return ShareRefusal::ShuttingDown;
+    if (tokens > share.account().burst)
+        return ShareRefusal::ExceedsBurst;
+    const std::uint32_t standing = m_options.standingPpm / ppmPerUnit;
+    if (tokens > share.capacityOf(totalUnits - standing + standing / m_liveHosts))
+        return ShareRefusal::ExceedsHostLimit;
+    if (m_reserved.size() >= m_options.maxReservations)
+        return ShareRefusal::TooManyReservations;
+    if (share.waiting().empty() && share.bucket().available(now) >= tokens)
+        return std::nullopt;
+    if (share.waiting().size() >= m_options.maxWaitingPerAccount)
+        return ShareRefusal::QueueFull;
+    TokenCount missing = tokens - share.bucket().available(now);
+    for (const WaitingReservation& earlier : share.waiting())
+        missing += earlier.tokens;
+    const double time = std::chrono::duration<double>(deadline - now).count();
+    // Loans can bring at most what the account's other pieces hold, so only a wait that needs more counts as hopeless.
+    const TokenCount borrowable = share.lends() ? share.capacityOf(totalUnits) : 0;
+    if (static_cast<double>(missing - borrowable) > static_cast<double>(share.account().rate) * time)
+        return ShareRefusal::RateExceeded;
+    return std::nullopt;
+}
+
+ShareResult ShareManager::reserve(RequestId request, const AccountId& account, TokenCount tokens,
+    MonotonicTime deadline, MonotonicTime now, EffectList& effects)
+{
+    AccountShare* share = find(account);
+    if (share == nullptr || share->isRemoved)
+        return refuse(request, account, tokens, ShareRefusal::UnknownAccount, {}, effects);
+    if (m_reserved.contains(request) || m_waitingIn.contains(request))
+        return refuse(request, account, tokens, ShareRefusal::DuplicateRequest, {}, effects);
+    share->refresh(now);
+    if (const auto reason = refusalAtOnce(*share, tokens, deadline, now)) {
+        const bool isHopeless = *reason == ShareRefusal::ExceedsBurst || *reason == ShareRefusal::ExceedsHostLimit;
+        if (!isHopeless)
+            share->demand().record(tokens, now);
+        const Duration retry = isHopeless ? Duration {} : share->retryAfter(tokens, now);
+        return refuse(request, account, tokens, *reason, retry, effects);
+    }
+    share->demand().record(tokens, now);
+    if (share->waiting().empty() && grant(*share, request, tokens, 0, now))
+        return ShareGranted {};
+    share->waiting().push_back({ request, tokens, deadline });
+    m_waitingIn.emplace(request, share);
+    seekTokens(*share, now, effects);
+    return SharePending {};
+}
+
+bool ShareManager::grant(
+    AccountShare& share, RequestId request, TokenCount tokens, TokenCount borrowed, MonotonicTime now)
+{
+    const TokenCount own = std::max<TokenCount>(0, tokens - borrowed);
+    const auto reservation = share.bucket().reserve(own, now);
+    if (!reservation)
+        return false;
+    m_reserved.emplace(request, Reserved { &share, *reservation, own, tokens });
+    return true;
+}
+
+std::vector<ShareDecision> ShareManager::takeDecisions() { return std::exchange(m_decisions, {}); }
+
+void ShareManager::cancel(RequestId request, MonotonicTime now)
+{
+    const auto waiting = m_waitingIn.find(request);
+    if (waiting == m_waitingIn.end()) {
+        settle(request, 0, now);
+        return;
+    }
+    std::erase_if(waiting->second->waiting(),
+        [&](const WaitingReservation& reservation) { return reservation.request == request; });
+    m_waitingIn.erase(waiting);
+}
+
+void ShareManager::settle(RequestId request, TokenCount usedTokens, MonotonicTime now)
+{
+    const auto found = m_reserved.find(request);
+    if (found == m_reserved.end())
+        return;
+    const Reserved reserved = found->second;
+    m_reserved.erase(found);
+    reserved.share->refresh(now);
+    // Borrowed tokens count as used first; they cannot be given back.
+    const TokenCount borrowed = reserved.tokens - reserved.own;
+    reserved.share->bucket().settle(
+        reserved.reservation, reserved.own, std::max<TokenCount>(0, usedTokens - borrowed), now);
+}
+
+void ShareManager::serveQueue(AccountShare& share, MonotonicTime now, EffectList& effects)
+{
+    auto& waiting = share.waiting();
+    const AccountId& account = share.account().id;
+    while (!waiting.empty()) {
+        const WaitingReservation head = waiting.front();
+        const TokenCount borrowed = m_loans->collected(account, head.request, now);
+        if (share.bucket().available(now) + borrowed < head.tokens
+            || !grant(share, head.request, head.tokens, borrowed, now))
+            break;
+        if (borrowed > 0) {
+            effects.push_back(RecordMetric { Metric::ShareLoansTotal, "used" });
+            m_loans->end(account);
+        }
+        waiting.pop_front();
+        m_waitingIn.erase(head.request);
+        m_decisions.push_back({ head.request, account, ShareGranted {} });
+    }
+    for (std::size_t i = waiting.size(); i-- > 0;) {
+        if (waiting[i].deadline > now)
+            continue;
+        const bool holdsNothing = share.bucket().ratePerSecond() == 0;
+        decideRefused(share, i, holdsNothing ? ShareRefusal::NoShare : ShareRefusal::RateExceeded, now, effects);
+    }
+}
+
+void ShareManager::decideRefused(
+    AccountShare& share, std::size_t index, ShareRefusal reason, MonotonicTime now, EffectList& effects)
+{
+    auto& waiting = share.waiting();
+    const WaitingReservation reservation = waiting[index];
+    waiting.erase(waiting.begin() + static_cast<std::ptrdiff_t>(index));
+    m_waitingIn.erase(reservation.request);
+    const AccountId& account = share.account().id;
+    const Duration retry = share.retryAfter(reservation.tokens, now);
+    m_decisions.push_back({ reservation.request, account,
+        refuse(reservation.request, account, reservation.tokens, reason, retry, effects) });
+}
+
+void ShareManager::seekTokens(AccountShare& share, MonotonicTime now, EffectList& effects)
+{
+    const AccountId& account = share.account().id;
+    if (m_loans->hasRound(account)
+        && (share.waiting().empty() || m_loans->isOver(account, share.waiting().front().request, now)))
+        m_loans->end(account);
+    if (share.waiting().empty())
+        return;
+    if (share.keeper().seenAt() != MonotonicTime::min() && share.failures == 0)
+        share.nextAdjustAt = std::min(share.nextAdjustAt, share.lastAdjustAt + urgentInterval);
+    if (!share.lends())
+        return;
+    const WaitingReservation& head = share.waiting().front();
+    const TokenCount missing
+        = head.tokens - share.bucket().available(now) - m_loans->collected(account, head.request, now);
+    std::optional<SendToPeer> question;
+    if (m_loans->hasRound(account)) {
+        question = m_loans->askNext(account, missing, now);
+    } else if (now >= share.nextLoanAt) {
+        share.nextLoanAt = now + jittered(loanRoundInterval);
+        question = m_loans->start(account, head.request, missing, now, m_random);
+    }
+    if (question)
+        effects.push_back(std::move(*question));
+}
+
+void ShareManager::handle(const HostId& from, const BorrowTokens& message, MonotonicTime now, EffectList& effects)
+{
+    AccountShare* share = find(message.account);
+    if (share == nullptr || m_leaving || message.tokens <= 0 || !m_loans->mayAnswer(now))
+        return;
+    share->refresh(now);
+    TokenCount lent = share->lends() ? std::min(message.tokens, share->spare(now)) : 0;
+    if (lent < message.tokens / smallestLoanPart || !share->bucket().take(lent, now))
+        lent = 0;
+    if (lent > 0)
+        effects.push_back(RecordMetric { Metric::ShareLoansTotal, "lent" });
+    effects.push_back(SendToPeer { from, LendTokens { message.account, message.loanId, lent } });
+}
+
+void ShareManager::handle(const HostId& from, const LendTokens& message, MonotonicTime now, EffectList& effects)
+{
+    AccountShare* share = find(message.account);
+    if (share == nullptr || !m_loans->collect(from, message, now)) {
+        effects.push_back(RecordMetric { Metric::ShareLoansTotal, "discarded" });
+        return;
+    }
+    share->refresh(now);
+    serveQueue(*share, now, effects);
+    seekTokens(*share, now, effects);
+}
+
+void ShareManager::tick(MonotonicTime now, EffectList& effects)
+{
+    for (auto& [id, share] : m_shares) {
+        share->refresh(now);
+        logChanges(*share, "validity", effects);
+        if (share->waiting().empty() && !m_loans->hasRound(id))
+            continue;
+        serveQueue(*share, now, effects);
+        seekTokens(*share, now, effects);
+    }
+    startAdjustments(now, effects);
+    readOneLease(now, effects);
+    if (now < m_nextMetricsAt)
+        return;
+    m_nextMetricsAt = now + metricsInterval;
+    recordMetrics(now, effects);
+    forgetReleasedAccounts();
+}
+
+bool ShareManager::isLeaving(const AccountShare& share) const
+{
+    return (m_leaving || share.isRemoved) && share.waiting().empty();
+}
+
+void ShareManager::startAdjustments(MonotonicTime now, EffectList& effects)
+{
+    std::vector<AccountShare*> due;
+    for (auto& [id, share] : m_shares) {
+        const bool hasReason
+            = isLeaving(*share) ? share->keeper().held().mayBeStored() : m_lease.isValidAt(now) && !share->isRemoved;
+        if (hasReason && share->keeper().isIdle() && now >= share->nextAdjustAt)
+            due.push_back(share.get());
+    }
+    std::sort(due.begin(), due.end(), [](const AccountShare* left, const AccountShare* right) {
+        return std::pair(left->waiting().empty(), left->nextAdjustAt)
+            < std::pair(right->waiting().empty(), right->nextAdjustAt);
+    });
+    for (AccountShare* share : due) {
+        if (!isLeaving(*share) && (!m_writePace->isOpen(now) || !m_bytePace->isOpen(now)))
+            continue;
+        m_writePace->spend(1);
+        share->lastAdjustAt = now;
+        effects.push_back(share->keeper().startRead(m_callIds));
+    }
+}
+
+void ShareManager::handle(const StoreReply& reply, MonotonicTime now, EffectList& effects)
+{
+    if (m_leaseRead && m_leaseRead->first == reply.id) {
+        handleLeaseRead(reply, now, effects);
+        return;
+    }
+    const auto found = std::find_if(m_shares.begin(), m_shares.end(),
+        [&](const auto& entry) { return entry.second->keeper().callInFlight() == reply.id; });
+    if (found == m_shares.end())
+        return;
+    AccountShare& share = *found->second;
+    share.refresh(now);
+    PlanInput input;
+    input.lease = m_lease.isValidAt(now) ? m_lease.id : LeaseId();
+    input.want = share.wantedUnits(now);
+    input.waiting = !share.waiting().empty();
+    input.leaving = isLeaving(share);
+    input.liveHosts = m_liveHosts;
+    input.standingTotal = m_options.standingPpm / ppmPerUnit;
+    input.floatingGone = [this](const LeaseId& lease) { return m_observer->isGone(lease); };
+    input.standingGone = [this](const LeaseId& lease) { return m_observer->isGoneForStanding(lease); };
+    std::optional<StoreCall> next;
+    const KeeperStep step = share.keeper().handle(reply, input, m_callIds, now, next);
+    m_bytePace->spend(static_cast<double>(reply.value.size()) + callOverheadBytes);
+    share.refresh(now);
+    if (next) {
+        m_bytePace->spend(static_cast<double>(share.keeper().valueBytes()));
+        effects.push_back(std::move(*next));
+    } else {
+        scheduleAfter(share, step, now);
+    }
+    logChanges(share, "adjusted", effects);
+    if (step == KeeperStep::Settled && share.keeper().reclaimed() > 0) {
+        effects.push_back(LogEntry { LogEvent::ShareReclaimed,
+            { { "account", found->first.value },
+                { "ppm", std::to_string(share.keeper().reclaimed() * ppmPerUnit) } } });
+    }
+    if (step == KeeperStep::InvalidValue)
+        effects.push_back(LogEntry { LogEvent::ShareValueInvalid, { { "account", found->first.value } } });
+    serveQueue(share, now, effects);
+    if (m_leaving && isReleased())
+        effects.push_back(LogEntry { LogEvent::SharesReleased, {} });
+}
+
+void ShareManager::scheduleAfter(AccountShare& share, KeeperStep step, MonotonicTime now)
+{
+    switch (step) {
+    case KeeperStep::Settled:
+        share.failures = 0;
+        share.nextAdjustAt = now + jittered(regularInterval(share));
+        return;
+    case KeeperStep::Conflict:
+        share.nextAdjustAt = now
+            + seconds(m_random.unit()
+                * std::chrono::duration<double>(doubled(conflictBackoff, ++share.failures, longestConflictBackoff))
+                      .count());
+        return;
+    case KeeperStep::InvalidValue:
+        share.nextAdjustAt = now + jittered(invalidValueInterval);
+        return;
+    default:
+        share.nextAdjustAt = now + jittered(doubled(failureBackoff, ++share.failures, longestFailureBackoff));
+    }
+}
+
+Duration ShareManager::regularInterval(const AccountShare& share) const
+{
+    const auto accounts = static_cast<double>(m_shares.size());
+    const double forWrites = accounts * m_liveHosts / m_options.fleetWritesPerSecond;
+    const double bytes = 2 * static_cast<double>(share.keeper().valueBytes()) + callOverheadBytes;
+    return std::max(
+        m_options.adjustInterval, seconds(std::max(forWrites, accounts * bytes / m_options.storeBytesPerSecond)));
+}
+
+// Spreads a period by a fifth in both directions, so that hosts do not act in step.
+Duration ShareManager::jittered(Duration period)
+{
+    return seconds(std::chrono::duration<double>(period).count() * (0.8 + 0.4 * m_random.unit()));
+}
+
+void ShareManager::readOneLease(MonotonicTime now, EffectList& effects)
+{
+    if (m_leaseRead || now < m_nextLeaseReadAt || m_shares.empty() || !m_lease.isValidAt(now))
+        return;
+    m_nextLeaseReadAt = now + jittered(std::max(leaseReadInterval, seconds(m_liveHosts / fleetLeaseReadsPerSecond)));
+    for (int i = 0; i < leaseReadTries; ++i) {
+        const auto share = std::next(m_shares.begin(), static_cast<std::ptrdiff_t>(m_random.below(m_shares.size())));
+        const auto& pieces = share->second->keeper().table().pieces;
+        if (pieces.empty())
+            continue;
+        const LeaseId& lease = pieces[m_random.below(pieces.size())].lease;
+        if (lease == m_lease.id || !m_observer->isWorthReading(lease, now))
+            continue;
+        m_leaseRead.emplace(m_callIds.next(), lease);
+        effects.push_back(StoreCall { m_leaseRead->first, LeaseRead { lease } });
+        m_bytePace->spend(callOverheadBytes);
+        return;
+    }
+}
+
+void ShareManager::handleLeaseRead(const StoreReply& reply, MonotonicTime now, EffectList& effects)
+{
+    const LeaseId lease = m_leaseRead->second;
+    m_leaseRead.reset();
+    if (reply.status == StoreStatus::Ok)
+        m_observer->notePresent(lease);
+    if (reply.status != StoreStatus::NotFound)
+        return;
+    const bool isNews = m_observer->noteAbsent(lease, now);
+    if (isNews)
+        effects.push_back(LogEntry { LogEvent::HolderLeaseAbsent, { { "lease", lease } } });
+    if (!isNews && !m_observer->isGoneForStanding(lease))
+        return;
+    for (auto& [id, share] : m_shares) {
+        if (share->keeper().table().find(lease) != nullptr && share->failures == 0)
+            share->nextAdjustAt = std::min(share->nextAdjustAt, now + jittered(urgentInterval));
+    }
+}
+
+void ShareManager::beginShutdown(MonotonicTime now)
+{
+    m_leaving = true;
+    for (auto& [id, share] : m_shares)
+        share->nextAdjustAt = std::min(share->nextAdjustAt, now);
+}
+
+bool ShareManager::isReleased() const
+{
+    return m_leaving && std::all_of(m_shares.begin(), m_shares.end(), [](const auto& entry) {
+        const AccountShare& share = *entry.second;
+        return share.waiting().empty() && share.keeper().isIdle() && !share.keeper().held().mayBeStored();
+    });
+}
+
+void ShareManager::forgetReleasedAccounts()
+{
+    std::erase_if(m_shares, [&](const auto& entry) {
+        const AccountShare* share = entry.second.get();
+        return share->isRemoved && share->keeper().isIdle() && !share->keeper().held().mayBeStored()
+            && std::none_of(m_reserved.begin(), m_reserved.end(),
+                [&](const auto& reserved) { return reserved.second.share == share; });
+    });
+}
+
+void ShareManager::logChanges(AccountShare& share, std::string_view reason, EffectList& effects)
+{
+    const std::uint32_t floating = share.floatingUnits();
+    const std::uint32_t standing = share.standingUnits();
+    if (floating == share.loggedFloating && standing == share.loggedStanding)
+        return;
+    const auto ppm = [](std::uint32_t units) { return std::to_string(units * ppmPerUnit); };
+    effects.push_back(LogEntry { LogEvent::ShareChanged,
+        { { "account", share.account().id.value }, { "reason", std::string(reason) },
+            { "floating_before", ppm(share.loggedFloating) }, { "floating", ppm(floating) },
+            { "standing_before", ppm(share.loggedStanding) }, { "standing", ppm(standing) } } });
+    share.loggedFloating = floating;
+    share.loggedStanding = standing;
+}
+
+void ShareManager::recordMetrics(MonotonicTime now, EffectList& effects)
+{
+    Duration oldest {};
+    for (auto& [id, share] : m_shares) {
+        effects.push_back(
+            RecordMetric { Metric::ShareLevel, id.value, static_cast<double>(share->bucket().available(now)) });
+        if (share->keeper().seenAt() != MonotonicTime::min())
+            oldest = std::max(oldest, now - share->keeper().seenAt());
+    }
+    effects.push_back(
+        RecordMetric { Metric::StateAgeSeconds, "shares", std::chrono::duration<double>(oldest).count() });
+}
+
+std::vector<ShareStatus> ShareManager::status(MonotonicTime now)
+{
+    std::vector<ShareStatus> result;
+    result.reserve(m_shares.size());
+    for (auto& [id, share] : m_shares)
+        result.push_back(share->status(now));
+    return result;
+}
+
+} // namespace Catkinwell
--- a/src/shares/TokenBucket.cpp
+++ b/src/shares/TokenBucket.cpp
@@ -85,7 +85,7 @@
     }
     --found->unsettled;
     if (found->unsettled == 0 && found != m_segments.begin())
-        removeSegment(found);
+        mergeIntoEarlier(static_cast<std::size_t>(found - m_segments.begin()));
     return std::max<MicroTokens>(0, m_net - m_peak - before);
 }
 
@@ -117,11 +117,10 @@
     m_net = 0;
 }
 
-void TokenBucket::removeSegment(std::deque<Segment>::iterator segment)
+void TokenBucket::mergeIntoEarlier(std::size_t index)
 {
-    auto earlier = std::prev(segment);
-    earlier->peak = std::max(earlier->peak, segment->peak);
-    m_segments.erase(segment);
+    m_segments[index - 1].peak = std::max(m_segments[index - 1].peak, m_segments[index].peak);
+    m_segments.erase(m_segments.begin() + static_cast<std::ptrdiff_t>(index));
 }
 
 } // namespace Catkinwell
