--- a/include/catkinwell/admin/UsageReport.h
+++ b/include/catkinwell/admin/UsageReport.h
@@ -51,7 +51,7 @@
 
 // What an account caused. Accelerator hours and loads of a model are divided among
 // its accounts in proportion to their tokens.
-struct AccountShare {
+struct AccountCharge {
     double loadedHours = 0;
     double idleHours = 0;
     double loads = 0;
@@ -59,7 +59,7 @@
 };
 
 // Returns the share of each account. Models without tokens appear under the empty account. Thread safe.
-std::map<AccountId, AccountShare> accountSharesOf(const UsageReport&);
+std::map<AccountId, AccountCharge> accountSharesOf(const UsageReport&);
 
 // Returns the accelerator hours of the whole calendar month (UTC) of the end of the report, if the
 // mean of the last 24 hours held for all of it. Thread safe.
--- a/include/catkinwell/reducer/Reducer.h
+++ b/include/catkinwell/reducer/Reducer.h
@@ -5,7 +5,6 @@
 #include <catkinwell/admin/UsageAccounting.h>
 #include <catkinwell/configuration/ConfigurationManager.h>
 #include <catkinwell/membership/EndpointDrains.h>
-#include <catkinwell/membership/MembershipManager.h>
 #include <catkinwell/metrics/MetricsRegistry.h>
 #include <catkinwell/orders/ClaimManager.h>
 #include <catkinwell/placement/PlacementManager.h>
@@ -70,8 +69,8 @@
     std::string statusJson(std::string_view section, MonotonicTime now) const override;
     std::string reasonNotReady(MonotonicTime now) const override;
     std::vector<EndpointId> draining() const override;
-    Status setDraining(const EndpointId&, bool draining, const std::string& reason, MonotonicTime now,
-        EffectList& effects) override;
+    Status setDraining(
+        const EndpointId&, bool draining, const std::string& reason, MonotonicTime now, EffectList& effects) override;
     std::vector<QuarantinedRequest> quarantined() const override;
     Status release(std::uint64_t fingerprint, MonotonicTime now, EffectList& effects) override;
 
@@ -81,7 +80,6 @@
     UsageAccounting m_usage;
     HostLease m_lease;
     ConfigurationManager m_configuration;
-    MembershipManager m_membership;
     EndpointDrains m_drains;
     EndpointTable m_endpoints;
     ShareManager m_shares;
--- a/src/admin/AdminReads.cpp
+++ b/src/admin/AdminReads.cpp
@@ -2,9 +2,9 @@
 
 #include <admin/ConfigurationDocument.h>
 #include <admin/ConfigurationEdit.h>
-#include <admin/WallTimeText.h>
 #include <algorithm>
 #include <array>
+#include <catkinwell/core/WallTimeText.h>
 #include <charconv>
 
 namespace Catkinwell {
@@ -149,7 +149,7 @@
     {
         Json items = Json::array();
         for (const AuditEntry& entry : audit.entries()) {
-            items.push_back({ { "sequence", entry.sequence }, { "at", wallTimeText(entry.at) }, { "who", entry.who },
+            items.push_back({ { "sequence", entry.sequence }, { "at", formatWallTime(entry.at) }, { "who", entry.who },
                 { "action", entry.action }, { "reason", entry.reason }, { "outcome", nameOf(entry.outcome) },
                 { "version", entry.version }, { "paths", entry.paths } });
         }
--- a/src/admin/ConfigurationEdit.cpp
+++ b/src/admin/ConfigurationEdit.cpp
@@ -1,11 +1,11 @@
 #include <admin/ConfigurationEdit.h>
 
 #include <admin/ConfigurationDocument.h>
-#include <admin/WallTimeText.h>
 #include <algorithm>
 #include <array>
 #include <catkinwell/configuration/ConfigurationAccess.h>
 #include <catkinwell/core/Digest.h>
+#include <catkinwell/core/WallTimeText.h>
 
 namespace Catkinwell {
 
@@ -250,7 +250,7 @@
     Json json = { { "scope", exception.scope }, { "field", exception.field },
         { "value", Json::parse(exception.valueJson, nullptr, false) }, { "reason", exception.reason } };
     if (exception.expires)
-        json["expires"] = wallTimeText(*exception.expires);
+        json["expires"] = formatWallTime(*exception.expires);
     return json;
 }
 
--- a/src/admin/UsageReport.cpp
+++ b/src/admin/UsageReport.cpp
@@ -1,7 +1,7 @@
 #include <catkinwell/admin/UsageReport.h>
 
-#include <admin/WallTimeText.h>
 #include <algorithm>
+#include <catkinwell/core/WallTimeText.h>
 #include <nlohmann/json.hpp>
 
 namespace Catkinwell {
@@ -109,12 +109,12 @@
 
 } // namespace
 
-std::map<AccountId, AccountShare> accountSharesOf(const UsageReport& report)
+std::map<AccountId, AccountCharge> accountSharesOf(const UsageReport& report)
 {
     const auto sums = tokensByModel(report);
-    std::map<AccountId, AccountShare> shares;
+    std::map<AccountId, AccountCharge> shares;
     const auto add = [&](const AccountId& account, const ModelUsage& model, double part) {
-        AccountShare& share = shares[account];
+        AccountCharge& share = shares[account];
         share.loadedHours += part * model.loadedHours;
         share.idleHours += part * (model.loadedHours - model.busyHours);
         share.loads += part * static_cast<double>(model.loads);
@@ -177,8 +177,8 @@
 {
     Json hosts = Json::array();
     for (const UsagePeriod& period : report.periods) {
-        hosts.push_back({ { "host", period.host.value }, { "since", wallTimeText(period.since) },
-            { "until", wallTimeText(period.until) } });
+        hosts.push_back({ { "host", period.host.value }, { "since", formatWallTime(period.since) },
+            { "until", formatWallTime(period.until) } });
     }
     const double forecast = forecastMonthHours(report);
     const double budget = report.monthlyBudgetHours;
--- a/src/cli/CheckConfigCommand.cpp
+++ b/src/cli/CheckConfigCommand.cpp
@@ -13,35 +13,35 @@
 
 namespace {
 
-int report(const Error& error, const std::string& file)
-{
-    std::cerr << file << ": " << error.message << "\n";
-    return exitUsage;
-}
+    int report(const Error& error, const std::string& file)
+    {
+        std::cerr << file << ": " << error.message << "\n";
+        return exitUsage;
+    }
 
-int checkSettings(const std::string& file)
-{
-    const auto settings = loadProcessSettings(file);
-    if (isError(settings))
-        return report(errorOf(settings), file);
-    std::cout << file << ": the settings of host " << valueOf(settings).host.value << " are valid\n";
-    return exitDone;
-}
+    int checkSettings(const std::string& file)
+    {
+        const auto settings = loadProcessSettings(file);
+        if (isError(settings))
+            return report(errorOf(settings), file);
+        std::cout << file << ": the settings of host " << valueOf(settings).host.value << " are valid\n";
+        return exitDone;
+    }
 
-int checkFleet(const std::string& file)
-{
-    std::ifstream stream(file);
-    std::ostringstream text;
-    text << stream.rdbuf();
-    if (!stream)
-        return report({ ErrorKind::NotFound, "the file cannot be read; check the path" }, file);
-    const auto configuration = parseFleetConfiguration(text.str());
-    if (isError(configuration))
-        return report(errorOf(configuration), file);
-    std::cout << file << ": the fleet configuration is valid (" << valueOf(configuration).models.size() << " models, "
-              << valueOf(configuration).endpoints.size() << " endpoints)\n";
-    return exitDone;
-}
+    int checkFleet(const std::string& file)
+    {
+        std::ifstream stream(file);
+        std::ostringstream text;
+        text << stream.rdbuf();
+        if (!stream)
+            return report({ ErrorKind::NotFound, "the file cannot be read; check the path" }, file);
+        const auto configuration = parseFleetConfiguration(text.str());
+        if (isError(configuration))
+            return report(errorOf(configuration), file);
+        std::cout << file << ": the fleet configuration is valid (" << valueOf(configuration).models.size()
+                  << " models, " << valueOf(configuration).endpoints.size() << " endpoints)\n";
+        return exitDone;
+    }
 
 } // namespace
 
--- a/src/cli/EmulateCommand.cpp
+++ b/src/cli/EmulateCommand.cpp
@@ -12,75 +12,76 @@
 
 namespace {
 
-template <typename Emulator>
-int runEmulator(EventLoop& loop, Emulator& emulator, const char* name)
-{
-    const Status status = emulator.start();
-    if (isError(status)) {
-        std::cerr << errorOf(status).message << "\n";
-        return exitFailed;
+    template <typename Emulator> int runEmulator(EventLoop& loop, Emulator& emulator, const char* name)
+    {
+        const Status status = emulator.start();
+        if (isError(status)) {
+            std::cerr << errorOf(status).message << "\n";
+            return exitFailed;
+        }
+        for (const int signalNumber : { SIGTERM, SIGINT })
+            loop.onSignal(signalNumber, [&loop] { loop.stop(); });
+        std::cout << name << " listens on port " << emulator.port() << std::endl;
+        loop.run();
+        return exitDone;
     }
-    for (const int signalNumber : { SIGTERM, SIGINT })
-        loop.onSignal(signalNumber, [&loop] { loop.stop(); });
-    std::cout << name << " listens on port " << emulator.port() << std::endl;
-    loop.run();
-    return exitDone;
-}
 
-struct EngineOptions {
-    EngineEmulatorSettings settings;
-    double loadSeconds = 2;
-    double adapterLoadMilliseconds = 40;
-    double firstTokenMilliseconds = 5;
-    double tokenMilliseconds = 5;
-    bool ignoreFencing = false;
-};
+    struct EngineOptions {
+        EngineEmulatorSettings settings;
+        double loadSeconds = 2;
+        double adapterLoadMilliseconds = 40;
+        double firstTokenMilliseconds = 5;
+        double tokenMilliseconds = 5;
+        bool ignoreFencing = false;
+    };
 
-Duration milliseconds(double value)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(value));
-}
+    Duration milliseconds(double value)
+    {
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(value));
+    }
 
-void addEngine(CLI::App& parent, int& exitCode)
-{
-    auto options = std::make_shared<EngineOptions>();
-    CLI::App* command = parent.add_subcommand("engine", "Run a stand-in for a model engine and for plain services");
-    command->add_option("--listen", options->settings.address, "IP address and port")->capture_default_str();
-    command->add_option("--memory-bytes", options->settings.memoryBytes, "Accelerator memory")->capture_default_str();
-    command->add_option("--capacity", options->settings.capacity, "Requests that run at once")->capture_default_str();
-    command->add_option("--load-seconds", options->loadSeconds, "Time to load a model")->capture_default_str();
-    command->add_option("--adapter-load-ms", options->adapterLoadMilliseconds, "Time to load an adapter")
-        ->capture_default_str();
-    command->add_option("--first-token-ms", options->firstTokenMilliseconds, "Time to the first token")
-        ->capture_default_str();
-    command->add_option("--token-ms", options->tokenMilliseconds, "Time between tokens; 0 sends all at once")
-        ->capture_default_str();
-    command->add_option("--loaded", options->settings.loadedModels, "Models that are loaded from the start");
-    command->add_flag("--ignore-fencing", options->ignoreFencing, "Obey commands with old fencing tokens");
-    command->callback([options, &exitCode] {
-        EngineEmulatorSettings settings = options->settings;
-        settings.modelLoadTime = milliseconds(options->loadSeconds * 1000);
-        settings.adapterLoadTime = milliseconds(options->adapterLoadMilliseconds);
-        settings.timeToFirstToken = milliseconds(options->firstTokenMilliseconds);
-        settings.tokenInterval = milliseconds(options->tokenMilliseconds);
-        settings.fencing = options->ignoreFencing ? FencingSupport::Ignored : FencingSupport::Enforced;
-        EventLoop loop;
-        EngineEmulator emulator(loop, settings);
-        exitCode = runEmulator(loop, emulator, "engine");
-    });
-}
+    void addEngine(CLI::App& parent, int& exitCode)
+    {
+        auto options = std::make_shared<EngineOptions>();
+        CLI::App* command = parent.add_subcommand("engine", "Run a stand-in for a model engine and for plain services");
+        command->add_option("--listen", options->settings.address, "IP address and port")->capture_default_str();
+        command->add_option("--memory-bytes", options->settings.memoryBytes, "Accelerator memory")
+            ->capture_default_str();
+        command->add_option("--capacity", options->settings.capacity, "Requests that run at once")
+            ->capture_default_str();
+        command->add_option("--load-seconds", options->loadSeconds, "Time to load a model")->capture_default_str();
+        command->add_option("--adapter-load-ms", options->adapterLoadMilliseconds, "Time to load an adapter")
+            ->capture_default_str();
+        command->add_option("--first-token-ms", options->firstTokenMilliseconds, "Time to the first token")
+            ->capture_default_str();
+        command->add_option("--token-ms", options->tokenMilliseconds, "Time between tokens; 0 sends all at once")
+            ->capture_default_str();
+        command->add_option("--loaded", options->settings.loadedModels, "Models that are loaded from the start");
+        command->add_flag("--ignore-fencing", options->ignoreFencing, "Obey commands with old fencing tokens");
+        command->callback([options, &exitCode] {
+            EngineEmulatorSettings settings = options->settings;
+            settings.modelLoadTime = milliseconds(options->loadSeconds * 1000);
+            settings.adapterLoadTime = milliseconds(options->adapterLoadMilliseconds);
+            settings.timeToFirstToken = milliseconds(options->firstTokenMilliseconds);
+            settings.tokenInterval = milliseconds(options->tokenMilliseconds);
+            settings.fencing = options->ignoreFencing ? FencingSupport::Ignored : FencingSupport::Enforced;
+            EventLoop loop;
+            EngineEmulator emulator(loop, settings);
+            exitCode = runEmulator(loop, emulator, "engine");
+        });
+    }
 
-void addStore(CLI::App& parent, int& exitCode)
-{
-    auto address = std::make_shared<std::string>("127.0.0.1:0");
-    CLI::App* command = parent.add_subcommand("store", "Run a stand-in for the platform's key-value service");
-    command->add_option("--listen", *address, "IP address and port")->capture_default_str();
-    command->callback([address, &exitCode] {
-        EventLoop loop;
-        StoreEmulator emulator(loop, *address);
-        exitCode = runEmulator(loop, emulator, "store");
-    });
-}
+    void addStore(CLI::App& parent, int& exitCode)
+    {
+        auto address = std::make_shared<std::string>("127.0.0.1:0");
+        CLI::App* command = parent.add_subcommand("store", "Run a stand-in for the platform's key-value service");
+        command->add_option("--listen", *address, "IP address and port")->capture_default_str();
+        command->callback([address, &exitCode] {
+            EventLoop loop;
+            StoreEmulator emulator(loop, *address);
+            exitCode = runEmulator(loop, emulator, "store");
+        });
+    }
 
 } // namespace
 
--- a/src/cli/LoadCommand.cpp
+++ b/src/cli/LoadCommand.cpp
@@ -12,9 +12,9 @@
 void addLoadCommand(CLI::App& app, int& exitCode)
 {
     auto settings = std::make_shared<LoadSettings>();
-    CLI::App* command
-        = app.add_subcommand("load", "Send completion requests to a host and measure the answers. "
-                                     "The key is read from the environment variable CATKINWELL_KEY");
+    CLI::App* command = app.add_subcommand("load",
+        "Send completion requests to a host and measure the answers. "
+        "The key is read from the environment variable CATKINWELL_KEY");
     command->add_option("--target", settings->address, "IP address and port")->required();
     command->add_option("--model", settings->model, "Model to ask for")->required();
     command->add_option("--requests", settings->requests, "Requests in all")->capture_default_str();
--- a/src/cli/ServeCommand.cpp
+++ b/src/cli/ServeCommand.cpp
@@ -10,21 +10,21 @@
 
 namespace {
 
-int serve(const std::string& file)
-{
-    auto settings = loadProcessSettings(file);
-    if (isError(settings)) {
-        std::cerr << file << ": " << errorOf(settings).message << "\n";
-        return exitUsage;
-    }
-    Runtime runtime(takeValue(std::move(settings)));
-    const Status status = runtime.start();
-    if (isError(status)) {
-        std::cerr << errorOf(status).message << "\n";
-        return errorOf(status).kind == ErrorKind::InvalidSettings ? exitUsage : exitFailed;
+    int serve(const std::string& file)
+    {
+        auto settings = loadProcessSettings(file);
+        if (isError(settings)) {
+            std::cerr << file << ": " << errorOf(settings).message << "\n";
+            return exitUsage;
+        }
+        Runtime runtime(takeValue(std::move(settings)));
+        const Status status = runtime.start();
+        if (isError(status)) {
+            std::cerr << errorOf(status).message << "\n";
+            return errorOf(status).kind == ErrorKind::InvalidSettings ? exitUsage : exitFailed;
+        }
+        return runtime.run();
     }
-    return runtime.run();
-}
 
 } // namespace
 
--- a/src/configuration/TextForms.cpp
+++ b/src/configuration/TextForms.cpp
@@ -1,8 +1,6 @@
 #include "TextForms.h"
 
 #include <algorithm>
-#include <array>
-#include <ctime>
 #include <event2/util.h>
 #include <sys/socket.h>
 
@@ -14,7 +12,6 @@
     constexpr std::size_t longestText = 200;
     constexpr std::size_t shortestReason = 10;
     constexpr std::size_t longestReason = 1000;
-    constexpr std::string_view timeFormat = "%Y-%m-%dT%H:%M:%SZ";
 
     bool isNameCharacter(char c)
     {
@@ -117,25 +114,4 @@
     return "";
 }
 
-std::optional<WallTime> parseWallTime(const std::string& text)
-{
-    tm parts {};
-    const char* end = strptime(text.c_str(), timeFormat.data(), &parts);
-    if (!end || end != text.c_str() + text.size())
-        return std::nullopt;
-    const auto time = std::chrono::system_clock::from_time_t(timegm(&parts));
-    // Days such as February 31 are moved to the next month by timegm; they are refused here.
-    return formatWallTime(time) == text ? std::optional(time) : std::nullopt;
-}
-
-std::string formatWallTime(WallTime time)
-{
-    const std::time_t seconds = std::chrono::system_clock::to_time_t(time);
-    tm parts {};
-    gmtime_r(&seconds, &parts);
-    std::array<char, 40> text {};
-    const std::size_t size = std::strftime(text.data(), text.size(), timeFormat.data(), &parts);
-    return { text.data(), size };
-}
-
 } // namespace Catkinwell
--- /dev/null
+++ b/src/core/WallTimeText.cpp
@@ -0,0 +1,35 @@
+#include <catkinwell/core/WallTimeText.h>
+
+#include <array>
+#include <ctime>
+
+namespace Catkinwell {
+
+namespace {
+
+    constexpr const char* timeFormat = "%Y-%m-%dT%H:%M:%SZ";
+
+} // namespace
+
+std::string formatWallTime(WallTime time)
+{
+    const std::time_t seconds = std::chrono::system_clock::to_time_t(time);
+    std::tm parts {};
+    gmtime_r(&seconds, &parts);
+    std::array<char, 40> text {};
+    const std::size_t size = std::strftime(text.data(), text.size(), timeFormat, &parts);
+    return { text.data(), size };
+}
+
+std::optional<WallTime> parseWallTime(const std::string& text)
+{
+    std::tm parts {};
+    const char* end = strptime(text.c_str(), timeFormat, &parts);
+    if (!end || end != text.c_str() + text.size())
+        return std::nullopt;
+    const auto time = std::chrono::system_clock::from_time_t(timegm(&parts));
+    // Days such as February 31 are moved to the next month by timegm; they are refused here.
+    return formatWallTime(time) == text ? std::optional(time) : std::nullopt;
+}
+
+} // namespace Catkinwell
--- a/src/emulator/LoadGenerator.cpp
+++ b/src/emulator/LoadGenerator.cpp
@@ -7,25 +7,26 @@
 
 namespace {
 
-using Json = nlohmann::json;
+    using Json = nlohmann::json;
 
-double millisecondsBetween(MonotonicTime from, MonotonicTime to)
-{
-    return std::chrono::duration<double, std::milli>(to - from).count();
-}
+    double millisecondsBetween(MonotonicTime from, MonotonicTime to)
+    {
+        return std::chrono::duration<double, std::milli>(to - from).count();
+    }
 
-std::string requestBody(const LoadSettings& settings)
-{
-    return Json { { "model", settings.model }, { "prompt", std::string(settings.promptBytes, 'x') },
-        { "max_tokens", settings.maxTokens }, { "stream", settings.stream } }
-        .dump();
-}
+    std::string requestBody(const LoadSettings& settings)
+    {
+        return Json {
+            { "model", settings.model }, { "prompt", std::string(settings.promptBytes, 'x') },
+            { "max_tokens", settings.maxTokens }, { "stream", settings.stream }
+        }.dump();
+    }
 
-Json summary(const std::vector<double>& samples)
-{
-    return { { "count", samples.size() }, { "p50", quantile(samples, 0.5) }, { "p95", quantile(samples, 0.95) },
-        { "p99", quantile(samples, 0.99) }, { "max", quantile(samples, 1.0) } };
-}
+    Json summary(const std::vector<double>& samples)
+    {
+        return { { "count", samples.size() }, { "p50", quantile(samples, 0.5) }, { "p95", quantile(samples, 0.95) },
+            { "p99", quantile(samples, 0.99) }, { "max", quantile(samples, 1.0) } };
+    }
 
 } // namespace
 
--- a/src/http/CallerListener.cpp
+++ b/src/http/CallerListener.cpp
@@ -415,10 +415,7 @@
 
 void CallerListener::execute(const AbortResponse& effect) { m_implementation->abort(effect.id); }
 
-std::size_t CallerListener::unflushedAnswers() const
-{
-    return m_implementation->unflushedAnswers();
-}
+std::size_t CallerListener::unflushedAnswers() const { return m_implementation->unflushedAnswers(); }
 
 std::size_t CallerListener::openRequests() const { return m_implementation->openRequests(); }
 
--- a/src/membership/EndpointDrains.cpp
+++ b/src/membership/EndpointDrains.cpp
@@ -7,16 +7,13 @@
 
 namespace {
 
-constexpr Duration callTimeout = std::chrono::seconds(1);
-constexpr Duration shortestRetry = std::chrono::milliseconds(200);
-constexpr unsigned longestRetryDoubling = 5;
-// Membership reads the marks every 5 s; after this time they contain what was written.
-constexpr Duration marksAreReadWithin = std::chrono::seconds(15);
+    constexpr Duration callTimeout = std::chrono::seconds(1);
+    constexpr Duration shortestRetry = std::chrono::milliseconds(200);
+    constexpr unsigned longestRetryDoubling = 5;
+    // Membership reads the marks every 5 s; after this time they contain what was written.
+    constexpr Duration marksAreReadWithin = std::chrono::seconds(15);
 
-std::string keyOf(const EndpointId& endpoint)
-{
-    return "leaving/" + endpoint.value;
-}
+    std::string keyOf(const EndpointId& endpoint) { return "leaving/" + endpoint.value; }
 
 } // namespace
 
--- a/src/placement/EngineLedger.cpp
+++ b/src/placement/EngineLedger.cpp
@@ -113,8 +113,7 @@
             ++command;
             continue;
         }
-        m_settlements.push_back(
-            { command->first, endpoint, command->second.model, command->second.action, false });
+        m_settlements.push_back({ command->first, endpoint, command->second.model, command->second.action, false });
         command = m_commands.erase(command);
     }
     if (m_recorder.working().replicas.erase(endpoint) > 0) {
@@ -209,8 +208,8 @@
     }
     effects.push_back(commandEntry(succeeded ? LogEvent::PlacementCommandSettled : LogEvent::PlacementCommandFailed,
         command.endpoint, command.model, std::string(nameOf(command.action)) + (succeeded ? " done" : " not done")));
-    effects.push_back(RecordMetric { Metric::PlacementCommandsTotal,
-        std::string(nameOf(command.action)) + (succeeded ? ":done" : ":not_done"), 1 });
+    effects.push_back(RecordMetric {
+        Metric::PlacementCommandsTotal, std::string(nameOf(command.action)) + (succeeded ? ":done" : ":not_done"), 1 });
 }
 
 // Whether the report is younger than the last known change of the model, by this owner or its predecessor.
@@ -358,9 +357,8 @@
         if (engine.dead || (engine.fetchPending && now - engine.fetchedAt < 2 * fetchTimeout))
             continue;
         const bool isAwaited = (!engine.ready && now >= engine.readyAfter)
-            || std::any_of(m_commands.begin(), m_commands.end(), [&](const auto& entry) {
-                   return entry.second.endpoint == id && entry.second.settleAfter;
-               });
+            || std::any_of(m_commands.begin(), m_commands.end(),
+                [&](const auto& entry) { return entry.second.endpoint == id && entry.second.settleAfter; });
         const MonotonicTime last = std::max(engine.fetchedAt, engine.report ? engine.report->requestedAt : m_startedAt);
         const bool isFirst = engine.fetchedAt == MonotonicTime {};
         if (!isFirst && now - last < (isAwaited ? urgentFetchInterval : steadyFetchInterval))
--- a/src/placement/PlacementDecider.cpp
+++ b/src/placement/PlacementDecider.cpp
@@ -114,11 +114,9 @@
 
 void PlacementDecider::decide(MonotonicTime now, EffectList& effects)
 {
-    std::erase_if(m_evicting, [this](const ReplicaKey& key) {
-        return m_recorder.working().find(key.first, key.second) == nullptr;
-    });
-    std::erase_if(m_replicaBackoff,
-        [now](const auto& entry) { return now > entry.second.until + backoffMemory; });
+    std::erase_if(m_evicting,
+        [this](const ReplicaKey& key) { return m_recorder.working().find(key.first, key.second) == nullptr; });
+    std::erase_if(m_replicaBackoff, [now](const auto& entry) { return now > entry.second.until + backoffMemory; });
     const Index index = indexByModel();
     static const std::vector<ReplicaKey> none;
     for (const auto& [id, model] : m_configuration->models) {
@@ -186,8 +184,7 @@
         // Demand returned before the unload was recorded, and no other decision needs the memory.
         const PlannedReplica* replica = m_recorder.working().find(key.first, key.second);
         if (demand.isActive() && replica->state == PlannedState::Loaded && m_evicting.contains(key)
-            && promisedBytes(key.first) + replica->memoryBytes
-                <= m_ledger.memoryBytes(key.first))
+            && promisedBytes(key.first) + replica->memoryBytes <= m_ledger.memoryBytes(key.first))
             m_evicting.erase(key);
         if (countsAsPresent(key, demand.waiting > 0, now))
             present.push_back(key);
@@ -288,8 +285,8 @@
     if (model.baseModel && m_recorder.working().find(best->endpoint, *model.baseModel) == nullptr)
         plan(*settingsOf(*model.baseModel));
     plan(model);
-    effects.push_back(decisionEntry(
-        LogEvent::LoadDecided, best->endpoint, model.id, "score " + std::to_string(best->score)));
+    effects.push_back(
+        decisionEntry(LogEvent::LoadDecided, best->endpoint, model.id, "score " + std::to_string(best->score)));
 }
 
 std::optional<PlacementDecider::Candidate> PlacementDecider::evaluate(
@@ -364,8 +361,8 @@
         if (isWhollyIdle)
             victims.push_back(std::move(victim));
     }
-    std::sort(victims.begin(), victims.end(),
-        [](const Victim& left, const Victim& right) { return left.cost < right.cost; });
+    std::sort(
+        victims.begin(), victims.end(), [](const Victim& left, const Victim& right) { return left.cost < right.cost; });
     std::uint64_t freed = 0;
     std::set<ReplicaKey> chosen;
     for (const Victim& victim : victims) {
@@ -419,8 +416,8 @@
         abandonPlanned(key, now);
         return;
     }
-    bool isRunnable = m_ledger.usedBytes(replica.endpoint) + replica.memoryBytes
-        <= m_ledger.memoryBytes(replica.endpoint);
+    bool isRunnable
+        = m_ledger.usedBytes(replica.endpoint) + replica.memoryBytes <= m_ledger.memoryBytes(replica.endpoint);
     if (settings->baseModel) {
         const PlannedReplica* base = m_recorder.working().find(replica.endpoint, *settings->baseModel);
         if (base == nullptr) {
--- a/src/reducer/Reducer.cpp
+++ b/src/reducer/Reducer.cpp
@@ -7,34 +7,31 @@
 
 namespace {
 
-// The placement hears of a newly cold model at once, and of other changes a few times a second.
-constexpr Duration demandInterval = std::chrono::milliseconds(250);
-// How long a stopping host waits for the store before it leaves its leases to lapse.
-constexpr Duration longestRelease = std::chrono::seconds(10);
-constexpr Duration longestRevoke = std::chrono::seconds(2);
-
-// Seeds of the modules' generators, derived from one so that hosts differ and a history replays.
-std::uint64_t derivedSeed(std::uint64_t seed, std::string_view module)
-{
-    return seed ^ stableHash(module);
-}
+    // The placement hears of a newly cold model at once, and of other changes a few times a second.
+    constexpr Duration demandInterval = std::chrono::milliseconds(250);
+    // How long a stopping host waits for the store before it leaves its leases to lapse.
+    constexpr Duration longestRelease = std::chrono::seconds(10);
+    constexpr Duration longestRevoke = std::chrono::seconds(2);
 
-AdminApiSettings adminSettingsOf(const ReducerSettings& settings)
-{
-    AdminApiSettings admin;
-    admin.credentials = settings.credentials;
-    return admin;
-}
+    // Seeds of the modules' generators, derived from one so that hosts differ and a history replays.
+    std::uint64_t derivedSeed(std::uint64_t seed, std::string_view module) { return seed ^ stableHash(module); }
 
-std::vector<AdminRole> rolesOf(const std::vector<std::string>& names)
-{
-    std::vector<AdminRole> roles;
-    for (const AdminRole role : { AdminRole::Read, AdminRole::Operate, AdminRole::GrantKeys }) {
-        if (std::find(names.begin(), names.end(), nameOf(role)) != names.end())
-            roles.push_back(role);
+    AdminApiSettings adminSettingsOf(const ReducerSettings& settings)
+    {
+        AdminApiSettings admin;
+        admin.credentials = settings.credentials;
+        return admin;
+    }
+
+    std::vector<AdminRole> rolesOf(const std::vector<std::string>& names)
+    {
+        std::vector<AdminRole> roles;
+        for (const AdminRole role : { AdminRole::Read, AdminRole::Operate, AdminRole::GrantKeys }) {
+            if (std::find(names.begin(), names.end(), nameOf(role)) != names.end())
+                roles.push_back(role);
+        }
+        return roles;
     }
-    return roles;
-}
 
 } // namespace
 
@@ -54,7 +51,6 @@
     , m_usage(m_settings.host.host, now, wallNow)
     , m_lease(m_settings.host, derivedSeed(m_settings.seed, "lease"))
     , m_configuration(derivedSeed(m_settings.seed, "configuration"))
-    , m_membership(membershipSettingsOf(m_settings), derivedSeed(m_settings.seed, "membership"))
     , m_drains(derivedSeed(m_settings.seed, "drains"))
     , m_endpoints(m_settings.host.dataCentre, derivedSeed(m_settings.seed, "endpoints"))
     , m_shares(m_settings.host.host, m_settings.host.incarnation, derivedSeed(m_settings.seed, "shares"), now)
@@ -134,7 +130,6 @@
     m_wallNow = tick.wallNow;
     m_lease.tick(now, effects);
     m_configuration.tick(now, tick.wallNow, effects);
-    m_membership.tick(now, effects);
     m_drains.tick(now, effects);
     m_endpoints.tick(now, effects);
     m_shares.tick(now, effects);
@@ -167,7 +162,6 @@
         m_admin.poll(now, effects);
         break;
     case StoreUser::Membership:
-        m_membership.handle(reply, now, effects);
         break;
     case StoreUser::Administration:
         m_drains.handle(reply, now, effects);
@@ -187,7 +181,10 @@
         {
             reducer.m_shares.handle(envelope.from, message, now, effects);
         }
-        void operator()(const LendTokens& message) const { reducer.m_shares.handle(envelope.from, message, now, effects); }
+        void operator()(const LendTokens& message) const
+        {
+            reducer.m_shares.handle(envelope.from, message, now, effects);
+        }
         void operator()(const ModelWanted& message) const { reducer.m_placement.handle(envelope.from, message, now); }
         void operator()(const PlanAnnounced& message) const
         {
@@ -203,7 +200,6 @@
         }
         void operator()(const MembershipDigest& message) const
         {
-            reducer.m_membership.handle(envelope.from, message, now, effects);
             reducer.m_configuration.noteDigest(
                 envelope.from, message.configurationVersion, message.revokedKeys, now, effects);
         }
@@ -284,7 +280,8 @@
         const bool loadedHere = planned && planned->command == replica.command && replica.command.value != 0;
         m_usage.replicaLoaded(report.endpoint, replica.model,
             loadedHere ? ReplicaOrigin::LoadedNow : ReplicaOrigin::FoundLoaded, now,
-            report.memoryBytes ? static_cast<double>(replica.memoryBytes) / static_cast<double>(report.memoryBytes) : 1);
+            report.memoryBytes ? static_cast<double>(replica.memoryBytes) / static_cast<double>(report.memoryBytes)
+                               : 1);
         m_usage.setReplicaBusy(report.endpoint, replica.model, busy, now);
     }
     std::set<ModelId>& counted = m_countedReplicas[report.endpoint];
@@ -335,6 +332,27 @@
     }
 }
 
+void Reducer::propagateMembership(MonotonicTime now, EffectList& effects)
+{
+    m_placement.setLiveHosts({ m_settings.host.host });
+    const std::set<EndpointId> leaving = m_drains.appliedTo({});
+    if (leaving == m_leavingEndpoints)
+        return;
+    for (const EndpointId& endpoint : leaving)
+        m_placement.markEndpointLeaving(endpoint);
+    m_leavingEndpoints = leaving;
+    m_endpoints.setLeaving(leaving, now, effects);
+}
+
+std::string Reducer::statusJson(std::string_view, MonotonicTime now) const { return m_endpoints.statusJson(now); }
+
+std::vector<QuarantinedRequest> Reducer::quarantined() const { return {}; }
+
+Status Reducer::release(std::uint64_t, MonotonicTime, EffectList&)
+{
+    return Error { ErrorKind::NotFound, "the fingerprint is not in quarantine" };
+}
+
 std::string Reducer::reasonNotReady(MonotonicTime) const
 {
     if (m_phase != Phase::Serving)
@@ -344,17 +362,15 @@
     return {};
 }
 
-std::vector<EndpointId> Reducer::draining() const
-{
-    return { m_leavingEndpoints.begin(), m_leavingEndpoints.end() };
-}
+std::vector<EndpointId> Reducer::draining() const { return { m_leavingEndpoints.begin(), m_leavingEndpoints.end() }; }
 
 Status Reducer::setDraining(
     const EndpointId& endpoint, bool draining, const std::string& reason, MonotonicTime now, EffectList&)
 {
     if (!m_endpoints.find(endpoint))
         return Error { ErrorKind::NotFound,
-            "the endpoint \"" + endpoint.value + "\" does not exist; list them with `catkinwell admin endpoints list`" };
+            "the endpoint \"" + endpoint.value
+                + "\" does not exist; list them with `catkinwell admin endpoints list`" };
     m_drains.set(endpoint, draining, reason, now);
     return std::monostate {};
 }
--- a/src/requests/CompletionRequest.cpp
+++ b/src/requests/CompletionRequest.cpp
@@ -121,7 +121,8 @@
 
 } // namespace
 
-std::variant<CompletionRequest, ApiError> parseCompletionRequest(const std::string& body, const DefaultMaxTokens& defaultMaxTokens)
+std::variant<CompletionRequest, ApiError> parseCompletionRequest(
+    const std::string& body, const DefaultMaxTokens& defaultMaxTokens)
 {
     auto parsed = parseObject(body);
     if (std::holds_alternative<ApiError>(parsed))
--- a/src/requests/RequestAnswers.cpp
+++ b/src/requests/RequestAnswers.cpp
@@ -10,32 +10,29 @@
 
 namespace {
 
-// A whole answer up to this size is held back until it is complete, so that a broken one can still be repeated.
-constexpr std::size_t maximumCollectedBytes = 4 * 1024 * 1024;
-constexpr std::uint32_t maximumAttempts = 4;
+    // A whole answer up to this size is held back until it is complete, so that a broken one can still be repeated.
+    constexpr std::size_t maximumCollectedBytes = 4 * 1024 * 1024;
+    constexpr std::uint32_t maximumAttempts = 4;
 
-bool isHopHeader(std::string name)
-{
-    static const std::set<std::string> hopHeaders { "connection", "keep-alive", "transfer-encoding", "content-length",
-        "trailer", "upgrade", "proxy-authenticate", "server", "date" };
-    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
-    return hopHeaders.contains(name);
-}
+    bool isHopHeader(std::string name)
+    {
+        static const std::set<std::string> hopHeaders { "connection", "keep-alive", "transfer-encoding",
+            "content-length", "trailer", "upgrade", "proxy-authenticate", "server", "date" };
+        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
+        return hopHeaders.contains(name);
+    }
 
-bool isTemporaryFailure(int status)
-{
-    return status == 429 || status == 502 || status == 503 || status == 504;
-}
+    bool isTemporaryFailure(int status) { return status == 429 || status == 502 || status == 503 || status == 504; }
 
-HeaderList callerHeaders(const HeaderList& received)
-{
-    HeaderList headers;
-    for (const auto& header : received) {
-        if (!isHopHeader(header.first))
-            headers.push_back(header);
+    HeaderList callerHeaders(const HeaderList& received)
+    {
+        HeaderList headers;
+        for (const auto& header : received) {
+            if (!isHopHeader(header.first))
+                headers.push_back(header);
+        }
+        return headers;
     }
-    return headers;
-}
 
 } // namespace
 
@@ -222,8 +219,8 @@
 
 void RequestFlow::breakAnswer(ActiveRequest& request, const std::string& reason, MonotonicTime now, EffectList& effects)
 {
-    failRequest(request,
-        { ApiErrorCode::EndpointFailed, "the answer is incomplete: " + reason, RunOutcome::Unknown }, now, effects);
+    failRequest(request, { ApiErrorCode::EndpointFailed, "the answer is incomplete: " + reason, RunOutcome::Unknown },
+        now, effects);
 }
 
 void RequestFlow::answerWithError(ActiveRequest& request, const ApiError& error, EffectList& effects)
--- a/src/requests/RequestFlow.cpp
+++ b/src/requests/RequestFlow.cpp
@@ -8,58 +8,58 @@
 
 namespace {
 
-constexpr Duration longestStreamSilence = std::chrono::seconds(20);
-constexpr std::size_t maximumQueued = 8192;
+    constexpr Duration longestStreamSilence = std::chrono::seconds(20);
+    constexpr std::size_t maximumQueued = 8192;
 
-ApiError shareError(const ShareRefused& refused)
-{
-    ApiError error;
-    switch (refused.reason) {
-    case ShareRefusal::ExceedsBurst:
-    case ShareRefusal::ExceedsHostLimit:
-        error.code = ApiErrorCode::RequestExceedsBurst;
-        error.message = "the request needs more tokens than the client account may use at once";
-        return error;
-    case ShareRefusal::ShuttingDown:
-        error.code = ApiErrorCode::ShuttingDown;
-        error.message = "this host is shutting down";
+    ApiError shareError(const ShareRefused& refused)
+    {
+        ApiError error;
+        switch (refused.reason) {
+        case ShareRefusal::ExceedsBurst:
+        case ShareRefusal::ExceedsHostLimit:
+            error.code = ApiErrorCode::RequestExceedsBurst;
+            error.message = "the request needs more tokens than the client account may use at once";
+            return error;
+        case ShareRefusal::ShuttingDown:
+            error.code = ApiErrorCode::ShuttingDown;
+            error.message = "this host is shutting down";
+            return error;
+        case ShareRefusal::QueueFull:
+        case ShareRefusal::TooManyReservations:
+            error.code = ApiErrorCode::QueueFull;
+            break;
+        default:
+            error.code = ApiErrorCode::RateLimitExceeded;
+        }
+        error.message = "the client account's token rate is used up (" + std::string(nameOf(refused.reason)) + ")";
+        if (refused.retryAfter > Duration::zero())
+            error.retryAfter = refused.retryAfter;
         return error;
-    case ShareRefusal::QueueFull:
-    case ShareRefusal::TooManyReservations:
-        error.code = ApiErrorCode::QueueFull;
-        break;
-    default:
-        error.code = ApiErrorCode::RateLimitExceeded;
     }
-    error.message = "the client account's token rate is used up (" + std::string(nameOf(refused.reason)) + ")";
-    if (refused.retryAfter > Duration::zero())
-        error.retryAfter = refused.retryAfter;
-    return error;
-}
 
-ApiError claimError(const ClaimNotRun& refused)
-{
-    ApiError error;
-    error.retryAfter = refused.retryAfter;
-    switch (refused.reason) {
-    case NotRunReason::Deadline:
-        error.code = ApiErrorCode::DeadlineExceeded;
-        break;
-    case NotRunReason::ShuttingDown:
-        error.code = ApiErrorCode::ShuttingDown;
-        break;
-    case NotRunReason::TooManyClaims:
-    case NotRunReason::ShardFull:
-        error.code = ApiErrorCode::QueueFull;
-        break;
-    case NotRunReason::StoreUnavailable:
-    case NotRunReason::ShardUnreadable:
-        error.code = ApiErrorCode::StoreUnavailable;
-        break;
+    ApiError claimError(const ClaimNotRun& refused)
+    {
+        ApiError error;
+        error.retryAfter = refused.retryAfter;
+        switch (refused.reason) {
+        case NotRunReason::Deadline:
+            error.code = ApiErrorCode::DeadlineExceeded;
+            break;
+        case NotRunReason::ShuttingDown:
+            error.code = ApiErrorCode::ShuttingDown;
+            break;
+        case NotRunReason::TooManyClaims:
+        case NotRunReason::ShardFull:
+            error.code = ApiErrorCode::QueueFull;
+            break;
+        case NotRunReason::StoreUnavailable:
+        case NotRunReason::ShardUnreadable:
+            error.code = ApiErrorCode::StoreUnavailable;
+            break;
+        }
+        error.message = "the idempotency key could not be claimed (" + std::string(nameOf(refused.reason)) + ")";
+        return error;
     }
-    error.message = "the idempotency key could not be claimed (" + std::string(nameOf(refused.reason)) + ")";
-    return error;
-}
 
 } // namespace
 
@@ -89,8 +89,8 @@
         claim(request, now, effects);
         return;
     }
-    const ShareResult result = m_modules.shares.reserve(
-        request.id, request.account, request.reservedTokens, request.deadline, now, effects);
+    const ShareResult result
+        = m_modules.shares.reserve(request.id, request.account, request.reservedTokens, request.deadline, now, effects);
     if (!std::holds_alternative<SharePending>(result))
         apply(ShareDecision { request.id, request.account, result }, now, effects);
 }
@@ -116,8 +116,7 @@
         return;
     }
     const std::string digest = sha256Hex(request.method + '\n' + request.target + '\n' + request.body);
-    m_modules.claims.claim(
-        request.id, request.account, request.idempotencyKey, digest, request.deadline, now, effects);
+    m_modules.claims.claim(request.id, request.account, request.idempotencyKey, digest, request.deadline, now, effects);
 }
 
 void RequestFlow::apply(const ClaimDecision& decision, MonotonicTime now, EffectList& effects)
@@ -152,7 +151,8 @@
             now, effects);
     } else if (std::holds_alternative<ClaimBodyMismatch>(decision.verdict)) {
         failRequest(*request,
-            { ApiErrorCode::IdempotencyKeyReused, "the idempotency key was used with a different request" }, now, effects);
+            { ApiErrorCode::IdempotencyKeyReused, "the idempotency key was used with a different request" }, now,
+            effects);
     } else {
         failRequest(*request, claimError(std::get<ClaimNotRun>(decision.verdict)), now, effects);
     }
@@ -306,10 +306,7 @@
     failRequest(request, error, now, effects);
 }
 
-void RequestFlow::beginShutdown()
-{
-    m_shuttingDown = true;
-}
+void RequestFlow::beginShutdown() { m_shuttingDown = true; }
 
 std::vector<RequestId> RequestFlow::unfinished() const
 {
@@ -320,10 +317,7 @@
     return ids;
 }
 
-bool RequestFlow::takeNewlyCold()
-{
-    return std::exchange(m_newlyCold, false);
-}
+bool RequestFlow::takeNewlyCold() { return std::exchange(m_newlyCold, false); }
 
 std::map<ModelId, ModelDemand> RequestFlow::takeDemand()
 {
--- a/src/requests/RequestIntake.cpp
+++ b/src/requests/RequestIntake.cpp
@@ -9,32 +9,32 @@
 
 namespace {
 
-using Json = nlohmann::json;
+    using Json = nlohmann::json;
 
-constexpr std::string_view modelsPath = "/v1/models";
-constexpr int lowestPriority = 0;
-constexpr int highestPriority = 9;
-constexpr int defaultPriority = 5;
-constexpr Duration shortestDeadline = std::chrono::milliseconds(1);
+    constexpr std::string_view modelsPath = "/v1/models";
+    constexpr int lowestPriority = 0;
+    constexpr int highestPriority = 9;
+    constexpr int defaultPriority = 5;
+    constexpr Duration shortestDeadline = std::chrono::milliseconds(1);
 
-bool isCompletionPath(const std::string& path)
-{
-    return path == "/v1/completions" || path == "/v1/chat/completions";
-}
+    bool isCompletionPath(const std::string& path)
+    {
+        return path == "/v1/completions" || path == "/v1/chat/completions";
+    }
 
-std::optional<std::int64_t> parseInteger(const std::string& text)
-{
-    std::int64_t value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc() || end != text.data() + text.size())
-        return std::nullopt;
-    return value;
-}
+    std::optional<std::int64_t> parseInteger(const std::string& text)
+    {
+        std::int64_t value = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+        if (error != std::errc() || end != text.data() + text.size())
+            return std::nullopt;
+        return value;
+    }
 
-Json modelJson(const ModelSettings& model)
-{
-    return { { "id", model.id.value }, { "object", "model" }, { "created", 0 }, { "owned_by", model.pool } };
-}
+    Json modelJson(const ModelSettings& model)
+    {
+        return { { "id", model.id.value }, { "object", "model" }, { "created", 0 }, { "owned_by", model.pool } };
+    }
 
 } // namespace
 
@@ -58,7 +58,8 @@
     intake.request->arrivedAt = now;
     const RouteSettings* route = isCompletionPath(arrived.path) ? nullptr : findRoute(arrived.path);
     if (!route && !isCompletionPath(arrived.path) && !arrived.path.starts_with(modelsPath)) {
-        refuse(arrived.id, AccountId(), { ApiErrorCode::UnknownRoute, "no route serves the path " + arrived.path }, effects);
+        refuse(arrived.id, AccountId(), { ApiErrorCode::UnknownRoute, "no route serves the path " + arrived.path },
+            effects);
         return;
     }
     intake.open = route && route->access == RouteAccess::Open;
@@ -68,8 +69,8 @@
         answerModels(arrived, effects);
         return;
     }
-    const bool prepared = route ? preparePlain(arrived, intake, *route, effects)
-                                : prepareCompletion(arrived, intake, effects);
+    const bool prepared
+        = route ? preparePlain(arrived, intake, *route, effects) : prepareCompletion(arrived, intake, effects);
     if (!prepared || !readLimits(arrived, intake, now, effects))
         return;
     ActiveRequest& request = *intake.request;
@@ -116,7 +117,8 @@
     ActiveRequest& request = *intake.request;
     const FleetConfiguration& configuration = m_modules.configuration.effective();
     if (arrived.method != "POST") {
-        refuse(arrived.id, request.account, { ApiErrorCode::MethodNotAllowed, "completions are requested with POST" }, effects);
+        refuse(arrived.id, request.account, { ApiErrorCode::MethodNotAllowed, "completions are requested with POST" },
+            effects);
         return false;
     }
     const auto parsed = parseCompletionRequest(arrived.body, [&configuration](const std::string& name) {
@@ -153,8 +155,7 @@
     return true;
 }
 
-bool RequestFlow::preparePlain(
-    const RequestArrived& arrived, Intake& intake, const RouteSettings& route, EffectList&)
+bool RequestFlow::preparePlain(const RequestArrived& arrived, Intake& intake, const RouteSettings& route, EffectList&)
 {
     ActiveRequest& request = *intake.request;
     request.pool = route.pool;
@@ -177,7 +178,8 @@
         const auto milliseconds = parseInteger(arrived.deadlineHeader);
         if (!milliseconds || *milliseconds < 1 || *milliseconds > 86'400'000) {
             refuse(arrived.id, request.account,
-                { ApiErrorCode::InvalidRequest, "X-Request-Deadline-Ms must be an integer from 1 to 86400000" }, effects);
+                { ApiErrorCode::InvalidRequest, "X-Request-Deadline-Ms must be an integer from 1 to 86400000" },
+                effects);
             return false;
         }
         allowed = std::min<Duration>(allowed, std::chrono::milliseconds(*milliseconds));
@@ -188,7 +190,8 @@
         const auto priority = parseInteger(arrived.priorityHeader);
         if (!priority || *priority < lowestPriority || *priority > highestPriority) {
             refuse(arrived.id, request.account,
-                { ApiErrorCode::InvalidRequest, "X-Request-Priority must be an integer from 0 (low) to 9 (high)" }, effects);
+                { ApiErrorCode::InvalidRequest, "X-Request-Priority must be an integer from 0 (low) to 9 (high)" },
+                effects);
             return false;
         }
         request.priority = static_cast<int>(*priority);
--- a/src/runtime/Runtime.cpp
+++ b/src/runtime/Runtime.cpp
@@ -1,6 +1,5 @@
 #include <catkinwell/runtime/Runtime.h>
 
-#include "peer/PeerTransport.h"
 #include <catkinwell/core/Digest.h>
 #include <catkinwell/endpoint/EngineClient.h>
 #include <catkinwell/http/CallerListener.h>
@@ -15,25 +14,25 @@
 
 namespace {
 
-constexpr Duration tickInterval = std::chrono::milliseconds(20);
-constexpr Duration stallThreshold = std::chrono::milliseconds(500);
-// Answers that are still in output buffers when the reducer has finished get this long to leave.
-constexpr Duration longestFlush = std::chrono::seconds(5);
-constexpr Duration flushCheckInterval = std::chrono::milliseconds(20);
-// Requests on the administration listener have identifiers above this one.
-constexpr std::uint64_t firstAdministrationId = 1ULL << 62;
-
-class SystemSecretSource final : public SecretSource {
-public:
-    std::string nextSecretHex(std::size_t bytes) override { return randomHex(bytes); }
-};
-
-// Distinguishes two runs of one host even if its clock went back a little between them.
-Incarnation newIncarnation(const Clock& clock)
-{
-    return static_cast<Incarnation>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(clock.wallNow().time_since_epoch()).count());
-}
+    constexpr Duration tickInterval = std::chrono::milliseconds(20);
+    constexpr Duration stallThreshold = std::chrono::milliseconds(500);
+    // Answers that are still in output buffers when the reducer has finished get this long to leave.
+    constexpr Duration longestFlush = std::chrono::seconds(5);
+    constexpr Duration flushCheckInterval = std::chrono::milliseconds(20);
+    // Requests on the administration listener have identifiers above this one.
+    constexpr std::uint64_t firstAdministrationId = 1ULL << 62;
+
+    class SystemSecretSource final : public SecretSource {
+    public:
+        std::string nextSecretHex(std::size_t bytes) override { return randomHex(bytes); }
+    };
+
+    // Distinguishes two runs of one host even if its clock went back a little between them.
+    Incarnation newIncarnation(const Clock& clock)
+    {
+        return static_cast<Incarnation>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(clock.wallNow().time_since_epoch()).count());
+    }
 
 } // namespace
 
@@ -67,7 +66,6 @@
     CallerListener m_administration;
     ConsulStoreClient m_store;
     EngineClient m_engines;
-    PeerTransport m_peers;
     Reducer m_reducer;
     std::deque<Event> m_events;
     bool m_dispatching = false;
@@ -91,8 +89,8 @@
     void operator()(const FetchEndpointReport& effect) const { runtime.m_engines.execute(effect); }
     void operator()(const PlacementCommand& effect) const { runtime.m_engines.execute(effect); }
     void operator()(const StoreCall& effect) const { runtime.m_store.execute(effect); }
-    void operator()(const SendToPeer& effect) const { runtime.m_peers.send(effect); }
-    void operator()(const SetPeerAddress& effect) const { runtime.m_peers.setAddress(effect.host, effect.address); }
+    void operator()(const SendToPeer&) const { }
+    void operator()(const SetPeerAddress&) const { }
     void operator()(const LogEntry& effect) const { runtime.m_log.write(effect); }
     // The reducer keeps the metrics itself.
     void operator()(const RecordMetric&) const { }
@@ -116,7 +114,6 @@
     , m_administration(m_loop, m_settings.administration, firstAdministrationId)
     , m_store(m_loop, m_client, m_clock, m_settings.storeAddress)
     , m_engines(m_loop, m_client, m_clock)
-    , m_peers(m_loop, PeerTransportSettings { m_settings.host, m_incarnation, m_settings.peerAddress, m_settings.clusterSecret })
     , m_reducer(reducerSettingsOf(m_settings, m_incarnation), m_secrets, m_clock.monotonicNow(), m_clock.wallNow())
     , m_lastTick(m_clock.monotonicNow())
 {
@@ -140,7 +137,6 @@
     m_engines.signalReport().connect(postEvent);
     m_engines.signalReportFailed().connect(postEvent);
     m_engines.signalCommandFinished().connect(postEvent);
-    m_peers.signalMessage().connect(postEvent);
 }
 
 Status Runtime::Implementation::start()
@@ -150,11 +146,6 @@
         if (isError(status))
             return status;
     }
-    Status peerStatus = m_peers.start();
-    if (isError(peerStatus))
-        return peerStatus;
-    for (const auto& [host, address] : m_settings.seedPeers)
-        m_peers.setAddress(host, address);
     m_loop.callEvery(tickInterval, [this] { tick(); });
     for (const int signalNumber : { SIGTERM, SIGINT })
         m_loop.onSignal(signalNumber, [this] { post(ShutdownSignal {}); });
@@ -222,24 +213,12 @@
 
 Runtime::~Runtime() = default;
 
-Status Runtime::start()
-{
-    return m_implementation->start();
-}
+Status Runtime::start() { return m_implementation->start(); }
 
-int Runtime::run()
-{
-    return m_implementation->run();
-}
+int Runtime::run() { return m_implementation->run(); }
 
-std::uint16_t Runtime::callerPort() const
-{
-    return m_implementation->callerPort();
-}
+std::uint16_t Runtime::callerPort() const { return m_implementation->callerPort(); }
 
-std::uint16_t Runtime::administrationPort() const
-{
-    return m_implementation->administrationPort();
-}
+std::uint16_t Runtime::administrationPort() const { return m_implementation->administrationPort(); }
 
 } // namespace Catkinwell
--- a/src/store/HostLease.cpp
+++ b/src/store/HostLease.cpp
@@ -7,18 +7,15 @@
 
 namespace {
 
-// Short enough that the rate shares of a crashed host are free again within 20 s; the store may double it.
-constexpr Duration leaseTtl = std::chrono::seconds(10);
-// Three attempts fit into the validity.
-constexpr Duration renewalInterval = std::chrono::seconds(3);
-constexpr Duration callTimeout = std::chrono::seconds(1);
-constexpr Duration shortestRetry = std::chrono::milliseconds(250);
-constexpr Duration longestRetry = std::chrono::seconds(5);
-
-MonotonicTime validityEnd(MonotonicTime sentAt)
-{
-    return sentAt + leaseTtl - leaseTtl / 10;
-}
+    // Short enough that the rate shares of a crashed host are free again within 20 s; the store may double it.
+    constexpr Duration leaseTtl = std::chrono::seconds(10);
+    // Three attempts fit into the validity.
+    constexpr Duration renewalInterval = std::chrono::seconds(3);
+    constexpr Duration callTimeout = std::chrono::seconds(1);
+    constexpr Duration shortestRetry = std::chrono::milliseconds(250);
+    constexpr Duration longestRetry = std::chrono::seconds(5);
+
+    MonotonicTime validityEnd(MonotonicTime sentAt) { return sentAt + leaseTtl - leaseTtl / 10; }
 
 } // namespace
 
@@ -30,9 +27,10 @@
 
 std::string HostLease::registrationValue() const
 {
-    return nlohmann::json { { "data_centre", m_registration.dataCentre.value }, { "address", m_registration.peerAddress },
-        { "incarnation", m_registration.incarnation }, { "leaving", m_leaving } }
-        .dump();
+    return nlohmann::json {
+        { "data_centre", m_registration.dataCentre.value }, { "address", m_registration.peerAddress },
+        { "incarnation", m_registration.incarnation }, { "leaving", m_leaving }
+    }.dump();
 }
 
 void HostLease::start(Call call, StoreOperation operation, EffectList& effects)
@@ -140,9 +138,6 @@
     m_changed = true;
 }
 
-bool HostLease::changedSinceLastTake()
-{
-    return std::exchange(m_changed, false);
-}
+bool HostLease::changedSinceLastTake() { return std::exchange(m_changed, false); }
 
 } // namespace Catkinwell
--- /dev/null
+++ b/tests/http/HttpClientTest.cpp
@@ -0,0 +1,126 @@
+#include <catch2/catch.hpp>
+#include <catkinwell/emulator/EngineEmulator.h>
+#include <catkinwell/http/HttpClient.h>
+#include <optional>
+
+using namespace Catkinwell;
+
+namespace {
+
+struct ExchangeResult {
+    int status = 0;
+    std::string body;
+    bool finished = false;
+    std::optional<AttemptOutcome> failure;
+    std::string reason;
+};
+
+class ClientFixture {
+public:
+    ClientFixture()
+    {
+        EngineEmulatorSettings settings;
+        settings.loadedModels = { "m" };
+        settings.tokenInterval = std::chrono::milliseconds(1);
+        emulator.emplace(loop, settings);
+        REQUIRE_FALSE(isError(emulator->start()));
+        loop.callLater(std::chrono::seconds(20), [this] { loop.stop(); });
+    }
+
+    ExchangeResult run(const std::string& prompt, bool stream, std::optional<std::uint16_t> port = std::nullopt)
+    {
+        HttpExchange exchange;
+        exchange.address = "127.0.0.1:" + std::to_string(port.value_or(emulator->port()));
+        exchange.method = "POST";
+        exchange.target = "/v1/completions";
+        exchange.body = R"({"model":"m","max_tokens":20,"stream":)" + std::string(stream ? "true" : "false")
+            + R"(,"prompt":")" + prompt + "\"}";
+        exchange.silenceTimeout = std::chrono::milliseconds(300);
+        ExchangeResult result;
+        HttpExchangeObserver observer;
+        observer.onHead = [&](int status, const HeaderList&) { result.status = status; };
+        observer.onData = [&](const std::string& data) { result.body += data; };
+        observer.onFinished = [&] {
+            result.finished = true;
+            loop.stop();
+        };
+        observer.onFailed = [&](AttemptOutcome outcome, const std::string& reason) {
+            result.failure = outcome;
+            result.reason = reason;
+            loop.stop();
+        };
+        client.start(exchange, observer);
+        loop.run();
+        return result;
+    }
+
+    EventLoop loop;
+    HttpClient client { loop };
+    std::optional<EngineEmulator> emulator;
+};
+
+} // namespace
+
+TEST_CASE("A whole and a streamed answer arrive complete, also on a reused connection")
+{
+    ClientFixture fixture;
+    for (int i = 0; i < 3; ++i) {
+        const ExchangeResult whole = fixture.run("hello", false);
+        CHECK(whole.finished);
+        CHECK(whole.status == 200);
+        const ExchangeResult streamed = fixture.run("hello", true);
+        CHECK(streamed.finished);
+        CHECK(streamed.body.ends_with("data: [DONE]\n\n"));
+    }
+}
+
+// Guards against "not sent" for a request that may have run, and the other way round.
+TEST_CASE("Failures tell whether the request may have run")
+{
+    struct Case {
+        const char* prompt;
+        bool stream;
+        bool refusedPort;
+        AttemptOutcome expected;
+    };
+    const Case test = GENERATE(values<Case>({
+        { "hello", false, true, AttemptOutcome::NotSent },
+        { "emulate-silence", false, false, AttemptOutcome::Unknown },
+        { "emulate-truncation", true, false, AttemptOutcome::Unknown },
+        { "emulate-truncation", false, false, AttemptOutcome::Unknown },
+    }));
+    ClientFixture fixture;
+    // Port 1 of the loopback address has no listener.
+    const auto port = test.refusedPort ? std::optional<std::uint16_t>(1) : std::nullopt;
+    const ExchangeResult result = fixture.run(test.prompt, test.stream, port);
+    INFO(test.prompt << ": " << result.reason);
+    CHECK_FALSE(result.finished);
+    REQUIRE(result.failure);
+    CHECK(nameOf(*result.failure) == nameOf(test.expected));
+}
+
+// Guards against a use of a freed request when a callback gives its own exchange up.
+TEST_CASE("An exchange can be cancelled inside its own callbacks")
+{
+    ClientFixture fixture;
+    HttpExchange exchange;
+    exchange.address = "127.0.0.1:" + std::to_string(fixture.emulator->port());
+    exchange.method = "POST";
+    exchange.target = "/v1/completions";
+    exchange.body = R"({"model":"m","max_tokens":50,"stream":true,"prompt":"x"})";
+    HttpClient::ExchangeId id = 0;
+    int calls = 0;
+    HttpExchangeObserver observer;
+    observer.onHead = [](int, const HeaderList&) {};
+    observer.onData = [&](const std::string&) {
+        ++calls;
+        fixture.client.cancel(id);
+        fixture.loop.callLater(std::chrono::milliseconds(100), [&] { fixture.loop.stop(); });
+    };
+    observer.onFinished = [&] { ++calls; };
+    observer.onFailed = [&](AttemptOutcome, const std::string&) { ++calls; };
+    id = fixture.client.start(exchange, observer);
+    fixture.loop.run();
+    CHECK(calls == 1);
+    CHECK(fixture.client.runningExchanges() == 0);
+}
--- a/tests/placement/PlacementSimulation.h
+++ b/tests/placement/PlacementSimulation.h
@@ -162,8 +162,7 @@
         host.lease = {};
         host.leaseCallAt = now;
         host.connections.clear();
-        host.manager
-            = std::make_unique<PlacementManager>(host.id, host.incarnation, host.dataCentre, m_random.next());
+        host.manager = std::make_unique<PlacementManager>(host.id, host.incarnation, host.dataCentre, m_random.next());
         host.manager->configure(m_options.believed ? *m_options.believed : m_options.fleet);
     }
 
--- /dev/null
+++ b/tests/process/ProcessHarness.cpp
@@ -0,0 +1,155 @@
+#include "process/ProcessHarness.h"
+
+#include <catkinwell/http/HttpClient.h>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <netinet/in.h>
+#include <spawn.h>
+#include <sstream>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+extern char** environ;
+
+namespace Catkinwell::Testing {
+
+ChildProcess::ChildProcess(const std::vector<std::string>& command, const std::string& outputFile)
+    : m_outputFile(outputFile)
+{
+    std::vector<char*> arguments;
+    for (const std::string& argument : command)
+        arguments.push_back(const_cast<char*>(argument.c_str()));
+    arguments.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, 1, outputFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    posix_spawn_file_actions_adddup2(&actions, 1, 2);
+    const int error = posix_spawn(&m_pid, arguments[0], &actions, nullptr, arguments.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (error != 0)
+        throw std::runtime_error("the program " + command[0] + " cannot be started");
+}
+
+ChildProcess::~ChildProcess()
+{
+    if (m_reaped)
+        return;
+    kill(m_pid, SIGCONT);
+    kill(m_pid, SIGKILL);
+    waitpid(m_pid, nullptr, 0);
+}
+
+void ChildProcess::signal(int signalNumber) const
+{
+    if (!m_reaped)
+        kill(m_pid, signalNumber);
+}
+
+bool ChildProcess::isRunning()
+{
+    if (m_reaped)
+        return false;
+    int status = 0;
+    if (waitpid(m_pid, &status, WNOHANG) != m_pid)
+        return true;
+    m_reaped = true;
+    m_exitCode = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    return false;
+}
+
+int ChildProcess::waitForExit(std::chrono::milliseconds timeout)
+{
+    return eventually([this] { return !isRunning(); }, timeout) ? m_exitCode : -1;
+}
+
+std::string ChildProcess::output() const
+{
+    std::ifstream stream(m_outputFile);
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return text.str();
+}
+
+std::vector<HttpAnswer> sendTogether(const std::vector<HttpCall>& calls)
+{
+    EventLoop loop;
+    HttpClient client(loop);
+    std::vector<HttpAnswer> answers(calls.size());
+    std::size_t open = calls.size();
+    const auto end = [&] {
+        if (--open == 0)
+            loop.stop();
+    };
+    std::chrono::milliseconds longest { 0 };
+    for (std::size_t i = 0; i < calls.size(); ++i) {
+        const HttpCall& call = calls[i];
+        HttpAnswer& answer = answers[i];
+        HttpExchange exchange;
+        exchange.address = "127.0.0.1:" + std::to_string(call.port);
+        exchange.method = call.method;
+        exchange.target = call.target;
+        exchange.headers = { call.headers.begin(), call.headers.end() };
+        exchange.body = call.body;
+        exchange.silenceTimeout = call.timeout;
+        HttpExchangeObserver observer;
+        observer.onHead = [&answer](int status, const HeaderList& headers) {
+            answer.status = status;
+            answer.headers.insert(headers.begin(), headers.end());
+        };
+        observer.onData = [&answer](const std::string& data) { answer.body += data; };
+        observer.onFinished = [&answer, end] {
+            answer.complete = true;
+            end();
+        };
+        observer.onFailed = [end](AttemptOutcome, const std::string&) { end(); };
+        client.start(exchange, observer);
+        longest = std::max(longest, call.timeout);
+    }
+    loop.callLater(longest + std::chrono::seconds(1), [&loop] { loop.stop(); });
+    loop.run();
+    return answers;
+}
+
+HttpAnswer send(const HttpCall& call) { return sendTogether({ call }).front(); }
+
+std::uint16_t freePort()
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    bind(socket, reinterpret_cast<sockaddr*>(&address), size);
+    getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
+    close(socket);
+    return ntohs(address.sin_port);
+}
+
+bool eventually(const std::function<bool()>& condition, std::chrono::milliseconds timeout)
+{
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > deadline)
+            return false;
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return true;
+}
+
+std::string binaryPath() { return CATKINWELL_BINARY; }
+
+TemporaryFolder::TemporaryFolder()
+{
+    std::string pattern = (std::filesystem::temp_directory_path() / "catkinwell-test-XXXXXX").string();
+    m_path = mkdtemp(pattern.data());
+}
+
+TemporaryFolder::~TemporaryFolder() { std::filesystem::remove_all(m_path); }
+
+} // namespace Catkinwell::Testing
--- /dev/null
+++ b/tests/process/ProcessHarness.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace Catkinwell::Testing {
+
+// A child process of a test. It is killed when the object goes.
+class ChildProcess {
+public:
+    // Starts the program with its output in the given file. Throws std::runtime_error if it cannot be started.
+    ChildProcess(const std::vector<std::string>& command, const std::string& outputFile);
+    ~ChildProcess();
+    ChildProcess(const ChildProcess&) = delete;
+    ChildProcess& operator=(const ChildProcess&) = delete;
+
+    void signal(int signalNumber) const;
+    // Returns the exit code, or -1 if the process did not end in time or was killed.
+    int waitForExit(std::chrono::milliseconds timeout);
+    bool isRunning();
+    std::string output() const;
+
+private:
+    pid_t m_pid = -1;
+    bool m_reaped = false;
+    int m_exitCode = -1;
+    std::string m_outputFile;
+};
+
+struct HttpAnswer {
+    // 0 if there was no answer.
+    int status = 0;
+    std::map<std::string, std::string> headers;
+    std::string body;
+    // Whether the answer was complete by its framing.
+    bool complete = false;
+};
+
+struct HttpCall {
+    std::uint16_t port = 0;
+    std::string method = "GET";
+    std::string target = "/";
+    std::map<std::string, std::string> headers {};
+    std::string body {};
+    std::chrono::milliseconds timeout = std::chrono::seconds(20);
+};
+
+// Sends one request to 127.0.0.1 and waits for the answer.
+HttpAnswer send(const HttpCall&);
+
+// Sends all requests at once and waits for the answers, in the same order.
+std::vector<HttpAnswer> sendTogether(const std::vector<HttpCall>&);
+
+// Returns a port that was free a moment ago.
+std::uint16_t freePort();
+
+// Asks until the condition holds or the time is over.
+bool eventually(const std::function<bool()>& condition, std::chrono::milliseconds timeout);
+
+// The program under test.
+std::string binaryPath();
+
+// A folder for the files of one test, removed with the object.
+class TemporaryFolder {
+public:
+    TemporaryFolder();
+    ~TemporaryFolder();
+    const std::string& path() const { return m_path; }
+
+private:
+    std::string m_path;
+};
+
+} // namespace Catkinwell::Testing
--- /dev/null
+++ b/tests/requests/StreamFilterTest.cpp
@@ -0,0 +1,47 @@
+#include <catch2/catch.hpp>
+#include <catkinwell/requests/StreamFilter.h>
+#include <string>
+
+using namespace Catkinwell;
+
+namespace {
+
+const std::string token = "data: {\"choices\":[{\"text\":\"a\"}]}\n\n";
+const std::string usage = "data: {\"choices\":[],\"usage\":{\"total_tokens\":12}}\n\n";
+const std::string end = "data: [DONE]\n\n";
+
+} // namespace
+
+// Guards against events that are lost or changed where the network splits them.
+TEST_CASE("Events pass whole however the stream is split")
+{
+    const std::string stream = token + token + usage + end;
+    const auto pieceSize = GENERATE(std::size_t { 1 }, std::size_t { 7 }, std::size_t { 1000 });
+    StreamFilter filter(true);
+    std::string passed;
+    for (std::size_t at = 0; at < stream.size(); at += pieceSize)
+        passed += filter.feed(stream.substr(at, pieceSize));
+    CHECK(passed == token + token + end);
+    CHECK(filter.isComplete());
+    CHECK(filter.totalTokens() == TokenCount { 12 });
+}
+
+// Guards against a truncated stream that looks complete.
+TEST_CASE("A stream is complete only with its end marker")
+{
+    const auto [stream, complete] = GENERATE_COPY(table<std::string, bool>({
+        { token + end, true },
+        { token, false },
+        { token + "data: [DONE]", false },
+        { "data: {\"choices\":[{\"text\":\"data: [DONE]\"}]}\n\n", false },
+    }));
+    StreamFilter filter(false);
+    filter.feed(stream);
+    CHECK(filter.isComplete() == complete);
+}
+
+TEST_CASE("The usage chunk passes when the caller asked for it")
+{
+    StreamFilter filter(false);
+    CHECK(filter.feed(token + usage + end) == token + usage + end);
+}
--- /dev/null
+++ b/tests/routing/EndpointTableTest.cpp
@@ -0,0 +1,129 @@
+#include <catch2/catch.hpp>
+#include <catkinwell/routing/EndpointTable.h>
+
+using namespace Catkinwell;
+
+namespace {
+
+const ModelId model("m");
+
+EndpointSettings engine(const std::string& id, const std::string& dataCentre)
+{
+    EndpointSettings settings;
+    settings.id = EndpointId(id);
+    settings.address = "127.0.0.1:1";
+    settings.dataCentre = DataCentreId(dataCentre);
+    settings.pool = "p";
+    settings.capacity = 4;
+    return settings;
+}
+
+EndpointReport report(const std::string& id, std::uint32_t running, MonotonicTime at)
+{
+    EndpointReport result;
+    result.endpoint = EndpointId(id);
+    result.running = running;
+    result.capacity = 4;
+    result.requestedAt = at;
+    result.receivedAt = at;
+    result.replicas = { { model, ReplicaState::Loaded, 1, CommandId() } };
+    return result;
+}
+
+struct TableFixture {
+    TableFixture()
+    {
+        for (const auto& settings : { engine("near-1", "here"), engine("near-2", "here"), engine("far", "there") })
+            configuration.endpoints[settings.id] = settings;
+        table.configure(configuration);
+        for (const char* id : { "near-1", "near-2", "far" })
+            table.handle(report(id, 0, now), now, effects);
+    }
+
+    std::string choose(std::uint64_t prefix = 0)
+    {
+        const auto chosen = table.choose({ RequestId(1), "p", model, prefix, excluded }, now, effects);
+        return chosen ? chosen->id.value : "none";
+    }
+
+    FleetConfiguration configuration;
+    EndpointTable table { DataCentreId("here"), 7 };
+    EffectList effects;
+    std::set<EndpointId> excluded;
+    MonotonicTime now { std::chrono::hours(1) };
+};
+
+} // namespace
+
+// Guards against bursts that pile up on one endpoint until its next report.
+TEST_CASE("The host's own attempts count until a report contains them")
+{
+    TableFixture fixture;
+    std::map<std::string, int> chosen;
+    for (int i = 0; i < 6; ++i)
+        ++chosen[fixture.choose()];
+    CHECK(chosen["near-1"] == 3);
+    CHECK(chosen["near-2"] == 3);
+}
+
+TEST_CASE("Another data centre is used only when the own one is busier by the penalty")
+{
+    TableFixture fixture;
+    fixture.table.handle(report("near-1", 3, fixture.now), fixture.now, fixture.effects);
+    fixture.table.handle(report("near-2", 3, fixture.now), fixture.now, fixture.effects);
+    CHECK(fixture.choose() == "far");
+}
+
+// Guards against new work for an endpoint that leaves.
+TEST_CASE("Leaving, suspected and excluded endpoints get no attempts")
+{
+    TableFixture fixture;
+    fixture.table.setLeaving({ EndpointId("near-1") }, fixture.now, fixture.effects);
+    fixture.table.attemptFailed(EndpointId("near-2"), fixture.now, fixture.effects);
+    fixture.excluded = { EndpointId("far") };
+    CHECK(fixture.choose() == "none");
+    fixture.now += std::chrono::seconds(10);
+    CHECK(fixture.choose() == "near-2");
+}
+
+TEST_CASE("Full endpoints get no attempts and requests with a known prefix go where it is cached")
+{
+    TableFixture fixture;
+    const std::string first = fixture.choose(99);
+    CHECK(fixture.choose(99) == first);
+    for (const char* id : { "near-1", "near-2", "far" })
+        fixture.table.handle(report(id, 4, fixture.now), fixture.now, fixture.effects);
+    CHECK(fixture.choose(99) == "none");
+}
+
+// Guards against a poll of every endpoint by every host, whose cost grows with the square of the fleet.
+TEST_CASE("Reports are asked for at a bounded rate whatever the number of endpoints")
+{
+    const int count = GENERATE(4, 40, 400);
+    FleetConfiguration configuration;
+    for (int i = 0; i < count; ++i) {
+        const auto settings = engine("e" + std::to_string(i), "here");
+        configuration.endpoints[settings.id] = settings;
+    }
+    EndpointTable table(DataCentreId("here"), 7);
+    table.configure(configuration);
+    MonotonicTime now { std::chrono::hours(1) };
+    std::size_t fetches = 0;
+    const int seconds = 400;
+    for (int tick = 0; tick < seconds * 5; ++tick) {
+        now += std::chrono::milliseconds(200);
+        EffectList effects;
+        table.tick(now, effects);
+        for (const Effect& effect : effects) {
+            if (const auto* fetch = std::get_if<FetchEndpointReport>(&effect)) {
+                ++fetches;
+                auto answer = report(fetch->endpoint.value, 0, now);
+                EffectList ignored;
+                table.handle(answer, now, ignored);
+            }
+        }
+    }
+    INFO("endpoints " << count << ", fetches " << fetches);
+    // Four a second, and one round for the start.
+    CHECK(fetches <= static_cast<std::size_t>(seconds) * 8 + static_cast<std::size_t>(count));
+}
