--- a/src/routing/EndpointTable.cpp
+++ b/src/routing/EndpointTable.cpp
@@ -17,7 +17,7 @@
     constexpr std::size_t rememberedPrefixes = 64;
 
     // Weights of the score, in units of a full endpoint.
-    constexpr double prefixBonus = 0.25;
+    constexpr double prefixBonus = 0.3;
     constexpr double otherDataCentrePenalty = 0.5;
     // A replica whose queue is longer than this many times its capacity gets no further requests;
     // they wait in the host's fair queue instead.
--- /dev/null
+++ b/tests/process/EndToEndTest.cpp
@@ -0,0 +1,248 @@
+#include "process/FleetFixture.h"
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <future>
+
+using namespace Catkinwell::Testing;
+using Json = nlohmann::json;
+
+namespace {
+
+Json parsed(const HttpAnswer& answer)
+{
+    INFO("status " << answer.status << ", body " << answer.body.substr(0, 300));
+    const Json body = Json::parse(answer.body, nullptr, false);
+    REQUIRE_FALSE(body.is_discarded());
+    return body;
+}
+
+std::string errorCode(const HttpAnswer& answer)
+{
+    return parsed(answer).at("error").at("code").get<std::string>();
+}
+
+} // namespace
+
+// Guards against a break anywhere between caller and engine.
+TEST_CASE("A request for a cold model, a streamed one and the model list are answered")
+{
+    FleetFixture fleet;
+    const HttpAnswer cold = send(fleet.completion("notes", "hinge 4"));
+    REQUIRE(cold.status == 200);
+    CHECK(parsed(cold)["usage"]["completion_tokens"] == 8);
+    const HttpAnswer streamed = send(fleet.completion("notes", "hinge 4", true));
+    CHECK(streamed.complete);
+    CHECK(streamed.headers.at("Content-Type") == "text/event-stream");
+    CHECK(streamed.body.ends_with("data: [DONE]\n\n"));
+    CHECK(streamed.body.find("usage") == std::string::npos);
+    const HttpAnswer adapter = send(fleet.completion("notes/de", "hinge 4"));
+    CHECK(adapter.status == 200);
+    HttpCall list { fleet.callerPort(), "GET", "/v1/models",
+        { { "Authorization", std::string("Bearer ") + FleetFixture::key } } };
+    CHECK(parsed(send(list))["data"].size() == 2);
+}
+
+// Guards against many loads for a burst of first requests.
+TEST_CASE("First requests that arrive together lead to one load")
+{
+    FleetFixture fleet;
+    std::vector<HttpCall> calls;
+    for (int i = 0; i < 12; ++i)
+        calls.push_back(fleet.completion("notes", "request " + std::to_string(i)));
+    for (const HttpAnswer& answer : sendTogether(calls))
+        CHECK(answer.status == 200);
+    std::size_t loaded = 0;
+    for (std::size_t engine = 0; engine < 2; ++engine) {
+        const Json report = parsed(send({ fleet.enginePort(engine), "GET", "/v2/repository/report" }));
+        loaded += report["models"].size();
+    }
+    CHECK(loaded == 1);
+}
+
+// Guards against untyped answers, and against a process that ends on bad input.
+TEST_CASE("Bad requests get a typed error that says the request did not run")
+{
+    FleetFixture fleet;
+    const std::map<std::string, std::string> keyed { { "Authorization", std::string("Bearer ") + FleetFixture::key } };
+    struct Case {
+        HttpCall call;
+        int status;
+        const char* code;
+    };
+    HttpCall negativeDeadline = fleet.completion("notes", "x");
+    negativeDeadline.headers["X-Request-Deadline-Ms"] = "-5";
+    HttpCall wrongPriority = fleet.completion("notes", "x");
+    wrongPriority.headers["X-Request-Priority"] = "high";
+    const std::uint16_t port = fleet.callerPort();
+    const std::vector<Case> cases {
+        { { port, "POST", "/v1/completions", {}, "{}" }, 401, "invalid_api_key" },
+        { { port, "POST", "/v1/completions", { { "Authorization", "Bearer nope" } }, "{}" }, 401, "invalid_api_key" },
+        { { port, "GET", "/nowhere", keyed }, 404, "unknown_route" },
+        { { port, "GET", "/v1/completions", keyed }, 405, "method_not_allowed" },
+        { { port, "POST", "/v1/completions", keyed, "{\"model\":" }, 400, "invalid_json" },
+        { { port, "POST", "/v1/completions", keyed, std::string(5000, '[') }, 400, "invalid_json" },
+        { { port, "POST", "/v1/completions", keyed, std::string(5 << 20, 'x') }, 413, "body_too_large" },
+        { fleet.completion("no-such-model", "x"), 404, "model_not_found" },
+        { negativeDeadline, 400, "invalid_request" },
+        { wrongPriority, 400, "invalid_request" },
+    };
+    for (const Case& test : cases) {
+        const HttpAnswer answer = send(test.call);
+        INFO(test.call.method << " " << test.call.target << " " << test.call.body.substr(0, 40));
+        CHECK(answer.status == test.status);
+        CHECK(errorCode(answer) == test.code);
+        CHECK(parsed(answer)["outcome"] == "not_run");
+        CHECK_FALSE(parsed(answer)["remedy"].get<std::string>().empty());
+    }
+    CHECK(send(fleet.completion("notes", "still alive")).status == 200);
+}
+
+// Guards against an order that runs twice, and against a repeat that gets another answer.
+TEST_CASE("A keyed order runs once whichever way it is repeated")
+{
+    FleetFixture fleet;
+    const std::vector<HttpAnswer> together
+        = sendTogether({ fleet.order("grease 4", "order-1"), fleet.order("grease 4", "order-1") });
+    int first = 0;
+    for (const HttpAnswer& answer : together)
+        first += answer.status == 200 ? 1 : 0;
+    CHECK(first >= 1);
+    const HttpAnswer repeat = send(fleet.order("grease 4", "order-1"));
+    CHECK(repeat.status == 200);
+    CHECK(repeat.headers.contains("Idempotent-Replayed"));
+    CHECK(errorCode(send(fleet.order("grease 5", "order-1"))) == "idempotency_key_reused");
+    CHECK(fleet.serviceExecutions().size() == 1);
+    CHECK(send(fleet.order("grease 6", "")).status == 200);
+    CHECK(fleet.serviceExecutions().size() == 2);
+}
+
+// Guards against an order that is reported as not run although it may have, or runs without a claim.
+TEST_CASE("An order that finds no store is refused and has not run")
+{
+    FleetFixture fleet;
+    fleet.setStoreFaults({ { "down", true } });
+    HttpCall call = fleet.order("grease 7", "order-2");
+    call.headers["X-Request-Deadline-Ms"] = "3000";
+    const HttpAnswer refused = send(call);
+    CHECK(refused.status >= 500);
+    CHECK(parsed(refused)["outcome"] == "not_run");
+    CHECK(fleet.serviceExecutions().empty());
+    fleet.setStoreFaults({ { "down", false } });
+    CHECK(eventually([&] { return send(fleet.order("grease 7", "order-2")).status == 200; }, std::chrono::seconds(15)));
+    CHECK(fleet.serviceExecutions().size() == 1);
+}
+
+// Guards against an order whose outcome is claimed to be known after its endpoint died.
+TEST_CASE("An order that crashes its endpoint ends unknown and is not sent again")
+{
+    FleetFixture fleet;
+    const HttpAnswer answer = send(fleet.order("emulate-crash", "order-3"));
+    CHECK(answer.status == 502);
+    CHECK(errorCode(answer) == "outcome_unknown");
+    CHECK(parsed(answer)["outcome"] == "unknown");
+    const HttpAnswer repeat = send(fleet.order("emulate-crash", "order-3"));
+    CHECK(errorCode(repeat) == "earlier_outcome_unknown");
+}
+
+// Guards against keys that reach endpoints, and against headers beyond the allow-list.
+TEST_CASE("Endpoints see neither the caller's key nor unlisted headers")
+{
+    FleetFixture fleet;
+    HttpCall call { fleet.callerPort(), "GET", "/stock?sku=12&api_key=" + std::string(FleetFixture::key),
+        { { "Authorization", std::string("Bearer ") + FleetFixture::key }, { "Cookie", "session=1" },
+            { "X-Api-Key", FleetFixture::key }, { "X-Request-Id", "r-1" } } };
+    CHECK(send(call).status == 200);
+    const Json executions = fleet.serviceExecutions();
+    REQUIRE(executions.size() == 1);
+    CHECK(executions[0]["query"] == "sku=12");
+    CHECK(executions[0]["headers"] == Json { { "x-request-id", "r-1" } });
+    CHECK(executions[0]["key_digest"] == "");
+    CHECK(fleet.host().output().find(FleetFixture::key) == std::string::npos);
+}
+
+// Guards against truncated answers that look complete, and engines' failures that callers should not see.
+TEST_CASE("Broken answers are repeated, or end in an error")
+{
+    FleetFixture fleet;
+    REQUIRE(send(fleet.completion("notes", "warm up")).status == 200);
+    const HttpAnswer streamed = send(fleet.completion("notes", "emulate-truncation", true));
+    CHECK(streamed.body.find("[DONE]") == std::string::npos);
+    CHECK(streamed.body.find("\"endpoint_failed\"") != std::string::npos);
+    const HttpAnswer whole = send(fleet.completion("notes", "emulate-truncation"));
+    CHECK(whole.status >= 500);
+    CHECK(errorCode(whole) != "");
+}
+
+// Guards against a request that waits for a silent engine beyond its deadline.
+TEST_CASE("A silent engine is given up at the request's deadline")
+{
+    FleetFixture fleet;
+    REQUIRE(send(fleet.completion("notes", "warm up")).status == 200);
+    HttpCall call = fleet.completion("notes", "emulate-silence");
+    call.headers["X-Request-Deadline-Ms"] = "700";
+    const auto start = std::chrono::steady_clock::now();
+    const HttpAnswer answer = send(call);
+    const auto waited = std::chrono::steady_clock::now() - start;
+    CHECK(answer.status == 504);
+    CHECK(parsed(answer)["outcome"] == "unknown");
+    CHECK(waited < std::chrono::milliseconds(1700));
+}
+
+// Guards against cut requests at a planned stop.
+TEST_CASE("SIGTERM lets running requests finish and refuses new ones as not run")
+{
+    FleetOptions options;
+    options.engineArguments = { "--token-ms", "100" };
+    FleetFixture fleet(options);
+    REQUIRE(send(fleet.completion("notes", "warm up")).status == 200);
+    auto running = std::async(std::launch::async, [&] { return send(fleet.completion("notes", "long", true)); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(250));
+    fleet.host().signal(SIGTERM);
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    CHECK(send({ fleet.callerPort(), "GET", "/readyz" }).status == 503);
+    const HttpAnswer refused = send(fleet.completion("notes", "too late"));
+    CHECK(errorCode(refused) == "shutting_down");
+    CHECK(parsed(refused)["outcome"] == "not_run");
+    const HttpAnswer finished = running.get();
+    CHECK(finished.complete);
+    CHECK(finished.body.ends_with("data: [DONE]\n\n"));
+    CHECK(fleet.host().waitForExit(std::chrono::seconds(15)) == 0);
+}
+
+TEST_CASE("A second SIGTERM ends the process at once and names the cut requests")
+{
+    FleetOptions options;
+    options.engineArguments = { "--token-ms", "500" };
+    FleetFixture fleet(options);
+    auto running = std::async(std::launch::async, [&] { return send(fleet.completion("notes", "long", true)); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    fleet.host().signal(SIGTERM);
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    fleet.host().signal(SIGTERM);
+    CHECK(fleet.host().waitForExit(std::chrono::seconds(5)) == 1);
+    CHECK_FALSE(running.get().complete);
+    CHECK(fleet.host().output().find("\"name\":\"shutdown_forced\"") != std::string::npos);
+}
+
+// Guards against a revoked key that keeps a stream alive.
+TEST_CASE("A withdrawn key ends running streams and is refused from then on")
+{
+    FleetOptions options;
+    options.engineArguments = { "--token-ms", "1000" };
+    FleetFixture fleet(options);
+    REQUIRE(send(fleet.completion("notes", "warm up")).status == 200);
+    auto running = std::async(std::launch::async, [&] { return send(fleet.completion("notes", "long", true)); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    HttpCall revoke = fleet.admin("DELETE", "/admin/v1/keys/test");
+    revoke.headers["If-Match"] = "1";
+    revoke.headers["X-Audit-Reason"] = "key was leaked in a screenshot";
+    const HttpAnswer revoked = send(revoke);
+    INFO(revoked.body);
+    REQUIRE(revoked.status == 200);
+    const auto start = std::chrono::steady_clock::now();
+    const HttpAnswer stream = running.get();
+    CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(5));
+    CHECK(stream.body.find("key_revoked") != std::string::npos);
+    CHECK(stream.body.find("[DONE]") == std::string::npos);
+    CHECK(send(fleet.completion("notes", "again")).status == 401);
+}
--- a/tests/process/FleetFixture.h
+++ b/tests/process/FleetFixture.h
@@ -9,8 +9,9 @@
 struct FleetOptions {
     std::size_t hosts = 1;
     std::size_t engines = 2;
-    // Extra arguments of the emulated engines.
-    std::vector<std::string> engineArguments {};
+    // Time between the tokens of the emulated engines.
+    int tokenMilliseconds = 2;
+    bool enginesIgnoreFencing = false;
     // Changes the fleet document before it is proposed.
     std::function<void(nlohmann::json&)> adjust = [](nlohmann::json&) {};
 };
