--- /dev/null
+++ b/tests/shares/PieceTableTest.cpp
@@ -0,0 +1,83 @@
+#include <catch2/catch.hpp>
+#include <shares/HeldPiece.h>
+#include <shares/PieceTable.h>
+
+using namespace Catkinwell;
+using namespace std::chrono_literals;
+
+namespace {
+
+PieceTable fullTable(std::uint32_t holders)
+{
+    PieceTable table;
+    for (std::uint32_t i = 0; i < holders; ++i)
+        table.pieces.push_back({ "0123abcd-4567-89ef-0000-" + std::to_string(100'000'000'000 + i),
+            totalUnits * 8 / 10 / holders, totalUnits * 2 / 10 / holders, static_cast<std::uint8_t>(i) });
+    return table;
+}
+
+const MonotonicTime start { 1h };
+
+} // namespace
+
+// Guards against a value that outgrows the traffic budget: about 20 bytes of content for each holder.
+TEST_CASE("A table of 400 holders survives encoding and stays compact")
+{
+    const PieceTable table = fullTable(400);
+    const std::string value = encodePieceTable(table);
+    const auto decoded = decodePieceTable(value);
+    REQUIRE(decoded);
+    CHECK(*decoded == table);
+    CHECK(value.size() <= 400 * 23 + 32);
+}
+
+// Guards against taking over a value that is damaged or hands out more than the whole.
+TEST_CASE("Malformed tables are refused")
+{
+    PieceTable tooMuch = fullTable(4);
+    tooMuch.pieces[0].floating += totalUnits / 10;
+    auto [name, value] = GENERATE_COPY(table<std::string, std::string>({
+        { "no CBOR", "shares" },
+        { "truncated", encodePieceTable(fullTable(4)).substr(0, 40) },
+        { "sum above the whole", encodePieceTable(tooMuch) },
+    }));
+    INFO(name);
+    CHECK_FALSE(decodePieceTable(value));
+}
+
+// Guards against using a piece whose write may not have happened, or that may still be undone by a late write.
+TEST_CASE("After a lost write the smaller piece counts until the version has risen")
+{
+    HeldPiece held(60min);
+    held.setLease({ "lease", start, start + 9s });
+    held.beginWrite({ "lease", 100, 50, 0 }, 3);
+    CHECK(held.floating() == 0);
+    held.confirmWrite();
+    CHECK(held.floating() == 100);
+    CHECK(held.floatingUntil() == start + 9s);
+    CHECK(held.standingUntil() == start + 60min);
+    held.beginWrite({ "lease", 40, 80, 0 }, 4);
+    held.loseWrite();
+    CHECK(held.floating() == 40);
+    CHECK(held.standing() == 50);
+    CHECK_FALSE(held.observe({ { { "lease", 100, 50, 0 } } }, 4));
+    CHECK(held.floating() == 40);
+    CHECK(held.observe({ { { "lease", 100, 50, 0 } } }, 6));
+    CHECK(held.floating() == 100);
+}
+
+// Guards against counting a standing piece from a renewal of a lease that does not name it.
+TEST_CASE("A new lease does not extend a piece that names the old one")
+{
+    HeldPiece held(60min);
+    held.setLease({ "old", start, start + 9s });
+    held.beginWrite({ "old", 100, 50, 0 }, 0);
+    held.confirmWrite();
+    held.setLease({ "new", start + 30s, start + 39s });
+    CHECK(held.floatingUntil() < start);
+    CHECK(held.standingUntil() == start + 60min);
+    held.beginWrite({ "new", 100, 50, 0 }, 1);
+    held.confirmWrite();
+    CHECK(held.floatingUntil() == start + 39s);
+    CHECK(held.standingUntil() == start + 30s + 60min);
+}
--- /dev/null
+++ b/tests/shares/ShareManagerTest.cpp
@@ -0,0 +1,220 @@
+#include "FleetSimulation.h"
+#include <catch2/catch.hpp>
+
+using namespace Catkinwell;
+using namespace std::chrono_literals;
+
+namespace {
+
+const AccountId account("notes");
+const ClientAccount settings { account, 1000, 10000, 1 };
+const MonotonicTime start { 1h };
+
+struct Fleet {
+    explicit Fleet(int hosts, int dataCentres = 3, SimulationOptions options = {})
+        : simulation(std::move(options))
+    {
+        simulation.configure(settings, 0s);
+        for (int i = 0; i < hosts; ++i)
+            simulation.addHost(i % dataCentres, "host" + std::to_string(i));
+        simulation.onDecision = [this](RequestId request, bool granted, ShareRefusal reason) {
+            outcomes[request.value] = granted ? "granted" : std::string(nameOf(reason));
+        };
+    }
+
+    void run(Duration time) { simulation.runUntil(simulation.now() + time); }
+    ShareStatus status(std::size_t host) { return simulation.manager(host).status(simulation.now()).front(); }
+    std::uint32_t heldPpm()
+    {
+        std::uint32_t sum = 0;
+        for (std::size_t i = 0; i < simulation.hostCount(); ++i)
+            sum += simulation.isAlive(i) ? status(i).floatingPpm + status(i).standingPpm : 0;
+        return sum;
+    }
+    std::string outcome(RequestId request)
+    {
+        return outcomes.contains(request.value) ? outcomes[request.value] : "pending";
+    }
+    RequestId reserve(std::size_t host, TokenCount tokens, Duration patience)
+    {
+        return simulation.reserve(host, account, tokens, patience);
+    }
+
+    FleetSimulation simulation;
+    std::map<std::uint64_t, std::string> outcomes;
+};
+
+} // namespace
+
+// Guards against a start at which the fleet waits long for capacity, and against one host that cannot hold the rate.
+TEST_CASE("A fleet that starts holds nearly the whole rate within seconds")
+{
+    const int hosts = GENERATE(1, 2, 4, 12);
+    Fleet fleet(hosts);
+    fleet.run(5s);
+    INFO(hosts << " hosts");
+    CHECK(fleet.heldPpm() >= 950'000);
+    CHECK(fleet.heldPpm() <= 1'000'000);
+}
+
+// Guards against requests below the burst that can never succeed, and unclear refusals of those above it.
+TEST_CASE("Large reservations get more capacity or a clear refusal")
+{
+    auto [hosts, tokens, patience, expected] = GENERATE(table<int, TokenCount, Duration, std::string>({
+        { 1, 10000, 15s, "granted" },
+        { 1, 10001, 15s, "exceeds_burst" },
+        { 4, 4000, 20s, "granted" },
+        { 4, 8000, 30s, "granted" },
+        // Host 0 may lend, which leaves 9900 of the burst; it can hold 80% and a quarter of the standing 20%.
+        { 4, 8400, 30s, "granted" },
+        { 4, 8416, 30s, "exceeds_host_limit" },
+        { 4, 10001, 30s, "exceeds_burst" },
+        { 4, 9000, 2s, "exceeds_host_limit" },
+        { 1, 9000, 2s, "rate_exceeded" },
+    }));
+    Fleet fleet(hosts);
+    fleet.run(3s);
+    const RequestId request = fleet.reserve(0, tokens, patience);
+    fleet.run(patience + 1s);
+    INFO(hosts << " hosts, " << tokens << " tokens");
+    CHECK(fleet.outcome(request) == expected);
+}
+
+// Guards against pieces that stay with idle hosts while another host refuses requests.
+TEST_CASE("Pieces follow demand")
+{
+    Fleet fleet(4);
+    for (int i = 0; i < 300; ++i) {
+        fleet.run(100ms);
+        fleet.reserve(2, 80, 1s);
+    }
+    CHECK(fleet.status(2).ratePerSecond >= 800);
+    CHECK(fleet.heldPpm() <= 1'000'000);
+}
+
+// Guards against floating pieces that outlive their lease and standing pieces that do not survive an outage.
+TEST_CASE("In an outage the standing pieces remain")
+{
+    Fleet fleet(4);
+    fleet.run(10s);
+    fleet.simulation.isOut = true;
+    fleet.run(59min);
+    for (std::size_t i = 0; i < 4; ++i) {
+        CHECK(fleet.status(i).floatingPpm == 0);
+        CHECK(fleet.status(i).standingPpm >= 45'000);
+    }
+    fleet.run(2min);
+    CHECK(fleet.heldPpm() == 0);
+    fleet.simulation.isOut = false;
+    fleet.run(60s);
+    CHECK(fleet.heldPpm() >= 950'000);
+}
+
+// Guards against a crashed host's pieces that do not come back: floating after the lease, standing after 66 min.
+TEST_CASE("A crashed host's pieces are reclaimed")
+{
+    Fleet fleet(4);
+    fleet.run(10s);
+    fleet.simulation.crash(1);
+    fleet.run(35s);
+    CHECK(fleet.heldPpm() >= 930'000);
+    CHECK(fleet.heldPpm() <= 950'100);
+    fleet.run(68min);
+    CHECK(fleet.heldPpm() >= 980'000);
+}
+
+// Guards against a planned stop that loses capacity for the time of a lease.
+TEST_CASE("A host that shuts down gives everything back")
+{
+    Fleet fleet(4);
+    fleet.run(10s);
+    const RequestId waiting = fleet.reserve(1, 4000, 20s);
+    fleet.simulation.shutDown(1);
+    const RequestId late = fleet.reserve(1, 1, 20s);
+    CHECK(fleet.outcome(late) == "shutting_down");
+    fleet.run(1s);
+    CHECK(fleet.simulation.isAlive(1) == (fleet.outcome(waiting) == "pending"));
+    fleet.run(25s);
+    CHECK(fleet.outcome(waiting) != "pending");
+    CHECK_FALSE(fleet.simulation.isAlive(1));
+    CHECK(fleet.heldPpm() >= 950'000);
+}
+
+// Guards against a host that refuses although a peer in its data centre has tokens to spare.
+TEST_CASE("A host borrows from a peer")
+{
+    SimulationOptions options;
+    options.shares.lending = GENERATE(true, false);
+    Fleet fleet(4, 2, options);
+    fleet.run(12s);
+    const RequestId request = fleet.reserve(0, 3500, 120ms);
+    fleet.run(1s);
+    CHECK(fleet.outcome(request) == (options.shares.lending ? "granted" : "rate_exceeded"));
+}
+
+// Guards against loans that are used twice, late, for another question or beyond what was asked.
+TEST_CASE("Only the first answer within the window counts")
+{
+    auto [name, delay, idOffset, tokens, sender, expectedGranted]
+        = GENERATE(table<std::string, Duration, std::uint64_t, TokenCount, std::string, bool>({
+            { "in time", 50ms, 0, 100, "peer", true },
+            { "late", 100ms, 0, 100, "peer", false },
+            { "other question", 50ms, 1, 100, "peer", false },
+            { "more than asked", 50ms, 0, 101, "peer", false },
+            { "too few tokens", 50ms, 0, 99, "peer", false },
+            { "other sender", 50ms, 0, 100, "stranger", false },
+        }));
+    ShareManager manager(HostId("me"), 1, 7, start);
+    EffectList effects;
+    manager.setPeers({ HostId("peer") }, 2, start);
+    manager.configure({ { account, settings } }, start, effects);
+    CHECK(
+        std::holds_alternative<SharePending>(manager.reserve(RequestId(1), account, 100, start + 3s, start, effects)));
+    std::uint64_t loanId = 0;
+    for (const Effect& effect : effects) {
+        if (const auto* message = std::get_if<SendToPeer>(&effect))
+            loanId = std::get<BorrowTokens>(message->message).loanId;
+    }
+    const LendTokens loan { account, loanId + idOffset, tokens };
+    manager.handle(HostId(sender), loan, start + delay, effects);
+    INFO(name);
+    CHECK(manager.takeDecisions().size() == (expectedGranted ? 1 : 0));
+    manager.reserve(RequestId(2), account, 100, start + 3s, start + delay, effects);
+    manager.handle(HostId(sender), loan, start + delay, effects);
+    CHECK(manager.takeDecisions().empty());
+}
+
+// Guards against unbounded queues, reservations that outlive their deadline, and ones decided out of order.
+TEST_CASE("The queue is bounded, in order and ends at the deadlines")
+{
+    SimulationOptions options;
+    options.shares.maxWaitingPerAccount = 3;
+    Fleet fleet(1, 1, options);
+    fleet.run(20s);
+    REQUIRE(fleet.outcome(fleet.reserve(0, 10000, 1s)) == "granted");
+    const RequestId first = fleet.reserve(0, 1000, 10s);
+    const RequestId withdrawn = fleet.reserve(0, 1000, 10s);
+    const RequestId third = fleet.reserve(0, 1000, 10s);
+    CHECK(fleet.outcome(fleet.reserve(0, 1, 10s)) == "queue_full");
+    fleet.simulation.manager(0).cancel(withdrawn, fleet.simulation.now());
+    const RequestId hopeless = fleet.reserve(0, 1000, 500ms);
+    CHECK(fleet.outcome(hopeless) == "rate_exceeded");
+    fleet.run(1500ms);
+    CHECK(fleet.outcome(first) == "granted");
+    CHECK(fleet.outcome(third) == "pending");
+    fleet.run(1s);
+    CHECK(fleet.outcome(third) == "granted");
+    CHECK(fleet.outcome(withdrawn) == "pending");
+}
+
+// Guards against a host without any piece that keeps requests beyond their deadline.
+TEST_CASE("Without a piece a reservation is refused at its deadline")
+{
+    Fleet fleet(1);
+    fleet.simulation.isOut = true;
+    const RequestId request = fleet.reserve(0, 100, 500ms);
+    fleet.run(490ms);
+    CHECK(fleet.outcome(request) == "pending");
+    fleet.run(50ms);
+    CHECK(fleet.outcome(request) == "no_share");
+}
