Divide unneeded capacity evenly and avoid partial loans

Change: capacity without demand is divided evenly instead of by demand; a lender gives a part only for a request that is large against its bucket; a request after a successful loan may ask at once.

--- a/experiments/RateShares.cpp
+++ b/experiments/RateShares.cpp
@@ -113,11 +113,13 @@
     return outcome;
 }
 
-Outcome runShares(const std::vector<TraceEntry>& trace, bool withOutage, const ShareOptions& shares, std::uint64_t seed)
+Outcome runShares(const std::vector<TraceEntry>& trace, bool withOutage, const ShareOptions& shares, std::uint64_t seed,
+    bool acrossDataCentres = false)
 {
     SimulationOptions options;
     options.seed = seed;
     options.shares = shares;
+    options.lendsAcrossDataCentres = acrossDataCentres;
     FleetSimulation fleet(options);
     const MonotonicTime start = fleet.now();
     Outcome outcome;
@@ -192,6 +194,8 @@
             print("leased, standing, no lending", trace, runShares(trace, withOutage, sharesWith(200'000, false), seed),
                 ideal);
             print("full mechanism", trace, runShares(trace, withOutage, sharesWith(200'000, true), seed), ideal);
+            print("full, all hosts of the region lend", trace,
+                runShares(trace, withOutage, sharesWith(200'000, true), seed, true), ideal);
         }
     }
     return 0;
--- a/src/shares/PiecePlan.cpp
+++ b/src/shares/PiecePlan.cpp
@@ -123,7 +123,13 @@
                 change(own().standing, own().standing - std::min(own().standing - even, missing - pool));
         }
 
-        double aimOf(std::size_t index) const { return totalUnits * m_weights[index] / m_weightSum; }
+        // Capacity that no demand asks for is divided evenly, because the next spike may come to any host.
+        double aimOf(std::size_t index) const
+        {
+            if (m_weightSum >= totalUnits)
+                return totalUnits * m_weights[index] / m_weightSum;
+            return m_weights[index] + (totalUnits - m_weightSum) / (m_liveHolders + m_missing);
+        }
 
         void planFloating()
         {
--- a/src/shares/PiecePlan.h
+++ b/src/shares/PiecePlan.h
@@ -33,8 +33,8 @@
     bool changed = false;
 };
 
-// Decides the next table from the present one. Every host aims at a part of the whole
-// that is proportional to its demand plus a small constant; a host that is above its aim
+// Decides the next table from the present one. Every host aims at its demand plus an even part of the rest, or
+// at a part of the whole in proportion to its demand when the demands exceed it; a host that is above its aim
 // gives units back only if others are below theirs and the unassigned units do not suffice.
 // Precondition: liveHosts > 0.
 PiecePlan planPieces(const PieceTable&, const PlanInput&);
--- a/src/shares/ShareManager.cpp
+++ b/src/shares/ShareManager.cpp
@@ -33,8 +33,9 @@
     constexpr double callOverheadBytes = 200;
     constexpr Duration loanRoundInterval = 250ms;
     constexpr Duration metricsInterval = 1s;
-    // A loan below this part of what was asked is rarely of use, and unused loans are lost.
-    constexpr TokenCount smallestLoanPart = 8;
+    // A loan of less than a fourth of the lender's capacity rarely completes a large request, and unused loans are
+    // lost.
+    constexpr TokenCount smallestLoanPart = 4;
 
     Duration seconds(double value)
     {
@@ -224,6 +225,8 @@
         if (borrowed > 0) {
             effects.push_back(RecordMetric { Metric::ShareLoansTotal, "used" });
             m_loans->end(account);
+            // Peers have tokens, so the next request need not wait; the message budget still bounds the questions.
+            share.nextLoanAt = now;
         }
         waiting.pop_front();
         m_waitingIn.erase(head.request);
@@ -282,8 +285,12 @@
     if (share == nullptr || m_leaving || message.tokens <= 0 || !m_loans->mayAnswer(now))
         return;
     share->refresh(now);
-    TokenCount lent = share->lends() ? std::min(message.tokens, share->spare(now)) : 0;
-    if (lent < message.tokens / smallestLoanPart || !share->bucket().take(lent, now))
+    const TokenCount spare = share->lends() ? share->spare(now) : 0;
+    const TokenCount capacity = share->bucket().capacity() / 1'000'000;
+    // Only a request that is large against the bucket is worth collecting loans from several peers.
+    const bool mayBePart = message.tokens > capacity / 2 && spare >= capacity / smallestLoanPart;
+    TokenCount lent = spare >= message.tokens || mayBePart ? std::min(message.tokens, spare) : 0;
+    if (!share->bucket().take(lent, now))
         lent = 0;
     if (lent > 0)
         effects.push_back(RecordMetric { Metric::ShareLoansTotal, "lent" });
--- a/tests/shares/FleetSimulation.h
+++ b/tests/shares/FleetSimulation.h
@@ -22,6 +22,8 @@
     double lostMessage = 0;
     double duplicateMessage = 0;
     double lateMessage = 0;
+    // Makes every host a peer of every other one, with messages that take up to 3 ms.
+    bool lendsAcrossDataCentres = false;
     // Faults of a host that the checker must notice.
     bool ignoresLeaseEnd = false;
     bool creditsDuplicateLoans = false;
@@ -188,7 +190,8 @@
         for (const auto& host : m_hosts) {
             std::vector<HostId> peers;
             for (const auto& other : m_hosts) {
-                if (other->isAlive && other != host && other->dataCentre == host->dataCentre)
+                if (other->isAlive && other != host
+                    && (other->dataCentre == host->dataCentre || m_options.lendsAcrossDataCentres))
                     peers.push_back(other->id);
             }
             if (host->isAlive)
@@ -262,7 +265,8 @@
         for (std::size_t to = 0; to < m_hosts.size(); ++to) {
             if (m_hosts[to]->id != message.to || !m_hosts[to]->isAlive || happens(m_options.lostMessage))
                 continue;
-            const Duration delay = happens(m_options.lateMessage) ? randomTime(500'000'000) : randomTime(1'000'000);
+            const Duration usual(m_options.lendsAcrossDataCentres ? 3'000'000 : 1'000'000);
+            const Duration delay = randomTime(happens(m_options.lateMessage) ? 500'000'000 : usual.count());
             deliver(m_now + delay, from, to, message.message, false);
             if (happens(m_options.duplicateMessage))
                 deliver(m_now + delay + randomTime(200'000'000), from, to, message.message, true);
