Add a measurement of the cost of rate shares by hosts and accounts

Cause: the design allows 50 writes a second for the fleet and 1.5 KB a second for each host at 400 hosts.

--- a/tests/shares/FleetSimulation.h
+++ b/tests/shares/FleetSimulation.h
@@ -4,6 +4,7 @@
 
 #include <catkinwell/core/RandomGenerator.h>
 #include <catkinwell/shares/ShareManager.h>
+#include <ctime>
 #include <functional>
 #include <map>
 #include <memory>
@@ -28,6 +29,7 @@
     bool ignoresLeaseEnd = false;
     bool creditsDuplicateLoans = false;
     bool startsFull = false;
+    bool measuresTime = false;
 };
 
 // Runs several ShareManagers against a small store with faults, in simulated time, and records admissions.
@@ -60,7 +62,8 @@
     bool isAlive(std::size_t host) const { return m_hosts[host]->isAlive; }
     ShareManager& manager(std::size_t host) { return *m_hosts[host]->manager; }
 
-    std::size_t addHost(int dataCentre, const std::string& name)
+    // With update = false the caller must call updatePeers() afterwards.
+    std::size_t addHost(int dataCentre, const std::string& name, bool update = true)
     {
         auto host = std::make_unique<Host>();
         host->id = HostId(name);
@@ -70,7 +73,9 @@
         host->isAlive = true;
         m_hosts.push_back(std::move(host));
         const std::size_t index = m_hosts.size() - 1;
-        updatePeers();
+        m_indexes[HostId(name)] = index;
+        if (update)
+            updatePeers();
         configureHost(index);
         at(m_now + randomTime(20'000'000), index, [this, index] { tickHost(index); });
         at(m_now, index, [this, index] { keepLease(index); });
@@ -106,7 +111,8 @@
         Host& host = *m_hosts[index];
         m_requests[request.value] = { index, account, tokens, 0 };
         EffectList effects;
-        const ShareResult result = host.manager->reserve(request, account, tokens, m_now + patience, m_now, effects);
+        ShareResult result;
+        measure([&] { result = host.manager->reserve(request, account, tokens, m_now + patience, m_now, effects); });
         execute(index, std::move(effects));
         decide(request, result);
         return request;
@@ -117,7 +123,7 @@
         const Request& entry = m_requests.at(request.value);
         if (!m_hosts[entry.host]->isAlive || m_hosts[entry.host]->pausedUntil > m_now)
             return;
-        m_hosts[entry.host]->manager->settle(request, used, m_now);
+        measure([&] { m_hosts[entry.host]->manager->settle(request, used, m_now); });
         m_record[entry.account][entry.index].tokens = std::min(used, entry.tokens);
     }
 
@@ -140,6 +146,26 @@
         m_now = std::max(m_now, end);
     }
 
+    // Processor time spent inside the managers, if the options ask for it.
+    Duration managerTime {};
+
+    void updatePeers()
+    {
+        std::size_t live = 0;
+        for (const auto& host : m_hosts)
+            live += host->isAlive ? 1 : 0;
+        for (const auto& host : m_hosts) {
+            std::vector<HostId> peers;
+            for (const auto& other : m_hosts) {
+                if (other->isAlive && other != host
+                    && (other->dataCentre == host->dataCentre || m_options.lendsAcrossDataCentres))
+                    peers.push_back(other->id);
+            }
+            if (host->isAlive)
+                host->manager->setPeers(std::move(peers), live, m_now);
+        }
+    }
+
 private:
     static constexpr std::size_t noHost = ~std::size_t { 0 };
     static constexpr Duration ttl = std::chrono::seconds(10);
@@ -180,24 +206,21 @@
     {
         return Duration(m_random.below(static_cast<std::uint64_t>(std::max<std::int64_t>(1, nanoseconds))));
     }
-    bool happens(double probability) { return probability > 0 && m_random.unit() < probability; }
-
-    void updatePeers()
+    template <typename Call> void measure(const Call& call)
     {
-        std::size_t live = 0;
-        for (const auto& host : m_hosts)
-            live += host->isAlive ? 1 : 0;
-        for (const auto& host : m_hosts) {
-            std::vector<HostId> peers;
-            for (const auto& other : m_hosts) {
-                if (other->isAlive && other != host
-                    && (other->dataCentre == host->dataCentre || m_options.lendsAcrossDataCentres))
-                    peers.push_back(other->id);
-            }
-            if (host->isAlive)
-                host->manager->setPeers(std::move(peers), live, m_now);
+        if (!m_options.measuresTime) {
+            call();
+            return;
         }
+        timespec before {};
+        timespec after {};
+        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &before);
+        call();
+        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &after);
+        managerTime += std::chrono::seconds(after.tv_sec - before.tv_sec)
+            + std::chrono::nanoseconds(after.tv_nsec - before.tv_nsec);
     }
+    bool happens(double probability) { return probability > 0 && m_random.unit() < probability; }
 
     void configureHost(std::size_t index)
     {
@@ -210,7 +233,7 @@
     {
         Host& host = *m_hosts[index];
         EffectList effects;
-        host.manager->tick(m_now, effects);
+        measure([&] { host.manager->tick(m_now, effects); });
         execute(index, std::move(effects));
         if (host.isStopping && host.manager->isReleased()) {
             crash(index);
@@ -262,15 +285,14 @@
     void sendMessage(std::size_t from, const SendToPeer& message)
     {
         ++m_counters.messages;
-        for (std::size_t to = 0; to < m_hosts.size(); ++to) {
-            if (m_hosts[to]->id != message.to || !m_hosts[to]->isAlive || happens(m_options.lostMessage))
-                continue;
-            const Duration usual(m_options.lendsAcrossDataCentres ? 3'000'000 : 1'000'000);
-            const Duration delay = randomTime(happens(m_options.lateMessage) ? 500'000'000 : usual.count());
-            deliver(m_now + delay, from, to, message.message, false);
-            if (happens(m_options.duplicateMessage))
-                deliver(m_now + delay + randomTime(200'000'000), from, to, message.message, true);
-        }
+        const std::size_t to = m_indexes.at(message.to);
+        if (!m_hosts[to]->isAlive || happens(m_options.lostMessage))
+            return;
+        const Duration usual(m_options.lendsAcrossDataCentres ? 3'000'000 : 1'000'000);
+        const Duration delay = randomTime(happens(m_options.lateMessage) ? 500'000'000 : usual.count());
+        deliver(m_now + delay, from, to, message.message, false);
+        if (happens(m_options.duplicateMessage))
+            deliver(m_now + delay + randomTime(200'000'000), from, to, message.message, true);
     }
 
     void deliver(MonotonicTime time, std::size_t from, std::size_t to, const PeerMessage& message, bool isDuplicate)
@@ -322,7 +344,7 @@
                 return;
             }
             EffectList effects;
-            m_hosts[index]->manager->handle(reply, m_now, effects);
+            measure([&] { m_hosts[index]->manager->handle(reply, m_now, effects); });
             execute(index, std::move(effects));
         });
     }
@@ -400,6 +422,7 @@
     std::priority_queue<Item> m_queue;
     std::uint64_t m_order = 0;
     std::vector<std::unique_ptr<Host>> m_hosts;
+    std::map<HostId, std::size_t> m_indexes;
     std::map<AccountId, ClientAccount> m_accounts;
     std::map<std::string, StoreEntry> m_values;
     std::map<LeaseId, MonotonicTime> m_leases;
