Hold unused capacity sooner in large and many-account fleets

Cause: with 4 hosts and 50 accounts one account's hosts held less than 90% of its rate after 600 s, because aims rest on published demands that were old; at a start of many hosts early ones left room for all that had not registered yet. Change: hosts divide what the aims leave unassigned; room is left for at most 25 unregistered hosts; fewer loan messages from 16 to 80 hosts. ShareSlopes prints the time until 90% of every account's rate is held.

--- a/experiments/ShareSlopes.cpp
+++ b/experiments/ShareSlopes.cpp
@@ -1,5 +1,6 @@
-// Measures what rate shares cost at different numbers of hosts and accounts: store calls of the whole fleet,
-// and for each host bytes and processor time a second, with a least-squares fit over hosts and accounts.
+// Measures what rate shares cost at different numbers of hosts and accounts: the time from a start of all hosts
+// at once until 90% of every account's rate is held, store calls of the whole fleet, and for each host bytes and
+// processor time a second, with a least-squares fit over hosts and accounts.
 // Each host serves 20 requests a second, with its own favourite accounts that change now and then.
 #include "../tests/shares/FleetSimulation.h"
 
@@ -23,11 +24,11 @@
 struct Sample {
     double hosts = 0;
     double accounts = 0;
-    std::array<double, 7> values {};
+    std::array<double, 8> values {};
 };
 
-constexpr std::array<const char*, 7> columns { "writes/s", "reads/s", "lease reads/s", "value KB", "bytes/s/host",
-    "us cpu/s/host", "refused %" };
+constexpr std::array<const char*, 8> columns { "start s", "writes/s", "reads/s", "lease reads/s", "value KB",
+    "bytes/s/host", "us cpu/s/host", "refused %" };
 
 class Load {
 public:
@@ -59,6 +60,10 @@
     {
         // Long enough for every host to register for every account within the write budget.
         const double warmUp = 60 + 1.3 * static_cast<double>(m_hosts * m_accounts) / 50;
+        const MonotonicTime start = m_fleet.now();
+        while (heldPart() < 0.9 && m_fleet.now() < start + 10min)
+            serve(500ms, requestsPerHost);
+        const double startSeconds = std::chrono::duration<double>(m_fleet.now() - start).count();
         serve(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(warmUp)), requestsPerHost / 10);
         serve(20s, requestsPerHost);
         const FleetSimulation::Counters before = m_fleet.counters();
@@ -77,7 +82,7 @@
         const double hosts = static_cast<double>(m_hosts);
         const double time = std::chrono::duration<double, std::micro>(m_fleet.managerTime - timeBefore).count();
         return { hosts, static_cast<double>(m_accounts),
-            { writes, reads, leaseReads, static_cast<double>(after.maxValueBytes) / 1000, bytes / hosts,
+            { startSeconds, writes, reads, leaseReads, static_cast<double>(after.maxValueBytes) / 1000, bytes / hosts,
                 time / seconds / hosts,
                 100.0 * static_cast<double>(m_refused) / static_cast<double>(m_granted + m_refused) } };
     }
@@ -91,6 +96,20 @@
         return options;
     }
 
+    // The part of an account's rate that the hosts hold together, for the account that has the least.
+    double heldPart()
+    {
+        std::map<AccountId, double> held;
+        for (std::size_t i = 0; i < m_hosts; ++i) {
+            for (const ShareStatus& status : m_fleet.manager(i).status(m_fleet.now()))
+                held[status.account] += status.floatingPpm + status.standingPpm;
+        }
+        double least = 1e6;
+        for (const auto& [account, ppm] : held)
+            least = std::min(least, ppm);
+        return held.empty() ? 0 : least / 1e6;
+    }
+
     void serve(Duration time, double perHost)
     {
         const MonotonicTime end = m_fleet.now() + time;
--- a/src/shares/LoanDesk.cpp
+++ b/src/shares/LoanDesk.cpp
@@ -9,8 +9,8 @@
 
     // Peers asked in one round; with answers within 2 ms they fit into the window many times over.
     constexpr std::size_t maxQuestions = 6;
-    // Two messages a second each way of about 150 bytes take 0.6 KB/s at 400 hosts; smaller fleets may send more.
-    constexpr double messageBudget = 800;
+    // Two questions and two answers a second of about 150 bytes take 0.6 KB/s; fleets below 80 hosts may send more.
+    constexpr double messageBudget = 160;
     constexpr double fewestMessages = 2;
     constexpr double mostMessages = 40;
     constexpr double messageBurst = 40;
--- a/src/shares/PiecePlan.cpp
+++ b/src/shares/PiecePlan.cpp
@@ -16,6 +16,10 @@
     // A change of the published demand is worth a write from 6 steps of 5% (a third) on.
     constexpr int wantSteps = 6;
 
+    // Hosts without an entry that are left room for. A larger fleet needs longer to register within its
+    // write budget, and until then the first hosts hold more than their part, so that the rate is not unused.
+    constexpr std::uint32_t maxExpectedHosts = 25;
+
     class Planner {
     public:
         Planner(const PieceTable& table, const PlanInput& input)
@@ -98,7 +102,8 @@
             }
             // Hosts that have no entry yet are assumed to need as much as this one.
             m_missing = m_input.liveHosts - std::min(m_input.liveHosts, m_liveHolders);
-            m_weightSum = weights + m_missing * m_weights[m_own];
+            m_expected = std::min(m_missing, maxExpectedHosts);
+            m_weightSum = weights + m_expected * m_weights[m_own];
         }
 
         void planStanding()
@@ -128,7 +133,7 @@
         {
             if (m_weightSum >= totalUnits)
                 return totalUnits * m_weights[index] / m_weightSum;
-            return m_weights[index] + (totalUnits - m_weightSum) / (m_liveHolders + m_missing);
+            return m_weights[index] + (totalUnits - m_weightSum) / (m_liveHolders + m_expected);
         }
 
         void planFloating()
@@ -140,7 +145,10 @@
             const auto aim = static_cast<std::uint32_t>(std::max(0.0, aimOf(m_own) - own().standing));
             // Unassigned units beyond the aim are used as far as demand needs them, half of the rest at a time.
             const auto wanted = static_cast<std::uint32_t>(std::max(0.0, m_input.want - own().standing));
-            const std::uint32_t desired = std::max(aim, std::min(wanted, held + pool / 2));
+            std::uint32_t desired = std::max(aim, std::min(wanted, held + pool / 2));
+            // Aims rest on published demands that may be old, so they can leave units to nobody; those fill no bucket.
+            if (m_missing == 0 && pool > total / 20)
+                desired = std::max(desired, held + pool / m_liveHolders);
             if (desired > held && pool > 0) {
                 const std::uint32_t gain = std::min(pool, desired - held);
                 if (gain > held / 20 || m_input.waiting)
@@ -191,6 +199,7 @@
         double m_weightSum = 0;
         std::uint32_t m_liveHolders = 0;
         std::uint32_t m_missing = 0;
+        std::uint32_t m_expected = 0;
     };
 
 } // namespace
--- a/tests/shares/FleetSimulation.h
+++ b/tests/shares/FleetSimulation.h
@@ -47,8 +47,8 @@
         std::uint64_t maxValueBytes = 0;
     };
 
-    explicit FleetSimulation(SimulationOptions options)
-        : m_options(std::move(options))
+    explicit FleetSimulation(const SimulationOptions& options)
+        : m_options(options)
         , m_random(m_options.seed)
     {
     }
--- a/tests/shares/ShareHistoryTest.cpp
+++ b/tests/shares/ShareHistoryTest.cpp
@@ -35,10 +35,10 @@
 // most requests with less than they reserved, and checks the record.
 class History {
 public:
-    History(const Scenario& scenario, SimulationOptions options)
+    History(const Scenario& scenario, const SimulationOptions& options)
         : m_scenario(scenario)
         , m_random(scenario.seed)
-        , m_fleet(prepare(scenario, std::move(options)))
+        , m_fleet(prepare(scenario, options))
     {
     }
 
@@ -175,14 +175,17 @@
 // Guards against any combination of faults in which all hosts together admit more than rate × time + burst.
 TEST_CASE("The window bound holds over all hosts")
 {
+    // A longer search sets the number of histories of each scenario, and prints their excess.
+    const char* repeats = std::getenv("CATKINWELL_HISTORIES");
+    const int histories = repeats == nullptr ? 12 : std::atoi(repeats);
     for (Scenario scenario : scenarios) {
-        for (int repeat = 0; repeat < 12; ++repeat, scenario.seed += 100) {
+        for (int repeat = 0; repeat < histories; ++repeat, scenario.seed += 100) {
             const Outcome outcome = History(scenario, {}).run();
             INFO(scenario.name << ", seed " << scenario.seed << ": " << outcome.admitted << " admitted, utilisation "
                                << outcome.utilisation);
             CHECK(outcome.excess <= 0);
             CHECK(outcome.admitted > 50);
-            if (std::getenv("CATKINWELL_SHOW_HISTORIES") != nullptr)
+            if (repeats != nullptr)
                 WARN(scenario.name << " seed " << scenario.seed << " excess " << outcome.excess << " utilisation "
                                    << outcome.utilisation);
         }
--- a/tests/shares/ShareManagerTest.cpp
+++ b/tests/shares/ShareManagerTest.cpp
@@ -11,8 +11,8 @@
 const MonotonicTime start { 1h };
 
 struct Fleet {
-    explicit Fleet(int hosts, int dataCentres = 3, SimulationOptions options = {})
-        : simulation(std::move(options))
+    explicit Fleet(int hosts, int dataCentres = 3, const SimulationOptions& options = {})
+        : simulation(options)
     {
         simulation.configure(settings, 0s);
         for (int i = 0; i < hosts; ++i)
