--- /dev/null
+++ b/src/routing/CrashQuarantine.cpp
@@ -0,0 +1,212 @@
+#include <catkinwell/routing/CrashQuarantine.h>
+
+#include <algorithm>
+#include <map>
+
+namespace Catkinwell {
+
+namespace {
+
+    constexpr std::uint32_t crashesWhenAlone = 2;
+    constexpr std::uint32_t crashesInAnyCase = 3;
+    // More failed attempts than this on one endpoint within the window are not remembered.
+    constexpr std::size_t maximumFailures = 1024;
+
+} // namespace
+
+CrashQuarantine::CrashQuarantine(CrashQuarantineSettings settings)
+    : m_settings(settings)
+{
+}
+
+void CrashQuarantine::attemptStarted(const EndpointId& endpoint, RequestFingerprint fingerprint)
+{
+    m_running[endpoint].insert(fingerprint);
+}
+
+void CrashQuarantine::attemptEnded(
+    const EndpointId& endpoint, RequestFingerprint fingerprint, bool clean, MonotonicTime now)
+{
+    const auto running = m_running.find(endpoint);
+    if (running == m_running.end())
+        return;
+    const auto attempt = running->second.find(fingerprint);
+    if (attempt == running->second.end())
+        return;
+    running->second.erase(attempt);
+    if (running->second.empty())
+        m_running.erase(running);
+    if (clean)
+        return clear(fingerprint, true, now);
+    auto& failures = m_failures[endpoint];
+    failures.push_back({ fingerprint, now });
+    if (failures.size() > maximumFailures)
+        failures.pop_front();
+    expire(now);
+}
+
+void CrashQuarantine::endpointDied(const EndpointId& endpoint, MonotonicTime now)
+{
+    expire(now);
+    Crash crash { {}, now };
+    if (const auto running = m_running.find(endpoint); running != m_running.end()) {
+        crash.open.insert(running->second.begin(), running->second.end());
+        m_running.erase(running);
+    }
+    if (const auto failures = m_failures.find(endpoint); failures != m_failures.end()) {
+        for (const auto& failure : failures->second)
+            crash.open.insert(failure.fingerprint);
+        m_failures.erase(failures);
+    }
+    if (crash.open.empty())
+        return;
+    for (const auto fingerprint : crash.open) {
+        Suspect& suspect = charge(fingerprint, now);
+        ++suspect.crashes;
+        suspect.wasClearedHere = false;
+        suspect.wasAlone = suspect.wasAlone || crash.open.size() == 1;
+        noteIfRefused(fingerprint);
+    }
+    m_crashes.push_back(std::move(crash));
+    if (m_crashes.size() > m_settings.maximumCrashes)
+        m_crashes.pop_front();
+}
+
+std::uint32_t CrashQuarantine::crashesOf(const Suspect& suspect)
+{
+    std::uint32_t crashes = suspect.crashes;
+    for (const auto& [host, count] : suspect.peers)
+        crashes += count.said > count.cleared ? count.said - count.cleared : 0;
+    return crashes;
+}
+
+bool CrashQuarantine::isRefused(const Suspect& suspect)
+{
+    const auto crashes = crashesOf(suspect);
+    return crashes >= crashesInAnyCase || (crashes >= crashesWhenAlone && suspect.wasAlone);
+}
+
+bool CrashQuarantine::isRefused(RequestFingerprint fingerprint, MonotonicTime now) const
+{
+    const auto suspect = m_suspects.find(fingerprint);
+    return suspect != m_suspects.end() && now - suspect->second.chargedAt < m_settings.memory
+        && isRefused(suspect->second);
+}
+
+CrashQuarantine::Suspect& CrashQuarantine::charge(RequestFingerprint fingerprint, MonotonicTime now)
+{
+    if (!m_suspects.contains(fingerprint) && m_suspects.size() >= m_settings.maximumFingerprints) {
+        // One that is not refused goes first, then the one that was charged longest ago.
+        m_suspects.erase(
+            std::min_element(m_suspects.begin(), m_suspects.end(), [](const auto& left, const auto& right) {
+                return std::pair(isRefused(left.second), left.second.chargedAt)
+                    < std::pair(isRefused(right.second), right.second.chargedAt);
+            }));
+    }
+    Suspect& suspect = m_suspects[fingerprint];
+    suspect.chargedAt = now;
+    return suspect;
+}
+
+// The fingerprint ran without a crash, so the crashes in which it took part were caused by the others.
+void CrashQuarantine::clear(RequestFingerprint fingerprint, bool isOwnFinding, MonotonicTime now)
+{
+    const auto cleared = m_suspects.find(fingerprint);
+    if (cleared == m_suspects.end())
+        return;
+    Suspect& suspect = cleared->second;
+    suspect.crashes = 0;
+    suspect.wasAlone = false;
+    suspect.wasRefused = false;
+    suspect.wasClearedHere = isOwnFinding;
+    for (auto& [host, count] : suspect.peers)
+        count.cleared = count.said;
+    // Kept until it expires, so that peers learn of it.
+    suspect.chargedAt = now;
+    for (auto& crash : m_crashes) {
+        if (crash.open.erase(fingerprint) == 0 || crash.open.size() != 1)
+            continue;
+        const auto last = m_suspects.find(*crash.open.begin());
+        if (last == m_suspects.end())
+            continue;
+        last->second.wasAlone = true;
+        noteIfRefused(last->first);
+    }
+}
+
+void CrashQuarantine::noteIfRefused(RequestFingerprint fingerprint)
+{
+    Suspect& suspect = m_suspects.at(fingerprint);
+    if (suspect.wasRefused || !isRefused(suspect))
+        return;
+    suspect.wasRefused = true;
+    m_newlyRefused.push_back(fingerprint);
+}
+
+void CrashQuarantine::release(RequestFingerprint fingerprint)
+{
+    const auto suspect = m_suspects.find(fingerprint);
+    if (suspect != m_suspects.end())
+        clear(fingerprint, true, suspect->second.chargedAt);
+}
+
+void CrashQuarantine::expire(MonotonicTime now)
+{
+    std::erase_if(m_suspects, [&](const auto& item) { return now - item.second.chargedAt >= m_settings.memory; });
+    while (!m_crashes.empty() && now - m_crashes.front().at >= m_settings.memory)
+        m_crashes.pop_front();
+    for (auto item = m_failures.begin(); item != m_failures.end();) {
+        auto& failures = item->second;
+        while (!failures.empty() && now - failures.front().at >= m_settings.failureWindow)
+            failures.pop_front();
+        item = failures.empty() ? m_failures.erase(item) : std::next(item);
+    }
+}
+
+std::vector<std::pair<RequestFingerprint, std::uint32_t>> CrashQuarantine::shareWithPeers(MonotonicTime now)
+{
+    expire(now);
+    std::map<RequestFingerprint, std::uint32_t> all;
+    for (const auto& [fingerprint, suspect] : m_suspects) {
+        // What only peers said is theirs to share.
+        if (suspect.crashes > 0 || suspect.wasClearedHere)
+            all.emplace(fingerprint, suspect.crashes);
+    }
+    std::vector<std::pair<RequestFingerprint, std::uint32_t>> shared;
+    auto next = all.upper_bound(m_lastShared);
+    while (shared.size() < std::min(m_settings.maximumShared, all.size())) {
+        if (next == all.end())
+            next = all.begin();
+        shared.push_back(*next);
+        m_lastShared = next->first;
+        ++next;
+    }
+    return shared;
+}
+
+void CrashQuarantine::merge(
+    const HostId& from, const std::vector<std::pair<RequestFingerprint, std::uint32_t>>& suspects, MonotonicTime now)
+{
+    expire(now);
+    for (const auto& [fingerprint, crashes] : suspects) {
+        const auto known = m_suspects.find(fingerprint);
+        if (known == m_suspects.end() && crashes == 0)
+            continue;
+        if (known != m_suspects.end()) {
+            // Only news counts; otherwise hosts would renew a charge among themselves.
+            const auto count = known->second.peers.find(from);
+            if (count != known->second.peers.end() && count->second.said == crashes)
+                continue;
+        }
+        // It ran without a crash on the peer after the crashes that are known here.
+        if (crashes == 0)
+            clear(fingerprint, false, now);
+        Suspect& suspect = charge(fingerprint, now);
+        auto& count = suspect.peers[from];
+        count.said = crashes;
+        count.cleared = std::min(count.cleared, crashes);
+        noteIfRefused(fingerprint);
+    }
+}
+
+} // namespace Catkinwell
