--- a/include/catkinwell/orders/ClaimManager.h
+++ b/include/catkinwell/orders/ClaimManager.h
@@ -36,6 +36,8 @@
     std::uint32_t shardCount = 64;
     // Claims of one shard that arrive within this time share one write.
     Duration groupingWindow = std::chrono::milliseconds(5);
+    // Claims and outcomes in one write; bounds the time that one write takes.
+    std::uint32_t maximumUpdatesPerWrite = 256;
     // Sends claims to the shard's preferred host, so that one host's writes carry them.
     bool forwarding = true;
     // After this time without an answer the claim is written by this host itself.
--- a/src/orders/ClaimShard.cpp
+++ b/src/orders/ClaimShard.cpp
@@ -252,10 +252,12 @@
     });
 }
 
-bool ClaimShard::collectSettlements(ShardValue::Changes& changes) const
+bool ClaimShard::collectSettlements(const ClaimContext& context, ShardValue::Changes& changes) const
 {
     bool mustWrite = false;
     for (const auto& [nonce, claim] : m_claims) {
+        if (changes.size() >= context.settings.maximumUpdatesPerWrite)
+            break;
         const auto entry = m_value->find(claim.entry.key);
         const bool isOurs = isOwnedBy(entry, claim);
         if (claim.phase == ClaimPhase::Withdrawing) {
@@ -280,7 +282,10 @@
         const auto change = changes.find(key);
         return change == changes.end() ? isVacant(m_value->find(key), context) : !change->second;
     };
+    const auto isFull = [&] { return changes.size() >= context.settings.maximumUpdatesPerWrite; };
     for (auto& [nonce, claim] : m_claims) {
+        if (isFull())
+            return;
         if (!isInLine(claim) || !isFree(claim.entry.key))
             continue;
         changes[claim.entry.key] = claim.entry;
@@ -289,7 +294,7 @@
         claim.lastBase = std::max(claim.lastBase.value_or(0), *m_version);
     }
     for (auto& foreign : m_foreign) {
-        if (isFree(foreign.entry.key))
+        if (!isFull() && isFree(foreign.entry.key))
             changes[foreign.entry.key] = foreign.entry;
     }
 }
@@ -308,7 +313,7 @@
     if (!mayWrite || context.now - m_lastWriteAt < context.settings.groupingWindow)
         return step;
     ShardValue::Changes changes;
-    const bool mustWrite = collectSettlements(changes);
+    const bool mustWrite = collectSettlements(context, changes);
     const ShardValue::Changes settlements = changes;
     std::vector<std::uint64_t> firstTime;
     collectClaims(context, changes, firstTime);
--- a/src/orders/ClaimShard.h
+++ b/src/orders/ClaimShard.h
@@ -171,7 +171,7 @@
     // Returns whether the claim may be forgotten because no write that contains it can exist.
     bool turnBack(OwnClaim&, MonotonicTime now);
     void reconcileForeign(const ClaimContext&, std::vector<ClaimNotice>&);
-    bool collectSettlements(ShardValue::Changes&) const;
+    bool collectSettlements(const ClaimContext&, ShardValue::Changes&) const;
     void collectClaims(const ClaimContext&, ShardValue::Changes&, std::vector<std::uint64_t>& firstTime);
     bool isInLine(const OwnClaim&) const;
     std::vector<ClaimNotice> refuseInLine(const ClaimContext&, NotRunReason);
