--- a/include/catkinwell/orders/ClaimManager.h
+++ b/include/catkinwell/orders/ClaimManager.h
@@ -36,6 +36,8 @@
     std::uint32_t shardCount = 64;
     // Claims of one shard that arrive within this time share one write.
     Duration groupingWindow = std::chrono::milliseconds(5);
+    // Claims and outcomes in one write; bounds the time that one write takes.
+    std::uint32_t maximumUpdatesPerWrite = 256;
     // Sends claims to the shard's preferred host, so that one host's writes carry them.
     bool forwarding = true;
     // After this time without an answer the claim is written by this host itself.
@@ -169,7 +171,7 @@
     void dropIdleValues(const ClaimContext&);
 
     ClaimSettings m_settings;
-    std::map<HostId, Incarnation> m_live;
+    std::unordered_map<HostId, Incarnation> m_live;
     RandomGenerator m_random;
     StoreCallIds m_callIds { StoreUser::Orders };
     std::vector<std::unique_ptr<ClaimShard>> m_shards;
@@ -184,7 +186,7 @@
     std::vector<std::string> m_expiredValues;
     std::unordered_map<StoreCallId, std::string> m_expiredReads;
     std::vector<ClaimDecision> m_decisions;
-    std::map<HostId, MonotonicTime> m_forwardAgainAt;
+    std::unordered_map<HostId, MonotonicTime> m_forwardAgainAt;
     double m_writeTokens = 0;
     MonotonicTime m_tokensAt {};
     unsigned m_failures = 0;
--- a/src/orders/ClaimShard.h
+++ b/src/orders/ClaimShard.h
@@ -11,7 +11,7 @@
 // What a shard needs to know of its surroundings for one step.
 struct ClaimContext {
     const ClaimSettings& settings;
-    const std::map<HostId, Incarnation>& live;
+    const std::unordered_map<HostId, Incarnation>& live;
     MonotonicTime now;
     // Entries that were claimed earlier count as absent.
     std::uint32_t expireBefore = 0;
@@ -171,7 +171,7 @@
     // Returns whether the claim may be forgotten because no write that contains it can exist.
     bool turnBack(OwnClaim&, MonotonicTime now);
     void reconcileForeign(const ClaimContext&, std::vector<ClaimNotice>&);
-    bool collectSettlements(ShardValue::Changes&) const;
+    bool collectSettlements(const ClaimContext&, ShardValue::Changes&) const;
     void collectClaims(const ClaimContext&, ShardValue::Changes&, std::vector<std::uint64_t>& firstTime);
     bool isInLine(const OwnClaim&) const;
     std::vector<ClaimNotice> refuseInLine(const ClaimContext&, NotRunReason);
