Add PeerTransport, PeerCodec and PeerAuthenticator

Cause: hosts exchange messages over a network that may lose, repeat, reorder or forge them, and a peer that hangs must not block the loop. Change: nng pull listener polled through its receive descriptor, one push dialer for each peer with a bounded buffer; connections are replaced after 120 s or 3 s of refusals. CBOR nesting is bounded before a document is built.

--- a/include/catkinwell/configuration/RetryBackoff.h
+++ b/include/catkinwell/configuration/RetryBackoff.h
@@ -21,7 +21,7 @@
     {
         const Duration full = std::min(m_maximum, m_first * (std::int64_t { 1 } << std::min(m_failures, 20U)));
         ++m_failures;
-        return full / 2 + Duration(static_cast<Duration::rep>(random.unit() * static_cast<double>(full.count() / 2)));
+        return Duration(static_cast<Duration::rep>((0.5 + 0.5 * random.unit()) * static_cast<double>(full.count())));
     }
     void reset() { m_failures = 0; }
     // The number of failures since the last success.
--- /dev/null
+++ b/src/peer/PeerCodec.cpp
@@ -0,0 +1,342 @@
+#include <catkinwell/peer/PeerCodec.h>
+
+#include <nlohmann/json.hpp>
+
+namespace Catkinwell {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr std::size_t maximumDepth = 8;
+    constexpr std::size_t maximumNameBytes = 256;
+    constexpr std::size_t maximumTextBytes = maximumPeerFrameBytes;
+    constexpr std::size_t maximumListEntries = 10000;
+    constexpr std::size_t digestKeyDigits = 64;
+
+    // Puts the fields of a message into a JSON object.
+    class FieldWriter {
+    public:
+        void operator()(const char* name, std::uint64_t value) { m_object[name] = value; }
+        void operator()(const char* name, std::uint32_t value) { m_object[name] = value; }
+        void operator()(const char* name, TokenCount value) { m_object[name] = value; }
+        void operator()(const char* name, const std::string& value) { m_object[name] = Json::binary(bytesOf(value)); }
+        template <typename Tag> void operator()(const char* name, const Identifier<Tag, std::string>& value)
+        {
+            (*this)(name, value.value);
+        }
+        void operator()(const char* name, const std::vector<std::string>& list)
+        {
+            Json& target = m_object[name] = Json::array();
+            for (const auto& text : list)
+                target.push_back(Json::binary(bytesOf(text)));
+        }
+        void operator()(const char* name, const std::vector<DigestEntry>& list)
+        {
+            Json& target = m_object[name] = Json::array();
+            for (const auto& entry : list)
+                target.push_back({ Json::binary(bytesOf(entry.host.value)), entry.incarnation, entry.heartbeat,
+                    static_cast<std::uint8_t>(entry.state) });
+        }
+        void operator()(const char* name, const std::vector<std::pair<std::uint64_t, std::uint32_t>>& list)
+        {
+            Json& target = m_object[name] = Json::array();
+            for (const auto& [fingerprint, crashes] : list)
+                target.push_back(Json::array({ fingerprint, crashes }));
+        }
+        template <typename Value> void optional(const char* name, const Value& value) { (*this)(name, value); }
+        Json takeObject() { return std::move(m_object); }
+
+    private:
+        static std::vector<std::uint8_t> bytesOf(const std::string& text) { return { text.begin(), text.end() }; }
+
+        Json m_object = Json::object();
+    };
+
+    // Takes the fields of a message from a JSON object and keeps the first error.
+    class FieldReader {
+    public:
+        explicit FieldReader(const Json& object)
+            : m_object(object)
+        {
+        }
+
+        template <typename Value> void operator()(const char* name, Value& value)
+        {
+            const auto found = m_object.find(name);
+            if (found == m_object.end())
+                fail(name, "is missing");
+            else
+                read(name, *found, value);
+        }
+        // A field that older versions do not send.
+        template <typename Value> void optional(const char* name, Value& value)
+        {
+            const auto found = m_object.find(name);
+            if (found != m_object.end())
+                read(name, *found, value);
+        }
+        const std::string& error() const { return m_error; }
+
+    private:
+        void fail(const char* name, const std::string& detail)
+        {
+            if (m_error.empty())
+                m_error = "the field \"" + std::string(name) + "\" " + detail;
+        }
+        void read(const char* name, const Json& found, std::uint64_t& value)
+        {
+            if (!found.is_number_unsigned())
+                return fail(name, "is not an unsigned integer");
+            value = found.get<std::uint64_t>();
+        }
+        void read(const char* name, const Json& found, std::uint32_t& value)
+        {
+            std::uint64_t wide = 0;
+            read(name, found, wide);
+            if (wide > std::numeric_limits<std::uint32_t>::max())
+                return fail(name, "exceeds 32 bits");
+            value = static_cast<std::uint32_t>(wide);
+        }
+        void read(const char* name, const Json& found, TokenCount& value)
+        {
+            // No message carries negative tokens.
+            std::uint64_t wide = 0;
+            read(name, found, wide);
+            if (wide > static_cast<std::uint64_t>(std::numeric_limits<TokenCount>::max()))
+                return fail(name, "exceeds 63 bits");
+            value = static_cast<TokenCount>(wide);
+        }
+        void read(const char* name, const Json& found, std::string& value, std::size_t limit = maximumTextBytes)
+        {
+            if (!found.is_binary() || found.get_binary().size() > limit)
+                return fail(name, "is not a byte string of at most " + std::to_string(limit) + " bytes");
+            value.assign(found.get_binary().begin(), found.get_binary().end());
+        }
+        template <typename Tag> void read(const char* name, const Json& found, Identifier<Tag, std::string>& value)
+        {
+            read(name, found, value.value, maximumNameBytes);
+        }
+        template <typename Entry> void read(const char* name, const Json& found, std::vector<Entry>& list)
+        {
+            if (!found.is_array() || found.size() > maximumListEntries)
+                return fail(name, "is not a list of at most " + std::to_string(maximumListEntries) + " entries");
+            for (const auto& element : found)
+                read(name, element, list.emplace_back());
+        }
+        void read(const char* name, const Json& found, DigestEntry& entry)
+        {
+            if (!found.is_array() || found.size() < 4)
+                return fail(name, "has an entry without host, incarnation, heartbeat and state");
+            read(name, found[0], entry.host);
+            read(name, found[1], entry.incarnation);
+            read(name, found[2], entry.heartbeat);
+            std::uint32_t state = 0;
+            read(name, found[3], state);
+            if (state > static_cast<std::uint32_t>(HostState::Dead))
+                return fail(name, "has an unknown host state");
+            entry.state = static_cast<HostState>(state);
+        }
+        void read(const char* name, const Json& found, std::pair<std::uint64_t, std::uint32_t>& entry)
+        {
+            if (!found.is_array() || found.size() < 2)
+                return fail(name, "has an entry without fingerprint and number");
+            read(name, found[0], entry.first);
+            read(name, found[1], entry.second);
+        }
+
+        const Json& m_object;
+        std::string m_error;
+    };
+
+    // One description of each message serves the writer and the reader. The names are short because a digest
+    // is sent several times a second and must stay below 1 KB.
+    template <typename Archive> void describe(Archive& field, BorrowTokens& message)
+    {
+        field("account", message.account);
+        field("loan", message.loanId);
+        field("tokens", message.tokens);
+    }
+    template <typename Archive> void describe(Archive& field, LendTokens& message)
+    {
+        field("account", message.account);
+        field("loan", message.loanId);
+        field("tokens", message.tokens);
+    }
+    template <typename Archive> void describe(Archive& field, ModelWanted& message)
+    {
+        field("model", message.model);
+        field("waiting", message.waiting);
+        field("running", message.running);
+        field("arrivals", message.arrivalsSinceLast);
+    }
+    template <typename Archive> void describe(Archive& field, PlanAnnounced& message)
+    {
+        field("dc", message.dataCentre);
+        field("version", message.planVersion);
+        field("plan", message.planJson);
+    }
+    template <typename Archive> void describe(Archive& field, ForwardedClaim& message)
+    {
+        field("shard", message.shard);
+        field("ticket", message.ticket);
+        field("entry", message.entryJson);
+    }
+    template <typename Archive> void describe(Archive& field, ForwardedClaimResult& message)
+    {
+        field("ticket", message.ticket);
+        field("status", message.status);
+        field("entry", message.entryJson);
+    }
+    template <typename Archive> void describe(Archive& field, MembershipDigest& message)
+    {
+        field("e", message.entries);
+        field("v", message.configurationVersion);
+        field("k", message.revokedKeys);
+        field("s", message.suspectFingerprints);
+    }
+    template <typename Archive> void describe(Archive& field, ConfigurationRequest& message)
+    {
+        field("have", message.haveVersion);
+        field.optional("parts", message.haveParts);
+    }
+    template <typename Archive> void describe(Archive& field, ConfigurationOffer& message)
+    {
+        field("version", message.version);
+        field("head", message.headJson);
+        field("parts", message.parts);
+    }
+
+    // The names of the message types, in the order of PeerMessage.
+    constexpr std::string_view typeNames[] { "borrow", "lend", "wanted", "plan", "claim", "claimed", "digest",
+        "config?", "config" };
+    static_assert(std::size(typeNames) == std::variant_size_v<PeerMessage>);
+
+    // Stops the parser at deep nesting, which it would follow by recursion, before a document is built.
+    class DepthCheck final : public nlohmann::json_sax<Json> {
+    public:
+        bool null() override { return true; }
+        bool boolean(bool) override { return true; }
+        bool number_integer(number_integer_t) override { return true; }
+        bool number_unsigned(number_unsigned_t) override { return true; }
+        bool number_float(number_float_t, const string_t&) override { return true; }
+        bool string(string_t&) override { return true; }
+        bool binary(binary_t&) override { return true; }
+        bool start_object(std::size_t) override { return ++m_depth <= maximumDepth; }
+        bool key(string_t&) override { return true; }
+        bool end_object() override { return m_depth-- > 0; }
+        bool start_array(std::size_t) override { return ++m_depth <= maximumDepth; }
+        bool end_array() override { return m_depth-- > 0; }
+        bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception&) override { return false; }
+
+    private:
+        std::size_t m_depth = 0;
+    };
+
+    Error messageError(const std::string& detail)
+    {
+        return { ErrorKind::InvalidMessage,
+            "peer message: " + detail + "; check that the hosts run compatible versions" };
+    }
+
+    // The digests of keys travel as 32 bytes instead of 64 digits.
+    std::string packDigits(const std::string& digits)
+    {
+        std::string bytes;
+        for (std::size_t i = 0; i + 1 < digits.size(); i += 2)
+            bytes.push_back(static_cast<char>(std::stoi(digits.substr(i, 2), nullptr, 16)));
+        return bytes;
+    }
+    std::string unpackDigits(const std::string& bytes)
+    {
+        constexpr std::string_view digits = "0123456789abcdef";
+        std::string text;
+        for (const char c : bytes) {
+            text.push_back(digits[static_cast<unsigned char>(c) >> 4]);
+            text.push_back(digits[static_cast<unsigned char>(c) & 0xf]);
+        }
+        return text;
+    }
+    bool isDigits(const std::string& text)
+    {
+        return text.size() == digestKeyDigits && text.find_first_not_of("0123456789abcdef") == std::string::npos;
+    }
+
+    template <typename Message> void pack(Message&) { }
+    void packList(std::vector<std::string>& list)
+    {
+        std::erase_if(list, [](const std::string& text) { return !isDigits(text); });
+        for (auto& text : list)
+            text = packDigits(text);
+    }
+    void pack(MembershipDigest& message) { packList(message.revokedKeys); }
+    void pack(ConfigurationRequest& message) { packList(message.haveParts); }
+
+    template <typename Message> bool unpack(Message&) { return true; }
+    bool unpackList(std::vector<std::string>& list)
+    {
+        for (auto& bytes : list) {
+            if (bytes.size() * 2 != digestKeyDigits)
+                return false;
+            bytes = unpackDigits(bytes);
+        }
+        return true;
+    }
+    bool unpack(MembershipDigest& message) { return unpackList(message.revokedKeys); }
+    bool unpack(ConfigurationRequest& message) { return unpackList(message.haveParts); }
+
+    template <std::size_t index = 0> Result<PeerMessage> readTyped(std::string_view type, const Json& document)
+    {
+        if constexpr (index < std::variant_size_v<PeerMessage>) {
+            if (type != typeNames[index])
+                return readTyped<index + 1>(type, document);
+            std::variant_alternative_t<index, PeerMessage> message;
+            FieldReader reader(document);
+            describe(reader, message);
+            if (!reader.error().empty())
+                return messageError(reader.error());
+            if (!unpack(message))
+                return messageError("a SHA-256 does not have 32 bytes");
+            return PeerMessage(std::move(message));
+        } else {
+            return messageError("the type is unknown");
+        }
+    }
+
+} // namespace
+
+std::string encodePeerMessage(const PeerMessage& message)
+{
+    return std::visit(
+        [&](auto copy) {
+            pack(copy);
+            FieldWriter writer;
+            describe(writer, copy);
+            Json object = writer.takeObject();
+            object["t"] = typeNames[message.index()];
+            std::string bytes;
+            Json::to_cbor(object, bytes);
+            return bytes;
+        },
+        message);
+}
+
+Result<PeerMessage> decodePeerMessage(std::string_view cbor)
+{
+    if (cbor.size() > maximumPeerFrameBytes)
+        return messageError("found " + std::to_string(cbor.size()) + " bytes, expected at most "
+            + std::to_string(maximumPeerFrameBytes));
+    try {
+        DepthCheck check;
+        if (!Json::sax_parse(cbor, &check, Json::input_format_t::cbor))
+            return messageError("not valid CBOR or nested too deeply");
+        const Json document = Json::from_cbor(cbor, true, false);
+        if (!document.is_object() || !document.contains("t") || !document["t"].is_string())
+            return messageError("the type is missing");
+        return readTyped(document["t"].get_ref<const std::string&>(), document);
+    } catch (const Json::exception& failure) {
+        return messageError(failure.what());
+    }
+}
+
+} // namespace Catkinwell
--- /dev/null
+++ b/src/peer/PushConnection.cpp
@@ -0,0 +1,66 @@
+#include "PushConnection.h"
+
+#include <nng/protocol/pipeline0/push.h>
+
+namespace Catkinwell {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr nng_duration shortestRedialMilliseconds = 100;
+    constexpr nng_duration longestRedialMilliseconds = 3000;
+    // An established connection can stop carrying data without an error, so none is kept for long.
+    constexpr Duration longestLife = 120s;
+    // Closing discards what nng still buffers; after this pause an intact connection has sent everything.
+    constexpr Duration quietBeforeClose = 1s;
+    constexpr Duration longestFull = 3s;
+
+} // namespace
+
+std::unique_ptr<PushConnection> PushConnection::open(
+    const std::string& address, int sendBufferMessages, MonotonicTime now)
+{
+    nng_socket socket = NNG_SOCKET_INITIALIZER;
+    if (nng_push0_open(&socket) != 0)
+        return nullptr;
+    std::unique_ptr<PushConnection> connection(new PushConnection(socket, now));
+    const bool ready = nng_socket_set_int(socket, NNG_OPT_SENDBUF, sendBufferMessages) == 0
+        && nng_socket_set_ms(socket, NNG_OPT_RECONNMINT, shortestRedialMilliseconds) == 0
+        && nng_socket_set_ms(socket, NNG_OPT_RECONNMAXT, longestRedialMilliseconds) == 0
+        && nng_dial(socket, ("tcp://" + address).c_str(), nullptr, NNG_FLAG_NONBLOCK) == 0;
+    return ready ? std::move(connection) : nullptr;
+}
+
+PushConnection::PushConnection(nng_socket socket, MonotonicTime now)
+    : m_socket(socket)
+    , m_openedAt(now)
+    , m_lastUse(now)
+{
+}
+
+PushConnection::~PushConnection() { nng_close(m_socket); }
+
+std::optional<PeerDropReason> PushConnection::send(std::string_view frame, MonotonicTime now)
+{
+    m_lastUse = now;
+    // nng_send copies the frame and does not change it.
+    const int result = nng_send(m_socket, const_cast<char*>(frame.data()), frame.size(), NNG_FLAG_NONBLOCK);
+    if (result == 0) {
+        m_fullSince.reset();
+        return std::nullopt;
+    }
+    if (result != NNG_EAGAIN)
+        return PeerDropReason::SendFailed;
+    if (!m_fullSince)
+        m_fullSince = now;
+    return PeerDropReason::SendBufferFull;
+}
+
+bool PushConnection::isDue(MonotonicTime now) const
+{
+    const bool isOld = now - m_openedAt >= longestLife && now - m_lastUse >= quietBeforeClose;
+    return isOld || (m_fullSince && now - *m_fullSince >= longestFull);
+}
+
+} // namespace Catkinwell
--- /dev/null
+++ b/src/peer/PushConnection.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <catkinwell/core/Clock.h>
+#include <catkinwell/core/Error.h>
+#include <catkinwell/peer/PeerAuthenticator.h>
+#include <memory>
+#include <nng/nng.h>
+#include <optional>
+
+namespace Catkinwell {
+
+// One nng push socket that dials one peer and sends without blocking. Not thread safe.
+class PushConnection {
+public:
+    // Returns nothing if the address cannot be used or a limit of the process is reached.
+    static std::unique_ptr<PushConnection> open(const std::string& address, int sendBufferMessages, MonotonicTime now);
+    ~PushConnection();
+    PushConnection(const PushConnection&) = delete;
+    PushConnection& operator=(const PushConnection&) = delete;
+
+    // Hands the frame to nng's bounded buffer. Returns why it was dropped, if it was.
+    std::optional<PeerDropReason> send(std::string_view frame, MonotonicTime now);
+
+    // Whether the connection has refused messages for long, or is so old that it should be replaced.
+    bool isDue(MonotonicTime now) const;
+    MonotonicTime lastUse() const { return m_lastUse; }
+
+private:
+    PushConnection(nng_socket socket, MonotonicTime now);
+
+    nng_socket m_socket;
+    MonotonicTime m_openedAt;
+    MonotonicTime m_lastUse;
+    std::optional<MonotonicTime> m_fullSince;
+};
+
+} // namespace Catkinwell
--- /dev/null
+++ b/tests/peer/PeerAuthenticatorTest.cpp
@@ -0,0 +1,73 @@
+#include <catch2/catch.hpp>
+#include <catkinwell/peer/PeerAuthenticator.h>
+#include <catkinwell/peer/PeerCodec.h>
+
+using namespace Catkinwell;
+
+namespace {
+
+const HostId a("a");
+const HostId b("b");
+
+std::string outcomeOf(const std::variant<AuthenticatedPayload, PeerDropReason>& opened)
+{
+    if (const auto* reason = std::get_if<PeerDropReason>(&opened))
+        return std::string(nameOf(*reason));
+    return std::get<AuthenticatedPayload>(opened).payload;
+}
+
+} // namespace
+
+// Guards against replayed messages, and against dropping messages that overtook each other.
+TEST_CASE("A frame is accepted once, also when frames arrive out of order")
+{
+    PeerAuthenticator sender(a, 5, "secret");
+    PeerAuthenticator receiver(b, 1, "secret");
+    std::vector<std::string> frames;
+    frames.reserve(100);
+    for (int i = 0; i < 100; ++i)
+        frames.push_back(sender.seal(b, std::to_string(i)));
+    CHECK(outcomeOf(receiver.open(frames[2])) == "2");
+    CHECK(outcomeOf(receiver.open(frames[0])) == "0");
+    CHECK(outcomeOf(receiver.open(frames[2])) == "replayed");
+    CHECK(outcomeOf(receiver.open(frames[0])) == "replayed");
+    CHECK(outcomeOf(receiver.open(frames[99])) == "99");
+    CHECK(outcomeOf(receiver.open(frames[36])) == "36");
+    CHECK(outcomeOf(receiver.open(frames[36])) == "replayed");
+    // Counter 36 is 64 behind the newest, outside the window.
+    CHECK(outcomeOf(receiver.open(frames[35])) == "replayed");
+}
+
+// Guards against an earlier run's messages resetting the window of a later one.
+TEST_CASE("Only a larger incarnation starts a new window")
+{
+    PeerAuthenticator receiver(b, 1, "secret");
+    PeerAuthenticator first(a, 5, "secret");
+    PeerAuthenticator second(a, 6, "secret");
+    const std::string early = first.seal(b, "early");
+    CHECK(outcomeOf(receiver.open(early)) == "early");
+    const std::string next = second.seal(b, "second");
+    CHECK(outcomeOf(receiver.open(next)) == "second");
+    CHECK(outcomeOf(receiver.open(first.seal(b, "late"))) == "old_incarnation");
+    CHECK(outcomeOf(receiver.open(early)) == "old_incarnation");
+    CHECK(outcomeOf(receiver.open(next)) == "replayed");
+}
+
+// Guards against forged, altered and misdirected messages.
+TEST_CASE("A frame with another secret, receiver or content is refused")
+{
+    PeerAuthenticator sender(a, 5, "secret");
+    PeerAuthenticator receiver(b, 1, "secret");
+    CHECK(outcomeOf(receiver.open(PeerAuthenticator(a, 5, "other").seal(b, "x"))) == "unauthenticated");
+    CHECK(outcomeOf(receiver.open(sender.seal(HostId("c"), "x"))) == "wrong_receiver");
+    const std::string frame = sender.seal(b, "x");
+    for (std::size_t i = 0; i < frame.size(); ++i) {
+        std::string changed = frame;
+        changed[i] = static_cast<char>(changed[i] ^ 1);
+        INFO("byte " << i);
+        CHECK(outcomeOf(receiver.open(changed)) == "unauthenticated");
+    }
+    CHECK(outcomeOf(receiver.open("short")) == "malformed");
+    CHECK(outcomeOf(receiver.open(std::string(maximumPeerFrameBytes + 1, 'x'))) == "oversized");
+    CHECK(outcomeOf(receiver.open(frame)) == "x");
+}
