Add MembershipManager; its timing is not tuned yet

Cause: hosts must know the live and leaving hosts and endpoints. A simulation with lossy links and three checkers is included.

--- a/include/catkinwell/peer/PeerMessage.h
+++ b/include/catkinwell/peer/PeerMessage.h
@@ -78,6 +78,8 @@
     std::vector<std::string> revokedKeys;
     // Fingerprints of requests that were running when an endpoint died, with the number of crashes.
     std::vector<std::pair<std::uint64_t, std::uint32_t>> suspectFingerprints;
+    // Endpoints that the sender's own attempts found unresponsive.
+    std::vector<EndpointId> suspectEndpoints {};
 };
 
 // configuration: asks for the head and parts of a version, and the answer.
--- /dev/null
+++ b/src/membership/DigestEntries.cpp
@@ -0,0 +1,80 @@
+#include "DigestEntries.h"
+
+#include <algorithm>
+
+namespace Catkinwell {
+
+namespace {
+
+    using HostEntry = std::pair<const HostId, HostTable::Host>;
+    using Group = std::vector<const HostEntry*>;
+
+    // A dead host is announced for this long; afterwards everyone has judged it.
+    constexpr Duration deadNews = std::chrono::minutes(1);
+
+    // Puts count elements, drawn at random from the position on, at that position.
+    void drawAt(Group& group, std::size_t position, std::size_t count, RandomGenerator& random)
+    {
+        for (std::size_t i = position; i < std::min(position + count, group.size()); ++i)
+            std::swap(group[i], group[i + random.below(group.size() - i)]);
+    }
+
+    // Leaves count elements, half of them those whose heartbeats advanced last.
+    void choose(Group& group, std::size_t count, RandomGenerator& random)
+    {
+        if (group.size() <= count)
+            return;
+        const std::size_t newest = count / 2;
+        std::nth_element(group.begin(), group.begin() + static_cast<std::ptrdiff_t>(newest), group.end(),
+            [](const HostEntry* left, const HostEntry* right) {
+                return left->second.lastProgress > right->second.lastProgress;
+            });
+        drawAt(group, newest, count - newest, random);
+        group.resize(count);
+    }
+
+    DigestEntry entryFor(const HostEntry& host)
+    {
+        const bool isMissed = host.second.suspected || host.second.dead;
+        const HostState missed = host.second.dead ? HostState::Dead : HostState::Suspected;
+        return { host.first, host.second.incarnation, host.second.heartbeat, isMissed ? missed : host.second.state() };
+    }
+
+} // namespace
+
+// An array of a name with up to two bytes of length, two numbers of nine and five bytes and one of one byte.
+std::size_t digestEntryBytes(std::size_t nameLength) { return 1 + 2 + nameLength + 9 + 5 + 1; }
+
+std::vector<DigestEntry> chooseDigestEntries(const HostTable& table, const DataCentreId& ownDataCentre,
+    std::size_t maximumBytes, MonotonicTime now, RandomGenerator& random)
+{
+    Group missed;
+    Group own;
+    Group others;
+    std::size_t longestName = 1;
+    for (const auto& host : table.hosts()) {
+        longestName = std::max(longestName, host.first.value.size());
+        if (host.second.suspected || host.second.dead) {
+            if (now - host.second.lastProgress <= table.patience(false) + deadNews)
+                missed.push_back(&host);
+        } else {
+            (host.second.dataCentre == ownDataCentre ? own : others).push_back(&host);
+        }
+    }
+    std::size_t room = maximumBytes / digestEntryBytes(longestName);
+    drawAt(missed, 0, room / 3, random);
+    missed.resize(std::min(missed.size(), room / 3));
+    room -= missed.size();
+    const std::size_t forOthers = std::max(room / 3, room - std::min(room, own.size()));
+    choose(others, forOthers, random);
+    choose(own, room - others.size(), random);
+
+    std::vector<DigestEntry> entries;
+    for (const auto* group : { &missed, &own, &others }) {
+        for (const auto* host : *group)
+            entries.push_back(entryFor(*host));
+    }
+    return entries;
+}
+
+} // namespace Catkinwell
--- /dev/null
+++ b/src/membership/EndpointSuspicions.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <catkinwell/core/Clock.h>
+#include <catkinwell/core/Identifiers.h>
+#include <map>
+#include <vector>
+
+namespace Catkinwell {
+
+// Which hosts found which endpoints unresponsive in the last 10 s. Bounded; not thread safe.
+class EndpointSuspicions {
+public:
+    void note(const EndpointId& endpoint, const HostId& observer, MonotonicTime now);
+    std::size_t observersOf(const EndpointId& endpoint, MonotonicTime now) const;
+    // The endpoints that the observer noted in the last 10 s, at most count of them, starting after the given one.
+    std::vector<EndpointId> notedBy(
+        const HostId& observer, MonotonicTime now, const EndpointId& after, std::size_t count) const;
+    void forgetOld(MonotonicTime now);
+
+private:
+    std::map<EndpointId, std::map<HostId, MonotonicTime>> m_notes;
+};
+
+} // namespace Catkinwell
--- a/src/peer/PeerCodec.cpp
+++ b/src/peer/PeerCodec.cpp
@@ -31,6 +31,12 @@
             for (const auto& text : list)
                 target.push_back(Json::binary(bytesOf(text)));
         }
+        template <typename Tag> void operator()(const char* name, const std::vector<Identifier<Tag, std::string>>& list)
+        {
+            Json& target = m_object[name] = Json::array();
+            for (const auto& identifier : list)
+                target.push_back(Json::binary(bytesOf(identifier.value)));
+        }
         void operator()(const char* name, const std::vector<DigestEntry>& list)
         {
             Json& target = m_object[name] = Json::array();
@@ -194,6 +200,7 @@
         field("v", message.configurationVersion);
         field("k", message.revokedKeys);
         field("s", message.suspectFingerprints);
+        field.optional("p", message.suspectEndpoints);
     }
     template <typename Archive> void describe(Archive& field, ConfigurationRequest& message)
     {
--- /dev/null
+++ b/tests/membership/MembershipSimulation.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include <catkinwell/core/RandomGenerator.h>
+#include <catkinwell/membership/MembershipManager.h>
+#include <functional>
+#include <queue>
+
+namespace Catkinwell {
+
+// What one host believed of another from a time on; written when it changes.
+struct Observation {
+    double seconds = 0;
+    HostId observer;
+    HostId host;
+    Incarnation incarnation = 0;
+    HostState state = HostState::Alive;
+};
+
+// Several MembershipManagers in simulated time, with links that lose, repeat and delay digests.
+class MembershipSimulation {
+public:
+    struct Node {
+        PlatformHost listed;
+        std::unique_ptr<MembershipManager> manager;
+        bool up = true;
+    };
+
+    MembershipSimulation(std::size_t hosts, std::size_t dataCentres, std::uint64_t seed, SuspicionRule suspicion = {})
+        : random(seed)
+        , rule(suspicion)
+    {
+        for (std::size_t i = 0; i < hosts; ++i) {
+            const std::string name = "host-" + std::to_string(100 + i);
+            const DataCentreId dataCentre("dc" + std::to_string(i % dataCentres));
+            nodes.push_back({ { HostId(name), 1, dataCentre, "127.0.0.1:" + std::to_string(1000 + i), false }, {} });
+            start(i);
+        }
+        spreadList();
+    }
+
+    // Replaces the host's manager by a new one, as a restart does.
+    void start(std::size_t index)
+    {
+        auto& node = nodes[index];
+        node.up = true;
+        node.manager = std::make_unique<MembershipManager>(MembershipSettings {
+            node.listed.host, node.listed.incarnation, node.listed.dataCentre, random.next(), rule });
+        node.manager->setPlatformList(list(), now, ignored);
+    }
+
+    std::vector<PlatformHost> list() const
+    {
+        std::vector<PlatformHost> hosts;
+        for (const auto& node : nodes)
+            hosts.push_back(node.listed);
+        return hosts;
+    }
+
+    void spreadList()
+    {
+        for (auto& node : nodes)
+            node.manager->setPlatformList(list(), now, ignored);
+    }
+
+    double seconds() const { return std::chrono::duration<double>(now.time_since_epoch()).count(); }
+
+    void runFor(double duration)
+    {
+        const double end = seconds() + duration;
+        while (seconds() < end) {
+            now += std::chrono::milliseconds(20);
+            for (std::size_t i = 0; i < nodes.size(); ++i)
+                tick(i);
+            for (; !messages.empty() && messages.top().at <= now; messages.pop())
+                receive(messages.top());
+            if (++steps % 5 == 0)
+                observe();
+        }
+    }
+
+    MonotonicTime now {};
+    RandomGenerator random;
+    SuspicionRule rule;
+    std::vector<Node> nodes;
+    double lossRate = 0;
+    double duplicateRate = 0;
+    // Whether digests pass from the first host to the second.
+    std::function<bool(std::size_t, std::size_t)> linked = [](std::size_t, std::size_t) { return true; };
+    std::vector<Observation> record;
+
+private:
+    struct Message {
+        MonotonicTime at;
+        std::size_t from;
+        std::size_t to;
+        MembershipDigest digest;
+        bool operator<(const Message& other) const { return at > other.at; }
+    };
+
+    void tick(std::size_t index)
+    {
+        if (!nodes[index].up)
+            return;
+        EffectList effects;
+        nodes[index].manager->tick(now, effects);
+        for (auto& effect : effects) {
+            auto* send = std::get_if<SendToPeer>(&effect);
+            if (!send)
+                continue;
+            const std::size_t to = indexOf(send->to);
+            if (!linked(index, to) || random.unit() < lossRate)
+                continue;
+            const int copies = random.unit() < duplicateRate ? 2 : 1;
+            for (int copy = 0; copy < copies; ++copy)
+                messages.push({ now + std::chrono::milliseconds(1 + random.below(60)), index, to,
+                    std::get<MembershipDigest>(send->message) });
+        }
+    }
+
+    std::size_t indexOf(const HostId& host) const
+    {
+        return static_cast<std::size_t>(std::stoul(host.value.substr(5))) - 100;
+    }
+
+    void receive(const Message& message)
+    {
+        if (nodes[message.to].up)
+            nodes[message.to].manager->handle(nodes[message.from].listed.host, message.digest, now, ignored);
+    }
+
+    void observe()
+    {
+        ignored.clear();
+        for (const auto& node : nodes) {
+            if (!node.up)
+                continue;
+            for (const auto& view : node.manager->hosts(now)) {
+                auto& last = m_last[{ node.listed.host, view.host }];
+                if (last == std::pair(view.incarnation, view.state))
+                    continue;
+                last = { view.incarnation, view.state };
+                record.push_back({ seconds(), node.listed.host, view.host, view.incarnation, view.state });
+            }
+        }
+    }
+
+    EffectList ignored;
+    std::uint64_t steps = 0;
+    std::priority_queue<Message> messages;
+    std::map<std::pair<HostId, HostId>, std::pair<Incarnation, HostState>> m_last;
+};
+
+} // namespace Catkinwell
--- a/tests/peer/PeerCodecTest.cpp
+++ b/tests/peer/PeerCodecTest.cpp
@@ -18,7 +18,8 @@
     PlanAnnounced { DataCentreId("dc1"), 4, "{}" },
     ForwardedClaim { 63, 9, "{\"a\":1}" },
     ForwardedClaimResult { 9, "claimed", "" },
-    MembershipDigest { { { HostId("h1"), 12, 99, HostState::Leaving } }, 5, { digest }, { { ~0ULL, 2 } } },
+    MembershipDigest {
+        { { HostId("h1"), 12, 99, HostState::Leaving } }, 5, { digest }, { { ~0ULL, 2 } }, { EndpointId("e1") } },
     ConfigurationRequest { 3, { digest } },
     ConfigurationOffer { 4, "{}", { "part", std::string("\0\xff", 2) } },
 };
