Keep a failed load in the plan until a repeat of it can no longer arrive

Change: a load that the engine refused is settled by a report after the receive timeout, like an unknown one.

--- a/src/placement/EngineLedger.cpp
+++ b/src/placement/EngineLedger.cpp
@@ -75,7 +75,7 @@
             const auto action
                 = replica.state == PlannedState::Loading ? PlacementAction::Load : PlacementAction::Unload;
             m_commands[replica.command]
-                = { replica.command, endpoint, model, action, true, now, now + late + reportLag };
+                = { replica.command, endpoint, model, action, true, now, now + late + reportLag, false };
         }
     }
 }
@@ -114,7 +114,7 @@
             continue;
         }
         m_settlements.push_back(
-            { command->first, endpoint, command->second.model, command->second.action, false });
+            { command->first, endpoint, command->second.model, command->second.action, false, true, false });
         command = m_commands.erase(command);
     }
     if (m_recorder.working().replicas.erase(endpoint) > 0) {
@@ -194,7 +194,8 @@
 {
     const Command command = ended;
     m_commands.erase(command.id);
-    m_settlements.push_back({ command.id, command.endpoint, command.model, command.action, succeeded });
+    m_settlements.push_back({ command.id, command.endpoint, command.model, command.action, succeeded, true,
+        command.isFailureTold });
     const auto engine = m_engines.find(command.endpoint);
     if (engine != m_engines.end())
         engine->second.changedAt[command.model] = now;
@@ -254,7 +255,8 @@
             continue;
         const CommandId abandoned = replica == nullptr ? CommandId {} : replica->command;
         if (abandoned.value != 0)
-            m_settlements.push_back({ abandoned, report.endpoint, reported.model, PlacementAction::Load, true });
+            m_settlements.push_back(
+                { abandoned, report.endpoint, reported.model, PlacementAction::Load, true, true, false });
         m_recorder.working().put(
             { report.endpoint, reported.model, PlannedState::Loaded, CommandId {}, reported.memoryBytes });
         m_recorder.markChanged();
@@ -269,12 +271,19 @@
     if (found == m_commands.end())
         return false;
     Command& command = found->second;
-    if (finished.outcome == CommandOutcome::Unknown) {
+    // A load that failed at the engine is settled by a later report like an unknown one: a repeat of
+    // the command on its way would load the model again after the plan had forgotten it.
+    const bool isFailedLoad
+        = finished.outcome == CommandOutcome::NotDone && command.action == PlacementAction::Load;
+    if (finished.outcome == CommandOutcome::Unknown || isFailedLoad) {
         const auto engine = m_engines.find(command.endpoint);
         const Duration late = engine == m_engines.end() ? waitMargin : lateArrivalTime(engine->second);
         command.settleAfter = now + late + reportLag;
+        if (isFailedLoad && !std::exchange(command.isFailureTold, true))
+            m_settlements.push_back({ command.id, command.endpoint, command.model, command.action, false, false, false });
         effects.push_back(commandEntry(LogEvent::PlacementCommandFailed, command.endpoint, command.model,
-            std::string(nameOf(command.action)) + " outcome unknown: " + finished.reason));
+            std::string(nameOf(command.action)) + " " + std::string(nameOf(finished.outcome)) + ": "
+                + finished.reason));
         return false;
     }
     settle(command, finished.outcome == CommandOutcome::Done, now, effects);
@@ -285,7 +294,7 @@
 {
     replica.state = PlannedState::Loading;
     m_commands[replica.command]
-        = { replica.command, replica.endpoint, replica.model, PlacementAction::Load, false, now, std::nullopt };
+        = { replica.command, replica.endpoint, replica.model, PlacementAction::Load, false, now, std::nullopt, false };
     m_recorder.markChanged();
 }
 
@@ -294,7 +303,7 @@
     replica.state = PlannedState::Unloading;
     replica.command = id;
     m_commands[id]
-        = { id, replica.endpoint, replica.model, PlacementAction::Unload, false, now + unloadNotice, std::nullopt };
+        = { id, replica.endpoint, replica.model, PlacementAction::Unload, false, now + unloadNotice, std::nullopt, false };
     m_recorder.markChanged();
 }
 
--- a/src/placement/EngineLedger.h
+++ b/src/placement/EngineLedger.h
@@ -16,6 +16,10 @@
     PlacementAction action = PlacementAction::Load;
     // False if the command had no effect.
     bool succeeded = false;
+    // False for a failed load that still counts as occupying, because a repeat of it may arrive late.
+    bool isFinal = true;
+    // Whether the failure was told before.
+    bool isRepeated = false;
 };
 
 // What the owner knows of the engines of its data centre: their reports, the
@@ -48,6 +52,7 @@
         // Set once the adapter gave an unknown outcome, and for a predecessor's command: the report
         // that is requested at or after this time tells whether the command took effect.
         std::optional<MonotonicTime> settleAfter {};
+        bool isFailureTold = false;
     };
 
     // The recorder must outlive this object.
--- a/src/placement/PlacementDecider.cpp
+++ b/src/placement/PlacementDecider.cpp
@@ -77,8 +77,10 @@
 
 void PlacementDecider::noteSettlement(const Settlement& settlement, MonotonicTime now)
 {
-    m_weightSlots.release(settlement.command, now);
-    m_adapterSlots.release(settlement.command, now);
+    if (settlement.isFinal) {
+        m_weightSlots.release(settlement.command, now);
+        m_adapterSlots.release(settlement.command, now);
+    }
     const ReplicaKey key(settlement.endpoint, settlement.model);
     if (settlement.succeeded) {
         m_replicaBackoff.erase(key);
@@ -87,6 +89,8 @@
             m_evicting.erase(key);
         return;
     }
+    if (settlement.isRepeated)
+        return;
     const auto extend = [now](Backoff& backoff, Duration first) {
         backoff.until = now + first * (1U << backoff.failures);
         backoff.failures = std::min(backoff.failures + 1, maximumBackoffSteps);
