Settle a predecessor's command by the fence only after the fence was seen

Change: the fence settles inherited commands alone, by a report requested after the fence was first seen.

--- a/src/placement/EngineLedger.cpp
+++ b/src/placement/EngineLedger.cpp
@@ -62,6 +62,7 @@
         engine.fetchPending = false;
         engine.fetchedAt = {};
         engine.report.reset();
+        engine.fencedAt.reset();
         engine.changedAt.clear();
         const bool waits = engine.settings.fencing == FencingSupport::Ignored;
         engine.readyAfter = now + reportLag + (waits ? lateArrivalTime(engine) : Duration {});
@@ -75,7 +76,7 @@
             const auto action
                 = replica.state == PlannedState::Loading ? PlacementAction::Load : PlacementAction::Unload;
             m_commands[replica.command]
-                = { replica.command, endpoint, model, action, true, now, now + late + reportLag, false };
+                = { replica.command, endpoint, model, action, true, now, now + late + reportLag, false, true };
         }
     }
 }
@@ -150,6 +151,9 @@
     for (const ReportedReplica& replica : report.replicas)
         explained += replica.memoryBytes;
     engine.overheadBytes = report.memoryUsedBytes > explained ? report.memoryUsedBytes - explained : 0;
+    if (engine.settings.fencing == FencingSupport::Enforced && !engine.fencedAt
+        && report.highestFencingToken >= m_recorder.token())
+        engine.fencedAt = now;
     settleByReport(engine, report, now, effects);
     removeMissing(engine, report, effects);
     adoptUnplanned(engine, report, effects);
@@ -172,8 +176,7 @@
         if (command.endpoint != report.endpoint || !command.settleAfter)
             continue;
         const ReportedReplica* replica = findReported(report, command.model);
-        const bool isFenced = engine.settings.fencing == FencingSupport::Enforced
-            && report.highestFencingToken >= m_recorder.token() && report.requestedAt >= m_startedAt + reportLag;
+        const bool isFenced = command.isInherited && engine.fencedAt && report.requestedAt >= *engine.fencedAt + reportLag;
         const bool isFinal = isFenced || report.requestedAt >= *command.settleAfter;
         const bool isLoaded = replica != nullptr && replica->state == ReplicaState::Loaded;
         if (command.action == PlacementAction::Load) {
@@ -294,7 +297,7 @@
 {
     replica.state = PlannedState::Loading;
     m_commands[replica.command]
-        = { replica.command, replica.endpoint, replica.model, PlacementAction::Load, false, now, std::nullopt, false };
+        = { replica.command, replica.endpoint, replica.model, PlacementAction::Load, false, now, std::nullopt, false, false };
     m_recorder.markChanged();
 }
 
@@ -303,7 +306,7 @@
     replica.state = PlannedState::Unloading;
     replica.command = id;
     m_commands[id]
-        = { id, replica.endpoint, replica.model, PlacementAction::Unload, false, now + unloadNotice, std::nullopt, false };
+        = { id, replica.endpoint, replica.model, PlacementAction::Unload, false, now + unloadNotice, std::nullopt, false, false };
     m_recorder.markChanged();
 }
 
--- a/src/placement/EngineLedger.h
+++ b/src/placement/EngineLedger.h
@@ -39,6 +39,8 @@
         std::optional<EndpointReport> report {};
         // Memory in use that no reported model explains.
         std::uint64_t overheadBytes = 0;
+        // When the engine was first known to refuse the tokens of predecessors.
+        std::optional<MonotonicTime> fencedAt {};
         // When a model's presence was last settled; older reports say nothing of it.
         std::map<ModelId, MonotonicTime> changedAt {};
     };
@@ -53,6 +55,8 @@
         // that is requested at or after this time tells whether the command took effect.
         std::optional<MonotonicTime> settleAfter {};
         bool isFailureTold = false;
+        // Sent, or perhaps sent, by a predecessor under a lower token.
+        bool isInherited = false;
     };
 
     // The recorder must outlive this object.
