Check a burst of cold models and show that each checker can fail

Cause: a checker that never fails proves nothing, and the random histories rarely fill the slots. Change: a burst of 120 models over two data centres; six broken variants.

--- a/tests/placement/PlacementHistoryTest.cpp
+++ b/tests/placement/PlacementHistoryTest.cpp
@@ -98,3 +98,103 @@
     CHECK(firstOf(verdict.owners) == "");
     CHECK(firstOf(verdict.served) == "");
 }
+
+// Guards against more loads at once, or more starts a second, than the weight store allows when every
+// model of two data centres is wanted at the same moment, and against a model that is forgotten.
+TEST_CASE("a burst of cold models stays within the load slots and is served")
+{
+    const std::uint64_t seed = GENERATE(range<std::uint64_t>(1, 6));
+    SimulationOptions options;
+    options.seed = seed;
+    options.fleet = smallFleet(2);
+    options.wantedPerMille = 0;
+    for (int index = 24; index < 120; ++index) {
+        ModelSettings model = options.fleet.models.at(ModelId("model-20"));
+        model.id = ModelId("model-" + std::to_string(index));
+        model.memoryBytes = unit / 4;
+        options.fleet.models[model.id] = model;
+    }
+    const FleetConfiguration fleet = options.fleet;
+    PlacementSimulation simulation(options);
+    simulation.run(15s);
+    for (auto& host : simulation.hosts) {
+        for (const auto& [model, settings] : fleet.models)
+            simulation.want(*host, model);
+    }
+    simulation.run(150s);
+    CAPTURE(seed);
+    const Verdict verdict = check(simulation.record, fleet);
+    CHECK(firstOf(verdict.loaded) == "");
+    CHECK(firstOf(verdict.memory) == "");
+    CHECK(firstOf(verdict.slots) == "");
+    CHECK(firstOf(verdict.served) == "");
+}
+
+namespace {
+
+struct BrokenVariant {
+    const char* name;
+    Violations Verdict::*checker;
+    // Breaks the rule in the options; the hosts believe what `believed` says.
+    void (*breakRule)(SimulationOptions&);
+};
+
+// Without the connection rule and with no wait after a takeover a paused owner's command arrives late.
+void ignoreLateCommands(SimulationOptions& options)
+{
+    options.adapterChecksValidity = false;
+    options.enginesCloseConnections = false;
+    options.believed = options.fleet;
+    for (auto& [id, endpoint] : options.believed->endpoints)
+        endpoint.receiveTimeout = Duration {};
+}
+
+const BrokenVariant brokenVariants[] = {
+    { "late commands, decided replicas", &Verdict::loaded, ignoreLateCommands },
+    { "late commands, one owner", &Verdict::owners, ignoreLateCommands },
+    { "memory believed twice as large", &Verdict::memory,
+        [](SimulationOptions& options) {
+            options.believed = options.fleet;
+            for (auto& [id, endpoint] : options.believed->endpoints)
+                endpoint.memoryBytes *= 2;
+        } },
+    { "too many slots", &Verdict::slots,
+        [](SimulationOptions& options) {
+            options.believed = options.fleet;
+            options.believed->defaults.weightLoadSlots = 16;
+            options.wantedPerMille = 50;
+        } },
+    { "starts too close", &Verdict::slots,
+        [](SimulationOptions& options) {
+            options.believed = options.fleet;
+            options.believed->defaults.weightLoadsPerSecond = 1000;
+            options.wantedPerMille = 50;
+            for (auto& [id, model] : options.fleet.models)
+                model.expectedLoadTime = 40ms;
+        } },
+    { "a model that no engine may hold", &Verdict::served,
+        [](SimulationOptions& options) {
+            options.believed = options.fleet;
+            options.believed->models.at(ModelId("model-11")).pool = "none";
+        } },
+};
+
+} // namespace
+
+// Guards against checkers that cannot fail: each broken rule must be reported by its checker.
+TEST_CASE("each checker reports the rule that is broken")
+{
+    const auto& variant = GENERATE(from_range(std::begin(brokenVariants), std::end(brokenVariants)));
+    bool isReported = false;
+    std::uint64_t seed = 0;
+    while (!isReported && seed < 80) {
+        SimulationOptions options;
+        options.seed = ++seed;
+        options.fleet = smallFleet(1);
+        options.faults = true;
+        variant.breakRule(options);
+        isReported = !(runHistory(options).*variant.checker).empty();
+    }
+    INFO(variant.name << ", reported at seed " << seed);
+    CHECK(isReported);
+}
