--- a/include/catkinwell/placement/PlacementManager.h
+++ b/include/catkinwell/placement/PlacementManager.h
@@ -65,8 +65,8 @@
     // Reports this host's own requests: waiting and running replace the earlier figures, arrivals are added.
     // Call it when waiting turns positive, and otherwise at least once for every change of the figures to or
     // from zero; a few calls a second per model are enough. Unknown models are ignored.
-    void noteDemand(const ModelId&, std::uint32_t waiting, std::uint32_t running, std::uint32_t arrivals,
-        MonotonicTime now);
+    void noteDemand(
+        const ModelId&, std::uint32_t waiting, std::uint32_t running, std::uint32_t arrivals, MonotonicTime now);
 
     // Events. Replies to calls of other modules are ignored and give false.
     bool handle(const StoreReply&, MonotonicTime now, EffectList&);
--- a/src/placement/DemandTable.cpp
+++ b/src/placement/DemandTable.cpp
@@ -60,8 +60,7 @@
     return demand;
 }
 
-void DemandForwarder::note(
-    const ModelId& model, std::uint32_t waiting, std::uint32_t running, std::uint32_t arrivals)
+void DemandForwarder::note(const ModelId& model, std::uint32_t waiting, std::uint32_t running, std::uint32_t arrivals)
 {
     ModelWanted& wanted = m_entries[model].wanted;
     wanted.model = model;
--- a/src/placement/EngineLedger.cpp
+++ b/src/placement/EngineLedger.cpp
@@ -176,7 +176,8 @@
         if (command.endpoint != report.endpoint || !command.settleAfter)
             continue;
         const ReportedReplica* replica = findReported(report, command.model);
-        const bool isFenced = command.isInherited && engine.fencedAt && report.requestedAt >= *engine.fencedAt + reportLag;
+        const bool isFenced
+            = command.isInherited && engine.fencedAt && report.requestedAt >= *engine.fencedAt + reportLag;
         const bool isFinal = isFenced || report.requestedAt >= *command.settleAfter;
         const bool isLoaded = replica != nullptr && replica->state == ReplicaState::Loaded;
         if (command.action == PlacementAction::Load) {
@@ -197,8 +198,8 @@
 {
     const Command command = ended;
     m_commands.erase(command.id);
-    m_settlements.push_back({ command.id, command.endpoint, command.model, command.action, succeeded, true,
-        command.isFailureTold });
+    m_settlements.push_back(
+        { command.id, command.endpoint, command.model, command.action, succeeded, true, command.isFailureTold });
     const auto engine = m_engines.find(command.endpoint);
     if (engine != m_engines.end())
         engine->second.changedAt[command.model] = now;
@@ -213,8 +214,8 @@
     }
     effects.push_back(commandEntry(succeeded ? LogEvent::PlacementCommandSettled : LogEvent::PlacementCommandFailed,
         command.endpoint, command.model, std::string(nameOf(command.action)) + (succeeded ? " done" : " not done")));
-    effects.push_back(RecordMetric { Metric::PlacementCommandsTotal,
-        std::string(nameOf(command.action)) + (succeeded ? ":done" : ":not_done"), 1 });
+    effects.push_back(RecordMetric {
+        Metric::PlacementCommandsTotal, std::string(nameOf(command.action)) + (succeeded ? ":done" : ":not_done"), 1 });
 }
 
 // Whether the report is younger than the last known change of the model, by this owner or its predecessor.
@@ -276,14 +277,14 @@
     Command& command = found->second;
     // A load that failed at the engine is settled by a later report like an unknown one: a repeat of
     // the command on its way would load the model again after the plan had forgotten it.
-    const bool isFailedLoad
-        = finished.outcome == CommandOutcome::NotDone && command.action == PlacementAction::Load;
+    const bool isFailedLoad = finished.outcome == CommandOutcome::NotDone && command.action == PlacementAction::Load;
     if (finished.outcome == CommandOutcome::Unknown || isFailedLoad) {
         const auto engine = m_engines.find(command.endpoint);
         const Duration late = engine == m_engines.end() ? waitMargin : lateArrivalTime(engine->second);
         command.settleAfter = now + late + reportLag;
         if (isFailedLoad && !std::exchange(command.isFailureTold, true))
-            m_settlements.push_back({ command.id, command.endpoint, command.model, command.action, false, false, false });
+            m_settlements.push_back(
+                { command.id, command.endpoint, command.model, command.action, false, false, false });
         effects.push_back(commandEntry(LogEvent::PlacementCommandFailed, command.endpoint, command.model,
             std::string(nameOf(command.action)) + " " + std::string(nameOf(finished.outcome)) + ": "
                 + finished.reason));
@@ -296,8 +297,8 @@
 void EngineLedger::beginLoad(PlannedReplica& replica, MonotonicTime now)
 {
     replica.state = PlannedState::Loading;
-    m_commands[replica.command]
-        = { replica.command, replica.endpoint, replica.model, PlacementAction::Load, false, now, std::nullopt, false, false };
+    m_commands[replica.command] = { replica.command, replica.endpoint, replica.model, PlacementAction::Load, false, now,
+        std::nullopt, false, false };
     m_recorder.markChanged();
 }
 
@@ -305,8 +306,8 @@
 {
     replica.state = PlannedState::Unloading;
     replica.command = id;
-    m_commands[id]
-        = { id, replica.endpoint, replica.model, PlacementAction::Unload, false, now + unloadNotice, std::nullopt, false, false };
+    m_commands[id] = { id, replica.endpoint, replica.model, PlacementAction::Unload, false, now + unloadNotice,
+        std::nullopt, false, false };
     m_recorder.markChanged();
 }
 
@@ -370,8 +371,8 @@
         if (engine.dead || (engine.fetchPending && now - engine.fetchedAt < 2 * fetchTimeout))
             continue;
         const bool isAwaited = (!engine.ready && now >= engine.readyAfter)
-            || std::any_of(m_commands.begin(), m_commands.end(), [&](const auto& entry) {
-                   return entry.second.endpoint == id && entry.second.settleAfter;
+            || std::any_of(m_commands.begin(), m_commands.end(), [&endpoint = engine.settings.id](const auto& entry) {
+                   return entry.second.endpoint == endpoint && entry.second.settleAfter;
                });
         const MonotonicTime last = std::max(engine.fetchedAt, engine.report ? engine.report->requestedAt : m_startedAt);
         const bool isFirst = engine.fetchedAt == MonotonicTime {};
--- a/src/placement/IdlePolicy.cpp
+++ b/src/placement/IdlePolicy.cpp
@@ -159,8 +159,7 @@
     return Window { predicted - history.periodSpread - history.loadTime, predicted + history.periodSpread };
 }
 
-bool IdlePolicy::isWorthLoading(
-    const ModelId& model, std::optional<MonotonicTime> lastUse, MonotonicTime now) const
+bool IdlePolicy::isWorthLoading(const ModelId& model, std::optional<MonotonicTime> lastUse, MonotonicTime now) const
 {
     if (lastUse && now - *lastUse <= keepAlive(model))
         return true;
--- a/src/placement/LoadSlots.cpp
+++ b/src/placement/LoadSlots.cpp
@@ -81,8 +81,8 @@
     std::vector<Entry> result;
     for (const Entry& entry : *m_entries) {
         const auto held = m_held.find(CommandId(entry.command));
-        const bool isReleased = entry.dataCentre == m_dataCentre.value && held != m_held.end()
-            && held->second.released && now >= held->second.releaseAfter;
+        const bool isReleased = entry.dataCentre == m_dataCentre.value && held != m_held.end() && held->second.released
+            && now >= held->second.releaseAfter;
         if (!isReleased)
             result.push_back(entry);
     }
--- a/src/placement/OwnerElection.cpp
+++ b/src/placement/OwnerElection.cpp
@@ -80,6 +80,7 @@
         m_version.reset();
     } else if (kind == CallKind::Remove) {
         m_holding = false;
+        m_holder = {};
     } else if (kind == CallKind::Write) {
         // The read that follows tells the holder, also after a lost reply.
         m_version.reset();
--- a/src/placement/PlacementDecider.cpp
+++ b/src/placement/PlacementDecider.cpp
@@ -118,11 +118,9 @@
 
 void PlacementDecider::decide(MonotonicTime now, EffectList& effects)
 {
-    std::erase_if(m_evicting, [this](const ReplicaKey& key) {
-        return m_recorder.working().find(key.first, key.second) == nullptr;
-    });
-    std::erase_if(m_replicaBackoff,
-        [now](const auto& entry) { return now > entry.second.until + backoffMemory; });
+    std::erase_if(m_evicting,
+        [this](const ReplicaKey& key) { return m_recorder.working().find(key.first, key.second) == nullptr; });
+    std::erase_if(m_replicaBackoff, [now](const auto& entry) { return now > entry.second.until + backoffMemory; });
     const Index index = indexByModel();
     static const std::vector<ReplicaKey> none;
     for (const auto& [id, model] : m_configuration->models) {
@@ -154,11 +152,15 @@
 }
 
 std::uint32_t PlacementDecider::desiredReplicas(
-    const ModelSettings& model, const ModelDemand& demand, std::size_t present, MonotonicTime now)
+    const ModelSettings& model, const ModelDemand& demand, const std::vector<ReplicaKey>& replicas, MonotonicTime now)
 {
+    const std::size_t present = replicas.size();
     auto lastUse = demand.lastUse;
-    // A successor does not know when the models that it inherited were last used.
-    if (!lastUse && present > 0)
+    // A successor does not know when the models that it inherited were last used. An adopted replica
+    // has no command; it is unloaded unless it is wanted.
+    const bool isInherited = std::any_of(replicas.begin(), replicas.end(),
+        [this](const ReplicaKey& key) { return m_recorder.working().find(key.first, key.second)->command.value != 0; });
+    if (!lastUse && isInherited)
         lastUse = m_startedAt;
     const bool isWorth = demand.isActive() || m_policy.isWorthLoading(model.id, lastUse, now);
     std::uint32_t desired = std::max<std::uint32_t>(model.minimumReplicas, isWorth ? 1 : 0);
@@ -190,15 +192,15 @@
         // Demand returned before the unload was recorded, and no other decision needs the memory.
         const PlannedReplica* replica = m_recorder.working().find(key.first, key.second);
         if (demand.isActive() && replica->state == PlannedState::Loaded && m_evicting.contains(key)
-            && promisedBytes(key.first) + replica->memoryBytes
-                <= m_ledger.memoryBytes(key.first))
+            && promisedBytes(key.first) + replica->memoryBytes <= m_ledger.memoryBytes(key.first))
             m_evicting.erase(key);
         if (countsAsPresent(key, demand.waiting > 0, now))
             present.push_back(key);
     }
-    const std::uint32_t desired = desiredReplicas(model, demand, present.size(), now);
+    const std::uint32_t desired = desiredReplicas(model, demand, present, now);
     if (present.size() > desired) {
-        dropSurplus(model, std::move(present), present.size() - desired, now, effects);
+        const std::size_t surplus = present.size() - desired;
+        dropSurplus(model, std::move(present), surplus, now, effects);
         return;
     }
     const auto backoff = m_modelBackoff.find(model.id);
@@ -292,8 +294,8 @@
     if (model.baseModel && m_recorder.working().find(best->endpoint, *model.baseModel) == nullptr)
         plan(*settingsOf(*model.baseModel));
     plan(model);
-    effects.push_back(decisionEntry(
-        LogEvent::LoadDecided, best->endpoint, model.id, "score " + std::to_string(best->score)));
+    effects.push_back(
+        decisionEntry(LogEvent::LoadDecided, best->endpoint, model.id, "score " + std::to_string(best->score)));
 }
 
 std::optional<PlacementDecider::Candidate> PlacementDecider::evaluate(
@@ -368,8 +370,8 @@
         if (isWhollyIdle)
             victims.push_back(std::move(victim));
     }
-    std::sort(victims.begin(), victims.end(),
-        [](const Victim& left, const Victim& right) { return left.cost < right.cost; });
+    std::sort(
+        victims.begin(), victims.end(), [](const Victim& left, const Victim& right) { return left.cost < right.cost; });
     std::uint64_t freed = 0;
     std::set<ReplicaKey> chosen;
     for (const Victim& victim : victims) {
@@ -423,8 +425,8 @@
         abandonPlanned(key, now);
         return;
     }
-    bool isRunnable = m_ledger.usedBytes(replica.endpoint) + replica.memoryBytes
-        <= m_ledger.memoryBytes(replica.endpoint);
+    bool isRunnable
+        = m_ledger.usedBytes(replica.endpoint) + replica.memoryBytes <= m_ledger.memoryBytes(replica.endpoint);
     if (settings->baseModel) {
         const PlannedReplica* base = m_recorder.working().find(replica.endpoint, *settings->baseModel);
         if (base == nullptr) {
--- a/src/placement/PlacementDecider.h
+++ b/src/placement/PlacementDecider.h
@@ -41,17 +41,18 @@
 
     Index indexByModel() const;
     void decideModel(const ModelSettings&, const std::vector<ReplicaKey>& replicas, MonotonicTime now, EffectList&);
-    std::uint32_t desiredReplicas(const ModelSettings&, const ModelDemand&, std::size_t present, MonotonicTime now);
+    std::uint32_t desiredReplicas(
+        const ModelSettings&, const ModelDemand&, const std::vector<ReplicaKey>& present, MonotonicTime now);
     bool countsAsPresent(const ReplicaKey&, bool isWaiting, MonotonicTime now) const;
     void planLoad(const ModelSettings&, bool mayEvict, MonotonicTime now, EffectList&);
     std::optional<Candidate> evaluate(
         const EndpointSettings&, const ModelSettings&, bool mayEvict, MonotonicTime now) const;
     // Chooses idle replicas whose loss costs least until the needed bytes are free; false if there are too few.
-    bool chooseVictims(const EndpointId&, const ModelSettings& incoming, std::uint64_t needed, MonotonicTime now,
-        Candidate&) const;
+    bool chooseVictims(
+        const EndpointId&, const ModelSettings& incoming, std::uint64_t needed, MonotonicTime now, Candidate&) const;
     std::uint64_t promisedBytes(const EndpointId&) const;
-    void dropSurplus(const ModelSettings&, std::vector<ReplicaKey> present, std::size_t surplus, MonotonicTime now,
-        EffectList&);
+    void dropSurplus(
+        const ModelSettings&, std::vector<ReplicaKey> present, std::size_t surplus, MonotonicTime now, EffectList&);
     void advancePlanned(MonotonicTime now);
     void advancePlannedReplica(PlannedReplica&, MonotonicTime now);
     void advanceEvictions(MonotonicTime now, EffectList&);
--- a/src/placement/PlacementManager.cpp
+++ b/src/placement/PlacementManager.cpp
@@ -34,10 +34,9 @@
     , m_callIds(StoreUser::Placement)
     , m_weightSlots("slots/weights", m_dataCentre, m_callIds)
     , m_adapterSlots("slots/adapters", m_dataCentre, m_callIds)
-    , m_election(std::make_unique<OwnerElection>(
-          keyOf(m_dataCentre, "owner"), m_self, incarnation, m_callIds, m_random))
-    , m_recorder(
-          std::make_unique<PlanRecorder>(keyOf(m_dataCentre, "plan"), m_self, incarnation, m_callIds, m_random))
+    , m_election(
+          std::make_unique<OwnerElection>(keyOf(m_dataCentre, "owner"), m_self, incarnation, m_callIds, m_random))
+    , m_recorder(std::make_unique<PlanRecorder>(keyOf(m_dataCentre, "plan"), m_self, incarnation, m_callIds, m_random))
     , m_follower(std::make_unique<PlanFollower>(keyOf(m_dataCentre, "plan"), m_callIds, m_random))
     , m_demand(std::make_unique<DemandTable>(m_policy))
     , m_forwarder(std::make_unique<DemandForwarder>())
@@ -298,8 +297,8 @@
 void PlacementManager::logPlanSize(EffectList& effects)
 {
     if (m_recorder->isTooLarge() && !m_planTooLargeLogged) {
-        effects.push_back(LogEntry {
-            LogEvent::PlanTooLarge, { { "bytes", std::to_string(m_recorder->lastEncodedBytes()) } } });
+        effects.push_back(
+            LogEntry { LogEvent::PlanTooLarge, { { "bytes", std::to_string(m_recorder->lastEncodedBytes()) } } });
     }
     m_planTooLargeLogged = m_recorder->isTooLarge();
 }
@@ -322,10 +321,7 @@
     return m_election->holder().value.empty() ? m_follower->plan().owner : m_election->holder();
 }
 
-const PlacementPlan& PlacementManager::plan() const
-{
-    return m_isOwner ? m_recorder->confirmed() : m_follower->plan();
-}
+const PlacementPlan& PlacementManager::plan() const { return m_isOwner ? m_recorder->confirmed() : m_follower->plan(); }
 
 bool PlacementManager::isLoadedAnywhere(const ModelId& model) const
 {
--- a/src/placement/PlacementPlan.cpp
+++ b/src/placement/PlacementPlan.cpp
@@ -106,8 +106,8 @@
             cells.push_back(replicaToJson(replica));
         rows.push_back(std::move(cells));
     }
-    return toBytes(Json::array({ planForm, plan.fencingToken, plan.version, plan.owner.value, plan.ownerIncarnation,
-        std::move(rows) }));
+    return toBytes(Json::array(
+        { planForm, plan.fencingToken, plan.version, plan.owner.value, plan.ownerIncarnation, std::move(rows) }));
 }
 
 Result<PlacementPlan> decodePlan(std::string_view bytes)
--- a/tests/placement/FakeStore.h
+++ b/tests/placement/FakeStore.h
@@ -35,11 +35,11 @@
             const auto found = m_values.find(watch->key);
             const StoreVersion version = found == m_values.end() ? 0 : found->second.version;
             if (version == watch->afterVersion) {
-                m_waiting.push_back({ watch->key, watch->afterVersion, now + watch->wait,
-                    [answer, id = call.id](StoreReply later) {
-                        later.id = id;
-                        answer(later);
-                    } });
+                m_waiting.push_back(
+                    { watch->key, watch->afterVersion, now + watch->wait, [answer, id = call.id](StoreReply later) {
+                         later.id = id;
+                         answer(later);
+                     } });
                 return;
             }
             reply = read(watch->key);
--- a/tests/placement/HistoryRecord.cpp
+++ b/tests/placement/HistoryRecord.cpp
@@ -10,8 +10,8 @@
 
     std::string describe(const RecordEntry& entry, const std::string& what)
     {
-        return std::to_string(std::chrono::duration<double>(entry.at.time_since_epoch()).count()) + " s: "
-            + entry.endpoint.value + " " + entry.model.value + ": " + what;
+        return std::to_string(std::chrono::duration<double>(entry.at.time_since_epoch()).count())
+            + " s: " + entry.endpoint.value + " " + entry.model.value + ": " + what;
     }
 
 } // namespace
@@ -88,8 +88,8 @@
             const double window = std::chrono::duration<double>(starts.back() - starts[first]).count();
             const auto count = static_cast<double>(starts.size() - first);
             if (count > 4 + 3 * window) {
-                violations.push_back(describe(entry,
-                    std::to_string(starts.size() - first) + " starts in " + std::to_string(window) + " s"));
+                violations.push_back(describe(
+                    entry, std::to_string(starts.size() - first) + " starts in " + std::to_string(window) + " s"));
                 break;
             }
         }
--- a/tests/placement/PlacementSimulation.h
+++ b/tests/placement/PlacementSimulation.h
@@ -103,6 +103,8 @@
         }
     }
 
+    // Cuts the data centre off from the store.
+    void cut(const DataCentreId& dataCentre, Duration span) { m_cutUntil[dataCentre] = now + span; }
     void stopWanting() { m_options.wantedPerMille = 0; }
 
     void want(Host& host, const ModelId& model)
@@ -160,8 +162,7 @@
         host.lease = {};
         host.leaseCallAt = now;
         host.connections.clear();
-        host.manager
-            = std::make_unique<PlacementManager>(host.id, host.incarnation, host.dataCentre, m_random.next());
+        host.manager = std::make_unique<PlacementManager>(host.id, host.incarnation, host.dataCentre, m_random.next());
         host.manager->configure(m_options.believed ? *m_options.believed : m_options.fleet);
     }
 
