--- a/src/placement/EngineLedger.cpp
+++ b/src/placement/EngineLedger.cpp
@@ -62,6 +62,7 @@
         engine.fetchPending = false;
         engine.fetchedAt = {};
         engine.report.reset();
+        engine.fencedAt.reset();
         engine.changedAt.clear();
         const bool waits = engine.settings.fencing == FencingSupport::Ignored;
         engine.readyAfter = now + reportLag + (waits ? lateArrivalTime(engine) : Duration {});
@@ -75,7 +76,7 @@
             const auto action
                 = replica.state == PlannedState::Loading ? PlacementAction::Load : PlacementAction::Unload;
             m_commands[replica.command]
-                = { replica.command, endpoint, model, action, true, now, now + late + reportLag };
+                = { replica.command, endpoint, model, action, true, now, now + late + reportLag, false, true };
         }
     }
 }
@@ -113,7 +114,8 @@
             ++command;
             continue;
         }
-        m_settlements.push_back({ command->first, endpoint, command->second.model, command->second.action, false });
+        m_settlements.push_back(
+            { command->first, endpoint, command->second.model, command->second.action, false, true, false });
         command = m_commands.erase(command);
     }
     if (m_recorder.working().replicas.erase(endpoint) > 0) {
@@ -149,6 +151,9 @@
     for (const ReportedReplica& replica : report.replicas)
         explained += replica.memoryBytes;
     engine.overheadBytes = report.memoryUsedBytes > explained ? report.memoryUsedBytes - explained : 0;
+    if (engine.settings.fencing == FencingSupport::Enforced && !engine.fencedAt
+        && report.highestFencingToken >= m_recorder.token())
+        engine.fencedAt = now;
     settleByReport(engine, report, now, effects);
     removeMissing(engine, report, effects);
     adoptUnplanned(engine, report, effects);
@@ -171,8 +176,8 @@
         if (command.endpoint != report.endpoint || !command.settleAfter)
             continue;
         const ReportedReplica* replica = findReported(report, command.model);
-        const bool isFenced = engine.settings.fencing == FencingSupport::Enforced
-            && report.highestFencingToken >= m_recorder.token() && report.requestedAt >= m_startedAt + reportLag;
+        const bool isFenced
+            = command.isInherited && engine.fencedAt && report.requestedAt >= *engine.fencedAt + reportLag;
         const bool isFinal = isFenced || report.requestedAt >= *command.settleAfter;
         const bool isLoaded = replica != nullptr && replica->state == ReplicaState::Loaded;
         if (command.action == PlacementAction::Load) {
@@ -193,7 +198,8 @@
 {
     const Command command = ended;
     m_commands.erase(command.id);
-    m_settlements.push_back({ command.id, command.endpoint, command.model, command.action, succeeded });
+    m_settlements.push_back(
+        { command.id, command.endpoint, command.model, command.action, succeeded, true, command.isFailureTold });
     const auto engine = m_engines.find(command.endpoint);
     if (engine != m_engines.end())
         engine->second.changedAt[command.model] = now;
@@ -253,7 +259,8 @@
             continue;
         const CommandId abandoned = replica == nullptr ? CommandId {} : replica->command;
         if (abandoned.value != 0)
-            m_settlements.push_back({ abandoned, report.endpoint, reported.model, PlacementAction::Load, true });
+            m_settlements.push_back(
+                { abandoned, report.endpoint, reported.model, PlacementAction::Load, true, true, false });
         m_recorder.working().put(
             { report.endpoint, reported.model, PlannedState::Loaded, CommandId {}, reported.memoryBytes });
         m_recorder.markChanged();
@@ -268,12 +275,19 @@
     if (found == m_commands.end())
         return false;
     Command& command = found->second;
-    if (finished.outcome == CommandOutcome::Unknown) {
+    // A load that failed at the engine is settled by a later report like an unknown one: a repeat of
+    // the command on its way would load the model again after the plan had forgotten it.
+    const bool isFailedLoad = finished.outcome == CommandOutcome::NotDone && command.action == PlacementAction::Load;
+    if (finished.outcome == CommandOutcome::Unknown || isFailedLoad) {
         const auto engine = m_engines.find(command.endpoint);
         const Duration late = engine == m_engines.end() ? waitMargin : lateArrivalTime(engine->second);
         command.settleAfter = now + late + reportLag;
+        if (isFailedLoad && !std::exchange(command.isFailureTold, true))
+            m_settlements.push_back(
+                { command.id, command.endpoint, command.model, command.action, false, false, false });
         effects.push_back(commandEntry(LogEvent::PlacementCommandFailed, command.endpoint, command.model,
-            std::string(nameOf(command.action)) + " outcome unknown: " + finished.reason));
+            std::string(nameOf(command.action)) + " " + std::string(nameOf(finished.outcome)) + ": "
+                + finished.reason));
         return false;
     }
     settle(command, finished.outcome == CommandOutcome::Done, now, effects);
@@ -283,8 +297,8 @@
 void EngineLedger::beginLoad(PlannedReplica& replica, MonotonicTime now)
 {
     replica.state = PlannedState::Loading;
-    m_commands[replica.command]
-        = { replica.command, replica.endpoint, replica.model, PlacementAction::Load, false, now, std::nullopt };
+    m_commands[replica.command] = { replica.command, replica.endpoint, replica.model, PlacementAction::Load, false, now,
+        std::nullopt, false, false };
     m_recorder.markChanged();
 }
 
@@ -292,8 +306,8 @@
 {
     replica.state = PlannedState::Unloading;
     replica.command = id;
-    m_commands[id]
-        = { id, replica.endpoint, replica.model, PlacementAction::Unload, false, now + unloadNotice, std::nullopt };
+    m_commands[id] = { id, replica.endpoint, replica.model, PlacementAction::Unload, false, now + unloadNotice,
+        std::nullopt, false, false };
     m_recorder.markChanged();
 }
 
@@ -357,8 +371,9 @@
         if (engine.dead || (engine.fetchPending && now - engine.fetchedAt < 2 * fetchTimeout))
             continue;
         const bool isAwaited = (!engine.ready && now >= engine.readyAfter)
-            || std::any_of(m_commands.begin(), m_commands.end(),
-                [&](const auto& entry) { return entry.second.endpoint == id && entry.second.settleAfter; });
+            || std::any_of(m_commands.begin(), m_commands.end(), [&endpoint = engine.settings.id](const auto& entry) {
+                   return entry.second.endpoint == endpoint && entry.second.settleAfter;
+               });
         const MonotonicTime last = std::max(engine.fetchedAt, engine.report ? engine.report->requestedAt : m_startedAt);
         const bool isFirst = engine.fetchedAt == MonotonicTime {};
         if (!isFirst && now - last < (isAwaited ? urgentFetchInterval : steadyFetchInterval))
--- a/src/placement/EngineLedger.h
+++ b/src/placement/EngineLedger.h
@@ -16,6 +16,10 @@
     PlacementAction action = PlacementAction::Load;
     // False if the command had no effect.
     bool succeeded = false;
+    // False for a failed load that still counts as occupying, because a repeat of it may arrive late.
+    bool isFinal = true;
+    // Whether the failure was told before.
+    bool isRepeated = false;
 };
 
 // What the owner knows of the engines of its data centre: their reports, the
@@ -35,6 +39,8 @@
         std::optional<EndpointReport> report {};
         // Memory in use that no reported model explains.
         std::uint64_t overheadBytes = 0;
+        // When the engine was first known to refuse the tokens of predecessors.
+        std::optional<MonotonicTime> fencedAt {};
         // When a model's presence was last settled; older reports say nothing of it.
         std::map<ModelId, MonotonicTime> changedAt {};
     };
@@ -48,6 +54,9 @@
         // Set once the adapter gave an unknown outcome, and for a predecessor's command: the report
         // that is requested at or after this time tells whether the command took effect.
         std::optional<MonotonicTime> settleAfter {};
+        bool isFailureTold = false;
+        // Sent, or perhaps sent, by a predecessor under a lower token.
+        bool isInherited = false;
     };
 
     // The recorder must outlive this object.
--- a/src/placement/PlacementDecider.cpp
+++ b/src/placement/PlacementDecider.cpp
@@ -77,8 +77,10 @@
 
 void PlacementDecider::noteSettlement(const Settlement& settlement, MonotonicTime now)
 {
-    m_weightSlots.release(settlement.command, now);
-    m_adapterSlots.release(settlement.command, now);
+    if (settlement.isFinal) {
+        m_weightSlots.release(settlement.command, now);
+        m_adapterSlots.release(settlement.command, now);
+    }
     const ReplicaKey key(settlement.endpoint, settlement.model);
     if (settlement.succeeded) {
         m_replicaBackoff.erase(key);
@@ -87,6 +89,8 @@
             m_evicting.erase(key);
         return;
     }
+    if (settlement.isRepeated)
+        return;
     const auto extend = [now](Backoff& backoff, Duration first) {
         backoff.until = now + first * (1U << backoff.failures);
         backoff.failures = std::min(backoff.failures + 1, maximumBackoffSteps);
@@ -148,11 +152,15 @@
 }
 
 std::uint32_t PlacementDecider::desiredReplicas(
-    const ModelSettings& model, const ModelDemand& demand, std::size_t present, MonotonicTime now)
+    const ModelSettings& model, const ModelDemand& demand, const std::vector<ReplicaKey>& replicas, MonotonicTime now)
 {
+    const std::size_t present = replicas.size();
     auto lastUse = demand.lastUse;
-    // A successor does not know when the models that it inherited were last used.
-    if (!lastUse && present > 0)
+    // A successor does not know when the models that it inherited were last used. An adopted replica
+    // has no command; it is unloaded unless it is wanted.
+    const bool isInherited = std::any_of(replicas.begin(), replicas.end(),
+        [this](const ReplicaKey& key) { return m_recorder.working().find(key.first, key.second)->command.value != 0; });
+    if (!lastUse && isInherited)
         lastUse = m_startedAt;
     const bool isWorth = demand.isActive() || m_policy.isWorthLoading(model.id, lastUse, now);
     std::uint32_t desired = std::max<std::uint32_t>(model.minimumReplicas, isWorth ? 1 : 0);
@@ -189,9 +197,10 @@
         if (countsAsPresent(key, demand.waiting > 0, now))
             present.push_back(key);
     }
-    const std::uint32_t desired = desiredReplicas(model, demand, present.size(), now);
+    const std::uint32_t desired = desiredReplicas(model, demand, present, now);
     if (present.size() > desired) {
-        dropSurplus(model, std::move(present), present.size() - desired, now, effects);
+        const std::size_t surplus = present.size() - desired;
+        dropSurplus(model, std::move(present), surplus, now, effects);
         return;
     }
     const auto backoff = m_modelBackoff.find(model.id);
--- a/src/placement/PlacementDecider.h
+++ b/src/placement/PlacementDecider.h
@@ -41,7 +41,8 @@
 
     Index indexByModel() const;
     void decideModel(const ModelSettings&, const std::vector<ReplicaKey>& replicas, MonotonicTime now, EffectList&);
-    std::uint32_t desiredReplicas(const ModelSettings&, const ModelDemand&, std::size_t present, MonotonicTime now);
+    std::uint32_t desiredReplicas(
+        const ModelSettings&, const ModelDemand&, const std::vector<ReplicaKey>& present, MonotonicTime now);
     bool countsAsPresent(const ReplicaKey&, bool isWaiting, MonotonicTime now) const;
     void planLoad(const ModelSettings&, bool mayEvict, MonotonicTime now, EffectList&);
     std::optional<Candidate> evaluate(
