--- a/src/admin/AdminReads.cpp
+++ b/src/admin/AdminReads.cpp
@@ -18,7 +18,7 @@
     constexpr std::array<std::string_view, 9> statusSections { "hosts", "shares", "replicas", "slots", "orders",
         "endpoints", "membership", "configuration", "store" };
 
-    AdminAnswer versioned(Json body, ConfigurationVersion version)
+    AdminAnswer versioned(const Json& body, ConfigurationVersion version)
     {
         AdminAnswer answer = jsonAnswer(200, body);
         answer.headers.emplace_back("ETag", "\"" + std::to_string(version) + "\"");
@@ -94,7 +94,7 @@
         Json document = Json::parse(fleetConfigurationToJson(configuration));
         if (call.resource == "defaults")
             return itemAnswer(document.value("defaults", Json::object()), configuration.version);
-        return versioned(std::move(document), configuration.version);
+        return versioned(document, configuration.version);
     }
 
     AdminAnswer readStatus(const AdminCall& call, const StatusSource& source)
--- a/tests/admin/AdminApiTest.cpp
+++ b/tests/admin/AdminApiTest.cpp
@@ -1,4 +1,5 @@
 #include <admin/AdminFixture.h>
+#include <catkinwell/core/RandomGenerator.h>
 
 using namespace Catkinwell;
 using namespace std::chrono_literals;
@@ -303,3 +304,62 @@
     CHECK(answer.status == 503);
     CHECK_THAT(answer.body, Contains("no configuration"));
 }
+
+// Guards against input that crashes the host or leaves a request without an answer.
+TEST_CASE_METHOD(AdminFixture, "mutated requests are answered once and change nothing by themselves")
+{
+    const std::uint64_t seed = GENERATE(11, 12, 13);
+    RandomGenerator random(seed);
+    int proposals = 0;
+    ALLOW_CALL(access, propose(_, _, _, _, _, _)).LR_SIDE_EFFECT(++proposals);
+    ALLOW_CALL(access, revokeKeyLocally(_, _, _));
+    ALLOW_CALL(access, effective()).LR_RETURN(std::ref(configuration));
+    ALLOW_CALL(status, statusJson(_, _)).RETURN("{}");
+    ALLOW_CALL(drains, setDraining(_, _, _, _, _)).RETURN(Status());
+    struct Valid {
+        std::string method;
+        std::string path;
+        std::string body;
+    };
+    const std::vector<Valid> requests { { "GET", "configuration?view=effective", "" },
+        { "PUT", "accounts/quay-3", "{\"rate\":5}" }, { "DELETE", "models/style", "" },
+        { "PUT", "exceptions/account/quay-3/rate", "{\"value\":[[{}]],\"reason\":\"x\"}" },
+        { "POST", "keys", "{\"account\":\"quay-3\",\"label\":\"till\"}" }, { "DELETE", "keys/old-key", "" },
+        { "POST", "revocations", "{\"key\":\"old-key\"}" }, { "PUT", "drains/engine-1?dry_run=true", "" },
+        { "GET", "explain/model/notes-7b", "" }, { "GET", "status/shares", "" } };
+    const std::vector<std::string> inserts { "/", "%ff", "%00", "?", "&a=b", "{", "]", "\"", "\xff\xfe", "1e999",
+        "null", std::string(5000, '['), "\n", "-1" };
+    const auto mutate = [&](std::string& text) {
+        const std::size_t at = random.below(text.size() + 1);
+        if (random.below(2) == 0)
+            text.insert(at, inserts[random.below(inserts.size())]);
+        else if (random.below(2) == 0)
+            text.erase(at, 1 + random.below(4));
+        else if (at < text.size())
+            text[at] = static_cast<char>(random.below(256));
+    };
+    const std::vector<std::string> tokens { "read", "operate", "grant", "" };
+    std::size_t answered = 0;
+    for (int i = 0; i < 3000; ++i) {
+        auto [method, path, body] = requests[random.below(requests.size())];
+        std::string version = "17";
+        for (std::string* text : { &method, &path, &body, &version }) {
+            if (random.below(4) == 0)
+                mutate(*text);
+        }
+        const auto answer = send(request(tokens[random.below(tokens.size())], method, "/admin/v1/" + path, body,
+            { { "X-Audit-Reason", "a test" }, { "If-Match", version } }));
+        answered += answer.status != 0 ? 1 : 0;
+        if (answer.status >= 400)
+            CHECK(Json::accept(answer.body));
+    }
+    // Each proposal is answered later, when its time is over.
+    clock.advance(60s);
+    EffectList effects;
+    api.poll(clock.monotonicNow(), effects);
+    for (const Effect& effect : effects)
+        answered += std::holds_alternative<SendWholeResponse>(effect) ? 1 : 0;
+    INFO("seed " << seed << " proposals " << proposals);
+    CHECK(answered == 3000);
+    CHECK(proposals > 0);
+}
