Connect peers, membership, fair queue, retry budget and quarantine; truthful outcomes

Cause: the process tests found a request answered 504 not_run although a silent engine had it, because the attempt's own timeout put it back into the queue just before its deadline. Ruled out: a wrong outcome from the HTTP client, which reported unknown. Change: one place decides the outcome of every refusal from whether any attempt may have reached an endpoint. A request whose only replica failed waited until its deadline; it now tries that replica again after its suspicion. A host without a share because the store is down answers store_unavailable instead of rate_limit_exceeded.

--- a/include/catkinwell/endpoint/EndpointReport.h
+++ b/include/catkinwell/endpoint/EndpointReport.h
@@ -61,6 +61,8 @@
 struct EndpointReportFailed {
     EndpointId endpoint;
     std::string reason;
+    // No connection could be opened, so the endpoint's process does not run or cannot be reached.
+    bool connectionFailed = false;
 };
 
 // An effect: fetches the endpoint's report; answered by EndpointReport or EndpointReportFailed.
--- a/include/catkinwell/reducer/Effect.h
+++ b/include/catkinwell/reducer/Effect.h
@@ -7,6 +7,8 @@
 #include <catkinwell/peer/PeerMessage.h>
 #include <catkinwell/placement/PlacementCommand.h>
 #include <catkinwell/store/StoreTypes.h>
+#include <map>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -17,16 +19,15 @@
     int code = 0;
 };
 
-// Tells the peer transport where to reach a host. An empty address forgets the host.
-struct SetPeerAddress {
-    HostId host;
-    std::string address;
+// Tells the peer transport where to reach each host ("ip:port"). Replaces the earlier table.
+struct SetPeerAddresses {
+    std::map<HostId, std::string> addresses;
 };
 
 // Everything that the reducer can ask the runtime to do.
 using Effect = std::variant<SendResponseHead, SendResponseData, FinishResponse, SendWholeResponse, AbortResponse,
     StartAttempt, CancelAttempt, ThrottleAttempt, StoreCall, SendToPeer, FetchEndpointReport, PlacementCommand,
-    LogEntry, RecordMetric, SetPeerAddress, ExitProcess>;
+    LogEntry, RecordMetric, SetPeerAddresses, ExitProcess>;
 
 using EffectList = std::vector<Effect>;
 
--- a/include/catkinwell/reducer/Reducer.h
+++ b/include/catkinwell/reducer/Reducer.h
@@ -5,6 +5,7 @@
 #include <catkinwell/admin/UsageAccounting.h>
 #include <catkinwell/configuration/ConfigurationManager.h>
 #include <catkinwell/membership/EndpointDrains.h>
+#include <catkinwell/membership/MembershipManager.h>
 #include <catkinwell/metrics/MetricsRegistry.h>
 #include <catkinwell/orders/ClaimManager.h>
 #include <catkinwell/placement/PlacementManager.h>
@@ -60,6 +61,8 @@
     void propagate(MonotonicTime now, EffectList&);
     void propagateConfiguration(MonotonicTime now, EffectList&);
     void propagateMembership(MonotonicTime now, EffectList&);
+    void applyLeaving(const std::set<EndpointId>&, MonotonicTime now, EffectList&);
+    void shareSuspicions(MonotonicTime now, EffectList&);
     void propagatePlan(MonotonicTime now);
     void reportDemand(MonotonicTime now);
     void countReplicas(const EndpointReport&, MonotonicTime now);
@@ -67,6 +70,15 @@
     void absorb(MonotonicTime now, EffectList&);
 
     std::string statusJson(std::string_view section, MonotonicTime now) const override;
+    std::string hostsStatus(MonotonicTime now) const;
+    std::string sharesStatus(MonotonicTime now) const;
+    std::string replicasStatus(MonotonicTime now) const;
+    std::string slotsStatus(MonotonicTime now) const;
+    std::string ordersStatus(MonotonicTime now) const;
+    std::string endpointsStatus(MonotonicTime now) const;
+    std::string membershipStatus(MonotonicTime now) const;
+    std::string configurationStatus(MonotonicTime now) const;
+    std::string storeStatus(MonotonicTime now) const;
     std::string reasonNotReady(MonotonicTime now) const override;
     std::vector<EndpointId> draining() const override;
     Status setDraining(
@@ -80,7 +92,9 @@
     UsageAccounting m_usage;
     HostLease m_lease;
     ConfigurationManager m_configuration;
+    MembershipManager m_membership;
     EndpointDrains m_drains;
+    CrashQuarantine m_quarantine;
     EndpointTable m_endpoints;
     ShareManager m_shares;
     ClaimManager m_claims;
@@ -93,7 +107,8 @@
     MonotonicTime m_nextDemandAt {};
     std::uint64_t m_seenPlanVersion = 0;
     bool m_wasOwner = false;
-    std::map<HostId, std::string> m_peerAddresses;
+    bool m_hasSpreadMembership = false;
+    MonotonicTime m_nextSuspicionsAt {};
     std::set<EndpointId> m_leavingEndpoints;
     // The replicas that this host counts for the bill.
     std::map<EndpointId, std::set<ModelId>> m_countedReplicas;
--- a/include/catkinwell/requests/ActiveRequest.h
+++ b/include/catkinwell/requests/ActiveRequest.h
@@ -51,8 +51,10 @@
     RequestStage stage = RequestStage::AwaitingTokens;
     bool hasReservation = false;
     bool hasClaim = false;
-    // Set once a request without repetition was handed to the network.
+    // Set from the first attempt that may have reached an endpoint; no answer says "not run" from then on.
     bool mayHaveRun = false;
+    // The value of mayHaveRun before the current attempt, restored if that attempt was surely not sent.
+    bool mayHaveRunBefore = false;
     bool callerGone = false;
     // The caller has got its answer; only the outcome of the claim is still awaited.
     bool answered = false;
--- a/include/catkinwell/requests/RequestFlow.h
+++ b/include/catkinwell/requests/RequestFlow.h
@@ -1,15 +1,18 @@
 #pragma once
 
 #include <catkinwell/admin/UsageAccounting.h>
+#include <catkinwell/admission/FairQueue.h>
+#include <catkinwell/admission/WaitEstimator.h>
 #include <catkinwell/configuration/ConfigurationAccess.h>
 #include <catkinwell/orders/ClaimManager.h>
 #include <catkinwell/reducer/Effect.h>
 #include <catkinwell/reducer/Event.h>
 #include <catkinwell/requests/ActiveRequest.h>
 #include <catkinwell/requests/ApiError.h>
+#include <catkinwell/routing/CrashQuarantine.h>
 #include <catkinwell/routing/EndpointTable.h>
+#include <catkinwell/routing/RetryBudget.h>
 #include <catkinwell/shares/ShareManager.h>
-#include <deque>
 #include <memory>
 #include <set>
 #include <unordered_map>
@@ -24,6 +27,7 @@
     ShareManager& shares;
     ClaimManager& claims;
     UsageAccounting& usage;
+    CrashQuarantine& quarantine;
 };
 
 // What the placement should know of a model's requests on this host.
@@ -54,8 +58,10 @@
     void advance(MonotonicTime now, EffectList&);
     // Refuses what is past its deadline.
     void tick(MonotonicTime now, EffectList&);
+    // Tells that an endpoint may have found room or a model, so that waiting requests are tried again.
+    void capacityChanged() { m_dispatchDue = true; }
 
-    // Ends the requests of keys that are no longer granted.
+    // Takes over limits and weights, and ends the requests of keys that are no longer granted.
     void configurationChanged(MonotonicTime now, EffectList&);
 
     // Refuses new requests from now on; running ones go on.
@@ -89,7 +95,11 @@
     void enqueue(ActiveRequest&, MonotonicTime now, EffectList&);
     void apply(const ShareDecision&, MonotonicTime now, EffectList&);
     void apply(const ClaimDecision&, MonotonicTime now, EffectList&);
+    void noteCold(ActiveRequest&, MonotonicTime now);
+    void waitInQueue(ActiveRequest&, MonotonicTime now, EffectList&);
+    bool refuseHopeless(ActiveRequest&, MonotonicTime now, EffectList&);
     void dispatchQueued(MonotonicTime now, EffectList&);
+    void dispatchModel(const ModelId& queueKey, MonotonicTime now, EffectList&);
     bool startAttempt(ActiveRequest&, MonotonicTime now, EffectList&);
 
     // Answers.
@@ -102,13 +112,13 @@
     void retryOrFail(ActiveRequest&, bool mayHaveRun, const std::string& reason, MonotonicTime now, EffectList&);
     void breakAnswer(ActiveRequest&, const std::string& reason, MonotonicTime now, EffectList&);
     void failRequest(ActiveRequest&, const ApiError&, MonotonicTime now, EffectList&);
-    void answerWithError(ActiveRequest&, const ApiError&, EffectList&);
+    void answerWithError(ActiveRequest&, ApiError, EffectList&);
     void refuse(RequestId, const AccountId&, const ApiError&, EffectList&);
     void expire(ActiveRequest&, MonotonicTime now, EffectList&);
     void revoke(ActiveRequest&, MonotonicTime now, EffectList&);
     void completeRequest(ActiveRequest&, std::optional<TokenCount> usedTokens, MonotonicTime now, EffectList&);
-    void endAttempt(ActiveRequest&);
-    void abandonAttempt(ActiveRequest&, EffectList&);
+    void endAttempt(ActiveRequest&, bool clean, MonotonicTime now);
+    void abandonAttempt(ActiveRequest&, MonotonicTime now, EffectList&);
     void settle(ActiveRequest&, TokenCount usedTokens, MonotonicTime now);
     void settleClaim(ActiveRequest&, MonotonicTime now, EffectList&);
     TokenCount tokensSoFar(const ActiveRequest&) const;
@@ -121,8 +131,15 @@
     std::unordered_map<RequestId, std::unique_ptr<ActiveRequest>> m_requests;
     std::unordered_map<AttemptId, RequestId> m_attempts;
     std::set<std::pair<MonotonicTime, RequestId>> m_deadlines;
-    std::deque<RequestId> m_queue;
+    FairQueue m_queue;
+    WaitEstimator m_waits;
+    RetryBudget m_retries;
+    // Models whose load is awaited.
+    std::set<ModelId> m_loading;
+    bool m_dispatchDue = false;
     std::map<ModelId, std::uint32_t> m_arrivals;
+    // Requests refused because the load of their model takes too long; the model is wanted all the same.
+    std::map<ModelId, std::uint32_t> m_refusedCold;
 };
 
 } // namespace Catkinwell
--- a/include/catkinwell/routing/CrashQuarantine.h
+++ b/include/catkinwell/routing/CrashQuarantine.h
@@ -56,6 +56,9 @@
     void merge(const HostId& from, const std::vector<std::pair<RequestFingerprint, std::uint32_t>>& suspects,
         MonotonicTime now);
 
+    // The refused fingerprints with their crashes, in no particular order.
+    std::vector<std::pair<RequestFingerprint, std::uint32_t>> refused() const;
+
     std::size_t size() const { return m_suspects.size(); }
 
 private:
--- a/include/catkinwell/routing/EndpointTable.h
+++ b/include/catkinwell/routing/EndpointTable.h
@@ -45,6 +45,9 @@
 
     // Marks the endpoints that the platform or an operator is removing; they get no new attempts.
     void setLeaving(const std::set<EndpointId>&, MonotonicTime now, EffectList&);
+    // Whether the failure shows that the endpoint died while it was in use: an attempt failed a few seconds ago and now
+    // no connection can be opened. True once for each death.
+    bool noteDeath(const EndpointReportFailed&, MonotonicTime now);
     // Corrects the loaded models of an endpoint ahead of its next report, for example from the placement plan.
     void noteReplica(const EndpointId&, const ModelId&, bool loaded);
 
@@ -58,8 +61,9 @@
     std::optional<EndpointSettings> choose(const EndpointDemand&, MonotonicTime now, EffectList&);
     // Whether an endpoint could take a request for the model now.
     bool hasRoom(const std::string& pool, const ModelId&, MonotonicTime now) const;
-    // Whether any usable endpoint has the model loaded, with or without room.
-    bool isLoaded(const std::string& pool, const ModelId&, MonotonicTime now) const;
+    // Whether any usable endpoint but the excluded ones has the model loaded, with or without room.
+    bool isLoaded(
+        const std::string& pool, const ModelId&, MonotonicTime now, const std::set<EndpointId>& excluded = {}) const;
     // Whether the pool has an endpoint that is neither leaving nor suspected.
     bool hasUsableEndpoint(const std::string& pool, MonotonicTime now) const;
 
@@ -90,7 +94,11 @@
         MonotonicTime nextReportAt {};
         MonotonicTime suspectedUntil {};
         std::uint32_t failedReports = 0;
+        MonotonicTime attemptFailedAt {};
+        bool deathNoted = false;
         bool reportPending = false;
+        // A plain service is asked only after a failed attempt.
+        bool probeDue = false;
         bool leaving = false;
         bool reportedLeaving = false;
         std::vector<PrefixUse> recentPrefixes;
--- a/include/catkinwell/shares/ShareManager.h
+++ b/include/catkinwell/shares/ShareManager.h
@@ -72,7 +72,7 @@
     // without the store this stays false, and the pieces come back when they lapse.
     bool isReleased() const;
 
-    std::vector<ShareStatus> status(MonotonicTime now);
+    std::vector<ShareStatus> status(MonotonicTime now) const;
 
 private:
     struct Reserved {
--- a/src/endpoint/EngineClient.cpp
+++ b/src/endpoint/EngineClient.cpp
@@ -96,8 +96,9 @@
         complete.receivedAt = m_clock.monotonicNow();
         m_signalReport.emit(complete);
     };
-    observer.onFailed = [this, endpoint](AttemptOutcome, std::string reason) {
-        m_signalReportFailed.emit(EndpointReportFailed { endpoint, std::move(reason) });
+    observer.onFailed = [this, endpoint](AttemptOutcome outcome, std::string reason) {
+        m_signalReportFailed.emit(
+            EndpointReportFailed { endpoint, std::move(reason), outcome == AttemptOutcome::NotSent });
     };
     m_client.start(request, std::move(observer));
 }
--- a/src/reducer/Reducer.cpp
+++ b/src/reducer/Reducer.cpp
@@ -11,6 +11,8 @@
     constexpr Duration demandInterval = std::chrono::milliseconds(250);
     // How long a stopping host waits for the store before it leaves its leases to lapse.
     constexpr Duration longestRelease = std::chrono::seconds(10);
+    // Digests leave a few times a second; what they carry for other modules is renewed as often.
+    constexpr Duration suspicionInterval = std::chrono::seconds(1);
     constexpr Duration longestRevoke = std::chrono::seconds(2);
 
     // Seeds of the modules' generators, derived from one so that hosts differ and a history replays.
@@ -23,6 +25,16 @@
         return admin;
     }
 
+    MembershipSettings membershipSettingsOf(const ReducerSettings& settings)
+    {
+        MembershipSettings membership;
+        membership.self = settings.host.host;
+        membership.incarnation = settings.host.incarnation;
+        membership.dataCentre = settings.host.dataCentre;
+        membership.seed = derivedSeed(settings.seed, "membership");
+        return membership;
+    }
+
     std::vector<AdminRole> rolesOf(const std::vector<std::string>& names)
     {
         std::vector<AdminRole> roles;
@@ -51,13 +63,14 @@
     , m_usage(m_settings.host.host, now, wallNow)
     , m_lease(m_settings.host, derivedSeed(m_settings.seed, "lease"))
     , m_configuration(derivedSeed(m_settings.seed, "configuration"))
+    , m_membership(membershipSettingsOf(m_settings))
     , m_drains(derivedSeed(m_settings.seed, "drains"))
     , m_endpoints(m_settings.host.dataCentre, derivedSeed(m_settings.seed, "endpoints"))
     , m_shares(m_settings.host.host, m_settings.host.incarnation, derivedSeed(m_settings.seed, "shares"), now)
     , m_claims(derivedSeed(m_settings.seed, "claims"))
     , m_placement(m_settings.host.host, m_settings.host.incarnation, m_settings.host.dataCentre,
           derivedSeed(m_settings.seed, "placement"))
-    , m_requests({ m_configuration, m_endpoints, m_shares, m_claims, m_usage })
+    , m_requests({ m_configuration, m_endpoints, m_shares, m_claims, m_usage, m_quarantine })
     , m_admin(adminSettingsOf(m_settings),
           { m_configuration, *this, *this, *this, *this, secrets, m_metrics, m_journal, m_usage })
     , m_wallNow(wallNow)
@@ -67,6 +80,12 @@
     claims.incarnation = m_settings.host.incarnation;
     m_claims.configure(claims, { { claims.self, claims.incarnation } });
     m_placement.configure(m_configuration.effective());
+    // Hosts from the settings stand in for the platform's list until that has been read.
+    std::vector<PlatformHost> seeds;
+    for (const auto& [host, address] : m_settings.seedPeers)
+        seeds.push_back({ host, 0, DataCentreId(), address, false });
+    EffectList ignored;
+    m_membership.setPlatformList(seeds, now, ignored);
 }
 
 Reducer::~Reducer() = default;
@@ -96,11 +115,14 @@
         reducer.m_endpoints.handle(event, now, effects);
         reducer.m_placement.handle(event, now, effects);
         reducer.countReplicas(event, now);
+        reducer.m_requests.capacityChanged();
     }
     void operator()(const EndpointReportFailed& event) const
     {
         reducer.m_endpoints.handle(event, now, effects);
         reducer.m_placement.handle(event, now);
+        if (reducer.m_endpoints.noteDeath(event, now))
+            reducer.m_quarantine.endpointDied(event.endpoint, now);
     }
     void operator()(const PlacementCommandFinished& event) const { reducer.m_placement.handle(event, now, effects); }
 };
@@ -130,6 +152,7 @@
     m_wallNow = tick.wallNow;
     m_lease.tick(now, effects);
     m_configuration.tick(now, tick.wallNow, effects);
+    m_membership.tick(now, effects);
     m_drains.tick(now, effects);
     m_endpoints.tick(now, effects);
     m_shares.tick(now, effects);
@@ -162,6 +185,7 @@
         m_admin.poll(now, effects);
         break;
     case StoreUser::Membership:
+        m_membership.handle(reply, now, effects);
         break;
     case StoreUser::Administration:
         m_drains.handle(reply, now, effects);
@@ -200,6 +224,8 @@
         }
         void operator()(const MembershipDigest& message) const
         {
+            reducer.m_membership.handle(envelope.from, message, now, effects);
+            reducer.m_quarantine.merge(envelope.from, message.suspectFingerprints, now);
             reducer.m_configuration.noteDigest(
                 envelope.from, message.configurationVersion, message.revokedKeys, now, effects);
         }
@@ -224,6 +250,7 @@
     propagateConfiguration(now, effects);
     propagateMembership(now, effects);
     propagatePlan(now);
+    shareSuspicions(now, effects);
     m_requests.advance(now, effects);
     reportDemand(now);
 }
@@ -254,6 +281,7 @@
         for (const auto& [model, replica] : models)
             m_endpoints.noteReplica(endpoint, model, replica.state == PlannedState::Loaded);
     }
+    m_requests.capacityChanged();
 }
 
 void Reducer::reportDemand(MonotonicTime now)
@@ -306,6 +334,7 @@
     m_phase = Phase::Draining;
     m_requests.beginShutdown();
     m_lease.announceLeaving(now);
+    m_membership.announceLeaving();
     effects.push_back(
         LogEntry { LogEvent::ShutdownRequested, { { "running", std::to_string(m_requests.activeRequests()) } } });
 }
@@ -334,23 +363,66 @@
 
 void Reducer::propagateMembership(MonotonicTime now, EffectList& effects)
 {
-    m_placement.setLiveHosts({ m_settings.host.host });
-    const std::set<EndpointId> leaving = m_drains.appliedTo({});
-    if (leaving == m_leavingEndpoints)
+    const bool membershipChanged = m_membership.changedSinceLastTake();
+    const std::set<EndpointId> leaving = m_drains.appliedTo(m_membership.leavingEndpoints());
+    if (leaving != m_leavingEndpoints)
+        applyLeaving(leaving, now, effects);
+    if (!membershipChanged && m_hasSpreadMembership)
         return;
-    for (const EndpointId& endpoint : leaving)
-        m_placement.markEndpointLeaving(endpoint);
+    m_hasSpreadMembership = true;
+    std::vector<LiveHost> live { { m_settings.host.host, m_settings.host.incarnation } };
+    for (const HostView& view : m_membership.liveHosts(now))
+        live.push_back({ view.host, view.incarnation });
+    std::set<HostId> sameDataCentre;
+    for (const HostView& view : m_membership.liveHosts(m_settings.host.dataCentre, now))
+        sameDataCentre.insert(view.host);
+    m_shares.setPeers({ sameDataCentre.begin(), sameDataCentre.end() }, live.size(), now);
+    m_placement.setLiveHosts(sameDataCentre);
+    m_claims.setLiveHosts(std::move(live));
+    effects.push_back(SetPeerAddresses { m_membership.peerAddresses() });
+}
+
+void Reducer::applyLeaving(const std::set<EndpointId>& leaving, MonotonicTime now, EffectList& effects)
+{
+    for (const EndpointId& endpoint : leaving) {
+        if (!m_leavingEndpoints.contains(endpoint))
+            m_placement.markEndpointLeaving(endpoint);
+    }
+    for (const EndpointId& endpoint : m_leavingEndpoints) {
+        if (!leaving.contains(endpoint))
+            m_placement.markEndpointAlive(endpoint, now);
+    }
     m_leavingEndpoints = leaving;
     m_endpoints.setLeaving(leaving, now, effects);
 }
 
-std::string Reducer::statusJson(std::string_view, MonotonicTime now) const { return m_endpoints.statusJson(now); }
+void Reducer::shareSuspicions(MonotonicTime now, EffectList& effects)
+{
+    for (const RequestFingerprint fingerprint : m_quarantine.takeNewlyRefused())
+        effects.push_back(
+            LogEntry { LogEvent::FingerprintQuarantined, { { "fingerprint", std::to_string(fingerprint) } } });
+    if (now < m_nextSuspicionsAt)
+        return;
+    m_nextSuspicionsAt = now + suspicionInterval;
+    m_membership.setSuspectFingerprints(m_quarantine.shareWithPeers(now));
+    m_membership.setConfigurationState(m_configuration.accepted().version, m_configuration.revokedKeys());
+}
 
-std::vector<QuarantinedRequest> Reducer::quarantined() const { return {}; }
+std::vector<QuarantinedRequest> Reducer::quarantined() const
+{
+    std::vector<QuarantinedRequest> list;
+    for (const auto& [fingerprint, crashes] : m_quarantine.refused())
+        list.push_back({ fingerprint, AccountId(), ModelId(), crashes });
+    return list;
+}
 
-Status Reducer::release(std::uint64_t, MonotonicTime, EffectList&)
+Status Reducer::release(std::uint64_t fingerprint, MonotonicTime now, EffectList&)
 {
-    return Error { ErrorKind::NotFound, "the fingerprint is not in quarantine" };
+    if (!m_quarantine.isRefused(fingerprint, now))
+        return Error { ErrorKind::NotFound,
+            "the fingerprint is not in quarantine; list them with `catkinwell admin quarantine list`" };
+    m_quarantine.release(fingerprint);
+    return std::monostate {};
 }
 
 std::string Reducer::reasonNotReady(MonotonicTime) const
--- a/src/requests/RequestAnswers.cpp
+++ b/src/requests/RequestAnswers.cpp
@@ -49,7 +49,7 @@
         return; // It runs to its outcome, which a repeat may ask for.
     const TokenCount used = running ? tokensSoFar(*request) : 0;
     if (running)
-        abandonAttempt(*request, effects);
+        abandonAttempt(*request, now, effects);
     settle(*request, used, now);
     settleClaim(*request, now, effects);
     erase(left.id);
@@ -86,7 +86,7 @@
 {
     std::string passed = request.filter->feed(data);
     if (request.filter->isOverlong()) {
-        abandonAttempt(request, effects);
+        abandonAttempt(request, now, effects);
         breakAnswer(request, "the endpoint sent an event without an end", now, effects);
         return;
     }
@@ -130,13 +130,14 @@
     if (request->status == 404 && !request->model.value.empty()) {
         m_modules.endpoints.noteReplica(request->endpoint, request->model, false);
         m_modules.endpoints.refreshSoon(request->endpoint);
-        endAttempt(*request);
+        endAttempt(*request, true, now);
+        request->mayHaveRun = request->mayHaveRunBefore;
         enqueue(*request, now, effects);
         return;
     }
     if (request->idempotent && isTemporaryFailure(request->status) && !request->headSent) {
         const std::string reason = "the endpoint answered with status " + std::to_string(request->status);
-        endAttempt(*request);
+        endAttempt(*request, true, now);
         retryOrFail(*request, true, reason, now, effects);
         return;
     }
@@ -145,7 +146,7 @@
 
 void RequestFlow::finishStream(ActiveRequest& request, MonotonicTime now, EffectList& effects)
 {
-    endAttempt(request);
+    endAttempt(request, request.filter->isComplete(), now);
     if (!request.filter->isComplete()) {
         retryOrFail(request, true, "the stream ended without its end marker", now, effects);
         return;
@@ -157,7 +158,7 @@
 
 void RequestFlow::finishWhole(ActiveRequest& request, MonotonicTime now, EffectList& effects)
 {
-    endAttempt(request);
+    endAttempt(request, true, now);
     if (request.hasClaim) {
         m_modules.claims.recordOutcome(
             request.id, request.status, request.responseHeaders, request.collected, now, effects);
@@ -185,7 +186,7 @@
             { "outcome", std::string(nameOf(failed.outcome)) }, { "reason", failed.reason } } });
     m_modules.endpoints.attemptFailed(request->endpoint, now, effects);
     request->excluded.insert(request->endpoint);
-    endAttempt(*request);
+    endAttempt(*request, false, now);
     retryOrFail(*request, failed.outcome != AttemptOutcome::NotSent, failed.reason, now, effects);
 }
 
@@ -197,9 +198,14 @@
         return;
     }
     if (!mayHaveRun)
-        request.mayHaveRun = false;
+        request.mayHaveRun = request.mayHaveRunBefore;
     const bool safe = request.idempotent || !request.mayHaveRun;
-    if (safe && request.attempts < maximumAttempts && now < request.deadline && !request.answered) {
+    const bool wanted = safe && request.attempts < maximumAttempts && now < request.deadline && !request.answered;
+    const bool affordable = wanted && m_retries.tryRetry(now);
+    if (wanted && !affordable)
+        effects.push_back(
+            LogEntry { LogEvent::RetryBudgetExhausted, { { "request", std::to_string(request.id.value) } } });
+    if (affordable) {
         effects.push_back(LogEntry { LogEvent::RequestRetried,
             { { "request", std::to_string(request.id.value) }, { "attempt", std::to_string(request.attempts + 1) },
                 { "reason", reason } } });
@@ -209,10 +215,8 @@
         enqueue(request, now, effects);
         return;
     }
-    ApiError error { ApiErrorCode::EndpointFailed, "the endpoint failed: " + reason, RunOutcome::Unknown };
-    if (!request.mayHaveRun && !mayHaveRun)
-        error.outcome = RunOutcome::NotRun;
-    else if (!request.idempotent)
+    ApiError error { ApiErrorCode::EndpointFailed, "the endpoint failed: " + reason, RunOutcome::NotRun };
+    if (request.mayHaveRun && !request.idempotent)
         error.code = ApiErrorCode::OutcomeUnknown;
     failRequest(request, error, now, effects);
 }
@@ -223,10 +227,13 @@
         now, effects);
 }
 
-void RequestFlow::answerWithError(ActiveRequest& request, const ApiError& error, EffectList& effects)
+void RequestFlow::answerWithError(ActiveRequest& request, ApiError error, EffectList& effects)
 {
     if (request.answered || request.callerGone)
         return;
+    // Every refusal passes here, so that "not run" is never said of a request that may have run.
+    if (request.mayHaveRun && error.outcome == RunOutcome::NotRun)
+        error.outcome = RunOutcome::Unknown;
     request.answered = true;
     effects.push_back(RecordMetric { Metric::RefusalsTotal, std::string(describe(error.code).name) });
     m_modules.usage.requestRefused(request.account, request.model, std::string(describe(error.code).name));
@@ -251,8 +258,7 @@
 void RequestFlow::failRequest(ActiveRequest& request, const ApiError& error, MonotonicTime now, EffectList& effects)
 {
     answerWithError(request, error, effects);
-    const bool ran = error.outcome != RunOutcome::NotRun && request.attempts > 0;
-    settle(request, ran ? tokensSoFar(request) : 0, now);
+    settle(request, request.mayHaveRun ? tokensSoFar(request) : 0, now);
     settleClaim(request, now, effects);
     erase(request.id);
 }
@@ -319,16 +325,18 @@
         m_modules.claims.recordNotSent(request.id, now, effects);
 }
 
-void RequestFlow::endAttempt(ActiveRequest& request)
+void RequestFlow::endAttempt(ActiveRequest& request, bool clean, MonotonicTime now)
 {
     m_modules.endpoints.attemptEnded(request.endpoint);
+    m_modules.quarantine.attemptEnded(request.endpoint, request.fingerprint, clean, now);
     m_attempts.erase(request.attempt);
+    capacityChanged();
 }
 
-void RequestFlow::abandonAttempt(ActiveRequest& request, EffectList& effects)
+void RequestFlow::abandonAttempt(ActiveRequest& request, MonotonicTime now, EffectList& effects)
 {
     effects.push_back(CancelAttempt { request.attempt });
-    endAttempt(request);
+    endAttempt(request, false, now);
 }
 
 void RequestFlow::erase(RequestId id)
@@ -337,6 +345,7 @@
     if (found == m_requests.end())
         return;
     m_deadlines.erase({ found->second->deadline, id });
+    m_queue.remove(id);
     m_requests.erase(found);
 }
 
--- a/src/requests/RequestFlow.cpp
+++ b/src/requests/RequestFlow.cpp
@@ -9,7 +9,20 @@
 namespace {
 
     constexpr Duration longestStreamSilence = std::chrono::seconds(20);
-    constexpr std::size_t maximumQueued = 8192;
+constexpr Duration silenceMargin = std::chrono::milliseconds(250);
+    // No model's name begins with a space, so the queues of services and models stay apart.
+    constexpr std::string_view serviceQueuePrefix = " service ";
+
+    ModelId queueKeyOf(const ActiveRequest& request)
+    {
+        return request.model.value.empty() ? ModelId(std::string(serviceQueuePrefix) + request.pool) : request.model;
+    }
+
+    QueuedRequest queuedRequestOf(const ActiveRequest& request)
+    {
+        return { request.id, queueKeyOf(request), request.account, std::max<TokenCount>(1, request.reservedTokens),
+            request.priority, request.deadline };
+    }
 
     ApiError shareError(const ShareRefused& refused)
     {
@@ -20,6 +33,12 @@
             error.code = ApiErrorCode::RequestExceedsBurst;
             error.message = "the request needs more tokens than the client account may use at once";
             return error;
+        case ShareRefusal::NoShare:
+            error.code = ApiErrorCode::StoreUnavailable;
+            error.message
+                = "this host holds no part of the client account's token rate, because the store does not answer";
+            error.retryAfter = refused.retryAfter;
+            return error;
         case ShareRefusal::ShuttingDown:
             error.code = ApiErrorCode::ShuttingDown;
             error.message = "this host is shutting down";
@@ -168,35 +187,98 @@
             now, effects);
         return;
     }
-    if (m_queue.empty() && startAttempt(request, now, effects))
+    // Without another replica, one that failed may be tried again when its suspicion is over.
+    if (!m_modules.endpoints.isLoaded(request.pool, request.model, now, request.excluded))
+        request.excluded.clear();
+    if (m_queue.length(queueKeyOf(request)) == 0 && startAttempt(request, now, effects))
         return;
-    if (m_queue.size() >= maximumQueued) {
+    if (!request.coldSince && !m_modules.endpoints.isLoaded(request.pool, request.model, now))
+        noteCold(request, now);
+    if (!refuseHopeless(request, now, effects))
+        waitInQueue(request, now, effects);
+}
+
+void RequestFlow::noteCold(ActiveRequest& request, MonotonicTime now)
+{
+    request.coldSince = now;
+    m_newlyCold = true;
+    m_modules.usage.coldStart(request.account, request.model);
+    const auto& models = m_modules.configuration.effective().models;
+    const auto model = models.find(request.model);
+    if (model != models.end() && !m_loading.contains(request.model)) {
+        m_loading.insert(request.model);
+        m_waits.loadExpected(request.model, now + model->second.expectedLoadTime, now);
+    }
+}
+
+bool RequestFlow::refuseHopeless(ActiveRequest& request, MonotonicTime now, EffectList& effects)
+{
+    const QueuedRequest queued = queuedRequestOf(request);
+    const WaitJudgement judgement = m_waits.judge(queued.model, m_queue.tokensAhead(queued), request.deadline, now);
+    if (!judgement.refuseRetryAfter)
+        return false;
+    if (request.coldSince)
+        ++m_refusedCold[request.model];
+    failRequest(request,
+        { ApiErrorCode::DeadlineTooShort, "the request cannot be served before its deadline", RunOutcome::NotRun, "",
+            judgement.refuseRetryAfter },
+        now, effects);
+    return true;
+}
+
+void RequestFlow::waitInQueue(ActiveRequest& request, MonotonicTime now, EffectList& effects)
+{
+    const QueuedRequest queued = queuedRequestOf(request);
+    if (const auto refusal = m_queue.push(queued, now)) {
+        const bool late = *refusal == QueueRefusal::DeadlinePassed;
         failRequest(request,
-            { ApiErrorCode::QueueFull, "too many requests wait on this host", RunOutcome::NotRun, "",
+            { late ? ApiErrorCode::DeadlineExceeded : ApiErrorCode::QueueFull,
+                "the request cannot wait (" + std::string(nameOf(*refusal)) + ")", RunOutcome::NotRun, "",
                 std::chrono::seconds(1) },
             now, effects);
         return;
     }
-    if (!request.coldSince && !m_modules.endpoints.isLoaded(request.pool, request.model, now)) {
-        request.coldSince = now;
-        m_newlyCold = true;
-        m_modules.usage.coldStart(request.account, request.model);
-    }
+    m_waits.setBacklogged(queued.model, !request.coldSince, now);
     effects.push_back(LogEntry { LogEvent::RequestQueued,
         { { "request", std::to_string(request.id.value) }, { "account", request.account.value },
-            { "model", request.model.value }, { "cold", request.coldSince ? "true" : "false" } } });
-    m_queue.push_back(request.id);
+            { "model", request.model.value }, { "cold", request.coldSince ? "true" : "false" },
+            { "queue_length", std::to_string(m_queue.length(queued.model)) } } });
+    effects.push_back(
+        RecordMetric { Metric::QueueLength, queued.model.value, static_cast<double>(m_queue.length(queued.model)) });
 }
 
 void RequestFlow::dispatchQueued(MonotonicTime now, EffectList& effects)
 {
-    std::deque<RequestId> stillWaiting;
-    for (const RequestId id : m_queue) {
-        ActiveRequest* request = find(id);
-        if (request && request->stage == RequestStage::Queued && !startAttempt(*request, now, effects))
-            stillWaiting.push_back(id);
+    m_dispatchDue = false;
+    for (const ModelId& queueKey : m_queue.waitingModels())
+        dispatchModel(queueKey, now, effects);
+}
+
+void RequestFlow::dispatchModel(const ModelId& queueKey, MonotonicTime now, EffectList& effects)
+{
+    const auto& models = m_modules.configuration.effective().models;
+    const auto model = models.find(queueKey);
+    const bool isService = model == models.end();
+    const std::string pool = isService ? queueKey.value.substr(serviceQueuePrefix.size()) : model->second.pool;
+    const ModelId modelId = isService ? ModelId() : queueKey;
+    std::vector<QueuedRequest> unplaced;
+    // Room is checked first, because taking a request out counts as service of its account.
+    while (m_modules.endpoints.hasRoom(pool, modelId, now)) {
+        const auto next = m_queue.pop(queueKey, now);
+        if (!next)
+            break;
+        ActiveRequest* request = find(next->id);
+        if (!request)
+            continue;
+        if (startAttempt(*request, now, effects))
+            m_waits.served(queueKey, static_cast<double>(next->estimatedTokens), now);
+        else
+            unplaced.push_back(*next); // It excludes the endpoints that have room.
     }
-    m_queue = std::move(stillWaiting);
+    for (const QueuedRequest& request : unplaced)
+        m_queue.push(request, now);
+    const bool loaded = isService || m_modules.endpoints.isLoaded(pool, modelId, now);
+    m_waits.setBacklogged(queueKey, loaded && m_queue.length(queueKey) > 0, now);
 }
 
 bool RequestFlow::startAttempt(ActiveRequest& request, MonotonicTime now, EffectList& effects)
@@ -205,6 +287,8 @@
         { request.id, request.pool, request.model, request.prefixHash, request.excluded }, now, effects);
     if (!endpoint)
         return false;
+    if (m_loading.erase(request.model) > 0)
+        m_waits.loaded(request.model, now);
     if (request.coldSince) {
         const double seconds = std::chrono::duration<double>(now - *request.coldSince).count();
         effects.push_back(RecordMetric { Metric::ColdStartSeconds, request.model.value, seconds });
@@ -217,6 +301,7 @@
     request.collected.clear();
     ++request.attempts;
     m_attempts[request.attempt] = request.id;
+    m_modules.quarantine.attemptStarted(endpoint->id, request.fingerprint);
     StartAttempt attempt;
     attempt.id = request.attempt;
     attempt.endpoint = endpoint->id;
@@ -225,12 +310,14 @@
     attempt.target = request.target;
     attempt.headers = request.headers;
     attempt.body = request.body;
-    const Duration remaining = std::max<Duration>(request.deadline - now, std::chrono::milliseconds(1));
+    // The margin lets the request's own deadline decide before the connection's timeout.
+    const Duration remaining = std::max<Duration>(request.deadline - now, Duration::zero()) + silenceMargin;
     attempt.silenceTimeout = request.stream ? std::min(remaining, longestStreamSilence) : remaining;
     attempt.needsFreshConnection = !request.idempotent;
     effects.push_back(std::move(attempt));
     effects.push_back(RecordMetric { Metric::AttemptsTotal, endpoint->pool });
-    request.mayHaveRun = request.mayHaveRun || !request.idempotent;
+    request.mayHaveRunBefore = request.mayHaveRun;
+    request.mayHaveRun = true;
     return true;
 }
 
@@ -240,12 +327,14 @@
         apply(decision, now, effects);
     for (const ClaimDecision& decision : m_modules.claims.takeDecisions())
         apply(decision, now, effects);
-    if (!m_queue.empty())
+    if (m_dispatchDue)
         dispatchQueued(now, effects);
 }
 
 void RequestFlow::tick(MonotonicTime now, EffectList& effects)
 {
+    capacityChanged();
+    m_queue.takeExpired(now);
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
         const RequestId id = m_deadlines.begin()->second;
         m_deadlines.erase(m_deadlines.begin());
@@ -271,7 +360,7 @@
         RunOutcome::Unknown };
     if (request.idempotent) {
         m_modules.endpoints.refreshSoon(request.endpoint);
-        abandonAttempt(request, effects);
+        abandonAttempt(request, now, effects);
         failRequest(request, late, now, effects);
         return;
     }
@@ -281,7 +370,17 @@
 
 void RequestFlow::configurationChanged(MonotonicTime now, EffectList& effects)
 {
-    const auto& keys = m_modules.configuration.effective().keys;
+    const FleetConfiguration& configuration = m_modules.configuration.effective();
+    FairQueueLimits limits;
+    limits.perAccountAndModel = configuration.defaults.maximumQueuedPerAccountAndModel;
+    limits.perHost = configuration.defaults.maximumQueuedPerHost;
+    m_queue.setLimits(limits);
+    for (const auto& [id, account] : configuration.accounts)
+        m_queue.setWeight(id, account.weight);
+    RetryBudgetSettings retries;
+    retries.fraction = configuration.defaults.retryBudgetFraction;
+    m_retries.setSettings(retries);
+    const auto& keys = configuration.keys;
     std::vector<RequestId> revoked;
     for (const auto& [id, request] : m_requests) {
         if (!request->keyDigest.empty() && !keys.contains(request->keyDigest))
@@ -302,7 +401,7 @@
         return;
     }
     if (request.stage == RequestStage::Running)
-        abandonAttempt(request, effects);
+        abandonAttempt(request, now, effects);
     failRequest(request, error, now, effects);
 }
 
@@ -324,6 +423,9 @@
     std::map<ModelId, ModelDemand> demand;
     for (const auto& [model, arrivals] : m_arrivals)
         demand[model].arrivals = arrivals;
+    for (const auto& [model, refused] : m_refusedCold)
+        demand[model].waiting += refused;
+    m_refusedCold.clear();
     m_arrivals.clear();
     for (const auto& [id, request] : m_requests) {
         if (request->model.value.empty())
--- a/src/requests/RequestIntake.cpp
+++ b/src/requests/RequestIntake.cpp
@@ -74,6 +74,12 @@
     if (!prepared || !readLimits(arrived, intake, now, effects))
         return;
     ActiveRequest& request = *intake.request;
+    if (m_modules.quarantine.isRefused(request.fingerprint, now)) {
+        refuse(request.id, request.account,
+            { ApiErrorCode::RequestQuarantined, "this request crashed the endpoints that ran it" }, effects);
+        return;
+    }
+    m_retries.requestStarted(now);
     if (!request.model.value.empty())
         ++m_arrivals[request.model];
     m_deadlines.emplace(request.deadline, request.id);
--- a/src/routing/CrashQuarantine.cpp
+++ b/src/routing/CrashQuarantine.cpp
@@ -209,4 +209,14 @@
     }
 }
 
+std::vector<std::pair<RequestFingerprint, std::uint32_t>> CrashQuarantine::refused() const
+{
+    std::vector<std::pair<RequestFingerprint, std::uint32_t>> list;
+    for (const auto& [fingerprint, suspect] : m_suspects) {
+        if (isRefused(suspect))
+            list.emplace_back(fingerprint, crashesOf(suspect));
+    }
+    return list;
+}
+
 } // namespace Catkinwell
--- a/src/routing/EndpointTable.cpp
+++ b/src/routing/EndpointTable.cpp
@@ -13,6 +13,8 @@
     constexpr Duration suspicionAfterFailure = std::chrono::seconds(2);
     // One lost report is no sign of a dead endpoint.
     constexpr std::uint32_t failedReportsBeforeSuspicion = 3;
+    // A failed attempt belongs to a death that is found within this time.
+    constexpr Duration deathWindow = std::chrono::seconds(5);
     constexpr Duration prefixLifetime = std::chrono::minutes(5);
     constexpr std::size_t rememberedPrefixes = 64;
 
@@ -52,6 +54,7 @@
     Entry& entry = found->second;
     entry.reportPending = false;
     entry.failedReports = 0;
+    entry.deathNoted = false;
     entry.reportedAt = report.requestedAt;
     entry.reportedLoad = report.running + report.waiting;
     entry.reportedCapacity = report.capacity;
@@ -76,10 +79,25 @@
         return;
     Entry& entry = found->second;
     entry.reportPending = false;
+    // A plain service answers the probe with an error of its own, which shows that it lives.
+    if (entry.settings.kind == EndpointKind::Service && !failure.connectionFailed)
+        return;
     if (++entry.failedReports >= failedReportsBeforeSuspicion)
         suspect(entry, now + std::max(reportInterval() * 2, suspicionAfterFailure), failure.reason, effects);
 }
 
+bool EndpointTable::noteDeath(const EndpointReportFailed& failure, MonotonicTime now)
+{
+    const auto found = m_entries.find(failure.endpoint);
+    if (!failure.connectionFailed || found == m_entries.end())
+        return false;
+    Entry& entry = found->second;
+    if (entry.deathNoted || now - entry.attemptFailedAt > deathWindow)
+        return false;
+    entry.deathNoted = true;
+    return true;
+}
+
 void EndpointTable::setLeaving(const std::set<EndpointId>& leaving, MonotonicTime, EffectList& effects)
 {
     for (auto& [id, entry] : m_entries) {
@@ -112,8 +130,10 @@
 void EndpointTable::tick(MonotonicTime now, EffectList& effects)
 {
     for (auto& [id, entry] : m_entries) {
-        if (entry.settings.kind != EndpointKind::Engine || entry.reportPending || now < entry.nextReportAt)
+        const bool wanted = entry.settings.kind == EndpointKind::Engine || entry.probeDue;
+        if (!wanted || entry.reportPending || now < entry.nextReportAt)
             continue;
+        entry.probeDue = false;
         entry.reportPending = true;
         entry.ownSinceRequest = 0;
         // The jitter keeps hosts that started together from asking together.
@@ -217,9 +237,10 @@
     });
 }
 
-bool EndpointTable::isLoaded(const std::string& pool, const ModelId& model, MonotonicTime now) const
+bool EndpointTable::isLoaded(
+    const std::string& pool, const ModelId& model, MonotonicTime now, const std::set<EndpointId>& excluded) const
 {
-    const EndpointDemand demand { RequestId(), pool, model, 0, {} };
+    const EndpointDemand demand { RequestId(), pool, model, 0, excluded };
     return std::any_of(
         m_entries.begin(), m_entries.end(), [&](const auto& entry) { return serves(entry.second, demand, now); });
 }
@@ -252,8 +273,12 @@
     const auto found = m_entries.find(endpoint);
     if (found == m_entries.end())
         return;
-    suspect(found->second, now + suspicionAfterFailure, "an attempt failed", effects);
-    found->second.nextReportAt = now;
+    Entry& entry = found->second;
+    suspect(entry, now + suspicionAfterFailure, "an attempt failed", effects);
+    entry.nextReportAt = now;
+    entry.attemptFailedAt = now;
+    entry.deathNoted = false;
+    entry.probeDue = true;
 }
 
 void EndpointTable::suspect(Entry& entry, MonotonicTime until, const std::string& reason, EffectList& effects)
--- a/src/runtime/Runtime.cpp
+++ b/src/runtime/Runtime.cpp
@@ -5,6 +5,7 @@
 #include <catkinwell/http/CallerListener.h>
 #include <catkinwell/http/HttpClient.h>
 #include <catkinwell/logging/EventLog.h>
+#include <catkinwell/peer/PeerTransport.h>
 #include <catkinwell/reducer/Reducer.h>
 #include <catkinwell/store/ConsulStoreClient.h>
 #include <csignal>
@@ -34,6 +35,16 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(clock.wallNow().time_since_epoch()).count());
     }
 
+    PeerTransportSettings peerSettingsOf(const ProcessSettings& settings, Incarnation incarnation)
+    {
+        PeerTransportSettings peers;
+        peers.self = settings.host;
+        peers.incarnation = incarnation;
+        peers.listenAddress = settings.peerAddress;
+        peers.clusterSecret = settings.clusterSecret;
+        return peers;
+    }
+
 } // namespace
 
 class Runtime::Implementation {
@@ -66,6 +77,7 @@
     CallerListener m_administration;
     ConsulStoreClient m_store;
     EngineClient m_engines;
+    PeerTransport m_peers;
     Reducer m_reducer;
     std::deque<Event> m_events;
     bool m_dispatching = false;
@@ -89,8 +101,8 @@
     void operator()(const FetchEndpointReport& effect) const { runtime.m_engines.execute(effect); }
     void operator()(const PlacementCommand& effect) const { runtime.m_engines.execute(effect); }
     void operator()(const StoreCall& effect) const { runtime.m_store.execute(effect); }
-    void operator()(const SendToPeer&) const { }
-    void operator()(const SetPeerAddress&) const { }
+    void operator()(const SendToPeer& effect) const { runtime.m_peers.send(effect); }
+    void operator()(const SetPeerAddresses& effect) const { runtime.m_peers.setPeerAddresses(effect.addresses); }
     void operator()(const LogEntry& effect) const { runtime.m_log.write(effect); }
     // The reducer keeps the metrics itself.
     void operator()(const RecordMetric&) const { }
@@ -114,6 +126,7 @@
     , m_administration(m_loop, m_settings.administration, firstAdministrationId)
     , m_store(m_loop, m_client, m_clock, m_settings.storeAddress)
     , m_engines(m_loop, m_client, m_clock)
+    , m_peers(m_loop.base(), peerSettingsOf(m_settings, m_incarnation))
     , m_reducer(reducerSettingsOf(m_settings, m_incarnation), m_secrets, m_clock.monotonicNow(), m_clock.wallNow())
     , m_lastTick(m_clock.monotonicNow())
 {
@@ -130,6 +143,8 @@
         [this](const RequestArrived& request) { post(AdminRequestArrived { request }); });
     m_administration.signalCallerLeft().connect(postEvent);
     m_store.signalReply().connect(postEvent);
+    m_peers.messageReceived().connect(postEvent);
+    m_peers.logEntry().connect([this](const LogEntry& entry) { m_log.write(entry); });
     m_engines.signalHead().connect(postEvent);
     m_engines.signalData().connect(postEvent);
     m_engines.signalFinished().connect(postEvent);
@@ -146,6 +161,9 @@
         if (isError(status))
             return status;
     }
+    const Status peerStatus = m_peers.start();
+    if (isError(peerStatus))
+        return peerStatus;
     m_loop.callEvery(tickInterval, [this] { tick(); });
     for (const int signalNumber : { SIGTERM, SIGINT })
         m_loop.onSignal(signalNumber, [this] { post(ShutdownSignal {}); });
--- a/src/shares/ShareManager.cpp
+++ b/src/shares/ShareManager.cpp
@@ -527,11 +527,11 @@
         RecordMetric { Metric::StateAgeSeconds, "shares", std::chrono::duration<double>(oldest).count() });
 }
 
-std::vector<ShareStatus> ShareManager::status(MonotonicTime now)
+std::vector<ShareStatus> ShareManager::status(MonotonicTime now) const
 {
     std::vector<ShareStatus> result;
     result.reserve(m_shares.size());
-    for (auto& [id, share] : m_shares)
+    for (const auto& [id, share] : m_shares)
         result.push_back(share->status(now));
     return result;
 }
