Spread writes of hosts that start together and serve oversized reservations

Cause: at 200 hosts 65% of the writes met a conflict, because all hosts' write budgets opened at the same moments; a reservation of 98% of the burst drained its lenders every 300 ms with loans too small for it and was refused. Change: each adjustment costs a random part of the budget and first ones are spread; a reservation larger than the bucket borrows once the bucket is full; a host that asks for more than the whole counts as short until it has its aim; the limit of one reservation counts the standing units of peers.

--- a/include/catkinwell/shares/ShareManager.h
+++ b/include/catkinwell/shares/ShareManager.h
@@ -86,16 +86,19 @@
     ShareResult refuse(RequestId, const AccountId&, TokenCount tokens, ShareRefusal, Duration retryAfter, EffectList&);
     std::optional<ShareRefusal> refusalAtOnce(
         AccountShare&, TokenCount tokens, MonotonicTime deadline, MonotonicTime now);
+    std::uint32_t reachableUnits(const AccountShare&) const;
     bool grant(AccountShare&, RequestId, TokenCount tokens, TokenCount borrowed, MonotonicTime now);
     void serveQueue(AccountShare&, MonotonicTime now, EffectList&);
     void decideRefused(AccountShare&, std::size_t index, ShareRefusal, MonotonicTime now, EffectList&);
     void seekTokens(AccountShare&, MonotonicTime now, EffectList&);
 
+    bool isWorthBorrowing(AccountShare&, MonotonicTime now);
     bool isLeaving(const AccountShare&) const;
     void startAdjustments(MonotonicTime now, EffectList&);
     void scheduleAfter(AccountShare&, KeeperStep, MonotonicTime now);
     Duration regularInterval(const AccountShare&) const;
     Duration jittered(Duration);
+    MonotonicTime firstAdjustAt(MonotonicTime now);
     void readOneLease(MonotonicTime now, EffectList&);
     void handleLeaseRead(const StoreReply&, MonotonicTime now, EffectList&);
     void forgetReleasedAccounts();
--- a/src/shares/LoanDesk.cpp
+++ b/src/shares/LoanDesk.cpp
@@ -39,6 +39,8 @@
     m_answers.setLimits(messagesPerSecond(liveHosts), messageBurst);
 }
 
+std::size_t LoanDesk::askablePeers() const { return std::min(maxQuestions, m_peers.size()); }
+
 std::optional<SendToPeer> LoanDesk::start(
     const AccountId& account, RequestId request, TokenCount missing, MonotonicTime now, RandomGenerator& random)
 {
@@ -48,7 +50,7 @@
     round.request = request;
     round.until = now + m_window;
     const std::size_t first = random.below(m_peers.size());
-    for (std::size_t i = 0; i < std::min(maxQuestions, m_peers.size()); ++i)
+    for (std::size_t i = 0; i < askablePeers(); ++i)
         round.candidates.push_back(m_peers[(first + i) % m_peers.size()]);
     m_rounds.insert_or_assign(account, std::move(round));
     return askNext(account, missing, now);
--- a/src/shares/LoanDesk.h
+++ b/src/shares/LoanDesk.h
@@ -20,7 +20,8 @@
     LoanDesk(const HostId&, Incarnation, Duration window, MonotonicTime now);
 
     void setPeers(std::vector<HostId> peers, std::size_t liveHosts);
-    bool hasPeers() const { return !m_peers.empty(); }
+    // How many peers one round can ask.
+    std::size_t askablePeers() const;
 
     // Starts a round for the request and returns the first question, or nothing if there is no
     // peer to ask or the message budget is spent. Precondition: the account has no round.
--- a/src/shares/PiecePlan.cpp
+++ b/src/shares/PiecePlan.cpp
@@ -168,7 +168,9 @@
             double shortage = 0;
             for (std::size_t i = 0; i < m_plan.table.pieces.size(); ++i) {
                 const double held = m_plan.table.pieces[i].floating + m_plan.table.pieces[i].standing;
-                if (i != m_own && m_isLive[i] && held < shortBelow * aimOf(i))
+                // Whoever asks for the whole needs an exceptionally large reservation, or is far over the rate.
+                const double threshold = m_weights[i] > totalUnits ? 1 : shortBelow;
+                if (i != m_own && m_isLive[i] && held < threshold * aimOf(i))
                     shortage += aimOf(i) - held;
             }
             return static_cast<std::uint32_t>(shortage);
--- a/src/shares/ShareManager.cpp
+++ b/src/shares/ShareManager.cpp
@@ -32,6 +32,9 @@
     // Headers of a call and its reply.
     constexpr double callOverheadBytes = 200;
     constexpr Duration loanRoundInterval = 250ms;
+    constexpr Duration oversizedRoundInterval = 3s;
+    // Leaves time for one round of the usual window.
+    constexpr Duration lastLoanMoment = 150ms;
     constexpr Duration metricsInterval = 1s;
     // A loan of less than a fourth of the lender's capacity rarely completes a large request, and unused loans are
     // lost.
@@ -80,8 +83,7 @@
         auto share = std::make_unique<AccountShare>(account, m_options, now);
         share->setLease(m_lease, now);
         share->setLending(m_hasPeers && m_options.lending, now);
-        // Hosts that start at the same time spread their first writes over the fleet's write budget.
-        share->nextAdjustAt = now + seconds(m_random.unit() * m_liveHosts / m_options.fleetWritesPerSecond);
+        share->nextAdjustAt = firstAdjustAt(now);
         m_shares.emplace(id, std::move(share));
     }
     for (auto& [id, share] : m_shares) {
@@ -103,12 +105,22 @@
 void ShareManager::setPeers(std::vector<HostId> sameDataCentre, std::size_t liveHosts, MonotonicTime now)
 {
     m_hasPeers = !sameDataCentre.empty();
+    const bool hasGrown = liveHosts > 2 * m_liveHosts;
     m_liveHosts = static_cast<std::uint32_t>(std::clamp<std::size_t>(liveHosts, 1, totalUnits));
     m_loans->setPeers(std::move(sameDataCentre), liveHosts);
     const double perHost = m_options.fleetWritesPerSecond / m_liveHosts;
     m_writePace->setLimits(perHost, std::clamp(perHost, 1.0, adjustBurst));
-    for (auto& [id, share] : m_shares)
+    for (auto& [id, share] : m_shares) {
         share->setLending(m_hasPeers && m_options.lending, now);
+        if (hasGrown && share->lastAdjustAt == MonotonicTime {})
+            share->nextAdjustAt = firstAdjustAt(now);
+    }
+}
+
+// Hosts that start at the same time spread their first writes over the fleet's write budget.
+MonotonicTime ShareManager::firstAdjustAt(MonotonicTime now)
+{
+    return now + seconds(m_random.unit() * m_liveHosts / m_options.fleetWritesPerSecond);
 }
 
 ShareResult ShareManager::refuse(RequestId request, const AccountId& account, TokenCount tokens, ShareRefusal reason,
@@ -121,6 +133,14 @@
     return ShareRefused { reason, retryAfter };
 }
 
+// The most that one host can bring together: every floating unit, its standing units and those of peers it can ask.
+std::uint32_t ShareManager::reachableUnits(const AccountShare& share) const
+{
+    const std::uint32_t standing = m_options.standingPpm / ppmPerUnit;
+    const auto lenders = static_cast<std::uint32_t>(share.lends() ? m_loans->askablePeers() : 0);
+    return totalUnits - standing + std::min(standing, standing / m_liveHosts * (1 + lenders));
+}
+
 std::optional<ShareRefusal> ShareManager::refusalAtOnce(
     AccountShare& share, TokenCount tokens, MonotonicTime deadline, MonotonicTime now)
 {
@@ -128,8 +148,7 @@
         return ShareRefusal::ShuttingDown;
     if (tokens > share.account().burst)
         return ShareRefusal::ExceedsBurst;
-    const std::uint32_t standing = m_options.standingPpm / ppmPerUnit;
-    if (tokens > share.capacityOf(totalUnits - standing + standing / m_liveHosts))
+    if (tokens > share.capacityOf(reachableUnits(share)))
         return ShareRefusal::ExceedsHostLimit;
     if (m_reserved.size() >= m_options.maxReservations)
         return ShareRefusal::TooManyReservations;
@@ -271,14 +290,24 @@
     std::optional<SendToPeer> question;
     if (m_loans->hasRound(account)) {
         question = m_loans->askNext(account, missing, now);
-    } else if (now >= share.nextLoanAt) {
-        share.nextLoanAt = now + jittered(loanRoundInterval);
+    } else if (now >= share.nextLoanAt && isWorthBorrowing(share, now)) {
+        const bool isOversized = head.tokens > share.bucket().capacity() / 1'000'000;
+        share.nextLoanAt = now + jittered(isOversized ? oversizedRoundInterval : loanRoundInterval);
         question = m_loans->start(account, head.request, missing, now, m_random);
     }
     if (question)
         effects.push_back(std::move(*question));
 }
 
+// A reservation that is larger than the own bucket borrows only once the bucket is full or the deadline
+// is near: loans that do not complete it are lost, and the lenders need time to fill up again.
+bool ShareManager::isWorthBorrowing(AccountShare& share, MonotonicTime now)
+{
+    const WaitingReservation& head = share.waiting().front();
+    const TokenCount capacity = share.bucket().capacity() / 1'000'000;
+    return head.tokens <= capacity || share.bucket().available(now) >= capacity || head.deadline - now < lastLoanMoment;
+}
+
 void ShareManager::handle(const HostId& from, const BorrowTokens& message, MonotonicTime now, EffectList& effects)
 {
     AccountShare* share = find(message.account);
@@ -349,7 +378,8 @@
     for (AccountShare* share : due) {
         if (!isLeaving(*share) && (!m_writePace->isOpen(now) || !m_bytePace->isOpen(now)))
             continue;
-        m_writePace->spend(1);
+        // A random cost with a mean of 1 keeps hosts that started together from writing at the same moments.
+        m_writePace->spend(0.5 + m_random.unit());
         share->lastAdjustAt = now;
         effects.push_back(share->keeper().startRead(m_callIds));
     }
