Check histories in which single hosts lose the store

Cause: no history let other hosts reclaim standing pieces while their holder still ran, so a standing piece reclaimed too early went unnoticed. Change: the simulation cuts single hosts off the store; the checker must notice standing pieces that are reclaimed before their validity ends. Conclusion: the checker fails for each of four broken hosts.

--- a/tests/shares/FleetSimulation.h
+++ b/tests/shares/FleetSimulation.h
@@ -91,6 +91,14 @@
 
     void pause(std::size_t host, Duration time) { m_hosts[host]->pausedUntil = m_now + time; }
 
+    // A partition between one host and the store; the other hosts no longer count it as live.
+    void cutOff(std::size_t host, bool isCutOff)
+    {
+        m_hosts[host]->isCutOff = isCutOff;
+        updatePeers();
+    }
+    bool isCutOff(std::size_t host) const { return m_hosts[host]->isCutOff; }
+
     void crash(std::size_t host)
     {
         m_hosts[host]->isAlive = false;
@@ -153,7 +161,7 @@
     {
         std::size_t live = 0;
         for (const auto& host : m_hosts)
-            live += host->isAlive ? 1 : 0;
+            live += host->isAlive && !host->isCutOff ? 1 : 0;
         for (const auto& host : m_hosts) {
             std::vector<HostId> peers;
             for (const auto& other : m_hosts) {
@@ -162,7 +170,7 @@
                     peers.push_back(other->id);
             }
             if (host->isAlive)
-                host->manager->setPeers(std::move(peers), live, m_now);
+                host->manager->setPeers(std::move(peers), live + (host->isCutOff ? 1 : 0), m_now);
         }
     }
 
@@ -177,6 +185,7 @@
         MonotonicTime pausedUntil {};
         bool isAlive = false;
         bool isStopping = false;
+        bool isCutOff = false;
         LeaseId lease;
         std::map<AccountId, std::uint32_t> ppm;
     };
@@ -315,7 +324,7 @@
         StoreReply reply;
         reply.id = call.id;
         reply.sentAt = m_now;
-        if (isOut) {
+        if (isOut || m_hosts[index]->isCutOff) {
             reply.status = happens(0.5) ? StoreStatus::Unknown : StoreStatus::Unavailable;
             answer(index, m_now + call.timeout, reply);
             return;
--- a/tests/shares/ShareHistoryTest.cpp
+++ b/tests/shares/ShareHistoryTest.cpp
@@ -16,6 +16,8 @@
     bool replacements = false;
     bool storeFaults = false;
     bool outages = false;
+    // Single hosts lose the store for up to 150 s, while the others may reclaim their pieces.
+    bool partitions = false;
     bool messageFaults = false;
     bool rateChanges = false;
     // Minutes are shortened so that standing pieces lapse and are reclaimed within the run.
@@ -84,6 +86,7 @@
         if (scenario.messageFaults)
             options.lostMessage = options.duplicateMessage = options.lateMessage = 0.2;
         if (scenario.shortStanding) {
+            options.shares.standingPpm = 500'000;
             options.shares.standingValidity = 60s;
             options.shares.standingReclaimAfter = 66s;
         }
@@ -123,6 +126,10 @@
                 m_fleet.shutDown(host);
             m_fleet.addHost(static_cast<int>(host % 2), "host" + std::to_string(m_fleet.hostCount()));
         }
+        if (m_scenario.partitions && isUp && !m_fleet.isCutOff(host) && oneIn(150)) {
+            m_fleet.cutOff(host, true);
+            m_fleet.at(m_fleet.now() + milliseconds(150'000), [this, host] { m_fleet.cutOff(host, false); });
+        }
         if (m_scenario.outages && oneIn(m_fleet.isOut ? 100 : 300))
             m_fleet.isOut = !m_fleet.isOut;
         if (m_scenario.rateChanges && oneIn(200) && m_fleet.now() > m_changeEnds) {
@@ -156,6 +163,8 @@
     { .name = "replaced hosts", .seed = 3, .replacements = true },
     { .name = "lost replies and late writes", .seed = 4, .storeFaults = true },
     { .name = "outages", .seed = 5, .outages = true },
+    { .name = "partitions", .seed = 11, .partitions = true },
+    { .name = "partitions and reclaimed standing pieces", .seed = 12, .partitions = true, .shortStanding = true },
     { .name = "lost, duplicated and late loans", .seed = 6, .messageFaults = true },
     { .name = "much lending", .seed = 10, .messageFaults = true, .muchLending = true },
     { .name = "changed rates", .seed = 7, .messageFaults = true, .rateChanges = true },
@@ -166,6 +175,7 @@
         .replacements = true,
         .storeFaults = true,
         .outages = true,
+        .partitions = true,
         .messageFaults = true,
         .shortStanding = true },
 };
@@ -199,6 +209,10 @@
     startsFull.startsFull = true;
     SimulationOptions ignoresLease;
     ignoresLease.ignoresLeaseEnd = true;
+    // Two hosts hold a standing piece at once when it is reclaimed before its validity ends.
+    SimulationOptions reclaimsEarly;
+    reclaimsEarly.shares.standingPpm = 500'000;
+    reclaimsEarly.shares.standingReclaimAfter = 0s;
     SimulationOptions duplicates;
     duplicates.creditsDuplicateLoans = true;
     duplicates.duplicateMessage = 1;
@@ -209,6 +223,7 @@
     } broken[] {
         { "a bucket that starts full", { .name = "", .seed = 3, .replacements = true }, startsFull },
         { "a holder that ignores its lease's end", { .name = "", .seed = 2, .pauses = true }, ignoresLease },
+        { "a standing piece reclaimed too early", { .name = "", .seed = 12, .partitions = true }, reclaimsEarly },
         { "a duplicated loan credited twice", { .name = "", .seed = 6, .muchLending = true }, duplicates },
     };
     for (const auto& [fault, scenario, options] : broken) {
