--- a/include/catkinwell/peer/PeerMessage.h
+++ b/include/catkinwell/peer/PeerMessage.h
@@ -68,6 +68,8 @@
     Incarnation incarnation = 0;
     std::uint64_t heartbeat = 0;
     HostState state = HostState::Alive;
+    // How long ago the heartbeat advanced, in quarters of a second, at most 255.
+    std::uint32_t ageQuarters = 0;
 };
 
 // membership: a bounded part of what the sender knows.
@@ -80,6 +82,8 @@
     std::vector<std::pair<std::uint64_t, std::uint32_t>> suspectFingerprints;
     // Endpoints that the sender's own attempts found unresponsive.
     std::vector<EndpointId> suspectEndpoints {};
+    // 1 if the sender has not heard of the receiver for long and asks for a digest at once.
+    std::uint32_t answerWanted = 0;
 };
 
 // configuration: asks for the head and parts of a version, and the answer.
