--- a/experiments/IdlePolicyCost.cpp
+++ b/experiments/IdlePolicyCost.cpp
@@ -278,8 +278,8 @@
             continue;
         const std::pair<Strategy, Outcome>* best = nullptr;
         for (const auto& other : results) {
-            const bool isBetter = best == nullptr
-                || other.second.cost(policy.coldStartCost) < best->second.cost(policy.coldStartCost);
+            const bool isBetter
+                = best == nullptr || other.second.cost(policy.coldStartCost) < best->second.cost(policy.coldStartCost);
             if (!other.first.usesPolicy && isBetter)
                 best = &other;
         }
--- a/tests/placement/FakeEngine.h
+++ b/tests/placement/FakeEngine.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "placement/HistoryRecord.h"
+#include "HistoryRecord.h"
 #include <catkinwell/configuration/FleetConfiguration.h>
 #include <catkinwell/core/RandomGenerator.h>
 #include <catkinwell/endpoint/EndpointReport.h>
--- a/tests/placement/PlacementSimulation.h
+++ b/tests/placement/PlacementSimulation.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "placement/FakeEngine.h"
-#include "placement/FakeStore.h"
-#include "placement/HistoryRecord.h"
+#include "FakeEngine.h"
+#include "FakeStore.h"
+#include "HistoryRecord.h"
 #include <catkinwell/placement/PlacementManager.h>
 #include <ctime>
 #include <deque>
