--- a/include/catkinwell/placement/LoadSlots.h
+++ b/include/catkinwell/placement/LoadSlots.h
@@ -47,7 +47,8 @@
 
     // Returns whether the reply belongs to this object.
     bool handle(const StoreReply&, MonotonicTime now);
-    // Issues at most one store call at a time. Precondition of any effect: the host's lease is valid.
+    // Issues at most one read or write at a time, and one watch beside it. Precondition of any effect: the host's lease
+    // is valid.
     void tick(MonotonicTime now, EffectList&);
 
 private:
@@ -63,7 +64,6 @@
     };
     enum class CallKind {
         Read,
-        Wait,
         Write,
     };
 
@@ -88,6 +88,8 @@
     std::optional<std::vector<Entry>> m_entries;
     StoreVersion m_version = 0;
     std::optional<std::pair<StoreCallId, CallKind>> m_call;
+    // Open beside m_call while the slots are full; its reply only leads to a read.
+    std::optional<StoreCallId> m_watch;
     MonotonicTime m_notBefore {};
     MonotonicTime m_lastRead {};
     std::uint32_t m_failures = 0;
--- a/src/placement/LoadSlots.cpp
+++ b/src/placement/LoadSlots.cpp
@@ -45,6 +45,7 @@
     m_held.clear();
     m_entries.reset();
     m_call.reset();
+    m_watch.reset();
     m_inheritedUnsettled.clear();
 }
 
@@ -112,17 +113,23 @@
         call(CallKind::Write, StoreCompareAndSwap { m_key, encode(entriesAfterChanges(now)), m_version }, timeout);
         return;
     }
-    if (!m_requested.empty()) {
-        // A release that comes due meanwhile must not wait for the watch to end.
-        const bool releasesSoon
-            = std::any_of(m_held.begin(), m_held.end(), [](const auto& entry) { return entry.second.released; });
-        if (!releasesSoon)
-            call(CallKind::Wait, StoreWatch { m_key, m_version, watchTime }, watchTime + timeout);
+    if (!m_requested.empty() && !m_watch) {
+        m_watch = m_callIds.next();
+        effects.push_back(StoreCall { *m_watch, StoreWatch { m_key, m_version, watchTime }, watchTime + timeout });
     }
 }
 
 bool LoadSlots::handle(const StoreReply& reply, MonotonicTime now)
 {
+    if (m_watch && *m_watch == reply.id) {
+        // The value can have been changed by this object since; a read tells the current one.
+        m_watch.reset();
+        if (!m_call && reply.version != m_version)
+            m_entries.reset();
+        if (reply.status != StoreStatus::Ok && reply.status != StoreStatus::NotFound)
+            m_notBefore = now + firstRetryDelay;
+        return true;
+    }
     if (!m_call || m_call->first != reply.id)
         return false;
     const CallKind kind = m_call->second;
