--- a/src/logging/LogEvent.cpp
+++ b/src/logging/LogEvent.cpp
@@ -76,7 +76,7 @@
         // 2000: administration
         { LogEvent::AdminChangeAccepted, Info, "admin_change_accepted",
             "An operator changed something; the fields give who, what, why and the new version.", "" },
-        { LogEvent::AdminChangeRefused, Warning, "admin_change_refused",
+        { LogEvent::AdminChangeRefused, Info, "admin_change_refused",
             "An operator's change was not made; the fields give the reason.", "" },
         { LogEvent::AdminChangeUnknown, Warning, "admin_change_unknown",
             "The store did not confirm an operator's change; it may have taken effect.",
