--- a/include/catkinwell/admin/AuditLog.h
+++ b/include/catkinwell/admin/AuditLog.h
@@ -33,8 +33,8 @@
     std::vector<std::string> paths;
 };
 
-// The most recent writes that this host handled. The log events 2000 to 2002 are
-// the lasting record. Not thread safe.
+// The most recent changes that this host made. The log events 2000 to 2002 are the
+// lasting record, refused changes included. Not thread safe.
 class AuditLog {
 public:
     explicit AuditLog(std::size_t maximumEntries = 1000);
--- a/src/admin/AdminChanges.cpp
+++ b/src/admin/AdminChanges.cpp
@@ -164,7 +164,9 @@
     effects.emplace_back(LogEntry { eventOf(entry.outcome),
         { { "who", entry.who }, { "action", entry.action }, { "reason", entry.reason },
             { "version", std::to_string(entry.version) }, { "paths", paths }, { "detail", detail } } });
-    m_audit.add(std::move(entry));
+    // A caller without the role could push the accepted changes out of the bounded list.
+    if (entry.outcome != AuditOutcome::Refused)
+        m_audit.add(std::move(entry));
 }
 
 std::optional<AdminAnswer> AdminChanges::checkBase(const AdminCall& call) const
--- a/src/admin/AdminChanges.h
+++ b/src/admin/AdminChanges.h
@@ -26,7 +26,7 @@
     // Answers the changes whose outcome is known or whose time is over.
     void poll(MonotonicTime now, EffectList& effects);
 
-    // Writes a write's outcome to the audit list and the log.
+    // Writes a write's outcome to the log and, unless it was refused, to the audit list.
     void record(const AdminCall&, const AdminAnswer&, EffectList& effects);
 
     std::size_t pending() const { return m_pending.size(); }
--- a/src/admin/AdminReads.cpp
+++ b/src/admin/AdminReads.cpp
@@ -155,7 +155,9 @@
         }
         return jsonAnswer(200,
             { { "items", items },
-                { "notice", "The writes that this host handled since it started; the log has those of all hosts." } });
+                { "notice",
+                    "The changes that this host made since it started; the log has those of all hosts and the refused "
+                    "ones." } });
     }
 
     AdminAnswer readDrains(const DrainControl& drains)
--- a/tests/admin/AdminApiTest.cpp
+++ b/tests/admin/AdminApiTest.cpp
@@ -253,6 +253,9 @@
     REQUIRE_CALL(drains, setDraining(EndpointId("engine-1"), true, "a test", _, _)).RETURN(Status());
     CHECK(change("operate", "PUT", "/admin/v1/drains/engine-1").status == 200);
     CHECK(api.audit().entries().size() == 3);
+    // A refused write must not push an accepted one out of the list.
+    CHECK(change("read", "PUT", "/admin/v1/drains/engine-1").status == 403);
+    CHECK(api.audit().entries().size() == 3);
 }
 
 // Guards against guessing that fills the log, and against a stranger who locks the operators out.
