Refuse unknown and malformed query parameters; compare a host with its part of the budget

Cause: a misspelt or valueless dry_run made the change, since libevent's parser gives up on the whole query and unknown parameters were passed over. A host counts only the data centres whose placement it owns, so comparing its hours with the fleet's budget would warn too late. Token counts for each pair of account and model were bounded only by the product of both bounds (a million). Change: such queries get 400; UsageAccounting::tick takes the host's fraction of the budget; pairs are bounded by 16384; at most 16 changes are pending, since each may hold the changed parts of a whole document.

--- a/include/catkinwell/admin/AdminApi.h
+++ b/include/catkinwell/admin/AdminApi.h
@@ -32,8 +32,8 @@
     // Requests with a valid token are never refused by this limit, or a stranger could lock operators out.
     std::uint32_t maximumFailuresPerWindow = 20;
     Duration failureWindow = std::chrono::seconds(60);
-    // Changes that wait for the store at the same time.
-    std::size_t maximumPendingChanges = 64;
+    // Changes that wait for the store at the same time. Each may hold the changed parts of a whole document.
+    std::size_t maximumPendingChanges = 16;
     // After this time a change is answered as unknown.
     Duration changeTimeout = std::chrono::seconds(20);
 };
--- a/include/catkinwell/admin/UsageAccounting.h
+++ b/include/catkinwell/admin/UsageAccounting.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <catkinwell/admin/UsageReport.h>
+#include <catkinwell/configuration/FleetConfiguration.h>
 #include <catkinwell/reducer/Effect.h>
 #include <cstddef>
 #include <deque>
@@ -10,6 +11,18 @@
 
 namespace Catkinwell {
 
+// What a host's figures are compared with.
+struct BudgetScope {
+    // The fleet's budget; 0 means none.
+    double monthlyHours = 0;
+    // The part of it that falls to the data centres whose placement this host owns, for example
+    // engineFraction(); 0 if it owns none.
+    double fraction = 1;
+};
+
+// Returns the part of the fleet's engine memory that is in the data centre, between 0 and 1. Thread safe.
+double engineFraction(const FleetConfiguration&, const DataCentreId&);
+
 enum class ReplicaOrigin {
     // The load finished under this host's eyes and counts as a load.
     LoadedNow,
@@ -28,6 +41,8 @@
     static constexpr std::size_t maximumAccounts = 256;
     static constexpr std::size_t maximumReplicas = 16384;
     static constexpr std::size_t maximumReasons = 32;
+    // Pairs of account and model with tokens; further tokens are counted for the model "other".
+    static constexpr std::size_t maximumPairs = 16384;
 
     UsageAccounting(HostId, MonotonicTime now, WallTime wallNow);
 
@@ -45,9 +60,9 @@
     void tokensUsed(const AccountId&, const ModelId&, TokenCount);
     void requestRefused(const AccountId&, const ModelId&, const std::string& reason);
 
-    // Logs BudgetNearlyExceeded once a month when four fifths of the budget are used or the forecast exceeds
-    // it, and BudgetExceeded once a month. A budget of 0 means none.
-    void tick(MonotonicTime now, WallTime wallNow, double monthlyBudgetHours, EffectList& effects);
+    // Logs BudgetNearlyExceeded once a month when four fifths of this host's part of the budget are
+    // used or the forecast exceeds it, and BudgetExceeded once a month.
+    void tick(MonotonicTime now, WallTime wallNow, const BudgetScope&, EffectList& effects);
 
     // Includes the replicas that are loaded now.
     UsageReport report(MonotonicTime now, WallTime wallNow);
@@ -74,6 +89,7 @@
 
     UsageReport m_report;
     std::map<ReplicaKey, Replica> m_replicas;
+    std::size_t m_pairs = 0;
     double m_loadedAccelerators = 0;
     MonotonicTime m_integratedUntil;
     // One for each of the last 24 hours.
--- a/src/admin/AdminApi.cpp
+++ b/src/admin/AdminApi.cpp
@@ -27,6 +27,12 @@
         return result.ec == std::errc() && result.ptr == text.data() + text.size() ? fingerprint : 0;
     }
 
+    AdminAnswer getOnly()
+    {
+        return problemAnswer(
+            AdminProblem { 405, "method_not_allowed", "only GET is possible here", "method", "use GET" });
+    }
+
     Json plannedChange(const std::string& path, const Json& before, const Json& after)
     {
         return { { "dry_run", true },
@@ -201,8 +207,7 @@
     if (request.path != "/healthz" && request.path != "/readyz")
         return std::nullopt;
     if (request.method != "GET" && request.method != "HEAD")
-        return problemAnswer(
-            AdminProblem { 405, "method_not_allowed", "only GET is possible here", "method", "use GET" });
+        return getOnly();
     if (request.path == "/healthz")
         return textAnswer(200, "ok\n");
     const std::string reason = needs.readiness.reasonNotReady(now);
@@ -227,7 +232,9 @@
     if (!mayAct(*who, AdminRole::Read))
         return problemAnswer(AdminProblem {
             403, "forbidden", "the token has no role", "Authorization", "give it a role in the process settings" });
-    if (request.path == "/metrics" && request.method == "GET") {
+    if (request.path == "/metrics") {
+        if (request.method != "GET")
+            return getOnly();
         AdminAnswer metrics { 200, { { "Content-Type", "text/plain; version=0.0.4; charset=utf-8" } }, {} };
         metrics.body = needs.metrics.renderText();
         return metrics;
--- a/src/admin/AdminCall.cpp
+++ b/src/admin/AdminCall.cpp
@@ -1,6 +1,7 @@
 #include <admin/AdminCall.h>
 
 #include <algorithm>
+#include <array>
 #include <catkinwell/core/Digest.h>
 #include <charconv>
 #include <cstdlib>
@@ -19,6 +20,8 @@
     constexpr int maximumJsonDepth = 32;
     constexpr std::size_t maximumReasonBytes = 512;
     constexpr std::size_t maximumIdentifierBytes = 200;
+    constexpr std::array<std::string_view, 5> knownParameters { "dry_run", "expected_version", "change_id", "reason",
+        "view" };
 
     std::string headerValue(const HeaderList& headers, const char* name)
     {
@@ -36,16 +39,18 @@
         return decoded ? std::string(decoded.get(), size) : std::string();
     }
 
-    std::map<std::string, std::string> parseQuery(const std::string& query)
+    // Returns nothing if a parameter has no value or comes twice.
+    std::optional<std::map<std::string, std::string>> parseQuery(const std::string& query)
     {
         std::map<std::string, std::string> parameters;
-        evkeyvalq pairs {};
-        if (evhttp_parse_query_str(query.c_str(), &pairs) != 0)
+        if (query.empty())
             return parameters;
-        for (const evkeyval* pair = pairs.tqh_first; pair; pair = pair->next.tqe_next)
-            parameters[pair->key] = pair->value;
+        evkeyvalq pairs {};
+        bool valid = evhttp_parse_query_str(query.c_str(), &pairs) == 0;
+        for (const evkeyval* pair = valid ? pairs.tqh_first : nullptr; pair; pair = pair->next.tqe_next)
+            valid = parameters.emplace(pair->key, pair->value).second && valid;
         evhttp_clear_headers(&pairs);
-        return parameters;
+        return valid ? std::optional(parameters) : std::nullopt;
     }
 
     std::optional<ConfigurationVersion> parseVersion(std::string_view text)
@@ -124,6 +129,23 @@
         return std::nullopt;
     }
 
+    // A misspelt dry_run must not make the change.
+    std::optional<AdminProblem> readQuery(const RequestArrived& request, AdminCall& call)
+    {
+        auto parameters = parseQuery(request.query);
+        if (!parameters)
+            return invalidRequest(
+                "query", "a query parameter has no value or comes twice", "send each parameter once, as name=value");
+        call.query = std::move(*parameters);
+        for (const auto& [name, value] : call.query) {
+            const auto& known = knownParameters;
+            if (std::find(known.begin(), known.end(), name) == known.end())
+                return invalidRequest(name, "the query parameter is not known",
+                    "use dry_run, expected_version, change_id, reason or view");
+        }
+        return std::nullopt;
+    }
+
     std::optional<AdminProblem> readDryRun(AdminCall& call)
     {
         const auto parameter = call.query.find("dry_run");
@@ -161,8 +183,8 @@
 std::variant<AdminCall, AdminProblem> parseAdminCall(
     const RequestArrived& request, const AdminCredential& who, MonotonicTime now, WallTime wallNow)
 {
-    AdminCall call { request.id, now, wallNow, who, request.method, {}, {}, parseQuery(request.query), {}, {}, {}, {},
-        false, sha256Hex(request.method + "\n" + request.path + "\n" + request.body) };
+    AdminCall call { request.id, now, wallNow, who, request.method, {}, {}, {}, {}, {}, {}, {}, false,
+        sha256Hex(request.method + "\n" + request.path + "\n" + request.body) };
     const std::string rest = request.path.substr(adminPathPrefix.size());
     const std::size_t slash = rest.find('/');
     call.resource = rest.substr(0, slash);
@@ -175,6 +197,8 @@
                 "send one JSON document in UTF-8");
         call.body = std::move(*body);
     }
+    if (auto problem = readQuery(request, call))
+        return *problem;
     if (auto problem = readVersion(request, call))
         return *problem;
     const bool reasonIsContent = call.resource == "exceptions";
--- a/src/admin/AdminCall.h
+++ b/src/admin/AdminCall.h
@@ -24,7 +24,7 @@
     // The rest of the path with percent escapes resolved; empty if there is none.
     std::string target;
     std::map<std::string, std::string> query;
-    // Without expected_version, change_id and dry_run; null if the request has no body.
+    // Without expected_version, change_id and, except for exceptions, reason; null if the request has no body.
     nlohmann::json body;
     // From X-Audit-Reason or the body's field "reason".
     std::string reason;
--- a/src/admin/UsageAccounting.cpp
+++ b/src/admin/UsageAccounting.cpp
@@ -32,6 +32,20 @@
 
 } // namespace
 
+double engineFraction(const FleetConfiguration& configuration, const DataCentreId& dataCentre)
+{
+    double all = 0;
+    double inside = 0;
+    for (const auto& [id, endpoint] : configuration.endpoints) {
+        if (endpoint.kind != EndpointKind::Engine)
+            continue;
+        const auto memory = static_cast<double>(endpoint.memoryBytes);
+        all += memory;
+        inside += endpoint.dataCentre == dataCentre ? memory : 0;
+    }
+    return all > 0 ? inside / all : 0;
+}
+
 UsageAccounting::UsageAccounting(HostId host, MonotonicTime now, WallTime wallNow)
     : m_integratedUntil(now)
     , m_buckets { { now, 0 } }
@@ -96,10 +110,17 @@
 {
     if (tokens <= 0)
         return;
+    auto& byModel = m_report.accounts[boundedAccount(account)].tokens;
+    ModelId bounded = boundedModel(model);
+    if (!byModel.contains(bounded)) {
+        if (m_pairs >= maximumPairs)
+            bounded = ModelId(std::string(other));
+        else
+            ++m_pairs;
+    }
     // The model's entry bounds the number of models in the accounts' entries.
-    const ModelId bounded = boundedModel(model);
     m_report.models.try_emplace(bounded);
-    m_report.accounts[boundedAccount(account)].tokens[bounded] += tokens;
+    byModel[bounded] += tokens;
 }
 
 void UsageAccounting::requestRefused(const AccountId& account, const ModelId& model, const std::string& reason)
@@ -108,27 +129,28 @@
     countReason(m_report.accounts[boundedAccount(account)].refusals, reason);
 }
 
-void UsageAccounting::tick(MonotonicTime now, WallTime wallNow, double monthlyBudgetHours, EffectList& effects)
+void UsageAccounting::tick(MonotonicTime now, WallTime wallNow, const BudgetScope& scope, EffectList& effects)
 {
     integrate(now);
     enterMonth(wallNow);
     m_report.periods.front().until = wallNow;
-    m_report.monthlyBudgetHours = monthlyBudgetHours;
-    if (monthlyBudgetHours <= 0 || (m_warned && m_exceeded))
+    m_report.monthlyBudgetHours = scope.monthlyHours;
+    const double budget = scope.monthlyHours * scope.fraction;
+    if (budget <= 0 || (m_warned && m_exceeded))
         return;
     m_report.meanAccelerators = meanAccelerators(now);
     const double forecast = forecastMonthHours(m_report);
     const auto log = [&](LogEvent event) {
         effects.emplace_back(LogEntry { event,
             { { "counted_hours", textOf(m_report.monthHours) }, { "forecast_hours", textOf(forecast) },
-                { "budget_hours", textOf(monthlyBudgetHours) } } });
+                { "budget_hours", textOf(budget) }, { "fleet_budget_hours", textOf(scope.monthlyHours) } } });
     };
-    const bool forecastExceeds = forecast > monthlyBudgetHours && now - m_buckets.front().since >= shortestForecastBase;
-    if (!m_warned && (forecastExceeds || m_report.monthHours >= warningFraction * monthlyBudgetHours)) {
+    const bool forecastExceeds = forecast > budget && now - m_buckets.front().since >= shortestForecastBase;
+    if (!m_warned && (forecastExceeds || m_report.monthHours >= warningFraction * budget)) {
         m_warned = true;
         log(LogEvent::BudgetNearlyExceeded);
     }
-    if (!m_exceeded && m_report.monthHours > monthlyBudgetHours) {
+    if (!m_exceeded && m_report.monthHours > budget) {
         m_exceeded = true;
         log(LogEvent::BudgetExceeded);
     }
--- a/src/logging/LogEvent.cpp
+++ b/src/logging/LogEvent.cpp
@@ -85,10 +85,11 @@
             "A request for the administration API came without a valid token.",
             "If it repeats, find its origin and replace the token if it may be known to others." },
         { LogEvent::BudgetNearlyExceeded, Warning, "budget_nearly_exceeded",
-            "The accelerator hours counted by this host, or their forecast, come close to the monthly budget.",
+            "The accelerator hours counted by this host, or their forecast, come close to its part of the monthly "
+            "budget.",
             "Run `catkinwell admin report` over all hosts; lower minimum replicas or raise the budget." },
         { LogEvent::BudgetExceeded, Error, "budget_exceeded",
-            "The accelerator hours counted by this host exceed the monthly budget.",
+            "The accelerator hours counted by this host exceed its part of the monthly budget.",
             "Run `catkinwell admin report` over all hosts; lower minimum replicas or raise the budget." },
     };
     return catalogue;
--- a/tests/admin/UsageAccountingTest.cpp
+++ b/tests/admin/UsageAccountingTest.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 #include <catkinwell/admin/UsageAccounting.h>
+#include <tuple>
 
 using namespace Catkinwell;
 using namespace std::chrono_literals;
@@ -94,10 +95,12 @@
     usage.replicaLoaded(endpoint, notes, ReplicaOrigin::LoadedNow, start);
     // The forecast is 744 hours: below this budget, so that only the used part warns.
     const double budget = 800;
-    const auto tickAt = [&](std::chrono::hours hour) { usage.tick(start + hour, wallStart + hour, budget, effects); };
+    const auto tickAt = [&](std::chrono::hours hour) {
+        usage.tick(start + hour, wallStart + hour, { 4 * budget, 0.25 }, effects);
+    };
     tickAt(2h);
     CHECK(eventsIn(effects).empty());
-    usage.tick(start + 2h, wallStart + 2h, 700, effects);
+    usage.tick(start + 2h, wallStart + 2h, { 700 }, effects);
     CHECK(eventsIn(effects) == std::vector { LogEvent::BudgetNearlyExceeded });
     // The next month begins after 672 hours, and 801 hours of it exceed the budget.
     for (int hour = 3; hour <= 672; ++hour)
@@ -110,6 +113,22 @@
         == std::vector { LogEvent::BudgetNearlyExceeded, LogEvent::BudgetNearlyExceeded, LogEvent::BudgetExceeded });
 }
 
+// Guards against a host that compares the hours of one data centre with the budget of all.
+TEST_CASE("a data centre's part of the budget follows its engines' memory")
+{
+    FleetConfiguration configuration;
+    for (const auto& [id, dataCentre, memory] :
+        { std::tuple("a", "east", 30U), std::tuple("b", "west", 10U), std::tuple("c", "west", 20U) }) {
+        EndpointSettings& settings = configuration.endpoints[EndpointId(id)];
+        settings.dataCentre = DataCentreId(dataCentre);
+        settings.memoryBytes = memory;
+    }
+    configuration.endpoints[EndpointId("b")].kind = EndpointKind::Service;
+    CHECK(engineFraction(configuration, DataCentreId("west")) == Approx(0.4));
+    CHECK(engineFraction(configuration, DataCentreId("north")) == 0);
+    CHECK(engineFraction(FleetConfiguration(), DataCentreId("west")) == 0);
+}
+
 // Guards against growth with the names that callers and operators invent.
 TEST_CASE("models, accounts and reasons beyond the bounds are counted under other")
 {
@@ -124,6 +143,14 @@
     CHECK(report.models.size() <= UsageAccounting::maximumModels + 1);
     CHECK(report.accounts.size() <= UsageAccounting::maximumAccounts + 1);
     CHECK(report.models.at(notes).refusals.size() == UsageAccounting::maximumReasons + 1);
+    std::size_t pairs = 0;
+    for (std::size_t i = 0; i < UsageAccounting::maximumPairs; ++i) {
+        usage.tokensUsed(AccountId("0"), ModelId(std::to_string(i)), 1);
+        usage.tokensUsed(AccountId("1"), ModelId(std::to_string(i)), 1);
+    }
+    for (const auto& [account, accountUsage] : usage.report(start, wallStart).accounts)
+        pairs += accountUsage.tokens.size();
+    CHECK(pairs <= UsageAccounting::maximumPairs + UsageAccounting::maximumAccounts + 1);
     TokenCount tokens = 0;
     for (const auto& [account, share] : accountSharesOf(report))
         tokens += share.tokens;
