--- a/tests/admin/AdminApiTest.cpp
+++ b/tests/admin/AdminApiTest.cpp
@@ -26,6 +26,10 @@
         { "", "GET", "/metrics", "", 401, "unauthorized" },
         { "wrong", "GET", "/admin/v1/keys", "", 401, "unauthorized" },
         { "read", "GET", "/metrics", "", 200, "# TYPE catkinwell_requests_total counter" },
+        { "read", "POST", "/metrics", "", 405, "use GET" },
+        { "operate", "PUT", "/admin/v1/accounts/quay-3?dryrun=true", "{\"rate\":5}", 400, "dry_run" },
+        { "operate", "PUT", "/admin/v1/accounts/quay-3?dry_run", "{\"rate\":5}", 400, "name=value" },
+        { "operate", "PUT", "/admin/v1/accounts/quay-3?dry_run=true&dry_run=false", "{\"rate\":5}", 400, "once" },
         { "read", "GET", "/elsewhere", "", 404, "not_found" },
         { "read", "GET", "/admin/v1/configuration", "", 200, "\"version\":17" },
         { "read", "GET", "/admin/v1/configuration?view=other", "", 400, "view" },
@@ -253,6 +257,9 @@
     REQUIRE_CALL(drains, setDraining(EndpointId("engine-1"), true, "a test", _, _)).RETURN(Status());
     CHECK(change("operate", "PUT", "/admin/v1/drains/engine-1").status == 200);
     CHECK(api.audit().entries().size() == 3);
+    // A refused write must not push an accepted one out of the list.
+    CHECK(change("read", "PUT", "/admin/v1/drains/engine-1").status == 403);
+    CHECK(api.audit().entries().size() == 3);
 }
 
 // Guards against guessing that fills the log, and against a stranger who locks the operators out.
