--- a/src/reducer/Reducer.cpp
+++ b/src/reducer/Reducer.cpp
@@ -160,7 +160,9 @@
     m_placement.tick(now, effects);
     m_requests.tick(now, effects);
     m_admin.poll(now, effects);
-    m_usage.tick(now, tick.wallNow, m_configuration.effective().defaults.monthlyAcceleratorHours, effects);
+    const FleetConfiguration& configuration = m_configuration.effective();
+    const double fraction = m_placement.isOwner() ? engineFraction(configuration, m_settings.host.dataCentre) : 0;
+    m_usage.tick(now, tick.wallNow, { configuration.defaults.monthlyAcceleratorHours, fraction }, effects);
     advanceShutdown(now, effects);
 }
 
--- /dev/null
+++ b/tests/process/FleetFaultsTest.cpp
@@ -0,0 +1,165 @@
+#include "process/FleetFixture.h"
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <set>
+
+using namespace Catkinwell::Testing;
+using Json = nlohmann::json;
+
+namespace {
+
+FleetOptions threeHosts()
+{
+    FleetOptions options;
+    options.hosts = 3;
+    return options;
+}
+
+std::set<std::string> bodiesOf(const Json& executions)
+{
+    std::set<std::string> bodies;
+    for (const Json& execution : executions)
+        bodies.insert(execution["body"].get<std::string>());
+    return bodies;
+}
+
+} // namespace
+
+// Guards against an order that runs on two hosts, whichever of them dies.
+TEST_CASE("Orders repeated over three hosts run at most once while a host is killed")
+{
+    FleetFixture fleet(threeHosts());
+    std::vector<HttpCall> calls;
+    for (int order = 0; order < 20; ++order) {
+        const std::string body = "order " + std::to_string(order);
+        for (std::size_t host = 0; host < 3; ++host)
+            calls.push_back(fleet.order(body, "key-" + std::to_string(order), host));
+    }
+    sendTogether(std::vector<HttpCall>(calls.begin(), calls.begin() + 30));
+    fleet.host(1).signal(SIGKILL);
+    sendTogether(calls);
+    const Json executions = fleet.serviceExecutions();
+    const std::set<std::string> bodies = bodiesOf(executions);
+    INFO("executions " << executions.size() << ", different orders " << bodies.size());
+    CHECK(executions.size() == bodies.size());
+    // Every order was also sent to two hosts that live, so none may be lost.
+    CHECK(bodies.size() == 20);
+}
+
+// Guards against two replicas where one was decided, and against a cold model that nobody loads after its owner died.
+TEST_CASE("Another host takes the placement over when the owner is killed")
+{
+    FleetFixture fleet(threeHosts());
+    REQUIRE(send(fleet.completion("notes", "first")).status == 200);
+    std::size_t owner = 3;
+    for (std::size_t host = 0; host < 3; ++host) {
+        const Json slots = Json::parse(send(fleet.admin("GET", "/admin/v1/status/slots", {}, host)).body);
+        if (slots.dump().find("\"is_owner\":true") != std::string::npos)
+            owner = host;
+    }
+    REQUIRE(owner < 3);
+    fleet.host(owner).signal(SIGKILL);
+    const std::size_t survivor = (owner + 1) % 3;
+    // Requests for what is loaded are served throughout.
+    CHECK(send(fleet.completion("notes", "second", false, survivor)).status == 200);
+    HttpCall cold = fleet.completion("notes/de", "third", false, survivor);
+    // The lease of the dead owner lapses within 20 s; the request may wait no longer than its own deadline of 20 s.
+    const bool served = eventually([&] { return send(cold).status == 200; }, std::chrono::seconds(45));
+    INFO(fleet.host(survivor).output());
+    CHECK(served);
+    std::size_t replicas = 0;
+    for (std::size_t engine = 0; engine < 2; ++engine)
+        replicas
+            += Json::parse(send({ fleet.enginePort(engine), "GET", "/v2/repository/report" }).body)["models"].size();
+    // One replica of the model and one of its adapter.
+    CHECK(replicas == 2);
+}
+
+// Guards against a fleet that stops serving when the store is away.
+TEST_CASE("Loaded models are served and keys are revoked locally while the store is down")
+{
+    FleetFixture fleet(threeHosts());
+    for (std::size_t host = 0; host < 3; ++host)
+        REQUIRE(send(fleet.completion("notes", "warm up", false, host)).status == 200);
+    // Each host takes its standing part within a few seconds.
+    std::this_thread::sleep_for(std::chrono::seconds(8));
+    fleet.setStoreFaults({ { "down", true } });
+    // Floating parts lapse after 9 s; the standing parts go on.
+    std::this_thread::sleep_for(std::chrono::seconds(12));
+    for (std::size_t host = 0; host < 3; ++host) {
+        const HttpAnswer answer = send(fleet.completion("notes", "without a store", false, host));
+        INFO("host " << host << ": " << answer.body);
+        CHECK(answer.status == 200);
+    }
+    HttpCall revoke = fleet.admin("POST", "/admin/v1/revocations", { { "key", "test" } }, 0);
+    revoke.headers["X-Audit-Reason"] = "leaked while the store is down";
+    const HttpAnswer revoked = send(revoke);
+    INFO(revoked.body);
+    CHECK(revoked.status == 200);
+    for (std::size_t host = 0; host < 3; ++host) {
+        CHECK(eventually([&] { return send(fleet.completion("notes", "again", false, host)).status == 401; },
+            std::chrono::seconds(10)));
+    }
+}
+
+// Guards against limits that hosts enforce one by one.
+TEST_CASE("Three hosts together admit no more than an account's rate and burst")
+{
+    FleetOptions options = threeHosts();
+    options.adjust = [](Json& document) {
+        document["accounts"][0]["rate_tokens_per_second"] = 20;
+        document["accounts"][0]["burst_tokens"] = 60;
+    };
+    FleetFixture fleet(options);
+    const auto start = std::chrono::steady_clock::now();
+    std::size_t admitted = 0;
+    for (int round = 0; round < 4; ++round) {
+        std::vector<HttpCall> calls;
+        for (int i = 0; i < 30; ++i) {
+            HttpCall call = fleet.order("o" + std::to_string(round * 30 + i), "", static_cast<std::size_t>(i % 3));
+            call.headers["X-Request-Deadline-Ms"] = "500";
+            calls.push_back(call);
+        }
+        for (const HttpAnswer& answer : sendTogether(calls))
+            admitted += answer.status == 200 ? 1 : 0;
+    }
+    const double seconds = std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
+    INFO("admitted " << admitted << " tokens in " << seconds << " s");
+    CHECK(static_cast<double>(admitted) <= 20 * seconds + 60);
+    CHECK(admitted == fleet.serviceExecutions().size());
+    CHECK(admitted > 0);
+}
+
+// Guards against requests whose crash takes down one endpoint after the other.
+TEST_CASE("A request that crashes engines is quarantined")
+{
+    FleetOptions options;
+    options.engines = 4;
+    options.adjust = [](Json& document) {
+        document["models"][0]["minimum_replicas"] = 4, document["models"][0]["maximum_replicas"] = 4;
+    };
+    FleetFixture fleet(options);
+    const auto loadedEverywhere = [&] {
+        std::size_t loaded = 0;
+        for (std::size_t engine = 0; engine < 4; ++engine) {
+            const HttpAnswer answer = send({ fleet.enginePort(engine), "GET", "/v2/repository/report" });
+            loaded += answer.body.find("\"state\":\"loaded\"") != std::string::npos ? 1 : 0;
+        }
+        return loaded == 4;
+    };
+    REQUIRE(eventually(loadedEverywhere, std::chrono::seconds(30)));
+    std::string code;
+    for (int i = 0; i < 6 && code != "request_quarantined"; ++i) {
+        HttpCall call = fleet.completion("notes", "emulate-crash");
+        call.headers["X-Request-Deadline-Ms"] = "6000";
+        const Json body = Json::parse(send(call).body, nullptr, false);
+        code = body.is_object() && body.contains("error") ? body["error"]["code"].get<std::string>() : "";
+    }
+    CHECK(code == "request_quarantined");
+    std::size_t alive = 0;
+    for (std::size_t engine = 0; engine < 4; ++engine)
+        alive += fleet.engine(engine).isRunning() ? 1 : 0;
+    INFO("engines alive: " << alive);
+    CHECK(alive >= 1);
+    CHECK(send(fleet.completion("notes", "innocent")).status == 200);
+}
