Start the write budgets of a new fleet at random levels

Cause: 200 hosts that started together wrote 114 times in the first 0.5 s. Change: the first number of hosts that is more than twice the known one charges a random part of the write budget.

--- a/src/shares/ShareManager.cpp
+++ b/src/shares/ShareManager.cpp
@@ -110,6 +110,8 @@
     m_loans->setPeers(std::move(sameDataCentre), liveHosts);
     const double perHost = m_options.fleetWritesPerSecond / m_liveHosts;
     m_writePace->setLimits(perHost, std::clamp(perHost, 1.0, adjustBurst));
+    if (hasGrown)
+        m_writePace->spend(2 * m_random.unit());
     for (auto& [id, share] : m_shares) {
         share->setLending(m_hasPeers && m_options.lending, now);
         if (hasGrown && share->lastAdjustAt == MonotonicTime {})
