Move the fleet simulation beside the measurement programs that use it

Cause: the measurement programs and the tests share it, and it is no test itself. Change: FleetSimulation.h and WindowChecker.h move to experiments/.

--- a/experiments/RateShares.cpp
+++ b/experiments/RateShares.cpp
@@ -1,7 +1,7 @@
 // Compares rate shares with their baselines on the same seeded demand: wrongful refusals (refused although
 // a single fleet-wide bucket with the account's rate and burst admits the request at its arrival), tokens
 // admitted, and the largest excess over rate × time + burst. Four hosts in three data centres.
-#include "../tests/shares/FleetSimulation.h"
+#include "FleetSimulation.h"
 
 #include <catkinwell/core/EnumNames.h>
 #include <cstdio>
--- a/experiments/ShareSlopes.cpp
+++ b/experiments/ShareSlopes.cpp
@@ -2,7 +2,7 @@
 // at once until 90% of every account's rate is held, store calls of the whole fleet, and for each host bytes and
 // processor time a second, with a least-squares fit over hosts and accounts.
 // Each host serves 20 requests a second, with its own favourite accounts that change now and then.
-#include "../tests/shares/FleetSimulation.h"
+#include "FleetSimulation.h"
 
 #include <array>
 #include <cstdio>
--- a/tests/shares/ShareHistoryTest.cpp
+++ b/tests/shares/ShareHistoryTest.cpp
@@ -1,4 +1,4 @@
-#include "FleetSimulation.h"
+#include "../../experiments/FleetSimulation.h"
 #include <catch2/catch.hpp>
 #include <cstdlib>
 
--- a/tests/shares/TokenBucketTest.cpp
+++ b/tests/shares/TokenBucketTest.cpp
@@ -1,4 +1,4 @@
-#include "WindowChecker.h"
+#include "../../experiments/WindowChecker.h"
 #include <catch2/catch.hpp>
 #include <catkinwell/shares/TokenBucket.h>
 #include <rapidcheck.h>
