--- a/experiments/FairShare.cpp
+++ b/experiments/FairShare.cpp
@@ -8,7 +8,7 @@
 #include <cmath>
 #include <cstdio>
 #include <deque>
-#include <map>
+#include <unordered_map>
 
 using namespace Catkinwell;
 using namespace std::chrono_literals;
@@ -56,13 +56,13 @@
     std::size_t lost = 0;
 };
 
-using Outcome = std::map<AccountId, Served>;
+using Outcome = std::unordered_map<AccountId, Served>;
 
 // The queue offers push(request, now) -> accepted, pop(now) -> next request, and expired(now) -> requests.
 template <typename Queue> Outcome simulate(const std::vector<Arrival>& all, Queue queue)
 {
     Outcome outcome;
-    std::map<RequestId, MonotonicTime> arrivedAt;
+    std::unordered_map<RequestId, MonotonicTime> arrivedAt;
     MonotonicTime freeAt { 1h };
     std::size_t next = 0;
     while (true) {
--- a/experiments/KeyedRequests.cpp
+++ b/experiments/KeyedRequests.cpp
@@ -24,6 +24,7 @@
     bool forwarding = true;
     double writesPerSecond = 240;
     double ordersPerSecond = 100;
+    std::uint32_t shards = 64;
 };
 
 struct Measured {
@@ -50,6 +51,7 @@
             settings.storeWritesPerSecond = variant.writesPerSecond / static_cast<double>(variant.hosts);
             settings.maximumUpdatesPerWrite = variant.grouping ? 256 : 1;
             settings.forwarding = variant.forwarding;
+            settings.shardCount = variant.shards;
             m_hosts[i]->configure(settings, live);
             tick(i);
         }
@@ -213,7 +215,7 @@
             if (hosts == 1 && forwarding)
                 continue;
             for (const double offered : { 5.0, 50.0, 100.0, 200.0, 400.0, 800.0 }) {
-                const Variant variant { hosts, grouping, forwarding, 240, offered };
+                const Variant variant { hosts, grouping, forwarding, 240, offered, 64 };
                 const auto result = Run(variant).run(length);
                 const double runs = std::max<double>(1, static_cast<double>(result.waits.size()));
                 std::printf("%5zu %8s %10s %9.0f %6.1f %13.2f %11.2f %9zu %12.1f %7.1f %8zu %10zu\n", hosts,
@@ -235,6 +237,27 @@
     return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - start).count() / repeats;
 }
 
+// Every read and write carries the whole value, so the number of shards decides how many bytes an
+// order moves; with more shards fewer updates share a write.
+void measureShardCounts()
+{
+    constexpr double entryBytes = 208;
+    std::puts("\nshards offered/s  run/s  writes/order reads/order  p50 ms  p99 ms  refused  kB/value and kB/order "
+              "after 24 h at 1 order/s");
+    for (const std::uint32_t shards : { 64U, 512U, 4096U }) {
+        for (const double offered : { 5.0, 50.0, 100.0, 400.0 }) {
+            const auto result = Run({ 4, true, false, 240, offered, shards }).run(20s);
+            const auto runs = std::max<double>(1, static_cast<double>(result.waits.size()));
+            const double callsPerOrder = static_cast<double>(result.writes + result.reads) / runs;
+            const double valueBytes = 86400 * entryBytes / shards;
+            std::printf("%6u %9.0f %6.1f %13.2f %11.2f %7.1f %7.1f %8zu %10.1f %10.1f\n", shards, offered, runs / 20,
+                static_cast<double>(result.writes) / runs, static_cast<double>(result.reads) / runs,
+                quantile(result.waits, 0.5), quantile(result.waits, 0.99), result.refused, valueBytes / 1000,
+                callsPerOrder * valueBytes / 1000);
+        }
+    }
+}
+
 void measureSizes()
 {
     std::puts(
@@ -269,5 +292,6 @@
 int main()
 {
     measureRates();
+    measureShardCounts();
     measureSizes();
 }
--- a/tests/orders/ClaimManagerTest.cpp
+++ b/tests/orders/ClaimManagerTest.cpp
@@ -30,7 +30,8 @@
             m_now += 20ms;
             EffectList effects;
             m_manager.tick(m_now,
-                WallTime(24h * 365) + std::chrono::duration_cast<WallTime::duration>(m_now.time_since_epoch()),
+                WallTime(24h * 365)
+                    + std::chrono::duration_cast<WallTime::duration>(m_now.time_since_epoch() + wallJump),
                 effects);
             perform(std::move(effects));
         }
@@ -59,6 +60,7 @@
     ClaimManager& manager() { return m_manager; }
     FakeStore store;
     bool isStoreReachable = true;
+    Duration wallJump {};
 
 private:
     void perform(EffectList effects)
@@ -94,6 +96,27 @@
     CHECK(nameOf(host.ask(2, key, account, body)) == expected);
 }
 
+// Guards against keys and bodies of callers in the store.
+TEST_CASE("the store holds keys and request bodies as hashes only")
+{
+    SingleHost host;
+    host.ask(1, "order-key-4711", "quay", "body-digest-4711");
+    host.record(1, "first");
+    for (const auto& [name, entry] : host.store.entries())
+        CHECK((name + entry.value).find("4711") == std::string::npos);
+}
+
+// Guards against a wall clock that jumps ahead and lets a key run again before its retention is over.
+TEST_CASE("a host whose wall clock jumps expires nothing")
+{
+    SingleHost host;
+    host.ask(1, "key");
+    host.record(1, "first");
+    host.wallJump = 25h;
+    host.wait(1s);
+    CHECK(nameOf(host.ask(2, "key")) == "repeat");
+}
+
 // Guards against a body that is cut, and against one that makes the store refuse the value.
 TEST_CASE("an outcome of any size is returned whole or by its digest")
 {
