--- a/include/catkinwell/orders/ClaimManager.h
+++ b/include/catkinwell/orders/ClaimManager.h
@@ -38,8 +38,8 @@
     Duration groupingWindow = std::chrono::milliseconds(5);
     // Claims and outcomes in one write; bounds the time that one write takes.
     std::uint32_t maximumUpdatesPerWrite = 256;
-    // Sends claims to the shard's preferred host, so that one host's writes carry them. Off because it made
-    // waits longer at every load that was measured (docs/decisions/orders.md).
+    // Sends claims to the shard's preferred host, so that one host's writes carry them. Off because it
+    // lengthens the median wait, and the longest waits at high load (docs/decisions/orders.md).
     bool forwarding = false;
     // After this time without an answer the claim is written by this host itself.
     Duration forwardTimeout = std::chrono::milliseconds(100);
