Decide on changed models alone between full passes

Cause: a pass over 2,353 models every 250 ms took 3.2% of a core. Change: a full pass each second; demand and settlements decide on their models at once.

--- a/experiments/PlacementSlopes.cpp
+++ b/experiments/PlacementSlopes.cpp
@@ -2,8 +2,9 @@
 // least-squares line for each figure, and the time to usable service after an owner's death in simulated time.
 // Usage: PlacementSlopes [seed]
 //
-// Every model is loaded first, so that the plan has its largest size; then 22% of the models become wanted
-// within an hour. Hosts, store and engines are the stand-ins of the history check, without faults.
+// Four models of five are loaded first. Then models that are not loaded become wanted at a rate of 22% of
+// all models an hour, and their figures are taken over 60 s; "peak" figures are those of the first loading. Hosts,
+// store and engines are the stand-ins of the history check, without faults.
 #include "../tests/placement/PlacementSimulation.h"
 #include <algorithm>
 #include <cstdio>
@@ -36,6 +37,7 @@
     double planBytes = 0;
     double ownerMemory = 0;
     double loadSeconds = 0;
+    double peakCore = 0;
 };
 
 FleetConfiguration fleetOf(const Size& size, FencingSupport fencing)
@@ -79,27 +81,34 @@
     options.fleet = fleetOf(size, FencingSupport::Enforced);
     options.wantedPerMille = 0;
     PlacementSimulation simulation(options);
+    RandomGenerator random(seed);
     simulation.run(12s);
-    for (const auto& [model, settings] : options.fleet.models)
-        simulation.want(*simulation.hosts[0], model);
+    std::vector<ModelId> cold;
+    for (const auto& [model, settings] : options.fleet.models) {
+        if (settings.baseModel && random.below(5) == 0)
+            cold.push_back(model);
+        else
+            simulation.want(*simulation.hosts[random.below(hostCount)], model);
+    }
     const MonotonicTime begin = simulation.now;
     while (!isEveryWantServed(simulation) && simulation.now - begin < 20min)
         simulation.run(1s);
     Figures figures;
     figures.loadSeconds = std::chrono::duration<double>(simulation.now - begin).count();
+    for (const auto& host : simulation.hosts)
+        figures.peakCore = std::max(figures.peakCore, host->processorSeconds / figures.loadSeconds * 100);
     simulation.run(10s);
     for (auto& host : simulation.hosts) {
         host->processorSeconds = 0;
         host->messages = host->messageBytes = host->storeCalls = host->storeBytes = 0;
     }
     constexpr int seconds = 60;
-    RandomGenerator random(seed);
-    const auto& models = options.fleet.models;
+    const auto modelCount = static_cast<double>(options.fleet.models.size());
     double due = 0;
     for (int second = 0; second < seconds; ++second) {
-        for (due += 0.22 * static_cast<double>(models.size()) / 3600; due >= 1; due -= 1) {
-            const auto model = std::next(models.begin(), static_cast<std::ptrdiff_t>(random.below(models.size())));
-            simulation.want(*simulation.hosts[random.below(hostCount)], model->first);
+        for (due += 0.22 * modelCount / 3600; due >= 1 && !cold.empty(); due -= 1) {
+            simulation.want(*simulation.hosts[random.below(hostCount)], cold.back());
+            cold.pop_back();
         }
         simulation.run(1s);
     }
--- a/src/placement/PlacementDecider.cpp
+++ b/src/placement/PlacementDecider.cpp
@@ -55,6 +55,7 @@
 {
     m_startedAt = now;
     m_lastCommand = 0;
+    m_changed.clear();
     m_evicting.clear();
     m_replicaBackoff.clear();
     m_modelBackoff.clear();
@@ -77,6 +78,7 @@
 
 void PlacementDecider::noteSettlement(const Settlement& settlement, MonotonicTime now)
 {
+    markChanged(settlement.model);
     if (settlement.isFinal) {
         m_weightSlots.release(settlement.command, now);
         m_adapterSlots.release(settlement.command, now);
@@ -116,7 +118,7 @@
     return index;
 }
 
-void PlacementDecider::decide(MonotonicTime now, EffectList& effects)
+void PlacementDecider::decideAll(MonotonicTime now, EffectList& effects)
 {
     std::erase_if(m_evicting,
         [this](const ReplicaKey& key) { return m_recorder.working().find(key.first, key.second) == nullptr; });
@@ -131,7 +133,25 @@
         if (settingsOf(model) == nullptr)
             m_evicting.insert(replicas.begin(), replicas.end());
     }
-    advanceEvictions(now, effects);
+    m_changed.clear();
+    advanceEvictions(now);
+    advancePlanned(now);
+}
+
+void PlacementDecider::decideChanged(MonotonicTime now, EffectList& effects)
+{
+    for (const ModelId& model : std::exchange(m_changed, {})) {
+        const ModelSettings* settings = settingsOf(model);
+        if (settings == nullptr)
+            continue;
+        std::vector<ReplicaKey> replicas;
+        for (const auto& [endpoint, row] : m_recorder.working().replicas) {
+            if (row.contains(model))
+                replicas.emplace_back(endpoint, model);
+        }
+        decideModel(*settings, replicas, now, effects);
+    }
+    advanceEvictions(now);
     advancePlanned(now);
 }
 
@@ -387,7 +407,7 @@
     return freed >= needed;
 }
 
-void PlacementDecider::advanceEvictions(MonotonicTime now, EffectList&)
+void PlacementDecider::advanceEvictions(MonotonicTime now)
 {
     for (const ReplicaKey& key : m_evicting) {
         PlannedReplica* replica = m_recorder.working().find(key.first, key.second);
--- a/src/placement/PlacementDecider.h
+++ b/src/placement/PlacementDecider.h
@@ -23,8 +23,12 @@
     // Precondition: the takeover was confirmed by now.
     void start(MonotonicTime now);
     void noteSettlement(const Settlement&, MonotonicTime now);
-    // Decides, asks for slots and turns runnable decisions into recorded commands.
-    void decide(MonotonicTime now, EffectList&);
+    // Has the model decided on by the next decideChanged().
+    void markChanged(const ModelId& model) { m_changed.insert(model); }
+    // Decides on every model, asks for slots and turns runnable decisions into recorded commands.
+    void decideAll(MonotonicTime now, EffectList&);
+    // Does the same for the models that were marked alone.
+    void decideChanged(MonotonicTime now, EffectList&);
 
 private:
     using ReplicaKey = std::pair<EndpointId, ModelId>;
@@ -55,7 +59,7 @@
         const ModelSettings&, std::vector<ReplicaKey> present, std::size_t surplus, MonotonicTime now, EffectList&);
     void advancePlanned(MonotonicTime now);
     void advancePlannedReplica(PlannedReplica&, MonotonicTime now);
-    void advanceEvictions(MonotonicTime now, EffectList&);
+    void advanceEvictions(MonotonicTime now);
     bool hasAdapters(const ReplicaKey&) const;
     bool isBackedOff(const ReplicaKey&, MonotonicTime now) const;
     LoadSlots& slotsOf(const ModelId&);
@@ -72,6 +76,7 @@
     const FleetConfiguration* m_configuration = nullptr;
     MonotonicTime m_startedAt {};
     std::uint64_t m_lastCommand = 0;
+    std::set<ModelId> m_changed;
     // Replicas that are to be unloaded as soon as nothing hinders it.
     std::set<ReplicaKey> m_evicting;
     std::map<ReplicaKey, Backoff> m_replicaBackoff;
--- a/src/placement/PlacementManager.cpp
+++ b/src/placement/PlacementManager.cpp
@@ -12,7 +12,9 @@
 
 namespace {
 
-    constexpr Duration decisionInterval = std::chrono::milliseconds(250);
+    // How late an idle model may be unloaded or prefetched. A pass over 2,353 models every 250 ms took
+    // 3% of a core; what changes in between is decided at once.
+    constexpr Duration decisionInterval = std::chrono::seconds(1);
     constexpr Duration announcementInterval = std::chrono::milliseconds(100);
     // An announcement without a change lets a host notice that it missed one.
     constexpr Duration idleAnnouncementInterval = std::chrono::seconds(10);
@@ -63,7 +65,7 @@
     m_forwarder->retain([this](const ModelId& model) { return m_configuration.models.contains(model); });
     m_ledger->configure(m_configuration, m_dataCentre);
     m_decider->configure(m_configuration);
-    m_decideNow = true;
+    m_decideAt = {};
 }
 
 void PlacementManager::setLease(const LeaseStatus& lease)
@@ -135,7 +137,10 @@
     if (!m_isOwner)
         return;
     m_demand->note(from, wanted, now);
-    m_decideNow = m_decideNow || wanted.waiting > 0;
+    if (wanted.waiting > 0) {
+        m_decider->markChanged(wanted.model);
+        m_decideNow = true;
+    }
 }
 
 void PlacementManager::handle(
@@ -149,13 +154,13 @@
 void PlacementManager::markEndpointLeaving(const EndpointId& endpoint)
 {
     m_ledger->markLeaving(endpoint);
-    m_decideNow = true;
+    m_decideAt = {};
 }
 
 void PlacementManager::markEndpointDead(const EndpointId& endpoint, EffectList& effects)
 {
     m_ledger->markDead(endpoint, effects);
-    m_decideNow = true;
+    m_decideAt = {};
 }
 
 void PlacementManager::markEndpointAlive(const EndpointId& endpoint, MonotonicTime now)
@@ -198,6 +203,7 @@
     m_demand->clear();
     m_ledger->start(now);
     m_decider->start(now);
+    m_decideAt = now;
     std::set<CommandId> unsettled;
     for (const auto& [id, command] : m_ledger->commands())
         unsettled.insert(id);
@@ -277,11 +283,13 @@
             m_recorder->tick(now, effects);
         return;
     }
-    if (!m_shutdownAt && (m_decideNow || now >= m_decideAt)) {
-        m_decideNow = false;
+    if (!m_shutdownAt && now >= m_decideAt) {
         m_decideAt = now + decisionInterval;
-        m_decider->decide(now, effects);
+        m_decider->decideAll(now, effects);
+    } else if (!m_shutdownAt && m_decideNow) {
+        m_decider->decideChanged(now, effects);
     }
+    m_decideNow = false;
     m_weightSlots.tick(now, effects);
     m_adapterSlots.tick(now, effects);
     m_recorder->tick(now, effects);
