--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -69,7 +69,7 @@
 echo
 echo "== Accepting a fleet configuration and granting a key"
 admin configuration apply "$work/fleet.json" --reason "first configuration of the demo" --yes
-key=$(admin --json keys grant --account crew-leads --label demo --reason "key for the demo" | sed -n 's/.*"key": *"\([^"]*\)".*/\1/p')
+key=$(admin --json key grant --account crew-leads --label demo --reason "key for the demo" | sed -n 's/.*"key": *"\([^"]*\)".*/\1/p')
 authorization="Authorization: Bearer $key"
 # The rate share of a new account fills within seconds.
 sleep 3
--- a/tests/process/EndToEndTest.cpp
+++ b/tests/process/EndToEndTest.cpp
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <future>
+#include <thread>
 
 using namespace Catkinwell::Testing;
 using Json = nlohmann::json;
