--- a/include/catkinwell/requests/ActiveRequest.h
+++ b/include/catkinwell/requests/ActiveRequest.h
@@ -62,6 +62,8 @@
     std::optional<MonotonicTime> coldSince;
     std::set<EndpointId> excluded;
     std::uint32_t attempts = 0;
+    // Attempts whose connection broke after the request may have been sent; each may have cost an endpoint.
+    std::uint32_t brokenAttempts = 0;
 
     // The current attempt.
     AttemptId attempt;
--- a/src/requests/RequestAnswers.cpp
+++ b/src/requests/RequestAnswers.cpp
@@ -13,6 +13,8 @@
     // A whole answer up to this size is held back until it is complete, so that a broken one can still be repeated.
     constexpr std::size_t maximumCollectedBytes = 4 * 1024 * 1024;
     constexpr std::uint32_t maximumAttempts = 4;
+// A request that crashes its endpoint must not take down one after the other before the first death is noticed.
+constexpr std::uint32_t maximumBrokenAttempts = 2;
 
     bool isHopHeader(std::string name)
     {
@@ -186,6 +188,8 @@
             { "outcome", std::string(nameOf(failed.outcome)) }, { "reason", failed.reason } } });
     m_modules.endpoints.attemptFailed(request->endpoint, now, effects);
     request->excluded.insert(request->endpoint);
+    if (failed.outcome == AttemptOutcome::Unknown)
+        ++request->brokenAttempts;
     endAttempt(*request, false, now);
     retryOrFail(*request, failed.outcome != AttemptOutcome::NotSent, failed.reason, now, effects);
 }
@@ -200,7 +204,13 @@
     if (!mayHaveRun)
         request.mayHaveRun = request.mayHaveRunBefore;
     const bool safe = request.idempotent || !request.mayHaveRun;
-    const bool wanted = safe && request.attempts < maximumAttempts && now < request.deadline && !request.answered;
+    if (m_modules.quarantine.isRefused(request.fingerprint, now)) {
+        failRequest(request, { ApiErrorCode::RequestQuarantined, "this request crashed the endpoints that ran it" }, now,
+            effects);
+        return;
+    }
+    const bool wanted = safe && request.attempts < maximumAttempts && request.brokenAttempts < maximumBrokenAttempts
+        && now < request.deadline && !request.answered;
     const bool affordable = wanted && m_retries.tryRetry(now);
     if (wanted && !affordable)
         effects.push_back(
