Let ShareSlopes limit the number of accounts

Cause: 400 hosts with 50 accounts take long; the users have 5 accounts. Change: a second argument bounds the accounts.

--- a/experiments/ShareSlopes.cpp
+++ b/experiments/ShareSlopes.cpp
@@ -162,10 +162,11 @@
 
 } // namespace
 
-// Usage: ShareSlopes [largest number of hosts]
+// Usage: ShareSlopes [largest number of hosts [largest number of accounts, at least 20]]
 int main(int argc, char** argv)
 {
     const int largest = argc > 1 ? std::atoi(argv[1]) : 400;
+    const int mostAccounts = argc > 2 ? std::atoi(argv[2]) : 50;
     std::printf("%6s %9s", "hosts", "accounts");
     for (const char* column : columns)
         std::printf(" %14s", column);
@@ -173,7 +174,7 @@
     std::vector<Sample> samples;
     for (const int hosts : { 4, 16, 64, 200, 400 }) {
         for (const int accounts : { 5, 20, 50 }) {
-            if (hosts > largest)
+            if (hosts > largest || accounts > mostAccounts)
                 continue;
             samples.push_back(Load(hosts, accounts).run());
             std::printf("%6d %9d", hosts, accounts);
