--- a/include/catkinwell/placement/IdlePolicy.h
+++ b/include/catkinwell/placement/IdlePolicy.h
@@ -45,7 +45,7 @@
     double lossCost(const ModelId&, MonotonicTime now) const;
 
 private:
-    // Half powers of two seconds: 1 s to 72 h.
+    // Half powers of two seconds: 1 s to 51 h.
     static constexpr std::size_t binCount = 36;
     static constexpr std::size_t regularGaps = 6;
 
