Send placement commands only on the connection of the report before them

Cause: the pool could open a new connection for a command, on which a paused owner's late command would still arrive at an engine that ignores fencing. Change: a command fails as not sent unless the connection that carried the report is still open.

--- a/include/catkinwell/http/HttpClient.h
+++ b/include/catkinwell/http/HttpClient.h
@@ -24,6 +24,9 @@
     // Opens a connection of its own instead of using an idle one. A connection that was
     // idle can be lost at the moment of sending, and the outcome is then unknown.
     bool needsFreshConnection = false;
+    // Uses the connection that became idle last and fails with NotSent if there is none. The
+    // peer closes idle connections, so what this process delays for long is lost instead of late.
+    bool needsIdleConnection = false;
 };
 
 // Receives what becomes of an exchange: head, data, then exactly one of finished and failed.
--- a/src/endpoint/EngineClient.cpp
+++ b/src/endpoint/EngineClient.cpp
@@ -128,6 +128,7 @@
     request.target = commandTarget(command);
     request.headers = { { "Content-Type", "application/json" } };
     request.body = commandBody(command);
+    request.needsIdleConnection = true;
     request.silenceTimeout = command.timeout;
     auto answer = std::make_shared<CollectedAnswer>();
     const CommandId id = command.id;
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -110,6 +110,7 @@
     static void ended(evhttp_request*, void* context);
     static void outputChanged(evbuffer*, const evbuffer_cb_info*, void* context);
 
+    bool hasIdleConnection(const std::string& address);
     evhttp_connection* takeConnection(const SocketAddress&, const HttpExchange&);
     void failLater(ExchangeId, std::string reason);
     void finish(Exchange&, bool complete, bool connected);
@@ -134,6 +135,12 @@
         });
         return id;
     }
+    if (request.needsIdleConnection && !hasIdleConnection(request.address)) {
+        m_loop.callLater(Duration::zero(), [observer] {
+            observer.onFailed(AttemptOutcome::NotSent, "the peer closed the connection before the request was sent");
+        });
+        return id;
+    }
     auto exchange = std::make_unique<Exchange>();
     exchange->owner = this;
     exchange->id = id;
@@ -167,6 +174,17 @@
     return id;
 }
 
+bool HttpClient::Implementation::hasIdleConnection(const std::string& address)
+{
+    auto& idle = m_idle[address];
+    // evhttp would open a new connection for one that the peer has closed.
+    while (!idle.empty() && bufferevent_getfd(evhttp_connection_get_bufferevent(idle.back().connection)) == -1) {
+        evhttp_connection_free(idle.back().connection);
+        idle.pop_back();
+    }
+    return !idle.empty();
+}
+
 evhttp_connection* HttpClient::Implementation::takeConnection(const SocketAddress& address, const HttpExchange& request)
 {
     if (!request.needsFreshConnection) {
--- a/tests/http/HttpClientTest.cpp
+++ b/tests/http/HttpClientTest.cpp
@@ -99,6 +99,40 @@
     CHECK(nameOf(*result.failure) == nameOf(test.expected));
 }
 
+// Guards against a placement command that a paused owner sends late on a connection of its own.
+TEST_CASE("An exchange that needs an idle connection is not sent without one")
+{
+    ClientFixture fixture;
+    const auto sendOnIdle = [&] {
+        HttpExchange exchange;
+        exchange.address = "127.0.0.1:" + std::to_string(fixture.emulator->port());
+        exchange.target = "/anything";
+        exchange.needsIdleConnection = true;
+        std::string outcome;
+        HttpExchangeObserver observer;
+        observer.onHead = [](int, const HeaderList&) {};
+        observer.onData = [](const std::string&) {};
+        observer.onFinished = [&] {
+            outcome = "done";
+            fixture.loop.stop();
+        };
+        observer.onFailed = [&](AttemptOutcome failure, const std::string&) {
+            outcome = nameOf(failure);
+            fixture.loop.stop();
+        };
+        fixture.client.start(exchange, observer);
+        fixture.loop.run();
+        return outcome;
+    };
+    CHECK(sendOnIdle() == "not_sent");
+    REQUIRE(fixture.run("hello", false).finished);
+    CHECK(sendOnIdle() == "done");
+    // The client closes connections that were idle for 2 s.
+    fixture.loop.callLater(std::chrono::seconds(3), [&] { fixture.loop.stop(); });
+    fixture.loop.run();
+    CHECK(sendOnIdle() == "not_sent");
+}
+
 // Guards against a use of a freed request when a callback gives its own exchange up.
 TEST_CASE("An exchange can be cancelled inside its own callbacks")
 {
