--- a/src/configuration/ConfigurationWatcher.cpp
+++ b/src/configuration/ConfigurationWatcher.cpp
@@ -1,5 +1,6 @@
 #include "ConfigurationWatcher.h"
 
+#include <algorithm>
 #include <catkinwell/core/Digest.h>
 
 namespace Catkinwell {
@@ -8,11 +9,15 @@
 
     using namespace std::chrono_literals;
 
-    // A change must be in force within 10 s even if the answer to a watch is lost: the next watch then
-    // starts after watchWait + watchMargin and is answered at once.
-    constexpr Duration watchWait = 5s;
-    constexpr Duration watchMargin = 2s;
-    constexpr Duration partTimeout = 2s;
+    // A change must be in force within 10 s even if the answers to two watches in a row are lost. Each answer carries
+    // the whole head, so a large head is watched in longer calls, which bounds the traffic.
+    constexpr Duration shortestWatch = 2s;
+    constexpr Duration longestWatch = 5s;
+    constexpr std::size_t headBytesPerSecond = 1000;
+    constexpr Duration watchMargin = 1s;
+    // Short, because a lost answer counts against the 10 s; longer after failures, for a slow store.
+    constexpr Duration firstPartTimeout = 1s;
+    constexpr Duration longestPartTimeout = 5s;
     // The adapter answers every call by its timeout; this guards against a reply that never comes.
     constexpr Duration lostReplyMargin = 1s;
     constexpr Duration firstBackoff = 200ms;
@@ -62,18 +67,20 @@
 
 void ConfigurationWatcher::startWatch(MonotonicTime now, EffectList& effects)
 {
-    const Duration timeout = watchWait + watchMargin;
+    const Duration wait = std::clamp<Duration>(m_headBytes * 1s / headBytesPerSecond, shortestWatch, longestWatch);
+    const Duration timeout = wait + watchMargin;
     m_watch = Call { m_ids.next(), now, now + timeout + lostReplyMargin };
-    const StoreWatch watch { std::string(configurationHeadKey), m_headStoreVersion, watchWait };
+    const StoreWatch watch { std::string(configurationHeadKey), m_headStoreVersion, wait };
     effects.push_back(StoreCall { m_watch->id, watch, timeout });
 }
 
 void ConfigurationWatcher::startPartRead(MonotonicTime now, EffectList& effects)
 {
     m_partHash = *missingPart();
-    m_partRead = Call { m_ids.next(), now, now + partTimeout + lostReplyMargin };
+    const Duration timeout = std::min(longestPartTimeout, firstPartTimeout * (1 + m_partBackoff.failures()));
+    m_partRead = Call { m_ids.next(), now, now + timeout + lostReplyMargin };
     effects.push_back(
-        StoreCall { m_partRead->id, StoreGet { std::string(configurationPartPrefix) + m_partHash }, partTimeout });
+        StoreCall { m_partRead->id, StoreGet { std::string(configurationPartPrefix) + m_partHash }, timeout });
 }
 
 void ConfigurationWatcher::handleWatch(const StoreReply& reply, MonotonicTime now, ConfigurationVersion accepted)
@@ -86,10 +93,11 @@
         return;
     }
     m_reachable = true;
+    m_headBytes = reply.value.size();
     takeHead(reply, now, accepted);
     const bool older = reply.version < m_headStoreVersion || m_olderAnswers > 0;
     // An answer without news before the wait is over means a stale or missing value; asking again at once would spin.
-    if (older || (now - sentAt < watchWait && reply.version <= m_headStoreVersion && !m_pending)) {
+    if (older || (now - sentAt < shortestWatch && reply.version <= m_headStoreVersion && !m_pending)) {
         m_nextWatchAt = now + m_watchBackoff.next(m_random);
     } else {
         m_watchBackoff.reset();
--- a/src/configuration/ConfigurationWatcher.h
+++ b/src/configuration/ConfigurationWatcher.h
@@ -55,6 +55,7 @@
     RetryBackoff m_watchBackoff;
     RetryBackoff m_partBackoff;
     StoreVersion m_headStoreVersion = 0;
+    std::size_t m_headBytes = 0;
     std::optional<ConfigurationHead> m_pending;
     std::optional<Error> m_headError;
     std::optional<ConfigurationVersion> m_storeBehind;
