--- a/src/configuration/ConfigurationWatcher.cpp
+++ b/src/configuration/ConfigurationWatcher.cpp
@@ -89,7 +89,11 @@
     m_watch.reset();
     if (reply.status != StoreStatus::Ok && reply.status != StoreStatus::NotFound) {
         m_reachable = false;
-        m_nextWatchAt = now + m_watchBackoff.next(m_random);
+        // A call that waited for its timeout has limited the rate of calls already. A long backoff on top of lost
+        // answers would keep a host that is also cut off from its peers behind for more than 10 s.
+        const bool hasWaited = now - sentAt >= shortestWatch;
+        m_nextWatchAt = now
+            + (hasWaited ? RetryBackoff(firstBackoff, longestBackoff).next(m_random) : m_watchBackoff.next(m_random));
         return;
     }
     m_reachable = true;
