Check that mutated configuration documents never crash the parser

Cause: a document may come damaged from the store or a peer. Change: 5,000 seeded mutations and deep nesting.

--- a/tests/configuration/ConfigurationDocumentTest.cpp
+++ b/tests/configuration/ConfigurationDocumentTest.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 #include <catkinwell/configuration/ConfigurationAccess.h>
+#include <catkinwell/core/RandomGenerator.h>
 #include <string>
 
 using namespace Catkinwell;
@@ -115,3 +116,33 @@
     CHECK(applyExceptions(configuration, expires).models.at(model).maximumReplicas == 2);
     CHECK(configuration.models.at(model).maximumReplicas == 2);
 }
+
+// Guards against input that crashes a host. A failure prints the seed.
+TEST_CASE("Mutated documents give an error or a valid configuration")
+{
+    constexpr std::uint64_t seed = 20261204;
+    RandomGenerator random(seed);
+    const std::string original = sampleDocument();
+    const std::string characters = "{}[]\",:0123456789-.eE\\ntf\xff";
+    int valid = 0;
+    for (int round = 0; round < 5000; ++round) {
+        std::string text = original;
+        for (std::uint64_t changes = 1 + random.below(3); changes > 0; --changes) {
+            const std::size_t position = random.below(text.size());
+            if (random.below(2) == 0)
+                text[position] = characters[random.below(characters.size())];
+            else
+                text.erase(position, random.below(40));
+        }
+        INFO("seed " << seed << " round " << round);
+        const auto result = parseFleetConfiguration(text);
+        if (isError(result)) {
+            REQUIRE(errorOf(result).kind == ErrorKind::InvalidConfiguration);
+            continue;
+        }
+        ++valid;
+        REQUIRE_FALSE(isError(parseFleetConfiguration(fleetConfigurationToJson(valueOf(result)))));
+    }
+    CHECK(valid > 50);
+    CHECK(isError(parseFleetConfiguration(std::string(1000000, '['))));
+}
