--- /dev/null
+++ b/tests/membership/MembershipManagerTest.cpp
@@ -0,0 +1,92 @@
+#include <catch2/catch.hpp>
+#include <catkinwell/membership/MembershipManager.h>
+#include <catkinwell/peer/PeerAuthenticator.h>
+#include <catkinwell/peer/PeerCodec.h>
+
+using namespace Catkinwell;
+
+namespace {
+
+const HostId self("host-0");
+
+// Answers every list call of the effects and returns how many there were.
+int answerLists(MembershipManager& manager, const EffectList& effects, const StoreReply& hosts,
+    const StoreReply& leaving, MonotonicTime now)
+{
+    int calls = 0;
+    EffectList ignored;
+    for (const auto& effect : effects) {
+        const auto* call = std::get_if<StoreCall>(&effect);
+        if (!call)
+            continue;
+        ++calls;
+        StoreReply reply = std::get<StoreList>(call->operation).prefix == "hosts/" ? hosts : leaving;
+        reply.id = call->id;
+        manager.handle(reply, now, ignored);
+    }
+    return calls;
+}
+
+} // namespace
+
+// Guards against lists that are not read, and against an outage that empties them or floods the store.
+TEST_CASE("The platform's lists are polled and stay in use in an outage")
+{
+    MembershipManager manager({ self, 1, DataCentreId("dc1"), 1, {} });
+    StoreReply hosts { {}, StoreStatus::Ok };
+    hosts.entries = { { "hosts/host-1", R"({"data_centre":"dc1","address":"10.0.0.1:7","incarnation":3})", 1 },
+        { "hosts/host-2", R"({"data_centre":"dc2","address":"10.0.0.2:7","incarnation":3,"leaving":true})", 1 },
+        { "hosts/host-3", "not JSON", 1 } };
+    StoreReply leaving { {}, StoreStatus::Ok };
+    leaving.entries = { { "leaving/e1", "", 1 } };
+    MonotonicTime now(std::chrono::hours(1));
+    EffectList effects;
+    manager.tick(now, effects);
+    CHECK(answerLists(manager, effects, hosts, leaving, now) == 2);
+    CHECK(manager.stateOf(HostId("host-1")) == HostState::Alive);
+    CHECK(manager.stateOf(HostId("host-2")) == HostState::Leaving);
+    CHECK(manager.leavingEndpoints().count(EndpointId("e1")) == 1);
+    CHECK(manager.peerAddresses().at(HostId("host-1")) == "10.0.0.1:7");
+    CHECK(manager.changedSinceLastTake());
+    const StoreReply down { {}, StoreStatus::Unavailable };
+    int calls = 0;
+    for (int step = 0; step < 5 * 120; ++step) {
+        now += std::chrono::milliseconds(200);
+        effects.clear();
+        manager.tick(now, effects);
+        calls += answerLists(manager, effects, down, down, now);
+    }
+    // Two lists in two minutes, with waits that grow to at least 15 s.
+    CHECK(calls <= 24);
+    CHECK(manager.peerAddresses().size() == 2);
+    CHECK(manager.leavingEndpoints().size() == 1);
+}
+
+// Guards against digests that exceed 1 KB in a large fleet with long names and full lists.
+TEST_CASE("A digest's frame stays below 1 KB")
+{
+    const std::size_t nameLength = GENERATE(8, 30, 60);
+    std::vector<PlatformHost> list;
+    for (int i = 0; i < 400; ++i)
+        list.push_back({ HostId(std::string(nameLength, 'h') + std::to_string(100 + i)), ~0ULL, DataCentreId("dc1"),
+            "10.0.0.1:7", false });
+    const HostId own(std::string(nameLength + 3, 's'));
+    MembershipManager manager({ own, ~0ULL, DataCentreId("dc1"), 1, {} });
+    EffectList effects;
+    MonotonicTime now(std::chrono::hours(1));
+    manager.setPlatformList(list, now, effects);
+    manager.setConfigurationState(~0ULL, std::vector<std::string>(20, std::string(64, 'a')));
+    manager.setSuspectFingerprints(std::vector<std::pair<std::uint64_t, std::uint32_t>>(20, { ~0ULL, ~0U }));
+    for (int i = 0; i < 9; ++i)
+        manager.noteSuspicion(EndpointId(std::string(20, 'e') + std::to_string(i)), now);
+    effects.clear();
+    manager.tick(now, effects);
+    std::size_t largest = 0;
+    PeerAuthenticator authenticator(own, ~0ULL, "secret");
+    for (const auto& effect : effects) {
+        if (const auto* send = std::get_if<SendToPeer>(&effect))
+            largest = authenticator.seal(send->to, encodePeerMessage(send->message)).size();
+    }
+    CHECK(largest > 300);
+    CHECK(largest <= 1024);
+}
