--- a/src/admin/AdminCommand.cpp
+++ b/src/admin/AdminCommand.cpp
@@ -55,6 +55,10 @@
 {
     m_app->require_subcommand(1);
     m_app->fallthrough();
+    // Subcommands inherit the footer; their help does not list the options of the whole command.
+    m_app->footer(
+        "The options of catkinwell admin, such as --reason, --dry-run, --yes, --json and --address, may follow "
+        "any command.");
     addOptions();
     addConfigurationCommands();
     addObjectCommands("accounts", "client account");
--- a/src/admin/AdminCompletion.cpp
+++ b/src/admin/AdminCompletion.cpp
@@ -43,7 +43,7 @@
         << "    case \"$word\" in -*) ;; *) path=\"${path:+$path }$word\" ;; esac\n"
         << "  done\n"
         << "  case \"$path\" in\n"
-        << "    \"\") words=\"admin\" ;;\n";
+        << "    \"\") words=\"admin check-config emulate load serve\" ;;\n";
     writeCases(out, app, "admin", globalOptions);
     out << "    *) words=\"" << globalOptions << "\" ;;\n  esac\n"
         << "  COMPREPLY=($(compgen -W \"$words\" -- \"${COMP_WORDS[COMP_CWORD]}\"))\n}\n"
