Follow clang-tidy in the tests of configuration and membership

Cause: clang-tidy reported names, copies and comparisons with empty texts. Change: names of members, const references, Catch::Equals; no check is changed.

--- a/tests/configuration/ConfigurationHistoryTest.cpp
+++ b/tests/configuration/ConfigurationHistoryTest.cpp
@@ -54,11 +54,13 @@
             return "version " + std::to_string(head.version) + " follows " + std::to_string(last);
         if (!accepted.emplace(change.changeId, head.version).second)
             return change.changeId + " was accepted twice";
-        for (const auto& [changeId, version] : accepted) {
-            const bool listed = std::any_of(head.recentChanges.begin(), head.recentChanges.end(),
-                [&](const AcceptedChange& known) { return known.changeId == changeId && known.version == version; });
+        for (const auto& earlier : accepted) {
+            const bool listed
+                = std::any_of(head.recentChanges.begin(), head.recentChanges.end(), [&](const AcceptedChange& known) {
+                      return known.changeId == earlier.first && known.version == earlier.second;
+                  });
             if (!listed)
-                return changeId + " is lost in version " + std::to_string(head.version);
+                return earlier.first + " is lost in version " + std::to_string(head.version);
         }
         last = head.version;
     }
@@ -177,9 +179,9 @@
     const std::uint64_t seed = GENERATE(range(1, 41));
     INFO("seed " << seed);
     const auto record = runRace(seed);
-    CHECK(checkVersionsNeverFall(record) == "");
-    CHECK(checkInForceInTime(record) == "");
-    CHECK(checkNoChangeIsLost(record) == "");
+    CHECK_THAT(checkVersionsNeverFall(record), Catch::Equals(""));
+    CHECK_THAT(checkInForceInTime(record), Catch::Equals(""));
+    CHECK_THAT(checkNoChangeIsLost(record), Catch::Equals(""));
     // The run is worth its verdict only if some changes were accepted.
     CHECK(record.heads.size() > 3);
 }
@@ -189,7 +191,7 @@
 {
     const std::uint64_t seed = GENERATE(range(1, 11));
     INFO("seed " << seed);
-    CHECK(runRevocation(seed, true) == "");
+    CHECK_THAT(runRevocation(seed, true), Catch::Equals(""));
 }
 
 // Guards against hosts that keep an old version because they alone cannot reach the store.
@@ -210,13 +212,13 @@
 // Guards against checkers that accept everything.
 TEST_CASE("Each configuration checker finds the fault that it looks for")
 {
-    CHECK(checkVersionsNeverFall(runRace(1, false, true)) != "");
-    CHECK(checkNoChangeIsLost(runRace(1, true)) != "");
-    CHECK(runRevocation(1, false) != "");
+    CHECK_FALSE(checkVersionsNeverFall(runRace(1, false, true)).empty());
+    CHECK_FALSE(checkNoChangeIsLost(runRace(1, true)).empty());
+    CHECK_FALSE(runRevocation(1, false).empty());
     ConfigurationSimulation simulation(3, 1);
     establish(simulation);
     simulation.frozen = { 2 };
     simulation.proposeOn(0);
     simulation.runFor(12);
-    CHECK(checkInForceInTime(simulation.record) != "");
+    CHECK_FALSE(checkInForceInTime(simulation.record).empty());
 }
--- a/tests/configuration/ConfigurationSimulation.h
+++ b/tests/configuration/ConfigurationSimulation.h
@@ -56,8 +56,8 @@
     {
         record.hosts = hosts;
         storeLinked.assign(hosts, true);
-        connectedSince.assign(hosts, -1);
-        keyWasInForce.assign(hosts, false);
+        m_connectedSince.assign(hosts, -1);
+        m_keyWasInForce.assign(hosts, false);
         for (std::size_t i = 0; i < hosts; ++i)
             managers.push_back(std::make_unique<ConfigurationManager>(random.next()));
         store.written = [this](const std::string& key, const std::string& value) {
@@ -79,7 +79,7 @@
     // An operator on the host adds an account to the version that the host knows.
     void proposeOn(std::size_t host)
     {
-        const std::uint64_t ticket = ++lastTicket;
+        const std::uint64_t ticket = ++m_lastTicket;
         FleetConfiguration document = managers[host]->accepted();
         const AccountId account("op-" + std::to_string(ticket));
         document.accounts[account].id = account;
@@ -127,8 +127,8 @@
     {
         now += std::chrono::milliseconds(20);
         store.advance(now);
-        for (; !posts.empty() && posts.begin()->first <= now; posts.erase(posts.begin()))
-            posts.begin()->second();
+        for (; !m_posts.empty() && m_posts.begin()->first <= now; m_posts.erase(m_posts.begin()))
+            m_posts.begin()->second();
         for (std::size_t host = 0; host < managers.size(); ++host) {
             if (frozen.count(host) != 0)
                 continue;
@@ -155,7 +155,7 @@
         if (from == to || frozen.count(to) != 0 || !linked(from, to) || random.unit() < lossRate)
             return;
         const HostId sender(std::to_string(from));
-        posts.emplace(now + std::chrono::milliseconds(random.below(100)),
+        m_posts.emplace(now + std::chrono::milliseconds(random.below(100)),
             [=, this] { perform(to, [&](EffectList& effects) { deliver(*managers[to], sender, message, effects); }); });
     }
 
@@ -180,33 +180,33 @@
     void observe(std::size_t host)
     {
         const auto version = managers[host]->accepted().version;
-        if (lastVersion[host] != version)
+        if (m_lastVersion[host] != version)
             record.inForce.push_back({ seconds(), host, version });
-        lastVersion[host] = version;
+        m_lastVersion[host] = version;
         const bool key = managers[host]->effective().keys.count(simulatedKey) != 0;
-        if (keyWasInForce[host] != key)
+        if (m_keyWasInForce[host] != key)
             record.keyChanges.push_back({ seconds(), host, key });
-        keyWasInForce[host] = key;
+        m_keyWasInForce[host] = key;
     }
 
     void noteConnections(bool last)
     {
         for (std::size_t host = 0; host < managers.size(); ++host) {
             const bool connected = storeLinked[host] && !store.down && !last;
-            if (connected && connectedSince[host] < 0)
-                connectedSince[host] = seconds();
-            if (!connected && connectedSince[host] >= 0) {
-                record.connections.push_back({ host, connectedSince[host], seconds() });
-                connectedSince[host] = -1;
+            if (connected && m_connectedSince[host] < 0)
+                m_connectedSince[host] = seconds();
+            if (!connected && m_connectedSince[host] >= 0) {
+                record.connections.push_back({ host, m_connectedSince[host], seconds() });
+                m_connectedSince[host] = -1;
             }
         }
     }
 
-    std::uint64_t lastTicket = 0;
-    std::map<std::size_t, ConfigurationVersion> lastVersion;
-    std::vector<bool> keyWasInForce;
-    std::vector<double> connectedSince;
-    std::multimap<MonotonicTime, std::function<void()>> posts;
+    std::uint64_t m_lastTicket = 0;
+    std::map<std::size_t, ConfigurationVersion> m_lastVersion;
+    std::vector<bool> m_keyWasInForce;
+    std::vector<double> m_connectedSince;
+    std::multimap<MonotonicTime, std::function<void()>> m_posts;
 };
 
 } // namespace Catkinwell
--- a/tests/configuration/FakeStore.h
+++ b/tests/configuration/FakeStore.h
@@ -18,7 +18,8 @@
     }
 
     // The reply comes through the function, at the latest at the call's timeout.
-    void call(const StoreCall& call, bool reachable, MonotonicTime now, std::function<void(const StoreReply&)> reply)
+    void call(
+        const StoreCall& call, bool reachable, MonotonicTime now, const std::function<void(const StoreReply&)>& reply)
     {
         if (down || !reachable)
             return plan(now + std::chrono::milliseconds(1), [=] { reply({ call.id, StoreStatus::Unavailable }); });
--- a/tests/membership/MembershipHistoryTest.cpp
+++ b/tests/membership/MembershipHistoryTest.cpp
@@ -141,8 +141,8 @@
     const std::uint64_t seed = GENERATE(1, 2, 3);
     INFO(hosts << " hosts in " << dataCentres << " data centres, seed " << seed);
     std::vector<Observation> record;
-    CHECK(runCrash(hosts, dataCentres, seed, {}, record) == "");
-    CHECK(checkTwoObservers(record) == "");
+    CHECK_THAT(runCrash(hosts, dataCentres, seed, {}, record), Catch::Equals(""));
+    CHECK_THAT(checkTwoObservers(record), Catch::Equals(""));
 }
 
 // Guards against a death that one host with a bad connection declares.
@@ -151,7 +151,7 @@
     const std::uint64_t seed = GENERATE(1, 2, 3, 4);
     INFO("seed " << seed);
     const auto record = runDeafHost(seed, {});
-    CHECK(checkTwoObservers(record) == "");
+    CHECK_THAT(checkTwoObservers(record), Catch::Equals(""));
     // The run is worth its verdict only if the deaf host did suspect others.
     CHECK(missedWithin(record, HostId("host-103"), HostId("host-100"), 10, 45));
 }
@@ -170,7 +170,7 @@
             dead = entry.host.value + " at " + std::to_string(entry.seconds);
     }
     INFO(hosts << " hosts, seed " << seed);
-    CHECK(dead == "");
+    CHECK_THAT(dead, Catch::Equals(""));
 }
 
 // Guards against new work for a host that is about to go.
@@ -179,7 +179,7 @@
     const std::uint64_t seed = GENERATE(1, 2, 3, 4);
     INFO("seed " << seed);
     const auto record = runLeaving(seed, false);
-    CHECK(checkLeavingIsFinal(record) == "");
+    CHECK_THAT(checkLeavingIsFinal(record), Catch::Equals(""));
     std::set<HostId> informed;
     for (const auto& entry : record) {
         if (entry.host == HostId("host-102") && entry.state == HostState::Leaving)
@@ -192,7 +192,7 @@
 TEST_CASE("Each membership checker finds the fault that it looks for")
 {
     std::vector<Observation> record;
-    CHECK(runCrash(16, 3, 1, { .spreadFactor = 60 }, record) != "");
-    CHECK(checkTwoObservers(runDeafHost(1, { .observers = 1 })) != "");
-    CHECK(checkLeavingIsFinal(runLeaving(1, true)) != "");
+    CHECK_FALSE(runCrash(16, 3, 1, { .spreadFactor = 60 }, record).empty());
+    CHECK_FALSE(checkTwoObservers(runDeafHost(1, { .observers = 1 })).empty());
+    CHECK_FALSE(checkLeavingIsFinal(runLeaving(1, true)).empty());
 }
--- a/tests/membership/MembershipManagerTest.cpp
+++ b/tests/membership/MembershipManagerTest.cpp
@@ -67,6 +67,7 @@
 {
     const std::size_t nameLength = GENERATE(8, 30, 60);
     std::vector<PlatformHost> list;
+    list.reserve(400);
     for (int i = 0; i < 400; ++i)
         list.push_back({ HostId(std::string(nameLength, 'h') + std::to_string(100 + i)), ~0ULL, DataCentreId("dc1"),
             "10.0.0.1:7", false });
--- a/tests/membership/MembershipSimulation.h
+++ b/tests/membership/MembershipSimulation.h
@@ -45,7 +45,7 @@
         node.up = true;
         node.manager = std::make_unique<MembershipManager>(MembershipSettings {
             node.listed.host, node.listed.incarnation, node.listed.dataCentre, random.next(), rule });
-        node.manager->setPlatformList(list(), now, ignored);
+        node.manager->setPlatformList(list(), now, m_ignored);
     }
 
     std::vector<PlatformHost> list() const
@@ -59,7 +59,7 @@
     void spreadList()
     {
         for (auto& node : nodes)
-            node.manager->setPlatformList(list(), now, ignored);
+            node.manager->setPlatformList(list(), now, m_ignored);
     }
 
     double seconds() const { return std::chrono::duration<double>(now.time_since_epoch()).count(); }
@@ -71,12 +71,12 @@
             now += std::chrono::milliseconds(20);
             for (std::size_t i = 0; i < nodes.size(); ++i)
                 tick(i);
-            while (!messages.empty() && messages.top().at <= now) {
-                const Message message = messages.top();
-                messages.pop();
+            while (!m_messages.empty() && m_messages.top().at <= now) {
+                const Message message = m_messages.top();
+                m_messages.pop();
                 receive(message);
             }
-            if (++steps % 5 == 0)
+            if (++m_steps % 5 == 0)
                 observe();
         }
     }
@@ -122,7 +122,7 @@
             ++sent;
             const int copies = random.unit() < duplicateRate ? 2 : 1;
             for (int copy = 0; copy < copies; ++copy)
-                messages.push({ now + std::chrono::milliseconds(1 + random.below(60)), index, to,
+                m_messages.push({ now + std::chrono::milliseconds(1 + random.below(60)), index, to,
                     std::get<MembershipDigest>(send->message) });
         }
     }
@@ -143,7 +143,7 @@
 
     void observe()
     {
-        ignored.clear();
+        m_ignored.clear();
         for (const auto& node : nodes) {
             if (!node.up)
                 continue;
@@ -157,9 +157,9 @@
         }
     }
 
-    EffectList ignored;
-    std::uint64_t steps = 0;
-    std::priority_queue<Message> messages;
+    EffectList m_ignored;
+    std::uint64_t m_steps = 0;
+    std::priority_queue<Message> m_messages;
     std::map<std::pair<HostId, HostId>, std::pair<Incarnation, HostState>> m_last;
 };
 
