--- a/src/reducer/Reducer.cpp
+++ b/src/reducer/Reducer.cpp
@@ -11,7 +11,10 @@
     constexpr Duration demandInterval = std::chrono::milliseconds(250);
     // How long a stopping host waits for the store before it leaves its leases to lapse.
     constexpr Duration longestRelease = std::chrono::seconds(10);
-    // Digests leave a few times a second; what they carry for other modules is renewed as often.
+    // In a small fleet a data centre has one or two hosts, so all hosts lend to each other; docs/decisions/shares.md
+// gives the wrongful refusals with and without. In a large one the loans stay inside the data centre.
+constexpr std::size_t largestFleetOfLenders = 16;
+// Digests leave a few times a second; what they carry for other modules is renewed as often.
     constexpr Duration suspicionInterval = std::chrono::seconds(1);
     constexpr Duration longestRevoke = std::chrono::seconds(2);
 
@@ -378,7 +381,13 @@
     std::set<HostId> sameDataCentre;
     for (const HostView& view : m_membership.liveHosts(m_settings.host.dataCentre, now))
         sameDataCentre.insert(view.host);
-    m_shares.setPeers({ sameDataCentre.begin(), sameDataCentre.end() }, live.size(), now);
+    std::vector<HostId> lenders(sameDataCentre.begin(), sameDataCentre.end());
+    if (live.size() <= largestFleetOfLenders) {
+        lenders.clear();
+        for (const HostView& view : m_membership.liveHosts(now))
+            lenders.push_back(view.host);
+    }
+    m_shares.setPeers(std::move(lenders), live.size(), now);
     m_placement.setLiveHosts(sameDataCentre);
     m_claims.setLiveHosts(std::move(live));
     effects.push_back(SetPeerAddresses { m_membership.peerAddresses() });
