Hold a request whose attempt broke until its endpoint's fate is known

Cause: repeats of a crashing request were faster than the report that shows a death: four of four engines died in the process test. Change: its fingerprint waits up to 0.5 s for that report, and quarantine is checked before each attempt. After: the test passes.

--- a/include/catkinwell/requests/RequestFlow.h
+++ b/include/catkinwell/requests/RequestFlow.h
@@ -100,6 +100,7 @@
     bool refuseHopeless(ActiveRequest&, MonotonicTime now, EffectList&);
     void dispatchQueued(MonotonicTime now, EffectList&);
     void dispatchModel(const ModelId& queueKey, MonotonicTime now, EffectList&);
+    // Returns whether the request left the queue: an attempt was started, or the request was refused for good.
     bool startAttempt(ActiveRequest&, MonotonicTime now, EffectList&);
 
     // Answers.
@@ -109,6 +110,7 @@
     void collect(ActiveRequest&, const std::string& data, EffectList&);
     void finishStream(ActiveRequest&, MonotonicTime now, EffectList&);
     void finishWhole(ActiveRequest&, MonotonicTime now, EffectList&);
+    void noteBroken(ActiveRequest&, MonotonicTime now);
     void retryOrFail(ActiveRequest&, bool mayHaveRun, const std::string& reason, MonotonicTime now, EffectList&);
     void breakAnswer(ActiveRequest&, const std::string& reason, MonotonicTime now, EffectList&);
     void failRequest(ActiveRequest&, const ApiError&, MonotonicTime now, EffectList&);
@@ -134,6 +136,9 @@
     FairQueue m_queue;
     WaitEstimator m_waits;
     RetryBudget m_retries;
+    // Fingerprints whose attempt broke. They wait until it is known whether the endpoint died, so that
+    // one request cannot take down several endpoints before the first death is noticed.
+    std::unordered_map<RequestFingerprint, MonotonicTime> m_examinedUntil;
     // Models whose load is awaited.
     std::set<ModelId> m_loading;
     bool m_dispatchDue = false;
--- a/src/admin/AdminCommand.cpp
+++ b/src/admin/AdminCommand.cpp
@@ -134,7 +134,7 @@
 {
     CLI::App* group = addCommand(*m_app, resource, "The fleet's " + resource, {});
     addCommand(*group, "list", "List them", [this, resource] {
-        return listItems(pathOf(resource), { "id", "pathPrefix" });
+        return listItems(pathOf(resource), { "id", "path_prefix" });
     });
     const auto withIdentifier = [this, &what](CLI::App* command) {
         command->add_option("identifier", m_identifier, "the " + what)->required();
@@ -171,7 +171,7 @@
 {
     CLI::App* group = addCommand(*m_app, "key", "Keys of client accounts", {});
     addCommand(*group, "list", "List them", [this] {
-        return listItems(pathOf("keys"), { "label", "account", "sha256Hex" });
+        return listItems(pathOf("keys"), { "label", "account", "sha256" });
     });
     CLI::App* grant = addCommand(*group, "grant", "Make a key and show it once", [this] {
         const Json body = { { "account", m_account }, { "label", m_label } };
--- a/src/admin/AdminReads.cpp
+++ b/src/admin/AdminReads.cpp
@@ -56,7 +56,7 @@
         if (call.resource == "adapters") {
             Json adapters = Json::array();
             std::copy_if(items.begin(), items.end(), std::back_inserter(adapters),
-                [](const Json& item) { return item.contains("baseModel") && !item["baseModel"].is_null(); });
+                [](const Json& item) { return item.contains("base_model") && !item["base_model"].is_null(); });
             items = std::move(adapters);
         }
         return listAnswer(std::move(items), configuration.version);
--- a/src/admin/ConfigurationDocument.cpp
+++ b/src/admin/ConfigurationDocument.cpp
@@ -14,7 +14,7 @@
         { "accounts", "id" },
         { "models", "id" },
         { "endpoints", "id" },
-        { "routes", "pathPrefix" },
+        { "routes", "path_prefix" },
     } };
 
     // Precondition: the document is an object. An absent section begins as an empty array.
--- a/src/admin/ConfigurationEdit.cpp
+++ b/src/admin/ConfigurationEdit.cpp
@@ -135,8 +135,8 @@
     const std::string field(section.identityField);
     if (call.body.contains(field) && call.body[field] != call.target)
         return invalidRequest(field, "the identifier differs from the path", "leave the field out");
-    if (call.resource == "adapters" && textField(call.body, "baseModel").empty())
-        return invalidRequest("baseModel", "an adapter needs a base model", "send baseModel, or use models");
+    if (call.resource == "adapters" && textField(call.body, "base_model").empty())
+        return invalidRequest("base_model", "an adapter needs a base model", "send base_model, or use models");
     Json document = documentOf(accepted);
     putItem(document, section, call.target, call.body);
     return editedDocument(document);
@@ -177,26 +177,26 @@
 
 EditResult grantKey(const AdminCall& call, const FleetConfiguration& accepted, SecretSource& secrets)
 {
-    if (auto problem = checkFields(call.body, { "account", "label", "sha256Hex" }))
+    if (auto problem = checkFields(call.body, { "account", "label", "sha256" }))
         return *problem;
     const AccountId account(textField(call.body, "account"));
     const std::string label = textField(call.body, "label");
-    std::string digest = textField(call.body, "sha256Hex");
+    std::string digest = textField(call.body, "sha256");
     if (!accepted.accounts.contains(account))
         return AdminProblem { 404, "not_found", "there is no account \"" + account.value + "\"", "account",
             "create the account first" };
     const auto existing = accepted.keys.find(digest);
     // A repeat after a lost answer.
     if (existing != accepted.keys.end() && existing->second.account == account && existing->second.label == label)
-        return editedConfiguration(accepted, { { "sha256Hex", digest } });
+        return editedConfiguration(accepted, { { "sha256", digest } });
     if (!isPlainIdentifier(label))
         return invalidRequest("label", "the label must have 1 to 200 printable ASCII characters", "send a label");
     if (std::any_of(
             accepted.keys.begin(), accepted.keys.end(), [&](const auto& key) { return key.second.label == label; }))
         return AdminProblem { 409, "label_exists", "a key with the label \"" + label + "\" exists", "label",
             "choose another label; if the answer to the grant was lost, remove that key first" };
-    if (call.body.contains("sha256Hex") && !isDigest(digest))
-        return invalidRequest("sha256Hex", "the digest must have 64 lower-case hexadecimal digits",
+    if (call.body.contains("sha256") && !isDigest(digest))
+        return invalidRequest("sha256", "the digest must have 64 lower-case hexadecimal digits",
             "send the SHA-256 of the key, or leave the field out to have a key made");
     Json answer = Json::object();
     if (digest.empty()) {
@@ -208,9 +208,9 @@
         answer["key"] = key;
         answer["notice"] = "The key is shown this once; only its digest is kept.";
     } else if (existing != accepted.keys.end()) {
-        return AdminProblem { 409, "key_exists", "a key with this digest exists", "sha256Hex", "make another key" };
+        return AdminProblem { 409, "key_exists", "a key with this digest exists", "sha256", "make another key" };
     }
-    answer["sha256Hex"] = digest;
+    answer["sha256"] = digest;
     FleetConfiguration document = accepted;
     document.keys[digest] = { digest, account, label };
     return editedConfiguration(document, answer);
@@ -223,7 +223,7 @@
         return *problem;
     FleetConfiguration document = accepted;
     document.keys.erase(std::get<std::string>(digest));
-    return editedConfiguration(document, { { "sha256Hex", std::get<std::string>(digest) } });
+    return editedConfiguration(document, { { "sha256", std::get<std::string>(digest) } });
 }
 
 std::variant<std::string, AdminProblem> findKeyDigest(
@@ -256,7 +256,7 @@
 
 Json toJson(const KeyGrant& grant)
 {
-    return { { "sha256Hex", grant.sha256Hex }, { "account", grant.account.value }, { "label", grant.label } };
+    return { { "sha256", grant.sha256Hex }, { "account", grant.account.value }, { "label", grant.label } };
 }
 
 std::pair<std::string, std::string> splitExceptionTarget(const std::string& target)
--- a/src/admin/DocumentDiff.cpp
+++ b/src/admin/DocumentDiff.cpp
@@ -77,7 +77,7 @@
         return jsonText(element);
     if (element.contains("scope") && element.contains("field"))
         return jsonText(Json::array({ element["scope"], element["field"] }));
-    for (const char* name : { "id", "sha256Hex", "pathPrefix" }) {
+    for (const char* name : { "id", "sha256", "path_prefix" }) {
         if (element.contains(name))
             return jsonText(element[name]);
     }
--- a/src/requests/RequestAnswers.cpp
+++ b/src/requests/RequestAnswers.cpp
@@ -15,6 +15,9 @@
     constexpr std::uint32_t maximumAttempts = 4;
 // A request that crashes its endpoint must not take down one after the other before the first death is noticed.
 constexpr std::uint32_t maximumBrokenAttempts = 2;
+// A broken attempt is followed by a report at once, which finds a dead endpoint within a few tens of milliseconds.
+constexpr Duration examinationTime = std::chrono::milliseconds(500);
+constexpr std::size_t maximumExamined = 4096;
 
     bool isHopHeader(std::string name)
     {
@@ -189,11 +192,18 @@
     m_modules.endpoints.attemptFailed(request->endpoint, now, effects);
     request->excluded.insert(request->endpoint);
     if (failed.outcome == AttemptOutcome::Unknown)
-        ++request->brokenAttempts;
+        noteBroken(*request, now);
     endAttempt(*request, false, now);
     retryOrFail(*request, failed.outcome != AttemptOutcome::NotSent, failed.reason, now, effects);
 }
 
+void RequestFlow::noteBroken(ActiveRequest& request, MonotonicTime now)
+{
+    ++request.brokenAttempts;
+    if (m_examinedUntil.size() < maximumExamined)
+        m_examinedUntil[request.fingerprint] = now + examinationTime;
+}
+
 void RequestFlow::retryOrFail(
     ActiveRequest& request, bool mayHaveRun, const std::string& reason, MonotonicTime now, EffectList& effects)
 {
--- a/src/requests/RequestFlow.cpp
+++ b/src/requests/RequestFlow.cpp
@@ -283,6 +283,13 @@
 
 bool RequestFlow::startAttempt(ActiveRequest& request, MonotonicTime now, EffectList& effects)
 {
+    if (m_modules.quarantine.isRefused(request.fingerprint, now)) {
+        failRequest(request, { ApiErrorCode::RequestQuarantined, "this request crashed the endpoints that ran it" }, now,
+            effects);
+        return true;
+    }
+    if (m_examinedUntil.contains(request.fingerprint))
+        return false;
     const auto endpoint = m_modules.endpoints.choose(
         { request.id, request.pool, request.model, request.prefixHash, request.excluded }, now, effects);
     if (!endpoint)
@@ -335,6 +342,7 @@
 {
     capacityChanged();
     m_queue.takeExpired(now);
+    std::erase_if(m_examinedUntil, [now](const auto& entry) { return entry.second <= now; });
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
         const RequestId id = m_deadlines.begin()->second;
         m_deadlines.erase(m_deadlines.begin());
--- a/tests/admin/AdminApiTest.cpp
+++ b/tests/admin/AdminApiTest.cpp
@@ -27,38 +27,38 @@
         { "wrong", "GET", "/admin/v1/keys", "", 401, "unauthorized" },
         { "read", "GET", "/metrics", "", 200, "# TYPE catkinwell_requests_total counter" },
         { "read", "POST", "/metrics", "", 405, "use GET" },
-        { "operate", "PUT", "/admin/v1/accounts/quay-3?dryrun=true", "{\"rate\":5}", 400, "dry_run" },
-        { "operate", "PUT", "/admin/v1/accounts/quay-3?dry_run", "{\"rate\":5}", 400, "name=value" },
-        { "operate", "PUT", "/admin/v1/accounts/quay-3?dry_run=true&dry_run=false", "{\"rate\":5}", 400, "once" },
+        { "operate", "PUT", "/admin/v1/accounts/quay-3?dryrun=true", "{\"rate_tokens_per_second\":5}", 400, "dry_run" },
+        { "operate", "PUT", "/admin/v1/accounts/quay-3?dry_run", "{\"rate_tokens_per_second\":5}", 400, "name=value" },
+        { "operate", "PUT", "/admin/v1/accounts/quay-3?dry_run=true&dry_run=false", "{\"rate_tokens_per_second\":5}", 400, "once" },
         { "read", "GET", "/elsewhere", "", 404, "not_found" },
         { "read", "GET", "/admin/v1/configuration", "", 200, "\"version\":17" },
         { "read", "GET", "/admin/v1/configuration?view=other", "", 400, "view" },
-        { "read", "GET", "/admin/v1/accounts", "", 200, "\"items\":[{\"id\":\"quay-3\",\"rate\":1000}]" },
-        { "read", "GET", "/admin/v1/accounts/quay-3", "", 200, "\"item\":{\"id\":\"quay-3\"" },
+        { "read", "GET", "/admin/v1/accounts", "", 200, "\"items\":[{\"burst_tokens\":10000,\"id\":\"quay-3\",\"rate_tokens_per_second\":1000,\"weight\":1}]" },
+        { "read", "GET", "/admin/v1/accounts/quay-3", "", 200, "\"item\":{\"burst_tokens\":10000,\"id\":\"quay-3\"" },
         { "read", "GET", "/admin/v1/accounts/none", "", 404, "GET /admin/v1/accounts" },
         { "read", "GET", "/admin/v1/accounts/%ff", "", 400, "printable" },
-        { "read", "GET", "/admin/v1/adapters", "", 200, "\"items\":[{\"baseModel\":\"notes-7b\",\"id\":\"style\"}]" },
+        { "read", "GET", "/admin/v1/adapters", "", 200, "\"items\":[{\"base_model\":\"notes-7b\"," },
         { "read", "GET", "/admin/v1/keys/old-key", "", 200, "\"label\":\"old-key\"" },
         { "read", "GET", "/admin/v1/quarantine", "", 200, "\"fingerprint\":\"beef\"" },
         { "read", "GET", "/admin/v1/status/nothing", "", 404, "membership" },
         { "read", "GET", "/admin/v1/explain/99", "", 404, "journal" },
         { "read", "GET", "/admin/v1/report", "", 200, "\"since\":\"2019-12-20T00:00:00Z\"" },
         { "read", "PATCH", "/admin/v1/accounts/quay-3", "", 405, "GET, PUT, DELETE" },
-        { "read", "PUT", "/admin/v1/accounts/quay-3", "{\"rate\":5}", 403, "operate" },
-        { "grant", "PUT", "/admin/v1/accounts/quay-3", "{\"rate\":5}", 403, "operate" },
+        { "read", "PUT", "/admin/v1/accounts/quay-3", "{\"rate_tokens_per_second\":5}", 403, "operate" },
+        { "grant", "PUT", "/admin/v1/accounts/quay-3", "{\"rate_tokens_per_second\":5}", 403, "operate" },
         { "operate", "POST", "/admin/v1/keys", "{}", 403, "grant_keys" },
-        { "operate", "PUT", "/admin/v1/accounts/quay-3", "{\"rate\":5,\"hue\":1}", 400, "unknown field hue" },
-        { "operate", "PUT", "/admin/v1/accounts/quay-3", "{\"rate\":\"x\"}", 400, "invalid_configuration" },
-        { "operate", "PUT", "/admin/v1/accounts/quay-3", "{\"id\":\"other\",\"rate\":5}", 400, "differs" },
+        { "operate", "PUT", "/admin/v1/accounts/quay-3", "{\"rate_tokens_per_second\":5,\"hue\":1}", 400, "unknown field \\\"hue\\\"" },
+        { "operate", "PUT", "/admin/v1/accounts/quay-3", "{\"rate_tokens_per_second\":\"x\"}", 400, "invalid_configuration" },
+        { "operate", "PUT", "/admin/v1/accounts/quay-3", "{\"id\":\"other\",\"rate_tokens_per_second\":5}", 400, "differs" },
         { "operate", "PUT", "/admin/v1/accounts/quay-3", "[", 400, "not valid JSON" },
         { "operate", "PUT", "/admin/v1/accounts/quay-3", "", 400, "JSON object" },
-        { "operate", "PUT", "/admin/v1/accounts/quay-3", "{\"rate\":5,\"expected_version\":16}", 400, "version" },
-        { "operate", "PUT", "/admin/v1/accounts/quay-3", "{\"rate\":1000}", 200, "\"changed\":false" },
-        { "operate", "DELETE", "/admin/v1/accounts/quay-3", "", 400, "unknown account" },
-        { "operate", "PUT", "/admin/v1/adapters/tone", "{}", 400, "baseModel" },
-        { "operate", "PUT", "/admin/v1/exceptions/account/quay-3/rate", "{\"value\":1}", 400, "written reason" },
-        { "operate", "PUT", "/admin/v1/exceptions/rate", "{\"value\":1,\"reason\":\"x\"}", 400, "scope" },
-        { "operate", "PUT", "/admin/v1/exceptions/account/quay-3/rate",
+        { "operate", "PUT", "/admin/v1/accounts/quay-3", "{\"rate_tokens_per_second\":5,\"expected_version\":16}", 400, "version" },
+        { "operate", "PUT", "/admin/v1/accounts/quay-3", "{\"rate_tokens_per_second\":1000}", 200, "\"changed\":false" },
+        { "operate", "DELETE", "/admin/v1/accounts/quay-3", "", 400, "expected the id of an account" },
+        { "operate", "PUT", "/admin/v1/adapters/tone", "{}", 400, "base_model" },
+        { "operate", "PUT", "/admin/v1/exceptions/account/quay-3/rate_tokens_per_second", "{\"value\":1}", 400, "written reason" },
+        { "operate", "PUT", "/admin/v1/exceptions/rate_tokens_per_second", "{\"value\":1,\"reason\":\"traffic peak in December\"}", 400, "scope" },
+        { "operate", "PUT", "/admin/v1/exceptions/account/quay-3/rate_tokens_per_second",
             "{\"value\":1,\"reason\":\"x\",\"expires\":\"1999-01-01T00:00:00Z\"}", 400, "future" },
         { "operate", "PUT", "/admin/v1/configuration",
             "{\"defaults\":{},\"accounts\":[],\"keys\":[],\"models\":[],\"endpoints\":[],\"routes\":[],"
@@ -89,7 +89,7 @@
 TEST_CASE_METHOD(AdminFixture, "a change needs a reason and the current version")
 {
     const char* path = "/admin/v1/accounts/quay-3";
-    const char* body = "{\"rate\":5}";
+    const char* body = "{\"rate_tokens_per_second\":5}";
     CHECK(send(request("operate", "PUT", path, body, { { "If-Match", "17" } })).status == 400);
     CHECK(send(request("operate", "PUT", path, body, { { "X-Audit-Reason", "a" } })).status == 428);
     for (const char* version : { "16", "18" }) {
@@ -108,7 +108,7 @@
         .WITH(_3.accounts.at(AccountId("quay-3")).rate == 5)
         .LR_SIDE_EFFECT(ticket = _1);
     CHECK(send(request("operate", "PUT", "/admin/v1/accounts/quay-3",
-                   "{\"rate\":5,\"expected_version\":17,\"reason\":\"less traffic\"}"))
+                   "{\"rate_tokens_per_second\":5,\"expected_version\":17,\"reason\":\"less traffic\"}"))
               .status
         == 0);
     CHECK(poll().status == 0);
@@ -118,14 +118,14 @@
     CHECK(answer.status == 200);
     const Json json = Json::parse(answer.body);
     CHECK(json["version"] == 18);
-    CHECK(json["changes"] == Json::parse(R"([{"path":"/accounts/0/rate","old":1000,"new":5}])"));
+    CHECK(json["changes"] == Json::parse(R"([{"path":"/accounts/0/rate_tokens_per_second","old":1000,"new":5}])"));
     REQUIRE(api.audit().entries().size() == 1);
     const AuditEntry& entry = api.audit().entries().front();
     CHECK(entry.who == "operator");
     CHECK(entry.action == "PUT accounts/quay-3");
     CHECK(entry.reason == "less traffic");
     CHECK(entry.version == 18);
-    CHECK(entry.paths == std::vector<std::string> { "/accounts/0/rate" });
+    CHECK(entry.paths == std::vector<std::string> { "/accounts/0/rate_tokens_per_second" });
     CHECK_THAT(send(request("read", "GET", "/admin/v1/audit")).body, Contains("less traffic"));
 }
 
@@ -143,11 +143,11 @@
         const char* changed;
     };
     const Case one = GENERATE(values<Case>({
-        { "operate", "PUT", "/admin/v1/accounts/new", "{\"rate\":5}", "/accounts/0" },
-        { "operate", "PUT", "/admin/v1/defaults", "{\"monthlyAcceleratorHours\":9}", "/defaults/monthly" },
+        { "operate", "PUT", "/admin/v1/accounts/new", "{\"rate_tokens_per_second\":5}", "/accounts/0" },
+        { "operate", "PUT", "/admin/v1/defaults", "{\"monthly_accelerator_hours\":9}", "/defaults/monthly" },
         { "operate", "DELETE", "/admin/v1/models/style", "", "/models/1" },
         { "operate", "PUT", "/admin/v1/routes/%2Fpad", "{\"pool\":\"pad\"}", "/routes/0" },
-        { "operate", "PUT", "/admin/v1/exceptions/account/quay-3/rate", "{\"value\":1,\"reason\":\"x\"}",
+        { "operate", "PUT", "/admin/v1/exceptions/account/quay-3/rate_tokens_per_second", "{\"value\":1,\"reason\":\"traffic peak in December\"}",
             "/exceptions/0" },
         { "operate", "PUT", "/admin/v1/drains/engine-1", "", "/drains/engine-1" },
         { "operate", "DELETE", "/admin/v1/quarantine/beef", "", "/quarantine/beef" },
@@ -174,17 +174,17 @@
     const char* path = "/admin/v1/accounts/quay-3";
     std::uint64_t ticket = 0;
     ALLOW_CALL(access, propose(_, 17U, _, "change-1", _, _)).LR_SIDE_EFFECT(ticket = _1);
-    CHECK(change("operate", "PUT", path, "{\"rate\":5}", "change-1").status == 0);
-    CHECK_THAT(change("operate", "PUT", path, "{\"rate\":5}", "change-1").body, Contains("in_progress"));
+    CHECK(change("operate", "PUT", path, "{\"rate_tokens_per_second\":5}", "change-1").status == 0);
+    CHECK_THAT(change("operate", "PUT", path, "{\"rate_tokens_per_second\":5}", "change-1").body, Contains("in_progress"));
     SECTION("after the result")
     {
         results.push_back({ ticket, ConfigurationVersion(18) });
         poll();
         configuration.version = 18;
-        const auto repeat = change("operate", "PUT", path, "{\"rate\":5}", "change-1");
+        const auto repeat = change("operate", "PUT", path, "{\"rate_tokens_per_second\":5}", "change-1");
         CHECK(repeat.status == 200);
         CHECK(Json::parse(repeat.body)["version"] == 18);
-        CHECK_THAT(change("operate", "PUT", path, "{\"rate\":6}", "change-1").body, Contains("change_id_reused"));
+        CHECK_THAT(change("operate", "PUT", path, "{\"rate_tokens_per_second\":6}", "change-1").body, Contains("change_id_reused"));
     }
     SECTION("after the time is over, on a host that knows the change by now")
     {
@@ -196,7 +196,7 @@
         const std::uint64_t first = ticket;
         configuration.version = 18;
         // The identifier, not the version, decides; the configuration module finds the change in the head.
-        CHECK(change("operate", "PUT", path, "{\"rate\":5}", "change-1").status == 0);
+        CHECK(change("operate", "PUT", path, "{\"rate_tokens_per_second\":5}", "change-1").status == 0);
         CHECK(ticket != first);
         results.push_back({ first, ConfigurationVersion(18) });
         results.push_back({ ticket, ConfigurationVersion(18) });
@@ -215,7 +215,7 @@
     }));
     std::uint64_t ticket = 0;
     ALLOW_CALL(access, propose(_, _, _, _, _, _)).LR_SIDE_EFFECT(ticket = _1);
-    change("operate", "PUT", "/admin/v1/accounts/quay-3", "{\"rate\":5}");
+    change("operate", "PUT", "/admin/v1/accounts/quay-3", "{\"rate_tokens_per_second\":5}");
     results.push_back({ ticket, Error { kind, "version 18" } });
     const auto answer = poll();
     CHECK(answer.status == expected);
@@ -329,8 +329,8 @@
         std::string body;
     };
     const std::vector<Valid> requests { { "GET", "configuration?view=effective", "" },
-        { "PUT", "accounts/quay-3", "{\"rate\":5}" }, { "DELETE", "models/style", "" },
-        { "PUT", "exceptions/account/quay-3/rate", "{\"value\":[[{}]],\"reason\":\"x\"}" },
+        { "PUT", "accounts/quay-3", "{\"rate_tokens_per_second\":5}" }, { "DELETE", "models/style", "" },
+        { "PUT", "exceptions/account/quay-3/rate_tokens_per_second", "{\"value\":[[{}]],\"reason\":\"x\"}" },
         { "POST", "keys", "{\"account\":\"quay-3\",\"label\":\"till\"}" }, { "DELETE", "keys/old-key", "" },
         { "POST", "revocations", "{\"key\":\"old-key\"}" }, { "PUT", "drains/engine-1?dry_run=true", "" },
         { "GET", "explain/model/notes-7b", "" }, { "GET", "status/shares", "" } };
--- a/tests/admin/AdminFixture.h
+++ b/tests/admin/AdminFixture.h
@@ -51,9 +51,24 @@
         configuration.version = 17;
         configuration.accounts[AccountId("quay-3")] = { AccountId("quay-3"), 1000 };
         configuration.keys[sha256Hex("old")] = { sha256Hex("old"), AccountId("quay-3"), "old-key" };
-        configuration.endpoints[EndpointId("engine-1")] = {};
-        configuration.models[ModelId("notes-7b")].id = ModelId("notes-7b");
-        configuration.models[ModelId("style")].id = ModelId("style");
+        EndpointSettings engine;
+        engine.id = EndpointId("engine-1");
+        engine.address = "127.0.0.1:9001";
+        engine.dataCentre = DataCentreId("north");
+        engine.pool = "notewriter";
+        engine.memoryBytes = 1 << 30;
+        configuration.endpoints[engine.id] = engine;
+        EndpointSettings service = engine;
+        service.id = EndpointId("pad-1");
+        service.kind = EndpointKind::Service;
+        service.pool = "pad";
+        configuration.endpoints[service.id] = service;
+        for (const char* name : { "notes-7b", "style" }) {
+            ModelSettings& model = configuration.models[ModelId(name)];
+            model.id = ModelId(name);
+            model.pool = "notewriter";
+            model.memoryBytes = 1000;
+        }
         configuration.models[ModelId("style")].baseModel = ModelId("notes-7b");
     }
 
