--- a/scripts/measure-host.sh
+++ b/scripts/measure-host.sh
@@ -4,6 +4,7 @@
 # Usage: scripts/measure-host.sh [build folder]
 set -euo pipefail
 cd "$(dirname "$0")/.."
+ulimit -n 65536 2>/dev/null || ulimit -n "$(ulimit -Hn)"
 catkinwell="$PWD/${1:-build}/catkinwell"
 work=$(mktemp -d)
 pids=()
@@ -15,8 +16,8 @@
 export CATKINWELL_ADMIN_TOKEN=token-for-measurements
 digest() { printf %s "$1" | sha256sum | cut -d' ' -f1; }
 start store emulate store --listen 127.0.0.1:28500
-start engine emulate engine --listen 127.0.0.1:29001 --capacity 20000 --first-token-ms 0 --token-ms 0 --loaded direct
-start paced emulate engine --listen 127.0.0.1:29002 --capacity 20000 --first-token-ms 0 --token-ms 1000 --loaded direct
+start engine emulate engine --listen 127.0.0.1:29001 --capacity 20000 --first-token-ms 0 --token-ms 0
+start paced emulate engine --listen 127.0.0.1:29002 --capacity 20000 --first-token-ms 0 --token-ms 1000
 cat >"$work/host.json" <<JSON
 { "host": "h", "data_centre": "d", "callers": { "listen": "127.0.0.1:28081" },
   "administration": { "listen": "127.0.0.1:28091", "credentials": [ { "name": "m", "token_sha256": "$(digest "$CATKINWELL_ADMIN_TOKEN")", "roles": ["read", "operate", "grant_keys"] } ] },
@@ -59,17 +60,16 @@
 }
 for round in 1 2 3; do
   echo "-- round $round"
-  run "whole, direct, 1 at a time" 29001 direct --requests 3000 --concurrency 1
+  run "whole, direct, 1 at a time" 29001 m --requests 3000 --concurrency 1
   run "whole, through the host" 28081 m --requests 3000 --concurrency 1
-  run "streamed, direct, 1 at a time" 29001 direct --requests 2000 --concurrency 1 --stream
+  run "streamed, direct, 1 at a time" 29001 m --requests 2000 --concurrency 1 --stream
   run "streamed, through the host" 28081 m --requests 2000 --concurrency 1 --stream
-  run "whole, direct, 64 at a time" 29001 direct --requests 30000 --concurrency 64 --max-tokens 4
+  run "whole, direct, 64 at a time" 29001 m --requests 30000 --concurrency 64 --max-tokens 4
   run "whole, host, 64 at a time" 28081 m --requests 30000 --concurrency 64 --max-tokens 4
-  run "streams of 100 tokens, direct" 29001 direct --requests 2000 --concurrency 64 --stream --max-tokens 100
+  run "streams of 100 tokens, direct" 29001 m --requests 2000 --concurrency 64 --stream --max-tokens 100
   run "streams of 100 tokens, host" 28081 m --requests 2000 --concurrency 64 --stream --max-tokens 100
 done
 echo "-- memory of the host with open streams (one token a second)"
-ulimit -n 65536 2>/dev/null || true
 for streams in 1 1000 5000; do
   before=$(memory)
   "$catkinwell" load --target 127.0.0.1:28081 --model slow --requests "$streams" --concurrency "$streams" --stream --max-tokens 12 >"$work/open.json" &
--- a/src/reducer/Reducer.cpp
+++ b/src/reducer/Reducer.cpp
@@ -12,9 +12,9 @@
     // How long a stopping host waits for the store before it leaves its leases to lapse.
     constexpr Duration longestRelease = std::chrono::seconds(10);
     // In a small fleet a data centre has one or two hosts, so all hosts lend to each other; docs/decisions/shares.md
-// gives the wrongful refusals with and without. In a large one the loans stay inside the data centre.
-constexpr std::size_t largestFleetOfLenders = 16;
-// Digests leave a few times a second; what they carry for other modules is renewed as often.
+    // gives the wrongful refusals with and without. In a large one the loans stay inside the data centre.
+    constexpr std::size_t largestFleetOfLenders = 16;
+    // Digests leave a few times a second; what they carry for other modules is renewed as often.
     constexpr Duration suspicionInterval = std::chrono::seconds(1);
     constexpr Duration longestRevoke = std::chrono::seconds(2);
 
--- a/src/reducer/StatusSections.cpp
+++ b/src/reducer/StatusSections.cpp
@@ -8,12 +8,9 @@
 
 namespace {
 
-using Json = nlohmann::json;
+    using Json = nlohmann::json;
 
-double secondsOf(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
+    double secondsOf(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
 } // namespace
 
@@ -57,37 +54,36 @@
 std::string Reducer::slotsStatus(MonotonicTime now) const
 {
     const PlacementStatus status = m_placement.status(now);
-    return Json { { "owner", status.owner.value }, { "is_owner", status.isOwner },
-        { "fencing_token", status.fencingToken }, { "plan_version", status.planVersion },
-        { "commands_in_force", status.commandsInForce }, { "weight_slots_held", status.weightSlotsHeld },
-        { "adapter_slots_held", status.adapterSlotsHeld } }
-        .dump();
+    return Json {
+        { "owner", status.owner.value }, { "is_owner", status.isOwner }, { "fencing_token", status.fencingToken },
+        { "plan_version", status.planVersion }, { "commands_in_force", status.commandsInForce },
+        { "weight_slots_held", status.weightSlotsHeld }, { "adapter_slots_held", status.adapterSlotsHeld }
+    }.dump();
 }
 
 std::string Reducer::ordersStatus(MonotonicTime) const
 {
     const ClaimCounts counts = m_claims.counts();
-    return Json { { "waiting", counts.waiting }, { "running", counts.running }, { "unwritten", counts.unwritten },
+    return Json {
+        { "waiting", counts.waiting }, { "running", counts.running }, { "unwritten", counts.unwritten },
         { "unwritten_bytes", counts.unwrittenBytes }, { "withdrawing", counts.withdrawing },
         { "store_writes", counts.storeWrites }, { "store_reads", counts.storeReads }, { "forwarded", counts.forwarded },
-        { "store_unavailable", counts.storeUnavailable } }
-        .dump();
+        { "store_unavailable", counts.storeUnavailable }
+    }.dump();
 }
 
-std::string Reducer::endpointsStatus(MonotonicTime now) const
-{
-    return m_endpoints.statusJson(now);
-}
+std::string Reducer::endpointsStatus(MonotonicTime now) const { return m_endpoints.statusJson(now); }
 
 std::string Reducer::membershipStatus(MonotonicTime now) const
 {
     Json leaving = Json::array();
     for (const EndpointId& endpoint : m_leavingEndpoints)
         leaving.push_back(endpoint.value);
-    return Json { { "live_hosts", m_membership.liveHosts(now).size() + 1 },
+    return Json {
+        { "live_hosts", m_membership.liveHosts(now).size() + 1 },
         { "live_in_data_centre", m_membership.liveHosts(m_settings.host.dataCentre, now).size() + 1 },
-        { "leaving_endpoints", leaving } }
-        .dump();
+        { "leaving_endpoints", leaving }
+    }.dump();
 }
 
 std::string Reducer::configurationStatus(MonotonicTime now) const
@@ -103,10 +99,10 @@
 std::string Reducer::storeStatus(MonotonicTime now) const
 {
     const LeaseStatus& lease = m_lease.status();
-    return Json { { "reachable", m_lease.isStoreReachable() }, { "lease", lease.id },
-        { "lease_valid", lease.isValidAt(now) },
-        { "lease_age_seconds", lease.id.empty() ? 0 : secondsOf(now - lease.lastRenewalSentAt) } }
-        .dump();
+    return Json {
+        { "reachable", m_lease.isStoreReachable() }, { "lease", lease.id }, { "lease_valid", lease.isValidAt(now) },
+        { "lease_age_seconds", lease.id.empty() ? 0 : secondsOf(now - lease.lastRenewalSentAt) }
+    }.dump();
 }
 
 std::string Reducer::statusJson(std::string_view section, MonotonicTime now) const
--- a/src/requests/RequestAnswers.cpp
+++ b/src/requests/RequestAnswers.cpp
@@ -13,11 +13,11 @@
     // A whole answer up to this size is held back until it is complete, so that a broken one can still be repeated.
     constexpr std::size_t maximumCollectedBytes = 4 * 1024 * 1024;
     constexpr std::uint32_t maximumAttempts = 4;
-// A request that crashes its endpoint must not take down one after the other before the first death is noticed.
-constexpr std::uint32_t maximumBrokenAttempts = 2;
-// A broken attempt is followed by a report at once, which finds a dead endpoint within a few tens of milliseconds.
-constexpr Duration examinationTime = std::chrono::milliseconds(500);
-constexpr std::size_t maximumExamined = 4096;
+    // A request that crashes its endpoint must not take down one after the other before the first death is noticed.
+    constexpr std::uint32_t maximumBrokenAttempts = 2;
+    // A broken attempt is followed by a report at once, which finds a dead endpoint within a few tens of milliseconds.
+    constexpr Duration examinationTime = std::chrono::milliseconds(500);
+    constexpr std::size_t maximumExamined = 4096;
 
     bool isHopHeader(std::string name)
     {
@@ -215,8 +215,8 @@
         request.mayHaveRun = request.mayHaveRunBefore;
     const bool safe = request.idempotent || !request.mayHaveRun;
     if (m_modules.quarantine.isRefused(request.fingerprint, now)) {
-        failRequest(request, { ApiErrorCode::RequestQuarantined, "this request crashed the endpoints that ran it" }, now,
-            effects);
+        failRequest(request, { ApiErrorCode::RequestQuarantined, "this request crashed the endpoints that ran it" },
+            now, effects);
         return;
     }
     const bool wanted = safe && request.attempts < maximumAttempts && request.brokenAttempts < maximumBrokenAttempts
--- a/src/requests/RequestFlow.cpp
+++ b/src/requests/RequestFlow.cpp
@@ -9,7 +9,7 @@
 namespace {
 
     constexpr Duration longestStreamSilence = std::chrono::seconds(20);
-constexpr Duration silenceMargin = std::chrono::milliseconds(250);
+    constexpr Duration silenceMargin = std::chrono::milliseconds(250);
     // No model's name begins with a space, so the queues of services and models stay apart.
     constexpr std::string_view serviceQueuePrefix = " service ";
 
@@ -284,8 +284,8 @@
 bool RequestFlow::startAttempt(ActiveRequest& request, MonotonicTime now, EffectList& effects)
 {
     if (m_modules.quarantine.isRefused(request.fingerprint, now)) {
-        failRequest(request, { ApiErrorCode::RequestQuarantined, "this request crashed the endpoints that ran it" }, now,
-            effects);
+        failRequest(request, { ApiErrorCode::RequestQuarantined, "this request crashed the endpoints that ran it" },
+            now, effects);
         return true;
     }
     if (m_examinedUntil.contains(request.fingerprint))
--- a/tests/admin/AdminApiTest.cpp
+++ b/tests/admin/AdminApiTest.cpp
@@ -29,11 +29,13 @@
         { "read", "POST", "/metrics", "", 405, "use GET" },
         { "operate", "PUT", "/admin/v1/accounts/quay-3?dryrun=true", "{\"rate_tokens_per_second\":5}", 400, "dry_run" },
         { "operate", "PUT", "/admin/v1/accounts/quay-3?dry_run", "{\"rate_tokens_per_second\":5}", 400, "name=value" },
-        { "operate", "PUT", "/admin/v1/accounts/quay-3?dry_run=true&dry_run=false", "{\"rate_tokens_per_second\":5}", 400, "once" },
+        { "operate", "PUT", "/admin/v1/accounts/quay-3?dry_run=true&dry_run=false", "{\"rate_tokens_per_second\":5}",
+            400, "once" },
         { "read", "GET", "/elsewhere", "", 404, "not_found" },
         { "read", "GET", "/admin/v1/configuration", "", 200, "\"version\":17" },
         { "read", "GET", "/admin/v1/configuration?view=other", "", 400, "view" },
-        { "read", "GET", "/admin/v1/accounts", "", 200, "\"items\":[{\"burst_tokens\":10000,\"id\":\"quay-3\",\"rate_tokens_per_second\":1000,\"weight\":1}]" },
+        { "read", "GET", "/admin/v1/accounts", "", 200,
+            "\"items\":[{\"burst_tokens\":10000,\"id\":\"quay-3\",\"rate_tokens_per_second\":1000,\"weight\":1}]" },
         { "read", "GET", "/admin/v1/accounts/quay-3", "", 200, "\"item\":{\"burst_tokens\":10000,\"id\":\"quay-3\"" },
         { "read", "GET", "/admin/v1/accounts/none", "", 404, "GET /admin/v1/accounts" },
         { "read", "GET", "/admin/v1/accounts/%ff", "", 400, "printable" },
@@ -47,17 +49,24 @@
         { "read", "PUT", "/admin/v1/accounts/quay-3", "{\"rate_tokens_per_second\":5}", 403, "operate" },
         { "grant", "PUT", "/admin/v1/accounts/quay-3", "{\"rate_tokens_per_second\":5}", 403, "operate" },
         { "operate", "POST", "/admin/v1/keys", "{}", 403, "grant_keys" },
-        { "operate", "PUT", "/admin/v1/accounts/quay-3", "{\"rate_tokens_per_second\":5,\"hue\":1}", 400, "unknown field \\\"hue\\\"" },
-        { "operate", "PUT", "/admin/v1/accounts/quay-3", "{\"rate_tokens_per_second\":\"x\"}", 400, "invalid_configuration" },
-        { "operate", "PUT", "/admin/v1/accounts/quay-3", "{\"id\":\"other\",\"rate_tokens_per_second\":5}", 400, "differs" },
+        { "operate", "PUT", "/admin/v1/accounts/quay-3", "{\"rate_tokens_per_second\":5,\"hue\":1}", 400,
+            "unknown field \\\"hue\\\"" },
+        { "operate", "PUT", "/admin/v1/accounts/quay-3", "{\"rate_tokens_per_second\":\"x\"}", 400,
+            "invalid_configuration" },
+        { "operate", "PUT", "/admin/v1/accounts/quay-3", "{\"id\":\"other\",\"rate_tokens_per_second\":5}", 400,
+            "differs" },
         { "operate", "PUT", "/admin/v1/accounts/quay-3", "[", 400, "not valid JSON" },
         { "operate", "PUT", "/admin/v1/accounts/quay-3", "", 400, "JSON object" },
-        { "operate", "PUT", "/admin/v1/accounts/quay-3", "{\"rate_tokens_per_second\":5,\"expected_version\":16}", 400, "version" },
-        { "operate", "PUT", "/admin/v1/accounts/quay-3", "{\"rate_tokens_per_second\":1000}", 200, "\"changed\":false" },
+        { "operate", "PUT", "/admin/v1/accounts/quay-3", "{\"rate_tokens_per_second\":5,\"expected_version\":16}", 400,
+            "version" },
+        { "operate", "PUT", "/admin/v1/accounts/quay-3", "{\"rate_tokens_per_second\":1000}", 200,
+            "\"changed\":false" },
         { "operate", "DELETE", "/admin/v1/accounts/quay-3", "", 400, "expected the id of an account" },
         { "operate", "PUT", "/admin/v1/adapters/tone", "{}", 400, "base_model" },
-        { "operate", "PUT", "/admin/v1/exceptions/account/quay-3/rate_tokens_per_second", "{\"value\":1}", 400, "written reason" },
-        { "operate", "PUT", "/admin/v1/exceptions/rate_tokens_per_second", "{\"value\":1,\"reason\":\"traffic peak in December\"}", 400, "scope" },
+        { "operate", "PUT", "/admin/v1/exceptions/account/quay-3/rate_tokens_per_second", "{\"value\":1}", 400,
+            "written reason" },
+        { "operate", "PUT", "/admin/v1/exceptions/rate_tokens_per_second",
+            "{\"value\":1,\"reason\":\"traffic peak in December\"}", 400, "scope" },
         { "operate", "PUT", "/admin/v1/exceptions/account/quay-3/rate_tokens_per_second",
             "{\"value\":1,\"reason\":\"x\",\"expires\":\"1999-01-01T00:00:00Z\"}", 400, "future" },
         { "operate", "PUT", "/admin/v1/configuration",
@@ -147,8 +156,8 @@
         { "operate", "PUT", "/admin/v1/defaults", "{\"monthly_accelerator_hours\":9}", "/defaults/monthly" },
         { "operate", "DELETE", "/admin/v1/models/style", "", "/models/1" },
         { "operate", "PUT", "/admin/v1/routes/%2Fpad", "{\"pool\":\"pad\"}", "/routes/0" },
-        { "operate", "PUT", "/admin/v1/exceptions/account/quay-3/rate_tokens_per_second", "{\"value\":1,\"reason\":\"traffic peak in December\"}",
-            "/exceptions/0" },
+        { "operate", "PUT", "/admin/v1/exceptions/account/quay-3/rate_tokens_per_second",
+            "{\"value\":1,\"reason\":\"traffic peak in December\"}", "/exceptions/0" },
         { "operate", "PUT", "/admin/v1/drains/engine-1", "", "/drains/engine-1" },
         { "operate", "DELETE", "/admin/v1/quarantine/beef", "", "/quarantine/beef" },
         { "grant", "POST", "/admin/v1/keys", "{\"account\":\"quay-3\",\"label\":\"a\"}", "/keys/" },
@@ -175,7 +184,8 @@
     std::uint64_t ticket = 0;
     ALLOW_CALL(access, propose(_, 17U, _, "change-1", _, _)).LR_SIDE_EFFECT(ticket = _1);
     CHECK(change("operate", "PUT", path, "{\"rate_tokens_per_second\":5}", "change-1").status == 0);
-    CHECK_THAT(change("operate", "PUT", path, "{\"rate_tokens_per_second\":5}", "change-1").body, Contains("in_progress"));
+    CHECK_THAT(
+        change("operate", "PUT", path, "{\"rate_tokens_per_second\":5}", "change-1").body, Contains("in_progress"));
     SECTION("after the result")
     {
         results.push_back({ ticket, ConfigurationVersion(18) });
@@ -184,7 +194,8 @@
         const auto repeat = change("operate", "PUT", path, "{\"rate_tokens_per_second\":5}", "change-1");
         CHECK(repeat.status == 200);
         CHECK(Json::parse(repeat.body)["version"] == 18);
-        CHECK_THAT(change("operate", "PUT", path, "{\"rate_tokens_per_second\":6}", "change-1").body, Contains("change_id_reused"));
+        CHECK_THAT(change("operate", "PUT", path, "{\"rate_tokens_per_second\":6}", "change-1").body,
+            Contains("change_id_reused"));
     }
     SECTION("after the time is over, on a host that knows the change by now")
     {
--- a/tests/admin/AdminCommandTest.cpp
+++ b/tests/admin/AdminCommandTest.cpp
@@ -148,10 +148,12 @@
         const char* text;
     };
     const Case one = GENERATE(values<Case>({
-        { { "accounts", "list" }, 0, "id      burst_tokens  rate_tokens_per_second  weight\nquay-3  10000         1000                    1\n" },
+        { { "accounts", "list" }, 0,
+            "id      burst_tokens  rate_tokens_per_second  weight\nquay-3  10000         1000                    1\n" },
         { { "accounts", "list", "--json" }, 0, "\"version\": 17" },
         { { "accounts", "show", "none" }, 1, "there is no accounts/none" },
-        { { "accounts", "set", "quay-3", "rate_tokens_per_second=5", "--reason", "x", "--dry-run" }, 0, "- 1000\n  + 5" },
+        { { "accounts", "set", "quay-3", "rate_tokens_per_second=5", "--reason", "x", "--dry-run" }, 0,
+            "- 1000\n  + 5" },
         { { "accounts", "set", "quay-3", "rate_tokens_per_second=5" }, 2, "--reason" },
         { { "accounts", "set", "quay-3", "rate_tokens_per_second", "--reason", "x" }, 2, "field=value" },
         { { "accounts", "set", "new-1", "rate_tokens_per_second=5", "--reason", "x" }, 0, "done, version 18" },
@@ -159,8 +161,11 @@
         { { "models", "remove", "style", "--reason", "x" }, 1, "Type yes" },
         { { "models", "remove", "style", "--reason", "x", "--yes" }, 0, "done, version 18" },
         { { "defaults", "set", "monthly_accelerator_hours=9", "--reason", "x" }, 0, "done" },
-        { { "exception", "add", "account/quay-3", "rate_tokens_per_second", "7", "--reason", "traffic peak in December", "--yes" }, 0, "\"value\":7" },
-        { { "exception", "remove", "account/quay-3", "rate_tokens_per_second", "--reason", "x", "--yes" }, 1, "there is no" },
+        { { "exception", "add", "account/quay-3", "rate_tokens_per_second", "7", "--reason", "traffic peak in December",
+              "--yes" },
+            0, "\"value\":7" },
+        { { "exception", "remove", "account/quay-3", "rate_tokens_per_second", "--reason", "x", "--yes" }, 1,
+            "there is no" },
         { { "key", "list" }, 0, "old-key" },
         { { "key", "grant", "--account", "quay-3", "--label", "a", "--reason", "x" }, 1, "grant_keys" },
         { { "status", "hosts" }, 0, "host-1  alive" },
@@ -229,7 +234,8 @@
         };
         const std::vector<std::string> at { "--address", listener.address, "--reason", "über alles" };
         auto arguments = at;
-        arguments.insert(arguments.end(), { "exception", "add", "account/quay-3", "rate_tokens_per_second", "7", "--yes" });
+        arguments.insert(
+            arguments.end(), { "exception", "add", "account/quay-3", "rate_tokens_per_second", "7", "--yes" });
         changeCode = AdminCommand({ in, out, err }, connect).run(arguments);
         // Port 1 of the loopback interface refuses connections.
         wrongCode = AdminCommand({ in, out, err }, connect).run({ "audit", "--address", "127.0.0.1:1" });
--- a/tests/admin/AdminFixture.h
+++ b/tests/admin/AdminFixture.h
@@ -60,6 +60,7 @@
         configuration.endpoints[engine.id] = engine;
         EndpointSettings service = engine;
         service.id = EndpointId("pad-1");
+        service.address = "127.0.0.1:9002";
         service.kind = EndpointKind::Service;
         service.pool = "pad";
         configuration.endpoints[service.id] = service;
