--- a/tests/http/HttpClientTest.cpp
+++ b/tests/http/HttpClientTest.cpp
@@ -158,3 +158,32 @@
     CHECK(calls == 1);
     CHECK(fixture.client.runningExchanges() == 0);
 }
+
+// Guards against a listen backlog that drops connections of callers that begin together.
+TEST_CASE("Callers that connect together are all served")
+{
+    ClientFixture fixture;
+    constexpr int callers = 400;
+    int finished = 0;
+    int ended = 0;
+    for (int i = 0; i < callers; ++i) {
+        HttpExchange exchange;
+        exchange.address = "127.0.0.1:" + std::to_string(fixture.emulator->port());
+        exchange.target = "/anything";
+        HttpExchangeObserver observer;
+        observer.onHead = [](int, const HeaderList&) {};
+        observer.onData = [](const std::string&) {};
+        const auto end = [&] {
+            if (++ended == callers)
+                fixture.loop.stop();
+        };
+        observer.onFinished = [&finished, end] {
+            ++finished;
+            end();
+        };
+        observer.onFailed = [end](AttemptOutcome, const std::string&) { end(); };
+        fixture.client.start(exchange, observer);
+    }
+    fixture.loop.run();
+    CHECK(finished == callers);
+}
