Put the configured retention in force; use one backoff; drop what is never used

Found by reading the whole change: - keyed_request_retention_seconds was checked and shown but not passed to the claims. A process test guards it. - HostLease and EndpointDrains had backoffs of their own with the bounds of RetryBackoff, which moves to core. The placement module keeps its own: its delays differ. - The quarantine check stood twice in the request flow. - Membership lists were compared after every event, so after every piece of a stream; now on ticks, at most 20 ms later. - The queue length gauge never fell. - Two error codes were never returned, and event 1801 was never written.

--- a/include/catkinwell/membership/EndpointDrains.h
+++ b/include/catkinwell/membership/EndpointDrains.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <catkinwell/core/RandomGenerator.h>
+#include <catkinwell/core/RetryBackoff.h>
 #include <catkinwell/reducer/Effect.h>
 #include <catkinwell/store/StoreCallIds.h>
 #include <map>
@@ -35,7 +35,7 @@
         bool versionKnown = false;
         StoreVersion version = 0;
         MonotonicTime nextAt {};
-        unsigned failures = 0;
+        RetryBackoff backoff { std::chrono::milliseconds(400), std::chrono::milliseconds(6400) };
     };
 
     struct Written {
--- a/include/catkinwell/orders/ClaimManager.h
+++ b/include/catkinwell/orders/ClaimManager.h
@@ -71,6 +71,8 @@
     std::uint64_t storeReads = 0;
     std::uint64_t forwarded = 0;
     bool storeUnavailable = false;
+    // How long entries are kept.
+    Duration retention {};
 };
 
 // Makes sure that a non-idempotent request with an idempotency key runs at most once
--- a/include/catkinwell/reducer/Reducer.h
+++ b/include/catkinwell/reducer/Reducer.h
@@ -60,6 +60,7 @@
     // Passes changes of one module on to the others.
     void propagate(MonotonicTime now, EffectList&);
     void propagateConfiguration(MonotonicTime now, EffectList&);
+    void configureClaims();
     void propagateMembership(MonotonicTime now, EffectList&);
     void applyLeaving(const std::set<EndpointId>&, MonotonicTime now, EffectList&);
     void shareSuspicions(MonotonicTime now, EffectList&);
@@ -108,6 +109,8 @@
     std::uint64_t m_seenPlanVersion = 0;
     bool m_wasOwner = false;
     bool m_hasSpreadMembership = false;
+    // This host and the others that live.
+    std::vector<LiveHost> m_liveHosts;
     MonotonicTime m_nextSuspicionsAt {};
     std::set<EndpointId> m_leavingEndpoints;
     // The replicas that this host counts for the bill.
--- a/include/catkinwell/requests/ApiError.h
+++ b/include/catkinwell/requests/ApiError.h
@@ -28,11 +28,9 @@
     EarlierOutcomeUnknown,
     RequestInProgress,
     IdempotencyKeyReused,
-    IdempotencyKeyRequired,
     StoreUnavailable,
     RequestQuarantined,
     ShuttingDown,
-    CallerTooSlow,
 };
 
 // Whether the refused or failed request ran on an endpoint.
--- a/include/catkinwell/requests/RequestFlow.h
+++ b/include/catkinwell/requests/RequestFlow.h
@@ -110,6 +110,8 @@
     void collect(ActiveRequest&, const std::string& data, EffectList&);
     void finishStream(ActiveRequest&, MonotonicTime now, EffectList&);
     void finishWhole(ActiveRequest&, MonotonicTime now, EffectList&);
+    // Returns whether the request was refused because it crashed endpoints.
+    bool refuseIfQuarantined(ActiveRequest&, MonotonicTime now, EffectList&);
     void noteBroken(ActiveRequest&, MonotonicTime now);
     void retryOrFail(ActiveRequest&, bool mayHaveRun, const std::string& reason, MonotonicTime now, EffectList&);
     void breakAnswer(ActiveRequest&, const std::string& reason, MonotonicTime now, EffectList&);
--- a/include/catkinwell/store/HostLease.h
+++ b/include/catkinwell/store/HostLease.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <catkinwell/core/RandomGenerator.h>
+#include <catkinwell/core/RetryBackoff.h>
 #include <catkinwell/reducer/Effect.h>
 #include <catkinwell/store/LeaseStatus.h>
 #include <catkinwell/store/StoreCallIds.h>
@@ -49,7 +49,6 @@
     void start(Call, StoreOperation, EffectList&);
     void noteReachable(bool reachable, EffectList&);
     void lose(EffectList&);
-    Duration retryDelay();
     std::string registrationValue() const;
 
     HostRegistration m_registration;
@@ -60,7 +59,7 @@
     Call m_pending = Call::None;
     StoreCallId m_pendingId;
     MonotonicTime m_nextAt {};
-    unsigned m_failures = 0;
+    RetryBackoff m_backoff;
     bool m_registered = false;
     bool m_leaving = false;
     bool m_revoked = false;
--- a/src/configuration/ConfigurationProposer.h
+++ b/src/configuration/ConfigurationProposer.h
@@ -3,7 +3,7 @@
 #include "ConfigurationParts.h"
 
 #include <catkinwell/configuration/ConfigurationAccess.h>
-#include <catkinwell/configuration/RetryBackoff.h>
+#include <catkinwell/core/RetryBackoff.h>
 #include <catkinwell/store/StoreCallIds.h>
 #include <deque>
 
--- a/src/configuration/ConfigurationWatcher.h
+++ b/src/configuration/ConfigurationWatcher.h
@@ -2,7 +2,7 @@
 
 #include "ConfigurationParts.h"
 
-#include <catkinwell/configuration/RetryBackoff.h>
+#include <catkinwell/core/RetryBackoff.h>
 #include <catkinwell/reducer/Effect.h>
 #include <catkinwell/store/StoreCallIds.h>
 
--- a/src/membership/EndpointDrains.cpp
+++ b/src/membership/EndpointDrains.cpp
@@ -1,6 +1,5 @@
 #include <catkinwell/membership/EndpointDrains.h>
 
-#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace Catkinwell {
@@ -8,8 +7,6 @@
 namespace {
 
     constexpr Duration callTimeout = std::chrono::seconds(1);
-    constexpr Duration shortestRetry = std::chrono::milliseconds(200);
-    constexpr unsigned longestRetryDoubling = 5;
     // Membership reads the marks every 5 s; after this time they contain what was written.
     constexpr Duration marksAreReadWithin = std::chrono::seconds(15);
 
@@ -85,9 +82,7 @@
     }
     // After a conflict or an unknown outcome the current version must be read again.
     change.versionKnown = false;
-    change.failures = std::min(change.failures + 1, longestRetryDoubling);
-    const Duration ceiling = shortestRetry * (1U << change.failures);
-    change.nextAt = now + ceiling / 2 + Duration(m_random.below(static_cast<std::uint64_t>(ceiling.count() / 2)));
+    change.nextAt = now + change.backoff.next(m_random);
 }
 
 std::set<EndpointId> EndpointDrains::appliedTo(std::set<EndpointId> marks) const
--- a/src/membership/PlatformListReader.h
+++ b/src/membership/PlatformListReader.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <catkinwell/configuration/RetryBackoff.h>
+#include <catkinwell/core/RetryBackoff.h>
 #include <catkinwell/membership/MembershipManager.h>
 #include <catkinwell/store/StoreCallIds.h>
 
--- a/src/orders/ClaimManager.cpp
+++ b/src/orders/ClaimManager.cpp
@@ -308,6 +308,7 @@
 ClaimCounts ClaimManager::counts() const
 {
     ClaimCounts counts = m_totals;
+    counts.retention = m_settings.retention;
     for (const auto& shard : m_shards) {
         counts.cachedBytes += shard->cachedBytes();
         counts.waiting += shard->followerCount();
--- a/src/reducer/Reducer.cpp
+++ b/src/reducer/Reducer.cpp
@@ -78,10 +78,8 @@
           { m_configuration, *this, *this, *this, *this, secrets, m_metrics, m_journal, m_usage })
     , m_wallNow(wallNow)
 {
-    ClaimSettings claims;
-    claims.self = m_settings.host.host;
-    claims.incarnation = m_settings.host.incarnation;
-    m_claims.configure(claims, { { claims.self, claims.incarnation } });
+    m_liveHosts = { { m_settings.host.host, m_settings.host.incarnation } };
+    configureClaims();
     m_placement.configure(m_configuration.effective());
     // Hosts from the settings stand in for the platform's list until that has been read.
     std::vector<PlatformHost> seeds;
@@ -165,6 +163,9 @@
     m_admin.poll(now, effects);
     const FleetConfiguration& configuration = m_configuration.effective();
     const double fraction = m_placement.isOwner() ? engineFraction(configuration, m_settings.host.dataCentre) : 0;
+    // On ticks alone: comparing the lists after every piece of every stream would be wasted work.
+    propagateMembership(now, effects);
+    shareSuspicions(now, effects);
     m_usage.tick(now, tick.wallNow, { configuration.defaults.monthlyAcceleratorHours, fraction }, effects);
     advanceShutdown(now, effects);
 }
@@ -253,13 +254,20 @@
         m_placement.setLease(m_lease.status());
     }
     propagateConfiguration(now, effects);
-    propagateMembership(now, effects);
     propagatePlan(now);
-    shareSuspicions(now, effects);
     m_requests.advance(now, effects);
     reportDemand(now);
 }
 
+void Reducer::configureClaims()
+{
+    ClaimSettings claims;
+    claims.self = m_settings.host.host;
+    claims.incarnation = m_settings.host.incarnation;
+    claims.retention = m_configuration.effective().defaults.keyedRequestRetention;
+    m_claims.configure(claims, m_liveHosts);
+}
+
 void Reducer::propagateConfiguration(MonotonicTime now, EffectList& effects)
 {
     if (!m_configuration.changedSinceLastTake())
@@ -268,6 +276,7 @@
     m_endpoints.configure(configuration);
     m_shares.configure(configuration.accounts, now, effects);
     m_placement.configure(configuration);
+    configureClaims();
     m_requests.configurationChanged(now, effects);
 }
 
@@ -389,7 +398,8 @@
     }
     m_shares.setPeers(std::move(lenders), live.size(), now);
     m_placement.setLiveHosts(sameDataCentre);
-    m_claims.setLiveHosts(live);
+    m_liveHosts = std::move(live);
+    m_claims.setLiveHosts(m_liveHosts);
     effects.push_back(SetPeerAddresses { m_membership.peerAddresses() });
 }
 
--- a/src/reducer/StatusSections.cpp
+++ b/src/reducer/StatusSections.cpp
@@ -68,7 +68,7 @@
         { "waiting", counts.waiting }, { "running", counts.running }, { "unwritten", counts.unwritten },
         { "unwritten_bytes", counts.unwrittenBytes }, { "withdrawing", counts.withdrawing },
         { "store_writes", counts.storeWrites }, { "store_reads", counts.storeReads }, { "forwarded", counts.forwarded },
-        { "store_unavailable", counts.storeUnavailable }
+        { "store_unavailable", counts.storeUnavailable }, { "retention_seconds", secondsOf(counts.retention) }
     }.dump();
 }
 
--- a/src/requests/ApiError.cpp
+++ b/src/requests/ApiError.cpp
@@ -12,7 +12,7 @@
     constexpr std::string_view invalidRequestType = "invalid_request_error";
     constexpr std::string_view serverErrorType = "server_error";
 
-    constexpr std::array<ApiErrorDescription, 24> descriptions { {
+    constexpr std::array<ApiErrorDescription, 22> descriptions { {
         { ApiErrorCode::InvalidRequest, "invalid_request", 400, invalidRequestType, "Correct the named field." },
         { ApiErrorCode::InvalidJson, "invalid_json", 400, invalidRequestType, "Send a JSON object in UTF-8." },
         { ApiErrorCode::BodyTooLarge, "body_too_large", 413, invalidRequestType, "Send a shorter body." },
@@ -44,15 +44,12 @@
             "Send the same request again later to get its outcome." },
         { ApiErrorCode::IdempotencyKeyReused, "idempotency_key_reused", 422, invalidRequestType,
             "Use a new idempotency key for a different request." },
-        { ApiErrorCode::IdempotencyKeyRequired, "idempotency_key_required", 400, invalidRequestType,
-            "Send an Idempotency-Key header." },
         { ApiErrorCode::StoreUnavailable, "store_unavailable", 503, serverErrorType,
             "Wait as long as Retry-After says." },
         { ApiErrorCode::RequestQuarantined, "request_quarantined", 422, invalidRequestType,
             "This request crashed endpoints. Change it, or ask the operators to release it." },
         { ApiErrorCode::ShuttingDown, "shutting_down", 503, serverErrorType,
             "Send the request again; another host takes it." },
-        { ApiErrorCode::CallerTooSlow, "caller_too_slow", 408, invalidRequestType, "Read the answer faster." },
     } };
 
     constexpr EnumNames<RunOutcome, 3> runOutcomeNames { {
--- a/src/requests/RequestAnswers.cpp
+++ b/src/requests/RequestAnswers.cpp
@@ -197,6 +197,15 @@
     retryOrFail(*request, failed.outcome != AttemptOutcome::NotSent, failed.reason, now, effects);
 }
 
+bool RequestFlow::refuseIfQuarantined(ActiveRequest& request, MonotonicTime now, EffectList& effects)
+{
+    if (!m_modules.quarantine.isRefused(request.fingerprint, now))
+        return false;
+    failRequest(
+        request, { ApiErrorCode::RequestQuarantined, "this request crashed the endpoints that ran it" }, now, effects);
+    return true;
+}
+
 void RequestFlow::noteBroken(ActiveRequest& request, MonotonicTime now)
 {
     ++request.brokenAttempts;
@@ -214,11 +223,8 @@
     if (!mayHaveRun)
         request.mayHaveRun = request.mayHaveRunBefore;
     const bool safe = request.idempotent || !request.mayHaveRun;
-    if (m_modules.quarantine.isRefused(request.fingerprint, now)) {
-        failRequest(request, { ApiErrorCode::RequestQuarantined, "this request crashed the endpoints that ran it" },
-            now, effects);
+    if (refuseIfQuarantined(request, now, effects))
         return;
-    }
     const bool wanted = safe && request.attempts < maximumAttempts && request.brokenAttempts < maximumBrokenAttempts
         && now < request.deadline && !request.answered;
     const bool affordable = wanted && m_retries.tryRetry(now);
--- a/src/requests/RequestFlow.cpp
+++ b/src/requests/RequestFlow.cpp
@@ -278,16 +278,15 @@
     for (const QueuedRequest& request : unplaced)
         m_queue.push(request, now);
     const bool loaded = isService || m_modules.endpoints.isLoaded(pool, modelId, now);
-    m_waits.setBacklogged(queueKey, loaded && m_queue.length(queueKey) > 0, now);
+    const std::size_t length = m_queue.length(queueKey);
+    m_waits.setBacklogged(queueKey, loaded && length > 0, now);
+    effects.push_back(RecordMetric { Metric::QueueLength, queueKey.value, static_cast<double>(length) });
 }
 
 bool RequestFlow::startAttempt(ActiveRequest& request, MonotonicTime now, EffectList& effects)
 {
-    if (m_modules.quarantine.isRefused(request.fingerprint, now)) {
-        failRequest(request, { ApiErrorCode::RequestQuarantined, "this request crashed the endpoints that ran it" },
-            now, effects);
+    if (refuseIfQuarantined(request, now, effects))
         return true;
-    }
     if (m_examinedUntil.contains(request.fingerprint))
         return false;
     const auto endpoint = m_modules.endpoints.choose(
--- a/src/runtime/Runtime.cpp
+++ b/src/runtime/Runtime.cpp
@@ -162,8 +162,10 @@
             return status;
     }
     Status peerStatus = m_peers.start();
-    if (isError(peerStatus))
+    if (isError(peerStatus)) {
+        m_log.write({ LogEvent::PeerTransportFailed, { { "reason", errorOf(peerStatus).message } } });
         return peerStatus;
+    }
     m_loop.callEvery(tickInterval, [this] { tick(); });
     for (const int signalNumber : { SIGTERM, SIGINT })
         m_loop.onSignal(signalNumber, [this] { post(ShutdownSignal {}); });
--- a/src/store/HostLease.cpp
+++ b/src/store/HostLease.cpp
@@ -1,6 +1,5 @@
 #include <catkinwell/store/HostLease.h>
 
-#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace Catkinwell {
@@ -12,7 +11,7 @@
     // Three attempts fit into the validity.
     constexpr Duration renewalInterval = std::chrono::seconds(3);
     constexpr Duration callTimeout = std::chrono::seconds(1);
-    constexpr Duration shortestRetry = std::chrono::milliseconds(250);
+    constexpr Duration shortestRetry = std::chrono::milliseconds(500);
     constexpr Duration longestRetry = std::chrono::seconds(5);
 
     MonotonicTime validityEnd(MonotonicTime sentAt) { return sentAt + leaseTtl - leaseTtl / 10; }
@@ -22,6 +21,7 @@
 HostLease::HostLease(HostRegistration registration, std::uint64_t seed)
     : m_registration(std::move(registration))
     , m_random(seed)
+    , m_backoff(shortestRetry, longestRetry)
 {
 }
 
@@ -40,12 +40,6 @@
     effects.push_back(StoreCall { m_pendingId, std::move(operation), callTimeout });
 }
 
-Duration HostLease::retryDelay()
-{
-    const Duration ceiling = std::min<Duration>(longestRetry, shortestRetry * (1U << std::min(m_failures, 5U)));
-    return ceiling / 2 + Duration(m_random.below(static_cast<std::uint64_t>(ceiling.count() / 2 + 1)));
-}
-
 void HostLease::tick(MonotonicTime now, EffectList& effects)
 {
     if (!m_status.id.empty() && now >= m_status.validUntil)
@@ -74,11 +68,10 @@
     const bool reached = reply.status != StoreStatus::Unknown && reply.status != StoreStatus::Unavailable;
     noteReachable(reached, effects);
     if (!reached || reply.status == StoreStatus::RateLimited) {
-        ++m_failures;
-        m_nextAt = now + retryDelay();
+        m_nextAt = now + m_backoff.next(m_random);
         return;
     }
-    m_failures = 0;
+    m_backoff.reset();
     if (call == Call::Register) {
         m_registered = reply.status == StoreStatus::Ok;
         // An entry of an earlier run of this host is free once its lease has lapsed.
--- a/tests/process/FleetFaultsTest.cpp
+++ b/tests/process/FleetFaultsTest.cpp
@@ -103,6 +103,17 @@
     }
 }
 
+// Guards against a setting that is checked and shown but not in force.
+TEST_CASE("The configured retention of keyed requests is in force")
+{
+    FleetOptions options;
+    options.adjust = [](Json& document) { document["defaults"]["keyed_request_retention_seconds"] = 7200; };
+    FleetFixture fleet(options);
+    const std::string status = send(fleet.admin("GET", "/admin/v1/status/orders")).body;
+    INFO(status);
+    CHECK(status.find("\"retention_seconds\":7200.0") != std::string::npos);
+}
+
 // Guards against limits that hosts enforce one by one.
 TEST_CASE("Three hosts together admit no more than an account's rate and burst")
 {
