--- a/tests/http/HttpClientTest.cpp
+++ b/tests/http/HttpClientTest.cpp
@@ -44,7 +44,7 @@
             result.finished = true;
             loop.stop();
         };
-        observer.onFailed = [&](AttemptOutcome outcome, const std::string& reason) {
+        observer.onFailed = [&](AttemptOutcome outcome, AttemptFailure, const std::string& reason) {
             result.failure = outcome;
             result.reason = reason;
             loop.stop();
@@ -116,7 +116,7 @@
             outcome = "done";
             fixture.loop.stop();
         };
-        observer.onFailed = [&](AttemptOutcome failure, const std::string&) {
+        observer.onFailed = [&](AttemptOutcome failure, AttemptFailure, const std::string&) {
             outcome = nameOf(failure);
             fixture.loop.stop();
         };
@@ -152,7 +152,7 @@
         fixture.loop.callLater(std::chrono::milliseconds(100), [&] { fixture.loop.stop(); });
     };
     observer.onFinished = [&] { ++calls; };
-    observer.onFailed = [&](AttemptOutcome, const std::string&) { ++calls; };
+    observer.onFailed = [&](AttemptOutcome, AttemptFailure, const std::string&) { ++calls; };
     id = fixture.client.start(exchange, observer);
     fixture.loop.run();
     CHECK(calls == 1);
@@ -181,7 +181,7 @@
             ++finished;
             end();
         };
-        observer.onFailed = [end](AttemptOutcome, const std::string&) { end(); };
+        observer.onFailed = [end](AttemptOutcome, AttemptFailure, const std::string&) { end(); };
         fixture.client.start(exchange, observer);
     }
     fixture.loop.run();
--- a/tests/process/ProcessHarness.cpp
+++ b/tests/process/ProcessHarness.cpp
@@ -107,7 +107,7 @@
             answer.complete = true;
             end();
         };
-        observer.onFailed = [end](AttemptOutcome, const std::string&) { end(); };
+        observer.onFailed = [end](AttemptOutcome, AttemptFailure, const std::string&) { end(); };
         client.start(exchange, observer);
         longest = std::max(longest, call.timeout);
     }
--- a/tests/store/ConsulStoreClientTest.cpp
+++ b/tests/store/ConsulStoreClientTest.cpp
@@ -46,7 +46,7 @@
         observer.onHead = [](int, const HeaderList&) {};
         observer.onData = [](const std::string&) {};
         observer.onFinished = [this] { m_loop.stop(); };
-        observer.onFailed = [this](AttemptOutcome, const std::string&) { m_loop.stop(); };
+        observer.onFailed = [this](AttemptOutcome, AttemptFailure, const std::string&) { m_loop.stop(); };
         m_http.start(exchange, observer);
         m_loop.run();
     }
