Read the records of endpoints apart from the order counts of engines

Cause: the record's sequence counts the records themselves; taken as the number of accepted orders it made the owner's next order a conflict (455 of 706). Change: heartbeat of the record, order count of the status report only; a stream is refused before its caller's patience ends.

--- a/include/catkinwell/gateway/EndpointRecord.h
+++ b/include/catkinwell/gateway/EndpointRecord.h
@@ -27,19 +27,24 @@
     unsigned slots = 1;
     // Distinguishes two runs under the same identifier.
     std::uint64_t incarnation = 0;
-    // Orders that it has accepted since its start.
-    std::uint64_t orderCount = 0;
+    // Rises with each record that the endpoint writes in one run. A lower one was overtaken.
+    std::uint64_t heartbeat = 0;
     LoadedModels models;
     std::set<ModelId> inHostMemory;
     std::set<ModelId> onDisk;
 
-    friend bool operator==(const EndpointRecord&, const EndpointRecord&) = default;
+    // Whether the other record is of the same run and was written before this one.
+    bool isNewerThan(const EndpointRecord& other) const
+    {
+        return incarnation == other.incarnation && heartbeat > other.heartbeat;
+    }
 };
 
 // An event: the state of an engine, some hundred milliseconds old.
 struct EngineStatus {
     EndpointId endpoint;
     std::uint64_t incarnation = 0;
+    // Orders that it has accepted since its start.
     std::uint64_t orderCount = 0;
     // An order is under way.
     bool isBusy = false;
--- a/include/catkinwell/gateway/EnginePlacement.h
+++ b/include/catkinwell/gateway/EnginePlacement.h
@@ -124,7 +124,8 @@
     double keepValue(const Engine&, const ModelId&, MonotonicTime now) const;
     void giveOrder(Engine&, EngineOrderKind, const ModelVariant&, std::string_view reason, MonotonicTime now, EffectList&);
     void finishPending(Engine&, MonotonicTime now);
-    void takeState(Engine&, std::uint64_t orderCount, bool isBusy, const LoadedModels&, MonotonicTime now);
+    void noteCompletion(Engine&, const LoadedModels&, MonotonicTime now);
+    void takeModels(Engine&, const LoadedModels&, MonotonicTime now);
     void fetchStatus(Engine&, MonotonicTime now, EffectList&);
     void updateDemand(MonotonicTime now);
 
--- a/include/catkinwell/gateway/GatewayConfiguration.h
+++ b/include/catkinwell/gateway/GatewayConfiguration.h
@@ -45,6 +45,8 @@
     Duration timeout = std::chrono::seconds(30);
     // Time to the first byte at which an answer has its full value.
     Duration latencyGoal = std::chrono::seconds(1);
+    // Longest pause between the events of a stream at which it still has its full value; 0 if unstated.
+    Duration pauseGoal {};
     // 0 is the most urgent.
     int priority = 5;
     // The largest number of endpoints to which one request is sent.
--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -79,6 +79,8 @@
         std::uint64_t fingerprint = 0;
         MonotonicTime arrivedAt {};
         MonotonicTime finalAt {};
+        // The caller gives a stream up that has not begun by then.
+        MonotonicTime firstByteBy {};
         std::optional<Attempt> attempt;
         // Endpoints that failed this request.
         std::set<EndpointId> excluded;
@@ -114,6 +116,8 @@
     std::optional<Refusal> admit(Request&, MonotonicTime now);
     std::optional<Refusal> authenticate(Request&) const;
     void dispatch(Request&, MonotonicTime now, EffectList&);
+    // How long the request may wait for a replica.
+    MonotonicTime waitLimit(const Request&) const;
     void waitForReplica(Request&, MonotonicTime now, EffectList&);
     void stopWaiting(Request&);
     void startAttempt(Request&, const EndpointChoice&, MonotonicTime now, EffectList&);
--- a/src/gateway/EnginePlacement.cpp
+++ b/src/gateway/EnginePlacement.cpp
@@ -13,7 +13,9 @@
     constexpr double runningSeconds = 3;
     constexpr Duration runningInterval = std::chrono::milliseconds(200);
     // An order without an answer is sent again after this time.
-    constexpr Duration conflictPause = std::chrono::milliseconds(60);
+    constexpr Duration conflictPause = std::chrono::milliseconds(40);
+    // An engine needs a moment to drop what no request uses.
+    constexpr Duration unloadTime = std::chrono::milliseconds(30);
     constexpr Duration orderRetryPause = std::chrono::milliseconds(250);
     // Engines report their state this long after it was so.
     constexpr Duration statusLag = std::chrono::milliseconds(250);
@@ -73,16 +75,31 @@
     Engine& engine = found->second;
     if (isNew || engine.record.incarnation != record.incarnation) {
         engine = Engine();
-        engine.record = record;
-        engine.orderCount = record.orderCount;
         engine.models = record.models;
-        // The record of an engine that has just started is current.
-        engine.isVerified = !isNew;
+        engine.nextStatusAt = now;
     }
     engine.record = record;
     engine.inHostMemory = record.inHostMemory;
     engine.onDisk = record.onDisk;
-    takeState(engine, record.orderCount, true, record.models, now);
+    if (!m_permission)
+        engine.models = record.models;
+    else
+        noteCompletion(engine, record.models, now);
+}
+
+// Ends the order under way if its effect shows.
+void EnginePlacement::noteCompletion(Engine& engine, const LoadedModels& models, MonotonicTime now)
+{
+    std::erase_if(engine.unloading, [&models](const ModelId& model) { return !models.contains(model); });
+    if (!engine.pending || !engine.pending->isAccepted || !engine.pending->order.adapter.empty()
+        || engine.pending->order.kind != EngineOrderKind::Load || !models.contains(engine.pending->order.model))
+        return;
+    const ModelId model = engine.pending->order.model;
+    engine.models[model];
+    engine.loadedAt[model] = now;
+    engine.onDisk.insert(model);
+    engine.pending.reset();
+    engine.isChanged = true;
 }
 
 void EnginePlacement::remove(const EndpointId& id) { m_engines.erase(id); }
@@ -189,31 +206,12 @@
     }
 }
 
-// Takes over a state if it is not older than what this host knows.
-void EnginePlacement::takeState(
-    Engine& engine, std::uint64_t orderCount, bool isBusy, const LoadedModels& models, MonotonicTime now)
+// Takes over the models of a status report that is not older than what this host knows.
+void EnginePlacement::takeModels(Engine& engine, const LoadedModels& models, MonotonicTime now)
 {
-    if (orderCount < engine.orderCount)
-        return;
-    if (orderCount > engine.orderCount) {
-        // An order whose answer was lost, or one of a former owner, was carried out.
-        engine.orderCount = orderCount;
-        engine.isChanged = true;
-    }
-    if (engine.pending) {
-        const EngineOrder& order = engine.pending->order;
-        const bool isHeld = models.contains(order.model);
-        const bool isDone = order.adapter.empty() && (order.kind == EngineOrderKind::Load ? isHeld : !isHeld);
-        if (!isDone)
-            return;
-        if (order.kind == EngineOrderKind::Load)
-            engine.loadedAt[order.model] = now;
-        engine.pending.reset();
-        engine.isChanged = true;
-    } else if (isBusy && !engine.isVerified) {
+    noteCompletion(engine, models, now);
+    if (engine.pending)
         return;
-    }
-    std::erase_if(engine.unloading, [&models](const ModelId& model) { return !models.contains(model); });
     if (engine.models != models) {
         LoadedModels merged = models;
         for (const ModelId& model : engine.unloading)
@@ -243,7 +241,11 @@
         engine.onDisk = status.onDisk;
         engine.inHostMemory = status.inHostMemory;
     }
-    takeState(engine, status.orderCount, status.isBusy, status.models, now);
+    if (engine.isVerified && status.orderCount >= engine.orderCount) {
+        // A larger number: an order whose answer was lost was carried out.
+        engine.orderCount = status.orderCount;
+        takeModels(engine, status.models, now);
+    }
     if (engine.pending)
         return;
     // A state of before the last answer may still be on its way.
@@ -296,10 +298,12 @@
             engine.isVerified = false;
         pending.isAccepted = true;
         engine.conflicts = 0;
-        if (!isAdapter && isUnload && finished.outcome == EngineOrderOutcome::Accepted)
+        if (!isAdapter && isUnload && finished.outcome == EngineOrderOutcome::Accepted) {
             engine.unloading.insert(order.model);
-        else if (!isAdapter)
+            engine.notBefore = now + unloadTime;
+        } else if (!isAdapter) {
             engine.unloading.clear();
+        }
         if (isUnload || finished.outcome == EngineOrderOutcome::AlreadyDone) {
             engine.pending.reset();
             if (!isUnload && isAdapter)
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -228,6 +228,8 @@
         if (!isError(result)) {
             const EndpointRecord& record = valueOf(result);
             const EndpointRecord* former = m_directory.find(id);
+            if (former && former->isNewerThan(record))
+                return;
             if (former && former->incarnation != record.incarnation)
                 m_requests.endpointDied(id, now);
             m_directory.put(record, now, effects);
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -28,6 +28,12 @@
     constexpr Duration shortestPatience = std::chrono::milliseconds(300);
     // A resumable stream that pauses for so long goes on elsewhere.
     constexpr Duration longestStreamPause = std::chrono::milliseconds(1200);
+    // Callers give up a stream after a pause, also before its first event, of the longest of these.
+    constexpr Duration shortestStreamPatience = std::chrono::seconds(2);
+    constexpr int patientGoals = 4;
+    constexpr int patientPauses = 8;
+    // A refusal must reach the caller before it gives up.
+    constexpr Duration refusalMargin = std::chrono::milliseconds(60);
     constexpr std::size_t maximumCollectedBytes = 8 * 1024 * 1024;
     constexpr std::size_t maximumDemandRecords = 8192;
 
@@ -136,6 +142,11 @@
     request.service = chooseService(*route, request.terms.callerRequestId);
     const Duration left = request.terms.timeLeft.value_or(route->timeout);
     request.finalAt = now + std::min(left, route->timeout) - answerMargin;
+    request.firstByteBy = request.finalAt;
+    if (route->isStream)
+        request.firstByteBy = std::min(request.finalAt,
+            now + std::max<Duration>({ shortestStreamPatience, route->latencyGoal * patientGoals, route->pauseGoal * patientPauses })
+                - answerMargin);
     if (auto refusal = authenticate(request))
         return refusal;
     request.fingerprint = stableHash(
@@ -193,6 +204,16 @@
     }
 }
 
+MonotonicTime GatewayRequests::waitLimit(const Request& request) const
+{
+    const bool isPlain = request.terms.variant.model.value.empty();
+    const double share = isPlain ? plainWaitShare : longestWaitShare;
+    const Duration whole = request.finalAt - request.arrivedAt;
+    const MonotonicTime limit = request.arrivedAt
+        + std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::nano>(whole) * share);
+    return std::min(limit, request.firstByteBy - refusalMargin);
+}
+
 void GatewayRequests::waitForReplica(Request& request, MonotonicTime now, EffectList& effects)
 {
     if (request.isWaiting)
@@ -516,12 +537,7 @@
         return;
     }
     if (request.isWaiting) {
-        const bool isPlain = request.terms.variant.model.value.empty();
-        const double share = isPlain ? plainWaitShare : longestWaitShare;
-        const Duration whole = request.finalAt - request.arrivedAt;
-        const bool isHopeless = now - request.arrivedAt
-            > std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::nano>(whole) * share);
-        if (isHopeless && !request.mayHaveRun)
+        if (now >= waitLimit(request) && !request.mayHaveRun)
             refuse(request, { 503, "no_replica", "no replica became ready in time", longRetryAfter }, now, effects);
         return;
     }
