--- a/src/gateway/EnginePlacement.cpp
+++ b/src/gateway/EnginePlacement.cpp
@@ -38,6 +38,15 @@
     constexpr double hotRate = 0.6;
     constexpr double hotValue = 50;
 
+    // Removes the model or adapter of an order.
+    void dropFrom(LoadedModels& models, const EngineOrder& order)
+    {
+        if (order.adapter.empty())
+            models.erase(order.model);
+        else if (const auto model = models.find(order.model); model != models.end())
+            model->second.erase(order.adapter);
+    }
+
     double secondsOf(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
 } // namespace
@@ -298,6 +307,9 @@
             engine.isVerified = false;
         pending.isAccepted = true;
         engine.conflicts = 0;
+        // Only an accepted unload makes room: the memory of one that was refused is still in use.
+        if (isUnload)
+            dropFrom(engine.models, order);
         if (!isAdapter && isUnload && finished.outcome == EngineOrderOutcome::Accepted) {
             engine.unloading.insert(order.model);
             engine.notBefore = now + unloadTime;
@@ -587,13 +599,6 @@
         while (m_storeLoads.size() > 1000)
             m_storeLoads.pop_front();
     }
-    // What is being unloaded takes no new requests.
-    if (kind == EngineOrderKind::Unload) {
-        if (variant.adapter.empty())
-            engine.models.erase(variant.model);
-        else if (const auto model = engine.models.find(variant.model); model != engine.models.end())
-            model->second.erase(variant.adapter);
-    }
     if (kind == EngineOrderKind::Load && variant.adapter.empty() && engine.nextLoad == variant.model)
         engine.nextLoad.reset();
     engine.isChanged = true;
@@ -737,6 +742,9 @@
     news.endpoint = engine.record.id;
     news.incarnation = engine.record.incarnation;
     news.models = engine.models;
+    // What is about to be unloaded takes no new requests.
+    if (engine.pending && engine.pending->order.kind == EngineOrderKind::Unload)
+        dropFrom(news.models, engine.pending->order);
     const auto milliseconds = [](Duration duration) {
         return static_cast<std::uint32_t>(
             std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(duration).count()));
