Reset given-up connections; end a drain with answers; ignore models in reports of busy engines

Causes: (ONE) an order written into a cut link arrived 0.3 s after the heal, behind a newer owner's: the closed socket still delivered it. (LOST) a request that waited for a replica at the end of a drain got no answer; requests that came 7 s after SIGTERM were passed on and cut. (LIMIT) a report taken while a load ran dropped the finished model from the owner's view.

--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -104,6 +104,7 @@
     MonotonicTime m_nextUrgentDigestAt {};
     Phase m_phase = Phase::Serving;
     MonotonicTime m_shutdownAt {};
+    bool m_isTakingStopped = false;
     bool m_wasReady = false;
 };
 
--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -38,6 +38,10 @@
     void handle(const AttemptFailed&, MonotonicTime now, EffectList&);
     // Deadlines of all requests.
     void tick(MonotonicTime now, EffectList&);
+    // The host is stopping: requests that were not sent are refused, and so are new ones. Those under way go on.
+    void stopTaking(MonotonicTime now, EffectList&);
+    // Ends whatever is left, because the process ends.
+    void endAll(MonotonicTime now, EffectList&);
     // Sends what waits, where a replica is ready now.
     void advance(MonotonicTime now, EffectList&);
 
@@ -154,6 +158,7 @@
     std::map<std::pair<std::string, ModelVariant>, DemandRecord> m_demand;
     std::uint64_t m_lastAttempt = 0;
     bool m_newlyWaiting = false;
+    bool m_isStopping = false;
 };
 
 } // namespace Catkinwell
--- a/src/gateway/EnginePlacement.cpp
+++ b/src/gateway/EnginePlacement.cpp
@@ -253,7 +253,11 @@
     if (engine.isVerified && status.orderCount >= engine.orderCount) {
         // A larger number: an order whose answer was lost was carried out.
         engine.orderCount = status.orderCount;
-        takeModels(engine, status.models, now);
+        // The report of a busy engine is older than the end of its order, which may be known already.
+        if (status.isBusy)
+            noteCompletion(engine, status.models, now);
+        else
+            takeModels(engine, status.models, now);
     }
     if (engine.pending)
         return;
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -20,7 +20,7 @@
     constexpr Duration lapsedRecordGrace = std::chrono::milliseconds(1700);
     constexpr Duration recoveryTime = std::chrono::milliseconds(2200);
     // The balancer sends new connections for a few seconds after the host stopped being ready.
-    constexpr Duration shortestDrain = std::chrono::milliseconds(3000);
+    constexpr Duration shortestDrain = std::chrono::milliseconds(2900);
     constexpr Duration shutdownMargin = std::chrono::milliseconds(700);
     constexpr std::size_t maximumOfferBytes = 900 * 1024;
 
@@ -516,11 +516,17 @@
 {
     if (m_phase != Phase::Draining)
         return;
+    // The balancer has stopped sending new connections by now.
+    if (!m_isTakingStopped && now - m_shutdownAt >= shortestDrain) {
+        m_isTakingStopped = true;
+        m_requests.stopTaking(now, effects);
+    }
     const bool isDrained = m_requests.activeRequests() == 0 && now - m_shutdownAt >= shortestDrain;
     const bool isOver = now - m_shutdownAt >= m_settings.shutdownGrace - shutdownMargin;
     if (!isDrained && !isOver)
         return;
     m_phase = Phase::Finished;
+    m_requests.endAll(now, effects);
     effects.push_back(LogEntry { isDrained ? LogEvent::ShutdownFinished : LogEvent::ShutdownForced,
         { { "running", std::to_string(m_requests.activeRequests()) } } });
     effects.push_back(ExitProcess { 0 });
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -21,6 +21,7 @@
     constexpr unsigned maximumRejections = 4;
     constexpr Duration connectTimeout = std::chrono::milliseconds(400);
     constexpr Duration longestSilence = std::chrono::hours(1);
+    constexpr Duration soonRetryAfter = std::chrono::milliseconds(100);
     constexpr Duration shortRetryAfter = std::chrono::milliseconds(500);
     constexpr Duration longRetryAfter = std::chrono::seconds(2);
     // An idempotent request is given to another endpoint after this many times its latency goal without an answer.
@@ -131,6 +132,8 @@
 {
     if (!request.arrived.rejection.empty())
         return Refusal { 400, "invalid_request", request.arrived.rejection, std::nullopt };
+    if (m_isStopping)
+        return Refusal { 503, "stopping", "this host is stopping; another one takes the request", soonRetryAfter };
     if (!m_configuration.isKnown())
         return Refusal { 503, "no_configuration", "this host knows no configuration yet", shortRetryAfter };
     request.terms = m_protocol.termsOf(request.arrived);
@@ -573,6 +576,24 @@
     }
 }
 
+void GatewayRequests::stopTaking(MonotonicTime now, EffectList& effects)
+{
+    m_isStopping = true;
+    for (const RequestId id : std::set<RequestId>(m_waiting)) {
+        Request& request = m_requests.at(id);
+        if (!request.mayHaveRun)
+            refuse(request, { 503, "stopping", "this host is stopping; another one takes the request", soonRetryAfter },
+                now, effects);
+    }
+}
+
+void GatewayRequests::endAll(MonotonicTime now, EffectList& effects)
+{
+    stopTaking(now, effects);
+    while (!m_requests.empty())
+        fail(m_requests.begin()->second, 504, "stopped", now, effects);
+}
+
 void GatewayRequests::refuse(Request& request, const Refusal& refusal, MonotonicTime now, EffectList& effects)
 {
     HeaderList headers { { "Content-Type", "application/json" } };
--- a/src/gateway/PlacementOwnership.cpp
+++ b/src/gateway/PlacementOwnership.cpp
@@ -1,5 +1,7 @@
 #include <catkinwell/gateway/PlacementOwnership.h>
 
+#include <algorithm>
+
 namespace Catkinwell {
 
 namespace {
@@ -101,7 +103,9 @@
     effects.push_back(LogEntry { LogEvent::GatewayOwnershipGained,
         { { "fencing_token", std::to_string(m_heldVersion) },
             { "silence_ms",
-                std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_ordersFrom - now).count()) } } });
+                std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                    std::max(Duration::zero(), m_ordersFrom - now))
+                    .count()) } } });
 }
 
 void PlacementOwnership::lose(std::string_view reason, EffectList& effects)
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -104,8 +104,12 @@
     }
     ~Connection() override
     {
-        if (m_stream)
-            bufferevent_free(m_stream);
+        if (!m_stream)
+            return;
+        // Bytes of a request that was given up must not arrive later, for example when a partition heals.
+        if (m_exchange != 0)
+            resetOnClose(bufferevent_getfd(m_stream));
+        bufferevent_free(m_stream);
     }
 
     // Returns whether the connection could be started.
--- a/src/http/SocketOptions.cpp
+++ b/src/http/SocketOptions.cpp
@@ -30,4 +30,10 @@
     setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMilliseconds, sizeof(userTimeoutMilliseconds));
 }
 
+void resetOnClose(int socket)
+{
+    const linger immediately { 1, 0 };
+    setsockopt(socket, SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
+}
+
 } // namespace Catkinwell
--- a/src/http/SocketOptions.h
+++ b/src/http/SocketOptions.h
@@ -6,4 +6,7 @@
 // on a quiet connection, and through unacknowledged data on a busy one. Thread safe.
 void setConnectionOptions(int socket);
 
+// Makes the next close() reset the connection and drop what was not delivered. Thread safe.
+void resetOnClose(int socket);
+
 } // namespace Catkinwell
