--- a/include/catkinwell/gateway/EndpointDirectory.h
+++ b/include/catkinwell/gateway/EndpointDirectory.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <catkinwell/gateway/GatewayMessage.h>
 #include <catkinwell/core/RandomGenerator.h>
+#include <catkinwell/gateway/GatewayMessage.h>
 #include <catkinwell/reducer/Effect.h>
 #include <deque>
 #include <unordered_map>
--- a/include/catkinwell/gateway/EnginePlacement.h
+++ b/include/catkinwell/gateway/EnginePlacement.h
@@ -18,10 +18,10 @@
 struct EnginePlacementSettings {
     // Loads from the weight store that run at the same time; more make each of them slower.
     unsigned concurrentStoreLoads = 4;
-    // One of them is kept for models that requests wait for.
-    unsigned reservedStoreLoads = 1;
+    // Further ones that may run for models that requests wait for.
+    unsigned extraStoreLoads = 2;
     // Running requests that a replica of a busy model takes, as a part of the engine's batch.
-    double busyShare = 0.12;
+    double busyShare = 0.1;
     // The span over which the loads from the weight store are counted against their rate.
     Duration storeLoadWindow = std::chrono::seconds(5);
 };
@@ -77,7 +77,9 @@
         LoadedModels models;
         std::set<ModelId> inHostMemory;
         std::set<ModelId> onDisk;
+        // The order for a model, and the one for an adapter, which may be given meanwhile.
         std::optional<Pending> pending;
+        std::optional<Pending> adapterPending;
         // The model that is loaded when the pending unload is done.
         std::optional<ModelId> nextLoad;
         // Models whose unloading may still wait for running requests.
@@ -119,10 +121,16 @@
     void planCopies(MonotonicTime now, EffectList&);
     void continueLoad(Engine&, MonotonicTime now, EffectList&);
     void begin(const Candidate&, const ModelId&, std::string_view reason, MonotonicTime now, EffectList&);
-    std::optional<Candidate> bestCandidate(const std::string& service, const ModelId&, bool mayUseStore, MonotonicTime now);
-    std::optional<Candidate> candidateOn(Engine&, const GatewayModel&, const GatewayEngine&, bool mayUseStore, MonotonicTime now);
+    std::optional<Candidate> bestCandidate(
+        const std::string& service, const ModelId&, bool mayUseStore, MonotonicTime now);
+    std::optional<Candidate> candidateOn(
+        Engine&, const GatewayModel&, const GatewayEngine&, bool mayUseStore, MonotonicTime now);
+    std::optional<Candidate> bestCopyCandidate(const std::string& service, const GatewayModel&, MonotonicTime now);
+    unsigned copiesOf(const ModelId&) const;
+    double adapterRate(const Engine&) const;
     double keepValue(const Engine&, const ModelId&, MonotonicTime now) const;
-    void giveOrder(Engine&, EngineOrderKind, const ModelVariant&, std::string_view reason, MonotonicTime now, EffectList&);
+    void giveOrder(
+        Engine&, EngineOrderKind, const ModelVariant&, std::string_view reason, MonotonicTime now, EffectList&);
     void finishPending(Engine&, MonotonicTime now);
     void noteCompletion(Engine&, const LoadedModels&, MonotonicTime now);
     void takeModels(Engine&, const LoadedModels&, MonotonicTime now);
@@ -130,6 +138,8 @@
     void updateDemand(MonotonicTime now);
 
     bool mayOrder(const Engine&, MonotonicTime now) const;
+    void finishAdapter(Engine&, MonotonicTime now);
+    void handleAdapterOrder(Engine&, const EngineOrderFinished&, MonotonicTime now, EffectList&);
     bool mayLoadFromStore(const std::string& service, bool isWaitedFor, MonotonicTime now) const;
     unsigned storeLoadsRunning() const;
     WeightSource sourceOf(const Engine&, const ModelId&) const;
--- a/include/catkinwell/gateway/ForwardingProtocol.h
+++ b/include/catkinwell/gateway/ForwardingProtocol.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include <catkinwell/core/Error.h>
 #include <catkinwell/gateway/EndpointRecord.h>
 #include <catkinwell/gateway/GatewayConfiguration.h>
-#include <catkinwell/core/Error.h>
 #include <string>
 #include <string_view>
 
--- a/include/catkinwell/gateway/GatewayConfiguration.h
+++ b/include/catkinwell/gateway/GatewayConfiguration.h
@@ -58,6 +58,7 @@
     ModelId id;
     double memoryMb = 0;
     double adapterMb = 0;
+    unsigned adapterCount = 0;
     Duration loadFromStore = std::chrono::seconds(10);
     Duration loadFromDisk = std::chrono::seconds(2);
     Duration loadFromMemory = std::chrono::seconds(1);
--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -96,6 +96,9 @@
         bool isHeadSent = false;
         bool isWaiting = false;
         MonotonicTime waitingSince {};
+        // Time spent without an attempt, and until the head of the answer.
+        Duration waited {};
+        Duration firstByte {};
         MonotonicTime nextTryAt {};
         StreamCutter cutter;
         std::string failure;
@@ -123,7 +126,7 @@
     // How long the request may wait for a replica.
     MonotonicTime waitLimit(const Request&) const;
     void waitForReplica(Request&, MonotonicTime now, EffectList&);
-    void stopWaiting(Request&);
+    void stopWaiting(Request&, MonotonicTime now);
     void startAttempt(Request&, const EndpointChoice&, MonotonicTime now, EffectList&);
     void endAttempt(Request&, AttemptVerdict, MonotonicTime now, EffectList&);
     void handleNotExecuted(Request&, MonotonicTime now, EffectList&);
--- a/include/catkinwell/gateway/PlacementOwnership.h
+++ b/include/catkinwell/gateway/PlacementOwnership.h
@@ -42,6 +42,8 @@
     void call(StoreOperation, EffectList&);
     void compete(const LeaseStatus&, const PrefixMirror&, MonotonicTime now, EffectList&);
     void recordOwner(const PrefixMirror&, MonotonicTime now, EffectList&);
+    void acquire(StoreVersion, const LeaseId&, MonotonicTime now);
+    void beginOrders(MonotonicTime now, EffectList&);
     void lose(std::string_view reason, EffectList&);
 
     Settings m_settings;
@@ -55,6 +57,7 @@
     LeaseId m_heldLease;
     // Whether the key of the last owner names this host.
     bool m_isRecorded = false;
+    MonotonicTime m_acquiredAt {};
     MonotonicTime m_ordersFrom {};
     LeaseId m_competingLease;
     bool m_isReleased = false;
--- a/include/catkinwell/store/StoreTypes.h
+++ b/include/catkinwell/store/StoreTypes.h
@@ -71,8 +71,8 @@
     LeaseId lease;
 };
 
-using StoreOperation = std::variant<StoreGet, StoreCompareAndSwap, StoreDelete, StoreWatch, StoreList, StoreWatchPrefix, LeaseCreate,
-    LeaseRenew, LeaseRevoke, LeaseRead>;
+using StoreOperation = std::variant<StoreGet, StoreCompareAndSwap, StoreDelete, StoreWatch, StoreList, StoreWatchPrefix,
+    LeaseCreate, LeaseRenew, LeaseRevoke, LeaseRead>;
 
 // An effect: performs one call to the platform's store. The reply arrives as a
 // StoreReply event with the same identifier, at the latest after the timeout.
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -3,5 +3,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build="${BUILD_DIR:-build}"
-if [ $# -gt 0 ]; then files=("$@"); else mapfile -t files < <(find src experiments -name '*.cpp' | sort); fi
+if [ $# -gt 0 ]; then files=("$@"); else mapfile -t files < <(find src platform experiments -name '*.cpp' | sort); fi
 printf '%s\0' "${files[@]}" | xargs -0 -n 1 -P "$(nproc)" clang-tidy -p "$build" --quiet 2>/dev/null
--- a/src/emulator/LoadGenerator.cpp
+++ b/src/emulator/LoadGenerator.cpp
@@ -99,8 +99,9 @@
         const bool complete = request->status == 200 && (!m_settings.stream || request->done);
         finished(request, complete, "status " + std::to_string(request->status));
     };
-    observer.onFailed
-        = [this, request](AttemptOutcome, AttemptFailure, const std::string& reason) { finished(request, false, reason); };
+    observer.onFailed = [this, request](AttemptOutcome, AttemptFailure, const std::string& reason) {
+        finished(request, false, reason);
+    };
     m_client.start(exchange, std::move(observer));
 }
 
--- a/src/gateway/EndpointDirectory.cpp
+++ b/src/gateway/EndpointDirectory.cpp
@@ -47,8 +47,8 @@
     auto [found, isNew] = m_entries.try_emplace(record.id);
     Entry& entry = found->second;
     const bool isRestarted = !isNew && entry.record.incarnation != record.incarnation;
-    const bool changesState = isNew || isRestarted || entry.record.isLeaving != record.isLeaving
-        || entry.goneAt != MonotonicTime();
+    const bool changesState
+        = isNew || isRestarted || entry.record.isLeaving != record.isLeaving || entry.goneAt != MonotonicTime();
     if (isRestarted) {
         entry.news = EngineNews();
         entry.newsAt = MonotonicTime();
@@ -66,8 +66,7 @@
                 { "state", record.isLeaving ? "leaving" : (isRestarted ? "restarted" : "ready") } } });
 }
 
-void EndpointDirectory::remove(
-    const EndpointId& id, MonotonicTime usableUntil, MonotonicTime now, EffectList& effects)
+void EndpointDirectory::remove(const EndpointId& id, MonotonicTime usableUntil, MonotonicTime now, EffectList& effects)
 {
     const auto found = m_entries.find(id);
     if (found == m_entries.end() || found->second.goneAt != MonotonicTime())
@@ -197,8 +196,7 @@
             || !hasVariant(entry, need.variant, now))
             continue;
         const double score = scoreOf(entry, need, now);
-        const bool isReliable
-            = entry.failureShare <= tolerableFailureShare || m_random.unit() < retryUnreliableShare;
+        const bool isReliable = entry.failureShare <= tolerableFailureShare || m_random.unit() < retryUnreliableShare;
         const Entry*& leader = isReliable ? best : bestUnreliable;
         double& leaderScore = isReliable ? bestScore : bestUnreliableScore;
         if (!leader || score < leaderScore) {
@@ -209,8 +207,8 @@
     const Entry* chosen = best ? best : bestUnreliable;
     if (!chosen)
         return std::nullopt;
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-        now - std::max(chosen->recordAt, chosen->newsAt));
+    const auto age
+        = std::chrono::duration_cast<std::chrono::milliseconds>(now - std::max(chosen->recordAt, chosen->newsAt));
     effects.push_back(LogEntry { LogEvent::GatewayEndpointChosen,
         { { "request", need.callerRequestId }, { "endpoint", chosen->record.id.value },
             { "model", need.variant.text() }, { "running", std::to_string(runningOn(chosen->record.id)) },
@@ -220,8 +218,7 @@
     return EndpointChoice { chosen->record.id, chosen->record.address };
 }
 
-bool EndpointDirectory::hasReplica(
-    const std::string& service, const ModelVariant& variant, MonotonicTime now) const
+bool EndpointDirectory::hasReplica(const std::string& service, const ModelVariant& variant, MonotonicTime now) const
 {
     return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto& item) {
         const Entry& entry = item.second;
@@ -249,9 +246,8 @@
 
 bool EndpointDirectory::hasUsableEndpoint(const std::string& service, MonotonicTime now) const
 {
-    return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto& item) {
-        return item.second.record.service == service && isUsable(item.second, now);
-    });
+    return std::any_of(m_entries.begin(), m_entries.end(),
+        [&](const auto& item) { return item.second.record.service == service && isUsable(item.second, now); });
 }
 
 void EndpointDirectory::attemptStarted(const EndpointId& id, const ModelVariant& variant)
@@ -263,8 +259,8 @@
     ++found->second.ownTotal;
 }
 
-void EndpointDirectory::attemptEnded(const EndpointId& id, const ModelVariant& variant, AttemptVerdict verdict,
-    MonotonicTime now, EffectList& effects)
+void EndpointDirectory::attemptEnded(
+    const EndpointId& id, const ModelVariant& variant, AttemptVerdict verdict, MonotonicTime now, EffectList& effects)
 {
     const auto found = m_entries.find(id);
     if (found == m_entries.end())
--- a/src/gateway/EnginePlacement.cpp
+++ b/src/gateway/EnginePlacement.cpp
@@ -10,7 +10,7 @@
 
     // The time over which arrival rates are averaged.
     constexpr double rateSeconds = 12;
-    constexpr double runningSeconds = 3;
+    constexpr double runningSeconds = 1.5;
     constexpr Duration runningInterval = std::chrono::milliseconds(200);
     // An order without an answer is sent again after this time.
     constexpr Duration conflictPause = std::chrono::milliseconds(40);
@@ -35,6 +35,11 @@
     constexpr double runningValue = 0.8;
     // What a request loses, in seconds, when its model has to be loaded again first.
     constexpr double reloadSeconds = 2;
+    // The part of the requests for adapters that need an order.
+    constexpr double adapterMissShare = 0.3;
+    // Copies on disks of a model, and of one with adapters, which is more likely to be in demand.
+    constexpr unsigned wantedCopies = 1;
+    constexpr unsigned wantedCopiesWithAdapters = 2;
     constexpr double hotRate = 0.6;
     constexpr double hotValue = 50;
 
@@ -68,6 +73,7 @@
     for (auto& [id, engine] : m_engines) {
         engine.isVerified = false;
         engine.pending.reset();
+        engine.adapterPending.reset();
         engine.nextLoad.reset();
         engine.isChanged = true;
         engine.nextStatusAt = now;
@@ -100,8 +106,7 @@
 void EnginePlacement::noteCompletion(Engine& engine, const LoadedModels& models, MonotonicTime now)
 {
     std::erase_if(engine.unloading, [&models](const ModelId& model) { return !models.contains(model); });
-    if (!engine.pending || !engine.pending->isAccepted || !engine.pending->order.adapter.empty()
-        || engine.pending->order.kind != EngineOrderKind::Load || !models.contains(engine.pending->order.model))
+    if (!engine.pending || !engine.pending->isAccepted || engine.pending->order.kind != EngineOrderKind::Load || !models.contains(engine.pending->order.model))
         return;
     const ModelId model = engine.pending->order.model;
     engine.models[model];
@@ -150,7 +155,8 @@
     }
     if (now - m_runningUpdatedAt < runningInterval)
         return;
-    const double weight = 1 - std::exp(-secondsOf(std::min<Duration>(now - m_runningUpdatedAt, std::chrono::seconds(1))) / runningSeconds);
+    const double weight = 1
+        - std::exp(-secondsOf(std::min<Duration>(now - m_runningUpdatedAt, std::chrono::seconds(1))) / runningSeconds);
     m_runningUpdatedAt = now;
     std::map<ModelId, unsigned> counts;
     for (const auto& [id, engine] : m_engines) {
@@ -170,6 +176,8 @@
     for (auto& [id, engine] : m_engines) {
         if (engine.pending && engine.pending->isAccepted && now >= engine.pending->expectedEnd)
             finishPending(engine, now);
+        if (engine.adapterPending && engine.adapterPending->isAccepted && now >= engine.adapterPending->expectedEnd)
+            finishAdapter(engine, now);
         if (now >= engine.nextStatusAt && !engine.isStatusPending)
             fetchStatus(engine, now, effects);
     }
@@ -187,9 +195,10 @@
 {
     engine.isStatusPending = true;
     const bool isWaiting = engine.pending && engine.pending->isAccepted;
-    engine.nextStatusAt = now + (!engine.isVerified ? unverifiedStatusInterval
-                                     : isWaiting    ? pendingStatusInterval
-                                                    : statusInterval);
+    engine.nextStatusAt = now
+        + (!engine.isVerified ? unverifiedStatusInterval
+                : isWaiting   ? pendingStatusInterval
+                              : statusInterval);
     effects.push_back(FetchEngineStatus { engine.record.id, engine.record.address });
 }
 
@@ -197,22 +206,26 @@
 void EnginePlacement::finishPending(Engine& engine, MonotonicTime now)
 {
     const Pending pending = *engine.pending;
-    const bool isPredictable = pending.order.kind == EngineOrderKind::Load && pending.source != WeightSource::Store;
-    if (!isPredictable && pending.order.adapter.empty())
+    if (pending.order.kind != EngineOrderKind::Load || pending.source == WeightSource::Store)
         return;
     engine.pending.reset();
     engine.isChanged = true;
-    if (pending.order.kind == EngineOrderKind::Load) {
-        std::set<std::string>& adapters = engine.models[pending.order.model];
-        if (pending.order.adapter.empty()) {
-            engine.loadedAt[pending.order.model] = now;
-            engine.inHostMemory.insert(pending.order.model);
-        } else {
-            adapters.insert(pending.order.adapter);
-            engine.adapterUse[{ pending.order.model, pending.order.adapter }] = now;
-        }
-        engine.onDisk.insert(pending.order.model);
-    }
+    engine.models[pending.order.model];
+    engine.loadedAt[pending.order.model] = now;
+    engine.inHostMemory.insert(pending.order.model);
+    engine.onDisk.insert(pending.order.model);
+}
+
+void EnginePlacement::finishAdapter(Engine& engine, MonotonicTime now)
+{
+    const EngineOrder order = engine.adapterPending->order;
+    engine.adapterPending.reset();
+    engine.isChanged = true;
+    const auto model = engine.models.find(order.model);
+    if (model == engine.models.end())
+        return;
+    model->second.insert(order.adapter);
+    engine.adapterUse[{ order.model, order.adapter }] = now;
 }
 
 // Takes over the models of a status report that is not older than what this host knows.
@@ -294,51 +307,48 @@
             { "outcome", std::string(nameOf(finished.outcome)) } } });
     effects.push_back(RecordMetric { Metric::PlacementCommandsTotal, std::string(nameOf(finished.outcome)) });
     const auto found = m_engines.find(finished.order.endpoint);
-    if (found == m_engines.end() || !found->second.pending
-        || found->second.pending->order.id != finished.order.id)
+    if (found == m_engines.end())
         return;
     Engine& engine = found->second;
-    Pending& pending = *engine.pending;
     const EngineOrder& order = finished.order;
-    const bool isAdapter = !order.adapter.empty();
+    if (engine.adapterPending && engine.adapterPending->order.id == order.id) {
+        handleAdapterOrder(engine, finished, now, effects);
+        return;
+    }
+    if (!engine.pending || engine.pending->order.id != order.id)
+        return;
+    Pending& pending = *engine.pending;
     const bool isUnload = order.kind == EngineOrderKind::Unload;
     switch (finished.outcome) {
     case EngineOrderOutcome::Accepted:
     case EngineOrderOutcome::AlreadyDone:
-        if (finished.outcome == EngineOrderOutcome::Accepted || isAdapter)
+        engine.conflicts = 0;
+        pending.isAccepted = true;
+        if (finished.outcome == EngineOrderOutcome::Accepted) {
             ++engine.orderCount;
-        else
+        } else {
             engine.isVerified = false;
-        pending.isAccepted = true;
-        engine.conflicts = 0;
-        // Only an accepted unload makes room: the memory of one that was refused is still in use.
-        if (isUnload)
+            engine.nextStatusAt = now;
+        }
+        if (isUnload) {
+            // Only an accepted unload makes room: the memory of one that was refused is still in use.
             dropFrom(engine.models, order);
-        if (!isAdapter && isUnload && finished.outcome == EngineOrderOutcome::Accepted) {
             engine.unloading.insert(order.model);
             engine.notBefore = now + unloadTime;
-        } else if (!isAdapter) {
-            engine.unloading.clear();
-        }
-        if (isUnload || finished.outcome == EngineOrderOutcome::AlreadyDone) {
-            engine.pending.reset();
-            if (!isUnload && isAdapter)
-                engine.models[order.model].insert(order.adapter);
-            engine.isChanged = true;
-            if (!engine.isVerified)
-                engine.nextStatusAt = now;
-        } else if (isAdapter) {
-            pending.expectedEnd = now + adapterLoadTime;
         } else {
+            engine.unloading.clear();
             pending.expectedEnd = now + loadTime(engine, order.model, pending.source) + loadMargin;
             engine.nextStatusAt = pending.expectedEnd + statusLag;
         }
+        if (isUnload || finished.outcome == EngineOrderOutcome::AlreadyDone)
+            engine.pending.reset();
+        engine.isChanged = true;
         break;
     case EngineOrderOutcome::Conflict:
         // The order before it may still be under way.
         engine.pending.reset();
         engine.notBefore = now + conflictPause;
-        if (order.kind == EngineOrderKind::Load && !isAdapter)
+        if (order.kind == EngineOrderKind::Load)
             engine.nextLoad = order.model;
         if (++engine.conflicts >= maximumConflicts)
             engine.isVerified = false;
@@ -358,12 +368,55 @@
     }
 }
 
+void EnginePlacement::handleAdapterOrder(
+    Engine& engine, const EngineOrderFinished& finished, MonotonicTime now, EffectList& effects)
+{
+    const EngineOrder& order = finished.order;
+    engine.isChanged = true;
+    switch (finished.outcome) {
+    case EngineOrderOutcome::Accepted:
+    case EngineOrderOutcome::AlreadyDone:
+        ++engine.orderCount;
+        engine.conflicts = 0;
+        if (order.kind == EngineOrderKind::Unload) {
+            dropFrom(engine.models, order);
+            engine.adapterPending.reset();
+        } else if (finished.outcome == EngineOrderOutcome::AlreadyDone) {
+            finishAdapter(engine, now);
+        } else {
+            engine.adapterPending->isAccepted = true;
+            engine.adapterPending->expectedEnd = now + adapterLoadTime;
+        }
+        break;
+    case EngineOrderOutcome::Conflict:
+        engine.adapterPending.reset();
+        engine.notBefore = now + conflictPause;
+        if (++engine.conflicts >= maximumConflicts && !engine.pending)
+            engine.isVerified = false;
+        if (!engine.isStatusPending)
+            fetchStatus(engine, now, effects);
+        break;
+    case EngineOrderOutcome::NotSent:
+    case EngineOrderOutcome::Rejected:
+    case EngineOrderOutcome::Fenced:
+    case EngineOrderOutcome::Misdirected:
+    case EngineOrderOutcome::Unknown:
+        engine.adapterPending.reset();
+        engine.isVerified = false;
+        engine.notBefore = now + orderRetryPause;
+        engine.nextStatusAt = now;
+        break;
+    }
+}
+
 bool EnginePlacement::mayOrder(const Engine& engine, MonotonicTime now) const
 {
-    return engine.isVerified && !engine.pending && now >= engine.notBefore
+    // An engine refuses orders, also for adapters, while it carries one out.
+    return engine.isVerified && !engine.pending && !engine.adapterPending && now >= engine.notBefore
         && m_directory.isUsable(engine.record.id, now);
 }
 
+
 const GatewayModel* EnginePlacement::settingsOf(const Engine& engine, const ModelId& model) const
 {
     const GatewayEngine* settings = m_configuration.engineOf(engine.record.service);
@@ -407,8 +460,8 @@
 
 bool EnginePlacement::mayLoadFromStore(const std::string& service, bool isWaitedFor, MonotonicTime now) const
 {
-    const unsigned bound = isWaitedFor ? m_settings.concurrentStoreLoads
-                                       : m_settings.concurrentStoreLoads - m_settings.reservedStoreLoads;
+    // Requests that wait are worth making the other loads a little slower.
+    const unsigned bound = m_settings.concurrentStoreLoads + (isWaitedFor ? m_settings.extraStoreLoads : 0);
     if (storeLoadsRunning() >= bound)
         return false;
     const GatewayEngine* settings = m_configuration.engineOf(service);
@@ -425,7 +478,7 @@
     for (const auto& [id, engine] : m_engines) {
         const bool isComing = withComing
             && ((engine.pending && engine.pending->order.kind == EngineOrderKind::Load
-                    && engine.pending->order.model == model && engine.pending->order.adapter.empty())
+                    && engine.pending->order.model == model)
                 || engine.nextLoad == model);
         count += engine.models.contains(model) || isComing ? 1 : 0;
     }
@@ -472,6 +525,17 @@
     return used + largestAdapter * settings.adapterSlots;
 }
 
+// Requests a second for adapters of the models that the engine holds.
+double EnginePlacement::adapterRate(const Engine& engine) const
+{
+    double rate = 0;
+    for (const auto& [key, demand] : m_demand) {
+        if (!key.second.adapter.empty() && engine.models.contains(key.second.model))
+            rate += demand.rate / std::max(1U, replicas(key.second.model, false));
+    }
+    return rate;
+}
+
 // What it costs, in seconds of waiting a second, to unload the model here.
 double EnginePlacement::keepValue(const Engine& engine, const ModelId& model, MonotonicTime now) const
 {
@@ -490,8 +554,8 @@
     return value;
 }
 
-std::optional<EnginePlacement::Candidate> EnginePlacement::candidateOn(Engine& engine, const GatewayModel& model,
-    const GatewayEngine& settings, bool mayUseStore, MonotonicTime now)
+std::optional<EnginePlacement::Candidate> EnginePlacement::candidateOn(
+    Engine& engine, const GatewayModel& model, const GatewayEngine& settings, bool mayUseStore, MonotonicTime now)
 {
     Candidate candidate;
     candidate.engine = &engine;
@@ -506,7 +570,9 @@
     for (const auto& [other, adapters] : engine.models)
         others.emplace_back(keepValue(engine, other, now), other);
     std::sort(others.begin(), others.end());
-    candidate.cost = secondsOf(loadTime(engine, model.id, candidate.source));
+    const double seconds = secondsOf(loadTime(engine, model.id, candidate.source));
+    // Adapters cannot be loaded meanwhile.
+    candidate.cost = seconds + seconds * adapterRate(engine) * adapterMissShare;
     for (const auto& [value, other] : others) {
         if (freeMb >= model.memoryMb)
             break;
@@ -617,7 +683,7 @@
                     loadTime(engine, variant.model, pending.source))
                                    .count()) } } });
     effects.push_back(pending.order);
-    engine.pending = std::move(pending);
+    (variant.adapter.empty() ? engine.pending : engine.adapterPending) = std::move(pending);
 }
 
 void EnginePlacement::planAdapters(MonotonicTime now, EffectList& effects)
@@ -631,11 +697,10 @@
         bool isPresent = false;
         for (auto& [id, engine] : m_engines) {
             const auto model = engine.models.find(variant.model);
-            if (engine.record.service != key.first || model == engine.models.end()
-                || !m_directory.isUsable(id, now))
+            if (engine.record.service != key.first || model == engine.models.end() || !m_directory.isUsable(id, now))
                 continue;
-            const bool isComing = engine.pending && engine.pending->order.model == variant.model
-                && engine.pending->order.adapter == variant.adapter;
+            const bool isComing = engine.adapterPending && engine.adapterPending->order.model == variant.model
+                && engine.adapterPending->order.adapter == variant.adapter;
             if (model->second.contains(variant.adapter)) {
                 if (now - demand.lastArrivalAt < adapterIdleTime)
                     engine.adapterUse[variant] = std::max(engine.adapterUse[variant], demand.lastArrivalAt);
@@ -647,7 +712,8 @@
             // Every owner prefers the same engines for an adapter, which then often still have it at hand.
             const double preference
                 = static_cast<double>(stableHash(id.value + variant.text()) >> 11) / 9007199254740992.0;
-            const double score = m_directory.runningOn(id) / static_cast<double>(engine.record.slots) + preference * 0.3;
+            const double score
+                = m_directory.runningOn(id) / static_cast<double>(engine.record.slots) + preference * 0.3;
             if (!best || score < bestScore) {
                 best = &engine;
                 bestScore = score;
@@ -704,42 +770,67 @@
         for (const auto& [model, running] : std::map<ModelId, double>(m_running)) {
             if (!settings.engine->models.contains(model) || replicas(model, true) >= wantedReplicas(service, model))
                 continue;
-            const auto candidate
-                = bestCandidate(service, model, mayLoadFromStore(service, false, now), now);
+            const auto candidate = bestCandidate(service, model, mayLoadFromStore(service, false, now), now);
             if (candidate && candidate->cost < hotValue)
                 begin(*candidate, model, "busy", now, effects);
         }
     }
 }
 
+unsigned EnginePlacement::copiesOf(const ModelId& model) const
+{
+    return static_cast<unsigned>(std::count_if(m_engines.begin(), m_engines.end(), [&model](const auto& item) {
+        const Engine& engine = item.second;
+        const bool isComing = engine.nextLoad == model
+            || (engine.pending && engine.pending->order.kind == EngineOrderKind::Load
+                && engine.pending->order.model == model);
+        return engine.models.contains(model) || engine.onDisk.contains(model) || isComing;
+    }));
+}
+
 // Gives each model a copy on some disk before it is asked for.
 void EnginePlacement::planCopies(MonotonicTime now, EffectList& effects)
 {
     for (const auto& [service, settings] : m_configuration.services) {
         if (!settings.engine || !mayLoadFromStore(service, false, now))
             continue;
-        const ModelId* wanted = nullptr;
-        double wantedRate = -1;
+        const GatewayModel* wanted = nullptr;
+        double wantedValue = 0;
         for (const auto& [model, modelSettings] : settings.engine->models) {
-            const bool hasCopy = std::any_of(m_engines.begin(), m_engines.end(), [&model](const auto& item) {
-                return item.second.models.contains(model) || item.second.onDisk.contains(model);
-            });
-            if (hasCopy || replicas(model, true) > 0)
+            const unsigned copies = copiesOf(model);
+            const bool hasAdapters = modelSettings.adapterCount > 0;
+            if (copies >= (hasAdapters ? wantedCopiesWithAdapters : wantedCopies))
                 continue;
-            const double rate = rateOf(model);
-            if (rate > wantedRate) {
-                wanted = &model;
-                wantedRate = rate;
+            const double value = (copies == 0 ? 2 : 1) + (hasAdapters ? 0.5 : 0) + std::min(rateOf(model), 0.4);
+            if (value > wantedValue) {
+                wanted = &modelSettings;
+                wantedValue = value;
             }
         }
         if (!wanted)
             continue;
-        const auto candidate = bestCandidate(service, *wanted, true, now);
+        const auto candidate = bestCopyCandidate(service, *wanted, now);
         if (candidate && candidate->cost < protectedValue)
-            begin(*candidate, *wanted, "copy", now, effects);
+            begin(*candidate, wanted->id, "copy", now, effects);
     }
 }
 
+// The engine that a copy disturbs least, of those that have none.
+std::optional<EnginePlacement::Candidate> EnginePlacement::bestCopyCandidate(
+    const std::string& service, const GatewayModel& model, MonotonicTime now)
+{
+    std::optional<Candidate> best;
+    for (auto& [id, engine] : m_engines) {
+        if (engine.record.service != service || !mayOrder(engine, now) || engine.nextLoad
+            || engine.models.contains(model.id) || engine.onDisk.contains(model.id))
+            continue;
+        auto candidate = candidateOn(engine, model, *m_configuration.engineOf(service), true, now);
+        if (candidate && (!best || candidate->cost < best->cost))
+            best = std::move(candidate);
+    }
+    return best;
+}
+
 EngineNews EnginePlacement::newsOf(const Engine& engine, MonotonicTime now) const
 {
     EngineNews news;
@@ -747,8 +838,10 @@
     news.incarnation = engine.record.incarnation;
     news.models = engine.models;
     // What is about to be unloaded takes no new requests.
-    if (engine.pending && engine.pending->order.kind == EngineOrderKind::Unload)
-        dropFrom(news.models, engine.pending->order);
+    for (const auto& pending : { engine.pending, engine.adapterPending }) {
+        if (pending && pending->order.kind == EngineOrderKind::Unload)
+            dropFrom(news.models, pending->order);
+    }
     const auto milliseconds = [](Duration duration) {
         return static_cast<std::uint32_t>(
             std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(duration).count()));
--- a/src/gateway/FleetQuota.cpp
+++ b/src/gateway/FleetQuota.cpp
@@ -1,6 +1,7 @@
 #include <catkinwell/gateway/FleetQuota.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Catkinwell {
 
@@ -8,8 +9,13 @@
 
     // A bucket of a host that has just started holds this much of its rate: what the others admitted before is unknown.
     constexpr double initialSeconds = 0.5;
-    // A peer that was silent for longer is assumed to admit its part.
-    constexpr Duration longestSilence = std::chrono::milliseconds(1500);
+    // A peer that was silent for so many report intervals is assumed to admit its part.
+    constexpr int silentIntervals = 3;
+    constexpr Duration sharesInterval = std::chrono::milliseconds(250);
+    // The time over which demand is averaged.
+    constexpr double demandSeconds = 1.5;
+    // The part of the rate that counts as demand of a host without any, so that it can begin at once.
+    constexpr double baseDemand = 0.05;
     constexpr Duration shortestRetry = std::chrono::milliseconds(50);
     constexpr Duration longestRetry = std::chrono::seconds(10);
 
@@ -55,7 +61,7 @@
 {
     auto [entry, isNew] = m_peers.try_emplace(host);
     Peer& peer = entry->second;
-    peer.heardAt = now;
+    const MonotonicTime heardBefore = std::exchange(peer.heardAt, now);
     peer.assumedUntil = now;
     if (peer.incarnation != incarnation) {
         // The first report of a run is the base: this host cannot tell when those units were admitted. A peer that this
@@ -64,12 +70,16 @@
         peer.incarnation = incarnation;
         peer.reported = isRestart ? AccountUsage() : usage;
     }
+    const double seconds = std::max(secondsOf(now - heardBefore), 0.02);
+    const double weight = std::min(1.0, seconds / demandSeconds);
     for (const auto& [account, total] : usage) {
         const auto bucket = m_buckets.find(account);
-        double& reported = peer.reported[account];
+        UsageCount& reported = peer.reported[account];
         double& assumed = peer.assumed[account];
         // Negative when the peer gave units back.
-        const double admitted = total - reported;
+        const double admitted = total.admitted - reported.admitted;
+        double& demand = peer.demand[account];
+        demand += weight * ((total.offered - reported.offered) / seconds - demand);
         reported = total;
         if (bucket != m_buckets.end()) {
             refill(bucket->second, now);
@@ -82,9 +92,10 @@
 
 void FleetQuota::tick(MonotonicTime now)
 {
+    updateShares(now);
     const double hosts = static_cast<double>(m_peers.size()) + 1;
     for (auto& [host, peer] : m_peers) {
-        if (now - peer.heardAt < longestSilence || peer.assumedUntil >= now)
+        if (now - peer.heardAt < longestSilence() || peer.assumedUntil >= now)
             continue;
         const double seconds = secondsOf(now - peer.assumedUntil);
         peer.assumedUntil = now;
@@ -96,12 +107,37 @@
     }
 }
 
+Duration FleetQuota::longestSilence() const { return m_reportInterval * silentIntervals; }
+
+void FleetQuota::updateShares(MonotonicTime now)
+{
+    if (now - m_sharesAt < sharesInterval)
+        return;
+    const double seconds = std::min(secondsOf(now - m_sharesAt), 10.0);
+    const double weight = std::min(1.0, seconds / demandSeconds);
+    m_sharesAt = now;
+    for (auto& [account, bucket] : m_buckets) {
+        refill(bucket, now);
+        double& own = m_ownDemand[account];
+        const double offered = m_ownUsage[account].offered;
+        own += weight * ((offered - m_usageAtUpdate[account].offered) / seconds - own);
+        m_usageAtUpdate[account].offered = offered;
+        const double base = bucket.settings.unitsPerSecond * baseDemand;
+        double total = own + base;
+        for (const auto& [host, peer] : m_peers) {
+            const auto demand = peer.demand.find(account);
+            total += base + (demand == peer.demand.end() ? 0 : demand->second);
+        }
+        bucket.share = total > 0 ? (own + base) / total : 1;
+    }
+}
+
 void FleetQuota::refill(Bucket& bucket, MonotonicTime now) const
 {
     if (now <= bucket.refilledAt)
         return;
-    bucket.level = std::min(bucket.settings.burst,
-        bucket.level + bucket.settings.unitsPerSecond * secondsOf(now - bucket.refilledAt));
+    bucket.level = std::min(
+        bucket.settings.burst, bucket.level + bucket.settings.unitsPerSecond * secondsOf(now - bucket.refilledAt));
     bucket.refilledAt = now;
 }
 
@@ -120,21 +156,29 @@
     if (found == m_buckets.end())
         return {};
     Bucket& bucket = found->second;
+    UsageCount& usage = m_ownUsage[account];
+    usage.offered += units;
     const double rate = bucket.settings.unitsPerSecond;
     if (rate <= 0) {
-        m_ownUsage[account] += units;
+        usage.admitted += units;
         return {};
     }
     refill(bucket, now);
     // A request larger than the whole burst may go when the bucket is full.
     const double needed = std::min(units, bucket.settings.burst);
-    if (bucket.level < needed) {
+    // What the others may have spent since they reported last.
+    const double reserve = m_peers.empty() ? 0 : std::min(bucket.settings.burst, rate * secondsOf(m_reportInterval));
+    const bool isLow = bucket.level - needed < reserve;
+    // The last request that an allowance pays for may exceed it; the next one waits for that.
+    if (bucket.level < needed || (isLow && bucket.allowance <= 0)) {
+        const double missing = std::max(needed - bucket.level, -bucket.allowance);
         const auto wait = std::chrono::duration_cast<Duration>(
-            std::chrono::duration<double>(std::min((needed - bucket.level) / rate, secondsOf(longestRetry))));
+            std::chrono::duration<double>(std::min(missing / rate, secondsOf(longestRetry))));
         return { false, std::clamp(wait, shortestRetry, longestRetry) };
     }
     bucket.level -= units;
-    m_ownUsage[account] += units;
+    bucket.allowance -= units;
+    usage.admitted += units;
     return {};
 }
 
@@ -144,8 +188,10 @@
     if (found == m_buckets.end())
         return;
     refill(found->second, now);
-    found->second.level = std::min(found->second.settings.burst, found->second.level + units);
-    m_ownUsage[account] -= units;
+    Bucket& bucket = found->second;
+    bucket.level = std::min(bucket.settings.burst, bucket.level + units);
+    bucket.allowance = std::min(bucket.settings.burst, bucket.allowance + units);
+    m_ownUsage[account].admitted -= units;
 }
 
 double FleetQuota::level(const AccountId& account) const
--- a/src/gateway/GatewayMessage.cpp
+++ b/src/gateway/GatewayMessage.cpp
@@ -49,7 +49,7 @@
         {
             Json usage = Json::array();
             for (const auto& [account, units] : digest.usage)
-                usage.push_back(Json::array({ account.value, units }));
+                usage.push_back(Json::array({ account.value, units.admitted, units.offered }));
             Json demand = Json::array();
             for (const VariantDemand& entry : digest.demand)
                 demand.push_back(Json::array({ entry.variant.model.value, entry.variant.adapter, entry.service,
@@ -72,8 +72,8 @@
                 for (const ComingReplica& replica : engine.coming)
                     coming.push_back(Json::array(
                         { replica.variant.model.value, replica.variant.adapter, replica.readyInMilliseconds }));
-                engines.push_back(Json::array({ engine.endpoint.value, engine.incarnation,
-                    listOfModels(engine.models), std::move(coming) }));
+                engines.push_back(Json::array(
+                    { engine.endpoint.value, engine.incarnation, listOfModels(engine.models), std::move(coming) }));
             }
             return Json::array({ Kind::PlacementNews, news.fencingToken, news.sequence, std::move(engines) });
         }
@@ -94,13 +94,14 @@
         digest.configurationVersion = list.at(2).get<std::uint64_t>();
         digest.isLeaving = list.at(3).get<bool>();
         for (const Json& entry : list.at(4))
-            digest.usage[AccountId(entry.at(0).get<std::string>())] = entry.at(1).get<double>();
+            digest.usage[AccountId(entry.at(0).get<std::string>())]
+                = { entry.at(1).get<double>(), entry.at(2).get<double>() };
         for (const Json& entry : list.at(5))
             digest.demand.push_back({ variantOf(entry.at(0), entry.at(1)), entry.at(2).get<std::string>(),
                 entry.at(3).get<std::uint32_t>(), entry.at(4).get<std::uint64_t>() });
         for (const Json& entry : list.at(6))
-            digest.running.push_back({ EndpointId(entry.at(0).get<std::string>()),
-                variantOf(entry.at(1), entry.at(2)), entry.at(3).get<std::uint32_t>() });
+            digest.running.push_back({ EndpointId(entry.at(0).get<std::string>()), variantOf(entry.at(1), entry.at(2)),
+                entry.at(3).get<std::uint32_t>() });
         for (const Json& entry : list.at(7))
             digest.suspectFingerprints.emplace_back(entry.at(0).get<std::uint64_t>(), entry.at(1).get<std::uint32_t>());
         return digest;
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -69,8 +69,7 @@
           StoreUser::Configuration, mirrorOf(protocol.configurationKey(), std::chrono::milliseconds(50)), seed + 1)
     , m_endpointMirror(
           StoreUser::Membership, mirrorOf(protocol.endpointPrefix(), std::chrono::milliseconds(300)), seed + 2)
-    , m_ownMirror(
-          StoreUser::Shares, mirrorOf(m_settings.storeKeyPrefix, std::chrono::milliseconds(100)), seed + 3)
+    , m_ownMirror(StoreUser::Shares, mirrorOf(m_settings.storeKeyPrefix, std::chrono::milliseconds(100)), seed + 3)
     , m_ownership(ownershipOf(m_settings, incarnation), seed + 4)
     , m_directory(m_settings.dataCentre, seed + 5)
     , m_quota(m_settings.host)
@@ -290,8 +289,8 @@
         return;
     m_nextSecretAt = now + secretRetry;
     m_secretCall = m_secretCalls.next();
-    effects.push_back(StoreCall {
-        m_secretCall, StoreCompareAndSwap { m_settings.storeKeyPrefix + "secret", m_newSecret, 0, {} } });
+    effects.push_back(
+        StoreCall { m_secretCall, StoreCompareAndSwap { m_settings.storeKeyPrefix + "secret", m_newSecret, 0, {} } });
 }
 
 void GatewayReducer::updatePeers(MonotonicTime now, EffectList& effects)
@@ -321,6 +320,7 @@
     }
     m_livePeers = std::move(live);
     m_quota.setPeers(m_livePeers, now);
+    m_quota.setReportInterval(digestInterval());
     m_requests.setHostCount(m_livePeers.size() + 1);
     std::string names;
     for (const HostId& host : m_livePeers)
@@ -489,10 +489,11 @@
         peers[host.value] = { { "registered", peer.isRegistered }, { "silent_ms", silence },
             { "configuration", peer.configurationVersion } };
     }
-    return Json { { "host", m_settings.host.value }, { "ready", isReady() },
-        { "configuration", m_configuration.version }, { "endpoints", m_directory.size() },
-        { "requests", m_requests.activeRequests() }, { "owner", m_ownership.owner().value }, { "peers", peers } }
-        .dump();
+    return Json {
+        { "host", m_settings.host.value }, { "ready", isReady() }, { "configuration", m_configuration.version },
+        { "endpoints", m_directory.size() }, { "requests", m_requests.activeRequests() },
+        { "owner", m_ownership.owner().value }, { "peers", peers }
+    }.dump();
 }
 
 void GatewayReducer::handleShutdown(MonotonicTime now, EffectList& effects)
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -73,8 +73,8 @@
 
 } // namespace
 
-GatewayRequests::GatewayRequests(
-    GatewayRequestSettings settings, const ForwardingProtocol& protocol, EndpointDirectory& directory, FleetQuota& quota)
+GatewayRequests::GatewayRequests(GatewayRequestSettings settings, const ForwardingProtocol& protocol,
+    EndpointDirectory& directory, FleetQuota& quota)
     : m_settings(settings)
     , m_protocol(protocol)
     , m_directory(directory)
@@ -148,12 +148,14 @@
     request.firstByteBy = request.finalAt;
     if (route->isStream)
         request.firstByteBy = std::min(request.finalAt,
-            now + std::max<Duration>({ shortestStreamPatience, route->latencyGoal * patientGoals, route->pauseGoal * patientPauses })
+            now
+                + std::max<Duration>(
+                    { shortestStreamPatience, route->latencyGoal * patientGoals, route->pauseGoal * patientPauses })
                 - answerMargin);
     if (auto refusal = authenticate(request))
         return refusal;
-    request.fingerprint = stableHash(
-        request.arrived.method + '\n' + request.arrived.target + '\n' + request.account.value + '\n' + request.arrived.body);
+    request.fingerprint = stableHash(request.arrived.method + '\n' + request.arrived.target + '\n'
+        + request.account.value + '\n' + request.arrived.body);
     if (m_quarantine.isRefused(request.fingerprint, now))
         return Refusal { 500, "quarantined", "endpoints that ran this request crashed", std::nullopt };
     const GatewayAccount* account = nullptr;
@@ -200,7 +202,7 @@
         choice = m_directory.choose(need, now, effects);
     }
     if (choice) {
-        stopWaiting(request);
+        stopWaiting(request, now);
         startAttempt(request, *choice, now, effects);
     } else {
         waitForReplica(request, now, effects);
@@ -232,14 +234,16 @@
         m_newlyWaiting = true;
     }
     effects.push_back(LogEntry { LogEvent::GatewayRequestWaits,
-        { { "request", request.terms.callerRequestId }, { "service", request.service }, { "model", variant.text() } } });
+        { { "request", request.terms.callerRequestId }, { "service", request.service },
+            { "model", variant.text() } } });
 }
 
-void GatewayRequests::stopWaiting(Request& request)
+void GatewayRequests::stopWaiting(Request& request, MonotonicTime now)
 {
     if (!request.isWaiting)
         return;
     request.isWaiting = false;
+    request.waited += now - request.waitingSince;
     m_waiting.erase(request.arrived.id);
     const auto record = m_demand.find({ request.service, request.terms.variant });
     if (record != m_demand.end() && record->second.waiting > 0)
@@ -259,8 +263,7 @@
     terms.endpoint = choice.endpoint;
     terms.account = request.account;
     terms.priority = request.priority;
-    terms.lastEventId
-        = request.cutter.lastEventId().empty() ? request.terms.lastEventId : request.cutter.lastEventId();
+    terms.lastEventId = request.cutter.lastEventId().empty() ? request.terms.lastEventId : request.cutter.lastEventId();
     StartAttempt start;
     start.id = attempt.id;
     start.endpoint = choice.endpoint;
@@ -312,13 +315,14 @@
     const bool isSuccess = head.status >= 200 && head.status < 300;
     const bool isUsable = isSuccess && attempt.terms.isSealed && !attempt.terms.isEncoded;
     attempt.isForwarded = request->route.isStream && isUsable;
+    if (request->firstByte == Duration::zero())
+        request->firstByte = now - request->arrivedAt;
     if (!attempt.isForwarded || request->isHeadSent)
         return;
     request->isHeadSent = true;
-    effects.push_back(RecordMetric { Metric::FirstByteSeconds, request->service,
-        std::chrono::duration<double>(now - request->arrivedAt).count() });
-    effects.push_back(
-        SendResponseHead { request->arrived.id, head.status, m_protocol.answerHeaders(head.headers) });
+    effects.push_back(RecordMetric {
+        Metric::FirstByteSeconds, request->service, std::chrono::duration<double>(now - request->arrivedAt).count() });
+    effects.push_back(SendResponseHead { request->arrived.id, head.status, m_protocol.answerHeaders(head.headers) });
 }
 
 void GatewayRequests::handle(const AttemptData& data, MonotonicTime now, EffectList& effects)
@@ -394,8 +398,8 @@
 {
     const int status = request.attempt->status;
     logEnd(LogEvent::GatewayRequestFinished, request, status, "", now, effects);
-    effects.push_back(RecordMetric { Metric::RequestSeconds, request.service,
-        std::chrono::duration<double>(now - request.arrivedAt).count() });
+    effects.push_back(RecordMetric {
+        Metric::RequestSeconds, request.service, std::chrono::duration<double>(now - request.arrivedAt).count() });
     endAttempt(request, status >= 500 ? AttemptVerdict::Bad : AttemptVerdict::Good, now, effects);
     forget(request.arrived.id, now);
 }
@@ -433,8 +437,7 @@
 bool GatewayRequests::mayRepeat(const Request& request, MonotonicTime now) const
 {
     const bool isSafe = request.route.isIdempotent || request.route.isResumable;
-    return isSafe && request.attempts + 1 < request.route.maximumAttempts
-        && request.finalAt - now > shortestAttempt;
+    return isSafe && request.attempts + 1 < request.route.maximumAttempts && request.finalAt - now > shortestAttempt;
 }
 
 bool GatewayRequests::takeRetry(const Request& request, MonotonicTime now)
@@ -442,8 +445,7 @@
     return budgetOf(request.service).tryRetry(now);
 }
 
-void GatewayRequests::handleLostAttempt(
-    Request& request, std::string reason, MonotonicTime now, EffectList& effects)
+void GatewayRequests::handleLostAttempt(Request& request, std::string reason, MonotonicTime now, EffectList& effects)
 {
     const bool isAllowed = mayRepeat(request, now);
     if (request.attempt) {
@@ -532,7 +534,8 @@
         if (request.mayHaveRun)
             fail(request, 504, "timeout", now, effects);
         else
-            refuse(request, { 503, "timeout", "no endpoint could take the request in time", std::nullopt }, now, effects);
+            refuse(
+                request, { 503, "timeout", "no endpoint could take the request in time", std::nullopt }, now, effects);
         return;
     }
     if (now >= request.finalAt) {
@@ -550,7 +553,8 @@
     const Duration silence = now - attempt.lastDataAt;
     const bool isStalled = attempt.isHeadSeen && request.route.isStream
         ? silence > longestStreamPause
-        : silence > std::max<Duration>(shortestPatience, request.route.latencyGoal * (request.route.isStream ? 1 : silentGoals));
+        : silence > std::max<Duration>(
+              shortestPatience, request.route.latencyGoal * (request.route.isStream ? 1 : silentGoals));
     if (!isStalled)
         return;
     request.mayHaveRun = true;
@@ -563,8 +567,7 @@
     std::vector<RequestId> ready;
     for (const RequestId id : m_waiting) {
         const Request& request = m_requests.at(id);
-        if (now >= request.nextTryAt
-            && m_directory.hasReplica(request.service, request.terms.variant, now))
+        if (now >= request.nextTryAt && m_directory.hasReplica(request.service, request.terms.variant, now))
             ready.push_back(id);
     }
     for (const RequestId id : ready) {
@@ -601,8 +604,8 @@
         const Duration wait = retryAfterOf(now, request.finalAt, *refusal.retryAfter);
         headers.emplace_back("Retry-After", secondsText(wait));
     }
-    effects.push_back(SendWholeResponse {
-        request.arrived.id, refusal.status, std::move(headers), errorBody(refusal.reason, refusal.message, "not_run") });
+    effects.push_back(SendWholeResponse { request.arrived.id, refusal.status, std::move(headers),
+        errorBody(refusal.reason, refusal.message, "not_run") });
     effects.push_back(RecordMetric { Metric::RefusalsTotal, std::string(refusal.reason) });
     if (request.units > 0)
         m_quota.giveBack(request.account, request.units, now);
@@ -634,6 +637,7 @@
         { { "request", request.terms.callerRequestId }, { "account", request.account.value },
             { "route", request.route.name }, { "service", request.service }, { "model", request.terms.variant.text() },
             { "status", std::to_string(status) }, { "milliseconds", milliseconds(now - request.arrivedAt) },
+            { "waited_ms", milliseconds(request.waited) }, { "first_byte_ms", milliseconds(request.firstByte) },
             { "attempts", std::to_string(request.attempts + (request.attempt ? 1 : 0)) },
             { "configuration", std::to_string(m_configuration.version) } } };
     if (!reason.empty())
@@ -643,12 +647,12 @@
     effects.push_back(std::move(entry));
 }
 
-void GatewayRequests::forget(RequestId id, MonotonicTime)
+void GatewayRequests::forget(RequestId id, MonotonicTime now)
 {
     const auto found = m_requests.find(id);
     if (found == m_requests.end())
         return;
-    stopWaiting(found->second);
+    stopWaiting(found->second, now);
     m_requests.erase(found);
 }
 
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -92,7 +92,8 @@
         void fail(const char* name, const std::string& expected)
         {
             if (m_error.empty())
-                m_error = "the field \"" + m_path + name + "\" is " + m_object.at(name).dump() + ", expected " + expected;
+                m_error
+                    = "the field \"" + m_path + name + "\" is " + m_object.at(name).dump() + ", expected " + expected;
         }
 
         const Json& m_object;
--- a/src/gateway/PlacementOwnership.cpp
+++ b/src/gateway/PlacementOwnership.cpp
@@ -1,7 +1,5 @@
 #include <catkinwell/gateway/PlacementOwnership.h>
 
-#include <algorithm>
-
 namespace Catkinwell {
 
 namespace {
@@ -55,9 +53,7 @@
     if (entry) {
         // The answer to this host's own write was lost.
         if (entry->value == ownValue(lease.id)) {
-            m_heldVersion = entry->version;
-            m_heldLease = lease.id;
-            m_isRecorded = false;
+            acquire(entry->version, lease.id, now);
         } else {
             m_notBefore = now + std::chrono::milliseconds(m_random.below(competitionSpreadMilliseconds));
         }
@@ -67,20 +63,39 @@
     call(StoreCompareAndSwap { ownerKey(), ownValue(lease.id), 0, lease.id }, effects);
 }
 
+// The key of the last owner changes only when the silence is over. A host that loses the ownership during its silence
+// leaves the name of the host before it, whose orders the next owner still has to wait for.
 void PlacementOwnership::recordOwner(const PrefixMirror& mirror, MonotonicTime now, EffectList& effects)
 {
     const StoreEntry* last = mirror.find(lastOwnerKey());
-    const bool needsSilence = last && last->value != m_settings.self.value;
-    m_ordersFrom = needsSilence ? now + m_settings.silence : now;
-    if (last && !needsSilence) {
-        m_isRecorded = true;
-        effects.push_back(LogEntry { LogEvent::GatewayOwnershipGained,
-            { { "fencing_token", std::to_string(m_heldVersion) }, { "silence_ms", "0" } } });
+    if (last && last->value == m_settings.self.value) {
+        beginOrders(now, effects);
         return;
     }
+    if (last && now < m_acquiredAt + m_settings.silence)
+        return;
     call(StoreCompareAndSwap { lastOwnerKey(), m_settings.self.value, last ? last->version : 0, {} }, effects);
 }
 
+void PlacementOwnership::acquire(StoreVersion version, const LeaseId& lease, MonotonicTime now)
+{
+    m_heldVersion = version;
+    m_heldLease = lease;
+    m_acquiredAt = now;
+    m_isRecorded = false;
+}
+
+void PlacementOwnership::beginOrders(MonotonicTime now, EffectList& effects)
+{
+    m_isRecorded = true;
+    m_ordersFrom = now;
+    effects.push_back(LogEntry { LogEvent::GatewayOwnershipGained,
+        { { "fencing_token", std::to_string(m_heldVersion) },
+            { "silence_ms",
+                std::to_string(
+                    std::chrono::duration_cast<std::chrono::milliseconds>(now - m_acquiredAt).count()) } } });
+}
+
 void PlacementOwnership::handle(const StoreReply& reply, MonotonicTime now, EffectList& effects)
 {
     if (reply.id != m_pending || m_pending.value == 0)
@@ -94,18 +109,10 @@
     if (m_isReleased)
         return;
     if (m_heldVersion == 0) {
-        m_heldVersion = reply.version;
-        m_heldLease = m_competingLease;
-        m_isRecorded = false;
+        acquire(reply.version, m_competingLease, now);
         return;
     }
-    m_isRecorded = true;
-    effects.push_back(LogEntry { LogEvent::GatewayOwnershipGained,
-        { { "fencing_token", std::to_string(m_heldVersion) },
-            { "silence_ms",
-                std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
-                    std::max(Duration::zero(), m_ordersFrom - now))
-                    .count()) } } });
+    beginOrders(now, effects);
 }
 
 void PlacementOwnership::lose(std::string_view reason, EffectList& effects)
--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -129,8 +129,8 @@
         return true;
     }
     if (m_bodyTooLong)
-        return refuse(413,
-            "the body is longer than " + std::to_string(limits.maximumBodyBytes) + " bytes; send a shorter one");
+        return refuse(
+            413, "the body is longer than " + std::to_string(limits.maximumBodyBytes) + " bytes; send a shorter one");
     setTimer(limits.idleTimeout);
     const std::string* expect = findHeader(m_received.head.headers, "expect");
     if (expect && equalIgnoringCase(*expect, "100-continue") && evbuffer_get_length(input) == 0) {
--- a/src/http/CallerListener.cpp
+++ b/src/http/CallerListener.cpp
@@ -114,7 +114,8 @@
     const std::string text
         = (wanted.host.find(':') == std::string::npos ? wanted.host : "[" + wanted.host + "]") + ":1";
     if (evutil_parse_sockaddr_port(text.c_str(), reinterpret_cast<sockaddr*>(&address), &size) != 0)
-        return Error { ErrorKind::InvalidSettings, "the listen address " + m_settings.address + " is not an IP address" };
+        return Error { ErrorKind::InvalidSettings,
+            "the listen address " + m_settings.address + " is not an IP address" };
     if (address.ss_family == AF_INET6)
         reinterpret_cast<sockaddr_in6*>(&address)->sin6_port = htons(wanted.port);
     else
@@ -145,16 +146,14 @@
         return;
     }
     setConnectionOptions(socket);
-    bufferevent* stream = m_tls
-        ? bufferevent_openssl_socket_new(
-            m_loop.base(), socket, m_tls->newSession(), BUFFEREVENT_SSL_ACCEPTING, BEV_OPT_CLOSE_ON_FREE)
-        : bufferevent_socket_new(m_loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent* stream = m_tls ? bufferevent_openssl_socket_new(m_loop.base(), socket, m_tls->newSession(),
+                              BUFFEREVENT_SSL_ACCEPTING, BEV_OPT_CLOSE_ON_FREE)
+                                : bufferevent_socket_new(m_loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
     if (!stream) {
         evutil_closesocket(socket);
         return;
     }
-    auto connection
-        = std::make_unique<CallerConnection>(*this, m_loop.base(), stream, m_settings.outputHighWatermark);
+    auto connection = std::make_unique<CallerConnection>(*this, m_loop.base(), stream, m_settings.outputHighWatermark);
     CallerConnection* key = connection.get();
     m_connections.emplace(key, std::move(connection));
 }
@@ -215,7 +214,7 @@
     // The connection is inside one of its callbacks.
     std::shared_ptr<CallerConnection> kept = std::move(found->second);
     m_connections.erase(found);
-    m_loop.callLater(Duration::zero(), [kept] { });
+    m_loop.callLater(Duration::zero(), [kept] {});
 }
 
 CallerConnection* CallerListener::Implementation::find(RequestId id) const
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -162,7 +162,8 @@
     sockaddr_storage target {};
     int size = sizeof(target);
     const bool isVersion6 = address.host.find(':') != std::string::npos;
-    const std::string text = (isVersion6 ? "[" + address.host + "]" : address.host) + ":" + std::to_string(address.port);
+    const std::string text
+        = (isVersion6 ? "[" + address.host + "]" : address.host) + ":" + std::to_string(address.port);
     if (evutil_parse_sockaddr_port(text.c_str(), reinterpret_cast<sockaddr*>(&target), &size) != 0)
         return false;
     m_stream = bufferevent_socket_new(m_owner.m_loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
@@ -415,7 +416,7 @@
 void HttpClient::Implementation::destroyLater(std::unique_ptr<Connection> connection)
 {
     // The caller may be inside one of the connection's callbacks.
-    m_loop.callLater(Duration::zero(), [kept = std::shared_ptr<Connection>(std::move(connection))] { });
+    m_loop.callLater(Duration::zero(), [kept = std::shared_ptr<Connection>(std::move(connection))] {});
 }
 
 void HttpClient::Implementation::cancel(ExchangeId id)
--- a/src/http/MessageReader.cpp
+++ b/src/http/MessageReader.cpp
@@ -104,9 +104,6 @@
         m_observer.messageEnded();
 }
 
-std::string MessageReader::failure() const
-{
-    return http_errno_description(HTTP_PARSER_ERRNO(&m_parser));
-}
+std::string MessageReader::failure() const { return http_errno_description(HTTP_PARSER_ERRNO(&m_parser)); }
 
 } // namespace Catkinwell
--- a/src/http/RequestHeadCheck.cpp
+++ b/src/http/RequestHeadCheck.cpp
@@ -1,6 +1,7 @@
 #include "http/RequestHeadCheck.h"
 
 #include "http/HeaderText.h"
+#include "http/PercentEncoding.h"
 #include <algorithm>
 
 namespace Catkinwell {
@@ -16,7 +17,10 @@
             || others.find(c) != std::string_view::npos;
     }
 
-    bool isToken(std::string_view text) { return !text.empty() && std::all_of(text.begin(), text.end(), isTokenCharacter); }
+    bool isToken(std::string_view text)
+    {
+        return !text.empty() && std::all_of(text.begin(), text.end(), isTokenCharacter);
+    }
 
     bool isVisible(char c) { return c > 0x20 && c != 0x7f; }
 
@@ -29,13 +33,11 @@
     // Whether a path has a segment "." or "..", also percent-encoded: servers resolve these differently.
     bool hasDotSegment(std::string_view target)
     {
-        const std::string path = toLowerCase(target.substr(0, target.find('?')));
+        const std::string_view path = target.substr(0, target.find('?'));
         std::size_t start = 0;
         while (start <= path.size()) {
             const std::size_t end = std::min(path.find('/', start), path.size());
-            std::string segment = path.substr(start, end - start);
-            for (std::size_t at = segment.find("%2e"); at != std::string::npos; at = segment.find("%2e"))
-                segment.replace(at, 3, ".");
+            const std::string segment = percentDecoded(path.substr(start, end - start));
             if (segment == "." || segment == "..")
                 return true;
             start = end + 1;
--- a/src/orders/ClaimShard.cpp
+++ b/src/orders/ClaimShard.cpp
@@ -398,6 +398,7 @@
         break;
     case StoreStatus::Unavailable:
     case StoreStatus::RateLimited:
+    case StoreStatus::HistoryLost:
         // No effect: the known value stays current as far as this host knows.
         for (const auto nonce : call.firstTime) {
             if (OwnClaim* claim = find(nonce))
--- a/src/peer/PeerCodec.cpp
+++ b/src/peer/PeerCodec.cpp
@@ -217,10 +217,7 @@
         field("parts", message.parts);
     }
 
-    template <typename Archive> void describe(Archive& field, GatewayEnvelope& message)
-    {
-        field("p", message.payload);
-    }
+    template <typename Archive> void describe(Archive& field, GatewayEnvelope& message) { field("p", message.payload); }
 
     // The names of the message types, in the order of PeerMessage.
     constexpr std::string_view typeNames[] { "borrow", "lend", "wanted", "plan", "claim", "claimed", "digest",
--- a/src/runtime/GatewayRuntime.cpp
+++ b/src/runtime/GatewayRuntime.cpp
@@ -147,8 +147,8 @@
     , m_store(m_loop, m_client, m_clock, m_settings.storeAddress, m_storeProtocol)
     , m_attempts(m_loop, m_client, m_clock)
     , m_engines(m_client, m_clock)
-    , m_reducer(m_settings, m_protocol, m_incarnation, stableHash(m_settings.host.value + std::to_string(m_incarnation)),
-          randomHex(secretBytes))
+    , m_reducer(m_settings, m_protocol, m_incarnation,
+          stableHash(m_settings.host.value + std::to_string(m_incarnation)), randomHex(secretBytes))
     , m_lastTick(m_clock.monotonicNow())
 {
     connectSignals();
--- a/src/shares/PieceKeeper.cpp
+++ b/src/shares/PieceKeeper.cpp
@@ -78,6 +78,7 @@
         return KeeperStep::Conflict;
     case StoreStatus::Unavailable:
     case StoreStatus::RateLimited:
+    case StoreStatus::HistoryLost:
         break;
     }
     return KeeperStep::Failed;
--- a/src/store/HostLease.cpp
+++ b/src/store/HostLease.cpp
@@ -47,8 +47,7 @@
     if (m_status.id.empty())
         start(Call::Create, LeaseCreate { m_settings.ttl }, effects);
     else if (!m_registered)
-        start(Call::Register,
-            StoreCompareAndSwap { registrationKey(), registrationValue(), 0, m_status.id }, effects);
+        start(Call::Register, StoreCompareAndSwap { registrationKey(), registrationValue(), 0, m_status.id }, effects);
     else
         start(Call::Renew, LeaseRenew { m_status.id }, effects);
 }
@@ -70,7 +69,8 @@
     if (!reached || refused || reply.status == StoreStatus::RateLimited) {
         if (refused)
             effects.push_back(LogEntry { LogEvent::HostLeaseRefused,
-                { { "status", std::string(nameOf(reply.status)) }, { "failures", std::to_string(m_backoff.failures() + 1) } } });
+                { { "status", std::string(nameOf(reply.status)) },
+                    { "failures", std::to_string(m_backoff.failures() + 1) } } });
         m_nextAt = now + m_backoff.next(m_random);
         return;
     }
@@ -81,7 +81,8 @@
         m_registered = reply.status == StoreStatus::Ok
             || (m_settings.isKeyPerIncarnation && reply.status == StoreStatus::Conflict);
         // An entry of an earlier run of this host is free once its lease has lapsed.
-        m_nextAt = m_registered ? m_status.lastRenewalSentAt + m_settings.renewalInterval : now + std::chrono::seconds(1);
+        m_nextAt
+            = m_registered ? m_status.lastRenewalSentAt + m_settings.renewalInterval : now + std::chrono::seconds(1);
         return;
     }
     if (reply.status != StoreStatus::Ok) {
--- /dev/null
+++ b/tests/gateway/EnginePlacementTest.cpp
@@ -0,0 +1,262 @@
+#include "gateway/FakeEngine.h"
+#include "gateway/GatewayFixture.h"
+#include <catch2/catch.hpp>
+
+using namespace Catkinwell;
+using namespace Catkinwell::Testing;
+
+namespace {
+
+const HostId self("self");
+
+LoadedModels holding(std::initializer_list<const char*> names)
+{
+    LoadedModels models;
+    for (const char* name : names)
+        models[ModelId(name)];
+    return models;
+}
+
+// One owner, its engines and the demand of one host, in steps of 20 ms.
+class PlacementFixture {
+public:
+    explicit PlacementFixture(EngineFaults faults = {}, std::uint64_t seed = 1)
+        : m_random(seed)
+        , m_faults(faults)
+    {
+        placement.configure(sampleConfiguration());
+    }
+
+    FakeEngine& add(const std::string& id, LoadedModels models)
+    {
+        engines.push_back(std::make_unique<FakeEngine>(id, std::move(models), m_faults, m_random.next()));
+        publish(*engines.back());
+        return *engines.back();
+    }
+
+    void own()
+    {
+        placement.setPermission(
+            PlacementPermission { self, 7, now, now + std::chrono::hours(1) }, now);
+    }
+
+    void demand(const std::string& model, unsigned waiting, std::uint64_t arrivals)
+    {
+        const std::size_t slash = model.find('/');
+        ModelVariant variant { ModelId(model.substr(0, slash)),
+            slash == std::string::npos ? "" : model.substr(slash + 1) };
+        m_demand[variant] = { variant, "notes", waiting, arrivals };
+        std::vector<VariantDemand> list;
+        for (const auto& [key, entry] : m_demand)
+            list.push_back(entry);
+        placement.handle(self, list, now);
+    }
+
+    void run(Duration duration)
+    {
+        for (const MonotonicTime end = now + duration; now < end;)
+            step();
+    }
+
+    // Whether an engine holds the model.
+    bool isLoaded(const std::string& model) const
+    {
+        return std::any_of(engines.begin(), engines.end(),
+            [&model](const auto& engine) { return engine->models().contains(ModelId(model)); });
+    }
+
+    std::vector<std::string> violations() const
+    {
+        std::vector<std::string> all;
+        for (const auto& engine : engines)
+            all.insert(all.end(), engine->violations().begin(), engine->violations().end());
+        return all;
+    }
+
+    void publish(const FakeEngine& engine)
+    {
+        EffectList ignored;
+        directory.put(engine.record(), now, ignored);
+        placement.put(engine.record(), now);
+    }
+
+    MonotonicTime now { std::chrono::hours(1) };
+    EndpointDirectory directory { DataCentreId("here"), 1 };
+    EnginePlacement placement { {}, directory };
+    std::vector<std::unique_ptr<FakeEngine>> engines;
+    std::vector<EngineOrder> orders;
+
+private:
+    FakeEngine* find(const EndpointId& id)
+    {
+        for (const auto& engine : engines) {
+            if (engine->record().id == id)
+                return engine.get();
+        }
+        return nullptr;
+    }
+
+    void step()
+    {
+        now += std::chrono::milliseconds(20);
+        for (const auto& engine : engines) {
+            const std::uint64_t heartbeat = engine->record().heartbeat;
+            engine->advance(now);
+            if (engine->record().heartbeat != heartbeat)
+                publish(*engine);
+        }
+        EffectList effects;
+        placement.tick(now, effects);
+        while (!effects.empty()) {
+            const EffectList current = std::exchange(effects, {});
+            for (const Effect& effect : current)
+                carryOut(effect, effects);
+        }
+        if (const auto news = placement.takeNews(now))
+            directory.handle(self, *news, now);
+    }
+
+    void carryOut(const Effect& effect, EffectList& following)
+    {
+        if (const auto* order = std::get_if<EngineOrder>(&effect)) {
+            orders.push_back(*order);
+            FakeEngine* engine = find(order->endpoint);
+            const auto outcome = engine ? engine->handle(*order, now) : std::nullopt;
+            placement.handle(
+                EngineOrderFinished { *order, outcome.value_or(EngineOrderOutcome::Unknown) }, now, following);
+        } else if (const auto* fetch = std::get_if<FetchEngineStatus>(&effect)) {
+            if (FakeEngine* engine = find(fetch->endpoint))
+                placement.handle(engine->status(now), now, following);
+        }
+    }
+
+    RandomGenerator m_random;
+    EngineFaults m_faults;
+    std::map<ModelVariant, VariantDemand> m_demand;
+};
+
+} // namespace
+
+// Guards against waiting requests whose model nobody loads.
+TEST_CASE("A model that requests wait for is loaded where it is ready soonest")
+{
+    PlacementFixture fixture;
+    fixture.add("far", holding({ "m1", "m2" }));
+    FakeEngine& near = fixture.add("near", holding({ "m3", "m4" }));
+    fixture.own();
+    fixture.run(std::chrono::seconds(1));
+    // The engine "near" has m3 on its disk once it has made way.
+    fixture.demand("m1", 0, 0);
+    near.keepRunning(ModelId("m4"), fixture.now);
+    fixture.demand("m1", 1, 1);
+    fixture.run(std::chrono::milliseconds(500));
+    CHECK(fixture.isLoaded("m1"));
+    CHECK(fixture.violations().empty());
+}
+
+TEST_CASE("An adapter is loaded beside its model, and the one that was used longest ago makes way")
+{
+    PlacementFixture fixture;
+    fixture.add("e", holding({ "m1" }));
+    fixture.own();
+    fixture.run(std::chrono::seconds(1));
+    for (const char* adapter : { "m1/a1", "m1/a2", "m1/a3" }) {
+        fixture.demand(adapter, 1, 1);
+        fixture.run(std::chrono::seconds(2));
+        fixture.demand(adapter, 0, 1);
+    }
+    const std::set<std::string> expected { "a2", "a3" };
+    for (const EngineOrder& order : fixture.orders)
+        UNSCOPED_INFO(nameOf(order.kind) << " " << order.model.value << "/" << order.adapter);
+    CHECK(fixture.engines[0]->models().at(ModelId("m1")) == expected);
+    CHECK(fixture.violations().empty());
+}
+
+// Guards against orders of a host that is not, or not yet, allowed to give them.
+TEST_CASE("No order is given outside the permission")
+{
+    PlacementFixture fixture;
+    fixture.add("e", holding({ "m2" }));
+    fixture.demand("m1", 1, 1);
+    fixture.run(std::chrono::seconds(1));
+    CHECK(fixture.orders.empty());
+    const MonotonicTime from = fixture.now + std::chrono::seconds(3);
+    fixture.placement.setPermission(PlacementPermission { self, 8, from, from + std::chrono::seconds(1) }, fixture.now);
+    fixture.run(std::chrono::milliseconds(2900));
+    CHECK(fixture.orders.empty());
+    fixture.run(std::chrono::milliseconds(300));
+    CHECK_FALSE(fixture.orders.empty());
+    fixture.run(std::chrono::seconds(2));
+    const std::size_t given = fixture.orders.size();
+    fixture.run(std::chrono::seconds(2));
+    CHECK(fixture.orders.size() == given);
+}
+
+// Guards against loads from the weight store beyond its rate.
+TEST_CASE("Loads from the weight store stay under their rate")
+{
+    PlacementFixture fixture;
+    for (int i = 0; i < 12; ++i)
+        fixture.add("e" + std::to_string(i), {});
+    fixture.own();
+    unsigned most = 0;
+    std::vector<unsigned> totals;
+    for (int step = 0; step < 100; ++step) {
+        fixture.run(std::chrono::milliseconds(100));
+        unsigned total = 0;
+        for (const auto& engine : fixture.engines)
+            total += engine->storeLoads();
+        totals.push_back(total);
+        const unsigned before = step >= 50 ? totals[static_cast<std::size_t>(step) - 50] : 0;
+        most = std::max(most, total - before);
+    }
+    // The sample configuration allows one load a second.
+    CHECK(most <= 5);
+    CHECK(totals.back() > 0);
+}
+
+namespace {
+
+struct HistoryCase {
+    double lostAnswers;
+    double lateOrders;
+    bool restarts;
+};
+
+} // namespace
+
+// Guards against engines that are ordered to load more than they hold: after refused unloads, lost answers, orders
+// that are carried out late, reports of a busy engine and restarts.
+TEST_CASE("No engine is overfilled in random histories")
+{
+    const auto test = GENERATE(values<HistoryCase>({
+        { 0, 0, false },
+        { 0.3, 0, false },
+        { 0.4, 0.7, false },
+        { 0.3, 0.5, true },
+    }));
+    const std::uint64_t seed = GENERATE(range(1, 16));
+    PlacementFixture fixture({ test.lostAnswers, test.lateOrders }, seed);
+    RandomGenerator random(seed);
+    fixture.add("e0", holding({ "m1", "m2" }));
+    fixture.add("e1", holding({ "m3", "m1" }));
+    fixture.add("e2", holding({ "m4", "m1" }));
+    fixture.own();
+    const std::vector<std::string> variants { "m1", "m2", "m3", "m4", "m1/a1", "m1/a2", "m1/a3", "m2/a1" };
+    std::uint64_t arrivals = 0;
+    for (int step = 0; step < 300; ++step) {
+        const std::string& variant = variants[random.below(variants.size())];
+        fixture.demand(variant, static_cast<unsigned>(random.below(2)), ++arrivals);
+        FakeEngine& engine = *fixture.engines[random.below(3)];
+        if (random.unit() < 0.2)
+            engine.keepRunning(ModelId(variants[random.below(4)]), fixture.now + std::chrono::milliseconds(900));
+        if (test.restarts && random.unit() < 0.01) {
+            engine.restart(fixture.now);
+            fixture.publish(engine);
+        }
+        fixture.run(std::chrono::milliseconds(100));
+    }
+    INFO("seed " << seed << ", lost " << test.lostAnswers << ", late " << test.lateOrders);
+    const auto violations = fixture.violations();
+    CHECK(violations == std::vector<std::string> {});
+}
--- /dev/null
+++ b/tests/gateway/FakeEngine.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <catkinwell/core/RandomGenerator.h>
+#include <catkinwell/gateway/EnginePlacement.h>
+#include <deque>
+
+namespace Catkinwell::Testing {
+
+// How an engine treats orders and reports.
+struct EngineFaults {
+    // Share of the orders whose answer is lost.
+    double lostAnswers = 0;
+    // Share of the orders with a lost answer that are carried out seconds later; the others are carried out at once.
+    double lateOrders = 0;
+};
+
+// An engine with memory for two models, one order at a time, reports that are 200 ms old, and requests that keep an
+// unload waiting. It records each order that would overfill it.
+class FakeEngine {
+public:
+    FakeEngine(std::string id, LoadedModels, EngineFaults, std::uint64_t seed);
+
+    // Returns what the owner hears; nothing if the answer is lost.
+    std::optional<EngineOrderOutcome> handle(const EngineOrder&, MonotonicTime now);
+    void advance(MonotonicTime now);
+    EngineStatus status(MonotonicTime now) const;
+    EndpointRecord record() const;
+    // Loses everything, as at a crash.
+    void restart(MonotonicTime now);
+    // An unload of the model waits until this time.
+    void keepRunning(const ModelId& model, MonotonicTime until) { m_runningUntil[model] = until; }
+
+    const std::vector<std::string>& violations() const { return m_violations; }
+    const LoadedModels& models() const { return m_models; }
+    const std::set<ModelId>& onDisk() const { return m_onDisk; }
+    unsigned storeLoads() const { return m_storeLoads; }
+
+private:
+    struct Work {
+        EngineOrder order;
+        MonotonicTime endsAt {};
+    };
+
+    struct Snapshot {
+        MonotonicTime at {};
+        EngineStatus status;
+    };
+
+    EngineOrderOutcome accept(const EngineOrder&, MonotonicTime now);
+    void complete(const EngineOrder&);
+    void snapshot(MonotonicTime now);
+
+    EndpointId m_id;
+    LoadedModels m_models;
+    std::set<ModelId> m_onDisk;
+    EngineFaults m_faults;
+    RandomGenerator m_random;
+    std::uint64_t m_incarnation = 1;
+    std::uint64_t m_orderCount = 0;
+    std::uint64_t m_heartbeat = 0;
+    std::optional<Work> m_work;
+    std::vector<std::pair<MonotonicTime, EngineOrder>> m_late;
+    std::deque<Snapshot> m_snapshots;
+    std::map<ModelId, MonotonicTime> m_runningUntil;
+    std::vector<std::string> m_violations;
+    unsigned m_storeLoads = 0;
+};
+
+} // namespace Catkinwell::Testing
--- /dev/null
+++ b/tests/gateway/FleetQuotaTest.cpp
@@ -0,0 +1,158 @@
+#include <catch2/catch.hpp>
+#include <catkinwell/core/RandomGenerator.h>
+#include <catkinwell/gateway/FleetQuota.h>
+#include <deque>
+
+using namespace Catkinwell;
+
+namespace {
+
+constexpr double rate = 1000;
+constexpr double burst = 1000;
+constexpr Duration window = std::chrono::seconds(8);
+const AccountId account("a");
+
+std::map<AccountId, GatewayAccount> accounts(double unitsPerSecond = rate)
+{
+    GatewayAccount settings;
+    settings.id = account;
+    settings.unitsPerSecond = unitsPerSecond;
+    settings.burst = burst;
+    settings.countsTokens = true;
+    return { { account, settings } };
+}
+
+struct FleetCase {
+    int hosts;
+    // Requests of 50 units that callers send a second, to all hosts together.
+    int requestsPerSecond;
+    // The hosts cannot hear each other between these seconds.
+    int cutFrom;
+    int cutUntil;
+    // The least part of what the limit allows that must be admitted.
+    double leastShare;
+};
+
+// Hosts that exchange their usage every 200 ms, and the units that were admitted.
+class Fleet {
+public:
+    explicit Fleet(const FleetCase& settings)
+        : m_settings(settings)
+        , m_now(std::chrono::hours(1))
+    {
+        std::set<HostId> names;
+        for (int i = 0; i < settings.hosts; ++i)
+            names.insert(HostId(std::to_string(i)));
+        for (const HostId& name : names) {
+            m_quotas.emplace_back(name);
+            std::set<HostId> others = names;
+            others.erase(name);
+            m_quotas.back().configure(accounts(), m_now);
+            m_quotas.back().setPeers(others, m_now);
+        }
+    }
+
+    void run(int seconds)
+    {
+        const MonotonicTime start = m_now;
+        for (int step = 0; step < seconds * 100; ++step) {
+            m_now += std::chrono::milliseconds(10);
+            const double second = std::chrono::duration<double>(m_now - start).count();
+            const bool isCut = second >= m_settings.cutFrom && second < m_settings.cutUntil;
+            for (FleetQuota& quota : m_quotas)
+                quota.tick(m_now);
+            if (step % 20 == 0 && !isCut)
+                exchange();
+            m_due += m_settings.requestsPerSecond / 100.0;
+            for (; m_due >= 1; m_due -= 1)
+                sendOne();
+        }
+    }
+
+    double mostInWindow() const { return m_most; }
+    double total() const { return m_total; }
+
+private:
+    void exchange()
+    {
+        for (std::size_t i = 0; i < m_quotas.size(); ++i) {
+            for (std::size_t k = 0; k < m_quotas.size(); ++k) {
+                if (i != k)
+                    m_quotas[k].merge(HostId(std::to_string(i)), 1, m_quotas[i].ownUsage(), m_now);
+            }
+        }
+    }
+
+    void sendOne()
+    {
+        constexpr double units = 50;
+        FleetQuota& quota = m_quotas[m_random.below(m_quotas.size())];
+        if (!quota.admit(account, units, m_now).isAdmitted)
+            return;
+        m_total += units;
+        m_admitted.emplace_back(m_now, units);
+        m_inWindow += units;
+        while (m_now - m_admitted.front().first > window) {
+            m_inWindow -= m_admitted.front().second;
+            m_admitted.pop_front();
+        }
+        m_most = std::max(m_most, m_inWindow);
+    }
+
+    FleetCase m_settings;
+    MonotonicTime m_now;
+    std::deque<FleetQuota> m_quotas;
+    RandomGenerator m_random { 7 };
+    std::deque<std::pair<MonotonicTime, double>> m_admitted;
+    double m_due = 0;
+    double m_inWindow = 0;
+    double m_most = 0;
+    double m_total = 0;
+};
+
+} // namespace
+
+// Guards against an account that gets more than its rate and burst by asking many hosts, also while they cannot hear
+// each other, and against a limit that is not used to the full.
+TEST_CASE("Over any window all hosts together admit no more than rate and burst")
+{
+    const auto test = GENERATE(values<FleetCase>({
+        { 1, 100, 0, 0, 0.95 },
+        { 4, 100, 0, 0, 0.90 },
+        { 4, 400, 0, 0, 0.90 },
+        { 4, 100, 10, 25, 0.75 },
+        { 34, 200, 0, 0, 0.85 },
+    }));
+    Fleet fleet(test);
+    fleet.run(40);
+    const double allowed = rate * std::chrono::duration<double>(window).count() + burst;
+    INFO(test.hosts << " hosts, " << test.requestsPerSecond << " requests a second");
+    CHECK(fleet.mostInWindow() <= allowed * 1.1);
+    CHECK(fleet.total() >= rate * 40 * test.leastShare);
+}
+
+// Guards against units that are lost with each request that did not run.
+TEST_CASE("Units that are given back can be used again")
+{
+    const MonotonicTime now { std::chrono::hours(1) };
+    FleetQuota quota(HostId("self"));
+    quota.configure(accounts(), now);
+    const double level = quota.level(account);
+    REQUIRE(quota.admit(account, 100, now).isAdmitted);
+    CHECK(quota.level(account) == Approx(level - 100));
+    quota.giveBack(account, 100, now);
+    CHECK(quota.level(account) == Approx(level));
+    CHECK(quota.ownUsage().at(account).admitted == Approx(0));
+}
+
+// Guards against a refusal that tells the caller to come back too early or never.
+TEST_CASE("A refusal says when enough units will be there")
+{
+    const MonotonicTime now { std::chrono::hours(1) };
+    FleetQuota quota(HostId("self"));
+    quota.configure(accounts(), now);
+    while (quota.admit(account, 100, now).isAdmitted) { }
+    const QuotaDecision decision = quota.admit(account, 200, now);
+    REQUIRE_FALSE(decision.isAdmitted);
+    CHECK(quota.admit(account, 200, now + decision.retryAfter + std::chrono::milliseconds(1)).isAdmitted);
+}
--- /dev/null
+++ b/tests/gateway/GatewayMessageTest.cpp
@@ -0,0 +1,47 @@
+#include <catch2/catch.hpp>
+#include <catkinwell/core/RandomGenerator.h>
+#include <catkinwell/gateway/GatewayMessage.h>
+
+using namespace Catkinwell;
+
+namespace {
+
+GatewayMessage sampleMessage(int kind)
+{
+    HostDigest digest;
+    digest.sequence = 7;
+    digest.configurationVersion = 3;
+    digest.usage[AccountId("a")] = { 12.5, 20 };
+    digest.demand.push_back({ { ModelId("m"), "x" }, "notes", 2, 9 });
+    digest.running.push_back({ EndpointId("e"), { ModelId("m"), "" }, 4 });
+    digest.suspectFingerprints.emplace_back(99, 2);
+    PlacementNews news { 5, 6, { { EndpointId("e"), 1, { { ModelId("m"), { "x", "y" } } }, { { { ModelId("n"), "" }, 800 } } } } };
+    const GatewayMessage all[] { digest, news, ConfigurationWanted { 4 }, ConfigurationDocumentOffer { 5, "text" } };
+    return all[kind];
+}
+
+} // namespace
+
+TEST_CASE("Each message survives its encoding")
+{
+    const int kind = GENERATE(range(0, 4));
+    const std::string bytes = encodeGatewayMessage(sampleMessage(kind));
+    const auto decoded = decodeGatewayMessage(bytes);
+    REQUIRE_FALSE(isError(decoded));
+    CHECK(encodeGatewayMessage(valueOf(decoded)) == bytes);
+}
+
+// Guards against a message of another host that ends the process.
+TEST_CASE("Damaged messages give an error")
+{
+    RandomGenerator random(1);
+    for (int i = 0; i < 4000; ++i) {
+        std::string bytes = encodeGatewayMessage(sampleMessage(static_cast<int>(random.below(4))));
+        for (std::uint64_t change = 0; change <= random.below(4); ++change)
+            bytes[random.below(bytes.size())] = static_cast<char>(random.below(256));
+        bytes.resize(bytes.size() - random.below(3));
+        const auto decoded = decodeGatewayMessage(bytes);
+        if (isError(decoded))
+            CHECK(errorOf(decoded).kind == ErrorKind::InvalidMessage);
+    }
+}
--- /dev/null
+++ b/tests/gateway/GatewayRequestsTest.cpp
@@ -0,0 +1,277 @@
+#include "gateway/GatewayFixture.h"
+#include "http/HeaderText.h"
+#include <catch2/catch.hpp>
+
+using namespace Catkinwell;
+using namespace Catkinwell::Testing;
+
+namespace {
+
+void addEndpoints(RequestsFixture& fixture, const std::string& service, int count, const LoadedModels& models = {})
+{
+    for (int i = 0; i < count; ++i)
+        fixture.directory.put(
+            sampleEndpoint(service + std::to_string(i), service, models), fixture.now, fixture.effects);
+}
+
+const LoadedModels withM1 { { ModelId("m1"), {} } };
+
+struct RefusalCase {
+    const char* path;
+    const char* key;
+    int expectedStatus;
+};
+
+} // namespace
+
+TEST_CASE("A request without a route or a valid key is refused at once")
+{
+    const auto test = GENERATE(values<RefusalCase>({
+        { "/order/1", "key-a", 0 },
+        { "/order/1", "", 401 },
+        { "/order/1", "key-c", 401 },
+        { "/open/1", "", 0 },
+        { "/nothing/1", "key-a", 404 },
+        { "/orders/1", "key-a", 404 },
+    }));
+    RequestsFixture fixture;
+    addEndpoints(fixture, "orders", 1);
+    fixture.arrive(test.path, test.key);
+    const auto answers = fixture.takeAnswers();
+    INFO(test.path << " with key \"" << test.key << "\"");
+    CHECK((answers.empty() ? 0 : answers.front().status) == test.expectedStatus);
+    CHECK(fixture.takeAttempts().size() == (test.expectedStatus == 0 ? 1 : 0));
+}
+
+// Guards against an endpoint that runs a request for another account than the one whose key came with it.
+TEST_CASE("Each attempt names the account of the request's own key")
+{
+    RequestsFixture fixture;
+    addEndpoints(fixture, "orders", 2);
+    for (int i = 0; i < 40; ++i) {
+        const std::string account = i % 3 == 0 ? "b" : "a";
+        fixture.arrive("/order/1", "key-" + account);
+        const auto attempts = fixture.takeAttempts();
+        REQUIRE(attempts.size() == 1);
+        CHECK(*findHeader(attempts.front().headers, "account") == account);
+        fixture.answer(attempts.front().id, 200);
+        fixture.now += std::chrono::milliseconds(100);
+    }
+}
+
+namespace {
+
+struct FailureCase {
+    const char* path;
+    // How the first attempt ends: 0 for a broken connection, otherwise a status.
+    int firstStatus;
+    bool isNotExecuted;
+    // Whether a second attempt is made.
+    bool expectedRepeat;
+    // The final status if there is none.
+    int expectedStatus;
+};
+
+} // namespace
+
+// Guards against orders that run twice, and against refusals that promise "not run" of a request that may have run.
+TEST_CASE("Only what is safe is repeated, and an unknown outcome is never called a refusal")
+{
+    const auto test = GENERATE(values<FailureCase>({
+        { "/order/1", 0, false, false, 502 },
+        { "/order/1", 500, false, false, 500 },
+        { "/order/1", 503, false, false, 502 },
+        { "/order/1", 503, true, true, 0 },
+        { "/order/1", 421, true, true, 0 },
+        { "/read/1", 0, false, true, 0 },
+        { "/read/1", 500, false, true, 0 },
+        { "/read/1", 503, true, true, 0 },
+    }));
+    RequestsFixture fixture;
+    addEndpoints(fixture, "orders", 3);
+    fixture.arrive(test.path);
+    const auto first = fixture.takeAttempts();
+    REQUIRE(first.size() == 1);
+    if (test.firstStatus == 0)
+        fixture.requests.handle(
+            AttemptFailed { first[0].id, AttemptOutcome::Unknown, "reset", AttemptFailure::Broken }, fixture.now,
+            fixture.effects);
+    else
+        fixture.answer(first[0].id, test.firstStatus,
+            test.isNotExecuted ? HeaderList { { "not-executed", "1" } } : HeaderList { { "sealed", "1" } });
+    const auto second = fixture.takeAttempts();
+    const auto answers = fixture.takeAnswers();
+    INFO(test.path << " first " << test.firstStatus);
+    CHECK(second.size() == (test.expectedRepeat ? 1 : 0));
+    if (!second.empty())
+        CHECK(second[0].endpoint != first[0].endpoint);
+    CHECK((answers.empty() ? 0 : answers[0].status) == test.expectedStatus);
+}
+
+// Guards against a success that no endpoint vouches for.
+TEST_CASE("A success without the endpoint's seal is not passed on")
+{
+    RequestsFixture fixture;
+    addEndpoints(fixture, "orders", 1);
+    fixture.arrive("/order/1");
+    fixture.answer(fixture.takeAttempts().at(0).id, 200, {});
+    CHECK(fixture.takeAnswers().at(0).status == 502);
+}
+
+// Guards against a stream with a missing, repeated or torn event after its endpoint broke off.
+TEST_CASE("A resumable stream goes on behind its last complete event")
+{
+    RequestsFixture fixture;
+    addEndpoints(fixture, "notes", 2, withM1);
+    fixture.arrive("/dossier/1");
+    const auto first = fixture.takeAttempts().at(0);
+    fixture.requests.handle(AttemptHead { first.id, 200, { { "sealed", "1" } } }, fixture.now, fixture.effects);
+    fixture.requests.handle(
+        AttemptData { first.id, "id: 1\ndata: x\n\nid: 2\ndata: y\n\nid: 3\nda" }, fixture.now, fixture.effects);
+    fixture.requests.handle(
+        AttemptFailed { first.id, AttemptOutcome::Unknown, "reset", AttemptFailure::Broken }, fixture.now,
+        fixture.effects);
+    const auto second = fixture.takeAttempts();
+    REQUIRE(second.size() == 1);
+    CHECK(*findHeader(second[0].headers, "after") == "2");
+    fixture.requests.handle(AttemptHead { second[0].id, 200, { { "sealed", "1" } } }, fixture.now, fixture.effects);
+    fixture.requests.handle(AttemptData { second[0].id, "id: 3\ndata: z\n\n" }, fixture.now, fixture.effects);
+    fixture.requests.handle(AttemptFinished { second[0].id }, fixture.now, fixture.effects);
+    std::string received;
+    for (const auto& data : effectsOf<SendResponseData>(fixture.effects))
+        received += data.data;
+    CHECK(received == "id: 1\ndata: x\n\nid: 2\ndata: y\n\nid: 3\ndata: z\n\n");
+    CHECK(effectsOf<SendResponseHead>(fixture.effects).size() == 1);
+    CHECK(effectsOf<FinishResponse>(fixture.effects).size() == 1);
+}
+
+// Guards against a broken stream that looks complete.
+TEST_CASE("A stream that may not be resumed ends with its connection when its endpoint breaks off")
+{
+    RequestsFixture fixture;
+    addEndpoints(fixture, "notes", 2, withM1);
+    fixture.arrive("/note/1");
+    const auto first = fixture.takeAttempts().at(0);
+    fixture.requests.handle(AttemptHead { first.id, 200, { { "sealed", "1" } } }, fixture.now, fixture.effects);
+    fixture.requests.handle(AttemptData { first.id, "id: 1\n\n" }, fixture.now, fixture.effects);
+    fixture.requests.handle(
+        AttemptFailed { first.id, AttemptOutcome::Unknown, "reset", AttemptFailure::Broken }, fixture.now,
+        fixture.effects);
+    CHECK(fixture.takeAttempts().empty());
+    CHECK(effectsOf<AbortResponse>(fixture.effects).size() == 1);
+    CHECK(effectsOf<FinishResponse>(fixture.effects).empty());
+}
+
+// Guards against work at endpoints for callers that are gone.
+TEST_CASE("The attempt of a caller that leaves ends at once")
+{
+    RequestsFixture fixture;
+    addEndpoints(fixture, "notes", 1, withM1);
+    const RequestId id = fixture.arrive("/note/1");
+    const auto attempt = fixture.takeAttempts().at(0);
+    fixture.requests.handle(CallerLeft { id }, fixture.now, fixture.effects);
+    const auto cancelled = effectsOf<CancelAttempt>(fixture.effects);
+    REQUIRE(cancelled.size() == 1);
+    CHECK(cancelled[0].id == attempt.id);
+    CHECK(fixture.requests.activeRequests() == 0);
+}
+
+namespace {
+
+struct WaitCase {
+    const char* path;
+    double timeLeftMs;
+    // The latest time of the refusal.
+    Duration expectedBy;
+};
+
+} // namespace
+
+// Guards against requests that are held until the caller gives up without an answer.
+TEST_CASE("A request that finds no replica is refused while its caller still listens")
+{
+    const auto test = GENERATE(values<WaitCase>({
+        { "/order/1", 1000, std::chrono::milliseconds(300) },
+        // The caller gives a stream up after the larger of two seconds and four times its goal.
+        { "/note/1", 10000, std::chrono::milliseconds(1980) },
+        { "/dossier/1", 1000, std::chrono::milliseconds(750) },
+    }));
+    RequestsFixture fixture;
+    const MonotonicTime arrivedAt = fixture.now;
+    fixture.arrive(test.path, "key-a", test.timeLeftMs);
+    while (fixture.requests.activeRequests() > 0 && fixture.now - arrivedAt < std::chrono::seconds(11))
+        fixture.advance(std::chrono::milliseconds(20));
+    const auto answers = fixture.takeAnswers();
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].status == 503);
+    INFO(test.path << " refused after "
+                   << std::chrono::duration_cast<std::chrono::milliseconds>(fixture.now - arrivedAt).count() << " ms");
+    CHECK(fixture.now - arrivedAt <= test.expectedBy);
+    CHECK(findHeader(answers[0].headers, "retry-after"));
+}
+
+// Guards against a waiting request that stays when its replica becomes ready.
+TEST_CASE("A waiting request is sent as soon as a replica is ready")
+{
+    RequestsFixture fixture;
+    addEndpoints(fixture, "notes", 1);
+    fixture.arrive("/note/1");
+    CHECK(fixture.takeAttempts().empty());
+    CHECK(fixture.requests.demand().at(0).waiting == 1);
+    PlacementNews news { 1, 1, { { EndpointId("notes0"), 1, withM1, {} } } };
+    fixture.directory.handle(HostId("owner"), news, fixture.now);
+    fixture.requests.advance(fixture.now, fixture.effects);
+    CHECK(fixture.takeAttempts().size() == 1);
+    CHECK(fixture.requests.demand().at(0).waiting == 0);
+}
+
+// Guards against a drain that leaves a request without an answer or takes work that it cannot finish.
+TEST_CASE("A stopping host answers what it cannot serve any more")
+{
+    RequestsFixture fixture;
+    addEndpoints(fixture, "orders", 1);
+    fixture.arrive("/order/1");
+    const auto running = fixture.takeAttempts();
+    fixture.arrive("/note/1");
+    fixture.requests.stopTaking(fixture.now, fixture.effects);
+    fixture.arrive("/order/2");
+    auto answers = fixture.takeAnswers();
+    REQUIRE(answers.size() == 2);
+    CHECK(answers[0].status == 503);
+    CHECK(answers[1].status == 503);
+    CHECK(fixture.takeAttempts().empty());
+    fixture.requests.endAll(fixture.now, fixture.effects);
+    answers = fixture.takeAnswers();
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].status == 504);
+    CHECK(running.size() == 1);
+    CHECK(fixture.requests.activeRequests() == 0);
+}
+
+// Guards against a request that crashes one endpoint after the other.
+TEST_CASE("A request that crashed its endpoints is not sent again")
+{
+    RequestsFixture fixture;
+    addEndpoints(fixture, "orders", 6);
+    int attempts = 0;
+    for (int i = 0; i < 6; ++i) {
+        RequestArrived request;
+        request.id = RequestId(100 + static_cast<std::uint64_t>(i));
+        request.method = "POST";
+        request.target = "/order/poison";
+        request.body = "the same";
+        request.headers = { { "Host", "h" }, { "id", std::to_string(i) } };
+        request.keyDigest = fixture.requests.activeRequests() == 0 ? "" : "";
+        request.target = "/open/poison";
+        fixture.requests.handle(request, fixture.now, fixture.effects);
+        for (const auto& attempt : fixture.takeAttempts()) {
+            ++attempts;
+            fixture.requests.handle(
+                AttemptFailed { attempt.id, AttemptOutcome::Unknown, "reset", AttemptFailure::Broken }, fixture.now,
+                fixture.effects);
+            fixture.requests.endpointDied(attempt.endpoint, fixture.now);
+        }
+        fixture.now += std::chrono::seconds(1);
+    }
+    CHECK(attempts <= 3);
+}
--- /dev/null
+++ b/tests/gateway/GatewaySettingsTest.cpp
@@ -0,0 +1,53 @@
+#include <catch2/catch.hpp>
+#include <catkinwell/gateway/GatewaySettings.h>
+#include <nlohmann/json.hpp>
+
+using namespace Catkinwell;
+
+namespace {
+
+nlohmann::json sample()
+{
+    return { { "host", "h" }, { "data_centre", "dc" }, { "caller_address", "127.0.0.1:1" },
+        { "status_address", "127.0.0.1:2" }, { "peer_address", "127.0.0.1:3" }, { "store_address", "127.0.0.1:4" },
+        { "requests", { { "retry_fraction", 0.2 } } }, { "log", { { "severity", "warning" } } } };
+}
+
+struct WrongCase {
+    const char* pointer;
+    nlohmann::json value;
+    // What the message must name.
+    const char* expected;
+};
+
+} // namespace
+
+TEST_CASE("Valid settings are taken over")
+{
+    const auto settings = parseGatewaySettings(sample().dump());
+    REQUIRE_FALSE(isError(settings));
+    CHECK(valueOf(settings).host == HostId("h"));
+    CHECK(valueOf(settings).requests.retryFraction == Approx(0.2));
+    CHECK(valueOf(settings).log.minimumSeverity == LogSeverity::Warning);
+}
+
+// Guards against a wrong setting that is silently ignored.
+TEST_CASE("A wrong setting is named with what is expected")
+{
+    const auto test = GENERATE(values<WrongCase>({
+        { "/host", 3, "\"host\" is 3" },
+        { "/store_address", "nowhere", "store_address" },
+        { "/lease_ttl_ms", -1, "lease_ttl_ms" },
+        { "/requests/retry_fraction", "much", "requests.retry_fraction" },
+        { "/requests/retries", 1, "requests.retries" },
+        { "/log/severity", "loud", "log.severity" },
+        { "/colour", "red", "colour" },
+    }));
+    nlohmann::json document = sample();
+    document[nlohmann::json::json_pointer(test.pointer)] = test.value;
+    const auto settings = parseGatewaySettings(document.dump());
+    REQUIRE(isError(settings));
+    INFO(errorOf(settings).message);
+    CHECK(errorOf(settings).kind == ErrorKind::InvalidSettings);
+    CHECK(errorOf(settings).message.find(test.expected) != std::string::npos);
+}
--- /dev/null
+++ b/tests/gateway/PrefixMirrorTest.cpp
@@ -0,0 +1,95 @@
+#include "gateway/GatewayFixture.h"
+#include <catch2/catch.hpp>
+#include <catkinwell/gateway/PrefixMirror.h>
+
+using namespace Catkinwell;
+using namespace Catkinwell::Testing;
+
+namespace {
+
+class MirrorFixture {
+public:
+    // Lets the time pass until the next call, at most a second, and returns it.
+    std::optional<StoreCall> nextCall()
+    {
+        for (int i = 0; i < 100; ++i) {
+            EffectList effects;
+            mirror.tick(now, effects);
+            const auto calls = effectsOf<StoreCall>(effects);
+            if (!calls.empty())
+                return calls.front();
+            now += std::chrono::milliseconds(10);
+        }
+        return std::nullopt;
+    }
+
+    std::vector<StoreEntry> reply(
+        const StoreCall& call, StoreStatus status, StoreVersion version = 0, std::vector<StoreEntry> entries = {})
+    {
+        StoreReply reply;
+        reply.id = call.id;
+        reply.status = status;
+        reply.version = version;
+        reply.entries = std::move(entries);
+        EffectList effects;
+        return mirror.handle(reply, now, effects);
+    }
+
+    MonotonicTime now { std::chrono::hours(1) };
+    PrefixMirror mirror { StoreUser::Configuration, { "p/" }, 1 };
+};
+
+} // namespace
+
+TEST_CASE("A mirror lists once and then follows the changes")
+{
+    MirrorFixture fixture;
+    const auto list = *fixture.nextCall();
+    CHECK(std::holds_alternative<StoreList>(list.operation));
+    CHECK(fixture.reply(list, StoreStatus::Ok, 5, { { "p/a", "1", 3 }, { "p/b", "2", 4 } }).size() == 2);
+    CHECK(fixture.mirror.isRead());
+    const auto watch = *fixture.nextCall();
+    REQUIRE(std::holds_alternative<StoreWatchPrefix>(watch.operation));
+    CHECK(std::get<StoreWatchPrefix>(watch.operation).afterVersion == 5);
+    const auto changes
+        = fixture.reply(watch, StoreStatus::Ok, 8, { { "p/a", "3", 7 }, { "p/b", "", 8, true }, { "p/a", "old", 2 } });
+    CHECK(changes.size() == 2);
+    CHECK(fixture.mirror.find("p/a")->value == "3");
+    CHECK_FALSE(fixture.mirror.find("p/b"));
+}
+
+// Guards against changes that are lost with the store's history.
+TEST_CASE("A lost history leads to a new list, which also shows what was deleted meanwhile")
+{
+    MirrorFixture fixture;
+    fixture.reply(*fixture.nextCall(), StoreStatus::Ok, 5, { { "p/a", "1", 3 }, { "p/b", "2", 4 } });
+    fixture.reply(*fixture.nextCall(), StoreStatus::HistoryLost);
+    const auto list = *fixture.nextCall();
+    REQUIRE(std::holds_alternative<StoreList>(list.operation));
+    const auto changes = fixture.reply(list, StoreStatus::Ok, 30, { { "p/a", "9", 20 } });
+    REQUIRE(changes.size() == 2);
+    CHECK(fixture.mirror.find("p/a")->value == "9");
+    CHECK_FALSE(fixture.mirror.find("p/b"));
+}
+
+// Guards against hosts that hammer a store which refuses them, and against a copy that is dropped in an outage.
+TEST_CASE("Refused calls are repeated with growing pauses and the copy stays")
+{
+    const auto status = GENERATE(values({ StoreStatus::Unavailable, StoreStatus::RateLimited, StoreStatus::Unknown,
+        StoreStatus::NotFound, StoreStatus::Conflict }));
+    MirrorFixture fixture;
+    fixture.reply(*fixture.nextCall(), StoreStatus::Ok, 5, { { "p/a", "1", 3 } });
+    const MonotonicTime start = fixture.now;
+    int calls = 0;
+    while (fixture.now - start < std::chrono::seconds(10)) {
+        if (const auto call = fixture.nextCall()) {
+            ++calls;
+            fixture.reply(*call, status);
+        }
+    }
+    INFO(nameOf(status) << ": " << calls << " calls in 10 s");
+    CHECK(calls <= 25);
+    CHECK(calls >= 8);
+    CHECK(fixture.mirror.find("p/a"));
+    CHECK(fixture.mirror.failingSince() != MonotonicTime());
+}
--- /dev/null
+++ b/tests/gateway/StreamCutterTest.cpp
@@ -0,0 +1,29 @@
+#include <catch2/catch.hpp>
+#include <catkinwell/gateway/StreamCutter.h>
+
+using namespace Catkinwell;
+
+// Guards against torn events, however the bytes of a stream are cut.
+TEST_CASE("Only whole events pass, at any cut")
+{
+    const std::string stream = "id: 1\ndata: a\n\nid: 22\ndata: b\n\nid: 333\r\ndata: c\r\n\r\n";
+    for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
+        StreamCutter cutter;
+        std::string passed = cutter.take(stream.substr(0, cut));
+        CHECK((passed.empty() || passed.ends_with("\n\n") || passed.ends_with("\r\n\r\n")));
+        CHECK(stream.starts_with(passed));
+        passed += cutter.take(stream.substr(cut));
+        CHECK(passed == stream);
+        CHECK(cutter.lastEventId() == "333");
+        CHECK(cutter.takeRest().empty());
+    }
+}
+
+TEST_CASE("A part that was not completed can be dropped")
+{
+    StreamCutter cutter;
+    CHECK(cutter.take("id: 1\n\nid: 2\nda") == "id: 1\n\n");
+    cutter.dropPartial();
+    CHECK(cutter.take("id: 2\n\n") == "id: 2\n\n");
+    CHECK(cutter.lastEventId() == "2");
+}
--- /dev/null
+++ b/tests/http/CallerListenerTest.cpp
@@ -0,0 +1,111 @@
+#include "http/RawPeer.h"
+#include <catch2/catch.hpp>
+#include <catkinwell/http/CallerListener.h>
+
+using namespace Catkinwell;
+using namespace Catkinwell::Testing;
+
+namespace {
+
+// A listener whose requests are answered at once with method, target and body.
+class EchoFixture {
+public:
+    explicit EchoFixture(ListenerSettings settings = {})
+        : listener(loop, withAddress(std::move(settings)), 0)
+    {
+        REQUIRE_FALSE(isError(listener.start()));
+        listener.signalRequest().connect([this](const RequestArrived& request) {
+            ++requests;
+            listener.execute(SendWholeResponse {
+                request.id, 200, {}, "[" + request.method + " " + request.target + " " + request.body + "]" });
+        });
+    }
+
+    std::string send(const std::string& text, Duration duration = std::chrono::milliseconds(200))
+    {
+        return exchangeRaw(loop, listener.port(), text, duration);
+    }
+
+    EventLoop loop;
+    CallerListener listener;
+    int requests = 0;
+
+private:
+    static ListenerSettings withAddress(ListenerSettings settings)
+    {
+        settings.address = "127.0.0.1:0";
+        settings.forwardsUnchanged = true;
+        return settings;
+    }
+};
+
+struct WireCase {
+    const char* what;
+    const char* sent;
+    // Texts that the answer must hold.
+    std::vector<const char*> expected;
+    int expectedRequests;
+};
+
+} // namespace
+
+// Guards against bodies that run as requests, refused legal framings and refusals without the typed error.
+TEST_CASE("The bytes of callers are read as they were meant")
+{
+    const auto test = GENERATE(values<WireCase>({
+        { "two pipelined requests", "GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b?x=1 HTTP/1.1\r\nHost: h\r\n\r\n",
+            { "[GET /a ]", "[GET /b?x=1 ]" }, 2 },
+        { "a chunk with an extension",
+            "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4;x=y\r\nabcd\r\n0\r\n\r\n",
+            { "[POST /a abcd]" }, 1 },
+        { "a chunk size that is no number",
+            "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabcd\r\n0\r\n\r\n",
+            { "400 Bad Request", "application/json", "\"outcome\":\"not_run\"", "<closed>" }, 0 },
+        { "an unknown encoding with a smuggled request",
+            "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n",
+            { "501 ", "\"code\":\"invalid_request\"", "<closed>" }, 0 },
+        { "an expectation", "POST /a HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n",
+            { "100 Continue" }, 0 },
+        { "a request to close", "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", { "[GET /a ]", "<closed>" },
+            1 },
+        { "an upgrade that nobody offers",
+            "GET /a HTTP/1.1\r\nHost: h\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nGET /b HTTP/1.1\r\nHost: "
+            "h\r\n\r\n",
+            { "[GET /a ]", "[GET /b ]" }, 2 },
+    }));
+    EchoFixture fixture;
+    const std::string received = fixture.send(test.sent);
+    INFO(test.what << ": " << received);
+    for (const char* expected : test.expected)
+        CHECK(received.find(expected) != std::string::npos);
+    CHECK(fixture.requests == test.expectedRequests);
+}
+
+// Guards against callers that hold a connection with a head that never ends.
+TEST_CASE("A head that does not end is refused after the header timeout")
+{
+    ListenerSettings settings;
+    settings.headerTimeout = std::chrono::milliseconds(100);
+    EchoFixture fixture(settings);
+    const std::string received = fixture.send("GET /a HTTP/1.1\r\nHost: h\r\nX-", std::chrono::seconds(2));
+    INFO(received);
+    CHECK(received.find("408 ") != std::string::npos);
+    CHECK(received.ends_with("<closed>"));
+}
+
+// Guards against bounds that hold only for requests with a stated length.
+TEST_CASE("A body beyond the bound is refused however it is framed")
+{
+    const auto test = GENERATE(values<std::string>({
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 40\r\n\r\n",
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n28\r\n"
+        "0123456789012345678901234567890123456789\r\n0\r\n\r\n",
+    }));
+    ListenerSettings settings;
+    settings.maximumBodyBytes = 20;
+    EchoFixture fixture(settings);
+    const std::string received = fixture.send(test);
+    INFO(received);
+    CHECK(received.find("413 ") != std::string::npos);
+    CHECK(fixture.requests == 0);
+}
--- /dev/null
+++ b/tests/http/RawPeer.cpp
@@ -0,0 +1,160 @@
+#include "http/RawPeer.h"
+
+#include <arpa/inet.h>
+#include <catkinwell/loop/Timeval.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <stdexcept>
+
+namespace Catkinwell::Testing {
+
+namespace {
+
+    sockaddr_in loopback(std::uint16_t port)
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        address.sin_port = htons(port);
+        return address;
+    }
+
+} // namespace
+
+std::string exchangeRaw(EventLoop& loop, std::uint16_t port, const std::string& text, Duration duration)
+{
+    struct Exchange {
+        EventLoop& loop;
+        std::string received;
+        bool isOver = false;
+    } exchange { loop, {}, false };
+    bufferevent* stream = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(
+        stream,
+        [](bufferevent* source, void* context) {
+            auto& self = *static_cast<Exchange*>(context);
+            evbuffer* input = bufferevent_get_input(source);
+            std::string data(evbuffer_get_length(input), '\0');
+            evbuffer_remove(input, data.data(), data.size());
+            self.received += data;
+        },
+        nullptr,
+        [](bufferevent*, short what, void* context) {
+            if (what & BEV_EVENT_CONNECTED)
+                return;
+            auto& self = *static_cast<Exchange*>(context);
+            self.isOver = true;
+            self.loop.stop();
+        },
+        &exchange);
+    sockaddr_in address = loopback(port);
+    bufferevent_socket_connect(stream, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    bufferevent_write(stream, text.data(), text.size());
+    bufferevent_enable(stream, EV_READ | EV_WRITE);
+    const timeval limit = toTimeval(duration);
+    event_base_loopexit(loop.base(), &limit);
+    loop.run();
+    bufferevent_free(stream);
+    return exchange.received + (exchange.isOver ? "<closed>" : "");
+}
+
+struct ScriptedServer::State {
+    struct Connection {
+        State* owner = nullptr;
+        bufferevent* stream = nullptr;
+    };
+
+    State(EventLoop& eventLoop, std::vector<Step> script)
+        : loop(eventLoop)
+        , steps(std::move(script))
+    {
+    }
+
+    EventLoop& loop;
+    std::vector<Step> steps;
+    std::size_t next = 0;
+    evconnlistener* listener = nullptr;
+    std::vector<std::unique_ptr<Connection>> connections;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+    static void readable(bufferevent* stream, void* context)
+    {
+        auto& connection = *static_cast<Connection*>(context);
+        evbuffer* input = bufferevent_get_input(stream);
+        const evbuffer_ptr end = evbuffer_search(input, "\r\n\r\n", 4, nullptr);
+        if (end.pos < 0)
+            return;
+        evbuffer_drain(input, evbuffer_get_length(input));
+        connection.owner->answer(connection);
+    }
+
+    void answer(Connection& connection)
+    {
+        const Step step = steps.at(std::min(next, steps.size() - 1));
+        ++next;
+        const int socket = bufferevent_getfd(connection.stream);
+        // Written at once, so that a reset can follow behind the bytes.
+        if (send(socket, step.answer.data(), step.answer.size(), MSG_NOSIGNAL) < 0)
+            return;
+        if (step.resets || step.closes) {
+            const linger immediately { step.resets ? 1 : 0, 0 };
+            setsockopt(socket, SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
+            // A reset discards what the peer has not read yet.
+            loop.callLater(std::chrono::milliseconds(30), [&connection, isAlive = std::weak_ptr(alive)] {
+                if (isAlive.expired() || !connection.stream)
+                    return;
+                bufferevent_free(connection.stream);
+                connection.stream = nullptr;
+            });
+        }
+        if (!step.later.empty())
+            loop.callLater(step.delay, [&connection, text = step.later, isAlive = std::weak_ptr(alive)] {
+                if (!isAlive.expired() && connection.stream)
+                    bufferevent_write(connection.stream, text.data(), text.size());
+            });
+    }
+};
+
+ScriptedServer::ScriptedServer(EventLoop& loop, std::vector<Step> steps)
+    : m_state(std::make_unique<State>(loop, std::move(steps)))
+{
+    sockaddr_in address = loopback(0);
+    m_state->listener = evconnlistener_new_bind(
+        loop.base(),
+        [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* context) {
+            auto& state = *static_cast<State*>(context);
+            auto connection = std::make_unique<State::Connection>();
+            connection->owner = &state;
+            connection->stream = bufferevent_socket_new(state.loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
+            bufferevent_setcb(connection->stream, State::readable, nullptr, nullptr, connection.get());
+            bufferevent_enable(connection->stream, EV_READ | EV_WRITE);
+            state.connections.push_back(std::move(connection));
+        },
+        m_state.get(), LEV_OPT_CLOSE_ON_FREE, 64, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    if (!m_state->listener)
+        throw std::runtime_error("the scripted server found no free port on the loopback address");
+}
+
+ScriptedServer::~ScriptedServer()
+{
+    evconnlistener_free(m_state->listener);
+    for (const auto& connection : m_state->connections) {
+        if (connection->stream)
+            bufferevent_free(connection->stream);
+    }
+}
+
+std::uint16_t ScriptedServer::port() const
+{
+    sockaddr_in bound {};
+    socklen_t size = sizeof(bound);
+    getsockname(evconnlistener_get_fd(m_state->listener), reinterpret_cast<sockaddr*>(&bound), &size);
+    return ntohs(bound.sin_port);
+}
+
+std::size_t ScriptedServer::requests() const { return m_state->next; }
+
+} // namespace Catkinwell::Testing
--- /dev/null
+++ b/tests/platform/PlatformProtocolTest.cpp
@@ -0,0 +1,131 @@
+#include "platform/PlatformProtocol.h"
+
+#include "http/HeaderText.h"
+#include <catch2/catch.hpp>
+#include <catkinwell/core/Digest.h>
+
+using namespace Catkinwell;
+
+namespace {
+
+const char* const configurationText = R"({"version":7,
+ "routes":[{"name":"r","host":"h","prefix":"/p/","route_type":"streaming","timeout_ms":30000,
+   "target_latency_ms":4000,"priority":1,"max_attempts":2,"public":false,"resumable":true,"gap_aim_ms":300,
+   "traffic_split":[{"service":"s","weight":90},{"service":"t","weight":10}]},
+  {"name":"q","host":"h","prefix":"/q/","route_type":"safe","service":"t"}],
+ "services":[{"name":"s","health_path":"/health","engine":{"slots":64,"weights_mb":220000.0,"adapter_slots":8,
+   "loads_per_s":2.8,"models":[{"name":"m","weights_mb":72700.0,"load_time_s":6.9,"adapter_mb":66.0,"warm_s":0.81,
+   "disk_s":1.7}]}},{"name":"t"}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+ "tenants":[{"name":"a","api_keys":["k1","k2"],"priority":1,"unit":"token_count","plain_tokens":200,
+   "rate_per_s":35953,"burst":35953}]})";
+
+struct RecordCase {
+    const char* what;
+    const char* text;
+    bool isUsable;
+};
+
+} // namespace
+
+TEST_CASE("The operators' configuration is read")
+{
+    const auto result = PlatformProtocol().readConfiguration(configurationText);
+    REQUIRE_FALSE(isError(result));
+    const GatewayConfiguration& configuration = valueOf(result);
+    CHECK(configuration.version == 7);
+    REQUIRE(configuration.routes.size() == 2);
+    const Route& route = configuration.routes[0];
+    CHECK(route.isStream);
+    CHECK(route.isResumable);
+    CHECK(route.maximumAttempts == 2);
+    CHECK(route.timeout == std::chrono::seconds(30));
+    CHECK(route.targets.size() == 2);
+    CHECK(configuration.routes[1].isIdempotent);
+    REQUIRE(configuration.engineOf("s"));
+    CHECK(configuration.engineOf("s")->models.at(ModelId("m")).loadFromDisk == std::chrono::milliseconds(1700));
+    CHECK_FALSE(configuration.engineOf("t"));
+    CHECK(configuration.accountOfKeyDigest.at(sha256Hex("k2")) == AccountId("a"));
+    CHECK(configuration.accounts.at(AccountId("a")).plainUnits == 200);
+    CHECK(configuration.limits.idleTimeout == std::chrono::seconds(15));
+}
+
+TEST_CASE("A configuration that cannot be read is an error with its reason")
+{
+    const auto text = GENERATE(values<std::string>({ "", "[]", "{}", R"({"version":"7"})", R"({"version":-1})" }));
+    const auto result = PlatformProtocol().readConfiguration(text);
+    REQUIRE(isError(result));
+    CHECK(errorOf(result).kind == ErrorKind::InvalidConfiguration);
+}
+
+// Guards against requests that go to an address which another writer put into the store.
+TEST_CASE("Only a complete record names an endpoint")
+{
+    const auto test = GENERATE(values<RecordCase>({
+        { "a record",
+            R"({"service":"s","address":"1.2.3.4:5","zone":"z","state":"ready","slots":64,"born":9,"sequence":4})",
+            true },
+        { "a leaving endpoint",
+            R"({"service":"s","address":"1.2.3.4:5","zone":"z","state":"draining","slots":64,"remaining_ms":900})",
+            true },
+        { "no address", R"({"service":"s","zone":"z","state":"ready","slots":64})", false },
+        { "an address of another type", R"({"service":"s","address":7,"zone":"z","state":"ready","slots":6})", false },
+        { "an unknown state", R"({"service":"s","address":"1.2.3.4:5","zone":"z","state":"resting","slots":6})",
+            false },
+        { "no slots", R"({"service":"s","address":"1.2.3.4:5","zone":"z","state":"ready"})", false },
+        { "no JSON", "\x01\x02", false },
+        { "a list", "[1,2]", false },
+    }));
+    const auto result = PlatformProtocol().readEndpoint("servers/i-1", test.text);
+    INFO(test.what);
+    CHECK_FALSE(isError(result) == test.isUsable);
+    if (!isError(result))
+        CHECK(valueOf(result).id == EndpointId("i-1"));
+}
+
+// Guards against callers that set what only the system may say, and against keys that reach an endpoint.
+TEST_CASE("An attempt carries the caller's headers and the system's own")
+{
+    const HeaderList sent { { "Host", "h" }, { "Catkinwell-Request-Id", "id" }, { "X-Own", "1" },
+        { "Catkinwell-Tenant", "other" }, { "Catkinwell-Hold", "1" }, { "catkinwell-pin-ms", "1" },
+        { "Catkinwell-Kv-Backup", "1.2.3.4:5" }, { "Kv-From", "x" }, { "Kv-Fetch", "x" },
+        { "Catkinwell-Expect-Instance", "wrong" }, { "Catkinwell-Deadline-Ms", "99999" },
+        { "Catkinwell-Request-Priority", "0" }, { "Last-Event-Id", "3" } };
+    AttemptTerms terms;
+    terms.timeLeft = std::chrono::milliseconds(1500);
+    terms.endpoint = EndpointId("i-1");
+    terms.account = AccountId("mine");
+    terms.priority = 12;
+    terms.lastEventId = "8";
+    const HeaderList headers = PlatformProtocol().attemptHeaders(sent, terms);
+    const auto count = [&headers](std::string_view name) {
+        return std::count_if(headers.begin(), headers.end(),
+            [name](const auto& header) { return equalIgnoringCase(header.first, name); });
+    };
+    CHECK(*findHeader(headers, "X-Own") == "1");
+    CHECK(*findHeader(headers, "Catkinwell-Request-Id") == "id");
+    CHECK(*findHeader(headers, "Catkinwell-Tenant") == "mine");
+    CHECK(*findHeader(headers, "Catkinwell-Expect-Instance") == "i-1");
+    CHECK(*findHeader(headers, "Catkinwell-Deadline-Ms") == "1500");
+    CHECK(*findHeader(headers, "Catkinwell-Request-Priority") == "9");
+    CHECK(*findHeader(headers, "Last-Event-Id") == "8");
+    for (const char* name : { "Catkinwell-Tenant", "Catkinwell-Expect-Instance", "Catkinwell-Deadline-Ms",
+             "Catkinwell-Request-Priority", "Last-Event-Id" })
+        CHECK(count(name) == 1);
+    for (const char* name : { "Catkinwell-Hold", "Catkinwell-Pin-Ms", "Catkinwell-Kv-Backup", "Kv-From", "Kv-Fetch" })
+        CHECK(count(name) == 0);
+}
+
+TEST_CASE("What a request says is read")
+{
+    RequestArrived request;
+    request.headers = { { "Catkinwell-Request-Id", "id" }, { "Catkinwell-Deadline-Ms", "2500" },
+        { "Catkinwell-Model", "m/a3" }, { "Catkinwell-Token-Usage", "1460,80" },
+        { "Catkinwell-Prompt-Prefix", "5c1e:800, 91bd:410" } };
+    const RequestTerms terms = PlatformProtocol().termsOf(request);
+    CHECK(terms.callerRequestId == "id");
+    CHECK(terms.timeLeft == Duration(std::chrono::milliseconds(2500)));
+    CHECK(terms.variant.text() == "m/a3");
+    CHECK(terms.tokens == 1540);
+    CHECK(terms.promptParts == std::vector<std::string> { "5c1e", "91bd" });
+}
