Place models in the order of their load; leave idle models alone

Causes: models were placed in the order of their names, so a model with 50 waiting requests came after 60 idle ones; a replica behind a cut counted as present; every model once asked for was loaded as if busy; the shares of low quotas starved accounts that send little.

--- a/include/catkinwell/gateway/EnginePlacement.h
+++ b/include/catkinwell/gateway/EnginePlacement.h
@@ -86,6 +86,8 @@
         std::set<ModelId> unloading;
         // Refusals in a row because of another order or another number of orders.
         unsigned conflicts = 0;
+        // Failed status calls and orders in a row.
+        unsigned failures = 0;
         std::map<ModelId, MonotonicTime> loadedAt;
         std::map<ModelVariant, MonotonicTime> adapterUse;
         MonotonicTime nextStatusAt {};
@@ -103,6 +105,15 @@
         MonotonicTime lastArrivalAt {};
     };
 
+    // All demand for a model, with that for its adapters.
+    struct ModelLoad {
+        std::string service;
+        ModelId model;
+        unsigned waiting = 0;
+        double running = 0;
+        double rate = 0;
+    };
+
     struct HostDemand {
         std::map<std::pair<std::string, ModelVariant>, VariantDemand> entries;
     };
@@ -146,6 +157,9 @@
     Duration loadTime(const Engine&, const ModelId&, WeightSource) const;
     const GatewayModel* settingsOf(const Engine&, const ModelId&) const;
     unsigned replicas(const ModelId&, bool withComing) const;
+    std::vector<ModelLoad> modelLoads() const;
+    unsigned usableReplicas(const ModelId&, MonotonicTime now) const;
+    bool isReachable(const Engine&, MonotonicTime now) const;
     unsigned wantedReplicas(const std::string& service, const ModelId&) const;
     double rateOf(const ModelId&) const;
     unsigned waitingFor(const ModelId&) const;
--- a/include/catkinwell/gateway/PlacementOwnership.h
+++ b/include/catkinwell/gateway/PlacementOwnership.h
@@ -27,6 +27,8 @@
     // Precondition: the mirror covers the keys.
     void tick(const LeaseStatus&, const PrefixMirror&, MonotonicTime now, EffectList&);
     void handle(const StoreReply&, MonotonicTime now, EffectList&);
+    // Keeps the ownership if this host has it, but does not compete for it any more.
+    void stopCompeting() { m_isStopping = true; }
     // Gives the ownership up and does not compete again.
     void release(EffectList&);
 
@@ -60,6 +62,7 @@
     MonotonicTime m_acquiredAt {};
     MonotonicTime m_ordersFrom {};
     LeaseId m_competingLease;
+    bool m_isStopping = false;
     bool m_isReleased = false;
 };
 
--- a/src/gateway/EnginePlacement.cpp
+++ b/src/gateway/EnginePlacement.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <catkinwell/core/Digest.h>
 #include <cmath>
+#include <tuple>
 
 namespace Catkinwell {
 
@@ -31,6 +32,7 @@
     constexpr Duration adapterIdleTime = std::chrono::milliseconds(700);
     // After so many refusals the engine's number of orders is read anew.
     constexpr unsigned maximumConflicts = 4;
+    constexpr unsigned unreachableFailures = 2;
     constexpr double protectedValue = 20;
     constexpr double runningValue = 0.8;
     // What a request loses, in seconds, when its model has to be loaded again first.
@@ -257,6 +259,7 @@
         return;
     Engine& engine = found->second;
     engine.isStatusPending = false;
+    engine.failures = 0;
     if (status.incarnation != engine.record.incarnation)
         return;
     if (!status.onDisk.empty() || !status.inHostMemory.empty()) {
@@ -293,6 +296,7 @@
     if (found == m_engines.end())
         return;
     found->second.isStatusPending = false;
+    ++found->second.failures;
     found->second.nextStatusAt = now + std::chrono::milliseconds(500);
     effects.push_back(LogEntry {
         LogEvent::GatewayStatusFailed, { { "endpoint", failed.endpoint.value }, { "reason", failed.reason } } });
@@ -362,6 +366,7 @@
     case EngineOrderOutcome::Unknown:
         engine.pending.reset();
         engine.isVerified = false;
+        ++engine.failures;
         engine.notBefore = now + orderRetryPause;
         engine.nextStatusAt = now;
         break;
@@ -403,6 +408,7 @@
     case EngineOrderOutcome::Unknown:
         engine.adapterPending.reset();
         engine.isVerified = false;
+        ++engine.failures;
         engine.notBefore = now + orderRetryPause;
         engine.nextStatusAt = now;
         break;
@@ -485,6 +491,24 @@
     return count;
 }
 
+unsigned EnginePlacement::usableReplicas(const ModelId& model, MonotonicTime now) const
+{
+    return static_cast<unsigned>(std::count_if(m_engines.begin(), m_engines.end(), [&](const auto& item) {
+        const Engine& engine = item.second;
+        const bool isComing = engine.nextLoad == model
+            || (engine.pending && engine.pending->order.kind == EngineOrderKind::Load
+                && engine.pending->order.model == model);
+        return isReachable(engine, now) && (engine.models.contains(model) || isComing);
+    }));
+}
+
+// Whether this host reaches the engine, as far as it knows.
+bool EnginePlacement::isReachable(const Engine& engine, MonotonicTime now) const
+{
+    return engine.failures < unreachableFailures && !engine.record.isLeaving
+        && m_directory.isUsable(engine.record.id, now);
+}
+
 double EnginePlacement::rateOf(const ModelId& model) const
 {
     double rate = 0;
@@ -508,7 +532,8 @@
     if (!settings || running == m_running.end())
         return 1;
     const double perReplica = std::max(1.0, settings->batchSize * m_settings.busyShare);
-    return std::max(1U, static_cast<unsigned>(std::ceil(running->second / perReplica)));
+    const double load = running->second + waitingFor(model);
+    return std::max(1U, static_cast<unsigned>(std::ceil(load / perReplica)));
 }
 
 double EnginePlacement::memoryUsed(const Engine& engine, const GatewayEngine& settings) const
@@ -747,15 +772,37 @@
     }
 }
 
-void EnginePlacement::planWaitingModels(MonotonicTime now, EffectList& effects)
+// The models of all services in the order of the load that asks for them.
+std::vector<EnginePlacement::ModelLoad> EnginePlacement::modelLoads() const
 {
+    std::map<std::pair<std::string, ModelId>, ModelLoad> loads;
     for (const auto& [key, demand] : m_demand) {
-        const ModelId& model = key.second.model;
-        if (demand.waiting == 0 || replicas(model, true) > 0)
+        ModelLoad& load = loads[{ key.first, key.second.model }];
+        load.service = key.first;
+        load.model = key.second.model;
+        load.waiting += demand.waiting;
+        load.rate += demand.rate;
+    }
+    std::vector<ModelLoad> list;
+    for (auto& [key, load] : loads) {
+        const auto running = m_running.find(load.model);
+        load.running = running == m_running.end() ? 0 : running->second;
+        list.push_back(load);
+    }
+    std::sort(list.begin(), list.end(), [](const ModelLoad& left, const ModelLoad& right) {
+        return std::tuple(left.waiting + left.running, left.rate) > std::tuple(right.waiting + right.running, right.rate);
+    });
+    return list;
+}
+
+void EnginePlacement::planWaitingModels(MonotonicTime now, EffectList& effects)
+{
+    for (const ModelLoad& load : modelLoads()) {
+        if (load.waiting == 0 || usableReplicas(load.model, now) > 0)
             continue;
-        const bool mayUseStore = mayLoadFromStore(key.first, true, now);
-        if (const auto candidate = bestCandidate(key.first, model, mayUseStore, now))
-            begin(*candidate, model, "requests_wait", now, effects);
+        const bool mayUseStore = mayLoadFromStore(load.service, true, now);
+        if (const auto candidate = bestCandidate(load.service, load.model, mayUseStore, now))
+            begin(*candidate, load.model, "requests_wait", now, effects);
     }
 }
 
@@ -763,17 +810,16 @@
 {
     if (now < m_nextPlanAt)
         return;
-    m_nextPlanAt = now + std::chrono::milliseconds(200);
-    for (const auto& [service, settings] : m_configuration.services) {
-        if (!settings.engine)
+    m_nextPlanAt = now + std::chrono::milliseconds(100);
+    for (const ModelLoad& load : modelLoads()) {
+        // One replica is a matter of the requests that wait.
+        const unsigned wanted = wantedReplicas(load.service, load.model);
+        if (wanted <= 1 || usableReplicas(load.model, now) >= wanted)
             continue;
-        for (const auto& [model, running] : std::map<ModelId, double>(m_running)) {
-            if (!settings.engine->models.contains(model) || replicas(model, true) >= wantedReplicas(service, model))
-                continue;
-            const auto candidate = bestCandidate(service, model, mayLoadFromStore(service, false, now), now);
-            if (candidate && candidate->cost < hotValue)
-                begin(*candidate, model, "busy", now, effects);
-        }
+        const bool mayUseStore = mayLoadFromStore(load.service, load.waiting > 0, now);
+        const auto candidate = bestCandidate(load.service, load.model, mayUseStore, now);
+        if (candidate && candidate->cost < hotValue)
+            begin(*candidate, load.model, "busy", now, effects);
     }
 }
 
--- a/src/gateway/FleetQuota.cpp
+++ b/src/gateway/FleetQuota.cpp
@@ -11,6 +11,8 @@
     constexpr double initialSeconds = 0.5;
     // A peer that was silent for so many report intervals is assumed to admit its part.
     constexpr int silentIntervals = 3;
+    // What the hosts spend twice when they report at least so often stays within the tolerance of a limit.
+    constexpr Duration unnoticedInterval = std::chrono::milliseconds(250);
     constexpr Duration sharesInterval = std::chrono::milliseconds(250);
     // The time over which demand is averaged.
     constexpr double demandSeconds = 1.5;
@@ -167,8 +169,9 @@
     // A request larger than the whole burst may go when the bucket is full.
     const double needed = std::min(units, bucket.settings.burst);
     // What the others may have spent since they reported last.
-    const double reserve = m_peers.empty() ? 0 : std::min(bucket.settings.burst, rate * secondsOf(m_reportInterval));
-    const bool isLow = bucket.level - needed < reserve;
+    const Duration unheard = std::max(Duration::zero(), m_reportInterval - unnoticedInterval);
+    const double reserve = m_peers.empty() ? 0 : std::min(bucket.settings.burst, rate * secondsOf(unheard));
+    const bool isLow = reserve > 0 && bucket.level - needed < reserve;
     // The last request that an allowance pays for may exceed it; the next one waits for that.
     if (bucket.level < needed || (isLow && bucket.allowance <= 0)) {
         const double missing = std::max(needed - bucket.level, -bucket.allowance);
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -505,9 +505,7 @@
     effects.push_back(
         LogEntry { LogEvent::ShutdownRequested, { { "running", std::to_string(m_requests.activeRequests()) } } });
     effects.push_back(AnnounceClosing {});
-    m_ownership.release(effects);
-    m_placement.setPermission(std::nullopt, now);
-    m_lease.revoke(effects);
+    m_ownership.stopCompeting();
     m_nextDigestAt = now;
     sendDigests(now, effects);
     reportReadiness(effects);
@@ -528,6 +526,9 @@
         return;
     m_phase = Phase::Finished;
     m_requests.endAll(now, effects);
+    m_ownership.release(effects);
+    m_placement.setPermission(std::nullopt, now);
+    m_lease.revoke(effects);
     effects.push_back(LogEntry { isDrained ? LogEvent::ShutdownFinished : LogEvent::ShutdownForced,
         { { "running", std::to_string(m_requests.activeRequests()) } } });
     effects.push_back(ExitProcess { 0 });
--- a/src/gateway/PlacementOwnership.cpp
+++ b/src/gateway/PlacementOwnership.cpp
@@ -40,6 +40,8 @@
     }
     if (m_isReleased || m_pending.value != 0 || now < m_notBefore || !mirror.isRead() || !lease.isValidAt(now))
         return;
+    if (m_heldVersion == 0 && m_isStopping)
+        return;
     if (m_heldVersion == 0)
         compete(lease, mirror, now, effects);
     else if (!m_isRecorded)
