Keep replicas of models in demand in several data centres; order store loads by what waits

Cause: one crash or a cut left a model with a quarter of the traffic without a replica for 14 s; loads for single requests made its load slower.

--- a/include/catkinwell/gateway/EnginePlacement.h
+++ b/include/catkinwell/gateway/EnginePlacement.h
@@ -18,7 +18,9 @@
 struct EnginePlacementSettings {
     // Loads from the weight store that run at the same time; more make each of them slower.
     unsigned concurrentStoreLoads = 4;
-    // Further ones that may run for models that requests wait for.
+    // Kept for models that requests wait for.
+    unsigned reservedStoreLoads = 1;
+    // Further ones that may run for models that many requests wait for.
     unsigned extraStoreLoads = 2;
     // Running requests that a replica of a busy model takes, as a part of the engine's batch.
     double busyShare = 0.1;
@@ -151,7 +153,8 @@
     bool mayOrder(const Engine&, MonotonicTime now) const;
     void finishAdapter(Engine&, MonotonicTime now);
     void handleAdapterOrder(Engine&, const EngineOrderFinished&, MonotonicTime now, EffectList&);
-    bool mayLoadFromStore(const std::string& service, bool isWaitedFor, MonotonicTime now) const;
+    bool mayLoadFromStore(const std::string& service, unsigned waiting, MonotonicTime now) const;
+    unsigned storeLoadBound(unsigned waiting) const;
     unsigned storeLoadsRunning() const;
     WeightSource sourceOf(const Engine&, const ModelId&) const;
     Duration loadTime(const Engine&, const ModelId&, WeightSource) const;
--- a/src/gateway/EnginePlacement.cpp
+++ b/src/gateway/EnginePlacement.cpp
@@ -40,6 +40,13 @@
     // The part of the requests for adapters that need an order.
     constexpr double adapterMissShare = 0.3;
     // Copies on disks of a model, and of one with adapters, which is more likely to be in demand.
+    constexpr unsigned manyWaiting = 4;
+    // Replicas that a model in steady demand keeps in any case, so that the loss of one endpoint or data centre does
+    // not leave it without.
+    constexpr unsigned hotReplicas = 2;
+    constexpr double veryHotRate = 2;
+    constexpr unsigned veryHotReplicas = 3;
+    constexpr double sameDataCentreCost = 0.6;
     constexpr unsigned wantedCopies = 1;
     constexpr unsigned wantedCopiesWithAdapters = 2;
     constexpr double hotRate = 0.6;
@@ -108,7 +115,8 @@
 void EnginePlacement::noteCompletion(Engine& engine, const LoadedModels& models, MonotonicTime now)
 {
     std::erase_if(engine.unloading, [&models](const ModelId& model) { return !models.contains(model); });
-    if (!engine.pending || !engine.pending->isAccepted || engine.pending->order.kind != EngineOrderKind::Load || !models.contains(engine.pending->order.model))
+    if (!engine.pending || !engine.pending->isAccepted || engine.pending->order.kind != EngineOrderKind::Load
+        || !models.contains(engine.pending->order.model))
         return;
     const ModelId model = engine.pending->order.model;
     engine.models[model];
@@ -422,7 +430,6 @@
         && m_directory.isUsable(engine.record.id, now);
 }
 
-
 const GatewayModel* EnginePlacement::settingsOf(const Engine& engine, const ModelId& model) const
 {
     const GatewayEngine* settings = m_configuration.engineOf(engine.record.service);
@@ -455,6 +462,14 @@
     return settings->loadFromStore;
 }
 
+// Copies that nobody waits for leave room, and many waiting requests are worth making the other loads slower.
+unsigned EnginePlacement::storeLoadBound(unsigned waiting) const
+{
+    if (waiting == 0)
+        return std::max(1U, m_settings.concurrentStoreLoads - m_settings.reservedStoreLoads);
+    return m_settings.concurrentStoreLoads + (waiting >= manyWaiting ? m_settings.extraStoreLoads : 0);
+}
+
 unsigned EnginePlacement::storeLoadsRunning() const
 {
     return static_cast<unsigned>(std::count_if(m_engines.begin(), m_engines.end(), [](const auto& item) {
@@ -464,11 +479,9 @@
     }));
 }
 
-bool EnginePlacement::mayLoadFromStore(const std::string& service, bool isWaitedFor, MonotonicTime now) const
+bool EnginePlacement::mayLoadFromStore(const std::string& service, unsigned waiting, MonotonicTime now) const
 {
-    // Requests that wait are worth making the other loads a little slower.
-    const unsigned bound = m_settings.concurrentStoreLoads + (isWaitedFor ? m_settings.extraStoreLoads : 0);
-    if (storeLoadsRunning() >= bound)
+    if (storeLoadsRunning() >= storeLoadBound(waiting))
         return false;
     const GatewayEngine* settings = m_configuration.engineOf(service);
     if (!settings || settings->loadsPerSecond <= 0)
@@ -529,11 +542,13 @@
 {
     const GatewayEngine* settings = m_configuration.engineOf(service);
     const auto running = m_running.find(model);
-    if (!settings || running == m_running.end())
+    if (!settings)
         return 1;
     const double perReplica = std::max(1.0, settings->batchSize * m_settings.busyShare);
-    const double load = running->second + waitingFor(model);
-    return std::max(1U, static_cast<unsigned>(std::ceil(load / perReplica)));
+    const double load = (running == m_running.end() ? 0 : running->second) + waitingFor(model);
+    const double rate = rateOf(model);
+    const unsigned least = rate > veryHotRate ? veryHotReplicas : (rate > hotRate ? hotReplicas : 1);
+    return std::max(least, static_cast<unsigned>(std::ceil(load / perReplica)));
 }
 
 double EnginePlacement::memoryUsed(const Engine& engine, const GatewayEngine& settings) const
@@ -596,8 +611,12 @@
         others.emplace_back(keepValue(engine, other, now), other);
     std::sort(others.begin(), others.end());
     const double seconds = secondsOf(loadTime(engine, model.id, candidate.source));
+    const bool hasNeighbour = std::any_of(m_engines.begin(), m_engines.end(), [&](const auto& item) {
+        return item.second.record.dataCentre == engine.record.dataCentre && item.second.models.contains(model.id);
+    });
     // Adapters cannot be loaded meanwhile.
-    candidate.cost = seconds + seconds * adapterRate(engine) * adapterMissShare;
+    candidate.cost
+        = seconds + seconds * adapterRate(engine) * adapterMissShare + (hasNeighbour ? sameDataCentreCost : 0);
     for (const auto& [value, other] : others) {
         if (freeMb >= model.memoryMb)
             break;
@@ -665,7 +684,8 @@
         giveOrder(engine, EngineOrderKind::Unload, { candidate->victims.front(), "" }, "makes_way", now, effects);
         return;
     }
-    if (candidate->source == WeightSource::Store && !mayLoadFromStore(engine.record.service, true, now))
+    if (candidate->source == WeightSource::Store
+        && !mayLoadFromStore(engine.record.service, std::max(1U, waitingFor(model)), now))
         return;
     giveOrder(engine, EngineOrderKind::Load, { model, "" }, "planned", now, effects);
 }
@@ -790,7 +810,8 @@
         list.push_back(load);
     }
     std::sort(list.begin(), list.end(), [](const ModelLoad& left, const ModelLoad& right) {
-        return std::tuple(left.waiting + left.running, left.rate) > std::tuple(right.waiting + right.running, right.rate);
+        return std::tuple(left.waiting + left.running, left.rate)
+            > std::tuple(right.waiting + right.running, right.rate);
     });
     return list;
 }
@@ -800,7 +821,7 @@
     for (const ModelLoad& load : modelLoads()) {
         if (load.waiting == 0 || usableReplicas(load.model, now) > 0)
             continue;
-        const bool mayUseStore = mayLoadFromStore(load.service, true, now);
+        const bool mayUseStore = mayLoadFromStore(load.service, load.waiting, now);
         if (const auto candidate = bestCandidate(load.service, load.model, mayUseStore, now))
             begin(*candidate, load.model, "requests_wait", now, effects);
     }
@@ -816,7 +837,7 @@
         const unsigned wanted = wantedReplicas(load.service, load.model);
         if (wanted <= 1 || usableReplicas(load.model, now) >= wanted)
             continue;
-        const bool mayUseStore = mayLoadFromStore(load.service, load.waiting > 0, now);
+        const bool mayUseStore = mayLoadFromStore(load.service, load.waiting, now);
         const auto candidate = bestCandidate(load.service, load.model, mayUseStore, now);
         if (candidate && candidate->cost < hotValue)
             begin(*candidate, load.model, "busy", now, effects);
@@ -838,7 +859,7 @@
 void EnginePlacement::planCopies(MonotonicTime now, EffectList& effects)
 {
     for (const auto& [service, settings] : m_configuration.services) {
-        if (!settings.engine || !mayLoadFromStore(service, false, now))
+        if (!settings.engine || !mayLoadFromStore(service, 0, now))
             continue;
         const GatewayModel* wanted = nullptr;
         double wantedValue = 0;
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -58,6 +58,8 @@
             + R"(","outcome":")" + std::string(outcome) + "\"}}";
     }
 
+    std::string wholeNumber(double value) { return std::to_string(static_cast<std::int64_t>(value)); }
+
     std::string_view pathOf(const RequestArrived& request)
     {
         return std::string_view(request.target).substr(0, request.target.find('?'));
@@ -166,8 +168,11 @@
         request.units = m_quota.unitsOf(request.account, request.terms.tokens);
         const QuotaDecision decision = m_quota.admit(request.account, request.units, now);
         if (!decision.isAdmitted) {
+            const std::string detail = "the account is over its rate of " + wholeNumber(account->unitsPerSecond)
+                + " a second: " + wholeNumber(request.units) + " wanted, " + wholeNumber(m_quota.level(request.account))
+                + " left";
             request.units = 0;
-            return Refusal { 429, "rate_limited", "the account is over its rate", decision.retryAfter };
+            return Refusal { 429, "rate_limited", detail, decision.retryAfter };
         }
     }
     return std::nullopt;
@@ -609,6 +614,7 @@
     effects.push_back(RecordMetric { Metric::RefusalsTotal, std::string(refusal.reason) });
     if (request.units > 0)
         m_quota.giveBack(request.account, request.units, now);
+    request.failure = refusal.message;
     logEnd(LogEvent::GatewayRequestRefused, request, refusal.status, refusal.reason, now, effects);
     forget(request.arrived.id, now);
 }
@@ -643,7 +649,7 @@
     if (!reason.empty())
         entry.fields.emplace_back("reason", reason);
     if (!request.failure.empty())
-        entry.fields.emplace_back("last_failure", request.failure);
+        entry.fields.emplace_back("detail", request.failure);
     effects.push_back(std::move(entry));
 }
 
--- a/tests/gateway/EnginePlacementTest.cpp
+++ b/tests/gateway/EnginePlacementTest.cpp
@@ -34,11 +34,7 @@
         return *engines.back();
     }
 
-    void own()
-    {
-        placement.setPermission(
-            PlacementPermission { self, 7, now, now + std::chrono::hours(1) }, now);
-    }
+    void own() { placement.setPermission(PlacementPermission { self, 7, now, now + std::chrono::hours(1) }, now); }
 
     void demand(const std::string& model, unsigned waiting, std::uint64_t arrivals)
     {
--- a/tests/gateway/GatewayMessageTest.cpp
+++ b/tests/gateway/GatewayMessageTest.cpp
@@ -15,7 +15,8 @@
     digest.demand.push_back({ { ModelId("m"), "x" }, "notes", 2, 9 });
     digest.running.push_back({ EndpointId("e"), { ModelId("m"), "" }, 4 });
     digest.suspectFingerprints.emplace_back(99, 2);
-    PlacementNews news { 5, 6, { { EndpointId("e"), 1, { { ModelId("m"), { "x", "y" } } }, { { { ModelId("n"), "" }, 800 } } } } };
+    PlacementNews news { 5, 6,
+        { { EndpointId("e"), 1, { { ModelId("m"), { "x", "y" } } }, { { { ModelId("n"), "" }, 800 } } } } };
     const GatewayMessage all[] { digest, news, ConfigurationWanted { 4 }, ConfigurationDocumentOffer { 5, "text" } };
     return all[kind];
 }
--- a/tests/gateway/GatewayRequestsTest.cpp
+++ b/tests/gateway/GatewayRequestsTest.cpp
@@ -93,9 +93,8 @@
     const auto first = fixture.takeAttempts();
     REQUIRE(first.size() == 1);
     if (test.firstStatus == 0)
-        fixture.requests.handle(
-            AttemptFailed { first[0].id, AttemptOutcome::Unknown, "reset", AttemptFailure::Broken }, fixture.now,
-            fixture.effects);
+        fixture.requests.handle(AttemptFailed { first[0].id, AttemptOutcome::Unknown, "reset", AttemptFailure::Broken },
+            fixture.now, fixture.effects);
     else
         fixture.answer(first[0].id, test.firstStatus,
             test.isNotExecuted ? HeaderList { { "not-executed", "1" } } : HeaderList { { "sealed", "1" } });
@@ -128,9 +127,8 @@
     fixture.requests.handle(AttemptHead { first.id, 200, { { "sealed", "1" } } }, fixture.now, fixture.effects);
     fixture.requests.handle(
         AttemptData { first.id, "id: 1\ndata: x\n\nid: 2\ndata: y\n\nid: 3\nda" }, fixture.now, fixture.effects);
-    fixture.requests.handle(
-        AttemptFailed { first.id, AttemptOutcome::Unknown, "reset", AttemptFailure::Broken }, fixture.now,
-        fixture.effects);
+    fixture.requests.handle(AttemptFailed { first.id, AttemptOutcome::Unknown, "reset", AttemptFailure::Broken },
+        fixture.now, fixture.effects);
     const auto second = fixture.takeAttempts();
     REQUIRE(second.size() == 1);
     CHECK(*findHeader(second[0].headers, "after") == "2");
@@ -154,9 +152,8 @@
     const auto first = fixture.takeAttempts().at(0);
     fixture.requests.handle(AttemptHead { first.id, 200, { { "sealed", "1" } } }, fixture.now, fixture.effects);
     fixture.requests.handle(AttemptData { first.id, "id: 1\n\n" }, fixture.now, fixture.effects);
-    fixture.requests.handle(
-        AttemptFailed { first.id, AttemptOutcome::Unknown, "reset", AttemptFailure::Broken }, fixture.now,
-        fixture.effects);
+    fixture.requests.handle(AttemptFailed { first.id, AttemptOutcome::Unknown, "reset", AttemptFailure::Broken },
+        fixture.now, fixture.effects);
     CHECK(fixture.takeAttempts().empty());
     CHECK(effectsOf<AbortResponse>(fixture.effects).size() == 1);
     CHECK(effectsOf<FinishResponse>(fixture.effects).empty());
--- a/tests/gateway/PlacementOwnershipTest.cpp
+++ b/tests/gateway/PlacementOwnershipTest.cpp
@@ -64,8 +64,7 @@
         for (auto& host : m_hosts) {
             if (host->storeLeaseEnds != MonotonicTime() && m_now >= host->storeLeaseEnds) {
                 host->storeLeaseEnds = MonotonicTime();
-                std::erase_if(m_items,
-                    [&](const auto& item) { return item.second.lease == host->storeLease; });
+                std::erase_if(m_items, [&](const auto& item) { return item.second.lease == host->storeLease; });
             }
         }
     }
@@ -171,8 +170,7 @@
     for (std::size_t i = 1; i < uses.size(); ++i) {
         if (uses[i].host == uses[i - 1].host)
             continue;
-        const auto gap
-            = std::chrono::duration_cast<std::chrono::milliseconds>(uses[i].at - uses[i - 1].at).count();
+        const auto gap = std::chrono::duration_cast<std::chrono::milliseconds>(uses[i].at - uses[i - 1].at).count();
         if (gap < 3000 || uses[i].token <= uses[i - 1].token)
             FAIL(uses[i - 1].host.value << " with token " << uses[i - 1].token << " was followed by "
                                         << uses[i].host.value << " with token " << uses[i].token << " after " << gap
--- a/tests/platform/PlatformProtocolTest.cpp
+++ b/tests/platform/PlatformProtocolTest.cpp
@@ -119,9 +119,9 @@
 TEST_CASE("What a request says is read")
 {
     RequestArrived request;
-    request.headers = { { "Catkinwell-Request-Id", "id" }, { "Catkinwell-Deadline-Ms", "2500" },
-        { "Catkinwell-Model", "m/a3" }, { "Catkinwell-Token-Usage", "1460,80" },
-        { "Catkinwell-Prompt-Prefix", "5c1e:800, 91bd:410" } };
+    request.headers
+        = { { "Catkinwell-Request-Id", "id" }, { "Catkinwell-Deadline-Ms", "2500" }, { "Catkinwell-Model", "m/a3" },
+              { "Catkinwell-Token-Usage", "1460,80" }, { "Catkinwell-Prompt-Prefix", "5c1e:800, 91bd:410" } };
     const RequestTerms terms = PlatformProtocol().termsOf(request);
     CHECK(terms.callerRequestId == "id");
     CHECK(terms.timeLeft == Duration(std::chrono::milliseconds(2500)));
