Bound the backoff of the configuration watch and read again after a lost answer

Change: the longest backoff is 1.5 s, and after a lost answer the head is read at once with a timeout of 0.6 s instead of watched for 2 s.

--- a/src/configuration/ConfigurationWatcher.cpp
+++ b/src/configuration/ConfigurationWatcher.cpp
@@ -15,13 +15,16 @@
     constexpr Duration longestWatch = 5s;
     constexpr std::size_t headBytesPerSecond = 1000;
     constexpr Duration watchMargin = 1s;
+    // After a lost answer the head is read without waiting: several lost answers in a row must fit into the 10 s.
+    constexpr Duration readTimeout = 600ms;
     // Short, because a lost answer counts against the 10 s; longer after failures, for a slow store.
     constexpr Duration firstPartTimeout = 1s;
     constexpr Duration longestPartTimeout = 5s;
     // The adapter answers every call by its timeout; this guards against a reply that never comes.
     constexpr Duration lostReplyMargin = 1s;
     constexpr Duration firstBackoff = 200ms;
-    constexpr Duration longestBackoff = 5s;
+    // A host that waited out an outage must still have time for lost answers after it.
+    constexpr Duration longestBackoff = 1500ms;
     // Spreads the reads of all hosts after a change, so that they stay below the store's rate.
     constexpr Duration partReadSpread = 300ms;
     constexpr unsigned olderAnswersUntilBehind = 5;
@@ -67,6 +70,11 @@
 
 void ConfigurationWatcher::startWatch(MonotonicTime now, EffectList& effects)
 {
+    if (m_readsAgain) {
+        m_watch = Call { m_ids.next(), now, now + readTimeout + lostReplyMargin };
+        effects.push_back(StoreCall { m_watch->id, StoreGet { std::string(configurationHeadKey) }, readTimeout });
+        return;
+    }
     const Duration wait = std::clamp<Duration>(m_headBytes * 1s / headBytesPerSecond, shortestWatch, longestWatch);
     const Duration timeout = wait + watchMargin;
     m_watch = Call { m_ids.next(), now, now + timeout + lostReplyMargin };
@@ -92,16 +100,18 @@
         // A call that waited for its timeout has limited the rate of calls already. A long backoff on top of lost
         // answers would keep a host that is also cut off from its peers behind for more than 10 s.
         const bool hasWaited = now - sentAt >= shortestWatch;
+        m_readsAgain = true;
         m_nextWatchAt = now
             + (hasWaited ? RetryBackoff(firstBackoff, longestBackoff).next(m_random) : m_watchBackoff.next(m_random));
         return;
     }
     m_reachable = true;
+    const bool wasRead = std::exchange(m_readsAgain, false);
     m_headBytes = reply.value.size();
     takeHead(reply, now, accepted);
     const bool older = reply.version < m_headStoreVersion || m_olderAnswers > 0;
     // An answer without news before the wait is over means a stale or missing value; asking again at once would spin.
-    if (older || (now - sentAt < shortestWatch && reply.version <= m_headStoreVersion && !m_pending)) {
+    if (older || (!wasRead && now - sentAt < shortestWatch && reply.version <= m_headStoreVersion && !m_pending)) {
         m_nextWatchAt = now + m_watchBackoff.next(m_random);
     } else {
         m_watchBackoff.reset();
--- a/src/configuration/ConfigurationWatcher.h
+++ b/src/configuration/ConfigurationWatcher.h
@@ -53,6 +53,8 @@
     MonotonicTime m_nextWatchAt {};
     MonotonicTime m_nextPartAt {};
     RetryBackoff m_watchBackoff;
+    // Whether the next call is a plain read, because the answer to the one before was lost.
+    bool m_readsAgain = false;
     RetryBackoff m_partBackoff;
     StoreVersion m_headStoreVersion = 0;
     std::size_t m_headBytes = 0;
--- a/tests/configuration/ConfigurationHistoryTest.cpp
+++ b/tests/configuration/ConfigurationHistoryTest.cpp
@@ -176,7 +176,7 @@
 // Guards against reverted versions, slow changes and changes that are lost or wrongly reported.
 TEST_CASE("Configuration histories keep the rules under faults")
 {
-    const std::uint64_t seed = GENERATE(range(1, 41));
+    const std::uint64_t seed = GENERATE(range(1, 401));
     INFO("seed " << seed);
     const auto record = runRace(seed);
     CHECK_THAT(checkVersionsNeverFall(record), Catch::Equals(""));
@@ -186,9 +186,9 @@
     CHECK(record.heads.size() > 3);
 }
 
-// Known to fail (KNOWN-RED.txt). Guards against a connected host that is later than 10 s with an accepted
-// configuration.
-TEST_CASE("An accepted configuration is in force in time in the histories of three late seeds", "[.][known-red]")
+// Guards against a backoff that grew in an outage and left no time for a lost answer after it. These seeds were late
+// before the longest backoff was bounded.
+TEST_CASE("An accepted configuration is in force in time in the histories of three late seeds")
 {
     const std::uint64_t seed = GENERATE(43, 135, 225);
     INFO("seed " << seed);
