Write logs to the standard output without ever waiting for its reader

Cause: a synchronous stream on standard error stopped the loop when the collector did not read. Change: lines go out by poll and one atomic write; lines without room are counted and reported by event 1007; the catalogue is in order again.

--- a/include/catkinwell/logging/EventLog.h
+++ b/include/catkinwell/logging/EventLog.h
@@ -11,7 +11,7 @@
 struct LogSettings {
     // Events below this severity are left out.
     LogSeverity minimumSeverity = LogSeverity::Info;
-    // A file that is appended to; empty for standard error.
+    // A file that is appended to; empty for the standard output, which is written without ever waiting for its reader.
     std::string file;
     // Entries of one event in a second; further ones are counted and reported by log_events_suppressed.
     std::uint32_t maximumPerEventAndSecond = 500;
--- a/include/catkinwell/logging/LogEvent.h
+++ b/include/catkinwell/logging/LogEvent.h
@@ -27,6 +27,7 @@
     LogEventsSuppressed = 1004,
     LoopStalled = 1005,
     SettingsReloaded = 1006,
+    LogLinesDropped = 1007,
     // 1100: requests
     RequestRefused = 1100,
     RequestFinished = 1101,
--- a/src/logging/EventLog.cpp
+++ b/src/logging/EventLog.cpp
@@ -1,7 +1,8 @@
 #include <catkinwell/logging/EventLog.h>
 
-#include <boost/core/null_deleter.hpp>
+#include "logging/PipeSafeWriter.h"
 #include <boost/log/core.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
@@ -10,13 +11,30 @@
 #include <boost/smart_ptr/shared_ptr.hpp>
 #include <ctime>
 #include <fstream>
-#include <iostream>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 namespace Catkinwell {
 
 namespace {
 
+    // A sink of Boost.Log that never waits for the reader of the standard output.
+    class StandardOutputBackend final
+        : public boost::log::sinks::basic_formatted_sink_backend<char, boost::log::sinks::synchronized_feeding> {
+    public:
+        void consume(const boost::log::record_view&, const string_type& line)
+        {
+            const std::uint64_t dropped = m_writer.takeDropped();
+            if (dropped > 0)
+                m_writer.write(
+                    R"({"event":1007,"name":"log_lines_dropped","count":")" + std::to_string(dropped) + "\"}\n");
+            m_writer.write(line + "\n");
+        }
+
+    private:
+        PipeSafeWriter m_writer { STDOUT_FILENO };
+    };
+
     std::string timestamp(WallTime time)
     {
         const auto milliseconds
@@ -50,12 +68,14 @@
     : m_settings(std::move(settings))
     , m_clock(clock)
 {
+    if (m_settings.file.empty()) {
+        using OutputSink = boost::log::sinks::synchronous_sink<StandardOutputBackend>;
+        boost::log::core::get()->add_sink(boost::make_shared<OutputSink>());
+        return;
+    }
     using Backend = boost::log::sinks::text_ostream_backend;
     auto backend = boost::make_shared<Backend>();
-    if (m_settings.file.empty())
-        backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
-    else
-        backend->add_stream(boost::make_shared<std::ofstream>(m_settings.file, std::ios::app));
+    backend->add_stream(boost::make_shared<std::ofstream>(m_settings.file, std::ios::app));
     backend->auto_flush(true);
     boost::log::core::get()->add_sink(
         boost::make_shared<boost::log::sinks::synchronous_sink<Backend>>(std::move(backend)));
--- a/src/logging/LogEvent.cpp
+++ b/src/logging/LogEvent.cpp
@@ -38,6 +38,9 @@
         { LogEvent::SettingsReloaded, Info, "settings_reloaded",
             "The settings file was read again; the field \"outcome\" says whether it is valid.",
             "Correct the field that the outcome names." },
+        { LogEvent::LogLinesDropped, Warning, "log_lines_dropped",
+            "The reader of the standard output was too slow, so that lines were left out.",
+            "Let the collector read faster, or raise log.severity." },
         // 1100: requests
         { LogEvent::RequestRefused, Info, "request_refused",
             "A request was refused; the fields give the code, the outcome and the reason.", "" },
@@ -182,6 +185,9 @@
             "The accelerator hours counted by this host, or their forecast, come close to its part of the monthly "
             "budget.",
             "Run `catkinwell admin report` over all hosts; lower minimum replicas or raise the budget." },
+        { LogEvent::BudgetExceeded, Error, "budget_exceeded",
+            "The accelerator hours counted by this host exceed its part of the monthly budget.",
+            "Run `catkinwell admin report` over all hosts; lower minimum replicas or raise the budget." },
         // 2100: gateway
         { LogEvent::GatewayRequestFinished, Info, "gateway_request_finished",
             "A request got a complete answer of an endpoint; the fields give the status, the attempts and the times.",
@@ -231,9 +237,6 @@
             "An engine answered an order, or its answer was lost.", "" },
         { LogEvent::GatewayStatusFailed, Warning, "gateway_status_failed", "An engine's state could not be read.",
             "If it lasts, look at the endpoint's host and network." },
-        { LogEvent::BudgetExceeded, Error, "budget_exceeded",
-            "The accelerator hours counted by this host exceed its part of the monthly budget.",
-            "Run `catkinwell admin report` over all hosts; lower minimum replicas or raise the budget." },
     };
     return catalogue;
 }
