--- a/include/catkinwell/gateway/EnginePlacement.h
+++ b/include/catkinwell/gateway/EnginePlacement.h
@@ -55,6 +55,11 @@
     bool isOwner() const { return m_permission.has_value(); }
 
 private:
+    // What it costs, in the units of Candidate::cost, to unload a replica that was just loaded for waiting requests,
+    // and one that a model in steady demand needs.
+    static constexpr double protectedValue = 20;
+    static constexpr double hotValue = 50;
+
     // Where the weights of a load come from, from the fastest to the slowest.
     enum class WeightSource {
         HostMemory,
--- /dev/null
+++ b/src/gateway/EnginePlacementChoice.cpp
@@ -0,0 +1,331 @@
+#include <catkinwell/gateway/EnginePlacement.h>
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+// Which engine takes a model, what makes way for it, and how many replicas it needs.
+namespace Catkinwell {
+
+namespace {
+
+    // A replica that was just loaded for waiting requests is not replaced before they have run.
+    constexpr Duration protectedTime = std::chrono::milliseconds(1500);
+    constexpr unsigned unreachableFailures = 2;
+    constexpr double runningValue = 0.8;
+    // What a request loses, in seconds, when its model has to be loaded again first.
+    constexpr double reloadSeconds = 2;
+    // The part of the requests for adapters that need an order.
+    constexpr double adapterMissShare = 0.3;
+    // So many waiting requests are worth making the other loads from the weight store slower.
+    constexpr unsigned manyWaiting = 4;
+    // Replicas that a model in steady demand keeps in any case, so that the loss of one endpoint or data centre does
+    // not leave it without.
+    constexpr unsigned hotReplicas = 2;
+    constexpr double veryHotRate = 2;
+    constexpr unsigned veryHotReplicas = 3;
+    constexpr double sameDataCentreCost = 0.6;
+    constexpr double hotRate = 0.6;
+
+    double secondsOf(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+} // namespace
+
+bool EnginePlacement::mayOrder(const Engine& engine, MonotonicTime now) const
+{
+    // An engine refuses orders, also for adapters, while it carries one out.
+    return engine.isVerified && !engine.pending && !engine.adapterPending && now >= engine.notBefore
+        && m_directory.isUsable(engine.record.id, now);
+}
+
+const GatewayModel* EnginePlacement::settingsOf(const Engine& engine, const ModelId& model) const
+{
+    const GatewayEngine* settings = m_configuration.engineOf(engine.record.service);
+    if (!settings)
+        return nullptr;
+    const auto found = settings->models.find(model);
+    return found == settings->models.end() ? nullptr : &found->second;
+}
+
+EnginePlacement::WeightSource EnginePlacement::sourceOf(const Engine& engine, const ModelId& model) const
+{
+    if (engine.inHostMemory.contains(model))
+        return WeightSource::HostMemory;
+    return engine.onDisk.contains(model) ? WeightSource::Disk : WeightSource::Store;
+}
+
+Duration EnginePlacement::loadTime(const Engine& engine, const ModelId& model, WeightSource source) const
+{
+    const GatewayModel* settings = settingsOf(engine, model);
+    if (!settings)
+        return std::chrono::seconds(10);
+    switch (source) {
+    case WeightSource::HostMemory:
+        return settings->loadFromMemory;
+    case WeightSource::Disk:
+        return settings->loadFromDisk;
+    case WeightSource::Store:
+        break;
+    }
+    return settings->loadFromStore;
+}
+
+// Copies that nobody waits for leave room, and many waiting requests are worth making the other loads slower.
+unsigned EnginePlacement::storeLoadBound(unsigned waiting) const
+{
+    if (waiting == 0)
+        return std::max(1U, m_settings.concurrentStoreLoads - m_settings.reservedStoreLoads);
+    return m_settings.concurrentStoreLoads + (waiting >= manyWaiting ? m_settings.extraStoreLoads : 0);
+}
+
+unsigned EnginePlacement::storeLoadsRunning() const
+{
+    return static_cast<unsigned>(std::count_if(m_engines.begin(), m_engines.end(), [](const auto& item) {
+        const auto& pending = item.second.pending;
+        return pending && pending->order.kind == EngineOrderKind::Load && pending->order.adapter.empty()
+            && pending->source == WeightSource::Store;
+    }));
+}
+
+bool EnginePlacement::mayLoadFromStore(const std::string& service, unsigned waiting, MonotonicTime now) const
+{
+    if (storeLoadsRunning() >= storeLoadBound(waiting))
+        return false;
+    const GatewayEngine* settings = m_configuration.engineOf(service);
+    if (!settings || settings->loadsPerSecond <= 0)
+        return true;
+    const auto recent = std::count_if(m_storeLoads.begin(), m_storeLoads.end(),
+        [this, now](MonotonicTime at) { return now - at < m_settings.storeLoadWindow; });
+    return static_cast<double>(recent) + 1 <= settings->loadsPerSecond * secondsOf(m_settings.storeLoadWindow);
+}
+
+unsigned EnginePlacement::replicas(const ModelId& model, bool withComing) const
+{
+    unsigned count = 0;
+    for (const auto& [id, engine] : m_engines) {
+        const bool isComing = withComing
+            && ((engine.pending && engine.pending->order.kind == EngineOrderKind::Load
+                    && engine.pending->order.model == model)
+                || engine.nextLoad == model);
+        count += engine.models.contains(model) || isComing ? 1 : 0;
+    }
+    return count;
+}
+
+unsigned EnginePlacement::usableReplicas(const ModelId& model, MonotonicTime now) const
+{
+    return static_cast<unsigned>(std::count_if(m_engines.begin(), m_engines.end(), [&](const auto& item) {
+        const Engine& engine = item.second;
+        const bool isComing = engine.nextLoad == model
+            || (engine.pending && engine.pending->order.kind == EngineOrderKind::Load
+                && engine.pending->order.model == model);
+        return isReachable(engine, now) && (engine.models.contains(model) || isComing);
+    }));
+}
+
+// Whether this host reaches the engine, as far as it knows.
+bool EnginePlacement::isReachable(const Engine& engine, MonotonicTime now) const
+{
+    return engine.failures < unreachableFailures && !engine.record.isLeaving
+        && m_directory.isUsable(engine.record.id, now);
+}
+
+double EnginePlacement::rateOf(const ModelId& model) const
+{
+    double rate = 0;
+    for (const auto& [key, demand] : m_demand)
+        rate += key.second.model == model ? demand.rate : 0;
+    return rate;
+}
+
+unsigned EnginePlacement::waitingFor(const ModelId& model) const
+{
+    unsigned waiting = 0;
+    for (const auto& [key, demand] : m_demand)
+        waiting += key.second.model == model ? demand.waiting : 0;
+    return waiting;
+}
+
+unsigned EnginePlacement::wantedReplicas(const std::string& service, const ModelId& model) const
+{
+    const GatewayEngine* settings = m_configuration.engineOf(service);
+    const auto running = m_running.find(model);
+    if (!settings)
+        return 1;
+    const double perReplica = std::max(1.0, settings->batchSize * m_settings.busyShare);
+    const double load = (running == m_running.end() ? 0 : running->second) + waitingFor(model);
+    const double rate = rateOf(model);
+    const unsigned least = rate > veryHotRate ? veryHotReplicas : (rate > hotRate ? hotReplicas : 1);
+    return std::max(least, static_cast<unsigned>(std::ceil(load / perReplica)));
+}
+
+double EnginePlacement::memoryUsed(const Engine& engine, const GatewayEngine& settings) const
+{
+    double used = 0;
+    double largestAdapter = 0;
+    for (const auto& [model, adapters] : engine.models) {
+        const auto found = settings.models.find(model);
+        if (found == settings.models.end())
+            continue;
+        used += found->second.memoryMb;
+        largestAdapter = std::max(largestAdapter, found->second.adapterMb);
+    }
+    return used + largestAdapter * settings.adapterSlots;
+}
+
+// Requests a second for adapters of the models that the engine holds.
+double EnginePlacement::adapterRate(const Engine& engine) const
+{
+    double rate = 0;
+    for (const auto& [key, demand] : m_demand) {
+        if (!key.second.adapter.empty() && engine.models.contains(key.second.model))
+            rate += demand.rate / std::max(1U, replicas(key.second.model, false));
+    }
+    return rate;
+}
+
+// What it costs, in seconds of waiting a second, to unload the model here.
+double EnginePlacement::keepValue(const Engine& engine, const ModelId& model, MonotonicTime now) const
+{
+    const unsigned count = replicas(model, false);
+    const unsigned wanted = wantedReplicas(engine.record.service, model);
+    const double rate = rateOf(model);
+    double value = rate * reloadSeconds / std::max(1U, count);
+    if (rate > hotRate && count <= wanted)
+        value += hotValue;
+    const unsigned running = m_directory.runningOn(engine.record.id, model);
+    value += runningValue * std::min(running, 4U);
+    const auto loadedAt = engine.loadedAt.find(model);
+    const bool isFresh = loadedAt != engine.loadedAt.end() && now - loadedAt->second < protectedTime;
+    if ((isFresh || waitingFor(model) > 0) && count <= wanted)
+        value += protectedValue;
+    return value;
+}
+
+std::optional<EnginePlacement::Candidate> EnginePlacement::candidateOn(
+    Engine& engine, const GatewayModel& model, const GatewayEngine& settings, bool mayUseStore, MonotonicTime now)
+{
+    Candidate candidate;
+    candidate.engine = &engine;
+    candidate.source = sourceOf(engine, model.id);
+    if (candidate.source == WeightSource::Store && !mayUseStore)
+        return std::nullopt;
+    const double reserve = model.adapterMb * settings.adapterSlots;
+    double freeMb = settings.memoryMb - std::max(reserve, memoryUsed(engine, settings));
+    if (memoryUsed(engine, settings) < reserve)
+        freeMb = settings.memoryMb - reserve;
+    std::vector<std::pair<double, ModelId>> others;
+    for (const auto& [other, adapters] : engine.models)
+        others.emplace_back(keepValue(engine, other, now), other);
+    std::sort(others.begin(), others.end());
+    const double seconds = secondsOf(loadTime(engine, model.id, candidate.source));
+    const bool hasNeighbour = std::any_of(m_engines.begin(), m_engines.end(), [&](const auto& item) {
+        return item.second.record.dataCentre == engine.record.dataCentre && item.second.models.contains(model.id);
+    });
+    // Adapters cannot be loaded meanwhile.
+    candidate.cost
+        = seconds + seconds * adapterRate(engine) * adapterMissShare + (hasNeighbour ? sameDataCentreCost : 0);
+    for (const auto& [value, other] : others) {
+        if (freeMb >= model.memoryMb)
+            break;
+        const GatewayModel* otherSettings = settingsOf(engine, other);
+        freeMb += otherSettings ? otherSettings->memoryMb : 0;
+        candidate.victims.push_back(other);
+        candidate.cost += value;
+    }
+    if (freeMb < model.memoryMb)
+        return std::nullopt;
+    return candidate;
+}
+
+// Until the engine can take another order.
+Duration EnginePlacement::freeIn(const Engine& engine, MonotonicTime now) const
+{
+    Duration left = std::max(Duration::zero(), engine.notBefore - now);
+    if (engine.pending)
+        left = std::max(left, engine.pending->expectedEnd - now);
+    if (engine.nextLoad)
+        left += loadTime(engine, *engine.nextLoad, sourceOf(engine, *engine.nextLoad));
+    return left;
+}
+
+std::optional<EnginePlacement::Candidate> EnginePlacement::bestCandidate(
+    const std::string& service, const ModelId& model, bool mayUseStore, Patience patience, MonotonicTime now)
+{
+    const GatewayEngine* settings = m_configuration.engineOf(service);
+    if (!settings || !settings->models.contains(model))
+        return std::nullopt;
+    std::optional<Candidate> best;
+    for (auto& [id, engine] : m_engines) {
+        const bool isFree = mayOrder(engine, now) && !engine.nextLoad;
+        const bool isWorthWaiting
+            = patience == Patience::WaitForCopy && engine.isVerified && sourceOf(engine, model) != WeightSource::Store;
+        if (engine.record.service != service || !isReachable(engine, now) || engine.models.contains(model)
+            || (!isFree && !isWorthWaiting))
+            continue;
+        auto candidate = candidateOn(engine, settings->models.at(model), *settings, mayUseStore, now);
+        if (!candidate)
+            continue;
+        if (!isFree)
+            candidate->cost += secondsOf(freeIn(engine, now));
+        if (!best || candidate->cost < best->cost)
+            best = std::move(candidate);
+    }
+    // An engine with a copy that is free soon is better than a load from the store now.
+    if (best && (!mayOrder(*best->engine, now) || best->engine->nextLoad))
+        return std::nullopt;
+    return best;
+}
+
+// The models of all services in the order of the load that asks for them.
+std::vector<EnginePlacement::ModelLoad> EnginePlacement::modelLoads() const
+{
+    std::map<std::pair<std::string, ModelId>, ModelLoad> loads;
+    for (const auto& [key, demand] : m_demand) {
+        ModelLoad& load = loads[{ key.first, key.second.model }];
+        load.service = key.first;
+        load.model = key.second.model;
+        load.waiting += demand.waiting;
+        load.rate += demand.rate;
+    }
+    std::vector<ModelLoad> list;
+    for (auto& [key, load] : loads) {
+        const auto running = m_running.find(load.model);
+        load.running = running == m_running.end() ? 0 : running->second;
+        list.push_back(load);
+    }
+    std::sort(list.begin(), list.end(), [](const ModelLoad& left, const ModelLoad& right) {
+        return std::tuple(left.waiting + left.running, left.rate)
+            > std::tuple(right.waiting + right.running, right.rate);
+    });
+    return list;
+}
+
+unsigned EnginePlacement::copiesOf(const ModelId& model) const
+{
+    return static_cast<unsigned>(std::count_if(m_engines.begin(), m_engines.end(), [&model](const auto& item) {
+        const Engine& engine = item.second;
+        const bool isComing = engine.nextLoad == model
+            || (engine.pending && engine.pending->order.kind == EngineOrderKind::Load
+                && engine.pending->order.model == model);
+        return engine.models.contains(model) || engine.onDisk.contains(model) || isComing;
+    }));
+}
+
+// The engine that a copy disturbs least, of those that have none.
+std::optional<EnginePlacement::Candidate> EnginePlacement::bestCopyCandidate(
+    const std::string& service, const GatewayModel& model, MonotonicTime now)
+{
+    std::optional<Candidate> best;
+    for (auto& [id, engine] : m_engines) {
+        if (engine.record.service != service || !mayOrder(engine, now) || engine.nextLoad
+            || engine.models.contains(model.id) || engine.onDisk.contains(model.id))
+            continue;
+        auto candidate = candidateOn(engine, model, *m_configuration.engineOf(service), true, now);
+        if (candidate && (!best || candidate->cost < best->cost))
+            best = std::move(candidate);
+    }
+    return best;
+}
+
+} // namespace Catkinwell
--- /dev/null
+++ b/src/gateway/EnginePlacementPlan.cpp
@@ -0,0 +1,217 @@
+#include <catkinwell/gateway/EnginePlacement.h>
+
+#include <algorithm>
+#include <catkinwell/core/Digest.h>
+
+// The orders that follow from demand: adapters, models that requests wait for, busy models and copies.
+namespace Catkinwell {
+
+namespace {
+
+    constexpr Duration adapterIdleTime = std::chrono::milliseconds(700);
+    // Copies on disks of a model, and of one with adapters, which is more likely to be in demand.
+    constexpr unsigned wantedCopies = 1;
+    constexpr unsigned wantedCopiesWithAdapters = 2;
+
+} // namespace
+
+void EnginePlacement::begin(
+    const Candidate& candidate, const ModelId& model, std::string_view reason, MonotonicTime now, EffectList& effects)
+{
+    Engine& engine = *candidate.engine;
+    engine.nextLoad = model;
+    engine.isChanged = true;
+    if (candidate.victims.empty())
+        continueLoad(engine, now, effects);
+    else
+        giveOrder(engine, EngineOrderKind::Unload, { candidate.victims.front(), "" }, reason, now, effects);
+}
+
+void EnginePlacement::continueLoad(Engine& engine, MonotonicTime now, EffectList& effects)
+{
+    if (!engine.nextLoad || !mayOrder(engine, now))
+        return;
+    const bool isDraining = std::any_of(engine.unloading.begin(), engine.unloading.end(),
+        [&](const ModelId& model) { return m_directory.runningOn(engine.record.id, model) > 0; });
+    if (isDraining)
+        return;
+    const ModelId model = *engine.nextLoad;
+    const GatewayEngine* settings = m_configuration.engineOf(engine.record.service);
+    const GatewayModel* modelSettings = settingsOf(engine, model);
+    if (!settings || !modelSettings || engine.models.contains(model)) {
+        engine.nextLoad.reset();
+        return;
+    }
+    const auto candidate = candidateOn(engine, *modelSettings, *settings, true, now);
+    if (!candidate) {
+        engine.nextLoad.reset();
+        return;
+    }
+    if (!candidate->victims.empty()) {
+        giveOrder(engine, EngineOrderKind::Unload, { candidate->victims.front(), "" }, "makes_way", now, effects);
+        return;
+    }
+    if (candidate->source == WeightSource::Store
+        && !mayLoadFromStore(engine.record.service, std::max(1U, waitingFor(model)), now))
+        return;
+    giveOrder(engine, EngineOrderKind::Load, { model, "" }, "planned", now, effects);
+}
+
+void EnginePlacement::giveOrder(Engine& engine, EngineOrderKind kind, const ModelVariant& variant,
+    std::string_view reason, MonotonicTime now, EffectList& effects)
+{
+    Pending pending;
+    pending.order.id = CommandId(++m_lastCommand);
+    pending.order.endpoint = engine.record.id;
+    pending.order.address = engine.record.address;
+    pending.order.kind = kind;
+    pending.order.model = variant.model;
+    pending.order.adapter = variant.adapter;
+    pending.order.expectedOrderCount = engine.orderCount;
+    pending.order.holder = m_permission->holder;
+    pending.order.fencingToken = m_permission->fencingToken;
+    pending.order.validUntil = m_permission->until;
+    pending.source = sourceOf(engine, variant.model);
+    pending.sentAt = now;
+    pending.expectedEnd = now + std::chrono::seconds(5);
+    const bool isStoreLoad
+        = kind == EngineOrderKind::Load && variant.adapter.empty() && pending.source == WeightSource::Store;
+    if (isStoreLoad) {
+        m_storeLoads.push_back(now);
+        while (m_storeLoads.size() > 1000)
+            m_storeLoads.pop_front();
+    }
+    if (kind == EngineOrderKind::Load && variant.adapter.empty() && engine.nextLoad == variant.model)
+        engine.nextLoad.reset();
+    engine.isChanged = true;
+    effects.push_back(LogEntry { LogEvent::GatewayOrderDecided,
+        { { "endpoint", engine.record.id.value }, { "order", std::to_string(pending.order.id.value) },
+            { "kind", std::string(nameOf(kind)) }, { "model", variant.text() }, { "reason", std::string(reason) },
+            { "expected_orders", std::to_string(engine.orderCount) },
+            { "fencing_token", std::to_string(m_permission->fencingToken) },
+            { "waiting", std::to_string(waitingFor(variant.model)) },
+            { "load_ms",
+                std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                    loadTime(engine, variant.model, pending.source))
+                                   .count()) } } });
+    effects.push_back(pending.order);
+    (variant.adapter.empty() ? engine.pending : engine.adapterPending) = std::move(pending);
+}
+
+void EnginePlacement::planAdapters(MonotonicTime now, EffectList& effects)
+{
+    for (const auto& [key, demand] : m_demand) {
+        const ModelVariant& variant = key.second;
+        if (variant.adapter.empty())
+            continue;
+        Engine* best = nullptr;
+        double bestScore = 0;
+        bool isPresent = false;
+        for (auto& [id, engine] : m_engines) {
+            const auto model = engine.models.find(variant.model);
+            if (engine.record.service != key.first || model == engine.models.end() || !m_directory.isUsable(id, now))
+                continue;
+            const bool isComing = engine.adapterPending && engine.adapterPending->order.model == variant.model
+                && engine.adapterPending->order.adapter == variant.adapter;
+            if (model->second.contains(variant.adapter)) {
+                if (now - demand.lastArrivalAt < adapterIdleTime)
+                    engine.adapterUse[variant] = std::max(engine.adapterUse[variant], demand.lastArrivalAt);
+                isPresent = true;
+            }
+            isPresent = isPresent || isComing;
+            if (!mayOrder(engine, now) || engine.nextLoad)
+                continue;
+            // Every owner prefers the same engines for an adapter, which then often still have it at hand.
+            const double preference
+                = static_cast<double>(stableHash(id.value + variant.text()) >> 11) / 9007199254740992.0;
+            const double score
+                = m_directory.runningOn(id) / static_cast<double>(engine.record.slots) + preference * 0.3;
+            if (!best || score < bestScore) {
+                best = &engine;
+                bestScore = score;
+            }
+        }
+        if (demand.waiting == 0 || isPresent || !best)
+            continue;
+        unsigned used = 0;
+        for (const auto& [model, adapters] : best->models)
+            used += static_cast<unsigned>(adapters.size());
+        const GatewayEngine* settings = m_configuration.engineOf(key.first);
+        if (settings && used < settings->adapterSlots) {
+            giveOrder(*best, EngineOrderKind::Load, variant, "adapter_wanted", now, effects);
+            continue;
+        }
+        // The adapter that was used longest ago makes way.
+        std::optional<ModelVariant> oldest;
+        MonotonicTime oldestAt = now - adapterIdleTime;
+        for (const auto& [model, adapters] : best->models) {
+            for (const std::string& adapter : adapters) {
+                const auto use = best->adapterUse.find({ model, adapter });
+                const MonotonicTime usedAt = use == best->adapterUse.end() ? MonotonicTime() : use->second;
+                if (usedAt < oldestAt) {
+                    oldestAt = usedAt;
+                    oldest = ModelVariant { model, adapter };
+                }
+            }
+        }
+        if (oldest)
+            giveOrder(*best, EngineOrderKind::Unload, *oldest, "adapter_makes_way", now, effects);
+    }
+}
+
+void EnginePlacement::planWaitingModels(MonotonicTime now, EffectList& effects)
+{
+    for (const ModelLoad& load : modelLoads()) {
+        if (load.waiting == 0 || usableReplicas(load.model, now) > 0)
+            continue;
+        const bool mayUseStore = mayLoadFromStore(load.service, load.waiting, now);
+        if (const auto candidate = bestCandidate(load.service, load.model, mayUseStore, Patience::WaitForCopy, now))
+            begin(*candidate, load.model, "requests_wait", now, effects);
+    }
+}
+
+void EnginePlacement::planBusyModels(MonotonicTime now, EffectList& effects)
+{
+    if (now < m_nextPlanAt)
+        return;
+    m_nextPlanAt = now + std::chrono::milliseconds(100);
+    for (const ModelLoad& load : modelLoads()) {
+        // One replica is a matter of the requests that wait.
+        const unsigned wanted = wantedReplicas(load.service, load.model);
+        if (wanted <= 1 || usableReplicas(load.model, now) >= wanted)
+            continue;
+        const bool mayUseStore = mayLoadFromStore(load.service, load.waiting, now);
+        const auto candidate = bestCandidate(load.service, load.model, mayUseStore, Patience::None, now);
+        if (candidate && candidate->cost < hotValue)
+            begin(*candidate, load.model, "busy", now, effects);
+    }
+}
+
+// Gives each model a copy on some disk before it is asked for.
+void EnginePlacement::planCopies(MonotonicTime now, EffectList& effects)
+{
+    for (const auto& [service, settings] : m_configuration.services) {
+        if (!settings.engine || !mayLoadFromStore(service, 0, now))
+            continue;
+        const GatewayModel* wanted = nullptr;
+        double wantedValue = 0;
+        for (const auto& [model, modelSettings] : settings.engine->models) {
+            const unsigned copies = copiesOf(model);
+            const bool hasAdapters = modelSettings.adapterCount > 0;
+            if (copies >= (hasAdapters ? wantedCopiesWithAdapters : wantedCopies))
+                continue;
+            const double value = (copies == 0 ? 2 : 1) + (hasAdapters ? 0.5 : 0) + std::min(rateOf(model), 0.4);
+            if (value > wantedValue) {
+                wanted = &modelSettings;
+                wantedValue = value;
+            }
+        }
+        if (!wanted)
+            continue;
+        const auto candidate = bestCopyCandidate(service, *wanted, now);
+        if (candidate && candidate->cost < protectedValue)
+            begin(*candidate, wanted->id, "copy", now, effects);
+    }
+}
+
+} // namespace Catkinwell
--- /dev/null
+++ b/src/gateway/GatewayRequestOutcomes.cpp
@@ -0,0 +1,244 @@
+#include <catkinwell/gateway/GatewayRequests.h>
+
+#include <algorithm>
+#include <cstdio>
+
+// How attempts and requests end: repeats, answers, refusals and failures.
+namespace Catkinwell {
+
+namespace {
+
+    // What is left must be enough for an endpoint to do something.
+    constexpr Duration shortestAttempt = std::chrono::milliseconds(30);
+    constexpr unsigned maximumRejections = 4;
+    constexpr Duration soonRetryAfter = std::chrono::milliseconds(100);
+    constexpr Duration shortRetryAfter = std::chrono::milliseconds(500);
+
+    Duration retryAfterOf(MonotonicTime now, MonotonicTime finalAt, Duration wanted)
+    {
+        // Callers honour at most a third of the time that they have left.
+        const Duration third = std::max(Duration::zero(), (finalAt - now) / 3 - std::chrono::milliseconds(5));
+        return std::min(wanted, third);
+    }
+
+    std::string secondsText(Duration duration)
+    {
+        char text[32];
+        std::snprintf(text, sizeof(text), "%.3f", std::chrono::duration<double>(duration).count());
+        return text;
+    }
+
+    std::string errorBody(std::string_view reason, std::string_view message, std::string_view outcome)
+    {
+        return R"({"error":{"code":")" + std::string(reason) + R"(","message":")" + std::string(message)
+            + R"(","outcome":")" + std::string(outcome) + "\"}}";
+    }
+
+    // Statuses that promise that the request has not run.
+    bool isPromise(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
+
+    std::string milliseconds(Duration duration)
+    {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+    }
+
+} // namespace
+
+void GatewayRequests::handleCompleteAnswer(Request& request, MonotonicTime now, EffectList& effects)
+{
+    const Attempt& attempt = *request.attempt;
+    if (attempt.terms.isNotExecuted) {
+        handleNotExecuted(request, now, effects);
+        return;
+    }
+    if (attempt.isForwarded) {
+        if (const std::string rest = request.cutter.takeRest(); !rest.empty())
+            effects.push_back(SendResponseData { request.arrived.id, rest });
+        effects.push_back(FinishResponse { request.arrived.id });
+        finish(request, now, effects);
+        return;
+    }
+    request.mayHaveRun = true;
+    const bool isOwn = attempt.terms.isSealed && !attempt.terms.isEncoded;
+    if (!isOwn && attempt.status < 500) {
+        handleLostAttempt(request, "the endpoint's answer is not its own", now, effects);
+        return;
+    }
+    if (request.isHeadSent || (attempt.status >= 500 && mayRepeat(request, now))) {
+        handleLostAttempt(request, "status " + std::to_string(attempt.status), now, effects);
+        return;
+    }
+    passOn(request, now, effects);
+}
+
+// Passes a collected answer on as it is.
+void GatewayRequests::passOn(Request& request, MonotonicTime now, EffectList& effects)
+{
+    const Attempt& attempt = *request.attempt;
+    if (isPromise(attempt.status)) {
+        // The endpoint does not say that it did not run the request, so the status must not say it either.
+        endAttempt(request, AttemptVerdict::Bad, now, effects);
+        fail(request, 502, "endpoint_refused", now, effects);
+        return;
+    }
+    effects.push_back(SendWholeResponse {
+        request.arrived.id, attempt.status, m_protocol.answerHeaders(attempt.headers), attempt.body });
+    finish(request, now, effects);
+}
+
+void GatewayRequests::finish(Request& request, MonotonicTime now, EffectList& effects)
+{
+    const int status = request.attempt->status;
+    logEnd(LogEvent::GatewayRequestFinished, request, status, "", now, effects);
+    effects.push_back(RecordMetric {
+        Metric::RequestSeconds, request.service, std::chrono::duration<double>(now - request.arrivedAt).count() });
+    endAttempt(request, status >= 500 ? AttemptVerdict::Bad : AttemptVerdict::Good, now, effects);
+    forget(request.arrived.id, now);
+}
+
+void GatewayRequests::handleNotExecuted(Request& request, MonotonicTime now, EffectList& effects)
+{
+    const Attempt attempt = *request.attempt;
+    effects.push_back(LogEntry { LogEvent::GatewayAttemptFailed,
+        { { "request", request.terms.callerRequestId }, { "endpoint", attempt.endpoint.value },
+            { "status", std::to_string(attempt.status) }, { "outcome", "not_run" } } });
+    endAttempt(request, AttemptVerdict::Neutral, now, effects);
+    ++request.rejections;
+    if (!request.terms.variant.model.value.empty())
+        m_directory.noteMissing(attempt.endpoint, request.terms.variant, now);
+    else if (attempt.terms.isMisdirected)
+        m_directory.noteMisdirected(attempt.endpoint, now);
+    request.excluded.insert(attempt.endpoint);
+    if (request.isHeadSent) {
+        handleLostAttempt(request, "no endpoint continues the stream", now, effects);
+        return;
+    }
+    const bool mayTryAgain
+        = request.rejections < maximumRejections && request.finalAt - now > shortestAttempt && takeRetry(request, now);
+    if (!mayTryAgain) {
+        if (request.mayHaveRun)
+            fail(request, 502, "endpoints_failed", now, effects);
+        else
+            refuse(request, { 503, "endpoints_full", "the endpoints have no room", shortRetryAfter }, now, effects);
+        return;
+    }
+    request.nextTryAt = now;
+    dispatch(request, now, effects);
+}
+
+bool GatewayRequests::mayRepeat(const Request& request, MonotonicTime now) const
+{
+    const bool isSafe = request.route.isIdempotent || request.route.isResumable;
+    return isSafe && request.attempts + 1 < request.route.maximumAttempts && request.finalAt - now > shortestAttempt;
+}
+
+bool GatewayRequests::takeRetry(const Request& request, MonotonicTime now)
+{
+    return budgetOf(request.service).tryRetry(now);
+}
+
+void GatewayRequests::handleLostAttempt(Request& request, std::string reason, MonotonicTime now, EffectList& effects)
+{
+    const bool isAllowed = mayRepeat(request, now);
+    if (request.attempt) {
+        const EndpointId endpoint = request.attempt->endpoint;
+        effects.push_back(LogEntry { LogEvent::GatewayAttemptFailed,
+            { { "request", request.terms.callerRequestId }, { "endpoint", endpoint.value }, { "reason", reason },
+                { "outcome", request.mayHaveRun ? "unknown" : "not_run" } } });
+        request.excluded.insert(endpoint);
+        endAttempt(request, AttemptVerdict::Bad, now, effects);
+    }
+    ++request.attempts;
+    request.failure = std::move(reason);
+    request.cutter.dropPartial();
+    // A stream without any event yet begins anew, another one goes on behind its last event.
+    if (isAllowed && takeRetry(request, now)) {
+        effects.push_back(RecordMetric { Metric::RetriesTotal, request.service });
+        if (request.isHeadSent)
+            effects.push_back(LogEntry { LogEvent::GatewayStreamResumed,
+                { { "request", request.terms.callerRequestId }, { "after_event", request.cutter.lastEventId() } } });
+        dispatch(request, now, effects);
+        return;
+    }
+    fail(request, 502, "endpoint_failed", now, effects);
+}
+
+void GatewayRequests::stopTaking(MonotonicTime now, EffectList& effects)
+{
+    m_isStopping = true;
+    for (const RequestId id : std::set<RequestId>(m_waiting)) {
+        Request& request = m_requests.at(id);
+        if (!request.mayHaveRun)
+            refuse(request, { 503, "stopping", "this host is stopping; another one takes the request", soonRetryAfter },
+                now, effects);
+    }
+}
+
+void GatewayRequests::endAll(MonotonicTime now, EffectList& effects)
+{
+    stopTaking(now, effects);
+    while (!m_requests.empty())
+        fail(m_requests.begin()->second, 504, "stopped", now, effects);
+}
+
+void GatewayRequests::refuse(Request& request, const Refusal& refusal, MonotonicTime now, EffectList& effects)
+{
+    HeaderList headers { { "Content-Type", "application/json" } };
+    if (refusal.retryAfter) {
+        const Duration wait = retryAfterOf(now, request.finalAt, *refusal.retryAfter);
+        headers.emplace_back("Retry-After", secondsText(wait));
+    }
+    effects.push_back(SendWholeResponse { request.arrived.id, refusal.status, std::move(headers),
+        errorBody(refusal.reason, refusal.message, "not_run") });
+    effects.push_back(RecordMetric { Metric::RefusalsTotal, std::string(refusal.reason) });
+    if (request.units > 0)
+        m_quota.giveBack(request.account, request.units, now);
+    request.failure = refusal.message;
+    logEnd(LogEvent::GatewayRequestRefused, request, refusal.status, refusal.reason, now, effects);
+    forget(request.arrived.id, now);
+}
+
+void GatewayRequests::fail(
+    Request& request, int status, std::string_view reason, MonotonicTime now, EffectList& effects)
+{
+    if (request.attempt) {
+        effects.push_back(CancelAttempt { request.attempt->id });
+        const bool wasMute = !request.attempt->isHeadSeen;
+        endAttempt(request, wasMute ? AttemptVerdict::Bad : AttemptVerdict::Neutral, now, effects);
+    }
+    if (request.isHeadSent)
+        effects.push_back(AbortResponse { request.arrived.id });
+    else
+        effects.push_back(SendWholeResponse { request.arrived.id, status, { { "Content-Type", "application/json" } },
+            errorBody(reason, "the request may have run", "unknown") });
+    logEnd(LogEvent::GatewayRequestFailed, request, status, reason, now, effects);
+    forget(request.arrived.id, now);
+}
+
+void GatewayRequests::logEnd(LogEvent event, const Request& request, int status, std::string_view reason,
+    MonotonicTime now, EffectList& effects) const
+{
+    LogEntry entry { event,
+        { { "request", request.terms.callerRequestId }, { "account", request.account.value },
+            { "route", request.route.name }, { "service", request.service }, { "model", request.terms.variant.text() },
+            { "status", std::to_string(status) }, { "milliseconds", milliseconds(now - request.arrivedAt) },
+            { "waited_ms", milliseconds(request.waited) }, { "first_byte_ms", milliseconds(request.firstByte) },
+            { "attempts", std::to_string(request.attempts + (request.attempt ? 1 : 0)) },
+            { "configuration", std::to_string(m_configuration.version) } } };
+    if (!reason.empty())
+        entry.fields.emplace_back("reason", reason);
+    if (!request.failure.empty())
+        entry.fields.emplace_back("detail", request.failure);
+    effects.push_back(std::move(entry));
+}
+
+void GatewayRequests::forget(RequestId id, MonotonicTime now)
+{
+    const auto found = m_requests.find(id);
+    if (found == m_requests.end())
+        return;
+    stopWaiting(found->second, now);
+    m_requests.erase(found);
+}
+
+} // namespace Catkinwell
