--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -132,7 +132,7 @@
     void handleNotExecuted(Request&, MonotonicTime now, EffectList&);
     void handleCompleteAnswer(Request&, MonotonicTime now, EffectList&);
     // Repeats the request elsewhere if that is safe and allowed; otherwise answers with the failure.
-    void handleLostAttempt(Request&, std::string reason, MonotonicTime now, EffectList&);
+    void handleLostAttempt(Request&, std::string reason, AttemptVerdict, MonotonicTime now, EffectList&);
     bool mayRepeat(const Request&, MonotonicTime now) const;
     bool takeRetry(const Request&, MonotonicTime now);
     void forwardData(Request&, std::string_view, MonotonicTime now, EffectList&);
--- a/src/gateway/GatewayRequestOutcomes.cpp
+++ b/src/gateway/GatewayRequestOutcomes.cpp
@@ -61,11 +61,11 @@
     request.mayHaveRun = true;
     const bool isOwn = attempt.terms.isSealed && !attempt.terms.isEncoded;
     if (!isOwn && attempt.status < 500) {
-        handleLostAttempt(request, "the endpoint's answer is not its own", now, effects);
+        handleLostAttempt(request, "the endpoint's answer is not its own", AttemptVerdict::Bad, now, effects);
         return;
     }
     if (request.isHeadSent || (attempt.status >= 500 && mayRepeat(request, now))) {
-        handleLostAttempt(request, "status " + std::to_string(attempt.status), now, effects);
+        handleLostAttempt(request, "status " + std::to_string(attempt.status), AttemptVerdict::Bad, now, effects);
         return;
     }
     passOn(request, now, effects);
@@ -110,7 +110,7 @@
         m_directory.noteMisdirected(attempt.endpoint, now);
     request.excluded.insert(attempt.endpoint);
     if (request.isHeadSent) {
-        handleLostAttempt(request, "no endpoint continues the stream", now, effects);
+        handleLostAttempt(request, "no endpoint continues the stream", AttemptVerdict::Bad, now, effects);
         return;
     }
     const bool mayTryAgain
@@ -137,7 +137,8 @@
     return budgetOf(request.service).tryRetry(now);
 }
 
-void GatewayRequests::handleLostAttempt(Request& request, std::string reason, MonotonicTime now, EffectList& effects)
+void GatewayRequests::handleLostAttempt(
+    Request& request, std::string reason, AttemptVerdict verdict, MonotonicTime now, EffectList& effects)
 {
     const bool isAllowed = mayRepeat(request, now);
     if (request.attempt) {
@@ -146,7 +147,7 @@
             { { "request", request.terms.callerRequestId }, { "endpoint", endpoint.value }, { "reason", reason },
                 { "outcome", request.mayHaveRun ? "unknown" : "not_run" } } });
         request.excluded.insert(endpoint);
-        endAttempt(request, AttemptVerdict::Bad, now, effects);
+        endAttempt(request, verdict, now, effects);
     }
     ++request.attempts;
     request.failure = std::move(reason);
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -334,7 +334,9 @@
         return;
     if (failed.outcome != AttemptOutcome::NotSent) {
         request->mayHaveRun = true;
-        handleLostAttempt(*request, failed.reason, now, effects);
+        const bool isUnreachable = failed.failure == AttemptFailure::Silence;
+        handleLostAttempt(
+            *request, failed.reason, isUnreachable ? AttemptVerdict::Unreachable : AttemptVerdict::Bad, now, effects);
         return;
     }
     const EndpointId endpoint = request->attempt->endpoint;
@@ -415,7 +417,7 @@
         return;
     request.mayHaveRun = true;
     effects.push_back(CancelAttempt { attempt.id });
-    handleLostAttempt(request, "the endpoint was silent", now, effects);
+    handleLostAttempt(request, "the endpoint was silent", AttemptVerdict::Unreachable, now, effects);
 }
 
 void GatewayRequests::advance(MonotonicTime now, EffectList& effects)
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <catkinwell/loop/Timeval.h>
+#include <cerrno>
 #include <charconv>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -310,6 +311,12 @@
         self.fail(AttemptFailure::Broken, "the peer closed the connection before the answer was complete");
         return;
     }
+    // The kernel gave up on data that the peer did not acknowledge, or on its keep-alive probes.
+    const int error = EVUTIL_SOCKET_ERROR();
+    if (error == ETIMEDOUT || error == EHOSTUNREACH || error == ENETUNREACH) {
+        self.fail(AttemptFailure::Silence, "the peer does not acknowledge what it is sent");
+        return;
+    }
     self.fail(AttemptFailure::Broken, "the peer reset the connection");
 }
 
--- a/src/http/SocketOptions.cpp
+++ b/src/http/SocketOptions.cpp
@@ -11,7 +11,7 @@
     constexpr int keepAliveIdleSeconds = 2;
     constexpr int keepAliveIntervalSeconds = 1;
     constexpr int keepAliveProbes = 2;
-    constexpr unsigned userTimeoutMilliseconds = 3000;
+    constexpr unsigned userTimeoutMilliseconds = 1500;
 
     void setOption(int socket, int level, int option, int value)
     {
