Give no orders to an engine in doubt; answer refused requests with the API's error object

A report of before the order had verified the engine again. (process tests) a body that is too large got another code than the API states. Change: after a lost answer or an unexpected number of orders the engine gets no order until a report that is younger than the last order shows it idle.

--- a/include/catkinwell/gateway/EndpointDirectory.h
+++ b/include/catkinwell/gateway/EndpointDirectory.h
@@ -48,10 +48,10 @@
     // The record is gone or unusable. An endpoint whose record may have lapsed while the store was away stays usable
     // until the given time.
     void remove(const EndpointId&, MonotonicTime usableUntil, MonotonicTime now, EffectList&);
-    void handle(const HostId& from, const PlacementNews&, MonotonicTime now);
+    void handle(const PlacementNews&, MonotonicTime now);
     void handle(const HostId& from, const HostDigest&);
     void removeHost(const HostId&);
-    void tick(MonotonicTime now, EffectList&);
+    void tick(MonotonicTime now);
 
     // Returns the best endpoint for the need and logs the decision; nothing if none can take it now.
     std::optional<EndpointChoice> choose(const EndpointNeed&, MonotonicTime now, EffectList&);
@@ -77,7 +77,6 @@
     const EndpointRecord* find(const EndpointId&) const;
     // Whether the endpoint may get new requests.
     bool isUsable(const EndpointId&, MonotonicTime now) const;
-    std::vector<EndpointId> endpointsOf(const std::string& service) const;
     std::size_t size() const { return m_entries.size(); }
 
 private:
--- a/include/catkinwell/gateway/EnginePlacement.h
+++ b/include/catkinwell/gateway/EnginePlacement.h
@@ -105,6 +105,8 @@
         std::map<ModelVariant, MonotonicTime> adapterUse;
         MonotonicTime nextStatusAt {};
         bool isStatusPending = false;
+        // Only a report that was asked for later counts for the verification.
+        MonotonicTime verifyAfter {};
         MonotonicTime notBefore {};
         bool isChanged = true;
     };
@@ -159,12 +161,13 @@
     void finishPending(Engine&, MonotonicTime now);
     void noteCompletion(Engine&, const LoadedModels&, MonotonicTime now);
     void takeModels(Engine&, const LoadedModels&, MonotonicTime now);
+    void doubt(Engine&, MonotonicTime now);
     void fetchStatus(Engine&, MonotonicTime now, EffectList&);
     void updateDemand(MonotonicTime now);
 
     bool mayOrder(const Engine&, MonotonicTime now) const;
     void finishAdapter(Engine&, MonotonicTime now);
-    void handleAdapterOrder(Engine&, const EngineOrderFinished&, MonotonicTime now, EffectList&);
+    void handleAdapterOrder(Engine&, const EngineOrderFinished&, MonotonicTime now);
     bool mayLoadFromStore(const std::string& service, unsigned waiting, MonotonicTime now) const;
     unsigned storeLoadBound(unsigned waiting) const;
     unsigned storeLoadsRunning() const;
--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -135,7 +135,7 @@
     void handleLostAttempt(Request&, std::string reason, AttemptVerdict, MonotonicTime now, EffectList&);
     bool mayRepeat(const Request&, MonotonicTime now) const;
     bool takeRetry(const Request&, MonotonicTime now);
-    void forwardData(Request&, std::string_view, MonotonicTime now, EffectList&);
+    void forwardData(Request&, std::string_view, EffectList&);
     void checkTimes(Request&, MonotonicTime now, EffectList&);
     void refuse(Request&, const Refusal&, MonotonicTime now, EffectList&);
     void fail(Request&, int status, std::string_view reason, MonotonicTime now, EffectList&);
--- a/src/gateway/EndpointDirectory.cpp
+++ b/src/gateway/EndpointDirectory.cpp
@@ -76,7 +76,7 @@
         { { "endpoint", id.value }, { "state", usableUntil > now ? "lapsed" : "gone" } } });
 }
 
-void EndpointDirectory::handle(const HostId&, const PlacementNews& news, MonotonicTime now)
+void EndpointDirectory::handle(const PlacementNews& news, MonotonicTime now)
 {
     if (news.fencingToken < m_newsToken)
         return;
@@ -108,7 +108,7 @@
 
 void EndpointDirectory::removeHost(const HostId& host) { m_peerLoads.erase(host); }
 
-void EndpointDirectory::tick(MonotonicTime now, EffectList&)
+void EndpointDirectory::tick(MonotonicTime now)
 {
     std::erase_if(m_entries, [now](const auto& item) {
         const Entry& entry = item.second;
@@ -349,14 +349,4 @@
     return found == m_entries.end() ? nullptr : &found->second.record;
 }
 
-std::vector<EndpointId> EndpointDirectory::endpointsOf(const std::string& service) const
-{
-    std::vector<EndpointId> list;
-    for (const auto& [id, entry] : m_entries) {
-        if (entry.record.service == service && entry.goneAt == MonotonicTime())
-            list.push_back(id);
-    }
-    return list;
-}
-
 } // namespace Catkinwell
--- a/src/gateway/EnginePlacement.cpp
+++ b/src/gateway/EnginePlacement.cpp
@@ -18,6 +18,7 @@
     constexpr Duration orderRetryPause = std::chrono::milliseconds(250);
     // Engines report their state this long after it was so.
     constexpr Duration statusLag = std::chrono::milliseconds(250);
+    constexpr Duration longestStatusLag = std::chrono::milliseconds(400);
     constexpr Duration statusInterval = std::chrono::seconds(4);
     constexpr Duration unverifiedStatusInterval = std::chrono::milliseconds(150);
     constexpr Duration pendingStatusInterval = std::chrono::milliseconds(300);
@@ -57,6 +58,7 @@
         return;
     for (auto& [id, engine] : m_engines) {
         engine.isVerified = false;
+        engine.verifyAfter = now;
         engine.pending.reset();
         engine.adapterPending.reset();
         engine.nextLoad.reset();
@@ -250,28 +252,35 @@
         engine.onDisk = status.onDisk;
         engine.inHostMemory = status.inHostMemory;
     }
-    if (engine.isVerified && status.orderCount >= engine.orderCount) {
-        // A larger number: an order whose answer was lost was carried out.
-        engine.orderCount = status.orderCount;
+    if (engine.isVerified && status.orderCount > engine.orderCount) {
+        // An order whose answer was lost was carried out, or is being carried out. Until the engine is idle it is not
+        // known what it holds, and an order now could be carried out late, in a state that it was not made for.
+        doubt(engine, now);
+    } else if (engine.isVerified && status.orderCount == engine.orderCount) {
         // The report of a busy engine is older than the end of its order, which may be known already.
         if (status.isBusy)
             noteCompletion(engine, status.models, now);
         else
             takeModels(engine, status.models, now);
     }
-    if (engine.pending)
+    if (engine.pending || engine.isVerified || status.isBusy || status.requestedAt < engine.verifyAfter)
         return;
-    // A state of before the last answer may still be on its way.
-    const bool isSettled = now >= engine.notBefore + statusLag || status.orderCount >= engine.orderCount;
-    if (!engine.isVerified && isSettled && !status.isBusy) {
-        engine.isVerified = true;
-        engine.orderCount = status.orderCount;
-        engine.models = status.models;
-        engine.unloading.clear();
-        engine.conflicts = 0;
-        engine.isChanged = true;
-        engine.nextStatusAt = now + statusInterval;
-    }
+    engine.isVerified = true;
+    engine.orderCount = status.orderCount;
+    engine.models = status.models;
+    engine.unloading.clear();
+    engine.conflicts = 0;
+    engine.isChanged = true;
+    engine.nextStatusAt = now + statusInterval;
+}
+
+// What the engine holds is read anew, from a report that is younger than the last order.
+void EnginePlacement::doubt(Engine& engine, MonotonicTime now)
+{
+    engine.isVerified = false;
+    engine.verifyAfter = now + longestStatusLag;
+    engine.nextStatusAt = engine.verifyAfter;
+    engine.isChanged = true;
 }
 
 void EnginePlacement::handle(const EngineStatusFailed& failed, MonotonicTime now, EffectList& effects)
@@ -300,7 +309,7 @@
     Engine& engine = found->second;
     const EngineOrder& order = finished.order;
     if (engine.adapterPending && engine.adapterPending->order.id == order.id) {
-        handleAdapterOrder(engine, finished, now, effects);
+        handleAdapterOrder(engine, finished, now);
         return;
     }
     if (!engine.pending || engine.pending->order.id != order.id)
@@ -315,8 +324,7 @@
         if (finished.outcome == EngineOrderOutcome::Accepted) {
             ++engine.orderCount;
         } else {
-            engine.isVerified = false;
-            engine.nextStatusAt = now;
+            doubt(engine, now);
         }
         if (isUnload) {
             // Only an accepted unload makes room: the memory of one that was refused is still in use.
@@ -338,10 +346,9 @@
         engine.notBefore = now + conflictPause;
         if (order.kind == EngineOrderKind::Load)
             engine.nextLoad = order.model;
-        if (++engine.conflicts >= maximumConflicts)
-            engine.isVerified = false;
-        if (!engine.isStatusPending)
-            fetchStatus(engine, now, effects);
+        // An engine that is unloading for this order is expected to be busy for a moment.
+        if (++engine.conflicts >= maximumConflicts || engine.unloading.empty())
+            doubt(engine, now);
         break;
     case EngineOrderOutcome::NotSent:
     case EngineOrderOutcome::Rejected:
@@ -349,16 +356,14 @@
     case EngineOrderOutcome::Misdirected:
     case EngineOrderOutcome::Unknown:
         engine.pending.reset();
-        engine.isVerified = false;
         ++engine.failures;
         engine.notBefore = now + orderRetryPause;
-        engine.nextStatusAt = now;
+        doubt(engine, now);
         break;
     }
 }
 
-void EnginePlacement::handleAdapterOrder(
-    Engine& engine, const EngineOrderFinished& finished, MonotonicTime now, EffectList& effects)
+void EnginePlacement::handleAdapterOrder(Engine& engine, const EngineOrderFinished& finished, MonotonicTime now)
 {
     const EngineOrder& order = finished.order;
     engine.isChanged = true;
@@ -380,10 +385,7 @@
     case EngineOrderOutcome::Conflict:
         engine.adapterPending.reset();
         engine.notBefore = now + conflictPause;
-        if (++engine.conflicts >= maximumConflicts && !engine.pending)
-            engine.isVerified = false;
-        if (!engine.isStatusPending)
-            fetchStatus(engine, now, effects);
+        doubt(engine, now);
         break;
     case EngineOrderOutcome::NotSent:
     case EngineOrderOutcome::Rejected:
@@ -391,10 +393,9 @@
     case EngineOrderOutcome::Misdirected:
     case EngineOrderOutcome::Unknown:
         engine.adapterPending.reset();
-        engine.isVerified = false;
         ++engine.failures;
         engine.notBefore = now + orderRetryPause;
-        engine.nextStatusAt = now;
+        doubt(engine, now);
         break;
     }
 }
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -143,7 +143,7 @@
     m_placement.setPermission(m_ownership.permission(m_lease.status(), now), now);
     updatePeers(now, effects);
     m_quota.tick(now);
-    m_directory.tick(now, effects);
+    m_directory.tick(now);
     m_placement.tick(now, effects);
     sendNews(now, effects);
     sendDigests(now, effects);
@@ -369,7 +369,7 @@
     const auto news = m_placement.takeNews(now);
     if (!news)
         return;
-    m_directory.handle(m_settings.host, *news, now);
+    m_directory.handle(*news, now);
     const std::string payload = encodeGatewayMessage(*news);
     for (const HostId& host : m_livePeers)
         effects.push_back(SendToPeer { host, GatewayEnvelope { payload } });
@@ -390,7 +390,7 @@
     void operator()(const HostDigest& digest) const { reducer.handleDigest(envelope, digest, now, effects); }
     void operator()(const PlacementNews& news) const
     {
-        reducer.m_directory.handle(envelope.from, news, now);
+        reducer.m_directory.handle(news, now);
         reducer.m_requests.advance(now, effects);
     }
     void operator()(const ConfigurationWanted& wanted) const
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -307,14 +307,14 @@
         return;
     request->attempt->lastDataAt = now;
     if (request->attempt->isForwarded) {
-        forwardData(*request, data.data, now, effects);
+        forwardData(*request, data.data, effects);
         return;
     }
     if (request->attempt->body.size() + data.data.size() <= maximumCollectedBytes)
         request->attempt->body += data.data;
 }
 
-void GatewayRequests::forwardData(Request& request, std::string_view data, MonotonicTime, EffectList& effects)
+void GatewayRequests::forwardData(Request& request, std::string_view data, EffectList& effects)
 {
     std::string complete = request.route.isResumable ? request.cutter.take(data) : std::string(data);
     if (!complete.empty())
--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -5,11 +5,11 @@
 #include <algorithm>
 #include <array>
 #include <catkinwell/loop/Timeval.h>
+#include <catkinwell/requests/ApiError.h>
 #include <cstdio>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <nlohmann/json.hpp>
 
 namespace Catkinwell {
 
@@ -22,10 +22,10 @@
 
     std::string errorBody(int status, const std::string& reason)
     {
-        const nlohmann::json body { { "error",
-            { { "message", reason }, { "type", "invalid_request_error" }, { "code", "invalid_request" },
-                { "outcome", "not_run" }, { "status", status } } } };
-        return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        ApiError error;
+        error.code = status == 413 ? ApiErrorCode::BodyTooLarge : ApiErrorCode::InvalidRequest;
+        error.message = reason;
+        return apiErrorBody(error);
     }
 
 } // namespace
--- a/src/http/CallerConnection.h
+++ b/src/http/CallerConnection.h
@@ -56,7 +56,6 @@
     void abort();
     // Whether finished answers have not left completely.
     bool hasUnsentOutput() const;
-    bool isIdle() const { return m_phase == Phase::Idle; }
 
 private:
     enum class Phase {
--- a/tests/gateway/EnginePlacementTest.cpp
+++ b/tests/gateway/EnginePlacementTest.cpp
@@ -109,7 +109,7 @@
                 carryOut(effect, effects);
         }
         if (const auto news = placement.takeNews(now))
-            directory.handle(self, *news, now);
+            directory.handle(*news, now);
     }
 
     void carryOut(const Effect& effect, EffectList& following)
@@ -137,23 +137,51 @@
 TEST_CASE("A model that requests wait for is loaded where it is ready soonest")
 {
     PlacementFixture fixture;
-    fixture.add("far", holding({ "m1", "m2" }));
-    FakeEngine& near = fixture.add("near", holding({ "m3", "m4" }));
+    FakeEngine& without = fixture.add("without", holding({ "m2", "m3" }));
+    FakeEngine& withCopy = fixture.add("with", holding({ "m2", "m3" }));
+    withCopy.putOnDisk(ModelId("m1"));
+    without.putOnDisk(ModelId("m4"));
+    fixture.publish(withCopy);
+    fixture.publish(without);
     fixture.own();
-    fixture.run(std::chrono::seconds(1));
-    // The engine "near" has m3 on its disk once it has made way.
-    fixture.demand("m1", 0, 0);
-    near.keepRunning(ModelId("m4"), fixture.now);
-    fixture.demand("m1", 1, 1);
     fixture.run(std::chrono::milliseconds(500));
-    CHECK(fixture.isLoaded("m1"));
+    fixture.demand("m1", 1, 1);
+    // From the weight store it would take six seconds.
+    fixture.run(std::chrono::milliseconds(2200));
+    CHECK(withCopy.models().contains(ModelId("m1")));
     CHECK(fixture.violations().empty());
 }
 
+// Guards against a load from the weight store while an engine with a copy is busy for a moment.
+TEST_CASE("A model waits for a busy engine that has its weights")
+{
+    PlacementFixture fixture;
+    fixture.add("without", holding({ "m2", "m3" }));
+    FakeEngine& withCopy = fixture.add("with", holding({ "m2", "m3" }));
+    withCopy.putOnDisk(ModelId("m1"));
+    withCopy.putOnDisk(ModelId("m4"));
+    fixture.publish(withCopy);
+    fixture.own();
+    fixture.run(std::chrono::milliseconds(500));
+    fixture.demand("m4", 1, 1);
+    fixture.run(std::chrono::milliseconds(400));
+    fixture.demand("m1", 1, 1);
+    fixture.run(std::chrono::milliseconds(4500));
+    CHECK(withCopy.models().contains(ModelId("m1")));
+    unsigned storeLoads = 0;
+    for (const auto& engine : fixture.engines)
+        storeLoads += engine->storeLoads();
+    CHECK(storeLoads == 0);
+}
+
 TEST_CASE("An adapter is loaded beside its model, and the one that was used longest ago makes way")
 {
     PlacementFixture fixture;
-    fixture.add("e", holding({ "m1" }));
+    FakeEngine& engine = fixture.add("e", holding({ "m1", "m2" }));
+    // No copies of models are loaded meanwhile.
+    for (const char* model : { "m3", "m4" })
+        engine.putOnDisk(ModelId(model));
+    fixture.publish(engine);
     fixture.own();
     fixture.run(std::chrono::seconds(1));
     for (const char* adapter : { "m1/a1", "m1/a2", "m1/a3" }) {
@@ -162,8 +190,6 @@
         fixture.demand(adapter, 0, 1);
     }
     const std::set<std::string> expected { "a2", "a3" };
-    for (const EngineOrder& order : fixture.orders)
-        UNSCOPED_INFO(nameOf(order.kind) << " " << order.model.value << "/" << order.adapter);
     CHECK(fixture.engines[0]->models().at(ModelId("m1")) == expected);
     CHECK(fixture.violations().empty());
 }
@@ -231,7 +257,7 @@
         { 0.4, 0.7, false },
         { 0.3, 0.5, true },
     }));
-    const std::uint64_t seed = GENERATE(range(1, 16));
+    const std::uint64_t seed = GENERATE(range(1, 41));
     PlacementFixture fixture({ test.lostAnswers, test.lateOrders }, seed);
     RandomGenerator random(seed);
     fixture.add("e0", holding({ "m1", "m2" }));
--- a/tests/gateway/FakeEngine.h
+++ b/tests/gateway/FakeEngine.h
@@ -30,6 +30,8 @@
     // An unload of the model waits until this time.
     void keepRunning(const ModelId& model, MonotonicTime until) { m_runningUntil[model] = until; }
 
+    void putOnDisk(const ModelId& model) { m_onDisk.insert(model); }
+
     const std::vector<std::string>& violations() const { return m_violations; }
     const LoadedModels& models() const { return m_models; }
     const std::set<ModelId>& onDisk() const { return m_onDisk; }
--- a/tests/gateway/GatewayFixture.cpp
+++ b/tests/gateway/GatewayFixture.cpp
@@ -175,7 +175,7 @@
     constexpr Duration step = std::chrono::milliseconds(20);
     for (const MonotonicTime end = now + duration; now < end;) {
         now += step;
-        directory.tick(now, effects);
+        directory.tick(now);
         requests.advance(now, effects);
         requests.tick(now, effects);
     }
--- a/tests/gateway/GatewayRequestsTest.cpp
+++ b/tests/gateway/GatewayRequestsTest.cpp
@@ -216,7 +216,7 @@
     CHECK(fixture.takeAttempts().empty());
     CHECK(fixture.requests.demand().at(0).waiting == 1);
     PlacementNews news { 1, 1, { { EndpointId("notes0"), 1, withM1, {} } } };
-    fixture.directory.handle(HostId("owner"), news, fixture.now);
+    fixture.directory.handle(news, fixture.now);
     fixture.requests.advance(fixture.now, fixture.effects);
     CHECK(fixture.takeAttempts().size() == 1);
     CHECK(fixture.requests.demand().at(0).waiting == 0);
@@ -255,10 +255,8 @@
         RequestArrived request;
         request.id = RequestId(100 + static_cast<std::uint64_t>(i));
         request.method = "POST";
-        request.target = "/order/poison";
         request.body = "the same";
         request.headers = { { "Host", "h" }, { "id", std::to_string(i) } };
-        request.keyDigest = fixture.requests.activeRequests() == 0 ? "" : "";
         request.target = "/open/poison";
         fixture.requests.handle(request, fixture.now, fixture.effects);
         for (const auto& attempt : fixture.takeAttempts()) {
