Ignore SIGPIPE wherever an event loop runs

Cause: the process tests ended with SIGPIPE (exit 141) when their client wrote to a kept connection that the host had closed; only the binary's main ignored the signal.

--- a/include/catkinwell/loop/EventLoop.h
+++ b/include/catkinwell/loop/EventLoop.h
@@ -12,6 +12,7 @@
 // thread. Not thread safe.
 class EventLoop {
 public:
+    // The process ignores SIGPIPE from here on.
     // Errors: throws std::runtime_error when the operating system has no event mechanism.
     EventLoop();
     ~EventLoop();
--- a/src/loop/EventLoop.cpp
+++ b/src/loop/EventLoop.cpp
@@ -1,6 +1,7 @@
 #include <catkinwell/loop/EventLoop.h>
 
 #include <catkinwell/loop/Timeval.h>
+#include <csignal>
 #include <event2/event.h>
 #include <list>
 #include <stdexcept>
@@ -28,6 +29,8 @@
     : m_base(event_base_new())
     , m_registrations(std::make_unique<Registrations>())
 {
+    // A write to a connection that the peer has closed is an error of that connection.
+    std::signal(SIGPIPE, SIG_IGN);
     if (!m_base)
         throw std::runtime_error("libevent found no usable event mechanism on this system");
 }
