--- a/include/catkinwell/gateway/EndpointDirectory.h
+++ b/include/catkinwell/gateway/EndpointDirectory.h
@@ -98,22 +98,30 @@
         std::map<ModelVariant, MonotonicTime> missingUntil;
     };
 
+    // Requests of the other hosts that run on one endpoint.
     struct PeerLoad {
-        std::map<EndpointId, std::map<ModelVariant, unsigned>> running;
-        std::map<EndpointId, unsigned> totals;
+        unsigned total = 0;
+        std::map<ModelId, unsigned> byModel;
     };
 
+    // The endpoint that last read the beginning of a prompt, with its worth for the choice.
+    using Affinities = std::map<EndpointId, double>;
+
     bool isUsable(const Entry&, MonotonicTime now) const;
     bool hasVariant(const Entry&, const ModelVariant&, MonotonicTime now) const;
     const LoadedModels& modelsOf(const Entry&, MonotonicTime now) const;
-    double scoreOf(const Entry&, const EndpointNeed&, MonotonicTime now);
-    double affinityOf(const EndpointNeed&, const EndpointId&) const;
+    double scoreOf(const Entry&, const Affinities&);
+    Affinities affinitiesOf(const EndpointNeed&) const;
+    void addPeerLoad(const std::vector<RunningCount>&);
+    void removePeerLoad(const std::vector<RunningCount>&);
     void remember(const EndpointNeed&, const EndpointId&);
 
     DataCentreId m_own;
     RandomGenerator m_random;
     std::map<EndpointId, Entry> m_entries;
-    std::map<HostId, PeerLoad> m_peerLoads;
+    // What each other host reported last, and the sum over them.
+    std::map<HostId, std::vector<RunningCount>> m_peerRunning;
+    std::unordered_map<EndpointId, PeerLoad> m_peerLoads;
     std::uint64_t m_newsToken = 0;
     // The endpoint that last read a beginning of a prompt, by the hash of variant and parts.
     std::unordered_map<std::uint64_t, EndpointId> m_promptEndpoints;
--- a/include/catkinwell/gateway/EnginePlacement.h
+++ b/include/catkinwell/gateway/EnginePlacement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <catkinwell/gateway/EndpointDirectory.h>
+#include <catkinwell/gateway/FleetDemand.h>
 #include <deque>
 
 namespace Catkinwell {
@@ -42,7 +43,7 @@
     void setPermission(const std::optional<PlacementPermission>&, MonotonicTime now);
     void put(const EndpointRecord&, MonotonicTime now);
     void remove(const EndpointId&);
-    void handle(const HostId& from, const std::vector<VariantDemand>&, MonotonicTime now);
+    void handle(const HostId& from, const DemandReport&, MonotonicTime now);
     void removeHost(const HostId&);
 
     void handle(const EngineStatus&, MonotonicTime now, EffectList&);
@@ -50,7 +51,8 @@
     void handle(const EngineOrderFinished&, MonotonicTime now, EffectList&);
     void tick(MonotonicTime now, EffectList&);
 
-    // What changed since the last call, everything once a second; nothing if there is nothing to say.
+    // What changed since the last call, and once a second what the engines' own records do not show yet; nothing if
+    // there is nothing to say.
     std::optional<PlacementNews> takeNews(MonotonicTime now);
     bool isOwner() const { return m_permission.has_value(); }
 
@@ -109,29 +111,29 @@
         MonotonicTime verifyAfter {};
         MonotonicTime notBefore {};
         bool isChanged = true;
+        // When it last was in the news because of a change.
+        MonotonicTime changedAt {};
     };
 
-    struct Demand {
-        std::string service;
-        unsigned waiting = 0;
-        // Arrivals a second, averaged over the recent past.
-        double rate = 0;
-        MonotonicTime updatedAt {};
-        MonotonicTime lastArrivalAt {};
-    };
+    using ServiceModel = std::pair<std::string, ModelId>;
 
-    // All demand for a model, with that for its adapters.
-    struct ModelLoad {
-        std::string service;
-        ModelId model;
+    // One model over all engines and hosts, with the demand for its adapters.
+    struct ModelSummary {
         unsigned waiting = 0;
-        double running = 0;
+        // Arrivals a second, and those for adapters.
         double rate = 0;
+        double adapterRate = 0;
+        // Running requests, averaged over the recent past.
+        double running = 0;
+        std::vector<Engine*> holders;
+        std::set<DataCentreId> dataCentres;
+        // Reachable engines that hold it or are loading it.
+        unsigned usableReplicas = 0;
+        // Engines that hold it, are loading it or have it on their disks.
+        unsigned copies = 0;
     };
 
-    struct HostDemand {
-        std::map<std::pair<std::string, ModelVariant>, VariantDemand> entries;
-    };
+    using ModelSummaries = std::map<ServiceModel, ModelSummary>;
 
     // An engine that could take a model, and what would make way.
     struct Candidate {
@@ -153,9 +155,8 @@
     std::optional<Candidate> candidateOn(
         Engine&, const GatewayModel&, const GatewayEngine&, bool mayUseStore, MonotonicTime now);
     std::optional<Candidate> bestCopyCandidate(const std::string& service, const GatewayModel&, MonotonicTime now);
-    unsigned copiesOf(const ModelId&) const;
-    double adapterRate(const Engine&) const;
-    double keepValue(const Engine&, const ModelId&, MonotonicTime now) const;
+    double adapterRate(const Engine&, MonotonicTime now);
+    double keepValue(const Engine&, const ModelId&, MonotonicTime now);
     void giveOrder(
         Engine&, EngineOrderKind, const ModelVariant&, std::string_view reason, MonotonicTime now, EffectList&);
     void finishPending(Engine&, MonotonicTime now);
@@ -163,7 +164,15 @@
     void takeModels(Engine&, const LoadedModels&, MonotonicTime now);
     void doubt(Engine&, MonotonicTime now);
     void fetchStatus(Engine&, MonotonicTime now, EffectList&);
-    void updateDemand(MonotonicTime now);
+    void updateRunning(MonotonicTime now);
+    // The summaries are made when they are first asked for after a change.
+    const ModelSummaries& summaries(MonotonicTime now);
+    const ModelSummary& summaryOf(const std::string& service, const ModelId&, MonotonicTime now);
+    void forgetSummaries() { m_summaries.reset(); }
+    Duration planInterval() const;
+    Engine* adapterEngine(const ModelSummary&, const ModelVariant&, MonotonicTime now);
+    void makeRoomForAdapter(Engine&, MonotonicTime now, EffectList&);
+    bool isInNews(const Engine&, bool isRepeat, MonotonicTime now) const;
 
     bool mayOrder(const Engine&, MonotonicTime now) const;
     void finishAdapter(Engine&, MonotonicTime now);
@@ -174,13 +183,9 @@
     WeightSource sourceOf(const Engine&, const ModelId&) const;
     Duration loadTime(const Engine&, const ModelId&, WeightSource) const;
     const GatewayModel* settingsOf(const Engine&, const ModelId&) const;
-    unsigned replicas(const ModelId&, bool withComing) const;
-    std::vector<ModelLoad> modelLoads() const;
-    unsigned usableReplicas(const ModelId&, MonotonicTime now) const;
+    std::vector<ServiceModel> modelsByLoad(MonotonicTime now);
     bool isReachable(const Engine&, MonotonicTime now) const;
-    unsigned wantedReplicas(const std::string& service, const ModelId&) const;
-    double rateOf(const ModelId&) const;
-    unsigned waitingFor(const ModelId&) const;
+    unsigned wantedReplicas(const std::string& service, const ModelSummary&) const;
     double memoryUsed(const Engine&, const GatewayEngine&) const;
     EngineNews newsOf(const Engine&, MonotonicTime now) const;
 
@@ -189,15 +194,16 @@
     GatewayConfiguration m_configuration;
     std::optional<PlacementPermission> m_permission;
     std::map<EndpointId, Engine> m_engines;
-    std::map<HostId, HostDemand> m_hostDemand;
-    std::map<std::pair<std::string, ModelVariant>, Demand> m_demand;
+    FleetDemand m_demand;
     // Averages of the running requests of each model.
-    std::map<ModelId, double> m_running;
+    std::map<ServiceModel, double> m_running;
+    std::optional<ModelSummaries> m_summaries;
     std::deque<MonotonicTime> m_storeLoads;
     std::uint64_t m_lastCommand = 0;
     std::uint64_t m_newsSequence = 0;
-    MonotonicTime m_nextWholeNewsAt {};
+    MonotonicTime m_nextNewsRepeatAt {};
     MonotonicTime m_nextPlanAt {};
+    MonotonicTime m_nextBusyPlanAt {};
     MonotonicTime m_runningUpdatedAt {};
 };
 
--- a/include/catkinwell/gateway/GatewayMessage.h
+++ b/include/catkinwell/gateway/GatewayMessage.h
@@ -3,22 +3,13 @@
 #include <catkinwell/core/Error.h>
 #include <catkinwell/gateway/EndpointRecord.h>
 #include <catkinwell/gateway/FleetQuota.h>
+#include <catkinwell/gateway/HostDemand.h>
 #include <string>
 #include <variant>
 #include <vector>
 
 namespace Catkinwell {
 
-// What a host knows of the demand for one model or adapter.
-struct VariantDemand {
-    ModelVariant variant;
-    std::string service;
-    // Requests that wait for a replica.
-    std::uint32_t waiting = 0;
-    // Requests that arrived since the host started.
-    std::uint64_t arrivals = 0;
-};
-
 // Requests of one host that run on an endpoint.
 struct RunningCount {
     EndpointId endpoint;
@@ -32,7 +23,8 @@
     std::uint64_t configurationVersion = 0;
     bool isLeaving = false;
     AccountUsage usage;
-    std::vector<VariantDemand> demand;
+    // Only the owner of the placement is told.
+    DemandReport demand;
     std::vector<RunningCount> running;
     // Fingerprints of requests that were running when an endpoint died, with the number of crashes.
     std::vector<std::pair<std::uint64_t, std::uint32_t>> suspectFingerprints;
--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -67,6 +67,8 @@
     void keepSecret(MonotonicTime now, EffectList&);
     void updatePeers(MonotonicTime now, EffectList&);
     void sendDigests(MonotonicTime now, EffectList&);
+    void sendDemand(MonotonicTime now, EffectList&);
+    HostDigest demandDigest(MonotonicTime now);
     void sendNews(MonotonicTime now, EffectList&);
     void sendTo(const HostId&, const GatewayMessage&, EffectList&) const;
     HostDigest makeDigest(MonotonicTime now);
@@ -102,6 +104,9 @@
     std::uint64_t m_digestSequence = 0;
     MonotonicTime m_nextDigestAt {};
     MonotonicTime m_nextUrgentDigestAt {};
+    // The owner that was told the whole demand, and when it is told the whole again.
+    HostId m_demandOwner;
+    MonotonicTime m_nextWholeDemandAt {};
     Phase m_phase = Phase::Serving;
     MonotonicTime m_shutdownAt {};
     bool m_isTakingStopped = false;
--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -3,6 +3,7 @@
 #include <catkinwell/gateway/EndpointDirectory.h>
 #include <catkinwell/gateway/FleetQuota.h>
 #include <catkinwell/gateway/ForwardingProtocol.h>
+#include <catkinwell/gateway/HostDemand.h>
 #include <catkinwell/gateway/RouteTable.h>
 #include <catkinwell/gateway/StreamCutter.h>
 #include <catkinwell/routing/CrashQuarantine.h>
@@ -49,8 +50,8 @@
     void endpointDied(const EndpointId&, MonotonicTime now);
     CrashQuarantine& quarantine() { return m_quarantine; }
 
-    // The demand since the start, for the digest.
-    std::vector<VariantDemand> demand() const;
+    // The demand for models and adapters, for the owner of the placement.
+    HostDemand& demand() { return m_demand; }
     // Whether a request began to wait for a replica since the last call.
     bool takeNewlyWaiting() { return std::exchange(m_newlyWaiting, false); }
     std::size_t activeRequests() const { return m_requests.size(); }
@@ -106,12 +107,6 @@
 
     using RequestMap = std::unordered_map<RequestId, Request>;
 
-    struct DemandRecord {
-        std::uint32_t waiting = 0;
-        std::uint64_t arrivals = 0;
-        MonotonicTime lastAt {};
-    };
-
     // Why a request is refused before it was sent.
     struct Refusal {
         int status = 503;
@@ -158,7 +153,7 @@
     RequestMap m_requests;
     std::unordered_map<AttemptId, RequestId> m_attempts;
     std::set<RequestId> m_waiting;
-    std::map<std::pair<std::string, ModelVariant>, DemandRecord> m_demand;
+    HostDemand m_demand;
     std::uint64_t m_lastAttempt = 0;
     bool m_newlyWaiting = false;
     bool m_isStopping = false;
--- a/include/catkinwell/gateway/PrefixMirror.h
+++ b/include/catkinwell/gateway/PrefixMirror.h
@@ -28,6 +28,7 @@
     // Returns the entries that changed, deleted ones marked. Ignores replies to other calls.
     std::vector<StoreEntry> handle(const StoreReply&, MonotonicTime now, EffectList&);
 
+    void setMinimumInterval(Duration interval) { m_settings.minimumInterval = interval; }
     // Whether the prefix was read completely at least once.
     bool isRead() const { return m_isRead; }
     const std::map<std::string, StoreEntry>& entries() const { return m_entries; }
--- a/src/gateway/EndpointDirectory.cpp
+++ b/src/gateway/EndpointDirectory.cpp
@@ -98,15 +98,44 @@
 
 void EndpointDirectory::handle(const HostId& from, const HostDigest& digest)
 {
-    PeerLoad load;
-    for (const RunningCount& running : digest.running) {
-        load.running[running.endpoint][running.variant] += running.count;
-        load.totals[running.endpoint] += running.count;
+    std::vector<RunningCount>& running = m_peerRunning[from];
+    removePeerLoad(running);
+    running = digest.running;
+    addPeerLoad(running);
+}
+
+void EndpointDirectory::removeHost(const HostId& host)
+{
+    const auto found = m_peerRunning.find(host);
+    if (found == m_peerRunning.end())
+        return;
+    removePeerLoad(found->second);
+    m_peerRunning.erase(found);
+}
+
+void EndpointDirectory::addPeerLoad(const std::vector<RunningCount>& list)
+{
+    for (const RunningCount& running : list) {
+        PeerLoad& load = m_peerLoads[running.endpoint];
+        load.total += running.count;
+        load.byModel[running.variant.model] += running.count;
     }
-    m_peerLoads[from] = std::move(load);
 }
 
-void EndpointDirectory::removeHost(const HostId& host) { m_peerLoads.erase(host); }
+void EndpointDirectory::removePeerLoad(const std::vector<RunningCount>& list)
+{
+    for (const RunningCount& running : list) {
+        const auto found = m_peerLoads.find(running.endpoint);
+        if (found == m_peerLoads.end())
+            continue;
+        PeerLoad& load = found->second;
+        load.total -= running.count;
+        if ((load.byModel[running.variant.model] -= running.count) == 0)
+            load.byModel.erase(running.variant.model);
+        if (load.byModel.empty())
+            m_peerLoads.erase(found);
+    }
+}
 
 void EndpointDirectory::tick(MonotonicTime now)
 {
@@ -149,15 +178,17 @@
     return missing == entry.missingUntil.end() || now >= missing->second;
 }
 
-double EndpointDirectory::affinityOf(const EndpointNeed& need, const EndpointId& endpoint) const
+EndpointDirectory::Affinities EndpointDirectory::affinitiesOf(const EndpointNeed& need) const
 {
-    // The longest beginning that the endpoint has read counts.
+    // The longest beginning that an endpoint has read counts.
+    Affinities affinities;
     for (std::size_t parts = need.promptParts.size(); parts > 0; --parts) {
         const auto found = m_promptEndpoints.find(promptHash(need, parts));
-        if (found != m_promptEndpoints.end() && found->second == endpoint)
-            return parts == need.promptParts.size() ? wholePromptBonus : sharedPromptBonus;
+        if (found != m_promptEndpoints.end())
+            affinities.try_emplace(
+                found->second, parts == need.promptParts.size() ? wholePromptBonus : sharedPromptBonus);
     }
-    return 0;
+    return affinities;
 }
 
 void EndpointDirectory::remember(const EndpointNeed& need, const EndpointId& endpoint)
@@ -174,19 +205,21 @@
     }
 }
 
-double EndpointDirectory::scoreOf(const Entry& entry, const EndpointNeed& need, MonotonicTime)
+double EndpointDirectory::scoreOf(const Entry& entry, const Affinities& affinities)
 {
     const double load = (runningOn(entry.record.id) + 1.0) / entry.record.slots;
     const double distance = entry.record.dataCentre == m_own ? 0 : otherDataCentreCost;
     const double failures = entry.failureShare * failureCost;
     // Ties are broken at random, so that hosts do not send to the same endpoint together.
     const double tie = m_random.unit() * 0.001;
-    return load + distance + failures - affinityOf(need, entry.record.id) + tie;
+    const auto affinity = affinities.find(entry.record.id);
+    return load + distance + failures - (affinity == affinities.end() ? 0 : affinity->second) + tie;
 }
 
 std::optional<EndpointChoice> EndpointDirectory::choose(
     const EndpointNeed& need, MonotonicTime now, EffectList& effects)
 {
+    const Affinities affinities = affinitiesOf(need);
     const Entry* best = nullptr;
     const Entry* bestUnreliable = nullptr;
     double bestScore = 0;
@@ -195,7 +228,7 @@
         if (entry.record.service != need.service || need.excluded.contains(id) || !isUsable(entry, now)
             || !hasVariant(entry, need.variant, now))
             continue;
-        const double score = scoreOf(entry, need, now);
+        const double score = scoreOf(entry, affinities);
         const bool isReliable = entry.failureShare <= tolerableFailureShare || m_random.unit() < retryUnreliableShare;
         const Entry*& leader = isReliable ? best : bestUnreliable;
         double& leaderScore = isReliable ? bestScore : bestUnreliableScore;
@@ -319,26 +352,21 @@
 unsigned EndpointDirectory::runningOn(const EndpointId& id) const
 {
     const auto found = m_entries.find(id);
-    unsigned total = found == m_entries.end() ? 0 : found->second.ownTotal;
-    for (const auto& [host, load] : m_peerLoads) {
-        const auto peer = load.totals.find(id);
-        total += peer == load.totals.end() ? 0 : peer->second;
-    }
-    return total;
+    const auto peers = m_peerLoads.find(id);
+    return (found == m_entries.end() ? 0 : found->second.ownTotal)
+        + (peers == m_peerLoads.end() ? 0 : peers->second.total);
 }
 
 unsigned EndpointDirectory::runningOn(const EndpointId& id, const ModelId& model) const
 {
     unsigned total = 0;
-    const auto add = [&total, &model](const std::map<ModelVariant, unsigned>& running) {
-        for (const auto& [variant, count] : running)
+    if (const auto found = m_entries.find(id); found != m_entries.end()) {
+        for (const auto& [variant, count] : found->second.ownRunning)
             total += variant.model == model ? count : 0;
-    };
-    if (const auto found = m_entries.find(id); found != m_entries.end())
-        add(found->second.ownRunning);
-    for (const auto& [host, load] : m_peerLoads) {
-        if (const auto peer = load.running.find(id); peer != load.running.end())
-            add(peer->second);
+    }
+    if (const auto peers = m_peerLoads.find(id); peers != m_peerLoads.end()) {
+        const auto ofModel = peers->second.byModel.find(model);
+        total += ofModel == peers->second.byModel.end() ? 0 : ofModel->second;
     }
     return total;
 }
--- a/src/gateway/EnginePlacement.cpp
+++ b/src/gateway/EnginePlacement.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-    // The time over which arrival rates are averaged.
-    constexpr double rateSeconds = 12;
     constexpr double runningSeconds = 1.5;
     constexpr Duration runningInterval = std::chrono::milliseconds(200);
     // An order without an answer is sent again after this time.
@@ -22,7 +20,12 @@
     constexpr Duration statusInterval = std::chrono::seconds(4);
     constexpr Duration unverifiedStatusInterval = std::chrono::milliseconds(150);
     constexpr Duration pendingStatusInterval = std::chrono::milliseconds(300);
-    constexpr Duration wholeNewsInterval = std::chrono::seconds(1);
+    constexpr Duration newsRepeatInterval = std::chrono::seconds(1);
+    // An engine's own record shows a change by then, unless the store is away.
+    constexpr Duration newsRepeatTime = std::chrono::seconds(3);
+    // Bounds the part of a core that the plans of a large fleet take.
+    constexpr Duration planIntervalPerEngine = std::chrono::microseconds(300);
+    constexpr Duration longestPlanInterval = std::chrono::milliseconds(200);
     // A load from memory or disk takes its stated time; a replica counts as ready a little later.
     constexpr Duration loadMargin = std::chrono::milliseconds(30);
     constexpr Duration adapterLoadTime = std::chrono::milliseconds(25);
@@ -69,6 +72,7 @@
 
 void EnginePlacement::put(const EndpointRecord& record, MonotonicTime now)
 {
+    forgetSummaries();
     if (!m_configuration.engineOf(record.service)) {
         m_engines.erase(record.id);
         return;
@@ -104,52 +108,30 @@
     engine.isChanged = true;
 }
 
-void EnginePlacement::remove(const EndpointId& id) { m_engines.erase(id); }
+void EnginePlacement::remove(const EndpointId& id)
+{
+    forgetSummaries();
+    m_engines.erase(id);
+}
 
-void EnginePlacement::handle(const HostId& from, const std::vector<VariantDemand>& list, MonotonicTime now)
+void EnginePlacement::handle(const HostId& from, const DemandReport& report, MonotonicTime now)
 {
-    HostDemand& host = m_hostDemand[from];
-    std::map<std::pair<std::string, ModelVariant>, VariantDemand> entries;
-    for (const VariantDemand& entry : list) {
-        const auto key = std::pair(entry.service, entry.variant);
-        const auto former = host.entries.find(key);
-        std::uint64_t arrived = entry.arrivals;
-        if (former != host.entries.end())
-            arrived = entry.arrivals >= former->second.arrivals ? entry.arrivals - former->second.arrivals : arrived;
-        Demand& demand = m_demand[key];
-        demand.service = entry.service;
-        demand.rate += static_cast<double>(arrived) / rateSeconds;
-        if (arrived > 0)
-            demand.lastArrivalAt = now;
-        entries.emplace(key, entry);
-    }
-    host.entries = std::move(entries);
-    for (auto& [key, demand] : m_demand)
-        demand.waiting = 0;
-    for (const auto& [name, other] : m_hostDemand) {
-        for (const auto& [key, entry] : other.entries)
-            m_demand[key].waiting += entry.waiting;
-    }
+    m_demand.handle(from, report, now);
 }
 
-void EnginePlacement::removeHost(const HostId& host) { m_hostDemand.erase(host); }
+void EnginePlacement::removeHost(const HostId& host) { m_demand.removeHost(host); }
 
-void EnginePlacement::updateDemand(MonotonicTime now)
+void EnginePlacement::updateRunning(MonotonicTime now)
 {
-    for (auto& [key, demand] : m_demand) {
-        if (demand.updatedAt != MonotonicTime())
-            demand.rate *= std::exp(-secondsOf(now - demand.updatedAt) / rateSeconds);
-        demand.updatedAt = now;
-    }
     if (now - m_runningUpdatedAt < runningInterval)
         return;
     const double weight = 1
         - std::exp(-secondsOf(std::min<Duration>(now - m_runningUpdatedAt, std::chrono::seconds(1))) / runningSeconds);
     m_runningUpdatedAt = now;
-    std::map<ModelId, unsigned> counts;
+    std::map<ServiceModel, unsigned> counts;
     for (const auto& [id, engine] : m_engines) {
         for (const auto& [model, adapters] : engine.models)
-            counts[model] += m_directory.runningOn(id, model);
+            counts[{ engine.record.service, model }] += m_directory.runningOn(id, model);
     }
     for (const auto& [model, count] : counts)
         m_running[model] += weight * (count - m_running[model]);
@@ -158,7 +140,7 @@
 
 void EnginePlacement::tick(MonotonicTime now, EffectList& effects)
 {
-    updateDemand(now);
+    updateRunning(now);
     if (!m_permission || now >= m_permission->until)
         return;
     for (auto& [id, engine] : m_engines) {
@@ -173,12 +155,22 @@
         return;
     for (auto& [id, engine] : m_engines)
         continueLoad(engine, now, effects);
+    if (now < m_nextPlanAt)
+        return;
+    m_nextPlanAt = now + planInterval();
+    m_demand.update(now);
+    forgetSummaries();
     planAdapters(now, effects);
     planWaitingModels(now, effects);
     planBusyModels(now, effects);
     planCopies(now, effects);
 }
 
+Duration EnginePlacement::planInterval() const
+{
+    return std::min<Duration>(longestPlanInterval, planIntervalPerEngine * static_cast<std::int64_t>(m_engines.size()));
+}
+
 void EnginePlacement::fetchStatus(Engine& engine, MonotonicTime now, EffectList& effects)
 {
     engine.isStatusPending = true;
@@ -424,18 +416,31 @@
     return news;
 }
 
+// Hosts go by an engine's own record where there is no news, so what the record shows needs no news.
+bool EnginePlacement::isInNews(const Engine& engine, bool isRepeat, MonotonicTime now) const
+{
+    if (!engine.isVerified)
+        return false;
+    if (engine.isChanged || !isRepeat)
+        return engine.isChanged;
+    return now - engine.changedAt < newsRepeatTime || engine.pending || engine.adapterPending || engine.nextLoad
+        || engine.models != engine.record.models;
+}
+
 std::optional<PlacementNews> EnginePlacement::takeNews(MonotonicTime now)
 {
     if (!m_permission || now >= m_permission->until)
         return std::nullopt;
-    const bool isWhole = now >= m_nextWholeNewsAt;
-    if (isWhole)
-        m_nextWholeNewsAt = now + wholeNewsInterval;
+    const bool isRepeat = now >= m_nextNewsRepeatAt;
+    if (isRepeat)
+        m_nextNewsRepeatAt = now + newsRepeatInterval;
     PlacementNews news;
     news.fencingToken = m_permission->fencingToken;
     for (auto& [id, engine] : m_engines) {
-        if ((!isWhole && !engine.isChanged) || !engine.isVerified)
+        if (!isInNews(engine, isRepeat, now))
             continue;
+        if (engine.isChanged)
+            engine.changedAt = now;
         engine.isChanged = false;
         news.engines.push_back(newsOf(engine, now));
     }
--- a/src/gateway/EnginePlacementChoice.cpp
+++ b/src/gateway/EnginePlacementChoice.cpp
@@ -99,28 +99,50 @@
     return static_cast<double>(recent) + 1 <= settings->loadsPerSecond * secondsOf(m_settings.storeLoadWindow);
 }
 
-unsigned EnginePlacement::replicas(const ModelId& model, bool withComing) const
+const EnginePlacement::ModelSummaries& EnginePlacement::summaries(MonotonicTime now)
 {
-    unsigned count = 0;
-    for (const auto& [id, engine] : m_engines) {
-        const bool isComing = withComing
-            && ((engine.pending && engine.pending->order.kind == EngineOrderKind::Load
-                    && engine.pending->order.model == model)
-                || engine.nextLoad == model);
-        count += engine.models.contains(model) || isComing ? 1 : 0;
+    if (m_summaries)
+        return *m_summaries;
+    ModelSummaries& all = m_summaries.emplace();
+    for (const auto& [key, demand] : m_demand.entries()) {
+        ModelSummary& summary = all[{ key.first, key.second.model }];
+        summary.waiting += demand.waiting;
+        summary.rate += demand.rate;
+        summary.adapterRate += key.second.adapter.empty() ? 0 : demand.rate;
     }
-    return count;
+    for (const auto& [key, running] : m_running)
+        all[key].running = running;
+    for (auto& [id, engine] : m_engines) {
+        const std::string& service = engine.record.service;
+        const bool isUsable = isReachable(engine, now);
+        std::set<ModelId> copies = engine.onDisk;
+        std::set<ModelId> replicas;
+        for (const auto& [model, adapters] : engine.models) {
+            ModelSummary& summary = all[{ service, model }];
+            summary.holders.push_back(&engine);
+            summary.dataCentres.insert(engine.record.dataCentre);
+            replicas.insert(model);
+        }
+        if (engine.nextLoad)
+            replicas.insert(*engine.nextLoad);
+        if (engine.pending && engine.pending->order.kind == EngineOrderKind::Load)
+            replicas.insert(engine.pending->order.model);
+        copies.insert(replicas.begin(), replicas.end());
+        for (const ModelId& model : replicas)
+            all[{ service, model }].usableReplicas += isUsable ? 1 : 0;
+        for (const ModelId& model : copies)
+            ++all[{ service, model }].copies;
+    }
+    return all;
 }
 
-unsigned EnginePlacement::usableReplicas(const ModelId& model, MonotonicTime now) const
+const EnginePlacement::ModelSummary& EnginePlacement::summaryOf(
+    const std::string& service, const ModelId& model, MonotonicTime now)
 {
-    return static_cast<unsigned>(std::count_if(m_engines.begin(), m_engines.end(), [&](const auto& item) {
-        const Engine& engine = item.second;
-        const bool isComing = engine.nextLoad == model
-            || (engine.pending && engine.pending->order.kind == EngineOrderKind::Load
-                && engine.pending->order.model == model);
-        return isReachable(engine, now) && (engine.models.contains(model) || isComing);
-    }));
+    static const ModelSummary unknown;
+    const ModelSummaries& all = summaries(now);
+    const auto found = all.find({ service, model });
+    return found == all.end() ? unknown : found->second;
 }
 
 // Whether this host reaches the engine, as far as it knows.
@@ -130,32 +152,14 @@
         && m_directory.isUsable(engine.record.id, now);
 }
 
-double EnginePlacement::rateOf(const ModelId& model) const
-{
-    double rate = 0;
-    for (const auto& [key, demand] : m_demand)
-        rate += key.second.model == model ? demand.rate : 0;
-    return rate;
-}
-
-unsigned EnginePlacement::waitingFor(const ModelId& model) const
-{
-    unsigned waiting = 0;
-    for (const auto& [key, demand] : m_demand)
-        waiting += key.second.model == model ? demand.waiting : 0;
-    return waiting;
-}
-
-unsigned EnginePlacement::wantedReplicas(const std::string& service, const ModelId& model) const
+unsigned EnginePlacement::wantedReplicas(const std::string& service, const ModelSummary& summary) const
 {
     const GatewayEngine* settings = m_configuration.engineOf(service);
-    const auto running = m_running.find(model);
     if (!settings)
         return 1;
     const double perReplica = std::max(1.0, settings->batchSize * m_settings.busyShare);
-    const double load = (running == m_running.end() ? 0 : running->second) + waitingFor(model);
-    const double rate = rateOf(model);
-    const unsigned least = rate > veryHotRate ? veryHotReplicas : (rate > hotRate ? hotReplicas : 1);
+    const double load = summary.running + summary.waiting;
+    const unsigned least = summary.rate > veryHotRate ? veryHotReplicas : (summary.rate > hotRate ? hotReplicas : 1);
     return std::max(least, static_cast<unsigned>(std::ceil(load / perReplica)));
 }
 
@@ -174,30 +178,30 @@
 }
 
 // Requests a second for adapters of the models that the engine holds.
-double EnginePlacement::adapterRate(const Engine& engine) const
+double EnginePlacement::adapterRate(const Engine& engine, MonotonicTime now)
 {
     double rate = 0;
-    for (const auto& [key, demand] : m_demand) {
-        if (!key.second.adapter.empty() && engine.models.contains(key.second.model))
-            rate += demand.rate / std::max(1U, replicas(key.second.model, false));
+    for (const auto& [model, adapters] : engine.models) {
+        const ModelSummary& summary = summaryOf(engine.record.service, model, now);
+        rate += summary.adapterRate / static_cast<double>(std::max<std::size_t>(1, summary.holders.size()));
     }
     return rate;
 }
 
 // What it costs, in seconds of waiting a second, to unload the model here.
-double EnginePlacement::keepValue(const Engine& engine, const ModelId& model, MonotonicTime now) const
+double EnginePlacement::keepValue(const Engine& engine, const ModelId& model, MonotonicTime now)
 {
-    const unsigned count = replicas(model, false);
-    const unsigned wanted = wantedReplicas(engine.record.service, model);
-    const double rate = rateOf(model);
-    double value = rate * reloadSeconds / std::max(1U, count);
-    if (rate > hotRate && count <= wanted)
+    const ModelSummary& summary = summaryOf(engine.record.service, model, now);
+    const std::size_t count = summary.holders.size();
+    const unsigned wanted = wantedReplicas(engine.record.service, summary);
+    double value = summary.rate * reloadSeconds / static_cast<double>(std::max<std::size_t>(1, count));
+    if (summary.rate > hotRate && count <= wanted)
         value += hotValue;
     const unsigned running = m_directory.runningOn(engine.record.id, model);
     value += runningValue * std::min(running, 4U);
     const auto loadedAt = engine.loadedAt.find(model);
     const bool isFresh = loadedAt != engine.loadedAt.end() && now - loadedAt->second < protectedTime;
-    if ((isFresh || waitingFor(model) > 0) && count <= wanted)
+    if ((isFresh || summary.waiting > 0) && count <= wanted)
         value += protectedValue;
     return value;
 }
@@ -219,12 +223,11 @@
         others.emplace_back(keepValue(engine, other, now), other);
     std::sort(others.begin(), others.end());
     const double seconds = secondsOf(loadTime(engine, model.id, candidate.source));
-    const bool hasNeighbour = std::any_of(m_engines.begin(), m_engines.end(), [&](const auto& item) {
-        return item.second.record.dataCentre == engine.record.dataCentre && item.second.models.contains(model.id);
-    });
+    const bool hasNeighbour
+        = summaryOf(engine.record.service, model.id, now).dataCentres.contains(engine.record.dataCentre);
     // Adapters cannot be loaded meanwhile.
     candidate.cost
-        = seconds + seconds * adapterRate(engine) * adapterMissShare + (hasNeighbour ? sameDataCentreCost : 0);
+        = seconds + seconds * adapterRate(engine, now) * adapterMissShare + (hasNeighbour ? sameDataCentreCost : 0);
     for (const auto& [value, other] : others) {
         if (freeMb >= model.memoryMb)
             break;
@@ -277,41 +280,25 @@
     return best;
 }
 
-// The models of all services in the order of the load that asks for them.
-std::vector<EnginePlacement::ModelLoad> EnginePlacement::modelLoads() const
+// The models in demand, the one with the largest load first.
+std::vector<EnginePlacement::ServiceModel> EnginePlacement::modelsByLoad(MonotonicTime now)
 {
-    std::map<std::pair<std::string, ModelId>, ModelLoad> loads;
-    for (const auto& [key, demand] : m_demand) {
-        ModelLoad& load = loads[{ key.first, key.second.model }];
-        load.service = key.first;
-        load.model = key.second.model;
-        load.waiting += demand.waiting;
-        load.rate += demand.rate;
-    }
-    std::vector<ModelLoad> list;
-    for (auto& [key, load] : loads) {
-        const auto running = m_running.find(load.model);
-        load.running = running == m_running.end() ? 0 : running->second;
-        list.push_back(load);
+    std::vector<const ModelSummaries::value_type*> inDemand;
+    for (const auto& item : summaries(now)) {
+        if (item.second.waiting > 0 || item.second.rate > 0)
+            inDemand.push_back(&item);
     }
-    std::sort(list.begin(), list.end(), [](const ModelLoad& left, const ModelLoad& right) {
-        return std::tuple(left.waiting + left.running, left.rate)
-            > std::tuple(right.waiting + right.running, right.rate);
+    std::stable_sort(inDemand.begin(), inDemand.end(), [](const auto* left, const auto* right) {
+        return std::tuple(left->second.waiting + left->second.running, left->second.rate)
+            > std::tuple(right->second.waiting + right->second.running, right->second.rate);
     });
+    std::vector<ServiceModel> list;
+    list.reserve(inDemand.size());
+    for (const auto* item : inDemand)
+        list.push_back(item->first);
     return list;
 }
 
-unsigned EnginePlacement::copiesOf(const ModelId& model) const
-{
-    return static_cast<unsigned>(std::count_if(m_engines.begin(), m_engines.end(), [&model](const auto& item) {
-        const Engine& engine = item.second;
-        const bool isComing = engine.nextLoad == model
-            || (engine.pending && engine.pending->order.kind == EngineOrderKind::Load
-                && engine.pending->order.model == model);
-        return engine.models.contains(model) || engine.onDisk.contains(model) || isComing;
-    }));
-}
-
 // The engine that a copy disturbs least, of those that have none.
 std::optional<EnginePlacement::Candidate> EnginePlacement::bestCopyCandidate(
     const std::string& service, const GatewayModel& model, MonotonicTime now)
--- a/src/gateway/EnginePlacementPlan.cpp
+++ b/src/gateway/EnginePlacementPlan.cpp
@@ -9,6 +9,7 @@
 namespace {
 
     constexpr Duration adapterIdleTime = std::chrono::milliseconds(700);
+    constexpr Duration busyPlanInterval = std::chrono::milliseconds(100);
     // Copies on disks of a model, and of one with adapters, which is more likely to be in demand.
     constexpr unsigned wantedCopies = 1;
     constexpr unsigned wantedCopiesWithAdapters = 2;
@@ -21,6 +22,7 @@
     Engine& engine = *candidate.engine;
     engine.nextLoad = model;
     engine.isChanged = true;
+    forgetSummaries();
     if (candidate.victims.empty())
         continueLoad(engine, now, effects);
     else
@@ -52,7 +54,8 @@
         return;
     }
     if (candidate->source == WeightSource::Store
-        && !mayLoadFromStore(engine.record.service, std::max(1U, waitingFor(model)), now))
+        && !mayLoadFromStore(
+            engine.record.service, std::max(1U, summaryOf(engine.record.service, model, now).waiting), now))
         return;
     giveOrder(engine, EngineOrderKind::Load, { model, "" }, "planned", now, effects);
 }
@@ -89,101 +92,120 @@
             { "kind", std::string(nameOf(kind)) }, { "model", variant.text() }, { "reason", std::string(reason) },
             { "expected_orders", std::to_string(engine.orderCount) },
             { "fencing_token", std::to_string(m_permission->fencingToken) },
-            { "waiting", std::to_string(waitingFor(variant.model)) },
+            { "waiting", std::to_string(summaryOf(engine.record.service, variant.model, now).waiting) },
             { "load_ms",
                 std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
                     loadTime(engine, variant.model, pending.source))
                                    .count()) } } });
     effects.push_back(pending.order);
     (variant.adapter.empty() ? engine.pending : engine.adapterPending) = std::move(pending);
+    forgetSummaries();
 }
 
 void EnginePlacement::planAdapters(MonotonicTime now, EffectList& effects)
 {
-    for (const auto& [key, demand] : m_demand) {
+    for (const auto& [key, demand] : m_demand.entries()) {
         const ModelVariant& variant = key.second;
         if (variant.adapter.empty())
             continue;
-        Engine* best = nullptr;
-        double bestScore = 0;
+        const ModelSummary& summary = summaryOf(key.first, variant.model, now);
         bool isPresent = false;
-        for (auto& [id, engine] : m_engines) {
-            const auto model = engine.models.find(variant.model);
-            if (engine.record.service != key.first || model == engine.models.end() || !m_directory.isUsable(id, now))
+        for (Engine* engine : summary.holders) {
+            const bool isOrdered = engine->adapterPending && engine->adapterPending->order.model == variant.model
+                && engine->adapterPending->order.adapter == variant.adapter;
+            if (!m_directory.isUsable(engine->record.id, now))
                 continue;
-            const bool isComing = engine.adapterPending && engine.adapterPending->order.model == variant.model
-                && engine.adapterPending->order.adapter == variant.adapter;
-            if (model->second.contains(variant.adapter)) {
+            if (engine->models.at(variant.model).contains(variant.adapter)) {
                 if (now - demand.lastArrivalAt < adapterIdleTime)
-                    engine.adapterUse[variant] = std::max(engine.adapterUse[variant], demand.lastArrivalAt);
+                    engine->adapterUse[variant] = std::max(engine->adapterUse[variant], demand.lastArrivalAt);
                 isPresent = true;
             }
-            isPresent = isPresent || isComing;
-            if (!mayOrder(engine, now) || engine.nextLoad)
-                continue;
-            // Every owner prefers the same engines for an adapter, which then often still have it at hand.
-            const double preference
-                = static_cast<double>(stableHash(id.value + variant.text()) >> 11) / 9007199254740992.0;
-            const double score
-                = m_directory.runningOn(id) / static_cast<double>(engine.record.slots) + preference * 0.3;
-            if (!best || score < bestScore) {
-                best = &engine;
-                bestScore = score;
-            }
+            isPresent = isPresent || isOrdered;
         }
-        if (demand.waiting == 0 || isPresent || !best)
+        if (demand.waiting == 0 || isPresent)
+            continue;
+        Engine* engine = adapterEngine(summary, variant, now);
+        if (!engine)
             continue;
         unsigned used = 0;
-        for (const auto& [model, adapters] : best->models)
+        for (const auto& [model, adapters] : engine->models)
             used += static_cast<unsigned>(adapters.size());
         const GatewayEngine* settings = m_configuration.engineOf(key.first);
-        if (settings && used < settings->adapterSlots) {
-            giveOrder(*best, EngineOrderKind::Load, variant, "adapter_wanted", now, effects);
+        if (settings && used < settings->adapterSlots)
+            giveOrder(*engine, EngineOrderKind::Load, variant, "adapter_wanted", now, effects);
+        else
+            makeRoomForAdapter(*engine, now, effects);
+    }
+}
+
+// The engine that an adapter is loaded into, of those that hold its model.
+EnginePlacement::Engine* EnginePlacement::adapterEngine(
+    const ModelSummary& summary, const ModelVariant& variant, MonotonicTime now)
+{
+    Engine* best = nullptr;
+    double bestScore = 0;
+    for (Engine* engine : summary.holders) {
+        if (!mayOrder(*engine, now) || engine->nextLoad)
             continue;
+        // Every owner prefers the same engines for an adapter, which then often still have it at hand.
+        const double preference
+            = static_cast<double>(stableHash(engine->record.id.value + variant.text()) >> 11) / 9007199254740992.0;
+        const double score
+            = m_directory.runningOn(engine->record.id) / static_cast<double>(engine->record.slots) + preference * 0.3;
+        if (!best || score < bestScore) {
+            best = engine;
+            bestScore = score;
         }
-        // The adapter that was used longest ago makes way.
-        std::optional<ModelVariant> oldest;
-        MonotonicTime oldestAt = now - adapterIdleTime;
-        for (const auto& [model, adapters] : best->models) {
-            for (const std::string& adapter : adapters) {
-                const auto use = best->adapterUse.find({ model, adapter });
-                const MonotonicTime usedAt = use == best->adapterUse.end() ? MonotonicTime() : use->second;
-                if (usedAt < oldestAt) {
-                    oldestAt = usedAt;
-                    oldest = ModelVariant { model, adapter };
-                }
+    }
+    return best;
+}
+
+// Unloads the adapter that was used longest ago, unless all are in use.
+void EnginePlacement::makeRoomForAdapter(Engine& engine, MonotonicTime now, EffectList& effects)
+{
+    std::optional<ModelVariant> oldest;
+    MonotonicTime oldestAt = now - adapterIdleTime;
+    for (const auto& [model, adapters] : engine.models) {
+        for (const std::string& adapter : adapters) {
+            const auto use = engine.adapterUse.find({ model, adapter });
+            const MonotonicTime usedAt = use == engine.adapterUse.end() ? MonotonicTime() : use->second;
+            if (usedAt < oldestAt) {
+                oldestAt = usedAt;
+                oldest = ModelVariant { model, adapter };
             }
         }
-        if (oldest)
-            giveOrder(*best, EngineOrderKind::Unload, *oldest, "adapter_makes_way", now, effects);
     }
+    if (oldest)
+        giveOrder(engine, EngineOrderKind::Unload, *oldest, "adapter_makes_way", now, effects);
 }
 
 void EnginePlacement::planWaitingModels(MonotonicTime now, EffectList& effects)
 {
-    for (const ModelLoad& load : modelLoads()) {
-        if (load.waiting == 0 || usableReplicas(load.model, now) > 0)
+    for (const auto& [service, model] : modelsByLoad(now)) {
+        const ModelSummary& summary = summaryOf(service, model, now);
+        if (summary.waiting == 0 || summary.usableReplicas > 0)
             continue;
-        const bool mayUseStore = mayLoadFromStore(load.service, load.waiting, now);
-        if (const auto candidate = bestCandidate(load.service, load.model, mayUseStore, Patience::WaitForCopy, now))
-            begin(*candidate, load.model, "requests_wait", now, effects);
+        const bool mayUseStore = mayLoadFromStore(service, summary.waiting, now);
+        if (const auto candidate = bestCandidate(service, model, mayUseStore, Patience::WaitForCopy, now))
+            begin(*candidate, model, "requests_wait", now, effects);
     }
 }
 
 void EnginePlacement::planBusyModels(MonotonicTime now, EffectList& effects)
 {
-    if (now < m_nextPlanAt)
+    if (now < m_nextBusyPlanAt)
         return;
-    m_nextPlanAt = now + std::chrono::milliseconds(100);
-    for (const ModelLoad& load : modelLoads()) {
+    m_nextBusyPlanAt = now + busyPlanInterval;
+    for (const auto& [service, model] : modelsByLoad(now)) {
         // One replica is a matter of the requests that wait.
-        const unsigned wanted = wantedReplicas(load.service, load.model);
-        if (wanted <= 1 || usableReplicas(load.model, now) >= wanted)
+        const ModelSummary& summary = summaryOf(service, model, now);
+        const unsigned wanted = wantedReplicas(service, summary);
+        if (wanted <= 1 || summary.usableReplicas >= wanted)
             continue;
-        const bool mayUseStore = mayLoadFromStore(load.service, load.waiting, now);
-        const auto candidate = bestCandidate(load.service, load.model, mayUseStore, Patience::None, now);
+        const bool mayUseStore = mayLoadFromStore(service, summary.waiting, now);
+        const auto candidate = bestCandidate(service, model, mayUseStore, Patience::None, now);
         if (candidate && candidate->cost < hotValue)
-            begin(*candidate, load.model, "busy", now, effects);
+            begin(*candidate, model, "busy", now, effects);
     }
 }
 
@@ -196,11 +218,12 @@
         const GatewayModel* wanted = nullptr;
         double wantedValue = 0;
         for (const auto& [model, modelSettings] : settings.engine->models) {
-            const unsigned copies = copiesOf(model);
+            const ModelSummary& summary = summaryOf(service, model, now);
+            const unsigned copies = summary.copies;
             const bool hasAdapters = modelSettings.adapterCount > 0;
             if (copies >= (hasAdapters ? wantedCopiesWithAdapters : wantedCopies))
                 continue;
-            const double value = (copies == 0 ? 2 : 1) + (hasAdapters ? 0.5 : 0) + std::min(rateOf(model), 0.4);
+            const double value = (copies == 0 ? 2 : 1) + (hasAdapters ? 0.5 : 0) + std::min(summary.rate, 0.4);
             if (value > wantedValue) {
                 wanted = &modelSettings;
                 wantedValue = value;
--- a/src/gateway/GatewayMessage.cpp
+++ b/src/gateway/GatewayMessage.cpp
@@ -51,9 +51,9 @@
             for (const auto& [account, units] : digest.usage)
                 usage.push_back(Json::array({ account.value, units.admitted, units.offered }));
             Json demand = Json::array();
-            for (const VariantDemand& entry : digest.demand)
+            for (const VariantDemand& entry : digest.demand.entries)
                 demand.push_back(Json::array({ entry.variant.model.value, entry.variant.adapter, entry.service,
-                    entry.waiting, entry.arrivals }));
+                    entry.waiting, static_cast<float>(entry.rate), entry.idleMilliseconds }));
             Json running = Json::array();
             for (const RunningCount& entry : digest.running)
                 running.push_back(Json::array(
@@ -62,7 +62,7 @@
             for (const auto& [fingerprint, crashes] : digest.suspectFingerprints)
                 suspects.push_back(Json::array({ fingerprint, crashes }));
             return Json::array({ Kind::HostDigest, digest.sequence, digest.configurationVersion, digest.isLeaving,
-                std::move(usage), std::move(demand), std::move(running), std::move(suspects) });
+                std::move(usage), digest.demand.isWhole, std::move(demand), std::move(running), std::move(suspects) });
         }
         Json operator()(const PlacementNews& news) const
         {
@@ -96,13 +96,14 @@
         for (const Json& entry : list.at(4))
             digest.usage[AccountId(entry.at(0).get<std::string>())]
                 = { entry.at(1).get<double>(), entry.at(2).get<double>() };
-        for (const Json& entry : list.at(5))
-            digest.demand.push_back({ variantOf(entry.at(0), entry.at(1)), entry.at(2).get<std::string>(),
-                entry.at(3).get<std::uint32_t>(), entry.at(4).get<std::uint64_t>() });
+        digest.demand.isWhole = list.at(5).get<bool>();
         for (const Json& entry : list.at(6))
+            digest.demand.entries.push_back({ variantOf(entry.at(0), entry.at(1)), entry.at(2).get<std::string>(),
+                entry.at(3).get<std::uint32_t>(), entry.at(4).get<double>(), entry.at(5).get<std::uint32_t>() });
+        for (const Json& entry : list.at(7))
             digest.running.push_back({ EndpointId(entry.at(0).get<std::string>()), variantOf(entry.at(1), entry.at(2)),
                 entry.at(3).get<std::uint32_t>() });
-        for (const Json& entry : list.at(7))
+        for (const Json& entry : list.at(8))
             digest.suspectFingerprints.emplace_back(entry.at(0).get<std::uint64_t>(), entry.at(1).get<std::uint32_t>());
         return digest;
     }
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -12,6 +12,12 @@
     constexpr Duration shortestDigestInterval = std::chrono::milliseconds(200);
     constexpr Duration longestDigestInterval = std::chrono::seconds(2);
     constexpr Duration urgentDigestInterval = std::chrono::milliseconds(15);
+    // Heals what a lost report of changes left behind.
+    constexpr Duration wholeDemandInterval = std::chrono::seconds(2);
+    // Bounds the calls of many hosts to the store; a record is then known a little later.
+    constexpr Duration shortestRecordInterval = std::chrono::milliseconds(300);
+    constexpr Duration recordIntervalPerHost = std::chrono::milliseconds(30);
+    constexpr Duration longestRecordInterval = std::chrono::milliseconds(1200);
     // A peer that is not registered any more counts as live for this time after its last digest.
     constexpr Duration hearsayLifetime = std::chrono::seconds(2);
     constexpr Duration configurationAskInterval = std::chrono::milliseconds(300);
@@ -28,7 +34,7 @@
     {
         HostLeaseSettings lease;
         lease.ttl = settings.leaseTtl;
-        lease.renewalInterval = settings.leaseTtl / 4;
+        lease.renewalInterval = settings.leaseTtl / 3;
         lease.keyPrefix = settings.storeKeyPrefix + "hosts/";
         lease.isKeyPerIncarnation = true;
         lease.shortestRetry = std::chrono::milliseconds(150);
@@ -67,8 +73,7 @@
           leaseSettingsOf(m_settings))
     , m_configurationMirror(
           StoreUser::Configuration, mirrorOf(protocol.configurationKey(), std::chrono::milliseconds(50)), seed + 1)
-    , m_endpointMirror(
-          StoreUser::Membership, mirrorOf(protocol.endpointPrefix(), std::chrono::milliseconds(300)), seed + 2)
+    , m_endpointMirror(StoreUser::Membership, mirrorOf(protocol.endpointPrefix(), shortestRecordInterval), seed + 2)
     , m_ownMirror(StoreUser::Shares, mirrorOf(m_settings.storeKeyPrefix, std::chrono::milliseconds(100)), seed + 3)
     , m_ownership(ownershipOf(m_settings, incarnation), seed + 4)
     , m_directory(m_settings.dataCentre, seed + 5)
@@ -89,9 +94,8 @@
     void operator()(const RequestArrived& event) const
     {
         reducer.m_requests.handle(event, now, effects);
-        if (reducer.m_requests.takeNewlyWaiting())
-            reducer.m_nextDigestAt = std::min(reducer.m_nextDigestAt, reducer.m_nextUrgentDigestAt);
-        reducer.sendDigests(now, effects);
+        if (reducer.m_requests.takeNewlyWaiting() && now >= reducer.m_nextUrgentDigestAt)
+            reducer.sendDemand(now, effects);
     }
     void operator()(const AdminRequestArrived& event) const
     {
@@ -322,6 +326,9 @@
     m_quota.setPeers(m_livePeers, now);
     m_quota.setReportInterval(digestInterval());
     m_requests.setHostCount(m_livePeers.size() + 1);
+    m_endpointMirror.setMinimumInterval(
+        std::clamp<Duration>(recordIntervalPerHost * static_cast<std::int64_t>(m_livePeers.size() + 1),
+            shortestRecordInterval, longestRecordInterval));
     std::string names;
     for (const HostId& host : m_livePeers)
         names += (names.empty() ? "" : " ") + host.value;
@@ -341,7 +348,6 @@
     digest.configurationVersion = m_configuration.version;
     digest.isLeaving = m_phase != Phase::Serving;
     digest.usage = m_quota.ownUsage();
-    digest.demand = m_requests.demand();
     digest.running = m_directory.running();
     digest.suspectFingerprints = m_requests.quarantine().shareWithPeers(now);
     return digest;
@@ -352,16 +358,37 @@
     if (now < m_nextDigestAt)
         return;
     m_nextDigestAt = now + digestInterval();
+    const std::string payload = encodeGatewayMessage(makeDigest(now));
+    for (const HostId& host : m_livePeers) {
+        if (host != m_ownership.owner())
+            effects.push_back(SendToPeer { host, GatewayEnvelope { payload } });
+    }
+    sendDemand(now, effects);
+}
+
+// Tells the owner of the placement what requests ask for and wait for.
+void GatewayReducer::sendDemand(MonotonicTime now, EffectList& effects)
+{
     m_nextUrgentDigestAt = now + urgentDigestInterval;
-    const HostDigest digest = makeDigest(now);
-    m_placement.handle(m_settings.host, digest.demand, now);
-    const std::string payload = encodeGatewayMessage(digest);
-    for (const HostId& host : m_livePeers)
-        effects.push_back(SendToPeer { host, GatewayEnvelope { payload } });
     if (m_placement.isOwner()) {
+        m_placement.handle(m_settings.host, demandDigest(now).demand, now);
         m_placement.tick(now, effects);
         sendNews(now, effects);
+    } else if (m_livePeers.contains(m_ownership.owner())) {
+        sendTo(m_ownership.owner(), demandDigest(now), effects);
+    }
+}
+
+HostDigest GatewayReducer::demandDigest(MonotonicTime now)
+{
+    const bool isWhole = m_demandOwner != m_ownership.owner() || now >= m_nextWholeDemandAt;
+    if (isWhole) {
+        m_demandOwner = m_ownership.owner();
+        m_nextWholeDemandAt = now + wholeDemandInterval;
     }
+    HostDigest digest = makeDigest(now);
+    digest.demand = m_requests.demand().report(isWhole, now);
+    return digest;
 }
 
 void GatewayReducer::sendNews(MonotonicTime now, EffectList& effects)
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -34,7 +34,6 @@
     // A refusal must reach the caller before it gives up.
     constexpr Duration refusalMargin = std::chrono::milliseconds(60);
     constexpr std::size_t maximumCollectedBytes = 8 * 1024 * 1024;
-    constexpr std::size_t maximumDemandRecords = 8192;
 
     std::string wholeNumber(double value) { return std::to_string(static_cast<std::int64_t>(value)); }
 
@@ -90,13 +89,8 @@
         return;
     }
     budgetOf(request.service).requestStarted(now);
-    if (!request.terms.variant.model.value.empty()) {
-        DemandRecord& record = m_demand[{ request.service, request.terms.variant }];
-        ++record.arrivals;
-        record.lastAt = now;
-        if (m_demand.size() > maximumDemandRecords)
-            m_demand.erase(m_demand.begin());
-    }
+    if (!request.terms.variant.model.value.empty())
+        m_demand.arrived({ request.service, request.terms.variant }, now);
     dispatch(request, now, effects);
 }
 
@@ -203,9 +197,7 @@
     m_waiting.insert(request.arrived.id);
     const ModelVariant& variant = request.terms.variant;
     if (!variant.model.value.empty()) {
-        DemandRecord& record = m_demand[{ request.service, variant }];
-        ++record.waiting;
-        record.lastAt = now;
+        m_demand.waitBegan({ request.service, variant }, now);
         m_newlyWaiting = true;
     }
     effects.push_back(LogEntry { LogEvent::GatewayRequestWaits,
@@ -220,9 +212,8 @@
     request.isWaiting = false;
     request.waited += now - request.waitingSince;
     m_waiting.erase(request.arrived.id);
-    const auto record = m_demand.find({ request.service, request.terms.variant });
-    if (record != m_demand.end() && record->second.waiting > 0)
-        --record->second.waiting;
+    if (!request.terms.variant.model.value.empty())
+        m_demand.waitEnded({ request.service, request.terms.variant }, now);
 }
 
 void GatewayRequests::startAttempt(
@@ -423,9 +414,15 @@
 void GatewayRequests::advance(MonotonicTime now, EffectList& effects)
 {
     std::vector<RequestId> ready;
+    std::map<ServiceVariant, bool> hasReplica;
     for (const RequestId id : m_waiting) {
         const Request& request = m_requests.at(id);
-        if (now >= request.nextTryAt && m_directory.hasReplica(request.service, request.terms.variant, now))
+        if (now < request.nextTryAt)
+            continue;
+        const auto [known, isNew] = hasReplica.try_emplace({ request.service, request.terms.variant }, false);
+        if (isNew)
+            known->second = m_directory.hasReplica(request.service, request.terms.variant, now);
+        if (known->second)
             ready.push_back(id);
     }
     for (const RequestId id : ready) {
@@ -442,12 +439,4 @@
     m_quarantine.endpointDied(endpoint, now);
 }
 
-std::vector<VariantDemand> GatewayRequests::demand() const
-{
-    std::vector<VariantDemand> list;
-    for (const auto& [key, record] : m_demand)
-        list.push_back({ key.second, key.first, record.waiting, record.arrivals });
-    return list;
-}
-
 } // namespace Catkinwell
--- a/tests/gateway/EnginePlacementTest.cpp
+++ b/tests/gateway/EnginePlacementTest.cpp
@@ -36,16 +36,20 @@
 
     void own() { placement.setPermission(PlacementPermission { self, 7, now, now + std::chrono::hours(1) }, now); }
 
+    // Brings the requests that wait for the variant and those that have arrived to these numbers.
     void demand(const std::string& model, unsigned waiting, std::uint64_t arrivals)
     {
         const std::size_t slash = model.find('/');
-        ModelVariant variant { ModelId(model.substr(0, slash)),
-            slash == std::string::npos ? "" : model.substr(slash + 1) };
-        m_demand[variant] = { variant, "notes", waiting, arrivals };
-        std::vector<VariantDemand> list;
-        for (const auto& [key, entry] : m_demand)
-            list.push_back(entry);
-        placement.handle(self, list, now);
+        const ServiceVariant variant(
+            "notes", { ModelId(model.substr(0, slash)), slash == std::string::npos ? "" : model.substr(slash + 1) });
+        auto& [formerWaiting, formerArrivals] = m_reported[variant];
+        for (; formerArrivals < arrivals; ++formerArrivals)
+            m_demand.arrived(variant, now);
+        for (; formerWaiting < waiting; ++formerWaiting)
+            m_demand.waitBegan(variant, now);
+        for (; formerWaiting > waiting; --formerWaiting)
+            m_demand.waitEnded(variant, now);
+        placement.handle(self, m_demand.report(false, now), now);
     }
 
     void run(Duration duration)
@@ -128,7 +132,9 @@
 
     RandomGenerator m_random;
     EngineFaults m_faults;
-    std::map<ModelVariant, VariantDemand> m_demand;
+    HostDemand m_demand;
+    // Waiting requests and arrivals of each variant.
+    std::map<ServiceVariant, std::pair<unsigned, std::uint64_t>> m_reported;
 };
 
 } // namespace
--- a/tests/gateway/GatewayMessageTest.cpp
+++ b/tests/gateway/GatewayMessageTest.cpp
@@ -12,7 +12,7 @@
     digest.sequence = 7;
     digest.configurationVersion = 3;
     digest.usage[AccountId("a")] = { 12.5, 20 };
-    digest.demand.push_back({ { ModelId("m"), "x" }, "notes", 2, 9 });
+    digest.demand = { true, { { { ModelId("m"), "x" }, "notes", 2, 0.5, 120 } } };
     digest.running.push_back({ EndpointId("e"), { ModelId("m"), "" }, 4 });
     digest.suspectFingerprints.emplace_back(99, 2);
     PlacementNews news { 5, 6,
--- a/tests/gateway/GatewayRequestsTest.cpp
+++ b/tests/gateway/GatewayRequestsTest.cpp
@@ -214,12 +214,12 @@
     addEndpoints(fixture, "notes", 1);
     fixture.arrive("/note/1");
     CHECK(fixture.takeAttempts().empty());
-    CHECK(fixture.requests.demand().at(0).waiting == 1);
+    CHECK(fixture.requests.demand().report(true, fixture.now).entries.at(0).waiting == 1);
     PlacementNews news { 1, 1, { { EndpointId("notes0"), 1, withM1, {} } } };
     fixture.directory.handle(news, fixture.now);
     fixture.requests.advance(fixture.now, fixture.effects);
     CHECK(fixture.takeAttempts().size() == 1);
-    CHECK(fixture.requests.demand().at(0).waiting == 0);
+    CHECK(fixture.requests.demand().report(true, fixture.now).entries.at(0).waiting == 0);
 }
 
 // Guards against a drain that leaves a request without an answer or takes work that it cannot finish.
