Report usage more often in large fleets

Conclusion: kept for fleets of some tens of hosts; at hundreds the interval still reaches its bound of 2 s, which needs reports by way of a few hosts.

--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -8,7 +8,7 @@
 
     using Json = nlohmann::json;
 
-    constexpr Duration digestIntervalPerHost = std::chrono::milliseconds(50);
+    constexpr Duration digestIntervalPerHost = std::chrono::milliseconds(12);
     constexpr Duration shortestDigestInterval = std::chrono::milliseconds(200);
     constexpr Duration longestDigestInterval = std::chrono::seconds(2);
     constexpr Duration urgentDigestInterval = std::chrono::milliseconds(15);
--- /dev/null
+++ b/src/runtime/ReducerLoop.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <catkinwell/logging/EventLog.h>
+#include <catkinwell/loop/EventLoop.h>
+#include <catkinwell/reducer/Event.h>
+#include <cstdint>
+#include <deque>
+#include <functional>
+
+namespace Catkinwell {
+
+// Hands the events of the adapters to a reducer one at a time, in the order in which they were posted, and posts a
+// Tick at a steady interval. Not thread safe.
+template <typename EventType> class ReducerLoop {
+public:
+    // Applies one event and carries out its effects. It may post further events, which wait for their turn.
+    using Handler = std::function<void(const EventType&)>;
+
+    // Precondition: the other objects outlive this one.
+    ReducerLoop(EventLoop& loop, const Clock& clock, EventLog& log, Handler handler)
+        : m_loop(loop)
+        , m_clock(clock)
+        , m_log(log)
+        , m_handler(std::move(handler))
+        , m_lastTick(clock.monotonicNow())
+    {
+    }
+
+    void startTicks()
+    {
+        m_loop.callEvery(tickInterval, [this] { tick(); });
+    }
+
+    void post(EventType event)
+    {
+        if (m_isStopping)
+            return;
+        m_events.push_back(std::move(event));
+        if (m_isDispatching)
+            return;
+        m_isDispatching = true;
+        while (!m_events.empty()) {
+            const EventType next = std::move(m_events.front());
+            m_events.pop_front();
+            m_handler(next);
+        }
+        m_isDispatching = false;
+    }
+
+    // Posts a Tick now, and a log line if the loop was held up since the last one.
+    void tick()
+    {
+        const MonotonicTime now = m_clock.monotonicNow();
+        if (now - m_lastTick > stallThreshold) {
+            const auto stalled = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_lastTick).count();
+            m_log.write({ LogEvent::LoopStalled, { { "milliseconds", std::to_string(stalled) } } });
+        }
+        m_lastTick = now;
+        post(Tick { m_clock.wallNow() });
+    }
+
+    // Takes no further events, and stops the loop when no answer is left in an output buffer or the time is over.
+    void stop(std::function<std::size_t()> unflushedAnswers, Duration longestFlush)
+    {
+        m_isStopping = true;
+        stopWhenFlushed(std::move(unflushedAnswers), m_clock.monotonicNow() + longestFlush);
+    }
+
+private:
+    static constexpr Duration tickInterval = std::chrono::milliseconds(20);
+    static constexpr Duration stallThreshold = std::chrono::milliseconds(500);
+    static constexpr Duration flushCheckInterval = std::chrono::milliseconds(20);
+
+    void stopWhenFlushed(std::function<std::size_t()> unflushedAnswers, MonotonicTime deadline)
+    {
+        if (unflushedAnswers() == 0 || m_clock.monotonicNow() >= deadline) {
+            m_loop.stop();
+            return;
+        }
+        m_loop.callLater(
+            flushCheckInterval, [this, unflushedAnswers, deadline] { stopWhenFlushed(unflushedAnswers, deadline); });
+    }
+
+    EventLoop& m_loop;
+    const Clock& m_clock;
+    EventLog& m_log;
+    Handler m_handler;
+    std::deque<EventType> m_events;
+    bool m_isDispatching = false;
+    bool m_isStopping = false;
+    MonotonicTime m_lastTick;
+};
+
+// Distinguishes two runs of one host even if its clock went back a little between them.
+inline Incarnation newIncarnation(const Clock& clock)
+{
+    return static_cast<Incarnation>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(clock.wallNow().time_since_epoch()).count());
+}
+
+} // namespace Catkinwell
