Apply changed settings at SIGHUP; one event loop for both kinds of process

Cause: a gateway checked its settings at SIGHUP and applied none of them; Runtime and GatewayRuntime each had their own queue of events, tick and last flush.

Change: GatewaySettingsChanged carries the new settings to the reducer, which applies budgets, placement, silence and grace; the log's severity and rate follow; fields that need a restart are named in the log line.

--- a/include/catkinwell/gateway/EnginePlacement.h
+++ b/include/catkinwell/gateway/EnginePlacement.h
@@ -39,6 +39,7 @@
     EnginePlacement(EnginePlacementSettings, EndpointDirectory&);
 
     void configure(const GatewayConfiguration&);
+    void setSettings(const EnginePlacementSettings& settings) { m_settings = settings; }
     // Nothing while this host is not the owner.
     void setPermission(const std::optional<PlacementPermission>&, MonotonicTime now);
     void put(const EndpointRecord&, MonotonicTime now);
--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -13,10 +13,15 @@
 
 namespace Catkinwell {
 
+// An event: the operators changed the settings of the process.
+struct GatewaySettingsChanged {
+    GatewaySettings settings;
+};
+
 // Everything that can happen to a gateway.
 using GatewayEvent = std::variant<Tick, ShutdownSignal, RequestArrived, AdminRequestArrived, CallerLeft,
     CallerBackpressure, AttemptHead, AttemptData, AttemptFinished, AttemptFailed, StoreReply, PeerMessageReceived,
-    EngineStatus, EngineStatusFailed, EngineOrderFinished>;
+    EngineStatus, EngineStatusFailed, EngineOrderFinished, GatewaySettingsChanged>;
 
 // The state of a gateway and the one function that changes it. apply() is pure: the same state, events and times
 // give the same effects. Not thread safe.
@@ -55,6 +60,7 @@
     struct MessageDispatch;
 
     void handleTick(const Tick&, MonotonicTime now, EffectList&);
+    void handleSettings(const GatewaySettings&);
     void handleShutdown(MonotonicTime now, EffectList&);
     void handleStoreReply(const StoreReply&, MonotonicTime now, EffectList&);
     void handleMessage(const PeerMessageReceived&, MonotonicTime now, EffectList&);
--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -27,6 +27,8 @@
     GatewayRequests(GatewayRequestSettings, const ForwardingProtocol&, EndpointDirectory&, FleetQuota&);
 
     void configure(const GatewayConfiguration&);
+    // Takes effect for the budgets of all services at once.
+    void setSettings(const GatewayRequestSettings&);
     // Hosts that share the retry budget, this one included.
     void setHostCount(std::size_t);
 
--- a/include/catkinwell/gateway/GatewaySettings.h
+++ b/include/catkinwell/gateway/GatewaySettings.h
@@ -8,6 +8,7 @@
 #include <catkinwell/logging/EventLog.h>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Catkinwell {
 
@@ -38,6 +39,10 @@
 // Thread safe.
 Result<GatewaySettings> parseGatewaySettings(std::string_view json);
 
+// Returns the names of the fields that differ and take effect only at the next start: identity, addresses, the lease
+// and the log's file. All others may change while the process runs. Thread safe.
+std::vector<std::string> fieldsThatNeedRestart(const GatewaySettings& running, const GatewaySettings& wanted);
+
 // Reads a settings file. Errors: as parseGatewaySettings, and NotFound for an unreadable file. Thread safe.
 Result<GatewaySettings> loadGatewaySettings(const std::string& file);
 
--- a/include/catkinwell/gateway/PlacementOwnership.h
+++ b/include/catkinwell/gateway/PlacementOwnership.h
@@ -34,6 +34,8 @@
 
     // The permission to give orders; nothing while another host has it or the lease is not valid.
     std::optional<PlacementPermission> permission(const LeaseStatus&, MonotonicTime now) const;
+    // Takes effect for a silence that has not ended, too.
+    void setSilence(Duration silence) { m_settings.silence = silence; }
     // The owner named in the store; empty if there is none.
     const HostId& owner() const { return m_owner; }
 
--- a/include/catkinwell/logging/EventLog.h
+++ b/include/catkinwell/logging/EventLog.h
@@ -27,6 +27,8 @@
     EventLog& operator=(const EventLog&) = delete;
 
     void write(const LogEntry&);
+    // Changes the least severity and the rate; the file stays.
+    void setLimits(const LogSettings&);
 
 private:
     struct Window {
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -117,6 +117,7 @@
         reducer.m_placement.tick(now, effects);
         reducer.sendNews(now, effects);
     }
+    void operator()(const GatewaySettingsChanged& event) const { reducer.handleSettings(event.settings); }
 };
 
 EffectList GatewayReducer::apply(const GatewayEvent& event, MonotonicTime now)
@@ -136,6 +137,18 @@
     std::erase_if(effects, [](const Effect& effect) { return std::holds_alternative<RecordMetric>(effect); });
 }
 
+// What the fields of fieldsThatNeedRestart() say stays as it was at the start.
+void GatewayReducer::handleSettings(const GatewaySettings& settings)
+{
+    m_settings.ownerSilence = settings.ownerSilence;
+    m_settings.shutdownGrace = settings.shutdownGrace;
+    m_settings.requests = settings.requests;
+    m_settings.placement = settings.placement;
+    m_ownership.setSilence(settings.ownerSilence);
+    m_requests.setSettings(settings.requests);
+    m_placement.setSettings(settings.placement);
+}
+
 void GatewayReducer::handleTick(const Tick&, MonotonicTime now, EffectList& effects)
 {
     m_lease.tick(now, effects);
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -59,6 +59,12 @@
     m_routes.configure(configuration.routes);
 }
 
+void GatewayRequests::setSettings(const GatewayRequestSettings& settings)
+{
+    m_settings = settings;
+    setHostCount(m_hostCount);
+}
+
 void GatewayRequests::setHostCount(std::size_t count)
 {
     m_hostCount = std::max<std::size_t>(1, count);
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -1,6 +1,7 @@
 #include <catkinwell/gateway/GatewaySettings.h>
 
 #include "http/SocketAddress.h"
+#include <array>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -11,6 +12,21 @@
 
     using Json = nlohmann::json;
 
+    // A field that the process uses only at its start.
+    struct AddressField {
+        const char* name;
+        std::string GatewaySettings::*member;
+    };
+
+    constexpr std::array<AddressField, 6> addressFields { {
+        { "caller_address", &GatewaySettings::callerAddress },
+        { "status_address", &GatewaySettings::statusAddress },
+        { "metrics_address", &GatewaySettings::metricsAddress },
+        { "peer_address", &GatewaySettings::peerAddress },
+        { "store_address", &GatewaySettings::storeAddress },
+        { "store_key_prefix", &GatewaySettings::storeKeyPrefix },
+    } };
+
     // Takes fields out of one object and keeps the first error. A field that is absent keeps its default.
     class SettingsReader {
     public:
@@ -175,6 +191,24 @@
     return settings;
 }
 
+std::vector<std::string> fieldsThatNeedRestart(const GatewaySettings& running, const GatewaySettings& wanted)
+{
+    std::vector<std::string> names;
+    for (const AddressField& field : addressFields) {
+        if (running.*field.member != wanted.*field.member)
+            names.emplace_back(field.name);
+    }
+    if (running.host != wanted.host)
+        names.emplace_back("host");
+    if (running.dataCentre != wanted.dataCentre)
+        names.emplace_back("data_centre");
+    if (running.leaseTtl != wanted.leaseTtl)
+        names.emplace_back("lease_ttl_ms");
+    if (running.log.file != wanted.log.file)
+        names.emplace_back("log.file");
+    return names;
+}
+
 Result<GatewaySettings> loadGatewaySettings(const std::string& file)
 {
     std::ifstream stream(file);
--- a/src/logging/EventLog.cpp
+++ b/src/logging/EventLog.cpp
@@ -83,6 +83,12 @@
 
 EventLog::~EventLog() { boost::log::core::get()->remove_all_sinks(); }
 
+void EventLog::setLimits(const LogSettings& settings)
+{
+    m_settings.minimumSeverity = settings.minimumSeverity;
+    m_settings.maximumPerEventAndSecond = settings.maximumPerEventAndSecond;
+}
+
 void EventLog::write(const LogEntry& entry)
 {
     if (describe(entry.event).severity < m_settings.minimumSeverity || !admit(entry))
--- a/src/logging/LogEvent.cpp
+++ b/src/logging/LogEvent.cpp
@@ -36,8 +36,10 @@
         { LogEvent::LoopStalled, Warning, "loop_stalled", "The event loop did not run for the given time.",
             "Check whether the machine was suspended or overloaded." },
         { LogEvent::SettingsReloaded, Info, "settings_reloaded",
-            "The settings file was read again; the field \"outcome\" says whether it is valid.",
-            "Correct the field that the outcome names." },
+            "The settings file was read again; the field \"outcome\" says whether it was applied, \"need_restart\" "
+            "which "
+            "changed fields take effect only at the next start.",
+            "Correct the field that the reason names, or restart the process for the fields that need it." },
         { LogEvent::LogLinesDropped, Warning, "log_lines_dropped",
             "The reader of the standard output was too slow, so that lines were left out.",
             "Let the collector read faster, or raise log.severity." },
--- a/src/runtime/GatewayRuntime.cpp
+++ b/src/runtime/GatewayRuntime.cpp
@@ -3,6 +3,7 @@
 #include "platform/EngineControl.h"
 #include "platform/KeyValueProtocol.h"
 #include "platform/PlatformProtocol.h"
+#include "runtime/ReducerLoop.h"
 #include <catkinwell/core/Digest.h>
 #include <catkinwell/endpoint/EngineClient.h>
 #include <catkinwell/gateway/GatewayReducer.h>
@@ -11,28 +12,18 @@
 #include <catkinwell/logging/EventLog.h>
 #include <catkinwell/peer/PeerTransport.h>
 #include <csignal>
-#include <deque>
 
 namespace Catkinwell {
 
 namespace {
 
-    constexpr Duration tickInterval = std::chrono::milliseconds(20);
-    constexpr Duration stallThreshold = std::chrono::milliseconds(500);
     // Answers that are still in output buffers when the reducer has finished get this long to leave.
     constexpr Duration longestFlush = std::chrono::milliseconds(300);
-    constexpr Duration flushCheckInterval = std::chrono::milliseconds(20);
     // Requests on the status listeners have identifiers above this one.
     constexpr std::uint64_t firstStatusId = 1ULL << 62;
     constexpr std::uint64_t firstMetricsId = 1ULL << 63;
     constexpr std::size_t secretBytes = 32;
 
-    Incarnation newIncarnation(const Clock& clock)
-    {
-        return static_cast<Incarnation>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(clock.wallNow().time_since_epoch()).count());
-    }
-
     ListenerSettings callerSettingsOf(const GatewaySettings& settings)
     {
         ListenerSettings listener;
@@ -62,11 +53,9 @@
     struct EffectExecutor;
 
     void connectSignals();
-    void post(GatewayEvent);
-    void tick();
+    void apply(const GatewayEvent&);
     void reload();
     void startPeers(const std::string& secret);
-    void finishWhenFlushed(MonotonicTime deadline);
     CallerListener& listenerOf(RequestId);
 
     GatewaySettings m_settings;
@@ -86,11 +75,8 @@
     EngineControl m_engines;
     std::unique_ptr<PeerTransport> m_peers;
     GatewayReducer m_reducer;
-    std::deque<GatewayEvent> m_events;
-    bool m_dispatching = false;
-    bool m_exiting = false;
+    ReducerLoop<GatewayEvent> m_events;
     int m_exitCode = 0;
-    MonotonicTime m_lastTick;
 };
 
 // Carries out effects; one overload for each kind.
@@ -130,8 +116,7 @@
     void operator()(const ExitProcess& effect) const
     {
         runtime.m_exitCode = effect.code;
-        runtime.m_exiting = true;
-        runtime.finishWhenFlushed(runtime.m_clock.monotonicNow() + longestFlush);
+        runtime.m_events.stop([&callers = runtime.m_callers] { return callers.unflushedAnswers(); }, longestFlush);
     }
 };
 
@@ -149,7 +134,7 @@
     , m_engines(m_client, m_clock)
     , m_reducer(m_settings, m_protocol, m_incarnation,
           stableHash(m_settings.host.value + std::to_string(m_incarnation)), randomHex(secretBytes))
-    , m_lastTick(m_clock.monotonicNow())
+    , m_events(m_loop, m_clock, m_log, [this](const GatewayEvent& event) { apply(event); })
 {
     connectSignals();
 }
@@ -163,13 +148,13 @@
 
 void GatewayRuntime::Implementation::connectSignals()
 {
-    const auto postEvent = [this](const auto& event) { post(event); };
+    const auto postEvent = [this](const auto& event) { m_events.post(event); };
     m_callers.signalRequest().connect(postEvent);
     m_callers.signalCallerLeft().connect(postEvent);
     m_callers.signalBackpressure().connect(postEvent);
     for (CallerListener* listener : { &m_status, &m_metrics })
         listener->signalRequest().connect(
-            [this](const RequestArrived& request) { post(AdminRequestArrived { request }); });
+            [this](const RequestArrived& request) { m_events.post(AdminRequestArrived { request }); });
     m_store.signalReply().connect(postEvent);
     m_attempts.signalHead().connect(postEvent);
     m_attempts.signalData().connect(postEvent);
@@ -190,15 +175,15 @@
         if (isError(status))
             return status;
     }
-    m_loop.callEvery(tickInterval, [this] { tick(); });
+    m_events.startTicks();
     for (const int signalNumber : { SIGTERM, SIGINT })
-        m_loop.onSignal(signalNumber, [this] { post(ShutdownSignal {}); });
+        m_loop.onSignal(signalNumber, [this] { m_events.post(ShutdownSignal {}); });
     m_loop.onSignal(SIGHUP, [this] { reload(); });
     m_log.write({ LogEvent::ProcessStarted,
         { { "host", m_settings.host.value }, { "data_centre", m_settings.dataCentre.value },
             { "caller_address", m_settings.callerAddress }, { "status_address", m_settings.statusAddress },
             { "peer_address", m_settings.peerAddress }, { "store_address", m_settings.storeAddress } } });
-    tick();
+    m_events.tick();
     return std::monostate {};
 }
 
@@ -222,55 +207,33 @@
         m_peers.reset();
         return;
     }
-    m_peers->messageReceived().connect([this](const PeerMessageReceived& message) { post(message); });
+    m_peers->messageReceived().connect([this](const PeerMessageReceived& message) { m_events.post(message); });
     m_peers->logEntry().connect([this](const LogEntry& entry) { m_log.write(entry); });
 }
 
-// Settings that changed take effect at the next start; a wrong file is reported and changes nothing.
+// Applies the settings that can change while the process runs; a wrong file is reported and changes nothing.
 void GatewayRuntime::Implementation::reload()
 {
-    const auto settings = loadGatewaySettings(m_settingsFile);
-    m_log.write({ LogEvent::SettingsReloaded,
-        { { "file", m_settingsFile }, { "outcome", isError(settings) ? errorOf(settings).message : "valid" } } });
-}
-
-void GatewayRuntime::Implementation::tick()
-{
-    const MonotonicTime now = m_clock.monotonicNow();
-    if (now - m_lastTick > stallThreshold) {
-        const auto stalled = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_lastTick).count();
-        m_log.write({ LogEvent::LoopStalled, { { "milliseconds", std::to_string(stalled) } } });
-    }
-    m_lastTick = now;
-    post(Tick { m_clock.wallNow() });
-}
-
-void GatewayRuntime::Implementation::post(GatewayEvent event)
-{
-    if (m_exiting)
-        return;
-    // An adapter may announce an event while an effect is carried out; it waits for its turn.
-    m_events.push_back(std::move(event));
-    if (m_dispatching)
+    auto result = loadGatewaySettings(m_settingsFile);
+    if (isError(result)) {
+        m_log.write({ LogEvent::SettingsReloaded,
+            { { "file", m_settingsFile }, { "outcome", "rejected" }, { "reason", errorOf(result).message } } });
         return;
-    m_dispatching = true;
-    while (!m_events.empty()) {
-        const GatewayEvent next = std::move(m_events.front());
-        m_events.pop_front();
-        const EffectList effects = m_reducer.apply(next, m_clock.monotonicNow());
-        for (const Effect& effect : effects)
-            std::visit(EffectExecutor { *this }, effect);
     }
-    m_dispatching = false;
+    GatewaySettings settings = takeValue(std::move(result));
+    std::string restartFields;
+    for (const std::string& field : fieldsThatNeedRestart(m_settings, settings))
+        restartFields += (restartFields.empty() ? "" : " ") + field;
+    m_log.write({ LogEvent::SettingsReloaded,
+        { { "file", m_settingsFile }, { "outcome", "applied" }, { "need_restart", restartFields } } });
+    m_log.setLimits(settings.log);
+    m_events.post(GatewaySettingsChanged { std::move(settings) });
 }
 
-void GatewayRuntime::Implementation::finishWhenFlushed(MonotonicTime deadline)
+void GatewayRuntime::Implementation::apply(const GatewayEvent& event)
 {
-    if (m_callers.unflushedAnswers() == 0 || m_clock.monotonicNow() >= deadline) {
-        m_loop.stop();
-        return;
-    }
-    m_loop.callLater(flushCheckInterval, [this, deadline] { finishWhenFlushed(deadline); });
+    for (const Effect& effect : m_reducer.apply(event, m_clock.monotonicNow()))
+        std::visit(EffectExecutor { *this }, effect);
 }
 
 GatewayRuntime::GatewayRuntime(GatewaySettings settings, std::string settingsFile)
--- a/src/runtime/Runtime.cpp
+++ b/src/runtime/Runtime.cpp
@@ -1,5 +1,6 @@
 #include <catkinwell/runtime/Runtime.h>
 
+#include "runtime/ReducerLoop.h"
 #include <catkinwell/core/Digest.h>
 #include <catkinwell/endpoint/EngineClient.h>
 #include <catkinwell/http/CallerListener.h>
@@ -9,17 +10,13 @@
 #include <catkinwell/reducer/Reducer.h>
 #include <catkinwell/store/ConsulStoreClient.h>
 #include <csignal>
-#include <deque>
 
 namespace Catkinwell {
 
 namespace {
 
-    constexpr Duration tickInterval = std::chrono::milliseconds(20);
-    constexpr Duration stallThreshold = std::chrono::milliseconds(500);
     // Answers that are still in output buffers when the reducer has finished get this long to leave.
     constexpr Duration longestFlush = std::chrono::seconds(5);
-    constexpr Duration flushCheckInterval = std::chrono::milliseconds(20);
     // Requests on the administration listener have identifiers above this one.
     constexpr std::uint64_t firstAdministrationId = 1ULL << 62;
 
@@ -28,13 +25,6 @@
         std::string nextSecretHex(std::size_t bytes) override { return randomHex(bytes); }
     };
 
-    // Distinguishes two runs of one host even if its clock went back a little between them.
-    Incarnation newIncarnation(const Clock& clock)
-    {
-        return static_cast<Incarnation>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(clock.wallNow().time_since_epoch()).count());
-    }
-
     PeerTransportSettings peerSettingsOf(const ProcessSettings& settings, Incarnation incarnation)
     {
         PeerTransportSettings peers;
@@ -61,9 +51,8 @@
     struct EffectExecutor;
 
     void connectSignals();
-    void post(Event);
-    void tick();
-    void finishWhenFlushed(MonotonicTime deadline);
+    void apply(const Event&);
+    std::size_t unflushedAnswers() const { return m_callers.unflushedAnswers() + m_administration.unflushedAnswers(); }
     CallerListener& listenerOf(RequestId id) { return id.value > firstAdministrationId ? m_administration : m_callers; }
 
     ProcessSettings m_settings;
@@ -79,11 +68,8 @@
     EngineClient m_engines;
     PeerTransport m_peers;
     Reducer m_reducer;
-    std::deque<Event> m_events;
-    bool m_dispatching = false;
-    bool m_exiting = false;
+    ReducerLoop<Event> m_events;
     int m_exitCode = 0;
-    MonotonicTime m_lastTick;
 };
 
 // Carries out effects; one overload for each kind.
@@ -115,11 +101,8 @@
     void operator()(const ExitProcess& effect) const
     {
         runtime.m_exitCode = effect.code;
-        runtime.m_exiting = true;
-        if (effect.code == 0)
-            runtime.finishWhenFlushed(runtime.m_clock.monotonicNow() + longestFlush);
-        else
-            runtime.m_loop.stop();
+        const Duration flushTime = effect.code == 0 ? longestFlush : Duration::zero();
+        runtime.m_events.stop([&runtime = runtime] { return runtime.unflushedAnswers(); }, flushTime);
     }
 };
 
@@ -134,19 +117,19 @@
     , m_engines(m_loop, m_client, m_clock)
     , m_peers(m_loop.base(), peerSettingsOf(m_settings, m_incarnation))
     , m_reducer(reducerSettingsOf(m_settings, m_incarnation), m_secrets, m_clock.monotonicNow(), m_clock.wallNow())
-    , m_lastTick(m_clock.monotonicNow())
+    , m_events(m_loop, m_clock, m_log, [this](const Event& event) { apply(event); })
 {
     connectSignals();
 }
 
 void Runtime::Implementation::connectSignals()
 {
-    const auto postEvent = [this](const auto& event) { post(event); };
+    const auto postEvent = [this](const auto& event) { m_events.post(event); };
     m_callers.signalRequest().connect(postEvent);
     m_callers.signalCallerLeft().connect(postEvent);
     m_callers.signalBackpressure().connect(postEvent);
     m_administration.signalRequest().connect(
-        [this](const RequestArrived& request) { post(AdminRequestArrived { request }); });
+        [this](const RequestArrived& request) { m_events.post(AdminRequestArrived { request }); });
     m_administration.signalCallerLeft().connect(postEvent);
     m_store.signalReply().connect(postEvent);
     m_peers.messageReceived().connect(postEvent);
@@ -172,9 +155,9 @@
         m_log.write({ LogEvent::PeerTransportFailed, { { "reason", errorOf(peerStatus).message } } });
         return peerStatus;
     }
-    m_loop.callEvery(tickInterval, [this] { tick(); });
+    m_events.startTicks();
     for (const int signalNumber : { SIGTERM, SIGINT })
-        m_loop.onSignal(signalNumber, [this] { post(ShutdownSignal {}); });
+        m_loop.onSignal(signalNumber, [this] { m_events.post(ShutdownSignal {}); });
     m_loop.onSignal(SIGHUP, [this] {
         for (CallerListener* listener : { &m_callers, &m_administration })
             listener->reloadCertificates();
@@ -192,44 +175,10 @@
     return m_exitCode;
 }
 
-void Runtime::Implementation::tick()
-{
-    const MonotonicTime now = m_clock.monotonicNow();
-    if (now - m_lastTick > stallThreshold) {
-        const auto stalled = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_lastTick).count();
-        m_log.write({ LogEvent::LoopStalled, { { "milliseconds", std::to_string(stalled) } } });
-    }
-    m_lastTick = now;
-    post(Tick { m_clock.wallNow() });
-}
-
-void Runtime::Implementation::post(Event event)
-{
-    if (m_exiting)
-        return;
-    // An adapter may announce an event while an effect is carried out; it waits for its turn.
-    m_events.push_back(std::move(event));
-    if (m_dispatching)
-        return;
-    m_dispatching = true;
-    while (!m_events.empty()) {
-        const Event next = std::move(m_events.front());
-        m_events.pop_front();
-        const EffectList effects = m_reducer.apply(next, m_clock.monotonicNow());
-        for (const Effect& effect : effects)
-            std::visit(EffectExecutor { *this }, effect);
-    }
-    m_dispatching = false;
-}
-
-void Runtime::Implementation::finishWhenFlushed(MonotonicTime deadline)
+void Runtime::Implementation::apply(const Event& event)
 {
-    const bool flushed = m_callers.unflushedAnswers() == 0 && m_administration.unflushedAnswers() == 0;
-    if (flushed || m_clock.monotonicNow() >= deadline) {
-        m_loop.stop();
-        return;
-    }
-    m_loop.callLater(flushCheckInterval, [this, deadline] { finishWhenFlushed(deadline); });
+    for (const Effect& effect : m_reducer.apply(event, m_clock.monotonicNow()))
+        std::visit(EffectExecutor { *this }, effect);
 }
 
 Runtime::Runtime(ProcessSettings settings)
--- a/tests/gateway/GatewaySettingsTest.cpp
+++ b/tests/gateway/GatewaySettingsTest.cpp
@@ -51,3 +51,35 @@
     CHECK(errorOf(settings).kind == ErrorKind::InvalidSettings);
     CHECK(errorOf(settings).message.find(test.expected) != std::string::npos);
 }
+
+namespace {
+
+struct ReloadCase {
+    const char* pointer;
+    nlohmann::json value;
+    std::vector<std::string> expected;
+};
+
+} // namespace
+
+// Guards against a changed setting that is neither applied nor reported.
+TEST_CASE("Changed settings that need a restart are named")
+{
+    const auto test = GENERATE(values<ReloadCase>({
+        { "/host", "other", { "host" } },
+        { "/data_centre", "other", { "data_centre" } },
+        { "/store_address", "127.0.0.1:9", { "store_address" } },
+        { "/lease_ttl_ms", 1500, { "lease_ttl_ms" } },
+        { "/requests/retry_fraction", 0.1, {} },
+        { "/owner_silence_ms", 4000, {} },
+        { "/shutdown_grace_ms", 5000, {} },
+        { "/log/severity", "error", {} },
+    }));
+    const GatewaySettings running = valueOf(parseGatewaySettings(sample().dump()));
+    nlohmann::json document = sample();
+    document[nlohmann::json::json_pointer(test.pointer)] = test.value;
+    const auto wanted = parseGatewaySettings(document.dump());
+    REQUIRE_FALSE(isError(wanted));
+    INFO(test.pointer);
+    CHECK(fieldsThatNeedRestart(running, valueOf(wanted)) == test.expected);
+}
