--- a/include/catkinwell/gateway/GatewaySettings.h
+++ b/include/catkinwell/gateway/GatewaySettings.h
@@ -22,6 +22,8 @@
     // A second address for the same answers; empty for none.
     std::string metricsAddress;
     std::string peerAddress;
+    // Where the other hosts reach peerAddress; empty if that is the same.
+    std::string announcedPeerAddress;
     std::string storeAddress;
     // The keys of the gateways in the store begin with this.
     std::string storeKeyPrefix = "catkinwell/";
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -43,6 +43,11 @@
         return lease;
     }
 
+    std::string announcedAddressOf(const GatewaySettings& settings)
+    {
+        return settings.announcedPeerAddress.empty() ? settings.peerAddress : settings.announcedPeerAddress;
+    }
+
     PrefixMirrorSettings mirrorOf(std::string prefix, Duration interval)
     {
         PrefixMirrorSettings settings;
@@ -69,7 +74,7 @@
     , m_protocol(protocol)
     , m_incarnation(incarnation)
     , m_newSecret(std::move(secret))
-    , m_lease({ m_settings.host, incarnation, m_settings.dataCentre, m_settings.peerAddress }, seed,
+    , m_lease({ m_settings.host, incarnation, m_settings.dataCentre, announcedAddressOf(m_settings) }, seed,
           leaseSettingsOf(m_settings))
     , m_configurationMirror(
           StoreUser::Configuration, mirrorOf(protocol.configurationKey(), std::chrono::milliseconds(50)), seed + 1)
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -18,11 +18,12 @@
         std::string GatewaySettings::*member;
     };
 
-    constexpr std::array<AddressField, 6> addressFields { {
+    constexpr std::array<AddressField, 7> addressFields { {
         { "caller_address", &GatewaySettings::callerAddress },
         { "status_address", &GatewaySettings::statusAddress },
         { "metrics_address", &GatewaySettings::metricsAddress },
         { "peer_address", &GatewaySettings::peerAddress },
+        { "announced_peer_address", &GatewaySettings::announcedPeerAddress },
         { "store_address", &GatewaySettings::storeAddress },
         { "store_key_prefix", &GatewaySettings::storeKeyPrefix },
     } };
@@ -177,6 +178,7 @@
     reader.address("status_address", settings.statusAddress, true);
     reader.address("metrics_address", settings.metricsAddress, false);
     reader.address("peer_address", settings.peerAddress, true);
+    reader.address("announced_peer_address", settings.announcedPeerAddress, false);
     reader.address("store_address", settings.storeAddress, true);
     reader.text("store_key_prefix", settings.storeKeyPrefix, false);
     reader.milliseconds("lease_ttl_ms", settings.leaseTtl);
--- /dev/null
+++ b/tests/fleet/CallerLoad.cpp
@@ -0,0 +1,134 @@
+#include "fleet/CallerLoad.h"
+
+#include <catkinwell/core/RandomGenerator.h>
+
+namespace Catkinwell::Testing {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // The time by which orders of two holders to one engine must be apart.
+    constexpr Duration holderSilence = 3s;
+
+    constexpr auto requestTimeout = 9s;
+    constexpr auto pauseBetweenRequests = 15ms;
+    // Statuses that promise that the request did not run.
+    bool isPromise(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
+
+    HttpCall callOf(const CallerRequest& request, std::uint16_t port, const std::string& model)
+    {
+        HttpCall call { port, "POST", request.path + request.id,
+            { { "Host", "test.example" }, { "Catkinwell-Request-Id", request.id }, { "Catkinwell-Deadline-Ms", "8000" },
+                { "Authorization", "Bearer key-" + request.account } },
+            "body of " + request.id, requestTimeout };
+        if (request.path == "/note/")
+            call.headers["Catkinwell-Model"] = model;
+        return call;
+    }
+
+    std::string expectedBody(const CallerRequest& request)
+    {
+        if (request.path != "/note/")
+            return "answer to " + request.id;
+        std::string events;
+        for (int event = 1; event <= 5; ++event)
+            events += "id: " + std::to_string(event) + "\ndata: " + request.id + "\n\n";
+        return events;
+    }
+
+    void checkHolders(const EndpointRecords& records, std::vector<std::string>& broken)
+    {
+        std::map<std::string, ReceivedOrder> last;
+        for (const ReceivedOrder& order : records.orders) {
+            const auto former = last.find(order.endpoint);
+            if (former != last.end() && former->second.holder != order.holder
+                && order.at - former->second.at < holderSilence)
+                broken.push_back("orders of " + former->second.holder + " and " + order.holder + " to " + order.endpoint
+                    + " are "
+                    + std::to_string(
+                        std::chrono::duration_cast<std::chrono::milliseconds>(order.at - former->second.at).count())
+                    + " ms apart");
+            last[order.endpoint] = order;
+        }
+    }
+
+} // namespace
+
+CallerLoad::CallerLoad(GatewayFleet& fleet, std::size_t callers, std::uint64_t seed)
+    : m_fleet(fleet)
+    , m_requests(callers)
+{
+    for (std::size_t i = 0; i < callers; ++i)
+        m_threads.emplace_back([this, i, seed] { run(i, seed * 1000 + i); });
+}
+
+CallerLoad::~CallerLoad() { stop(); }
+
+void CallerLoad::run(std::size_t caller, std::uint64_t seed)
+{
+    RandomGenerator random(seed);
+    const char* const paths[] { "/order/", "/order/", "/read/", "/note/", "/note/" };
+    const char* const models[] { "m1", "m2", "m3", "m4" };
+    for (unsigned number = 0; !m_isStopping; ++number) {
+        CallerRequest request;
+        request.id = "c" + std::to_string(caller) + "-" + std::to_string(number);
+        request.path = paths[random.below(5)];
+        request.account = random.unit() < 0.5 ? "a" : "b";
+        request.host = random.below(m_fleet.hostCount());
+        request.sentAt = std::chrono::steady_clock::now();
+        request.answer = send(callOf(request, m_fleet.callerPort(request.host), models[random.below(4)]));
+        m_requests[caller].push_back(std::move(request));
+        std::this_thread::sleep_for(pauseBetweenRequests);
+    }
+}
+
+std::vector<CallerRequest> CallerLoad::stop()
+{
+    m_isStopping = true;
+    for (std::thread& thread : m_threads) {
+        if (thread.joinable())
+            thread.join();
+    }
+    std::vector<CallerRequest> all;
+    for (const auto& list : m_requests)
+        all.insert(all.end(), list.begin(), list.end());
+    return all;
+}
+
+std::vector<std::string> brokenPromises(
+    const std::vector<CallerRequest>& requests, const EndpointRecords& records, GatewayFleet& fleet)
+{
+    std::vector<std::string> broken;
+    std::map<std::string, std::vector<Execution>> executions;
+    for (const Execution& execution : records.executions)
+        executions[execution.request].push_back(execution);
+    for (const CallerRequest& request : requests) {
+        const std::vector<Execution>& runs = executions[request.id];
+        const std::string name = request.path + request.id + " (status " + std::to_string(request.answer.status) + ")";
+        if (request.path == "/order/" && runs.size() > 1)
+            broken.push_back(name + " ran " + std::to_string(runs.size()) + " times");
+        if (isPromise(request.answer.status) && !runs.empty())
+            broken.push_back(name + " ran, though its answer says that it did not");
+        for (const Execution& run : runs) {
+            if (run.account != request.account)
+                broken.push_back(name + " of account " + request.account + " ran for \"" + run.account + "\"");
+        }
+        if (request.answer.status != 200)
+            continue;
+        if (runs.empty())
+            broken.push_back(name + " has an answer, though no endpoint ran it");
+        if (request.answer.complete && request.answer.body != expectedBody(request))
+            broken.push_back(name + " has the body \"" + request.answer.body + "\"");
+    }
+    checkHolders(records, broken);
+    fleet.onLoop([&fleet, &broken] {
+        for (std::size_t i = 0; i < fleet.endpointCount(); ++i) {
+            if (FakeEngine* engine = fleet.endpoint(i).engine())
+                broken.insert(broken.end(), engine->violations().begin(), engine->violations().end());
+        }
+    });
+    return broken;
+}
+
+} // namespace Catkinwell::Testing
--- /dev/null
+++ b/tests/fleet/CallerLoadTest.cpp
@@ -0,0 +1,52 @@
+#include "fleet/CallerLoad.h"
+#include <catch2/catch.hpp>
+
+using namespace Catkinwell;
+using namespace Catkinwell::Testing;
+
+namespace {
+
+struct PromiseCase {
+    const char* what;
+    std::string path;
+    int status;
+    std::string body;
+    std::vector<Execution> runs;
+    bool isBroken;
+};
+
+Execution runFor(const std::string& account) { return { "o-0", "r", account, {} }; }
+
+} // namespace
+
+// Guards against a check of the process tests that cannot fail.
+TEST_CASE("Each kind of broken promise is found")
+{
+    const auto test = GENERATE(values<PromiseCase>({
+        { "an order that ran once", "/order/", 200, "answer to r", { runFor("a") }, false },
+        { "an order that ran twice", "/order/", 200, "answer to r", { runFor("a"), runFor("a") }, true },
+        { "a read that ran twice", "/read/", 200, "answer to r", { runFor("a"), runFor("a") }, false },
+        { "a refusal that did not run", "/order/", 503, "", {}, false },
+        { "a refusal that ran", "/order/", 503, "", { runFor("a") }, true },
+        { "a failure that ran", "/order/", 502, "", { runFor("a") }, false },
+        { "another account", "/read/", 200, "answer to r", { runFor("b") }, true },
+        { "another answer", "/read/", 200, "answer to q", { runFor("a") }, true },
+        { "an answer from nowhere", "/read/", 200, "answer to r", {}, true },
+        { "a stream that looks whole", "/note/", 200, "id: 1\ndata: r\n\n", { runFor("a") }, true },
+    }));
+    GatewayFleet fleet({ 1, 1, 0 });
+    CallerRequest request { "r", test.path, "a", 0, { test.status, {}, test.body, true }, {} };
+    INFO(test.what);
+    CHECK(brokenPromises({ request }, { test.runs, {} }, fleet).empty() != test.isBroken);
+}
+
+// Guards against orders of two holders that are accepted as apart when they are not.
+TEST_CASE("Holders that take turns at an engine are found")
+{
+    const auto [milliseconds, isBroken] = GENERATE(table<int, bool>({ { 2900, true }, { 3100, false } }));
+    GatewayFleet fleet({ 1, 1, 0 });
+    const MonotonicTime first { std::chrono::hours(1) };
+    const EndpointRecords records { {},
+        { { "e", "host-0", first }, { "e", "host-1", first + std::chrono::milliseconds(milliseconds) } } };
+    CHECK(brokenPromises({}, records, fleet).empty() != isBroken);
+}
--- /dev/null
+++ b/tests/fleet/FaultProxy.cpp
@@ -0,0 +1,152 @@
+#include "fleet/FaultProxy.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <stdexcept>
+#include <string>
+#include <sys/socket.h>
+
+namespace Catkinwell::Testing {
+
+namespace {
+
+    constexpr Duration linkDelay = std::chrono::milliseconds(150);
+
+    sockaddr_in loopback(std::uint16_t port)
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        return address;
+    }
+
+    // Closes a connection with a reset instead of an orderly end.
+    void resetAtClose(bufferevent* connection)
+    {
+        const linger immediately { 1, 0 };
+        setsockopt(bufferevent_getfd(connection), SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
+    }
+
+} // namespace
+
+struct FaultProxy::Link : std::enable_shared_from_this<FaultProxy::Link> {
+    FaultProxy* proxy = nullptr;
+    bufferevent* caller = nullptr;
+    bufferevent* target = nullptr;
+    bool hasLostBytes = false;
+    bool isClosed = false;
+};
+
+FaultProxy::FaultProxy(EventLoop& loop, std::uint16_t targetPort)
+    : m_loop(loop)
+    , m_targetPort(targetPort)
+{
+    const sockaddr_in address = loopback(0);
+    m_listener = evconnlistener_new_bind(
+        loop.base(),
+        [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* context) {
+            static_cast<FaultProxy*>(context)->accept(socket);
+        },
+        this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1, reinterpret_cast<const sockaddr*>(&address),
+        sizeof(address));
+    if (!m_listener)
+        throw std::runtime_error("the proxy found no free port");
+    sockaddr_in bound {};
+    socklen_t size = sizeof(bound);
+    getsockname(evconnlistener_get_fd(m_listener), reinterpret_cast<sockaddr*>(&bound), &size);
+    m_port = ntohs(bound.sin_port);
+}
+
+FaultProxy::~FaultProxy()
+{
+    evconnlistener_free(m_listener);
+    while (!m_links.empty())
+        close(*m_links.front(), false);
+}
+
+void FaultProxy::accept(int socket)
+{
+    auto link = std::make_shared<Link>();
+    link->proxy = this;
+    link->caller = bufferevent_socket_new(m_loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
+    link->target = bufferevent_socket_new(m_loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    Link* raw = link.get();
+    m_links.push_back(std::move(link));
+    const auto onRead = [](bufferevent* from, void* context) {
+        auto* owner = static_cast<Link*>(context);
+        const bool isBack = from == owner->target;
+        owner->proxy->forward(*owner, from, isBack ? owner->caller : owner->target, isBack);
+    };
+    const auto onEvent = [](bufferevent*, short events, void* context) {
+        auto* owner = static_cast<Link*>(context);
+        if (events & BEV_EVENT_ERROR)
+            owner->proxy->close(*owner, true);
+        else if (events & BEV_EVENT_EOF)
+            owner->proxy->closeLater(*owner);
+    };
+    for (bufferevent* end : { raw->caller, raw->target }) {
+        bufferevent_setcb(end, onRead, nullptr, onEvent, raw);
+        bufferevent_enable(end, EV_READ | EV_WRITE);
+    }
+    const sockaddr_in address = loopback(m_targetPort);
+    if (bufferevent_socket_connect(raw->target, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0)
+        close(*raw, true);
+}
+
+void FaultProxy::forward(Link& link, bufferevent* from, bufferevent* to, bool isBack)
+{
+    evbuffer* input = bufferevent_get_input(from);
+    const bool isSwallowed
+        = m_state == LinkState::Silent || (m_state == LinkState::SilentBack && isBack) || link.hasLostBytes;
+    if (isSwallowed) {
+        link.hasLostBytes = true;
+        evbuffer_drain(input, evbuffer_get_length(input));
+        return;
+    }
+    if (m_state != LinkState::Delayed) {
+        bufferevent_write_buffer(to, input);
+        return;
+    }
+    std::string bytes(evbuffer_get_length(input), '\0');
+    evbuffer_remove(input, bytes.data(), bytes.size());
+    m_loop.callLater(linkDelay, [weak = link.weak_from_this(), bytes, isBack] {
+        const auto alive = weak.lock();
+        if (alive && !alive->isClosed)
+            bufferevent_write(isBack ? alive->caller : alive->target, bytes.data(), bytes.size());
+    });
+}
+
+// What was read before the end of a connection still arrives.
+void FaultProxy::closeLater(Link& link)
+{
+    m_loop.callLater(linkDelay + linkDelay, [this, weak = link.weak_from_this()] {
+        const auto alive = weak.lock();
+        if (alive && !alive->isClosed)
+            close(*alive, false);
+    });
+}
+
+void FaultProxy::close(Link& link, bool isReset)
+{
+    if (link.isClosed)
+        return;
+    link.isClosed = true;
+    for (bufferevent* end : { link.caller, link.target }) {
+        if (isReset && bufferevent_getfd(end) >= 0)
+            resetAtClose(end);
+        bufferevent_free(end);
+    }
+    m_links.remove_if([&link](const auto& candidate) { return candidate.get() == &link; });
+}
+
+void FaultProxy::resetConnections()
+{
+    while (!m_links.empty())
+        close(*m_links.front(), true);
+}
+
+} // namespace Catkinwell::Testing
--- /dev/null
+++ b/tests/fleet/FaultSoak.cpp
@@ -0,0 +1,255 @@
+#include "fleet/FaultSoak.h"
+
+#include <array>
+#include <csignal>
+
+namespace Catkinwell::Testing {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    constexpr std::size_t callers = 12;
+    constexpr std::uint64_t shortestPause = 150;
+    constexpr std::uint64_t pauseSpread = 1200;
+    // The bound on the way back after the end of all faults.
+    constexpr auto recoveryBound = 12s;
+    constexpr auto configurationBound = 2s;
+
+} // namespace
+
+// A kind of fault and how often it comes.
+struct FaultSoak::Fault {
+    unsigned weight;
+    void (FaultSoak::*inject)();
+};
+
+FaultSoak::FaultSoak(std::uint64_t seed)
+    : m_seed(seed)
+    , m_random(seed)
+    , m_fleet({ 4, 3, 3, seed })
+    , m_startedAt(std::chrono::steady_clock::now())
+{
+}
+
+void FaultSoak::note(const std::string& text)
+{
+    const auto at
+        = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_startedAt);
+    m_report.faults.push_back(std::to_string(at.count()) + " ms: " + text);
+}
+
+void FaultSoak::later(std::chrono::milliseconds delay, std::function<void()> undo)
+{
+    m_undo.emplace_back(std::chrono::steady_clock::now() + delay, std::move(undo));
+}
+
+void FaultSoak::undoDue(bool isAll)
+{
+    const auto now = std::chrono::steady_clock::now();
+    auto entries = std::exchange(m_undo, {});
+    for (auto& entry : entries) {
+        if (isAll || now >= entry.first)
+            entry.second();
+        else
+            m_undo.push_back(std::move(entry));
+    }
+}
+
+void FaultSoak::killHost()
+{
+    const std::size_t host = m_random.below(m_fleet.hostCount());
+    const auto pause = std::chrono::milliseconds(100 + m_random.below(2500));
+    if (!m_disturbed.insert(host).second)
+        return;
+    note("kill host " + std::to_string(host));
+    m_fleet.process(host).signal(SIGKILL);
+    later(pause, [this, host] {
+        m_fleet.start(host);
+        m_disturbed.erase(host);
+    });
+}
+
+void FaultSoak::stopHost()
+{
+    const std::size_t host = m_random.below(m_fleet.hostCount());
+    if (!m_disturbed.insert(host).second)
+        return;
+    note("stop host " + std::to_string(host));
+    m_fleet.process(host).signal(SIGTERM);
+    later(9s, [this, host] {
+        if (m_fleet.process(host).waitForExit(0ms) != 0)
+            m_report.broken.push_back("host " + std::to_string(host) + " did not end in time after SIGTERM");
+        m_fleet.start(host);
+        m_disturbed.erase(host);
+    });
+}
+
+void FaultSoak::freezeHost()
+{
+    const std::size_t host = m_random.below(m_fleet.hostCount());
+    const auto duration = std::chrono::milliseconds(200 + m_random.below(4500));
+    if (!m_disturbed.insert(host).second)
+        return;
+    note("freeze host " + std::to_string(host) + " for " + std::to_string(duration.count()) + " ms");
+    m_fleet.process(host).signal(SIGSTOP);
+    later(duration, [this, host] {
+        m_fleet.process(host).signal(SIGCONT);
+        m_disturbed.erase(host);
+    });
+}
+
+void FaultSoak::changeSettings()
+{
+    const std::size_t host = m_random.below(m_fleet.hostCount());
+    note("change the settings of host " + std::to_string(host));
+    m_fleet.writeSettings(host, { { "placement", { { "busy_share", 0.1 + m_random.unit() } } } });
+    if (!m_disturbed.contains(host))
+        m_fleet.process(host).signal(SIGHUP);
+}
+
+void FaultSoak::changeConfiguration()
+{
+    note("configuration " + std::to_string(m_version + 1));
+    m_fleet.configure(++m_version);
+}
+
+void FaultSoak::disturbStore()
+{
+    const std::size_t host = m_random.below(m_fleet.hostCount());
+    const bool isForAll = m_random.unit() < 0.4;
+    const std::uint64_t kind = m_random.below(4);
+    const auto duration = std::chrono::milliseconds(300 + m_random.below(3500));
+    constexpr std::array<const char*, 4> names { "is away", "is slow", "loses answers", "forgets its history" };
+    note(std::string("the store ") + names[kind] + (isForAll ? " for all" : " for host " + std::to_string(host))
+        + " for " + std::to_string(duration.count()) + " ms");
+    const auto change = [this, host, isForAll](const StoreFaults& faults) {
+        m_fleet.onLoop([this, host, isForAll, faults] {
+            for (std::size_t i = 0; i < m_fleet.hostCount(); ++i) {
+                if (isForAll || i == host)
+                    m_fleet.store().faults(i) = faults;
+            }
+        });
+    };
+    StoreFaults faults;
+    faults.isDown = kind == 0;
+    faults.delay = kind == 1 ? 250ms : 0ms;
+    faults.lostAnswers = kind == 2 ? 6 : 0;
+    faults.lostHistories = kind == 3 ? 3 : 0;
+    change(faults);
+    later(duration, [change] { change({}); });
+}
+
+void FaultSoak::disturbLink()
+{
+    const std::size_t kind = m_random.below(3);
+    const std::size_t index = m_random.below(kind == 2 ? m_fleet.endpointCount() : m_fleet.hostCount());
+    const std::size_t state = m_random.below(4);
+    const auto duration = std::chrono::milliseconds(200 + m_random.below(3500));
+    constexpr std::array<const char*, 3> names { "store link", "peer link", "endpoint link" };
+    constexpr std::array<const char*, 4> states { "reset", "delayed", "silent", "silent back" };
+    note(std::string(names[kind]) + " " + std::to_string(index) + " " + states[state] + " for "
+        + std::to_string(duration.count()) + " ms");
+    const auto change = [this, kind, index](LinkState wanted, bool isReset) {
+        m_fleet.onLoop([this, kind, index, wanted, isReset] {
+            FaultProxy& link = kind == 0 ? m_fleet.storeLink(index)
+                : kind == 1              ? m_fleet.peerLink(index)
+                                         : m_fleet.endpointLink(index);
+            link.setState(wanted);
+            if (isReset)
+                link.resetConnections();
+        });
+    };
+    constexpr std::array<LinkState, 4> wanted { LinkState::Open, LinkState::Delayed, LinkState::Silent,
+        LinkState::SilentBack };
+    change(wanted[state], state == 0);
+    later(duration, [change] { change(LinkState::Open, false); });
+}
+
+void FaultSoak::disturbEndpoint()
+{
+    const std::size_t index = m_random.below(m_fleet.endpointCount());
+    const auto duration = std::chrono::milliseconds(500 + m_random.below(4000));
+    const bool isUnlisted = m_random.unit() < 0.4;
+    const EndpointFaults faults { m_random.unit() * 0.5, m_random.unit() * 0.5, m_random.unit() * 0.5,
+        m_random.unit() * 0.2 };
+    note("endpoint " + std::to_string(index) + (isUnlisted ? " leaves for " : " fails requests for ")
+        + std::to_string(duration.count()) + " ms");
+    m_fleet.onLoop([this, index, isUnlisted, &faults] {
+        if (isUnlisted)
+            m_fleet.setListed(index, false);
+        else
+            m_fleet.endpoint(index).faults = faults;
+    });
+    later(duration, [this, index] {
+        m_fleet.onLoop([this, index] {
+            m_fleet.setListed(index, true);
+            m_fleet.endpoint(index).faults = {};
+        });
+    });
+}
+
+void FaultSoak::injectOne()
+{
+    static constexpr std::array<Fault, 8> faults { {
+        { 4, &FaultSoak::killHost },
+        { 2, &FaultSoak::stopHost },
+        { 4, &FaultSoak::freezeHost },
+        { 1, &FaultSoak::changeSettings },
+        { 2, &FaultSoak::changeConfiguration },
+        { 4, &FaultSoak::disturbStore },
+        { 5, &FaultSoak::disturbLink },
+        { 4, &FaultSoak::disturbEndpoint },
+    } };
+    unsigned total = 0;
+    for (const Fault& fault : faults)
+        total += fault.weight;
+    std::uint64_t drawn = m_random.below(total);
+    for (const Fault& fault : faults) {
+        if (drawn < fault.weight) {
+            (this->*fault.inject)();
+            return;
+        }
+        drawn -= fault.weight;
+    }
+}
+
+SoakReport FaultSoak::run(std::chrono::milliseconds duration)
+{
+    CallerLoad load(m_fleet, callers, m_seed);
+    const auto end = std::chrono::steady_clock::now() + duration;
+    auto nextFault = std::chrono::steady_clock::now();
+    while (std::chrono::steady_clock::now() < end) {
+        undoDue(false);
+        if (std::chrono::steady_clock::now() >= nextFault) {
+            injectOne();
+            nextFault += std::chrono::milliseconds(shortestPause + m_random.below(pauseSpread));
+        }
+        std::this_thread::sleep_for(10ms);
+    }
+    while (!m_undo.empty()) {
+        undoDue(false);
+        std::this_thread::sleep_for(10ms);
+    }
+    for (std::size_t i = 0; i < m_fleet.hostCount(); ++i) {
+        if (!eventually([this, i] { return m_fleet.isReady(i); }, recoveryBound))
+            m_report.broken.push_back("host " + std::to_string(i) + " did not come back");
+    }
+    changeConfiguration();
+    for (std::size_t i = 0; i < m_fleet.hostCount(); ++i) {
+        const auto isInForce
+            = [this, i] { return m_fleet.status(i).value("configuration", std::uint64_t { 0 }) == m_version; };
+        if (!eventually(isInForce, configurationBound))
+            m_report.broken.push_back("host " + std::to_string(i) + " does not have configuration "
+                + std::to_string(m_version) + " after all faults");
+    }
+    const auto requests = load.stop();
+    const auto broken = brokenPromises(requests, m_fleet.records(), m_fleet);
+    m_report.broken.insert(m_report.broken.end(), broken.begin(), broken.end());
+    m_report.requests = requests.size();
+    for (const CallerRequest& request : requests)
+        m_report.served += request.answer.status == 200 && request.answer.complete ? 1 : 0;
+    return m_report;
+}
+
+} // namespace Catkinwell::Testing
--- /dev/null
+++ b/tests/fleet/FaultSoak.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "fleet/CallerLoad.h"
+#include <catkinwell/core/RandomGenerator.h>
+#include <set>
+
+namespace Catkinwell::Testing {
+
+// What one run of the soak did and found.
+struct SoakReport {
+    // The faults in their order, for the trace of a finding.
+    std::vector<std::string> faults;
+    std::vector<std::string> broken;
+    std::size_t requests = 0;
+    std::size_t served = 0;
+};
+
+// Injects random faults into a fleet under load from outside its processes: signals, restarts, changed settings and
+// configurations, links that are slow, silent in one or both directions or reset, a store that is away, slow or loses
+// answers, endpoints that leave, come back and fail requests. Faults come in series and overlap; all end before the
+// load does. The same seed gives the same faults at the same times.
+class FaultSoak {
+public:
+    explicit FaultSoak(std::uint64_t seed);
+
+    SoakReport run(std::chrono::milliseconds duration);
+
+private:
+    struct Fault;
+
+    void injectOne();
+    void undoDue(bool isAll);
+    void later(std::chrono::milliseconds, std::function<void()>);
+    void killHost();
+    void stopHost();
+    void freezeHost();
+    void changeSettings();
+    void changeConfiguration();
+    void disturbStore();
+    void disturbLink();
+    void disturbEndpoint();
+    void note(const std::string&);
+
+    std::uint64_t m_seed;
+    RandomGenerator m_random;
+    GatewayFleet m_fleet;
+    std::chrono::steady_clock::time_point m_startedAt;
+    std::vector<std::pair<std::chrono::steady_clock::time_point, std::function<void()>>> m_undo;
+    // Hosts that are killed, stopping or frozen.
+    std::set<std::size_t> m_disturbed;
+    std::uint64_t m_version = 1;
+    SoakReport m_report;
+};
+
+} // namespace Catkinwell::Testing
--- /dev/null
+++ b/tests/fleet/GatewayFleet.cpp
@@ -0,0 +1,236 @@
+#include "fleet/GatewayFleet.h"
+
+#include <fstream>
+#include <future>
+#include <stdexcept>
+
+namespace Catkinwell::Testing {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr Duration taskInterval = std::chrono::milliseconds(2);
+    constexpr Duration heartbeatInterval = std::chrono::milliseconds(400);
+    constexpr std::chrono::milliseconds longestPeerSilence { 1000 };
+    // The least time between orders of two holders, as the platform demands it.
+    constexpr int ownerSilenceMilliseconds = 3000;
+
+    std::string address(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
+
+    Json route(const char* name, const char* prefix, const char* type, const char* service)
+    {
+        return { { "name", name }, { "host", "test.example" }, { "prefix", prefix }, { "route_type", type },
+            { "service", service }, { "timeout_ms", 8000 }, { "target_latency_ms", 800 }, { "priority", 2 },
+            { "max_attempts", 3 }, { "resumable", std::string(type) == "streaming" } };
+    }
+
+    Json model(const char* name)
+    {
+        return { { "name", name }, { "weights_mb", 40000 }, { "load_time_s", 6 }, { "disk_s", 1.6 }, { "warm_s", 1.6 },
+            { "adapters", 0 }, { "adapter_mb", 0 } };
+    }
+
+    Json account(const char* name, const char* key)
+    {
+        return { { "name", name }, { "api_keys", { key } }, { "unit", "request_count" }, { "rate_per_s", 2000 },
+            { "burst", 2000 } };
+    }
+
+    Json configuration(std::uint64_t version)
+    {
+        Json models = Json::array();
+        for (const char* name : { "m1", "m2", "m3", "m4" })
+            models.push_back(model(name));
+        const Json engine { { "slots", 16 }, { "weights_mb", 80000 }, { "adapter_slots", 2 }, { "loads_per_s", 1 },
+            { "models", models } };
+        return { { "version", version },
+            { "routes",
+                { route("order", "/order/", "unsafe", "orders"), route("read", "/read/", "safe", "orders"),
+                    route("note", "/note/", "streaming", "notes") } },
+            { "services", { { { "name", "orders" } }, { { "name", "notes" }, { "engine", engine } } } },
+            { "tenants", { account("a", "key-a"), account("b", "key-b") } } };
+    }
+
+} // namespace
+
+GatewayFleet::GatewayFleet(GatewayFleetOptions options)
+    : m_store(std::make_unique<StoreStandIn>(m_loop))
+    , m_hosts(options.hosts)
+{
+    addEndpoints(options);
+    for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+        Host& host = m_hosts[i];
+        host.name = "host-" + std::to_string(i);
+        host.callerPort = freePort();
+        host.statusPort = freePort();
+        host.peerPort = freePort();
+        host.storeLink = std::make_unique<FaultProxy>(m_loop, m_store->open());
+        host.peerLink = std::make_unique<FaultProxy>(m_loop, host.peerPort);
+        writeSettings(i, Json::object());
+    }
+    m_store->put("op/config", configuration(1).dump());
+    m_loop.callEvery(heartbeatInterval, [this] {
+        for (std::size_t i = 0; i < m_endpoints.size(); ++i) {
+            if (m_endpoints[i].isListed)
+                writeRecord(i);
+        }
+    });
+    m_thread = std::thread([this] { runLoop(); });
+    for (std::size_t i = 0; i < m_hosts.size(); ++i)
+        start(i);
+    waitUntilReady();
+}
+
+GatewayFleet::~GatewayFleet()
+{
+    for (Host& host : m_hosts)
+        host.process.reset();
+    onLoop([this] { m_loop.stop(); });
+    m_thread.join();
+}
+
+void GatewayFleet::addEndpoints(const GatewayFleetOptions& options)
+{
+    const auto add = [this, &options](const std::string& id, const char* service) -> EndpointStandIn& {
+        Endpoint endpoint;
+        endpoint.standIn
+            = std::make_unique<EndpointStandIn>(m_loop, id, service, m_records, options.seed + m_endpoints.size());
+        m_endpoints.push_back(std::move(endpoint));
+        return *m_endpoints.back().standIn;
+    };
+    for (std::size_t i = 0; i < options.plainEndpoints; ++i)
+        add("o-" + std::to_string(i), "orders");
+    const char* const models[] { "m1", "m2", "m3", "m4" };
+    for (std::size_t i = 0; i < options.engines; ++i) {
+        LoadedModels held;
+        held[ModelId(models[i % 2])];
+        held[ModelId(models[2 + i % 2])];
+        add("e-" + std::to_string(i), "notes").makeEngine(held);
+    }
+    for (std::size_t i = 0; i < m_endpoints.size(); ++i) {
+        m_endpoints[i].standIn->open();
+        m_endpoints[i].link = std::make_unique<FaultProxy>(m_loop, m_endpoints[i].standIn->port());
+        writeRecord(i);
+    }
+}
+
+void GatewayFleet::runLoop()
+{
+    m_loop.callEvery(taskInterval, [this] {
+        std::vector<std::function<void()>> tasks;
+        {
+            const std::lock_guard lock(m_mutex);
+            tasks.swap(m_tasks);
+        }
+        for (const auto& task : tasks)
+            task();
+    });
+    m_loop.run();
+}
+
+void GatewayFleet::onLoop(const std::function<void()>& task)
+{
+    std::promise<void> done;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_tasks.emplace_back([&task, &done] {
+            task();
+            done.set_value();
+        });
+    }
+    done.get_future().wait();
+}
+
+std::string GatewayFleet::settingsFile(std::size_t host) const
+{
+    return m_folder.path() + "/" + m_hosts[host].name + ".json";
+}
+
+std::string GatewayFleet::logFile(std::size_t host) const
+{
+    return m_folder.path() + "/" + m_hosts[host].name + ".log";
+}
+
+void GatewayFleet::writeSettings(std::size_t index, const Json& changes) const
+{
+    const Host& host = m_hosts[index];
+    Json settings { { "host", host.name }, { "data_centre", "dc1" }, { "caller_address", address(host.callerPort) },
+        { "status_address", address(host.statusPort) }, { "peer_address", address(host.peerPort) },
+        { "announced_peer_address", address(host.peerLink->port()) },
+        { "store_address", address(host.storeLink->port()) }, { "owner_silence_ms", ownerSilenceMilliseconds },
+        { "requests", { { "retry_fraction", 0.5 }, { "retry_constant", 1000 } } } };
+    settings.update(changes);
+    std::ofstream(settingsFile(index)) << settings.dump();
+}
+
+void GatewayFleet::start(std::size_t host)
+{
+    m_hosts[host].process.reset();
+    m_hosts[host].process = std::make_unique<ChildProcess>(
+        std::vector<std::string> { binaryPath(), "gateway", "--config", settingsFile(host) }, logFile(host));
+}
+
+bool GatewayFleet::isReady(std::size_t host) const
+{
+    return send({ m_hosts[host].statusPort, "GET", "/ready", {}, {}, std::chrono::milliseconds(500) }).status == 200;
+}
+
+void GatewayFleet::waitUntilReady(std::chrono::milliseconds timeout)
+{
+    for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+        if (!eventually([this, i] { return isReady(i); }, timeout))
+            throw std::runtime_error(m_hosts[i].name + " is not ready: " + m_hosts[i].process->output());
+    }
+}
+
+void GatewayFleet::waitUntilConnected()
+{
+    const auto hearsAll = [this](std::size_t host) {
+        const Json peers = status(host).value("peers", Json::object());
+        return peers.size() + 1 == m_hosts.size() && std::all_of(peers.begin(), peers.end(), [](const Json& peer) {
+            return peer.value("silent_ms", std::int64_t { 0 }) < longestPeerSilence.count();
+        });
+    };
+    for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+        if (!eventually([&] { return hearsAll(i); }, std::chrono::seconds(5)))
+            throw std::runtime_error(m_hosts[i].name + " does not hear all others: " + status(i).dump());
+    }
+}
+
+Json GatewayFleet::status(std::size_t host) const
+{
+    const HttpAnswer answer
+        = send({ m_hosts[host].statusPort, "GET", "/status", {}, {}, std::chrono::milliseconds(500) });
+    const Json body = Json::parse(answer.body, nullptr, false);
+    return body.is_object() ? body : Json::object();
+}
+
+void GatewayFleet::configure(std::uint64_t version)
+{
+    onLoop([this, version] { m_store->put("op/config", configuration(version).dump()); });
+}
+
+void GatewayFleet::writeRecord(std::size_t index)
+{
+    Endpoint& endpoint = m_endpoints[index];
+    m_store->put("servers/" + endpoint.standIn->id(), endpoint.standIn->nextRecord(endpoint.link->port()));
+}
+
+void GatewayFleet::setListed(std::size_t index, bool isListed)
+{
+    m_endpoints[index].isListed = isListed;
+    if (isListed)
+        writeRecord(index);
+    else
+        m_store->erase("servers/" + m_endpoints[index].standIn->id());
+}
+
+EndpointRecords GatewayFleet::records()
+{
+    EndpointRecords copy;
+    onLoop([this, &copy] { copy = m_records; });
+    return copy;
+}
+
+} // namespace Catkinwell::Testing
--- /dev/null
+++ b/tests/fleet/GatewayFleet.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "fleet/FaultProxy.h"
+#include "platform/EndpointStandIn.h"
+#include "platform/StoreStandIn.h"
+#include "process/ProcessHarness.h"
+#include <functional>
+#include <mutex>
+#include <thread>
+
+namespace Catkinwell::Testing {
+
+struct GatewayFleetOptions {
+    std::size_t hosts = 3;
+    std::size_t plainEndpoints = 3;
+    std::size_t engines = 3;
+    std::uint64_t seed = 1;
+};
+
+// Gateway processes before stand-ins of the platform, which run on a thread of the test. Two services: "orders" of
+// plain endpoints and "notes" of engines with the models m1 to m4, of which each engine holds two. The accounts "a" and
+// "b" have the keys "key-a" and "key-b". Routes: /order/ runs once, /read/ is idempotent, /note/ is a stream that may
+// be resumed. All connections of a host to the store, to other hosts and to endpoints go through proxies.
+class GatewayFleet {
+public:
+    explicit GatewayFleet(GatewayFleetOptions = {});
+    ~GatewayFleet();
+
+    std::size_t hostCount() const { return m_hosts.size(); }
+    std::size_t endpointCount() const { return m_endpoints.size(); }
+    std::uint16_t callerPort(std::size_t host) const { return m_hosts[host].callerPort; }
+    ChildProcess& process(std::size_t host) { return *m_hosts[host].process; }
+
+    void start(std::size_t host);
+    // Whether the host says that it is ready.
+    bool isReady(std::size_t host) const;
+    // Waits until all hosts are ready. Throws std::runtime_error otherwise.
+    void waitUntilReady(std::chrono::milliseconds timeout = std::chrono::seconds(12));
+    // Waits until all hosts hear each other. Throws std::runtime_error otherwise.
+    void waitUntilConnected();
+    // The host's answer to /status.
+    nlohmann::json status(std::size_t host) const;
+    void writeSettings(std::size_t host, const nlohmann::json& changes) const;
+
+    // Writes the operators' configuration with this version.
+    void configure(std::uint64_t version);
+
+    // Runs the function on the thread of the stand-ins and waits for it. They may be used only there.
+    void onLoop(const std::function<void()>&);
+    StoreStandIn& store() { return *m_store; }
+    EndpointStandIn& endpoint(std::size_t index) { return *m_endpoints[index].standIn; }
+    FaultProxy& storeLink(std::size_t host) { return *m_hosts[host].storeLink; }
+    FaultProxy& peerLink(std::size_t host) { return *m_hosts[host].peerLink; }
+    FaultProxy& endpointLink(std::size_t index) { return *m_endpoints[index].link; }
+    // The endpoint stops or resumes to write its record; its record goes when it stops.
+    void setListed(std::size_t endpoint, bool isListed);
+    void writeRecord(std::size_t endpoint);
+
+    EndpointRecords records();
+
+private:
+    struct Host {
+        std::string name;
+        std::uint16_t callerPort = 0;
+        std::uint16_t statusPort = 0;
+        std::uint16_t peerPort = 0;
+        std::unique_ptr<FaultProxy> storeLink;
+        std::unique_ptr<FaultProxy> peerLink;
+        std::unique_ptr<ChildProcess> process;
+    };
+
+    struct Endpoint {
+        std::unique_ptr<EndpointStandIn> standIn;
+        std::unique_ptr<FaultProxy> link;
+        bool isListed = true;
+    };
+
+    void addEndpoints(const GatewayFleetOptions&);
+    void runLoop();
+    std::string settingsFile(std::size_t host) const;
+    std::string logFile(std::size_t host) const;
+
+    TemporaryFolder m_folder;
+    EventLoop m_loop;
+    EndpointRecords m_records;
+    std::unique_ptr<StoreStandIn> m_store;
+    std::vector<Endpoint> m_endpoints;
+    std::vector<Host> m_hosts;
+    std::mutex m_mutex;
+    std::vector<std::function<void()>> m_tasks;
+    std::thread m_thread;
+};
+
+} // namespace Catkinwell::Testing
--- /dev/null
+++ b/tests/fleet/GatewayFleetTest.cpp
@@ -0,0 +1,181 @@
+#include "fleet/CallerLoad.h"
+#include <catch2/catch.hpp>
+#include <csignal>
+
+using namespace Catkinwell;
+using namespace Catkinwell::Testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+// The bound of the platform on a configuration that the store has acknowledged.
+constexpr auto configurationBound = 2s;
+// The bound on the way back after the end of all processes.
+constexpr auto recoveryBound = 12s;
+// A leaving endpoint gets no new request after this time.
+constexpr auto leavingBound = 3s;
+
+std::vector<std::uint64_t> versions(GatewayFleet& fleet)
+{
+    std::vector<std::uint64_t> list;
+    for (std::size_t i = 0; i < fleet.hostCount(); ++i)
+        list.push_back(fleet.status(i).value("configuration", std::uint64_t { 0 }));
+    return list;
+}
+
+std::size_t countOf(const std::vector<CallerRequest>& requests, int status)
+{
+    return static_cast<std::size_t>(std::count_if(
+        requests.begin(), requests.end(), [status](const auto& request) { return request.answer.status == status; }));
+}
+
+std::size_t hostNamed(const std::string& name) { return static_cast<std::size_t>(std::stoul(name.substr(5))); }
+
+} // namespace
+
+// Guards against requests that run for another account, answers that reach another caller, and orders that run twice,
+// with many callers at several hosts and endpoints that lose, cut and refuse.
+TEST_CASE("Many callers at several hosts each get their own answers")
+{
+    GatewayFleet fleet;
+    fleet.onLoop([&fleet] {
+        for (std::size_t i = 0; i < fleet.endpointCount(); ++i)
+            fleet.endpoint(i).faults = { 0.05, 0.05, 0.1, 0.03 };
+    });
+    CallerLoad load(fleet, 24, 5);
+    std::this_thread::sleep_for(6s);
+    const auto requests = load.stop();
+    const auto broken = brokenPromises(requests, fleet.records(), fleet);
+    CHECK(broken == std::vector<std::string> {});
+    INFO(requests.size() << " requests");
+    CHECK(countOf(requests, 200) * 2 > requests.size());
+}
+
+// Guards against a configuration that reaches a host late: one that cannot reach the store hears it from the others.
+TEST_CASE("A configuration is in force on all hosts in time, also where the store cannot be reached")
+{
+    GatewayFleet fleet;
+    fleet.waitUntilConnected();
+    fleet.onLoop([&fleet] { fleet.storeLink(1).setState(LinkState::Silent); });
+    std::this_thread::sleep_for(500ms);
+    fleet.configure(2);
+    const std::vector<std::uint64_t> expected(fleet.hostCount(), 2);
+    CHECK(eventually([&] { return versions(fleet) == expected; }, configurationBound));
+    CHECK(versions(fleet) == expected);
+    fleet.onLoop([&fleet] { fleet.storeLink(1).setState(LinkState::Open); });
+    fleet.configure(3);
+    CHECK(eventually(
+        [&] { return versions(fleet) == std::vector<std::uint64_t>(fleet.hostCount(), 3); }, configurationBound));
+}
+
+// Guards against state that only the memory of the processes held.
+TEST_CASE("The fleet is back in time after all its processes were killed")
+{
+    GatewayFleet fleet;
+    fleet.configure(2);
+    for (std::size_t i = 0; i < fleet.hostCount(); ++i)
+        fleet.process(i).signal(SIGKILL);
+    const auto killedAt = std::chrono::steady_clock::now();
+    for (std::size_t i = 0; i < fleet.hostCount(); ++i)
+        fleet.start(i);
+    CHECK_NOTHROW(fleet.waitUntilReady(recoveryBound));
+    const HttpCall call { fleet.callerPort(0), "POST", "/note/x",
+        { { "Host", "test.example" }, { "Authorization", "Bearer key-a" }, { "Catkinwell-Model", "m1" },
+            { "Catkinwell-Request-Id", "after" } } };
+    CHECK(eventually([&] { return send(call).status == 200; }, recoveryBound));
+    CHECK(std::chrono::steady_clock::now() - killedAt < recoveryBound);
+    CHECK(versions(fleet) == std::vector<std::uint64_t>(fleet.hostCount(), 2));
+}
+
+// Guards against requests that are lost by a planned stop of the host that took them.
+TEST_CASE("A host that is told to stop ends its requests and leaves")
+{
+    GatewayFleet fleet;
+    CallerLoad load(fleet, 12, 6);
+    std::this_thread::sleep_for(1s);
+    const auto stoppedAt = std::chrono::steady_clock::now();
+    fleet.process(1).signal(SIGTERM);
+    CHECK(fleet.process(1).waitForExit(8s) == 0);
+    const auto leftAt = std::chrono::steady_clock::now();
+    const auto requests = load.stop();
+    CHECK(brokenPromises(requests, fleet.records(), fleet) == std::vector<std::string> {});
+    for (const CallerRequest& request : requests) {
+        // A balancer sends nothing more once the host has said for a while that it is not ready.
+        if (request.host != 1 || request.sentAt > leftAt - 200ms)
+            continue;
+        INFO(request.path << request.id << " sent "
+                          << std::chrono::duration_cast<std::chrono::milliseconds>(request.sentAt - stoppedAt).count()
+                          << " ms after the signal");
+        CHECK(request.answer.status != 0);
+        CHECK(request.answer.complete);
+    }
+}
+
+// Guards against changed settings that a running process does not take over, or that end it.
+TEST_CASE("Changed settings are applied at SIGHUP")
+{
+    GatewayFleet fleet({ 1, 1, 0 });
+    fleet.writeSettings(0, { { "owner_silence_ms", 3500 }, { "status_address", "127.0.0.1:1" } });
+    fleet.process(0).signal(SIGHUP);
+    CHECK(eventually(
+        [&] { return fleet.process(0).output().find(R"("need_restart":"status_address")") != std::string::npos; }, 2s));
+    fleet.writeSettings(0, { { "owner_silence_ms", "long" } });
+    fleet.process(0).signal(SIGHUP);
+    CHECK(
+        eventually([&] { return fleet.process(0).output().find(R"("outcome":"rejected")") != std::string::npos; }, 2s));
+    CHECK(fleet.isReady(0));
+}
+
+// Guards against two hosts that give orders to one engine in turns, and against a fleet without an owner.
+TEST_CASE("Another host takes the placement over when its owner dies or freezes")
+{
+    const int signalNumber = GENERATE(SIGKILL, SIGSTOP);
+    GatewayFleet fleet({ 3, 1, 2, 3 });
+    REQUIRE(eventually([&] { return !fleet.status(0).value("owner", "").empty(); }, 10s));
+    const std::string owner = fleet.status(0).value("owner", "");
+    CallerLoad load(fleet, 8, 7);
+    std::this_thread::sleep_for(5s);
+    fleet.process(hostNamed(owner)).signal(signalNumber);
+    const std::size_t observer = hostNamed(owner) == 0 ? 1 : 0;
+    CHECK(eventually(
+        [&] {
+            const std::string now = fleet.status(observer).value("owner", "");
+            return !now.empty() && now != owner;
+        },
+        6s));
+    std::this_thread::sleep_for(6s);
+    fleet.process(hostNamed(owner)).signal(SIGCONT);
+    std::this_thread::sleep_for(1s);
+    const auto requests = load.stop();
+    const EndpointRecords records = fleet.records();
+    CHECK(brokenPromises(requests, records, fleet) == std::vector<std::string> {});
+    const bool hasNewHolder = std::any_of(
+        records.orders.begin(), records.orders.end(), [&](const auto& order) { return order.holder != owner; });
+    CHECK(hasNewHolder);
+}
+
+// Guards against new work for an endpoint that is about to end.
+TEST_CASE("A leaving endpoint gets no new request after a moment")
+{
+    const bool isAnnounced = GENERATE(true, false);
+    GatewayFleet fleet({ 3, 3, 0, 4 });
+    CallerLoad load(fleet, 8, 8);
+    std::this_thread::sleep_for(1s);
+    MonotonicTime leftAt;
+    fleet.onLoop([&] {
+        if (isAnnounced) {
+            fleet.endpoint(0).setLeaving(true);
+            fleet.writeRecord(0);
+        } else {
+            fleet.setListed(0, false);
+        }
+        leftAt = SystemClock().monotonicNow();
+    });
+    std::this_thread::sleep_for(leavingBound + 2s);
+    const auto requests = load.stop();
+    std::size_t later = 0;
+    for (const Execution& execution : fleet.records().executions)
+        later += execution.endpoint == "o-0" && execution.at > leftAt + leavingBound ? 1 : 0;
+    CHECK(later == 0);
+    CHECK(brokenPromises(requests, fleet.records(), fleet) == std::vector<std::string> {});
+}
--- /dev/null
+++ b/tests/platform/EndpointStandIn.cpp
@@ -0,0 +1,201 @@
+#include "platform/EndpointStandIn.h"
+
+#include "http/HeaderText.h"
+#include <stdexcept>
+
+namespace Catkinwell::Testing {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr unsigned eventsOfStream = 5;
+    constexpr Duration workTime = std::chrono::milliseconds(10);
+    constexpr Duration eventInterval = std::chrono::milliseconds(15);
+    constexpr unsigned slots = 16;
+
+    std::string headerOf(const RequestArrived& request, std::string_view name)
+    {
+        const std::string* value = findHeader(request.headers, name);
+        return value ? *value : "";
+    }
+
+    ListenerSettings listenerSettings()
+    {
+        ListenerSettings settings;
+        settings.address = "127.0.0.1:0";
+        settings.forwardsUnchanged = true;
+        return settings;
+    }
+
+    Json modelsJson(const LoadedModels& models)
+    {
+        Json list = Json::array();
+        for (const auto& [model, adapters] : models)
+            list.push_back({ { "name", model.value }, { "version", 1 }, { "adapters", adapters } });
+        return list;
+    }
+
+    Json namesJson(const std::set<ModelId>& models)
+    {
+        Json list = Json::array();
+        for (const ModelId& model : models)
+            list.push_back(model.value);
+        return list;
+    }
+
+    int statusOf(EngineOrderOutcome outcome)
+    {
+        switch (outcome) {
+        case EngineOrderOutcome::Accepted:
+            return 202;
+        case EngineOrderOutcome::AlreadyDone:
+            return 200;
+        case EngineOrderOutcome::Conflict:
+            return 409;
+        case EngineOrderOutcome::Misdirected:
+            return 421;
+        default:
+            return 400;
+        }
+    }
+
+} // namespace
+
+EndpointStandIn::EndpointStandIn(
+    EventLoop& loop, std::string id, std::string service, EndpointRecords& records, std::uint64_t seed)
+    : m_loop(loop)
+    , m_id(std::move(id))
+    , m_service(std::move(service))
+    , m_records(records)
+    , m_random(seed)
+    , m_listener(loop, listenerSettings(), 0)
+    , m_born(std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.wallNow().time_since_epoch()).count())
+{
+    m_listener.signalRequest().connect([this](const RequestArrived& request) { handle(request); });
+}
+
+void EndpointStandIn::makeEngine(const LoadedModels& models)
+{
+    m_engine = std::make_unique<FakeEngine>(m_id, models, EngineFaults {}, m_random.next());
+    m_engine->advance(m_clock.monotonicNow());
+    m_loop.callEvery(std::chrono::milliseconds(20), [this] { m_engine->advance(m_clock.monotonicNow()); });
+}
+
+void EndpointStandIn::open()
+{
+    if (isError(m_listener.start()))
+        throw std::runtime_error("the endpoint stand-in found no free port");
+}
+
+Json EndpointStandIn::state() const
+{
+    Json json { { "born", m_born }, { "sequence", m_heartbeat } };
+    if (!m_engine)
+        return json;
+    const EngineStatus status = m_engine->status(m_clock.monotonicNow());
+    json["models"] = modelsJson(status.models);
+    json["at_hand"] = { { "in_memory", Json::array() }, { "on_disk", namesJson(status.onDisk) } };
+    return json;
+}
+
+std::string EndpointStandIn::nextRecord(std::uint16_t port)
+{
+    ++m_heartbeat;
+    Json record = state();
+    record["service"] = m_service;
+    record["address"] = "127.0.0.1:" + std::to_string(port);
+    record["zone"] = "dc1";
+    record["version"] = 1;
+    record["slots"] = slots;
+    record["state"] = m_isLeaving ? "draining" : "ready";
+    return record.dump();
+}
+
+void EndpointStandIn::answerReport(RequestId id)
+{
+    const EngineStatus status = m_engine->status(m_clock.monotonicNow());
+    Json report = state();
+    report["sequence"] = status.orderCount;
+    report["busy"] = status.isBusy;
+    m_listener.execute(SendWholeResponse { id, 200, { { "Content-Type", "application/json" } }, report.dump() });
+}
+
+void EndpointStandIn::handleOrder(const RequestArrived& request)
+{
+    const Json body = Json::parse(request.body, nullptr, false);
+    EngineOrder order;
+    order.endpoint = EndpointId(headerOf(request, "catkinwell-expect-instance"));
+    order.kind = body.value("op_type", "") == "loading" ? EngineOrderKind::Load : EngineOrderKind::Unload;
+    order.model = ModelId(body.value("model", ""));
+    order.adapter = body.value("adapter", "");
+    order.expectedOrderCount = body.value("expected", std::uint64_t { 0 });
+    const MonotonicTime now = m_clock.monotonicNow();
+    const auto outcome = m_engine->handle(order, now);
+    if (outcome == EngineOrderOutcome::Accepted || outcome == EngineOrderOutcome::AlreadyDone)
+        m_records.orders.push_back({ m_id, body.value("holder", ""), now });
+    m_listener.execute(SendWholeResponse { request.id, statusOf(*outcome), {}, "" });
+}
+
+void EndpointStandIn::refuse(RequestId id, int status)
+{
+    m_listener.execute(SendWholeResponse { id, status, { { "Catkinwell-Not-Executed", "1" } }, "" });
+}
+
+void EndpointStandIn::handle(const RequestArrived& request)
+{
+    if (m_engine && request.path == "/report") {
+        answerReport(request.id);
+    } else if (m_engine && request.path == "/order") {
+        handleOrder(request);
+    } else if (headerOf(request, "catkinwell-expect-instance") != m_id) {
+        refuse(request.id, 421);
+    } else if (m_random.unit() < faults.refusals) {
+        refuse(request.id, 503);
+    } else if (const std::string model = headerOf(request, "catkinwell-model");
+               m_engine && !m_engine->models().contains(ModelId(model))) {
+        refuse(request.id, 503);
+    } else {
+        m_records.executions.push_back({ m_id, headerOf(request, "catkinwell-request-id"),
+            headerOf(request, "catkinwell-tenant"), m_clock.monotonicNow() });
+        m_loop.callLater(workTime, [this, request] { run(request); });
+    }
+}
+
+void EndpointStandIn::run(const RequestArrived& request)
+{
+    std::string id = headerOf(request, "catkinwell-request-id");
+    const std::string former = std::exchange(m_formerRequest, id);
+    if (!former.empty() && m_random.unit() < faults.crossedAnswers)
+        id = former;
+    if (m_random.unit() < faults.lostAnswers) {
+        m_listener.execute(AbortResponse { request.id });
+        return;
+    }
+    const HeaderList headers { { "Catkinwell-Request-Id", id }, { "Catkinwell-Response-Seal", "seal-" + id } };
+    if (m_engine) {
+        m_listener.execute(SendResponseHead { request.id, 200, headers });
+        // A resumed stream goes on behind the last event that arrived.
+        const std::string last = headerOf(request, "last-event-id");
+        const unsigned done = last.empty() ? 0 : static_cast<unsigned>(std::stoul(last));
+        streamEvents(request.id, id, std::min(done + 1, eventsOfStream));
+        return;
+    }
+    m_listener.execute(SendWholeResponse { request.id, 200, headers, "answer to " + id });
+}
+
+void EndpointStandIn::streamEvents(RequestId id, const std::string& request, unsigned next)
+{
+    if (m_random.unit() < faults.cutAnswers) {
+        m_listener.execute(AbortResponse { id });
+        return;
+    }
+    m_listener.execute(SendResponseData { id, "id: " + std::to_string(next) + "\ndata: " + request + "\n\n" });
+    if (next == eventsOfStream) {
+        m_listener.execute(FinishResponse { id });
+        return;
+    }
+    m_loop.callLater(eventInterval, [this, id, request, next] { streamEvents(id, request, next + 1); });
+}
+
+} // namespace Catkinwell::Testing
