Give busy models the weight store before idle ones; learn how many loads it serves at full speed

Copies of idle models took every free load from the weight store; a load that was planned lost its place while its engine made room (12 s for one engine); and four loads ran where the store serves two at full speed, so that all of them ended late.

Change: a planned load counts as running; copies wait while a busy model needs the store; an overloaded model may use the part that is kept free; WeightStoreSpeed learns the number of loads at full speed from their times; of engines alike the one with free memory is taken; an unload is given 50 ms.

Tests: two cases of EnginePlacementTest failed on the code before; WeightStoreSpeedTest.

--- a/include/catkinwell/gateway/EnginePlacement.h
+++ b/include/catkinwell/gateway/EnginePlacement.h
@@ -2,6 +2,7 @@
 
 #include <catkinwell/gateway/EndpointDirectory.h>
 #include <catkinwell/gateway/FleetDemand.h>
+#include <catkinwell/gateway/WeightStoreSpeed.h>
 #include <deque>
 
 namespace Catkinwell {
@@ -17,7 +18,7 @@
 };
 
 struct EnginePlacementSettings {
-    // Loads from the weight store that run at the same time; more make each of them slower.
+    // Loads from the weight store that are assumed to run together at full speed, until their times say otherwise.
     unsigned concurrentStoreLoads = 4;
     // Kept for models that requests wait for.
     unsigned reservedStoreLoads = 1;
@@ -83,6 +84,7 @@
         bool isAccepted = false;
         MonotonicTime sentAt {};
         MonotonicTime expectedEnd {};
+        WeightStoreSpeed::Start storeStart {};
     };
 
     struct Engine {
@@ -180,7 +182,10 @@
     void handleAdapterOrder(Engine&, const EngineOrderFinished&, MonotonicTime now);
     bool mayLoadFromStore(const std::string& service, unsigned waiting, MonotonicTime now) const;
     unsigned storeLoadBound(unsigned waiting) const;
+    bool isUnderStoreRate(const std::string& service, MonotonicTime now) const;
+    unsigned storeLoadsPlanned() const;
     unsigned storeLoadsRunning() const;
+    static bool isStoreLoad(const std::optional<Pending>&);
     WeightSource sourceOf(const Engine&, const ModelId&) const;
     Duration loadTime(const Engine&, const ModelId&, WeightSource) const;
     const GatewayModel* settingsOf(const Engine&, const ModelId&) const;
@@ -200,12 +205,15 @@
     std::map<ServiceModel, double> m_running;
     std::optional<ModelSummaries> m_summaries;
     std::deque<MonotonicTime> m_storeLoads;
+    WeightStoreSpeed m_storeSpeed;
     std::uint64_t m_lastCommand = 0;
     std::uint64_t m_newsSequence = 0;
     MonotonicTime m_nextNewsRepeatAt {};
     MonotonicTime m_nextPlanAt {};
     MonotonicTime m_nextBusyPlanAt {};
     MonotonicTime m_runningUpdatedAt {};
+    // A busy model waits for a load from the weight store, which goes before copies of idle ones.
+    bool m_busyModelNeedsStore = false;
 };
 
 } // namespace Catkinwell
--- a/src/gateway/EnginePlacement.cpp
+++ b/src/gateway/EnginePlacement.cpp
@@ -12,7 +12,7 @@
     // An order without an answer is sent again after this time.
     constexpr Duration conflictPause = std::chrono::milliseconds(40);
     // An engine needs a moment to drop what no request uses.
-    constexpr Duration unloadTime = std::chrono::milliseconds(30);
+    constexpr Duration unloadTime = std::chrono::milliseconds(50);
     constexpr Duration orderRetryPause = std::chrono::milliseconds(250);
     // Engines report their state this long after it was so.
     constexpr Duration statusLag = std::chrono::milliseconds(250);
@@ -48,6 +48,7 @@
 EnginePlacement::EnginePlacement(EnginePlacementSettings settings, EndpointDirectory& directory)
     : m_settings(settings)
     , m_directory(directory)
+    , m_storeSpeed(settings.concurrentStoreLoads)
 {
 }
 
@@ -101,6 +102,8 @@
         || !models.contains(engine.pending->order.model))
         return;
     const ModelId model = engine.pending->order.model;
+    if (isStoreLoad(engine.pending))
+        m_storeSpeed.finished(engine.pending->storeStart, loadTime(engine, model, WeightSource::Store), now);
     engine.models[model];
     engine.loadedAt[model] = now;
     engine.onDisk.insert(model);
@@ -153,6 +156,7 @@
     }
     if (now < m_permission->from)
         return;
+    m_storeSpeed.setRunning(storeLoadsRunning(), now);
     for (auto& [id, engine] : m_engines)
         continueLoad(engine, now, effects);
     if (now < m_nextPlanAt)
@@ -326,6 +330,7 @@
         } else {
             engine.unloading.clear();
             pending.expectedEnd = now + loadTime(engine, order.model, pending.source) + loadMargin;
+            pending.storeStart = m_storeSpeed.started(now);
             engine.nextStatusAt = pending.expectedEnd + statusLag;
         }
         if (isUnload || finished.outcome == EngineOrderOutcome::AlreadyDone)
@@ -334,6 +339,8 @@
         break;
     case EngineOrderOutcome::Conflict:
         // The order before it may still be under way.
+        if (isStoreLoad(engine.pending) && !m_storeLoads.empty())
+            m_storeLoads.pop_back();
         engine.pending.reset();
         engine.notBefore = now + conflictPause;
         if (order.kind == EngineOrderKind::Load)
--- a/src/gateway/EnginePlacementChoice.cpp
+++ b/src/gateway/EnginePlacementChoice.cpp
@@ -13,6 +13,8 @@
     constexpr Duration protectedTime = std::chrono::milliseconds(1500);
     constexpr unsigned unreachableFailures = 2;
     constexpr double runningValue = 0.8;
+    // Of engines that are alike one with free memory is preferred to one that would drop an idle model.
+    constexpr double unloadCost = 0.01;
     // What a request loses, in seconds, when its model has to be loaded again first.
     constexpr double reloadSeconds = 2;
     // The part of the requests for adapters that need an order.
@@ -73,24 +75,42 @@
 // Copies that nobody waits for leave room, and many waiting requests are worth making the other loads slower.
 unsigned EnginePlacement::storeLoadBound(unsigned waiting) const
 {
+    const unsigned fullSpeed = m_storeSpeed.concurrency();
     if (waiting == 0)
-        return std::max(1U, m_settings.concurrentStoreLoads - m_settings.reservedStoreLoads);
-    return m_settings.concurrentStoreLoads + (waiting >= manyWaiting ? m_settings.extraStoreLoads : 0);
+        return std::max(1U, fullSpeed - std::min(fullSpeed, m_settings.reservedStoreLoads));
+    return fullSpeed + (waiting >= manyWaiting ? m_settings.extraStoreLoads : 0);
+}
+
+bool EnginePlacement::isStoreLoad(const std::optional<Pending>& pending)
+{
+    return pending && pending->order.kind == EngineOrderKind::Load && pending->order.adapter.empty()
+        && pending->source == WeightSource::Store;
 }
 
 unsigned EnginePlacement::storeLoadsRunning() const
 {
-    return static_cast<unsigned>(std::count_if(m_engines.begin(), m_engines.end(), [](const auto& item) {
-        const auto& pending = item.second.pending;
-        return pending && pending->order.kind == EngineOrderKind::Load && pending->order.adapter.empty()
-            && pending->source == WeightSource::Store;
+    return static_cast<unsigned>(std::count_if(
+        m_engines.begin(), m_engines.end(), [](const auto& item) { return isStoreLoad(item.second.pending); }));
+}
+
+// Loads that run, and those that begin when their engine has made room.
+unsigned EnginePlacement::storeLoadsPlanned() const
+{
+    return static_cast<unsigned>(std::count_if(m_engines.begin(), m_engines.end(), [this](const auto& item) {
+        const Engine& engine = item.second;
+        return isStoreLoad(engine.pending)
+            || (engine.nextLoad && sourceOf(engine, *engine.nextLoad) == WeightSource::Store);
     }));
 }
 
 bool EnginePlacement::mayLoadFromStore(const std::string& service, unsigned waiting, MonotonicTime now) const
 {
-    if (storeLoadsRunning() >= storeLoadBound(waiting))
-        return false;
+    return storeLoadsPlanned() < storeLoadBound(waiting) && isUnderStoreRate(service, now);
+}
+
+// Whether one more load from the weight store may begin now.
+bool EnginePlacement::isUnderStoreRate(const std::string& service, MonotonicTime now) const
+{
     const GatewayEngine* settings = m_configuration.engineOf(service);
     if (!settings || settings->loadsPerSecond <= 0)
         return true;
@@ -234,7 +254,7 @@
         const GatewayModel* otherSettings = settingsOf(engine, other);
         freeMb += otherSettings ? otherSettings->memoryMb : 0;
         candidate.victims.push_back(other);
-        candidate.cost += value;
+        candidate.cost += value + unloadCost;
     }
     if (freeMb < model.memoryMb)
         return std::nullopt;
--- a/src/gateway/EnginePlacementPlan.cpp
+++ b/src/gateway/EnginePlacementPlan.cpp
@@ -10,6 +10,8 @@
 
     constexpr Duration adapterIdleTime = std::chrono::milliseconds(700);
     constexpr Duration busyPlanInterval = std::chrono::milliseconds(100);
+    // A model with fewer replicas than this part of what its load asks for is overloaded.
+    constexpr unsigned overloadFactor = 2;
     // Copies on disks of a model, and of one with adapters, which is more likely to be in demand.
     constexpr unsigned wantedCopies = 1;
     constexpr unsigned wantedCopiesWithAdapters = 2;
@@ -53,9 +55,7 @@
         giveOrder(engine, EngineOrderKind::Unload, { candidate->victims.front(), "" }, "makes_way", now, effects);
         return;
     }
-    if (candidate->source == WeightSource::Store
-        && !mayLoadFromStore(
-            engine.record.service, std::max(1U, summaryOf(engine.record.service, model, now).waiting), now))
+    if (candidate->source == WeightSource::Store && !isUnderStoreRate(engine.record.service, now))
         return;
     giveOrder(engine, EngineOrderKind::Load, { model, "" }, "planned", now, effects);
 }
@@ -196,22 +196,30 @@
     if (now < m_nextBusyPlanAt)
         return;
     m_nextBusyPlanAt = now + busyPlanInterval;
+    m_busyModelNeedsStore = false;
     for (const auto& [service, model] : modelsByLoad(now)) {
         // One replica is a matter of the requests that wait.
         const ModelSummary& summary = summaryOf(service, model, now);
         const unsigned wanted = wantedReplicas(service, summary);
         if (wanted <= 1 || summary.usableReplicas >= wanted)
             continue;
-        const bool mayUseStore = mayLoadFromStore(service, summary.waiting, now);
+        // An overloaded model is as urgent as one that requests wait for.
+        const bool isOverloaded = wanted >= summary.usableReplicas * overloadFactor;
+        const unsigned urgency = isOverloaded ? std::max(1U, summary.waiting) : summary.waiting;
+        const bool mayUseStore = mayLoadFromStore(service, urgency, now);
         const auto candidate = bestCandidate(service, model, mayUseStore, Patience::None, now);
         if (candidate && candidate->cost < hotValue)
             begin(*candidate, model, "busy", now, effects);
+        else if (!mayUseStore)
+            m_busyModelNeedsStore = true;
     }
 }
 
 // Gives each model a copy on some disk before it is asked for.
 void EnginePlacement::planCopies(MonotonicTime now, EffectList& effects)
 {
+    if (m_busyModelNeedsStore)
+        return;
     for (const auto& [service, settings] : m_configuration.services) {
         if (!settings.engine || !mayLoadFromStore(service, 0, now))
             continue;
--- /dev/null
+++ b/src/gateway/WeightStoreSpeed.cpp
@@ -0,0 +1,54 @@
+#include <catkinwell/gateway/WeightStoreSpeed.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Catkinwell {
+
+namespace {
+
+    // The end of a load is noticed a few hundred milliseconds late.
+    constexpr double slowRatio = 1.2;
+    constexpr double fullSpeedRatio = 1.1;
+    constexpr double sampleWeight = 0.5;
+
+    double secondsOf(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+} // namespace
+
+void WeightStoreSpeed::advance(MonotonicTime now)
+{
+    if (m_advancedAt != MonotonicTime())
+        m_loadSeconds += m_running * secondsOf(now - m_advancedAt);
+    m_advancedAt = now;
+}
+
+void WeightStoreSpeed::setRunning(unsigned running, MonotonicTime now)
+{
+    advance(now);
+    m_running = running;
+}
+
+WeightStoreSpeed::Start WeightStoreSpeed::started(MonotonicTime now)
+{
+    advance(now);
+    return { now, m_loadSeconds };
+}
+
+void WeightStoreSpeed::finished(const Start& start, Duration stated, MonotonicTime now)
+{
+    advance(now);
+    const double seconds = secondsOf(now - start.at);
+    if (seconds <= 0 || stated <= Duration::zero())
+        return;
+    const double running = std::max(1.0, (m_loadSeconds - start.loadSeconds) / seconds);
+    const double ratio = seconds / secondsOf(stated);
+    if (ratio > slowRatio)
+        m_estimate += sampleWeight * (running / ratio - m_estimate);
+    else if (ratio < fullSpeedRatio)
+        m_estimate = std::max(m_estimate, running);
+}
+
+unsigned WeightStoreSpeed::concurrency() const { return static_cast<unsigned>(std::max(1L, std::lround(m_estimate))); }
+
+} // namespace Catkinwell
--- a/tests/fleet/GatewayFleet.cpp
+++ b/tests/fleet/GatewayFleet.cpp
@@ -77,15 +77,25 @@
         }
     });
     m_thread = std::thread([this] { runLoop(); });
-    for (std::size_t i = 0; i < m_hosts.size(); ++i)
-        start(i);
-    waitUntilReady();
+    try {
+        for (std::size_t i = 0; i < m_hosts.size(); ++i)
+            start(i);
+        waitUntilReady();
+    } catch (const std::runtime_error&) {
+        stopLoop();
+        throw;
+    }
 }
 
 GatewayFleet::~GatewayFleet()
 {
     for (Host& host : m_hosts)
         host.process.reset();
+    stopLoop();
+}
+
+void GatewayFleet::stopLoop()
+{
     onLoop([this] { m_loop.stop(); });
     m_thread.join();
 }
--- a/tests/fleet/GatewayFleet.h
+++ b/tests/fleet/GatewayFleet.h
@@ -77,6 +77,7 @@
 
     void addEndpoints(const GatewayFleetOptions&);
     void runLoop();
+    void stopLoop();
     std::string settingsFile(std::size_t host) const;
     std::string logFile(std::size_t host) const;
 
--- a/tests/gateway/EnginePlacementTest.cpp
+++ b/tests/gateway/EnginePlacementTest.cpp
@@ -20,8 +20,9 @@
 // One owner, its engines and the demand of one host, in steps of 20 ms.
 class PlacementFixture {
 public:
-    explicit PlacementFixture(EngineFaults faults = {}, std::uint64_t seed = 1)
-        : m_random(seed)
+    explicit PlacementFixture(EngineFaults faults = {}, std::uint64_t seed = 1, EnginePlacementSettings settings = {})
+        : placement(settings, directory)
+        , m_random(seed)
         , m_faults(faults)
     {
         placement.configure(sampleConfiguration());
@@ -82,7 +83,7 @@
 
     MonotonicTime now { std::chrono::hours(1) };
     EndpointDirectory directory { DataCentreId("here"), 1 };
-    EnginePlacement placement { {}, directory };
+    EnginePlacement placement;
     std::vector<std::unique_ptr<FakeEngine>> engines;
     std::vector<EngineOrder> orders;
 
@@ -180,6 +181,57 @@
     CHECK(storeLoads == 0);
 }
 
+namespace {
+
+// One load from the weight store at a time, and none kept free.
+EnginePlacementSettings oneStoreLoad()
+{
+    EnginePlacementSettings settings;
+    settings.concurrentStoreLoads = 1;
+    settings.reservedStoreLoads = 0;
+    return settings;
+}
+
+} // namespace
+
+// Guards against a copy of an idle model that takes the place of a load whose engine still makes room.
+TEST_CASE("A planned load from the weight store keeps its place while its engine makes room")
+{
+    PlacementFixture fixture({}, 1, oneStoreLoad());
+    for (const char* id : { "e0", "e1", "e2" })
+        fixture.add(id, holding({ "m2", "m3" }));
+    for (const auto& engine : fixture.engines) {
+        engine->keepRunning(ModelId("m2"), fixture.now + std::chrono::milliseconds(1800));
+        engine->keepRunning(ModelId("m3"), fixture.now + std::chrono::milliseconds(1800));
+    }
+    fixture.own();
+    fixture.demand("m1", 1, 1);
+    // The unload takes up to 1.8 s, the load six seconds. The model m4 has no copy either.
+    fixture.run(std::chrono::milliseconds(9000));
+    CHECK(fixture.isLoaded("m1"));
+    CHECK(fixture.violations().empty());
+}
+
+// Guards against copies of idle models that keep a model in demand from getting the replicas that its load needs.
+TEST_CASE("A busy model gets the next load from the weight store before copies of idle models")
+{
+    PlacementFixture fixture({}, 1, oneStoreLoad());
+    fixture.add("e0", holding({ "m1", "m2" }));
+    for (const char* id : { "e1", "e2", "e3" })
+        fixture.add(id, holding({ "m2" }));
+    fixture.own();
+    // The copy of m3 begins; that of m4 is next.
+    fixture.run(std::chrono::seconds(1));
+    for (int i = 0; i < 40; ++i)
+        fixture.directory.attemptStarted(EndpointId("e0"), { ModelId("m1"), "" });
+    fixture.demand("m1", 0, 40);
+    fixture.run(std::chrono::seconds(14));
+    const auto replicas = std::count_if(fixture.engines.begin(), fixture.engines.end(),
+        [](const auto& engine) { return engine->models().contains(ModelId("m1")); });
+    CHECK(replicas >= 2);
+    CHECK(fixture.violations().empty());
+}
+
 TEST_CASE("An adapter is loaded beside its model, and the one that was used longest ago makes way")
 {
     PlacementFixture fixture;
--- a/tests/process/ProcessHarness.cpp
+++ b/tests/process/ProcessHarness.cpp
@@ -142,7 +142,11 @@
     return true;
 }
 
-std::string binaryPath() { return CATKINWELL_BINARY; }
+std::string binaryPath()
+{
+    const char* other = std::getenv("CATKINWELL_BINARY");
+    return other ? other : CATKINWELL_BINARY;
+}
 
 TemporaryFolder::TemporaryFolder()
 {
--- a/tests/process/ProcessHarness.h
+++ b/tests/process/ProcessHarness.h
@@ -62,7 +62,7 @@
 // Asks until the condition holds or the time is over.
 bool eventually(const std::function<bool()>& condition, std::chrono::milliseconds timeout);
 
-// The program under test.
+// The program under test; the environment variable CATKINWELL_BINARY names another one.
 std::string binaryPath();
 
 // A folder for the files of one test, removed with the object.
