--- a/include/catkinwell/gateway/EnginePlacement.h
+++ b/include/catkinwell/gateway/EnginePlacement.h
@@ -186,6 +186,10 @@
     unsigned storeLoadsPlanned() const;
     unsigned storeLoadsRunning() const;
     static bool isStoreLoad(const std::optional<Pending>&);
+    // The model that the engine is loading or loads next; it does one at a time.
+    static std::optional<ModelId> comingModel(const Engine&);
+    // When an adapter on the engine was last asked for, as far as this host knows.
+    MonotonicTime adapterUsedAt(const Engine&, const ModelVariant&) const;
     WeightSource sourceOf(const Engine&, const ModelId&) const;
     Duration loadTime(const Engine&, const ModelId&, WeightSource) const;
     const GatewayModel* settingsOf(const Engine&, const ModelId&) const;
--- a/src/gateway/EnginePlacementChoice.cpp
+++ b/src/gateway/EnginePlacementChoice.cpp
@@ -119,6 +119,13 @@
     return static_cast<double>(recent) + 1 <= settings->loadsPerSecond * secondsOf(m_settings.storeLoadWindow);
 }
 
+std::optional<ModelId> EnginePlacement::comingModel(const Engine& engine)
+{
+    if (engine.pending && engine.pending->order.kind == EngineOrderKind::Load)
+        return engine.pending->order.model;
+    return engine.nextLoad;
+}
+
 const EnginePlacement::ModelSummaries& EnginePlacement::summaries(MonotonicTime now)
 {
     if (m_summaries)
@@ -134,23 +141,21 @@
         all[key].running = running;
     for (auto& [id, engine] : m_engines) {
         const std::string& service = engine.record.service;
-        const bool isUsable = isReachable(engine, now);
-        std::set<ModelId> copies = engine.onDisk;
-        std::set<ModelId> replicas;
-        for (const auto& [model, adapters] : engine.models) {
+        const unsigned usable = isReachable(engine, now) ? 1 : 0;
+        const auto addReplica = [&](const ModelId& model) -> ModelSummary& {
             ModelSummary& summary = all[{ service, model }];
+            summary.usableReplicas += usable;
+            summary.copies += engine.onDisk.contains(model) ? 0 : 1;
+            return summary;
+        };
+        for (const auto& [model, adapters] : engine.models) {
+            ModelSummary& summary = addReplica(model);
             summary.holders.push_back(&engine);
             summary.dataCentres.insert(engine.record.dataCentre);
-            replicas.insert(model);
         }
-        if (engine.nextLoad)
-            replicas.insert(*engine.nextLoad);
-        if (engine.pending && engine.pending->order.kind == EngineOrderKind::Load)
-            replicas.insert(engine.pending->order.model);
-        copies.insert(replicas.begin(), replicas.end());
-        for (const ModelId& model : replicas)
-            all[{ service, model }].usableReplicas += isUsable ? 1 : 0;
-        for (const ModelId& model : copies)
+        if (const auto coming = comingModel(engine); coming && !engine.models.contains(*coming))
+            addReplica(*coming);
+        for (const ModelId& model : engine.onDisk)
             ++all[{ service, model }].copies;
     }
     return all;
--- a/src/gateway/EnginePlacementPlan.cpp
+++ b/src/gateway/EnginePlacementPlan.cpp
@@ -106,23 +106,16 @@
 {
     for (const auto& [key, demand] : m_demand.entries()) {
         const ModelVariant& variant = key.second;
-        if (variant.adapter.empty())
+        if (variant.adapter.empty() || demand.waiting == 0)
             continue;
         const ModelSummary& summary = summaryOf(key.first, variant.model, now);
-        bool isPresent = false;
-        for (Engine* engine : summary.holders) {
+        const bool isPresent = std::any_of(summary.holders.begin(), summary.holders.end(), [&](const Engine* engine) {
             const bool isOrdered = engine->adapterPending && engine->adapterPending->order.model == variant.model
                 && engine->adapterPending->order.adapter == variant.adapter;
-            if (!m_directory.isUsable(engine->record.id, now))
-                continue;
-            if (engine->models.at(variant.model).contains(variant.adapter)) {
-                if (now - demand.lastArrivalAt < adapterIdleTime)
-                    engine->adapterUse[variant] = std::max(engine->adapterUse[variant], demand.lastArrivalAt);
-                isPresent = true;
-            }
-            isPresent = isPresent || isOrdered;
-        }
-        if (demand.waiting == 0 || isPresent)
+            return (isOrdered || engine->models.at(variant.model).contains(variant.adapter))
+                && m_directory.isUsable(engine->record.id, now);
+        });
+        if (isPresent)
             continue;
         Engine* engine = adapterEngine(summary, variant, now);
         if (!engine)
@@ -160,6 +153,14 @@
     return best;
 }
 
+MonotonicTime EnginePlacement::adapterUsedAt(const Engine& engine, const ModelVariant& variant) const
+{
+    const auto loaded = engine.adapterUse.find(variant);
+    const auto demand = m_demand.entries().find({ engine.record.service, variant });
+    return std::max(loaded == engine.adapterUse.end() ? MonotonicTime() : loaded->second,
+        demand == m_demand.entries().end() ? MonotonicTime() : demand->second.lastArrivalAt);
+}
+
 // Unloads the adapter that was used longest ago, unless all are in use.
 void EnginePlacement::makeRoomForAdapter(Engine& engine, MonotonicTime now, EffectList& effects)
 {
@@ -167,8 +168,7 @@
     MonotonicTime oldestAt = now - adapterIdleTime;
     for (const auto& [model, adapters] : engine.models) {
         for (const std::string& adapter : adapters) {
-            const auto use = engine.adapterUse.find({ model, adapter });
-            const MonotonicTime usedAt = use == engine.adapterUse.end() ? MonotonicTime() : use->second;
+            const MonotonicTime usedAt = adapterUsedAt(engine, { model, adapter });
             if (usedAt < oldestAt) {
                 oldestAt = usedAt;
                 oldest = ModelVariant { model, adapter };
