Take ports of process tests below those of outgoing connections

Cause: a soak run ended because the port of a gateway that was started again had been given to an outgoing connection meanwhile (address already in use).

Change: freePort() draws from 20000 to 31999 instead of asking the system. Conclusion: a fault of the tests, not of the gateways.

--- a/tests/process/ProcessHarness.cpp
+++ b/tests/process/ProcessHarness.cpp
@@ -1,5 +1,6 @@
 #include "process/ProcessHarness.h"
 
+#include <atomic>
 #include <catkinwell/http/HttpClient.h>
 #include <csignal>
 #include <cstdlib>
@@ -120,15 +121,22 @@
 
 std::uint16_t freePort()
 {
-    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    bind(socket, reinterpret_cast<sockaddr*>(&address), size);
-    getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
-    close(socket);
-    return ntohs(address.sin_port);
+    // Ports that the system gives to outgoing connections begin at 32768; one of those could be taken meanwhile.
+    constexpr unsigned firstPort = 20000;
+    constexpr unsigned portCount = 12000;
+    static std::atomic<unsigned> next = static_cast<unsigned>(getpid()) * 97;
+    while (true) {
+        const auto port = static_cast<std::uint16_t>(firstPort + next++ % portCount);
+        const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const bool isFree = bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+        close(socket);
+        if (isFree)
+            return port;
+    }
 }
 
 bool eventually(const std::function<bool()>& condition, std::chrono::milliseconds timeout)
