--- a/src/cli/Commands.h
+++ b/src/cli/Commands.h
@@ -15,5 +15,6 @@
 void addEmulateCommand(CLI::App&, int& exitCode);
 void addLoadCommand(CLI::App&, int& exitCode);
 void addGatewayCommand(CLI::App&, int& exitCode);
+void addReplayCommand(CLI::App&, int& exitCode);
 
 } // namespace Catkinwell
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -21,6 +21,7 @@
     Catkinwell::addEmulateCommand(app, exitCode);
     Catkinwell::addLoadCommand(app, exitCode);
     Catkinwell::addGatewayCommand(app, exitCode);
+    Catkinwell::addReplayCommand(app, exitCode);
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& error) {
--- /dev/null
+++ b/src/replay/ReplayProtocol.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <catkinwell/gateway/ForwardingProtocol.h>
+
+namespace Catkinwell {
+
+// Carries the terms of requests in plain headers, so that a replay needs no platform. It has no documents.
+class ReplayProtocol final : public ForwardingProtocol {
+public:
+    RequestTerms termsOf(const RequestArrived&) const override;
+    HeaderList attemptHeaders(const HeaderList& callerHeaders, const AttemptTerms&) const override;
+    AnswerTerms termsOf(int status, const HeaderList&) const override;
+    HeaderList answerHeaders(const HeaderList& headers) const override { return headers; }
+    std::string echoHeader() const override { return ""; }
+    std::string configurationKey() const override { return ""; }
+    std::string endpointPrefix() const override { return ""; }
+    Result<GatewayConfiguration> readConfiguration(std::string_view document) const override;
+    Result<EndpointRecord> readEndpoint(std::string_view key, std::string_view document) const override;
+};
+
+} // namespace Catkinwell
