--- a/include/catkinwell/gateway/EnginePlacement.h
+++ b/include/catkinwell/gateway/EnginePlacement.h
@@ -165,7 +165,8 @@
     void finishPending(Engine&, MonotonicTime now);
     void noteCompletion(Engine&, const LoadedModels&, MonotonicTime now);
     void takeModels(Engine&, const LoadedModels&, MonotonicTime now);
-    void doubt(Engine&, MonotonicTime now);
+    void requireVerification(Engine&, MonotonicTime now);
+    void noteFailedOrder(Engine&, MonotonicTime now);
     void fetchStatus(Engine&, MonotonicTime now, EffectList&);
     void updateRunning(MonotonicTime now);
     // The summaries are made when they are first asked for after a change.
--- a/src/gateway/EnginePlacement.cpp
+++ b/src/gateway/EnginePlacement.cpp
@@ -251,7 +251,7 @@
     if (engine.isVerified && status.orderCount > engine.orderCount) {
         // An order whose answer was lost was carried out, or is being carried out. Until the engine is idle it is not
         // known what it holds, and an order now could be carried out late, in a state that it was not made for.
-        doubt(engine, now);
+        requireVerification(engine, now);
     } else if (engine.isVerified && status.orderCount == engine.orderCount) {
         // The report of a busy engine is older than the end of its order, which may be known already.
         if (status.isBusy)
@@ -271,7 +271,7 @@
 }
 
 // What the engine holds is read anew, from a report that is younger than the last order.
-void EnginePlacement::doubt(Engine& engine, MonotonicTime now)
+void EnginePlacement::requireVerification(Engine& engine, MonotonicTime now)
 {
     engine.isVerified = false;
     engine.verifyAfter = now + longestStatusLag;
@@ -320,7 +320,7 @@
         if (finished.outcome == EngineOrderOutcome::Accepted) {
             ++engine.orderCount;
         } else {
-            doubt(engine, now);
+            requireVerification(engine, now);
         }
         if (isUnload) {
             // Only an accepted unload makes room: the memory of one that was refused is still in use.
@@ -347,21 +347,23 @@
             engine.nextLoad = order.model;
         // An engine that is unloading for this order is expected to be busy for a moment.
         if (++engine.conflicts >= maximumConflicts || engine.unloading.empty())
-            doubt(engine, now);
+            requireVerification(engine, now);
         break;
-    case EngineOrderOutcome::NotSent:
-    case EngineOrderOutcome::Rejected:
-    case EngineOrderOutcome::Fenced:
-    case EngineOrderOutcome::Misdirected:
-    case EngineOrderOutcome::Unknown:
+    default:
         engine.pending.reset();
-        ++engine.failures;
-        engine.notBefore = now + orderRetryPause;
-        doubt(engine, now);
+        noteFailedOrder(engine, now);
         break;
     }
 }
 
+// The engine may have carried the order out, may do so later, or is not reached.
+void EnginePlacement::noteFailedOrder(Engine& engine, MonotonicTime now)
+{
+    ++engine.failures;
+    engine.notBefore = now + orderRetryPause;
+    requireVerification(engine, now);
+}
+
 void EnginePlacement::handleAdapterOrder(Engine& engine, const EngineOrderFinished& finished, MonotonicTime now)
 {
     const EngineOrder& order = finished.order;
@@ -384,17 +386,11 @@
     case EngineOrderOutcome::Conflict:
         engine.adapterPending.reset();
         engine.notBefore = now + conflictPause;
-        doubt(engine, now);
+        requireVerification(engine, now);
         break;
-    case EngineOrderOutcome::NotSent:
-    case EngineOrderOutcome::Rejected:
-    case EngineOrderOutcome::Fenced:
-    case EngineOrderOutcome::Misdirected:
-    case EngineOrderOutcome::Unknown:
+    default:
         engine.adapterPending.reset();
-        ++engine.failures;
-        engine.notBefore = now + orderRetryPause;
-        doubt(engine, now);
+        noteFailedOrder(engine, now);
         break;
     }
 }
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -12,6 +12,8 @@
 
     using Json = nlohmann::json;
 
+    constexpr double largestNumber = 1e9;
+
     // A field that the process uses only at its start.
     struct AddressField {
         const char* name;
@@ -64,8 +66,8 @@
             const Json* field = find(name, false);
             if (!field)
                 return false;
-            if (!field->is_number() || field->get<double>() < minimum) {
-                fail(name, "a number of at least " + std::to_string(minimum));
+            if (!field->is_number() || field->get<double>() < minimum || field->get<double>() > largestNumber) {
+                fail(name, "a number of at least " + std::to_string(minimum) + " and at most a billion");
                 return false;
             }
             target = field->get<double>();
--- a/src/loop/EventLoop.cpp
+++ b/src/loop/EventLoop.cpp
@@ -8,21 +8,31 @@
 
 namespace Catkinwell {
 
-namespace {
-
-    struct OneShot {
-        sigc::slot<void()> slot;
-    };
-
-} // namespace
-
 struct EventLoop::Registration {
     sigc::slot<void()> slot;
     event* handle = nullptr;
 };
 
 struct EventLoop::Registrations {
+    // A call that is made once; it knows its place in the list, which it leaves when it is made.
+    struct OneShot {
+        Registrations* owner = nullptr;
+        sigc::slot<void()> slot;
+        event* handle = nullptr;
+        std::list<OneShot>::iterator place;
+    };
+
+    static void call(evutil_socket_t, short, void* context)
+    {
+        auto* shot = static_cast<OneShot*>(context);
+        const sigc::slot<void()> slot = std::move(shot->slot);
+        event_free(shot->handle);
+        shot->owner->oneShots.erase(shot->place);
+        slot();
+    }
+
     std::list<std::unique_ptr<Registration>> entries;
+    std::list<OneShot> oneShots;
 };
 
 EventLoop::EventLoop()
@@ -39,6 +49,10 @@
 {
     for (auto& registration : m_registrations->entries)
         event_free(registration->handle);
+    for (auto& shot : m_registrations->oneShots)
+        event_free(shot.handle);
+    // The slots may own what still uses the base.
+    m_registrations.reset();
     event_base_free(m_base);
 }
 
@@ -61,14 +75,13 @@
 void EventLoop::callLater(Duration delay, sigc::slot<void()> slot)
 {
     const timeval interval = toTimeval(delay);
-    auto call = std::make_unique<OneShot>(OneShot { std::move(slot) });
-    event_base_once(
-        m_base, -1, EV_TIMEOUT,
-        [](evutil_socket_t, short, void* context) {
-            const std::unique_ptr<OneShot> owned(static_cast<OneShot*>(context));
-            owned->slot();
-        },
-        call.release(), &interval);
+    auto& shots = m_registrations->oneShots;
+    const auto place = shots.emplace(shots.end());
+    place->owner = m_registrations.get();
+    place->slot = std::move(slot);
+    place->place = place;
+    place->handle = event_new(m_base, -1, 0, &Registrations::call, &*place);
+    event_add(place->handle, &interval);
 }
 
 void EventLoop::onSignal(int signalNumber, sigc::slot<void()> slot)
