--- a/src/replay/Replay.cpp
+++ b/src/replay/Replay.cpp
@@ -300,8 +300,9 @@
         for (std::size_t i = 0; i < m_engines.size(); ++i) {
             if (m_awayEngines.contains(i))
                 continue;
+            // A step may end after this moment.
             for (const JobEvent& event : m_engines[i]->advance(m_now, loads))
-                later(networkDelay, [this, event] { handle(event); });
+                later(std::max(event.at, m_now) - m_now + networkDelay, [this, event] { handle(event); });
         }
     }
 
