Tell the owner soon of every request that begins to wait

Cause (found in reading the change): a request that began to wait within 15 ms of an urgent report was taken for reported; the owner heard of it with the next regular digest, after 0.2 to 2 s by the size of the fleet.

Change: the wish to report stays until a report is sent, and each tick looks for it. Test: GatewayReducerTest (new) failed on the code before.

--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -73,6 +73,7 @@
     void keepSecret(MonotonicTime now, EffectList&);
     void updatePeers(MonotonicTime now, EffectList&);
     void sendDigests(MonotonicTime now, EffectList&);
+    void sendUrgentDemand(MonotonicTime now, EffectList&);
     void sendDemand(MonotonicTime now, EffectList&);
     HostDigest demandDigest(MonotonicTime now);
     void sendNews(MonotonicTime now, EffectList&);
@@ -110,6 +111,8 @@
     std::uint64_t m_digestSequence = 0;
     MonotonicTime m_nextDigestAt {};
     MonotonicTime m_nextUrgentDigestAt {};
+    // A request has begun to wait that the owner was not told of.
+    bool m_isDemandUrgent = false;
     // The owner that was told the whole demand, and when it is told the whole again.
     HostId m_demandOwner;
     MonotonicTime m_nextWholeDemandAt {};
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -99,8 +99,7 @@
     void operator()(const RequestArrived& event) const
     {
         reducer.m_requests.handle(event, now, effects);
-        if (reducer.m_requests.takeNewlyWaiting() && now >= reducer.m_nextUrgentDigestAt)
-            reducer.sendDemand(now, effects);
+        reducer.sendUrgentDemand(now, effects);
     }
     void operator()(const AdminRequestArrived& event) const
     {
@@ -169,6 +168,7 @@
     m_placement.tick(now, effects);
     sendNews(now, effects);
     sendDigests(now, effects);
+    sendUrgentDemand(now, effects);
     m_requests.advance(now, effects);
     m_requests.tick(now, effects);
     reportReadiness(effects);
@@ -384,9 +384,18 @@
     sendDemand(now, effects);
 }
 
+// Requests that begin to wait are reported soon, those of a short while together.
+void GatewayReducer::sendUrgentDemand(MonotonicTime now, EffectList& effects)
+{
+    m_isDemandUrgent = m_requests.takeNewlyWaiting() || m_isDemandUrgent;
+    if (m_isDemandUrgent && now >= m_nextUrgentDigestAt)
+        sendDemand(now, effects);
+}
+
 // Tells the owner of the placement what requests ask for and wait for.
 void GatewayReducer::sendDemand(MonotonicTime now, EffectList& effects)
 {
+    m_isDemandUrgent = false;
     m_nextUrgentDigestAt = now + urgentDigestInterval;
     if (m_placement.isOwner()) {
         m_placement.handle(m_settings.host, demandDigest(now).demand, now);
--- /dev/null
+++ b/tests/gateway/GatewayReducerTest.cpp
@@ -0,0 +1,139 @@
+#include <catkinwell/gateway/GatewayReducer.h>
+
+#include "gateway/GatewayFixture.h"
+#include <catch2/catch.hpp>
+#include <catkinwell/core/Digest.h>
+
+using namespace Catkinwell;
+using namespace Catkinwell::Testing;
+
+namespace {
+
+const HostId owner("owner");
+
+// Gives the answers of a store that holds a configuration, an engine, another host and that host's ownership.
+std::optional<StoreReply> replyTo(const StoreCall& call)
+{
+    StoreReply reply;
+    reply.id = call.id;
+    reply.status = StoreStatus::Ok;
+    reply.version = 5;
+    if (const auto* list = std::get_if<StoreList>(&call.operation)) {
+        if (list->prefix == "configuration")
+            reply.entries = { { "configuration", "1", 1 } };
+        else if (list->prefix == "endpoints/")
+            reply.entries = { { "endpoints/e1", "notes", 2 } };
+        else
+            reply.entries = { { "catkinwell/secret", "s", 3 },
+                { "catkinwell/hosts/owner/1", R"({"incarnation":1,"address":"127.0.0.1:9"})", 4 },
+                { "catkinwell/owner", "owner\n1\n7", 5 } };
+        reply.isWholeList = true;
+        return reply;
+    }
+    if (std::holds_alternative<StoreWatchPrefix>(call.operation))
+        return std::nullopt;
+    reply.value = "7";
+    return reply;
+}
+
+class ReducerFixture {
+public:
+    ReducerFixture()
+    {
+        // Ends between two regular digests, which are sent each tenth tick.
+        for (int i = 0; i < 45; ++i)
+            tick();
+    }
+
+    void tick()
+    {
+        now += std::chrono::milliseconds(20);
+        apply(Tick {});
+    }
+
+    void apply(const GatewayEvent& event)
+    {
+        for (const Effect& effect : reducer.apply(event, now)) {
+            if (const auto* call = std::get_if<StoreCall>(&effect)) {
+                if (const auto reply = replyTo(*call))
+                    apply(*reply);
+            } else if (const auto* send = std::get_if<SendToPeer>(&effect)) {
+                note(*send);
+            }
+        }
+    }
+
+    void arrive(const std::string& model)
+    {
+        RequestArrived request;
+        request.id = RequestId(++m_lastRequest);
+        request.method = "POST";
+        request.target = "/note/1";
+        request.keyDigest = sha256Hex("key-a");
+        request.headers
+            = { { "Host", "h:80" }, { "id", std::to_string(m_lastRequest) }, { "left", "10000" }, { "model", model } };
+        apply(request);
+    }
+
+    // Models that the owner of the placement was told of.
+    std::set<ModelId> toldModels;
+    MonotonicTime now { std::chrono::hours(1) };
+
+private:
+    void note(const SendToPeer& send)
+    {
+        const auto* envelope = std::get_if<GatewayEnvelope>(&send.message);
+        if (!envelope || send.to != owner)
+            return;
+        const auto message = decodeGatewayMessage(envelope->payload);
+        REQUIRE_FALSE(isError(message));
+        if (const auto* digest = std::get_if<HostDigest>(&valueOf(message))) {
+            for (const VariantDemand& entry : digest->demand.entries)
+                toldModels.insert(entry.variant.model);
+        }
+    }
+
+    static GatewaySettings settings()
+    {
+        GatewaySettings settings;
+        settings.host = HostId("self");
+        settings.dataCentre = DataCentreId("here");
+        settings.peerAddress = "127.0.0.1:8";
+        return settings;
+    }
+
+    PlainProtocol m_protocol;
+    std::uint64_t m_lastRequest = 0;
+
+public:
+    GatewayReducer reducer { settings(), m_protocol, 1, 1, "s" };
+};
+
+} // namespace
+
+// Guards against a request that begins to wait shortly after another one and is reported only with the next regular
+// digest, which large fleets send every second or two.
+TEST_CASE("The owner hears at once of each model that requests begin to wait for")
+{
+    ReducerFixture fixture;
+    REQUIRE(fixture.reducer.isReady());
+    fixture.arrive("m1");
+    fixture.now += std::chrono::milliseconds(5);
+    fixture.arrive("m2");
+    fixture.tick();
+    const std::set<ModelId> expected { ModelId("m1"), ModelId("m2") };
+    CHECK(fixture.toldModels == expected);
+}
+
+// Guards against settings that a running process ignores, and against new ones that end its service.
+TEST_CASE("Changed settings leave a gateway ready")
+{
+    ReducerFixture fixture;
+    GatewaySettings changed;
+    changed.shutdownGrace = std::chrono::seconds(3);
+    changed.requests.retryFraction = 0;
+    fixture.apply(GatewaySettingsChanged { changed });
+    CHECK(fixture.reducer.isReady());
+    fixture.arrive("m1");
+    CHECK(fixture.toldModels.contains(ModelId("m1")));
+}
