Follow the linter in the placement's summaries and the replay

A lambda used a structured binding, which clang refuses before C++20's later rules; effects were copied at each call. No change of behaviour.

--- a/src/gateway/EnginePlacementChoice.cpp
+++ b/src/gateway/EnginePlacementChoice.cpp
@@ -139,7 +139,8 @@
     }
     for (const auto& [key, running] : m_running)
         all[key].running = running;
-    for (auto& [id, engine] : m_engines) {
+    for (auto& item : m_engines) {
+        Engine& engine = item.second;
         const std::string& service = engine.record.service;
         const unsigned usable = isReachable(engine, now) ? 1 : 0;
         const auto addReplica = [&](const ModelId& model) -> ModelSummary& {
--- a/src/replay/Replay.cpp
+++ b/src/replay/Replay.cpp
@@ -91,7 +91,7 @@
         void ask(const LoadRequest&);
         void send(const RequestId&);
         void noteLimit(const Caller&, const EffectList&);
-        void execute(std::size_t host, EffectList);
+        void execute(std::size_t host, const EffectList&);
         void startAttempt(std::size_t host, const StartAttempt&);
         void cancelAttempt(std::size_t host, const AttemptId&);
         void give(const EngineOrder&);
@@ -354,7 +354,7 @@
     {
         EffectList orders;
         m_placement->tick(m_now, orders);
-        execute(0, std::move(orders));
+        execute(0, orders);
         sendNews();
         for (std::size_t i = 0; i < m_hosts.size(); ++i) {
             EffectList effects;
@@ -362,7 +362,7 @@
             m_hosts[i]->directory.tick(m_now);
             m_hosts[i]->requests.advance(m_now, effects);
             m_hosts[i]->requests.tick(m_now, effects);
-            execute(i, std::move(effects));
+            execute(i, effects);
         }
     }
 
@@ -376,7 +376,7 @@
                 EffectList effects;
                 m_hosts[i]->directory.handle(news, m_now);
                 m_hosts[i]->requests.advance(m_now, effects);
-                execute(i, std::move(effects));
+                execute(i, effects);
             }
         });
     }
@@ -436,7 +436,7 @@
         if (host.requests.takeNewlyWaiting())
             m_placement->handle(host.name, host.requests.demand().report(false, m_now), m_now);
         noteLimit(caller, effects);
-        execute(caller.host, std::move(effects));
+        execute(caller.host, effects);
     }
 
     // Counts a refusal of a request whose account had the units over all hosts.
@@ -460,7 +460,7 @@
             ++m_report.refusedBelowLimit;
     }
 
-    void ReplayRun::execute(std::size_t host, EffectList effects)
+    void ReplayRun::execute(std::size_t host, const EffectList& effects)
     {
         for (const Effect& effect : effects)
             std::visit(EffectExecutor { *this, host }, effect);
@@ -531,7 +531,7 @@
             m_attempts.erase(event.id);
             m_ownAttempts.erase(event.id);
         }
-        execute(index, std::move(effects));
+        execute(index, effects);
     }
 
     void ReplayRun::give(const EngineOrder& order)
@@ -548,7 +548,7 @@
             EffectList effects;
             m_placement->handle(EngineOrderFinished { order, outcome }, m_now, effects);
             m_placement->tick(m_now, effects);
-            execute(0, std::move(effects));
+            execute(0, effects);
             sendNews();
         });
     }
@@ -558,7 +558,7 @@
         later(orderDelay, [this, fetch] {
             EffectList effects;
             m_placement->handle(engineOf(fetch.endpoint)->status(m_now), m_now, effects);
-            execute(0, std::move(effects));
+            execute(0, effects);
         });
     }
 
