--- a/experiments/IdlePolicyCost.cpp
+++ b/experiments/IdlePolicyCost.cpp
@@ -122,8 +122,6 @@
         + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
-double secondsOf(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
 // How long a model stays loaded after its last use; negative means forever.
 struct Strategy {
     std::string name;
--- a/include/catkinwell/core/Clock.h
+++ b/include/catkinwell/core/Clock.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace Catkinwell {
 
@@ -11,6 +12,27 @@
 // Time for logs and for expiry dates that operators write. It may jump.
 using WallTime = std::chrono::system_clock::time_point;
 
+// The duration in seconds, with its fraction. Thread safe.
+inline double secondsOf(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+// The whole milliseconds of the duration. Thread safe.
+inline std::int64_t millisecondsOf(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+// Thread safe. Precondition: the result fits into a Duration, which holds 292 years.
+inline Duration durationOfMilliseconds(double milliseconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(milliseconds));
+}
+
+// Thread safe. Precondition: as durationOfMilliseconds().
+inline Duration durationOfSeconds(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
 // Source of time. Production code uses SystemClock, tests use ManualClock.
 // Implementations may be read from any thread.
 class Clock {
--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -59,6 +59,11 @@
     std::size_t activeRequests() const { return m_requests.size(); }
 
 private:
+    // What is left must be enough for an endpoint to do something.
+    static constexpr Duration shortestAttempt = std::chrono::milliseconds(30);
+    static constexpr Duration soonRetryAfter = std::chrono::milliseconds(100);
+    static constexpr Duration shortRetryAfter = std::chrono::milliseconds(500);
+
     // One attempt of a request at an endpoint.
     struct Attempt {
         AttemptId id;
@@ -120,9 +125,10 @@
     std::optional<Refusal> admit(Request&, MonotonicTime now);
     std::optional<Refusal> authenticate(Request&) const;
     void dispatch(Request&, MonotonicTime now, EffectList&);
-    // Refuses a waiting request whose model cannot be ready in time, and returns whether it did. The model counts as
-    // wanted until the caller may come back.
-    bool refuseHopeless(Request&, MonotonicTime now, EffectList&);
+    // How long until a replica can be ready at best; nothing for a plain service and for an unknown model.
+    std::optional<Duration> soonestReplica(const ServiceVariant&, MonotonicTime now) const;
+    // Refuses a waiting request whose model cannot be ready in time. The model counts as wanted for a while more.
+    void refuseIfHopeless(Request&, std::optional<Duration> soonest, MonotonicTime now, EffectList&);
     void endAbsentWaits(MonotonicTime now);
     // How long the request may wait for a replica.
     MonotonicTime waitLimit(const Request&) const;
--- a/include/catkinwell/logging/LogEvent.h
+++ b/include/catkinwell/logging/LogEvent.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -15,6 +16,8 @@
 };
 
 std::string_view nameOf(LogSeverity);
+// Nothing for an unknown name. Thread safe.
+std::optional<LogSeverity> logSeverityNamed(std::string_view name);
 
 // The numbered events of docs/log-events.md. Each module has a range of one hundred numbers;
 // a number is never used again for another meaning.
--- a/src/admin/AdminCall.cpp
+++ b/src/admin/AdminCall.cpp
@@ -1,14 +1,13 @@
 #include <admin/AdminCall.h>
 
+#include "http/HeaderText.h"
+#include "http/PercentEncoding.h"
 #include <algorithm>
 #include <array>
 #include <catkinwell/core/Digest.h>
 #include <charconv>
-#include <cstdlib>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
-#include <event2/util.h>
-#include <memory>
 
 namespace Catkinwell {
 
@@ -23,22 +22,6 @@
     constexpr std::array<std::string_view, 5> knownParameters { "dry_run", "expected_version", "change_id", "reason",
         "view" };
 
-    std::string headerValue(const HeaderList& headers, const char* name)
-    {
-        for (const auto& [candidate, value] : headers) {
-            if (evutil_ascii_strcasecmp(candidate.c_str(), name) == 0)
-                return value;
-        }
-        return {};
-    }
-
-    std::string decodePercent(const std::string& text)
-    {
-        std::size_t size = 0;
-        const std::unique_ptr<char, decltype(&std::free)> decoded(evhttp_uridecode(text.c_str(), 0, &size), &std::free);
-        return decoded ? std::string(decoded.get(), size) : std::string();
-    }
-
     // Returns nothing if a parameter has no value or comes twice.
     std::optional<std::map<std::string, std::string>> parseQuery(const std::string& query)
     {
@@ -189,7 +172,7 @@
     const std::size_t slash = rest.find('/');
     call.resource = rest.substr(0, slash);
     if (slash != std::string::npos)
-        call.target = decodePercent(rest.substr(slash + 1));
+        call.target = percentDecoded(rest.substr(slash + 1));
     if (!request.body.empty()) {
         auto body = parseBody(request.body);
         if (!body)
--- a/src/cli/Commands.h
+++ b/src/cli/Commands.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <CLI/App.hpp>
+#include <catkinwell/core/Error.h>
+#include <iostream>
 
 namespace Catkinwell {
 
@@ -9,6 +11,17 @@
 inline constexpr int exitFailed = 1;
 inline constexpr int exitUsage = 2;
 
+// Starts a process and runs it until its shutdown. Returns the exit code; what prevents the start is printed.
+template <typename ProcessRuntime> int startAndRun(ProcessRuntime& runtime)
+{
+    const Status status = runtime.start();
+    if (isError(status)) {
+        std::cerr << errorOf(status).message << "\n";
+        return errorOf(status).kind == ErrorKind::InvalidSettings ? exitUsage : exitFailed;
+    }
+    return runtime.run();
+}
+
 // Each adds one subcommand to the application. The subcommand stores its exit code in exitCode when it has run.
 void addServeCommand(CLI::App&, int& exitCode);
 void addCheckConfigCommand(CLI::App&, int& exitCode);
--- a/src/cli/EmulateCommand.cpp
+++ b/src/cli/EmulateCommand.cpp
@@ -35,11 +35,6 @@
         bool ignoreFencing = false;
     };
 
-    Duration milliseconds(double value)
-    {
-        return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(value));
-    }
-
     void addEngine(CLI::App& parent, int& exitCode)
     {
         auto options = std::make_shared<EngineOptions>();
@@ -60,10 +55,10 @@
         command->add_flag("--ignore-fencing", options->ignoreFencing, "Obey commands with old fencing tokens");
         command->callback([options, &exitCode] {
             EngineEmulatorSettings settings = options->settings;
-            settings.modelLoadTime = milliseconds(options->loadSeconds * 1000);
-            settings.adapterLoadTime = milliseconds(options->adapterLoadMilliseconds);
-            settings.timeToFirstToken = milliseconds(options->firstTokenMilliseconds);
-            settings.tokenInterval = milliseconds(options->tokenMilliseconds);
+            settings.modelLoadTime = durationOfMilliseconds(options->loadSeconds * 1000);
+            settings.adapterLoadTime = durationOfMilliseconds(options->adapterLoadMilliseconds);
+            settings.timeToFirstToken = durationOfMilliseconds(options->firstTokenMilliseconds);
+            settings.tokenInterval = durationOfMilliseconds(options->tokenMilliseconds);
             settings.fencing = options->ignoreFencing ? FencingSupport::Ignored : FencingSupport::Enforced;
             EventLoop loop;
             EngineEmulator emulator(loop, settings);
--- a/src/cli/GatewayCommand.cpp
+++ b/src/cli/GatewayCommand.cpp
@@ -4,7 +4,6 @@
 #include <CLI/Formatter.hpp>
 #include <catkinwell/runtime/GatewayRuntime.h>
 #include <cstdlib>
-#include <iostream>
 #include <memory>
 
 namespace Catkinwell {
@@ -32,12 +31,7 @@
             return exitDone;
         }
         GatewayRuntime runtime(takeValue(std::move(settings)), file);
-        const Status status = runtime.start();
-        if (isError(status)) {
-            std::cerr << errorOf(status).message << "\n";
-            return errorOf(status).kind == ErrorKind::InvalidSettings ? exitUsage : exitFailed;
-        }
-        return runtime.run();
+        return startAndRun(runtime);
     }
 
 } // namespace
--- a/src/cli/ServeCommand.cpp
+++ b/src/cli/ServeCommand.cpp
@@ -3,7 +3,6 @@
 #include <CLI/Config.hpp>
 #include <CLI/Formatter.hpp>
 #include <catkinwell/runtime/Runtime.h>
-#include <iostream>
 #include <memory>
 
 namespace Catkinwell {
@@ -18,12 +17,7 @@
             return exitUsage;
         }
         Runtime runtime(takeValue(std::move(settings)));
-        const Status status = runtime.start();
-        if (isError(status)) {
-            std::cerr << errorOf(status).message << "\n";
-            return errorOf(status).kind == ErrorKind::InvalidSettings ? exitUsage : exitFailed;
-        }
-        return runtime.run();
+        return startAndRun(runtime);
     }
 
 } // namespace
--- a/src/gateway/EndpointDirectory.cpp
+++ b/src/gateway/EndpointDirectory.cpp
@@ -240,12 +240,11 @@
     const Entry* chosen = best ? best : bestUnreliable;
     if (!chosen)
         return std::nullopt;
-    const auto age
-        = std::chrono::duration_cast<std::chrono::milliseconds>(now - std::max(chosen->recordAt, chosen->newsAt));
+    const std::int64_t ageMilliseconds = millisecondsOf(now - std::max(chosen->recordAt, chosen->newsAt));
     effects.push_back(LogEntry { LogEvent::GatewayEndpointChosen,
         { { "request", need.callerRequestId }, { "endpoint", chosen->record.id.value },
             { "model", need.variant.text() }, { "running", std::to_string(runningOn(chosen->record.id)) },
-            { "known_for_ms", std::to_string(age.count()) } } });
+            { "known_for_ms", std::to_string(ageMilliseconds) } } });
     if (!need.promptParts.empty())
         remember(need, chosen->record.id);
     return EndpointChoice { chosen->record.id, chosen->record.address };
@@ -342,8 +341,7 @@
     entry.suspectedUntil = now + suspicion;
     effects.push_back(LogEntry { LogEvent::GatewayEndpointSuspected,
         { { "endpoint", id.value }, { "failures", std::to_string(entry.consecutiveFailures) },
-            { "milliseconds",
-                std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(suspicion).count()) } } });
+            { "milliseconds", std::to_string(millisecondsOf(suspicion)) } } });
 }
 
 void EndpointDirectory::noteMissing(const EndpointId& id, const ModelVariant& variant, MonotonicTime now)
--- a/src/gateway/EnginePlacement.cpp
+++ b/src/gateway/EnginePlacement.cpp
@@ -41,8 +41,6 @@
             model->second.erase(order.adapter);
     }
 
-    double secondsOf(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
 } // namespace
 
 EnginePlacement::EnginePlacement(EnginePlacementSettings settings, EndpointDirectory& directory)
@@ -407,8 +405,7 @@
             dropFrom(news.models, pending->order);
     }
     const auto milliseconds = [](Duration duration) {
-        return static_cast<std::uint32_t>(
-            std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(duration).count()));
+        return static_cast<std::uint32_t>(std::max<std::int64_t>(0, millisecondsOf(duration)));
     };
     if (engine.pending && engine.pending->order.kind == EngineOrderKind::Load)
         news.coming.push_back({ { engine.pending->order.model, engine.pending->order.adapter },
--- a/src/gateway/EnginePlacementChoice.cpp
+++ b/src/gateway/EnginePlacementChoice.cpp
@@ -29,8 +29,6 @@
     constexpr double sameDataCentreCost = 0.6;
     constexpr double hotRate = 0.6;
 
-    double secondsOf(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
 } // namespace
 
 bool EnginePlacement::mayOrder(const Engine& engine, MonotonicTime now) const
--- a/src/gateway/EnginePlacementPlan.cpp
+++ b/src/gateway/EnginePlacementPlan.cpp
@@ -93,10 +93,7 @@
             { "expected_orders", std::to_string(engine.orderCount) },
             { "fencing_token", std::to_string(m_permission->fencingToken) },
             { "waiting", std::to_string(summaryOf(engine.record.service, variant.model, now).waiting) },
-            { "load_ms",
-                std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
-                    loadTime(engine, variant.model, pending.source))
-                                   .count()) } } });
+            { "load_ms", std::to_string(millisecondsOf(loadTime(engine, variant.model, pending.source))) } } });
     effects.push_back(pending.order);
     (variant.adapter.empty() ? engine.pending : engine.adapterPending) = std::move(pending);
     forgetSummaries();
--- a/src/gateway/FleetQuota.cpp
+++ b/src/gateway/FleetQuota.cpp
@@ -21,8 +21,6 @@
     constexpr Duration shortestRetry = std::chrono::milliseconds(50);
     constexpr Duration longestRetry = std::chrono::seconds(10);
 
-    double secondsOf(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
 } // namespace
 
 FleetQuota::FleetQuota(HostId self)
@@ -184,8 +182,7 @@
     // The last request that an allowance pays for may exceed it; the next one waits for that.
     if (bucket.level < needed || (isLow && bucket.allowance <= 0)) {
         const double missing = std::max(needed - bucket.level, -bucket.allowance);
-        const auto wait = std::chrono::duration_cast<Duration>(
-            std::chrono::duration<double>(std::min(missing / rate, secondsOf(longestRetry))));
+        const Duration wait = durationOfSeconds(std::min(missing / rate, secondsOf(longestRetry)));
         return { false, std::clamp(wait, shortestRetry, longestRetry) };
     }
     bucket.level -= units;
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -144,10 +144,7 @@
 // What the fields of fieldsThatNeedRestart() say stays as it was at the start.
 void GatewayReducer::handleSettings(const GatewaySettings& settings)
 {
-    m_settings.ownerSilence = settings.ownerSilence;
     m_settings.shutdownGrace = settings.shutdownGrace;
-    m_settings.requests = settings.requests;
-    m_settings.placement = settings.placement;
     m_ownership.setSilence(settings.ownerSilence);
     m_requests.setSettings(settings.requests);
     m_placement.setSettings(settings.placement);
@@ -539,8 +536,7 @@
 {
     Json peers = Json::object();
     for (const auto& [host, peer] : m_peers) {
-        const auto silence = std::chrono::duration_cast<std::chrono::milliseconds>(now - peer.heardAt).count();
-        peers[host.value] = { { "registered", peer.isRegistered }, { "silent_ms", silence },
+        peers[host.value] = { { "registered", peer.isRegistered }, { "silent_ms", millisecondsOf(now - peer.heardAt) },
             { "configuration", peer.configurationVersion } };
     }
     return Json {
--- a/src/gateway/GatewayRequestOutcomes.cpp
+++ b/src/gateway/GatewayRequestOutcomes.cpp
@@ -8,11 +8,7 @@
 
 namespace {
 
-    // What is left must be enough for an endpoint to do something.
-    constexpr Duration shortestAttempt = std::chrono::milliseconds(30);
     constexpr unsigned maximumRejections = 4;
-    constexpr Duration soonRetryAfter = std::chrono::milliseconds(100);
-    constexpr Duration shortRetryAfter = std::chrono::milliseconds(500);
 
     Duration retryAfterOf(MonotonicTime now, MonotonicTime finalAt, Duration wanted)
     {
@@ -24,7 +20,7 @@
     std::string secondsText(Duration duration)
     {
         char text[32];
-        std::snprintf(text, sizeof(text), "%.3f", std::chrono::duration<double>(duration).count());
+        std::snprintf(text, sizeof(text), "%.3f", secondsOf(duration));
         return text;
     }
 
@@ -37,10 +33,7 @@
     // Statuses that promise that the request has not run.
     bool isPromise(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
-    std::string milliseconds(Duration duration)
-    {
-        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-    }
+    std::string milliseconds(Duration duration) { return std::to_string(millisecondsOf(duration)); }
 
 } // namespace
 
@@ -90,8 +83,7 @@
 {
     const int status = request.attempt->status;
     logEnd(LogEvent::GatewayRequestFinished, request, status, "", now, effects);
-    effects.push_back(RecordMetric {
-        Metric::RequestSeconds, request.service, std::chrono::duration<double>(now - request.arrivedAt).count() });
+    effects.push_back(RecordMetric { Metric::RequestSeconds, request.service, secondsOf(now - request.arrivedAt) });
     endAttempt(request, status >= 500 ? AttemptVerdict::Bad : AttemptVerdict::Good, now, effects);
     forget(request.arrived.id, now);
 }
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -10,8 +10,6 @@
 
     // A caller that states no time is kept waiting no longer than its route allows.
     constexpr Duration answerMargin = std::chrono::milliseconds(20);
-    // What is left must be enough for an endpoint to do something.
-    constexpr Duration shortestAttempt = std::chrono::milliseconds(30);
     // Waits for a replica that end later than this part of the time leave too little for the answer.
     constexpr double longestWaitShare = 0.7;
     // A plain request that finds no endpoint waits this part of its time for one to appear.
@@ -21,8 +19,6 @@
     constexpr Duration absentWait = std::chrono::seconds(2);
     constexpr Duration connectTimeout = std::chrono::milliseconds(400);
     constexpr Duration longestSilence = std::chrono::hours(1);
-    constexpr Duration soonRetryAfter = std::chrono::milliseconds(100);
-    constexpr Duration shortRetryAfter = std::chrono::milliseconds(500);
     constexpr Duration longRetryAfter = std::chrono::seconds(2);
     // An idempotent request is given to another endpoint after this many times its latency goal without an answer.
     constexpr int silentGoals = 3;
@@ -71,7 +67,7 @@
 {
     m_hostCount = std::max<std::size_t>(1, count);
     const double part = m_settings.retryConstant / static_cast<double>(m_hostCount);
-    const double seconds = std::chrono::duration<double>(m_settings.retryWindow).count();
+    const double seconds = secondsOf(m_settings.retryWindow);
     for (auto& [service, budget] : m_budgets)
         budget.setSettings({ m_settings.retryFraction * 0.8, part * 0.4 / seconds, part * 0.4 });
 }
@@ -211,29 +207,31 @@
     effects.push_back(LogEntry { LogEvent::GatewayRequestWaits,
         { { "request", request.terms.callerRequestId }, { "service", request.service },
             { "model", variant.text() } } });
-    refuseHopeless(request, now, effects);
+    refuseIfHopeless(request, soonestReplica({ request.service, variant }, now), now, effects);
 }
 
-bool GatewayRequests::refuseHopeless(Request& request, MonotonicTime now, EffectList& effects)
+std::optional<Duration> GatewayRequests::soonestReplica(const ServiceVariant& key, MonotonicTime now) const
 {
-    const ModelVariant variant = request.terms.variant;
-    const GatewayEngine* engine = m_configuration.engineOf(request.service);
-    if (request.mayHaveRun || variant.model.value.empty() || !engine)
-        return false;
-    const auto model = engine->models.find(variant.model);
+    const GatewayEngine* engine = m_configuration.engineOf(key.first);
+    if (!engine)
+        return std::nullopt;
+    const auto model = engine->models.find(key.second.model);
     if (model == engine->models.end())
-        return false;
-    const Duration soonest = m_directory.soonestReplica(request.service, variant, model->second, now);
-    if (now + soonest <= waitLimit(request))
-        return false;
-    const ServiceVariant key(request.service, variant);
+        return std::nullopt;
+    return m_directory.soonestReplica(key.first, key.second, model->second, now);
+}
+
+void GatewayRequests::refuseIfHopeless(
+    Request& request, std::optional<Duration> soonest, MonotonicTime now, EffectList& effects)
+{
+    if (!soonest || request.mayHaveRun || now + *soonest <= waitLimit(request))
+        return;
+    const ServiceVariant key(request.service, request.terms.variant);
     const auto [known, isNew] = m_absentWaits.try_emplace(key, now + absentWait);
     if (isNew)
         m_demand.waitBegan(key, now);
-    const std::string detail
-        = "the model can be ready in " + std::to_string(soonest / std::chrono::milliseconds(1)) + " ms at best";
+    const std::string detail = "the model can be ready in " + std::to_string(millisecondsOf(*soonest)) + " ms at best";
     refuse(request, { 503, "no_replica", detail, soonest }, now, effects);
-    return true;
 }
 
 void GatewayRequests::endAbsentWaits(MonotonicTime now)
@@ -327,8 +325,7 @@
     if (!attempt.isForwarded || request->isHeadSent)
         return;
     request->isHeadSent = true;
-    effects.push_back(RecordMetric {
-        Metric::FirstByteSeconds, request->service, std::chrono::duration<double>(now - request->arrivedAt).count() });
+    effects.push_back(RecordMetric { Metric::FirstByteSeconds, request->service, secondsOf(now - request->arrivedAt) });
     effects.push_back(SendResponseHead { request->arrived.id, head.status, m_protocol.answerHeaders(head.headers) });
 }
 
@@ -412,10 +409,18 @@
     ids.reserve(m_requests.size());
     for (const auto& [id, request] : m_requests)
         ids.push_back(id);
+    std::map<ServiceVariant, std::optional<Duration>> soonest;
     for (const RequestId id : ids) {
-        const auto found = m_requests.find(id);
-        if (found != m_requests.end())
+        if (const auto found = m_requests.find(id); found != m_requests.end())
             checkTimes(found->second, now, effects);
+        if (!m_waiting.contains(id))
+            continue;
+        Request& waiting = m_requests.at(id);
+        const ServiceVariant key(waiting.service, waiting.terms.variant);
+        const auto [known, isNew] = soonest.try_emplace(key);
+        if (isNew)
+            known->second = soonestReplica(key, now);
+        refuseIfHopeless(waiting, known->second, now, effects);
     }
 }
 
@@ -436,8 +441,6 @@
     if (request.isWaiting) {
         if (now >= waitLimit(request) && !request.mayHaveRun)
             refuse(request, { 503, "no_replica", "no replica became ready in time", longRetryAfter }, now, effects);
-        else
-            refuseHopeless(request, now, effects);
         return;
     }
     if (!request.attempt || !mayRepeat(request, now))
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -1,10 +1,9 @@
 #include <catkinwell/gateway/GatewaySettings.h>
 
 #include "http/SocketAddress.h"
+#include "settings/SettingsFile.h"
 #include <array>
-#include <fstream>
 #include <nlohmann/json.hpp>
-#include <sstream>
 
 namespace Catkinwell {
 
@@ -59,7 +58,7 @@
         {
             double value = 0;
             if (number(name, value, 1))
-                target = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(value));
+                target = durationOfMilliseconds(value);
         }
         bool number(const char* name, double& target, double minimum)
         {
@@ -155,12 +154,11 @@
         reader.count("maximum_per_event_and_second", rate);
         settings.maximumPerEventAndSecond = rate;
         reader.finish();
-        for (const LogSeverity candidate :
-            { LogSeverity::Debug, LogSeverity::Info, LogSeverity::Warning, LogSeverity::Error }) {
-            if (nameOf(candidate) == severity)
-                settings.minimumSeverity = candidate;
-        }
-        if (!severity.empty() && nameOf(settings.minimumSeverity) != severity && error.empty())
+        if (severity.empty())
+            return;
+        if (const auto named = logSeverityNamed(severity))
+            settings.minimumSeverity = *named;
+        else if (error.empty())
             error = "the field \"log.severity\" is \"" + severity + "\", expected debug, info, warning or error";
     }
 
@@ -215,12 +213,8 @@
 
 Result<GatewaySettings> loadGatewaySettings(const std::string& file)
 {
-    std::ifstream stream(file);
-    if (!stream)
-        return Error { ErrorKind::NotFound, "the settings file " + file + " cannot be read; check its path" };
-    std::ostringstream text;
-    text << stream.rdbuf();
-    return parseGatewaySettings(text.str());
+    auto text = readSettingsFile(file);
+    return isError(text) ? Result<GatewaySettings>(errorOf(text)) : parseGatewaySettings(valueOf(text));
 }
 
 } // namespace Catkinwell
--- a/src/gateway/HostDemand.cpp
+++ b/src/gateway/HostDemand.cpp
@@ -14,10 +14,7 @@
 
 } // namespace
 
-double demandDecay(Duration time)
-{
-    return std::exp(-std::chrono::duration<double>(std::max(time, Duration::zero())).count() / averageSeconds);
-}
+double demandDecay(Duration time) { return std::exp(-secondsOf(std::max(time, Duration::zero())) / averageSeconds); }
 
 HostDemand::Entry& HostDemand::updated(const ServiceVariant& key, MonotonicTime now)
 {
@@ -54,7 +51,7 @@
         entry.isChanged = false;
         entry.rate *= demandDecay(now - entry.updatedAt);
         entry.updatedAt = now;
-        const auto idle = std::chrono::duration_cast<std::chrono::milliseconds>(now - entry.lastArrivalAt).count();
+        const std::int64_t idle = millisecondsOf(now - entry.lastArrivalAt);
         report.entries.push_back(
             { key.second, key.first, entry.waiting, entry.rate, static_cast<std::uint32_t>(idle) });
     }
--- a/src/gateway/PlacementOwnership.cpp
+++ b/src/gateway/PlacementOwnership.cpp
@@ -93,9 +93,7 @@
     m_ordersFrom = now;
     effects.push_back(LogEntry { LogEvent::GatewayOwnershipGained,
         { { "fencing_token", std::to_string(m_heldVersion) },
-            { "silence_ms",
-                std::to_string(
-                    std::chrono::duration_cast<std::chrono::milliseconds>(now - m_acquiredAt).count()) } } });
+            { "silence_ms", std::to_string(millisecondsOf(now - m_acquiredAt)) } } });
 }
 
 void PlacementOwnership::handle(const StoreReply& reply, MonotonicTime now, EffectList& effects)
--- a/src/gateway/WeightStoreSpeed.cpp
+++ b/src/gateway/WeightStoreSpeed.cpp
@@ -12,8 +12,6 @@
     constexpr double fullSpeedRatio = 1.1;
     constexpr double sampleWeight = 0.5;
 
-    double secondsOf(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
 } // namespace
 
 void WeightStoreSpeed::advance(MonotonicTime now)
--- a/src/http/HeaderText.cpp
+++ b/src/http/HeaderText.cpp
@@ -40,6 +40,12 @@
     return found == headers.end() ? nullptr : &found->second;
 }
 
+std::string headerValue(const HeaderList& headers, std::string_view name)
+{
+    const std::string* value = findHeader(headers, name);
+    return value ? *value : std::string();
+}
+
 std::string_view reasonPhrase(int status)
 {
     static const std::map<int, std::string_view> phrases { { 200, "OK" }, { 201, "Created" }, { 202, "Accepted" },
--- a/src/http/HeaderText.h
+++ b/src/http/HeaderText.h
@@ -18,6 +18,9 @@
 // Returns the value of the first header with the name, in any case, or nullptr. Thread safe.
 const std::string* findHeader(const HeaderList&, std::string_view name);
 
+// Returns the value of the first header with the name, in any case; empty if there is none. Thread safe.
+std::string headerValue(const HeaderList&, std::string_view name);
+
 // Returns the reason phrase of a status code. Thread safe.
 std::string_view reasonPhrase(int status);
 
--- a/src/logging/LogEvent.cpp
+++ b/src/logging/LogEvent.cpp
@@ -18,6 +18,8 @@
 
 std::string_view nameOf(LogSeverity severity) { return severityNames.nameOf(severity); }
 
+std::optional<LogSeverity> logSeverityNamed(std::string_view name) { return severityNames.valueOf(name); }
+
 const std::vector<LogEventDescription>& logEventCatalogue()
 {
     using enum LogSeverity;
--- a/src/placement/IdlePolicy.cpp
+++ b/src/placement/IdlePolicy.cpp
@@ -25,13 +25,6 @@
     constexpr double lossHorizonSeconds = 600;
     constexpr Duration minimumKeepAlive = std::chrono::seconds(10);
 
-    double toSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
-    Duration fromSeconds(double seconds)
-    {
-        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-    }
-
     double upperEdge(std::size_t bin) { return std::exp2(static_cast<double>(bin) / 2); }
 
     double middleOf(std::size_t bin) { return bin == 0 ? 0.5 : upperEdge(bin) * 0.85; }
@@ -55,7 +48,7 @@
         History& history = entry->second;
         history.idleCostPerSecond = effective.defaults.idleHourCost * part / secondsPerHour;
         history.coldStartCost
-            = effective.defaults.coldStartCost * toSeconds(model.expectedLoadTime) / referenceLoadSeconds;
+            = effective.defaults.coldStartCost * secondsOf(model.expectedLoadTime) / referenceLoadSeconds;
         history.loadTime = model.expectedLoadTime;
         if (isNew)
             history.bins.fill(priorWeight / binCount);
@@ -72,10 +65,10 @@
     if (!history.lastArrival) {
         history.sessionStart = now;
     } else {
-        const double gap = toSeconds(now - *history.lastArrival);
+        const double gap = secondsOf(now - *history.lastArrival);
         addGap(history, gap);
         if (gap >= sessionGapSeconds) {
-            history.sessionGaps[history.sessionGapCount++ % regularGaps] = toSeconds(now - history.sessionStart);
+            history.sessionGaps[history.sessionGapCount++ % regularGaps] = secondsOf(now - history.sessionStart);
             history.sessionStart = now;
             updatePeriod(history);
         }
@@ -114,7 +107,7 @@
             best = edge;
         }
     }
-    history.keepAlive = std::max(minimumKeepAlive, fromSeconds(best));
+    history.keepAlive = std::max(minimumKeepAlive, durationOfSeconds(best));
 }
 
 void IdlePolicy::updatePeriod(History& history)
@@ -132,8 +125,8 @@
     const double deviation = std::sqrt(std::max(0.0, squares / regularGaps - mean * mean));
     if (deviation > regularDeviation * mean)
         return;
-    history.period = fromSeconds(mean);
-    history.periodSpread = fromSeconds(2 * deviation) + std::chrono::seconds(5);
+    history.period = durationOfSeconds(mean);
+    history.periodSpread = durationOfSeconds(2 * deviation) + std::chrono::seconds(5);
 }
 
 Duration IdlePolicy::keepAlive(const ModelId& model) const
@@ -147,7 +140,7 @@
     // A regular model is unloaded only if the idle time up to the next predicted use costs more than
     // the few uses that the prediction misses.
     const Duration lead = history.loadTime + history.periodSpread;
-    const double saved = toSeconds(*history.period - 2 * lead) * history.idleCostPerSecond;
+    const double saved = secondsOf(*history.period - 2 * lead) * history.idleCostPerSecond;
     return saved <= missedPredictions * history.coldStartCost
         ? std::max(history.keepAlive, *history.period + history.periodSpread)
         : std::min(history.keepAlive, Duration(std::chrono::seconds(60)));
@@ -195,7 +188,7 @@
     const auto window = prefetchWindow(model);
     if (window && window->from <= now && now <= window->until)
         return history.coldStartCost;
-    const double idle = history.lastArrival ? toSeconds(now - *history.lastArrival) : secondsPerHour;
+    const double idle = history.lastArrival ? secondsOf(now - *history.lastArrival) : secondsPerHour;
     return history.coldStartCost * probabilityOfUse(history, idle, lossHorizonSeconds);
 }
 
--- a/src/reducer/StatusSections.cpp
+++ b/src/reducer/StatusSections.cpp
@@ -10,8 +10,6 @@
 
     using Json = nlohmann::json;
 
-    double secondsOf(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
 } // namespace
 
 std::string Reducer::hostsStatus(MonotonicTime now) const
--- a/src/replay/Replay.cpp
+++ b/src/replay/Replay.cpp
@@ -1,11 +1,11 @@
 #include <catkinwell/replay/Replay.h>
 
-#include "replay/ReplayLoad.h"
+#include "http/HeaderText.h"
+#include "replay/ReplayCallers.h"
+#include "replay/ReplayConfiguration.h"
 #include "replay/ReplayProtocol.h"
 #include <algorithm>
-#include <catkinwell/core/Digest.h>
 #include <catkinwell/gateway/GatewayRequests.h>
-#include <catkinwell/replay/ReplayEngine.h>
 #include <functional>
 #include <queue>
 
@@ -20,22 +20,9 @@
     constexpr Duration recordLag = std::chrono::milliseconds(300);
     constexpr Duration networkDelay = std::chrono::milliseconds(1);
     constexpr Duration orderDelay = std::chrono::milliseconds(4);
-    constexpr const char* service = "notes";
     constexpr std::size_t dataCentres = 3;
     // Places on the disks of the engines that hold no model at the start.
     constexpr unsigned diskCopiesPerEngine = 4;
-    // A refused caller comes back so many times.
-    constexpr unsigned usualRepeats = 1;
-
-    // One request of the load and its caller's repeats.
-    struct Caller {
-        LoadRequest request;
-        MonotonicTime askedAt {};
-        unsigned repeatsLeft = 0;
-        std::optional<MonotonicTime> firstPieceAt;
-        std::size_t host = 0;
-    };
-
     struct Host {
         Host(const HostId& id, std::uint64_t seed, const ReplayProtocol& protocol)
             : name(id)
@@ -62,13 +49,6 @@
         }
     };
 
-    struct TokenBucketLevel {
-        double level = 0;
-        MonotonicTime refilledAt {};
-    };
-
-    std::string keyOf(unsigned account) { return "key-" + std::to_string(account); }
-
     class ReplayRun {
     public:
         ReplayRun(const ReplaySettings&, const LoadPattern&);
@@ -77,8 +57,15 @@
     private:
         struct EffectExecutor;
 
+        // An attempt of a host at an engine. Engines see identifiers of the replay's own, because those of several
+        // hosts may be the same.
+        struct RunningJob {
+            std::size_t host = 0;
+            AttemptId attempt;
+            EndpointId engine;
+        };
+
         void addEngines();
-        GatewayConfiguration configuration() const;
         void later(Duration, std::function<void()>);
         void runDue();
         void advanceEngines();
@@ -88,16 +75,12 @@
         void publishRecords();
         void publish(ReplayEngine&);
         void sendNews();
-        void ask(const LoadRequest&);
         void send(const RequestId&);
-        void noteLimit(const Caller&, const EffectList&);
         void execute(std::size_t host, const EffectList&);
         void startAttempt(std::size_t host, const StartAttempt&);
         void cancelAttempt(std::size_t host, const AttemptId&);
         void give(const EngineOrder&);
         void fetchStatus(const FetchEngineStatus&);
-        void answerCaller(const RequestId&, int status, const HeaderList&);
-        void endCaller(const RequestId&, bool isServed);
         void handle(const JobEvent&);
         ReplayEngine* engineOf(const EndpointId&);
         unsigned storeLoads() const;
@@ -107,26 +90,18 @@
         const LoadPattern& m_pattern;
         ReplayProtocol m_protocol;
         ReplayLoad m_load;
-        RandomGenerator m_random;
         MonotonicTime m_start { std::chrono::hours(1) };
         MonotonicTime m_now = m_start;
+        ReplayCallers m_callers;
         std::vector<std::unique_ptr<Host>> m_hosts;
         std::vector<std::unique_ptr<ReplayEngine>> m_engines;
         std::set<std::size_t> m_awayEngines;
         std::unique_ptr<EnginePlacement> m_placement;
         std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
         std::uint64_t m_eventOrder = 0;
-        std::map<RequestId, Caller> m_callers;
-        // The host and the engine of each attempt.
-        std::map<AttemptId, std::pair<std::size_t, EndpointId>> m_attempts;
-        std::map<AttemptId, AttemptId> m_ownAttempts;
-        // What each account's bucket would hold if all hosts knew of each other at once.
-        std::map<unsigned, TokenBucketLevel> m_buckets;
-        std::uint64_t m_lastRequest = 0;
+        std::map<AttemptId, RunningJob> m_jobs;
         std::uint64_t m_lastJob = 0;
         ReplayReport m_report;
-        std::vector<std::vector<double>> m_firstPieces;
-        std::vector<double> m_refusalMs;
         std::map<std::string, unsigned> m_refusals;
         double m_storeBusySeconds = 0;
     };
@@ -140,18 +115,14 @@
         void operator()(const EngineOrder& effect) const { run.give(effect); }
         void operator()(const FetchEngineStatus& effect) const { run.fetchStatus(effect); }
         void operator()(const SendResponseHead&) const { }
-        void operator()(const SendResponseData& effect) const
-        {
-            if (const auto caller = run.m_callers.find(effect.id);
-                caller != run.m_callers.end() && !caller->second.firstPieceAt)
-                caller->second.firstPieceAt = run.m_now;
-        }
-        void operator()(const FinishResponse& effect) const { run.endCaller(effect.id, true); }
+        void operator()(const SendResponseData& effect) const { run.m_callers.noteFirstPiece(effect.id, run.m_now); }
+        void operator()(const FinishResponse& effect) const { run.m_callers.end(effect.id, true, run.m_now); }
+        void operator()(const AbortResponse& effect) const { run.m_callers.end(effect.id, false, run.m_now); }
         void operator()(const SendWholeResponse& effect) const
         {
-            run.answerCaller(effect.id, effect.status, effect.headers);
+            if (const auto repeat = run.m_callers.answer(effect.id, effect.status, effect.headers, run.m_now))
+                run.later(repeat->after, [&run = run, id = repeat->id] { run.send(id); });
         }
-        void operator()(const AbortResponse& effect) const { run.endCaller(effect.id, false); }
         void operator()(const LogEntry& effect) const
         {
             if (effect.event != LogEvent::GatewayRequestRefused)
@@ -168,9 +139,7 @@
         : m_settings(settings)
         , m_pattern(pattern)
         , m_load(settings, pattern)
-        , m_random(settings.seed + 1)
-        , m_firstPieces(settings.kinds.size())
-        , m_refusalMs(settings.kinds.size(), 0)
+        , m_callers(settings, m_load, m_start)
     {
         std::set<HostId> names;
         for (unsigned i = 0; i < settings.hosts; ++i) {
@@ -178,7 +147,7 @@
             names.insert(name);
             m_hosts.push_back(std::make_unique<Host>(name, settings.seed + i, m_protocol));
         }
-        const GatewayConfiguration shared = configuration();
+        const GatewayConfiguration shared = replayConfiguration(settings, m_load);
         for (const auto& host : m_hosts) {
             host->requests.configure(shared);
             host->requests.setHostCount(m_hosts.size());
@@ -193,57 +162,6 @@
             m_placement->setPermission(
                 PlacementPermission { m_hosts.front()->name, 1, m_now, m_now + std::chrono::hours(10) }, m_now);
         addEngines();
-        for (const RequestKind& kind : settings.kinds) {
-            m_report.kinds.emplace_back();
-            m_report.kinds.back().name = kind.name;
-        }
-    }
-
-    GatewayConfiguration ReplayRun::configuration() const
-    {
-        GatewayConfiguration result;
-        result.version = 1;
-        for (const RequestKind& kind : m_settings.kinds) {
-            Route route;
-            route.name = kind.name;
-            route.host = "replay";
-            route.prefix = "/" + kind.name + "/";
-            route.isStream = true;
-            route.isResumable = kind.isResumable;
-            route.timeout = kind.timeLimit;
-            route.latencyGoal = kind.latencyGoal;
-            route.maximumAttempts = 2;
-            route.targets = { { service, 1 } };
-            result.routes.push_back(route);
-        }
-        GatewayEngine engine;
-        const EngineShape& shape = m_settings.engine;
-        engine.batchSize = shape.slots;
-        engine.memoryMb = 100.0 * shape.residentModels + shape.adapterSlots;
-        engine.adapterSlots = shape.adapterSlots;
-        engine.loadsPerSecond = shape.storeLoadsPerSecond;
-        for (unsigned i = 0; i < m_settings.models; ++i) {
-            GatewayModel model;
-            model.id = replayModel(i);
-            model.memoryMb = 100;
-            model.adapterMb = 1;
-            model.adapterCount = i == 0 ? m_settings.adapters : 0;
-            model.loadFromStore = shape.loadFromStore;
-            model.loadFromDisk = shape.loadFromDisk;
-            model.loadFromMemory = shape.loadFromDisk;
-            engine.models.emplace(model.id, model);
-        }
-        result.services[service] = { service, "/health", engine };
-        for (unsigned i = 0; i < m_settings.accounts; ++i) {
-            GatewayAccount account;
-            account.id = AccountId("account-" + std::to_string(i));
-            account.countsTokens = true;
-            account.unitsPerSecond = m_load.usualRate(i) * m_settings.accountHeadroom;
-            account.burst = account.unitsPerSecond;
-            result.accountOfKeyDigest[sha256Hex(keyOf(i))] = account.id;
-            result.accounts.emplace(account.id, account);
-        }
-        return result;
     }
 
     // The busy models are on many engines, the others on one each, as far as there is room.
@@ -296,7 +214,7 @@
     {
         const unsigned loads = storeLoads();
         if (loads >= m_settings.engine.storeConcurrency)
-            m_storeBusySeconds += std::chrono::duration<double>(step).count();
+            m_storeBusySeconds += secondsOf(step);
         for (std::size_t i = 0; i < m_engines.size(); ++i) {
             if (m_awayEngines.contains(i))
                 continue;
@@ -401,63 +319,20 @@
         }
     }
 
-    void ReplayRun::ask(const LoadRequest& request)
-    {
-        const RequestId id(++m_lastRequest);
-        Caller& caller = m_callers[id];
-        caller.request = request;
-        caller.askedAt = m_now;
-        caller.host = m_random.below(m_hosts.size());
-        const auto eager = m_load.strengthOf(LoadChange::EagerCallers, m_now - m_start);
-        caller.repeatsLeft = usualRepeats + static_cast<unsigned>(eager.value_or(0));
-        ++m_report.kinds[request.kind].asked;
-        send(id);
-    }
-
     void ReplayRun::send(const RequestId& id)
     {
-        const Caller& caller = m_callers.at(id);
-        const RequestKind& kind = m_settings.kinds[caller.request.kind];
-        RequestArrived arrived;
-        arrived.id = id;
-        arrived.method = "POST";
-        arrived.path = "/" + kind.name + "/" + std::to_string(id.value);
-        arrived.target = arrived.path;
-        arrived.keyDigest = sha256Hex(keyOf(caller.request.account));
-        const auto left
-            = std::chrono::duration_cast<std::chrono::milliseconds>(kind.timeLimit - (m_now - caller.askedAt));
-        arrived.headers = { { "host", "replay" }, { "id", std::to_string(id.value) },
-            { "left", std::to_string(left.count()) }, { "model", caller.request.variant.text() },
-            { "tokens", std::to_string(kind.sharedTokens + kind.ownTokens + kind.outputTokens) },
-            { "part", kind.name + "-" + std::to_string(caller.request.account) } };
-        Host& host = *m_hosts[caller.host];
+        const std::size_t index = m_callers.hostOf(id);
+        Host& host = *m_hosts[index];
         EffectList effects;
-        host.requests.handle(arrived, m_now, effects);
+        host.requests.handle(m_callers.message(id, m_now), m_now, effects);
         if (host.requests.takeNewlyWaiting())
             m_placement->handle(host.name, host.requests.demand().report(false, m_now), m_now);
-        noteLimit(caller, effects);
-        execute(caller.host, effects);
-    }
-
-    // Counts a refusal of a request whose account had the units over all hosts.
-    void ReplayRun::noteLimit(const Caller& caller, const EffectList& effects)
-    {
-        const RequestKind& kind = m_settings.kinds[caller.request.kind];
-        const double rate = m_load.usualRate(caller.request.account) * m_settings.accountHeadroom;
-        const double units = kind.sharedTokens + kind.ownTokens + kind.outputTokens;
-        auto [found, isNew] = m_buckets.try_emplace(caller.request.account, TokenBucketLevel { rate / 2, m_start });
-        TokenBucketLevel& bucket = found->second;
-        bucket.level
-            = std::min(rate, bucket.level + rate * std::chrono::duration<double>(m_now - bucket.refilledAt).count());
-        bucket.refilledAt = m_now;
-        const bool isRefused = std::any_of(effects.begin(), effects.end(), [](const Effect& effect) {
+        const bool isRefusedForLimit = std::any_of(effects.begin(), effects.end(), [](const Effect& effect) {
             const auto* answer = std::get_if<SendWholeResponse>(&effect);
             return answer && answer->status == 429;
         });
-        if (!isRefused)
-            bucket.level -= units;
-        else if (bucket.level >= units)
-            ++m_report.refusedBelowLimit;
+        m_callers.noteLimit(id, isRefusedForLimit, m_now);
+        execute(index, effects);
     }
 
     void ReplayRun::execute(std::size_t host, const EffectList& effects)
@@ -466,53 +341,39 @@
             std::visit(EffectExecutor { *this, host }, effect);
     }
 
-    // Attempts of several hosts may have the same identifier; engines see one of the replay's own.
     void ReplayRun::startAttempt(std::size_t host, const StartAttempt& start)
     {
-        const auto callerId = RequestId(std::stoull(start.headers.at(1).second));
-        const Caller& caller = m_callers.at(callerId);
-        const RequestKind& kind = m_settings.kinds[caller.request.kind];
-        EngineJob job;
+        EngineJob job = m_callers.job(RequestId(std::stoull(headerValue(start.headers, "id"))));
         job.id = AttemptId(++m_lastJob);
-        job.variant = caller.request.variant;
-        job.sharedPart = kind.name + "-" + std::to_string(caller.request.account);
-        job.sharedTokens = kind.sharedTokens;
-        job.ownTokens = kind.ownTokens;
-        job.outputTokens = kind.outputTokens;
-        m_attempts[job.id] = { host, start.endpoint };
-        m_ownAttempts[job.id] = start.id;
+        m_jobs[job.id] = { host, start.id, start.endpoint };
         later(networkDelay, [this, job, endpoint = start.endpoint] {
-            ReplayEngine* engine = engineOf(endpoint);
-            if (!m_attempts.contains(job.id))
-                return;
-            if (!engine->add(job, m_now))
+            if (m_jobs.contains(job.id) && !engineOf(endpoint)->add(job, m_now))
                 later(networkDelay, [this, id = job.id] { handle({ id, JobEvent::Kind::TurnedAway, m_now }); });
         });
     }
 
-    void ReplayRun::cancelAttempt(std::size_t host, const AttemptId& own)
+    void ReplayRun::cancelAttempt(std::size_t host, const AttemptId& attempt)
     {
-        for (const auto& [job, attempt] : m_ownAttempts) {
-            if (attempt != own)
-                continue;
-            const auto found = m_attempts.find(job);
-            if (found != m_attempts.end() && found->second.first == host)
-                engineOf(found->second.second)->cancel(job);
-        }
+        const auto found = std::find_if(m_jobs.begin(), m_jobs.end(),
+            [&](const auto& item) { return item.second.host == host && item.second.attempt == attempt; });
+        if (found == m_jobs.end())
+            return;
+        engineOf(found->second.engine)->cancel(found->first);
+        m_jobs.erase(found);
     }
 
     void ReplayRun::handle(const JobEvent& event)
     {
-        const auto found = m_attempts.find(event.id);
-        if (found == m_attempts.end())
+        const auto found = m_jobs.find(event.id);
+        if (found == m_jobs.end())
             return;
-        const std::size_t index = found->second.first;
+        const std::size_t index = found->second.host;
+        const AttemptId own = found->second.attempt;
         GatewayRequests& requests = m_hosts[index]->requests;
-        const AttemptId own = m_ownAttempts.at(event.id);
         EffectList effects;
         switch (event.kind) {
         case JobEvent::Kind::Output:
-            requests.handle(AttemptHead { own, 200, {} }, m_now, effects);
+            requests.handle(AttemptHead { own, 200, { { "sealed", "1" } } }, m_now, effects);
             requests.handle(AttemptData { own, "id: 1\ndata: x\n\n" }, m_now, effects);
             break;
         case JobEvent::Kind::Finished:
@@ -527,10 +388,8 @@
                 m_now, effects);
             break;
         }
-        if (event.kind != JobEvent::Kind::Output) {
-            m_attempts.erase(event.id);
-            m_ownAttempts.erase(event.id);
-        }
+        if (event.kind != JobEvent::Kind::Output)
+            m_jobs.erase(found);
         execute(index, effects);
     }
 
@@ -562,76 +421,10 @@
         });
     }
 
-    void ReplayRun::answerCaller(const RequestId& id, int status, const HeaderList& headers)
-    {
-        const auto found = m_callers.find(id);
-        if (found == m_callers.end())
-            return;
-        Caller& caller = found->second;
-        const RequestKind& kind = m_settings.kinds[caller.request.kind];
-        const bool isRefusal = status == 429 || status == 503;
-        if (isRefusal && caller.repeatsLeft > 0) {
-            --caller.repeatsLeft;
-            double wait = 0.05;
-            const bool isEager = m_load.strengthOf(LoadChange::EagerCallers, m_now - m_start).has_value();
-            for (const auto& [name, value] : headers) {
-                if (name == "Retry-After" && !isEager)
-                    wait = std::max(wait, std::atof(value.c_str()));
-            }
-            const auto delay = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait));
-            if (m_now + delay < caller.askedAt + kind.timeLimit) {
-                // The repeat is a new request to the gateways, of the same caller.
-                const RequestId next(++m_lastRequest);
-                Caller again = caller;
-                again.host = m_random.below(m_hosts.size());
-                m_callers.erase(found);
-                m_callers.emplace(next, again);
-                later(delay, [this, next] { send(next); });
-                return;
-            }
-        }
-        KindReport& report = m_report.kinds[caller.request.kind];
-        if (isRefusal) {
-            ++report.refused;
-            m_refusalMs[caller.request.kind]
-                += std::chrono::duration<double, std::milli>(m_now - caller.askedAt).count();
-            m_callers.erase(found);
-        } else {
-            endCaller(id, false);
-        }
-    }
-
-    void ReplayRun::endCaller(const RequestId& id, bool isServed)
-    {
-        const auto found = m_callers.find(id);
-        if (found == m_callers.end())
-            return;
-        const Caller& caller = found->second;
-        const RequestKind& kind = m_settings.kinds[caller.request.kind];
-        KindReport& report = m_report.kinds[caller.request.kind];
-        if (!isServed || !caller.firstPieceAt || m_now - caller.askedAt > kind.timeLimit) {
-            ++report.failed;
-        } else {
-            const Duration first = *caller.firstPieceAt - caller.askedAt;
-            m_firstPieces[caller.request.kind].push_back(std::chrono::duration<double, std::milli>(first).count());
-            ++(first <= kind.latencyGoal ? report.inGoal : report.late);
-        }
-        m_callers.erase(found);
-    }
-
     void ReplayRun::finishReport()
     {
-        const double seconds = std::chrono::duration<double>(m_settings.length).count();
-        for (std::size_t kind = 0; kind < m_firstPieces.size(); ++kind) {
-            std::vector<double>& pieces = m_firstPieces[kind];
-            std::sort(pieces.begin(), pieces.end());
-            KindReport& report = m_report.kinds[kind];
-            if (!pieces.empty()) {
-                report.medianFirstPieceMs = pieces[pieces.size() / 2];
-                report.highFirstPieceMs = pieces[pieces.size() * 95 / 100];
-            }
-            report.meanRefusalMs = report.refused == 0 ? 0 : m_refusalMs[kind] / report.refused;
-        }
+        m_callers.fill(m_report);
+        const double seconds = secondsOf(m_settings.length);
         m_report.refusals.assign(m_refusals.begin(), m_refusals.end());
         m_report.storeBusyShare = m_storeBusySeconds / seconds;
         double total = 0;
@@ -657,14 +450,14 @@
         const MonotonicTime loadEnd = m_start + m_settings.length;
         const MonotonicTime end = loadEnd + longest;
         const auto isDue = [this](Duration interval) { return (m_now - m_start) % interval == Duration::zero(); };
-        while (m_now < end && (m_now < loadEnd || !m_callers.empty())) {
+        while (m_now < end && (m_now < loadEnd || m_callers.hasOpenRequests())) {
             m_now += step;
             runDue();
             moveEngines();
             advanceEngines();
             if (m_now < loadEnd) {
                 for (const LoadRequest& request : m_load.arrivals(m_now - m_start, step))
-                    ask(request);
+                    send(m_callers.ask(request, m_now));
             }
             if (isDue(recordInterval))
                 publishRecords();
@@ -673,8 +466,6 @@
             if (isDue(tickInterval))
                 tickHosts();
         }
-        for (const auto& [id, caller] : m_callers)
-            ++m_report.kinds[caller.request.kind].failed;
         finishReport();
         return m_report;
     }
--- /dev/null
+++ b/src/replay/ReplayCallers.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "replay/ReplayLoad.h"
+#include <catkinwell/http/HttpTypes.h>
+#include <catkinwell/replay/ReplayEngine.h>
+#include <catkinwell/replay/ReplayReport.h>
+
+namespace Catkinwell {
+
+// The callers of a replay: what they ask, when they come back after a refusal, and what became of their requests.
+// Not thread safe.
+class ReplayCallers {
+public:
+    // A caller that comes back. It has another request for the gateways then.
+    struct Repeat {
+        RequestId id;
+        Duration after {};
+    };
+
+    // Precondition: the settings and the load outlive this object.
+    ReplayCallers(const ReplaySettings&, const ReplayLoad&, MonotonicTime start);
+
+    RequestId ask(const LoadRequest&, MonotonicTime now);
+    // Preconditions of the following three: the request is open.
+    std::size_t hostOf(const RequestId& id) const { return m_callers.at(id).host; }
+    RequestArrived message(const RequestId&, MonotonicTime now) const;
+    EngineJob job(const RequestId&) const;
+
+    // Compares the host's decision on the account's limit with that of a host which knows of all others at once.
+    void noteLimit(const RequestId&, bool isRefusedForLimit, MonotonicTime now);
+    void noteFirstPiece(const RequestId&, MonotonicTime now);
+    // The whole answer of a gateway. Returns the repeat if the caller comes back.
+    std::optional<Repeat> answer(const RequestId&, int status, const HeaderList&, MonotonicTime now);
+    void end(const RequestId&, bool isServed, MonotonicTime now);
+
+    bool hasOpenRequests() const { return !m_callers.empty(); }
+    // Fills in the kinds; what is still open has failed.
+    void fill(ReplayReport&) const;
+
+private:
+    struct Caller {
+        LoadRequest request;
+        MonotonicTime askedAt {};
+        unsigned repeatsLeft = 0;
+        std::optional<MonotonicTime> firstPieceAt;
+        std::size_t host = 0;
+    };
+
+    // What an account may still spend if all hosts know of each other at once. Unlike a TokenBucket it also takes what
+    // the hosts admitted beyond the limit.
+    struct AccountBucket {
+        double level = 0;
+        MonotonicTime refilledAt {};
+    };
+
+    // What became of the requests of one kind.
+    struct Outcomes {
+        KindReport report;
+        std::vector<double> firstPieceMs;
+        double refusalMs = 0;
+    };
+
+    const RequestKind& kindOf(const Caller& caller) const { return m_settings.kinds[caller.request.kind]; }
+    std::optional<Repeat> comeBack(const RequestId&, const HeaderList&, MonotonicTime now);
+
+    const ReplaySettings& m_settings;
+    const ReplayLoad& m_load;
+    MonotonicTime m_start;
+    RandomGenerator m_random;
+    std::map<RequestId, Caller> m_callers;
+    std::uint64_t m_lastRequest = 0;
+    std::vector<Outcomes> m_outcomes;
+    std::vector<AccountBucket> m_buckets;
+    unsigned m_refusedBelowLimit = 0;
+};
+
+} // namespace Catkinwell
--- a/src/replay/ReplayEngine.cpp
+++ b/src/replay/ReplayEngine.cpp
@@ -12,13 +12,6 @@
     constexpr double promptTokensPerStep = 2048;
     constexpr std::size_t keptParts = 32;
 
-    double secondsOf(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
-    Duration millisecondsOf(double value)
-    {
-        return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(value));
-    }
-
 } // namespace
 
 ReplayEngine::ReplayEngine(EndpointId id, DataCentreId dataCentre, const EngineShape& shape)
@@ -116,7 +109,7 @@
         readTokens += part;
     }
     const Duration length = m_shape.step + m_shape.stepPerRequest * static_cast<std::int64_t>(m_running.size())
-        + millisecondsOf(readTokens / m_shape.promptTokensPerMillisecond);
+        + durationOfMilliseconds(readTokens / m_shape.promptTokensPerMillisecond);
     m_stepAt += length;
     m_runningSeconds += static_cast<double>(m_running.size()) * secondsOf(length);
     for (auto running = m_running.begin(); running != m_running.end();) {
--- a/src/replay/ReplayLoad.cpp
+++ b/src/replay/ReplayLoad.cpp
@@ -95,7 +95,7 @@
 std::vector<LoadRequest> ReplayLoad::arrivals(Duration since, Duration step)
 {
     std::vector<LoadRequest> requests;
-    const double seconds = std::chrono::duration<double>(step).count();
+    const double seconds = secondsOf(step);
     const double hot = strengthOf(LoadChange::HotAccount, since) ? 1.5 : 1;
     for (std::size_t kind = 0; kind < m_settings.kinds.size(); ++kind) {
         const double factor = kind == 0 ? strengthOf(LoadChange::Burst, since).value_or(1) : 1;
--- a/src/replay/ReplayProtocol.cpp
+++ b/src/replay/ReplayProtocol.cpp
@@ -5,44 +5,38 @@
 
 namespace Catkinwell {
 
-namespace {
-
-    std::string valueOf(const HeaderList& headers, std::string_view name)
-    {
-        const std::string* found = findHeader(headers, name);
-        return found ? *found : "";
-    }
-
-} // namespace
-
 RequestTerms ReplayProtocol::termsOf(const RequestArrived& request) const
 {
     RequestTerms terms;
-    terms.callerRequestId = valueOf(request.headers, "id");
-    terms.timeLeft = std::chrono::milliseconds(std::atoll(valueOf(request.headers, "left").c_str()));
-    const std::string model = valueOf(request.headers, "model");
+    terms.callerRequestId = headerValue(request.headers, "id");
+    if (const std::string* left = findHeader(request.headers, "left"))
+        terms.timeLeft = std::chrono::milliseconds(std::atoll(left->c_str()));
+    const std::string model = headerValue(request.headers, "model");
     const std::size_t slash = model.find('/');
     terms.variant.model = ModelId(model.substr(0, slash));
     if (slash != std::string::npos)
         terms.variant.adapter = model.substr(slash + 1);
-    terms.tokens = std::atof(valueOf(request.headers, "tokens").c_str());
-    terms.promptParts = { valueOf(request.headers, "part"), terms.callerRequestId };
+    terms.tokens = std::atof(headerValue(request.headers, "tokens").c_str());
+    if (const std::string* part = findHeader(request.headers, "part"))
+        terms.promptParts = { *part, terms.callerRequestId };
     return terms;
 }
 
 HeaderList ReplayProtocol::attemptHeaders(const HeaderList& callerHeaders, const AttemptTerms& terms) const
 {
     HeaderList headers = callerHeaders;
+    headers.emplace_back("account", terms.account.value);
     if (!terms.lastEventId.empty())
         headers.emplace_back("after", terms.lastEventId);
     return headers;
 }
 
-AnswerTerms ReplayProtocol::termsOf(int, const HeaderList& headers) const
+AnswerTerms ReplayProtocol::termsOf(int status, const HeaderList& headers) const
 {
     AnswerTerms terms;
-    terms.isNotExecuted = findHeader(headers, "not-executed") != nullptr;
-    terms.isSealed = true;
+    terms.isMisdirected = status == 421;
+    terms.isNotExecuted = terms.isMisdirected || findHeader(headers, "not-executed");
+    terms.isSealed = findHeader(headers, "sealed") != nullptr;
     return terms;
 }
 
--- /dev/null
+++ b/src/runtime/CommonEffects.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <catkinwell/endpoint/EngineClient.h>
+#include <catkinwell/http/CallerListener.h>
+#include <catkinwell/logging/EventLog.h>
+#include <catkinwell/reducer/Effect.h>
+#include <catkinwell/store/HttpStoreClient.h>
+
+namespace Catkinwell {
+
+// Carries out the effects that every kind of process has in the same way: answers to callers, attempts at endpoints,
+// store calls and log lines. Executor derives from it and has listenerOf(RequestId), attempts(), store() and log().
+template <typename Executor> struct CommonEffects {
+    void operator()(const SendResponseHead& effect) const { self().listenerOf(effect.id).execute(effect); }
+    void operator()(const SendResponseData& effect) const { self().listenerOf(effect.id).execute(effect); }
+    void operator()(const FinishResponse& effect) const { self().listenerOf(effect.id).execute(effect); }
+    void operator()(const SendWholeResponse& effect) const { self().listenerOf(effect.id).execute(effect); }
+    void operator()(const AbortResponse& effect) const { self().listenerOf(effect.id).execute(effect); }
+    void operator()(const StartAttempt& effect) const { self().attempts().execute(effect); }
+    void operator()(const CancelAttempt& effect) const { self().attempts().execute(effect); }
+    void operator()(const ThrottleAttempt& effect) const { self().attempts().execute(effect); }
+    void operator()(const StoreCall& effect) const { self().store().execute(effect); }
+    void operator()(const LogEntry& effect) const { self().log().write(effect); }
+    // The reducer keeps the metrics itself.
+    void operator()(const RecordMetric&) const { }
+
+private:
+    const Executor& self() const { return static_cast<const Executor&>(*this); }
+};
+
+// Connects the events of answers and attempts, which every kind of process has, to the slot.
+template <typename Slot> void connectCommonEvents(CallerListener& callers, EngineClient& attempts, const Slot& slot)
+{
+    callers.signalRequest().connect(slot);
+    callers.signalCallerLeft().connect(slot);
+    callers.signalBackpressure().connect(slot);
+    attempts.signalHead().connect(slot);
+    attempts.signalData().connect(slot);
+    attempts.signalFinished().connect(slot);
+    attempts.signalFailed().connect(slot);
+}
+
+} // namespace Catkinwell
--- a/src/runtime/GatewayRuntime.cpp
+++ b/src/runtime/GatewayRuntime.cpp
@@ -3,13 +3,11 @@
 #include "platform/EngineControl.h"
 #include "platform/KeyValueProtocol.h"
 #include "platform/PlatformProtocol.h"
+#include "runtime/CommonEffects.h"
 #include "runtime/ReducerLoop.h"
 #include <catkinwell/core/Digest.h>
-#include <catkinwell/endpoint/EngineClient.h>
 #include <catkinwell/gateway/GatewayReducer.h>
-#include <catkinwell/http/CallerListener.h>
 #include <catkinwell/http/HttpClient.h>
-#include <catkinwell/logging/EventLog.h>
 #include <catkinwell/peer/PeerTransport.h>
 #include <csignal>
 
@@ -79,19 +77,22 @@
     int m_exitCode = 0;
 };
 
-// Carries out effects; one overload for each kind.
-struct GatewayRuntime::Implementation::EffectExecutor {
+// Carries out the effects that only this kind of process has, and those of CommonEffects.
+struct GatewayRuntime::Implementation::EffectExecutor : CommonEffects<EffectExecutor> {
+    using CommonEffects<EffectExecutor>::operator();
+
+    explicit EffectExecutor(Implementation& owner)
+        : runtime(owner)
+    {
+    }
+
+    CallerListener& listenerOf(RequestId id) const { return runtime.listenerOf(id); }
+    EngineClient& attempts() const { return runtime.m_attempts; }
+    HttpStoreClient& store() const { return runtime.m_store; }
+    EventLog& log() const { return runtime.m_log; }
+
     Implementation& runtime;
 
-    void operator()(const SendResponseHead& effect) const { runtime.listenerOf(effect.id).execute(effect); }
-    void operator()(const SendResponseData& effect) const { runtime.listenerOf(effect.id).execute(effect); }
-    void operator()(const FinishResponse& effect) const { runtime.listenerOf(effect.id).execute(effect); }
-    void operator()(const SendWholeResponse& effect) const { runtime.listenerOf(effect.id).execute(effect); }
-    void operator()(const AbortResponse& effect) const { runtime.listenerOf(effect.id).execute(effect); }
-    void operator()(const StartAttempt& effect) const { runtime.m_attempts.execute(effect); }
-    void operator()(const CancelAttempt& effect) const { runtime.m_attempts.execute(effect); }
-    void operator()(const ThrottleAttempt& effect) const { runtime.m_attempts.execute(effect); }
-    void operator()(const StoreCall& effect) const { runtime.m_store.execute(effect); }
     void operator()(const FetchEngineStatus& effect) const { runtime.m_engines.execute(effect); }
     void operator()(const EngineOrder& effect) const { runtime.m_engines.execute(effect); }
     void operator()(const SendToPeer& effect) const
@@ -107,9 +108,6 @@
     void operator()(const StartPeerTransport& effect) const { runtime.startPeers(effect.clusterSecret); }
     void operator()(const SetCallerLimits& effect) const { runtime.m_callers.setLimits(effect.limits); }
     void operator()(const AnnounceClosing&) const { runtime.m_callers.beginClosing(); }
-    void operator()(const LogEntry& effect) const { runtime.m_log.write(effect); }
-    // The reducer keeps the metrics itself.
-    void operator()(const RecordMetric&) const { }
     // Only a model-serving host has these effects.
     void operator()(const FetchEndpointReport&) const { }
     void operator()(const PlacementCommand&) const { }
@@ -149,17 +147,11 @@
 void GatewayRuntime::Implementation::connectSignals()
 {
     const auto postEvent = [this](const auto& event) { m_events.post(event); };
-    m_callers.signalRequest().connect(postEvent);
-    m_callers.signalCallerLeft().connect(postEvent);
-    m_callers.signalBackpressure().connect(postEvent);
+    connectCommonEvents(m_callers, m_attempts, postEvent);
     for (CallerListener* listener : { &m_status, &m_metrics })
         listener->signalRequest().connect(
             [this](const RequestArrived& request) { m_events.post(AdminRequestArrived { request }); });
     m_store.signalReply().connect(postEvent);
-    m_attempts.signalHead().connect(postEvent);
-    m_attempts.signalData().connect(postEvent);
-    m_attempts.signalFinished().connect(postEvent);
-    m_attempts.signalFailed().connect(postEvent);
     m_engines.signalStatus().connect(postEvent);
     m_engines.signalStatusFailed().connect(postEvent);
     m_engines.signalOrderFinished().connect(postEvent);
@@ -233,7 +225,7 @@
 void GatewayRuntime::Implementation::apply(const GatewayEvent& event)
 {
     for (const Effect& effect : m_reducer.apply(event, m_clock.monotonicNow()))
-        std::visit(EffectExecutor { *this }, effect);
+        std::visit(EffectExecutor(*this), effect);
 }
 
 GatewayRuntime::GatewayRuntime(GatewaySettings settings, std::string settingsFile)
--- a/src/runtime/ReducerLoop.h
+++ b/src/runtime/ReducerLoop.h
@@ -52,8 +52,8 @@
     {
         const MonotonicTime now = m_clock.monotonicNow();
         if (now - m_lastTick > stallThreshold) {
-            const auto stalled = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_lastTick).count();
-            m_log.write({ LogEvent::LoopStalled, { { "milliseconds", std::to_string(stalled) } } });
+            m_log.write(
+                { LogEvent::LoopStalled, { { "milliseconds", std::to_string(millisecondsOf(now - m_lastTick)) } } });
         }
         m_lastTick = now;
         post(Tick { m_clock.wallNow() });
@@ -94,8 +94,7 @@
 // Distinguishes two runs of one host even if its clock went back a little between them.
 inline Incarnation newIncarnation(const Clock& clock)
 {
-    return static_cast<Incarnation>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(clock.wallNow().time_since_epoch()).count());
+    return static_cast<Incarnation>(millisecondsOf(clock.wallNow().time_since_epoch()));
 }
 
 } // namespace Catkinwell
--- a/src/runtime/Runtime.cpp
+++ b/src/runtime/Runtime.cpp
@@ -1,11 +1,9 @@
 #include <catkinwell/runtime/Runtime.h>
 
+#include "runtime/CommonEffects.h"
 #include "runtime/ReducerLoop.h"
 #include <catkinwell/core/Digest.h>
-#include <catkinwell/endpoint/EngineClient.h>
-#include <catkinwell/http/CallerListener.h>
 #include <catkinwell/http/HttpClient.h>
-#include <catkinwell/logging/EventLog.h>
 #include <catkinwell/peer/PeerTransport.h>
 #include <catkinwell/reducer/Reducer.h>
 #include <catkinwell/store/ConsulStoreClient.h>
@@ -72,26 +70,26 @@
     int m_exitCode = 0;
 };
 
-// Carries out effects; one overload for each kind.
-struct Runtime::Implementation::EffectExecutor {
+// Carries out the effects that only this kind of process has, and those of CommonEffects.
+struct Runtime::Implementation::EffectExecutor : CommonEffects<EffectExecutor> {
+    using CommonEffects<EffectExecutor>::operator();
+
+    explicit EffectExecutor(Implementation& owner)
+        : runtime(owner)
+    {
+    }
+
+    CallerListener& listenerOf(RequestId id) const { return runtime.listenerOf(id); }
+    EngineClient& attempts() const { return runtime.m_engines; }
+    HttpStoreClient& store() const { return runtime.m_store; }
+    EventLog& log() const { return runtime.m_log; }
+
     Implementation& runtime;
 
-    void operator()(const SendResponseHead& effect) const { runtime.listenerOf(effect.id).execute(effect); }
-    void operator()(const SendResponseData& effect) const { runtime.listenerOf(effect.id).execute(effect); }
-    void operator()(const FinishResponse& effect) const { runtime.listenerOf(effect.id).execute(effect); }
-    void operator()(const SendWholeResponse& effect) const { runtime.listenerOf(effect.id).execute(effect); }
-    void operator()(const AbortResponse& effect) const { runtime.listenerOf(effect.id).execute(effect); }
-    void operator()(const StartAttempt& effect) const { runtime.m_engines.execute(effect); }
-    void operator()(const CancelAttempt& effect) const { runtime.m_engines.execute(effect); }
-    void operator()(const ThrottleAttempt& effect) const { runtime.m_engines.execute(effect); }
     void operator()(const FetchEndpointReport& effect) const { runtime.m_engines.execute(effect); }
     void operator()(const PlacementCommand& effect) const { runtime.m_engines.execute(effect); }
-    void operator()(const StoreCall& effect) const { runtime.m_store.execute(effect); }
     void operator()(const SendToPeer& effect) const { runtime.m_peers.send(effect); }
     void operator()(const SetPeerAddresses& effect) const { runtime.m_peers.setPeerAddresses(effect.addresses); }
-    void operator()(const LogEntry& effect) const { runtime.m_log.write(effect); }
-    // The reducer keeps the metrics itself.
-    void operator()(const RecordMetric&) const { }
     // Only a gateway has these effects.
     void operator()(const SetCallerLimits&) const { }
     void operator()(const AnnounceClosing&) const { }
@@ -125,19 +123,13 @@
 void Runtime::Implementation::connectSignals()
 {
     const auto postEvent = [this](const auto& event) { m_events.post(event); };
-    m_callers.signalRequest().connect(postEvent);
-    m_callers.signalCallerLeft().connect(postEvent);
-    m_callers.signalBackpressure().connect(postEvent);
+    connectCommonEvents(m_callers, m_engines, postEvent);
     m_administration.signalRequest().connect(
         [this](const RequestArrived& request) { m_events.post(AdminRequestArrived { request }); });
     m_administration.signalCallerLeft().connect(postEvent);
     m_store.signalReply().connect(postEvent);
     m_peers.messageReceived().connect(postEvent);
     m_peers.logEntry().connect([this](const LogEntry& entry) { m_log.write(entry); });
-    m_engines.signalHead().connect(postEvent);
-    m_engines.signalData().connect(postEvent);
-    m_engines.signalFinished().connect(postEvent);
-    m_engines.signalFailed().connect(postEvent);
     m_engines.signalReport().connect(postEvent);
     m_engines.signalReportFailed().connect(postEvent);
     m_engines.signalCommandFinished().connect(postEvent);
@@ -178,7 +170,7 @@
 void Runtime::Implementation::apply(const Event& event)
 {
     for (const Effect& effect : m_reducer.apply(event, m_clock.monotonicNow()))
-        std::visit(EffectExecutor { *this }, effect);
+        std::visit(EffectExecutor(*this), effect);
 }
 
 Runtime::Runtime(ProcessSettings settings)
--- a/src/settings/ProcessSettings.cpp
+++ b/src/settings/ProcessSettings.cpp
@@ -2,11 +2,11 @@
 
 #include "http/SocketAddress.h"
 #include "settings/ProcessSettingsSchema.h"
+#include "settings/SettingsFile.h"
 #include <catkinwell/settings/SchemaCheck.h>
 #include <cstdlib>
 #include <fstream>
 #include <nlohmann/json.hpp>
-#include <sstream>
 
 namespace Catkinwell {
 
@@ -62,16 +62,6 @@
         return listener;
     }
 
-    LogSeverity severityOf(const std::string& name)
-    {
-        for (const LogSeverity severity :
-            { LogSeverity::Debug, LogSeverity::Info, LogSeverity::Warning, LogSeverity::Error }) {
-            if (nameOf(severity) == name)
-                return severity;
-        }
-        return LogSeverity::Info;
-    }
-
     Status checkAddresses(const ProcessSettings& settings)
     {
         const std::pair<std::string, std::string> addresses[] = { { settings.callers.address, "/callers/listen" },
@@ -121,7 +111,8 @@
     for (const auto& [host, address] : seeds.items())
         settings.seedPeers[HostId(host)] = address.get<std::string>();
     if (document.contains("log")) {
-        settings.log.minimumSeverity = severityOf(document["log"].value("severity", "info"));
+        settings.log.minimumSeverity
+            = logSeverityNamed(document["log"].value("severity", "info")).value_or(LogSeverity::Info);
         settings.log.file = document["log"].value("file", "");
     }
     settings.shutdownGrace = std::chrono::seconds(document.value("shutdown_grace_seconds", std::int64_t { 120 }));
@@ -140,12 +131,8 @@
 
 Result<ProcessSettings> loadProcessSettings(const std::string& file)
 {
-    std::ifstream stream(file);
-    if (!stream)
-        return Error { ErrorKind::NotFound, "the settings file \"" + file + "\" cannot be read; check the path" };
-    std::ostringstream text;
-    text << stream.rdbuf();
-    return parseProcessSettings(text.str());
+    auto text = readSettingsFile(file);
+    return isError(text) ? Result<ProcessSettings>(errorOf(text)) : parseProcessSettings(valueOf(text));
 }
 
 } // namespace Catkinwell
--- a/tests/gateway/GatewayFixture.cpp
+++ b/tests/gateway/GatewayFixture.cpp
@@ -8,12 +8,6 @@
 
 namespace {
 
-    std::string valueOf(const HeaderList& headers, std::string_view name)
-    {
-        const std::string* found = findHeader(headers, name);
-        return found ? *found : "";
-    }
-
     Route routeOf(const std::string& prefix, const std::string& service)
     {
         Route route;
@@ -28,40 +22,6 @@
 
 } // namespace
 
-RequestTerms PlainProtocol::termsOf(const RequestArrived& request) const
-{
-    RequestTerms terms;
-    terms.callerRequestId = valueOf(request.headers, "id");
-    const std::string left = valueOf(request.headers, "left");
-    if (!left.empty())
-        terms.timeLeft = std::chrono::milliseconds(std::stoll(left));
-    const std::string model = valueOf(request.headers, "model");
-    terms.variant.model = ModelId(model.substr(0, model.find('/')));
-    if (model.find('/') != std::string::npos)
-        terms.variant.adapter = model.substr(model.find('/') + 1);
-    const std::string tokens = valueOf(request.headers, "tokens");
-    terms.tokens = tokens.empty() ? 0 : std::stod(tokens);
-    return terms;
-}
-
-HeaderList PlainProtocol::attemptHeaders(const HeaderList& callerHeaders, const AttemptTerms& terms) const
-{
-    HeaderList headers = callerHeaders;
-    headers.emplace_back("account", terms.account.value);
-    if (!terms.lastEventId.empty())
-        headers.emplace_back("after", terms.lastEventId);
-    return headers;
-}
-
-AnswerTerms PlainProtocol::termsOf(int status, const HeaderList& headers) const
-{
-    AnswerTerms terms;
-    terms.isMisdirected = status == 421;
-    terms.isNotExecuted = terms.isMisdirected || findHeader(headers, "not-executed");
-    terms.isSealed = findHeader(headers, "sealed") != nullptr;
-    return terms;
-}
-
 Result<GatewayConfiguration> PlainProtocol::readConfiguration(std::string_view document) const
 {
     const auto version = nlohmann::json::parse(document, nullptr, false);
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -1,17 +1,13 @@
 #pragma once
 
+#include "replay/ReplayProtocol.h"
 #include <catkinwell/gateway/GatewayRequests.h>
 
 namespace Catkinwell::Testing {
 
-// A protocol with short header names, so that the tests of decisions need no platform.
-class PlainProtocol final : public ForwardingProtocol {
+// The plain headers of replays, with documents that name the sample configuration and sample endpoints.
+class PlainProtocol final : public ReplayProtocol {
 public:
-    RequestTerms termsOf(const RequestArrived&) const override;
-    HeaderList attemptHeaders(const HeaderList& callerHeaders, const AttemptTerms&) const override;
-    AnswerTerms termsOf(int status, const HeaderList&) const override;
-    HeaderList answerHeaders(const HeaderList& headers) const override { return headers; }
-    std::string echoHeader() const override { return "id"; }
     std::string configurationKey() const override { return "configuration"; }
     std::string endpointPrefix() const override { return "endpoints/"; }
     Result<GatewayConfiguration> readConfiguration(std::string_view document) const override;
--- a/tests/platform/EndpointStandIn.cpp
+++ b/tests/platform/EndpointStandIn.cpp
@@ -14,12 +14,6 @@
     constexpr Duration eventInterval = std::chrono::milliseconds(15);
     constexpr unsigned slots = 16;
 
-    std::string headerOf(const RequestArrived& request, std::string_view name)
-    {
-        const std::string* value = findHeader(request.headers, name);
-        return value ? *value : "";
-    }
-
     ListenerSettings listenerSettings()
     {
         ListenerSettings settings;
@@ -125,7 +119,7 @@
 {
     const Json body = Json::parse(request.body, nullptr, false);
     EngineOrder order;
-    order.endpoint = EndpointId(headerOf(request, "catkinwell-expect-instance"));
+    order.endpoint = EndpointId(headerValue(request.headers, "catkinwell-expect-instance"));
     order.kind = body.value("op_type", "") == "loading" ? EngineOrderKind::Load : EngineOrderKind::Unload;
     order.model = ModelId(body.value("model", ""));
     order.adapter = body.value("adapter", "");
@@ -148,23 +142,23 @@
         answerReport(request.id);
     } else if (m_engine && request.path == "/order") {
         handleOrder(request);
-    } else if (headerOf(request, "catkinwell-expect-instance") != m_id) {
+    } else if (headerValue(request.headers, "catkinwell-expect-instance") != m_id) {
         refuse(request.id, 421);
     } else if (m_random.unit() < faults.refusals) {
         refuse(request.id, 503);
-    } else if (const std::string model = headerOf(request, "catkinwell-model");
+    } else if (const std::string model = headerValue(request.headers, "catkinwell-model");
                m_engine && !m_engine->models().contains(ModelId(model))) {
         refuse(request.id, 503);
     } else {
-        m_records.executions.push_back({ m_id, headerOf(request, "catkinwell-request-id"),
-            headerOf(request, "catkinwell-tenant"), m_clock.monotonicNow() });
+        m_records.executions.push_back({ m_id, headerValue(request.headers, "catkinwell-request-id"),
+            headerValue(request.headers, "catkinwell-tenant"), m_clock.monotonicNow() });
         m_loop.callLater(workTime, [this, request] { run(request); });
     }
 }
 
 void EndpointStandIn::run(const RequestArrived& request)
 {
-    std::string id = headerOf(request, "catkinwell-request-id");
+    std::string id = headerValue(request.headers, "catkinwell-request-id");
     const std::string former = std::exchange(m_formerRequest, id);
     if (!former.empty() && m_random.unit() < faults.crossedAnswers)
         id = former;
@@ -176,7 +170,7 @@
     if (m_engine) {
         m_listener.execute(SendResponseHead { request.id, 200, headers });
         // A resumed stream goes on behind the last event that arrived.
-        const std::string last = headerOf(request, "last-event-id");
+        const std::string last = headerValue(request.headers, "last-event-id");
         const unsigned done = last.empty() ? 0 : static_cast<unsigned>(std::stoul(last));
         streamEvents(request.id, id, std::min(done + 1, eventsOfStream));
         return;
