Log how far a failed attempt had come and the parts of its prompt

Cause: a line 2105 said neither whether the answer had begun nor what the request has in common with others, so that the hypotheses of the incident with crashing engines could not be told apart. Change: 2105 has received_bytes, milliseconds, fingerprint and prompt_parts; one function makes the entry. No logic changes.

--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -77,6 +77,8 @@
         AnswerTerms terms;
         // Body of an answer that is collected before it is forwarded.
         std::string body;
+        // Bytes of the body received so far.
+        std::size_t receivedBytes = 0;
         // Whether the answer is streamed to the caller.
         bool isForwarded = false;
     };
@@ -152,6 +154,8 @@
     void removeRequest(RequestId, MonotonicTime now);
     Request* requestOf(const AttemptId&);
     RetryBudget& budgetOf(const std::string& service);
+    LogEntry failedAttemptEntry(
+        const Request&, std::string_view reason, std::string_view outcome, MonotonicTime now) const;
     void logEnd(LogEvent, const Request&, int status, std::string_view reason, MonotonicTime now, EffectList&) const;
 
     GatewayRequestSettings m_settings;
--- a/src/gateway/GatewayRequestOutcomes.cpp
+++ b/src/gateway/GatewayRequestOutcomes.cpp
@@ -92,9 +92,7 @@
 void GatewayRequests::handleNotExecuted(Request& request, MonotonicTime now, EffectList& effects)
 {
     const Attempt attempt = *request.attempt;
-    effects.push_back(LogEntry { LogEvent::GatewayAttemptFailed,
-        { { "request", request.terms.callerRequestId }, { "endpoint", attempt.endpoint.value },
-            { "status", std::to_string(attempt.status) }, { "outcome", "not_run" } } });
+    effects.push_back(failedAttemptEntry(request, "the endpoint did not run the request", "not_run", now));
     endAttempt(request, AttemptVerdict::Neutral, now, effects);
     ++request.rejections;
     if (!request.terms.variant.model.value.empty())
@@ -136,9 +134,7 @@
     const bool isAllowed = mayRepeat(request, now);
     if (request.attempt) {
         const EndpointId endpoint = request.attempt->endpoint;
-        effects.push_back(LogEntry { LogEvent::GatewayAttemptFailed,
-            { { "request", request.terms.callerRequestId }, { "endpoint", endpoint.value }, { "reason", reason },
-                { "outcome", request.mayHaveRun ? "unknown" : "not_run" } } });
+        effects.push_back(failedAttemptEntry(request, reason, request.mayHaveRun ? "unknown" : "not_run", now));
         request.excluded.insert(endpoint);
         endAttempt(request, verdict, now, effects);
     }
@@ -210,6 +206,23 @@
     removeRequest(request.arrived.id, now);
 }
 
+// Says how far the answer had come and what the request shares with others, so that failures with a common cause can be
+// found.
+LogEntry GatewayRequests::failedAttemptEntry(
+    const Request& request, std::string_view reason, std::string_view outcome, MonotonicTime now) const
+{
+    const Attempt& attempt = *request.attempt;
+    std::string parts;
+    for (const std::string& part : request.terms.promptParts)
+        parts += (parts.empty() ? "" : " ") + part;
+    return { LogEvent::GatewayAttemptFailed,
+        { { "request", request.terms.callerRequestId }, { "endpoint", attempt.endpoint.value },
+            { "reason", std::string(reason) }, { "outcome", std::string(outcome) },
+            { "status", std::to_string(attempt.status) }, { "received_bytes", std::to_string(attempt.receivedBytes) },
+            { "milliseconds", milliseconds(now - attempt.startedAt) },
+            { "fingerprint", std::to_string(request.fingerprint) }, { "prompt_parts", parts } } };
+}
+
 void GatewayRequests::logEnd(LogEvent event, const Request& request, int status, std::string_view reason,
     MonotonicTime now, EffectList& effects) const
 {
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -340,6 +340,7 @@
     if (!request)
         return;
     request->attempt->lastDataAt = now;
+    request->attempt->receivedBytes += data.data.size();
     if (request->attempt->isForwarded) {
         forwardData(*request, data.data, effects);
         return;
@@ -374,9 +375,7 @@
         return;
     }
     const EndpointId endpoint = request->attempt->endpoint;
-    effects.push_back(LogEntry { LogEvent::GatewayAttemptFailed,
-        { { "request", request->terms.callerRequestId }, { "endpoint", endpoint.value }, { "reason", failed.reason },
-            { "outcome", "not_sent" } } });
+    effects.push_back(failedAttemptEntry(*request, failed.reason, "not_sent", now));
     m_quarantine.attemptNotSent(endpoint, request->fingerprint);
     m_quarantine.endpointDied(endpoint, now);
     m_directory.attemptEnded(endpoint, request->terms.variant, AttemptVerdict::Unreachable, now, effects);
