--- a/include/catkinwell/gateway/GatewayMessage.h
+++ b/include/catkinwell/gateway/GatewayMessage.h
@@ -4,6 +4,7 @@
 #include <catkinwell/gateway/EndpointRecord.h>
 #include <catkinwell/gateway/FleetQuota.h>
 #include <catkinwell/gateway/HostDemand.h>
+#include <catkinwell/routing/PromptQuarantine.h>
 #include <string>
 #include <variant>
 #include <vector>
@@ -28,6 +29,7 @@
     std::vector<RunningCount> running;
     // Fingerprints of requests that were running when an endpoint crashed, with the number of crashes.
     std::vector<std::pair<std::uint64_t, std::uint32_t>> suspectFingerprints;
+    PromptQuarantineDigest prompts;
 };
 
 // A replica that is being loaded.
--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -6,6 +6,7 @@
 #include <catkinwell/gateway/GatewaySettings.h>
 #include <catkinwell/gateway/PlacementOwnership.h>
 #include <catkinwell/gateway/PrefixMirror.h>
+#include <catkinwell/gateway/PromptRefusalRecords.h>
 #include <catkinwell/metrics/MetricsRegistry.h>
 #include <catkinwell/peer/PeerMessage.h>
 #include <catkinwell/reducer/Event.h>
@@ -69,7 +70,10 @@
 
     void applyConfiguration(const std::string& document, std::string_view origin, MonotonicTime now, EffectList&);
     void applyEndpoint(const StoreEntry&, MonotonicTime now, EffectList&);
-    void applyGatewayEntry(const StoreEntry&, EffectList&);
+    void applyGatewayEntry(const StoreEntry&, MonotonicTime now, EffectList&);
+    void applyRefusalRecord(const StoreEntry&, PromptRefusalId, MonotonicTime now);
+    void updatePromptQuarantine(MonotonicTime now, EffectList&);
+    void handlePromptChanges(MonotonicTime now, EffectList&);
     void ensureSecret(MonotonicTime now, EffectList&);
     void updatePeers(MonotonicTime now, EffectList&);
     void sendDigests(MonotonicTime now, EffectList&);
@@ -99,6 +103,7 @@
     FleetQuota m_quota;
     GatewayRequests m_requests;
     EnginePlacement m_placement;
+    PromptRefusalRecords m_refusalRecords;
     GatewayConfiguration m_configuration;
     std::string m_configurationDocument;
     std::map<HostId, Peer> m_peers;
@@ -109,7 +114,10 @@
     MonotonicTime m_nextSecretAt {};
     bool m_peersStarted = false;
     std::uint64_t m_digestSequence = 0;
+    WallTime m_wallNow {};
     MonotonicTime m_nextDigestAt {};
+    // When news of the prompt quarantine may be sent next.
+    MonotonicTime m_nextNewsAt {};
     MonotonicTime m_nextUrgentDigestAt {};
     // Whether a request started waiting that was not reported to the owner yet.
     bool m_isDemandUrgent = false;
--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -2,11 +2,13 @@
 
 #include <catkinwell/gateway/EndpointDirectory.h>
 #include <catkinwell/gateway/EventStreamBuffer.h>
+#include <catkinwell/gateway/EventStreamPosition.h>
 #include <catkinwell/gateway/FleetQuota.h>
 #include <catkinwell/gateway/ForwardingProtocol.h>
 #include <catkinwell/gateway/HostDemand.h>
 #include <catkinwell/gateway/RouteTable.h>
 #include <catkinwell/routing/CrashQuarantine.h>
+#include <catkinwell/routing/PromptQuarantine.h>
 #include <catkinwell/routing/RetryBudget.h>
 #include <unordered_map>
 
@@ -52,6 +54,9 @@
     // The endpoint is gone, or another one uses its identifier.
     void endpointDied(const EndpointId&, MonotonicTime now);
     CrashQuarantine& quarantine() { return m_quarantine; }
+    PromptQuarantine& promptQuarantine() { return m_promptQuarantine; }
+    // Ends all requests that the quarantine refuses now and that no endpoint has begun to answer.
+    void endQuarantined(MonotonicTime now, EffectList&);
 
     // Demand for models and adapters, reported to the placement owner.
     HostDemand& demand() { return m_demand; }
@@ -81,6 +86,8 @@
         std::size_t receivedBytes = 0;
         // Whether the answer is streamed to the caller.
         bool isForwarded = false;
+        // Where a streamed answer stands.
+        EventStreamPosition position;
     };
 
     struct Request {
@@ -92,6 +99,8 @@
         std::optional<int> priority;
         double units = 0;
         std::uint64_t fingerprint = 0;
+        // The parts of the prompt that other requests may share: all but the last.
+        PromptParts sharedParts;
         MonotonicTime arrivedAt {};
         MonotonicTime deadline {};
         // The caller abandons a stream that has not started by this time.
@@ -105,6 +114,8 @@
         unsigned rejections = 0;
         bool mayHaveRun = false;
         bool isHeadSent = false;
+        // Whether an endpoint has survived the beginning of an answer to this request.
+        bool isAnswerBegun = false;
         bool isWaiting = false;
         MonotonicTime waitingSince {};
         // Time spent waiting for a replica, and time from arrival to the head of the first answer.
@@ -127,6 +138,12 @@
 
     std::optional<Refusal> admit(Request&, MonotonicTime now);
     std::optional<Refusal> authenticate(Request&) const;
+    static Refusal quarantineRefusal();
+    bool isQuarantined(const Request&, MonotonicTime now) const;
+    void endQuarantined(Request&, MonotonicTime now, EffectList&);
+    // Record what an answer, or a broken connection, says about the request's prompt.
+    void noteAnswerBegun(Request&, MonotonicTime now);
+    void noteBrokenAttempt(const Request&, MonotonicTime now);
     void dispatch(Request&, MonotonicTime now, EffectList&);
     // Returns the shortest time until a replica can be ready; nullopt for a plain service or an unknown model.
     std::optional<Duration> shortestTimeToReplica(const ServiceVariant&, MonotonicTime now) const;
@@ -165,6 +182,7 @@
     GatewayConfiguration m_configuration;
     RouteTable m_routes;
     CrashQuarantine m_quarantine;
+    PromptQuarantine m_promptQuarantine;
     std::map<std::string, RetryBudget> m_budgets;
     std::size_t m_hostCount = 1;
     RequestMap m_requests;
--- a/include/catkinwell/logging/LogEvent.h
+++ b/include/catkinwell/logging/LogEvent.h
@@ -110,6 +110,7 @@
     GatewayEndpointChosen = 2104,
     GatewayAttemptFailed = 2105,
     GatewayStreamResumed = 2106,
+    GatewayPromptRefusalChanged = 2107,
     GatewayConfigurationApplied = 2110,
     GatewayConfigurationRejected = 2111,
     GatewayEndpointChanged = 2112,
--- /dev/null
+++ b/include/catkinwell/routing/PromptQuarantine.h
@@ -0,0 +1,178 @@
+#pragma once
+
+#include <catkinwell/core/Clock.h>
+#include <catkinwell/core/Identifiers.h>
+#include <catkinwell/routing/CrashQuarantine.h>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace Catkinwell {
+
+// Hash of one part of a prompt. Equal parts of different requests have equal hashes.
+using PromptPartHash = std::uint64_t;
+using PromptParts = std::set<PromptPartHash>;
+
+// Identifies a refusal in the fleet: the hash of the parts with which it began.
+using PromptRefusalId = std::uint64_t;
+
+// Requests that hold all of these parts are refused. Answers to requests with some of the parts reduce them.
+struct PromptRefusal {
+    PromptRefusalId id = 0;
+    PromptParts parts;
+    Duration age {};
+};
+
+// A request that ran without an answer when its endpoint broke the connection.
+struct BrokenRequest {
+    RequestFingerprint fingerprint = 0;
+    PromptParts parts;
+};
+
+// The requests that one endpoint broke off at about the same time, as one host saw them.
+struct PromptCrashReport {
+    // Hash of the endpoint's identifier.
+    std::uint64_t endpoint = 0;
+    Duration age {};
+    std::vector<BrokenRequest> requests;
+};
+
+// A suspected or refused part, and when a request with it was last answered.
+struct AnsweredPart {
+    PromptPartHash part = 0;
+    Duration age {};
+};
+
+// What a host tells its peers.
+struct PromptQuarantineDigest {
+    std::vector<PromptCrashReport> crashes;
+    std::vector<AnsweredPart> answered;
+    std::vector<PromptRefusal> refused;
+
+    bool isEmpty() const { return crashes.empty() && answered.empty() && refused.empty(); }
+};
+
+struct PromptQuarantineSettings {
+    // A crash, and a refusal without proof of the contrary, is forgotten after this time.
+    Duration lifetime = std::chrono::minutes(10);
+    // Connections that one endpoint breaks within this time belong to one crash.
+    Duration sameCrashTime = std::chrono::seconds(2);
+    // Crashes of several endpoints within this time count once, since they are likely to have one external cause.
+    Duration sameCauseTime = std::chrono::milliseconds(300);
+    // Time for the hosts to report answers to requests with a suspected part, before it is refused.
+    Duration settleTime = std::chrono::milliseconds(500);
+    // How long a host repeats its reports of a crash or an answer.
+    Duration reportTime = std::chrono::seconds(3);
+    std::size_t maximumCrashes = 128;
+    std::size_t maximumRequestsPerCrash = 64;
+    std::size_t maximumRefusals = 64;
+    std::size_t maximumAnswered = 1024;
+    // Maximum number of crashes, and of refusals, in one digest.
+    std::size_t maximumReported = 8;
+    std::size_t maximumReportedAnswers = 64;
+};
+
+// Identifies parts of prompts that crash every endpoint that starts to answer on them, whatever else the request holds.
+// The parts of a request that an endpoint broke off before it had answered are suspected; an answer to any request with
+// a part clears the part. A part is refused once several crashes in different requests speak against it, without an
+// answer in between and while other requests are answered. Parts that no evidence tells apart are refused only
+// together, so that requests with some of them can still prove these harmless.
+//
+// Hosts share crashes, answers and refusals in digests, so that the crash of one endpoint counts once in the fleet.
+// Pure; not thread safe.
+class PromptQuarantine {
+public:
+    explicit PromptQuarantine(PromptQuarantineSettings settings = {});
+
+    // The endpoint broke the connection of a request before it had answered.
+    void attemptBroken(const EndpointId&, const BrokenRequest&, MonotonicTime now);
+    // An endpoint survived answering a request with these parts, which may be none.
+    void answered(const PromptParts&, MonotonicTime now);
+    // Refuses the parts against which there is enough evidence, and forgets what has expired.
+    void tick(MonotonicTime now);
+
+    bool isRefused(const PromptParts&, MonotonicTime now) const;
+    // Whether one more crash would suffice to refuse a part, so that a broken request should not be repeated.
+    bool isSuspicious(const PromptParts&) const;
+    // Returns the refusals that began, or lost parts, since the last call. One without parts has ended: all its parts
+    // were answered.
+    std::vector<PromptRefusal> takeChanges(MonotonicTime now);
+
+    // Returns what the peers have to know. Successive calls cycle through the refusals.
+    PromptQuarantineDigest nextDigest(MonotonicTime now);
+    // Whether a crash or an answer should be reported without delay. Resets the flag.
+    bool takeNews() { return std::exchange(m_hasNews, false); }
+    void merge(const PromptQuarantineDigest&, MonotonicTime now);
+    // Adopts a refusal of another host, or of this one before a restart.
+    void adopt(const PromptRefusal&, MonotonicTime now);
+    // Ends the refusal on behalf of an operator. Returns false if there is none with this identifier.
+    bool release(PromptRefusalId, MonotonicTime now);
+
+    // All refusals, in the order of their identifiers.
+    std::vector<PromptRefusal> refusals(MonotonicTime now) const;
+
+private:
+    struct Crash {
+        std::uint64_t endpoint = 0;
+        MonotonicTime at {};
+        std::map<RequestFingerprint, PromptParts> requests;
+        // Those of the requests that this host sent.
+        std::set<RequestFingerprint> ownRequests;
+        // Number of answers that this host had seen before it.
+        std::uint64_t answersBefore = 0;
+    };
+
+    struct Answer {
+        MonotonicTime at {};
+        bool wasSeenHere = false;
+    };
+
+    struct Refusal {
+        PromptParts parts;
+        MonotonicTime at {};
+    };
+
+    // What speaks against a part.
+    struct Evidence {
+        unsigned crashes = 0;
+        MonotonicTime latest {};
+        std::uint64_t answersBefore = 0;
+        std::set<RequestFingerprint> requests;
+        // The parts that all of these requests have in common.
+        PromptParts commonParts;
+    };
+
+    void expire(MonotonicTime now);
+    void review(MonotonicTime now);
+    Crash& crashOf(std::uint64_t endpoint, MonotonicTime at);
+    void addRequest(Crash&, const BrokenRequest&, bool isOwn);
+    void noteAnswer(PromptPartHash, MonotonicTime at, bool wasSeenHere);
+    void reduceRefusals(PromptPartHash, MonotonicTime answeredAt);
+    bool isSuspected(PromptPartHash) const;
+    bool wasAnsweredSince(PromptPartHash, MonotonicTime) const;
+    bool isInRefusal(PromptPartHash) const;
+    bool isExplained(const Crash&, PromptPartHash) const;
+    PromptParts partsOfSeveralCrashes() const;
+    Evidence evidenceAgainst(PromptPartHash) const;
+    bool isConclusive(const Evidence&, MonotonicTime now) const;
+    PromptParts suspectedPartsOf(const Evidence&) const;
+    void refuse(PromptParts, MonotonicTime now);
+
+    PromptQuarantineSettings m_settings;
+    // In the order of their times.
+    std::deque<Crash> m_crashes;
+    // The latest answers on parts that were suspected or refused.
+    std::unordered_map<PromptPartHash, Answer> m_answers;
+    std::map<PromptRefusalId, Refusal> m_refusals;
+    std::set<PromptRefusalId> m_changed;
+    PromptRefusalId m_lastReported = 0;
+    std::uint64_t m_answerCount = 0;
+    MonotonicTime m_nextReviewAt {};
+    bool m_hasNews = false;
+};
+
+} // namespace Catkinwell
--- a/include/catkinwell/store/StoreCallIds.h
+++ b/include/catkinwell/store/StoreCallIds.h
@@ -14,6 +14,7 @@
     Configuration,
     Membership,
     Administration,
+    Quarantine,
 };
 
 // Generates the call identifiers of one module. Part of the reducer's state; not thread safe.
--- a/src/gateway/GatewayMessage.cpp
+++ b/src/gateway/GatewayMessage.cpp
@@ -44,6 +44,45 @@
         return { ModelId(model.get<std::string>()), adapter.get<std::string>() };
     }
 
+    Json listOfPrompts(const PromptQuarantineDigest& digest)
+    {
+        Json crashes = Json::array();
+        for (const PromptCrashReport& report : digest.crashes) {
+            Json requests = Json::array();
+            for (const BrokenRequest& request : report.requests)
+                requests.push_back(Json::array({ request.fingerprint, request.parts }));
+            crashes.push_back(Json::array({ report.endpoint, millisecondsOf(report.age), std::move(requests) }));
+        }
+        Json answered = Json::array();
+        for (const AnsweredPart& entry : digest.answered)
+            answered.push_back(Json::array({ entry.part, millisecondsOf(entry.age) }));
+        Json refused = Json::array();
+        for (const PromptRefusal& refusal : digest.refused)
+            refused.push_back(Json::array({ refusal.id, refusal.parts, millisecondsOf(refusal.age) }));
+        return Json::array({ std::move(crashes), std::move(answered), std::move(refused) });
+    }
+
+    // Negative ages would lie in the future.
+    Duration ageOf(const Json& value) { return std::chrono::milliseconds(value.get<std::uint32_t>()); }
+
+    PromptQuarantineDigest promptsOf(const Json& list)
+    {
+        PromptQuarantineDigest digest;
+        for (const Json& entry : list.at(0)) {
+            PromptCrashReport report { entry.at(0).get<std::uint64_t>(), ageOf(entry.at(1)), {} };
+            for (const Json& request : entry.at(2))
+                report.requests.push_back(
+                    { request.at(0).get<RequestFingerprint>(), request.at(1).get<PromptParts>() });
+            digest.crashes.push_back(std::move(report));
+        }
+        for (const Json& entry : list.at(1))
+            digest.answered.push_back({ entry.at(0).get<PromptPartHash>(), ageOf(entry.at(1)) });
+        for (const Json& entry : list.at(2))
+            digest.refused.push_back(
+                { entry.at(0).get<PromptRefusalId>(), entry.at(1).get<PromptParts>(), ageOf(entry.at(2)) });
+        return digest;
+    }
+
     struct Encoder {
         Json operator()(const HostDigest& digest) const
         {
@@ -61,8 +100,12 @@
             Json suspects = Json::array();
             for (const auto& [fingerprint, crashes] : digest.suspectFingerprints)
                 suspects.push_back(Json::array({ fingerprint, crashes }));
-            return Json::array({ Kind::HostDigest, digest.sequence, digest.configurationVersion, digest.isLeaving,
-                std::move(usage), digest.demand.isWhole, std::move(demand), std::move(running), std::move(suspects) });
+            Json message = Json::array(
+                { Kind::HostDigest, digest.sequence, digest.configurationVersion, digest.isLeaving, std::move(usage),
+                    digest.demand.isWhole, std::move(demand), std::move(running), std::move(suspects) });
+            if (!digest.prompts.isEmpty())
+                message.push_back(listOfPrompts(digest.prompts));
+            return message;
         }
         Json operator()(const PlacementUpdate& update) const
         {
@@ -105,6 +148,9 @@
                 entry.at(3).get<std::uint32_t>() });
         for (const Json& entry : list.at(8))
             digest.suspectFingerprints.emplace_back(entry.at(0).get<std::uint64_t>(), entry.at(1).get<std::uint32_t>());
+        // Absent from most digests.
+        if (list.size() > 9)
+            digest.prompts = promptsOf(list.at(9));
         return digest;
     }
 
--- /dev/null
+++ b/src/gateway/GatewayQuarantine.cpp
@@ -0,0 +1,100 @@
+#include <catkinwell/gateway/GatewayReducer.h>
+
+// Refusal of requests that crash endpoints: how requests, peers and the store take part in the quarantines.
+namespace Catkinwell {
+
+namespace {
+
+    // Minimum time between two digests with news of crashes or answers.
+    constexpr Duration quarantineNewsInterval = std::chrono::milliseconds(50);
+
+} // namespace
+
+GatewayRequests::Refusal GatewayRequests::quarantineRefusal()
+{
+    return { 500, "quarantined", "endpoints that ran this request or its prompt crashed; change the prompt",
+        std::nullopt };
+}
+
+bool GatewayRequests::isQuarantined(const Request& request, MonotonicTime now) const
+{
+    return m_quarantine.isRefused(request.fingerprint, now) || m_promptQuarantine.isRefused(request.sharedParts, now);
+}
+
+void GatewayRequests::endQuarantined(MonotonicTime now, EffectList& effects)
+{
+    std::vector<RequestId> ids;
+    for (const auto& [id, request] : m_requests) {
+        if (!request.isAnswerBegun && isQuarantined(request, now))
+            ids.push_back(id);
+    }
+    for (const RequestId id : ids)
+        endQuarantined(m_requests.at(id), now, effects);
+}
+
+void GatewayRequests::endQuarantined(Request& request, MonotonicTime now, EffectList& effects)
+{
+    if (request.attempt) {
+        request.mayHaveRun = true;
+        effects.push_back(CancelAttempt { request.attempt->id });
+        endAttempt(request, AttemptVerdict::Neutral, now, effects);
+    }
+    if (request.mayHaveRun)
+        fail(request, 502, "quarantined", now, effects);
+    else
+        refuse(request, quarantineRefusal(), now, effects);
+}
+
+void GatewayRequests::noteAnswerBegun(Request& request, MonotonicTime now)
+{
+    if (request.isAnswerBegun)
+        return;
+    request.isAnswerBegun = true;
+    m_promptQuarantine.answered(request.sharedParts, now);
+}
+
+void GatewayRequests::noteBrokenAttempt(const Request& request, MonotonicTime now)
+{
+    if (!request.isAnswerBegun)
+        m_promptQuarantine.attemptBroken(request.attempt->endpoint, { request.fingerprint, request.sharedParts }, now);
+}
+
+void GatewayReducer::updatePromptQuarantine(MonotonicTime now, EffectList& effects)
+{
+    PromptQuarantine& quarantine = m_requests.promptQuarantine();
+    quarantine.tick(now);
+    handlePromptChanges(now, effects);
+    m_refusalRecords.tick(quarantine.refusals(now), m_gatewayMirror, m_placement.isOwner(), m_wallNow, now, effects);
+    if (now >= m_nextNewsAt && quarantine.takeNews()) {
+        m_nextNewsAt = now + quarantineNewsInterval;
+        m_nextDigestAt = now;
+    }
+}
+
+void GatewayReducer::handlePromptChanges(MonotonicTime now, EffectList& effects)
+{
+    const std::vector<PromptRefusal> changes = m_requests.promptQuarantine().takeChanges(now);
+    for (const PromptRefusal& refusal : changes) {
+        std::string parts;
+        for (const PromptPartHash part : refusal.parts)
+            parts += (parts.empty() ? "" : " ") + std::to_string(part);
+        effects.push_back(LogEntry { LogEvent::GatewayPromptRefusalChanged,
+            { { "refusal", std::to_string(refusal.id) }, { "state", parts.empty() ? "ended" : "refused" },
+                { "parts", parts }, { "age_ms", std::to_string(millisecondsOf(refusal.age)) } } });
+        m_refusalRecords.noteChange(refusal, now);
+    }
+    if (!changes.empty())
+        m_requests.endQuarantined(now, effects);
+}
+
+// A record that was deleted before it expired belonged to a refusal that another host found to be wrong.
+void GatewayReducer::applyRefusalRecord(const StoreEntry& entry, PromptRefusalId id, MonotonicTime now)
+{
+    PromptQuarantine& quarantine = m_requests.promptQuarantine();
+    if (entry.isDeleted)
+        quarantine.release(id, now);
+    else if (const auto refusal = m_refusalRecords.read(entry, m_wallNow))
+        quarantine.adopt(*refusal, now);
+}
+
+} // namespace Catkinwell
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -85,6 +85,7 @@
     , m_quota(m_settings.host)
     , m_requests(m_settings.requests, protocol, m_directory, m_quota)
     , m_placement(m_settings.placement, m_directory)
+    , m_refusalRecords(m_settings.storeKeyPrefix + "quarantine/")
 {
 }
 
@@ -150,8 +151,9 @@
     m_placement.setSettings(settings.placement);
 }
 
-void GatewayReducer::handleTick(const Tick&, MonotonicTime now, EffectList& effects)
+void GatewayReducer::handleTick(const Tick& tick, MonotonicTime now, EffectList& effects)
 {
+    m_wallNow = tick.wallNow;
     m_lease.tick(now, effects);
     m_configurationMirror.tick(now, effects);
     m_endpointMirror.tick(now, effects);
@@ -162,6 +164,7 @@
     updatePeers(now, effects);
     m_quota.tick(now);
     m_directory.tick(now);
+    updatePromptQuarantine(now, effects);
     m_placement.tick(now, effects);
     sendPlacementUpdate(now, effects);
     sendDigests(now, effects);
@@ -193,7 +196,7 @@
         break;
     case StoreUser::Shares:
         for (const StoreEntry& entry : m_gatewayMirror.handle(reply, now, effects))
-            applyGatewayEntry(entry, effects);
+            applyGatewayEntry(entry, now, effects);
         break;
     case StoreUser::Placement:
         m_ownership.handle(reply, now, effects);
@@ -202,6 +205,9 @@
         if (reply.id == m_secretCall)
             m_secretCall = StoreCallId();
         break;
+    case StoreUser::Quarantine:
+        m_refusalRecords.handle(reply);
+        break;
     case StoreUser::Orders:
         break;
     }
@@ -263,8 +269,13 @@
     m_placement.remove(id);
 }
 
-void GatewayReducer::applyGatewayEntry(const StoreEntry& entry, EffectList& effects)
+void GatewayReducer::applyGatewayEntry(const StoreEntry& entry, MonotonicTime now, EffectList& effects)
 {
+    if (const auto refusal = m_refusalRecords.idOf(entry.key)) {
+        applyRefusalRecord(entry, *refusal, now);
+        handlePromptChanges(now, effects);
+        return;
+    }
     const std::string hostPrefix = m_settings.storeKeyPrefix + "hosts/";
     if (entry.key == m_settings.storeKeyPrefix + "secret" && !entry.isDeleted && !m_peersStarted) {
         m_peersStarted = true;
@@ -365,6 +376,7 @@
     digest.usage = m_quota.ownUsage();
     digest.running = m_directory.running();
     digest.suspectFingerprints = m_requests.quarantine().nextDigest(now);
+    digest.prompts = m_requests.promptQuarantine().nextDigest(now);
     return digest;
 }
 
@@ -493,6 +505,8 @@
     m_directory.handle(received.from, digest);
     m_placement.handle(received.from, digest.demand, now);
     m_requests.quarantine().merge(received.from, digest.suspectFingerprints, now);
+    m_requests.promptQuarantine().merge(digest.prompts, now);
+    handlePromptChanges(now, effects);
     if (m_placement.isOwner()) {
         m_placement.tick(now, effects);
         sendPlacementUpdate(now, effects);
@@ -506,7 +520,8 @@
 
 bool GatewayReducer::isReady() const
 {
-    return m_phase == Phase::Serving && m_configuration.isKnown() && m_endpointMirror.isRead();
+    return m_phase == Phase::Serving && m_configuration.isKnown() && m_endpointMirror.isRead()
+        && m_gatewayMirror.isRead();
 }
 
 void GatewayReducer::reportReadiness(EffectList& effects)
@@ -519,34 +534,6 @@
             { "endpoints", std::to_string(m_directory.size()) } } });
 }
 
-void GatewayReducer::handleStatusRequest(const RequestArrived& request, MonotonicTime now, EffectList& effects)
-{
-    SendWholeResponse response { request.id, 404, { { "Content-Type", "application/json" } }, "{}" };
-    if (request.path == "/ready") {
-        response.status = isReady() ? 200 : 503;
-    } else if (request.path == "/metrics") {
-        response = { request.id, 200, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.renderText() };
-    } else if (request.path == "/status") {
-        response.status = 200;
-        response.body = statusJson(now);
-    }
-    effects.push_back(std::move(response));
-}
-
-std::string GatewayReducer::statusJson(MonotonicTime now) const
-{
-    Json peers = Json::object();
-    for (const auto& [host, peer] : m_peers) {
-        peers[host.value] = { { "registered", peer.isRegistered }, { "silent_ms", millisecondsOf(now - peer.heardAt) },
-            { "configuration", peer.configurationVersion } };
-    }
-    return Json {
-        { "host", m_settings.host.value }, { "ready", isReady() }, { "configuration", m_configuration.version },
-        { "endpoints", m_directory.size() }, { "requests", m_requests.activeRequests() },
-        { "owner", m_ownership.owner().value }, { "peers", peers }
-    }.dump();
-}
-
 void GatewayReducer::handleShutdown(MonotonicTime now, EffectList& effects)
 {
     if (m_phase != Phase::Serving)
--- a/src/gateway/GatewayRequestOutcomes.cpp
+++ b/src/gateway/GatewayRequestOutcomes.cpp
@@ -83,6 +83,8 @@
 void GatewayRequests::finish(Request& request, MonotonicTime now, EffectList& effects)
 {
     const int status = request.attempt->status;
+    if (status < 500)
+        noteAnswerBegun(request, now);
     logEnd(LogEvent::GatewayRequestFinished, request, status, "", now, effects);
     effects.push_back(RecordMetric { Metric::RequestSeconds, request.service, secondsOf(now - request.arrivedAt) });
     endAttempt(request, status >= 500 ? AttemptVerdict::Bad : AttemptVerdict::Good, now, effects);
@@ -120,7 +122,9 @@
 bool GatewayRequests::mayRepeat(const Request& request, MonotonicTime now) const
 {
     const bool isSafe = request.route.isIdempotent || request.route.isResumable;
-    return isSafe && request.attempts + 1 < request.route.maximumAttempts && request.deadline - now > shortestAttempt;
+    if (!isSafe || request.attempts + 1 >= request.route.maximumAttempts || request.deadline - now <= shortestAttempt)
+        return false;
+    return request.isAnswerBegun || !m_promptQuarantine.isSuspicious(request.sharedParts);
 }
 
 bool GatewayRequests::takeRetry(const Request& request, MonotonicTime now)
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -38,6 +38,14 @@
 
     std::string wholeNumber(double value) { return std::to_string(static_cast<std::int64_t>(value)); }
 
+    PromptParts sharedPartsOf(const std::vector<std::string>& promptParts)
+    {
+        PromptParts shared;
+        for (std::size_t i = 0; i + 1 < promptParts.size(); ++i)
+            shared.insert(stableHash(promptParts[i]));
+        return shared;
+    }
+
     std::string_view pathOf(const RequestArrived& request)
     {
         return std::string_view(request.target).substr(0, request.target.find('?'));
@@ -129,8 +137,9 @@
         return refusal;
     request.fingerprint = stableHash(request.arrived.method + '\n' + request.arrived.target + '\n'
         + request.account.value + '\n' + request.arrived.body);
-    if (m_quarantine.isRefused(request.fingerprint, now))
-        return Refusal { 500, "quarantined", "endpoints that ran this request crashed", std::nullopt };
+    request.sharedParts = sharedPartsOf(request.terms.promptParts);
+    if (isQuarantined(request, now))
+        return quarantineRefusal();
     const GatewayAccount* account = nullptr;
     if (const auto found = m_configuration.accounts.find(request.account); found != m_configuration.accounts.end())
         account = &found->second;
@@ -169,6 +178,10 @@
         checkDeadlines(request, now, effects);
         return;
     }
+    if (!request.isAnswerBegun && isQuarantined(request, now)) {
+        endQuarantined(request, now, effects);
+        return;
+    }
     EndpointNeed need { request.terms.callerRequestId, request.service, request.terms.variant,
         request.terms.promptParts, request.excluded };
     auto choice = m_directory.choose(need, now, effects);
@@ -342,6 +355,9 @@
     request->attempt->lastDataAt = now;
     request->attempt->receivedBytes += data.data.size();
     if (request->attempt->isForwarded) {
+        request->attempt->position.feed(data.data);
+        if (request->attempt->position.events() > 0)
+            noteAnswerBegun(*request, now);
         forwardData(*request, data.data, effects);
         return;
     }
@@ -369,6 +385,8 @@
         return;
     if (failed.outcome != AttemptOutcome::NotSent) {
         request->mayHaveRun = true;
+        if (failed.failure == AttemptFailure::Broken)
+            noteBrokenAttempt(*request, now);
         const bool isUnreachable = failed.failure == AttemptFailure::Silence;
         handleFailedAttempt(
             *request, failed.reason, isUnreachable ? AttemptVerdict::Unreachable : AttemptVerdict::Bad, now, effects);
@@ -447,7 +465,7 @@
             refuse(request, { 503, "no_replica", "no replica became ready in time", longRetryAfter }, now, effects);
         return;
     }
-    if (!request.attempt || !mayRepeat(request, now))
+    if (!request.attempt)
         return;
     const Attempt& attempt = *request.attempt;
     const Duration silence = now - attempt.lastDataAt;
@@ -455,7 +473,7 @@
         ? silence > streamPauseTimeout
         : silence > std::max<Duration>(
               shortestSilenceTimeout, request.route.latencyGoal * (request.route.isStream ? 1 : silenceGoalFactor));
-    if (!isStalled)
+    if (!isStalled || !mayRepeat(request, now))
         return;
     request.mayHaveRun = true;
     effects.push_back(CancelAttempt { attempt.id });
--- a/src/logging/LogEvent.cpp
+++ b/src/logging/LogEvent.cpp
@@ -230,6 +230,10 @@
             "If it repeats for one endpoint, check its health; a status of 421 means that its state changed." },
         { LogEvent::GatewayStreamResumed, Info, "gateway_stream_resumed",
             "An interrupted stream is continued by another endpoint.", "" },
+        { LogEvent::GatewayPromptRefusalChanged, Error, "gateway_prompt_refusal_changed",
+            "Requests with certain parts in their prompts are refused because these parts crashed endpoints, or no "
+            "longer refused because such requests were answered.",
+            "Find the parts in the failed attempts (2105) before it and report them to the engine's maintainers." },
         { LogEvent::GatewayConfigurationApplied, Info, "gateway_configuration_applied",
             "A configuration version came into force on this host.", "" },
         { LogEvent::GatewayConfigurationRejected, Error, "gateway_configuration_rejected",
--- a/src/reducer/Reducer.cpp
+++ b/src/reducer/Reducer.cpp
@@ -198,6 +198,9 @@
     case StoreUser::Administration:
         m_drains.handle(reply, now, effects);
         break;
+    // Only gateways make these calls.
+    case StoreUser::Quarantine:
+        break;
     }
 }
 
--- /dev/null
+++ b/src/routing/PromptQuarantine.cpp
@@ -0,0 +1,372 @@
+#include <catkinwell/routing/PromptQuarantine.h>
+
+#include <algorithm>
+#include <catkinwell/core/Digest.h>
+#include <string>
+
+namespace Catkinwell {
+
+namespace {
+
+    // Crashes that suffice to refuse a part while other requests are answered, and while none is.
+    constexpr unsigned crashLimit = 3;
+    constexpr unsigned crashLimitWithoutAnswers = 5;
+    // Answers to other requests which show that the endpoints work.
+    constexpr std::uint64_t neededAnswers = 5;
+    // The crashes of one repeated request are the concern of CrashQuarantine.
+    constexpr std::size_t neededRequests = 2;
+    constexpr Duration reviewInterval = std::chrono::milliseconds(100);
+
+    PromptRefusalId refusalIdOf(const PromptParts& parts)
+    {
+        std::string text;
+        for (const PromptPartHash part : parts)
+            text += std::to_string(part) + ' ';
+        return stableHash(text);
+    }
+
+    PromptParts intersectionOf(const PromptParts& left, const PromptParts& right)
+    {
+        PromptParts common;
+        std::set_intersection(
+            left.begin(), left.end(), right.begin(), right.end(), std::inserter(common, common.end()));
+        return common;
+    }
+
+    bool containsAll(const PromptParts& parts, const PromptParts& wanted)
+    {
+        return std::includes(parts.begin(), parts.end(), wanted.begin(), wanted.end());
+    }
+
+    // Removes the entry with the earliest time.
+    template <typename Map> void eraseOldest(Map& map)
+    {
+        map.erase(std::min_element(map.begin(), map.end(),
+            [](const auto& left, const auto& right) { return left.second.at < right.second.at; }));
+    }
+
+} // namespace
+
+PromptQuarantine::PromptQuarantine(PromptQuarantineSettings settings)
+    : m_settings(settings)
+{
+}
+
+void PromptQuarantine::attemptBroken(const EndpointId& endpoint, const BrokenRequest& request, MonotonicTime now)
+{
+    if (request.parts.empty())
+        return;
+    expire(now);
+    addRequest(crashOf(stableHash(endpoint.value), now), request, true);
+    m_hasNews = true;
+}
+
+// Returns the crash of the endpoint at about this time, which may be known from other connections or hosts.
+PromptQuarantine::Crash& PromptQuarantine::crashOf(std::uint64_t endpoint, MonotonicTime at)
+{
+    const auto known = std::find_if(m_crashes.begin(), m_crashes.end(), [&](const Crash& crash) {
+        const Duration apart = at > crash.at ? at - crash.at : crash.at - at;
+        return crash.endpoint == endpoint && apart < m_settings.sameCrashTime;
+    });
+    if (known != m_crashes.end())
+        return *known;
+    if (m_crashes.size() >= m_settings.maximumCrashes)
+        m_crashes.pop_front();
+    const auto position = std::upper_bound(
+        m_crashes.begin(), m_crashes.end(), at, [](MonotonicTime time, const Crash& crash) { return time < crash.at; });
+    return *m_crashes.insert(position, Crash { endpoint, at, {}, {}, m_answerCount });
+}
+
+void PromptQuarantine::addRequest(Crash& crash, const BrokenRequest& request, bool isOwn)
+{
+    if (crash.requests.size() >= m_settings.maximumRequestsPerCrash)
+        return;
+    crash.requests.emplace(request.fingerprint, request.parts);
+    if (isOwn)
+        crash.ownRequests.insert(request.fingerprint);
+}
+
+bool PromptQuarantine::isSuspected(PromptPartHash part) const
+{
+    return std::any_of(m_crashes.begin(), m_crashes.end(), [part](const Crash& crash) {
+        return std::any_of(crash.requests.begin(), crash.requests.end(),
+            [part](const auto& request) { return request.second.contains(part); });
+    });
+}
+
+void PromptQuarantine::answered(const PromptParts& parts, MonotonicTime now)
+{
+    ++m_answerCount;
+    if (m_crashes.empty() && m_refusals.empty())
+        return;
+    for (const PromptPartHash part : parts) {
+        if (isInRefusal(part) || (isSuspected(part) && !wasAnsweredSince(part, m_crashes.back().at)))
+            noteAnswer(part, now, true);
+    }
+}
+
+bool PromptQuarantine::isInRefusal(PromptPartHash part) const
+{
+    return std::any_of(
+        m_refusals.begin(), m_refusals.end(), [part](const auto& item) { return item.second.parts.contains(part); });
+}
+
+void PromptQuarantine::noteAnswer(PromptPartHash part, MonotonicTime at, bool wasSeenHere)
+{
+    const auto known = m_answers.find(part);
+    if (known != m_answers.end() && known->second.at >= at)
+        return;
+    if (known == m_answers.end() && m_answers.size() >= m_settings.maximumAnswered)
+        eraseOldest(m_answers);
+    m_answers[part] = { at, wasSeenHere };
+    m_hasNews = m_hasNews || wasSeenHere;
+    reduceRefusals(part, at);
+}
+
+void PromptQuarantine::reduceRefusals(PromptPartHash part, MonotonicTime answeredAt)
+{
+    for (auto item = m_refusals.begin(); item != m_refusals.end();) {
+        Refusal& refusal = item->second;
+        if (refusal.at <= answeredAt && refusal.parts.erase(part) > 0)
+            m_changed.insert(item->first);
+        item = refusal.parts.empty() ? m_refusals.erase(item) : std::next(item);
+    }
+}
+
+bool PromptQuarantine::wasAnsweredSince(PromptPartHash part, MonotonicTime time) const
+{
+    const auto answer = m_answers.find(part);
+    return answer != m_answers.end() && answer->second.at >= time;
+}
+
+// Whether a refusal that does not concern the part accounts for the crash.
+bool PromptQuarantine::isExplained(const Crash& crash, PromptPartHash part) const
+{
+    return std::any_of(m_refusals.begin(), m_refusals.end(), [&](const auto& item) {
+        const PromptParts& refused = item.second.parts;
+        return !refused.contains(part)
+            && std::any_of(crash.requests.begin(), crash.requests.end(),
+                [&](const auto& request) { return containsAll(request.second, refused); });
+    });
+}
+
+PromptQuarantine::Evidence PromptQuarantine::evidenceAgainst(PromptPartHash part) const
+{
+    Evidence evidence;
+    for (const Crash& crash : m_crashes) {
+        if (wasAnsweredSince(part, crash.at) || isExplained(crash, part))
+            continue;
+        bool isInvolved = false;
+        for (const auto& [fingerprint, parts] : crash.requests) {
+            if (!parts.contains(part))
+                continue;
+            evidence.commonParts = evidence.requests.empty() ? parts : intersectionOf(evidence.commonParts, parts);
+            evidence.requests.insert(fingerprint);
+            isInvolved = true;
+        }
+        if (!isInvolved || (evidence.crashes > 0 && crash.at - evidence.latest < m_settings.sameCauseTime))
+            continue;
+        if (evidence.crashes == 0)
+            evidence.answersBefore = crash.answersBefore;
+        ++evidence.crashes;
+        evidence.latest = crash.at;
+    }
+    return evidence;
+}
+
+bool PromptQuarantine::isConclusive(const Evidence& evidence, MonotonicTime now) const
+{
+    const bool areOthersAnswered = m_answerCount >= evidence.answersBefore + neededAnswers;
+    return evidence.crashes >= (areOthersAnswered ? crashLimit : crashLimitWithoutAnswers)
+        && evidence.requests.size() >= neededRequests && now - evidence.latest >= m_settings.settleTime;
+}
+
+PromptParts PromptQuarantine::partsOfSeveralCrashes() const
+{
+    std::unordered_map<PromptPartHash, unsigned> counts;
+    for (const Crash& crash : m_crashes) {
+        PromptParts parts;
+        for (const auto& [fingerprint, ofRequest] : crash.requests)
+            parts.insert(ofRequest.begin(), ofRequest.end());
+        for (const PromptPartHash part : parts)
+            ++counts[part];
+    }
+    PromptParts several;
+    for (const auto& [part, count] : counts) {
+        if (count >= crashLimit)
+            several.insert(part);
+    }
+    return several;
+}
+
+// Refuses the parts with the most crashes first: they may explain those of others.
+void PromptQuarantine::review(MonotonicTime now)
+{
+    const PromptParts candidates = partsOfSeveralCrashes();
+    while (true) {
+        Evidence strongest;
+        for (const PromptPartHash part : candidates) {
+            Evidence evidence = evidenceAgainst(part);
+            if (evidence.crashes > strongest.crashes && isConclusive(evidence, now)
+                && !isRefused(suspectedPartsOf(evidence), now))
+                strongest = std::move(evidence);
+        }
+        if (strongest.crashes == 0)
+            return;
+        refuse(suspectedPartsOf(strongest), now);
+    }
+}
+
+// Of the parts that all suspected requests share, those that were answered since the latest crash are harmless.
+PromptParts PromptQuarantine::suspectedPartsOf(const Evidence& evidence) const
+{
+    PromptParts parts = evidence.commonParts;
+    std::erase_if(parts, [&](PromptPartHash part) { return wasAnsweredSince(part, evidence.latest); });
+    return parts;
+}
+
+void PromptQuarantine::refuse(PromptParts parts, MonotonicTime now)
+{
+    if (m_refusals.size() >= m_settings.maximumRefusals)
+        eraseOldest(m_refusals);
+    const PromptRefusalId id = refusalIdOf(parts);
+    m_refusals[id] = { std::move(parts), now };
+    m_changed.insert(id);
+    m_hasNews = true;
+}
+
+void PromptQuarantine::tick(MonotonicTime now)
+{
+    if ((m_crashes.empty() && m_refusals.empty()) || now < m_nextReviewAt)
+        return;
+    m_nextReviewAt = now + reviewInterval;
+    expire(now);
+    review(now);
+}
+
+void PromptQuarantine::adopt(const PromptRefusal& adopted, MonotonicTime now)
+{
+    if (adopted.age >= m_settings.lifetime || adopted.parts.empty())
+        return;
+    const MonotonicTime at = now - adopted.age;
+    PromptParts parts = adopted.parts;
+    std::erase_if(parts, [&](PromptPartHash part) { return wasAnsweredSince(part, at); });
+    const auto known = m_refusals.find(adopted.id);
+    if (known != m_refusals.end())
+        parts = intersectionOf(known->second.parts, parts);
+    if (known != m_refusals.end() && parts == known->second.parts)
+        return;
+    m_changed.insert(adopted.id);
+    if (parts.empty()) {
+        m_refusals.erase(adopted.id);
+        return;
+    }
+    if (known == m_refusals.end() && m_refusals.size() >= m_settings.maximumRefusals)
+        eraseOldest(m_refusals);
+    m_refusals[adopted.id] = { std::move(parts), at };
+}
+
+bool PromptQuarantine::release(PromptRefusalId id, MonotonicTime now)
+{
+    const auto found = m_refusals.find(id);
+    if (found == m_refusals.end())
+        return false;
+    for (const PromptPartHash part : PromptParts(found->second.parts))
+        noteAnswer(part, now, true);
+    return true;
+}
+
+bool PromptQuarantine::isRefused(const PromptParts& parts, MonotonicTime now) const
+{
+    return std::any_of(m_refusals.begin(), m_refusals.end(), [&](const auto& item) {
+        return now - item.second.at < m_settings.lifetime && containsAll(parts, item.second.parts);
+    });
+}
+
+bool PromptQuarantine::isSuspicious(const PromptParts& parts) const
+{
+    return std::any_of(parts.begin(), parts.end(), [this](PromptPartHash part) {
+        const Evidence evidence = evidenceAgainst(part);
+        return evidence.crashes + 1 >= crashLimit && evidence.requests.size() >= neededRequests;
+    });
+}
+
+std::vector<PromptRefusal> PromptQuarantine::takeChanges(MonotonicTime now)
+{
+    std::vector<PromptRefusal> changes;
+    for (const PromptRefusalId id : std::exchange(m_changed, {})) {
+        const auto refusal = m_refusals.find(id);
+        if (refusal == m_refusals.end())
+            changes.push_back({ id, {}, {} });
+        else
+            changes.push_back({ id, refusal->second.parts, now - refusal->second.at });
+    }
+    return changes;
+}
+
+std::vector<PromptRefusal> PromptQuarantine::refusals(MonotonicTime now) const
+{
+    std::vector<PromptRefusal> list;
+    for (const auto& [id, refusal] : m_refusals)
+        list.push_back({ id, refusal.parts, now - refusal.at });
+    return list;
+}
+
+void PromptQuarantine::expire(MonotonicTime now)
+{
+    while (!m_crashes.empty() && now - m_crashes.front().at >= m_settings.lifetime)
+        m_crashes.pop_front();
+    std::erase_if(m_refusals, [&](const auto& item) { return now - item.second.at >= m_settings.lifetime; });
+    std::erase_if(m_answers, [&](const auto& item) { return now - item.second.at >= m_settings.lifetime; });
+}
+
+PromptQuarantineDigest PromptQuarantine::nextDigest(MonotonicTime now)
+{
+    PromptQuarantineDigest digest;
+    for (auto crash = m_crashes.rbegin(); crash != m_crashes.rend(); ++crash) {
+        if (now - crash->at >= m_settings.reportTime || digest.crashes.size() >= m_settings.maximumReported)
+            break;
+        PromptCrashReport report { crash->endpoint, now - crash->at, {} };
+        for (const RequestFingerprint fingerprint : crash->ownRequests)
+            report.requests.push_back({ fingerprint, crash->requests.at(fingerprint) });
+        if (!report.requests.empty())
+            digest.crashes.push_back(std::move(report));
+    }
+    for (const auto& [part, answer] : m_answers) {
+        if (answer.wasSeenHere && now - answer.at < m_settings.reportTime)
+            digest.answered.push_back({ part, now - answer.at });
+    }
+    std::sort(digest.answered.begin(), digest.answered.end(),
+        [](const AnsweredPart& left, const AnsweredPart& right) { return left.age < right.age; });
+    if (digest.answered.size() > m_settings.maximumReportedAnswers)
+        digest.answered.resize(m_settings.maximumReportedAnswers);
+    auto next = m_refusals.upper_bound(m_lastReported);
+    while (digest.refused.size() < std::min(m_settings.maximumReported, m_refusals.size())) {
+        if (next == m_refusals.end())
+            next = m_refusals.begin();
+        digest.refused.push_back({ next->first, next->second.parts, now - next->second.at });
+        m_lastReported = next->first;
+        ++next;
+    }
+    return digest;
+}
+
+void PromptQuarantine::merge(const PromptQuarantineDigest& digest, MonotonicTime now)
+{
+    if (digest.isEmpty())
+        return;
+    expire(now);
+    for (const AnsweredPart& entry : digest.answered)
+        noteAnswer(entry.part, now - entry.age, false);
+    for (const PromptCrashReport& report : digest.crashes) {
+        if (report.age >= m_settings.lifetime || report.requests.empty())
+            continue;
+        Crash& crash = crashOf(report.endpoint, now - report.age);
+        for (const BrokenRequest& request : report.requests)
+            addRequest(crash, request, false);
+    }
+    for (const PromptRefusal& refusal : digest.refused)
+        adopt(refusal, now);
+}
+
+} // namespace Catkinwell
--- a/tests/gateway/GatewayFixture.cpp
+++ b/tests/gateway/GatewayFixture.cpp
@@ -106,8 +106,8 @@
     now += std::chrono::seconds(5);
 }
 
-RequestId RequestsFixture::arrive(
-    const std::string& path, const std::string& key, double timeLeftMs, const std::string& model)
+RequestId RequestsFixture::arrive(const std::string& path, const std::string& key, double timeLeftMs,
+    const std::string& model, const std::string& part)
 {
     RequestArrived request;
     request.id = RequestId(++m_lastRequest);
@@ -119,6 +119,8 @@
         { "left", std::to_string(static_cast<int>(timeLeftMs)) } };
     if (path.starts_with("/note/") || path.starts_with("/dossier/"))
         request.headers.emplace_back("model", model);
+    if (!part.empty())
+        request.headers.emplace_back("part", part);
     requests.handle(request, now, effects);
     return request.id;
 }
@@ -130,12 +132,19 @@
     requests.handle(AttemptFinished { id }, now, effects);
 }
 
+void RequestsFixture::crash(AttemptId id)
+{
+    requests.handle(AttemptHead { id, 200, { { "sealed", "1" } } }, now, effects);
+    requests.handle(AttemptFailed { id, AttemptOutcome::Unknown, "closed", AttemptFailure::Broken }, now, effects);
+}
+
 void RequestsFixture::advance(Duration duration)
 {
     constexpr Duration step = std::chrono::milliseconds(20);
     for (const MonotonicTime end = now + duration; now < end;) {
         now += step;
         directory.tick(now);
+        requests.promptQuarantine().tick(now);
         requests.dispatchWaiting(now, effects);
         requests.tick(now, effects);
     }
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -39,9 +39,12 @@
     RequestsFixture();
 
     // Sends a request, by default of account "a". The path selects the route: /order/ is not repeatable, /read/ is
-    // idempotent, /note/ is a stream and /dossier/ a resumable stream. Streams use the model.
+    // idempotent, /note/ is a stream and /dossier/ a resumable stream. Streams use the model. The prompt consists of
+    // the part, if there is one, and of a part of the request's own.
     RequestId arrive(const std::string& path, const std::string& key = "key-a", double timeLeftMs = 10000,
-        const std::string& model = "m1");
+        const std::string& model = "m1", const std::string& part = "");
+    // Sends the head of a stream and then closes the connection, as a crashing endpoint does.
+    void crash(AttemptId);
     // Sends the complete answer of an attempt.
     void answer(AttemptId, int status, HeaderList headers = { { "sealed", "1" } }, const std::string& body = "body");
     void advance(Duration);
--- a/tests/gateway/GatewayMessageTest.cpp
+++ b/tests/gateway/GatewayMessageTest.cpp
@@ -15,6 +15,9 @@
     digest.demand = { true, { { { ModelId("m"), "x" }, "notes", 2, 0.5, 120 } } };
     digest.running.push_back({ EndpointId("e"), { ModelId("m"), "" }, 4 });
     digest.suspectFingerprints.emplace_back(99, 2);
+    digest.prompts.crashes.push_back({ 17, std::chrono::milliseconds(40), { { 5, { 1, 2 } }, { 6, { 2 } } } });
+    digest.prompts.answered.push_back({ 1, std::chrono::milliseconds(9) });
+    digest.prompts.refused.push_back({ 8, { 2 }, std::chrono::seconds(3) });
     PlacementUpdate update { 5, 6,
         { { EndpointId("e"), 1, { { ModelId("m"), { "x", "y" } } }, { { { ModelId("n"), "" }, 800 } } } } };
     const GatewayMessage all[] { digest, update, ConfigurationWanted { 4 }, ConfigurationDocumentOffer { 5, "text" } };
--- a/tests/gateway/GatewayRequestsTest.cpp
+++ b/tests/gateway/GatewayRequestsTest.cpp
@@ -321,3 +321,69 @@
     }
     CHECK(attempts <= 3);
 }
+
+namespace {
+
+// Sends a stream with the part to a fresh endpoint. Returns the number of attempts; each crashes or is answered.
+std::size_t sendPart(RequestsFixture& fixture, const char* path, const std::string& part, bool crashes)
+{
+    fixture.arrive(path, "key-a", 10000, "m1", part);
+    std::size_t count = 0;
+    for (auto attempts = fixture.takeAttempts(); !attempts.empty(); attempts = fixture.takeAttempts()) {
+        for (const StartAttempt& attempt : attempts) {
+            ++count;
+            if (crashes)
+                fixture.crash(attempt.id);
+            else
+                fixture.answer(attempt.id, 200, { { "sealed", "1" } }, "id: 1\n\n");
+        }
+    }
+    return count;
+}
+
+} // namespace
+
+// Guards against endpoints that crash one after the other under different requests with a common part in their prompts.
+TEST_CASE("Requests with a prompt part that crashes endpoints stop reaching them, and others go on")
+{
+    const char* path = GENERATE("/note/1", "/dossier/1");
+    RequestsFixture fixture;
+    addEndpoints(fixture, "notes", 6, withM1);
+    std::size_t crashes = 0;
+    for (int i = 0; i < 20; ++i) {
+        crashes += sendPart(fixture, path, "deadly", true);
+        for (int j = 0; j < 3; ++j)
+            CHECK(sendPart(fixture, path, "sound", false) == 1);
+        fixture.advance(std::chrono::seconds(1));
+    }
+    INFO(path);
+    CHECK(crashes <= 4);
+    CHECK(fixture.takeAnswers().back().status == 500);
+    SECTION("until the refusal expires")
+    {
+        fixture.now += std::chrono::minutes(10);
+        CHECK(sendPart(fixture, path, "deadly", true) > 0);
+    }
+}
+
+// Guards against an attempt that is left to crash its endpoint although the prompt's part is known by then.
+TEST_CASE("Attempts that no endpoint has begun to answer are cancelled when their part is refused")
+{
+    RequestsFixture fixture;
+    addEndpoints(fixture, "notes", 6, withM1);
+    for (int i = 0; i < 3; ++i) {
+        sendPart(fixture, "/note/1", "deadly", true);
+        for (int j = 0; j < 3; ++j)
+            sendPart(fixture, "/note/1", "sound", false);
+        fixture.advance(std::chrono::milliseconds(400));
+    }
+    fixture.arrive("/note/1", "key-a", 10000, "m1", "deadly");
+    const auto attempts = fixture.takeAttempts();
+    REQUIRE(attempts.size() == 1);
+    fixture.advance(std::chrono::milliseconds(300));
+    fixture.requests.endQuarantined(fixture.now, fixture.effects);
+    REQUIRE(effectsOf<CancelAttempt>(fixture.effects).size() == 1);
+    CHECK(effectsOf<CancelAttempt>(fixture.effects).front().id == attempts.front().id);
+    // The attempt may have run.
+    CHECK(fixture.takeAnswers().back().status == 502);
+}
--- /dev/null
+++ b/tests/routing/PromptQuarantineTest.cpp
@@ -0,0 +1,230 @@
+#include <catch2/catch.hpp>
+#include <catkinwell/core/RandomGenerator.h>
+#include <catkinwell/routing/PromptQuarantine.h>
+
+using namespace Catkinwell;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr PromptPartHash deadly = 1;
+constexpr PromptPartHash companion = 2;
+constexpr PromptPartHash popular = 3;
+
+// Hosts that exchange digests. Every request is a new one unless its fingerprint is given.
+struct PromptFleet {
+    explicit PromptFleet(std::size_t count)
+        : hosts(count)
+    {
+    }
+
+    void crash(std::size_t host, const std::vector<PromptParts>& requests, const std::string& endpoint = "")
+    {
+        const EndpointId id(endpoint.empty() ? "engine-" + std::to_string(++lastEndpoint) : endpoint);
+        for (const PromptParts& parts : requests)
+            hosts[host].attemptBroken(id, { ++lastRequest, parts }, now);
+    }
+
+    void answer(std::size_t host, const PromptParts& parts)
+    {
+        for (int i = 0; i < 5; ++i)
+            hosts[host].answered(parts, now);
+    }
+
+    // Delivers the digests, except between the two groups of a partition.
+    void pass(Duration duration, std::size_t firstGroup = 0)
+    {
+        for (const MonotonicTime end = now + duration; now < end; now += 100ms) {
+            for (PromptQuarantine& host : hosts)
+                host.tick(now);
+            for (std::size_t from = 0; from < hosts.size(); ++from) {
+                const PromptQuarantineDigest digest = hosts[from].nextDigest(now);
+                for (std::size_t to = 0; to < hosts.size(); ++to) {
+                    if (to != from && (from < firstGroup) == (to < firstGroup))
+                        hosts[to].merge(digest, now);
+                }
+            }
+        }
+    }
+
+    bool isRefused(std::size_t host, const PromptParts& parts) const { return hosts[host].isRefused(parts, now); }
+
+    std::vector<PromptQuarantine> hosts;
+    MonotonicTime now { 1h };
+    RequestFingerprint lastRequest = 0;
+    int lastEndpoint = 0;
+};
+
+// Three crashes with the deadly part, each at another host, and answers to popular requests between them.
+void convict(PromptFleet& fleet)
+{
+    for (std::size_t i = 0; i < 3; ++i) {
+        fleet.crash(i % fleet.hosts.size(), { { deadly, companion, popular }, { popular } });
+        fleet.pass(1s);
+        for (std::size_t host = 0; host < fleet.hosts.size(); ++host)
+            fleet.answer(host, { popular });
+    }
+    fleet.pass(1s);
+}
+
+} // namespace
+
+// Guards against crashes at different hosts that no host counts together.
+TEST_CASE("Every host refuses a prompt part that crashed three endpoints of the fleet")
+{
+    PromptFleet fleet(GENERATE(1U, 3U, 8U));
+    convict(fleet);
+    for (std::size_t host = 0; host < fleet.hosts.size(); ++host) {
+        CHECK(fleet.isRefused(host, { deadly, companion, 77 }));
+        CHECK_FALSE(fleet.isRefused(host, { popular }));
+        CHECK_FALSE(fleet.isRefused(host, { companion, popular }));
+    }
+}
+
+// Guards against refusing sound requests that share another part with all crashing requests.
+TEST_CASE("Parts that always occur together are refused only together until one of them is answered")
+{
+    PromptFleet fleet(2);
+    convict(fleet);
+    CHECK_FALSE(fleet.isRefused(0, { deadly, 78 }));
+    SECTION("an answer to one part narrows the refusal to the other at all hosts")
+    {
+        fleet.answer(1, { companion });
+        fleet.pass(200ms);
+        CHECK(fleet.isRefused(0, { deadly, 78 }));
+        CHECK_FALSE(fleet.isRefused(0, { companion, 78 }));
+    }
+    SECTION("a crash without one of the parts accuses the other alone")
+    {
+        fleet.crash(0, { { deadly, popular } });
+        fleet.answer(0, { popular });
+        fleet.pass(1s);
+        CHECK(fleet.isRefused(1, { deadly, 78 }));
+    }
+    SECTION("an answer to all parts ends the refusal")
+    {
+        fleet.hosts[0].takeChanges(fleet.now);
+        fleet.answer(1, { deadly, companion });
+        fleet.pass(200ms);
+        CHECK_FALSE(fleet.isRefused(0, { deadly, companion }));
+        const auto changes = fleet.hosts[0].takeChanges(fleet.now);
+        REQUIRE(changes.size() == 1);
+        CHECK(changes[0].parts.empty());
+    }
+}
+
+namespace {
+
+struct InnocentCase {
+    const char* name;
+    // Time between two crashes, how many there are, and whether one request is repeated each time.
+    Duration interval;
+    int crashes;
+    bool isOneRequest;
+    // Whether a request with the part is answered after each crash.
+    bool isAnswered;
+};
+
+} // namespace
+
+// Guards against sound requests that are turned away because endpoints failed for another reason.
+TEST_CASE("A part is not refused for crashes that it did not cause")
+{
+    const auto test = GENERATE(values<InnocentCase>({
+        { "a rack that fails at once", 0ms, 8, false, false },
+        { "an answer after each crash", 2s, 8, false, true },
+        { "one repeated request", 2s, 8, true, false },
+        { "two crashes", 2s, 2, false, false },
+    }));
+    INFO(test.name);
+    PromptFleet fleet(2);
+    constexpr PromptPartHash part = 9;
+    for (int i = 0; i < test.crashes; ++i) {
+        if (test.isOneRequest)
+            fleet.lastRequest = 0;
+        fleet.crash(0, { { part } });
+        if (test.interval > Duration::zero())
+            fleet.pass(test.interval);
+        if (test.isAnswered)
+            fleet.answer(1, { part });
+        fleet.answer(0, { popular });
+    }
+    fleet.pass(2s);
+    CHECK_FALSE(fleet.isRefused(0, { part }));
+    CHECK_FALSE(fleet.isRefused(1, { part }));
+}
+
+// Guards against a fleet whose endpoints answer nothing else meanwhile.
+TEST_CASE("Five crashes suffice if no other request was answered")
+{
+    PromptFleet fleet(2);
+    for (int i = 0; i < 5; ++i) {
+        CHECK_FALSE(fleet.isRefused(0, { deadly }));
+        fleet.crash(0, { { deadly } });
+        fleet.pass(1s);
+    }
+    CHECK(fleet.isRefused(0, { deadly }));
+    CHECK(fleet.isRefused(1, { deadly }));
+}
+
+// Guards against refusing what ran beside the cause.
+TEST_CASE("Crashes that a refused part explains are no evidence against others")
+{
+    PromptFleet fleet(2);
+    convict(fleet);
+    for (int i = 0; i < 4; ++i) {
+        fleet.crash(0, { { deadly, companion }, { 50 } });
+        fleet.answer(0, { popular });
+        fleet.pass(1s);
+    }
+    CHECK_FALSE(fleet.isRefused(0, { 50 }));
+}
+
+// Guards against hosts that learn of a refusal too late, or keep it for ever by telling each other.
+TEST_CASE("A refusal reaches hosts after a partition or a restart and expires at all hosts")
+{
+    PromptFleet fleet(4);
+    for (int i = 0; i < 3; ++i) {
+        fleet.crash(0, { { deadly } });
+        fleet.answer(0, { popular });
+        fleet.pass(1s, 2);
+    }
+    CHECK(fleet.isRefused(1, { deadly }));
+    CHECK_FALSE(fleet.isRefused(2, { deadly }));
+    fleet.pass(1s);
+    CHECK(fleet.isRefused(2, { deadly }));
+    fleet.hosts[3] = PromptQuarantine();
+    fleet.pass(1s);
+    CHECK(fleet.isRefused(3, { deadly }));
+    fleet.now += 9min;
+    fleet.pass(500ms);
+    CHECK(fleet.isRefused(3, { deadly }));
+    fleet.pass(1min);
+    for (std::size_t host = 0; host < 4; ++host)
+        CHECK(fleet.hosts[host].refusals(fleet.now).empty());
+}
+
+// Guards against memory and messages that grow with the number of crashes or of distinct parts.
+TEST_CASE("The prompt quarantine's state and digests are bounded")
+{
+    PromptQuarantineSettings settings;
+    PromptQuarantine quarantine(settings);
+    MonotonicTime now { 1h };
+    RandomGenerator random(3);
+    for (RequestFingerprint i = 1; i <= 20000; ++i) {
+        now += 20ms;
+        quarantine.attemptBroken(EndpointId("e" + std::to_string(random.below(400))),
+            { i, { random.below(300), 1000 + random.below(300) } }, now);
+        if (i % 10 == 0)
+            quarantine.answered({ 5000 + i, random.below(300) }, now);
+        if (i % 100 == 0)
+            quarantine.tick(now);
+    }
+    CHECK(quarantine.refusals(now).size() <= settings.maximumRefusals);
+    const PromptQuarantineDigest digest = quarantine.nextDigest(now);
+    CHECK(digest.crashes.size() <= settings.maximumReported);
+    CHECK(digest.refused.size() <= settings.maximumReported);
+    CHECK(digest.answered.size() <= settings.maximumReportedAnswers);
+    for (const PromptCrashReport& crash : digest.crashes)
+        CHECK(crash.requests.size() <= settings.maximumRequestsPerCrash);
+}
