Keep all hosts together within the request limit that an endpoint states

Cause: the limit in an answer was not read (AnswerTerms had no field for it), and nothing divided a rate of an endpoint among the hosts. The class of fault is a signal of overload that is forwarded and not obeyed. Change: the platform adapter reads the rate; EndpointLimits holds the latest statement of each endpoint, shares statements and attempts in the digests and divides the rate with FleetQuota, so that silent peers count as users of their part. Waiting hosts send at random times after the bucket has filled. The choice of an endpoint prefers others and passes over one without room, for first attempts, retries and requests that waited. A limit ends with an answer that states none, with the endpoint, or after a minute without news. 2118 logs each change with its origin. Why it works: arrivals of four seconds are at most four seconds of the rate, the burst and what the hosts send before they learn of each other, about one request a report interval.

--- a/experiments/GatewaySlopes.cpp
+++ b/experiments/GatewaySlopes.cpp
@@ -118,7 +118,7 @@
             m_chooseSeconds += processorSeconds() - before;
             ++m_requests;
             if (choice) {
-                m_directory.attemptStarted(choice->endpoint, variant.second);
+                m_directory.attemptStarted(choice->endpoint, variant.second, m_now);
                 m_running.emplace_back(m_now, choice->endpoint, variant.second);
             }
         }
--- a/include/catkinwell/gateway/EndpointDirectory.h
+++ b/include/catkinwell/gateway/EndpointDirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <catkinwell/core/RandomGenerator.h>
+#include <catkinwell/gateway/EndpointLimits.h>
 #include <catkinwell/gateway/GatewayMessage.h>
 #include <catkinwell/reducer/Effect.h>
 #include <deque>
@@ -41,7 +42,7 @@
 // reported by all hosts, and the outcomes of this host's own attempts. Pure; not thread safe.
 class EndpointDirectory {
 public:
-    EndpointDirectory(DataCentreId own, std::uint64_t seed);
+    EndpointDirectory(DataCentreId own, std::uint64_t seed, HostId self = HostId());
 
     // Adds or replaces a record; the endpoint may have restarted under the same identifier.
     void put(const EndpointRecord&, MonotonicTime now, EffectList&);
@@ -55,8 +56,10 @@
 
     // Returns the best endpoint for the request and logs the decision; nullopt if none is available.
     std::optional<EndpointChoice> choose(const EndpointNeed&, MonotonicTime now, EffectList&);
-    // Whether a usable endpoint of the service holds the variant, regardless of its load.
-    bool hasReplica(const std::string& service, const ModelVariant&, MonotonicTime now) const;
+    // Whether a usable endpoint of the service that accepts a request now holds the variant, regardless of its load.
+    bool hasReplica(const std::string& service, const ModelVariant&, MonotonicTime now);
+    // The rates that endpoints state. choose() and hasReplica() keep within them; attempts count against them.
+    EndpointLimits& limits() { return m_limits; }
     // Returns the expected time until an ordered replica is ready; nullopt if none was ordered.
     std::optional<Duration> timeUntilOrderedReplica(
         const std::string& service, const ModelVariant&, MonotonicTime now) const;
@@ -65,7 +68,7 @@
         const std::string& service, const ModelVariant&, const GatewayModel&, MonotonicTime now) const;
     bool hasUsableEndpoint(const std::string& service, MonotonicTime now) const;
 
-    void attemptStarted(const EndpointId&, const ModelVariant&);
+    void attemptStarted(const EndpointId&, const ModelVariant&, MonotonicTime now);
     void attemptEnded(const EndpointId&, const ModelVariant&, AttemptVerdict, MonotonicTime now, EffectList&);
     // The endpoint did not run a request for the variant. It counts as not holding the variant for a short time,
     // regardless of its record.
@@ -123,6 +126,7 @@
 
     DataCentreId m_ownDataCentre;
     RandomGenerator m_random;
+    EndpointLimits m_limits;
     std::map<EndpointId, Entry> m_entries;
     // The latest report of each other host, and the sum over all of them.
     std::map<HostId, std::vector<RunningCount>> m_peerRunning;
--- a/include/catkinwell/gateway/FleetQuota.h
+++ b/include/catkinwell/gateway/FleetQuota.h
@@ -23,6 +23,14 @@
     Duration retryAfter {};
 };
 
+// When a host keeps to its own share of a rate.
+enum class QuotaSharing {
+    // Only when the bucket is low and the hosts report rarely.
+    WhenLow,
+    // Never; the caller spreads the hosts' simultaneous requests itself.
+    Never,
+};
+
 // Enforces the rate and burst limit of each account over all hosts together. Every host keeps a copy of the same token
 // bucket and takes from it what it admits itself and what the other hosts report. A host that has not reported for a
 // while is assumed to admit an equal share of the rate, so that partitioned hosts together stay within the limit. When
@@ -30,7 +38,7 @@
 // many hosts do not spend the same units before they receive each other's reports. Not thread safe.
 class FleetQuota {
 public:
-    explicit FleetQuota(HostId self);
+    explicit FleetQuota(HostId self, QuotaSharing sharing = QuotaSharing::WhenLow);
 
     void configure(const std::map<AccountId, GatewayAccount>&, MonotonicTime now);
     // Sets the other live hosts.
@@ -41,6 +49,8 @@
     void merge(const HostId&, Incarnation, const AccountUsage&, MonotonicTime now);
     void tick(MonotonicTime now);
 
+    // Whether admit() would take the units.
+    bool isAvailable(const AccountId&, double units, MonotonicTime now);
     // Takes the units if they are available. An account without a limit is always admitted.
     QuotaDecision admit(const AccountId&, double units, MonotonicTime now);
     // Returns units that were taken for a request that did not run.
@@ -79,8 +89,11 @@
     double capacityOf(const GatewayAccount&) const;
     void updateShares(MonotonicTime now);
     Duration silenceTimeout() const;
+    // Returns how many units are missing; 0 if the units can be taken.
+    double missingUnits(const Bucket&, double units) const;
 
     HostId m_self;
+    QuotaSharing m_sharing;
     std::map<AccountId, Bucket> m_buckets;
     std::map<HostId, Peer> m_peers;
     AccountUsage m_ownUsage;
--- a/include/catkinwell/gateway/ForwardingProtocol.h
+++ b/include/catkinwell/gateway/ForwardingProtocol.h
@@ -45,6 +45,8 @@
     bool isSealed = false;
     // The body has a content encoding that was not requested.
     bool isEncoded = false;
+    // Requests per second that the endpoint accepts from all hosts together, until an answer states none.
+    std::optional<double> requestsPerSecond;
 };
 
 // Defines the headers, store keys and documents of one platform. Pure; implementations are thread safe.
--- a/include/catkinwell/gateway/GatewayMessage.h
+++ b/include/catkinwell/gateway/GatewayMessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <catkinwell/core/Error.h>
+#include <catkinwell/gateway/EndpointLimits.h>
 #include <catkinwell/gateway/EndpointRecord.h>
 #include <catkinwell/gateway/FleetQuota.h>
 #include <catkinwell/gateway/HostDemand.h>
@@ -30,6 +31,7 @@
     // Fingerprints of requests that were running when an endpoint crashed, with the number of crashes.
     std::vector<std::pair<std::uint64_t, std::uint32_t>> suspectFingerprints;
     PromptQuarantineDigest prompts;
+    EndpointLimitDigest limits;
 };
 
 // A replica that is being loaded.
--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -76,6 +76,7 @@
     void handlePromptChanges(MonotonicTime now, EffectList&);
     void ensureSecret(MonotonicTime now, EffectList&);
     void updatePeers(MonotonicTime now, EffectList&);
+    void hastenDigest(MonotonicTime now);
     void sendDigests(MonotonicTime now, EffectList&);
     void sendUrgentDemand(MonotonicTime now, EffectList&);
     void sendDemand(MonotonicTime now, EffectList&);
@@ -116,7 +117,7 @@
     std::uint64_t m_digestSequence = 0;
     WallTime m_wallNow {};
     MonotonicTime m_nextDigestAt {};
-    // When news of the prompt quarantine may be sent next.
+    // When urgent news may be sent next.
     MonotonicTime m_nextNewsAt {};
     MonotonicTime m_nextUrgentDigestAt {};
     // Whether a request started waiting that was not reported to the owner yet.
--- a/include/catkinwell/logging/LogEvent.h
+++ b/include/catkinwell/logging/LogEvent.h
@@ -119,6 +119,7 @@
     GatewayMirrorRead = 2115,
     GatewayPeersChanged = 2116,
     GatewayReadinessChanged = 2117,
+    GatewayEndpointLimitChanged = 2118,
     GatewayOwnershipGained = 2120,
     GatewayOwnershipLost = 2121,
     GatewayOrderDecided = 2122,
--- a/src/gateway/EndpointDirectory.cpp
+++ b/src/gateway/EndpointDirectory.cpp
@@ -23,6 +23,8 @@
     // Costs and bonuses, as fractions of an endpoint's capacity.
     constexpr double failureCost = 1.0;
     constexpr double otherDataCentreCost = 0.03;
+    // An endpoint that limits its requests is in need; others are preferred.
+    constexpr double limitedCost = 0.5;
     constexpr double wholePromptBonus = 0.10;
     constexpr double sharedPromptBonus = 0.04;
     constexpr std::size_t maximumPromptEntries = 4096;
@@ -37,9 +39,10 @@
 
 } // namespace
 
-EndpointDirectory::EndpointDirectory(DataCentreId own, std::uint64_t seed)
+EndpointDirectory::EndpointDirectory(DataCentreId own, std::uint64_t seed, HostId self)
     : m_ownDataCentre(std::move(own))
     , m_random(seed)
+    , m_limits(std::move(self), seed + 1)
 {
 }
 
@@ -51,6 +54,7 @@
     const bool changesState
         = isNew || isRestarted || entry.record.isLeaving != record.isLeaving || entry.usableUntil != MonotonicTime();
     if (isRestarted) {
+        m_limits.remove(record.id);
         entry.update = EngineUpdate();
         entry.updateReceivedAt = MonotonicTime();
         entry.missingUntil.clear();
@@ -140,10 +144,14 @@
 
 void EndpointDirectory::tick(MonotonicTime now)
 {
-    std::erase_if(m_entries, [now](const auto& item) {
+    std::erase_if(m_entries, [this, now](const auto& item) {
         const Entry& entry = item.second;
-        return entry.usableUntil != MonotonicTime() && now >= entry.usableUntil && entry.ownTotal == 0;
+        const bool isGone = entry.usableUntil != MonotonicTime() && now >= entry.usableUntil && entry.ownTotal == 0;
+        if (isGone)
+            m_limits.remove(item.first);
+        return isGone;
     });
+    m_limits.tick(now);
 }
 
 bool EndpointDirectory::isUsable(const Entry& entry, MonotonicTime now) const
@@ -211,7 +219,7 @@
 {
     const double load = (runningOn(entry.record.id) + 1.0) / entry.record.slots;
     const double distance = entry.record.dataCentre == m_ownDataCentre ? 0 : otherDataCentreCost;
-    const double failures = entry.failureShare * failureCost;
+    const double failures = entry.failureShare * failureCost + (m_limits.isLimited(entry.record.id) ? limitedCost : 0);
     // Breaks ties at random, so that the hosts do not all choose the same endpoint.
     const double tie = m_random.unit() * 0.001;
     const auto affinity = affinities.find(entry.record.id);
@@ -228,7 +236,7 @@
     double bestUnreliableScore = 0;
     for (auto& [id, entry] : m_entries) {
         if (entry.record.service != need.service || need.excluded.contains(id) || !isUsable(entry, now)
-            || !hasVariant(entry, need.variant, now))
+            || !hasVariant(entry, need.variant, now) || !m_limits.isAvailable(id, now))
             continue;
         const double score = scoreOf(entry, affinities);
         const bool isReliable = entry.failureShare <= tolerableFailureShare || m_random.unit() < unreliableProbeShare;
@@ -252,11 +260,12 @@
     return EndpointChoice { chosen->record.id, chosen->record.address };
 }
 
-bool EndpointDirectory::hasReplica(const std::string& service, const ModelVariant& variant, MonotonicTime now) const
+bool EndpointDirectory::hasReplica(const std::string& service, const ModelVariant& variant, MonotonicTime now)
 {
     return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto& item) {
         const Entry& entry = item.second;
-        return entry.record.service == service && isUsable(entry, now) && hasVariant(entry, variant, now);
+        return entry.record.service == service && isUsable(entry, now) && hasVariant(entry, variant, now)
+            && m_limits.isAvailable(item.first, now);
     });
 }
 
@@ -305,8 +314,9 @@
         [&](const auto& item) { return item.second.record.service == service && isUsable(item.second, now); });
 }
 
-void EndpointDirectory::attemptStarted(const EndpointId& id, const ModelVariant& variant)
+void EndpointDirectory::attemptStarted(const EndpointId& id, const ModelVariant& variant, MonotonicTime now)
 {
+    m_limits.attemptStarted(id, now);
     const auto found = m_entries.find(id);
     if (found == m_entries.end())
         return;
--- a/src/gateway/FleetQuota.cpp
+++ b/src/gateway/FleetQuota.cpp
@@ -18,19 +18,30 @@
     constexpr double demandAverageSeconds = 1.5;
     // Fraction of the rate added to each host's demand, so that a host without demand can admit requests immediately.
     constexpr double baseDemand = 0.05;
+    constexpr double smallestMissing = 1e-6;
     constexpr Duration shortestRetry = std::chrono::milliseconds(50);
     constexpr Duration longestRetry = std::chrono::seconds(10);
 
 } // namespace
 
-FleetQuota::FleetQuota(HostId self)
+FleetQuota::FleetQuota(HostId self, QuotaSharing sharing)
     : m_self(std::move(self))
+    , m_sharing(sharing)
 {
 }
 
 void FleetQuota::configure(const std::map<AccountId, GatewayAccount>& accounts, MonotonicTime now)
 {
-    std::erase_if(m_buckets, [&accounts](const auto& entry) { return !accounts.contains(entry.first); });
+    const auto isUnknown = [&accounts](const auto& entry) { return !accounts.contains(entry.first); };
+    std::erase_if(m_buckets, isUnknown);
+    std::erase_if(m_ownUsage, isUnknown);
+    std::erase_if(m_usageAtUpdate, isUnknown);
+    std::erase_if(m_ownDemand, isUnknown);
+    for (auto& [host, peer] : m_peers) {
+        std::erase_if(peer.reported, isUnknown);
+        std::erase_if(peer.assumed, isUnknown);
+        std::erase_if(peer.demand, isUnknown);
+    }
     for (const auto& [account, settings] : accounts) {
         auto [entry, isNew] = m_buckets.try_emplace(account);
         Bucket& bucket = entry->second;
@@ -159,6 +170,31 @@
     return settings.countsTokens && tokens > 0 ? tokens : settings.plainUnits;
 }
 
+double FleetQuota::missingUnits(const Bucket& bucket, double units) const
+{
+    // A request larger than the burst is admitted when the bucket is full.
+    const double needed = std::min(units, bucket.settings.burst);
+    // Units that the other hosts may have spent since their last reports.
+    const Duration unreportedTime = std::max(Duration::zero(), m_reportInterval - toleratedReportInterval);
+    const double reserve = m_peers.empty()
+        ? 0
+        : std::min(bucket.settings.burst, bucket.settings.unitsPerSecond * secondsOf(unreportedTime));
+    const bool isLow = m_sharing == QuotaSharing::WhenLow && reserve > 0 && bucket.level - needed < reserve;
+    // A request may overdraw a positive allowance; the next one waits until it is positive again.
+    if (bucket.level >= needed && (!isLow || bucket.allowance > 0))
+        return 0;
+    return std::max({ needed - bucket.level, -bucket.allowance, smallestMissing });
+}
+
+bool FleetQuota::isAvailable(const AccountId& account, double units, MonotonicTime now)
+{
+    const auto found = m_buckets.find(account);
+    if (found == m_buckets.end() || found->second.settings.unitsPerSecond <= 0)
+        return true;
+    refill(found->second, now);
+    return missingUnits(found->second, units) <= 0;
+}
+
 QuotaDecision FleetQuota::admit(const AccountId& account, double units, MonotonicTime now)
 {
     const auto found = m_buckets.find(account);
@@ -173,15 +209,7 @@
         return {};
     }
     refill(bucket, now);
-    // A request larger than the burst is admitted when the bucket is full.
-    const double needed = std::min(units, bucket.settings.burst);
-    // Units that the other hosts may have spent since their last reports.
-    const Duration unreportedTime = std::max(Duration::zero(), m_reportInterval - toleratedReportInterval);
-    const double reserve = m_peers.empty() ? 0 : std::min(bucket.settings.burst, rate * secondsOf(unreportedTime));
-    const bool isLow = reserve > 0 && bucket.level - needed < reserve;
-    // A request may overdraw a positive allowance; the next one waits until it is positive again.
-    if (bucket.level < needed || (isLow && bucket.allowance <= 0)) {
-        const double missing = std::max(needed - bucket.level, -bucket.allowance);
+    if (const double missing = missingUnits(bucket, units); missing > 0) {
         const Duration wait = durationOfSeconds(std::min(missing / rate, secondsOf(longestRetry)));
         return { false, std::clamp(wait, shortestRetry, longestRetry) };
     }
--- a/src/gateway/GatewayMessage.cpp
+++ b/src/gateway/GatewayMessage.cpp
@@ -44,6 +44,22 @@
         return { ModelId(model.get<std::string>()), adapter.get<std::string>() };
     }
 
+    Json listOfUsage(const AccountUsage& usage)
+    {
+        Json list = Json::array();
+        for (const auto& [account, units] : usage)
+            list.push_back(Json::array({ account.value, units.admitted, units.offered }));
+        return list;
+    }
+
+    AccountUsage usageOf(const Json& list)
+    {
+        AccountUsage usage;
+        for (const Json& entry : list)
+            usage[AccountId(entry.at(0).get<std::string>())] = { entry.at(1).get<double>(), entry.at(2).get<double>() };
+        return usage;
+    }
+
     Json listOfPrompts(const PromptQuarantineDigest& digest)
     {
         Json crashes = Json::array();
@@ -83,12 +99,29 @@
         return digest;
     }
 
+    Json listOfLimits(const EndpointLimitDigest& digest)
+    {
+        Json statements = Json::array();
+        for (const EndpointLimitStatement& statement : digest.statements)
+            statements.push_back(Json::array({ statement.endpoint.value, statement.requestsPerSecond,
+                millisecondsOf(statement.age), statement.isAwaited }));
+        return Json::array({ std::move(statements), listOfUsage(digest.attempts) });
+    }
+
+    EndpointLimitDigest limitsOf(const Json& list)
+    {
+        EndpointLimitDigest digest;
+        for (const Json& entry : list.at(0))
+            digest.statements.push_back({ EndpointId(entry.at(0).get<std::string>()), entry.at(1).get<double>(),
+                ageOf(entry.at(2)), entry.at(3).get<bool>() });
+        digest.attempts = usageOf(list.at(1));
+        return digest;
+    }
+
     struct Encoder {
         Json operator()(const HostDigest& digest) const
         {
-            Json usage = Json::array();
-            for (const auto& [account, units] : digest.usage)
-                usage.push_back(Json::array({ account.value, units.admitted, units.offered }));
+            Json usage = listOfUsage(digest.usage);
             Json demand = Json::array();
             for (const VariantDemand& entry : digest.demand.entries)
                 demand.push_back(Json::array({ entry.variant.model.value, entry.variant.adapter, entry.service,
@@ -103,8 +136,10 @@
             Json message = Json::array(
                 { Kind::HostDigest, digest.sequence, digest.configurationVersion, digest.isLeaving, std::move(usage),
                     digest.demand.isWhole, std::move(demand), std::move(running), std::move(suspects) });
-            if (!digest.prompts.isEmpty())
+            if (!digest.prompts.isEmpty() || !digest.limits.isEmpty()) {
                 message.push_back(listOfPrompts(digest.prompts));
+                message.push_back(listOfLimits(digest.limits));
+            }
             return message;
         }
         Json operator()(const PlacementUpdate& update) const
@@ -136,9 +171,7 @@
         digest.sequence = list.at(1).get<std::uint64_t>();
         digest.configurationVersion = list.at(2).get<std::uint64_t>();
         digest.isLeaving = list.at(3).get<bool>();
-        for (const Json& entry : list.at(4))
-            digest.usage[AccountId(entry.at(0).get<std::string>())]
-                = { entry.at(1).get<double>(), entry.at(2).get<double>() };
+        digest.usage = usageOf(list.at(4));
         digest.demand.isWhole = list.at(5).get<bool>();
         for (const Json& entry : list.at(6))
             digest.demand.entries.push_back({ variantOf(entry.at(0), entry.at(1)), entry.at(2).get<std::string>(),
@@ -149,8 +182,10 @@
         for (const Json& entry : list.at(8))
             digest.suspectFingerprints.emplace_back(entry.at(0).get<std::uint64_t>(), entry.at(1).get<std::uint32_t>());
         // Absent from most digests.
-        if (list.size() > 9)
+        if (list.size() > 9) {
             digest.prompts = promptsOf(list.at(9));
+            digest.limits = limitsOf(list.at(10));
+        }
         return digest;
     }
 
--- a/src/gateway/GatewayQuarantine.cpp
+++ b/src/gateway/GatewayQuarantine.cpp
@@ -3,13 +3,6 @@
 // Refusal of requests that crash endpoints: how requests, peers and the store take part in the quarantines.
 namespace Catkinwell {
 
-namespace {
-
-    // Minimum time between two digests with news of crashes or answers.
-    constexpr Duration quarantineNewsInterval = std::chrono::milliseconds(50);
-
-} // namespace
-
 GatewayRequests::Refusal GatewayRequests::quarantineRefusal()
 {
     return { 500, "quarantined", "endpoints that ran this request or its prompt crashed; change the prompt",
@@ -65,10 +58,6 @@
     quarantine.tick(now);
     handlePromptChanges(now, effects);
     m_refusalRecords.tick(quarantine.refusals(now), m_gatewayMirror, m_placement.isOwner(), m_wallNow, now, effects);
-    if (now >= m_nextNewsAt && quarantine.takeNews()) {
-        m_nextNewsAt = now + quarantineNewsInterval;
-        m_nextDigestAt = now;
-    }
 }
 
 void GatewayReducer::handlePromptChanges(MonotonicTime now, EffectList& effects)
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -12,6 +12,8 @@
     constexpr Duration shortestDigestInterval = std::chrono::milliseconds(200);
     constexpr Duration longestDigestInterval = std::chrono::seconds(2);
     constexpr Duration urgentDigestInterval = std::chrono::milliseconds(15);
+    // Minimum time between two digests with urgent news.
+    constexpr Duration newsInterval = std::chrono::milliseconds(50);
     // The whole demand is repeated in case a report of changes was lost.
     constexpr Duration wholeDemandInterval = std::chrono::seconds(2);
     // The interval grows with the number of hosts to bound the store calls; records then arrive a little later.
@@ -81,7 +83,7 @@
     , m_endpointMirror(StoreUser::Membership, mirrorOf(protocol.endpointPrefix(), shortestRecordInterval), seed + 2)
     , m_gatewayMirror(StoreUser::Shares, mirrorOf(m_settings.storeKeyPrefix, std::chrono::milliseconds(100)), seed + 3)
     , m_ownership(ownershipOf(m_settings, incarnation), seed + 4)
-    , m_directory(m_settings.dataCentre, seed + 5)
+    , m_directory(m_settings.dataCentre, seed + 5, m_settings.host)
     , m_quota(m_settings.host)
     , m_requests(m_settings.requests, protocol, m_directory, m_quota)
     , m_placement(m_settings.placement, m_directory)
@@ -351,6 +353,8 @@
     m_livePeers = std::move(live);
     m_quota.setPeers(m_livePeers, now);
     m_quota.setReportInterval(digestInterval());
+    m_directory.limits().setPeers(m_livePeers, now);
+    m_directory.limits().setReportInterval(digestInterval());
     m_requests.setHostCount(m_livePeers.size() + 1);
     m_endpointMirror.setMinimumInterval(
         std::clamp<Duration>(recordIntervalPerHost * static_cast<std::int64_t>(m_livePeers.size() + 1),
@@ -375,13 +379,28 @@
     digest.isLeaving = m_phase != Phase::Serving;
     digest.usage = m_quota.ownUsage();
     digest.running = m_directory.running();
+    digest.limits = m_directory.limits().digest(now);
     digest.suspectFingerprints = m_requests.quarantine().nextDigest(now);
     digest.prompts = m_requests.promptQuarantine().nextDigest(now);
     return digest;
 }
 
+// News that the peers need at once do not wait for the next regular digest.
+void GatewayReducer::hastenDigest(MonotonicTime now)
+{
+    if (now < m_nextNewsAt)
+        return;
+    const bool hasCrashNews = m_requests.promptQuarantine().takeNews();
+    const bool hasLimitNews = m_directory.limits().takeNews();
+    if (!hasCrashNews && !hasLimitNews)
+        return;
+    m_nextNewsAt = now + newsInterval;
+    m_nextDigestAt = now;
+}
+
 void GatewayReducer::sendDigests(MonotonicTime now, EffectList& effects)
 {
+    hastenDigest(now);
     if (now < m_nextDigestAt)
         return;
     m_nextDigestAt = now + digestInterval();
@@ -503,6 +522,7 @@
     peer.configurationVersion = digest.configurationVersion;
     m_quota.merge(received.from, received.incarnation, digest.usage, now);
     m_directory.handle(received.from, digest);
+    m_directory.limits().merge(received.from, received.incarnation, digest.limits, now, effects);
     m_placement.handle(received.from, digest.demand, now);
     m_requests.quarantine().merge(received.from, digest.suspectFingerprints, now);
     m_requests.promptQuarantine().merge(digest.prompts, now);
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -298,7 +298,7 @@
     start.connectTimeout = std::min(connectTimeout, terms.timeLeft);
     start.silenceTimeout = attemptSilenceTimeout;
     start.echoHeader = m_protocol.echoHeader();
-    m_directory.attemptStarted(choice.endpoint, request.terms.variant);
+    m_directory.attemptStarted(choice.endpoint, request.terms.variant, now);
     m_quarantine.attemptStarted(choice.endpoint, request.fingerprint);
     m_attempts[attempt.id] = request.arrived.id;
     effects.push_back(RecordMetric { Metric::AttemptsTotal, request.service });
@@ -335,6 +335,8 @@
     attempt.status = head.status;
     attempt.headers = head.headers;
     attempt.terms = m_protocol.termsOf(head.status, head.headers);
+    if (attempt.terms.isSealed || attempt.terms.isNotExecuted)
+        m_directory.limits().noteAnswer(attempt.endpoint, attempt.terms.requestsPerSecond, now, effects);
     const bool isSuccess = head.status >= 200 && head.status < 300;
     const bool isUsable = isSuccess && attempt.terms.isSealed && !attempt.terms.isEncoded;
     attempt.isForwarded = request->route.isStream && isUsable;
@@ -394,6 +396,7 @@
     }
     const EndpointId endpoint = request->attempt->endpoint;
     effects.push_back(failedAttemptEntry(*request, failed.reason, "not_sent", now));
+    m_directory.limits().attemptNotSent(endpoint, now);
     m_quarantine.attemptNotSent(endpoint, request->fingerprint);
     m_quarantine.endpointDied(endpoint, now);
     m_directory.attemptEnded(endpoint, request->terms.variant, AttemptVerdict::Unreachable, now, effects);
--- a/src/logging/LogEvent.cpp
+++ b/src/logging/LogEvent.cpp
@@ -252,6 +252,10 @@
         { LogEvent::GatewayPeersChanged, Info, "gateway_peers_changed", "The set of live gateways changed.", "" },
         { LogEvent::GatewayReadinessChanged, Info, "gateway_readiness_changed",
             "The host became ready or is no longer ready.", "" },
+        { LogEvent::GatewayEndpointLimitChanged, Info, "gateway_endpoint_limit_changed",
+            "An endpoint stated how many requests a second it accepts from all hosts together, or no longer limits "
+            "them.",
+            "If a limit persists, check the endpoint's health and add capacity to its service." },
         { LogEvent::GatewayOwnershipGained, Info, "gateway_ownership_gained",
             "This host owns the placement of models and begins to give orders, after a waiting period if another host "
             "was "
--- a/src/replay/ReplayProtocol.cpp
+++ b/src/replay/ReplayProtocol.cpp
@@ -37,6 +37,8 @@
     terms.isMisdirected = status == 421;
     terms.isNotExecuted = terms.isMisdirected || findHeader(headers, "not-executed");
     terms.isSealed = findHeader(headers, "sealed") != nullptr;
+    if (const std::string* limit = findHeader(headers, "limit"))
+        terms.requestsPerSecond = std::strtod(limit->c_str(), nullptr);
     return terms;
 }
 
--- a/tests/gateway/EnginePlacementTest.cpp
+++ b/tests/gateway/EnginePlacementTest.cpp
@@ -226,7 +226,7 @@
     // The copy of m3 starts; that of m4 is next.
     fixture.run(std::chrono::seconds(1));
     for (int i = 0; i < 40; ++i)
-        fixture.directory.attemptStarted(EndpointId("e0"), { ModelId("m1"), "" });
+        fixture.directory.attemptStarted(EndpointId("e0"), { ModelId("m1"), "" }, fixture.now);
     fixture.demand("m1", 0, 40);
     fixture.run(std::chrono::seconds(14));
     const auto replicas = std::count_if(fixture.engines.begin(), fixture.engines.end(),
--- a/tests/gateway/GatewayMessageTest.cpp
+++ b/tests/gateway/GatewayMessageTest.cpp
@@ -18,6 +18,8 @@
     digest.prompts.crashes.push_back({ 17, std::chrono::milliseconds(40), { { 5, { 1, 2 } }, { 6, { 2 } } } });
     digest.prompts.answered.push_back({ 1, std::chrono::milliseconds(9) });
     digest.prompts.refused.push_back({ 8, { 2 }, std::chrono::seconds(3) });
+    digest.limits.statements.push_back({ EndpointId("e"), 2.5, std::chrono::milliseconds(70) });
+    digest.limits.attempts[AccountId("e")] = { 3, 9 };
     PlacementUpdate update { 5, 6,
         { { EndpointId("e"), 1, { { ModelId("m"), { "x", "y" } } }, { { { ModelId("n"), "" }, 800 } } } } };
     const GatewayMessage all[] { digest, update, ConfigurationWanted { 4 }, ConfigurationDocumentOffer { 5, "text" } };
