Treat a stream that ends inside an event as broken off

Callers saw: a stream whose endpoint died and whose connection closed in order, without a length or chunks, as a complete answer with half an event at its end, or without any event. Cause: the end of the connection completes such a body, and the events in it were not looked at; for routes that cannot be resumed they were not even separated. Change: EventStreamPosition follows every streamed answer; one that ends inside an event, or before the first, is a failed attempt: resumed where the route allows it, else the caller's connection is closed. It counts as a broken connection for the quarantine of prompt parts. Why it works: an empty line ends each event, so an answer that is cut anywhere else is told from a whole one.

--- a/src/gateway/GatewayRequestOutcomes.cpp
+++ b/src/gateway/GatewayRequestOutcomes.cpp
@@ -1,5 +1,6 @@
 #include <catkinwell/gateway/GatewayRequests.h>
 
+#include "http/HeaderText.h"
 #include <algorithm>
 #include <cstdio>
 
@@ -37,6 +38,15 @@
 
 } // namespace
 
+// Whether a stream of events that ended in order is incomplete. A body that ends with its connection looks complete
+// wherever the endpoint stopped.
+bool GatewayRequests::isBrokenOff(const Attempt& attempt)
+{
+    const std::string* type = findHeader(attempt.headers, "content-type");
+    const bool hasEvents = !type || type->starts_with("text/event-stream");
+    return hasEvents && (attempt.position.isInsideEvent() || attempt.position.events() == 0);
+}
+
 void GatewayRequests::handleCompleteAnswer(Request& request, MonotonicTime now, EffectList& effects)
 {
     const Attempt& attempt = *request.attempt;
@@ -44,6 +54,13 @@
         handleNotExecuted(request, now, effects);
         return;
     }
+    if (attempt.isForwarded && isBrokenOff(attempt)) {
+        request.mayHaveRun = true;
+        noteBrokenAttempt(request, now);
+        handleFailedAttempt(request, "the stream ended inside an event or before the first", AttemptVerdict::Bad, now,
+            effects);
+        return;
+    }
     if (attempt.isForwarded) {
         if (const std::string rest = request.eventBuffer.takeRest(); !rest.empty())
             effects.push_back(SendResponseData { request.arrived.id, rest });
--- a/tests/gateway/GatewayRequestsTest.cpp
+++ b/tests/gateway/GatewayRequestsTest.cpp
@@ -387,3 +387,38 @@
     // The attempt may have run.
     CHECK(fixture.takeAnswers().back().status == 502);
 }
+
+namespace {
+
+struct StreamEndCase {
+    const char* path;
+    std::string contentType;
+    std::string body;
+    bool expectedComplete;
+};
+
+} // namespace
+
+// Guards against a stream whose connection closes in order inside an event and that is passed on as complete.
+TEST_CASE("A stream that ends inside an event is broken off")
+{
+    const auto test = GENERATE(values<StreamEndCase>({
+        { "/note/1", "text/event-stream", "id: 1\ndata: a\n\n", true },
+        { "/note/1", "text/event-stream; charset=utf-8", "id: 1\ndata: a\n\nid: 2\nda", false },
+        { "/note/1", "text/event-stream", "id: 1\ndata: a\n\nid: 2\ndata: b\n", false },
+        { "/note/1", "text/event-stream", "", false },
+        { "/note/1", "application/json", "{}", true },
+        { "/dossier/1", "text/event-stream", "id: 1\ndata: a\n\n", true },
+        { "/dossier/1", "text/event-stream", "id: 1\ndata: a\n\nid: 2\nda", false },
+    }));
+    RequestsFixture fixture;
+    addEndpoints(fixture, "notes", 1, withM1);
+    fixture.arrive(test.path);
+    fixture.answer(
+        fixture.takeAttempts().at(0).id, 200, { { "sealed", "1" }, { "Content-Type", test.contentType } }, test.body);
+    fixture.advance(std::chrono::seconds(11));
+    INFO(test.path << ' ' << test.body);
+    const EffectList effects = fixture.takeEffects();
+    CHECK(effectsOf<FinishResponse>(effects).size() == (test.expectedComplete ? 1 : 0));
+    CHECK(effectsOf<AbortResponse>(effects).size() == (test.expectedComplete ? 0 : 1));
+}
