Give up answers whose bytes never end, in a head or in a body

Callers saw: of a plain answer longer than 8 MB the first 8 MB as a whole success; a stream without an empty line was passed on until the deadline. Inside, interim responses, responses to other requests and bodies of status calls without an end were read for ever, and a body that trickles kept its exchange for good. Cause: each buffer had a bound, but reaching it dropped bytes in silence, and only silence ended an exchange. Change: HttpExchange has a longest body and a total time; bytes before the expected response are bounded; the gateway abandons an attempt whose answer or event is too long and treats it as failed. Status calls, orders, reports and commands have a total time; attempts are bounded by their deadline and by what is kept. Why it works: every byte that is read counts against a bound, and reaching it ends the exchange as Garbage.

--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -163,6 +163,7 @@
     void handleFailedAttempt(Request&, std::string reason, AttemptVerdict, MonotonicTime now, EffectList&);
     bool mayRepeat(const Request&, MonotonicTime now) const;
     bool takeRetry(const Request&, MonotonicTime now);
+    void abandonEndlessAnswer(Request&, MonotonicTime now, EffectList&);
     void forwardData(Request&, std::string_view, EffectList&);
     void checkDeadlines(Request&, MonotonicTime now, EffectList&);
     void refuse(Request&, const Refusal&, MonotonicTime now, EffectList&);
--- a/include/catkinwell/http/HttpClient.h
+++ b/include/catkinwell/http/HttpClient.h
@@ -21,6 +21,10 @@
     Duration connectTimeout = std::chrono::milliseconds(500);
     // Longest time without data from the peer, before the head and between parts of the body.
     Duration silenceTimeout = std::chrono::seconds(30);
+    // Longest time for the whole exchange, for a peer that never ends its response; zero if the caller cancels in time.
+    Duration totalTimeout {};
+    // A longer response body fails with Garbage.
+    std::size_t maximumBodyBytes = 16 * 1024 * 1024;
     // Opens a new connection instead of reusing an idle one. The peer may close an idle connection while the request is
     // being sent, which leaves the outcome unknown.
     bool needsFreshConnection = false;
--- a/src/endpoint/EngineClient.cpp
+++ b/src/endpoint/EngineClient.cpp
@@ -1,6 +1,7 @@
 #include <catkinwell/endpoint/EngineClient.h>
 
 #include "endpoint/EngineProtocol.h"
+#include <limits>
 
 namespace Catkinwell {
 
@@ -35,6 +36,8 @@
     request.silenceTimeout = attempt.silenceTimeout;
     request.needsFreshConnection = attempt.needsFreshConnection;
     request.echoHeader = attempt.echoHeader;
+    // Whoever started the attempt bounds it by its deadline and by what it keeps.
+    request.maximumBodyBytes = std::numeric_limits<std::size_t>::max();
     HttpExchangeObserver observer;
     const AttemptId id = attempt.id;
     observer.onHead = [this, id](int status, const HeaderList& headers) {
@@ -74,6 +77,7 @@
     request.address = fetch.address;
     request.target = engineReportTarget;
     request.silenceTimeout = fetch.timeout;
+    request.totalTimeout = 2 * fetch.timeout;
     auto response = std::make_shared<BufferedResponse>();
     const MonotonicTime requestedAt = m_clock.monotonicNow();
     const EndpointId endpoint = fetch.endpoint;
@@ -111,6 +115,7 @@
     probe.address = command.address;
     probe.target = engineReportTarget;
     probe.silenceTimeout = std::chrono::seconds(2);
+    probe.totalTimeout = 2 * probe.silenceTimeout;
     HttpExchangeObserver observer;
     observer.onHead = [](int, const HeaderList&) {};
     observer.onData = [](const std::string&) {};
@@ -131,6 +136,7 @@
     request.body = commandBody(command);
     request.needsIdleConnection = true;
     request.silenceTimeout = command.timeout;
+    request.totalTimeout = 2 * command.timeout;
     auto response = std::make_shared<BufferedResponse>();
     const CommandId id = command.id;
     HttpExchangeObserver observer;
--- a/src/gateway/GatewayRequestOutcomes.cpp
+++ b/src/gateway/GatewayRequestOutcomes.cpp
@@ -57,8 +57,8 @@
     if (attempt.isForwarded && isBrokenOff(attempt)) {
         request.mayHaveRun = true;
         noteBrokenAttempt(request, now);
-        handleFailedAttempt(request, "the stream ended inside an event or before the first", AttemptVerdict::Bad, now,
-            effects);
+        handleFailedAttempt(
+            request, "the stream ended inside an event or before the first", AttemptVerdict::Bad, now, effects);
         return;
     }
     if (attempt.isForwarded) {
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -35,6 +35,7 @@
     // A refusal must reach the caller before the caller gives up.
     constexpr Duration refusalMargin = std::chrono::milliseconds(60);
     constexpr std::size_t maximumCollectedBytes = 8 * 1024 * 1024;
+    constexpr std::size_t maximumEventBytes = 1024 * 1024;
 
     std::string wholeNumber(double value) { return std::to_string(static_cast<std::int64_t>(value)); }
 
@@ -360,13 +361,26 @@
         request->attempt->position.feed(data.data);
         if (request->attempt->position.events() > 0)
             noteAnswerBegun(*request, now);
-        forwardData(*request, data.data, effects);
+        if (request->attempt->position.openBytes() > maximumEventBytes)
+            abandonEndlessAnswer(*request, now, effects);
+        else
+            forwardData(*request, data.data, effects);
         return;
     }
-    if (request->attempt->body.size() + data.data.size() <= maximumCollectedBytes)
+    if (request->attempt->body.size() + data.data.size() > maximumCollectedBytes)
+        abandonEndlessAnswer(*request, now, effects);
+    else
         request->attempt->body += data.data;
 }
 
+// Bytes without an end are no answer, and what was read of them must not pass for one.
+void GatewayRequests::abandonEndlessAnswer(Request& request, MonotonicTime now, EffectList& effects)
+{
+    request.mayHaveRun = true;
+    effects.push_back(CancelAttempt { request.attempt->id });
+    handleFailedAttempt(request, "the answer, or one event of it, is too long", AttemptVerdict::Bad, now, effects);
+}
+
 void GatewayRequests::forwardData(Request& request, std::string_view data, EffectList& effects)
 {
     std::string complete = request.route.isResumable ? request.eventBuffer.take(data) : std::string(data);
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -27,6 +27,8 @@
     constexpr Duration defaultIdleTime = std::chrono::seconds(2);
     constexpr std::size_t maximumIdleConnectionsPerAddress = 512;
     constexpr std::size_t readSize = 64 * 1024;
+    // Most bytes of interim responses, and of responses to other requests, before the expected one.
+    constexpr std::size_t maximumSkippedBytes = 1024 * 1024;
 
     // Returns how long a connection may stay idle, from the Keep-Alive header of its response.
     Duration idleTimeOf(const HeaderList& headers)
@@ -71,6 +73,7 @@
 
     ExchangeId start(const HttpExchange& request, HttpExchangeObserver observer);
     void cancel(ExchangeId id);
+    void failOverdue(ExchangeId id);
     void setPaused(ExchangeId id, bool paused);
     std::size_t runningExchanges() const { return m_running.size(); }
 
@@ -117,6 +120,7 @@
     // Starts connecting. Returns false if that failed at once.
     bool open(const SocketAddress&, Duration connectTimeout);
     void begin(ExchangeId, const HttpExchange&, HttpExchangeObserver);
+    void failOverdue() { fail(AttemptFailure::Silence, "the response did not end in time"); }
     // Ensures that the observer is not called again.
     void detach() { m_detached = true; }
     void setPaused(bool paused);
@@ -157,6 +161,10 @@
     // State of the current message.
     bool m_isSkipped = false;
     bool m_keepsAlive = false;
+    // Bytes read since the request was sent: before the expected response, and of its body.
+    std::size_t m_skippedBytes = 0;
+    std::size_t m_bodyBytes = 0;
+    std::size_t m_maximumBodyBytes = 0;
 };
 
 bool HttpClient::Implementation::Connection::open(const SocketAddress& address, Duration connectTimeout)
@@ -188,6 +196,9 @@
     m_echoHeader = request.echoHeader;
     const std::string* sent = m_echoHeader.empty() ? nullptr : findHeader(request.headers, m_echoHeader);
     m_echoValue = sent ? *sent : "";
+    m_maximumBodyBytes = request.maximumBodyBytes;
+    m_bodyBytes = 0;
+    m_skippedBytes = 0;
     m_reader.restart();
     const std::string text = serializeRequest(request);
     bufferevent_write(m_stream, text.data(), text.size());
@@ -243,6 +254,11 @@
             fail(AttemptFailure::Garbage, "the peer sent an invalid HTTP response: " + m_reader.failure());
             return;
         }
+        m_skippedBytes += m_isSkipped ? consumed : 0;
+        if (m_skippedBytes > maximumSkippedBytes || m_bodyBytes > m_maximumBodyBytes) {
+            fail(AttemptFailure::Garbage, "the peer sent more bytes than a response may have");
+            return;
+        }
         if (!m_reader.hasEnded())
             continue;
         if (m_isSkipped) {
@@ -273,7 +289,10 @@
 
 void HttpClient::Implementation::Connection::bodyRead(std::string_view data)
 {
-    if (!m_detached && !m_isSkipped)
+    if (m_detached || m_isSkipped)
+        return;
+    m_bodyBytes += data.size();
+    if (m_bodyBytes <= m_maximumBodyBytes)
         m_observer.onData(std::string(data));
 }
 
@@ -363,6 +382,11 @@
     Connection& running = *connection;
     m_running.emplace(id, std::move(connection));
     running.begin(id, request, std::move(observer));
+    if (request.totalTimeout > Duration::zero())
+        m_loop.callLater(request.totalTimeout, [this, id, alive = std::weak_ptr(m_alive)] {
+            if (!alive.expired())
+                failOverdue(id);
+        });
     return id;
 }
 
@@ -438,6 +462,13 @@
     destroyLater(std::move(owned));
 }
 
+void HttpClient::Implementation::failOverdue(ExchangeId id)
+{
+    const auto found = m_running.find(id);
+    if (found != m_running.end())
+        found->second->failOverdue();
+}
+
 void HttpClient::Implementation::setPaused(ExchangeId id, bool paused)
 {
     const auto found = m_running.find(id);
--- a/tests/gateway/GatewayRequestsTest.cpp
+++ b/tests/gateway/GatewayRequestsTest.cpp
@@ -422,3 +422,40 @@
     CHECK(effectsOf<FinishResponse>(effects).size() == (test.expectedComplete ? 1 : 0));
     CHECK(effectsOf<AbortResponse>(effects).size() == (test.expectedComplete ? 0 : 1));
 }
+
+namespace {
+
+struct EndlessCase {
+    const char* path;
+    // Sent again and again as the body of the answer.
+    std::string piece;
+    int expectedStatus;
+};
+
+} // namespace
+
+// Guards against an answer without an end that is cut off somewhere and passed on as complete, or read for ever.
+TEST_CASE("An answer without an end is given up and never passed on as complete")
+{
+    const auto test = GENERATE(values<EndlessCase>({
+        { "/order/1", std::string(1 << 20, 'x'), 502 },
+        { "/note/1", std::string(1 << 18, 'x'), 0 },
+        { "/dossier/1", std::string(1 << 18, 'x'), 0 },
+    }));
+    RequestsFixture fixture;
+    const std::string service = test.expectedStatus == 0 ? "notes" : "orders";
+    addEndpoints(fixture, service, 1, withM1);
+    fixture.arrive(test.path);
+    const AttemptId attempt = fixture.takeAttempts().at(0).id;
+    fixture.requests.handle(AttemptHead { attempt, 200, { { "sealed", "1" } } }, fixture.now, fixture.effects);
+    for (int i = 0; i < 12; ++i)
+        fixture.requests.handle(AttemptData { attempt, test.piece }, fixture.now, fixture.effects);
+    fixture.requests.handle(AttemptFinished { attempt }, fixture.now, fixture.effects);
+    fixture.advance(std::chrono::seconds(11));
+    INFO(test.path);
+    CHECK(effectsOf<CancelAttempt>(fixture.effects).size() == 1);
+    CHECK(effectsOf<FinishResponse>(fixture.effects).empty());
+    CHECK(effectsOf<AbortResponse>(fixture.effects).size() == (test.expectedStatus == 0 ? 1 : 0));
+    const auto answers = fixture.takeAnswers();
+    CHECK((answers.empty() ? 0 : answers.back().status) == test.expectedStatus);
+}
--- a/tests/http/AnswerIntegrityTest.cpp
+++ b/tests/http/AnswerIntegrityTest.cpp
@@ -13,10 +13,13 @@
     return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+constexpr std::size_t longestBody = 1024 * 1024;
+
 struct Outcome {
     std::string body;
     bool isFinished = false;
     std::optional<AttemptFailure> failure;
+    std::string reason;
 };
 
 class ClientFixture {
@@ -34,6 +37,8 @@
         exchange.headers = { { "X-Id", id } };
         exchange.echoHeader = "X-Id";
         exchange.silenceTimeout = std::chrono::milliseconds(400);
+        exchange.maximumBodyBytes = longestBody;
+        exchange.totalTimeout = totalTimeout;
         Outcome outcome;
         HttpExchangeObserver observer;
         observer.onHead = [](int, const HeaderList&) {};
@@ -42,8 +47,9 @@
             outcome.isFinished = true;
             loop.stop();
         };
-        observer.onFailed = [&](AttemptOutcome, AttemptFailure failure, const std::string&) {
+        observer.onFailed = [&](AttemptOutcome, AttemptFailure failure, const std::string& reason) {
             outcome.failure = failure;
+            outcome.reason = reason;
             loop.stop();
         };
         client.start(exchange, observer);
@@ -60,6 +66,7 @@
     EventLoop loop;
     ScriptedServer server;
     HttpClient client { loop };
+    Duration totalTimeout = std::chrono::seconds(5);
 };
 
 } // namespace
@@ -113,3 +120,39 @@
     CHECK(outcome.isFinished == test.expectedFinished);
     CHECK(outcome.failure.has_value() != test.expectedFinished);
 }
+
+// Guards against bytes without an end, which would keep a connection and its request busy for ever. Every case sends
+// more than the client should read, and keeps the connection open.
+TEST_CASE("Bytes without an end are given up, in a head and in a body")
+{
+    const std::string endless(6 * 1024 * 1024, 'x');
+    std::string interim;
+    while (interim.size() < endless.size())
+        interim += "HTTP/1.1 102 Processing\r\n\r\n";
+    const std::string bytes = GENERATE_COPY(values<std::string>({
+        endless,
+        "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Fill: " + endless,
+        "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\n" + endless,
+        "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n5000000\r\n" + endless,
+        "HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\n" + endless,
+        interim,
+    }));
+    ClientFixture fixture({ { bytes } });
+    const Outcome outcome = fixture.request("a");
+    INFO(bytes.substr(0, 60) << ": " << outcome.reason);
+    REQUIRE(outcome.failure);
+    CHECK(*outcome.failure == AttemptFailure::Garbage);
+    CHECK(outcome.body.size() <= longestBody);
+}
+
+// Guards against a peer that sends its bytes so slowly that no silence ever ends the exchange.
+TEST_CASE("A response that never ends is given up after the total time")
+{
+    // Without the total time the silence after the second part would end the exchange at 700 ms.
+    ClientFixture fixture({ { "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nx", "y", std::chrono::milliseconds(300) } });
+    fixture.totalTimeout = std::chrono::milliseconds(500);
+    const Outcome outcome = fixture.request("a");
+    CHECK(outcome.body == "xy");
+    CHECK(outcome.failure == AttemptFailure::Silence);
+    CHECK(outcome.reason == "the response did not end in time");
+}
