Quarantine messages that crash engines in serving processes too

Callers saw: through the OpenAI API, different chat requests with one common message crash one engine after the other, as with gateways; only repeats of one request were quarantined. Cause: the same as in gateways, an attribution to whole requests. Change: RequestFlow gives PromptQuarantine the messages before the last one; hosts send each other news of crashes, answers and refusals at once and repeat refusals to one peer a second; 1206 logs them, and `admin quarantine` lists and releases them. A suspicious request is not retried. Evidence: the new process test (two hosts, six engines, different questions after one system message): both hosts answer 422 and at least two engines live. Open: refusals of serving processes are kept in memory only, so that a restart of all hosts forgets them.

--- a/include/catkinwell/logging/LogEvent.h
+++ b/include/catkinwell/logging/LogEvent.h
@@ -45,6 +45,7 @@
     RetryBudgetExhausted = 1203,
     FingerprintQuarantined = 1204,
     EndpointStateChanged = 1205,
+    PromptRefusalChanged = 1206,
     // 1300: shares
     ShareChanged = 1300,
     ShareRefused = 1301,
--- a/include/catkinwell/peer/PeerMessage.h
+++ b/include/catkinwell/peer/PeerMessage.h
@@ -107,8 +107,14 @@
     std::string payload;
 };
 
-using PeerMessage = std::variant<BorrowTokens, LendTokens, ModelWanted, PlanAnnounced, ForwardedClaim,
-    ForwardedClaimResult, MembershipDigest, ConfigurationRequest, ConfigurationOffer, GatewayEnvelope>;
+// prompt quarantine: crash reports, answers and refusals, in the encoding of PromptQuarantineCodec.h.
+struct PromptQuarantineNews {
+    std::string payload;
+};
+
+using PeerMessage
+    = std::variant<BorrowTokens, LendTokens, ModelWanted, PlanAnnounced, ForwardedClaim, ForwardedClaimResult,
+        MembershipDigest, ConfigurationRequest, ConfigurationOffer, GatewayEnvelope, PromptQuarantineNews>;
 
 // An effect: sends a message to one host. Delivery is not guaranteed.
 struct SendToPeer {
--- a/include/catkinwell/reducer/Reducer.h
+++ b/include/catkinwell/reducer/Reducer.h
@@ -64,6 +64,10 @@
     void propagateMembership(MonotonicTime now, EffectList&);
     void setLeavingEndpoints(const std::set<EndpointId>&, MonotonicTime now, EffectList&);
     void updateDigestContents(MonotonicTime now, EffectList&);
+    void updatePromptQuarantine(MonotonicTime now, EffectList&);
+    void handlePromptChanges(MonotonicTime now, EffectList&);
+    void sendPromptNews(MonotonicTime now, EffectList&);
+    void handle(const PromptQuarantineNews&, MonotonicTime now, EffectList&);
     void propagatePlan(MonotonicTime now);
     void reportDemand(MonotonicTime now);
     void countReplicas(const EndpointReport&, MonotonicTime now);
@@ -96,6 +100,7 @@
     MembershipManager m_membership;
     EndpointDrains m_drains;
     CrashQuarantine m_quarantine;
+    PromptQuarantine m_promptQuarantine;
     EndpointTable m_endpoints;
     ShareManager m_shares;
     ClaimManager m_claims;
@@ -112,6 +117,10 @@
     // All live hosts, this one included.
     std::vector<LiveHost> m_liveHosts;
     MonotonicTime m_nextDigestUpdateAt {};
+    // When the next news of the prompt quarantine go to all hosts, and the next repetition to one of them.
+    MonotonicTime m_nextPromptNewsAt {};
+    MonotonicTime m_nextPromptRepetitionAt {};
+    std::size_t m_nextPromptPeer = 0;
     std::set<EndpointId> m_leavingEndpoints;
     // The replicas whose usage this host accounts for.
     std::map<EndpointId, std::set<ModelId>> m_countedReplicas;
--- a/include/catkinwell/requests/CompletionRequest.h
+++ b/include/catkinwell/requests/CompletionRequest.h
@@ -4,6 +4,7 @@
 #include <catkinwell/requests/ApiError.h>
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <string>
 #include <variant>
 
@@ -24,6 +25,8 @@
     std::uint64_t prefixHash = 0;
     // Hash of the model and of the whole prompt, without the sampling parameters, for the crash quarantine.
     std::uint64_t contentHash = 0;
+    // Hashes of the messages before the last one, which requests may share. Empty for a plain prompt.
+    std::set<std::uint64_t> sharedParts;
     // The body for the engine: the caller's body, with the default token limit added if it has none, and with the
     // usage chunk requested for a stream.
     std::string engineBody;
--- a/include/catkinwell/requests/RequestFlow.h
+++ b/include/catkinwell/requests/RequestFlow.h
@@ -28,6 +28,7 @@
     ClaimManager& claims;
     UsageAccounting& usage;
     CrashQuarantine& quarantine;
+    PromptQuarantine& promptQuarantine;
 };
 
 // The demand for a model on this host, reported to the placement.
@@ -65,6 +66,9 @@
     // Applies changed limits and weights, and fails the requests whose API key is no longer granted.
     void configurationChanged(MonotonicTime now, EffectList&);
 
+    // Ends the running requests that the quarantine refuses now and that no endpoint has begun to answer.
+    void endQuarantined(MonotonicTime now, EffectList&);
+
     // Refuses new requests from now on; accepted requests continue.
     void beginShutdown();
     bool isShuttingDown() const { return m_shuttingDown; }
@@ -115,6 +119,10 @@
     void finishWhole(ActiveRequest&, MonotonicTime now, EffectList&);
     // Returns true if the request was refused because it had crashed endpoints.
     bool refuseIfQuarantined(ActiveRequest&, MonotonicTime now, EffectList&);
+    bool isQuarantined(const ActiveRequest&, MonotonicTime now) const;
+    // Record what an answer, or a connection that broke before it, says about the request's prompt.
+    void noteAnswerBegun(ActiveRequest&, MonotonicTime now);
+    void noteBrokenAnswer(const ActiveRequest&, MonotonicTime now);
     void noteBrokenAttempt(ActiveRequest&, MonotonicTime now);
     void retryOrFail(ActiveRequest&, bool mayHaveRun, const std::string& reason, MonotonicTime now, EffectList&);
     void failIncompleteAnswer(ActiveRequest&, const std::string& reason, MonotonicTime now, EffectList&);
--- a/include/catkinwell/routing/PromptQuarantine.h
+++ b/include/catkinwell/routing/PromptQuarantine.h
@@ -114,6 +114,7 @@
 
     // All refusals, in the order of their identifiers.
     std::vector<PromptRefusal> refusals(MonotonicTime now) const;
+    std::vector<PromptRefusalId> refusalIds() const;
 
 private:
     struct Crash {
--- a/src/gateway/GatewayMessage.cpp
+++ b/src/gateway/GatewayMessage.cpp
@@ -1,5 +1,6 @@
 #include <catkinwell/gateway/GatewayMessage.h>
 
+#include "routing/PromptQuarantineCodec.h"
 #include <nlohmann/json.hpp>
 
 namespace Catkinwell {
@@ -60,45 +61,9 @@
         return usage;
     }
 
-    Json listOfPrompts(const PromptQuarantineDigest& digest)
-    {
-        Json crashes = Json::array();
-        for (const PromptCrashReport& report : digest.crashes) {
-            Json requests = Json::array();
-            for (const BrokenRequest& request : report.requests)
-                requests.push_back(Json::array({ request.fingerprint, request.parts }));
-            crashes.push_back(Json::array({ report.endpoint, millisecondsOf(report.age), std::move(requests) }));
-        }
-        Json answered = Json::array();
-        for (const AnsweredPart& entry : digest.answered)
-            answered.push_back(Json::array({ entry.part, millisecondsOf(entry.age) }));
-        Json refused = Json::array();
-        for (const PromptRefusal& refusal : digest.refused)
-            refused.push_back(Json::array({ refusal.id, refusal.parts, millisecondsOf(refusal.age) }));
-        return Json::array({ std::move(crashes), std::move(answered), std::move(refused) });
-    }
-
     // Negative ages would lie in the future.
     Duration ageOf(const Json& value) { return std::chrono::milliseconds(value.get<std::uint32_t>()); }
 
-    PromptQuarantineDigest promptsOf(const Json& list)
-    {
-        PromptQuarantineDigest digest;
-        for (const Json& entry : list.at(0)) {
-            PromptCrashReport report { entry.at(0).get<std::uint64_t>(), ageOf(entry.at(1)), {} };
-            for (const Json& request : entry.at(2))
-                report.requests.push_back(
-                    { request.at(0).get<RequestFingerprint>(), request.at(1).get<PromptParts>() });
-            digest.crashes.push_back(std::move(report));
-        }
-        for (const Json& entry : list.at(1))
-            digest.answered.push_back({ entry.at(0).get<PromptPartHash>(), ageOf(entry.at(1)) });
-        for (const Json& entry : list.at(2))
-            digest.refused.push_back(
-                { entry.at(0).get<PromptRefusalId>(), entry.at(1).get<PromptParts>(), ageOf(entry.at(2)) });
-        return digest;
-    }
-
     Json listOfLimits(const EndpointLimitDigest& digest)
     {
         Json statements = Json::array();
@@ -137,7 +102,7 @@
                 { Kind::HostDigest, digest.sequence, digest.configurationVersion, digest.isLeaving, std::move(usage),
                     digest.demand.isWhole, std::move(demand), std::move(running), std::move(suspects) });
             if (!digest.prompts.isEmpty() || !digest.limits.isEmpty()) {
-                message.push_back(listOfPrompts(digest.prompts));
+                message.push_back(jsonOf(digest.prompts));
                 message.push_back(listOfLimits(digest.limits));
             }
             return message;
@@ -183,7 +148,7 @@
             digest.suspectFingerprints.emplace_back(entry.at(0).get<std::uint64_t>(), entry.at(1).get<std::uint32_t>());
         // Absent from most digests.
         if (list.size() > 9) {
-            digest.prompts = promptsOf(list.at(9));
+            digest.prompts = promptQuarantineDigestOf(list.at(9));
             digest.limits = limitsOf(list.at(10));
         }
         return digest;
--- a/src/logging/LogEvent.cpp
+++ b/src/logging/LogEvent.cpp
@@ -71,6 +71,11 @@
             "Report the request to the engine's maintainers; release it with `catkinwell admin quarantine release`." },
         { LogEvent::EndpointStateChanged, Info, "endpoint_state_changed",
             "An endpoint became usable, suspected or leaving.", "" },
+        { LogEvent::PromptRefusalChanged, Error, "prompt_refusal_changed",
+            "Requests with certain messages in their prompts are refused because these crashed endpoints, or no longer "
+            "refused because such requests were answered.",
+            "Report the messages to the engine's maintainers; release the refusal with `catkinwell admin quarantine "
+            "release`." },
         // 1300: shares
         { LogEvent::ShareChanged, Info, "share_changed",
             "This host's usable share of an account's rate changed; the fields give it in parts per million, before "
--- a/src/peer/PeerCodec.cpp
+++ b/src/peer/PeerCodec.cpp
@@ -218,10 +218,14 @@
     }
 
     template <typename Archive> void describe(Archive& field, GatewayEnvelope& message) { field("p", message.payload); }
+    template <typename Archive> void describe(Archive& field, PromptQuarantineNews& message)
+    {
+        field("p", message.payload);
+    }
 
     // The names of the message types, in the order of PeerMessage.
     constexpr std::string_view typeNames[] { "borrow", "lend", "wanted", "plan", "claim", "claimed", "digest",
-        "config?", "config", "gateway" };
+        "config?", "config", "gateway", "prompts" };
     static_assert(std::size(typeNames) == std::variant_size_v<PeerMessage>);
 
     // Rejects deep nesting before a document is built: the CBOR parser recurses for each level and would overflow the
--- a/src/reducer/Reducer.cpp
+++ b/src/reducer/Reducer.cpp
@@ -75,7 +75,7 @@
     , m_claims(derivedSeed(m_settings.seed, "claims"))
     , m_placement(m_settings.host.host, m_settings.host.incarnation, m_settings.host.dataCentre,
           derivedSeed(m_settings.seed, "placement"))
-    , m_requests({ m_configuration, m_endpoints, m_shares, m_claims, m_usage, m_quarantine })
+    , m_requests({ m_configuration, m_endpoints, m_shares, m_claims, m_usage, m_quarantine, m_promptQuarantine })
     , m_admin(adminSettingsOf(m_settings),
           { m_configuration, *this, *this, *this, *this, secrets, m_metrics, m_journal, m_usage })
     , m_wallNow(wallNow)
@@ -168,6 +168,7 @@
     // Done only on ticks, because comparing the lists after each part of each stream would be wasted work.
     propagateMembership(now, effects);
     updateDigestContents(now, effects);
+    updatePromptQuarantine(now, effects);
     m_usage.tick(now, tick.wallNow, { configuration.defaults.monthlyAcceleratorHours, fraction }, effects);
     advanceShutdown(now, effects);
 }
@@ -240,6 +241,7 @@
             reducer.m_configuration.noteDigest(
                 envelope.from, message.configurationVersion, message.revokedKeys, now, effects);
         }
+        void operator()(const PromptQuarantineNews& message) const { reducer.handle(message, now, effects); }
         // Only gateways exchange these messages.
         void operator()(const GatewayEnvelope&) const { }
         void operator()(const ConfigurationRequest& message) const
@@ -436,24 +438,6 @@
     m_membership.setConfigurationState(m_configuration.accepted().version, m_configuration.revokedKeys());
 }
 
-std::vector<QuarantinedRequest> Reducer::quarantined() const
-{
-    std::vector<QuarantinedRequest> list;
-    for (const auto& [fingerprint, crashes] : m_quarantine.refused())
-        list.push_back({ fingerprint, AccountId(), ModelId(), crashes });
-    return list;
-}
-
-Status Reducer::release(std::uint64_t fingerprint, MonotonicTime now, EffectList&)
-{
-    if (!m_quarantine.isRefused(fingerprint, now))
-        return Error { ErrorKind::NotFound,
-            "the fingerprint is not in quarantine; list the quarantined fingerprints with `catkinwell admin quarantine "
-            "list`" };
-    m_quarantine.release(fingerprint);
-    return std::monostate {};
-}
-
 std::string Reducer::reasonNotReady(MonotonicTime) const
 {
     if (m_phase != Phase::Serving)
--- a/src/requests/CompletionRequest.cpp
+++ b/src/requests/CompletionRequest.cpp
@@ -73,6 +73,17 @@
         return invalidField("prompt", "prompt must be a string or a list");
     }
 
+    std::set<std::uint64_t> sharedPartsOf(const Json& body)
+    {
+        std::set<std::uint64_t> parts;
+        if (!body.contains("messages"))
+            return parts;
+        const Json& messages = body["messages"];
+        for (std::size_t i = 0; i + 1 < messages.size(); ++i)
+            parts.insert(stableHash(messages[i].dump()));
+        return parts;
+    }
+
     std::variant<Json, ApiError> parseObject(const std::string& body)
     {
         if (isNestedTooDeeply(body))
@@ -146,6 +157,7 @@
     request.promptBytes = text.size();
     request.prefixHash = stableHash(request.model + '\n' + text.substr(0, prefixBytes));
     request.contentHash = stableHash(request.model + '\n' + text);
+    request.sharedParts = sharedPartsOf(document);
     bool rewritten = false;
     if (request.maxTokens == 0) {
         request.maxTokens = defaultMaxTokens(request.model);
--- a/src/requests/RequestAnswers.cpp
+++ b/src/requests/RequestAnswers.cpp
@@ -99,6 +99,7 @@
     }
     if (passed.empty())
         return;
+    noteAnswerBegun(request, now);
     if (!request.headSent) {
         request.headSent = true;
         effects.push_back(SendResponseHead { request.id, request.status, request.responseHeaders });
@@ -155,6 +156,7 @@
 {
     endAttempt(request, request.filter->isComplete(), now);
     if (!request.filter->isComplete()) {
+        noteBrokenAnswer(request, now);
         retryOrFail(request, true, "the stream ended without its end marker", now, effects);
         return;
     }
@@ -165,6 +167,8 @@
 
 void RequestFlow::finishWhole(ActiveRequest& request, MonotonicTime now, EffectList& effects)
 {
+    if (request.status < 500)
+        noteAnswerBegun(request, now);
     endAttempt(request, true, now);
     if (request.hasClaim) {
         m_modules.claims.recordOutcome(
@@ -193,6 +197,8 @@
             { "outcome", std::string(nameOf(failed.outcome)) }, { "reason", failed.reason } } });
     m_modules.endpoints.attemptFailed(request->endpoint, now, effects);
     request->excluded.insert(request->endpoint);
+    if (failed.outcome == AttemptOutcome::Unknown && failed.failure == AttemptFailure::Broken)
+        noteBrokenAnswer(*request, now);
     if (failed.outcome == AttemptOutcome::Unknown)
         noteBrokenAttempt(*request, now);
     endAttempt(*request, false, now);
@@ -201,13 +207,48 @@
 
 bool RequestFlow::refuseIfQuarantined(ActiveRequest& request, MonotonicTime now, EffectList& effects)
 {
-    if (!m_modules.quarantine.isRefused(request.fingerprint, now))
+    if (!isQuarantined(request, now))
         return false;
     failRequest(
         request, { ApiErrorCode::RequestQuarantined, "this request crashed the endpoints that ran it" }, now, effects);
     return true;
 }
 
+bool RequestFlow::isQuarantined(const ActiveRequest& request, MonotonicTime now) const
+{
+    return m_modules.quarantine.isRefused(request.fingerprint, now)
+        || (!request.isAnswerBegun && m_modules.promptQuarantine.isRefused(request.sharedParts, now));
+}
+
+void RequestFlow::endQuarantined(MonotonicTime now, EffectList& effects)
+{
+    std::vector<RequestId> ids;
+    for (const auto& [id, request] : m_requests) {
+        const bool isWaitingForAnswer = request->stage == RequestStage::Running && !request->isAnswerBegun;
+        if (isWaitingForAnswer && m_modules.promptQuarantine.isRefused(request->sharedParts, now))
+            ids.push_back(id);
+    }
+    for (const RequestId id : ids) {
+        ActiveRequest& request = *m_requests.at(id);
+        abandonAttempt(request, now, effects);
+        refuseIfQuarantined(request, now, effects);
+    }
+}
+
+void RequestFlow::noteAnswerBegun(ActiveRequest& request, MonotonicTime now)
+{
+    if (request.isAnswerBegun)
+        return;
+    request.isAnswerBegun = true;
+    m_modules.promptQuarantine.answered(request.sharedParts, now);
+}
+
+void RequestFlow::noteBrokenAnswer(const ActiveRequest& request, MonotonicTime now)
+{
+    if (!request.isAnswerBegun)
+        m_modules.promptQuarantine.attemptBroken(request.endpoint, { request.fingerprint, request.sharedParts }, now);
+}
+
 void RequestFlow::noteBrokenAttempt(ActiveRequest& request, MonotonicTime now)
 {
     ++request.brokenAttempts;
@@ -227,8 +268,10 @@
     const bool safe = request.idempotent || !request.mayHaveRun;
     if (refuseIfQuarantined(request, now, effects))
         return;
-    const bool wanted = safe && request.attempts < maximumAttempts && request.brokenAttempts < maximumBrokenAttempts
-        && now < request.deadline && !request.answered;
+    const bool mayCrashEndpoints
+        = !request.isAnswerBegun && m_modules.promptQuarantine.isSuspicious(request.sharedParts);
+    const bool wanted = safe && !mayCrashEndpoints && request.attempts < maximumAttempts
+        && request.brokenAttempts < maximumBrokenAttempts && now < request.deadline && !request.answered;
     const bool affordable = wanted && m_retries.tryRetry(now);
     if (wanted && !affordable)
         effects.push_back(
--- a/src/requests/RequestIntake.cpp
+++ b/src/requests/RequestIntake.cpp
@@ -74,7 +74,7 @@
     if (!prepared || !readLimits(arrived, intake, now, effects))
         return;
     ActiveRequest& request = *intake.request;
-    if (m_modules.quarantine.isRefused(request.fingerprint, now)) {
+    if (isQuarantined(request, now)) {
         refuse(request.id, request.account,
             { ApiErrorCode::RequestQuarantined, "this request crashed the endpoints that ran it" }, effects);
         return;
@@ -154,6 +154,7 @@
     request.stream = completion.stream;
     request.prefixHash = completion.prefixHash;
     request.fingerprint = stableHash(request.account.value + '\n' + std::to_string(completion.contentHash));
+    request.sharedParts = completion.sharedParts;
     const auto bytesPerToken = std::max<std::size_t>(1, model->second.bytesPerToken);
     request.promptReservation = static_cast<TokenCount>((completion.promptBytes + bytesPerToken - 1) / bytesPerToken);
     request.reservedTokens = request.promptReservation + completion.maxTokens * completion.choices;
--- a/src/routing/PromptQuarantine.cpp
+++ b/src/routing/PromptQuarantine.cpp
@@ -312,6 +312,14 @@
     return list;
 }
 
+std::vector<PromptRefusalId> PromptQuarantine::refusalIds() const
+{
+    std::vector<PromptRefusalId> ids;
+    for (const auto& [id, refusal] : m_refusals)
+        ids.push_back(id);
+    return ids;
+}
+
 void PromptQuarantine::expire(MonotonicTime now)
 {
     while (!m_crashes.empty() && now - m_crashes.front().at >= m_settings.lifetime)
--- a/tests/process/FleetFaultsTest.cpp
+++ b/tests/process/FleetFaultsTest.cpp
@@ -1,4 +1,5 @@
 #include "process/FleetFixture.h"
+#include <array>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <set>
@@ -177,3 +178,55 @@
     CHECK(alive >= 1);
     CHECK(send(fleet.completion("notes", "innocent")).status == 200);
 }
+
+// Guards against different requests with a common message that crash one endpoint after the other, at any host.
+TEST_CASE("Requests with a message that crashes engines are quarantined at all hosts, and others are served")
+{
+    static constexpr std::size_t engines = 6;
+    FleetOptions options;
+    options.hosts = 2;
+    options.engines = engines;
+    options.adjust = [](Json& document) {
+        document["models"][0]["minimum_replicas"] = engines, document["models"][0]["maximum_replicas"] = engines;
+    };
+    FleetFixture fleet(options);
+    const auto loadedEverywhere = [&] {
+        std::size_t loaded = 0;
+        for (std::size_t engine = 0; engine < engines; ++engine) {
+            const HttpAnswer answer = send({ fleet.enginePort(engine), "GET", "/v2/repository/report" });
+            loaded += answer.body.find("\"state\":\"loaded\"") != std::string::npos ? 1 : 0;
+        }
+        return loaded == engines;
+    };
+    REQUIRE(eventually(loadedEverywhere, std::chrono::seconds(40)));
+    int last = 0;
+    const auto chat = [&](const std::string& systemMessage, std::size_t host) {
+        HttpCall call = fleet.completion("notes", "", false, host);
+        call.target = "/v1/chat/completions";
+        call.headers["X-Request-Deadline-Ms"] = "4000";
+        const Json messages { { { "role", "system" }, { "content", systemMessage } },
+            { { "role", "user" }, { "content", "question " + std::to_string(++last) } } };
+        call.body = Json { { "model", "notes" }, { "messages", messages }, { "max_tokens", 8 } }.dump();
+        return send(call);
+    };
+    std::array<int, 2> statuses {};
+    for (int i = 0; i < 12 && (statuses[0] != 422 || statuses[1] != 422); ++i) {
+        const std::size_t host = static_cast<std::size_t>(i % 2);
+        statuses[host] = chat("emulate-crash", host).status;
+        for (int j = 0; j < 3; ++j) {
+            CHECK(chat("be brief", 0).status != 422);
+            CHECK(chat("be brief", 1).status != 422);
+        }
+        // Crashes in quick succession count as one.
+        std::this_thread::sleep_for(std::chrono::milliseconds(800));
+    }
+    CHECK(statuses[0] == 422);
+    CHECK(statuses[1] == 422);
+    std::size_t alive = 0;
+    for (std::size_t engine = 0; engine < engines; ++engine)
+        alive += fleet.engine(engine).isRunning() ? 1 : 0;
+    INFO("engines alive: " << alive);
+    CHECK(alive >= 2);
+    CHECK(chat("be brief", 0).status == 200);
+    CHECK(chat("be brief", 1).status == 200);
+}
