Take an empty stream that resumes after its last event as complete

Cause: the check for streams without an event did not ask where the stream resumes. Change: only a stream from the beginning needs an event. Serving processes list their peers only when there is something to send. Evidence: the new test of GatewayRequests.

--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -157,7 +157,8 @@
     void startAttempt(Request&, const EndpointChoice&, MonotonicTime now, EffectList&);
     void endAttempt(Request&, AttemptVerdict, MonotonicTime now, EffectList&);
     void handleNotExecuted(Request&, MonotonicTime now, EffectList&);
-    static bool isBrokenOff(const Attempt&);
+    // Precondition: the request has an attempt whose answer has ended.
+    static bool isBrokenOff(const Request&);
     void handleCompleteAnswer(Request&, MonotonicTime now, EffectList&);
     // Retries the request at another endpoint if that is safe and allowed; otherwise fails it.
     void handleFailedAttempt(Request&, std::string reason, AttemptVerdict, MonotonicTime now, EffectList&);
--- a/src/gateway/GatewayRequestOutcomes.cpp
+++ b/src/gateway/GatewayRequestOutcomes.cpp
@@ -40,11 +40,15 @@
 
 // Whether a stream of events that ended in order is incomplete. A body that ends with its connection looks complete
 // wherever the endpoint stopped.
-bool GatewayRequests::isBrokenOff(const Attempt& attempt)
+bool GatewayRequests::isBrokenOff(const Request& request)
 {
+    const Attempt& attempt = *request.attempt;
     const std::string* type = findHeader(attempt.headers, "content-type");
     const bool hasEvents = !type || type->starts_with("text/event-stream");
-    return hasEvents && (attempt.position.isInsideEvent() || attempt.position.events() == 0);
+    // A stream that resumes after its last event is complete without another.
+    const bool mayBeEmpty = !request.terms.lastEventId.empty() || !request.eventBuffer.lastEventId().empty();
+    const bool isEmpty = attempt.position.events() == 0 && !mayBeEmpty;
+    return hasEvents && (attempt.position.isInsideEvent() || isEmpty);
 }
 
 void GatewayRequests::handleCompleteAnswer(Request& request, MonotonicTime now, EffectList& effects)
@@ -54,7 +58,7 @@
         handleNotExecuted(request, now, effects);
         return;
     }
-    if (attempt.isForwarded && isBrokenOff(attempt)) {
+    if (attempt.isForwarded && isBrokenOff(request)) {
         request.mayHaveRun = true;
         noteBrokenAttempt(request, now);
         handleFailedAttempt(
--- a/src/reducer/QuarantineExchange.cpp
+++ b/src/reducer/QuarantineExchange.cpp
@@ -32,18 +32,18 @@
 
 void Reducer::sendPromptNews(MonotonicTime now, EffectList& effects)
 {
-    std::vector<HostId> peers;
-    for (const LiveHost& live : m_liveHosts) {
-        if (live.host != m_settings.host.host)
-            peers.push_back(live.host);
-    }
     const bool hasNews = now >= m_nextPromptNewsAt && m_promptQuarantine.takeNews();
-    if (peers.empty() || (!hasNews && now < m_nextPromptRepetitionAt))
+    if (!hasNews && now < m_nextPromptRepetitionAt)
         return;
     m_nextPromptNewsAt = now + promptNewsInterval;
     m_nextPromptRepetitionAt = now + promptRepetitionInterval;
     const PromptQuarantineDigest digest = m_promptQuarantine.nextDigest(now);
-    if (digest.isEmpty())
+    std::vector<HostId> peers;
+    for (const LiveHost& live : m_liveHosts) {
+        if (live.host != m_settings.host.host)
+            peers.push_back(live.host);
+    }
+    if (digest.isEmpty() || peers.empty())
         return;
     if (!hasNews)
         peers = { peers[m_nextPromptPeer++ % peers.size()] };
--- a/tests/gateway/GatewayRequestsTest.cpp
+++ b/tests/gateway/GatewayRequestsTest.cpp
@@ -459,3 +459,18 @@
     const auto answers = fixture.takeAnswers();
     CHECK((answers.empty() ? 0 : answers.back().status) == test.expectedStatus);
 }
+
+// Guards against a stream that was complete before it broke and resumes behind its last event.
+TEST_CASE("A stream that resumes after its last event is complete without another event")
+{
+    RequestsFixture fixture;
+    addEndpoints(fixture, "notes", 2, withM1);
+    fixture.arrive("/dossier/1");
+    const AttemptId first = fixture.takeAttempts().at(0).id;
+    fixture.requests.handle(AttemptHead { first, 200, { { "sealed", "1" } } }, fixture.now, fixture.effects);
+    fixture.requests.handle(AttemptData { first, "id: 1\n\n" }, fixture.now, fixture.effects);
+    fixture.requests.handle(AttemptFailed { first, AttemptOutcome::Unknown, "reset", AttemptFailure::Broken },
+        fixture.now, fixture.effects);
+    fixture.answer(fixture.takeAttempts().at(0).id, 200, { { "sealed", "1" } }, "");
+    CHECK(effectsOf<FinishResponse>(fixture.effects).size() == 1);
+}
