Tell a restored store apart: log its epochs and discard answers of another

What callers saw: nothing by itself. Cause: no log line said that the store went back, so the hypotheses of docs/incidents/store-restored-from-a-copy.md could not be told apart, and a reply of one history was used with versions of another. Change: HttpStoreClient reads the epoch of each answer. A rise is announced as StoreRestored before the reply and logged (1905); a call that was answered in another epoch than it was sent in ends as a lost reply or a lost history. Conclusion: observability; the assumptions themselves are mended one by one.

--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -22,7 +22,7 @@
 // All events that a gateway handles.
 using GatewayEvent = std::variant<Tick, ShutdownSignal, RequestArrived, AdminRequestArrived, CallerLeft,
     CallerBackpressure, AttemptHead, AttemptData, AttemptFinished, AttemptFailed, StoreReply, PeerMessageReceived,
-    EngineStatus, EngineStatusFailed, EngineOrderFinished, GatewaySettingsChanged>;
+    EngineStatus, EngineStatusFailed, EngineOrderFinished, GatewaySettingsChanged, StoreRestored>;
 
 // State machine of a gateway. apply() is pure: the same state, events and times give the same effects. Not thread
 // safe.
@@ -64,6 +64,7 @@
     void handleSettings(const GatewaySettings&);
     void handleShutdown(MonotonicTime now, EffectList&);
     void handleStoreReply(const StoreReply&, MonotonicTime now, EffectList&);
+    void handleStoreRestored(const StoreRestored&, MonotonicTime now, EffectList&);
     void handleMessage(const PeerMessageReceived&, MonotonicTime now, EffectList&);
     void handleDigest(const PeerMessageReceived&, const HostDigest&, MonotonicTime now, EffectList&);
     void handleStatusRequest(const RequestArrived&, MonotonicTime now, EffectList&);
--- a/include/catkinwell/logging/LogEvent.h
+++ b/include/catkinwell/logging/LogEvent.h
@@ -96,6 +96,7 @@
     StoreUnreachable = 1902,
     StoreReachable = 1903,
     HostLeaseRefused = 1904,
+    StoreWasRestored = 1905,
     // 2000: administration
     AdminChangeAccepted = 2000,
     AdminChangeRefused = 2001,
--- a/include/catkinwell/store/HttpStoreClient.h
+++ b/include/catkinwell/store/HttpStoreClient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <catkinwell/http/HttpClient.h>
+#include <catkinwell/store/StoreEpochTracker.h>
 #include <catkinwell/store/StoreTypes.h>
 #include <memory>
 #include <sigc++/sigc++.h>
@@ -17,9 +18,13 @@
     virtual HttpExchange requestOf(const StoreOperation&) const = 0;
     // Interprets a complete response. Returns the status Unknown for a body that does not follow the protocol.
     virtual StoreReply replyOf(const StoreOperation&, int httpStatus, const std::string& body) const = 0;
+    // Returns the epoch that a response states, or 0.
+    virtual StoreEpoch epochOf(const HeaderList&) const { return 0; }
 };
 
-// Performs store calls over HTTP. Reads all pages of a paginated list. Not thread safe; runs on the event loop.
+// Performs store calls over HTTP. Reads all pages of a paginated list. Detects that the store was restored: a call that
+// was sent in one epoch and answered in another ends as a lost reply or a lost history. Not thread safe; runs on the
+// event loop.
 class HttpStoreClient {
 public:
     // Preconditions: the address is IP:port; the loop, client, clock and protocol outlive this object.
@@ -30,6 +35,8 @@
     void execute(const StoreCall&);
 
     sigc::signal<void(StoreReply)>& signalReply() { return m_signalReply; }
+    // Emitted before the reply that shows the new epoch.
+    sigc::signal<void(StoreRestored)>& signalRestored() { return m_signalRestored; }
 
 private:
     struct PendingCall;
@@ -44,6 +51,8 @@
     std::string m_address;
     const StoreProtocol& m_protocol;
     sigc::signal<void(StoreReply)> m_signalReply;
+    sigc::signal<void(StoreRestored)> m_signalRestored;
+    StoreEpochTracker m_epochs;
 };
 
 } // namespace Catkinwell
--- a/include/catkinwell/store/StoreTypes.h
+++ b/include/catkinwell/store/StoreTypes.h
@@ -15,6 +15,10 @@
 using StoreVersion = std::uint64_t;
 using LeaseId = std::string;
 
+// Increases each time the store is restored from an older copy of itself, which gives out versions and leases again, so
+// that those of different epochs cannot be compared. 0 if the store does not state its epoch.
+using StoreEpoch = std::uint64_t;
+
 struct StoreGet {
     std::string key;
 };
@@ -126,6 +130,14 @@
     bool isTruncated = false;
     // When the call was started. Lease validity counts from this time.
     MonotonicTime sentAt {};
+    // The epoch in which the store answered; 0 if unknown.
+    StoreEpoch epoch = 0;
+};
+
+// An event: the store was restored from an older copy. It precedes the replies of the new epoch.
+struct StoreRestored {
+    StoreEpoch previous = 0;
+    StoreEpoch epoch = 0;
 };
 
 } // namespace Catkinwell
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -125,6 +125,7 @@
         reducer.sendPlacementUpdate(now, effects);
     }
     void operator()(const GatewaySettingsChanged& event) const { reducer.handleSettings(event.settings); }
+    void operator()(const StoreRestored& event) const { reducer.handleStoreRestored(event, now, effects); }
 };
 
 EffectList GatewayReducer::apply(const GatewayEvent& event, MonotonicTime now)
@@ -215,6 +216,12 @@
     }
 }
 
+void GatewayReducer::handleStoreRestored(const StoreRestored& restored, MonotonicTime, EffectList& effects)
+{
+    effects.push_back(LogEntry { LogEvent::StoreWasRestored,
+        { { "previous_epoch", std::to_string(restored.previous) }, { "epoch", std::to_string(restored.epoch) } } });
+}
+
 void GatewayReducer::applyConfiguration(
     const std::string& document, std::string_view origin, MonotonicTime now, EffectList& effects)
 {
--- a/src/logging/LogEvent.cpp
+++ b/src/logging/LogEvent.cpp
@@ -195,6 +195,10 @@
         { LogEvent::HostLeaseRefused, Warning, "host_lease_refused",
             "The store refused the host's request for a lease; the host retries with increasing delays.",
             "Check that the store's address is that of the platform's key-value service." },
+        { LogEvent::StoreWasRestored, Warning, "store_was_restored",
+            "The store was restored from an older copy: what was written since then is lost, and versions and leases "
+            "are given out again. The host reads everything again and writes again what it knows.",
+            "Check that the newest configuration is in force (2110 or 1700) and that keys were written again." },
         // 2000: administration
         { LogEvent::AdminChangeAccepted, Info, "admin_change_accepted",
             "An operator made a change; the fields give the operator, the action, the reason and the new version.",
--- a/src/runtime/GatewayRuntime.cpp
+++ b/src/runtime/GatewayRuntime.cpp
@@ -151,6 +151,7 @@
     for (CallerListener* listener : { &m_status, &m_metrics })
         listener->signalRequest().connect(
             [this](const RequestArrived& request) { m_events.post(AdminRequestArrived { request }); });
+    m_store.signalRestored().connect(postEvent);
     m_store.signalReply().connect(postEvent);
     m_engines.signalStatus().connect(postEvent);
     m_engines.signalStatusFailed().connect(postEvent);
--- a/src/store/HttpStoreClient.cpp
+++ b/src/store/HttpStoreClient.cpp
@@ -23,6 +23,9 @@
 struct HttpStoreClient::PendingCall {
     StoreCall call;
     MonotonicTime sentAt;
+    // The store's epochs as known at the sending and as stated by the response.
+    StoreEpoch epochAtSending = 0;
+    StoreEpoch epoch = 0;
     int status = 0;
     std::string body;
     bool isTooLong = false;
@@ -64,8 +67,12 @@
     request.connectTimeout = std::min(connectTimeout, pending->call.timeout);
     request.silenceTimeout = maximumResponseTime(pending->call);
     pending->body.clear();
+    pending->epochAtSending = m_epochs.current();
     HttpExchangeObserver observer;
-    observer.onHead = [pending](int status, const HeaderList&) { pending->status = status; };
+    observer.onHead = [this, pending](int status, const HeaderList& headers) {
+        pending->status = status;
+        pending->epoch = m_protocol.epochOf(headers);
+    };
     observer.onData = [pending](const std::string& data) {
         pending->isTooLong = pending->isTooLong || pending->body.size() + data.size() > maximumResponseBytes;
         if (!pending->isTooLong)
@@ -83,6 +90,12 @@
 void HttpStoreClient::finish(const std::shared_ptr<PendingCall>& pending)
 {
     StoreReply reply;
+    if (const auto restored = m_epochs.note(pending->epoch))
+        m_signalRestored.emit(*restored);
+    if (!StoreEpochTracker::isSameHistory(pending->epochAtSending, pending->epoch)) {
+        reply.status = StoreEpochTracker::statusAcrossRestore(pending->call.operation);
+        return complete(pending, std::move(reply));
+    }
     if (!pending->isTooLong)
         reply = m_protocol.replyOf(pending->call.operation, pending->status, pending->body);
     auto* list = std::get_if<StoreList>(&pending->call.operation);
@@ -106,6 +119,7 @@
     pending->isDone = true;
     reply.id = pending->call.id;
     reply.sentAt = pending->sentAt;
+    reply.epoch = pending->epoch;
     m_signalReply.emit(reply);
 }
 
