--- /dev/null
+++ b/tests/gateway/RestorableFleet.cpp
@@ -0,0 +1,371 @@
+#include "gateway/RestorableFleet.h"
+
+#include <array>
+#include <catkinwell/core/Digest.h>
+#include <nlohmann/json.hpp>
+
+namespace Catkinwell::Testing {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr Duration stepTime = std::chrono::milliseconds(20);
+    constexpr Duration heartbeatInterval = std::chrono::milliseconds(500);
+    constexpr Duration demandInterval = std::chrono::milliseconds(100);
+
+} // namespace
+
+void RestorableStore::put(const std::string& key, const std::string& value, const LeaseId& lease)
+{
+    const StoreEntry entry { key, value, ++m_state.version };
+    m_state.items[key] = { entry, lease };
+    m_state.history.push_back(entry);
+}
+
+void RestorableStore::erase(const std::string& key)
+{
+    if (m_state.items.erase(key) > 0)
+        m_state.history.push_back({ key, "", ++m_state.version, true });
+}
+
+std::string RestorableStore::value(const std::string& key) const
+{
+    const auto item = m_state.items.find(key);
+    return item == m_state.items.end() ? "" : item->second.entry.value;
+}
+
+std::vector<std::string> RestorableStore::keys(const std::string& prefix) const
+{
+    std::vector<std::string> found;
+    for (const auto& [key, item] : m_state.items) {
+        if (key.starts_with(prefix))
+            found.push_back(key);
+    }
+    return found;
+}
+
+void RestorableStore::endLease(const LeaseId& lease)
+{
+    m_state.leases.erase(lease);
+    std::vector<std::string> held;
+    for (const auto& [key, item] : m_state.items) {
+        if (item.lease == lease)
+            held.push_back(key);
+    }
+    for (const std::string& key : held)
+        erase(key);
+}
+
+void RestorableStore::expireLeases(MonotonicTime now)
+{
+    std::vector<LeaseId> ended;
+    for (const auto& [id, lease] : m_state.leases) {
+        if (now >= lease.endsAt)
+            ended.push_back(id);
+    }
+    for (const LeaseId& id : ended)
+        endLease(id);
+}
+
+void RestorableStore::restore(MonotonicTime now)
+{
+    m_state = m_copy;
+    for (auto& [id, lease] : m_state.leases)
+        lease.endsAt = now + lease.ttl;
+    ++m_epoch;
+}
+
+StoreReply RestorableStore::write(const StoreCompareAndSwap& swap)
+{
+    StoreReply reply { {}, StoreStatus::Ok };
+    const auto item = m_state.items.find(swap.key);
+    if ((item == m_state.items.end() ? 0 : item->second.entry.version) != swap.expectedVersion) {
+        reply.status = StoreStatus::Conflict;
+    } else if (!swap.lease.empty() && !m_state.leases.contains(swap.lease)) {
+        reply.status = StoreStatus::NotFound;
+    } else {
+        put(swap.key, swap.value, swap.lease);
+        reply.version = m_state.version;
+    }
+    return reply;
+}
+
+std::vector<StoreEntry> RestorableStore::changesOf(const StoreWatchPrefix& watch) const
+{
+    std::vector<StoreEntry> changes;
+    for (const StoreEntry& entry : m_state.history) {
+        if (entry.version > watch.afterVersion && entry.key.starts_with(watch.prefix))
+            changes.push_back(entry);
+    }
+    return changes;
+}
+
+std::optional<StoreReply> RestorableStore::answer(const StoreCall& call, MonotonicTime now)
+{
+    StoreReply reply { call.id, StoreStatus::Ok };
+    reply.version = m_state.version;
+    if (const auto* list = std::get_if<StoreList>(&call.operation)) {
+        for (const auto& [key, item] : m_state.items) {
+            if (key.starts_with(list->prefix))
+                reply.entries.push_back(item.entry);
+        }
+        reply.isWholeList = true;
+    } else if (const auto* watch = std::get_if<StoreWatchPrefix>(&call.operation)) {
+        if (watch->afterVersion > m_state.version)
+            reply.status = StoreStatus::HistoryLost;
+        else if (reply.entries = changesOf(*watch); reply.entries.empty())
+            return std::nullopt;
+    } else if (const auto* swap = std::get_if<StoreCompareAndSwap>(&call.operation)) {
+        reply = write(*swap);
+    } else if (const auto* removal = std::get_if<StoreDelete>(&call.operation)) {
+        const auto item = m_state.items.find(removal->key);
+        if (item == m_state.items.end() || item->second.entry.version != removal->expectedVersion)
+            reply.status = StoreStatus::Conflict;
+        else
+            erase(removal->key);
+    } else if (const auto* created = std::get_if<LeaseCreate>(&call.operation)) {
+        reply.value = std::to_string(++m_state.lastLease);
+        m_state.leases[reply.value] = { created->ttl, now + created->ttl };
+    } else if (const auto* renewed = std::get_if<LeaseRenew>(&call.operation)) {
+        const auto lease = m_state.leases.find(renewed->lease);
+        if (lease == m_state.leases.end())
+            reply.status = StoreStatus::NotFound;
+        else
+            lease->second.endsAt = now + lease->second.ttl;
+    } else if (const auto* revoked = std::get_if<LeaseRevoke>(&call.operation)) {
+        endLease(revoked->lease);
+    }
+    return reply;
+}
+
+Result<GatewayConfiguration> RestorableProtocol::readConfiguration(std::string_view document) const
+{
+    const auto version = Json::parse(document, nullptr, false);
+    if (!version.is_number_unsigned())
+        return Error { ErrorKind::InvalidConfiguration, "the document is not a version number" };
+    GatewayConfiguration configuration = sampleConfiguration(version.get<std::uint64_t>());
+    if (document.ends_with(' ')) {
+        configuration.routes.push_back(configuration.routes.front());
+        configuration.routes.back().prefix = "/added/";
+    }
+    return configuration;
+}
+
+Result<EndpointRecord> RestorableProtocol::readEndpoint(std::string_view key, std::string_view document) const
+{
+    const Json fields = Json::parse(document, nullptr, false);
+    if (!fields.is_object())
+        return Error { ErrorKind::InvalidMessage, "the record is not an object" };
+    EndpointRecord record
+        = sampleEndpoint(std::string(key.substr(endpointPrefix().size())), fields.value("service", ""));
+    record.heartbeat = fields.value("heartbeat", std::uint64_t { 0 });
+    record.isLeaving = fields.value("leaving", false);
+    for (const Json& model : fields.value("models", Json::array()))
+        record.models[ModelId(model.get<std::string>())];
+    return record;
+}
+
+RestorableFleet::RestorableFleet(std::size_t hosts, std::size_t engines)
+    : m_hosts(hosts)
+{
+    store.put("configuration", "1");
+    for (std::size_t i = 0; i < engines; ++i) {
+        const std::string id = "e" + std::to_string(i);
+        m_engines.emplace(EndpointId(id), FakeEngine(id, { { ModelId("m1"), {} }, { ModelId("m2"), {} } }, {}, i + 1));
+    }
+    for (std::size_t i = 0; i < hosts; ++i)
+        start(i);
+}
+
+void RestorableFleet::start(std::size_t index)
+{
+    GatewaySettings settings;
+    settings.host = idOf(index);
+    settings.dataCentre = DataCentreId("here");
+    settings.peerAddress = "127.0.0.1:" + std::to_string(1000 + index);
+    Host& host = m_hosts[index];
+    host = Host();
+    host.incarnation = ++m_lastIncarnation;
+    host.reducer = std::make_unique<GatewayReducer>(
+        settings, m_protocol, host.incarnation, 100 + host.incarnation, "secret" + std::to_string(host.incarnation));
+}
+
+void RestorableFleet::setConnected(std::size_t index, bool isConnected)
+{
+    Host& host = m_hosts[index];
+    host.isConnected = isConnected;
+    if (!isConnected)
+        breakWatches(host);
+}
+
+void RestorableFleet::breakWatches(Host& host)
+{
+    for (const PendingWatch& watch : std::exchange(host.watches, {}))
+        host.inbox.emplace_back(StoreReply { watch.call.id, StoreStatus::Unknown });
+}
+
+void RestorableFleet::restoreStore()
+{
+    store.restore(now);
+    for (Host& host : m_hosts)
+        breakWatches(host);
+}
+
+void RestorableFleet::reply(std::size_t index, const StoreCall& call, StoreReply reply, StoreEpoch atSending)
+{
+    Host& host = m_hosts[index];
+    if (const auto restored = host.epochs.note(store.epoch()))
+        apply(index, *restored);
+    if (!StoreEpochTracker::isSameHistory(atSending, store.epoch())) {
+        reply = StoreReply();
+        reply.status = StoreEpochTracker::statusAcrossRestore(call.operation);
+    }
+    reply.id = call.id;
+    reply.sentAt = now;
+    reply.epoch = store.epoch();
+    apply(index, reply);
+}
+
+void RestorableFleet::execute(std::size_t index, const StoreCall& call)
+{
+    Host& host = m_hosts[index];
+    if (!host.isConnected) {
+        host.inbox.emplace_back(StoreReply { call.id, StoreStatus::Unknown });
+        return;
+    }
+    lists += std::holds_alternative<StoreList>(call.operation);
+    writes += std::holds_alternative<StoreCompareAndSwap>(call.operation)
+        || std::holds_alternative<StoreDelete>(call.operation) || std::holds_alternative<LeaseCreate>(call.operation);
+    const StoreEpoch atSending = host.epochs.current();
+    if (const auto answered = store.answer(call, now))
+        reply(index, call, *answered, atSending);
+    else
+        host.watches.push_back({ call, now + std::get<StoreWatchPrefix>(call.operation).wait });
+}
+
+void RestorableFleet::answerWatches(std::size_t index)
+{
+    for (const PendingWatch& watch : std::exchange(m_hosts[index].watches, {})) {
+        const auto answered = store.answer(watch.call, now);
+        if (!answered && now < watch.endsAt) {
+            m_hosts[index].watches.push_back(watch);
+            continue;
+        }
+        StoreReply unchanged { watch.call.id, StoreStatus::Ok };
+        unchanged.version = store.version();
+        reply(index, watch.call, answered.value_or(unchanged), m_hosts[index].epochs.current());
+    }
+}
+
+void RestorableFleet::execute(std::size_t index, const EngineOrder& order)
+{
+    m_orderingHost = index;
+    orders.push_back({ index, order.endpoint, order.fencingToken, now });
+    const auto outcome = m_engines.at(order.endpoint).handle(order, now);
+    m_hosts[index].inbox.emplace_back(EngineOrderFinished { order, outcome.value_or(EngineOrderOutcome::Unknown) });
+}
+
+void RestorableFleet::apply(std::size_t index, const GatewayEvent& event)
+{
+    Host& host = m_hosts[index];
+    for (const Effect& effect : host.reducer->apply(event, now)) {
+        if (const auto* call = std::get_if<StoreCall>(&effect)) {
+            execute(index, *call);
+        } else if (const auto* order = std::get_if<EngineOrder>(&effect)) {
+            execute(index, *order);
+        } else if (const auto* fetch = std::get_if<FetchEngineStatus>(&effect)) {
+            host.inbox.emplace_back(m_engines.at(fetch->endpoint).status(now));
+        } else if (const auto* transport = std::get_if<StartPeerTransport>(&effect)) {
+            host.secret = transport->clusterSecret;
+        } else if (const auto* send = std::get_if<SendToPeer>(&effect)) {
+            for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+                if (idOf(i) == send->to && m_hosts[i].reducer && m_hosts[i].secret == host.secret)
+                    m_hosts[i].inbox.emplace_back(PeerMessageReceived { idOf(index), host.incarnation, send->message });
+            }
+        } else if (const auto* attempt = std::get_if<StartAttempt>(&effect)) {
+            attempts.push_back(*attempt);
+            host.inbox.emplace_back(AttemptHead { attempt->id, 200, { { "sealed", "1" } } });
+            host.inbox.emplace_back(AttemptFinished { attempt->id });
+        } else if (const auto* answer = std::get_if<SendWholeResponse>(&effect)) {
+            answers.push_back(*answer);
+        } else if (const auto* entry = std::get_if<LogEntry>(&effect)) {
+            logs.push_back(*entry);
+        }
+    }
+}
+
+void RestorableFleet::step()
+{
+    now += stepTime;
+    store.expireLeases(now);
+    for (auto& [id, engine] : m_engines)
+        engine.advance(now);
+    if (now >= m_nextHeartbeatAt) {
+        m_nextHeartbeatAt = now + heartbeatInterval;
+        for (const auto& [id, engine] : m_engines) {
+            Json models = Json::array();
+            for (const auto& [model, adapters] : engine.models())
+                models.push_back(model.value);
+            store.put("endpoints/" + id.value,
+                Json { { "service", "notes" }, { "heartbeat", ++m_heartbeat }, { "models", models } }.dump());
+        }
+    }
+    for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+        Host& host = m_hosts[i];
+        if (!host.reducer || host.isFrozen)
+            continue;
+        if (host.isConnected)
+            answerWatches(i);
+        for (const GatewayEvent& event : std::exchange(host.inbox, {}))
+            apply(i, event);
+        apply(i, Tick { WallTime(std::chrono::hours(500000) + now.time_since_epoch()) });
+    }
+}
+
+void RestorableFleet::run(Duration duration)
+{
+    for (const MonotonicTime end = now + duration; now < end;)
+        step();
+}
+
+void RestorableFleet::runWithDemand(Duration duration)
+{
+    constexpr std::array<const char*, 4> models { "m1", "m2", "m3", "m4" };
+    for (const MonotonicTime end = now + duration; now < end;) {
+        // Each model is requested for three seconds, so that it has to be loaded in turn.
+        const auto turn = static_cast<std::size_t>(now.time_since_epoch() / std::chrono::seconds(3));
+        for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+            if (m_hosts[i].reducer && !m_hosts[i].isFrozen)
+                arrive(i, "/note/1", models[turn % models.size()]);
+        }
+        run(demandInterval);
+    }
+}
+
+void RestorableFleet::arrive(
+    std::size_t host, const std::string& target, const std::string& model, const std::string& part)
+{
+    RequestArrived request;
+    request.id = RequestId(++m_lastRequest);
+    request.method = "POST";
+    request.target = target;
+    request.keyDigest = sha256Hex("key-a");
+    request.headers
+        = { { "Host", "h:80" }, { "id", "r" + std::to_string(m_lastRequest) }, { "left", "4000" }, { "model", model } };
+    if (!part.empty())
+        request.headers.emplace_back("part", part);
+    apply(host, request);
+}
+
+Json RestorableFleet::status(std::size_t host)
+{
+    RequestArrived request;
+    request.id = RequestId(++m_lastRequest);
+    request.path = "/status";
+    answers.clear();
+    apply(host, AdminRequestArrived { request });
+    return Json::parse(answers.back().body);
+}
+
+} // namespace Catkinwell::Testing
--- /dev/null
+++ b/tests/gateway/RestorableFleet.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include "gateway/FakeEngine.h"
+#include "gateway/GatewayFixture.h"
+#include <catkinwell/gateway/GatewayReducer.h>
+#include <catkinwell/store/StoreEpochTracker.h>
+#include <nlohmann/json.hpp>
+
+namespace Catkinwell::Testing {
+
+// The platform's store in simulated time: items, leases, a history for watches, and copies from which it is restored.
+class RestorableStore {
+public:
+    // The reply to a call; nullopt for a watch without changes.
+    std::optional<StoreReply> answer(const StoreCall&, MonotonicTime now);
+    std::vector<StoreEntry> changesOf(const StoreWatchPrefix&) const;
+    void expireLeases(MonotonicTime now);
+
+    void put(const std::string& key, const std::string& value, const LeaseId& lease = {});
+    void erase(const std::string& key);
+    std::string value(const std::string& key) const;
+    std::vector<std::string> keys(const std::string& prefix) const;
+
+    void saveCopy() { m_copy = m_state; }
+    // Goes back to the copy, whose leases begin anew.
+    void restore(MonotonicTime now);
+    StoreEpoch epoch() const { return m_epoch; }
+    StoreVersion version() const { return m_state.version; }
+
+private:
+    struct Item {
+        StoreEntry entry;
+        LeaseId lease;
+    };
+    struct Lease {
+        Duration ttl {};
+        MonotonicTime endsAt {};
+    };
+    struct State {
+        std::map<std::string, Item> items;
+        std::map<LeaseId, Lease> leases;
+        std::vector<StoreEntry> history;
+        StoreVersion version = 1;
+        std::uint64_t lastLease = 0;
+    };
+
+    StoreReply write(const StoreCompareAndSwap&);
+    void endLease(const LeaseId&);
+
+    State m_state;
+    State m_copy;
+    StoreEpoch m_epoch = 1;
+};
+
+// Documents in JSON: {"service", "heartbeat", "leaving"} for endpoints, a version for a configuration. A configuration
+// whose document ends with a space has an additional route.
+class RestorableProtocol final : public ReplayProtocol {
+public:
+    std::string configurationKey() const override { return "configuration"; }
+    std::string endpointPrefix() const override { return "endpoints/"; }
+    Result<GatewayConfiguration> readConfiguration(std::string_view document) const override;
+    Result<EndpointRecord> readEndpoint(std::string_view key, std::string_view document) const override;
+};
+
+// Reducers of several gateways with one store in simulated time. Messages between hosts with the same secret arrive
+// after one step. Engines of the service "notes" carry out the orders.
+class RestorableFleet {
+public:
+    struct Order {
+        std::size_t host = 0;
+        EndpointId engine;
+        std::uint64_t token = 0;
+        MonotonicTime at {};
+    };
+
+    explicit RestorableFleet(std::size_t hosts, std::size_t engines = 0);
+
+    void run(Duration);
+    // Runs with requests for models in turn, so that the owner gives orders.
+    void runWithDemand(Duration);
+    void arrive(
+        std::size_t host, const std::string& target, const std::string& model = "", const std::string& part = "");
+
+    void start(std::size_t host);
+    void kill(std::size_t host) { m_hosts[host].reducer.reset(); }
+    // The host gets no answers from the store while it is disconnected.
+    void setConnected(std::size_t host, bool isConnected);
+    // The host does nothing while it is frozen; messages to it wait.
+    void setFrozen(std::size_t host, bool isFrozen) { m_hosts[host].isFrozen = isFrozen; }
+    void restoreStore();
+
+    nlohmann::json status(std::size_t host);
+    // Host that began to give orders last.
+    std::size_t orderingHost() const { return m_orderingHost; }
+    std::size_t hostCount() const { return m_hosts.size(); }
+    std::string secretOf(std::size_t host) const { return m_hosts[host].secret; }
+
+    RestorableStore store;
+    MonotonicTime now { std::chrono::hours(1) };
+    std::vector<Order> orders;
+    std::vector<StartAttempt> attempts;
+    std::vector<SendWholeResponse> answers;
+    std::vector<LogEntry> logs;
+    // Store calls by operation: lists, other reads and watches, writes.
+    std::size_t lists = 0;
+    std::size_t writes = 0;
+
+private:
+    struct PendingWatch {
+        StoreCall call;
+        MonotonicTime endsAt {};
+    };
+    struct Host {
+        std::unique_ptr<GatewayReducer> reducer;
+        std::vector<PendingWatch> watches;
+        std::vector<GatewayEvent> inbox;
+        StoreEpochTracker epochs;
+        std::string secret;
+        Incarnation incarnation = 0;
+        bool isConnected = true;
+        bool isFrozen = false;
+    };
+
+    void step();
+    void apply(std::size_t host, const GatewayEvent&);
+    void execute(std::size_t host, const StoreCall&);
+    void execute(std::size_t host, const EngineOrder&);
+    void reply(std::size_t host, const StoreCall&, StoreReply, StoreEpoch atSending);
+    void answerWatches(std::size_t host);
+    static void breakWatches(Host&);
+    HostId idOf(std::size_t host) const { return HostId("host" + std::to_string(host)); }
+
+    RestorableProtocol m_protocol;
+    std::vector<Host> m_hosts;
+    std::map<EndpointId, FakeEngine> m_engines;
+    std::size_t m_orderingHost = 0;
+    std::uint64_t m_lastRequest = 0;
+    Incarnation m_lastIncarnation = 0;
+    MonotonicTime m_nextHeartbeatAt {};
+    std::uint64_t m_heartbeat = 100;
+};
+
+} // namespace Catkinwell::Testing
