Read a restored store again instead of watching from an old version

Cause: PrefixMirror kept the larger of its own and the list's version, so its watch asked for a version that the restored store did not have yet. Change: noteRestored() drops the call under way and lists the prefix; a list sets the version; an entry with the same version and another value is a change. Evidence: 'Hosts list a restored store only once or twice' failed before. Why it works: a version is compared only with versions of the same epoch.

--- a/include/catkinwell/gateway/PrefixMirror.h
+++ b/include/catkinwell/gateway/PrefixMirror.h
@@ -28,14 +28,20 @@
     // Returns the changed entries; deleted ones are marked. Ignores replies to other calls.
     std::vector<StoreEntry> handle(const StoreReply&, MonotonicTime now, EffectList&);
 
+    // Forgets the versions of before the restore and reads the prefix again. The last copy is kept until then.
+    void noteRestored(MonotonicTime now);
+
     void setMinimumInterval(Duration interval) { m_settings.minimumInterval = interval; }
     // Whether the prefix has been read completely at least once.
     bool isRead() const { return m_isRead; }
+    // Whether the copy follows the store's present history; false from the loss of the history or a restore until the
+    // prefix has been read again.
+    bool isCurrent() const { return m_isRead && !m_needsList; }
     const std::map<std::string, StoreEntry>& entries() const { return m_entries; }
     const StoreEntry* find(const std::string& key) const;
     // When calls started to fail; zero if the last call succeeded.
     MonotonicTime failingSince() const { return m_failingSince; }
-    // When a call last succeeded after failures; zero if calls never failed.
+    // When a call last succeeded after failures, or the store was last restored; zero if neither ever happened.
     MonotonicTime recoveredAt() const { return m_recoveredAt; }
 
 private:
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -216,10 +216,12 @@
     }
 }
 
-void GatewayReducer::handleStoreRestored(const StoreRestored& restored, MonotonicTime, EffectList& effects)
+void GatewayReducer::handleStoreRestored(const StoreRestored& restored, MonotonicTime now, EffectList& effects)
 {
     effects.push_back(LogEntry { LogEvent::StoreWasRestored,
         { { "previous_epoch", std::to_string(restored.previous) }, { "epoch", std::to_string(restored.epoch) } } });
+    for (PrefixMirror* mirror : { &m_configurationMirror, &m_endpointMirror, &m_gatewayMirror })
+        mirror->noteRestored(now);
 }
 
 void GatewayReducer::applyConfiguration(
--- a/src/gateway/PrefixMirror.cpp
+++ b/src/gateway/PrefixMirror.cpp
@@ -65,14 +65,25 @@
         m_isRead = true;
         m_needsList = false;
         m_listTimeout = callTimeout;
+        m_version = reply.version;
     } else {
         for (const StoreEntry& entry : reply.entries)
             apply(entry, changes);
+        m_version = std::max(m_version, reply.version);
     }
-    m_version = std::max(m_version, reply.version);
     return changes;
 }
 
+void PrefixMirror::noteRestored(MonotonicTime now)
+{
+    // The reply to a call that was sent before the restore is ignored.
+    m_pending = StoreCallId();
+    m_needsList = true;
+    m_recoveredAt = now;
+    m_nextAt = now;
+    m_backoff.reset();
+}
+
 void PrefixMirror::noteFailure(StoreStatus status, MonotonicTime now, EffectList& effects)
 {
     if (m_failingSince == MonotonicTime()) {
@@ -90,7 +101,10 @@
     m_entries.clear();
     for (const StoreEntry& entry : reply.entries) {
         const auto known = previous.find(entry.key);
-        if (known == previous.end() || known->second.version != entry.version)
+        // A restored store gives out the same version for another value.
+        const bool isKnown = known != previous.end() && known->second.version == entry.version
+            && known->second.value == entry.value;
+        if (!isKnown)
             changes.push_back(entry);
         if (known != previous.end())
             previous.erase(known);
