Keep a refusal whose record a restore of the store lost, and record it again

Cause: an absent key was taken for a deletion, which releases the refusal. Change: PrefixMirror marks keys that are absent in the first list after a restore as lost. A lost record is ignored by the quarantine and written again, by the owner first, by other hosts after a random delay of 10 ms per host. Evidence: 'A refusal of a prompt part outlasts a restore and is recorded again' failed before (0 of 3 hosts refused). Why it works: only a deletion that the store shows releases a refusal; one that happened while the store went back is made again by the host that released it.

--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -86,6 +86,7 @@
     void sendTo(const HostId&, const GatewayMessage&, EffectList&) const;
     HostDigest makeDigest(MonotonicTime now);
     Duration digestInterval() const;
+    Duration restoreDelay();
     void advanceShutdown(MonotonicTime now, EffectList&);
     void reportReadiness(EffectList&);
     void recordMetrics(EffectList&);
@@ -106,6 +107,7 @@
     GatewayRequests m_requests;
     EnginePlacement m_placement;
     PromptRefusalRecords m_refusalRecords;
+    RandomGenerator m_random;
     GatewayConfiguration m_configuration;
     std::string m_configurationDocument;
     std::map<HostId, Peer> m_peers;
--- a/include/catkinwell/gateway/PrefixMirror.h
+++ b/include/catkinwell/gateway/PrefixMirror.h
@@ -57,6 +57,8 @@
     StoreVersion m_version = 0;
     bool m_isRead = false;
     bool m_needsList = true;
+    // Whether the next list is the first after a restore.
+    bool m_isRestored = false;
     Duration m_listTimeout;
     StoreCallId m_pending;
     MonotonicTime m_nextAt {};
--- a/include/catkinwell/gateway/PromptRefusalRecords.h
+++ b/include/catkinwell/gateway/PromptRefusalRecords.h
@@ -30,6 +30,8 @@
     void tick(
         const std::vector<PromptRefusal>&, const PrefixMirror&, bool isOwner, WallTime, MonotonicTime now, EffectList&);
     void handle(const StoreReply&);
+    // Writes lost records again as if the refusals had become known at this time.
+    void noteRestored(MonotonicTime knownFrom);
 
 private:
     std::string keyOf(PromptRefusalId) const;
--- a/include/catkinwell/store/StoreTypes.h
+++ b/include/catkinwell/store/StoreTypes.h
@@ -111,6 +111,8 @@
     StoreVersion version = 0;
     // The key was deleted; only in replies to a watch.
     bool isDeleted = false;
+    // With isDeleted: absent since the store was restored, so the key may have been lost instead of deleted.
+    bool isLost = false;
 };
 
 // An event: the outcome of one StoreCall.
--- a/src/gateway/GatewayQuarantine.cpp
+++ b/src/gateway/GatewayQuarantine.cpp
@@ -76,10 +76,13 @@
         m_requests.endQuarantined(now, effects);
 }
 
-// A record that was deleted before it expired belonged to a refusal that another host found to be wrong.
+// A record that was deleted before it expired belonged to a refusal that another host found to be wrong. One that was
+// lost is written again.
 void GatewayReducer::applyRefusalRecord(const StoreEntry& entry, PromptRefusalId id, MonotonicTime now)
 {
     PromptQuarantine& quarantine = m_requests.promptQuarantine();
+    if (entry.isLost)
+        return;
     if (entry.isDeleted)
         quarantine.release(id, now);
     else if (const auto refusal = m_refusalRecords.read(entry, m_wallNow))
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -31,6 +31,9 @@
     constexpr Duration shortestDrain = std::chrono::milliseconds(2900);
     constexpr Duration shutdownMargin = std::chrono::milliseconds(700);
     constexpr std::size_t maximumOfferBytes = 900 * 1024;
+    // After a restore of the store the hosts write again one after the other, within the store's write rate.
+    constexpr Duration restoreSpreadPerHost = std::chrono::milliseconds(10);
+    constexpr Duration longestRestoreSpread = std::chrono::seconds(5);
 
     HostLeaseSettings leaseSettingsOf(const GatewaySettings& settings)
     {
@@ -83,11 +86,12 @@
     , m_endpointMirror(StoreUser::Membership, mirrorOf(protocol.endpointPrefix(), shortestRecordInterval), seed + 2)
     , m_gatewayMirror(StoreUser::Shares, mirrorOf(m_settings.storeKeyPrefix, std::chrono::milliseconds(100)), seed + 3)
     , m_ownership(ownershipOf(m_settings, incarnation), seed + 4)
-    , m_directory(m_settings.dataCentre, seed + 5, m_settings.host)
+    , m_directory(m_settings.dataCentre, seed + 6, m_settings.host)
     , m_quota(m_settings.host)
     , m_requests(m_settings.requests, protocol, m_directory, m_quota)
     , m_placement(m_settings.placement, m_directory)
     , m_refusalRecords(m_settings.storeKeyPrefix + "quarantine/")
+    , m_random(seed + 5)
 {
 }
 
@@ -222,6 +226,15 @@
         { { "previous_epoch", std::to_string(restored.previous) }, { "epoch", std::to_string(restored.epoch) } } });
     for (PrefixMirror* mirror : { &m_configurationMirror, &m_endpointMirror, &m_gatewayMirror })
         mirror->noteRestored(now);
+    m_refusalRecords.noteRestored(now + restoreDelay());
+}
+
+// All hosts notice a restore at the same moment; each writes again after a time of its own.
+Duration GatewayReducer::restoreDelay()
+{
+    const auto hosts = static_cast<std::int64_t>(m_livePeers.size() + 1);
+    const Duration spread = std::min(restoreSpreadPerHost * hosts, longestRestoreSpread);
+    return Duration(static_cast<Duration::rep>(m_random.unit() * static_cast<double>(spread.count())));
 }
 
 void GatewayReducer::applyConfiguration(
--- a/src/gateway/PrefixMirror.cpp
+++ b/src/gateway/PrefixMirror.cpp
@@ -64,6 +64,7 @@
                     { "version", std::to_string(reply.version) } } });
         m_isRead = true;
         m_needsList = false;
+        m_isRestored = false;
         m_listTimeout = callTimeout;
         m_version = reply.version;
     } else {
@@ -79,6 +80,7 @@
     // The reply to a call that was sent before the restore is ignored.
     m_pending = StoreCallId();
     m_needsList = true;
+    m_isRestored = true;
     m_recoveredAt = now;
     m_nextAt = now;
     m_backoff.reset();
@@ -112,6 +114,7 @@
     }
     for (auto& [key, entry] : previous) {
         entry.isDeleted = true;
+        entry.isLost = m_isRestored;
         changes.push_back(entry);
     }
 }
--- a/src/gateway/PromptRefusalRecords.cpp
+++ b/src/gateway/PromptRefusalRecords.cpp
@@ -89,6 +89,13 @@
         m_pending = StoreCallId();
 }
 
+void PromptRefusalRecords::noteRestored(MonotonicTime knownFrom)
+{
+    m_pending = StoreCallId();
+    for (auto& [id, since] : m_knownSince)
+        since = knownFrom;
+}
+
 bool PromptRefusalRecords::deleteEnded(const PrefixMirror& mirror, MonotonicTime now, EffectList& effects)
 {
     std::erase_if(m_ended, [&](PromptRefusalId id) { return !mirror.find(keyOf(id)); });
@@ -128,7 +135,7 @@
 void PromptRefusalRecords::tick(const std::vector<PromptRefusal>& refusals, const PrefixMirror& mirror, bool isOwner,
     WallTime wallNow, MonotonicTime now, EffectList& effects)
 {
-    if (m_pending.value != 0 || now < m_nextAt || !mirror.isRead() || deleteEnded(mirror, now, effects))
+    if (m_pending.value != 0 || now < m_nextAt || !mirror.isCurrent() || deleteEnded(mirror, now, effects))
         return;
     if (isOwner && deleteExpired(mirror, wallNow, now, effects))
         return;
@@ -137,7 +144,7 @@
         const auto recorded = entry ? read(*entry, wallNow) : std::nullopt;
         if (recorded && recorded->parts == refusal.parts)
             continue;
-        if (!isOwner && now - m_knownSince.try_emplace(refusal.id, now).first->second < ownerHeadStart)
+        if (!isOwner && now < m_knownSince.try_emplace(refusal.id, now).first->second + ownerHeadStart)
             continue;
         if (!entry && countRecords(mirror) >= maximumRecords)
             return;
