Unregister a host when its entry is deleted

By reading, a host that was gone counted as live for ever: its share of the accounts' limits stayed unused, and its peers went on sending it messages. Cause: a deletion in a watch names only the key, but the handling compared the incarnation in the deleted value, which is empty; only a list showed the value. Change: a host is registered while the mirror holds an entry of it. Evidence: 'A host whose entry was deleted is no longer registered' failed before. Found while testing what a restore does to the entries of hosts.

--- a/include/catkinwell/gateway/PrefixMirror.h
+++ b/include/catkinwell/gateway/PrefixMirror.h
@@ -39,6 +39,7 @@
     bool isCurrent() const { return m_isRead && !m_needsList; }
     const std::map<std::string, StoreEntry>& entries() const { return m_entries; }
     const StoreEntry* find(const std::string& key) const;
+    bool hasKeyWithPrefix(const std::string& prefix) const;
     // When calls started to fail; zero if the last call succeeded.
     MonotonicTime failingSince() const { return m_failingSince; }
     // When a call last succeeded after failures, or the store was last restored; zero if neither ever happened.
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -314,19 +314,20 @@
     if (host == m_settings.host)
         return;
     Peer& peer = m_peers[host];
-    const Json value = Json::parse(entry.value, nullptr, false);
-    const auto incarnation
-        = value.is_object() && value.contains("incarnation") && value["incarnation"].is_number_unsigned()
-        ? value["incarnation"].get<Incarnation>()
-        : 0;
     if (entry.isDeleted) {
-        // A restarted host may have a lower incarnation if its wall clock was set back.
-        if (incarnation == peer.incarnation) {
+        // A deletion does not repeat the value, and a restarted host has an entry of its own.
+        if (!m_gatewayMirror.hasKeyWithPrefix(hostPrefix + host.value + "/")) {
             peer.isRegistered = false;
+            // A restarted host may have a lower incarnation if its wall clock was set back.
             peer.incarnation = 0;
         }
         return;
     }
+    const Json value = Json::parse(entry.value, nullptr, false);
+    const auto incarnation
+        = value.is_object() && value.contains("incarnation") && value["incarnation"].is_number_unsigned()
+        ? value["incarnation"].get<Incarnation>()
+        : 0;
     if (incarnation < peer.incarnation || !value.is_object())
         return;
     peer.incarnation = incarnation;
--- a/src/gateway/PrefixMirror.cpp
+++ b/src/gateway/PrefixMirror.cpp
@@ -137,4 +137,10 @@
     return found == m_entries.end() ? nullptr : &found->second;
 }
 
+bool PrefixMirror::hasKeyWithPrefix(const std::string& prefix) const
+{
+    const auto first = m_entries.lower_bound(prefix);
+    return first != m_entries.end() && first->first.starts_with(prefix);
+}
+
 } // namespace Catkinwell
