Take a new lease when the store was restored, one host after the other

What callers saw: not measured. Cause: a host went on with its lease of before the restore. The store may lack it or have given its identifier to another host, which the first then kept alive after that one's death. A restored entry under an earlier lease was taken for the host's own, so that the host was missing from the list once that lease had ended. All hosts asked again at the same moment. Why it works: leases and entries of another epoch are never used.

--- a/include/catkinwell/store/HostLease.h
+++ b/include/catkinwell/store/HostLease.h
@@ -23,8 +23,8 @@
     Duration renewalInterval = std::chrono::seconds(3);
     // Prefix of the key of the host's entry.
     std::string keyPrefix = "hosts/";
-    // Whether the key ends with the incarnation, so that a restarted host need not wait until its earlier lease
-    // expires.
+    // Whether the key ends with the incarnation and, after a restore of the store, with its epoch, so that neither a
+    // restarted host nor one whose earlier entry was restored need wait until the lease of that entry expires.
     bool isKeyPerIncarnation = false;
     // Shortest and longest delay after a failed call.
     Duration shortestRetry = std::chrono::milliseconds(500);
@@ -41,6 +41,9 @@
     void tick(MonotonicTime now, EffectList&);
     void handle(const StoreReply&, MonotonicTime now, EffectList&);
 
+    // Gives up the lease, which the restored store may lack or have given to another host, and requests a new one after
+    // the delay.
+    void noteRestored(StoreEpoch, Duration delay, MonotonicTime now, EffectList&);
     // Has the host's entry written again with the leaving flag at the next tick.
     void announceLeaving(MonotonicTime now);
     // Revokes the lease, so that everything held under it is released at once.
@@ -84,6 +87,8 @@
     bool m_leaving = false;
     bool m_revoked = false;
     bool m_storeReachable = true;
+    // The store's epoch if it was restored since the start, otherwise 0.
+    StoreEpoch m_restoredEpoch = 0;
 };
 
 } // namespace Catkinwell
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -226,6 +226,7 @@
         { { "previous_epoch", std::to_string(restored.previous) }, { "epoch", std::to_string(restored.epoch) } } });
     for (PrefixMirror* mirror : { &m_configurationMirror, &m_endpointMirror, &m_gatewayMirror })
         mirror->noteRestored(now);
+    m_lease.noteRestored(restored.epoch, restoreDelay(), now, effects);
     m_refusalRecords.noteRestored(now + restoreDelay());
 }
 
--- a/src/store/HostLease.cpp
+++ b/src/store/HostLease.cpp
@@ -20,7 +20,10 @@
 std::string HostLease::registrationKey() const
 {
     std::string key = m_settings.keyPrefix + m_registration.host.value;
-    return m_settings.isKeyPerIncarnation ? key + "/" + std::to_string(m_registration.incarnation) : key;
+    if (!m_settings.isKeyPerIncarnation)
+        return key;
+    key += "/" + std::to_string(m_registration.incarnation);
+    return m_restoredEpoch == 0 ? key : key + "/" + std::to_string(m_restoredEpoch);
 }
 
 std::string HostLease::registrationValue() const
@@ -118,6 +121,18 @@
     m_changed = true;
 }
 
+void HostLease::noteRestored(StoreEpoch epoch, Duration delay, MonotonicTime now, EffectList& effects)
+{
+    dropLease(effects);
+    m_restoredEpoch = epoch;
+    if (m_pending == Call::Revoke)
+        return;
+    // The reply to a call that was sent before the restore is ignored.
+    m_pending = Call::None;
+    m_nextAt = now + delay;
+    m_backoff.reset();
+}
+
 void HostLease::announceLeaving(MonotonicTime now)
 {
     if (m_leaving)
