Order nothing on the strength of an owner key of before a restore

What callers saw: not measured; engines got orders of two hosts 760 ms apart (bound 3,000 ms) and fencing tokens that went back, in the test. Cause: the owner key, the record of the last owner and the version that served as the fencing token all went back with the store. An owner went on with a key that was lost; its successor read in the record that itself had given the last orders; engines and hosts compared tokens of two histories. Change: an owner gives up at a restore. The record names the epoch; a record of an earlier epoch, or none, makes a new owner wait, but for the host that was permitted to order until the restore, which also competes first. Tokens hold the epoch above the version. A host clears an owner key of its own that is bound to a lease it gave up. Why it works: another host can order in the new epoch only after a wait that is longer than the validity of any lease of the old one.

--- a/include/catkinwell/gateway/PlacementOwnership.h
+++ b/include/catkinwell/gateway/PlacementOwnership.h
@@ -7,8 +7,9 @@
 namespace Catkinwell {
 
 // Competes for the store key that makes a host the placement owner. The key is bound to the host's lease. A second key
-// without a lease names the host that last sent orders: any other host waits for a while after it has become the owner
-// and before its first order, so that orders of two hosts never interleave at an engine. Pure; not thread safe.
+// without a lease names the host that last sent orders, and the store's epoch: any other host waits for a while after it
+// has become the owner and before its first order, so that orders of two hosts never interleave at an engine. A record
+// of an earlier epoch, or none after a restore, does not tell who sent the last orders. Pure; not thread safe.
 class PlacementOwnership {
 public:
     struct Settings {
@@ -27,6 +28,9 @@
     // Precondition: the mirror covers the keys.
     void tick(const LeaseStatus&, const PrefixMirror&, MonotonicTime now, EffectList&);
     void handle(const StoreReply&, MonotonicTime now, EffectList&);
+    // Gives up the ownership; the restored store may name another owner. A host that was permitted to send orders until
+    // now need not wait if it becomes the first owner of the new epoch.
+    void noteRestored(StoreEpoch, const LeaseStatus&, MonotonicTime now, EffectList&);
     // Keeps the ownership if this host has it, but no longer competes for it.
     void stopCompeting() { m_isStopping = true; }
     // Releases the ownership and does not compete again.
@@ -43,6 +47,9 @@
     std::string ownerKey() const { return m_settings.keyPrefix + "owner"; }
     std::string lastOwnerKey() const { return m_settings.keyPrefix + "last-owner"; }
     std::string ownValue(const LeaseId&) const;
+    std::string ownRecord() const;
+    bool mustWait(const StoreEntry* lastOwner, MonotonicTime now) const;
+    std::uint64_t fencingToken() const;
     void call(StoreOperation, EffectList&);
     void tryAcquire(const LeaseStatus&, const PrefixMirror&, MonotonicTime now, EffectList&);
     void recordOwner(const PrefixMirror&, MonotonicTime now, EffectList&);
@@ -55,9 +62,15 @@
     RandomGenerator m_random;
     HostId m_owner;
     StoreCallId m_pending;
+    // Whether the pending call deletes an owner key of this host that is bound to an earlier lease.
+    bool m_isClearingOwnKey = false;
     MonotonicTime m_notBefore {};
     // Version of the owner key if this host holds it, otherwise 0.
     StoreVersion m_heldVersion = 0;
+    // The store's newest known epoch.
+    StoreEpoch m_epoch = 0;
+    // Whether this host was permitted to send orders until the last restore.
+    bool m_orderedUntilRestore = false;
     LeaseId m_heldLease;
     // Whether the last-owner key names this host.
     bool m_isRecorded = false;
--- a/include/catkinwell/gateway/PrefixMirror.h
+++ b/include/catkinwell/gateway/PrefixMirror.h
@@ -37,6 +37,8 @@
     // Whether the copy follows the store's present history; false from the loss of the history or a restore until the
     // prefix has been read again.
     bool isCurrent() const { return m_isRead && !m_needsList; }
+    // The store's epoch when the prefix was last listed; 0 if unknown.
+    StoreEpoch epoch() const { return m_epoch; }
     const std::map<std::string, StoreEntry>& entries() const { return m_entries; }
     const StoreEntry* find(const std::string& key) const;
     bool hasKeyWithPrefix(const std::string& prefix) const;
@@ -56,6 +58,7 @@
     RetryBackoff m_backoff;
     std::map<std::string, StoreEntry> m_entries;
     StoreVersion m_version = 0;
+    StoreEpoch m_epoch = 0;
     bool m_isRead = false;
     bool m_needsList = true;
     // Whether the next list is the first after a restore.
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -34,6 +34,7 @@
     // After a restore of the store the hosts write again one after the other, within the store's write rate.
     constexpr Duration restoreSpreadPerHost = std::chrono::milliseconds(10);
     constexpr Duration longestRestoreSpread = std::chrono::seconds(5);
+    constexpr Duration ownerRestoreLead = std::chrono::milliseconds(150);
 
     HostLeaseSettings leaseSettingsOf(const GatewaySettings& settings)
     {
@@ -226,7 +227,10 @@
         { { "previous_epoch", std::to_string(restored.previous) }, { "epoch", std::to_string(restored.epoch) } } });
     for (PrefixMirror* mirror : { &m_configurationMirror, &m_endpointMirror, &m_gatewayMirror })
         mirror->noteRestored(now);
-    m_lease.noteRestored(restored.epoch, restoreDelay(), now, effects);
+    // The owner comes first, so that no other host has to wait before its first order.
+    const Duration leaseDelay = m_placement.isOwner() ? Duration::zero() : ownerRestoreLead + restoreDelay();
+    m_ownership.noteRestored(restored.epoch, m_lease.status(), now, effects);
+    m_lease.noteRestored(restored.epoch, leaseDelay, now, effects);
     m_refusalRecords.noteRestored(now + restoreDelay());
 }
 
--- a/src/gateway/PlacementOwnership.cpp
+++ b/src/gateway/PlacementOwnership.cpp
@@ -1,5 +1,7 @@
 #include <catkinwell/gateway/PlacementOwnership.h>
 
+#include <charconv>
+
 namespace Catkinwell {
 
 namespace {
@@ -8,6 +10,21 @@
     constexpr Duration retryPause = std::chrono::milliseconds(300);
     // Spreads the attempts of the hosts after the owner's lease has ended.
     constexpr std::uint64_t competitionSpreadMilliseconds = 60;
+    // A store in a later epoch may have lost its record of the last owner.
+    constexpr StoreEpoch firstEpoch = 1;
+    // The low bits of a fencing token hold the version of the owner key, the others the epoch, so that tokens increase
+    // although versions go back at a restore. They stay within the whole numbers that JSON readers keep exactly.
+    constexpr unsigned versionBits = 40;
+
+    // Returns the epoch in which the last owner was recorded; 0 for a record without one.
+    StoreEpoch epochOfRecord(const std::string& record)
+    {
+        StoreEpoch epoch = 0;
+        const std::size_t end = record.find('\n');
+        if (end != std::string::npos)
+            std::from_chars(record.data() + end + 1, record.data() + record.size(), epoch);
+        return epoch;
+    }
 
 } // namespace
 
@@ -22,6 +39,26 @@
     return m_settings.self.value + '\n' + std::to_string(m_settings.incarnation) + '\n' + lease;
 }
 
+std::string PlacementOwnership::ownRecord() const
+{
+    return m_settings.self.value + '\n' + std::to_string(m_epoch);
+}
+
+std::uint64_t PlacementOwnership::fencingToken() const { return (m_epoch << versionBits) | m_heldVersion; }
+
+void PlacementOwnership::noteRestored(
+    StoreEpoch epoch, const LeaseStatus& lease, MonotonicTime now, EffectList& effects)
+{
+    m_orderedUntilRestore = permission(lease, now).has_value();
+    if (m_heldVersion != 0)
+        loseOwnership("the store was restored", effects);
+    // The reply to a call that was sent before the restore is ignored.
+    m_pending = StoreCallId();
+    m_isClearingOwnKey = false;
+    m_notBefore = now;
+    m_epoch = epoch;
+}
+
 void PlacementOwnership::call(StoreOperation operation, EffectList& effects)
 {
     m_pending = m_callIds.next();
@@ -31,6 +68,7 @@
 void PlacementOwnership::tick(
     const LeaseStatus& lease, const PrefixMirror& mirror, MonotonicTime now, EffectList& effects)
 {
+    m_epoch = std::max(m_epoch, mirror.epoch());
     const StoreEntry* entry = mirror.find(ownerKey());
     m_owner = entry ? HostId(entry->value.substr(0, entry->value.find('\n'))) : HostId();
     if (m_heldVersion != 0) {
@@ -38,7 +76,7 @@
         if (lease.id != m_heldLease || isReplaced)
             loseOwnership(isReplaced ? "another host holds the owner key" : "the lease ended", effects);
     }
-    if (m_isReleased || m_pending.value != 0 || now < m_notBefore || !mirror.isRead() || !lease.isValidAt(now))
+    if (m_isReleased || m_pending.value != 0 || now < m_notBefore || !mirror.isCurrent() || !lease.isValidAt(now))
         return;
     if (m_heldVersion == 0 && m_isStopping)
         return;
@@ -53,9 +91,14 @@
 {
     const StoreEntry* entry = mirror.find(ownerKey());
     if (entry) {
-        // This host's own write succeeded, but its answer was lost.
+        const std::string earlierRun = m_settings.self.value + '\n' + std::to_string(m_settings.incarnation) + '\n';
         if (entry->value == ownValue(lease.id)) {
+            // This host's own write succeeded, but its answer was lost.
             acquire(entry->version, lease.id, now);
+        } else if (entry->value.starts_with(earlierRun)) {
+            // Bound to a lease that this host gave up, and that a restored store may have given to another host.
+            m_isClearingOwnKey = true;
+            call(StoreDelete { ownerKey(), entry->version }, effects);
         } else {
             m_notBefore = now + std::chrono::milliseconds(m_random.below(competitionSpreadMilliseconds));
         }
@@ -70,13 +113,23 @@
 void PlacementOwnership::recordOwner(const PrefixMirror& mirror, MonotonicTime now, EffectList& effects)
 {
     const StoreEntry* last = mirror.find(lastOwnerKey());
-    if (last && last->value == m_settings.self.value) {
+    if (last && last->value == ownRecord()) {
         beginOrders(now, effects);
         return;
     }
-    if (last && now < m_acquiredAt + m_settings.silence)
+    if (mustWait(last, now))
         return;
-    call(StoreCompareAndSwap { lastOwnerKey(), m_settings.self.value, last ? last->version : 0, {} }, effects);
+    call(StoreCompareAndSwap { lastOwnerKey(), ownRecord(), last ? last->version : 0, {} }, effects);
+}
+
+bool PlacementOwnership::mustWait(const StoreEntry* lastOwner, MonotonicTime now) const
+{
+    if (now >= m_acquiredAt + m_settings.silence)
+        return false;
+    const bool isFirstOfEpoch = !lastOwner || epochOfRecord(lastOwner->value) < m_epoch;
+    if (isFirstOfEpoch && m_orderedUntilRestore)
+        return false;
+    return lastOwner || m_epoch > firstEpoch;
 }
 
 void PlacementOwnership::acquire(StoreVersion version, const LeaseId& lease, MonotonicTime now)
@@ -92,7 +145,7 @@
     m_isRecorded = true;
     m_ordersFrom = now;
     effects.push_back(LogEntry { LogEvent::GatewayOwnershipGained,
-        { { "fencing_token", std::to_string(m_heldVersion) },
+        { { "fencing_token", std::to_string(fencingToken()) },
             { "silence_ms", std::to_string(millisecondsOf(now - m_acquiredAt)) } } });
 }
 
@@ -101,7 +154,7 @@
     if (reply.id != m_pending || m_pending.value == 0)
         return;
     m_pending = StoreCallId();
-    if (reply.status != StoreStatus::Ok) {
+    if (std::exchange(m_isClearingOwnKey, false) || reply.status != StoreStatus::Ok) {
         // The mirror will show the outcome of the write.
         m_notBefore = now + retryPause;
         return;
@@ -118,7 +171,7 @@
 void PlacementOwnership::loseOwnership(std::string_view reason, EffectList& effects)
 {
     effects.push_back(LogEntry { LogEvent::GatewayOwnershipLost,
-        { { "fencing_token", std::to_string(m_heldVersion) }, { "reason", std::string(reason) } } });
+        { { "fencing_token", std::to_string(fencingToken()) }, { "reason", std::string(reason) } } });
     m_heldVersion = 0;
     m_heldLease.clear();
     m_isRecorded = false;
@@ -138,7 +191,7 @@
     const MonotonicTime until = lease.validUntil - m_settings.sendMargin;
     if (now >= until)
         return std::nullopt;
-    return PlacementPermission { m_settings.self, m_heldVersion, m_ordersFrom, until };
+    return PlacementPermission { m_settings.self, fencingToken(), m_ordersFrom, until };
 }
 
 } // namespace Catkinwell
--- a/src/gateway/PrefixMirror.cpp
+++ b/src/gateway/PrefixMirror.cpp
@@ -67,6 +67,7 @@
         m_isRestored = false;
         m_listTimeout = callTimeout;
         m_version = reply.version;
+        m_epoch = reply.epoch;
     } else {
         for (const StoreEntry& entry : reply.entries)
             apply(entry, changes);
