Write the fleet's secret again when a restore of the store lost it

What callers saw: not measured. By reading: a host that started after such a restore could talk to no other, so each kept its own share and quarantine. Cause: the secret was written and read once in a process's life. Change: a host writes the secret that it uses when the store has none, and uses the one in the store when it differs; the peer transport starts again. Evidence: 'All hosts have the same secret after a restore to a time before it was written' failed before.

--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -75,6 +75,7 @@
     void applyRefusalRecord(const StoreEntry&, PromptRefusalId, MonotonicTime now);
     void updatePromptQuarantine(MonotonicTime now, EffectList&);
     void handlePromptChanges(MonotonicTime now, EffectList&);
+    void useSecret(const std::string& secret, EffectList&);
     void ensureSecret(MonotonicTime now, EffectList&);
     void updatePeers(MonotonicTime now, EffectList&);
     void hastenDigest(MonotonicTime now);
@@ -95,7 +96,8 @@
     GatewaySettings m_settings;
     const ForwardingProtocol& m_protocol;
     Incarnation m_incarnation;
-    std::string m_newSecret;
+    // The fleet's secret, or the one to set if the fleet has none yet.
+    std::string m_secret;
     MetricsRegistry m_metrics;
     HostLease m_lease;
     PrefixMirror m_configurationMirror;
--- a/include/catkinwell/reducer/Effect.h
+++ b/include/catkinwell/reducer/Effect.h
@@ -34,7 +34,7 @@
 // Makes responses announce from now on that their connection will be closed. Connections are still accepted.
 struct AnnounceClosing { };
 
-// Starts the peer transport. The secret authenticates the messages between hosts.
+// Starts the peer transport, again if it runs already. The secret authenticates the messages between hosts.
 struct StartPeerTransport {
     std::string clusterSecret;
 };
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -79,7 +79,7 @@
     : m_settings(std::move(settings))
     , m_protocol(protocol)
     , m_incarnation(incarnation)
-    , m_newSecret(std::move(secret))
+    , m_secret(std::move(secret))
     , m_lease({ m_settings.host, incarnation, m_settings.dataCentre, announcedAddressOf(m_settings) }, seed,
           leaseSettingsOf(m_settings))
     , m_configurationMirror(
@@ -231,6 +231,7 @@
     const Duration leaseDelay = m_placement.isOwner() ? Duration::zero() : ownerRestoreLead + restoreDelay();
     m_ownership.noteRestored(restored.epoch, m_lease.status(), now, effects);
     m_lease.noteRestored(restored.epoch, leaseDelay, now, effects);
+    m_nextSecretAt = now + restoreDelay();
     m_refusalRecords.noteRestored(now + restoreDelay());
 }
 
@@ -306,10 +307,9 @@
         return;
     }
     const std::string hostPrefix = m_settings.storeKeyPrefix + "hosts/";
-    if (entry.key == m_settings.storeKeyPrefix + "secret" && !entry.isDeleted && !m_peersStarted) {
-        m_peersStarted = true;
-        effects.push_back(StartPeerTransport { entry.value });
-        m_sentAddresses.clear();
+    if (entry.key == m_settings.storeKeyPrefix + "secret") {
+        if (!entry.isDeleted)
+            useSecret(entry.value, effects);
         return;
     }
     if (!entry.key.starts_with(hostPrefix))
@@ -341,16 +341,28 @@
     peer.isLeaving = false;
 }
 
-// The fleet's secret is kept in the store; the first host that writes it sets it.
+// The secret in the store is that of the fleet, also if it differs from the one in use: a restored store may have lost
+// that one, and a host that started then has set another.
+void GatewayReducer::useSecret(const std::string& secret, EffectList& effects)
+{
+    if (m_peersStarted && secret == m_secret)
+        return;
+    m_peersStarted = true;
+    m_secret = secret;
+    effects.push_back(StartPeerTransport { secret });
+    m_sentAddresses.clear();
+}
+
+// The fleet's secret is kept in the store; the first host that writes it sets it. One that is lost is written again.
 void GatewayReducer::ensureSecret(MonotonicTime now, EffectList& effects)
 {
-    if (m_peersStarted || !m_gatewayMirror.isRead() || m_secretCall.value != 0 || now < m_nextSecretAt
+    if (!m_gatewayMirror.isCurrent() || m_secretCall.value != 0 || now < m_nextSecretAt
         || m_gatewayMirror.find(m_settings.storeKeyPrefix + "secret"))
         return;
     m_nextSecretAt = now + secretRetry;
     m_secretCall = m_secretCalls.next();
     effects.push_back(
-        StoreCall { m_secretCall, StoreCompareAndSwap { m_settings.storeKeyPrefix + "secret", m_newSecret, 0, {} } });
+        StoreCall { m_secretCall, StoreCompareAndSwap { m_settings.storeKeyPrefix + "secret", m_secret, 0, {} } });
 }
 
 void GatewayReducer::updatePeers(MonotonicTime now, EffectList& effects)
--- a/src/runtime/GatewayRuntime.cpp
+++ b/src/runtime/GatewayRuntime.cpp
@@ -72,6 +72,7 @@
     EngineClient m_attempts;
     EngineControl m_engines;
     std::unique_ptr<PeerTransport> m_peers;
+    std::map<HostId, std::string> m_peerAddresses;
     GatewayReducer m_reducer;
     ReducerLoop<GatewayEvent> m_events;
     int m_exitCode = 0;
@@ -102,10 +103,16 @@
     }
     void operator()(const SetPeerAddresses& effect) const
     {
+        runtime.m_peerAddresses = effect.addresses;
         if (runtime.m_peers)
             runtime.m_peers->setPeerAddresses(effect.addresses);
     }
-    void operator()(const StartPeerTransport& effect) const { runtime.startPeers(effect.clusterSecret); }
+    // Deferred, as the running transport may be delivering a message.
+    void operator()(const StartPeerTransport& effect) const
+    {
+        runtime.m_loop.callLater(Duration::zero(),
+            [&owner = runtime, secret = effect.clusterSecret] { owner.startPeers(secret); });
+    }
     void operator()(const SetCallerLimits& effect) const { runtime.m_callers.setLimits(effect.limits); }
     void operator()(const AnnounceClosing&) const { runtime.m_callers.beginClosing(); }
     // Only a serving process has these effects.
@@ -193,6 +200,8 @@
     settings.incarnation = m_incarnation;
     settings.listenAddress = m_settings.peerAddress;
     settings.clusterSecret = secret;
+    // Frees the listening address.
+    m_peers.reset();
     m_peers = std::make_unique<PeerTransport>(m_loop.base(), settings);
     const Status status = m_peers->start();
     if (isError(status)) {
@@ -202,6 +211,7 @@
     }
     m_peers->messageReceived().connect([this](const PeerMessageReceived& message) { m_events.post(message); });
     m_peers->logEntry().connect([this](const LogEntry& entry) { m_log.write(entry); });
+    m_peers->setPeerAddresses(m_peerAddresses);
 }
 
 // Applies the settings that can change while the process runs. An invalid file is logged and changes nothing.
