Ignore records of endpoints that are older than their departure

What callers saw: not measured; in the test, requests went to an endpoint that had left. Cause: an endpoint that left was forgotten at once, so that its earlier record, which a restored store holds again, looked like a new endpoint. A record of an earlier run under the same identifier looked like a restart. Change: EndpointDirectory keeps the last record of endpoints that left, for 10 minutes and at most 1,024 of them; a record with a lower heartbeat of that run is ignored, just after a recovery of the store also one of an earlier run. Evidence: 'An endpoint that left gets no requests because of a restored record' failed before.

--- a/include/catkinwell/gateway/EndpointDirectory.h
+++ b/include/catkinwell/gateway/EndpointDirectory.h
@@ -44,6 +44,9 @@
 public:
     EndpointDirectory(DataCentreId own, std::uint64_t seed, HostId self = HostId());
 
+    // Whether the record is older than what is known of the endpoint, also if it has left since. Just after a recovery
+    // of the store, a record of another run counts as older if its incarnation is lower.
+    bool isOutdated(const EndpointRecord&, bool isStoreRecovering) const;
     // Adds or replaces a record; the endpoint may have restarted under the same identifier.
     void put(const EndpointRecord&, MonotonicTime now, EffectList&);
     // The record is gone or unusable. An endpoint whose record may have expired while the store was unavailable stays
@@ -106,6 +109,12 @@
         std::map<ModelVariant, MonotonicTime> missingUntil;
     };
 
+    // The last record of an endpoint that has left.
+    struct Departure {
+        EndpointRecord record;
+        MonotonicTime at {};
+    };
+
     // Requests of the other hosts that run on one endpoint.
     struct PeerLoad {
         unsigned total = 0;
@@ -122,12 +131,14 @@
     Affinities affinitiesOf(const EndpointNeed&) const;
     void addPeerLoad(const std::vector<RunningCount>&);
     void removePeerLoad(const std::vector<RunningCount>&);
+    void rememberDeparture(const EndpointRecord&, MonotonicTime now);
     void rememberPrompt(const EndpointNeed&, const EndpointId&);
 
     DataCentreId m_ownDataCentre;
     RandomGenerator m_random;
     EndpointLimits m_limits;
     std::map<EndpointId, Entry> m_entries;
+    std::map<EndpointId, Departure> m_departures;
     // The latest report of each other host, and the sum over all of them.
     std::map<HostId, std::vector<RunningCount>> m_peerRunning;
     std::unordered_map<EndpointId, PeerLoad> m_peerLoads;
--- a/src/gateway/EndpointDirectory.cpp
+++ b/src/gateway/EndpointDirectory.cpp
@@ -28,6 +28,9 @@
     constexpr double wholePromptBonus = 0.10;
     constexpr double sharedPromptBonus = 0.04;
     constexpr std::size_t maximumPromptEntries = 4096;
+    // A restored store can bring back the records of endpoints that left before.
+    constexpr Duration departureLifetime = std::chrono::minutes(10);
+    constexpr std::size_t maximumDepartures = 1024;
 
     std::uint64_t promptHash(const EndpointNeed& need, std::size_t parts)
     {
@@ -46,6 +49,26 @@
 {
 }
 
+bool EndpointDirectory::isOutdated(const EndpointRecord& record, bool isStoreRecovering) const
+{
+    const auto entry = m_entries.find(record.id);
+    const auto departure = m_departures.find(record.id);
+    const EndpointRecord* known = entry != m_entries.end() ? &entry->second.record
+        : departure != m_departures.end()                  ? &departure->second.record
+                                                           : nullptr;
+    if (!known)
+        return false;
+    return known->isNewerThan(record) || (isStoreRecovering && record.incarnation < known->incarnation);
+}
+
+void EndpointDirectory::rememberDeparture(const EndpointRecord& record, MonotonicTime now)
+{
+    if (m_departures.size() >= maximumDepartures)
+        m_departures.erase(std::min_element(m_departures.begin(), m_departures.end(),
+            [](const auto& left, const auto& right) { return left.second.at < right.second.at; }));
+    m_departures[record.id] = { record, now };
+}
+
 void EndpointDirectory::put(const EndpointRecord& record, MonotonicTime now, EffectList& effects)
 {
     auto [found, isNew] = m_entries.try_emplace(record.id);
@@ -147,10 +170,14 @@
     std::erase_if(m_entries, [this, now](const auto& item) {
         const Entry& entry = item.second;
         const bool isGone = entry.usableUntil != MonotonicTime() && now >= entry.usableUntil && entry.ownTotal == 0;
-        if (isGone)
+        if (isGone) {
             m_limits.remove(item.first);
+            rememberDeparture(entry.record, now);
+        }
         return isGone;
     });
+    std::erase_if(
+        m_departures, [now](const auto& departure) { return now - departure.second.at >= departureLifetime; });
     m_limits.tick(now);
 }
 
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -277,13 +277,15 @@
 void GatewayReducer::applyEndpoint(const StoreEntry& entry, MonotonicTime now, EffectList& effects)
 {
     const EndpointId id(entry.key.substr(m_protocol.endpointPrefix().size()));
+    const MonotonicTime recovered = m_endpointMirror.recoveredAt();
+    const bool isRecovering = recovered != MonotonicTime() && now - recovered < recoveryTime;
     if (!entry.isDeleted) {
         auto result = m_protocol.readEndpoint(entry.key, entry.value);
         if (!isError(result)) {
             const EndpointRecord& record = valueOf(result);
-            const EndpointRecord* previous = m_directory.find(id);
-            if (previous && previous->isNewerThan(record))
+            if (m_directory.isOutdated(record, isRecovering))
                 return;
+            const EndpointRecord* previous = m_directory.find(id);
             if (previous && previous->incarnation != record.incarnation)
                 m_requests.endpointDied(id, now);
             m_directory.put(record, now, effects);
@@ -293,8 +295,7 @@
         effects.push_back(LogEntry { LogEvent::GatewayEndpointChanged,
             { { "endpoint", id.value }, { "state", "unusable" }, { "reason", errorOf(result).message } } });
     }
-    const MonotonicTime recovered = m_endpointMirror.recoveredAt();
-    const bool mayBeLapsed = entry.isDeleted && recovered != MonotonicTime() && now - recovered < recoveryTime;
+    const bool mayBeLapsed = entry.isDeleted && isRecovering;
     m_directory.remove(id, mayBeLapsed ? recovered + lapsedRecordGrace : now, now, effects);
     m_placement.remove(id);
 }
