Apply a configuration whose version a restored store gives out again

What callers saw: not measured. Cause: a version equal to the one in force was taken for the same document. The operator may give a version out again after a restore, when only some hosts had seen the first one; they then kept its routes. Change: a document with the same version and other content replaces the one in force if it comes from the store in a later epoch than that. Evidence: 'A restore does not bring back an older configuration nor hide a new one' failed before in its case of other routes.

--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -45,6 +45,11 @@
         Finished,
     };
 
+    enum class ConfigurationOrigin {
+        Store,
+        Peer,
+    };
+
     // Another gateway.
     struct Peer {
         Incarnation incarnation = 0;
@@ -69,7 +74,7 @@
     void handleDigest(const PeerMessageReceived&, const HostDigest&, MonotonicTime now, EffectList&);
     void handleStatusRequest(const RequestArrived&, MonotonicTime now, EffectList&);
 
-    void applyConfiguration(const std::string& document, std::string_view origin, MonotonicTime now, EffectList&);
+    void applyConfiguration(const std::string& document, ConfigurationOrigin, MonotonicTime now, EffectList&);
     void applyEndpoint(const StoreEntry&, MonotonicTime now, EffectList&);
     void applyGatewayEntry(const StoreEntry&, MonotonicTime now, EffectList&);
     void applyRefusalRecord(const StoreEntry&, PromptRefusalId, MonotonicTime now);
@@ -112,6 +117,8 @@
     RandomGenerator m_random;
     GatewayConfiguration m_configuration;
     std::string m_configurationDocument;
+    // The store's epoch when the configuration was applied.
+    StoreEpoch m_configurationEpoch = 0;
     std::map<HostId, Peer> m_peers;
     std::set<HostId> m_livePeers;
     std::map<HostId, std::string> m_sentAddresses;
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -193,7 +193,7 @@
     case StoreUser::Configuration:
         for (const StoreEntry& entry : m_configurationMirror.handle(reply, now, effects)) {
             if (entry.key == m_protocol.configurationKey() && !entry.isDeleted)
-                applyConfiguration(entry.value, "store", now, effects);
+                applyConfiguration(entry.value, ConfigurationOrigin::Store, now, effects);
         }
         m_configurationMirror.tick(now, effects);
         break;
@@ -244,17 +244,23 @@
 }
 
 void GatewayReducer::applyConfiguration(
-    const std::string& document, std::string_view origin, MonotonicTime now, EffectList& effects)
+    const std::string& document, ConfigurationOrigin origin, MonotonicTime now, EffectList& effects)
 {
+    const std::string_view originName = origin == ConfigurationOrigin::Store ? "store" : "peer";
     auto result = m_protocol.readConfiguration(document);
     if (isError(result)) {
         effects.push_back(LogEntry { LogEvent::GatewayConfigurationRejected,
-            { { "origin", std::string(origin) }, { "reason", errorOf(result).message } } });
+            { { "origin", std::string(originName) }, { "reason", errorOf(result).message } } });
         return;
     }
     GatewayConfiguration configuration = takeValue(std::move(result));
-    if (configuration.version <= m_configuration.version)
+    // After a restore of the store the operator may give out a version again that only some hosts had seen.
+    const bool isGivenOutAgain = origin == ConfigurationOrigin::Store
+        && configuration.version == m_configuration.version && document != m_configurationDocument
+        && m_configurationMirror.epoch() > m_configurationEpoch;
+    if (configuration.version <= m_configuration.version && !isGivenOutAgain)
         return;
+    m_configurationEpoch = m_configurationMirror.epoch();
     m_configuration = std::move(configuration);
     m_configurationDocument = document;
     m_requests.configure(m_configuration);
@@ -262,7 +268,7 @@
     m_quota.configure(m_configuration.accounts, now);
     effects.push_back(SetCallerLimits { m_configuration.limits });
     effects.push_back(LogEntry { LogEvent::GatewayConfigurationApplied,
-        { { "version", std::to_string(m_configuration.version) }, { "origin", std::string(origin) },
+        { { "version", std::to_string(m_configuration.version) }, { "origin", std::string(originName) },
             { "routes", std::to_string(m_configuration.routes.size()) },
             { "accounts", std::to_string(m_configuration.accounts.size()) } } });
     // The configuration identifies the engines and may arrive after their records, so the records are applied again.
@@ -526,7 +532,7 @@
     }
     void operator()(const ConfigurationDocumentOffer& offer) const
     {
-        reducer.applyConfiguration(offer.document, "peer", now, effects);
+        reducer.applyConfiguration(offer.document, ConfigurationOrigin::Peer, now, effects);
     }
 };
 
