Hear a restarted host from its first message on

What callers saw: not measured. A restarted host's reports of usage, load, demand and crashing prompt parts were dropped by its peers, for as long as it had run before. Cause: the counter of the last digest was reset when a digest showed the new incarnation, but not when the host's entry in the store showed it first, which is the usual order; digests were then dropped as overtaken ones until their counter had passed that of the earlier run. Change: the counter is reset in both cases. Evidence: 'A restarted host is heard although its entry arrives before its first message' failed before (silent for 6,160 ms, the time since its death).

--- a/include/catkinwell/gateway/PlacementOwnership.h
+++ b/include/catkinwell/gateway/PlacementOwnership.h
@@ -7,9 +7,9 @@
 namespace Catkinwell {
 
 // Competes for the store key that makes a host the placement owner. The key is bound to the host's lease. A second key
-// without a lease names the host that last sent orders, and the store's epoch: any other host waits for a while after it
-// has become the owner and before its first order, so that orders of two hosts never interleave at an engine. A record
-// of an earlier epoch, or none after a restore, does not tell who sent the last orders. Pure; not thread safe.
+// without a lease names the host that last sent orders, and the store's epoch: any other host waits for a while after
+// it has become the owner and before its first order, so that orders of two hosts never interleave at an engine. A
+// record of an earlier epoch, or none after a restore, does not tell who sent the last orders. Pure; not thread safe.
 class PlacementOwnership {
 public:
     struct Settings {
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -342,6 +342,8 @@
         : 0;
     if (incarnation < peer.incarnation || !value.is_object())
         return;
+    if (incarnation > peer.incarnation)
+        peer.digestSequence = 0;
     peer.incarnation = incarnation;
     peer.address = value.value("address", "");
     peer.isRegistered = true;
--- a/src/gateway/PlacementOwnership.cpp
+++ b/src/gateway/PlacementOwnership.cpp
@@ -39,10 +39,7 @@
     return m_settings.self.value + '\n' + std::to_string(m_settings.incarnation) + '\n' + lease;
 }
 
-std::string PlacementOwnership::ownRecord() const
-{
-    return m_settings.self.value + '\n' + std::to_string(m_epoch);
-}
+std::string PlacementOwnership::ownRecord() const { return m_settings.self.value + '\n' + std::to_string(m_epoch); }
 
 std::uint64_t PlacementOwnership::fencingToken() const { return (m_epoch << versionBits) | m_heldVersion; }
 
--- a/src/gateway/PrefixMirror.cpp
+++ b/src/gateway/PrefixMirror.cpp
@@ -105,8 +105,8 @@
     for (const StoreEntry& entry : reply.entries) {
         const auto known = previous.find(entry.key);
         // A restored store gives out the same version for another value.
-        const bool isKnown = known != previous.end() && known->second.version == entry.version
-            && known->second.value == entry.value;
+        const bool isKnown
+            = known != previous.end() && known->second.version == entry.version && known->second.value == entry.value;
         if (!isKnown)
             changes.push_back(entry);
         if (known != previous.end())
--- a/src/runtime/GatewayRuntime.cpp
+++ b/src/runtime/GatewayRuntime.cpp
@@ -110,8 +110,8 @@
     // Deferred, as the running transport may be delivering a message.
     void operator()(const StartPeerTransport& effect) const
     {
-        runtime.m_loop.callLater(Duration::zero(),
-            [&owner = runtime, secret = effect.clusterSecret] { owner.startPeers(secret); });
+        runtime.m_loop.callLater(
+            Duration::zero(), [&owner = runtime, secret = effect.clusterSecret] { owner.startPeers(secret); });
     }
     void operator()(const SetCallerLimits& effect) const { runtime.m_callers.setLimits(effect.limits); }
     void operator()(const AnnounceClosing&) const { runtime.m_callers.beginClosing(); }
--- a/tests/gateway/RestoredStoreTest.cpp
+++ b/tests/gateway/RestoredStoreTest.cpp
@@ -200,6 +200,19 @@
     CHECK(fleet.status(0)["peers"]["host2"]["registered"] == false);
 }
 
+// Guards against a restarted host whose messages are dropped as old ones until they outnumber those of its earlier run.
+TEST_CASE("A restarted host is heard although its entry arrives before its first message")
+{
+    RestorableFleet fleet(3);
+    fleet.run(20s);
+    fleet.kill(2);
+    fleet.run(3s);
+    fleet.start(2);
+    fleet.run(3s);
+    for (std::size_t i = 0; i < 2; ++i)
+        CHECK(fleet.status(i)["peers"]["host2"]["silent_ms"] < 1000);
+}
+
 // Guards against orders of two hosts too close together, and against fencing tokens that go back with the store's
 // version.
 TEST_CASE("Orders of two hosts stay apart and their tokens increase when the store is restored")
