Log the software version of a chosen endpoint and what a request resumes

What callers saw: nothing by itself. Cause: the lines of a request did not say which software version its endpoint had, nor that it resumed the stream of another request, so the hypotheses of docs/incidents/streams-of-two-software-versions.md could not be told apart. Change: 2104 and 2112 name the software version; 2100 to 2102 name the resumed request and the event after which it resumes. The simulated fleet of the tests (renamed, as it now serves more than restores) has endpoints with versions. Conclusion: observability; no decision changes.

--- a/include/catkinwell/gateway/EndpointRecord.h
+++ b/include/catkinwell/gateway/EndpointRecord.h
@@ -20,6 +20,8 @@
     // IP address and port.
     std::string address;
     DataCentreId dataCentre;
+    // Version of the endpoint's software; endpoints of several versions serve side by side. Empty if unstated.
+    std::string softwareVersion;
     bool isLeaving = false;
     // How long a leaving endpoint still runs; absent if unstated.
     std::optional<Duration> remaining;
--- a/include/catkinwell/gateway/ForwardingProtocol.h
+++ b/include/catkinwell/gateway/ForwardingProtocol.h
@@ -21,6 +21,8 @@
     std::vector<std::string> promptParts;
     // The event after which the caller wants a stream to resume; empty for the beginning.
     std::string lastEventId;
+    // The caller's identifier of the request that brought the first event of the stream to resume; empty if unstated.
+    std::string resumedRequestId;
 };
 
 // Parameters of one attempt that the gateway sends to the endpoint.
--- a/src/gateway/EndpointDirectory.cpp
+++ b/src/gateway/EndpointDirectory.cpp
@@ -91,6 +91,7 @@
     if (changesState)
         effects.push_back(LogEntry { LogEvent::GatewayEndpointChanged,
             { { "endpoint", record.id.value }, { "service", record.service }, { "address", record.address },
+                { "software_version", record.softwareVersion },
                 { "state", record.isLeaving ? "leaving" : (isRestarted ? "restarted" : "ready") } } });
 }
 
@@ -280,7 +281,8 @@
     const std::int64_t ageMilliseconds = millisecondsOf(now - std::max(chosen->recordAt, chosen->updateReceivedAt));
     effects.push_back(LogEntry { LogEvent::GatewayEndpointChosen,
         { { "request", need.callerRequestId }, { "endpoint", chosen->record.id.value },
-            { "model", need.variant.text() }, { "running", std::to_string(runningOn(chosen->record.id)) },
+            { "software_version", chosen->record.softwareVersion }, { "model", need.variant.text() },
+            { "running", std::to_string(runningOn(chosen->record.id)) },
             { "known_for_ms", std::to_string(ageMilliseconds) } } });
     if (!need.promptParts.empty())
         rememberPrompt(need, chosen->record.id);
--- a/src/gateway/GatewayRequestOutcomes.cpp
+++ b/src/gateway/GatewayRequestOutcomes.cpp
@@ -258,6 +258,10 @@
             { "waited_ms", milliseconds(request.waited) }, { "first_byte_ms", milliseconds(request.firstByte) },
             { "attempts", std::to_string(request.attempts + (request.attempt ? 1 : 0)) },
             { "configuration", std::to_string(m_configuration.version) } } };
+    if (!request.terms.lastEventId.empty()) {
+        entry.fields.emplace_back("resumes", request.terms.resumedRequestId);
+        entry.fields.emplace_back("after_event", request.terms.lastEventId);
+    }
     if (!reason.empty())
         entry.fields.emplace_back("reason", reason);
     if (!request.failure.empty())
--- a/src/replay/ReplayProtocol.cpp
+++ b/src/replay/ReplayProtocol.cpp
@@ -17,6 +17,8 @@
     if (slash != std::string::npos)
         terms.variant.adapter = model.substr(slash + 1);
     terms.tokens = std::atof(headerValue(request.headers, "tokens").c_str());
+    terms.lastEventId = headerValue(request.headers, "last-event");
+    terms.resumedRequestId = headerValue(request.headers, "resumes");
     if (const std::string* part = findHeader(request.headers, "part"))
         terms.promptParts = { *part, terms.callerRequestId };
     return terms;
--- a/tests/gateway/RestoredStoreTest.cpp
+++ b/tests/gateway/RestoredStoreTest.cpp
@@ -1,4 +1,4 @@
-#include "gateway/RestorableFleet.h"
+#include "gateway/SimulatedFleet.h"
 #include <catch2/catch.hpp>
 #include <catkinwell/core/Digest.h>
 
@@ -17,13 +17,13 @@
 }
 
 // Advances the store's version without a change that concerns the hosts.
-void advanceVersion(RestorableFleet& fleet, int changes)
+void advanceVersion(SimulatedFleet& fleet, int changes)
 {
     for (int i = 0; i < changes; ++i)
         fleet.store.put("unrelated", "");
 }
 
-std::size_t answersOfStatus(const RestorableFleet& fleet, int status)
+std::size_t answersOfStatus(const SimulatedFleet& fleet, int status)
 {
     return static_cast<std::size_t>(std::count_if(fleet.answers.begin(), fleet.answers.end(),
         [status](const SendWholeResponse& answer) { return answer.status == status; }));
@@ -31,10 +31,10 @@
 
 // Returns the first two orders to an engine that break the rules for orders of different hosts; empty if there are
 // none.
-std::string conflictOf(const std::vector<RestorableFleet::Order>& orders)
+std::string conflictOf(const std::vector<SimulatedFleet::Order>& orders)
 {
-    std::map<EndpointId, RestorableFleet::Order> last;
-    for (const RestorableFleet::Order& order : orders) {
+    std::map<EndpointId, SimulatedFleet::Order> last;
+    for (const SimulatedFleet::Order& order : orders) {
         const auto known = last.find(order.engine);
         if (known != last.end() && known->second.host != order.host) {
             const Duration gap = order.at - known->second.at;
@@ -57,7 +57,7 @@
 // restore.
 TEST_CASE("Hosts list a restored store only once or twice")
 {
-    RestorableFleet fleet(3);
+    SimulatedFleet fleet(3);
     fleet.run(2s);
     fleet.store.saveCopy();
     advanceVersion(fleet, 200);
@@ -75,7 +75,7 @@
 // Guards against changes that are missed because the restored store reached the old version before the host called it.
 TEST_CASE("A host that was away during a restore sees what was written after it")
 {
-    RestorableFleet fleet(2);
+    SimulatedFleet fleet(2);
     fleet.run(2s);
     fleet.store.saveCopy();
     fleet.store.put("endpoints/o1", endpointDocument(1));
@@ -94,7 +94,7 @@
 // Guards against an absent record of a refusal that is taken for the release of the refusal.
 TEST_CASE("A refusal of a prompt part outlasts a restore and is recorded again")
 {
-    RestorableFleet fleet(3);
+    SimulatedFleet fleet(3);
     fleet.store.put("endpoints/o1", endpointDocument(1));
     fleet.run(1s);
     fleet.store.saveCopy();
@@ -153,7 +153,7 @@
 // Guards against a host that takes the restored entry of an earlier lease for its own and loses it with that lease.
 TEST_CASE("Hosts stay registered after a restore that brings back an earlier lease")
 {
-    RestorableFleet fleet(3);
+    SimulatedFleet fleet(3);
     fleet.run(2s);
     fleet.store.saveCopy();
     fleet.setConnected(0, false);
@@ -175,7 +175,7 @@
 // Guards against leases of before the restore whose identifiers were given to other hosts.
 TEST_CASE("A host does not renew the lease that another host got after a restore")
 {
-    RestorableFleet fleet(2);
+    SimulatedFleet fleet(2);
     fleet.store.saveCopy();
     fleet.run(2s);
     fleet.setConnected(0, false);
@@ -192,7 +192,7 @@
 // Guards against a host that counts as live for ever because a deletion does not repeat the deleted value.
 TEST_CASE("A host whose entry was deleted is no longer registered")
 {
-    RestorableFleet fleet(3);
+    SimulatedFleet fleet(3);
     fleet.run(2s);
     REQUIRE(fleet.status(0)["peers"]["host2"]["registered"] == true);
     fleet.kill(2);
@@ -203,7 +203,7 @@
 // Guards against a restarted host whose messages are dropped as old ones until they outnumber those of its earlier run.
 TEST_CASE("A restarted host is heard although its entry arrives before its first message")
 {
-    RestorableFleet fleet(3);
+    SimulatedFleet fleet(3);
     fleet.run(20s);
     fleet.kill(2);
     fleet.run(3s);
@@ -220,7 +220,7 @@
     const std::uint64_t seed = GENERATE(range(1, 13));
     INFO("seed " << seed);
     RandomGenerator random(seed);
-    RestorableFleet fleet(3, 3);
+    SimulatedFleet fleet(3, 3);
     fleet.runWithDemand(6s);
     fleet.store.saveCopy();
     for (int i = 0; i < 14; ++i) {
@@ -259,7 +259,7 @@
 // Guards against hosts that no longer understand each other because the fleet's secret was lost and replaced.
 TEST_CASE("All hosts have the same secret after a restore to a time before it was written")
 {
-    RestorableFleet fleet(3);
+    SimulatedFleet fleet(3);
     fleet.store.saveCopy();
     fleet.run(3s);
     const std::string secret = fleet.secretOf(0);
@@ -283,7 +283,7 @@
 // Guards against requests to an endpoint that has left and whose earlier record the restore brings back.
 TEST_CASE("An endpoint that left gets no requests because of a restored record")
 {
-    RestorableFleet fleet(2);
+    SimulatedFleet fleet(2);
     fleet.store.put("endpoints/o1", endpointDocument(5));
     fleet.run(1s);
     fleet.store.saveCopy();
@@ -309,7 +309,7 @@
 // Guards against endpoints that are given up although the store merely lost their records.
 TEST_CASE("Endpoints whose records a restore removed stay in use until they can have written them again")
 {
-    RestorableFleet fleet(2);
+    SimulatedFleet fleet(2);
     fleet.run(1s);
     fleet.store.saveCopy();
     fleet.store.put("endpoints/o1", endpointDocument(5));
@@ -330,7 +330,7 @@
 // version out again.
 TEST_CASE("A restore does not bring back an older configuration nor hide a new one")
 {
-    RestorableFleet fleet(2);
+    SimulatedFleet fleet(2);
     fleet.store.put("endpoints/o1", endpointDocument(5));
     fleet.run(1s);
     fleet.store.saveCopy();
@@ -361,7 +361,7 @@
 // Guards against hosts that all write to the restored store at the same moment.
 TEST_CASE("Many hosts write to a restored store below its rate limit")
 {
-    RestorableFleet fleet(60);
+    SimulatedFleet fleet(60);
     fleet.store.saveCopy();
     fleet.run(4s);
     fleet.restoreStore();
--- a/tests/gateway/RestorableFleet.cpp
+++ b/tests/gateway/SimulatedFleet.cpp
@@ -1,4 +1,4 @@
-#include "gateway/RestorableFleet.h"
+#include "gateway/SimulatedFleet.h"
 
 #include <array>
 #include <catkinwell/core/Digest.h>
@@ -16,26 +16,26 @@
 
 } // namespace
 
-void RestorableStore::put(const std::string& key, const std::string& value, const LeaseId& lease)
+void SimulatedStore::put(const std::string& key, const std::string& value, const LeaseId& lease)
 {
     const StoreEntry entry { key, value, ++m_state.version };
     m_state.items[key] = { entry, lease };
     m_state.history.push_back(entry);
 }
 
-void RestorableStore::erase(const std::string& key)
+void SimulatedStore::erase(const std::string& key)
 {
     if (m_state.items.erase(key) > 0)
         m_state.history.push_back({ key, "", ++m_state.version, true });
 }
 
-std::string RestorableStore::value(const std::string& key) const
+std::string SimulatedStore::value(const std::string& key) const
 {
     const auto item = m_state.items.find(key);
     return item == m_state.items.end() ? "" : item->second.entry.value;
 }
 
-std::vector<std::string> RestorableStore::keys(const std::string& prefix) const
+std::vector<std::string> SimulatedStore::keys(const std::string& prefix) const
 {
     std::vector<std::string> found;
     for (const auto& [key, item] : m_state.items) {
@@ -45,7 +45,7 @@
     return found;
 }
 
-void RestorableStore::endLease(const LeaseId& lease)
+void SimulatedStore::endLease(const LeaseId& lease)
 {
     m_state.leases.erase(lease);
     std::vector<std::string> held;
@@ -57,7 +57,7 @@
         erase(key);
 }
 
-void RestorableStore::expireLeases(MonotonicTime now)
+void SimulatedStore::expireLeases(MonotonicTime now)
 {
     std::vector<LeaseId> ended;
     for (const auto& [id, lease] : m_state.leases) {
@@ -68,7 +68,7 @@
         endLease(id);
 }
 
-void RestorableStore::restore(MonotonicTime now)
+void SimulatedStore::restore(MonotonicTime now)
 {
     m_state = m_copy;
     for (auto& [id, lease] : m_state.leases)
@@ -76,7 +76,7 @@
     ++m_epoch;
 }
 
-StoreReply RestorableStore::write(const StoreCompareAndSwap& swap)
+StoreReply SimulatedStore::write(const StoreCompareAndSwap& swap)
 {
     StoreReply reply { {}, StoreStatus::Ok };
     const auto item = m_state.items.find(swap.key);
@@ -91,7 +91,7 @@
     return reply;
 }
 
-std::vector<StoreEntry> RestorableStore::changesOf(const StoreWatchPrefix& watch) const
+std::vector<StoreEntry> SimulatedStore::changesOf(const StoreWatchPrefix& watch) const
 {
     std::vector<StoreEntry> changes;
     for (const StoreEntry& entry : m_state.history) {
@@ -101,7 +101,7 @@
     return changes;
 }
 
-std::optional<StoreReply> RestorableStore::answer(const StoreCall& call, MonotonicTime now)
+std::optional<StoreReply> SimulatedStore::answer(const StoreCall& call, MonotonicTime now)
 {
     StoreReply reply { call.id, StoreStatus::Ok };
     reply.version = m_state.version;
@@ -139,7 +139,7 @@
     return reply;
 }
 
-Result<GatewayConfiguration> RestorableProtocol::readConfiguration(std::string_view document) const
+Result<GatewayConfiguration> SimulatedProtocol::readConfiguration(std::string_view document) const
 {
     const auto version = Json::parse(document, nullptr, false);
     if (!version.is_number_unsigned())
@@ -152,7 +152,7 @@
     return configuration;
 }
 
-Result<EndpointRecord> RestorableProtocol::readEndpoint(std::string_view key, std::string_view document) const
+Result<EndpointRecord> SimulatedProtocol::readEndpoint(std::string_view key, std::string_view document) const
 {
     const Json fields = Json::parse(document, nullptr, false);
     if (!fields.is_object())
@@ -161,12 +161,14 @@
         = sampleEndpoint(std::string(key.substr(endpointPrefix().size())), fields.value("service", ""));
     record.heartbeat = fields.value("heartbeat", std::uint64_t { 0 });
     record.isLeaving = fields.value("leaving", false);
+    record.softwareVersion = fields.value("version", "");
+    record.incarnation = fields.value("incarnation", record.incarnation);
     for (const Json& model : fields.value("models", Json::array()))
         record.models[ModelId(model.get<std::string>())];
     return record;
 }
 
-RestorableFleet::RestorableFleet(std::size_t hosts, std::size_t engines)
+SimulatedFleet::SimulatedFleet(std::size_t hosts, std::size_t engines)
     : m_hosts(hosts)
 {
     store.put("configuration", "1");
@@ -178,7 +180,7 @@
         start(i);
 }
 
-void RestorableFleet::start(std::size_t index)
+void SimulatedFleet::start(std::size_t index)
 {
     GatewaySettings settings;
     settings.host = idOf(index);
@@ -191,7 +193,7 @@
         settings, m_protocol, host.incarnation, 100 + host.incarnation, "secret" + std::to_string(host.incarnation));
 }
 
-void RestorableFleet::setConnected(std::size_t index, bool isConnected)
+void SimulatedFleet::setConnected(std::size_t index, bool isConnected)
 {
     Host& host = m_hosts[index];
     host.isConnected = isConnected;
@@ -199,20 +201,20 @@
         breakWatches(host);
 }
 
-void RestorableFleet::breakWatches(Host& host)
+void SimulatedFleet::breakWatches(Host& host)
 {
     for (const PendingWatch& watch : std::exchange(host.watches, {}))
         host.inbox.emplace_back(StoreReply { watch.call.id, StoreStatus::Unknown });
 }
 
-void RestorableFleet::restoreStore()
+void SimulatedFleet::restoreStore()
 {
     store.restore(now);
     for (Host& host : m_hosts)
         breakWatches(host);
 }
 
-void RestorableFleet::reply(std::size_t index, const StoreCall& call, StoreReply reply, StoreEpoch atSending)
+void SimulatedFleet::reply(std::size_t index, const StoreCall& call, StoreReply reply, StoreEpoch atSending)
 {
     Host& host = m_hosts[index];
     if (const auto restored = host.epochs.note(store.epoch()))
@@ -227,7 +229,7 @@
     apply(index, reply);
 }
 
-void RestorableFleet::execute(std::size_t index, const StoreCall& call)
+void SimulatedFleet::execute(std::size_t index, const StoreCall& call)
 {
     Host& host = m_hosts[index];
     if (!host.isConnected) {
@@ -244,7 +246,7 @@
         host.watches.push_back({ call, now + std::get<StoreWatchPrefix>(call.operation).wait });
 }
 
-void RestorableFleet::answerWatches(std::size_t index)
+void SimulatedFleet::answerWatches(std::size_t index)
 {
     for (const PendingWatch& watch : std::exchange(m_hosts[index].watches, {})) {
         const auto answered = store.answer(watch.call, now);
@@ -258,7 +260,7 @@
     }
 }
 
-void RestorableFleet::execute(std::size_t index, const EngineOrder& order)
+void SimulatedFleet::execute(std::size_t index, const EngineOrder& order)
 {
     m_orderingHost = index;
     orders.push_back({ index, order.endpoint, order.fencingToken, now });
@@ -266,7 +268,7 @@
     m_hosts[index].inbox.emplace_back(EngineOrderFinished { order, outcome.value_or(EngineOrderOutcome::Unknown) });
 }
 
-void RestorableFleet::apply(std::size_t index, const GatewayEvent& event)
+void SimulatedFleet::apply(std::size_t index, const GatewayEvent& event)
 {
     Host& host = m_hosts[index];
     for (const Effect& effect : host.reducer->apply(event, now)) {
@@ -285,8 +287,11 @@
             }
         } else if (const auto* attempt = std::get_if<StartAttempt>(&effect)) {
             attempts.push_back(*attempt);
-            host.inbox.emplace_back(AttemptHead { attempt->id, 200, { { "sealed", "1" } } });
-            host.inbox.emplace_back(AttemptFinished { attempt->id });
+            attemptHosts.push_back(index);
+            if (answersAttempts) {
+                host.inbox.emplace_back(AttemptHead { attempt->id, 200, { { "sealed", "1" } } });
+                host.inbox.emplace_back(AttemptFinished { attempt->id });
+            }
         } else if (const auto* answer = std::get_if<SendWholeResponse>(&effect)) {
             answers.push_back(*answer);
         } else if (const auto* entry = std::get_if<LogEntry>(&effect)) {
@@ -295,7 +300,7 @@
     }
 }
 
-void RestorableFleet::step()
+void SimulatedFleet::step()
 {
     now += stepTime;
     store.expireLeases(now);
@@ -323,13 +328,13 @@
     }
 }
 
-void RestorableFleet::run(Duration duration)
+void SimulatedFleet::run(Duration duration)
 {
     for (const MonotonicTime end = now + duration; now < end;)
         step();
 }
 
-void RestorableFleet::runWithDemand(Duration duration)
+void SimulatedFleet::runWithDemand(Duration duration)
 {
     constexpr std::array<const char*, 4> models { "m1", "m2", "m3", "m4" };
     for (const MonotonicTime end = now + duration; now < end;) {
@@ -343,8 +348,22 @@
     }
 }
 
-void RestorableFleet::arrive(
-    std::size_t host, const std::string& target, const std::string& model, const std::string& part)
+void SimulatedFleet::begin(std::size_t attempt, int events)
+{
+    const std::size_t host = attemptHosts.at(attempt);
+    apply(host, AttemptHead { attempts.at(attempt).id, 200, { { "sealed", "1" } } });
+    for (int i = 1; i <= events; ++i)
+        apply(host, AttemptData { attempts[attempt].id, "id: " + std::to_string(i) + "\ndata: x\n\n" });
+}
+
+void SimulatedFleet::breakOff(std::size_t attempt)
+{
+    apply(attemptHosts.at(attempt),
+        AttemptFailed { attempts.at(attempt).id, AttemptOutcome::Unknown, "closed", AttemptFailure::Broken });
+}
+
+RequestId SimulatedFleet::arrive(std::size_t host, const std::string& target, const std::string& model,
+    const std::string& part, const HeaderList& more)
 {
     RequestArrived request;
     request.id = RequestId(++m_lastRequest);
@@ -355,10 +374,12 @@
         = { { "Host", "h:80" }, { "id", "r" + std::to_string(m_lastRequest) }, { "left", "4000" }, { "model", model } };
     if (!part.empty())
         request.headers.emplace_back("part", part);
+    request.headers.insert(request.headers.end(), more.begin(), more.end());
     apply(host, request);
+    return request.id;
 }
 
-Json RestorableFleet::status(std::size_t host)
+Json SimulatedFleet::status(std::size_t host)
 {
     RequestArrived request;
     request.id = RequestId(++m_lastRequest);
--- a/tests/gateway/RestorableFleet.h
+++ b/tests/gateway/SimulatedFleet.h
@@ -9,7 +9,7 @@
 namespace Catkinwell::Testing {
 
 // The platform's store in simulated time: items, leases, a history for watches, and copies from which it is restored.
-class RestorableStore {
+class SimulatedStore {
 public:
     // The reply to a call; nullopt for a watch without changes.
     std::optional<StoreReply> answer(const StoreCall&, MonotonicTime now);
@@ -52,9 +52,9 @@
     StoreEpoch m_epoch = 1;
 };
 
-// Documents in JSON: {"service", "heartbeat", "leaving"} for endpoints, a version for a configuration. A configuration
-// whose document ends with a space has an additional route.
-class RestorableProtocol final : public ReplayProtocol {
+// Documents in JSON: {"service", "heartbeat", "leaving", "version", "incarnation", "models"} for endpoints, a version
+// for a configuration. A configuration whose document ends with a space has an additional route.
+class SimulatedProtocol final : public ReplayProtocol {
 public:
     std::string configurationKey() const override { return "configuration"; }
     std::string endpointPrefix() const override { return "endpoints/"; }
@@ -64,7 +64,7 @@
 
 // Reducers of several gateways with one store in simulated time. Messages between hosts with the same secret arrive
 // after one step. Engines of the service "notes" carry out the orders.
-class RestorableFleet {
+class SimulatedFleet {
 public:
     struct Order {
         std::size_t host = 0;
@@ -73,13 +73,18 @@
         MonotonicTime at {};
     };
 
-    explicit RestorableFleet(std::size_t hosts, std::size_t engines = 0);
+    explicit SimulatedFleet(std::size_t hosts, std::size_t engines = 0);
 
     void run(Duration);
     // Runs with requests for models in turn, so that the owner gives orders.
     void runWithDemand(Duration);
-    void arrive(
-        std::size_t host, const std::string& target, const std::string& model = "", const std::string& part = "");
+    // The request's identifier for the caller is "r" and the returned number.
+    RequestId arrive(std::size_t host, const std::string& target, const std::string& model = "",
+        const std::string& part = "", const HeaderList& more = {});
+    // Sends the head and the first events of the answer to an attempt, or breaks its connection.
+    void begin(std::size_t attempt, int events);
+    void breakOff(std::size_t attempt);
+    void callerLeaves(std::size_t host, RequestId id) { apply(host, CallerLeft { id }); }
 
     void start(std::size_t host);
     void kill(std::size_t host) { m_hosts[host].reducer.reset(); }
@@ -95,10 +100,14 @@
     std::size_t hostCount() const { return m_hosts.size(); }
     std::string secretOf(std::size_t host) const { return m_hosts[host].secret; }
 
-    RestorableStore store;
+    SimulatedStore store;
     MonotonicTime now { std::chrono::hours(1) };
     std::vector<Order> orders;
     std::vector<StartAttempt> attempts;
+    // The host of each attempt.
+    std::vector<std::size_t> attemptHosts;
+    // Whether attempts get an empty answer at once.
+    bool answersAttempts = true;
     std::vector<SendWholeResponse> answers;
     std::vector<LogEntry> logs;
     // Store calls by operation: lists, other reads and watches, writes.
@@ -130,7 +139,7 @@
     static void breakWatches(Host&);
     HostId idOf(std::size_t host) const { return HostId("host" + std::to_string(host)); }
 
-    RestorableProtocol m_protocol;
+    SimulatedProtocol m_protocol;
     std::vector<Host> m_hosts;
     std::map<EndpointId, FakeEngine> m_engines;
     std::size_t m_orderingHost = 0;
