--- a/tests/gateway/SimulatedFleet.cpp
+++ b/tests/gateway/SimulatedFleet.cpp
@@ -141,6 +141,9 @@
 
 Result<GatewayConfiguration> SimulatedProtocol::readConfiguration(std::string_view document) const
 {
+    const bool isSplit = document.ends_with(" split");
+    if (isSplit)
+        document.remove_suffix(std::string_view(" split").size());
     const auto version = Json::parse(document, nullptr, false);
     if (!version.is_number_unsigned())
         return Error { ErrorKind::InvalidConfiguration, "the document is not a version number" };
@@ -149,6 +152,14 @@
         configuration.routes.push_back(configuration.routes.front());
         configuration.routes.back().prefix = "/added/";
     }
+    if (isSplit) {
+        configuration.services["drafts"] = configuration.services["notes"];
+        configuration.services["drafts"].name = "drafts";
+        for (Route& route : configuration.routes) {
+            if (route.isResumable)
+                route.targets = { { "notes", 1 }, { "drafts", 1 } };
+        }
+    }
     return configuration;
 }
 
@@ -201,6 +212,12 @@
         breakWatches(host);
 }
 
+void SimulatedFleet::setIsolated(std::size_t index, bool isIsolated)
+{
+    m_hosts[index].isIsolated = isIsolated;
+    setConnected(index, !isIsolated);
+}
+
 void SimulatedFleet::breakWatches(Host& host)
 {
     for (const PendingWatch& watch : std::exchange(host.watches, {}))
@@ -264,7 +281,8 @@
 {
     m_orderingHost = index;
     orders.push_back({ index, order.endpoint, order.fencingToken, now });
-    const auto outcome = m_engines.at(order.endpoint).handle(order, now);
+    const auto engine = m_engines.find(order.endpoint);
+    const auto outcome = engine == m_engines.end() ? EngineOrderOutcome::NotSent : engine->second.handle(order, now);
     m_hosts[index].inbox.emplace_back(EngineOrderFinished { order, outcome.value_or(EngineOrderOutcome::Unknown) });
 }
 
@@ -277,12 +295,17 @@
         } else if (const auto* order = std::get_if<EngineOrder>(&effect)) {
             execute(index, *order);
         } else if (const auto* fetch = std::get_if<FetchEngineStatus>(&effect)) {
-            host.inbox.emplace_back(m_engines.at(fetch->endpoint).status(now));
+            const auto engine = m_engines.find(fetch->endpoint);
+            if (engine != m_engines.end())
+                host.inbox.emplace_back(engine->second.status(now));
+            else
+                host.inbox.emplace_back(EngineStatusFailed { fetch->endpoint, "no answer" });
         } else if (const auto* transport = std::get_if<StartPeerTransport>(&effect)) {
             host.secret = transport->clusterSecret;
         } else if (const auto* send = std::get_if<SendToPeer>(&effect)) {
             for (std::size_t i = 0; i < m_hosts.size(); ++i) {
-                if (idOf(i) == send->to && m_hosts[i].reducer && m_hosts[i].secret == host.secret)
+                const bool isReached = m_hosts[i].reducer && !m_hosts[i].isIsolated && !host.isIsolated;
+                if (idOf(i) == send->to && isReached && m_hosts[i].secret == host.secret)
                     m_hosts[i].inbox.emplace_back(PeerMessageReceived { idOf(index), host.incarnation, send->message });
             }
         } else if (const auto* attempt = std::get_if<StartAttempt>(&effect)) {
--- a/tests/gateway/SimulatedFleet.h
+++ b/tests/gateway/SimulatedFleet.h
@@ -53,7 +53,8 @@
 };
 
 // Documents in JSON: {"service", "heartbeat", "leaving", "version", "incarnation", "models"} for endpoints, a version
-// for a configuration. A configuration whose document ends with a space has an additional route.
+// for a configuration. A configuration whose document ends with a space has an additional route; one that ends with "
+// split" divides resumable streams between the services "notes" and "drafts".
 class SimulatedProtocol final : public ReplayProtocol {
 public:
     std::string configurationKey() const override { return "configuration"; }
@@ -90,6 +91,8 @@
     void kill(std::size_t host) { m_hosts[host].reducer.reset(); }
     // The host gets no answers from the store while it is disconnected.
     void setConnected(std::size_t host, bool isConnected);
+    // The host reaches neither the store nor other hosts while it is isolated.
+    void setIsolated(std::size_t host, bool isIsolated);
     // The host does nothing while it is frozen; messages to it wait.
     void setFrozen(std::size_t host, bool isFrozen) { m_hosts[host].isFrozen = isFrozen; }
     void restoreStore();
@@ -128,6 +131,7 @@
         Incarnation incarnation = 0;
         bool isConnected = true;
         bool isFrozen = false;
+        bool isIsolated = false;
     };
 
     void step();
--- /dev/null
+++ b/tests/gateway/StreamVersionTest.cpp
@@ -0,0 +1,324 @@
+#include "gateway/SimulatedFleet.h"
+#include <catch2/catch.hpp>
+
+using namespace Catkinwell;
+using namespace Catkinwell::Testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int firstEvents = 3;
+
+// Three hosts before engines of two software versions, all of which hold the model "m1".
+class VersionFixture {
+public:
+    explicit VersionFixture(std::vector<std::string> versions = { "v1", "v1", "v2", "v2" })
+    {
+        fleet.answersAttempts = false;
+        for (std::size_t i = 0; i < versions.size(); ++i)
+            putEngine("x" + std::to_string(i), versions[i]);
+        fleet.run(2s);
+    }
+
+    void putEngine(const std::string& id, const std::string& version, std::uint64_t incarnation = 1)
+    {
+        versionOf[EndpointId(id)] = version;
+        fleet.store.put("endpoints/" + id,
+            nlohmann::json { { "service", "notes" }, { "heartbeat", ++m_heartbeat }, { "version", version },
+                { "incarnation", incarnation }, { "models", { "m1" } } }
+                .dump());
+    }
+
+    void removeEngines(const std::string& version)
+    {
+        for (const auto& [id, other] : versionOf) {
+            if (other == version)
+                fleet.store.erase("endpoints/" + id.value);
+        }
+    }
+
+    // A stream of which the caller has received the first events.
+    struct Stream {
+        RequestId id;
+        std::size_t host = 0;
+        std::size_t attempt = 0;
+    };
+
+    Stream begin(std::size_t host)
+    {
+        Stream stream { {}, host, fleet.attempts.size() };
+        stream.id = fleet.arrive(host, "/dossier/1", "m1");
+        REQUIRE(fleet.attempts.size() == stream.attempt + 1);
+        fleet.begin(stream.attempt, firstEvents);
+        return stream;
+    }
+
+    std::vector<Stream> beginMany(std::size_t host, std::size_t count = 12)
+    {
+        std::vector<Stream> streams;
+        for (std::size_t i = 0; i < count; ++i)
+            streams.push_back(begin(host));
+        fleet.run(100ms);
+        return streams;
+    }
+
+    // The caller takes the stream up again. Returns the new attempt, or nullopt if the host starts none in time.
+    std::optional<std::size_t> resume(const Stream& stream, std::size_t host, bool namesRequest = true)
+    {
+        HeaderList headers { { "last-event", std::to_string(firstEvents) } };
+        if (namesRequest)
+            headers.emplace_back("resumes", "r" + std::to_string(stream.id.value));
+        const std::size_t next = fleet.attempts.size();
+        fleet.answers.clear();
+        fleet.arrive(host, "/dossier/1", "m1", "", headers);
+        fleet.run(500ms);
+        return fleet.attempts.size() > next ? std::optional(next) : std::nullopt;
+    }
+
+    std::string versionOfAttempt(std::size_t attempt) const { return versionOf.at(fleet.attempts[attempt].endpoint); }
+
+    // Whether the last request was refused as one that has not run and may return.
+    bool wasRefused() const
+    {
+        if (fleet.answers.size() != 1 || fleet.answers[0].status != 503)
+            return false;
+        return std::any_of(fleet.answers[0].headers.begin(), fleet.answers[0].headers.end(),
+            [](const auto& header) { return header.first == "Retry-After"; });
+    }
+
+    // Resumes each stream and checks that it goes on at the version that began it.
+    void checkGoesOn(const std::vector<Stream>& streams, std::size_t host)
+    {
+        for (const Stream& stream : streams) {
+            const auto attempt = resume(stream, host);
+            INFO("stream " << stream.id.value << " begun at " << versionOfAttempt(stream.attempt));
+            REQUIRE(attempt);
+            CHECK(versionOfAttempt(*attempt) == versionOfAttempt(stream.attempt));
+        }
+    }
+
+    void checkRefused(const std::vector<Stream>& streams, std::size_t host)
+    {
+        for (const Stream& stream : streams) {
+            CHECK_FALSE(resume(stream, host));
+            CHECK(wasRefused());
+        }
+    }
+
+    std::map<EndpointId, std::string> versionOf;
+    SimulatedFleet fleet { 3 };
+
+private:
+    std::uint64_t m_heartbeat = 0;
+};
+
+} // namespace
+
+// Guards against one answer with the events of two versions.
+TEST_CASE("A stream that breaks goes on within its answer at the version that began it")
+{
+    VersionFixture fixture;
+    for (int i = 0; i < 12; ++i) {
+        const auto stream = fixture.begin(0);
+        fixture.fleet.breakOff(stream.attempt);
+        fixture.fleet.run(200ms);
+        REQUIRE(fixture.fleet.attempts.size() == stream.attempt + 2);
+        CHECK(fixture.versionOfAttempt(stream.attempt + 1) == fixture.versionOfAttempt(stream.attempt));
+    }
+}
+
+// Guards against an answer that is held although nothing can go on with it, and against one that goes on elsewhere.
+TEST_CASE("A stream whose version has no other endpoint ends at once")
+{
+    VersionFixture fixture({ "v1", "v2", "v2" });
+    for (int i = 0; i < 12; ++i) {
+        const auto stream = fixture.begin(0);
+        if (fixture.versionOfAttempt(stream.attempt) != "v1")
+            continue;
+        fixture.fleet.breakOff(stream.attempt);
+        fixture.fleet.run(200ms);
+        CHECK(fixture.fleet.attempts.size() == stream.attempt + 1);
+        CHECK(fixture.fleet.status(0)["requests"] == 0);
+        return;
+    }
+    FAIL("no stream began at v1");
+}
+
+// Guards against a caller's next try at an endpoint of another version, at the same host and at another one.
+TEST_CASE("A stream that its caller takes up again goes on at the version that began it")
+{
+    const std::size_t host = GENERATE(0, 1);
+    VersionFixture fixture;
+    const auto streams = fixture.beginMany(0);
+    const bool doesCallerLeave = GENERATE(true, false);
+    for (const auto& stream : streams) {
+        if (doesCallerLeave)
+            fixture.fleet.callerLeaves(0, stream.id);
+    }
+    fixture.fleet.run(100ms);
+    fixture.checkGoesOn(streams, host);
+}
+
+// Guards against versions that only the host knows that began the stream.
+TEST_CASE("A stream goes on at its version after its host was killed")
+{
+    VersionFixture fixture;
+    const bool isStoreAway = GENERATE(false, true);
+    const auto streams = fixture.beginMany(0);
+    if (isStoreAway) {
+        for (std::size_t i = 0; i < fixture.fleet.hostCount(); ++i)
+            fixture.fleet.setConnected(i, false);
+    }
+    fixture.fleet.kill(0);
+    fixture.fleet.run(1s);
+    SECTION("at another host") { fixture.checkGoesOn(streams, 1); }
+    SECTION("at the restarted host")
+    {
+        if (isStoreAway)
+            return;
+        fixture.fleet.start(0);
+        fixture.fleet.run(2s);
+        fixture.checkGoesOn(streams, 0);
+    }
+}
+
+// Guards against a guess when nobody who can be asked knows the version.
+TEST_CASE("A stream whose version is not known is refused with a time to return")
+{
+    VersionFixture fixture;
+    SECTION("behind a cut")
+    {
+        fixture.fleet.setIsolated(1, true);
+        const auto streams = fixture.beginMany(0);
+        fixture.checkRefused({ streams[0], streams[1] }, 1);
+        fixture.fleet.setIsolated(1, false);
+        fixture.fleet.run(4s);
+        fixture.checkGoesOn({ streams[0] }, 1);
+    }
+    SECTION("after all hosts were restarted")
+    {
+        const auto streams = fixture.beginMany(0);
+        for (std::size_t i = 0; i < fixture.fleet.hostCount(); ++i) {
+            fixture.fleet.kill(i);
+            fixture.fleet.start(i);
+        }
+        fixture.fleet.run(3s);
+        fixture.checkRefused(streams, 1);
+    }
+    SECTION("after all hosts were restarted and one version has gone")
+    {
+        const auto streams = fixture.beginMany(0);
+        fixture.fleet.run(1s);
+        for (std::size_t i = 0; i < fixture.fleet.hostCount(); ++i)
+            fixture.fleet.kill(i);
+        fixture.removeEngines("v1");
+        for (std::size_t i = 0; i < fixture.fleet.hostCount(); ++i)
+            fixture.fleet.start(i);
+        fixture.fleet.run(3s);
+        fixture.checkRefused(streams, 1);
+    }
+    SECTION("without the request that began it")
+    {
+        const auto streams = fixture.beginMany(0);
+        CHECK_FALSE(fixture.resume(streams[0], 1, false));
+        CHECK(fixture.wasRefused());
+    }
+}
+
+// Guards against refusals that only a second version could justify.
+TEST_CASE("Where one version serves, every stream goes on")
+{
+    VersionFixture fixture({ "v1", "v1", "v1" });
+    const auto streams = fixture.beginMany(0, 3);
+    SECTION("without the request that began it") { CHECK(fixture.resume(streams[0], 1, false)); }
+    SECTION("after all hosts were restarted")
+    {
+        for (std::size_t i = 0; i < fixture.fleet.hostCount(); ++i) {
+            fixture.fleet.kill(i);
+            fixture.fleet.start(i);
+        }
+        fixture.fleet.run(3s);
+        fixture.checkGoesOn(streams, 1);
+    }
+    SECTION("behind a cut")
+    {
+        fixture.fleet.setIsolated(1, true);
+        fixture.fleet.run(1s);
+        fixture.checkGoesOn(streams, 1);
+    }
+}
+
+// Guards against streams that began before the second version appeared.
+TEST_CASE("A stream that began before a second version served goes on at the first")
+{
+    VersionFixture fixture({ "v1", "v1" });
+    const auto streams = fixture.beginMany(0);
+    if (GENERATE(false, true)) {
+        for (const auto& stream : streams)
+            fixture.fleet.callerLeaves(0, stream.id);
+        fixture.fleet.run(200ms);
+    }
+    fixture.putEngine("y1", "v2");
+    fixture.putEngine("y2", "v2");
+    fixture.fleet.run(1500ms);
+    fixture.fleet.kill(0);
+    fixture.fleet.run(500ms);
+    fixture.checkGoesOn(streams, 1);
+}
+
+// Guards against streams that go on at the remaining version after the last endpoint of theirs has left.
+TEST_CASE("A stream whose version has left is refused at once")
+{
+    VersionFixture fixture;
+    const auto streams = fixture.beginMany(0);
+    for (const auto& stream : streams)
+        fixture.fleet.callerLeaves(0, stream.id);
+    fixture.removeEngines("v1");
+    fixture.fleet.run(2s);
+    for (const auto& stream : streams) {
+        const bool hasLeft = fixture.versionOfAttempt(stream.attempt) == "v1";
+        const auto attempt = fixture.resume(stream, 1);
+        CHECK(attempt.has_value() != hasLeft);
+        if (hasLeft)
+            CHECK(fixture.wasRefused());
+        else if (attempt)
+            CHECK(fixture.versionOfAttempt(*attempt) == "v2");
+    }
+}
+
+// Guards against a version that the endpoint had before it restarted under the same identifier.
+TEST_CASE("An endpoint that restarts with another version does not go on with its earlier streams")
+{
+    VersionFixture fixture({ "v1", "v2", "v2" });
+    std::vector<VersionFixture::Stream> streams;
+    for (const auto& stream : fixture.beginMany(0)) {
+        if (fixture.versionOfAttempt(stream.attempt) == "v1")
+            streams.push_back(stream);
+    }
+    REQUIRE_FALSE(streams.empty());
+    for (const auto& stream : streams)
+        fixture.fleet.callerLeaves(0, stream.id);
+    fixture.putEngine("x0", "v3", 2);
+    fixture.fleet.run(1500ms);
+    fixture.checkRefused(streams, 1);
+}
+
+// Guards against a resumed stream at another service of a route that is split between two.
+TEST_CASE("A resumed stream goes on at the service that its first request chose")
+{
+    VersionFixture fixture({ "v1", "v1" });
+    fixture.fleet.store.put("endpoints/other",
+        nlohmann::json { { "service", "drafts" }, { "heartbeat", 1 }, { "version", "v1" }, { "models", { "m1" } } }
+            .dump());
+    fixture.fleet.store.put("configuration", "2 split");
+    fixture.fleet.run(1s);
+    for (int i = 0; i < 12; ++i) {
+        const auto stream = fixture.begin(0);
+        fixture.fleet.callerLeaves(0, stream.id);
+        const auto attempt = fixture.resume(stream, 1);
+        REQUIRE(attempt);
+        const EndpointId other("other");
+        CHECK((fixture.fleet.attempts[*attempt].endpoint == other)
+            == (fixture.fleet.attempts[stream.attempt].endpoint == other));
+    }
+}
