Start the tests' processes without the sockets of the fakes and proxies

What was seen: in a fleet test a host that was killed and started again at once received no message of its peers for as long as the test ran (12 s). Cause: the started process inherited the test's sockets. A connection that the proxy in front of the killed host closed stayed open in the new process, so the peers went on writing into it.

--- a/tests/process/ProcessHarness.cpp
+++ b/tests/process/ProcessHarness.cpp
@@ -31,6 +31,8 @@
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, 1, outputFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     posix_spawn_file_actions_adddup2(&actions, 1, 2);
+    // A copy of the fakes' and proxies' sockets in this process would keep connections open that they have closed.
+    posix_spawn_file_actions_addclosefrom_np(&actions, 3);
     const int error = posix_spawn(&m_pid, arguments[0], &actions, nullptr, arguments.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0)
