Let the fleet tests and the soak meet a restored store and two versions

The emulated store keeps a copy and goes back to it: items, leases, which begin anew, and revisions, which are given out again; each answer states the era. Engines state a software version in their records and in each event; callers take up broken streams at any host. findViolations() finds streams of two versions, within an answer and over requests; each check is shown to fail. The soak restores the store (with the operator's configuration written again) and has two versions with every second seed. New fleet tests: a store restored twice beside a host that starts; two versions with cut streams and a killed host, where the share that goes on is at least half of the share that begins.

--- a/tests/fleet/CallerLoad.cpp
+++ b/tests/fleet/CallerLoad.cpp
@@ -13,6 +13,10 @@
 
     constexpr auto requestTimeout = 9s;
     constexpr auto pauseBetweenRequests = 15ms;
+    constexpr unsigned eventsPerStream = 5;
+    // Time in which the caller notices that its stream broke.
+    constexpr auto pauseBeforeResumption = 100ms;
+
     // Returns whether the status guarantees that the request did not run.
     bool guaranteesNotRun(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
@@ -24,19 +28,67 @@
             "body of " + request.id, requestTimeout };
         if (request.path == "/note/")
             call.headers["Catkinwell-Model"] = model;
+        if (!request.resumes.empty()) {
+            call.headers["Resumes"] = request.resumes;
+            call.headers["Last-Event-Id"] = std::to_string(request.lastEvent);
+        }
         return call;
     }
 
+    // Returns the software version that the first event of an answer states; empty if there is no event.
+    std::string versionOf(const CallerRequest& request)
+    {
+        const std::string before = "data: " + request.id + " ";
+        const std::size_t start = request.answer.body.find(before);
+        if (start == std::string::npos)
+            return "";
+        const std::size_t end = request.answer.body.find('\n', start);
+        return request.answer.body.substr(start + before.size(), end - start - before.size());
+    }
+
     std::string expectedBody(const CallerRequest& request)
     {
         if (request.path != "/note/")
             return "answer to " + request.id;
         std::string events;
-        for (int event = 1; event <= 5; ++event)
-            events += "id: " + std::to_string(event) + "\ndata: " + request.id + "\n\n";
+        for (unsigned event = std::min(request.lastEvent + 1, eventsPerStream); event <= eventsPerStream; ++event)
+            events += "id: " + std::to_string(event) + "\ndata: " + request.id + " " + versionOf(request) + "\n\n";
         return events;
     }
 
+    // Returns the number of complete events of an answer.
+    unsigned eventsOf(const std::string& body)
+    {
+        unsigned events = 0;
+        for (std::size_t end = body.find("\n\n"); end != std::string::npos; end = body.find("\n\n", end + 2))
+            ++events;
+        return events;
+    }
+
+    // An answer that broke off holds the beginning of the expected one.
+    bool hasExpectedBody(const CallerRequest& request)
+    {
+        const std::string expected = expectedBody(request);
+        if (request.path != "/note/" || request.answer.complete)
+            return !request.answer.complete || request.answer.body == expected;
+        return expected.starts_with(request.answer.body);
+    }
+
+    void checkVersions(const std::vector<CallerRequest>& requests, std::vector<std::string>& broken)
+    {
+        std::map<std::string, std::string> versions;
+        for (const CallerRequest& request : requests) {
+            if (request.path == "/note/" && request.resumes.empty())
+                versions[request.id] = versionOf(request);
+        }
+        for (const CallerRequest& request : requests) {
+            const std::string version = versionOf(request);
+            if (!request.resumes.empty() && !version.empty() && version != versions[request.resumes])
+                broken.push_back("the stream of " + request.resumes + " began at " + versions[request.resumes]
+                    + " and goes on at " + version);
+        }
+    }
+
     void checkHolders(const EndpointHistory& records, std::vector<std::string>& broken)
     {
         std::map<std::string, ReceivedOrder> last;
@@ -77,12 +129,34 @@
         request.account = random.unit() < 0.5 ? "a" : "b";
         request.host = random.below(m_fleet.hostCount());
         request.sentAt = std::chrono::steady_clock::now();
-        request.answer = send(callOf(request, m_fleet.callerPort(request.host), models[random.below(4)]));
+        const char* const model = models[random.below(4)];
+        request.answer = send(callOf(request, m_fleet.callerPort(request.host), model));
         m_requests[caller].push_back(std::move(request));
+        resume(caller, model, random.below(m_fleet.hostCount()));
         std::this_thread::sleep_for(pauseBetweenRequests);
     }
 }
 
+// Takes up the caller's last stream if it broke after an event.
+void CallerLoad::resume(std::size_t caller, const std::string& model, std::size_t host)
+{
+    const CallerRequest& last = m_requests[caller].back();
+    const unsigned events = eventsOf(last.answer.body);
+    if (last.path != "/note/" || last.answer.status != 200 || last.answer.complete || events == 0)
+        return;
+    CallerRequest next;
+    next.id = last.id + "-again";
+    next.path = last.path;
+    next.account = last.account;
+    next.host = host;
+    next.resumes = last.id;
+    next.lastEvent = events;
+    std::this_thread::sleep_for(pauseBeforeResumption);
+    next.sentAt = std::chrono::steady_clock::now();
+    next.answer = send(callOf(next, m_fleet.callerPort(next.host), model));
+    m_requests[caller].push_back(std::move(next));
+}
+
 std::vector<CallerRequest> CallerLoad::stop()
 {
     m_isStopping = true;
@@ -118,9 +192,10 @@
             continue;
         if (runs.empty())
             broken.push_back(name + " has an answer, though no endpoint ran it");
-        if (request.answer.complete && request.answer.body != expectedBody(request))
+        if (!hasExpectedBody(request))
             broken.push_back(name + " has the body \"" + request.answer.body + "\"");
     }
+    checkVersions(requests, broken);
     checkHolders(records, broken);
     fleet.onLoop([&fleet, &broken] {
         for (std::size_t i = 0; i < fleet.endpointCount(); ++i) {
--- a/tests/fleet/CallerLoad.h
+++ b/tests/fleet/CallerLoad.h
@@ -13,10 +13,13 @@
     std::size_t host = 0;
     HttpAnswer answer;
     std::chrono::steady_clock::time_point sentAt;
+    // If the request takes up a stream: the request that began it, and the last event of that one's answer.
+    std::string resumes {};
+    unsigned lastEvent = 0;
 };
 
-// Runs callers that send orders, reads and streams to all hosts. Each caller sends one request at a time and does not
-// retry.
+// Runs callers that send orders, reads and streams to all hosts. Each caller sends one request at a time. A stream that
+// breaks after its first event is taken up again, once, at any host; nothing else is retried.
 class CallerLoad {
 public:
     CallerLoad(GatewayFleet&, std::size_t callers, std::uint64_t seed);
@@ -27,6 +30,7 @@
 
 private:
     void run(std::size_t caller, std::uint64_t seed);
+    void resume(std::size_t caller, const std::string& model, std::size_t host);
 
     GatewayFleet& m_fleet;
     std::atomic<bool> m_isStopping = false;
@@ -36,8 +40,8 @@
 
 // Checks the requests and the endpoints' records against the guarantees of the gateways. Returns one line for each
 // violation: orders that ran twice, refused requests that ran, answers to other requests, complete streams with wrong
-// content, requests that ran for another account, engines that were ordered to load more than fits, and orders of two
-// hosts to one engine in quick succession.
+// content, streams with events of two software versions, requests that ran for another account, engines that were
+// ordered to load more than fits, and orders of two hosts to one engine in quick succession.
 std::vector<std::string> findViolations(const std::vector<CallerRequest>&, const EndpointHistory&, GatewayFleet&);
 
 } // namespace Catkinwell::Testing
--- a/tests/fleet/CallerLoadTest.cpp
+++ b/tests/fleet/CallerLoadTest.cpp
@@ -15,6 +15,15 @@
     bool isViolation;
 };
 
+// The events of request "r", each with the version that wrote it.
+std::string streamOf(const std::vector<std::string>& versions)
+{
+    std::string events;
+    for (std::size_t i = 0; i < versions.size(); ++i)
+        events += "id: " + std::to_string(i + 1) + "\ndata: r " + versions[i] + "\n\n";
+    return events;
+}
+
 Execution runFor(const std::string& account) { return { "o-0", "r", account, {} }; }
 
 } // namespace
@@ -32,7 +41,10 @@
         { "an execution for another account", "/read/", 200, "answer to r", { runFor("b") }, true },
         { "the answer to another request", "/read/", 200, "answer to q", { runFor("a") }, true },
         { "an answer without an execution", "/read/", 200, "answer to r", {}, true },
-        { "an incomplete stream that is reported as complete", "/note/", 200, "id: 1\ndata: r\n\n", { runFor("a") },
+        { "an incomplete stream that is reported as complete", "/note/", 200, "id: 1\ndata: r v1\n\n", { runFor("a") },
+            true },
+        { "a whole stream", "/note/", 200, streamOf({ "v1", "v1", "v1", "v1", "v1" }), { runFor("a") }, false },
+        { "a stream of two versions", "/note/", 200, streamOf({ "v1", "v1", "v2", "v2", "v2" }), { runFor("a") },
             true },
     }));
     GatewayFleet fleet({ 1, 1, 0 });
@@ -51,3 +63,16 @@
         { { "e", "host-0", first }, { "e", "host-1", first + std::chrono::milliseconds(milliseconds) } } };
     CHECK(findViolations({}, records, fleet).empty() != isViolation);
 }
+
+// Guards against a check that overlooks a stream that another version goes on with over its caller's requests.
+TEST_CASE("A stream that a caller takes up at another version is found")
+{
+    const auto [version, isViolation] = GENERATE(table<const char*, bool>({ { "v2", true }, { "v1", false } }));
+    GatewayFleet fleet({ 1, 1, 0 });
+    const CallerRequest first { "r", "/note/", "a", 0, { 200, {}, streamOf({ "v1", "v1" }), false }, {} };
+    CallerRequest second { "r-again", "/note/", "a", 0, { 200, {}, "", true }, {}, "r", 2 };
+    for (int event = 3; event <= 5; ++event)
+        second.answer.body += "id: " + std::to_string(event) + "\ndata: r-again " + version + "\n\n";
+    const EndpointHistory records { { { "e", "r", "a", {} }, { "e", "r-again", "a", {} } }, {} };
+    CHECK(findViolations({ first, second }, records, fleet).empty() != isViolation);
+}
--- a/tests/fleet/FaultSoak.cpp
+++ b/tests/fleet/FaultSoak.cpp
@@ -15,6 +15,8 @@
     // The maximum time until a host is ready after the end of all faults.
     constexpr auto recoveryBound = 12s;
     constexpr auto configurationBound = 2s;
+    // How long after a restore of the store the operator's configuration is written again.
+    constexpr auto rewriteTime = 300ms;
 
 } // namespace
 
@@ -27,7 +29,7 @@
 FaultSoak::FaultSoak(std::uint64_t seed)
     : m_seed(seed)
     , m_random(seed)
-    , m_fleet({ 4, 3, 3, seed })
+    , m_fleet({ 4, 3, 4, seed, seed % 2 == 0 })
     , m_startedAt(std::chrono::steady_clock::now())
 {
 }
@@ -140,6 +142,19 @@
     later(duration, [change] { change({}); });
 }
 
+// The store comes back from a copy that is some seconds old. The operator's configuration is written again.
+void FaultSoak::restoreStore()
+{
+    const auto age = std::chrono::milliseconds(200 + m_random.below(4000));
+    note("the store goes back to this moment in " + std::to_string(age.count()) + " ms");
+    m_fleet.onLoop([this] { m_fleet.store().saveCopy(); });
+    later(age, [this] {
+        m_fleet.onLoop([this] { m_fleet.store().restore(); });
+        note("the store was restored");
+        later(rewriteTime, [this] { m_fleet.configure(m_version); });
+    });
+}
+
 void FaultSoak::disturbLink()
 {
     const std::size_t kind = m_random.below(3);
@@ -191,13 +206,14 @@
 
 void FaultSoak::injectOne()
 {
-    static constexpr std::array<Fault, 8> faults { {
+    static constexpr std::array<Fault, 9> faults { {
         { 4, &FaultSoak::killHost },
         { 2, &FaultSoak::stopHost },
         { 4, &FaultSoak::freezeHost },
         { 1, &FaultSoak::changeSettings },
         { 2, &FaultSoak::changeConfiguration },
         { 4, &FaultSoak::disturbStore },
+        { 3, &FaultSoak::restoreStore },
         { 5, &FaultSoak::disturbLink },
         { 4, &FaultSoak::disturbEndpoint },
     } };
--- a/tests/fleet/FaultSoak.h
+++ b/tests/fleet/FaultSoak.h
@@ -16,9 +16,9 @@
 };
 
 // Injects random faults into a fleet under load from outside its processes: signals, restarts, changed settings and
-// configurations, links that are reset, slow, or silent in one or both directions, a store that is down, slow or loses
-// answers, endpoints that leave, return and fail requests. Faults follow at random intervals and overlap; all are
-// undone before the load ends. The seed determines the faults and the delays between them.
+// configurations, links that are reset, slow, or silent in one or both directions, a store that is down, slow, loses
+// answers or is restored from a copy, endpoints that leave, return and fail requests. Faults follow at random intervals
+// and overlap; all are undone before the load ends. The seed determines the faults and the delays between them.
 class FaultSoak {
 public:
     explicit FaultSoak(std::uint64_t seed);
@@ -37,6 +37,7 @@
     void changeSettings();
     void changeConfiguration();
     void disturbStore();
+    void restoreStore();
     void disturbLink();
     void disturbEndpoint();
     void note(const std::string&);
--- a/tests/fleet/GatewayFleet.cpp
+++ b/tests/fleet/GatewayFleet.cpp
@@ -116,7 +116,10 @@
         LoadedModels held;
         held[ModelId(models[i % 2])];
         held[ModelId(models[2 + i % 2])];
-        add("e-" + std::to_string(i), "notes").makeEngine(held);
+        FakeEndpoint& engine = add("e-" + std::to_string(i), "notes");
+        engine.makeEngine(held);
+        if (options.hasTwoVersions && i / 2 % 2 == 1)
+            engine.setVersion("v2");
     }
     for (std::size_t i = 0; i < m_endpoints.size(); ++i) {
         m_endpoints[i].fake->open();
--- a/tests/fleet/GatewayFleet.h
+++ b/tests/fleet/GatewayFleet.h
@@ -15,6 +15,8 @@
     std::size_t plainEndpoints = 3;
     std::size_t engines = 3;
     std::uint64_t seed = 1;
+    // Whether every second pair of engines has the software version "v2" instead of "v1".
+    bool hasTwoVersions = false;
 };
 
 // Gateway processes with fakes of the platform's services, which run on a thread of the test. There are two services:
--- a/tests/fleet/GatewayFleetTest.cpp
+++ b/tests/fleet/GatewayFleetTest.cpp
@@ -180,3 +180,68 @@
     CHECK(later == 0);
     CHECK(findViolations(requests, fleet.records(), fleet) == std::vector<std::string> {});
 }
+
+// Guards against a configuration that comes back older, hosts that lose each other, and orders of two hosts, when the
+// store is restored from a copy, also twice and while a host starts.
+TEST_CASE("The promises hold when the store is restored from a copy")
+{
+    GatewayFleet fleet;
+    fleet.waitUntilConnected();
+    CallerLoad load(fleet, 8, 7);
+    fleet.onLoop([&fleet] { fleet.store().saveCopy(); });
+    fleet.configure(2);
+    std::this_thread::sleep_for(2s);
+    fleet.configure(3);
+    std::this_thread::sleep_for(1s);
+    fleet.process(1).signal(SIGKILL);
+    fleet.onLoop([&fleet] { fleet.store().restore(); });
+    fleet.start(1);
+    std::this_thread::sleep_for(500ms);
+    fleet.onLoop([&fleet] { fleet.store().restore(); });
+    std::this_thread::sleep_for(300ms);
+    fleet.configure(3);
+    const std::vector<std::uint64_t> expected(fleet.hostCount(), 3);
+    CHECK(eventually([&] { return versions(fleet) == expected; }, configurationBound));
+    std::this_thread::sleep_for(4s);
+    fleet.configure(4);
+    CHECK(eventually(
+        [&] { return versions(fleet) == std::vector<std::uint64_t>(fleet.hostCount(), 4); }, configurationBound));
+    fleet.waitUntilConnected();
+    const auto requests = load.stop();
+    CHECK(findViolations(requests, fleet.records(), fleet) == std::vector<std::string> {});
+    CHECK(countOf(requests, 200) * 2 > requests.size());
+}
+
+// Guards against streams with events of two software versions, and against refusing all streams that are taken up.
+TEST_CASE("Streams of two software versions go on at their own version")
+{
+    GatewayFleet fleet({ 3, 0, 4, 3, true });
+    fleet.waitUntilConnected();
+    fleet.onLoop([&fleet] {
+        for (std::size_t i = 0; i < fleet.endpointCount(); ++i)
+            fleet.endpoint(i).faults.cutAnswers = 0.25;
+    });
+    CallerLoad load(fleet, 12, 11);
+    std::this_thread::sleep_for(4s);
+    fleet.process(0).signal(SIGKILL);
+    std::this_thread::sleep_for(1s);
+    fleet.start(0);
+    std::this_thread::sleep_for(4s);
+    const auto requests = load.stop();
+    CHECK(findViolations(requests, fleet.records(), fleet) == std::vector<std::string> {});
+    std::size_t begun = 0;
+    std::size_t wanted = 0;
+    std::size_t resumed = 0;
+    std::size_t goneOn = 0;
+    for (const CallerRequest& request : requests) {
+        if (request.path != "/note/")
+            continue;
+        const bool hasEvents = request.answer.status == 200 && !request.answer.body.empty();
+        (request.resumes.empty() ? wanted : resumed) += 1;
+        (request.resumes.empty() ? begun : goneOn) += hasEvents;
+    }
+    INFO(begun << " of " << wanted << " streams begun, " << goneOn << " of " << resumed << " taken up again");
+    CHECK(resumed >= 12);
+    // The users' bound: the share that goes on is at least half of the share that begins.
+    CHECK(2 * goneOn * wanted >= begun * resumed);
+}
--- a/tests/platform/FakeEndpoint.cpp
+++ b/tests/platform/FakeEndpoint.cpp
@@ -100,7 +100,7 @@
     record["service"] = m_service;
     record["address"] = "127.0.0.1:" + std::to_string(port);
     record["zone"] = "dc1";
-    record["version"] = 1;
+    record["version"] = m_version;
     record["slots"] = slots;
     record["state"] = m_isLeaving ? "draining" : "ready";
     return record.dump();
@@ -184,7 +184,8 @@
         m_listener.execute(AbortResponse { id });
         return;
     }
-    m_listener.execute(SendResponseData { id, "id: " + std::to_string(next) + "\ndata: " + request + "\n\n" });
+    m_listener.execute(
+        SendResponseData { id, "id: " + std::to_string(next) + "\ndata: " + request + " " + m_version + "\n\n" });
     if (next == eventsPerStream) {
         m_listener.execute(FinishResponse { id });
         return;
--- a/tests/platform/FakeEndpoint.h
+++ b/tests/platform/FakeEndpoint.h
@@ -52,6 +52,8 @@
     std::string nextRecord(std::uint16_t port);
     std::uint16_t port() const { return m_listener.port(); }
     void setLeaving(bool isLeaving) { m_isLeaving = isLeaving; }
+    // The software version, which the record and each event of a stream state.
+    void setVersion(std::string version) { m_version = std::move(version); }
 
     const std::string& id() const { return m_id; }
     FakeEngine* engine() { return m_engine.get(); }
@@ -79,6 +81,7 @@
     std::int64_t m_born = 0;
     std::uint64_t m_heartbeat = 0;
     bool m_isLeaving = false;
+    std::string m_version = "v1";
 };
 
 } // namespace Catkinwell::Testing
--- a/tests/platform/FakeMetadataStore.cpp
+++ b/tests/platform/FakeMetadataStore.cpp
@@ -83,13 +83,13 @@
 {
     const Json body = request.body.empty() ? Json::object() : Json::parse(request.body, nullptr, false);
     if (request.path == "/kv-key") {
-        const auto item = m_items.find(queryField(request.query, "key"));
+        const auto item = m_state.items.find(queryField(request.query, "key"));
         Answer answer;
-        if (item == m_items.end())
+        if (item == m_state.items.end())
             answer.status = 404;
         else
             answer.body = itemJson(item->first, item->second);
-        answer.body["store_revision"] = m_revision;
+        answer.body["store_revision"] = m_state.revision;
         reply(address, request.id, answer);
     } else if (request.path == "/kv-range") {
         reply(address, request.id, range(queryField(request.query, "prefix")));
@@ -99,6 +99,10 @@
             reply(address, request.id, { 410 });
             return;
         }
+        if (numberOf(queryField(request.query, "after")) > m_state.revision) {
+            reply(address, request.id, { 410 });
+            return;
+        }
         const auto wait = std::chrono::milliseconds(numberOf(queryField(request.query, "wait_ms")));
         m_watches.push_back({ &address, request.id, queryField(request.query, "prefix"),
             numberOf(queryField(request.query, "after")), m_clock.monotonicNow() + wait });
@@ -124,8 +128,8 @@
         address.listener.execute(AbortResponse { id });
         return;
     }
-    address.listener.execute(
-        SendWholeResponse { id, answer.status, { { "Content-Type", "application/json" } }, answer.body.dump() });
+    address.listener.execute(SendWholeResponse { id, answer.status,
+        { { "Content-Type", "application/json" }, { "Store-Era", std::to_string(m_era) } }, answer.body.dump() });
 }
 
 Json FakeMetadataStore::itemJson(const std::string& key, const Item& item) const
@@ -137,24 +141,24 @@
 FakeMetadataStore::Answer FakeMetadataStore::range(const std::string& prefix) const
 {
     Json items = Json::array();
-    for (const auto& [key, item] : m_items) {
+    for (const auto& [key, item] : m_state.items) {
         if (key.starts_with(prefix))
             items.push_back(itemJson(key, item));
     }
-    return { 200, { { "items", std::move(items) }, { "truncated", false }, { "store_revision", m_revision } } };
+    return { 200, { { "items", std::move(items) }, { "truncated", false }, { "store_revision", m_state.revision } } };
 }
 
 FakeMetadataStore::Answer FakeMetadataStore::transact(const Json& body)
 {
     for (const Json& expected : body.value("expected", Json::array())) {
-        const auto item = m_items.find(expected.value("key", ""));
-        const std::uint64_t revision = item == m_items.end() ? 0 : item->second.revision;
+        const auto item = m_state.items.find(expected.value("key", ""));
+        const std::uint64_t revision = item == m_state.items.end() ? 0 : item->second.revision;
         if (revision != expected.value("revision", std::uint64_t { 0 }))
             return { 412, { { "items", Json::array() } } };
     }
     for (const Json& write : body.value("writes", Json::array())) {
         const auto lease = write.value("lease", std::uint64_t { 0 });
-        if (lease != 0 && !m_leases.contains(lease))
+        if (lease != 0 && !m_state.leases.contains(lease))
             return { 404 };
     }
     for (const Json& entry : body.value("writes", Json::array()))
@@ -162,20 +166,20 @@
             entry.value("key", ""), base64Decoded(entry.value("value", "")), entry.value("lease", std::uint64_t { 0 }));
     for (const Json& key : body.value("deletes", Json::array()))
         remove(key.get<std::string>());
-    return { 200, { { "revision", m_revision } } };
+    return { 200, { { "revision", m_state.revision } } };
 }
 
 FakeMetadataStore::Answer FakeMetadataStore::createLease(const Json& body)
 {
     const auto ttl = std::chrono::milliseconds(body.value("ttl_ms", 1000));
-    m_leases[++m_lastLease] = { ttl, m_clock.monotonicNow() + ttl };
-    return { 200, { { "lease", m_lastLease }, { "ttl_ms", ttl.count() } } };
+    m_state.leases[++m_state.lastLease] = { ttl, m_clock.monotonicNow() + ttl };
+    return { 200, { { "lease", m_state.lastLease }, { "ttl_ms", ttl.count() } } };
 }
 
 FakeMetadataStore::Answer FakeMetadataStore::keepLease(std::uint64_t lease)
 {
-    const auto found = m_leases.find(lease);
-    if (found == m_leases.end())
+    const auto found = m_state.leases.find(lease);
+    if (found == m_state.leases.end())
         return { 404 };
     found->second.expiresAt = m_clock.monotonicNow() + found->second.ttl;
     return {};
@@ -183,10 +187,10 @@
 
 void FakeMetadataStore::endLease(std::uint64_t lease)
 {
-    if (m_leases.erase(lease) == 0)
+    if (m_state.leases.erase(lease) == 0)
         return;
     std::vector<std::string> keys;
-    for (const auto& [key, item] : m_items) {
+    for (const auto& [key, item] : m_state.items) {
         if (item.lease == lease)
             keys.push_back(key);
     }
@@ -198,7 +202,7 @@
 {
     const MonotonicTime now = m_clock.monotonicNow();
     std::vector<std::uint64_t> ended;
-    for (const auto& [id, lease] : m_leases) {
+    for (const auto& [id, lease] : m_state.leases) {
         if (now >= lease.expiresAt)
             ended.push_back(id);
     }
@@ -208,27 +212,27 @@
 
 void FakeMetadataStore::write(const std::string& key, const std::string& value, std::uint64_t lease)
 {
-    Item& item = m_items[key];
+    Item& item = m_state.items[key];
     item.value = value;
-    item.revision = ++m_revision;
-    item.createRevision = item.createRevision == 0 ? m_revision : item.createRevision;
+    item.revision = ++m_state.revision;
+    item.createRevision = item.createRevision == 0 ? m_state.revision : item.createRevision;
     item.lease = lease;
     recordEvent(itemJson(key, item));
 }
 
 void FakeMetadataStore::remove(const std::string& key)
 {
-    if (m_items.erase(key) == 0)
+    if (m_state.items.erase(key) == 0)
         return;
-    recordEvent({ { "key", key }, { "revision", ++m_revision }, { "deleted", true } });
+    recordEvent({ { "key", key }, { "revision", ++m_state.revision }, { "deleted", true } });
 }
 
-void FakeMetadataStore::recordEvent(Json event) { m_history.push_back(std::move(event)); }
+void FakeMetadataStore::recordEvent(Json event) { m_state.history.push_back(std::move(event)); }
 
 Json FakeMetadataStore::eventsSince(const std::string& prefix, std::uint64_t after) const
 {
     Json events = Json::array();
-    for (const Json& event : m_history) {
+    for (const Json& event : m_state.history) {
         if (event["revision"].get<std::uint64_t>() > after
             && event["key"].get_ref<const std::string&>().starts_with(prefix))
             events.push_back(event);
@@ -252,10 +256,20 @@
             ended.address->listener.execute(AbortResponse { ended.id });
         else
             reply(*ended.address, ended.id,
-                { 200, { { "events", std::move(events) }, { "store_revision", m_revision } } });
+                { 200, { { "events", std::move(events) }, { "store_revision", m_state.revision } } });
     }
 }
 
+void FakeMetadataStore::restore()
+{
+    m_state = m_copy;
+    for (auto& [id, lease] : m_state.leases)
+        lease.expiresAt = m_clock.monotonicNow() + lease.ttl;
+    ++m_era;
+    for (const Watch& watch : std::exchange(m_watches, {}))
+        watch.address->listener.execute(AbortResponse { watch.id });
+}
+
 void FakeMetadataStore::put(const std::string& key, const std::string& value)
 {
     write(key, value, 0);
@@ -270,8 +284,8 @@
 
 std::string FakeMetadataStore::value(const std::string& key) const
 {
-    const auto found = m_items.find(key);
-    return found == m_items.end() ? "" : found->second.value;
+    const auto found = m_state.items.find(key);
+    return found == m_state.items.end() ? "" : found->second.value;
 }
 
 } // namespace Catkinwell::Testing
--- a/tests/platform/FakeMetadataStore.h
+++ b/tests/platform/FakeMetadataStore.h
@@ -39,6 +39,11 @@
     std::string value(const std::string& key) const;
     std::uint64_t calls() const { return m_calls; }
 
+    // Keeps a copy of everything, to which restore() goes back: items, leases, which begin anew, and revisions, which
+    // are given out again. Waiting watches break.
+    void saveCopy() { m_copy = m_state; }
+    void restore();
+
 private:
     struct Item {
         std::string value;
@@ -69,6 +74,14 @@
         MonotonicTime deadline {};
     };
 
+    struct State {
+        std::map<std::string, Item> items;
+        std::map<std::uint64_t, Lease> leases;
+        std::deque<nlohmann::json> history;
+        std::uint64_t revision = 1;
+        std::uint64_t lastLease = 0;
+    };
+
     struct Answer {
         int status = 200;
         nlohmann::json body = nlohmann::json::object();
@@ -93,12 +106,11 @@
     EventLoop& m_loop;
     SystemClock m_clock;
     std::vector<std::unique_ptr<Address>> m_addresses;
-    std::map<std::string, Item> m_items;
-    std::map<std::uint64_t, Lease> m_leases;
-    std::deque<nlohmann::json> m_history;
+    State m_state;
+    State m_copy;
+    // Number of the present history, which each answer states.
+    std::uint64_t m_era = 1;
     std::list<Watch> m_watches;
-    std::uint64_t m_revision = 1;
-    std::uint64_t m_lastLease = 0;
     std::uint64_t m_calls = 0;
 };
 
