--- a/include/catkinwell/emulator/StoreEmulator.h
+++ b/include/catkinwell/emulator/StoreEmulator.h
@@ -10,8 +10,9 @@
 
 // Emulates the part of Consul's HTTP API that ConsulStoreClient uses on the platform's key-value service: reads,
 // blocking queries, lists, transactions with one write, and sessions with a TTL. PUT /emulator/faults with {"down":
-// bool, "drop_answers": n, "delay_ms": n} causes outages, answers that are lost after the write took effect, and
-// delays. GET /emulator/statistics counts reads, writes and waiting watches. Not thread safe.
+// bool, "drop_answers": n, "delay_ms": n, "save_copy": bool, "restore": bool} causes outages, answers that are lost
+// after the write took effect, delays, and a restore from the last copy. GET /emulator/statistics counts reads, writes
+// and waiting watches. Not thread safe.
 class StoreEmulator {
 public:
     StoreEmulator(EventLoop&, std::string address);
--- a/src/emulator/EmulatedKeyValueStore.cpp
+++ b/src/emulator/EmulatedKeyValueStore.cpp
@@ -4,8 +4,8 @@
 
 const EmulatedKeyValueStore::Entry* EmulatedKeyValueStore::find(const std::string& key) const
 {
-    const auto found = m_entries.find(key);
-    return found == m_entries.end() ? nullptr : &found->second;
+    const auto found = m_state.entries.find(key);
+    return found == m_state.entries.end() ? nullptr : &found->second;
 }
 
 std::optional<std::uint64_t> EmulatedKeyValueStore::compareAndSwap(
@@ -14,9 +14,9 @@
     const Entry* current = find(key);
     if ((current ? current->version : 0) != expectedVersion)
         return std::nullopt;
-    Entry& entry = m_entries[key];
+    Entry& entry = m_state.entries[key];
     entry.value = std::move(value);
-    entry.version = ++m_lastVersion;
+    entry.version = ++m_state.lastVersion;
     return entry.version;
 }
 
@@ -28,8 +28,8 @@
     const Entry* current = find(key);
     if (current && !current->session.empty() && current->session != session)
         return std::nullopt;
-    m_entries[key] = Entry { std::move(value), ++m_lastVersion, session };
-    return m_lastVersion;
+    m_state.entries[key] = Entry { std::move(value), ++m_state.lastVersion, session };
+    return m_state.lastVersion;
 }
 
 bool EmulatedKeyValueStore::deleteCompared(const std::string& key, std::uint64_t expectedVersion)
@@ -37,21 +37,21 @@
     const Entry* current = find(key);
     if (!current || current->version != expectedVersion)
         return false;
-    m_entries.erase(key);
+    m_state.entries.erase(key);
     return true;
 }
 
 std::string EmulatedKeyValueStore::createSession(Duration ttl, MonotonicTime now)
 {
     std::string session = "session-" + std::to_string(++m_lastSession);
-    m_sessions[session] = Session { ttl, now + ttl };
+    m_state.sessions[session] = Session { ttl, now + ttl };
     return session;
 }
 
 bool EmulatedKeyValueStore::renewSession(const std::string& session, MonotonicTime now)
 {
-    const auto found = m_sessions.find(session);
-    if (found == m_sessions.end())
+    const auto found = m_state.sessions.find(session);
+    if (found == m_state.sessions.end())
         return false;
     found->second.expiresAt = now + found->second.ttl;
     return true;
@@ -59,21 +59,28 @@
 
 void EmulatedKeyValueStore::destroySession(const std::string& session)
 {
-    m_sessions.erase(session);
-    std::erase_if(m_entries, [&session](const auto& entry) { return entry.second.session == session; });
+    m_state.sessions.erase(session);
+    std::erase_if(m_state.entries, [&session](const auto& entry) { return entry.second.session == session; });
+}
+
+void EmulatedKeyValueStore::restore(MonotonicTime now)
+{
+    m_state = m_copy;
+    for (auto& [name, session] : m_state.sessions)
+        session.expiresAt = now + session.ttl;
 }
 
 bool EmulatedKeyValueStore::expireSessions(MonotonicTime now)
 {
     std::vector<std::string> expired;
-    for (const auto& [name, session] : m_sessions) {
+    for (const auto& [name, session] : m_state.sessions) {
         if (session.expiresAt <= now)
             expired.push_back(name);
     }
-    const std::size_t before = m_entries.size();
+    const std::size_t before = m_state.entries.size();
     for (const std::string& session : expired)
         destroySession(session);
-    return m_entries.size() != before;
+    return m_state.entries.size() != before;
 }
 
 } // namespace Catkinwell
--- a/src/emulator/EmulatedKeyValueStore.h
+++ b/src/emulator/EmulatedKeyValueStore.h
@@ -19,7 +19,7 @@
         std::string session;
     };
 
-    const std::map<std::string, Entry>& entries() const { return m_entries; }
+    const std::map<std::string, Entry>& entries() const { return m_state.entries; }
     const Entry* find(const std::string& key) const;
 
     // Both return the new version, or nothing if the comparison failed.
@@ -31,7 +31,12 @@
     std::string createSession(Duration ttl, MonotonicTime now);
     bool renewSession(const std::string& session, MonotonicTime now);
     void destroySession(const std::string& session);
-    bool hasSession(const std::string& session) const { return m_sessions.contains(session); }
+    bool hasSession(const std::string& session) const { return m_state.sessions.contains(session); }
+
+    // Keeps a copy, to which restore() goes back: keys and sessions, whose TTL begins anew. Versions are given out
+    // again; names of sessions are not.
+    void saveCopy() { m_copy = m_state; }
+    void restore(MonotonicTime now);
 
     // Ends the sessions whose TTL has expired and deletes the keys that they held. Returns whether a key changed.
     bool expireSessions(MonotonicTime now);
@@ -42,9 +47,14 @@
         MonotonicTime expiresAt;
     };
 
-    std::map<std::string, Entry> m_entries;
-    std::map<std::string, Session> m_sessions;
-    std::uint64_t m_lastVersion = 0;
+    struct State {
+        std::map<std::string, Entry> entries;
+        std::map<std::string, Session> sessions;
+        std::uint64_t lastVersion = 0;
+    };
+
+    State m_state;
+    State m_copy;
     std::uint64_t m_lastSession = 0;
 };
 
--- a/src/emulator/StoreEmulator.cpp
+++ b/src/emulator/StoreEmulator.cpp
@@ -126,6 +126,10 @@
             m_faults.down = body.value("down", m_faults.down);
             m_faults.droppedAnswers = body.value("drop_answers", m_faults.droppedAnswers);
             m_faults.delay = std::chrono::milliseconds(body.value("delay_ms", std::int64_t { 0 }));
+            if (body.value("save_copy", false))
+                m_store.saveCopy();
+            if (body.value("restore", false))
+                m_store.restore(m_clock.monotonicNow());
         }
     }
     const Json statistics { { "reads", m_reads }, { "writes", m_writes }, { "waiting_watches", m_watches.size() },
