--- /dev/null
+++ b/src/gateway/GatewayStoreEntries.cpp
@@ -0,0 +1,179 @@
+#include <catkinwell/gateway/GatewayReducer.h>
+
+#include <nlohmann/json.hpp>
+
+// What the store holds: how its entries are applied, and what is written again when the store lost it.
+namespace Catkinwell {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr Duration secretRetry = std::chrono::seconds(1);
+    // Endpoint records that expired while the store was unavailable are back within two seconds of its recovery.
+    constexpr Duration lapsedRecordGrace = std::chrono::milliseconds(1700);
+    constexpr Duration recoveryTime = std::chrono::milliseconds(2200);
+    // After a restore of the store the hosts write again one after the other, within the store's write rate.
+    constexpr Duration restoreSpreadPerHost = std::chrono::milliseconds(10);
+    constexpr Duration longestRestoreSpread = std::chrono::seconds(5);
+    constexpr Duration ownerRestoreLead = std::chrono::milliseconds(150);
+
+} // namespace
+
+void GatewayReducer::handleStoreRestored(const StoreRestored& restored, MonotonicTime now, EffectList& effects)
+{
+    effects.push_back(LogEntry { LogEvent::StoreWasRestored,
+        { { "previous_epoch", std::to_string(restored.previous) }, { "epoch", std::to_string(restored.epoch) } } });
+    for (PrefixMirror* mirror : { &m_configurationMirror, &m_endpointMirror, &m_gatewayMirror })
+        mirror->noteRestored(now);
+    // The owner comes first, so that no other host has to wait before its first order.
+    const Duration leaseDelay = m_placement.isOwner() ? Duration::zero() : ownerRestoreLead + restoreDelay();
+    m_ownership.noteRestored(restored.epoch, m_lease.status(), now, effects);
+    m_lease.noteRestored(restored.epoch, leaseDelay, now, effects);
+    m_nextSecretAt = now + restoreDelay();
+    m_refusalRecords.noteRestored(now + restoreDelay());
+    m_versionMixes.noteRestored(now + restoreDelay());
+}
+
+// All hosts notice a restore at the same moment; each writes again after a time of its own.
+Duration GatewayReducer::restoreDelay()
+{
+    const auto hosts = static_cast<std::int64_t>(m_livePeers.size() + 1);
+    const Duration spread = std::min(restoreSpreadPerHost * hosts, longestRestoreSpread);
+    return Duration(static_cast<Duration::rep>(m_random.unit() * static_cast<double>(spread.count())));
+}
+
+void GatewayReducer::applyConfiguration(
+    const std::string& document, ConfigurationOrigin origin, MonotonicTime now, EffectList& effects)
+{
+    const std::string_view originName = origin == ConfigurationOrigin::Store ? "store" : "peer";
+    auto result = m_protocol.readConfiguration(document);
+    if (isError(result)) {
+        effects.push_back(LogEntry { LogEvent::GatewayConfigurationRejected,
+            { { "origin", std::string(originName) }, { "reason", errorOf(result).message } } });
+        return;
+    }
+    GatewayConfiguration configuration = takeValue(std::move(result));
+    // After a restore of the store the operator may give out a version again that only some hosts had seen.
+    const bool isGivenOutAgain = origin == ConfigurationOrigin::Store
+        && configuration.version == m_configuration.version && document != m_configurationDocument
+        && m_configurationMirror.epoch() > m_configurationEpoch;
+    if (configuration.version <= m_configuration.version && !isGivenOutAgain)
+        return;
+    m_configurationEpoch = m_configurationMirror.epoch();
+    m_configuration = std::move(configuration);
+    m_configurationDocument = document;
+    m_requests.configure(m_configuration);
+    m_placement.configure(m_configuration);
+    m_quota.configure(m_configuration.accounts, now);
+    effects.push_back(SetCallerLimits { m_configuration.limits });
+    effects.push_back(LogEntry { LogEvent::GatewayConfigurationApplied,
+        { { "version", std::to_string(m_configuration.version) }, { "origin", std::string(originName) },
+            { "routes", std::to_string(m_configuration.routes.size()) },
+            { "accounts", std::to_string(m_configuration.accounts.size()) } } });
+    // The configuration identifies the engines and may arrive after their records, so the records are applied again.
+    for (const auto& [key, entry] : m_endpointMirror.entries()) {
+        auto record = m_protocol.readEndpoint(key, entry.value);
+        if (!isError(record))
+            m_placement.put(valueOf(record), now);
+    }
+    reportReadiness(effects);
+}
+
+void GatewayReducer::applyEndpoint(const StoreEntry& entry, MonotonicTime now, EffectList& effects)
+{
+    const EndpointId id(entry.key.substr(m_protocol.endpointPrefix().size()));
+    const MonotonicTime recovered = m_endpointMirror.recoveredAt();
+    const bool isRecovering = recovered != MonotonicTime() && now - recovered < recoveryTime;
+    if (!entry.isDeleted) {
+        auto result = m_protocol.readEndpoint(entry.key, entry.value);
+        if (!isError(result)) {
+            const EndpointRecord& record = valueOf(result);
+            if (m_directory.isOutdated(record, isRecovering))
+                return;
+            const EndpointRecord* previous = m_directory.find(id);
+            if (previous && previous->incarnation != record.incarnation)
+                m_requests.endpointDied(id, now);
+            if (previous && previous->softwareVersion != record.softwareVersion)
+                m_requests.endpointVersionChanged(id, now);
+            m_directory.put(record, now, effects);
+            m_placement.put(record, now);
+            return;
+        }
+        effects.push_back(LogEntry { LogEvent::GatewayEndpointChanged,
+            { { "endpoint", id.value }, { "state", "unusable" }, { "reason", errorOf(result).message } } });
+    }
+    const bool mayBeLapsed = entry.isDeleted && isRecovering;
+    m_directory.remove(id, mayBeLapsed ? recovered + lapsedRecordGrace : now, now, effects);
+    m_placement.remove(id);
+}
+
+void GatewayReducer::applyGatewayEntry(const StoreEntry& entry, MonotonicTime now, EffectList& effects)
+{
+    if (const auto refusal = m_refusalRecords.idOf(entry.key)) {
+        applyRefusalRecord(entry, *refusal, now);
+        handlePromptChanges(now, effects);
+        return;
+    }
+    const std::string hostPrefix = m_settings.storeKeyPrefix + "hosts/";
+    if (entry.key == m_settings.storeKeyPrefix + "secret") {
+        if (!entry.isDeleted)
+            useSecret(entry.value, effects);
+        return;
+    }
+    if (!entry.key.starts_with(hostPrefix))
+        return;
+    const std::string rest = entry.key.substr(hostPrefix.size());
+    const HostId host(rest.substr(0, rest.find('/')));
+    if (host == m_settings.host)
+        return;
+    Peer& peer = m_peers[host];
+    if (entry.isDeleted) {
+        // A deletion does not repeat the value, and a restarted host has an entry of its own.
+        if (!m_gatewayMirror.hasKeyWithPrefix(hostPrefix + host.value + "/")) {
+            peer.isRegistered = false;
+            // A restarted host may have a lower incarnation if its wall clock was set back.
+            peer.incarnation = 0;
+        }
+        return;
+    }
+    const Json value = Json::parse(entry.value, nullptr, false);
+    const auto incarnation
+        = value.is_object() && value.contains("incarnation") && value["incarnation"].is_number_unsigned()
+        ? value["incarnation"].get<Incarnation>()
+        : 0;
+    if (incarnation < peer.incarnation || !value.is_object())
+        return;
+    if (incarnation > peer.incarnation)
+        peer.digestSequence = 0;
+    peer.incarnation = incarnation;
+    peer.address = value.value("address", "");
+    peer.isRegistered = true;
+    peer.isLeaving = false;
+}
+
+// The secret in the store is that of the fleet, also if it differs from the one in use: a restored store may have lost
+// that one, and a host that started then has set another.
+void GatewayReducer::useSecret(const std::string& secret, EffectList& effects)
+{
+    if (m_peersStarted && secret == m_secret)
+        return;
+    m_peersStarted = true;
+    m_secret = secret;
+    effects.push_back(StartPeerTransport { secret });
+    m_sentAddresses.clear();
+}
+
+// The fleet's secret is kept in the store; the first host that writes it sets it. One that is lost is written again.
+void GatewayReducer::ensureSecret(MonotonicTime now, EffectList& effects)
+{
+    if (!m_gatewayMirror.isCurrent() || m_secretCall.value != 0 || now < m_nextSecretAt
+        || m_gatewayMirror.find(m_settings.storeKeyPrefix + "secret"))
+        return;
+    m_nextSecretAt = now + secretRetry;
+    m_secretCall = m_secretCalls.next();
+    effects.push_back(
+        StoreCall { m_secretCall, StoreCompareAndSwap { m_settings.storeKeyPrefix + "secret", m_secret, 0, {} } });
+}
+
+} // namespace Catkinwell
--- a/tests/gateway/GatewayFixture.cpp
+++ b/tests/gateway/GatewayFixture.cpp
@@ -97,6 +97,19 @@
     return record;
 }
 
+PrefixMirror mirrorOf(std::vector<StoreEntry> entries)
+{
+    constexpr MonotonicTime now { std::chrono::hours(1) };
+    PrefixMirror mirror(StoreUser::Shares, { "catkinwell/" }, 1);
+    EffectList effects;
+    mirror.tick(now, effects);
+    StoreReply reply { effectsOf<StoreCall>(effects).at(0).id, StoreStatus::Ok };
+    reply.entries = std::move(entries);
+    reply.isWholeList = true;
+    mirror.handle(reply, now, effects);
+    return mirror;
+}
+
 RequestsFixture::RequestsFixture()
     : requests({}, protocol, directory, quota)
 {
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -2,6 +2,7 @@
 
 #include "replay/ReplayProtocol.h"
 #include <catkinwell/gateway/GatewayRequests.h>
+#include <catkinwell/gateway/PrefixMirror.h>
 
 namespace Catkinwell::Testing {
 
@@ -22,6 +23,9 @@
 // A ready endpoint with four slots.
 EndpointRecord sampleEndpoint(const std::string& id, const std::string& service, const LoadedModels& models = {});
 
+// A mirror of the gateways' keys that has read these entries.
+PrefixMirror mirrorOf(std::vector<StoreEntry>);
+
 // Returns the effects of one type, in order.
 template <typename Kind> std::vector<Kind> effectsOf(const EffectList& effects)
 {
--- a/tests/gateway/PromptRefusalRecordsTest.cpp
+++ b/tests/gateway/PromptRefusalRecordsTest.cpp
@@ -12,19 +12,6 @@
 const WallTime wallNow { std::chrono::hours(500000) };
 const PromptRefusal refusal { 7, { 1, 2 }, 3s };
 
-// A mirror that has read these entries.
-PrefixMirror mirrorOf(std::vector<StoreEntry> entries)
-{
-    PrefixMirror mirror(StoreUser::Shares, { "catkinwell/" }, 1);
-    EffectList effects;
-    mirror.tick(MonotonicTime(1h), effects);
-    StoreReply reply { effectsOf<StoreCall>(effects).at(0).id, StoreStatus::Ok };
-    reply.entries = std::move(entries);
-    reply.isWholeList = true;
-    mirror.handle(reply, MonotonicTime(1h), effects);
-    return mirror;
-}
-
 // Returns the store calls of the ticks in the given time.
 std::vector<StoreCall> callsOf(PromptRefusalRecords& records, const std::vector<PromptRefusal>& refusals,
     const PrefixMirror& mirror, bool isOwner, Duration duration)
--- a/tests/gateway/VersionMixRecordsTest.cpp
+++ b/tests/gateway/VersionMixRecordsTest.cpp
@@ -11,18 +11,6 @@
 const std::string prefix = "catkinwell/versions/";
 const WallTime wallNow { std::chrono::hours(500000) };
 
-PrefixMirror mirrorOf(std::vector<StoreEntry> entries)
-{
-    PrefixMirror mirror(StoreUser::Shares, { "catkinwell/" }, 1);
-    EffectList effects;
-    mirror.tick(MonotonicTime(1h), effects);
-    StoreReply reply { effectsOf<StoreCall>(effects).at(0).id, StoreStatus::Ok };
-    reply.entries = std::move(entries);
-    reply.isWholeList = true;
-    mirror.handle(reply, MonotonicTime(1h), effects);
-    return mirror;
-}
-
 std::string expiryAfter(std::chrono::seconds time)
 {
     return std::to_string(
