Let a stream wait for its model where one software version serves

Change: a stream ends for its version only where several serve. Evidence: 'Where one version serves, a stream whose only endpoint failed waits for another' failed before.

--- a/src/gateway/GatewayStreamVersions.cpp
+++ b/src/gateway/GatewayStreamVersions.cpp
@@ -55,12 +55,14 @@
 
 bool GatewayRequests::isVersionGone(const Request& request, MonotonicTime now) const
 {
+    // Where one version serves, the model may be loaded at any endpoint.
+    if (!request.softwareVersion || !m_directory.hasSeveralVersions(request.service, now))
+        return false;
     // An endpoint that rejected a request which has not run may accept it later; one that failed is not used again.
     const std::set<EndpointId> failed = request.mayHaveRun ? request.excluded : std::set<EndpointId>();
-    return request.softwareVersion
-        && !m_directory.canServe({ request.terms.callerRequestId, request.service, request.terms.variant, {}, failed,
-                                     request.softwareVersion },
-            now);
+    return !m_directory.canServe(
+        { request.terms.callerRequestId, request.service, request.terms.variant, {}, failed, request.softwareVersion },
+        now);
 }
 
 bool GatewayRequests::endIfVersionGone(Request& request, MonotonicTime now, EffectList& effects)
--- a/tests/gateway/StreamVersionTest.cpp
+++ b/tests/gateway/StreamVersionTest.cpp
@@ -263,6 +263,19 @@
     }
 }
 
+// Guards against a stream that is given up although its model may be loaded again at the same version.
+TEST_CASE("Where one version serves, a stream whose only endpoint failed waits for another")
+{
+    VersionFixture fixture({ "v1" });
+    const auto stream = fixture.begin(0);
+    fixture.fleet.breakOff(stream.attempt);
+    fixture.fleet.run(300ms);
+    CHECK(fixture.fleet.status(0)["requests"] == 1);
+    fixture.putEngine("y1", "v1");
+    fixture.fleet.run(1s);
+    CHECK(fixture.fleet.attempts.size() == stream.attempt + 2);
+}
+
 // Guards against streams that began before the second version appeared.
 TEST_CASE("A stream that began before a second version served goes on at the first")
 {
