Log whom a crash accuses, what clears a suspicion and which refusal a request meets

The logs could not tell the hypotheses of the incident apart. 2105 says how many events had arrived, whether the request is accused of the crash, and the hashes of its parts, by which 2107 names them; 2108 says which suspected parts were answered; a refusal (2101) names the refusal that it met, and a request that is refused as a whole is logged (2107).

--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -99,6 +99,8 @@
         std::size_t receivedBytes = 0;
         // Whether the answer is streamed to the caller.
         bool isForwarded = false;
+        // Whether the request is suspected of having crashed the endpoint.
+        bool isAccused = false;
         // Where a streamed answer stands.
         EventStreamPosition position;
     };
@@ -161,12 +163,12 @@
 
     std::optional<Refusal> admit(Request&, MonotonicTime now);
     std::optional<Refusal> authenticate(Request&) const;
-    static Refusal quarantineRefusal();
+    Refusal quarantineRefusal(const Request&) const;
     bool isQuarantined(const Request&, MonotonicTime now) const;
     void endQuarantined(Request&, MonotonicTime now, EffectList&);
     // Record what an answer, or a broken connection, says about the request's prompt.
     void noteAnswerBegun(Request&, MonotonicTime now);
-    void noteBrokenAttempt(const Request&, MonotonicTime now);
+    void noteBrokenAttempt(Request&, MonotonicTime now);
     // The following keep a stream at the software version that began it.
     bool isResumption(const Request&) const;
     // Starts the request at the version of its stream, asks other hosts for that version, or refuses the request.
--- a/include/catkinwell/logging/LogEvent.h
+++ b/include/catkinwell/logging/LogEvent.h
@@ -113,6 +113,7 @@
     GatewayAttemptFailed = 2105,
     GatewayStreamResumed = 2106,
     GatewayPromptRefusalChanged = 2107,
+    GatewaySuspicionCleared = 2108,
     GatewayConfigurationApplied = 2110,
     GatewayConfigurationRejected = 2111,
     GatewayEndpointChanged = 2112,
--- a/include/catkinwell/routing/PromptQuarantine.h
+++ b/include/catkinwell/routing/PromptQuarantine.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -96,11 +97,15 @@
     void tick(MonotonicTime now);
 
     bool isRefused(const PromptParts&, MonotonicTime now) const;
+    // Returns a refusal that concerns the parts, also one that has expired; nullopt if there is none.
+    std::optional<PromptRefusalId> refusalOf(const PromptParts&) const;
     // Whether one more crash would suffice to refuse a part, so that a broken request should not be repeated.
     bool isSuspicious(const PromptParts&) const;
     // Returns the refusals that began, or lost parts, since the last call. One without parts has ended: all its parts
     // were answered.
     std::vector<PromptRefusal> takeChanges(MonotonicTime now);
+    // Returns the suspected or refused parts that were answered since the last call.
+    std::vector<PromptPartHash> takeCleared() { return std::exchange(m_cleared, {}); }
 
     // Returns what the peers have to know. Successive calls cycle through the refusals.
     PromptQuarantineDigest nextDigest(MonotonicTime now);
@@ -170,6 +175,7 @@
     std::unordered_map<PromptPartHash, Answer> m_answers;
     std::map<PromptRefusalId, Refusal> m_refusals;
     std::set<PromptRefusalId> m_changed;
+    std::vector<PromptPartHash> m_cleared;
     PromptRefusalId m_lastReported = 0;
     std::uint64_t m_answerCount = 0;
     MonotonicTime m_nextReviewAt {};
--- a/src/gateway/GatewayQuarantine.cpp
+++ b/src/gateway/GatewayQuarantine.cpp
@@ -3,9 +3,24 @@
 // Refusal of requests that crash endpoints: how requests, peers and the store take part in the quarantines.
 namespace Catkinwell {
 
-GatewayRequests::Refusal GatewayRequests::quarantineRefusal()
+namespace {
+
+    template <typename List> std::string textOf(const List& parts)
+    {
+        std::string text;
+        for (const PromptPartHash part : parts)
+            text += (text.empty() ? "" : " ") + std::to_string(part);
+        return text;
+    }
+
+} // namespace
+
+GatewayRequests::Refusal GatewayRequests::quarantineRefusal(const Request& request) const
 {
-    return { 500, "quarantined", "endpoints that ran this request or its prompt crashed; change the prompt",
+    const auto byParts = m_promptQuarantine.refusalOf(request.sharedParts);
+    const std::string refusal = std::to_string(byParts.value_or(request.fingerprint));
+    return { 500, "quarantined",
+        "endpoints that ran this request or its prompt crashed (refusal " + refusal + "); change the prompt",
         std::nullopt };
 }
 
@@ -35,7 +50,7 @@
     if (request.mayHaveRun)
         fail(request, 502, "quarantined", now, effects);
     else
-        refuse(request, quarantineRefusal(), now, effects);
+        refuse(request, quarantineRefusal(request), now, effects);
 }
 
 void GatewayRequests::noteAnswerBegun(Request& request, MonotonicTime now)
@@ -46,9 +61,10 @@
     m_promptQuarantine.answered(request.sharedParts, now);
 }
 
-void GatewayRequests::noteBrokenAttempt(const Request& request, MonotonicTime now)
+void GatewayRequests::noteBrokenAttempt(Request& request, MonotonicTime now)
 {
-    if (!request.isAnswerBegun)
+    request.attempt->isAccused = !request.isAnswerBegun;
+    if (request.attempt->isAccused)
         m_promptQuarantine.attemptBroken(request.attempt->endpoint, { request.fingerprint, request.sharedParts }, now);
 }
 
@@ -62,11 +78,15 @@
 
 void GatewayReducer::handlePromptChanges(MonotonicTime now, EffectList& effects)
 {
+    const std::vector<PromptPartHash> cleared = m_requests.promptQuarantine().takeCleared();
+    if (!cleared.empty())
+        effects.push_back(LogEntry { LogEvent::GatewaySuspicionCleared, { { "parts", textOf(cleared) } } });
+    for (const RequestFingerprint fingerprint : m_requests.quarantine().takeNewlyRefused())
+        effects.push_back(LogEntry { LogEvent::GatewayPromptRefusalChanged,
+            { { "refusal", std::to_string(fingerprint) }, { "state", "refused" }, { "parts", "" } } });
     const std::vector<PromptRefusal> changes = m_requests.promptQuarantine().takeChanges(now);
     for (const PromptRefusal& refusal : changes) {
-        std::string parts;
-        for (const PromptPartHash part : refusal.parts)
-            parts += (parts.empty() ? "" : " ") + std::to_string(part);
+        const std::string parts = textOf(refusal.parts);
         effects.push_back(LogEntry { LogEvent::GatewayPromptRefusalChanged,
             { { "refusal", std::to_string(refusal.id) }, { "state", parts.empty() ? "ended" : "refused" },
                 { "parts", parts }, { "age_ms", std::to_string(millisecondsOf(refusal.age)) } } });
--- a/src/gateway/GatewayRequestOutcomes.cpp
+++ b/src/gateway/GatewayRequestOutcomes.cpp
@@ -2,6 +2,7 @@
 
 #include "http/HeaderText.h"
 #include <algorithm>
+#include <catkinwell/core/Digest.h>
 #include <cstdio>
 
 // The ends of attempts and requests: retries, answers, refusals and failures.
@@ -239,14 +240,19 @@
 {
     const Attempt& attempt = *request.attempt;
     std::string parts;
-    for (const std::string& part : request.terms.promptParts)
+    std::string hashes;
+    for (const std::string& part : request.terms.promptParts) {
         parts += (parts.empty() ? "" : " ") + part;
+        hashes += (hashes.empty() ? "" : " ") + std::to_string(stableHash(part));
+    }
     return { LogEvent::GatewayAttemptFailed,
         { { "request", request.terms.callerRequestId }, { "endpoint", attempt.endpoint.value },
             { "reason", std::string(reason) }, { "outcome", std::string(outcome) },
             { "status", std::to_string(attempt.status) }, { "received_bytes", std::to_string(attempt.receivedBytes) },
+            { "events", std::to_string(attempt.position.events()) }, { "accused", attempt.isAccused ? "yes" : "no" },
             { "milliseconds", milliseconds(now - attempt.startedAt) },
-            { "fingerprint", std::to_string(request.fingerprint) }, { "prompt_parts", parts } } };
+            { "fingerprint", std::to_string(request.fingerprint) }, { "prompt_parts", parts },
+            { "part_hashes", hashes } } };
 }
 
 void GatewayRequests::logEnd(LogEvent event, const Request& request, int status, std::string_view reason,
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -146,7 +146,7 @@
         + request.account.value + '\n' + request.arrived.body);
     request.sharedParts = sharedPartsOf(request.terms.promptParts);
     if (isQuarantined(request, now))
-        return quarantineRefusal();
+        return quarantineRefusal(request);
     const GatewayAccount* account = nullptr;
     if (const auto found = m_configuration.accounts.find(request.account); found != m_configuration.accounts.end())
         account = &found->second;
--- a/src/logging/LogEvent.cpp
+++ b/src/logging/LogEvent.cpp
@@ -243,6 +243,8 @@
             "Requests with certain parts in their prompts are refused because these parts crashed endpoints, or no "
             "longer refused because such requests were answered.",
             "Find the parts in the failed attempts (2105) before it and report them to the engine's maintainers." },
+        { LogEvent::GatewaySuspicionCleared, Info, "gateway_suspicion_cleared",
+            "Parts of prompts that were suspected of crashing endpoints were answered.", "" },
         { LogEvent::GatewayConfigurationApplied, Info, "gateway_configuration_applied",
             "A configuration version came into force on this host.", "" },
         { LogEvent::GatewayConfigurationRejected, Error, "gateway_configuration_rejected",
--- a/src/routing/PromptQuarantine.cpp
+++ b/src/routing/PromptQuarantine.cpp
@@ -15,6 +15,8 @@
     constexpr std::uint64_t neededAnswers = 5;
     // The crashes of one repeated request are the concern of CrashQuarantine.
     constexpr std::size_t neededRequests = 2;
+    // For the log, between two calls of takeCleared().
+    constexpr std::size_t maximumCleared = 256;
     constexpr Duration reviewInterval = std::chrono::milliseconds(100);
 
     PromptRefusalId refusalIdOf(const PromptParts& parts)
@@ -119,6 +121,8 @@
     if (known == m_answers.end() && m_answers.size() >= m_settings.maximumAnswered)
         eraseOldest(m_answers);
     m_answers[part] = { at, wasSeenHere };
+    if (m_cleared.size() < maximumCleared)
+        m_cleared.push_back(part);
     m_hasNews = m_hasNews || wasSeenHere;
     reduceRefusals(part, at);
 }
@@ -283,6 +287,13 @@
     });
 }
 
+std::optional<PromptRefusalId> PromptQuarantine::refusalOf(const PromptParts& parts) const
+{
+    const auto found = std::find_if(
+        m_refusals.begin(), m_refusals.end(), [&](const auto& item) { return containsAll(parts, item.second.parts); });
+    return found == m_refusals.end() ? std::nullopt : std::optional(found->first);
+}
+
 bool PromptQuarantine::isSuspicious(const PromptParts& parts) const
 {
     return std::any_of(parts.begin(), parts.end(), [this](PromptPartHash part) {
