--- a/src/replay/ReplayProtocol.cpp
+++ b/src/replay/ReplayProtocol.cpp
@@ -19,8 +19,9 @@
     terms.tokens = std::atof(headerValue(request.headers, "tokens").c_str());
     terms.lastEventId = headerValue(request.headers, "last-event");
     terms.resumedRequestId = headerValue(request.headers, "resumes");
+    const std::string session = headerValue(request.headers, "session");
     if (const std::string* part = findHeader(request.headers, "part"))
-        terms.promptParts = { *part, terms.callerRequestId };
+        terms.promptParts = { *part, session.empty() ? terms.callerRequestId : session };
     return terms;
 }
 
--- a/tests/gateway/SimulatedFleet.h
+++ b/tests/gateway/SimulatedFleet.h
@@ -90,6 +90,7 @@
 
     void start(std::size_t host);
     void kill(std::size_t host) { m_hosts[host].reducer.reset(); }
+    bool isRunning(std::size_t host) const { return m_hosts[host].reducer != nullptr; }
     // The host gets no answers from the store while it is disconnected.
     void setConnected(std::size_t host, bool isConnected);
     // The host reaches neither the store nor other hosts while it is isolated.
