Accuse requests of a crash also after their answer began, and try suspected ones one at a time

Cause: crashes were attributed at the wrong grain and too late. The crashes of one repeated request counted only where a connection was refused or a record showed another run, which engines that return under new identifiers never do. The last part of a prompt was left out, the first event cleared what should be accused, and copies that waited for a model were sent together although the first alone would have shown what they do.

Change: the fingerprint of a request and the last part of its prompt count as parts like any other, so that one table holds all evidence at all hosts and its refusals outlast them in the store. A broken connection accuses a request also after its answer began; only a complete answer, or one that has gone on for 5 s, clears. Of equally strong evidence the one whose answers had sent fewest events counts. CrashQuarantine stays for serving processes.

Changes in tests: fingerprints in PromptQuarantineTest no longer equal hashes of parts; the attempt that is cancelled by a refusal now starts before the first crash, because a later one is held back; the digest's suspects are replaced by trials and the numbers of runs and events.

--- a/include/catkinwell/gateway/GatewayMessage.h
+++ b/include/catkinwell/gateway/GatewayMessage.h
@@ -29,8 +29,6 @@
     // Sent only to the placement owner.
     DemandReport demand;
     std::vector<RunningCount> running;
-    // Fingerprints of requests that were running when an endpoint crashed, with the number of crashes.
-    std::vector<std::pair<std::uint64_t, std::uint32_t>> suspectFingerprints;
     PromptQuarantineDigest prompts;
     EndpointLimitDigest limits;
 };
--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -8,9 +8,9 @@
 #include <catkinwell/gateway/HostDemand.h>
 #include <catkinwell/gateway/RouteTable.h>
 #include <catkinwell/gateway/StreamVersions.h>
-#include <catkinwell/routing/CrashQuarantine.h>
 #include <catkinwell/routing/PromptQuarantine.h>
 #include <catkinwell/routing/RetryBudget.h>
+#include <catkinwell/routing/SuspectTrials.h>
 #include <unordered_map>
 
 namespace Catkinwell {
@@ -27,7 +27,8 @@
 class GatewayRequests {
 public:
     // Precondition: the other objects outlive this one.
-    GatewayRequests(GatewayRequestSettings, const ForwardingProtocol&, EndpointDirectory&, FleetQuota&);
+    GatewayRequests(
+        GatewayRequestSettings, const ForwardingProtocol&, EndpointDirectory&, FleetQuota&, HostId self = HostId());
 
     void configure(const GatewayConfiguration&);
     // Applies to the retry budgets of all services immediately.
@@ -66,8 +67,8 @@
     void noteAsked(StreamKey, std::size_t hosts, MonotonicTime now, EffectList&);
     // Another host reports, or answers a question.
     void handle(const StreamBeginning&, MonotonicTime now, EffectList&);
-    CrashQuarantine& quarantine() { return m_quarantine; }
     PromptQuarantine& promptQuarantine() { return m_promptQuarantine; }
+    SuspectTrials& trials() { return m_trials; }
     // Ends all requests that the quarantine refuses now and that no endpoint has begun to answer.
     void endQuarantined(MonotonicTime now, EffectList&);
 
@@ -114,8 +115,8 @@
         std::optional<int> priority;
         double units = 0;
         std::uint64_t fingerprint = 0;
-        // The parts of the prompt that other requests may share: all but the last.
-        PromptParts sharedParts;
+        // The parts of the prompt, and the fingerprint.
+        PromptParts parts;
         MonotonicTime arrivedAt {};
         MonotonicTime deadline {};
         // The caller abandons a stream that has not started by this time.
@@ -129,9 +130,13 @@
         unsigned rejections = 0;
         bool mayHaveRun = false;
         bool isHeadSent = false;
-        // Whether an endpoint has survived the beginning of an answer to this request.
-        bool isAnswerBegun = false;
+        // When the first event arrived.
+        std::optional<MonotonicTime> answerBegunAt;
+        // When the answer was last taken as proof that the request is harmless.
+        MonotonicTime provenAt {};
         bool isWaiting = false;
+        // Whether it waits for the trial of another request with a suspected part, rather than for a replica.
+        bool isHeld = false;
         MonotonicTime waitingSince {};
         // Time spent waiting for a replica, and time from arrival to the head of the first answer.
         Duration waited {};
@@ -166,9 +171,13 @@
     Refusal quarantineRefusal(const Request&) const;
     bool isQuarantined(const Request&, MonotonicTime now) const;
     void endQuarantined(Request&, MonotonicTime now, EffectList&);
-    // Record what an answer, or a broken connection, says about the request's prompt.
-    void noteAnswerBegun(Request&, MonotonicTime now);
+    // Record what an answer that is complete or goes on for long, or a broken connection, says about the request.
+    void noteAnswer(Request&, MonotonicTime now);
+    void noteAnswerGoesOn(Request&, MonotonicTime now);
     void noteBrokenAttempt(Request&, MonotonicTime now);
+    // Lets the request wait if another one with a suspected part is being tried. Returns whether it does.
+    bool holdForTrial(Request&, MonotonicTime now, EffectList&);
+    void beginWaiting(Request&, std::string_view reason, MonotonicTime now, EffectList&);
     // The following keep a stream at the software version that began it.
     bool isResumption(const Request&) const;
     // Starts the request at the version of its stream, asks other hosts for that version, or refuses the request.
@@ -221,8 +230,8 @@
     FleetQuota& m_quota;
     GatewayConfiguration m_configuration;
     RouteTable m_routes;
-    CrashQuarantine m_quarantine;
     PromptQuarantine m_promptQuarantine;
+    SuspectTrials m_trials;
     std::map<std::string, RetryBudget> m_budgets;
     std::size_t m_hostCount = 1;
     RequestMap m_requests;
--- a/include/catkinwell/routing/PromptQuarantine.h
+++ b/include/catkinwell/routing/PromptQuarantine.h
@@ -2,6 +2,7 @@
 
 #include <catkinwell/core/Clock.h>
 #include <catkinwell/core/Identifiers.h>
+#include <catkinwell/routing/AnsweredParts.h>
 #include <catkinwell/routing/CrashQuarantine.h>
 #include <cstdint>
 #include <deque>
@@ -9,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -28,10 +30,26 @@
     Duration age {};
 };
 
-// A request that ran without an answer when its endpoint broke the connection.
+// A request that ran when its endpoint broke the connection.
 struct BrokenRequest {
     RequestFingerprint fingerprint = 0;
     PromptParts parts;
+    // How many requests with this fingerprint ran there.
+    std::uint32_t runs = 1;
+    // Events of the answer that had arrived.
+    std::uint32_t events = 0;
+};
+
+// What speaks against the parts of one request.
+struct Suspicion {
+    // The parts that ran at an endpoint when it crashed and were not answered since. One crash accuses only parts that
+    // were not answered before either.
+    PromptParts parts;
+    // Those that ran in several crashes, or in several requests of one crash.
+    PromptParts strongParts;
+    MonotonicTime latestCrash {};
+
+    bool isStrong() const { return !strongParts.empty(); }
 };
 
 // The requests that one endpoint broke off at about the same time, as one host saw them.
@@ -53,8 +71,10 @@
     std::vector<PromptCrashReport> crashes;
     std::vector<AnsweredPart> answered;
     std::vector<PromptRefusal> refused;
+    // Suspected parts that the host tries (SuspectTrials).
+    std::vector<PromptPartHash> trials {};
 
-    bool isEmpty() const { return crashes.empty() && answered.empty() && refused.empty(); }
+    bool isEmpty() const { return crashes.empty() && answered.empty() && refused.empty() && trials.empty(); }
 };
 
 struct PromptQuarantineSettings {
@@ -77,11 +97,12 @@
     std::size_t maximumReportedAnswers = 64;
 };
 
-// Identifies parts of prompts that crash every endpoint that starts to answer on them, whatever else the request holds.
-// The parts of a request that an endpoint broke off before it had answered are suspected; an answer to any request with
-// a part clears the part. A part is refused once several crashes in different requests speak against it, without an
-// answer in between and while other requests are answered. Parts that no evidence tells apart are refused only
-// together, so that requests with some of them can still prove these harmless.
+// Identifies parts of prompts that crash every endpoint that answers on them, whatever else the request holds, and
+// single requests that do so: the fingerprint of a request counts as one more part of it. The parts of a request that
+// an endpoint broke off are suspected, also if the answer had begun; a complete answer to any request with a part
+// clears the part. A part is refused once several crashes speak against it, without an answer in between and while
+// other requests are answered. Parts that no evidence tells apart are refused only together, so that requests with some
+// of them can still prove these harmless. If all crashes happened under one request, its fingerprint is among them.
 //
 // Hosts share crashes, answers and refusals in digests, so that the crash of one endpoint counts once in the fleet.
 // Pure; not thread safe.
@@ -89,9 +110,9 @@
 public:
     explicit PromptQuarantine(PromptQuarantineSettings settings = {});
 
-    // The endpoint broke the connection of a request before it had answered.
+    // The endpoint broke the connection of a request before its answer was complete.
     void attemptBroken(const EndpointId&, const BrokenRequest&, MonotonicTime now);
-    // An endpoint survived answering a request with these parts, which may be none.
+    // An endpoint survived answering a request with these parts, which may be none. They include its fingerprint.
     void answered(const PromptParts&, MonotonicTime now);
     // Refuses the parts against which there is enough evidence, and forgets what has expired.
     void tick(MonotonicTime now);
@@ -101,6 +122,7 @@
     std::optional<PromptRefusalId> refusalOf(const PromptParts&) const;
     // Whether one more crash would suffice to refuse a part, so that a broken request should not be repeated.
     bool isSuspicious(const PromptParts&) const;
+    Suspicion suspicionOf(const PromptParts&, MonotonicTime now) const;
     // Returns the refusals that began, or lost parts, since the last call. One without parts has ended: all its parts
     // were answered.
     std::vector<PromptRefusal> takeChanges(MonotonicTime now);
@@ -122,12 +144,20 @@
     std::vector<PromptRefusalId> refusalIds() const;
 
 private:
+    // A request that ran at a crashed endpoint.
+    struct Involved {
+        PromptParts parts;
+        // How many of its runs this host had sent, and the most that one other host reports.
+        std::uint32_t ownRuns = 0;
+        std::uint32_t peerRuns = 0;
+        // The most events that a run had sent.
+        std::uint32_t events = 0;
+    };
+
     struct Crash {
         std::uint64_t endpoint = 0;
         MonotonicTime at {};
-        std::map<RequestFingerprint, PromptParts> requests;
-        // Those of the requests that this host sent.
-        std::set<RequestFingerprint> ownRequests;
+        std::map<RequestFingerprint, Involved> requests;
         // Number of answers that this host had seen before it.
         std::uint64_t answersBefore = 0;
     };
@@ -145,6 +175,10 @@
     // What speaks against a part.
     struct Evidence {
         unsigned crashes = 0;
+        // Runs of requests with the part that ended in these crashes.
+        std::uint32_t runs = 0;
+        // The events that these requests had sent before. One that crashes its endpoint sends few.
+        std::uint64_t events = 0;
         MonotonicTime latest {};
         std::uint64_t answersBefore = 0;
         std::set<RequestFingerprint> requests;
@@ -155,16 +189,19 @@
     void expire(MonotonicTime now);
     void review(MonotonicTime now);
     Crash& crashOf(std::uint64_t endpoint, MonotonicTime at);
-    void addRequest(Crash&, const BrokenRequest&, bool isOwn);
+    Involved* involve(Crash&, const BrokenRequest&);
     void noteAnswer(PromptPartHash, MonotonicTime at, bool wasSeenHere);
     void reduceRefusals(PromptPartHash, MonotonicTime answeredAt);
-    bool isSuspected(PromptPartHash) const;
+    // Whether the part ran in a crash, answered since or not.
+    bool isSuspected(PromptPartHash part) const { return m_accusedParts.contains(part); }
+    void updateAccusedParts();
     bool wasAnsweredSince(PromptPartHash, MonotonicTime) const;
     bool isInRefusal(PromptPartHash) const;
     bool isExplained(const Crash&, PromptPartHash) const;
     PromptParts partsOfSeveralCrashes() const;
     Evidence evidenceAgainst(PromptPartHash) const;
     bool isConclusive(const Evidence&, MonotonicTime now) const;
+    static bool isStronger(const Evidence&, const Evidence&);
     PromptParts suspectedPartsOf(const Evidence&) const;
     void refuse(PromptParts, MonotonicTime now);
 
@@ -176,6 +213,9 @@
     std::map<PromptRefusalId, Refusal> m_refusals;
     std::set<PromptRefusalId> m_changed;
     std::vector<PromptPartHash> m_cleared;
+    // All parts of the requests in m_crashes.
+    std::unordered_set<PromptPartHash> m_accusedParts;
+    AnsweredParts m_answeredParts;
     PromptRefusalId m_lastReported = 0;
     std::uint64_t m_answerCount = 0;
     MonotonicTime m_nextReviewAt {};
--- a/src/gateway/GatewayMessage.cpp
+++ b/src/gateway/GatewayMessage.cpp
@@ -97,12 +97,11 @@
             for (const RunningCount& entry : digest.running)
                 running.push_back(Json::array(
                     { entry.endpoint.value, entry.variant.model.value, entry.variant.adapter, entry.count }));
-            Json suspects = Json::array();
-            for (const auto& [fingerprint, crashes] : digest.suspectFingerprints)
-                suspects.push_back(Json::array({ fingerprint, crashes }));
-            Json message = Json::array(
-                { Kind::HostDigest, digest.sequence, digest.configurationVersion, digest.isLeaving, std::move(usage),
-                    digest.demand.isWhole, std::move(demand), std::move(running), std::move(suspects) });
+            // Read by hosts of earlier releases only.
+            const Json unusedList = Json::array();
+            Json message
+                = Json::array({ Kind::HostDigest, digest.sequence, digest.configurationVersion, digest.isLeaving,
+                    std::move(usage), digest.demand.isWhole, std::move(demand), std::move(running), unusedList });
             if (!digest.prompts.isEmpty() || !digest.limits.isEmpty()) {
                 message.push_back(jsonOf(digest.prompts));
                 message.push_back(listOfLimits(digest.limits));
@@ -157,8 +156,6 @@
         for (const Json& entry : list.at(7))
             digest.running.push_back({ EndpointId(entry.at(0).get<std::string>()), variantOf(entry.at(1), entry.at(2)),
                 entry.at(3).get<std::uint32_t>() });
-        for (const Json& entry : list.at(8))
-            digest.suspectFingerprints.emplace_back(entry.at(0).get<std::uint64_t>(), entry.at(1).get<std::uint32_t>());
         // Absent from most digests.
         if (list.size() > 9) {
             digest.prompts = promptQuarantineDigestOf(list.at(9));
--- a/src/gateway/GatewayQuarantine.cpp
+++ b/src/gateway/GatewayQuarantine.cpp
@@ -5,6 +5,10 @@
 
 namespace {
 
+    // An answer that has gone on for this long shows that its request is harmless.
+    constexpr Duration longAnswer = std::chrono::seconds(5);
+    constexpr Duration proofInterval = std::chrono::seconds(1);
+
     template <typename List> std::string textOf(const List& parts)
     {
         std::string text;
@@ -17,8 +21,7 @@
 
 GatewayRequests::Refusal GatewayRequests::quarantineRefusal(const Request& request) const
 {
-    const auto byParts = m_promptQuarantine.refusalOf(request.sharedParts);
-    const std::string refusal = std::to_string(byParts.value_or(request.fingerprint));
+    const std::string refusal = std::to_string(m_promptQuarantine.refusalOf(request.parts).value_or(0));
     return { 500, "quarantined",
         "endpoints that ran this request or its prompt crashed (refusal " + refusal + "); change the prompt",
         std::nullopt };
@@ -26,14 +29,14 @@
 
 bool GatewayRequests::isQuarantined(const Request& request, MonotonicTime now) const
 {
-    return m_quarantine.isRefused(request.fingerprint, now) || m_promptQuarantine.isRefused(request.sharedParts, now);
+    return m_promptQuarantine.isRefused(request.parts, now);
 }
 
 void GatewayRequests::endQuarantined(MonotonicTime now, EffectList& effects)
 {
     std::vector<RequestId> ids;
     for (const auto& [id, request] : m_requests) {
-        if (!request.isAnswerBegun && isQuarantined(request, now))
+        if (!request.answerBegunAt && isQuarantined(request, now))
             ids.push_back(id);
     }
     for (const RequestId id : ids)
@@ -53,19 +56,49 @@
         refuse(request, quarantineRefusal(request), now, effects);
 }
 
-void GatewayRequests::noteAnswerBegun(Request& request, MonotonicTime now)
+void GatewayRequests::noteAnswer(Request& request, MonotonicTime now)
+{
+    request.provenAt = now;
+    m_promptQuarantine.answered(request.parts, now);
+}
+
+void GatewayRequests::noteAnswerGoesOn(Request& request, MonotonicTime now)
 {
-    if (request.isAnswerBegun)
+    if (!request.answerBegunAt)
+        request.answerBegunAt = now;
+    if (now - *request.answerBegunAt < longAnswer || now - request.provenAt < proofInterval)
         return;
-    request.isAnswerBegun = true;
-    m_promptQuarantine.answered(request.sharedParts, now);
+    noteAnswer(request, now);
+    m_trials.ended(request.arrived.id);
 }
 
 void GatewayRequests::noteBrokenAttempt(Request& request, MonotonicTime now)
 {
-    request.attempt->isAccused = !request.isAnswerBegun;
-    if (request.attempt->isAccused)
-        m_promptQuarantine.attemptBroken(request.attempt->endpoint, { request.fingerprint, request.sharedParts }, now);
+    Attempt& attempt = *request.attempt;
+    if (std::exchange(attempt.isAccused, true))
+        return;
+    const auto events = static_cast<std::uint32_t>(attempt.position.events());
+    m_promptQuarantine.attemptBroken(attempt.endpoint, { request.fingerprint, request.parts, 1, events }, now);
+}
+
+// What ran at an endpoint that started anew is suspected, also where no connection was closed.
+void GatewayRequests::endpointDied(const EndpointId& endpoint, MonotonicTime now)
+{
+    for (auto& [id, request] : m_requests) {
+        if (request.attempt && request.attempt->endpoint == endpoint)
+            noteBrokenAttempt(request, now);
+    }
+}
+
+bool GatewayRequests::holdForTrial(Request& request, MonotonicTime now, EffectList& effects)
+{
+    if (m_trials.mayStart(m_promptQuarantine.suspicionOf(request.parts, now), now))
+        return false;
+    if (!request.isWaiting) {
+        request.isHeld = true;
+        beginWaiting(request, "another request with a suspected prompt is tried", now, effects);
+    }
+    return true;
 }
 
 void GatewayReducer::updatePromptQuarantine(MonotonicTime now, EffectList& effects)
@@ -81,9 +114,6 @@
     const std::vector<PromptPartHash> cleared = m_requests.promptQuarantine().takeCleared();
     if (!cleared.empty())
         effects.push_back(LogEntry { LogEvent::GatewaySuspicionCleared, { { "parts", textOf(cleared) } } });
-    for (const RequestFingerprint fingerprint : m_requests.quarantine().takeNewlyRefused())
-        effects.push_back(LogEntry { LogEvent::GatewayPromptRefusalChanged,
-            { { "refusal", std::to_string(fingerprint) }, { "state", "refused" }, { "parts", "" } } });
     const std::vector<PromptRefusal> changes = m_requests.promptQuarantine().takeChanges(now);
     for (const PromptRefusal& refusal : changes) {
         const std::string parts = textOf(refusal.parts);
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -81,7 +81,7 @@
     , m_ownership(ownershipOf(m_settings, incarnation), seed + 4)
     , m_directory(m_settings.dataCentre, seed + 6, m_settings.host)
     , m_quota(m_settings.host)
-    , m_requests(m_settings.requests, protocol, m_directory, m_quota)
+    , m_requests(m_settings.requests, protocol, m_directory, m_quota, m_settings.host)
     , m_placement(m_settings.placement, m_directory)
     , m_refusalRecords(m_settings.storeKeyPrefix + "quarantine/")
     , m_versionMixes(m_settings.storeKeyPrefix + "versions/")
@@ -250,6 +250,7 @@
     m_directory.limits().setPeers(m_livePeers, now);
     m_directory.limits().setReportInterval(digestInterval());
     m_requests.setHostCount(m_livePeers.size() + 1);
+    m_requests.trials().setPeers(m_livePeers);
     m_endpointMirror.setMinimumInterval(
         std::clamp<Duration>(recordIntervalPerHost * static_cast<std::int64_t>(m_livePeers.size() + 1),
             shortestRecordInterval, longestRecordInterval));
@@ -274,8 +275,8 @@
     digest.usage = m_quota.ownUsage();
     digest.running = m_directory.running();
     digest.limits = m_directory.limits().digest(now);
-    digest.suspectFingerprints = m_requests.quarantine().nextDigest(now);
     digest.prompts = m_requests.promptQuarantine().nextDigest(now);
+    digest.prompts.trials = m_requests.trials().report();
     return digest;
 }
 
@@ -285,8 +286,9 @@
     if (now < m_nextNewsAt)
         return;
     const bool hasCrashNews = m_requests.promptQuarantine().takeNews();
+    const bool hasTrialNews = m_requests.trials().takeNews();
     const bool hasLimitNews = m_directory.limits().takeNews();
-    if (!hasCrashNews && !hasLimitNews)
+    if (!hasCrashNews && !hasTrialNews && !hasLimitNews)
         return;
     m_nextNewsAt = now + newsInterval;
     m_nextDigestAt = now;
@@ -428,7 +430,7 @@
     m_directory.handle(received.from, digest);
     m_directory.limits().merge(received.from, received.incarnation, digest.limits, now, effects);
     m_placement.handle(received.from, digest.demand, now);
-    m_requests.quarantine().merge(received.from, digest.suspectFingerprints, now);
+    m_requests.trials().merge(received.from, digest.prompts.trials, now);
     m_requests.promptQuarantine().merge(digest.prompts, now);
     handlePromptChanges(now, effects);
     if (m_placement.isOwner()) {
--- a/src/gateway/GatewayRequestOutcomes.cpp
+++ b/src/gateway/GatewayRequestOutcomes.cpp
@@ -106,7 +106,7 @@
 {
     const int status = request.attempt->status;
     if (status < 500)
-        noteAnswerBegun(request, now);
+        noteAnswer(request, now);
     logEnd(LogEvent::GatewayRequestFinished, request, status, "", now, effects);
     effects.push_back(RecordMetric { Metric::RequestSeconds, request.service, secondsOf(now - request.arrivedAt) });
     endAttempt(request, status >= 500 ? AttemptVerdict::Bad : AttemptVerdict::Good, now, effects);
@@ -146,7 +146,7 @@
     const bool isSafe = request.route.isIdempotent || request.route.isResumable;
     if (!isSafe || request.attempts + 1 >= request.route.maximumAttempts || request.deadline - now <= shortestAttempt)
         return false;
-    return request.isAnswerBegun || !m_promptQuarantine.isSuspicious(request.sharedParts);
+    return !m_promptQuarantine.isSuspicious(request.parts);
 }
 
 bool GatewayRequests::takeRetry(const Request& request, MonotonicTime now)
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -39,14 +39,6 @@
 
     std::string wholeNumber(double value) { return std::to_string(static_cast<std::int64_t>(value)); }
 
-    PromptParts sharedPartsOf(const std::vector<std::string>& promptParts)
-    {
-        PromptParts shared;
-        for (std::size_t i = 0; i + 1 < promptParts.size(); ++i)
-            shared.insert(stableHash(promptParts[i]));
-        return shared;
-    }
-
     std::string_view pathOf(const RequestArrived& request)
     {
         return std::string_view(request.target).substr(0, request.target.find('?'));
@@ -55,11 +47,12 @@
 } // namespace
 
 GatewayRequests::GatewayRequests(GatewayRequestSettings settings, const ForwardingProtocol& protocol,
-    EndpointDirectory& directory, FleetQuota& quota)
+    EndpointDirectory& directory, FleetQuota& quota, HostId self)
     : m_settings(settings)
     , m_protocol(protocol)
     , m_directory(directory)
     , m_quota(quota)
+    , m_trials(std::move(self))
 {
 }
 
@@ -144,7 +137,10 @@
         return refusal;
     request.fingerprint = stableHash(request.arrived.method + '\n' + request.arrived.target + '\n'
         + request.account.value + '\n' + request.arrived.body);
-    request.sharedParts = sharedPartsOf(request.terms.promptParts);
+    request.parts = { request.fingerprint };
+    for (const std::string& part : request.terms.promptParts)
+        request.parts.insert(stableHash(part));
+    m_promptQuarantine.tick(now);
     if (isQuarantined(request, now))
         return quarantineRefusal(request);
     const GatewayAccount* account = nullptr;
@@ -185,10 +181,12 @@
         checkDeadlines(request, now, effects);
         return;
     }
-    if (!request.isAnswerBegun && isQuarantined(request, now)) {
+    if (isQuarantined(request, now)) {
         endQuarantined(request, now, effects);
         return;
     }
+    if (holdForTrial(request, now, effects))
+        return;
     EndpointNeed need { request.terms.callerRequestId, request.service, request.terms.variant,
         request.terms.promptParts, request.excluded, request.softwareVersion };
     auto choice = m_directory.choose(need, now, effects);
@@ -217,20 +215,27 @@
 
 void GatewayRequests::waitForReplica(Request& request, MonotonicTime now, EffectList& effects)
 {
+    if (request.isHeld)
+        stopWaiting(request, now);
     if (request.isWaiting)
         return;
-    request.isWaiting = true;
-    request.waitingSince = now;
-    m_waiting.insert(request.arrived.id);
+    beginWaiting(request, "no replica is ready", now, effects);
     const ModelVariant& variant = request.terms.variant;
     if (!variant.model.value.empty()) {
         m_demand.waitBegan({ request.service, variant }, now);
         m_newlyWaiting = true;
     }
+    refuseIfTooLate(request, shortestTimeToReplica({ request.service, variant }, now), now, effects);
+}
+
+void GatewayRequests::beginWaiting(Request& request, std::string_view reason, MonotonicTime now, EffectList& effects)
+{
+    request.isWaiting = true;
+    request.waitingSince = now;
+    m_waiting.insert(request.arrived.id);
     effects.push_back(LogEntry { LogEvent::GatewayRequestWaits,
         { { "request", request.terms.callerRequestId }, { "service", request.service },
-            { "model", variant.text() } } });
-    refuseIfTooLate(request, shortestTimeToReplica({ request.service, variant }, now), now, effects);
+            { "model", request.terms.variant.text() }, { "reason", std::string(reason) } } });
 }
 
 std::optional<Duration> GatewayRequests::shortestTimeToReplica(const ServiceVariant& key, MonotonicTime now) const
@@ -275,7 +280,7 @@
     request.isWaiting = false;
     request.waited += now - request.waitingSince;
     m_waiting.erase(request.arrived.id);
-    if (!request.terms.variant.model.value.empty())
+    if (!std::exchange(request.isHeld, false) && !request.terms.variant.model.value.empty())
         m_demand.waitEnded({ request.service, request.terms.variant }, now);
 }
 
@@ -306,7 +311,7 @@
     start.silenceTimeout = attemptSilenceTimeout;
     start.echoHeader = m_protocol.echoHeader();
     m_directory.attemptStarted(choice.endpoint, request.terms.variant, now);
-    m_quarantine.attemptStarted(choice.endpoint, request.fingerprint);
+    m_trials.started(request.arrived.id, m_promptQuarantine.suspicionOf(request.parts, now));
     m_attempts[attempt.id] = request.arrived.id;
     effects.push_back(RecordMetric { Metric::AttemptsTotal, request.service });
     request.attempt = std::move(attempt);
@@ -317,7 +322,7 @@
 {
     const Attempt& attempt = *request.attempt;
     m_directory.attemptEnded(attempt.endpoint, request.terms.variant, verdict, now, effects);
-    m_quarantine.attemptEnded(attempt.endpoint, request.fingerprint, verdict == AttemptVerdict::Good, now);
+    m_trials.ended(request.arrived.id);
     m_attempts.erase(attempt.id);
     request.attempt.reset();
 }
@@ -366,7 +371,7 @@
     if (request->attempt->isForwarded) {
         request->attempt->position.feed(data.data);
         if (request->attempt->position.events() > 0) {
-            noteAnswerBegun(*request, now);
+            noteAnswerGoesOn(*request, now);
             noteStreamBegun(*request, now);
         }
         if (request->attempt->position.openBytes() > maximumEventBytes)
@@ -419,8 +424,7 @@
     const EndpointId endpoint = request->attempt->endpoint;
     effects.push_back(failedAttemptEntry(*request, failed.reason, "not_sent", now));
     m_directory.limits().attemptNotSent(endpoint, now);
-    m_quarantine.attemptNotSent(endpoint, request->fingerprint);
-    m_quarantine.endpointDied(endpoint, now);
+    m_trials.ended(request->arrived.id);
     m_directory.attemptEnded(endpoint, request->terms.variant, AttemptVerdict::Unreachable, now, effects);
     request->excluded.insert(endpoint);
     m_attempts.erase(failed.id);
@@ -468,6 +472,8 @@
         if (!m_waiting.contains(id))
             continue;
         Request& waiting = m_requests.at(id);
+        if (waiting.isHeld)
+            continue;
         const ServiceVariant key(waiting.service, waiting.terms.variant);
         const auto [known, isNew] = soonest.try_emplace(key);
         if (isNew)
@@ -496,7 +502,14 @@
         return;
     }
     if (request.isWaiting) {
-        if (now >= waitLimit(request) && !request.mayHaveRun)
+        if (now < waitLimit(request) || request.mayHaveRun)
+            return;
+        if (request.isHeld)
+            refuse(request,
+                { 503, "under_trial", "a request with the same prompt crashed an endpoint and another one is tried",
+                    longRetryAfter },
+                now, effects);
+        else
             refuse(request, { 503, "no_replica", "no replica became ready in time", longRetryAfter }, now, effects);
         return;
     }
@@ -540,9 +553,4 @@
     }
 }
 
-void GatewayRequests::endpointDied(const EndpointId& endpoint, MonotonicTime now)
-{
-    m_quarantine.endpointDied(endpoint, now);
-}
-
 } // namespace Catkinwell
--- a/src/logging/LogEvent.cpp
+++ b/src/logging/LogEvent.cpp
@@ -230,7 +230,9 @@
             "A request ended without a complete answer and may have run.",
             "Find its attempts (2105) and examine the logs of their endpoints." },
         { LogEvent::GatewayRequestWaits, Info, "gateway_request_waits",
-            "A request is waiting for a replica of its model or for an adapter.",
+            "A request is waiting for a replica of its model, for an adapter, or because another request with a "
+            "suspected "
+            "prompt is being tried; the field \"reason\" tells which.",
             "If many requests wait, check that there is a placement owner (2120), and its orders (2122, 2123)." },
         { LogEvent::GatewayEndpointChosen, Info, "gateway_endpoint_chosen",
             "An endpoint was chosen for a request; the fields give its load and the age of its last known state.", "" },
--- a/src/routing/PromptQuarantine.cpp
+++ b/src/routing/PromptQuarantine.cpp
@@ -13,8 +13,8 @@
     constexpr unsigned crashLimitWithoutAnswers = 5;
     // Answers to other requests which show that the endpoints work.
     constexpr std::uint64_t neededAnswers = 5;
-    // The crashes of one repeated request are the concern of CrashQuarantine.
-    constexpr std::size_t neededRequests = 2;
+    // Runs in one crash that make a part that was never answered strongly suspected.
+    constexpr std::uint32_t strongRuns = 3;
     // For the log, between two calls of takeCleared().
     constexpr std::size_t maximumCleared = 256;
     constexpr Duration reviewInterval = std::chrono::milliseconds(100);
@@ -56,10 +56,9 @@
 
 void PromptQuarantine::attemptBroken(const EndpointId& endpoint, const BrokenRequest& request, MonotonicTime now)
 {
-    if (request.parts.empty())
-        return;
     expire(now);
-    addRequest(crashOf(stableHash(endpoint.value), now), request, true);
+    if (Involved* involved = involve(crashOf(stableHash(endpoint.value), now), request))
+        involved->ownRuns += request.runs;
     m_hasNews = true;
 }
 
@@ -72,33 +71,42 @@
     });
     if (known != m_crashes.end())
         return *known;
-    if (m_crashes.size() >= m_settings.maximumCrashes)
+    if (m_crashes.size() >= m_settings.maximumCrashes) {
         m_crashes.pop_front();
+        updateAccusedParts();
+    }
     const auto position = std::upper_bound(
         m_crashes.begin(), m_crashes.end(), at, [](MonotonicTime time, const Crash& crash) { return time < crash.at; });
-    return *m_crashes.insert(position, Crash { endpoint, at, {}, {}, m_answerCount });
+    return *m_crashes.insert(position, Crash { endpoint, at, {}, m_answerCount });
 }
 
-void PromptQuarantine::addRequest(Crash& crash, const BrokenRequest& request, bool isOwn)
+// Returns nullptr if too many requests are known of the crash.
+PromptQuarantine::Involved* PromptQuarantine::involve(Crash& crash, const BrokenRequest& request)
 {
-    if (crash.requests.size() >= m_settings.maximumRequestsPerCrash)
-        return;
-    crash.requests.emplace(request.fingerprint, request.parts);
-    if (isOwn)
-        crash.ownRequests.insert(request.fingerprint);
+    if (crash.requests.size() >= m_settings.maximumRequestsPerCrash && !crash.requests.contains(request.fingerprint))
+        return nullptr;
+    Involved& involved = crash.requests[request.fingerprint];
+    involved.parts = request.parts;
+    involved.parts.insert(request.fingerprint);
+    involved.events = std::max(involved.events, request.events);
+    m_accusedParts.insert(involved.parts.begin(), involved.parts.end());
+    return &involved;
 }
 
-bool PromptQuarantine::isSuspected(PromptPartHash part) const
+void PromptQuarantine::updateAccusedParts()
 {
-    return std::any_of(m_crashes.begin(), m_crashes.end(), [part](const Crash& crash) {
-        return std::any_of(crash.requests.begin(), crash.requests.end(),
-            [part](const auto& request) { return request.second.contains(part); });
-    });
+    m_accusedParts.clear();
+    for (const Crash& crash : m_crashes) {
+        for (const auto& [fingerprint, involved] : crash.requests)
+            m_accusedParts.insert(involved.parts.begin(), involved.parts.end());
+    }
 }
 
 void PromptQuarantine::answered(const PromptParts& parts, MonotonicTime now)
 {
     ++m_answerCount;
+    for (const PromptPartHash part : parts)
+        m_answeredParts.insert(part, now);
     if (m_crashes.empty() && m_refusals.empty())
         return;
     for (const PromptPartHash part : parts) {
@@ -150,7 +158,7 @@
         const PromptParts& refused = item.second.parts;
         return !refused.contains(part)
             && std::any_of(crash.requests.begin(), crash.requests.end(),
-                [&](const auto& request) { return containsAll(request.second, refused); });
+                [&](const auto& request) { return containsAll(request.second.parts, refused); });
     });
 }
 
@@ -161,11 +169,14 @@
         if (wasAnsweredSince(part, crash.at) || isExplained(crash, part))
             continue;
         bool isInvolved = false;
-        for (const auto& [fingerprint, parts] : crash.requests) {
-            if (!parts.contains(part))
+        for (const auto& [fingerprint, involved] : crash.requests) {
+            if (!involved.parts.contains(part))
                 continue;
-            evidence.commonParts = evidence.requests.empty() ? parts : intersectionOf(evidence.commonParts, parts);
+            evidence.commonParts
+                = evidence.requests.empty() ? involved.parts : intersectionOf(evidence.commonParts, involved.parts);
             evidence.requests.insert(fingerprint);
+            evidence.runs += involved.ownRuns + involved.peerRuns;
+            evidence.events += involved.events;
             isInvolved = true;
         }
         if (!isInvolved || (evidence.crashes > 0 && crash.at - evidence.latest < m_settings.sameCauseTime))
@@ -180,9 +191,11 @@
 
 bool PromptQuarantine::isConclusive(const Evidence& evidence, MonotonicTime now) const
 {
+    // A refusal of one request alone cannot turn others away.
+    const bool isOneRequest = evidence.requests.size() == 1;
     const bool areOthersAnswered = m_answerCount >= evidence.answersBefore + neededAnswers;
-    return evidence.crashes >= (areOthersAnswered ? crashLimit : crashLimitWithoutAnswers)
-        && evidence.requests.size() >= neededRequests && now - evidence.latest >= m_settings.settleTime;
+    const unsigned needed = isOneRequest || areOthersAnswered ? crashLimit : crashLimitWithoutAnswers;
+    return evidence.crashes >= needed && now - evidence.latest >= m_settings.settleTime;
 }
 
 PromptParts PromptQuarantine::partsOfSeveralCrashes() const
@@ -190,8 +203,8 @@
     std::unordered_map<PromptPartHash, unsigned> counts;
     for (const Crash& crash : m_crashes) {
         PromptParts parts;
-        for (const auto& [fingerprint, ofRequest] : crash.requests)
-            parts.insert(ofRequest.begin(), ofRequest.end());
+        for (const auto& [fingerprint, involved] : crash.requests)
+            parts.insert(involved.parts.begin(), involved.parts.end());
         for (const PromptPartHash part : parts)
             ++counts[part];
     }
@@ -203,7 +216,14 @@
     return several;
 }
 
-// Refuses the parts with the most crashes first: they may explain those of others.
+bool PromptQuarantine::isStronger(const Evidence& left, const Evidence& right)
+{
+    if (left.crashes != right.crashes)
+        return left.crashes > right.crashes;
+    return left.crashes > 0 && left.events < right.events;
+}
+
+// Refuses the parts with the strongest evidence first: they may explain the crashes of others.
 void PromptQuarantine::review(MonotonicTime now)
 {
     const PromptParts candidates = partsOfSeveralCrashes();
@@ -211,7 +231,7 @@
         Evidence strongest;
         for (const PromptPartHash part : candidates) {
             Evidence evidence = evidenceAgainst(part);
-            if (evidence.crashes > strongest.crashes && isConclusive(evidence, now)
+            if (isStronger(evidence, strongest) && isConclusive(evidence, now)
                 && !isRefused(suspectedPartsOf(evidence), now))
                 strongest = std::move(evidence);
         }
@@ -296,10 +316,27 @@
 
 bool PromptQuarantine::isSuspicious(const PromptParts& parts) const
 {
-    return std::any_of(parts.begin(), parts.end(), [this](PromptPartHash part) {
+    return std::any_of(parts.begin(), parts.end(),
+        [this](PromptPartHash part) { return isSuspected(part) && evidenceAgainst(part).crashes + 1 >= crashLimit; });
+}
+
+Suspicion PromptQuarantine::suspicionOf(const PromptParts& parts, MonotonicTime now) const
+{
+    Suspicion suspicion;
+    for (const PromptPartHash part : parts) {
+        if (!isSuspected(part))
+            continue;
         const Evidence evidence = evidenceAgainst(part);
-        return evidence.crashes + 1 >= crashLimit && evidence.requests.size() >= neededRequests;
-    });
+        const bool isNew = !m_answeredParts.contains(part, now);
+        const bool isStrong = evidence.crashes > 1 || (isNew && evidence.runs >= strongRuns);
+        if (evidence.crashes == 0 || !(isNew || isStrong))
+            continue;
+        suspicion.parts.insert(part);
+        if (isStrong)
+            suspicion.strongParts.insert(part);
+        suspicion.latestCrash = std::max(suspicion.latestCrash, evidence.latest);
+    }
+    return suspicion;
 }
 
 std::vector<PromptRefusal> PromptQuarantine::takeChanges(MonotonicTime now)
@@ -333,8 +370,11 @@
 
 void PromptQuarantine::expire(MonotonicTime now)
 {
+    const std::size_t known = m_crashes.size();
     while (!m_crashes.empty() && now - m_crashes.front().at >= m_settings.lifetime)
         m_crashes.pop_front();
+    if (m_crashes.size() != known)
+        updateAccusedParts();
     std::erase_if(m_refusals, [&](const auto& item) { return now - item.second.at >= m_settings.lifetime; });
     std::erase_if(m_answers, [&](const auto& item) { return now - item.second.at >= m_settings.lifetime; });
 }
@@ -346,8 +386,10 @@
         if (now - crash->at >= m_settings.reportTime || digest.crashes.size() >= m_settings.maximumReported)
             break;
         PromptCrashReport report { crash->endpoint, now - crash->at, {} };
-        for (const RequestFingerprint fingerprint : crash->ownRequests)
-            report.requests.push_back({ fingerprint, crash->requests.at(fingerprint) });
+        for (const auto& [fingerprint, involved] : crash->requests) {
+            if (involved.ownRuns > 0)
+                report.requests.push_back({ fingerprint, involved.parts, involved.ownRuns, involved.events });
+        }
         if (!report.requests.empty())
             digest.crashes.push_back(std::move(report));
     }
@@ -381,8 +423,10 @@
         if (report.age >= m_settings.lifetime || report.requests.empty())
             continue;
         Crash& crash = crashOf(report.endpoint, now - report.age);
-        for (const BrokenRequest& request : report.requests)
-            addRequest(crash, request, false);
+        for (const BrokenRequest& request : report.requests) {
+            if (Involved* involved = involve(crash, request))
+                involved->peerRuns = std::max(involved->peerRuns, request.runs);
+        }
     }
     for (const PromptRefusal& refusal : digest.refused)
         adopt(refusal, now);
--- a/src/routing/PromptQuarantineCodec.cpp
+++ b/src/routing/PromptQuarantineCodec.cpp
@@ -19,7 +19,7 @@
     for (const PromptCrashReport& report : digest.crashes) {
         Json requests = Json::array();
         for (const BrokenRequest& request : report.requests)
-            requests.push_back(Json::array({ request.fingerprint, request.parts }));
+            requests.push_back(Json::array({ request.fingerprint, request.parts, request.runs, request.events }));
         crashes.push_back(Json::array({ report.endpoint, millisecondsOf(report.age), std::move(requests) }));
     }
     Json answered = Json::array();
@@ -28,7 +28,7 @@
     Json refused = Json::array();
     for (const PromptRefusal& refusal : digest.refused)
         refused.push_back(Json::array({ refusal.id, refusal.parts, millisecondsOf(refusal.age) }));
-    return Json::array({ std::move(crashes), std::move(answered), std::move(refused) });
+    return Json::array({ std::move(crashes), std::move(answered), std::move(refused), digest.trials });
 }
 
 PromptQuarantineDigest promptQuarantineDigestOf(const Json& list)
@@ -36,8 +36,15 @@
     PromptQuarantineDigest digest;
     for (const Json& entry : list.at(0)) {
         PromptCrashReport report { entry.at(0).get<std::uint64_t>(), ageOf(entry.at(1)), {} };
-        for (const Json& request : entry.at(2))
-            report.requests.push_back({ request.at(0).get<RequestFingerprint>(), request.at(1).get<PromptParts>() });
+        for (const Json& request : entry.at(2)) {
+            BrokenRequest broken { request.at(0).get<RequestFingerprint>(), request.at(1).get<PromptParts>() };
+            // Hosts of earlier releases do not send them.
+            if (request.size() > 3) {
+                broken.runs = request.at(2).get<std::uint32_t>();
+                broken.events = request.at(3).get<std::uint32_t>();
+            }
+            report.requests.push_back(std::move(broken));
+        }
         digest.crashes.push_back(std::move(report));
     }
     for (const Json& entry : list.at(1))
@@ -45,6 +52,9 @@
     for (const Json& entry : list.at(2))
         digest.refused.push_back(
             { entry.at(0).get<PromptRefusalId>(), entry.at(1).get<PromptParts>(), ageOf(entry.at(2)) });
+    // Hosts of earlier releases do not send them.
+    if (list.size() > 3)
+        digest.trials = list.at(3).get<std::vector<PromptPartHash>>();
     return digest;
 }
 
--- a/tests/gateway/CrashingRequestTest.cpp
+++ b/tests/gateway/CrashingRequestTest.cpp
@@ -38,6 +38,7 @@
         : m_test(test)
     {
         fleet.answersAttempts = false;
+        fleet.areBodiesEqual = true;
         fleet.callerTime = 10s;
         for (int i = 0; i < 6; ++i)
             addEndpoint();
--- a/tests/gateway/GatewayMessageTest.cpp
+++ b/tests/gateway/GatewayMessageTest.cpp
@@ -14,10 +14,10 @@
     digest.usage[AccountId("a")] = { 12.5, 20 };
     digest.demand = { true, { { { ModelId("m"), "x" }, "notes", 2, 0.5, 120 } } };
     digest.running.push_back({ EndpointId("e"), { ModelId("m"), "" }, 4 });
-    digest.suspectFingerprints.emplace_back(99, 2);
-    digest.prompts.crashes.push_back({ 17, std::chrono::milliseconds(40), { { 5, { 1, 2 } }, { 6, { 2 } } } });
+    digest.prompts.crashes.push_back({ 17, std::chrono::milliseconds(40), { { 5, { 1, 2 }, 3, 4 }, { 6, { 2 } } } });
     digest.prompts.answered.push_back({ 1, std::chrono::milliseconds(9) });
     digest.prompts.refused.push_back({ 8, { 2 }, std::chrono::seconds(3) });
+    digest.prompts.trials = { 99, 2 };
     digest.limits.statements.push_back({ EndpointId("e"), 2.5, std::chrono::milliseconds(70) });
     digest.limits.attempts[AccountId("e")] = { 3, 9 };
     PlacementUpdate update { 5, 6,
--- a/tests/gateway/GatewayRequestsTest.cpp
+++ b/tests/gateway/GatewayRequestsTest.cpp
@@ -371,16 +371,16 @@
 {
     RequestsFixture fixture;
     addEndpoints(fixture, "notes", 6, withM1);
+    // It waits in the queue of its endpoint while others with its part run.
+    fixture.arrive("/note/1", "key-a", 10000, "m1", "deadly");
+    const auto attempts = fixture.takeAttempts();
+    REQUIRE(attempts.size() == 1);
     for (int i = 0; i < 3; ++i) {
-        sendPart(fixture, "/note/1", "deadly", true);
+        CHECK(sendPart(fixture, "/note/1", "deadly", true) == 1);
         for (int j = 0; j < 3; ++j)
             sendPart(fixture, "/note/1", "sound", false);
-        fixture.advance(std::chrono::milliseconds(400));
+        fixture.advance(std::chrono::seconds(1));
     }
-    fixture.arrive("/note/1", "key-a", 10000, "m1", "deadly");
-    const auto attempts = fixture.takeAttempts();
-    REQUIRE(attempts.size() == 1);
-    fixture.advance(std::chrono::milliseconds(300));
     fixture.requests.endQuarantined(fixture.now, fixture.effects);
     REQUIRE(effectsOf<CancelAttempt>(fixture.effects).size() == 1);
     CHECK(effectsOf<CancelAttempt>(fixture.effects).front().id == attempts.front().id);
--- a/tests/gateway/SimulatedFleet.cpp
+++ b/tests/gateway/SimulatedFleet.cpp
@@ -398,6 +398,8 @@
     request.id = RequestId(++m_lastRequest);
     request.method = "POST";
     request.target = target;
+    if (!areBodiesEqual)
+        request.body = "body " + std::to_string(m_lastRequest);
     request.keyDigest = sha256Hex("key-a");
     request.headers = { { "Host", "h:80" }, { "id", "r" + std::to_string(m_lastRequest) },
         { "left", std::to_string(millisecondsOf(callerTime)) }, { "model", model } };
--- a/tests/gateway/SimulatedFleet.h
+++ b/tests/gateway/SimulatedFleet.h
@@ -113,6 +113,8 @@
     std::vector<std::size_t> attemptHosts;
     // How long callers wait.
     Duration callerTime = std::chrono::seconds(4);
+    // Whether requests for one target have the same body.
+    bool areBodiesEqual = false;
     // Whether attempts get an empty answer at once.
     bool answersAttempts = true;
     std::vector<SendWholeResponse> answers;
--- a/tests/routing/PromptQuarantineTest.cpp
+++ b/tests/routing/PromptQuarantineTest.cpp
@@ -10,6 +10,7 @@
 constexpr PromptPartHash deadly = 1;
 constexpr PromptPartHash companion = 2;
 constexpr PromptPartHash popular = 3;
+constexpr RequestFingerprint firstRequest = 1000;
 
 // Hosts that exchange digests. Every request is a new one unless its fingerprint is given.
 struct PromptFleet {
@@ -51,7 +52,8 @@
 
     std::vector<PromptQuarantine> hosts;
     MonotonicTime now { 1h };
-    RequestFingerprint lastRequest = 0;
+    // The hash of a request differs from those of all parts.
+    RequestFingerprint lastRequest = firstRequest;
     int lastEndpoint = 0;
 };
 
@@ -141,7 +143,7 @@
     constexpr PromptPartHash part = 9;
     for (int i = 0; i < test.crashes; ++i) {
         if (test.isOneRequest)
-            fleet.lastRequest = 0;
+            fleet.lastRequest = firstRequest;
         fleet.crash(0, { { part } });
         if (test.interval > Duration::zero())
             fleet.pass(test.interval);
@@ -228,3 +230,84 @@
     for (const PromptCrashReport& crash : digest.crashes)
         CHECK(crash.requests.size() <= settings.maximumRequestsPerCrash);
 }
+
+// Guards against a request that crashes endpoints one after the other and is taken for the concern of another module.
+TEST_CASE("A request that crashed three endpoints is refused alone")
+{
+    const bool areOthersAnswered = GENERATE(false, true);
+    PromptFleet fleet(3);
+    for (std::size_t i = 0; i < 3; ++i) {
+        fleet.lastRequest = firstRequest;
+        fleet.crash(i, { { companion, popular } });
+        fleet.pass(1s);
+        if (areOthersAnswered)
+            fleet.answer(0, { popular });
+    }
+    fleet.pass(1s);
+    for (std::size_t host = 0; host < 3; ++host) {
+        CHECK(fleet.isRefused(host, { companion, popular, firstRequest + 1 }));
+        CHECK_FALSE(fleet.isRefused(host, { companion, popular, firstRequest + 2 }));
+    }
+}
+
+// Guards against refusing a stream that ran beside the request that crashed its endpoints, each time it was resumed.
+TEST_CASE("A stream beside a crashing request is not refused for its crashes")
+{
+    PromptFleet fleet(2);
+    constexpr RequestFingerprint guilty = firstRequest + 7;
+    constexpr RequestFingerprint beside = firstRequest + 3;
+    for (int i = 0; i < 3; ++i) {
+        const EndpointId engine("engine-" + std::to_string(i));
+        fleet.hosts[0].attemptBroken(engine, { beside, { companion }, 1, 20 }, fleet.now);
+        fleet.hosts[1].attemptBroken(engine, { guilty, { popular }, 1, 1 }, fleet.now);
+        fleet.pass(1s);
+    }
+    fleet.pass(1s);
+    for (std::size_t host = 0; host < 2; ++host) {
+        CHECK(fleet.isRefused(host, { popular, guilty }));
+        CHECK_FALSE(fleet.isRefused(host, { companion, beside }));
+    }
+}
+
+namespace {
+
+struct SuspicionCase {
+    const char* name;
+    // Crashes with the part, and runs with it in each of them.
+    int crashes;
+    std::uint32_t runs;
+    bool wasAnsweredBefore;
+    bool isAnsweredAfter;
+    bool expectedSuspected;
+    bool expectedStrong;
+};
+
+} // namespace
+
+// Guards against holding back requests for a part that one crash accuses and many answers clear.
+TEST_CASE("A part is suspected as far as the crashes speak against it")
+{
+    const auto test = GENERATE(values<SuspicionCase>({
+        { "no crash", 0, 1, false, false, false, false },
+        { "one crash", 1, 1, false, false, true, false },
+        { "one crash of a part that was answered before", 1, 5, true, false, false, false },
+        { "several runs in one crash", 1, 3, false, false, true, true },
+        { "two crashes", 2, 1, false, false, true, true },
+        { "two crashes of a part that was answered before", 2, 1, true, false, true, true },
+        { "two crashes and an answer", 2, 5, false, true, false, false },
+    }));
+    INFO(test.name);
+    PromptQuarantine quarantine;
+    MonotonicTime now { 1h };
+    if (test.wasAnsweredBefore)
+        quarantine.answered({ popular }, now);
+    for (int i = 0; i < test.crashes; ++i) {
+        now += 1s;
+        quarantine.attemptBroken(EndpointId("e" + std::to_string(i)), { firstRequest, { popular }, test.runs }, now);
+    }
+    if (test.isAnsweredAfter)
+        quarantine.answered({ popular }, now + 1ms);
+    const Suspicion suspicion = quarantine.suspicionOf({ popular }, now);
+    CHECK(suspicion.parts.contains(popular) == test.expectedSuspected);
+    CHECK(suspicion.isStrong() == test.expectedStrong);
+}
