Find streams that crash engines after their first events in serving processes too

Callers of serving processes saw the same as those of gateways: the first event of a stream cleared the messages that crashed its engine, so that every engine of the pool ended, one after the other.

Cause: the same as in the gateway (attribution stopped at the first event). Change: all messages of a request, or its plain prompt, and its fingerprint are parts; a broken stream accuses them also after its first event; only a complete answer, or one that has gone on for 5 s, clears; suspected requests stay in the queue while another one is tried. The rule for long answers stands in one class (AnswerProof) for both.

--- a/include/catkinwell/emulator/EngineEmulator.h
+++ b/include/catkinwell/emulator/EngineEmulator.h
@@ -27,8 +27,9 @@
 
 // Emulates a model engine and the plain services beside it. It serves the OpenAI completion routes and the model
 // repository routes, and answers every other path as a plain service. Words in the body of a request cause failures:
-// "emulate-crash" ends the process, "emulate-silence" never answers, and "emulate-truncation" closes the connection in
-// the middle of the answer. GET /emulator/executions lists the requests that ran. Not thread safe.
+// "emulate-crash" ends the process, "emulate-late-crash" ends it after a few tokens, "emulate-silence" never answers,
+// and "emulate-truncation" closes the connection in the middle of the answer. GET /emulator/executions lists the
+// requests that ran. Not thread safe.
 class EngineEmulator {
 public:
     EngineEmulator(EventLoop&, EngineEmulatorSettings);
--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -8,6 +8,7 @@
 #include <catkinwell/gateway/HostDemand.h>
 #include <catkinwell/gateway/RouteTable.h>
 #include <catkinwell/gateway/StreamVersions.h>
+#include <catkinwell/routing/AnswerProof.h>
 #include <catkinwell/routing/PromptQuarantine.h>
 #include <catkinwell/routing/RetryBudget.h>
 #include <catkinwell/routing/SuspectTrials.h>
@@ -130,10 +131,7 @@
         unsigned rejections = 0;
         bool mayHaveRun = false;
         bool isHeadSent = false;
-        // When the first event arrived.
-        std::optional<MonotonicTime> answerBegunAt;
-        // When the answer was last taken as proof that the request is harmless.
-        MonotonicTime provenAt {};
+        AnswerProof proof;
         bool isWaiting = false;
         // Whether it waits for the trial of another request with a suspected part, rather than for a replica.
         bool isHeld = false;
@@ -172,7 +170,7 @@
     bool isQuarantined(const Request&, MonotonicTime now) const;
     void endQuarantined(Request&, MonotonicTime now, EffectList&);
     // Record what an answer that is complete or goes on for long, or a broken connection, says about the request.
-    void noteAnswer(Request&, MonotonicTime now);
+    void noteAnswer(const Request&, MonotonicTime now);
     void noteAnswerGoesOn(Request&, MonotonicTime now);
     void noteBrokenAttempt(Request&, MonotonicTime now);
     // Lets the request wait if another one with a suspected part is being tried. Returns whether it does.
--- a/include/catkinwell/reducer/Reducer.h
+++ b/include/catkinwell/reducer/Reducer.h
@@ -67,7 +67,7 @@
     void updatePromptQuarantine(MonotonicTime now, EffectList&);
     void handlePromptChanges(MonotonicTime now, EffectList&);
     void sendPromptNews(MonotonicTime now, EffectList&);
-    void handle(const PromptQuarantineNews&, MonotonicTime now, EffectList&);
+    void handle(const HostId& from, const PromptQuarantineNews&, MonotonicTime now, EffectList&);
     void propagatePlan(MonotonicTime now);
     void reportDemand(MonotonicTime now);
     void countReplicas(const EndpointReport&, MonotonicTime now);
@@ -101,6 +101,7 @@
     EndpointDrains m_drains;
     CrashQuarantine m_quarantine;
     PromptQuarantine m_promptQuarantine;
+    SuspectTrials m_trials;
     EndpointTable m_endpoints;
     ShareManager m_shares;
     ClaimManager m_claims;
--- a/include/catkinwell/requests/ActiveRequest.h
+++ b/include/catkinwell/requests/ActiveRequest.h
@@ -6,6 +6,7 @@
 #include <catkinwell/http/HttpTypes.h>
 #include <catkinwell/requests/CompletionRequest.h>
 #include <catkinwell/requests/StreamFilter.h>
+#include <catkinwell/routing/AnswerProof.h>
 #include <catkinwell/routing/PromptQuarantine.h>
 #include <memory>
 #include <optional>
@@ -38,8 +39,8 @@
     std::string idempotencyKey;
     std::uint64_t prefixHash = 0;
     std::uint64_t fingerprint = 0;
-    // The parts of the prompt that other requests may share.
-    PromptParts sharedParts;
+    // The parts of the prompt, and the fingerprint.
+    PromptParts promptParts;
     int priority = 0;
     // Whether the request may be sent again after an attempt with an unknown outcome.
     bool idempotent = true;
@@ -69,8 +70,7 @@
     std::uint32_t attempts = 0;
     // Attempts whose connection broke after the request may have been sent. Each may have crashed an endpoint.
     std::uint32_t brokenAttempts = 0;
-    // Whether an endpoint has survived the beginning of an answer to this request.
-    bool isAnswerBegun = false;
+    AnswerProof proof;
 
     // The current attempt.
     AttemptId attempt;
--- a/include/catkinwell/requests/CompletionRequest.h
+++ b/include/catkinwell/requests/CompletionRequest.h
@@ -25,8 +25,8 @@
     std::uint64_t prefixHash = 0;
     // Hash of the model and of the whole prompt, without the sampling parameters, for the crash quarantine.
     std::uint64_t contentHash = 0;
-    // Hashes of the messages before the last one, which requests may share. Empty for a plain prompt.
-    std::set<std::uint64_t> sharedParts;
+    // Hashes of the messages, or of a plain prompt, for the crash quarantine.
+    std::set<std::uint64_t> promptParts;
     // The body for the engine: the caller's body, with the default token limit added if it has none, and with the
     // usage chunk requested for a stream.
     std::string engineBody;
--- a/include/catkinwell/requests/RequestFlow.h
+++ b/include/catkinwell/requests/RequestFlow.h
@@ -12,6 +12,7 @@
 #include <catkinwell/routing/CrashQuarantine.h>
 #include <catkinwell/routing/EndpointTable.h>
 #include <catkinwell/routing/RetryBudget.h>
+#include <catkinwell/routing/SuspectTrials.h>
 #include <catkinwell/shares/ShareManager.h>
 #include <memory>
 #include <set>
@@ -29,6 +30,7 @@
     UsageAccounting& usage;
     CrashQuarantine& quarantine;
     PromptQuarantine& promptQuarantine;
+    SuspectTrials& trials;
 };
 
 // The demand for a model on this host, reported to the placement.
@@ -120,8 +122,9 @@
     // Returns true if the request was refused because it had crashed endpoints.
     bool refuseIfQuarantined(ActiveRequest&, MonotonicTime now, EffectList&);
     bool isQuarantined(const ActiveRequest&, MonotonicTime now) const;
-    // Record what an answer, or a connection that broke before it, says about the request's prompt.
-    void noteAnswerBegun(ActiveRequest&, MonotonicTime now);
+    // Record what an answer that is complete or goes on for long, or a broken connection, says about the request.
+    void noteAnswer(const ActiveRequest&, MonotonicTime now);
+    void noteAnswerGoesOn(ActiveRequest&, MonotonicTime now);
     void noteBrokenAnswer(const ActiveRequest&, MonotonicTime now);
     void noteBrokenAttempt(ActiveRequest&, MonotonicTime now);
     void retryOrFail(ActiveRequest&, bool mayHaveRun, const std::string& reason, MonotonicTime now, EffectList&);
--- a/src/emulator/EngineEmulator.cpp
+++ b/src/emulator/EngineEmulator.cpp
@@ -14,6 +14,8 @@
 
     using Json = nlohmann::json;
 
+    constexpr std::uint64_t tokensBeforeCrash = 3;
+
     constexpr std::size_t maximumRecordedExecutions = 200'000;
     const HeaderList jsonHeaders { { "Content-Type", "application/json" } };
 
@@ -49,6 +51,7 @@
         bool stream = false;
         bool includeUsage = false;
         bool truncate = false;
+        bool crashLate = false;
         std::string model;
         std::uint64_t promptTokens = 0;
         std::uint64_t wanted = 0;
@@ -196,6 +199,7 @@
     generation->stream = body.value("stream", false);
     generation->includeUsage = body.contains("stream_options") && body["stream_options"].value("include_usage", false);
     generation->truncate = content.find("emulate-truncation") != std::string::npos;
+    generation->crashLate = content.find("emulate-late-crash") != std::string::npos;
     generation->model = body["model"].get<std::string>();
     generation->promptTokens = content.size() / 4 + 1;
     generation->wanted = body.value("max_tokens", std::uint64_t { 16 });
@@ -242,6 +246,8 @@
             admitWaiting();
             return;
         }
+        if (generation->crashLate && generation->produced >= tokensBeforeCrash)
+            std::_Exit(3);
         emitToken(*generation);
     } while (allAtOnce && generation->produced < generation->wanted);
     if (generation->produced >= generation->wanted) {
--- a/src/gateway/GatewayQuarantine.cpp
+++ b/src/gateway/GatewayQuarantine.cpp
@@ -5,10 +5,6 @@
 
 namespace {
 
-    // An answer that has gone on for this long shows that its request is harmless.
-    constexpr Duration longAnswer = std::chrono::seconds(5);
-    constexpr Duration proofInterval = std::chrono::seconds(1);
-
     template <typename List> std::string textOf(const List& parts)
     {
         std::string text;
@@ -36,7 +32,7 @@
 {
     std::vector<RequestId> ids;
     for (const auto& [id, request] : m_requests) {
-        if (!request.answerBegunAt && isQuarantined(request, now))
+        if (!request.proof.hasBegun() && isQuarantined(request, now))
             ids.push_back(id);
     }
     for (const RequestId id : ids)
@@ -56,17 +52,14 @@
         refuse(request, quarantineRefusal(request), now, effects);
 }
 
-void GatewayRequests::noteAnswer(Request& request, MonotonicTime now)
+void GatewayRequests::noteAnswer(const Request& request, MonotonicTime now)
 {
-    request.provenAt = now;
     m_promptQuarantine.answered(request.parts, now);
 }
 
 void GatewayRequests::noteAnswerGoesOn(Request& request, MonotonicTime now)
 {
-    if (!request.answerBegunAt)
-        request.answerBegunAt = now;
-    if (now - *request.answerBegunAt < longAnswer || now - request.provenAt < proofInterval)
+    if (!request.proof.noteData(now))
         return;
     noteAnswer(request, now);
     m_trials.ended(request.arrived.id);
--- a/src/reducer/QuarantineExchange.cpp
+++ b/src/reducer/QuarantineExchange.cpp
@@ -32,18 +32,22 @@
 
 void Reducer::sendPromptNews(MonotonicTime now, EffectList& effects)
 {
-    const bool hasNews = now >= m_nextPromptNewsAt && m_promptQuarantine.takeNews();
+    const bool isDue = now >= m_nextPromptNewsAt;
+    const bool hasCrashNews = isDue && m_promptQuarantine.takeNews();
+    const bool hasTrialNews = isDue && m_trials.takeNews();
+    const bool hasNews = hasCrashNews || hasTrialNews;
     if (!hasNews && now < m_nextPromptRepetitionAt)
         return;
     m_nextPromptNewsAt = now + promptNewsInterval;
     m_nextPromptRepetitionAt = now + promptRepetitionInterval;
-    const PromptQuarantineDigest digest = m_promptQuarantine.nextDigest(now);
+    PromptQuarantineDigest digest = m_promptQuarantine.nextDigest(now);
+    digest.trials = m_trials.report();
     std::vector<HostId> peers;
     for (const LiveHost& live : m_liveHosts) {
         if (live.host != m_settings.host.host)
             peers.push_back(live.host);
     }
-    if (digest.isEmpty() || peers.empty())
+    if ((digest.isEmpty() && !hasNews) || peers.empty())
         return;
     if (!hasNews)
         peers = { peers[m_nextPromptPeer++ % peers.size()] };
@@ -52,7 +56,7 @@
         effects.push_back(SendToPeer { peer, news });
 }
 
-void Reducer::handle(const PromptQuarantineNews& news, MonotonicTime now, EffectList& effects)
+void Reducer::handle(const HostId& from, const PromptQuarantineNews& news, MonotonicTime now, EffectList& effects)
 {
     const auto digest = decodePromptQuarantineDigest(news.payload);
     if (isError(digest)) {
@@ -61,6 +65,7 @@
         return;
     }
     m_promptQuarantine.merge(valueOf(digest), now);
+    m_trials.merge(from, valueOf(digest).trials, now);
     handlePromptChanges(now, effects);
 }
 
--- a/src/reducer/Reducer.cpp
+++ b/src/reducer/Reducer.cpp
@@ -70,12 +70,14 @@
     , m_configuration(derivedSeed(m_settings.seed, "configuration"))
     , m_membership(membershipSettingsOf(m_settings))
     , m_drains(derivedSeed(m_settings.seed, "drains"))
+    , m_trials(m_settings.host.host)
     , m_endpoints(m_settings.host.dataCentre, derivedSeed(m_settings.seed, "endpoints"))
     , m_shares(m_settings.host.host, m_settings.host.incarnation, derivedSeed(m_settings.seed, "shares"), now)
     , m_claims(derivedSeed(m_settings.seed, "claims"))
     , m_placement(m_settings.host.host, m_settings.host.incarnation, m_settings.host.dataCentre,
           derivedSeed(m_settings.seed, "placement"))
-    , m_requests({ m_configuration, m_endpoints, m_shares, m_claims, m_usage, m_quarantine, m_promptQuarantine })
+    , m_requests(
+          { m_configuration, m_endpoints, m_shares, m_claims, m_usage, m_quarantine, m_promptQuarantine, m_trials })
     , m_admin(adminSettingsOf(m_settings),
           { m_configuration, *this, *this, *this, *this, secrets, m_metrics, m_journal, m_usage })
     , m_wallNow(wallNow)
@@ -242,7 +244,10 @@
             reducer.m_configuration.noteDigest(
                 envelope.from, message.configurationVersion, message.revokedKeys, now, effects);
         }
-        void operator()(const PromptQuarantineNews& message) const { reducer.handle(message, now, effects); }
+        void operator()(const PromptQuarantineNews& message) const
+        {
+            reducer.handle(envelope.from, message, now, effects);
+        }
         // Only gateways exchange these messages.
         void operator()(const GatewayEnvelope&) const { }
         void operator()(const ConfigurationRequest& message) const
@@ -410,6 +415,12 @@
     m_placement.setLiveHosts(sameDataCentre);
     m_liveHosts = std::move(live);
     m_claims.setLiveHosts(m_liveHosts);
+    std::set<HostId> peers;
+    for (const LiveHost& host : m_liveHosts) {
+        if (host.host != m_settings.host.host)
+            peers.insert(host.host);
+    }
+    m_trials.setPeers(peers);
     effects.push_back(SetPeerAddresses { m_membership.peerAddresses() });
 }
 
--- a/src/requests/CompletionRequest.cpp
+++ b/src/requests/CompletionRequest.cpp
@@ -73,14 +73,15 @@
         return invalidField("prompt", "prompt must be a string or a list");
     }
 
-    std::set<std::uint64_t> sharedPartsOf(const Json& body)
+    std::set<std::uint64_t> promptPartsOf(const Json& body)
     {
         std::set<std::uint64_t> parts;
+        if (body.contains("prompt"))
+            parts.insert(stableHash(body["prompt"].dump()));
         if (!body.contains("messages"))
             return parts;
-        const Json& messages = body["messages"];
-        for (std::size_t i = 0; i + 1 < messages.size(); ++i)
-            parts.insert(stableHash(messages[i].dump()));
+        for (const Json& message : body["messages"])
+            parts.insert(stableHash(message.dump()));
         return parts;
     }
 
@@ -157,7 +158,7 @@
     request.promptBytes = text.size();
     request.prefixHash = stableHash(request.model + '\n' + text.substr(0, prefixBytes));
     request.contentHash = stableHash(request.model + '\n' + text);
-    request.sharedParts = sharedPartsOf(document);
+    request.promptParts = promptPartsOf(document);
     bool rewritten = false;
     if (request.maxTokens == 0) {
         request.maxTokens = defaultMaxTokens(request.model);
--- a/src/requests/RequestAnswers.cpp
+++ b/src/requests/RequestAnswers.cpp
@@ -99,7 +99,7 @@
     }
     if (passed.empty())
         return;
-    noteAnswerBegun(request, now);
+    noteAnswerGoesOn(request, now);
     if (!request.headSent) {
         request.headSent = true;
         effects.push_back(SendResponseHead { request.id, request.status, request.responseHeaders });
@@ -160,6 +160,7 @@
         retryOrFail(request, true, "the stream ended without its end marker", now, effects);
         return;
     }
+    noteAnswer(request, now);
     effects.push_back(FinishResponse { request.id });
     const std::optional<TokenCount> used = request.filter->totalTokens();
     completeRequest(request, used, now, effects);
@@ -168,7 +169,7 @@
 void RequestFlow::finishWhole(ActiveRequest& request, MonotonicTime now, EffectList& effects)
 {
     if (request.status < 500)
-        noteAnswerBegun(request, now);
+        noteAnswer(request, now);
     endAttempt(request, true, now);
     if (request.hasClaim) {
         m_modules.claims.recordOutcome(
@@ -217,15 +218,15 @@
 bool RequestFlow::isQuarantined(const ActiveRequest& request, MonotonicTime now) const
 {
     return m_modules.quarantine.isRefused(request.fingerprint, now)
-        || (!request.isAnswerBegun && m_modules.promptQuarantine.isRefused(request.sharedParts, now));
+        || m_modules.promptQuarantine.isRefused(request.promptParts, now);
 }
 
 void RequestFlow::endQuarantined(MonotonicTime now, EffectList& effects)
 {
     std::vector<RequestId> ids;
     for (const auto& [id, request] : m_requests) {
-        const bool isWaitingForAnswer = request->stage == RequestStage::Running && !request->isAnswerBegun;
-        if (isWaitingForAnswer && m_modules.promptQuarantine.isRefused(request->sharedParts, now))
+        const bool isWaitingForAnswer = request->stage == RequestStage::Running && !request->proof.hasBegun();
+        if (isWaitingForAnswer && m_modules.promptQuarantine.isRefused(request->promptParts, now))
             ids.push_back(id);
     }
     for (const RequestId id : ids) {
@@ -235,18 +236,24 @@
     }
 }
 
-void RequestFlow::noteAnswerBegun(ActiveRequest& request, MonotonicTime now)
+void RequestFlow::noteAnswer(const ActiveRequest& request, MonotonicTime now)
 {
-    if (request.isAnswerBegun)
+    m_modules.promptQuarantine.answered(request.promptParts, now);
+}
+
+void RequestFlow::noteAnswerGoesOn(ActiveRequest& request, MonotonicTime now)
+{
+    if (!request.proof.noteData(now))
         return;
-    request.isAnswerBegun = true;
-    m_modules.promptQuarantine.answered(request.sharedParts, now);
+    noteAnswer(request, now);
+    m_modules.trials.ended(request.id);
 }
 
 void RequestFlow::noteBrokenAnswer(const ActiveRequest& request, MonotonicTime now)
 {
-    if (!request.isAnswerBegun)
-        m_modules.promptQuarantine.attemptBroken(request.endpoint, { request.fingerprint, request.sharedParts }, now);
+    const std::uint32_t events = request.proof.hasBegun() ? 1 : 0;
+    m_modules.promptQuarantine.attemptBroken(
+        request.endpoint, { request.fingerprint, request.promptParts, 1, events }, now);
 }
 
 void RequestFlow::noteBrokenAttempt(ActiveRequest& request, MonotonicTime now)
@@ -268,8 +275,7 @@
     const bool safe = request.idempotent || !request.mayHaveRun;
     if (refuseIfQuarantined(request, now, effects))
         return;
-    const bool mayCrashEndpoints
-        = !request.isAnswerBegun && m_modules.promptQuarantine.isSuspicious(request.sharedParts);
+    const bool mayCrashEndpoints = m_modules.promptQuarantine.isSuspicious(request.promptParts);
     const bool wanted = safe && !mayCrashEndpoints && request.attempts < maximumAttempts
         && request.brokenAttempts < maximumBrokenAttempts && now < request.deadline && !request.answered;
     const bool affordable = wanted && m_retries.tryRetry(now);
@@ -401,6 +407,7 @@
 {
     m_modules.endpoints.attemptEnded(request.endpoint);
     m_modules.quarantine.attemptEnded(request.endpoint, request.fingerprint, clean, now);
+    m_modules.trials.ended(request.id);
     m_attempts.erase(request.attempt);
     capacityChanged();
 }
--- a/src/requests/RequestFlow.cpp
+++ b/src/requests/RequestFlow.cpp
@@ -288,7 +288,8 @@
 {
     if (refuseIfQuarantined(request, now, effects))
         return true;
-    if (m_heldUntil.contains(request.fingerprint))
+    const Suspicion suspicion = m_modules.promptQuarantine.suspicionOf(request.promptParts, now);
+    if (m_heldUntil.contains(request.fingerprint) || !m_modules.trials.mayStart(suspicion, now))
         return false;
     const auto endpoint = m_modules.endpoints.choose(
         { request.id, request.pool, request.model, request.prefixHash, request.excluded }, now, effects);
@@ -309,6 +310,7 @@
     ++request.attempts;
     m_attempts[request.attempt] = request.id;
     m_modules.quarantine.attemptStarted(endpoint->id, request.fingerprint);
+    m_modules.trials.started(request.id, suspicion);
     StartAttempt attempt;
     attempt.id = request.attempt;
     attempt.endpoint = endpoint->id;
--- a/src/requests/RequestIntake.cpp
+++ b/src/requests/RequestIntake.cpp
@@ -154,7 +154,8 @@
     request.stream = completion.stream;
     request.prefixHash = completion.prefixHash;
     request.fingerprint = stableHash(request.account.value + '\n' + std::to_string(completion.contentHash));
-    request.sharedParts = completion.sharedParts;
+    request.promptParts = completion.promptParts;
+    request.promptParts.insert(request.fingerprint);
     const auto bytesPerToken = std::max<std::size_t>(1, model->second.bytesPerToken);
     request.promptReservation = static_cast<TokenCount>((completion.promptBytes + bytesPerToken - 1) / bytesPerToken);
     request.reservedTokens = request.promptReservation + completion.maxTokens * completion.choices;
@@ -176,6 +177,7 @@
     request.idempotencyKey = route.idempotent ? "" : arrived.idempotencyKey;
     request.reservedTokens = intake.open ? 0 : route.cost;
     request.fingerprint = stableHash(request.account.value + '\n' + request.target + '\n' + arrived.body);
+    request.promptParts = { request.fingerprint };
     return true;
 }
 
--- a/tests/process/FleetFaultsTest.cpp
+++ b/tests/process/FleetFaultsTest.cpp
@@ -179,54 +179,124 @@
     CHECK(send(fleet.completion("notes", "innocent")).status == 200);
 }
 
-// Guards against different requests with a common message that crash one endpoint after the other, at any host.
-TEST_CASE("Requests with a message that crashes engines are quarantined at all hosts, and others are served")
-{
+namespace {
+
+// Two hosts before engines that all hold the model "notes".
+class CrashFixture {
+public:
     static constexpr std::size_t engines = 6;
-    FleetOptions options;
-    options.hosts = 2;
-    options.engines = engines;
-    options.adjust = [](Json& document) {
-        document["models"][0]["minimum_replicas"] = engines, document["models"][0]["maximum_replicas"] = engines;
-    };
-    FleetFixture fleet(options);
-    const auto loadedEverywhere = [&] {
+
+    CrashFixture()
+        : fleet(options())
+    {
+        REQUIRE(eventually([this] { return areModelsLoaded(); }, std::chrono::seconds(40)));
+    }
+
+    HttpAnswer chat(
+        const std::string& systemMessage, const std::string& question, std::size_t host, bool stream = false)
+    {
+        HttpCall call = fleet.completion("notes", "", false, host);
+        call.target = "/v1/chat/completions";
+        call.headers["X-Request-Deadline-Ms"] = "4000";
+        const Json messages { { { "role", "system" }, { "content", systemMessage } },
+            { { "role", "user" }, { "content", question } } };
+        call.body
+            = Json { { "model", "notes" }, { "messages", messages }, { "max_tokens", 8 }, { "stream", stream } }.dump();
+        return send(call);
+    }
+
+    std::string newQuestion() { return "question " + std::to_string(++m_lastQuestion); }
+
+    std::size_t enginesAlive()
+    {
+        std::size_t alive = 0;
+        for (std::size_t engine = 0; engine < engines; ++engine)
+            alive += fleet.engine(engine).isRunning() ? 1 : 0;
+        return alive;
+    }
+
+    FleetFixture fleet;
+
+private:
+    static FleetOptions options()
+    {
+        FleetOptions options;
+        options.hosts = 2;
+        options.engines = engines;
+        options.adjust = [](Json& document) {
+            document["models"][0]["minimum_replicas"] = engines, document["models"][0]["maximum_replicas"] = engines;
+        };
+        return options;
+    }
+
+    bool areModelsLoaded()
+    {
         std::size_t loaded = 0;
         for (std::size_t engine = 0; engine < engines; ++engine) {
             const HttpAnswer answer = send({ fleet.enginePort(engine), "GET", "/v2/repository/report" });
             loaded += answer.body.find("\"state\":\"loaded\"") != std::string::npos ? 1 : 0;
         }
         return loaded == engines;
-    };
-    REQUIRE(eventually(loadedEverywhere, std::chrono::seconds(40)));
-    int last = 0;
-    const auto chat = [&](const std::string& systemMessage, std::size_t host) {
-        HttpCall call = fleet.completion("notes", "", false, host);
-        call.target = "/v1/chat/completions";
-        call.headers["X-Request-Deadline-Ms"] = "4000";
-        const Json messages { { { "role", "system" }, { "content", systemMessage } },
-            { { "role", "user" }, { "content", "question " + std::to_string(++last) } } };
-        call.body = Json { { "model", "notes" }, { "messages", messages }, { "max_tokens", 8 } }.dump();
-        return send(call);
-    };
+    }
+
+    int m_lastQuestion = 0;
+};
+
+struct LateCrashCase {
+    const char* name;
+    bool isOneRequest;
+};
+
+} // namespace
+
+// Guards against streams that crash their engines after the first events, which would clear them.
+TEST_CASE("Streams that crash engines after their first events are quarantined at all hosts")
+{
+    const auto test = GENERATE(values<LateCrashCase>({
+        { "one request", true },
+        { "different requests with a common message", false },
+    }));
+    INFO(test.name);
+    CrashFixture fixture;
+    std::array<int, 2> statuses {};
+    for (int i = 0; i < 12 && (statuses[0] != 422 || statuses[1] != 422); ++i) {
+        const std::size_t host = static_cast<std::size_t>(i % 2);
+        const std::string question = test.isOneRequest ? "a question" : fixture.newQuestion();
+        statuses[host] = fixture.chat("emulate-late-crash", question, host, true).status;
+        for (int j = 0; j < 3; ++j) {
+            CHECK(fixture.chat("be brief", fixture.newQuestion(), 0).status != 422);
+            CHECK(fixture.chat("be brief", fixture.newQuestion(), 1).status != 422);
+        }
+        // Crashes in quick succession count as one.
+        std::this_thread::sleep_for(std::chrono::milliseconds(800));
+    }
+    CHECK(statuses == std::array<int, 2> { 422, 422 });
+    const std::size_t alive = fixture.enginesAlive();
+    INFO("engines alive: " << alive);
+    CHECK(alive >= CrashFixture::engines / 2);
+    CHECK(fixture.chat("be brief", fixture.newQuestion(), 0, true).status == 200);
+}
+
+// Guards against different requests with a common message that crash one endpoint after the other, at any host.
+TEST_CASE("Requests with a message that crashes engines are quarantined at all hosts, and others are served")
+{
+    CrashFixture fixture;
     std::array<int, 2> statuses {};
     for (int i = 0; i < 12 && (statuses[0] != 422 || statuses[1] != 422); ++i) {
         const std::size_t host = static_cast<std::size_t>(i % 2);
-        statuses[host] = chat("emulate-crash", host).status;
+        statuses[host] = fixture.chat("emulate-crash", fixture.newQuestion(), host).status;
         for (int j = 0; j < 3; ++j) {
-            CHECK(chat("be brief", 0).status != 422);
-            CHECK(chat("be brief", 1).status != 422);
+            CHECK(fixture.chat("be brief", fixture.newQuestion(), 0).status != 422);
+            CHECK(fixture.chat("be brief", fixture.newQuestion(), 1).status != 422);
         }
         // Crashes in quick succession count as one.
         std::this_thread::sleep_for(std::chrono::milliseconds(800));
     }
     CHECK(statuses[0] == 422);
     CHECK(statuses[1] == 422);
-    std::size_t alive = 0;
-    for (std::size_t engine = 0; engine < engines; ++engine)
-        alive += fleet.engine(engine).isRunning() ? 1 : 0;
+    const std::size_t alive = fixture.enginesAlive();
     INFO("engines alive: " << alive);
     CHECK(alive >= 2);
-    CHECK(chat("be brief", 0).status == 200);
-    CHECK(chat("be brief", 1).status == 200);
+    CHECK(fixture.chat("be brief", fixture.newQuestion(), 0).status == 200);
+    CHECK(fixture.chat("be brief", fixture.newQuestion(), 1).status == 200);
 }
