--- a/tests/gateway/SimulatedFleet.cpp
+++ b/tests/gateway/SimulatedFleet.cpp
@@ -317,6 +317,8 @@
             }
         } else if (const auto* answer = std::get_if<SendWholeResponse>(&effect)) {
             answers.push_back(*answer);
+        } else if (const auto* end = std::get_if<FinishResponse>(&effect)) {
+            finishedStreams.insert(end->id);
         } else if (const auto* entry = std::get_if<LogEntry>(&effect)) {
             logs.push_back(*entry);
         }
@@ -385,10 +387,13 @@
         apply(attemptHosts[attempt], AttemptFinished { attempts[attempt].id });
 }
 
-void SimulatedFleet::breakOff(std::size_t attempt)
+void SimulatedFleet::breakOff(std::size_t attempt) { fail(attempt, AttemptOutcome::Unknown, AttemptFailure::Broken); }
+
+void SimulatedFleet::fail(std::size_t attempt, AttemptOutcome outcome, AttemptFailure failure)
 {
-    apply(attemptHosts.at(attempt),
-        AttemptFailed { attempts.at(attempt).id, AttemptOutcome::Unknown, "closed", AttemptFailure::Broken });
+    if (isRunning(attemptHosts.at(attempt)))
+        apply(attemptHosts[attempt],
+            AttemptFailed { attempts.at(attempt).id, outcome, std::string(nameOf(failure)), failure });
 }
 
 RequestId SimulatedFleet::arrive(std::size_t host, const std::string& target, const std::string& model,
@@ -410,6 +415,15 @@
     return request.id;
 }
 
+std::size_t SimulatedFleet::owner() const
+{
+    const std::string value = store.value("catkinwell/owner");
+    std::size_t host = 0;
+    while (host < m_hosts.size() && !value.starts_with(idOf(host).value + "\n"))
+        ++host;
+    return host;
+}
+
 Json SimulatedFleet::status(std::size_t host)
 {
     RequestArrived request;
--- a/tests/gateway/SimulatedFleet.h
+++ b/tests/gateway/SimulatedFleet.h
@@ -86,6 +86,7 @@
     void begin(std::size_t attempt, int events);
     void finish(std::size_t attempt);
     void breakOff(std::size_t attempt);
+    void fail(std::size_t attempt, AttemptOutcome, AttemptFailure);
     void callerLeaves(std::size_t host, RequestId id) { apply(host, CallerLeft { id }); }
 
     void start(std::size_t host);
@@ -102,6 +103,8 @@
     nlohmann::json status(std::size_t host);
     // Host that began to give orders last.
     std::size_t orderingHost() const { return m_orderingHost; }
+    // The host that holds the owner key; hostCount() if there is none.
+    std::size_t owner() const;
     std::size_t hostCount() const { return m_hosts.size(); }
     std::string secretOf(std::size_t host) const { return m_hosts[host].secret; }
 
@@ -118,6 +121,8 @@
     // Whether attempts get an empty answer at once.
     bool answersAttempts = true;
     std::vector<SendWholeResponse> answers;
+    // Streams whose end was sent to the caller.
+    std::set<RequestId> finishedStreams;
     std::vector<LogEntry> logs;
     // Store calls by operation: lists, other reads and watches, writes.
     std::size_t lists = 0;
