Take turns at trials from when one can run; count crashes and answers by their own times

Change: turns begin when a replica is there; a trial is reported for 300 ms after its end; the times of the latest answers are compared with that of the first crash; crashes under one request count separately after 50 ms.

--- a/include/catkinwell/routing/PromptQuarantine.h
+++ b/include/catkinwell/routing/PromptQuarantine.h
@@ -84,6 +84,8 @@
     Duration sameCrashTime = std::chrono::seconds(2);
     // Crashes of several endpoints within this time count once, since they are likely to have one external cause.
     Duration sameCauseTime = std::chrono::milliseconds(300);
+    // The same for crashes under one request, which is unlikely to run at several endpoints.
+    Duration sameCauseTimeOfOneRequest = std::chrono::milliseconds(50);
     // Time for the hosts to report answers to requests with a suspected part, before it is refused.
     Duration settleTime = std::chrono::milliseconds(500);
     // How long a host repeats its reports of a crash or an answer.
@@ -158,8 +160,6 @@
         std::uint64_t endpoint = 0;
         MonotonicTime at {};
         std::map<RequestFingerprint, Involved> requests;
-        // Number of answers that this host had seen before it.
-        std::uint64_t answersBefore = 0;
     };
 
     struct Answer {
@@ -179,8 +179,8 @@
         std::uint32_t runs = 0;
         // The events that these requests had sent before. One that crashes its endpoint sends few.
         std::uint64_t events = 0;
+        MonotonicTime first {};
         MonotonicTime latest {};
-        std::uint64_t answersBefore = 0;
         std::set<RequestFingerprint> requests;
         // The parts that all of these requests have in common.
         PromptParts commonParts;
@@ -217,7 +217,8 @@
     std::unordered_set<PromptPartHash> m_accusedParts;
     AnsweredParts m_answeredParts;
     PromptRefusalId m_lastReported = 0;
-    std::uint64_t m_answerCount = 0;
+    // The times of the latest answers to any requests, as many as show that the endpoints work.
+    std::deque<MonotonicTime> m_answerTimes;
     MonotonicTime m_nextReviewAt {};
     bool m_hasNews = false;
 };
--- a/include/catkinwell/routing/SuspectTrials.h
+++ b/include/catkinwell/routing/SuspectTrials.h
@@ -3,6 +3,7 @@
 #include <catkinwell/core/Clock.h>
 #include <catkinwell/core/Identifiers.h>
 #include <catkinwell/routing/PromptQuarantine.h>
+#include <deque>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -17,6 +18,8 @@
     // The hosts begin trials of a strongly suspected part one after the other, so that each hears of those before.
     Duration turnTime = std::chrono::milliseconds(200);
     std::size_t maximumTurns = 5;
+    // A trial is reported for this time after its end, in which the peers hear of its outcome.
+    Duration outcomeTime = std::chrono::milliseconds(300);
     // A trial of another host counts this long after it was reported last.
     Duration reportLifetime = std::chrono::seconds(3);
     std::size_t maximumReported = 32;
@@ -37,12 +40,12 @@
     bool mayStart(const Suspicion&, MonotonicTime now);
     // A request with suspected parts was sent, and its attempt ended.
     void started(RequestId, const Suspicion&);
-    void ended(RequestId);
+    void ended(RequestId, MonotonicTime now);
 
     // The parts that this host tries, for its peers.
-    std::vector<PromptPartHash> report() const;
+    std::vector<PromptPartHash> report(MonotonicTime now) const;
     void merge(const HostId& from, const std::vector<PromptPartHash>&, MonotonicTime now);
-    // Whether a trial began or ended, which the peers should hear of at once. Resets the flag.
+    // Whether a trial began, which the peers should hear of at once. Resets the flag.
     bool takeNews() { return std::exchange(m_hasNews, false); }
 
 private:
@@ -51,6 +54,11 @@
         MonotonicTime heardAt {};
     };
 
+    struct EndedTrial {
+        PromptParts parts;
+        MonotonicTime at {};
+    };
+
     struct Wanted {
         MonotonicTime since {};
         MonotonicTime askedAt {};
@@ -65,6 +73,7 @@
     SuspectTrialSettings m_settings;
     std::set<HostId> m_peers;
     std::map<RequestId, PromptParts> m_own;
+    std::deque<EndedTrial> m_ended;
     std::map<HostId, PeerTrials> m_ofPeers;
     // Since when requests with a strongly suspected part wait for a trial.
     std::unordered_map<PromptPartHash, Wanted> m_wanted;
--- a/src/gateway/GatewayQuarantine.cpp
+++ b/src/gateway/GatewayQuarantine.cpp
@@ -62,7 +62,7 @@
     if (!request.proof.noteData(now))
         return;
     noteAnswer(request, now);
-    m_trials.ended(request.arrived.id);
+    m_trials.ended(request.arrived.id, now);
 }
 
 void GatewayRequests::noteBrokenAttempt(Request& request, MonotonicTime now)
@@ -85,7 +85,12 @@
 
 bool GatewayRequests::holdForTrial(Request& request, MonotonicTime now, EffectList& effects)
 {
-    if (m_trials.mayStart(m_promptQuarantine.suspicionOf(request.parts, now), now))
+    const Suspicion suspicion = m_promptQuarantine.suspicionOf(request.parts, now);
+    if (suspicion.parts.empty())
+        return false;
+    // The hosts take turns from the moment at which a trial can run.
+    const bool canRun = m_directory.hasReplica(request.service, request.terms.variant, request.softwareVersion, now);
+    if (!canRun || m_trials.mayStart(suspicion, now))
         return false;
     if (!request.isWaiting) {
         request.isHeld = true;
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -276,7 +276,7 @@
     digest.running = m_directory.running();
     digest.limits = m_directory.limits().digest(now);
     digest.prompts = m_requests.promptQuarantine().nextDigest(now);
-    digest.prompts.trials = m_requests.trials().report();
+    digest.prompts.trials = m_requests.trials().report(now);
     return digest;
 }
 
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -322,7 +322,7 @@
 {
     const Attempt& attempt = *request.attempt;
     m_directory.attemptEnded(attempt.endpoint, request.terms.variant, verdict, now, effects);
-    m_trials.ended(request.arrived.id);
+    m_trials.ended(request.arrived.id, now);
     m_attempts.erase(attempt.id);
     request.attempt.reset();
 }
@@ -424,7 +424,7 @@
     const EndpointId endpoint = request->attempt->endpoint;
     effects.push_back(failedAttemptEntry(*request, failed.reason, "not_sent", now));
     m_directory.limits().attemptNotSent(endpoint, now);
-    m_trials.ended(request->arrived.id);
+    m_trials.ended(request->arrived.id, now);
     m_directory.attemptEnded(endpoint, request->terms.variant, AttemptVerdict::Unreachable, now, effects);
     request->excluded.insert(endpoint);
     m_attempts.erase(failed.id);
--- a/src/reducer/QuarantineExchange.cpp
+++ b/src/reducer/QuarantineExchange.cpp
@@ -41,7 +41,7 @@
     m_nextPromptNewsAt = now + promptNewsInterval;
     m_nextPromptRepetitionAt = now + promptRepetitionInterval;
     PromptQuarantineDigest digest = m_promptQuarantine.nextDigest(now);
-    digest.trials = m_trials.report();
+    digest.trials = m_trials.report(now);
     std::vector<HostId> peers;
     for (const LiveHost& live : m_liveHosts) {
         if (live.host != m_settings.host.host)
--- a/src/requests/RequestAnswers.cpp
+++ b/src/requests/RequestAnswers.cpp
@@ -246,7 +246,7 @@
     if (!request.proof.noteData(now))
         return;
     noteAnswer(request, now);
-    m_modules.trials.ended(request.id);
+    m_modules.trials.ended(request.id, now);
 }
 
 void RequestFlow::noteBrokenAnswer(const ActiveRequest& request, MonotonicTime now)
@@ -407,7 +407,7 @@
 {
     m_modules.endpoints.attemptEnded(request.endpoint);
     m_modules.quarantine.attemptEnded(request.endpoint, request.fingerprint, clean, now);
-    m_modules.trials.ended(request.id);
+    m_modules.trials.ended(request.id, now);
     m_attempts.erase(request.attempt);
     capacityChanged();
 }
--- a/src/routing/PromptQuarantine.cpp
+++ b/src/routing/PromptQuarantine.cpp
@@ -12,7 +12,7 @@
     constexpr unsigned crashLimit = 3;
     constexpr unsigned crashLimitWithoutAnswers = 5;
     // Answers to other requests which show that the endpoints work.
-    constexpr std::uint64_t neededAnswers = 5;
+    constexpr std::size_t neededAnswers = 5;
     // Runs in one crash that make a part that was never answered strongly suspected.
     constexpr std::uint32_t strongRuns = 3;
     // For the log, between two calls of takeCleared().
@@ -77,7 +77,7 @@
     }
     const auto position = std::upper_bound(
         m_crashes.begin(), m_crashes.end(), at, [](MonotonicTime time, const Crash& crash) { return time < crash.at; });
-    return *m_crashes.insert(position, Crash { endpoint, at, {}, m_answerCount });
+    return *m_crashes.insert(position, Crash { endpoint, at, {} });
 }
 
 // Returns nullptr if too many requests are known of the crash.
@@ -104,7 +104,9 @@
 
 void PromptQuarantine::answered(const PromptParts& parts, MonotonicTime now)
 {
-    ++m_answerCount;
+    m_answerTimes.push_back(now);
+    if (m_answerTimes.size() > neededAnswers)
+        m_answerTimes.pop_front();
     for (const PromptPartHash part : parts)
         m_answeredParts.insert(part, now);
     if (m_crashes.empty() && m_refusals.empty())
@@ -179,10 +181,12 @@
             evidence.events += involved.events;
             isInvolved = true;
         }
-        if (!isInvolved || (evidence.crashes > 0 && crash.at - evidence.latest < m_settings.sameCauseTime))
+        const Duration sameCauseTime
+            = evidence.requests.size() == 1 ? m_settings.sameCauseTimeOfOneRequest : m_settings.sameCauseTime;
+        if (!isInvolved || (evidence.crashes > 0 && crash.at - evidence.latest < sameCauseTime))
             continue;
         if (evidence.crashes == 0)
-            evidence.answersBefore = crash.answersBefore;
+            evidence.first = crash.at;
         ++evidence.crashes;
         evidence.latest = crash.at;
     }
@@ -193,7 +197,7 @@
 {
     // A refusal of one request alone cannot turn others away.
     const bool isOneRequest = evidence.requests.size() == 1;
-    const bool areOthersAnswered = m_answerCount >= evidence.answersBefore + neededAnswers;
+    const bool areOthersAnswered = m_answerTimes.size() >= neededAnswers && m_answerTimes.front() >= evidence.first;
     const unsigned needed = isOneRequest || areOthersAnswered ? crashLimit : crashLimitWithoutAnswers;
     return evidence.crashes >= needed && now - evidence.latest >= m_settings.settleTime;
 }
--- a/src/routing/SuspectTrials.cpp
+++ b/src/routing/SuspectTrials.cpp
@@ -82,22 +82,30 @@
     m_hasNews = true;
 }
 
-void SuspectTrials::ended(RequestId request)
+void SuspectTrials::ended(RequestId request, MonotonicTime now)
 {
-    if (m_own.erase(request) > 0)
-        m_hasNews = true;
+    const auto trial = m_own.find(request);
+    if (trial == m_own.end())
+        return;
+    while (!m_ended.empty() && now - m_ended.front().at >= m_settings.outcomeTime)
+        m_ended.pop_front();
+    m_ended.push_back({ std::move(trial->second), now });
+    m_own.erase(trial);
 }
 
-std::vector<PromptPartHash> SuspectTrials::report() const
+std::vector<PromptPartHash> SuspectTrials::report(MonotonicTime now) const
 {
-    std::vector<PromptPartHash> parts;
-    for (const auto& [request, tried] : m_own) {
-        for (const PromptPartHash part : tried) {
-            if (parts.size() < m_settings.maximumReported)
-                parts.push_back(part);
-        }
+    std::set<PromptPartHash> parts;
+    for (const auto& [request, tried] : m_own)
+        parts.insert(tried.begin(), tried.end());
+    for (const EndedTrial& trial : m_ended) {
+        if (now - trial.at < m_settings.outcomeTime)
+            parts.insert(trial.parts.begin(), trial.parts.end());
     }
-    return parts;
+    std::vector<PromptPartHash> reported(parts.begin(), parts.end());
+    if (reported.size() > m_settings.maximumReported)
+        reported.resize(m_settings.maximumReported);
+    return reported;
 }
 
 void SuspectTrials::merge(const HostId& from, const std::vector<PromptPartHash>& parts, MonotonicTime now)
--- a/tests/routing/SuspectTrialsTest.cpp
+++ b/tests/routing/SuspectTrialsTest.cpp
@@ -49,7 +49,7 @@
                     if (to != from)
                         hosts[to].merge(idOf(from), reports[from], now);
                 }
-                reports[from] = hosts[from].report();
+                reports[from] = hosts[from].report(now);
             }
         }
         return running.size();
@@ -100,8 +100,11 @@
         trials.started(RequestId(1), weak({ part }));
         CHECK_FALSE(trials.mayStart(weak({ part, otherPart }), now));
         CHECK(trials.mayStart(weak({ otherPart }), now));
-        trials.ended(RequestId(1));
+        trials.ended(RequestId(1), now);
         CHECK(trials.mayStart(weak({ part }), now));
+        // The peers hear of the outcome first.
+        CHECK(trials.report(now) == std::vector<PromptPartHash> { part });
+        CHECK(trials.report(now + 300ms).empty());
     }
     SECTION("at another host that reports no trial any more")
     {
