--- a/tests/gateway/StreamVersionTest.cpp
+++ b/tests/gateway/StreamVersionTest.cpp
@@ -99,6 +99,33 @@
             [](const auto& header) { return header.first == "Retry-After"; });
     }
 
+    // Kills all hosts and starts them again.
+    void restartHosts()
+    {
+        for (std::size_t i = 0; i < fleet.hostCount(); ++i)
+            fleet.kill(i);
+        fleet.run(500ms);
+        for (std::size_t i = 0; i < fleet.hostCount(); ++i)
+            fleet.start(i);
+        fleet.run(2s);
+    }
+
+    // Returns what went wrong when the streams of each version were taken up again: the share that has to go on, and
+    // whether any may be refused.
+    std::vector<std::string> problemsOfResuming(const std::vector<Stream>& streams, std::size_t host)
+    {
+        std::vector<std::string> problems;
+        for (const Stream& stream : streams) {
+            const std::string name = "the stream of request " + std::to_string(stream.id.value);
+            const auto attempt = resume(stream, host);
+            if (!attempt)
+                problems.push_back(name + " was not taken up again");
+            else if (versionOfAttempt(*attempt) != versionOfAttempt(stream.attempt))
+                problems.push_back(name + " went on at another version");
+        }
+        return problems;
+    }
+
     // Resumes each stream and checks that it goes on at the version that began it.
     void checkGoesOn(const std::vector<Stream>& streams, std::size_t host)
     {
@@ -346,3 +373,61 @@
             == (fixture.fleet.attempts[stream.attempt].endpoint == other));
     }
 }
+
+namespace {
+
+struct RestartCase {
+    const char* name;
+    // Whether the second version appears only after the streams began.
+    bool isSecondVersionLate;
+    // Whether the store is restored from a copy of before the streams.
+    bool isStoreRestored;
+    // Whether the old version leaves before the kill.
+    bool hasOldVersionLeft;
+    // Whether the hosts are killed twice.
+    bool isKilledTwice;
+    // Whether the hosts of the streams lose the store for a while before the kill.
+    bool wasStoreAway;
+};
+
+} // namespace
+
+// Guards against streams that are refused for minutes because all hosts that knew their versions were killed at once.
+TEST_CASE("Streams go on at their versions after all hosts were killed")
+{
+    const auto test = GENERATE(values<RestartCase>({
+        { "two versions", false, false, false, false, false },
+        { "a second version that came later", true, false, false, false, false },
+        { "a restored store", false, true, false, false, false },
+        { "an old version that has left", false, false, true, false, false },
+        { "two kills", false, false, false, true, false },
+        { "a store that was away", false, false, false, false, true },
+    }));
+    INFO(test.name);
+    VersionFixture fixture(test.isSecondVersionLate ? std::vector<std::string> { "v1", "v1" }
+                                                    : std::vector<std::string> { "v1", "v1", "v2", "v2" });
+    fixture.fleet.store.saveCopy();
+    const auto setStoreReached = [&](bool isReached) {
+        for (std::size_t i = 0; i < fixture.fleet.hostCount(); ++i)
+            fixture.fleet.setConnected(i, isReached);
+    };
+    setStoreReached(!test.wasStoreAway);
+    auto streams = fixture.beginMany(0);
+    fixture.fleet.run(1s);
+    setStoreReached(true);
+    if (test.isSecondVersionLate) {
+        fixture.putEngine("y1", "v2");
+        fixture.putEngine("y2", "v2");
+    }
+    if (test.isStoreRestored)
+        fixture.fleet.restoreStore();
+    fixture.fleet.run(2s);
+    if (test.hasOldVersionLeft) {
+        fixture.removeEngines("v1");
+        std::erase_if(streams, [&](const auto& stream) { return fixture.versionOfAttempt(stream.attempt) == "v1"; });
+    }
+    for (int i = 0; i < (test.isKilledTwice ? 2 : 1); ++i)
+        fixture.restartHosts();
+    REQUIRE_FALSE(streams.empty());
+    CHECK(fixture.problemsOfResuming(streams, 1) == std::vector<std::string> {});
+}
