Record in the store at which version streams began, and load models at the version of waiting streams

Causes: what had to outlast all hosts was in the memory of three of them; and nothing told the placement that a replica at another version does not serve a stream.

Change: while several versions serve, each host writes the streams that began, one key for each interval (400 ms, more in large fleets), under a lease that is not renewed, beside the prefix that all hosts mirror; a host that no peer can answer reads the records, once a second at most, and refuses only what they lack. After a restore they are written again; a planned stop writes what waits. Hosts report models for which streams of one version wait, also those refused a moment ago, and the owner loads them at an engine of that version; a stream is refused as gone only if its version has no endpoint. The three users of one store call at a time share SerialStoreCalls.

--- a/include/catkinwell/gateway/EndpointDirectory.h
+++ b/include/catkinwell/gateway/EndpointDirectory.h
@@ -65,9 +65,9 @@
     // Whether a usable endpoint of the service that accepts a request now holds the variant, regardless of its load.
     bool hasReplica(const std::string& service, const ModelVariant&, const std::optional<std::string>& softwareVersion,
         MonotonicTime now);
-    // Whether an endpoint that is not excluded, of the software version, holds the model or is about to, even if it
-    // accepts no request now.
-    bool canServe(const EndpointNeed&, MonotonicTime now) const;
+    // Whether the service has an endpoint of the software version that is not excluded, even if it does not hold the
+    // model or accepts no request now.
+    bool hasVersion(const EndpointNeed&, MonotonicTime now) const;
     // Whether streams of the service that callers may still take up can have begun at several software versions.
     bool hasSeveralVersions(const std::string& service, MonotonicTime now) const;
     // The services of which that is recorded in the store; nullopt while the records were not read.
@@ -80,11 +80,12 @@
     // The rates that endpoints state. choose() and hasReplica() keep within them; attempts count against them.
     EndpointLimits& limits() { return m_limits; }
     // Returns the expected time until an ordered replica is ready; nullopt if none was ordered.
-    std::optional<Duration> timeUntilOrderedReplica(
-        const std::string& service, const ModelVariant&, MonotonicTime now) const;
+    std::optional<Duration> timeUntilOrderedReplica(const std::string& service, const ModelVariant&,
+        const std::optional<std::string>& softwareVersion, MonotonicTime now) const;
     // Returns the shortest time until a replica can be ready: one that was ordered, or a load ordered now.
-    Duration shortestTimeToReplica(
-        const std::string& service, const ModelVariant&, const GatewayModel&, MonotonicTime now) const;
+    // With a software version, only endpoints of it count.
+    Duration shortestTimeToReplica(const std::string& service, const ModelVariant&, const GatewayModel&,
+        const std::optional<std::string>& softwareVersion, MonotonicTime now) const;
     bool hasUsableEndpoint(const std::string& service, MonotonicTime now) const;
     // Whether endpoints that serve the need exist, and all of them failed the request or are suspected by this host.
     bool isOnlyUnreachable(const EndpointNeed&, MonotonicTime now) const;
--- a/include/catkinwell/gateway/EnginePlacement.h
+++ b/include/catkinwell/gateway/EnginePlacement.h
@@ -149,12 +149,18 @@
 
     void planAdapters(MonotonicTime now, EffectList&);
     void planWaitingModels(MonotonicTime now, EffectList&);
+    void planVersionWaits(MonotonicTime now, EffectList&);
+    // Whether streams of the engine's software version wait for the model.
+    bool isAwaited(const Engine&, const ModelId&) const;
+    void planVersionWait(const VersionWait&, MonotonicTime now, EffectList&);
+    void planAdapter(const ModelVariant&, const ModelSummary&, MonotonicTime now, EffectList&);
     void planBusyModels(MonotonicTime now, EffectList&);
     void planCopies(MonotonicTime now, EffectList&);
     void continueLoad(Engine&, MonotonicTime now, EffectList&);
     void beginLoad(const Candidate&, const ModelId&, std::string_view reason, MonotonicTime now, EffectList&);
-    std::optional<Candidate> bestCandidate(
-        const std::string& service, const ModelId&, bool mayUseStore, BusyEnginePolicy, MonotonicTime now);
+    // With a software version, only engines of it count.
+    std::optional<Candidate> bestCandidate(const std::string& service, const ModelId&, bool mayUseStore,
+        BusyEnginePolicy, MonotonicTime now, const std::optional<std::string>& softwareVersion = std::nullopt);
     Duration timeUntilFree(const Engine&, MonotonicTime now) const;
     std::optional<Candidate> candidateOn(
         Engine&, const GatewayModel&, const GatewayEngine&, bool mayUseStore, MonotonicTime now);
@@ -207,6 +213,8 @@
     std::optional<PlacementPermission> m_permission;
     std::map<EndpointId, Engine> m_engines;
     FleetDemand m_demand;
+    // By host, without empty sets.
+    std::map<HostId, std::set<VersionWait>> m_versionWaits;
     // Moving averages of running requests per model.
     std::map<ServiceModel, double> m_running;
     std::optional<ModelSummaries> m_summaries;
--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -7,6 +7,7 @@
 #include <catkinwell/gateway/PlacementOwnership.h>
 #include <catkinwell/gateway/PrefixMirror.h>
 #include <catkinwell/gateway/PromptRefusalRecords.h>
+#include <catkinwell/gateway/StreamVersionRecords.h>
 #include <catkinwell/gateway/VersionMixRecords.h>
 #include <catkinwell/metrics/MetricsRegistry.h>
 #include <catkinwell/peer/PeerMessage.h>
@@ -122,6 +123,7 @@
     EnginePlacement m_placement;
     PromptRefusalRecords m_refusalRecords;
     VersionMixRecords m_versionMixes;
+    StreamVersionRecords m_streamRecords;
     RandomGenerator m_random;
     GatewayConfiguration m_configuration;
     std::string m_configurationDocument;
--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -69,8 +69,10 @@
     StreamVersions& streamVersions() { return m_streamVersions; }
     // Returns the streams to ask other hosts about since the last call. Each must be followed by noteAsked().
     std::vector<StreamKey> takeVersionQuestions() { return std::exchange(m_versionQuestions, {}); }
-    // This number of hosts was asked.
-    void noteAsked(StreamKey, std::size_t hosts, MonotonicTime now, EffectList&);
+    // This number of hosts was asked, and the records in the store are being read or not.
+    void noteAsked(StreamKey, std::size_t hosts, bool areRecordsRead, MonotonicTime now, EffectList&);
+    // The records in the store were read.
+    void noteRecordsRead(const std::vector<StreamBeginning>&, MonotonicTime now, EffectList&);
     // Another host reports, or answers a question.
     void handle(const StreamBeginning&, MonotonicTime now, EffectList&);
     PromptQuarantine& promptQuarantine() { return m_promptQuarantine; }
@@ -88,6 +90,8 @@
 
     // Demand for models and adapters, reported to the placement owner.
     HostDemand& demand() { return m_demand; }
+    // The models and adapters for which streams of one software version wait.
+    std::set<VersionWait> versionWaits(MonotonicTime now) const;
     // Returns whether a request started waiting for a replica since the last call.
     bool takeNewlyWaiting() { return std::exchange(m_newlyWaiting, false); }
     std::size_t activeRequests() const { return m_requests.size(); }
@@ -183,6 +187,8 @@
         // answer.
         std::optional<MonotonicTime> versionDeadline;
         std::size_t askedHosts = 0;
+        // Whether the records in the store, which may know it too, are being read.
+        bool awaitsRecords = false;
         EventStreamBuffer eventBuffer;
         std::string failure;
     };
@@ -239,6 +245,7 @@
     bool isResumption(const Request&) const;
     // Starts the request at the version of its stream, asks other hosts for that version, or refuses the request.
     void dispatchResumption(Request&, MonotonicTime now, EffectList&);
+    void refuseIfNobodyKnows(Request&, MonotonicTime now, EffectList&);
     void refuseUnknownVersion(Request&, MonotonicTime now, EffectList&);
     bool isVersionGone(const Request&, MonotonicTime now) const;
     // Ends a request whose stream no endpoint of its version can go on with. Returns whether it ended.
@@ -248,8 +255,11 @@
     void reportIfBroken(Request&, MonotonicTime now);
     std::vector<RequestId> requestsAwaiting(StreamKey) const;
     void dispatch(Request&, MonotonicTime now, EffectList&);
+    // A variant, and the only software version that serves it if there is one.
+    using VersionedVariant = std::pair<ServiceVariant, std::optional<std::string>>;
+    VersionedVariant needOf(const Request&, MonotonicTime now) const;
     // Returns the shortest time until a replica can be ready; nullopt for a plain service or an unknown model.
-    std::optional<Duration> shortestTimeToReplica(const ServiceVariant&, MonotonicTime now) const;
+    std::optional<Duration> shortestTimeToReplica(const VersionedVariant&, MonotonicTime now) const;
     // Refuses a waiting request whose model cannot be ready in time. The model stays in demand for a while.
     void refuseIfTooLate(Request&, std::optional<Duration> soonest, MonotonicTime now, EffectList&);
     void endRefusedWaits(MonotonicTime now);
@@ -312,6 +322,8 @@
     // Models of requests refused as too late, whose callers are expected to return, with the time until which each
     // counts as one waiting request.
     std::map<ServiceVariant, MonotonicTime> m_refusedWaits;
+    // The same for streams that must go on at one software version.
+    std::map<VersionWait, MonotonicTime> m_refusedVersionWaits;
     HostDemand m_demand;
     StreamVersions m_streamVersions;
     std::vector<StreamKey> m_versionQuestions;
--- a/include/catkinwell/gateway/HostDemand.h
+++ b/include/catkinwell/gateway/HostDemand.h
@@ -4,6 +4,7 @@
 #include <catkinwell/gateway/GatewayConfiguration.h>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -25,10 +26,21 @@
     std::uint32_t idleMilliseconds = 0;
 };
 
+// A model or adapter for which streams wait that must go on at one software version.
+struct VersionWait {
+    std::string service;
+    ModelVariant variant;
+    std::string softwareVersion;
+
+    auto operator<=>(const VersionWait&) const = default;
+};
+
 // The demand at one host: the changes since its last report, or all of it.
 struct DemandReport {
     bool isWhole = false;
     std::vector<VariantDemand> entries;
+    // All of the host's waits, also in a report of changes.
+    std::set<VersionWait> versionWaits {};
 };
 
 // Returns the factor by which a moving average of arrivals decays over the time. All hosts use the same averaging time,
--- a/include/catkinwell/gateway/PromptRefusalRecords.h
+++ b/include/catkinwell/gateway/PromptRefusalRecords.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <catkinwell/gateway/PrefixMirror.h>
+#include <catkinwell/gateway/SerialStoreCalls.h>
 #include <catkinwell/routing/PromptQuarantine.h>
 #include <optional>
 #include <set>
@@ -29,21 +30,19 @@
     // Precondition: the mirror contains all keys with the prefix.
     void tick(
         const std::vector<PromptRefusal>&, const PrefixMirror&, bool isOwner, WallTime, MonotonicTime now, EffectList&);
-    void handle(const StoreReply&);
+    // The mirror shows the outcome of a call.
+    void handle(const StoreReply& reply) { m_calls.take(reply); }
     // Writes lost records again as if the refusals had become known at this time.
     void noteRestored(MonotonicTime knownFrom);
 
 private:
     std::string keyOf(PromptRefusalId) const;
-    void call(StoreOperation, MonotonicTime now, EffectList&);
     bool deleteEnded(const PrefixMirror&, MonotonicTime now, EffectList&);
     bool deleteExpired(const PrefixMirror&, WallTime, MonotonicTime now, EffectList&);
     std::size_t countRecords(const PrefixMirror&) const;
 
     std::string m_keyPrefix;
-    StoreCallIds m_callIds { StoreUser::Quarantine };
-    StoreCallId m_pending;
-    MonotonicTime m_nextAt {};
+    SerialStoreCalls m_calls;
     // When this host learned of each refusal whose record it did not find yet.
     std::unordered_map<PromptRefusalId, MonotonicTime> m_knownSince;
     std::set<PromptRefusalId> m_ended;
--- a/include/catkinwell/gateway/StreamVersions.h
+++ b/include/catkinwell/gateway/StreamVersions.h
@@ -44,6 +44,8 @@
     void noteBegun(StreamKey, const std::string& softwareVersion, Duration remaining, MonotonicTime now);
     // Another host reports a beginning.
     void merge(const StreamBeginning&, MonotonicTime now);
+    // The store holds a record of the beginning, which may be older than what is known here.
+    void mergeRecorded(const StreamBeginning&, MonotonicTime now);
     // Returns the version at which the stream began; nullopt if this host does not know it.
     std::optional<std::string> find(StreamKey, MonotonicTime now) const;
     // Returns the answer to another host's question.
--- a/include/catkinwell/gateway/VersionMixRecords.h
+++ b/include/catkinwell/gateway/VersionMixRecords.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <catkinwell/gateway/PrefixMirror.h>
+#include <catkinwell/gateway/SerialStoreCalls.h>
 #include <optional>
 #include <set>
 #include <string>
@@ -20,7 +21,8 @@
     // most one call at a time. Precondition: the mirror contains all keys with the prefix.
     void tick(const std::vector<std::string>& services, const PrefixMirror&, bool isOwner, WallTime, MonotonicTime now,
         EffectList&);
-    void handle(const StoreReply&);
+    // The mirror shows the outcome of a call.
+    void handle(const StoreReply& reply) { m_calls.take(reply); }
     // Writes lost records again, the other hosts after the owner.
     void noteRestored(MonotonicTime knownFrom);
 
@@ -28,12 +30,8 @@
     std::optional<std::set<std::string>> services(const PrefixMirror&, WallTime) const;
 
 private:
-    void call(StoreOperation, MonotonicTime now, EffectList&);
-
     std::string m_keyPrefix;
-    StoreCallIds m_callIds { StoreUser::Versions };
-    StoreCallId m_pending;
-    MonotonicTime m_nextAt {};
+    SerialStoreCalls m_calls;
     // When this host first found a record missing or close to its end.
     std::map<std::string, MonotonicTime> m_missingSince;
 };
--- a/include/catkinwell/store/StoreCallIds.h
+++ b/include/catkinwell/store/StoreCallIds.h
@@ -16,6 +16,8 @@
     Administration,
     Quarantine,
     Versions,
+    Streams,
+    StreamReads,
 };
 
 // Generates the call identifiers of one module. Part of the reducer's state; not thread safe.
--- a/src/gateway/EndpointDirectory.cpp
+++ b/src/gateway/EndpointDirectory.cpp
@@ -355,28 +355,22 @@
     });
 }
 
-bool EndpointDirectory::canServe(const EndpointNeed& need, MonotonicTime now) const
+bool EndpointDirectory::hasVersion(const EndpointNeed& need, MonotonicTime now) const
 {
-    const ModelVariant& variant = need.variant;
     return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto& item) {
         const Entry& entry = item.second;
-        const bool isGone = entry.usableUntil != MonotonicTime() && now >= entry.usableUntil;
-        if (entry.record.service != need.service || !isVersionAccepted(entry, need.softwareVersion)
-            || entry.record.isLeaving || isGone || need.excluded.contains(item.first))
-            return false;
-        const auto isPending
-            = [&variant](const PendingReplica& replica) { return replica.variant.model == variant.model; };
-        return variant.model.value.empty() || modelsOf(entry, now).contains(variant.model)
-            || std::any_of(entry.update.pendingReplicas.begin(), entry.update.pendingReplicas.end(), isPending);
+        return entry.record.service == need.service && isVersionAccepted(entry, need.softwareVersion)
+            && isPresent(entry, now) && !need.excluded.contains(item.first);
     });
 }
 
-std::optional<Duration> EndpointDirectory::timeUntilOrderedReplica(
-    const std::string& service, const ModelVariant& variant, MonotonicTime now) const
+std::optional<Duration> EndpointDirectory::timeUntilOrderedReplica(const std::string& service,
+    const ModelVariant& variant, const std::optional<std::string>& softwareVersion, MonotonicTime now) const
 {
     std::optional<Duration> soonest;
     for (const auto& [id, entry] : m_entries) {
-        if (entry.record.service != service || now - entry.updateReceivedAt >= updateLifetime)
+        if (entry.record.service != service || now - entry.updateReceivedAt >= updateLifetime
+            || !isVersionAccepted(entry, softwareVersion))
             continue;
         for (const PendingReplica& replica : entry.update.pendingReplicas) {
             if (replica.variant != variant)
@@ -389,16 +383,17 @@
     return soonest;
 }
 
-Duration EndpointDirectory::shortestTimeToReplica(
-    const std::string& service, const ModelVariant& variant, const GatewayModel& model, MonotonicTime now) const
+Duration EndpointDirectory::shortestTimeToReplica(const std::string& service, const ModelVariant& variant,
+    const GatewayModel& model, const std::optional<std::string>& softwareVersion, MonotonicTime now) const
 {
     // Adapters load soon after their model, so only the model matters.
-    if (const auto ready = timeUntilOrderedReplica(service, { variant.model, "" }, now))
+    if (const auto ready = timeUntilOrderedReplica(service, { variant.model, "" }, softwareVersion, now))
         return *ready;
     Duration soonest = model.loadFromStore;
     for (const auto& [id, entry] : m_entries) {
         const bool isGone = entry.usableUntil != MonotonicTime() && now >= entry.usableUntil;
-        if (entry.record.service != service || entry.record.isLeaving || isGone)
+        if (entry.record.service != service || entry.record.isLeaving || isGone
+            || !isVersionAccepted(entry, softwareVersion))
             continue;
         if (modelsOf(entry, now).contains(variant.model) || entry.record.models.contains(variant.model))
             return Duration::zero();
--- a/src/gateway/EnginePlacement.cpp
+++ b/src/gateway/EnginePlacement.cpp
@@ -119,9 +119,17 @@
 void EnginePlacement::handle(const HostId& from, const DemandReport& report, MonotonicTime now)
 {
     m_demand.handle(from, report, now);
+    if (report.versionWaits.empty())
+        m_versionWaits.erase(from);
+    else
+        m_versionWaits[from] = report.versionWaits;
 }
 
-void EnginePlacement::removeHost(const HostId& host) { m_demand.removeHost(host); }
+void EnginePlacement::removeHost(const HostId& host)
+{
+    m_demand.removeHost(host);
+    m_versionWaits.erase(host);
+}
 
 void EnginePlacement::updateRunning(MonotonicTime now)
 {
@@ -166,6 +174,7 @@
     invalidateSummaries();
     planAdapters(now, effects);
     planWaitingModels(now, effects);
+    planVersionWaits(now, effects);
     planBusyModels(now, effects);
     planCopies(now, effects);
 }
--- a/src/gateway/EnginePlacementChoice.cpp
+++ b/src/gateway/EnginePlacementChoice.cpp
@@ -226,7 +226,7 @@
     value += runningRequestCost * std::min(running, 4U);
     const auto loadedAt = engine.loadedAt.find(model);
     const bool isFresh = loadedAt != engine.loadedAt.end() && now - loadedAt->second < evictionProtectionTime;
-    if ((isFresh || summary.waiting > 0) && count <= wanted)
+    if (((isFresh || summary.waiting > 0) && count <= wanted) || isAwaited(engine, model))
         value += protectedReplicaCost;
     return value;
 }
@@ -277,8 +277,9 @@
     return left;
 }
 
-std::optional<EnginePlacement::Candidate> EnginePlacement::bestCandidate(
-    const std::string& service, const ModelId& model, bool mayUseStore, BusyEnginePolicy policy, MonotonicTime now)
+std::optional<EnginePlacement::Candidate> EnginePlacement::bestCandidate(const std::string& service,
+    const ModelId& model, bool mayUseStore, BusyEnginePolicy policy, MonotonicTime now,
+    const std::optional<std::string>& softwareVersion)
 {
     const GatewayEngine* settings = m_configuration.engineOf(service);
     if (!settings || !settings->models.contains(model))
@@ -289,7 +290,7 @@
         const bool isWorthWaiting = policy == BusyEnginePolicy::WaitForCopy && engine.isVerified
             && sourceOf(engine, model) != WeightSource::Store;
         if (engine.record.service != service || !isReachable(engine, now) || engine.models.contains(model)
-            || (!isFree && !isWorthWaiting))
+            || (!isFree && !isWorthWaiting) || (softwareVersion && engine.record.softwareVersion != *softwareVersion))
             continue;
         auto candidate = candidateOn(engine, settings->models.at(model), *settings, mayUseStore, now);
         if (!candidate)
--- a/src/gateway/EnginePlacementPlan.cpp
+++ b/src/gateway/EnginePlacementPlan.cpp
@@ -114,20 +114,27 @@
         });
         if (isPresent)
             continue;
-        Engine* engine = adapterEngine(summary, variant, now);
-        if (!engine)
-            continue;
-        unsigned used = 0;
-        for (const auto& [model, adapters] : engine->models)
-            used += static_cast<unsigned>(adapters.size());
-        const GatewayEngine* settings = m_configuration.engineOf(key.first);
-        if (settings && used < settings->adapterSlots)
-            giveOrder(*engine, EngineOrderKind::Load, variant, "adapter_wanted", now, effects);
-        else
-            makeRoomForAdapter(*engine, now, effects);
+        planAdapter(variant, summary, now, effects);
     }
 }
 
+// Loads the adapter into one of the holders of its model, or makes room for it.
+void EnginePlacement::planAdapter(
+    const ModelVariant& variant, const ModelSummary& summary, MonotonicTime now, EffectList& effects)
+{
+    Engine* engine = adapterEngine(summary, variant, now);
+    if (!engine)
+        return;
+    unsigned used = 0;
+    for (const auto& [model, adapters] : engine->models)
+        used += static_cast<unsigned>(adapters.size());
+    const GatewayEngine* settings = m_configuration.engineOf(engine->record.service);
+    if (settings && used < settings->adapterSlots)
+        giveOrder(*engine, EngineOrderKind::Load, variant, "adapter_wanted", now, effects);
+    else
+        makeRoomForAdapter(*engine, now, effects);
+}
+
 // Chooses the engine to load the adapter into, among those that hold its model.
 EnginePlacement::Engine* EnginePlacement::adapterEngine(
     const ModelSummary& summary, const ModelVariant& variant, MonotonicTime now)
@@ -188,6 +195,58 @@
     }
 }
 
+void EnginePlacement::planVersionWaits(MonotonicTime now, EffectList& effects)
+{
+    std::set<VersionWait> waits;
+    for (const auto& [host, ofHost] : m_versionWaits)
+        waits.insert(ofHost.begin(), ofHost.end());
+    for (const VersionWait& wait : waits)
+        planVersionWait(wait, now, effects);
+}
+
+bool EnginePlacement::isAwaited(const Engine& engine, const ModelId& model) const
+{
+    return std::any_of(m_versionWaits.begin(), m_versionWaits.end(), [&](const auto& ofHost) {
+        return std::any_of(ofHost.second.begin(), ofHost.second.end(), [&](const VersionWait& wait) {
+            return wait.service == engine.record.service && wait.variant.model == model
+                && wait.softwareVersion == engine.record.softwareVersion;
+        });
+    });
+}
+
+// A stream must go on at the software version that began it, so a replica at another one does not serve it.
+void EnginePlacement::planVersionWait(const VersionWait& wait, MonotonicTime now, EffectList& effects)
+{
+    const ModelId& model = wait.variant.model;
+    ModelSummary ofVersion;
+    bool isExpected = false;
+    for (auto& [id, engine] : m_engines) {
+        if (engine.record.service != wait.service || engine.record.softwareVersion != wait.softwareVersion
+            || !isReachable(engine, now))
+            continue;
+        if (engine.models.contains(model))
+            ofVersion.holders.push_back(&engine);
+        isExpected = isExpected || upcomingModel(engine) == model;
+    }
+    if (ofVersion.holders.empty()) {
+        const bool mayUseStore = mayLoadFromStore(wait.service, 1, now);
+        const auto candidate = isExpected
+            ? std::nullopt
+            : bestCandidate(wait.service, model, mayUseStore, BusyEnginePolicy::WaitForCopy, now, wait.softwareVersion);
+        if (candidate)
+            beginLoad(*candidate, model, "streams_wait", now, effects);
+        return;
+    }
+    const auto hasAdapter = [&wait](const Engine* engine) {
+        const bool isOrdered = engine->adapterPending
+            && ModelVariant { engine->adapterPending->order.model, engine->adapterPending->order.adapter }
+                == wait.variant;
+        return isOrdered || engine->models.at(wait.variant.model).contains(wait.variant.adapter);
+    };
+    if (!wait.variant.adapter.empty() && std::none_of(ofVersion.holders.begin(), ofVersion.holders.end(), hasAdapter))
+        planAdapter(wait.variant, ofVersion, now, effects);
+}
+
 void EnginePlacement::planBusyModels(MonotonicTime now, EffectList& effects)
 {
     if (now < m_nextBusyPlanAt)
--- a/src/gateway/GatewayMessage.cpp
+++ b/src/gateway/GatewayMessage.cpp
@@ -85,6 +85,15 @@
         return digest;
     }
 
+    Json listOfVersionWaits(const std::set<VersionWait>& waits)
+    {
+        Json list = Json::array();
+        for (const VersionWait& wait : waits)
+            list.push_back(
+                Json::array({ wait.service, wait.variant.model.value, wait.variant.adapter, wait.softwareVersion }));
+        return list;
+    }
+
     struct Encoder {
         Json operator()(const HostDigest& digest) const
         {
@@ -102,10 +111,13 @@
             Json message
                 = Json::array({ Kind::HostDigest, digest.sequence, digest.configurationVersion, digest.isLeaving,
                     std::move(usage), digest.demand.isWhole, std::move(demand), std::move(running), unusedList });
-            if (!digest.prompts.isEmpty() || !digest.limits.isEmpty() || !digest.unreachableServices.empty()) {
+            const bool hasRareNews = !digest.prompts.isEmpty() || !digest.limits.isEmpty()
+                || !digest.unreachableServices.empty() || !digest.demand.versionWaits.empty();
+            if (hasRareNews) {
                 message.push_back(jsonOf(digest.prompts));
                 message.push_back(listOfLimits(digest.limits));
                 message.push_back(digest.unreachableServices);
+                message.push_back(listOfVersionWaits(digest.demand.versionWaits));
             }
             return message;
         }
@@ -165,6 +177,9 @@
         // Hosts of earlier releases do not send them.
         if (list.size() > 11)
             digest.unreachableServices = list.at(11).get<std::set<std::string>>();
+        for (const Json& wait : list.size() > 12 ? list.at(12) : Json::array())
+            digest.demand.versionWaits.insert(
+                { wait.at(0).get<std::string>(), variantOf(wait.at(1), wait.at(2)), wait.at(3).get<std::string>() });
         return digest;
     }
 
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -9,6 +9,10 @@
 
     using Json = nlohmann::json;
 
+    // Streams that began within this time before a kill of all hosts are not known after it; it grows with the number
+    // of hosts to bound the store calls.
+    constexpr Duration shortestStreamRecordInterval = std::chrono::milliseconds(400);
+    constexpr Duration streamRecordIntervalPerHost = std::chrono::milliseconds(10);
     constexpr Duration digestIntervalPerHost = std::chrono::milliseconds(12);
     constexpr Duration shortestDigestInterval = std::chrono::milliseconds(200);
     constexpr Duration longestDigestInterval = std::chrono::seconds(2);
@@ -60,6 +64,14 @@
         return settings;
     }
 
+    // Beside the prefix that every host mirrors.
+    StreamVersionRecordSettings streamRecordsOf(const GatewaySettings& settings)
+    {
+        StreamVersionRecordSettings records;
+        records.keyPrefix = settings.storeKeyPrefix.substr(0, settings.storeKeyPrefix.size() - 1) + "-streams/";
+        return records;
+    }
+
     PlacementOwnership::Settings ownershipOf(const GatewaySettings& settings, Incarnation incarnation)
     {
         PlacementOwnership::Settings ownership;
@@ -93,6 +105,7 @@
     , m_placement(m_settings.placement, m_directory)
     , m_refusalRecords(m_settings.storeKeyPrefix + "quarantine/")
     , m_versionMixes(m_settings.storeKeyPrefix + "versions/")
+    , m_streamRecords(m_settings.host, incarnation, streamRecordsOf(m_settings))
     , m_random(seed + 5)
 {
 }
@@ -247,6 +260,11 @@
     case StoreUser::Versions:
         m_versionMixes.handle(reply);
         break;
+    case StoreUser::Streams:
+    case StoreUser::StreamReads:
+        if (const auto beginnings = m_streamRecords.handle(reply, m_wallNow))
+            m_requests.noteRecordsRead(*beginnings, now, effects);
+        break;
     case StoreUser::Orders:
         break;
     }
@@ -285,6 +303,8 @@
     m_requests.setHostCount(m_livePeers.size() + 1);
     m_requests.trials().setPeers(m_livePeers);
     m_relayPeers.setLive(m_livePeers);
+    m_streamRecords.setInterval(std::max<Duration>(
+        shortestStreamRecordInterval, streamRecordIntervalPerHost * static_cast<std::int64_t>(m_livePeers.size() + 1)));
     m_endpointMirror.setMinimumInterval(
         std::clamp<Duration>(recordIntervalPerHost * static_cast<std::int64_t>(m_livePeers.size() + 1),
             shortestRecordInterval, longestRecordInterval));
@@ -375,6 +395,7 @@
     }
     HostDigest digest = makeDigest(now);
     digest.demand = m_requests.demand().report(isWhole, now);
+    digest.demand.versionWaits = m_requests.versionWaits(now);
     return digest;
 }
 
@@ -528,6 +549,7 @@
     m_phase = Phase::Finished;
     m_requests.endAll(now, effects);
     sendStreamBeginnings(now, effects);
+    m_streamRecords.flush(m_wallNow, now, effects);
     m_ownership.release(effects);
     m_placement.setPermission(std::nullopt, now);
     m_lease.revoke(effects);
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -10,6 +10,8 @@
 
     // Largest fraction of a request's time to wait for a replica; a longer wait leaves too little for the answer.
     constexpr double longestWaitShare = 0.7;
+    // The same for a stream of which the caller has a part.
+    constexpr double longestResumptionWaitShare = 0.85;
     // Fraction of its time that a request for a plain service waits for an endpoint to appear.
     constexpr double plainWaitShare = 0.25;
     constexpr Duration retryPause = std::chrono::milliseconds(60);
@@ -27,6 +29,8 @@
     constexpr Duration streamPauseTimeout = std::chrono::milliseconds(1200);
     // A refusal must reach the caller before the caller gives up.
     constexpr Duration refusalMargin = std::chrono::milliseconds(60);
+    // Streams of more models than these wait for others to be loaded first.
+    constexpr std::size_t maximumVersionWaits = 32;
     constexpr std::size_t maximumCollectedBytes = 8 * 1024 * 1024;
     constexpr std::size_t maximumEventBytes = 1024 * 1024;
 
@@ -141,7 +145,8 @@
 MonotonicTime GatewayRequests::waitLimit(const Request& request) const
 {
     const bool isPlain = request.terms.variant.model.value.empty();
-    const double share = isPlain ? plainWaitShare : longestWaitShare;
+    const double modelShare = isResumption(request) ? longestResumptionWaitShare : longestWaitShare;
+    const double share = isPlain ? plainWaitShare : modelShare;
     const Duration whole = request.deadline - request.arrivedAt;
     const MonotonicTime limit = request.arrivedAt
         + std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::nano>(whole) * share);
@@ -160,7 +165,7 @@
         m_demand.waitBegan({ request.service, variant }, now);
         m_newlyWaiting = true;
     }
-    refuseIfTooLate(request, shortestTimeToReplica({ request.service, variant }, now), now, effects);
+    refuseIfTooLate(request, shortestTimeToReplica(needOf(request, now), now), now, effects);
 }
 
 void GatewayRequests::waitForPath(Request& request, MonotonicTime now, EffectList& effects)
@@ -182,15 +187,23 @@
             { "model", request.terms.variant.text() }, { "reason", std::string(textOf(reason)) } } });
 }
 
-std::optional<Duration> GatewayRequests::shortestTimeToReplica(const ServiceVariant& key, MonotonicTime now) const
+std::optional<Duration> GatewayRequests::shortestTimeToReplica(const VersionedVariant& key, MonotonicTime now) const
 {
-    const GatewayEngine* engine = m_configuration.engineOf(key.first);
+    const auto& [service, variant] = key.first;
+    const GatewayEngine* engine = m_configuration.engineOf(service);
     if (!engine)
         return std::nullopt;
-    const auto model = engine->models.find(key.second.model);
+    const auto model = engine->models.find(variant.model);
     if (model == engine->models.end())
         return std::nullopt;
-    return m_directory.shortestTimeToReplica(key.first, key.second, model->second, now);
+    return m_directory.shortestTimeToReplica(service, variant, model->second, key.second, now);
+}
+
+// The version counts only where several serve.
+GatewayRequests::VersionedVariant GatewayRequests::needOf(const Request& request, MonotonicTime now) const
+{
+    const ServiceVariant variant(request.service, request.terms.variant);
+    return { variant, m_directory.hasSeveralVersions(request.service, now) ? request.softwareVersion : std::nullopt };
 }
 
 void GatewayRequests::refuseIfTooLate(
@@ -202,13 +215,34 @@
     const auto [known, isNew] = m_refusedWaits.try_emplace(key, now + refusedWaitTime);
     if (isNew)
         m_demand.waitBegan(key, now);
+    if (const VersionedVariant need = needOf(request, now); need.second)
+        m_refusedVersionWaits[{ key.first, key.second, *need.second }] = now + refusedWaitTime;
     const std::string detail
         = "the model can be ready in " + std::to_string(millisecondsOf(*soonest)) + " ms at the earliest";
     refuse(request, { 503, "no_replica", detail, soonest }, now, effects);
 }
 
+std::set<VersionWait> GatewayRequests::versionWaits(MonotonicTime now) const
+{
+    std::set<VersionWait> waits;
+    const auto add = [&waits](const VersionWait& wait) {
+        if (waits.size() < maximumVersionWaits)
+            waits.insert(wait);
+    };
+    for (const RequestId id : m_waiting) {
+        const Request& request = m_requests.at(id);
+        const VersionedVariant need = needOf(request, now);
+        if (need.second && request.waitReason == WaitReason::Replica)
+            add({ need.first.first, need.first.second, *need.second });
+    }
+    for (const auto& [wait, until] : m_refusedVersionWaits)
+        add(wait);
+    return waits;
+}
+
 void GatewayRequests::endRefusedWaits(MonotonicTime now)
 {
+    std::erase_if(m_refusedVersionWaits, [now](const auto& wait) { return wait.second <= now; });
     std::erase_if(m_refusedWaits, [this, now](const auto& wait) {
         if (wait.second > now)
             return false;
@@ -426,7 +460,7 @@
     ids.reserve(m_requests.size());
     for (const auto& [id, request] : m_requests)
         ids.push_back(id);
-    std::map<ServiceVariant, std::optional<Duration>> soonest;
+    std::map<VersionedVariant, std::optional<Duration>> soonest;
     for (const RequestId id : ids) {
         if (const auto found = m_requests.find(id); found != m_requests.end()) {
             // A second version may appear while streams are open.
@@ -439,7 +473,7 @@
         Request& waiting = m_requests.at(id);
         if (waiting.waitReason != WaitReason::Replica)
             continue;
-        const ServiceVariant key(waiting.service, waiting.terms.variant);
+        const VersionedVariant key = needOf(waiting, now);
         const auto [known, isNew] = soonest.try_emplace(key);
         if (isNew)
             known->second = shortestTimeToReplica(key, now);
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -198,6 +198,8 @@
     reader.address("announced_relay_address", settings.announcedRelayAddress, false);
     reader.address("store_address", settings.storeAddress, true);
     reader.text("store_key_prefix", settings.storeKeyPrefix, false);
+    if (error.empty() && !settings.storeKeyPrefix.ends_with('/'))
+        error = "the field \"store_key_prefix\" is \"" + settings.storeKeyPrefix + "\"; end it with a slash";
     reader.milliseconds("lease_ttl_ms", settings.leaseTtl);
     reader.milliseconds("owner_silence_ms", settings.ownerSilence);
     reader.milliseconds("shutdown_grace_ms", settings.shutdownGrace);
--- a/src/gateway/GatewayStoreEntries.cpp
+++ b/src/gateway/GatewayStoreEntries.cpp
@@ -33,6 +33,7 @@
     m_nextSecretAt = now + restoreDelay();
     m_refusalRecords.noteRestored(now + restoreDelay());
     m_versionMixes.noteRestored(now + restoreDelay());
+    m_streamRecords.noteRestored(now + restoreDelay());
 }
 
 // All hosts notice a restore at the same moment; each writes again after a time of its own.
--- a/src/gateway/GatewayStreamKeepers.cpp
+++ b/src/gateway/GatewayStreamKeepers.cpp
@@ -35,12 +35,14 @@
         m_directory.servicesWithSeveralVersions(now), m_gatewayMirror, m_placement.isOwner(), m_wallNow, now, effects);
     m_directory.setRecordedServices(m_versionMixes.services(m_gatewayMirror, m_wallNow));
     sendStreamBeginnings(now, effects);
+    m_streamRecords.tick(m_wallNow, now, effects);
 }
 
 void GatewayReducer::sendStreamBeginnings(MonotonicTime now, EffectList& effects)
 {
     std::map<HostId, StreamBeginnings> messages;
     for (const StreamBeginning& stream : m_requests.streamVersions().takeNews(now)) {
+        m_streamRecords.add(stream, now);
         for (const HostId& host : keepersOf(stream.stream, keptCopies))
             messages[host].streams.push_back(stream);
     }
@@ -54,7 +56,8 @@
         const std::vector<HostId> hosts = keepersOf(stream, askedHosts);
         for (const HostId& host : hosts)
             sendTo(host, StreamVersionWanted { stream }, effects);
-        m_requests.noteAsked(stream, hosts.size(), now, effects);
+        const bool areRecordsRead = m_streamRecords.read(now, effects);
+        m_requests.noteAsked(stream, hosts.size(), areRecordsRead, now, effects);
     }
 }
 
--- a/src/gateway/GatewayStreamVersions.cpp
+++ b/src/gateway/GatewayStreamVersions.cpp
@@ -9,9 +9,15 @@
 
     // Time for the hosts that may know a stream to answer.
     constexpr Duration versionQuestionTimeout = std::chrono::milliseconds(200);
+    // Time for the store to answer as well.
+    constexpr Duration recordReadTimeout = std::chrono::milliseconds(700);
     // When a host that did not answer, or an endpoint that crashed, may be back.
     constexpr Duration unknownVersionRetryAfter = std::chrono::milliseconds(500);
     constexpr Duration versionGoneRetryAfter = std::chrono::seconds(2);
+    // Callers abandon a stream after a longer pause.
+    constexpr Duration longestInterruption = std::chrono::milliseconds(1500);
+    // How long the model of an interrupted stream is loaded for its caller's return.
+    constexpr Duration refusedVersionWaitTime = std::chrono::seconds(2);
     // The caller's clock and connection may be this much slower.
     constexpr Duration resumptionMargin = std::chrono::seconds(1);
 
@@ -60,15 +66,22 @@
         return false;
     // An endpoint that rejected a request which has not run may accept it later; one that failed is not used again.
     const std::set<EndpointId> failed = request.mayHaveRun ? request.excluded : std::set<EndpointId>();
-    return !m_directory.canServe(
-        { request.terms.callerRequestId, request.service, request.terms.variant, {}, failed, request.softwareVersion },
-        now);
+    const EndpointNeed need { request.terms.callerRequestId, request.service, request.terms.variant, {}, failed,
+        request.softwareVersion };
+    if (!m_directory.hasVersion(need, now))
+        return true;
+    // The caller of an interrupted answer does not wait for a load; it may take up the stream again.
+    const auto soonest = shortestTimeToReplica(needOf(request, now), now);
+    return request.isHeadSent && soonest && *soonest > longestInterruption;
 }
 
 bool GatewayRequests::endIfVersionGone(Request& request, MonotonicTime now, EffectList& effects)
 {
     if (!isVersionGone(request, now))
         return false;
+    if (request.isHeadSent)
+        m_refusedVersionWaits[{ request.service, request.terms.variant, *request.softwareVersion }]
+            = now + refusedVersionWaitTime;
     if (request.mayHaveRun)
         fail(request, 502, "stream_version_gone", now, effects);
     else
@@ -128,28 +141,53 @@
     return ids;
 }
 
-void GatewayRequests::noteAsked(StreamKey stream, std::size_t hosts, MonotonicTime now, EffectList& effects)
+void GatewayRequests::noteAsked(
+    StreamKey stream, std::size_t hosts, bool areRecordsRead, MonotonicTime now, EffectList& effects)
 {
     for (const RequestId id : requestsAwaiting(stream)) {
         Request& request = m_requests.at(id);
         request.askedHosts = hosts;
-        if (hosts == 0)
-            refuseUnknownVersion(request, now, effects);
+        request.awaitsRecords = areRecordsRead;
+        if (areRecordsRead)
+            request.versionDeadline = now + recordReadTimeout;
+        refuseIfNobodyKnows(request, now, effects);
     }
 }
 
+void GatewayRequests::refuseIfNobodyKnows(Request& request, MonotonicTime now, EffectList& effects)
+{
+    if (request.askedHosts == 0 && !request.awaitsRecords)
+        refuseUnknownVersion(request, now, effects);
+}
+
 void GatewayRequests::handle(const StreamBeginning& beginning, MonotonicTime now, EffectList& effects)
 {
     m_streamVersions.merge(beginning, now);
     const bool isKnown = m_streamVersions.find(beginning.stream, now).has_value();
     for (const RequestId id : requestsAwaiting(beginning.stream)) {
         Request& request = m_requests.at(id);
-        if (isKnown)
+        if (isKnown) {
+            dispatchResumption(request, now, effects);
+            continue;
+        }
+        request.askedHosts -= request.askedHosts > 0 ? 1 : 0;
+        refuseIfNobodyKnows(request, now, effects);
+    }
+}
+
+void GatewayRequests::noteRecordsRead(
+    const std::vector<StreamBeginning>& beginnings, MonotonicTime now, EffectList& effects)
+{
+    for (const StreamBeginning& beginning : beginnings)
+        m_streamVersions.mergeRecorded(beginning, now);
+    for (const RequestId id : std::set<RequestId>(m_awaitingVersion)) {
+        Request& request = m_requests.at(id);
+        request.awaitsRecords = false;
+        request.versionDeadline = std::min(*request.versionDeadline, now + versionQuestionTimeout);
+        if (m_streamVersions.find(request.stream, now))
             dispatchResumption(request, now, effects);
-        else if (request.askedHosts <= 1)
-            refuseUnknownVersion(request, now, effects);
         else
-            --request.askedHosts;
+            refuseIfNobodyKnows(request, now, effects);
     }
 }
 
--- a/src/gateway/PromptRefusalRecords.cpp
+++ b/src/gateway/PromptRefusalRecords.cpp
@@ -32,6 +32,7 @@
 
 PromptRefusalRecords::PromptRefusalRecords(std::string keyPrefix)
     : m_keyPrefix(std::move(keyPrefix))
+    , m_calls(StoreUser::Quarantine, callTimeout, callInterval)
 {
 }
 
@@ -75,23 +76,9 @@
     }
 }
 
-void PromptRefusalRecords::call(StoreOperation operation, MonotonicTime now, EffectList& effects)
-{
-    m_pending = m_callIds.next();
-    m_nextAt = now + callInterval;
-    effects.push_back(StoreCall { m_pending, std::move(operation), callTimeout });
-}
-
-void PromptRefusalRecords::handle(const StoreReply& reply)
-{
-    // The mirror shows the outcome.
-    if (reply.id == m_pending)
-        m_pending = StoreCallId();
-}
-
 void PromptRefusalRecords::noteRestored(MonotonicTime knownFrom)
 {
-    m_pending = StoreCallId();
+    m_calls.postpone(MonotonicTime());
     for (auto& [id, since] : m_knownSince)
         since = knownFrom;
 }
@@ -102,7 +89,7 @@
     if (m_ended.empty())
         return false;
     const StoreEntry* entry = mirror.find(keyOf(*m_ended.begin()));
-    call(StoreDelete { entry->key, entry->version }, now, effects);
+    m_calls.start(StoreDelete { entry->key, entry->version }, now, effects);
     return true;
 }
 
@@ -116,7 +103,7 @@
         const auto refusal = read(entry->second, wallNow);
         if (refusal && refusal->age < PromptQuarantineSettings().lifetime)
             continue;
-        call(StoreDelete { entry->first, entry->second.version }, now, effects);
+        m_calls.start(StoreDelete { entry->first, entry->second.version }, now, effects);
         return true;
     }
     return false;
@@ -135,7 +122,7 @@
 void PromptRefusalRecords::tick(const std::vector<PromptRefusal>& refusals, const PrefixMirror& mirror, bool isOwner,
     WallTime wallNow, MonotonicTime now, EffectList& effects)
 {
-    if (m_pending.value != 0 || now < m_nextAt || !mirror.isCurrent() || deleteEnded(mirror, now, effects))
+    if (!m_calls.isFree(now) || !mirror.isCurrent() || deleteEnded(mirror, now, effects))
         return;
     if (isOwner && deleteExpired(mirror, wallNow, now, effects))
         return;
@@ -148,7 +135,8 @@
             continue;
         if (!entry && countRecords(mirror) >= maximumRecords)
             return;
-        call(StoreCompareAndSwap { keyOf(refusal.id), valueOf(refusal, wallNow), entry ? entry->version : 0, {} }, now,
+        m_calls.start(
+            StoreCompareAndSwap { keyOf(refusal.id), valueOf(refusal, wallNow), entry ? entry->version : 0, {} }, now,
             effects);
         return;
     }
--- a/src/gateway/StreamVersions.cpp
+++ b/src/gateway/StreamVersions.cpp
@@ -57,6 +57,12 @@
         put(beginning.stream, beginning.softwareVersion, std::chrono::milliseconds(remaining), now);
 }
 
+void StreamVersions::mergeRecorded(const StreamBeginning& beginning, MonotonicTime now)
+{
+    if (!find(beginning.stream, now))
+        merge(beginning, now);
+}
+
 std::optional<std::string> StreamVersions::find(StreamKey key, MonotonicTime now) const
 {
     const auto found = m_streams.find(key);
--- a/src/gateway/VersionMixRecords.cpp
+++ b/src/gateway/VersionMixRecords.cpp
@@ -33,34 +33,20 @@
 
 VersionMixRecords::VersionMixRecords(std::string keyPrefix)
     : m_keyPrefix(std::move(keyPrefix))
+    , m_calls(StoreUser::Versions, callTimeout, callInterval)
 {
 }
 
-void VersionMixRecords::call(StoreOperation operation, MonotonicTime now, EffectList& effects)
-{
-    m_pending = m_callIds.next();
-    m_nextAt = now + callInterval;
-    effects.push_back(StoreCall { m_pending, std::move(operation), callTimeout });
-}
-
-void VersionMixRecords::handle(const StoreReply& reply)
-{
-    // The mirror shows the outcome.
-    if (reply.id == m_pending)
-        m_pending = StoreCallId();
-}
-
 void VersionMixRecords::noteRestored(MonotonicTime knownFrom)
 {
-    m_pending = StoreCallId();
-    m_nextAt = knownFrom;
+    m_calls.postpone(knownFrom);
     m_missingSince.clear();
 }
 
 void VersionMixRecords::tick(const std::vector<std::string>& services, const PrefixMirror& mirror, bool isOwner,
     WallTime wallNow, MonotonicTime now, EffectList& effects)
 {
-    if (m_pending.value != 0 || now < m_nextAt || !mirror.isCurrent())
+    if (!m_calls.isFree(now) || !mirror.isCurrent())
         return;
     const std::int64_t second = secondsSinceEpoch(wallNow);
     std::erase_if(m_missingSince, [&services](const auto& missing) {
@@ -75,8 +61,8 @@
         const MonotonicTime since = m_missingSince.try_emplace(service, now).first->second;
         if (!isOwner && now < since + ownerHeadStart)
             continue;
-        call(StoreCompareAndSwap { m_keyPrefix + service, std::to_string(second + recordLifetime.count()),
-                 entry ? entry->version : 0, {} },
+        m_calls.start(StoreCompareAndSwap { m_keyPrefix + service, std::to_string(second + recordLifetime.count()),
+                          entry ? entry->version : 0, {} },
             now, effects);
         return;
     }
@@ -87,7 +73,7 @@
          ++entry) {
         if (expiryOf(entry->second) > second)
             continue;
-        call(StoreDelete { entry->first, entry->second.version }, now, effects);
+        m_calls.start(StoreDelete { entry->first, entry->second.version }, now, effects);
         return;
     }
 }
--- a/src/reducer/Reducer.cpp
+++ b/src/reducer/Reducer.cpp
@@ -204,6 +204,8 @@
     // Only gateways make these calls.
     case StoreUser::Quarantine:
     case StoreUser::Versions:
+    case StoreUser::Streams:
+    case StoreUser::StreamReads:
         break;
     }
 }
--- a/tests/gateway/EnginePlacementTest.cpp
+++ b/tests/gateway/EnginePlacementTest.cpp
@@ -56,6 +56,14 @@
         placement.handle(self, m_demand.report(false, now), now);
     }
 
+    // Reports streams of one software version that wait for the model.
+    void waitAtVersion(const std::string& model, const std::string& adapter, const std::string& version)
+    {
+        DemandReport report;
+        report.versionWaits = { { "notes", { ModelId(model), adapter }, version } };
+        placement.handle(self, report, now);
+    }
+
     void run(Duration duration)
     {
         for (const MonotonicTime end = now + duration; now < end;)
@@ -343,3 +351,46 @@
     const auto violations = fixture.violations();
     CHECK(violations == std::vector<std::string> {});
 }
+
+namespace {
+
+struct VersionWaitCase {
+    const char* name;
+    std::string adapter;
+    std::string version;
+    // The engine that holds the model, or the adapter as well, afterwards; empty for none.
+    std::string expected;
+};
+
+} // namespace
+
+// Guards against streams that are refused although endpoints of their version could load their model.
+TEST_CASE("A model for which streams of one version wait is loaded at an engine of that version")
+{
+    const auto test = GENERATE(values<VersionWaitCase>({
+        { "a model that another version holds", "", "v1", "old" },
+        { "the version that holds it", "", "v2", "new" },
+        { "an adapter", "x", "v1", "old" },
+        { "a version that has left", "", "v0", "" },
+    }));
+    INFO(test.name);
+    PlacementFixture fixture;
+    fixture.add("old", holding({ "m2" })).setVersion("v1");
+    fixture.add("new", holding({ "m1" })).setVersion("v2");
+    for (const auto& engine : fixture.engines)
+        fixture.publish(*engine);
+    fixture.grantPermission();
+    fixture.demand("m1", 1, 1);
+    for (int i = 0; i < 10; ++i) {
+        fixture.waitAtVersion("m1", test.adapter, test.version);
+        fixture.run(std::chrono::seconds(1));
+    }
+    for (const auto& engine : fixture.engines) {
+        const bool isExpected = engine->record().id.value == test.expected;
+        if (isExpected || engine->record().id.value == "old")
+            CHECK(engine->models().contains(ModelId("m1")) == isExpected);
+        if (isExpected && !test.adapter.empty())
+            CHECK(engine->models().at(ModelId("m1")).contains(test.adapter));
+    }
+    CHECK(fixture.violations().empty());
+}
--- a/tests/gateway/FakeEngine.cpp
+++ b/tests/gateway/FakeEngine.cpp
@@ -131,6 +131,7 @@
     record.heartbeat = m_heartbeat;
     record.models = m_models;
     record.onDisk = m_onDisk;
+    record.softwareVersion = m_version;
     return record;
 }
 
--- a/tests/gateway/FakeEngine.h
+++ b/tests/gateway/FakeEngine.h
@@ -30,6 +30,8 @@
     // An unload of the model waits until this time.
     void keepRunning(const ModelId& model, MonotonicTime until) { m_runningUntil[model] = until; }
 
+    // The software version in its record.
+    void setVersion(std::string version) { m_version = std::move(version); }
     void putOnDisk(const ModelId& model) { m_onDisk.insert(model); }
 
     const std::vector<std::string>& violations() const { return m_violations; }
@@ -53,6 +55,7 @@
     void snapshot(MonotonicTime now);
 
     EndpointId m_id;
+    std::string m_version;
     LoadedModels m_models;
     std::set<ModelId> m_onDisk;
     EngineFaults m_faults;
--- a/tests/gateway/GatewaySettingsTest.cpp
+++ b/tests/gateway/GatewaySettingsTest.cpp
@@ -29,6 +29,7 @@
     CHECK(valueOf(settings).host == HostId("h"));
     CHECK(valueOf(settings).requests.retryFraction == Approx(0.2));
     CHECK(valueOf(settings).log.minimumSeverity == LogSeverity::Warning);
+    CHECK(valueOf(settings).relayAddress == "127.0.0.1:4");
 }
 
 // Guards against an invalid setting that is silently ignored.
@@ -37,6 +38,8 @@
     const auto test = GENERATE(values<WrongCase>({
         { "/host", 3, "\"host\" is 3" },
         { "/store_address", "nowhere", "store_address" },
+        { "/store_key_prefix", "catkinwell", "end it with a slash" },
+        { "/relay_address", "nowhere", "relay_address" },
         { "/lease_ttl_ms", -1, "lease_ttl_ms" },
         { "/requests/retry_fraction", "much", "requests.retry_fraction" },
         { "/requests/retries", 1, "requests.retries" },
