--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -11,7 +11,7 @@
 
     // Streams that began within this time before a kill of all hosts are not known after it; it grows with the number
     // of hosts to bound the store calls.
-    constexpr Duration shortestStreamRecordInterval = std::chrono::milliseconds(400);
+    constexpr Duration shortestStreamRecordInterval = std::chrono::milliseconds(250);
     constexpr Duration streamRecordIntervalPerHost = std::chrono::milliseconds(10);
     constexpr Duration digestIntervalPerHost = std::chrono::milliseconds(12);
     constexpr Duration shortestDigestInterval = std::chrono::milliseconds(200);
