--- a/tests/gateway/SimulatedFleet.cpp
+++ b/tests/gateway/SimulatedFleet.cpp
@@ -461,10 +461,20 @@
     }
 }
 
-void SimulatedFleet::begin(std::size_t attempt, int events)
+void SimulatedFleet::reject(std::size_t attempt, const HeaderList& more)
+{
+    HeaderList headers { { "not-executed", "1" } };
+    headers.insert(headers.end(), more.begin(), more.end());
+    apply(attemptHosts.at(attempt), AttemptHead { attempts.at(attempt).id, 503, headers });
+    apply(attemptHosts[attempt], AttemptFinished { attempts[attempt].id });
+}
+
+void SimulatedFleet::begin(std::size_t attempt, int events, const HeaderList& more)
 {
     const std::size_t host = attemptHosts.at(attempt);
-    apply(host, AttemptHead { attempts.at(attempt).id, 200, { { "sealed", "1" } } });
+    HeaderList headers { { "sealed", "1" } };
+    headers.insert(headers.end(), more.begin(), more.end());
+    apply(host, AttemptHead { attempts.at(attempt).id, 200, headers });
     for (int i = 1; i <= events; ++i)
         apply(host, AttemptData { attempts[attempt].id, "id: " + std::to_string(i) + "\ndata: x\n\n" });
 }
--- a/tests/gateway/SimulatedFleet.h
+++ b/tests/gateway/SimulatedFleet.h
@@ -83,7 +83,9 @@
     RequestId arrive(std::size_t host, const std::string& target, const std::string& model = "",
         const std::string& part = "", const HeaderList& more = {});
     // Sends the head and the first events of the answer to an attempt, ends the answer, or breaks its connection.
-    void begin(std::size_t attempt, int events);
+    void begin(std::size_t attempt, int events, const HeaderList& more = {});
+    // The endpoint states that it did not run the request.
+    void reject(std::size_t attempt, const HeaderList& more = {});
     void finish(std::size_t attempt);
     void breakOff(std::size_t attempt);
     void fail(std::size_t attempt, AttemptOutcome, AttemptFailure);
