Keep requests within the room of endpoints that fall over if they reject too many

Callers of brittle endpoints would lose them one after the other: hosts send what they like to an endpoint that has no room, each rejection counts, and one with too many in a second falls over.

Change: a service whose endpoints state how many rejections a second they bear counts as brittle at all hosts (statement in the answers, digests between hosts). In the time that reports take, a host starts no more than its part of an endpoint's free room, in proportion to what it runs; what finds no room waits in the hosts, where the placement sees it. After a rejection the host leaves the endpoint alone so long that all hosts together stay under the number. 2119 logs it.

--- a/include/catkinwell/gateway/EndpointDirectory.h
+++ b/include/catkinwell/gateway/EndpointDirectory.h
@@ -2,6 +2,7 @@
 
 #include <catkinwell/core/RandomGenerator.h>
 #include <catkinwell/gateway/EndpointLimits.h>
+#include <catkinwell/gateway/EndpointRoom.h>
 #include <catkinwell/gateway/GatewayMessage.h>
 #include <catkinwell/reducer/Effect.h>
 #include <deque>
@@ -79,6 +80,8 @@
     std::vector<std::string> servicesWithSeveralVersions(MonotonicTime now) const;
     // The rates that endpoints state. choose() and hasReplica() keep within them; attempts count against them.
     EndpointLimits& limits() { return m_limits; }
+    // The room of endpoints that fall over if they have to reject too many. choose() and hasReplica() keep within it.
+    EndpointRoom& room() { return m_room; }
     // Returns the expected time until an ordered replica is ready; nullopt if none was ordered.
     std::optional<Duration> timeUntilOrderedReplica(const std::string& service, const ModelVariant&,
         const std::optional<std::string>& softwareVersion, MonotonicTime now) const;
@@ -142,6 +145,13 @@
         MonotonicTime at {};
     };
 
+    // Requests of this host, and of all, that ran on endpoints of a service a moment ago.
+    struct ServiceUse {
+        unsigned own = 0;
+        unsigned all = 0;
+        MonotonicTime at {};
+    };
+
     // Requests of the other hosts that run on one endpoint.
     struct PeerLoad {
         unsigned total = 0;
@@ -152,6 +162,9 @@
     using Affinities = std::map<EndpointId, double>;
 
     bool isUsable(const Entry&, MonotonicTime now) const;
+    // Whether the endpoint's limits leave a place for a request of this host.
+    bool isAvailable(const Entry&, MonotonicTime now);
+    EndpointRoom::Use useOf(const Entry&, MonotonicTime now);
     static bool isPresent(const Entry&, MonotonicTime now);
     bool hasVariant(const Entry&, const ModelVariant&, MonotonicTime now) const;
     const LoadedModels& modelsOf(const Entry&, MonotonicTime now) const;
@@ -168,7 +181,10 @@
     DataCentreId m_ownDataCentre;
     RandomGenerator m_random;
     EndpointLimits m_limits;
+    EndpointRoom m_room;
     std::map<EndpointId, Entry> m_entries;
+    // Only of services whose room is limited.
+    std::map<std::string, ServiceUse> m_serviceUse;
     std::map<EndpointId, Departure> m_departures;
     // When an endpoint of each service last had each software version.
     std::map<std::string, std::map<std::string, MonotonicTime>> m_versionsSeen;
--- a/include/catkinwell/gateway/ForwardingProtocol.h
+++ b/include/catkinwell/gateway/ForwardingProtocol.h
@@ -49,6 +49,8 @@
     bool isEncoded = false;
     // Requests per second that the endpoint accepts from all hosts together, until an answer states none.
     std::optional<double> requestsPerSecond;
+    // Rejections for want of room that the endpoint bears in a second; with more it falls over. Absent unless stated.
+    std::optional<double> rejectionsPerSecond;
 };
 
 // Defines the headers, store keys and documents of one platform. Pure; implementations are thread safe.
--- a/include/catkinwell/gateway/GatewayMessage.h
+++ b/include/catkinwell/gateway/GatewayMessage.h
@@ -7,6 +7,7 @@
 #include <catkinwell/gateway/HostDemand.h>
 #include <catkinwell/gateway/StreamVersions.h>
 #include <catkinwell/routing/PromptQuarantine.h>
+#include <map>
 #include <set>
 #include <string>
 #include <variant>
@@ -34,6 +35,8 @@
     EndpointLimitDigest limits;
     // Services to whose endpoints the host has no path.
     std::set<std::string> unreachableServices;
+    // Services whose endpoints fall over if they reject more requests in a second than given.
+    std::map<std::string, double> brittleServices;
 };
 
 // A replica that is being loaded.
--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -267,6 +267,8 @@
     MonotonicTime waitLimit(const Request&) const;
     void waitForReplica(Request&, MonotonicTime now, EffectList&);
     void stopWaiting(Request&, MonotonicTime now);
+    // Records what the endpoint's answer states about the requests that it accepts.
+    void noteLimits(const Request&, MonotonicTime now, EffectList&);
     void startAttempt(Request&, const EndpointChoice&, MonotonicTime now, EffectList&);
     void endAttempt(Request&, AttemptVerdict, MonotonicTime now, EffectList&);
     // No byte of the request was sent: tries the next endpoint or host.
--- a/include/catkinwell/logging/LogEvent.h
+++ b/include/catkinwell/logging/LogEvent.h
@@ -123,6 +123,7 @@
     GatewayPeersChanged = 2116,
     GatewayReadinessChanged = 2117,
     GatewayEndpointLimitChanged = 2118,
+    GatewayBrittleServiceChanged = 2119,
     GatewayOwnershipGained = 2120,
     GatewayOwnershipLost = 2121,
     GatewayOrderDecided = 2122,
--- a/src/gateway/EndpointDirectory.cpp
+++ b/src/gateway/EndpointDirectory.cpp
@@ -33,6 +33,7 @@
     constexpr std::size_t maximumDepartures = 1024;
     // No caller takes up a stream later than this time after its version was last seen.
     constexpr Duration versionLifetime = std::chrono::seconds(120);
+    constexpr Duration serviceUseInterval = std::chrono::milliseconds(50);
     constexpr Duration versionInterval = std::chrono::seconds(1);
     constexpr std::size_t maximumVersions = 64;
 
@@ -50,6 +51,7 @@
     : m_ownDataCentre(std::move(own))
     , m_random(seed)
     , m_limits(std::move(self), seed + 1)
+    , m_room(seed + 2)
 {
 }
 
@@ -82,6 +84,7 @@
         = isNew || isRestarted || entry.record.isLeaving != record.isLeaving || entry.usableUntil != MonotonicTime();
     if (isRestarted) {
         m_limits.remove(record.id);
+        m_room.remove(record.id);
         entry.update = EngineUpdate();
         entry.updateReceivedAt = MonotonicTime();
         entry.missingUntil.clear();
@@ -219,6 +222,7 @@
         const bool isGone = entry.usableUntil != MonotonicTime() && now >= entry.usableUntil && entry.ownTotal == 0;
         if (isGone) {
             m_limits.remove(item.first);
+            m_room.remove(item.first);
             rememberDeparture(entry.record, now);
         }
         return isGone;
@@ -239,6 +243,29 @@
     return isPresent(entry, now) && now >= entry.suspectedUntil && now >= entry.misdirectedUntil;
 }
 
+bool EndpointDirectory::isAvailable(const Entry& entry, MonotonicTime now)
+{
+    const EndpointRecord& record = entry.record;
+    if (!m_limits.isAvailable(record.id, now))
+        return false;
+    return !m_room.isBrittle(record.service, now) || m_room.hasRoom(record.service, record.id, useOf(entry, now), now);
+}
+
+EndpointRoom::Use EndpointDirectory::useOf(const Entry& entry, MonotonicTime now)
+{
+    ServiceUse& use = m_serviceUse[entry.record.service];
+    if (now - use.at >= serviceUseInterval) {
+        use = { 0, 0, now };
+        for (const auto& [id, other] : m_entries) {
+            if (other.record.service != entry.record.service)
+                continue;
+            use.own += other.ownTotal;
+            use.all += runningOn(id);
+        }
+    }
+    return { entry.record.slots, runningOn(entry.record.id), use.own, use.all };
+}
+
 bool EndpointDirectory::isUsable(const EndpointId& id, MonotonicTime now) const
 {
     const auto found = m_entries.find(id);
@@ -315,7 +342,7 @@
     for (auto& [id, entry] : m_entries) {
         if (entry.record.service != need.service || need.excluded.contains(id) || !isUsable(entry, now)
             || !hasVariant(entry, need.variant, now) || !isVersionAccepted(entry, need.softwareVersion)
-            || !m_limits.isAvailable(id, now))
+            || !isAvailable(entry, now))
             continue;
         const double score = scoreOf(entry, affinities);
         const bool isReliable = entry.failureShare <= tolerableFailureShare || m_random.unit() < unreliableProbeShare;
@@ -351,7 +378,7 @@
     return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto& item) {
         const Entry& entry = item.second;
         return entry.record.service == service && isUsable(entry, now) && hasVariant(entry, variant, now)
-            && isVersionAccepted(entry, softwareVersion) && m_limits.isAvailable(item.first, now);
+            && isVersionAccepted(entry, softwareVersion) && isAvailable(entry, now);
     });
 }
 
@@ -464,6 +491,7 @@
     const auto found = m_entries.find(id);
     if (found == m_entries.end())
         return;
+    m_room.attemptStarted(found->second.record.service, id, now);
     ++found->second.ownRunning[variant];
     ++found->second.ownTotal;
 }
--- a/src/gateway/GatewayMessage.cpp
+++ b/src/gateway/GatewayMessage.cpp
@@ -112,12 +112,14 @@
                 = Json::array({ Kind::HostDigest, digest.sequence, digest.configurationVersion, digest.isLeaving,
                     std::move(usage), digest.demand.isWhole, std::move(demand), std::move(running), unusedList });
             const bool hasRareNews = !digest.prompts.isEmpty() || !digest.limits.isEmpty()
-                || !digest.unreachableServices.empty() || !digest.demand.versionWaits.empty();
+                || !digest.unreachableServices.empty() || !digest.demand.versionWaits.empty()
+                || !digest.brittleServices.empty();
             if (hasRareNews) {
                 message.push_back(jsonOf(digest.prompts));
                 message.push_back(listOfLimits(digest.limits));
                 message.push_back(digest.unreachableServices);
                 message.push_back(listOfVersionWaits(digest.demand.versionWaits));
+                message.push_back(digest.brittleServices);
             }
             return message;
         }
@@ -177,6 +179,8 @@
         // Hosts of earlier releases do not send them.
         if (list.size() > 11)
             digest.unreachableServices = list.at(11).get<std::set<std::string>>();
+        if (list.size() > 13)
+            digest.brittleServices = list.at(13).get<std::map<std::string, double>>();
         for (const Json& wait : list.size() > 12 ? list.at(12) : Json::array())
             digest.demand.versionWaits.insert(
                 { wait.at(0).get<std::string>(), variantOf(wait.at(1), wait.at(2)), wait.at(3).get<std::string>() });
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -300,6 +300,8 @@
     m_quota.setReportInterval(digestInterval());
     m_directory.limits().setPeers(m_livePeers, now);
     m_directory.limits().setReportInterval(digestInterval());
+    m_directory.room().setHosts(m_livePeers.size() + 1);
+    m_directory.room().setReportInterval(digestInterval());
     m_requests.setHostCount(m_livePeers.size() + 1);
     m_requests.trials().setPeers(m_livePeers);
     m_relayPeers.setLive(m_livePeers);
@@ -329,6 +331,7 @@
     digest.usage = m_quota.ownUsage();
     digest.running = m_directory.running();
     digest.limits = m_directory.limits().digest(now);
+    digest.brittleServices = m_directory.room().report(now);
     digest.prompts = m_requests.promptQuarantine().nextDigest(now);
     digest.prompts.trials = m_requests.trials().report(now);
     digest.unreachableServices = m_requests.reach().lostServices();
@@ -485,6 +488,7 @@
     peer.configurationVersion = digest.configurationVersion;
     m_quota.merge(received.from, received.incarnation, digest.usage, now);
     m_directory.handle(received.from, digest);
+    m_directory.room().merge(digest.brittleServices, now, effects);
     m_directory.limits().merge(received.from, received.incarnation, digest.limits, now, effects);
     m_placement.handle(received.from, digest.demand, now);
     m_relayPeers.noteHeard(received.from, digest.unreachableServices, now);
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -332,7 +332,7 @@
     attempt.terms = m_protocol.termsOf(head.status, attempt.headers);
     noteReached(*request, head.isNewConnection, now, effects);
     if (!attempt.relayedTo && (attempt.terms.isSealed || attempt.terms.isNotExecuted))
-        m_directory.limits().noteAnswer(attempt.endpoint, attempt.terms.requestsPerSecond, now, effects);
+        noteLimits(*request, now, effects);
     const bool isSuccess = head.status >= 200 && head.status < 300;
     const bool isUsable = isSuccess && attempt.terms.isSealed && !attempt.terms.isEncoded;
     attempt.isForwarded = request->route.isStream && isUsable;
@@ -347,6 +347,15 @@
     effects.push_back(SendResponseHead { request->arrived.id, head.status, std::move(headers) });
 }
 
+void GatewayRequests::noteLimits(const Request& request, MonotonicTime now, EffectList& effects)
+{
+    const Attempt& attempt = *request.attempt;
+    m_directory.limits().noteAnswer(attempt.endpoint, attempt.terms.requestsPerSecond, now, effects);
+    m_directory.room().noteAnswer(request.service, attempt.terms.rejectionsPerSecond, now, effects);
+    if (attempt.terms.isNotExecuted && !attempt.terms.isMisdirected)
+        m_directory.room().noteRejected(request.service, attempt.endpoint, now);
+}
+
 void GatewayRequests::handle(const AttemptData& data, MonotonicTime now, EffectList& effects)
 {
     Request* request = requestOf(data.id);
--- a/src/logging/LogEvent.cpp
+++ b/src/logging/LogEvent.cpp
@@ -269,6 +269,11 @@
             "An endpoint stated how many requests a second it accepts from all hosts together, or no longer limits "
             "them.",
             "If a limit persists, check the endpoint's health and add capacity to its service." },
+        { LogEvent::GatewayBrittleServiceChanged, Warning, "gateway_brittle_service_changed",
+            "The endpoints of a service state that they fall over if they have to reject more requests in a second "
+            "than "
+            "given, or no longer state it. The hosts send them no more than they have room for.",
+            "Add capacity to the service; requests wait in the hosts meanwhile." },
         { LogEvent::GatewayOwnershipGained, Info, "gateway_ownership_gained",
             "This host owns the placement of models and begins to give orders, after a waiting period if another host "
             "was "
--- a/src/replay/ReplayProtocol.cpp
+++ b/src/replay/ReplayProtocol.cpp
@@ -42,6 +42,8 @@
     terms.isSealed = findHeader(headers, "sealed") != nullptr;
     if (const std::string* limit = findHeader(headers, "limit"))
         terms.requestsPerSecond = std::strtod(limit->c_str(), nullptr);
+    if (const std::string* rejections = findHeader(headers, "brittle"))
+        terms.rejectionsPerSecond = std::strtod(rejections->c_str(), nullptr);
     return terms;
 }
 
--- a/tests/gateway/GatewayMessageTest.cpp
+++ b/tests/gateway/GatewayMessageTest.cpp
@@ -20,6 +20,7 @@
     digest.prompts.trials = { 99, 2 };
     digest.prompts.survived.push_back({ 17, std::chrono::milliseconds(40) });
     digest.unreachableServices = { "notes" };
+    digest.brittleServices = { { "orders", 2 } };
     digest.demand.versionWaits = { { "notes", { ModelId("m"), "x" }, "v1" } };
     digest.limits.statements.push_back({ EndpointId("e"), 2.5, std::chrono::milliseconds(70) });
     digest.limits.attempts[AccountId("e")] = { 3, 9 };
--- a/tests/platform/PlatformProtocolTest.cpp
+++ b/tests/platform/PlatformProtocolTest.cpp
@@ -129,3 +129,31 @@
     CHECK(terms.tokens == 1540);
     CHECK(terms.promptParts == std::vector<std::string> { "5c1e", "91bd" });
 }
+
+namespace {
+
+struct StatementCase {
+    const char* name;
+    const char* value;
+    std::optional<double> expectedRequests;
+    std::optional<double> expectedRejections;
+};
+
+} // namespace
+
+// Guards against limits of endpoints that are not read, or that are read from a damaged header.
+TEST_CASE("What an endpoint states about the requests that it accepts is read from its answer")
+{
+    const auto test = GENERATE(values<StatementCase>({
+        { "Server-Limit", "12.5", 12.5, std::nullopt },
+        { "Server-Brittle", "3", std::nullopt, 3.0 },
+        { "server-brittle", " 0 ", std::nullopt, 0.0 },
+        { "Server-Brittle", "many", std::nullopt, std::nullopt },
+        { "Server-Brittle", "-1", std::nullopt, std::nullopt },
+        { "Server", "3", std::nullopt, std::nullopt },
+    }));
+    INFO(test.name << ": " << test.value);
+    const AnswerTerms terms = PlatformProtocol().termsOf(503, { { test.name, test.value } });
+    CHECK(terms.requestsPerSecond == test.expectedRequests);
+    CHECK(terms.rejectionsPerSecond == test.expectedRejections);
+}
