Regain a lost path only with an answer on a new connection

Cause: a probe that found an open connection and no answer counted as a regained path. Something between host and endpoint that accepts connections (a sidecar, a proxy, a tunnel) then hides the loss: the host concludes from each probe that it has a path, and its callers' requests go silent one after the other.

Change: the probe's failure counts by its kind. Only a head on a new connection regains the path. An endpoint that is full has a second instead of 500 ms for the answer, since silence now counts. A probe that failed counts for the lifetime of failures, not until the connections' evidence empties.

--- a/include/catkinwell/gateway/EndpointReach.h
+++ b/include/catkinwell/gateway/EndpointReach.h
@@ -37,9 +37,9 @@
     // A connection could not be opened, broke, or went silent. The service has this many usable endpoints.
     void noteFailure(const std::string& service, const EndpointId&, AttemptFailure, std::size_t endpointCount,
         MonotonicTime now, EffectList&);
-    // A probe could not open a connection.
-    void noteProbeFailed(
-        const std::string& service, const EndpointId&, std::size_t endpointCount, MonotonicTime now, EffectList&);
+    // A probe could not open a connection, or got no answer on it.
+    void noteProbeFailed(const std::string& service, const EndpointId&, AttemptFailure, std::size_t endpointCount,
+        MonotonicTime now, EffectList&);
 
     bool isLost(const std::string& service) const;
     std::set<std::string> lostServices() const;
@@ -78,6 +78,7 @@
         // Whether a probe is under way, and whether one failed since a connection was opened.
         bool isProbed = false;
         bool hasProbeFailed = false;
+        MonotonicTime probeFailedAt {};
         MonotonicTime nextProbeAt {};
     };
 
--- a/src/gateway/EndpointReach.cpp
+++ b/src/gateway/EndpointReach.cpp
@@ -70,7 +70,8 @@
         return;
     for (Failures* failures : { &service.withoutAnswer, &service.withoutConnection })
         failures->expire(now - m_settings.failureLifetime);
-    if (service.withoutConnection.endpoints.empty())
+    // A probe that failed before the failures that are judged says nothing about them.
+    if (now - service.probeFailedAt >= m_settings.failureLifetime)
         service.hasProbeFailed = false;
     service.withoutAnswer.add(endpoint, now);
     if (failure == AttemptFailure::Connect)
@@ -91,14 +92,14 @@
     service.nextProbeAt = now + m_settings.probeInterval;
 }
 
-void EndpointReach::noteProbeFailed(const std::string& name, const EndpointId& endpoint, std::size_t endpointCount,
-    MonotonicTime now, EffectList& effects)
+void EndpointReach::noteProbeFailed(const std::string& name, const EndpointId& endpoint, AttemptFailure failure,
+    std::size_t endpointCount, MonotonicTime now, EffectList& effects)
 {
     Service& service = m_services[name];
     service.isProbed = false;
-    service.withoutConnection.add(endpoint, now);
     service.hasProbeFailed = true;
-    noteFailure(name, endpoint, AttemptFailure::Connect, endpointCount, now, effects);
+    service.probeFailedAt = now;
+    noteFailure(name, endpoint, failure, endpointCount, now, effects);
 }
 
 bool EndpointReach::isDoubtful(const std::string& service) const
--- a/src/gateway/GatewayRelay.cpp
+++ b/src/gateway/GatewayRelay.cpp
@@ -14,8 +14,8 @@
     constexpr Duration lossDecisionTime = std::chrono::milliseconds(400);
     constexpr Duration relayConnectTimeout = std::chrono::milliseconds(400);
     constexpr Duration probeConnectTimeout = std::chrono::milliseconds(400);
-    // An endpoint that is full answers a probe late; the open connection has shown the path by then.
-    constexpr Duration probeSilenceTimeout = std::chrono::milliseconds(500);
+    // An endpoint that is full answers a probe late.
+    constexpr Duration probeSilenceTimeout = std::chrono::seconds(1);
 
 } // namespace
 
@@ -130,11 +130,7 @@
     const auto [service, endpoint] = probe->second;
     m_probes.erase(probe);
     m_reach.noteProbeEnded(service);
-    // The connection was opened, so the path is there; what the endpoint does with it is another matter.
-    if (failed.outcome == AttemptOutcome::Unknown)
-        m_reach.noteAnswer(service, true, now, effects);
-    else
-        m_reach.noteProbeFailed(service, endpoint, m_directory.count(service, now), now, effects);
+    m_reach.noteProbeFailed(service, endpoint, failed.failure, m_directory.count(service, now), now, effects);
     return true;
 }
 
--- a/tests/gateway/EndpointReachTest.cpp
+++ b/tests/gateway/EndpointReachTest.cpp
@@ -77,8 +77,8 @@
         if (test.isAnswered && i + 1 == test.failures.size())
             fixture.reach.noteAnswer(service, test.isNewConnection, fixture.now, fixture.effects);
         if (test.isProbeFailed && i + 1 == test.failures.size())
-            fixture.reach.noteProbeFailed(
-                service, EndpointId(test.failures[i - 1].endpoint), test.endpoints, fixture.now, fixture.effects);
+            fixture.reach.noteProbeFailed(service, EndpointId(test.failures[i - 1].endpoint), AttemptFailure::Connect,
+                test.endpoints, fixture.now, fixture.effects);
         fixture.fail(test.failures[i], test.endpoints);
     }
     CHECK(fixture.reach.isLost(service) == test.expectedLost);
@@ -94,7 +94,7 @@
     for (const char* endpoint : { "a", "b" })
         fixture.fail({ endpoint, AttemptFailure::Connect, 0s }, 12);
     CHECK_FALSE(fixture.reach.isLost(service));
-    fixture.reach.noteProbeFailed(service, EndpointId("c"), 12, fixture.now, fixture.effects);
+    fixture.reach.noteProbeFailed(service, EndpointId("c"), AttemptFailure::Connect, 12, fixture.now, fixture.effects);
     REQUIRE(fixture.reach.isLost(service));
     CHECK(fixture.reach.takeDueProbes(fixture.now).empty());
     fixture.now += 500ms;
@@ -102,7 +102,7 @@
     fixture.now += 1s;
     // One probe at a time.
     CHECK(fixture.reach.takeDueProbes(fixture.now).empty());
-    fixture.reach.noteProbeFailed(service, EndpointId("d"), 12, fixture.now, fixture.effects);
+    fixture.reach.noteProbeFailed(service, EndpointId("d"), AttemptFailure::Connect, 12, fixture.now, fixture.effects);
     CHECK(fixture.reach.takeDueProbes(fixture.now).size() == 1);
     fixture.reach.noteAnswer(service, false, fixture.now, fixture.effects);
     CHECK(fixture.reach.isLost(service));
@@ -124,3 +124,17 @@
     CHECK(fixture.reach.hasFailed(service, EndpointId("b")));
     CHECK_FALSE(fixture.reach.hasFailed(service, EndpointId("c")));
 }
+
+// Guards against a path that counts as regained because something on the way accepts connections.
+TEST_CASE("Connections that open and stay silent show no path")
+{
+    ReachFixture fixture;
+    for (const char* endpoint : { "a", "b" })
+        fixture.fail({ endpoint, AttemptFailure::Silence, 0s }, 12);
+    fixture.reach.noteProbeFailed(service, EndpointId("c"), AttemptFailure::Silence, 12, fixture.now, fixture.effects);
+    CHECK(fixture.reach.isLost(service));
+    fixture.now += 1s;
+    CHECK(fixture.reach.takeDueProbes(fixture.now).size() == 1);
+    fixture.reach.noteProbeFailed(service, EndpointId("d"), AttemptFailure::Silence, 12, fixture.now, fixture.effects);
+    CHECK(fixture.reach.isLost(service));
+}
