Let a gateway's connections begin at a chosen address

Cause: a host with several links could not choose the one to its endpoints, and tests of several hosts on one machine could not tell their connections apart, so none could cut one host off.

Change: setting source_address; HttpClient binds its sockets to it and leaves the port to the system until the connection is opened. An address that is not this host's fails the attempt as not sent.

Figures: HttpClientTest "Connections begin at the source address", five cases, and a row in GatewaySettingsTest.

--- a/include/catkinwell/gateway/GatewaySettings.h
+++ b/include/catkinwell/gateway/GatewaySettings.h
@@ -29,6 +29,8 @@
     std::string relayAddress;
     // Address at which the other hosts reach relayAddress; empty if it is the same.
     std::string announcedRelayAddress;
+    // IP address at which connections to endpoints, other hosts and the store begin; empty to let the system choose.
+    std::string sourceAddress;
     std::string storeAddress;
     // Prefix of the gateways' keys in the store.
     std::string storeKeyPrefix = "catkinwell/";
--- a/include/catkinwell/http/HttpClient.h
+++ b/include/catkinwell/http/HttpClient.h
@@ -54,7 +54,8 @@
 public:
     using ExchangeId = std::uint64_t;
 
-    explicit HttpClient(EventLoop&);
+    // Connections begin at the source address, an IP address of this host; the system chooses one if it is empty.
+    explicit HttpClient(EventLoop&, std::string sourceAddress = "");
     ~HttpClient();
     HttpClient(const HttpClient&) = delete;
     HttpClient& operator=(const HttpClient&) = delete;
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -20,7 +20,7 @@
         std::string GatewaySettings::*member;
     };
 
-    constexpr std::array<AddressField, 9> addressFields { {
+    constexpr std::array<AddressField, 10> addressFields { {
         { "caller_address", &GatewaySettings::callerAddress },
         { "status_address", &GatewaySettings::statusAddress },
         { "metrics_address", &GatewaySettings::metricsAddress },
@@ -28,6 +28,7 @@
         { "announced_peer_address", &GatewaySettings::announcedPeerAddress },
         { "relay_address", &GatewaySettings::relayAddress },
         { "announced_relay_address", &GatewaySettings::announcedRelayAddress },
+        { "source_address", &GatewaySettings::sourceAddress },
         { "store_address", &GatewaySettings::storeAddress },
         { "store_key_prefix", &GatewaySettings::storeKeyPrefix },
     } };
@@ -57,6 +58,14 @@
             if (!target.empty() && !parseSocketAddress(target))
                 fail(name, "an IP address and port, for example 127.0.0.1:8080");
         }
+        void ipAddress(const char* name, std::string& target)
+        {
+            text(name, target, false);
+            const bool isVersion6 = target.find(':') != std::string::npos;
+            const std::string withPort = (isVersion6 ? "[" + target + "]" : target) + ":1";
+            if (!target.empty() && !parseSocketAddress(withPort))
+                fail(name, "an IP address, for example 127.0.0.1");
+        }
         void milliseconds(const char* name, Duration& target)
         {
             double value = 0;
@@ -196,6 +205,7 @@
     settings.relayAddress = nextPortOf(settings.peerAddress);
     reader.address("relay_address", settings.relayAddress, false);
     reader.address("announced_relay_address", settings.announcedRelayAddress, false);
+    reader.ipAddress("source_address", settings.sourceAddress);
     reader.address("store_address", settings.storeAddress, true);
     reader.text("store_key_prefix", settings.storeKeyPrefix, false);
     if (error.empty() && !settings.storeKeyPrefix.ends_with('/'))
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -14,6 +14,8 @@
 #include <event2/event.h>
 #include <event2/util.h>
 #include <map>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <unordered_map>
 #include <vector>
 
@@ -61,8 +63,9 @@
 
 class HttpClient::Implementation {
 public:
-    explicit Implementation(EventLoop& loop)
+    Implementation(EventLoop& loop, std::string sourceAddress)
         : m_loop(loop)
+        , m_sourceAddress(std::move(sourceAddress))
         , m_alive(std::make_shared<bool>(true))
     {
         m_loop.callEvery(std::chrono::milliseconds(500), [this, alive = std::weak_ptr(m_alive)] {
@@ -89,7 +92,11 @@
     void destroyLater(std::unique_ptr<Connection>);
     void closeStaleIdleConnections();
 
+    // Returns a socket that begins at the source address; -1 if there is none or it cannot be used.
+    int sourceSocket(int family) const;
+
     EventLoop& m_loop;
+    std::string m_sourceAddress;
     SystemClock m_clock;
     std::shared_ptr<bool> m_alive;
     ExchangeId m_lastId = 0;
@@ -176,7 +183,10 @@
         = (isVersion6 ? "[" + address.host + "]" : address.host) + ":" + std::to_string(address.port);
     if (evutil_parse_sockaddr_port(text.c_str(), reinterpret_cast<sockaddr*>(&target), &size) != 0)
         return false;
-    m_stream = bufferevent_socket_new(m_owner.m_loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    const int socket = m_owner.sourceSocket(target.ss_family);
+    if (socket < 0 && !m_owner.m_sourceAddress.empty())
+        return false;
+    m_stream = bufferevent_socket_new(m_owner.m_loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(m_stream, readable, nullptr, eventOccurred, this);
     const timeval timeout = toTimeval(connectTimeout);
     bufferevent_set_timeouts(m_stream, nullptr, &timeout);
@@ -392,6 +402,28 @@
     return id;
 }
 
+int HttpClient::Implementation::sourceSocket(int family) const
+{
+    if (m_sourceAddress.empty())
+        return -1;
+    sockaddr_storage source {};
+    int size = sizeof(source);
+    auto* address = reinterpret_cast<sockaddr*>(&source);
+    if (evutil_parse_sockaddr_port(m_sourceAddress.c_str(), address, &size) != 0 || source.ss_family != family)
+        return -1;
+    const int socket = ::socket(family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (socket < 0)
+        return -1;
+    // The port is chosen when the connection is opened, so that it only has to differ for the same peer.
+    const int enabled = 1;
+    setsockopt(socket, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &enabled, sizeof(enabled));
+    if (bind(socket, address, static_cast<socklen_t>(size)) != 0) {
+        evutil_closesocket(socket);
+        return -1;
+    }
+    return socket;
+}
+
 std::unique_ptr<HttpClient::Implementation::Connection> HttpClient::Implementation::takeIdleConnection(
     const std::string& address)
 {
@@ -487,8 +519,8 @@
     }
 }
 
-HttpClient::HttpClient(EventLoop& loop)
-    : m_implementation(std::make_unique<Implementation>(loop))
+HttpClient::HttpClient(EventLoop& loop, std::string sourceAddress)
+    : m_implementation(std::make_unique<Implementation>(loop, std::move(sourceAddress)))
 {
 }
 
--- a/src/runtime/GatewayRuntime.cpp
+++ b/src/runtime/GatewayRuntime.cpp
@@ -151,7 +151,7 @@
     , m_settingsFile(std::move(settingsFile))
     , m_incarnation(newIncarnation(m_clock))
     , m_log(m_settings.log, m_clock)
-    , m_client(m_loop)
+    , m_client(m_loop, m_settings.sourceAddress)
     , m_callers(m_loop, callerSettingsOf(m_settings), 0)
     , m_relays(m_loop, relaySettingsOf(m_settings), firstRelayId)
     , m_status(m_loop, statusSettingsOf(m_settings.statusAddress), firstStatusId)
--- a/tests/gateway/GatewaySettingsTest.cpp
+++ b/tests/gateway/GatewaySettingsTest.cpp
@@ -40,6 +40,7 @@
         { "/store_address", "nowhere", "store_address" },
         { "/store_key_prefix", "catkinwell", "end it with a slash" },
         { "/relay_address", "nowhere", "relay_address" },
+        { "/source_address", "127.0.0.1:80", "source_address" },
         { "/lease_ttl_ms", -1, "lease_ttl_ms" },
         { "/requests/retry_fraction", "much", "requests.retry_fraction" },
         { "/requests/retries", 1, "requests.retries" },
--- a/tests/http/HttpClientTest.cpp
+++ b/tests/http/HttpClientTest.cpp
@@ -1,6 +1,12 @@
+#include <arpa/inet.h>
+#include <array>
 #include <catch2/catch.hpp>
 #include <catkinwell/emulator/EngineEmulator.h>
 #include <catkinwell/http/HttpClient.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+#include <functional>
+#include <memory>
 #include <optional>
 
 using namespace Catkinwell;
@@ -99,6 +105,91 @@
     CHECK(nameOf(*result.failure) == nameOf(test.expected));
 }
 
+namespace {
+
+struct SourceCase {
+    const char* address;
+    // Address of the client as the server sees it; empty if there is no connection.
+    const char* expectedPeer;
+};
+
+// Accepts connections, notes where they begin and closes them.
+class PeerListener {
+public:
+    PeerListener(EventLoop& loop, std::function<void()> onPeer)
+        : m_onPeer(std::move(onPeer))
+    {
+        sockaddr_storage address {};
+        int size = sizeof(address);
+        evutil_parse_sockaddr_port("127.0.0.1", reinterpret_cast<sockaddr*>(&address), &size);
+        m_listener.reset(evconnlistener_new_bind(
+            loop.base(), accept, this, LEV_OPT_CLOSE_ON_FREE, -1, reinterpret_cast<sockaddr*>(&address), size));
+        REQUIRE(m_listener);
+    }
+
+    std::string address() const
+    {
+        sockaddr_in bound {};
+        socklen_t size = sizeof(bound);
+        getsockname(evconnlistener_get_fd(m_listener.get()), reinterpret_cast<sockaddr*>(&bound), &size);
+        return "127.0.0.1:" + std::to_string(ntohs(bound.sin_port));
+    }
+
+    std::string peer;
+
+private:
+    struct Free {
+        void operator()(evconnlistener* listener) const { evconnlistener_free(listener); }
+    };
+
+    static void accept(evconnlistener*, evutil_socket_t socket, sockaddr* address, int, void* self)
+    {
+        auto& listener = *static_cast<PeerListener*>(self);
+        std::array<char, INET_ADDRSTRLEN> text {};
+        evutil_inet_ntop(AF_INET, &reinterpret_cast<sockaddr_in*>(address)->sin_addr, text.data(), text.size());
+        listener.peer = text.data();
+        evutil_closesocket(socket);
+        listener.m_onPeer();
+    }
+
+    std::function<void()> m_onPeer;
+    std::unique_ptr<evconnlistener, Free> m_listener;
+};
+
+} // namespace
+
+// Guards against connections that begin at another address than the operator chose.
+TEST_CASE("Connections begin at the source address")
+{
+    const auto test = GENERATE(values<SourceCase>({
+        { "", "127.0.0.1" },
+        { "127.0.0.9", "127.0.0.9" },
+        { "192.0.2.1", "" },
+        { "::1", "" },
+        { "elsewhere", "" },
+    }));
+    INFO(test.address);
+    EventLoop loop;
+    PeerListener listener(loop, [&] { loop.stop(); });
+    HttpClient client(loop, test.address);
+    HttpExchange exchange;
+    exchange.address = listener.address();
+    exchange.method = "GET";
+    exchange.target = "/";
+    std::optional<AttemptOutcome> outcome;
+    HttpExchangeObserver observer;
+    observer.onFailed = [&](AttemptOutcome failed, AttemptFailure, const std::string&) {
+        outcome = failed;
+        loop.stop();
+    };
+    client.start(exchange, observer);
+    loop.callLater(std::chrono::seconds(5), [&] { loop.stop(); });
+    loop.run();
+    CHECK(listener.peer == test.expectedPeer);
+    if (!*test.expectedPeer)
+        CHECK(outcome == AttemptOutcome::NotSent);
+}
+
 // Guards against a placement command that a paused owner sends late on a new connection.
 TEST_CASE("An exchange that needs an idle connection is not sent without one")
 {
