Give each host of the fleet tests its own relay port; reserve ports per test process

Beside that, freePort() of two test processes could hand out the same ports before either had bound them.

Change: the fixture gives each host a relay port behind a proxy of its own; freePort() takes ports from a block that the test process holds under a file lock.

--- a/tests/fleet/GatewayFleet.cpp
+++ b/tests/fleet/GatewayFleet.cpp
@@ -65,8 +65,10 @@
         host.callerPort = freePort();
         host.statusPort = freePort();
         host.peerPort = freePort();
+        host.relayPort = freePort();
         host.storeLink = std::make_unique<FaultProxy>(m_loop, m_store->open());
         host.peerLink = std::make_unique<FaultProxy>(m_loop, host.peerPort);
+        host.relayLink = std::make_unique<FaultProxy>(m_loop, host.relayPort);
         writeSettings(i, Json::object());
     }
     m_store->put("op/config", configuration(1).dump());
@@ -170,7 +172,8 @@
     const Host& host = m_hosts[index];
     Json settings { { "host", host.name }, { "data_centre", "dc1" }, { "caller_address", address(host.callerPort) },
         { "status_address", address(host.statusPort) }, { "peer_address", address(host.peerPort) },
-        { "announced_peer_address", address(host.peerLink->port()) },
+        { "announced_peer_address", address(host.peerLink->port()) }, { "relay_address", address(host.relayPort) },
+        { "announced_relay_address", address(host.relayLink->port()) },
         { "store_address", address(host.storeLink->port()) }, { "owner_silence_ms", ownerSilenceMilliseconds },
         { "requests", { { "retry_fraction", 0.5 }, { "retry_constant", 1000 } } } };
     settings.update(changes);
--- a/tests/fleet/GatewayFleet.h
+++ b/tests/fleet/GatewayFleet.h
@@ -54,6 +54,7 @@
     FakeEndpoint& endpoint(std::size_t index) { return *m_endpoints[index].fake; }
     FaultProxy& storeLink(std::size_t host) { return *m_hosts[host].storeLink; }
     FaultProxy& peerLink(std::size_t host) { return *m_hosts[host].peerLink; }
+    FaultProxy& relayLink(std::size_t host) { return *m_hosts[host].relayLink; }
     FaultProxy& endpointLink(std::size_t index) { return *m_endpoints[index].link; }
     // Makes the endpoint stop or resume writing its record. Its record is deleted when it stops.
     void setListed(std::size_t endpoint, bool isListed);
@@ -67,8 +68,10 @@
         std::uint16_t callerPort = 0;
         std::uint16_t statusPort = 0;
         std::uint16_t peerPort = 0;
+        std::uint16_t relayPort = 0;
         std::unique_ptr<FaultProxy> storeLink;
         std::unique_ptr<FaultProxy> peerLink;
+        std::unique_ptr<FaultProxy> relayLink;
         std::unique_ptr<ChildProcess> process;
     };
 
--- a/tests/process/ProcessHarness.cpp
+++ b/tests/process/ProcessHarness.cpp
@@ -11,6 +11,7 @@
 #include <spawn.h>
 #include <sstream>
 #include <stdexcept>
+#include <sys/file.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -20,6 +21,32 @@
 
 namespace Catkinwell::Testing {
 
+namespace {
+
+    // The ephemeral ports that the system assigns to outgoing connections begin at 32768. Such a port could be taken
+    // before the caller binds it.
+    constexpr unsigned firstTestPort = 20000;
+    constexpr unsigned portsPerBlock = 500;
+    constexpr unsigned portBlocks = 24;
+
+    // Reserves a block of ports against other test processes on this machine. The lock ends with the process.
+    unsigned firstPortOfReservedBlock()
+    {
+        for (unsigned block = 0; block < portBlocks; ++block) {
+            const auto path = std::filesystem::temp_directory_path()
+                / ("catkinwell-test-ports-" + std::to_string(block) + ".lock");
+            const int file = open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0666);
+            if (file < 0)
+                continue;
+            if (flock(file, LOCK_EX | LOCK_NB) == 0)
+                return firstTestPort + block * portsPerBlock;
+            close(file);
+        }
+        throw std::runtime_error("all blocks of test ports are reserved");
+    }
+
+} // namespace
+
 ChildProcess::ChildProcess(const std::vector<std::string>& command, const std::string& outputFile)
     : m_outputFile(outputFile)
 {
@@ -123,13 +150,10 @@
 
 std::uint16_t freePort()
 {
-    // The ephemeral ports that the system assigns to outgoing connections begin at 32768. Such a port could be taken
-    // before the caller binds it.
-    constexpr unsigned firstPort = 20000;
-    constexpr unsigned portCount = 12000;
-    static std::atomic<unsigned> next = static_cast<unsigned>(getpid()) * 97;
-    while (true) {
-        const auto port = static_cast<std::uint16_t>(firstPort + next++ % portCount);
+    static const unsigned firstPort = firstPortOfReservedBlock();
+    static std::atomic<unsigned> next = 0;
+    for (unsigned tried = 0; tried < portsPerBlock; ++tried) {
+        const auto port = static_cast<std::uint16_t>(firstPort + next++ % portsPerBlock);
         const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
         sockaddr_in address {};
         address.sin_family = AF_INET;
@@ -140,6 +164,7 @@
         if (isFree)
             return port;
     }
+    throw std::runtime_error("no port of the reserved block is free");
 }
 
 bool eventually(const std::function<bool()>& condition, std::chrono::milliseconds timeout)
--- a/tests/process/ProcessHarness.h
+++ b/tests/process/ProcessHarness.h
@@ -57,7 +57,8 @@
 // Sends all requests at once and returns the answers in the same order.
 std::vector<HttpAnswer> sendTogether(const std::vector<HttpCall>&);
 
-// Returns a port that is currently free.
+// Returns a port that is currently free and that no other test process on this machine takes. Throws
+// std::runtime_error if there is none.
 std::uint16_t freePort();
 
 // Polls until the condition holds or the timeout expires. Returns whether the condition holds.
