--- a/tests/process/ProcessHarness.cpp
+++ b/tests/process/ProcessHarness.cpp
@@ -33,8 +33,8 @@
     unsigned firstPortOfReservedBlock()
     {
         for (unsigned block = 0; block < portBlocks; ++block) {
-            const auto path = std::filesystem::temp_directory_path()
-                / ("catkinwell-test-ports-" + std::to_string(block) + ".lock");
+            const auto path
+                = std::filesystem::temp_directory_path() / ("catkinwell-test-ports-" + std::to_string(block) + ".lock");
             const int file = open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0666);
             if (file < 0)
                 continue;
