Tell the relaying host the software version of a stream

Cause: only the serving host knew which endpoint sent the first event. The relaying host, which resumes the stream when the serving one is gone, knew no version and reported none. Headers of endpoints also passed for another host's statement.

Change: the answer of the serving host states the version at which the stream begins, fixed with the head; the relaying host takes it as its own knowledge, and a version that cannot be told stays unknown. Only another host's answer is read as a statement, and it replaces headers with its names.

Evidence: RelayTest "A relayed stream that breaks goes on at the version that the serving host stated" and "A relayed stream keeps the version of its head"; without the statement two rows fail. Why it works: what a resumption needs now travels with the first byte that the caller can have.

--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -250,6 +250,9 @@
     bool isVersionGone(const Request&, MonotonicTime now) const;
     // Ends a request whose stream no endpoint of its version can go on with. Returns whether it ended.
     bool endIfVersionGone(Request&, MonotonicTime now, EffectList&);
+    // Returns the software version of the endpoint that answers, as this host or the one that serves the request knows
+    // it; nullopt if it is not known.
+    std::optional<std::string> versionOf(const Attempt&) const;
     void noteStreamBegun(Request&, MonotonicTime now);
     void reportVersion(Request&, MonotonicTime now);
     void reportIfBroken(Request&, MonotonicTime now);
--- a/include/catkinwell/gateway/RelayMessage.h
+++ b/include/catkinwell/gateway/RelayMessage.h
@@ -79,9 +79,11 @@
     std::string reason;
     // Attempts of the serving host that may have run.
     unsigned attempts = 0;
+    // The software version of a resumable stream that begins; empty if it cannot be told.
+    std::optional<std::string> softwareVersion {};
 };
 
-// Adds the statement to the headers of an answer, and removes it. Thread safe.
+// Adds the statement to the headers of an answer, in place of headers with its names, and removes it. Thread safe.
 void addRelayAnswer(HeaderList&, const RelayAnswer&);
 RelayAnswer takeRelayAnswer(HeaderList&);
 
--- a/src/gateway/GatewayRelay.cpp
+++ b/src/gateway/GatewayRelay.cpp
@@ -236,7 +236,8 @@
     const Request& request, HeaderList& headers, RelayOutcome outcome, std::string_view reason) const
 {
     if (request.relayedFrom)
-        addRelayAnswer(headers, { outcome, std::string(reason), request.attempts + (request.attempt ? 1 : 0) });
+        addRelayAnswer(headers,
+            { outcome, std::string(reason), request.attempts + (request.attempt ? 1 : 0), request.softwareVersion });
 }
 
 } // namespace Catkinwell
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -328,7 +328,8 @@
     attempt.lastDataAt = now;
     attempt.status = head.status;
     attempt.headers = head.headers;
-    attempt.relayAnswer = takeRelayAnswer(attempt.headers);
+    if (attempt.relayedTo)
+        attempt.relayAnswer = takeRelayAnswer(attempt.headers);
     attempt.terms = m_protocol.termsOf(head.status, attempt.headers);
     noteReached(*request, head.isNewConnection, now, effects);
     if (!attempt.relayedTo && (attempt.terms.isSealed || attempt.terms.isNotExecuted))
@@ -341,6 +342,9 @@
     if (!attempt.isForwarded || request->isHeadSent)
         return;
     request->isHeadSent = true;
+    // The relaying host goes by the version that the head states.
+    if (request->relayedFrom)
+        noteStreamBegun(*request, now);
     effects.push_back(RecordMetric { Metric::FirstByteSeconds, request->service, secondsOf(now - request->arrivedAt) });
     HeaderList headers = m_protocol.answerHeaders(attempt.headers);
     stateRelayAnswer(*request, headers, RelayOutcome::Answered);
--- a/src/gateway/GatewayStreamVersions.cpp
+++ b/src/gateway/GatewayStreamVersions.cpp
@@ -92,15 +92,22 @@
     return true;
 }
 
+std::optional<std::string> GatewayRequests::versionOf(const Attempt& attempt) const
+{
+    if (attempt.relayedTo)
+        return attempt.relayAnswer.softwareVersion;
+    const EndpointRecord* record = m_directory.find(attempt.endpoint);
+    return record ? std::optional(record->softwareVersion) : std::nullopt;
+}
+
 void GatewayRequests::noteStreamBegun(Request& request, MonotonicTime now)
 {
-    // The serving host knows the version of a relayed stream.
-    if (!request.route.isResumable || request.softwareVersion || request.attempt->relayedTo)
+    if (!request.route.isResumable || request.softwareVersion)
         return;
-    const EndpointRecord* record = m_directory.find(request.attempt->endpoint);
+    const auto version = versionOf(*request.attempt);
     const bool isSeveral = m_directory.hasSeveralVersions(request.service, now);
-    if (record || isSeveral)
-        request.softwareVersion = record ? record->softwareVersion : std::string();
+    if (version || isSeveral)
+        request.softwareVersion = version.value_or(std::string());
     if (isSeveral)
         reportVersion(request, now);
 }
--- a/src/gateway/RelayMessage.cpp
+++ b/src/gateway/RelayMessage.cpp
@@ -1,6 +1,8 @@
 #include <catkinwell/gateway/RelayMessage.h>
 
 #include "http/HeaderText.h"
+#include <algorithm>
+#include <array>
 #include <catkinwell/core/EnumNames.h>
 #include <charconv>
 #include <nlohmann/json.hpp>
@@ -14,6 +16,8 @@
     constexpr std::string_view outcomeHeader = "Relay-Outcome";
     constexpr std::string_view reasonHeader = "Relay-Reason";
     constexpr std::string_view attemptsHeader = "Relay-Attempts";
+    // A JSON string, so that it may hold any text.
+    constexpr std::string_view softwareVersionHeader = "Relay-Software-Version";
 
     constexpr EnumNames<RelayOutcome, 4> outcomeNames { {
         { RelayOutcome::Answered, "answered" },
@@ -89,10 +93,14 @@
 
 void addRelayAnswer(HeaderList& headers, const RelayAnswer& answer)
 {
+    takeRelayAnswer(headers);
     headers.emplace_back(outcomeHeader, nameOf(answer.outcome));
     headers.emplace_back(attemptsHeader, std::to_string(answer.attempts));
     if (!answer.reason.empty())
         headers.emplace_back(reasonHeader, answer.reason);
+    if (answer.softwareVersion)
+        headers.emplace_back(
+            softwareVersionHeader, Json(*answer.softwareVersion).dump(-1, ' ', true, Json::error_handler_t::replace));
 }
 
 RelayAnswer takeRelayAnswer(HeaderList& headers)
@@ -105,9 +113,15 @@
         std::from_chars(attempts->data(), attempts->data() + attempts->size(), answer.attempts);
     if (const std::string* reason = findHeader(headers, reasonHeader))
         answer.reason = *reason;
-    std::erase_if(headers, [](const auto& header) {
-        return equalIgnoringCase(header.first, outcomeHeader) || equalIgnoringCase(header.first, attemptsHeader)
-            || equalIgnoringCase(header.first, reasonHeader);
+    if (const std::string* version = findHeader(headers, softwareVersionHeader)) {
+        const Json text = Json::parse(*version, nullptr, false);
+        answer.softwareVersion = text.is_string() ? text.get<std::string>() : std::string();
+    }
+    constexpr std::array<std::string_view, 4> names { outcomeHeader, attemptsHeader, reasonHeader,
+        softwareVersionHeader };
+    std::erase_if(headers, [&names](const auto& header) {
+        return std::any_of(names.begin(), names.end(),
+            [&header](std::string_view name) { return equalIgnoringCase(header.first, name); });
     });
     return answer;
 }
--- a/tests/gateway/RelayTest.cpp
+++ b/tests/gateway/RelayTest.cpp
@@ -263,6 +263,87 @@
     CHECK(effectsOf<SendResponseHead>(fixture.effects).size() == 1);
 }
 
+namespace {
+
+struct StatedVersionCase {
+    const char* name;
+    std::optional<std::string> stated;
+    // The version at which the stream has to go on.
+    std::string expected;
+};
+
+} // namespace
+
+// Guards against a stream that is joined from two software versions because the host that served its beginning is gone.
+TEST_CASE("A relayed stream that breaks goes on at the version that the serving host stated")
+{
+    const auto test = GENERATE(values<StatedVersionCase>({
+        { "one of the versions", "v2", "v2" },
+        { "another text", "\r\nv\xc3\xa9 \"2\"", "\r\nv\xc3\xa9 \"2\"" },
+        { "a version that cannot be told", "", "" },
+        { "nothing", std::nullopt, "" },
+    }));
+    INFO(test.name);
+    RelayFixture fixture;
+    for (int i = 0; i < 3; ++i) {
+        EndpointRecord endpoint = sampleEndpoint("notes" + std::to_string(i), "notes", withM1);
+        endpoint.softwareVersion = i == 0 ? "v1" : "v2";
+        fixture.directory.put(endpoint, fixture.now, fixture.effects);
+    }
+    fixture.losePath("/dossier/1");
+    fixture.arrive("/dossier/1");
+    const auto first = fixture.takeRelays();
+    REQUIRE(first.size() == 1);
+    HeaderList headers { { "sealed", "1" } };
+    addRelayAnswer(headers, { RelayOutcome::Answered, "", 1, test.stated });
+    fixture.requests.handle(AttemptHead { first[0].id, 200, headers }, fixture.now, fixture.effects);
+    fixture.requests.handle(AttemptData { first[0].id, "id: 1\ndata: a\n\n" }, fixture.now, fixture.effects);
+    fixture.requests.handle(AttemptFailed { first[0].id, AttemptOutcome::Unknown, "reset", AttemptFailure::Broken },
+        fixture.now, fixture.effects);
+    const auto second = fixture.takeRelays();
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].request.terms.softwareVersion == test.expected);
+}
+
+// Guards against a serving host that states one version in the head and sends events of another.
+TEST_CASE("A relayed stream keeps the version of its head")
+{
+    RelayFixture fixture;
+    for (int i = 0; i < 3; ++i) {
+        EndpointRecord endpoint = sampleEndpoint("notes" + std::to_string(i), "notes", withM1);
+        endpoint.softwareVersion = "v" + std::to_string(i);
+        fixture.directory.put(endpoint, fixture.now, fixture.effects);
+    }
+    fixture.relayed("/dossier/1", termsWith(20s));
+    const auto attempts = fixture.takeAttempts();
+    REQUIRE(attempts.size() == 1);
+    fixture.requests.handle(AttemptHead { attempts[0].id, 200, { { "sealed", "1" } } }, fixture.now, fixture.effects);
+    auto heads = effectsOf<SendResponseHead>(fixture.effects);
+    REQUIRE(heads.size() == 1);
+    const std::string version = fixture.directory.find(attempts[0].endpoint)->softwareVersion;
+    CHECK(takeRelayAnswer(heads[0].headers).softwareVersion == version);
+    fixture.requests.handle(AttemptFailed { attempts[0].id, AttemptOutcome::Unknown, "reset", AttemptFailure::Broken },
+        fixture.now, fixture.effects);
+    CHECK(fixture.takeAttempts().empty());
+}
+
+// Guards against an endpoint whose headers pass for the statement of another host.
+TEST_CASE("Headers of an endpoint are no relay answer")
+{
+    RelayFixture fixture;
+    fixture.arrive("/order/1");
+    const auto attempts = fixture.takeAttempts();
+    REQUIRE(attempts.size() == 1);
+    HeaderList headers { { "sealed", "1" } };
+    addRelayAnswer(headers, { RelayOutcome::NotServed, "a reason", 0 });
+    fixture.requests.handle(AttemptHead { attempts[0].id, 200, headers }, fixture.now, fixture.effects);
+    fixture.requests.handle(AttemptFinished { attempts[0].id }, fixture.now, fixture.effects);
+    const auto answers = fixture.takeAnswers();
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].status == 200);
+    CHECK(fixture.takeRelays().empty());
+}
+
 // Guards against waiting out the deadline where it is known that no host reaches an endpoint.
 TEST_CASE("Without a host that reaches the service a request is refused in time with a time to come back")
 {
