--- a/tests/fleet/CallerLoad.cpp
+++ b/tests/fleet/CallerLoad.cpp
@@ -11,7 +11,9 @@
     // The minimum time between orders of two hosts to one engine.
     constexpr Duration minimumHolderGap = 3s;
 
-    constexpr auto requestTimeout = 9s;
+    constexpr auto repeatingPatience = 2s;
+    // How long callers read on beyond the time that they stated.
+    constexpr auto lateAnswerTime = 1s;
     constexpr auto pauseBetweenRequests = 15ms;
     constexpr unsigned eventsPerStream = 5;
     // Time in which the caller notices that its stream broke.
@@ -20,12 +22,14 @@
     // Returns whether the status guarantees that the request did not run.
     bool guaranteesNotRun(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
-    HttpCall callOf(const CallerRequest& request, std::uint16_t port, const std::string& model)
+    HttpCall callOf(
+        const CallerRequest& request, std::uint16_t port, const std::string& model, std::chrono::milliseconds patience)
     {
         HttpCall call { port, "POST", request.path + request.id,
-            { { "Host", "test.example" }, { "Catkinwell-Request-Id", request.id }, { "Catkinwell-Deadline-Ms", "8000" },
+            { { "Host", "test.example" }, { "Catkinwell-Request-Id", request.id },
+                { "Catkinwell-Deadline-Ms", std::to_string(patience.count()) },
                 { "Authorization", "Bearer key-" + request.account } },
-            "body of " + request.id, requestTimeout };
+            "body of " + request.id, patience + lateAnswerTime };
         if (request.path == "/note/")
             call.headers["Catkinwell-Model"] = model;
         if (!request.resumes.empty()) {
@@ -107,8 +111,9 @@
 
 } // namespace
 
-CallerLoad::CallerLoad(GatewayFleet& fleet, std::size_t callers, std::uint64_t seed)
+CallerLoad::CallerLoad(GatewayFleet& fleet, std::size_t callers, std::uint64_t seed, std::chrono::milliseconds patience)
     : m_fleet(fleet)
+    , m_patience(patience)
     , m_requests(callers)
 {
     for (std::size_t i = 0; i < callers; ++i)
@@ -128,9 +133,9 @@
         request.path = paths[random.below(5)];
         request.account = random.unit() < 0.5 ? "a" : "b";
         request.host = random.below(m_fleet.hostCount());
-        request.sentAt = std::chrono::steady_clock::now();
+        request.sentAt = SystemClock().monotonicNow();
         const char* const model = models[random.below(4)];
-        request.answer = send(callOf(request, m_fleet.callerPort(request.host), model));
+        request.answer = send(callOf(request, m_fleet.callerPort(request.host), model, m_patience));
         m_requests[caller].push_back(std::move(request));
         resume(caller, model, random.below(m_fleet.hostCount()));
         std::this_thread::sleep_for(pauseBetweenRequests);
@@ -152,8 +157,8 @@
     next.resumes = last.id;
     next.lastEvent = events;
     std::this_thread::sleep_for(pauseBeforeResumption);
-    next.sentAt = std::chrono::steady_clock::now();
-    next.answer = send(callOf(next, m_fleet.callerPort(next.host), model));
+    next.sentAt = SystemClock().monotonicNow();
+    next.answer = send(callOf(next, m_fleet.callerPort(next.host), model, m_patience));
     m_requests[caller].push_back(std::move(next));
 }
 
@@ -170,6 +175,45 @@
     return all;
 }
 
+RepeatingCaller::RepeatingCaller(
+    GatewayFleet& fleet, std::string path, std::chrono::milliseconds pause, std::uint64_t seed)
+    : m_fleet(fleet)
+    , m_path(std::move(path))
+    , m_thread([this, pause, seed] { run(pause, seed); })
+{
+}
+
+RepeatingCaller::~RepeatingCaller() { stop(); }
+
+void RepeatingCaller::run(std::chrono::milliseconds pause, std::uint64_t seed)
+{
+    RandomGenerator random(seed);
+    while (!m_isStopping) {
+        CallerRequest request;
+        request.id = "again-" + std::to_string(seed) + "-" + std::to_string(m_requests.size());
+        request.path = m_path;
+        request.account = "a";
+        request.host = random.below(m_fleet.hostCount());
+        request.sentAt = SystemClock().monotonicNow();
+        HttpCall call = callOf(request, m_fleet.callerPort(request.host), "m1", repeatingPatience);
+        call.target = m_path;
+        call.body = "the same body";
+        if (m_path.starts_with("/note/"))
+            call.headers["Catkinwell-Model"] = "m1";
+        request.answer = send(call);
+        m_requests.push_back(std::move(request));
+        std::this_thread::sleep_for(pause);
+    }
+}
+
+std::vector<CallerRequest> RepeatingCaller::stop()
+{
+    m_isStopping = true;
+    if (m_thread.joinable())
+        m_thread.join();
+    return m_requests;
+}
+
 std::vector<std::string> findViolations(
     const std::vector<CallerRequest>& requests, const EndpointHistory& records, GatewayFleet& fleet)
 {
--- a/tests/fleet/CallerLoad.h
+++ b/tests/fleet/CallerLoad.h
@@ -12,7 +12,7 @@
     std::string account;
     std::size_t host = 0;
     HttpAnswer answer;
-    std::chrono::steady_clock::time_point sentAt;
+    MonotonicTime sentAt;
     // If the request takes up a stream: the request that began it, and the last event of that one's answer.
     std::string resumes {};
     unsigned lastEvent = 0;
@@ -22,7 +22,9 @@
 // breaks after its first event is taken up again, once, at any host; nothing else is retried.
 class CallerLoad {
 public:
-    CallerLoad(GatewayFleet&, std::size_t callers, std::uint64_t seed);
+    // Callers wait for an answer for the time of their patience, which their requests state.
+    CallerLoad(GatewayFleet&, std::size_t callers, std::uint64_t seed,
+        std::chrono::milliseconds patience = std::chrono::seconds(8));
     ~CallerLoad();
 
     // Ends the load and returns all requests.
@@ -33,11 +35,32 @@
     void resume(std::size_t caller, const std::string& model, std::size_t host);
 
     GatewayFleet& m_fleet;
+    std::chrono::milliseconds m_patience;
     std::atomic<bool> m_isStopping = false;
     std::vector<std::vector<CallerRequest>> m_requests;
     std::vector<std::thread> m_threads;
 };
 
+// A caller that sends the same request again and again, each time under another identifier and at any host, whatever
+// the answer.
+class RepeatingCaller {
+public:
+    RepeatingCaller(GatewayFleet&, std::string path, std::chrono::milliseconds pause, std::uint64_t seed);
+    ~RepeatingCaller();
+
+    // Ends the caller and returns its requests.
+    std::vector<CallerRequest> stop();
+
+private:
+    void run(std::chrono::milliseconds pause, std::uint64_t seed);
+
+    GatewayFleet& m_fleet;
+    std::string m_path;
+    std::atomic<bool> m_isStopping = false;
+    std::vector<CallerRequest> m_requests;
+    std::thread m_thread;
+};
+
 // Checks the requests and the endpoints' records against the guarantees of the gateways. Returns one line for each
 // violation: orders that ran twice, refused requests that ran, answers to other requests, complete streams with wrong
 // content, streams with events of two software versions, requests that ran for another account, engines that were
--- /dev/null
+++ b/tests/fleet/FaultChecks.cpp
@@ -0,0 +1,130 @@
+#include "fleet/FaultChecks.h"
+
+#include <algorithm>
+#include <map>
+
+namespace Catkinwell::Testing {
+
+namespace {
+
+    constexpr std::size_t allowedFailures = 10;
+    constexpr std::size_t requestsPerAllowedFailure = 50;
+    constexpr std::size_t allowedTries = 3;
+    constexpr std::size_t crashesThatCondemn = 3;
+    constexpr std::size_t allowedFalls = 2;
+    constexpr std::size_t endpointsPerAllowedFall = 10;
+
+    struct ServedCount {
+        std::size_t served = 0;
+        std::size_t sent = 0;
+
+        std::size_t failed() const { return sent - served; }
+        std::string text() const { return std::to_string(served) + " of " + std::to_string(sent); }
+    };
+
+    bool isServed(const CallerRequest& request) { return request.answer.status == 200 && request.answer.complete; }
+
+    std::map<std::string, std::size_t> hostsOf(const std::vector<CallerRequest>& requests)
+    {
+        std::map<std::string, std::size_t> hosts;
+        for (const CallerRequest& request : requests)
+            hosts[request.id] = request.host;
+        return hosts;
+    }
+
+    bool isFromCalmHost(const std::map<std::string, std::size_t>& hosts, const std::string& request, MonotonicTime at,
+        const DisturbanceLog& disturbances)
+    {
+        const auto host = hosts.find(request);
+        return host != hosts.end() && disturbances.isCalm(host->second, at);
+    }
+
+} // namespace
+
+std::size_t DisturbanceLog::begin(std::optional<std::size_t> host, MonotonicTime at)
+{
+    m_disturbances.push_back({ host, at, std::nullopt });
+    return m_disturbances.size() - 1;
+}
+
+void DisturbanceLog::end(std::size_t disturbance, MonotonicTime at) { m_disturbances.at(disturbance).until = at; }
+
+bool DisturbanceLog::isCalm(std::size_t host, MonotonicTime at) const
+{
+    return std::none_of(m_disturbances.begin(), m_disturbances.end(), [&](const Disturbance& disturbance) {
+        const bool isConcerned = !disturbance.host || *disturbance.host == host;
+        return isConcerned && disturbance.from <= at && (!disturbance.until || *disturbance.until + reactionTime > at);
+    });
+}
+
+std::vector<std::string> findUnservedCallers(
+    const std::vector<CallerRequest>& requests, const std::vector<PathLoss>& losses, const DisturbanceLog& disturbances)
+{
+    std::vector<std::string> broken;
+    for (const PathLoss& loss : losses) {
+        ServedCount cut;
+        ServedCount others;
+        for (const CallerRequest& request : requests) {
+            const bool isJudged = request.resumes.empty() && request.sentAt >= loss.from + reactionTime
+                && request.sentAt < loss.until && disturbances.isCalm(request.host, request.sentAt);
+            if (!isJudged)
+                continue;
+            ServedCount& count = loss.hosts.contains(request.host) ? cut : others;
+            ++count.sent;
+            count.served += isServed(request) ? 1 : 0;
+        }
+        const bool isServedLess = 3 * cut.served * others.sent < 2 * others.served * cut.sent;
+        const std::size_t allowed = allowedFailures + (cut.sent + others.sent) / requestsPerAllowedFailure;
+        if (isServedLess && cut.failed() > allowed)
+            broken.push_back(
+                "hosts without a path to endpoints served " + cut.text() + " requests, the others " + others.text());
+    }
+    return broken;
+}
+
+std::vector<std::string> findRepeatedCrashes(
+    const std::vector<CallerRequest>& requests, const EndpointHistory& records, const DisturbanceLog& disturbances)
+{
+    std::map<std::string, std::vector<MonotonicTime>> crashes;
+    for (const RecordedCrash& crash : records.crashes)
+        crashes[crash.path].push_back(crash.at);
+    const auto hosts = hostsOf(requests);
+    std::vector<std::string> broken;
+    for (auto& [path, times] : crashes) {
+        if (times.size() < crashesThatCondemn)
+            continue;
+        std::sort(times.begin(), times.end());
+        const MonotonicTime from = times[crashesThatCondemn - 1] + reactionTime;
+        std::size_t tries = 0;
+        for (const Execution& execution : records.executions) {
+            const bool isLate = execution.path == path && execution.at > from;
+            tries += isLate && isFromCalmHost(hosts, execution.request, execution.at, disturbances) ? 1 : 0;
+        }
+        if (tries > allowedTries)
+            broken.push_back("a request under which three endpoints had ended was sent to endpoints "
+                + std::to_string(tries) + " times more: " + path);
+    }
+    return broken;
+}
+
+std::vector<std::string> findFalls(const std::vector<CallerRequest>& requests, const EndpointHistory& records,
+    const std::vector<BrittleTime>& brittleTimes, const DisturbanceLog& disturbances)
+{
+    const auto hosts = hostsOf(requests);
+    const auto isCounted = [&](const RecordedFall& fall) {
+        const auto calm = std::count_if(fall.rejected.begin(), fall.rejected.end(),
+            [&](const std::string& request) { return isFromCalmHost(hosts, request, fall.at, disturbances); });
+        return 2 * static_cast<std::size_t>(calm) > fall.rejected.size();
+    };
+    std::vector<std::string> broken;
+    for (const BrittleTime& time : brittleTimes) {
+        const auto falls = std::count_if(records.falls.begin(), records.falls.end(),
+            [&](const RecordedFall& fall) { return fall.at >= time.from && fall.at < time.until && isCounted(fall); });
+        if (static_cast<std::size_t>(falls) > allowedFalls + time.endpoints / endpointsPerAllowedFall)
+            broken.push_back(
+                std::to_string(falls) + " of " + std::to_string(time.endpoints) + " brittle endpoints fell over");
+    }
+    return broken;
+}
+
+} // namespace Catkinwell::Testing
--- /dev/null
+++ b/tests/fleet/FaultChecks.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "fleet/CallerLoad.h"
+#include <optional>
+#include <set>
+
+namespace Catkinwell::Testing {
+
+// The platform's time for hosts to react to a change. A promise with a bound in time holds for hosts that nothing has
+// disturbed for this long.
+constexpr Duration reactionTime = std::chrono::seconds(3);
+
+// When faults were injected into hosts, their links or the store, so that checks leave out what a host could not know.
+// Thread safe if each thread calls only const functions.
+class DisturbanceLog {
+public:
+    // A fault begins at a host, or at all of them. It goes on until end() is called with the returned number.
+    std::size_t begin(std::optional<std::size_t> host, MonotonicTime);
+    void end(std::size_t disturbance, MonotonicTime);
+
+    // Whether no fault was in force at the host within the reaction time before this moment.
+    bool isCalm(std::size_t host, MonotonicTime) const;
+
+private:
+    struct Disturbance {
+        std::optional<std::size_t> host;
+        MonotonicTime from {};
+        std::optional<MonotonicTime> until;
+    };
+
+    std::vector<Disturbance> m_disturbances;
+};
+
+// A time in which hosts could reach no endpoint.
+struct PathLoss {
+    std::set<std::size_t> hosts;
+    MonotonicTime from {};
+    MonotonicTime until {};
+};
+
+// A time in which endpoints were brittle.
+struct BrittleTime {
+    MonotonicTime from {};
+    MonotonicTime until {};
+    std::size_t endpoints = 0;
+};
+
+// Returns a line if callers of hosts without a path to endpoints were served less than two thirds as often as those of
+// other hosts, and more than 10 and one in 50 of all first attempts failed there. Only calm hosts are judged.
+std::vector<std::string> findUnservedCallers(
+    const std::vector<CallerRequest>&, const std::vector<PathLoss>&, const DisturbanceLog&);
+
+// Returns a line for each request that calm hosts sent to endpoints more than three times later than the reaction time
+// after it had ended the third of them. Requests are compared by their paths.
+std::vector<std::string> findRepeatedCrashes(
+    const std::vector<CallerRequest>&, const EndpointHistory&, const DisturbanceLog&);
+
+// Returns a line for each time of brittle endpoints in which more than 2 and a tenth of them fell over because of
+// requests that mostly came from calm hosts.
+std::vector<std::string> findFalls(
+    const std::vector<CallerRequest>&, const EndpointHistory&, const std::vector<BrittleTime>&, const DisturbanceLog&);
+
+} // namespace Catkinwell::Testing
--- /dev/null
+++ b/tests/fleet/FaultChecksTest.cpp
@@ -0,0 +1,129 @@
+#include "fleet/FaultChecks.h"
+#include <catch2/catch.hpp>
+
+using namespace Catkinwell;
+using namespace Catkinwell::Testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr MonotonicTime start { std::chrono::hours(1) };
+
+CallerRequest requestAt(const std::string& id, std::size_t host, Duration at, int status)
+{
+    return { id, "/read/", "a", host, { status, {}, "", true }, start + at };
+}
+
+struct PathLossCase {
+    const char* what;
+    // Requests after the reaction time that were served and sent.
+    std::size_t cutServed;
+    std::size_t cutSent;
+    std::size_t otherServed;
+    std::size_t otherSent;
+    bool isDisturbed;
+    bool isViolation;
+};
+
+struct CrashCase {
+    const char* what;
+    std::size_t crashes;
+    // Tries later than the reaction time after the third crash.
+    std::size_t lateTries;
+    bool isDisturbed;
+    bool isViolation;
+};
+
+struct FallCase {
+    const char* what;
+    std::size_t endpoints;
+    std::size_t falls;
+    bool isDisturbed;
+    bool isViolation;
+};
+
+// The hosts 0 and 1 are disturbed all the time.
+DisturbanceLog disturbed(bool isDisturbed)
+{
+    DisturbanceLog log;
+    if (isDisturbed) {
+        log.begin(0, start);
+        log.begin(1, start);
+    }
+    return log;
+}
+
+} // namespace
+
+// Guards against a check that overlooks callers of hosts without a path to endpoints.
+TEST_CASE("Callers who are served less at hosts without a path are found")
+{
+    const auto test = GENERATE(values<PathLossCase>({
+        { "all served", 30, 30, 90, 90, false, false },
+        { "few failures", 0, 10, 90, 90, false, false },
+        { "most failed", 9, 58, 151, 152, false, true },
+        { "two thirds as often", 40, 60, 90, 90, false, false },
+        { "less than two thirds as often", 38, 60, 90, 90, false, true },
+        { "the others are served no better", 10, 60, 15, 90, false, false },
+        { "a disturbed host", 9, 58, 151, 152, true, false },
+    }));
+    INFO(test.what);
+    std::vector<CallerRequest> requests;
+    for (std::size_t i = 0; i < test.cutSent; ++i)
+        requests.push_back(requestAt("cut" + std::to_string(i), 0, 4s, i < test.cutServed ? 200 : 503));
+    for (std::size_t i = 0; i < test.otherSent; ++i)
+        requests.push_back(requestAt("other" + std::to_string(i), 2, 4s, i < test.otherServed ? 200 : 503));
+    // The reaction time is not judged.
+    for (std::size_t i = 0; i < 40; ++i)
+        requests.push_back(requestAt("early" + std::to_string(i), 0, 2s, 503));
+    const std::vector<PathLoss> losses { { { 0 }, start, start + 6s } };
+    CHECK(findUnservedCallers(requests, losses, disturbed(test.isDisturbed)).empty() != test.isViolation);
+}
+
+// Guards against a check that overlooks a request that goes on ending endpoints.
+TEST_CASE("Requests that are tried again after three crashes are found")
+{
+    const auto test = GENERATE(values<CrashCase>({
+        { "three tries more", 6, 3, false, false },
+        { "four tries more", 3, 4, false, true },
+        { "two crashes", 2, 9, false, false },
+        { "sent by disturbed hosts", 3, 9, true, false },
+    }));
+    INFO(test.what);
+    const std::string path = "/note/deadly";
+    EndpointHistory records;
+    for (std::size_t i = 0; i < test.crashes; ++i)
+        records.crashes.push_back({ "e", path, start + i * 100ms });
+    std::vector<CallerRequest> requests;
+    for (std::size_t i = 0; i < test.lateTries + 5; ++i) {
+        const std::string id = "r" + std::to_string(i);
+        // The first five come within the reaction time.
+        const MonotonicTime at = start + (i < 5 ? 1s : 4s);
+        requests.push_back({ id, path, "a", i % 2, {}, at });
+        records.executions.push_back({ "e", id, "a", at, path });
+        records.executions.push_back({ "e", id + "-other", "a", at, "/note/other" });
+    }
+    CHECK(findRepeatedCrashes(requests, records, disturbed(test.isDisturbed)).empty() != test.isViolation);
+}
+
+// Guards against a check that overlooks brittle endpoints that fall over one after the other.
+TEST_CASE("Falls of brittle endpoints are found")
+{
+    const auto test = GENERATE(values<FallCase>({
+        { "two of three", 3, 2, false, false },
+        { "three of three", 3, 3, false, true },
+        { "three of twelve", 12, 3, false, false },
+        { "four of twelve", 12, 4, false, true },
+        { "because of disturbed hosts", 3, 9, true, false },
+    }));
+    INFO(test.what);
+    std::vector<CallerRequest> requests;
+    EndpointHistory records;
+    for (std::size_t i = 0; i < test.falls; ++i) {
+        const std::string id = "r" + std::to_string(i);
+        requests.push_back(requestAt(id, i % 2, 4s, 503));
+        records.falls.push_back({ "o", start + 4s, { id } });
+    }
+    const std::vector<BrittleTime> times { { start, start + 9s, test.endpoints } };
+    CHECK(findFalls(requests, records, times, disturbed(test.isDisturbed)).empty() != test.isViolation);
+}
--- a/tests/fleet/FaultProxy.cpp
+++ b/tests/fleet/FaultProxy.cpp
@@ -1,9 +1,11 @@
 #include "fleet/FaultProxy.h"
 
+#include <array>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
+#include <event2/util.h>
 #include <netinet/in.h>
 #include <stdexcept>
 #include <string>
@@ -24,6 +26,13 @@
         return address;
     }
 
+    std::string hostOf(const sockaddr* address)
+    {
+        std::array<char, INET_ADDRSTRLEN> text {};
+        evutil_inet_ntop(AF_INET, &reinterpret_cast<const sockaddr_in*>(address)->sin_addr, text.data(), text.size());
+        return text.data();
+    }
+
     // Closes the connection with a TCP reset.
     void resetAtClose(bufferevent* connection)
     {
@@ -37,6 +46,8 @@
     FaultProxy* proxy = nullptr;
     bufferevent* caller = nullptr;
     bufferevent* target = nullptr;
+    std::string callerHost;
+    // Whether all bytes of the connection are discarded from now on.
     bool hasLostBytes = false;
     bool isClosed = false;
 };
@@ -48,8 +59,8 @@
     const sockaddr_in address = loopback(0);
     m_listener = evconnlistener_new_bind(
         loop.base(),
-        [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* context) {
-            static_cast<FaultProxy*>(context)->accept(socket);
+        [](evconnlistener*, evutil_socket_t socket, sockaddr* caller, int, void* context) {
+            static_cast<FaultProxy*>(context)->accept(socket, hostOf(caller));
         },
         this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1, reinterpret_cast<const sockaddr*>(&address),
         sizeof(address));
@@ -68,10 +79,34 @@
         close(*m_links.front(), false);
 }
 
-void FaultProxy::accept(int socket)
+void FaultProxy::setState(LinkState state)
+{
+    m_state = state;
+    resetRefused();
+}
+
+void FaultProxy::setStateFor(const std::string& caller, std::optional<LinkState> state)
+{
+    if (state)
+        m_stateFor[caller] = *state;
+    else
+        m_stateFor.erase(caller);
+    resetRefused();
+}
+
+LinkState FaultProxy::stateFor(const std::string& caller) const
+{
+    const auto own = m_stateFor.find(caller);
+    return own == m_stateFor.end() ? m_state : own->second;
+}
+
+void FaultProxy::accept(int socket, const std::string& caller)
 {
+    const LinkState state = stateFor(caller);
     auto link = std::make_shared<Link>();
     link->proxy = this;
+    link->callerHost = caller;
+    link->hasLostBytes = state == LinkState::SilentWhenNew;
     link->caller = bufferevent_socket_new(m_loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
     link->target = bufferevent_socket_new(m_loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
     Link* raw = link.get();
@@ -92,22 +127,30 @@
         bufferevent_setcb(end, onRead, nullptr, onEvent, raw);
         bufferevent_enable(end, EV_READ | EV_WRITE);
     }
+    if (state == LinkState::Refused || state == LinkState::RefusedWhenNew) {
+        close(*raw, true);
+        return;
+    }
     const sockaddr_in address = loopback(m_targetPort);
     if (bufferevent_socket_connect(raw->target, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0)
         close(*raw, true);
 }
 
+bool FaultProxy::isDiscarding(const Link& link, bool isBack) const
+{
+    const LinkState state = stateFor(link.callerHost);
+    return state == LinkState::Silent || (state == LinkState::SilentToCaller && isBack) || link.hasLostBytes;
+}
+
 void FaultProxy::forward(Link& link, bufferevent* from, bufferevent* to, bool isBack)
 {
     evbuffer* input = bufferevent_get_input(from);
-    const bool isDiscarded
-        = m_state == LinkState::Silent || (m_state == LinkState::SilentToCaller && isBack) || link.hasLostBytes;
-    if (isDiscarded) {
+    if (isDiscarding(link, isBack)) {
         link.hasLostBytes = true;
         evbuffer_drain(input, evbuffer_get_length(input));
         return;
     }
-    if (m_state != LinkState::Delayed) {
+    if (stateFor(link.callerHost) != LinkState::Delayed) {
         bufferevent_write_buffer(to, input);
         return;
     }
@@ -143,6 +186,15 @@
     m_links.remove_if([&link](const auto& candidate) { return candidate.get() == &link; });
 }
 
+void FaultProxy::resetRefused()
+{
+    const auto links = m_links;
+    for (const auto& link : links) {
+        if (stateFor(link->callerHost) == LinkState::Refused)
+            close(*link, true);
+    }
+}
+
 void FaultProxy::resetConnections()
 {
     while (!m_links.empty())
--- a/tests/fleet/FaultProxy.h
+++ b/tests/fleet/FaultProxy.h
@@ -3,7 +3,10 @@
 #include <catkinwell/loop/EventLoop.h>
 #include <cstdint>
 #include <list>
+#include <map>
 #include <memory>
+#include <optional>
+#include <string>
 
 struct evconnlistener;
 struct bufferevent;
@@ -19,6 +22,12 @@
     Silent,
     // Bytes from the caller arrive; bytes in the other direction are discarded.
     SilentToCaller,
+    // Open connections are reset, new ones at once.
+    Refused,
+    // Open connections live on; bytes of new ones are discarded.
+    SilentWhenNew,
+    // Open connections live on; new ones are reset at once.
+    RefusedWhenNew,
 };
 
 // A TCP proxy on the loopback address between two programs under test. Not thread safe; runs on the event loop.
@@ -30,16 +39,21 @@
     FaultProxy& operator=(const FaultProxy&) = delete;
 
     std::uint16_t port() const { return m_port; }
-    // Discarded bytes are not sent later. A connection that lost bytes discards everything from then on, also after the
-    // state is Open again.
-    void setState(LinkState state) { m_state = state; }
+    // Applies to all callers without a state of their own. Discarded bytes are not sent later. A connection that lost
+    // bytes discards everything from then on, also after the state is Open again.
+    void setState(LinkState);
+    // Applies to the connections that begin at this IP address; nullopt ends it.
+    void setStateFor(const std::string& caller, std::optional<LinkState>);
     // Resets all open connections.
     void resetConnections();
 
 private:
     struct Link;
 
-    void accept(int socket);
+    void accept(int socket, const std::string& caller);
+    LinkState stateFor(const std::string& caller) const;
+    bool isDiscarding(const Link&, bool isBack) const;
+    void resetRefused();
     void forward(Link&, bufferevent* from, bufferevent* to, bool isBack);
     void closeLater(Link&);
     void close(Link&, bool isReset);
@@ -49,6 +63,7 @@
     std::uint16_t m_port = 0;
     evconnlistener* m_listener = nullptr;
     LinkState m_state = LinkState::Open;
+    std::map<std::string, LinkState> m_stateFor;
     std::list<std::shared_ptr<Link>> m_links;
 };
 
--- a/tests/fleet/FaultSoak.cpp
+++ b/tests/fleet/FaultSoak.cpp
@@ -15,6 +15,12 @@
     // The maximum time until a host is ready after the end of all faults.
     constexpr auto recoveryBound = 12s;
     constexpr auto configurationBound = 2s;
+    constexpr std::size_t plainEndpoints = 3;
+    constexpr unsigned brittleSlots = 2;
+    constexpr auto brittleProcessingTime = 120ms;
+    constexpr unsigned defaultSlots = 16;
+    constexpr auto defaultProcessingTime = 10ms;
+    constexpr auto pauseOfDeadlyCaller = 80ms;
     // How long after a restore of the store the operator's configuration is written again.
     constexpr auto rewriteTime = 300ms;
 
@@ -29,7 +35,7 @@
 FaultSoak::FaultSoak(std::uint64_t seed)
     : m_seed(seed)
     , m_random(seed)
-    , m_fleet({ 4, 3, 4, seed, seed % 2 == 0 })
+    , m_fleet({ 4, plainEndpoints, 4, seed, seed % 2 == 0 })
     , m_startedAt(std::chrono::steady_clock::now())
 {
 }
@@ -58,6 +64,12 @@
     }
 }
 
+std::function<void()> FaultSoak::disturb(std::optional<std::size_t> host)
+{
+    const std::size_t disturbance = m_disturbances.begin(host, SystemClock().monotonicNow());
+    return [this, disturbance] { m_disturbances.end(disturbance, SystemClock().monotonicNow()); };
+}
+
 void FaultSoak::killHost()
 {
     const std::size_t host = m_random.below(m_fleet.hostCount());
@@ -66,8 +78,9 @@
         return;
     note("kill host " + std::to_string(host));
     m_fleet.process(host).signal(SIGKILL);
-    later(pause, [this, host] {
+    later(pause, [this, host, calm = disturb(host)] {
         m_fleet.start(host);
+        calm();
         m_disturbed.erase(host);
     });
 }
@@ -79,10 +92,11 @@
         return;
     note("stop host " + std::to_string(host));
     m_fleet.process(host).signal(SIGTERM);
-    later(9s, [this, host] {
+    later(9s, [this, host, calm = disturb(host)] {
         if (m_fleet.process(host).waitForExit(0ms) != 0)
             m_report.broken.push_back("host " + std::to_string(host) + " did not end in time after SIGTERM");
         m_fleet.start(host);
+        calm();
         m_disturbed.erase(host);
     });
 }
@@ -95,8 +109,9 @@
         return;
     note("freeze host " + std::to_string(host) + " for " + std::to_string(duration.count()) + " ms");
     m_fleet.process(host).signal(SIGSTOP);
-    later(duration, [this, host] {
+    later(duration, [this, host, calm = disturb(host)] {
         m_fleet.process(host).signal(SIGCONT);
+        calm();
         m_disturbed.erase(host);
     });
 }
@@ -139,7 +154,10 @@
     faults.lostAnswers = kind == 2 ? 6 : 0;
     faults.lostHistories = kind == 3 ? 3 : 0;
     change(faults);
-    later(duration, [change] { change({}); });
+    later(duration, [change, calm = disturb(isForAll ? std::nullopt : std::optional(host))] {
+        change({});
+        calm();
+    });
 }
 
 // The store comes back from a copy that is some seconds old. The operator's configuration is written again.
@@ -151,17 +169,20 @@
     later(age, [this] {
         m_fleet.onLoop([this] { m_fleet.store().restore(); });
         note("the store was restored");
-        later(rewriteTime, [this] { m_fleet.configure(m_version); });
+        later(rewriteTime, [this, calm = disturb(std::nullopt)] {
+            m_fleet.configure(m_version);
+            calm();
+        });
     });
 }
 
 void FaultSoak::disturbLink()
 {
-    const std::size_t kind = m_random.below(3);
+    const std::size_t kind = m_random.below(4);
     const std::size_t index = m_random.below(kind == 2 ? m_fleet.endpointCount() : m_fleet.hostCount());
     const std::size_t state = m_random.below(4);
     const auto duration = std::chrono::milliseconds(200 + m_random.below(3500));
-    constexpr std::array<const char*, 3> names { "store link", "peer link", "endpoint link" };
+    constexpr std::array<const char*, 4> names { "store link", "peer link", "endpoint link", "relay link" };
     constexpr std::array<const char*, 4> states { "reset", "delayed", "silent", "silent towards the caller" };
     note(std::string(names[kind]) + " " + std::to_string(index) + " " + states[state] + " for "
         + std::to_string(duration.count()) + " ms");
@@ -169,7 +190,8 @@
         m_fleet.onLoop([this, kind, index, wanted, isReset] {
             FaultProxy& link = kind == 0 ? m_fleet.storeLink(index)
                 : kind == 1              ? m_fleet.peerLink(index)
-                                         : m_fleet.endpointLink(index);
+                : kind == 2              ? m_fleet.endpointLink(index)
+                                         : m_fleet.relayLink(index);
             link.setState(wanted);
             if (isReset)
                 link.resetConnections();
@@ -178,7 +200,11 @@
     constexpr std::array<LinkState, 4> wanted { LinkState::Open, LinkState::Delayed, LinkState::Silent,
         LinkState::SilentToCaller };
     change(wanted[state], state == 0);
-    later(duration, [change] { change(LinkState::Open, false); });
+    const auto calm = kind == 2 ? std::function<void()>([] {}) : disturb(index);
+    later(duration, [change, calm] {
+        change(LinkState::Open, false);
+        calm();
+    });
 }
 
 void FaultSoak::disturbEndpoint()
@@ -204,9 +230,70 @@
     });
 }
 
+void FaultSoak::losePath()
+{
+    constexpr std::array<std::pair<LinkState, const char*>, 4> kinds { {
+        { LinkState::Silent, "silent" },
+        { LinkState::Refused, "reset" },
+        { LinkState::SilentWhenNew, "silent when new" },
+        { LinkState::RefusedWhenNew, "reset when new" },
+    } };
+    const auto& [state, name] = kinds[m_random.below(kinds.size())];
+    PathLoss loss { { m_random.below(m_fleet.hostCount()), m_random.below(m_fleet.hostCount()) },
+        SystemClock().monotonicNow(), {} };
+    const auto duration = std::chrono::milliseconds(1000 + m_random.below(7000));
+    for (const std::size_t host : loss.hosts) {
+        note("host " + std::to_string(host) + " has no path to endpoints (" + name + ") for "
+            + std::to_string(duration.count()) + " ms");
+        m_fleet.setPath(host, state);
+    }
+    later(duration, [this, loss]() mutable {
+        loss.until = SystemClock().monotonicNow();
+        for (const std::size_t host : loss.hosts)
+            m_fleet.setPath(host, std::nullopt);
+        m_pathLosses.push_back(loss);
+    });
+}
+
+void FaultSoak::sendDeadlyRequest()
+{
+    const std::string number = std::to_string(m_deadlyCallers.size());
+    const std::string path = (m_random.unit() < 0.6 ? "/note/deadly-" : "/read/deadly-") + number;
+    const auto duration = std::chrono::milliseconds(2000 + m_random.below(5000));
+    note("a caller repeats " + path + ", which ends endpoints, for " + std::to_string(duration.count()) + " ms");
+    auto caller = std::make_unique<RepeatingCaller>(m_fleet, path, pauseOfDeadlyCaller, m_random.next());
+    later(duration, [caller = caller.get()] { caller->stop(); });
+    m_deadlyCallers.push_back(std::move(caller));
+}
+
+void FaultSoak::makeBrittle()
+{
+    const auto rejections = static_cast<unsigned>(1 + m_random.below(5));
+    const auto duration = std::chrono::milliseconds(3500 + m_random.below(4000));
+    if (std::exchange(m_areBrittle, true))
+        return;
+    note("the plain endpoints bear " + std::to_string(rejections) + " rejections a second for "
+        + std::to_string(duration.count()) + " ms");
+    const auto change = [this](unsigned slots, Duration processingTime, std::optional<unsigned> stated) {
+        m_fleet.onLoop([this, slots, processingTime, stated] {
+            for (std::size_t i = 0; i < plainEndpoints; ++i) {
+                m_fleet.endpoint(i).setCapacity(slots, processingTime);
+                m_fleet.endpoint(i).setBrittle(stated);
+            }
+        });
+    };
+    const MonotonicTime from = SystemClock().monotonicNow();
+    change(brittleSlots, brittleProcessingTime, rejections);
+    later(duration, [this, change, from] {
+        change(defaultSlots, defaultProcessingTime, std::nullopt);
+        m_brittleTimes.push_back({ from, SystemClock().monotonicNow(), plainEndpoints });
+        m_areBrittle = false;
+    });
+}
+
 void FaultSoak::injectOne()
 {
-    static constexpr std::array<Fault, 9> faults { {
+    static constexpr std::array<Fault, 12> faults { {
         { 4, &FaultSoak::killHost },
         { 2, &FaultSoak::stopHost },
         { 4, &FaultSoak::freezeHost },
@@ -216,6 +303,9 @@
         { 3, &FaultSoak::restoreStore },
         { 5, &FaultSoak::disturbLink },
         { 4, &FaultSoak::disturbEndpoint },
+        { 4, &FaultSoak::losePath },
+        { 2, &FaultSoak::sendDeadlyRequest },
+        { 2, &FaultSoak::makeBrittle },
     } };
     unsigned total = 0;
     for (const Fault& fault : faults)
@@ -230,6 +320,21 @@
     }
 }
 
+void FaultSoak::check(const std::vector<CallerRequest>& requests)
+{
+    const EndpointHistory records = m_fleet.records();
+    std::vector<CallerRequest> deadly;
+    for (const auto& caller : m_deadlyCallers) {
+        const auto own = caller->stop();
+        deadly.insert(deadly.end(), own.begin(), own.end());
+    }
+    for (const auto& broken :
+        { findViolations(requests, records, m_fleet), findUnservedCallers(requests, m_pathLosses, m_disturbances),
+            findRepeatedCrashes(deadly, records, m_disturbances),
+            findFalls(requests, records, m_brittleTimes, m_disturbances) })
+        m_report.broken.insert(m_report.broken.end(), broken.begin(), broken.end());
+}
+
 SoakReport FaultSoak::run(std::chrono::milliseconds duration)
 {
     CallerLoad load(m_fleet, callers, m_seed);
@@ -260,8 +365,7 @@
                 + std::to_string(m_version) + " after all faults");
     }
     const auto requests = load.stop();
-    const auto broken = findViolations(requests, m_fleet.records(), m_fleet);
-    m_report.broken.insert(m_report.broken.end(), broken.begin(), broken.end());
+    check(requests);
     m_report.requests = requests.size();
     for (const CallerRequest& request : requests)
         m_report.served += request.answer.status == 200 && request.answer.complete ? 1 : 0;
--- a/tests/fleet/FaultSoak.h
+++ b/tests/fleet/FaultSoak.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "fleet/CallerLoad.h"
+#include "fleet/FaultChecks.h"
 #include <catkinwell/core/RandomGenerator.h>
 #include <set>
 
@@ -17,8 +17,9 @@
 
 // Injects random faults into a fleet under load from outside its processes: signals, restarts, changed settings and
 // configurations, links that are reset, slow, or silent in one or both directions, a store that is down, slow, loses
-// answers or is restored from a copy, endpoints that leave, return and fail requests. Faults follow at random intervals
-// and overlap; all are undone before the load ends. The seed determines the faults and the delays between them.
+// answers or is restored from a copy, endpoints that leave, return and fail requests, hosts that lose their path to all
+// endpoints, requests that end endpoints, and brittle endpoints. Faults follow at random intervals and overlap; all are
+// undone before the load ends. The seed determines the faults and the delays between them.
 class FaultSoak {
 public:
     explicit FaultSoak(std::uint64_t seed);
@@ -40,7 +41,13 @@
     void restoreStore();
     void disturbLink();
     void disturbEndpoint();
+    void losePath();
+    void sendDeadlyRequest();
+    void makeBrittle();
+    // Begins a disturbance of the host, or of all, and returns what ends it.
+    std::function<void()> disturb(std::optional<std::size_t> host);
     void note(const std::string&);
+    void check(const std::vector<CallerRequest>&);
 
     std::uint64_t m_seed;
     RandomGenerator m_random;
@@ -49,6 +56,11 @@
     std::vector<std::pair<std::chrono::steady_clock::time_point, std::function<void()>>> m_undo;
     // Hosts that are killed, stopping or frozen.
     std::set<std::size_t> m_disturbed;
+    DisturbanceLog m_disturbances;
+    std::vector<PathLoss> m_pathLosses;
+    std::vector<BrittleTime> m_brittleTimes;
+    bool m_areBrittle = false;
+    std::vector<std::unique_ptr<RepeatingCaller>> m_deadlyCallers;
     std::uint64_t m_version = 1;
     SoakReport m_report;
 };
--- a/tests/fleet/GatewayFleet.cpp
+++ b/tests/fleet/GatewayFleet.cpp
@@ -12,12 +12,16 @@
 
     constexpr Duration taskInterval = std::chrono::milliseconds(2);
     constexpr Duration heartbeatInterval = std::chrono::milliseconds(400);
+    constexpr Duration recordLifetime = 3 * heartbeatInterval;
     constexpr std::chrono::milliseconds longestPeerSilence { 1000 };
     // The platform's minimum time between orders of two hosts to one engine.
     constexpr int ownerSilenceMilliseconds = 3000;
 
     std::string address(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
 
+    // The address at which a host's connections to endpoints begin.
+    std::string sourceAddress(std::size_t host) { return "127.0.1." + std::to_string(host + 1); }
+
     Json route(const char* name, const char* prefix, const char* type, const char* service)
     {
         return { { "name", name }, { "host", "test.example" }, { "prefix", prefix }, { "route_type", type },
@@ -78,6 +82,7 @@
                 writeRecord(i);
         }
     });
+    followEnds();
     m_thread = std::thread([this] { runLoop(); });
     try {
         for (std::size_t i = 0; i < m_hosts.size(); ++i)
@@ -130,6 +135,22 @@
     }
 }
 
+// A crashed endpoint says nothing; its record lapses.
+void GatewayFleet::followEnds()
+{
+    for (std::size_t i = 0; i < m_endpoints.size(); ++i) {
+        m_endpoints[i].fake->signalEnded().connect([this, i](const std::string& id) {
+            m_endpoints[i].link->setState(LinkState::Refused);
+            m_loop.callLater(recordLifetime, [this, id] { m_store->erase("servers/" + id); });
+        });
+        m_endpoints[i].fake->signalStarted().connect([this, i] {
+            m_endpoints[i].link->setState(LinkState::Open);
+            if (m_endpoints[i].isListed)
+                writeRecord(i);
+        });
+    }
+}
+
 void GatewayFleet::runLoop()
 {
     m_loop.callEvery(taskInterval, [this] {
@@ -174,7 +195,8 @@
         { "status_address", address(host.statusPort) }, { "peer_address", address(host.peerPort) },
         { "announced_peer_address", address(host.peerLink->port()) }, { "relay_address", address(host.relayPort) },
         { "announced_relay_address", address(host.relayLink->port()) },
-        { "store_address", address(host.storeLink->port()) }, { "owner_silence_ms", ownerSilenceMilliseconds },
+        { "store_address", address(host.storeLink->port()) }, { "source_address", sourceAddress(index) },
+        { "owner_silence_ms", ownerSilenceMilliseconds },
         { "requests", { { "retry_fraction", 0.5 }, { "retry_constant", 1000 } } } };
     settings.update(changes);
     std::ofstream(settingsFile(index)) << settings.dump();
@@ -231,6 +253,8 @@
 void GatewayFleet::writeRecord(std::size_t index)
 {
     Endpoint& endpoint = m_endpoints[index];
+    if (endpoint.fake->isDown())
+        return;
     m_store->put("servers/" + endpoint.fake->id(), endpoint.fake->nextRecord(endpoint.link->port()));
 }
 
@@ -243,6 +267,14 @@
         m_store->erase("servers/" + m_endpoints[index].fake->id());
 }
 
+void GatewayFleet::setPath(std::size_t host, std::optional<LinkState> state)
+{
+    onLoop([this, host, state] {
+        for (Endpoint& endpoint : m_endpoints)
+            endpoint.link->setStateFor(sourceAddress(host), state);
+    });
+}
+
 EndpointHistory GatewayFleet::records()
 {
     EndpointHistory copy;
--- a/tests/fleet/GatewayFleet.h
+++ b/tests/fleet/GatewayFleet.h
@@ -56,6 +56,8 @@
     FaultProxy& peerLink(std::size_t host) { return *m_hosts[host].peerLink; }
     FaultProxy& relayLink(std::size_t host) { return *m_hosts[host].relayLink; }
     FaultProxy& endpointLink(std::size_t index) { return *m_endpoints[index].link; }
+    // Sets the state of the host's connections to all endpoints; nullopt ends it.
+    void setPath(std::size_t host, std::optional<LinkState>);
     // Makes the endpoint stop or resume writing its record. Its record is deleted when it stops.
     void setListed(std::size_t endpoint, bool isListed);
     void writeRecord(std::size_t endpoint);
@@ -82,6 +84,7 @@
     };
 
     void addEndpoints(const GatewayFleetOptions&);
+    void followEnds();
     void runLoop();
     void stopLoop();
     std::string settingsFile(std::size_t host) const;
--- a/tests/fleet/GatewayFleetTest.cpp
+++ b/tests/fleet/GatewayFleetTest.cpp
@@ -94,10 +94,10 @@
     GatewayFleet fleet;
     CallerLoad load(fleet, 12, 6);
     std::this_thread::sleep_for(1s);
-    const auto stoppedAt = std::chrono::steady_clock::now();
+    const MonotonicTime stoppedAt = SystemClock().monotonicNow();
     fleet.process(1).signal(SIGTERM);
     CHECK(fleet.process(1).waitForExit(8s) == 0);
-    const auto leftAt = std::chrono::steady_clock::now();
+    const MonotonicTime leftAt = SystemClock().monotonicNow();
     const auto requests = load.stop();
     CHECK(findViolations(requests, fleet.records(), fleet) == std::vector<std::string> {});
     for (const CallerRequest& request : requests) {
--- a/tests/gateway/FakeEngine.cpp
+++ b/tests/gateway/FakeEngine.cpp
@@ -146,4 +146,10 @@
     snapshot(now);
 }
 
+void FakeEngine::restartAs(const std::string& id, MonotonicTime now)
+{
+    m_id = EndpointId(id);
+    restart(now);
+}
+
 } // namespace Catkinwell::Testing
--- a/tests/gateway/FakeEngine.h
+++ b/tests/gateway/FakeEngine.h
@@ -27,6 +27,8 @@
     EndpointRecord record() const;
     // Loses all models in memory and the order count, as in a crash.
     void restart(MonotonicTime now);
+    // As restart(), under another identifier.
+    void restartAs(const std::string& id, MonotonicTime now);
     // An unload of the model waits until this time.
     void keepRunning(const ModelId& model, MonotonicTime until) { m_runningUntil[model] = until; }
 
--- a/tests/platform/FakeEndpoint.cpp
+++ b/tests/platform/FakeEndpoint.cpp
@@ -10,9 +10,12 @@
     using Json = nlohmann::json;
 
     constexpr unsigned eventsPerStream = 5;
-    constexpr Duration processingTime = std::chrono::milliseconds(10);
+    constexpr unsigned eventsBeforeCrash = 2;
     constexpr Duration eventInterval = std::chrono::milliseconds(15);
-    constexpr unsigned slots = 16;
+    constexpr Duration downTime = std::chrono::milliseconds(1500);
+    // The platform's time for hosts to react to a statement of brittleness.
+    constexpr Duration reactionTime = std::chrono::seconds(3);
+    constexpr Duration rejectionWindow = std::chrono::seconds(1);
 
     ListenerSettings listenerSettings()
     {
@@ -59,7 +62,8 @@
 FakeEndpoint::FakeEndpoint(
     EventLoop& loop, std::string id, std::string service, EndpointHistory& history, std::uint64_t seed)
     : m_loop(loop)
-    , m_id(std::move(id))
+    , m_name(std::move(id))
+    , m_id(m_name)
     , m_service(std::move(service))
     , m_history(history)
     , m_random(seed)
@@ -67,6 +71,20 @@
     , m_born(std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.wallNow().time_since_epoch()).count())
 {
     m_listener.signalRequest().connect([this](const RequestArrived& request) { handle(request); });
+    m_listener.signalCallerLeft().connect([this](const CallerLeft& left) { m_running.erase(left.id); });
+}
+
+void FakeEndpoint::setCapacity(unsigned slots, Duration processingTime)
+{
+    m_slots = slots;
+    m_processingTime = processingTime;
+}
+
+void FakeEndpoint::setBrittle(std::optional<unsigned> rejections)
+{
+    m_brittleRejections = rejections;
+    m_brittleSince = m_clock.monotonicNow();
+    m_rejections.clear();
 }
 
 void FakeEndpoint::makeEngine(const LoadedModels& models)
@@ -101,7 +119,7 @@
     record["address"] = "127.0.0.1:" + std::to_string(port);
     record["zone"] = "dc1";
     record["version"] = m_version;
-    record["slots"] = slots;
+    record["slots"] = m_slots;
     record["state"] = m_isLeaving ? "draining" : "ready";
     return record.dump();
 }
@@ -133,12 +151,77 @@
 
 void FakeEndpoint::refuse(RequestId id, int status)
 {
-    m_listener.execute(SendWholeResponse { id, status, { { "Catkinwell-Not-Executed", "1" } }, "" });
+    HeaderList headers = statements();
+    headers.emplace_back("Catkinwell-Not-Executed", "1");
+    m_listener.execute(SendWholeResponse { id, status, headers, "" });
+}
+
+HeaderList FakeEndpoint::statements() const
+{
+    if (!m_brittleRejections)
+        return {};
+    return { { "Server-Brittle", std::to_string(*m_brittleRejections) } };
+}
+
+bool FakeEndpoint::hasRoom() const
+{
+    const bool mayWait = !m_brittleRejections || m_clock.monotonicNow() < m_brittleSince + reactionTime;
+    return mayWait || m_running.size() < m_slots;
+}
+
+void FakeEndpoint::rejectForRoom(const RequestArrived& request)
+{
+    const MonotonicTime now = m_clock.monotonicNow();
+    m_rejections.emplace_back(now, headerValue(request.headers, "catkinwell-request-id"));
+    while (now - m_rejections.front().first >= rejectionWindow)
+        m_rejections.pop_front();
+    if (m_rejections.size() <= *m_brittleRejections) {
+        refuse(request.id, 503);
+        return;
+    }
+    RecordedFall fall { m_id, now, {} };
+    for (const auto& [at, rejected] : m_rejections)
+        fall.rejected.push_back(rejected);
+    m_history.falls.push_back(std::move(fall));
+    m_listener.execute(AbortResponse { request.id });
+    end();
+}
+
+void FakeEndpoint::end()
+{
+    m_isDown = true;
+    m_rejections.clear();
+    for (const RequestId id : std::exchange(m_running, {}))
+        m_listener.execute(AbortResponse { id });
+    m_signalEnded.emit(m_id);
+    m_loop.callLater(downTime, [this] { startAgain(); });
+}
+
+void FakeEndpoint::startAgain()
+{
+    const MonotonicTime now = m_clock.monotonicNow();
+    m_isDown = false;
+    m_id = m_name + "." + std::to_string(++m_starts);
+    m_born = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.wallNow().time_since_epoch()).count();
+    m_heartbeat = 0;
+    if (m_engine)
+        m_engine->restartAs(m_id, now);
+    m_signalStarted.emit();
+}
+
+void FakeEndpoint::laterFor(RequestId id, Duration delay, std::function<void()> action)
+{
+    m_loop.callLater(delay, [this, id, action = std::move(action)] {
+        if (m_running.contains(id))
+            action();
+    });
 }
 
 void FakeEndpoint::handle(const RequestArrived& request)
 {
-    if (m_engine && request.path == "/report") {
+    if (m_isDown) {
+        m_listener.execute(AbortResponse { request.id });
+    } else if (m_engine && request.path == "/report") {
         answerReport(request.id);
     } else if (m_engine && request.path == "/order") {
         handleOrder(request);
@@ -149,10 +232,13 @@
     } else if (const std::string model = headerValue(request.headers, "catkinwell-model");
                m_engine && !m_engine->models().contains(ModelId(model))) {
         refuse(request.id, 503);
+    } else if (!hasRoom()) {
+        rejectForRoom(request);
     } else {
         m_history.executions.push_back({ m_id, headerValue(request.headers, "catkinwell-request-id"),
-            headerValue(request.headers, "catkinwell-tenant"), m_clock.monotonicNow() });
-        m_loop.callLater(processingTime, [this, request] { run(request); });
+            headerValue(request.headers, "catkinwell-tenant"), m_clock.monotonicNow(), request.path });
+        m_running.insert(request.id);
+        laterFor(request.id, m_processingTime, [this, request] { run(request); });
     }
 }
 
@@ -162,35 +248,54 @@
     const std::string previous = std::exchange(m_previousRequest, id);
     if (!previous.empty() && m_random.unit() < faults.crossedAnswers)
         id = previous;
+    const bool isDeadly = request.path.find("deadly") != std::string::npos;
+    if (isDeadly && !m_engine) {
+        crash(request.path);
+        return;
+    }
     if (m_random.unit() < faults.lostAnswers) {
+        m_running.erase(request.id);
         m_listener.execute(AbortResponse { request.id });
         return;
     }
-    const HeaderList headers { { "Catkinwell-Request-Id", id }, { "Catkinwell-Response-Seal", "seal-" + id } };
+    HeaderList headers = statements();
+    headers.emplace_back("Catkinwell-Request-Id", id);
+    headers.emplace_back("Catkinwell-Response-Seal", "seal-" + id);
     if (m_engine) {
         m_listener.execute(SendResponseHead { request.id, 200, headers });
         // A resumed stream continues after the last event that the client received.
         const std::string last = headerValue(request.headers, "last-event-id");
         const unsigned done = last.empty() ? 0 : static_cast<unsigned>(std::stoul(last));
         streamEvents(request.id, id, std::min(done + 1, eventsPerStream));
+        if (isDeadly)
+            laterFor(request.id, eventInterval * eventsBeforeCrash, [this, path = request.path] { crash(path); });
         return;
     }
+    m_running.erase(request.id);
     m_listener.execute(SendWholeResponse { request.id, 200, headers, "answer to " + id });
 }
 
+void FakeEndpoint::crash(const std::string& path)
+{
+    m_history.crashes.push_back({ m_id, path, m_clock.monotonicNow() });
+    end();
+}
+
 void FakeEndpoint::streamEvents(RequestId id, const std::string& request, unsigned next)
 {
     if (m_random.unit() < faults.cutAnswers) {
+        m_running.erase(id);
         m_listener.execute(AbortResponse { id });
         return;
     }
     m_listener.execute(
         SendResponseData { id, "id: " + std::to_string(next) + "\ndata: " + request + " " + m_version + "\n\n" });
     if (next == eventsPerStream) {
+        m_running.erase(id);
         m_listener.execute(FinishResponse { id });
         return;
     }
-    m_loop.callLater(eventInterval, [this, id, request, next] { streamEvents(id, request, next + 1); });
+    laterFor(id, eventInterval, [this, id, request, next] { streamEvents(id, request, next + 1); });
 }
 
 } // namespace Catkinwell::Testing
--- a/tests/platform/FakeEndpoint.h
+++ b/tests/platform/FakeEndpoint.h
@@ -2,7 +2,11 @@
 
 #include "gateway/FakeEngine.h"
 #include <catkinwell/http/CallerListener.h>
+#include <deque>
+#include <functional>
 #include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
 
 namespace Catkinwell::Testing {
 
@@ -12,6 +16,22 @@
     std::string request;
     std::string account;
     MonotonicTime at {};
+    std::string path {};
+};
+
+// An endpoint ended while it ran this request.
+struct RecordedCrash {
+    std::string endpoint;
+    std::string path;
+    MonotonicTime at {};
+};
+
+// A brittle endpoint ended because it had rejected too many requests within a second.
+struct RecordedFall {
+    std::string endpoint;
+    MonotonicTime at {};
+    // The requests that it had rejected.
+    std::vector<std::string> rejected;
 };
 
 // An order that an engine accepted or had already carried out.
@@ -25,6 +45,8 @@
 struct EndpointHistory {
     std::vector<Execution> executions;
     std::vector<ReceivedOrder> orders;
+    std::vector<RecordedCrash> crashes {};
+    std::vector<RecordedFall> falls {};
 };
 
 // Faults that a fake endpoint injects.
@@ -38,8 +60,9 @@
     double crossedAnswers = 0;
 };
 
-// A fake server of the platform on the loopback address: a plain one, or an engine that serves models. Not thread
-// safe; runs on the event loop.
+// A fake server of the platform on the loopback address: a plain one, or an engine that serves models. A request whose
+// path contains "deadly" ends it: a stream after its second event, others when they run. It starts again under another
+// identifier. Not thread safe; runs on the event loop.
 class FakeEndpoint {
 public:
     FakeEndpoint(EventLoop&, std::string id, std::string service, EndpointHistory&, std::uint64_t seed);
@@ -51,7 +74,17 @@
     // this server.
     std::string nextRecord(std::uint16_t port);
     std::uint16_t port() const { return m_listener.port(); }
+    // Whether it has ended and not started again. Its record is not to be written meanwhile.
+    bool isDown() const { return m_isDown; }
+    // Emitted when it ends, with its identifier, and when it has started again.
+    sigc::signal<void(const std::string&)>& signalEnded() { return m_signalEnded; }
+    sigc::signal<void()>& signalStarted() { return m_signalStarted; }
     void setLeaving(bool isLeaving) { m_isLeaving = isLeaving; }
+    // Requests that run at a time if it is brittle, and the time until the answer of one begins.
+    void setCapacity(unsigned slots, Duration processingTime);
+    // A brittle endpoint ends if it rejects more than this number of requests within a second for want of room. All its
+    // answers say so, and after a reaction time it lets no request wait.
+    void setBrittle(std::optional<unsigned> rejections);
     // The software version, which the record and each event of a stream state.
     void setVersion(std::string version) { m_version = std::move(version); }
 
@@ -66,10 +99,23 @@
     void run(const RequestArrived&);
     void streamEvents(RequestId, const std::string& request, unsigned next);
     void refuse(RequestId, int status);
+    // Statements that all its answers carry.
+    HeaderList statements() const;
+    bool hasRoom() const;
+    void rejectForRoom(const RequestArrived&);
+    // Ends because of the request with this path.
+    void crash(const std::string& path);
+    // Ends like a killed process: answers break off and connections close until it starts again.
+    void end();
+    void startAgain();
+    // Calls the function after the delay unless the endpoint has ended meanwhile or the caller has left.
+    void laterFor(RequestId, Duration, std::function<void()>);
     nlohmann::json state() const;
 
     EventLoop& m_loop;
     SystemClock m_clock;
+    // Its identifier at its first start.
+    std::string m_name;
     std::string m_id;
     std::string m_service;
     EndpointHistory& m_history;
@@ -82,6 +128,17 @@
     std::uint64_t m_heartbeat = 0;
     bool m_isLeaving = false;
     std::string m_version = "v1";
+    unsigned m_slots = 16;
+    Duration m_processingTime = std::chrono::milliseconds(10);
+    std::optional<unsigned> m_brittleRejections;
+    MonotonicTime m_brittleSince {};
+    bool m_isDown = false;
+    unsigned m_starts = 1;
+    std::set<RequestId> m_running;
+    // Rejections for want of room within the last second.
+    std::deque<std::pair<MonotonicTime, std::string>> m_rejections;
+    sigc::signal<void(const std::string&)> m_signalEnded;
+    sigc::signal<void()> m_signalStarted;
 };
 
 } // namespace Catkinwell::Testing
--- a/tests/process/ProcessHarness.cpp
+++ b/tests/process/ProcessHarness.cpp
@@ -190,6 +190,10 @@
     m_path = mkdtemp(pattern.data());
 }
 
-TemporaryFolder::~TemporaryFolder() { std::filesystem::remove_all(m_path); }
+TemporaryFolder::~TemporaryFolder()
+{
+    if (!std::getenv("CATKINWELL_KEEP_FILES"))
+        std::filesystem::remove_all(m_path);
+}
 
 } // namespace Catkinwell::Testing
--- a/tests/process/ProcessHarness.h
+++ b/tests/process/ProcessHarness.h
@@ -67,7 +67,8 @@
 // Returns the path of the program under test; the environment variable CATKINWELL_BINARY overrides it.
 std::string binaryPath();
 
-// A folder for the files of one test. The destructor removes it.
+// A folder for the files of one test. The destructor removes it unless the environment variable CATKINWELL_KEEP_FILES
+// is set.
 class TemporaryFolder {
 public:
     TemporaryFolder();
