Keep the order of bytes when a delay of the tests' proxy ends

Change: bytes that follow delayed ones wait as long. FaultProxyTest failed before ("ba") and passes now.

--- a/tests/fleet/FaultProxy.cpp
+++ b/tests/fleet/FaultProxy.cpp
@@ -49,6 +49,8 @@
     std::string callerHost;
     // Whether all bytes of the connection are discarded from now on.
     bool hasLostBytes = false;
+    // Pieces from the caller, and to it, that arrive later.
+    std::array<unsigned, 2> delayed {};
     bool isClosed = false;
 };
 
@@ -150,15 +152,20 @@
         evbuffer_drain(input, evbuffer_get_length(input));
         return;
     }
-    if (stateFor(link.callerHost) != LinkState::Delayed) {
+    // Bytes that follow delayed ones must not overtake them.
+    if (stateFor(link.callerHost) != LinkState::Delayed && link.delayed[isBack] == 0) {
         bufferevent_write_buffer(to, input);
         return;
     }
+    ++link.delayed[isBack];
     std::string bytes(evbuffer_get_length(input), '\0');
     evbuffer_remove(input, bytes.data(), bytes.size());
     m_loop.callLater(linkDelay, [weak = link.weak_from_this(), bytes, isBack] {
         const auto alive = weak.lock();
-        if (alive && !alive->isClosed)
+        if (!alive)
+            return;
+        --alive->delayed[isBack];
+        if (!alive->isClosed)
             bufferevent_write(isBack ? alive->caller : alive->target, bytes.data(), bytes.size());
     });
 }
