Lock the tests' port blocks in one folder

Test processes with different TMPDIR took the same block of ports, because the lock files followed it: two fleets shared their ports, and their callers reached each other's hosts. The ports are the machine's, and so are the locks now.

--- a/tests/process/ProcessHarness.cpp
+++ b/tests/process/ProcessHarness.cpp
@@ -28,13 +28,15 @@
     constexpr unsigned firstTestPort = 20000;
     constexpr unsigned portsPerBlock = 500;
     constexpr unsigned portBlocks = 24;
+    // Ports belong to the machine, so the locks do not follow TMPDIR.
+    constexpr const char* lockFolder = "/tmp";
 
     // Reserves a block of ports against other test processes on this machine. The lock ends with the process.
     unsigned firstPortOfReservedBlock()
     {
         for (unsigned block = 0; block < portBlocks; ++block) {
             const auto path
-                = std::filesystem::temp_directory_path() / ("catkinwell-test-ports-" + std::to_string(block) + ".lock");
+                = std::filesystem::path(lockFolder) / ("catkinwell-test-ports-" + std::to_string(block) + ".lock");
             const int file = open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0666);
             if (file < 0)
                 continue;
