Keep connections to endpoints that fall silent for a second or two

Callers saw: requests that failed with 502 although their endpoint was sound and went on after a short silence; the streams on it had to be resumed elsewhere.

Cause: the kernel gave up a connection once data was unacknowledged for 1.5 s. The platform says that a sound endpoint may fall silent for a second or so, and that this time also decides when keep-alive probes give up.

Change: the time is 2.5 s. An endpoint that is gone is still noticed within 4 s on idle connections, and sooner by failed connections and silent answers.

Why it works: twice the stated silence fits into the time.

--- a/src/http/SocketOptions.cpp
+++ b/src/http/SocketOptions.cpp
@@ -11,7 +11,9 @@
     constexpr int keepAliveIdleSeconds = 2;
     constexpr int keepAliveIntervalSeconds = 1;
     constexpr int keepAliveProbes = 2;
-    constexpr unsigned userTimeoutMilliseconds = 1500;
+    // A sound peer may fall silent for a second or two and go on. The kernel also gives up an idle connection by this
+    // time, whatever the number of probes.
+    constexpr unsigned userTimeoutMilliseconds = 2500;
 
     void setOption(int socket, int level, int option, int value)
     {
