Let the rest of an answer clear a request only if it is longer than what crashed

The complete answer cleared all that spoke against it, and the count began anew.

Change: an answer that goes on after another endpoint's events clears only the parts whose requests never got further than that before a crash. A whole answer clears as before.

Why it works: a rest that is no longer than what crashed shows nothing that the crashes had not shown.

--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -135,6 +135,8 @@
         std::size_t receivedBytes = 0;
         // Whether the answer is streamed to the caller.
         bool isForwarded = false;
+        // Whether the answer goes on after events that another endpoint sent.
+        bool isRest = false;
         // Whether the request is suspected of having crashed the endpoint.
         bool isAccused = false;
         // Where a streamed answer stands.
--- a/include/catkinwell/routing/PromptQuarantine.h
+++ b/include/catkinwell/routing/PromptQuarantine.h
@@ -134,6 +134,9 @@
     void attemptBroken(const EndpointId&, const BrokenRequest&, MonotonicTime now);
     // An endpoint survived answering a request with these parts, which may be none. They include its fingerprint.
     void answered(const PromptParts&, MonotonicTime now);
+    // An endpoint completed, with this number of events, an answer that another one had begun. A request that crashes
+    // endpoints after some events may be complete before it does so again.
+    void answeredRest(const PromptParts&, std::uint32_t events, MonotonicTime now);
     // Reports no crash before this time, because this host's own links may have broken.
     void holdReports(MonotonicTime until) { m_reportsHeldUntil = until; }
     // This host's own links were broken from this time on, so that what broke since was no crash, unless it turns out
@@ -231,6 +234,8 @@
     void noteSurvival(std::uint64_t endpoint, MonotonicTime crashAt, bool wasSeenHere);
     bool wasAnsweredSince(PromptPartHash, MonotonicTime) const;
     bool isInRefusal(PromptPartHash) const;
+    // Returns the most events after which an endpoint crashed under a request with the part; nullopt if none did.
+    std::optional<std::uint32_t> eventsBeforeCrash(PromptPartHash) const;
     bool isExplained(const Crash&, PromptPartHash) const;
     PromptParts partsOfSeveralCrashes() const;
     Evidence evidenceAgainst(PromptPartHash) const;
--- a/src/gateway/GatewayQuarantine.cpp
+++ b/src/gateway/GatewayQuarantine.cpp
@@ -54,14 +54,18 @@
 
 void GatewayRequests::noteAnswer(const Request& request, MonotonicTime now)
 {
-    m_promptQuarantine.answered(request.parts, now);
+    if (request.attempt->isRest)
+        m_promptQuarantine.answeredRest(
+            request.parts, static_cast<std::uint32_t>(request.attempt->position.events()), now);
+    else
+        m_promptQuarantine.answered(request.parts, now);
 }
 
 void GatewayRequests::noteAnswerGoesOn(Request& request, MonotonicTime now)
 {
     if (!request.proof.noteData(now))
         return;
-    noteAnswer(request, now);
+    m_promptQuarantine.answered(request.parts, now);
     m_trials.ended(request.arrived.id, now);
 }
 
--- a/src/gateway/GatewayRelay.cpp
+++ b/src/gateway/GatewayRelay.cpp
@@ -169,8 +169,10 @@
     attempt.relayedTo = choice->host;
     attempt.startedAt = now;
     attempt.lastDataAt = now;
+    RelayTerms terms = relayTermsOf(request, now);
+    attempt.isRest = !terms.lastEventId.empty();
     StartRelay start { attempt.id, choice->host, choice->address, relayConnectTimeout,
-        { relayTermsOf(request, now), request.arrived.method, request.arrived.target, request.arrived.headers,
+        { std::move(terms), request.arrived.method, request.arrived.target, request.arrived.headers,
             request.arrived.body } };
     m_attempts[attempt.id] = request.arrived.id;
     request.attempt = std::move(attempt);
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -278,6 +278,7 @@
     terms.priority = request.priority;
     terms.lastEventId
         = request.eventBuffer.lastEventId().empty() ? request.terms.lastEventId : request.eventBuffer.lastEventId();
+    attempt.isRest = !terms.lastEventId.empty();
     StartAttempt start;
     start.id = attempt.id;
     start.endpoint = choice.endpoint;
--- a/src/routing/PromptQuarantine.cpp
+++ b/src/routing/PromptQuarantine.cpp
@@ -195,6 +195,28 @@
     }
 }
 
+void PromptQuarantine::answeredRest(const PromptParts& parts, std::uint32_t events, MonotonicTime now)
+{
+    PromptParts cleared = parts;
+    std::erase_if(cleared, [&](PromptPartHash part) {
+        const auto before = eventsBeforeCrash(part);
+        return before && events <= *before;
+    });
+    answered(cleared, now);
+}
+
+std::optional<std::uint32_t> PromptQuarantine::eventsBeforeCrash(PromptPartHash part) const
+{
+    std::optional<std::uint32_t> most;
+    for (const Crash& crash : m_crashes) {
+        for (const auto& [fingerprint, involved] : crash.requests) {
+            if (involved.parts.contains(part))
+                most = std::max(most.value_or(0), involved.events);
+        }
+    }
+    return most;
+}
+
 bool PromptQuarantine::isInRefusal(PromptPartHash part) const
 {
     return std::any_of(
--- a/tests/routing/PromptQuarantineTest.cpp
+++ b/tests/routing/PromptQuarantineTest.cpp
@@ -311,3 +311,32 @@
     CHECK(suspicion.parts.contains(popular) == test.expectedSuspected);
     CHECK(suspicion.isStrong() == test.expectedStrong);
 }
+
+namespace {
+
+struct RestCase {
+    const char* name;
+    // Events after which the first endpoint broke the stream off, and those of the rest that another one completed.
+    std::uint32_t eventsAtCrash;
+    std::uint32_t eventsOfRest;
+    bool expectedSuspected;
+};
+
+} // namespace
+
+// Guards against a stream that crashes endpoints after some events and whose last few events clear it.
+TEST_CASE("The rest of an answer clears a request only if it is longer than what crashed")
+{
+    const auto test = GENERATE(values<RestCase>({
+        { "a shorter rest", 3, 1, true },
+        { "an equal one", 3, 3, true },
+        { "a longer one", 3, 4, false },
+        { "an empty rest", 0, 0, true },
+    }));
+    INFO(test.name);
+    PromptQuarantine quarantine;
+    const MonotonicTime now { 1h };
+    quarantine.attemptBroken(EndpointId("e"), { firstRequest, { companion }, 1, test.eventsAtCrash }, now);
+    quarantine.answeredRest({ companion, firstRequest }, test.eventsOfRest, now + 1s);
+    CHECK(quarantine.suspicionOf({ companion }, now + 1s).parts.contains(companion) == test.expectedSuspected);
+}
