Accuse only requests of a crash that ran when it happened

Cause: every request that an endpoint broke within two seconds of a crash was taken to have run in it. A sound stream was resumed at an endpoint 160 ms after another request had ended it, before this host had heard of the crash, and was broken off at once. That gave it a third crash, as many as the deadly request had; its refusal then explained the crashes of the other.

Change: hosts note, and report, how long a request had run and whether the endpoint had answered it. One that was sent after the crash accuses nothing while the endpoint is down (10 s, or until it answers); one that the endpoint had answered ran in a crash of its own. Of several hosts' times of a crash the earliest counts.

Evidence: PromptQuarantineTest "Only requests that ran when an endpoint crashed are suspected" (2 of 6 rows failed, at both hosts) and "Connections to an endpoint that is down accuse no request" failed with the old rule. Why it works: what was sent after a crash cannot have caused it.

--- a/include/catkinwell/requests/ActiveRequest.h
+++ b/include/catkinwell/requests/ActiveRequest.h
@@ -74,6 +74,7 @@
 
     // The current attempt.
     AttemptId attempt;
+    MonotonicTime attemptStartedAt {};
     EndpointId endpoint;
     int status = 0;
     HeaderList responseHeaders;
--- a/include/catkinwell/routing/PromptQuarantine.h
+++ b/include/catkinwell/routing/PromptQuarantine.h
@@ -38,6 +38,9 @@
     std::uint32_t runs = 1;
     // Events of the answer that had arrived.
     std::uint32_t events = 0;
+    // How long the earliest of them had run, if that is known, and whether the endpoint had answered one.
+    std::optional<Duration> ranFor {};
+    bool wasAnswered = false;
 };
 
 // What speaks against the parts of one request.
@@ -94,6 +97,8 @@
     Duration lifetime = std::chrono::minutes(10);
     // Connections that one endpoint breaks within this time belong to one crash.
     Duration sameCrashTime = std::chrono::seconds(2);
+    // An endpoint that crashed and does not answer is taken to be down for this time.
+    Duration downTime = std::chrono::seconds(10);
     // Crashes of several endpoints within this time count once, since they are likely to have one external cause.
     Duration sameCauseTime = std::chrono::milliseconds(300);
     // The same for crashes under one request, which is unlikely to run at several endpoints.
@@ -130,7 +135,8 @@
 public:
     explicit PromptQuarantine(PromptQuarantineSettings settings = {});
 
-    // The endpoint broke the connection of a request before its answer was complete.
+    // The endpoint broke the connection of a request before its answer was complete. An endpoint that is down accuses
+    // no request that was sent to it meanwhile.
     void attemptBroken(const EndpointId&, const BrokenRequest&, MonotonicTime now);
     // An endpoint survived answering a request with these parts, which may be none. They include its fingerprint.
     void answered(const PromptParts&, MonotonicTime now);
@@ -185,11 +191,16 @@
         std::uint32_t peerRuns = 0;
         // The most events that a run had sent.
         std::uint32_t events = 0;
+        // When the earliest run began, and whether the endpoint had answered one.
+        MonotonicTime startedAt = MonotonicTime::max();
+        bool wasAnswered = false;
     };
 
     struct Crash {
         std::uint64_t endpoint = 0;
         MonotonicTime at {};
+        // Whether the endpoint has answered this host since.
+        bool isBack = false;
         std::map<RequestFingerprint, Involved> requests;
     };
 
@@ -225,7 +236,13 @@
     void expire(MonotonicTime now);
     void review(MonotonicTime now);
     Crash& crashOf(std::uint64_t endpoint, MonotonicTime at);
+    Crash& addCrash(Crash);
+    // Returns the crash in which a request broke that began at this time; nullptr if the endpoint was down already.
+    Crash* crashUnder(std::uint64_t endpoint, const BrokenRequest&, MonotonicTime now);
+    void noteEndpointIsBack(std::uint64_t endpoint, MonotonicTime connectedAt);
     Involved* involve(Crash&, const BrokenRequest&);
+    static void dropLaterRequests(Crash&);
+    static BrokenRequest reportOf(const Crash&, RequestFingerprint, const Involved&);
     void noteAnswer(PromptPartHash, MonotonicTime at, bool wasSeenHere);
     void reduceRefusals(PromptPartHash, MonotonicTime answeredAt);
     // Whether the part ran in a crash, answered since or not.
--- a/src/gateway/GatewayQuarantine.cpp
+++ b/src/gateway/GatewayQuarantine.cpp
@@ -75,7 +75,8 @@
     if (attempt.relayedTo || m_reach.isLost(request.service) || std::exchange(attempt.isAccused, true))
         return;
     const auto events = static_cast<std::uint32_t>(attempt.position.events());
-    m_promptQuarantine.attemptBroken(attempt.endpoint, { request.fingerprint, request.parts, 1, events }, now);
+    m_promptQuarantine.attemptBroken(attempt.endpoint,
+        { request.fingerprint, request.parts, 1, events, now - attempt.startedAt, attempt.isHeadSeen }, now);
 }
 
 // What ran at an endpoint that started anew is suspected, also where no connection was closed.
--- a/src/requests/RequestAnswers.cpp
+++ b/src/requests/RequestAnswers.cpp
@@ -252,8 +252,9 @@
 void RequestFlow::noteBrokenAnswer(const ActiveRequest& request, MonotonicTime now)
 {
     const std::uint32_t events = request.proof.hasBegun() ? 1 : 0;
-    m_modules.promptQuarantine.attemptBroken(
-        request.endpoint, { request.fingerprint, request.promptParts, 1, events }, now);
+    m_modules.promptQuarantine.attemptBroken(request.endpoint,
+        { request.fingerprint, request.promptParts, 1, events, now - request.attemptStartedAt, request.status != 0 },
+        now);
 }
 
 void RequestFlow::noteBrokenAttempt(ActiveRequest& request, MonotonicTime now)
--- a/src/requests/RequestFlow.cpp
+++ b/src/requests/RequestFlow.cpp
@@ -304,6 +304,7 @@
     }
     request.stage = RequestStage::Running;
     request.attempt = AttemptId(++m_lastAttempt);
+    request.attemptStartedAt = now;
     request.endpoint = endpoint->id;
     request.status = 0;
     request.collected.clear();
--- a/src/routing/PromptQuarantine.cpp
+++ b/src/routing/PromptQuarantine.cpp
@@ -57,7 +57,10 @@
 void PromptQuarantine::attemptBroken(const EndpointId& endpoint, const BrokenRequest& request, MonotonicTime now)
 {
     expire(now);
-    if (Involved* involved = involve(crashOf(stableHash(endpoint.value), now), request))
+    Crash* crash = crashUnder(stableHash(endpoint.value), request, now);
+    if (!crash)
+        return;
+    if (Involved* involved = involve(*crash, request))
         involved->ownRuns += request.runs;
     m_crashNewsAt = now + m_settings.reportDelay;
 }
@@ -104,19 +107,22 @@
         return;
     Crash& crash = crashOf(endpoint, withdrawn->at);
     for (const auto& [fingerprint, involved] : withdrawn->requests) {
-        if (Involved* again = involve(crash, { fingerprint, involved.parts, involved.ownRuns, involved.events }))
+        if (Involved* again = involve(crash, reportOf(*withdrawn, fingerprint, involved)))
             again->ownRuns += involved.ownRuns;
     }
+    dropLaterRequests(crash);
     m_withdrawn.erase(withdrawn);
     m_hasNews = true;
 }
 
 bool PromptQuarantine::endpointAnswered(const EndpointId& id, MonotonicTime connectedAt, MonotonicTime now)
 {
-    const bool isCrashRecent = !m_crashes.empty() && now - m_crashes.back().at < m_settings.reportTime;
-    if (!isCrashRecent)
+    if (m_crashes.empty() || now - m_crashes.back().at >= m_settings.downTime)
         return false;
     const std::uint64_t endpoint = stableHash(id.value);
+    noteEndpointIsBack(endpoint, connectedAt);
+    if (now - m_crashes.back().at >= m_settings.reportTime)
+        return false;
     const auto crash = std::find_if(m_crashes.begin(), m_crashes.end(), [&](const Crash& entry) {
         return entry.endpoint == endpoint && entry.at > connectedAt && now >= entry.at + m_settings.survivalTime;
     });
@@ -140,22 +146,70 @@
     updateAccusedParts();
 }
 
-// Returns the crash of the endpoint at about this time, which may be known from other connections or hosts.
+void PromptQuarantine::noteEndpointIsBack(std::uint64_t endpoint, MonotonicTime connectedAt)
+{
+    for (Crash& crash : m_crashes)
+        crash.isBack = crash.isBack || (crash.endpoint == endpoint && crash.at < connectedAt);
+}
+
+PromptQuarantine::Crash* PromptQuarantine::crashUnder(
+    std::uint64_t endpoint, const BrokenRequest& request, MonotonicTime now)
+{
+    const auto latest = std::find_if(
+        m_crashes.rbegin(), m_crashes.rend(), [&](const Crash& crash) { return crash.endpoint == endpoint; });
+    const bool beganLater = latest != m_crashes.rend() && request.ranFor && now - *request.ranFor > latest->at;
+    if (!beganLater)
+        return &crashOf(endpoint, now);
+    const bool isDown = !latest->isBack && now - latest->at < m_settings.downTime;
+    if (isDown && !request.wasAnswered)
+        return nullptr;
+    return &addCrash({ endpoint, now, false, {} });
+}
+
+// A request that was sent after the crash, as another host saw it, ran into an endpoint that was down.
+void PromptQuarantine::dropLaterRequests(Crash& crash)
+{
+    std::erase_if(crash.requests,
+        [&crash](const auto& request) { return request.second.startedAt > crash.at && !request.second.wasAnswered; });
+}
+
+// Returns the crash of the endpoint at about this time, which may be known from other connections or hosts. Its time is
+// that of the first sign.
 PromptQuarantine::Crash& PromptQuarantine::crashOf(std::uint64_t endpoint, MonotonicTime at)
 {
     const auto known = std::find_if(m_crashes.begin(), m_crashes.end(), [&](const Crash& crash) {
         const Duration apart = at > crash.at ? at - crash.at : crash.at - at;
         return crash.endpoint == endpoint && apart < m_settings.sameCrashTime;
     });
-    if (known != m_crashes.end())
+    if (known == m_crashes.end())
+        return addCrash({ endpoint, at, false, {} });
+    if (known->at <= at)
         return *known;
+    Crash earlier = std::move(*known);
+    m_crashes.erase(known);
+    earlier.at = at;
+    return addCrash(std::move(earlier));
+}
+
+PromptQuarantine::Crash& PromptQuarantine::addCrash(Crash added)
+{
     if (m_crashes.size() >= m_settings.maximumCrashes) {
         m_crashes.pop_front();
         updateAccusedParts();
     }
-    const auto position = std::upper_bound(
-        m_crashes.begin(), m_crashes.end(), at, [](MonotonicTime time, const Crash& crash) { return time < crash.at; });
-    return *m_crashes.insert(position, Crash { endpoint, at, {} });
+    const auto position = std::upper_bound(m_crashes.begin(), m_crashes.end(), added.at,
+        [](MonotonicTime time, const Crash& crash) { return time < crash.at; });
+    return *m_crashes.insert(position, std::move(added));
+}
+
+// Returns what this host has seen of a request in the crash.
+BrokenRequest PromptQuarantine::reportOf(const Crash& crash, RequestFingerprint fingerprint, const Involved& involved)
+{
+    BrokenRequest report { fingerprint, involved.parts, involved.ownRuns, involved.events };
+    if (involved.startedAt != MonotonicTime::min())
+        report.ranFor = std::max(Duration::zero(), crash.at - involved.startedAt);
+    report.wasAnswered = involved.wasAnswered;
+    return report;
 }
 
 // Returns nullptr if too many requests are known of the crash.
@@ -167,6 +221,9 @@
     involved.parts = request.parts;
     involved.parts.insert(request.fingerprint);
     involved.events = std::max(involved.events, request.events);
+    const MonotonicTime startedAt = request.ranFor ? crash.at - *request.ranFor : MonotonicTime::min();
+    involved.startedAt = std::min(involved.startedAt, startedAt);
+    involved.wasAnswered = involved.wasAnswered || request.wasAnswered;
     m_accusedParts.insert(involved.parts.begin(), involved.parts.end());
     return &involved;
 }
@@ -495,7 +552,7 @@
         PromptCrashReport report { crash->endpoint, now - crash->at, {} };
         for (const auto& [fingerprint, involved] : crash->requests) {
             if (involved.ownRuns > 0)
-                report.requests.push_back({ fingerprint, involved.parts, involved.ownRuns, involved.events });
+                report.requests.push_back(reportOf(*crash, fingerprint, involved));
         }
         if (!report.requests.empty())
             digest.crashes.push_back(std::move(report));
@@ -545,6 +602,7 @@
             if (Involved* involved = involve(crash, request))
                 involved->peerRuns = std::max(involved->peerRuns, request.runs);
         }
+        dropLaterRequests(crash);
     }
     for (const PromptRefusal& refusal : digest.refused)
         adopt(refusal, now);
--- a/src/routing/PromptQuarantineCodec.cpp
+++ b/src/routing/PromptQuarantineCodec.cpp
@@ -19,7 +19,8 @@
     for (const PromptCrashReport& report : digest.crashes) {
         Json requests = Json::array();
         for (const BrokenRequest& request : report.requests)
-            requests.push_back(Json::array({ request.fingerprint, request.parts, request.runs, request.events }));
+            requests.push_back(Json::array({ request.fingerprint, request.parts, request.runs, request.events,
+                request.ranFor ? Json(millisecondsOf(*request.ranFor)) : Json(), request.wasAnswered }));
         crashes.push_back(Json::array({ report.endpoint, millisecondsOf(report.age), std::move(requests) }));
     }
     Json answered = Json::array();
@@ -47,6 +48,11 @@
                 broken.runs = request.at(2).get<std::uint32_t>();
                 broken.events = request.at(3).get<std::uint32_t>();
             }
+            if (request.size() > 5) {
+                if (!request.at(4).is_null())
+                    broken.ranFor = ageOf(request.at(4));
+                broken.wasAnswered = request.at(5).get<bool>();
+            }
             report.requests.push_back(std::move(broken));
         }
         digest.crashes.push_back(std::move(report));
--- a/tests/routing/PromptQuarantineTest.cpp
+++ b/tests/routing/PromptQuarantineTest.cpp
@@ -340,3 +340,61 @@
     quarantine.answeredRest({ companion, firstRequest }, test.eventsOfRest, now + 1s);
     CHECK(quarantine.suspicionOf({ companion }, now + 1s).parts.contains(companion) == test.expectedSuspected);
 }
+
+namespace {
+
+struct LaterRequestCase {
+    const char* name;
+    // How long the request had run when its connection broke, 100 ms after the crash.
+    Duration ranFor;
+    bool wasAnswered;
+    // Whether another host saw the crash, and this one did not know of it yet.
+    bool isCrashOfPeer;
+    bool expectedSuspected;
+};
+
+} // namespace
+
+// Guards against accusing requests of a crash that had happened before they were sent.
+TEST_CASE("Only requests that ran when an endpoint crashed are suspected")
+{
+    const auto test = GENERATE(values<LaterRequestCase>({
+        { "sent before the crash", 150ms, false, false, true },
+        { "sent after the crash", 50ms, false, false, false },
+        { "sent after the crash, and answered", 50ms, true, false, true },
+        { "sent before the crash that another host saw", 150ms, false, true, true },
+        { "sent after the crash that another host saw", 50ms, false, true, false },
+        { "sent after the crash that another host saw, and answered", 50ms, true, true, true },
+    }));
+    INFO(test.name);
+    PromptFleet fleet(2);
+    const EndpointId endpoint("e");
+    fleet.hosts[test.isCrashOfPeer ? 0 : 1].attemptBroken(endpoint, { 900, { deadly } }, fleet.now);
+    fleet.now += 100ms;
+    BrokenRequest later { 901, { companion } };
+    later.ranFor = test.ranFor;
+    later.wasAnswered = test.wasAnswered;
+    fleet.hosts[1].attemptBroken(endpoint, later, fleet.now);
+    fleet.pass(1s);
+    for (std::size_t host = 0; host < 2; ++host) {
+        CHECK(fleet.hosts[host].suspicionOf({ companion }, fleet.now).parts.contains(companion)
+            == test.expectedSuspected);
+        CHECK(fleet.hosts[host].suspicionOf({ deadly }, fleet.now).parts.contains(deadly));
+    }
+}
+
+// Guards against a request that runs into an endpoint that is down, again and again, and is refused for that.
+TEST_CASE("Connections to an endpoint that is down accuse no request")
+{
+    PromptQuarantine quarantine;
+    MonotonicTime now { 1h };
+    quarantine.attemptBroken(EndpointId("e"), { 900, { deadly } }, now);
+    BrokenRequest later { 901, { companion } };
+    later.ranFor = 1ms;
+    for (int i = 0; i < 80; ++i) {
+        now += 100ms;
+        quarantine.attemptBroken(EndpointId("e"), later, now);
+        quarantine.tick(now);
+    }
+    CHECK_FALSE(quarantine.isRefused({ companion, 901 }, now + 1s));
+}
