--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -1,16 +1,16 @@
 #pragma once
 
 #include <catkinwell/gateway/EndpointDirectory.h>
-#include <catkinwell/gateway/EndpointReach.h>
 #include <catkinwell/gateway/EventStreamBuffer.h>
 #include <catkinwell/gateway/EventStreamPosition.h>
 #include <catkinwell/gateway/FleetQuota.h>
 #include <catkinwell/gateway/ForwardingProtocol.h>
 #include <catkinwell/gateway/HostDemand.h>
-#include <catkinwell/gateway/RelayMessage.h>
-#include <catkinwell/gateway/RelayPeers.h>
 #include <catkinwell/gateway/RouteTable.h>
 #include <catkinwell/gateway/StreamVersions.h>
+#include <catkinwell/relay/EndpointReach.h>
+#include <catkinwell/relay/RelayMessage.h>
+#include <catkinwell/relay/RelayPeers.h>
 #include <catkinwell/routing/AnswerProof.h>
 #include <catkinwell/routing/PromptQuarantine.h>
 #include <catkinwell/routing/RetryBudget.h>
--- a/include/catkinwell/reducer/Effect.h
+++ b/include/catkinwell/reducer/Effect.h
@@ -2,13 +2,13 @@
 
 #include <catkinwell/endpoint/EndpointReport.h>
 #include <catkinwell/gateway/EndpointRecord.h>
-#include <catkinwell/gateway/RelayMessage.h>
 #include <catkinwell/http/CallerListener.h>
 #include <catkinwell/http/HttpTypes.h>
 #include <catkinwell/logging/LogEvent.h>
 #include <catkinwell/metrics/Metric.h>
 #include <catkinwell/peer/PeerMessage.h>
 #include <catkinwell/placement/PlacementCommand.h>
+#include <catkinwell/relay/RelayMessage.h>
 #include <catkinwell/store/StoreTypes.h>
 #include <map>
 #include <string>
--- a/include/catkinwell/runtime/RelayTransport.h
+++ b/include/catkinwell/runtime/RelayTransport.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <catkinwell/endpoint/EngineClient.h>
-#include <catkinwell/gateway/RelayMessage.h>
 #include <catkinwell/http/CallerListener.h>
 #include <catkinwell/logging/LogEvent.h>
 #include <catkinwell/peer/PeerAuthenticator.h>
+#include <catkinwell/relay/RelayMessage.h>
 #include <memory>
 
 namespace Catkinwell {
--- a/src/gateway/EndpointReach.cpp
+++ b/src/relay/EndpointReach.cpp
@@ -1,4 +1,4 @@
-#include <catkinwell/gateway/EndpointReach.h>
+#include <catkinwell/relay/EndpointReach.h>
 
 #include <algorithm>
 
--- a/src/gateway/RelayMessage.cpp
+++ b/src/relay/RelayMessage.cpp
@@ -1,4 +1,4 @@
-#include <catkinwell/gateway/RelayMessage.h>
+#include <catkinwell/relay/RelayMessage.h>
 
 #include "http/HeaderText.h"
 #include <algorithm>
--- a/src/gateway/RelayPeers.cpp
+++ b/src/relay/RelayPeers.cpp
@@ -1,4 +1,4 @@
-#include <catkinwell/gateway/RelayPeers.h>
+#include <catkinwell/relay/RelayPeers.h>
 
 #include <algorithm>
 
--- a/tests/gateway/EndpointReachTest.cpp
+++ b/tests/gateway/EndpointReachTest.cpp
@@ -1,5 +1,5 @@
 #include <catch2/catch.hpp>
-#include <catkinwell/gateway/EndpointReach.h>
+#include <catkinwell/relay/EndpointReach.h>
 
 using namespace Catkinwell;
 using namespace std::chrono_literals;
