Let a serving process's connections begin at a chosen address

Cause: a host with several links could not choose the one to its endpoints, and tests of several hosts on one machine could not cut one of them off. Gateways have the setting already.

Change: setting source_address; the check of its form is shared with the gateway's.

--- a/include/catkinwell/settings/ProcessSettings.h
+++ b/include/catkinwell/settings/ProcessSettings.h
@@ -33,6 +33,8 @@
     // Initial peers, used until the platform's list of hosts has been read.
     std::map<HostId, std::string> seedPeers;
     std::string storeAddress;
+    // IP address at which connections to endpoints, the store and relaying hosts begin; empty if the system chooses.
+    std::string sourceAddress;
     LogSettings log;
     Duration shutdownGrace = std::chrono::seconds(120);
 };
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -61,9 +61,7 @@
         void ipAddress(const char* name, std::string& target)
         {
             text(name, target, false);
-            const bool isVersion6 = target.find(':') != std::string::npos;
-            const std::string withPort = (isVersion6 ? "[" + target + "]" : target) + ":1";
-            if (!target.empty() && !parseSocketAddress(withPort))
+            if (!target.empty() && !isIpAddress(target))
                 fail(name, "an IP address, for example 127.0.0.1");
         }
         void milliseconds(const char* name, Duration& target)
--- a/src/http/SocketAddress.cpp
+++ b/src/http/SocketAddress.cpp
@@ -27,4 +27,10 @@
     return address;
 }
 
+bool isIpAddress(const std::string& text)
+{
+    const bool isVersion6 = text.find(':') != std::string::npos;
+    return parseSocketAddress((isVersion6 ? "[" + text + "]" : text) + ":1").has_value();
+}
+
 } // namespace Catkinwell
--- a/src/http/SocketAddress.h
+++ b/src/http/SocketAddress.h
@@ -16,4 +16,7 @@
 // resolved.
 std::optional<SocketAddress> parseSocketAddress(std::string_view text);
 
+// Whether the text is a numeric IP address without a port.
+bool isIpAddress(const std::string& text);
+
 } // namespace Catkinwell
--- a/src/settings/ProcessSettings.cpp
+++ b/src/settings/ProcessSettings.cpp
@@ -77,6 +77,9 @@
             if (isError(status))
                 return status;
         }
+        if (!settings.sourceAddress.empty() && !isIpAddress(settings.sourceAddress))
+            return settingsError("/source_address: found \"" + settings.sourceAddress
+                + "\"; expected an IP address, for example 127.0.0.1");
         return std::monostate {};
     }
 
@@ -107,6 +110,7 @@
     readCredentials(document["administration"], settings);
     settings.peerAddress = document["peers"]["listen"].get<std::string>();
     settings.storeAddress = document["store"]["address"].get<std::string>();
+    settings.sourceAddress = document.value("source_address", "");
     const Json seeds = document["peers"].value("seeds", Json::object());
     for (const auto& [host, address] : seeds.items())
         settings.seedPeers[HostId(host)] = address.get<std::string>();
--- a/src/settings/ProcessSettingsSchema.h
+++ b/src/settings/ProcessSettingsSchema.h
@@ -68,6 +68,7 @@
         "file": { "type": "string" }
       }
     },
+    "source_address": { "type": "string" },
     "shutdown_grace_seconds": { "type": "integer", "minimum": 1, "maximum": 3600 }
   }
 })json";
