Test serving processes whose links to the endpoints break; five cases fail

Three hosts with proxies before the endpoints: silent, reset, and open connections that live on while new ones are silent or reset; all endpoints, or the plain service alone. On this code the host concerned serves 0 to 16 of 32 requests from three seconds after the cut on, another one 32 of 32; with new connections reset, 3 and 17 sound requests (two runs) are refused as quarantined.

--- a/tests/process/FleetFixture.cpp
+++ b/tests/process/FleetFixture.cpp
@@ -15,6 +15,9 @@
 
     std::string address(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
 
+    // The address at which a host's connections to endpoints begin.
+    std::string sourceAddress(std::size_t host) { return "127.0.1." + std::to_string(host + 1); }
+
     bool answers(std::uint16_t port, const std::string& target)
     {
         return send({ port, "GET", target, {}, {}, std::chrono::milliseconds(500) }).status != 0;
@@ -37,6 +40,11 @@
             arguments.emplace_back("--ignore-fencing");
         m_engines.push_back(start(arguments, "engine-" + std::to_string(i)));
     }
+    if (options.hasEndpointLinks) {
+        std::vector<std::uint16_t> targets = m_enginePorts;
+        targets.push_back(m_servicePort);
+        m_endpointLinks = std::make_unique<EndpointLinks>(targets);
+    }
     for (std::size_t i = 0; i < options.hosts; ++i)
         m_hostPorts.push_back({ freePort(), freePort(), freePort() });
     m_hosts.resize(options.hosts);
@@ -78,8 +86,7 @@
         if (other != index)
             seeds["host-" + std::to_string(other)] = address(m_hostPorts[other].peers);
     }
-    const Json settings { { "host", name }, { "data_centre", "dc1" },
-        { "callers", { { "listen", address(ports.callers) } } },
+    Json settings { { "host", name }, { "data_centre", "dc1" }, { "callers", { { "listen", address(ports.callers) } } },
         { "administration",
             { { "listen", address(ports.administration) },
                 { "credentials",
@@ -89,6 +96,8 @@
             { { "listen", address(ports.peers) },
                 { "cluster_secret", { { "environment", "CATKINWELL_CLUSTER_SECRET" } } }, { "seeds", seeds } } },
         { "store", { { "address", address(m_storePort) } } } };
+    if (m_endpointLinks)
+        settings["source_address"] = sourceAddress(index);
     const std::string file = m_folder.path() + "/" + name + ".json";
     std::ofstream(file) << settings.dump();
     m_hosts[index] = start({ "serve", "--config", file }, name);
@@ -96,6 +105,22 @@
         throw std::runtime_error("a host did not start: " + m_hosts[index]->output());
 }
 
+std::uint16_t FleetFixture::endpointPort(std::size_t index, std::uint16_t ownPort) const
+{
+    return m_endpointLinks ? m_endpointLinks->port(index) : ownPort;
+}
+
+void FleetFixture::setEndpointLinks(std::size_t host, LinkState state)
+{
+    for (std::size_t i = 0; i <= m_enginePorts.size(); ++i)
+        m_endpointLinks->setState(i, sourceAddress(host), state);
+}
+
+void FleetFixture::setServiceLink(std::size_t host, LinkState state)
+{
+    m_endpointLinks->setState(m_enginePorts.size(), sourceAddress(host), state);
+}
+
 Json FleetFixture::fleetDocument() const
 {
     Json document { { "version", 0 }, { "defaults", { { "request_deadline_seconds", 20 } } },
@@ -104,8 +129,9 @@
                 { { { "id", "quay" }, { "rate_tokens_per_second", 1'000'000 }, { "burst_tokens", 10'000'000 } } }) },
         { "keys", Json::array({ { { "sha256", sha256Hex(key) }, { "account", "quay" }, { "label", "test" } } }) },
         { "endpoints",
-            Json::array({ { { "id", "desk-1" }, { "address", address(m_servicePort) }, { "data_centre", "dc1" },
-                { "kind", "service" }, { "pool", "desk" } } }) },
+            Json::array(
+                { { { "id", "desk-1" }, { "address", address(endpointPort(m_enginePorts.size(), m_servicePort)) },
+                    { "data_centre", "dc1" }, { "kind", "service" }, { "pool", "desk" } } }) },
         { "models",
             Json::array({ { { "id", "notes" }, { "pool", "writer" }, { "memory_bytes", 1 << 30 },
                               { "expected_load_seconds", 0.5 }, { "maximum_replicas", 1 } },
@@ -118,7 +144,7 @@
         { "exceptions", Json::array() } };
     for (std::size_t i = 0; i < m_enginePorts.size(); ++i)
         document["endpoints"].push_back({ { "id", "writer-" + std::to_string(i) },
-            { "address", address(m_enginePorts[i]) }, { "data_centre", "dc1" }, { "pool", "writer" },
+            { "address", address(endpointPort(i, m_enginePorts[i])) }, { "data_centre", "dc1" }, { "pool", "writer" },
             { "memory_bytes", 80ULL << 30 }, { "capacity_requests", 8 } });
     return document;
 }
--- a/tests/process/FleetFixture.h
+++ b/tests/process/FleetFixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "process/EndpointLinks.h"
 #include "process/ProcessHarness.h"
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -12,6 +13,8 @@
     // The time between the tokens of the emulated engines.
     int tokenMilliseconds = 2;
     bool enginesIgnoreFencing = false;
+    // Places a proxy before each endpoint, which can break the links of one host.
+    bool hasEndpointLinks = false;
     // Changes the fleet document before it is proposed.
     std::function<void(nlohmann::json&)> adjust = [](nlohmann::json&) {};
 };
@@ -40,6 +43,10 @@
     HttpCall admin(const std::string& method, const std::string& target, const nlohmann::json& body = {},
         std::size_t host = 0) const;
 
+    // The links between a host and all endpoints, or those of the plain service, from now on.
+    // Precondition: the options ask for endpoint links.
+    void setEndpointLinks(std::size_t host, LinkState);
+    void setServiceLink(std::size_t host, LinkState);
     void setStoreFaults(const nlohmann::json&) const;
     // Returns the requests that the plain service ran, oldest first.
     nlohmann::json serviceExecutions() const;
@@ -54,6 +61,8 @@
     };
 
     nlohmann::json fleetDocument() const;
+    // The port at which hosts reach an endpoint with this position among the links.
+    std::uint16_t endpointPort(std::size_t index, std::uint16_t ownPort) const;
     std::unique_ptr<ChildProcess> start(const std::vector<std::string>& arguments, const std::string& name);
 
     TemporaryFolder m_folder;
@@ -61,6 +70,8 @@
     std::uint16_t m_servicePort = 0;
     std::vector<std::uint16_t> m_enginePorts;
     std::vector<HostPorts> m_hostPorts;
+    // Before the engines, in their order, and the plain service.
+    std::unique_ptr<EndpointLinks> m_endpointLinks;
     std::unique_ptr<ChildProcess> m_store;
     std::unique_ptr<ChildProcess> m_service;
     std::vector<std::unique_ptr<ChildProcess>> m_engines;
