Accuse no request of a crash that was never sent to the endpoint

Callers of serving processes saw: sound requests refused as quarantined, at a host whose new connections to endpoints were reset.

Cause: an attempt whose connection could not be opened was recorded as a failure at the endpoint, and the failed report that followed made it a crash of the request. CrashQuarantine::attemptNotSent() existed and had no caller.

Change: an attempt that was not sent is withdrawn.

--- a/src/requests/RequestAnswers.cpp
+++ b/src/requests/RequestAnswers.cpp
@@ -202,6 +202,8 @@
         noteBrokenAnswer(*request, now);
     if (failed.outcome == AttemptOutcome::Unknown)
         noteBrokenAttempt(*request, now);
+    else
+        m_modules.quarantine.attemptNotSent(request->endpoint, request->fingerprint);
     endAttempt(*request, false, now);
     retryOrFail(*request, failed.outcome != AttemptOutcome::NotSent, failed.reason, now, effects);
 }
