Have other hosts serve requests of serving processes that cannot reach endpoints

Callers saw: 503 no_endpoint, answers that came too late, and sound requests refused as quarantined, at a host whose links to the endpoints were broken while the other hosts served everything.

Cause: that of the gateways: a serving process could have a request served only by an endpoint that it reaches itself, and took its own broken links for crashes of endpoints.

Change: the same mechanism as in the gateways. EndpointReach concludes from attempts, reports and probes that the path to a pool is lost; the request then goes to another host over the relay (peers.relay_listen, published in the store), at most one hop. The relaying host keeps the key, the share and the claim; the serving host applies quarantine, trials and placement, and states in its answer whether the request may have run. While a path is in doubt, reports of crashes wait; once an endpoint has answered another host and a later probe of this one fails again, what broke since the loss is withdrawn.

Why it works: what a host cannot reach itself is reached over a host that can, and only evidence of another host's answer takes an accusation back.

Left: a pool of which only the endpoints with the requested model are out of reach; an owner of the placement without a path keeps the ownership.

--- a/include/catkinwell/endpoint/EndpointReport.h
+++ b/include/catkinwell/endpoint/EndpointReport.h
@@ -2,7 +2,9 @@
 
 #include <catkinwell/core/Clock.h>
 #include <catkinwell/core/Identifiers.h>
+#include <catkinwell/http/HttpTypes.h>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -63,6 +65,8 @@
     std::string reason;
     // No connection could be opened, so the endpoint's process is not running or not reachable.
     bool connectionFailed = false;
+    // How the connection failed; absent if the endpoint answered.
+    std::optional<AttemptFailure> failure {};
 };
 
 // An effect: fetches the endpoint's report. EndpointReport or EndpointReportFailed follows.
--- a/include/catkinwell/membership/MembershipManager.h
+++ b/include/catkinwell/membership/MembershipManager.h
@@ -15,6 +15,8 @@
     // "ip:port" of the host's peer listener.
     std::string address;
     bool leaving = false;
+    // "ip:port" at which it accepts relayed requests; empty if it accepts none.
+    std::string relayAddress {};
 };
 
 // The state of another host as known to this one.
@@ -27,6 +29,8 @@
     HostState state = HostState::Alive;
     // Time since the host's heartbeat last advanced, as far as this host knows.
     Duration age {};
+    // Empty if the host accepts no relayed requests, or is not listed.
+    std::string relayAddress {};
 };
 
 // Decides how long a host's heartbeat may stall before the host is suspected, and when it is declared dead. The time
--- a/include/catkinwell/reducer/Event.h
+++ b/include/catkinwell/reducer/Event.h
@@ -4,6 +4,7 @@
 #include <catkinwell/http/HttpTypes.h>
 #include <catkinwell/peer/PeerMessage.h>
 #include <catkinwell/placement/PlacementCommand.h>
+#include <catkinwell/relay/RelayMessage.h>
 #include <catkinwell/store/StoreTypes.h>
 #include <variant>
 
@@ -26,6 +27,6 @@
 // The events that a host's reducer handles.
 using Event = std::variant<Tick, ShutdownSignal, RequestArrived, AdminRequestArrived, CallerLeft, CallerBackpressure,
     AttemptHead, AttemptData, AttemptFinished, AttemptFailed, StoreReply, PeerMessageReceived, EndpointReport,
-    EndpointReportFailed, PlacementCommandFinished>;
+    EndpointReportFailed, PlacementCommandFinished, RelayedRequestArrived>;
 
 } // namespace Catkinwell
--- a/include/catkinwell/reducer/Reducer.h
+++ b/include/catkinwell/reducer/Reducer.h
@@ -62,6 +62,7 @@
     void propagateConfiguration(MonotonicTime now, EffectList&);
     void configureClaims();
     void propagateMembership(MonotonicTime now, EffectList&);
+    void noteRelayPeersHeard(MonotonicTime now);
     void setLeavingEndpoints(const std::set<EndpointId>&, MonotonicTime now, EffectList&);
     void updateDigestContents(MonotonicTime now, EffectList&);
     void updatePromptQuarantine(MonotonicTime now, EffectList&);
@@ -106,6 +107,7 @@
     ShareManager m_shares;
     ClaimManager m_claims;
     PlacementManager m_placement;
+    RelayPeers m_relayPeers;
     RequestFlow m_requests;
     AdminApi m_admin;
     WallTime m_wallNow;
--- a/include/catkinwell/relay/RelayMessage.h
+++ b/include/catkinwell/relay/RelayMessage.h
@@ -25,6 +25,8 @@
     std::string lastEventId;
     std::string firstRequestId;
     std::optional<std::string> softwareVersion;
+    // The caller's priority, where requests have one.
+    std::optional<int> priority {};
 };
 
 // A request as one host sends it to another: that of the caller, without its key, and the terms.
--- a/include/catkinwell/requests/ActiveRequest.h
+++ b/include/catkinwell/requests/ActiveRequest.h
@@ -4,6 +4,7 @@
 #include <catkinwell/core/Clock.h>
 #include <catkinwell/core/Identifiers.h>
 #include <catkinwell/http/HttpTypes.h>
+#include <catkinwell/relay/RelayMessage.h>
 #include <catkinwell/requests/CompletionRequest.h>
 #include <catkinwell/requests/StreamFilter.h>
 #include <catkinwell/routing/AnswerProof.h>
@@ -71,9 +72,13 @@
     // Attempts whose connection broke after the request may have been sent. Each may have crashed an endpoint.
     std::uint32_t brokenAttempts = 0;
     AnswerProof proof;
+    // Hosts that could not serve the request.
+    std::set<HostId> excludedHosts;
 
-    // The current attempt.
+    // The current attempt, at an endpoint or by way of another host.
     AttemptId attempt;
+    std::optional<HostId> relayedTo;
+    RelayAnswer relayAnswer;
     MonotonicTime attemptStartedAt {};
     EndpointId endpoint;
     int status = 0;
--- a/include/catkinwell/requests/RequestFlow.h
+++ b/include/catkinwell/requests/RequestFlow.h
@@ -7,6 +7,9 @@
 #include <catkinwell/orders/ClaimManager.h>
 #include <catkinwell/reducer/Effect.h>
 #include <catkinwell/reducer/Event.h>
+#include <catkinwell/relay/EndpointReach.h>
+#include <catkinwell/relay/RelayMessage.h>
+#include <catkinwell/relay/RelayPeers.h>
 #include <catkinwell/requests/ActiveRequest.h>
 #include <catkinwell/requests/ApiError.h>
 #include <catkinwell/routing/CrashQuarantine.h>
@@ -31,6 +34,7 @@
     CrashQuarantine& quarantine;
     PromptQuarantine& promptQuarantine;
     SuspectTrials& trials;
+    RelayPeers& relayPeers;
 };
 
 // The demand for a model on this host, reported to the placement.
@@ -51,7 +55,9 @@
     void handle(const RequestArrived&, MonotonicTime now, EffectList&);
     void handle(const CallerLeft&, MonotonicTime now, EffectList&);
     void handle(const CallerBackpressure&, EffectList&);
-    void handle(const AttemptHead&);
+    // Another host has this one serve a request. The answer states whether an endpoint made it (RelayAnswer).
+    void handle(const RelayedRequestArrived&, MonotonicTime now, EffectList&);
+    void handle(const AttemptHead&, MonotonicTime now, EffectList&);
     void handle(const AttemptData&, MonotonicTime now, EffectList&);
     void handle(const AttemptFinished&, MonotonicTime now, EffectList&);
     void handle(const AttemptFailed&, MonotonicTime now, EffectList&);
@@ -65,6 +71,11 @@
     // queued requests again.
     void capacityChanged() { m_dispatchDue = true; }
 
+    // The state of an endpoint was read, or could not be read; absent if it answered.
+    void noteReport(const EndpointId&, std::optional<AttemptFailure>, MonotonicTime now, EffectList&);
+    // The endpoint is thought to have died. Counts as a crash unless this host's own links turn out to be broken.
+    void noteEndpointDied(const EndpointId&, MonotonicTime now);
+
     // Applies changed limits and weights, and fails the requests whose API key is no longer granted.
     void configurationChanged(MonotonicTime now, EffectList&);
 
@@ -112,6 +123,42 @@
     // Returns whether the request is done with queueing: an attempt was started, or the request was refused.
     bool startAttempt(ActiveRequest&, MonotonicTime now, EffectList&);
 
+    // Paths to endpoints, and requests that other hosts serve.
+    struct LossInDoubt {
+        MonotonicTime since {};
+        MonotonicTime expiresAt {};
+        // When an endpoint answered another host, while this one could reach none.
+        std::optional<MonotonicTime> servedElsewhereAt {};
+    };
+    struct Probe {
+        std::string pool;
+        EndpointId endpoint;
+        MonotonicTime startedAt {};
+    };
+    void noteReached(const ActiveRequest&, bool isNewConnection, MonotonicTime now, EffectList&);
+    void noteNotReached(const ActiveRequest&, AttemptFailure, MonotonicTime now, EffectList&);
+    void noteServedElsewhere(const std::string& pool, MonotonicTime now);
+    void updatePaths(MonotonicTime now, EffectList&);
+    void relayQueued(const std::string& pool, MonotonicTime now, EffectList&);
+    void decideDeaths(MonotonicTime now);
+    void startProbe(const std::string& pool, MonotonicTime now, EffectList&);
+    // Handle the events of a probe. Return false if the attempt is none.
+    bool handleProbe(const AttemptHead&, MonotonicTime now, EffectList&);
+    bool handleProbe(const AttemptFailed&, MonotonicTime now, EffectList&);
+    bool isRelayed(RequestId id) const { return m_relayedFrom.contains(id); }
+    bool needsRelay(const ActiveRequest&) const;
+    // Relays the request if another host may serve it. Returns whether it did.
+    bool startRelay(ActiveRequest&, MonotonicTime now, EffectList&);
+    // The serving host ended the request itself.
+    void handleBrokenRelay(ActiveRequest&, const AttemptFailed&, MonotonicTime now, EffectList&);
+    void handleRelayRefusal(ActiveRequest&, MonotonicTime now, EffectList&);
+    void passOnError(ActiveRequest&, MonotonicTime now, EffectList&);
+    void failSilentRelays(MonotonicTime now, EffectList&);
+    // How a relayed request ended that this host refused or failed with the error.
+    static RelayOutcome relayOutcomeOf(const ApiError&);
+    // Adds what the relaying host has to know of an answer, if the request was relayed to this host.
+    void stateRelayAnswer(RequestId, HeaderList&, RelayOutcome, std::string_view reason = {}) const;
+
     // Answers.
     ActiveRequest* find(RequestId);
     ActiveRequest* findByAttempt(AttemptId);
@@ -159,6 +206,14 @@
     // Models that a request waits for and that have not been loaded since.
     std::set<ModelId> m_loading;
     bool m_dispatchDue = false;
+    EndpointReach m_reach;
+    std::map<std::string, LossInDoubt> m_lossesInDoubt;
+    // Endpoints that seemed to die while the path to their pool was in doubt.
+    std::set<EndpointId> m_deathsInDoubt;
+    std::map<AttemptId, Probe> m_probes;
+    // The requests that other hosts have this one serve.
+    std::unordered_map<RequestId, HostId> m_relayedFrom;
+    std::size_t m_relaysUnderWay = 0;
     std::map<ModelId, std::uint32_t> m_arrivals;
     // Requests that were refused because their model would be loaded too late. They count as demand for the model.
     std::map<ModelId, std::uint32_t> m_refusedColdStarts;
--- a/include/catkinwell/routing/EndpointTable.h
+++ b/include/catkinwell/routing/EndpointTable.h
@@ -4,6 +4,7 @@
 #include <catkinwell/core/RandomGenerator.h>
 #include <catkinwell/endpoint/EndpointReport.h>
 #include <catkinwell/reducer/Effect.h>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -72,6 +73,14 @@
     // Marks the endpoint as suspected for a few seconds, after it closed a connection or did not respond.
     void attemptFailed(const EndpointId&, MonotonicTime now, EffectList&);
 
+    // Counts the endpoints of the pool that are not leaving.
+    std::size_t count(const std::string& pool) const;
+    // Returns an endpoint of the pool for a probe of the path, preferably one that the predicate does not name.
+    std::optional<EndpointSettings> chooseForProbe(
+        const std::string& pool, const std::function<bool(const EndpointId&)>& hasFailed) const;
+    // Ends the suspicions of the pool's endpoints, because this host's own path to them was broken.
+    void forgetSuspicions(const std::string& pool);
+
     const EndpointSettings* find(const EndpointId&) const;
     std::string statusJson(MonotonicTime now) const;
 
--- a/include/catkinwell/settings/ProcessSettings.h
+++ b/include/catkinwell/settings/ProcessSettings.h
@@ -28,6 +28,9 @@
     std::vector<AdminCredentialSettings> credentials;
     // IP address and port that other hosts connect to.
     std::string peerAddress;
+    // Where other hosts connect to have requests served that they cannot bring to an endpoint; empty if this host
+    // neither accepts nor sends such requests.
+    std::string relayAddress;
     // The secret that authenticates messages between hosts.
     std::string clusterSecret;
     // Initial peers, used until the platform's list of hosts has been read.
--- a/src/endpoint/EngineClient.cpp
+++ b/src/endpoint/EngineClient.cpp
@@ -103,9 +103,9 @@
         complete.receivedAt = m_clock.monotonicNow();
         m_signalReport.emit(complete);
     };
-    observer.onFailed = [this, endpoint](AttemptOutcome outcome, AttemptFailure, std::string reason) {
+    observer.onFailed = [this, endpoint](AttemptOutcome outcome, AttemptFailure failure, std::string reason) {
         m_signalReportFailed.emit(
-            EndpointReportFailed { endpoint, std::move(reason), outcome == AttemptOutcome::NotSent });
+            EndpointReportFailed { endpoint, std::move(reason), outcome == AttemptOutcome::NotSent, failure });
     };
     m_client.start(request, std::move(observer));
 }
--- a/src/membership/HostTable.cpp
+++ b/src/membership/HostTable.cpp
@@ -129,10 +129,12 @@
         if (isNew || entry.incarnation > host.incarnation)
             startIncarnation(host, entry.incarnation, now);
         listed.insert(entry.host);
-        m_changed |= !host.listed || host.address != entry.address || host.dataCentre != entry.dataCentre;
+        m_changed |= !host.listed || host.address != entry.address || host.dataCentre != entry.dataCentre
+            || host.relayAddress != entry.relayAddress;
         host.listed = true;
         host.dropped = false;
         host.address = entry.address;
+        host.relayAddress = entry.relayAddress;
         host.dataCentre = entry.dataCentre;
         // An entry of an earlier incarnation does not apply to the current one.
         if (entry.leaving && !host.leaving && (entry.incarnation == 0 || entry.incarnation == host.incarnation))
--- a/src/membership/HostTable.h
+++ b/src/membership/HostTable.h
@@ -21,6 +21,7 @@
         bool dropped = false;
         DataCentreId dataCentre;
         std::string address;
+        std::string relayAddress;
         // The number of probes sent to the host since its heartbeat last advanced.
         unsigned probesSent = 0;
         MonotonicTime lastProbeAt;
--- a/src/membership/MembershipManager.cpp
+++ b/src/membership/MembershipManager.cpp
@@ -288,7 +288,8 @@
 {
     std::vector<HostView> views;
     for (const auto& [id, host] : m_state->table.hosts())
-        views.push_back({ id, host.incarnation, host.dataCentre, host.address, host.state(), now - host.lastProgress });
+        views.push_back({ id, host.incarnation, host.dataCentre, host.address, host.state(), now - host.lastProgress,
+            host.relayAddress });
     return views;
 }
 
--- a/src/membership/PlatformListReader.cpp
+++ b/src/membership/PlatformListReader.cpp
@@ -28,7 +28,8 @@
             const auto found = value.find(name);
             return found != value.end() && found->is_string() ? found->get<std::string>() : std::string();
         };
-        PlatformHost host { HostId(id), 0, DataCentreId(textOf("data_centre")), textOf("address"), false };
+        PlatformHost host { HostId(id), 0, DataCentreId(textOf("data_centre")), textOf("address"), false,
+            textOf("relay_address") };
         if (const auto found = value.find("incarnation"); found != value.end() && found->is_number_unsigned())
             host.incarnation = found->get<Incarnation>();
         if (const auto found = value.find("leaving"); found != value.end() && found->is_boolean())
--- a/src/reducer/Reducer.cpp
+++ b/src/reducer/Reducer.cpp
@@ -55,7 +55,7 @@
 ReducerSettings reducerSettingsOf(const ProcessSettings& settings, Incarnation incarnation)
 {
     ReducerSettings reducer;
-    reducer.host = { settings.host, incarnation, settings.dataCentre, settings.peerAddress };
+    reducer.host = { settings.host, incarnation, settings.dataCentre, settings.peerAddress, settings.relayAddress };
     reducer.seed = stableHash(settings.host.value) ^ incarnation;
     for (const auto& credential : settings.credentials)
         reducer.credentials.push_back({ credential.name, credential.tokenSha256, rolesOf(credential.roles) });
@@ -76,8 +76,9 @@
     , m_claims(derivedSeed(m_settings.seed, "claims"))
     , m_placement(m_settings.host.host, m_settings.host.incarnation, m_settings.host.dataCentre,
           derivedSeed(m_settings.seed, "placement"))
-    , m_requests(
-          { m_configuration, m_endpoints, m_shares, m_claims, m_usage, m_quarantine, m_promptQuarantine, m_trials })
+    , m_relayPeers(m_settings.host.dataCentre, derivedSeed(m_settings.seed, "relays"))
+    , m_requests({ m_configuration, m_endpoints, m_shares, m_claims, m_usage, m_quarantine, m_promptQuarantine,
+          m_trials, m_relayPeers })
     , m_admin(adminSettingsOf(m_settings),
           { m_configuration, *this, *this, *this, *this, secrets, m_metrics, m_journal, m_usage })
     , m_wallNow(wallNow)
@@ -109,7 +110,8 @@
     }
     void operator()(const CallerLeft& event) const { reducer.m_requests.handle(event, now, effects); }
     void operator()(const CallerBackpressure& event) const { reducer.m_requests.handle(event, effects); }
-    void operator()(const AttemptHead& event) const { reducer.m_requests.handle(event); }
+    void operator()(const RelayedRequestArrived& event) const { reducer.m_requests.handle(event, now, effects); }
+    void operator()(const AttemptHead& event) const { reducer.m_requests.handle(event, now, effects); }
     void operator()(const AttemptData& event) const { reducer.m_requests.handle(event, now, effects); }
     void operator()(const AttemptFinished& event) const { reducer.m_requests.handle(event, now, effects); }
     void operator()(const AttemptFailed& event) const { reducer.m_requests.handle(event, now, effects); }
@@ -117,6 +119,7 @@
     void operator()(const PeerMessageReceived& event) const { reducer.handlePeerMessage(event, now, effects); }
     void operator()(const EndpointReport& event) const
     {
+        reducer.m_requests.noteReport(event.endpoint, std::nullopt, now, effects);
         reducer.m_endpoints.handle(event, now, effects);
         reducer.m_placement.handle(event, now, effects);
         reducer.countReplicas(event, now);
@@ -124,10 +127,11 @@
     }
     void operator()(const EndpointReportFailed& event) const
     {
+        reducer.m_requests.noteReport(event.endpoint, event.failure, now, effects);
         reducer.m_endpoints.handle(event, now, effects);
         reducer.m_placement.handle(event, now);
         if (reducer.m_endpoints.detectDeath(event, now))
-            reducer.m_quarantine.endpointDied(event.endpoint, now);
+            reducer.m_requests.noteEndpointDied(event.endpoint, now);
     }
     void operator()(const PlacementCommandFinished& event) const { reducer.m_placement.handle(event, now, effects); }
 };
@@ -418,14 +422,25 @@
     m_liveHosts = std::move(live);
     m_claims.setLiveHosts(m_liveHosts);
     std::set<HostId> peers;
-    for (const LiveHost& host : m_liveHosts) {
-        if (host.host != m_settings.host.host)
-            peers.insert(host.host);
+    for (const HostView& view : m_membership.liveHosts(now)) {
+        peers.insert(view.host);
+        m_relayPeers.setAddress(view.host, view.dataCentre, view.relayAddress);
     }
     m_trials.setPeers(peers);
+    m_relayPeers.setLive(peers);
+    noteRelayPeersHeard(now);
     effects.push_back(SetPeerAddresses { m_membership.peerAddresses() });
 }
 
+// A live host tells whether it reaches the endpoints when a request is relayed to it.
+void Reducer::noteRelayPeersHeard(MonotonicTime now)
+{
+    for (const LiveHost& live : m_liveHosts) {
+        if (live.host != m_settings.host.host)
+            m_relayPeers.noteHeard(live.host, {}, now);
+    }
+}
+
 void Reducer::setLeavingEndpoints(const std::set<EndpointId>& leaving, MonotonicTime now, EffectList& effects)
 {
     for (const EndpointId& endpoint : leaving) {
@@ -448,6 +463,7 @@
     if (now < m_nextDigestUpdateAt)
         return;
     m_nextDigestUpdateAt = now + digestUpdateInterval;
+    noteRelayPeersHeard(now);
     m_membership.setSuspectFingerprints(m_quarantine.nextDigest(now));
     m_membership.setConfigurationState(m_configuration.accepted().version, m_configuration.revokedKeys());
 }
--- a/src/relay/RelayMessage.cpp
+++ b/src/relay/RelayMessage.cpp
@@ -35,7 +35,8 @@
             { "first_byte_ms", millisecondsOf(terms.firstByteTimeLeft) }, { "attempts", terms.attempts },
             { "excluded", std::move(excluded) }, { "last_event", terms.lastEventId },
             { "first_request", terms.firstRequestId },
-            { "software_version", terms.softwareVersion ? Json(*terms.softwareVersion) : Json() } };
+            { "software_version", terms.softwareVersion ? Json(*terms.softwareVersion) : Json() },
+            { "priority", terms.priority ? Json(*terms.priority) : Json() } };
     }
 
     RelayTerms termsOf(const Json& object)
@@ -51,6 +52,8 @@
         terms.firstRequestId = object.at("first_request").get<std::string>();
         if (const Json& version = object.at("software_version"); !version.is_null())
             terms.softwareVersion = version.get<std::string>();
+        if (const auto priority = object.find("priority"); priority != object.end() && !priority->is_null())
+            terms.priority = priority->get<int>();
         return terms;
     }
 
--- a/src/requests/RequestAnswers.cpp
+++ b/src/requests/RequestAnswers.cpp
@@ -69,13 +69,22 @@
         effects.push_back(ThrottleAttempt { request->attempt, backpressure.full });
 }
 
-void RequestFlow::handle(const AttemptHead& head)
+void RequestFlow::handle(const AttemptHead& head, MonotonicTime now, EffectList& effects)
 {
+    if (handleProbe(head, now, effects))
+        return;
     ActiveRequest* request = findByAttempt(head.id);
     if (!request)
         return;
+    HeaderList headers = head.headers;
+    if (request->relayedTo)
+        request->relayAnswer = takeRelayAnswer(headers);
     request->status = head.status;
-    request->responseHeaders = callerHeaders(head.headers);
+    request->responseHeaders = callerHeaders(headers);
+    if (!request->relayedTo)
+        noteReached(*request, head.isNewConnection, now, effects);
+    else if (request->relayAnswer.outcome == RelayOutcome::Answered)
+        noteServedElsewhere(request->pool, now);
 }
 
 void RequestFlow::handle(const AttemptData& data, MonotonicTime now, EffectList& effects)
@@ -83,6 +92,7 @@
     ActiveRequest* request = findByAttempt(data.id);
     if (!request)
         return;
+    noteReached(*request, false, now, effects);
     if (request->filter && request->status == 200)
         forwardStream(*request, data.data, now, effects);
     else
@@ -102,6 +112,7 @@
     noteAnswerGoesOn(request, now);
     if (!request.headSent) {
         request.headSent = true;
+        stateRelayAnswer(request.id, request.responseHeaders, RelayOutcome::Answered);
         effects.push_back(SendResponseHead { request.id, request.status, request.responseHeaders });
         const double seconds = std::chrono::duration<double>(now - request.arrivedAt).count();
         effects.push_back(RecordMetric { Metric::FirstByteSeconds, request.model.value, seconds });
@@ -119,6 +130,7 @@
         return;
     if (!request.headSent) {
         request.headSent = true;
+        stateRelayAnswer(request.id, request.responseHeaders, RelayOutcome::Answered);
         effects.push_back(SendResponseHead { request.id, request.status, request.responseHeaders });
         effects.push_back(SendResponseData { request.id, request.collected });
     }
@@ -127,15 +139,24 @@
 
 void RequestFlow::handle(const AttemptFinished& finished, MonotonicTime now, EffectList& effects)
 {
+    if (const auto probe = m_probes.find(finished.id); probe != m_probes.end()) {
+        m_reach.noteProbeEnded(probe->second.pool);
+        m_probes.erase(probe);
+        return;
+    }
     ActiveRequest* request = findByAttempt(finished.id);
     if (!request)
         return;
+    if (request->relayedTo && request->relayAnswer.outcome != RelayOutcome::Answered) {
+        handleRelayRefusal(*request, now, effects);
+        return;
+    }
     if (request->filter && request->status == 200) {
         finishStream(*request, now, effects);
         return;
     }
     // The endpoint table was out of date: the engine has unloaded the model meanwhile, so the request did not run.
-    if (request->status == 404 && !request->model.value.empty()) {
+    if (request->status == 404 && !request->model.value.empty() && !request->relayedTo) {
         m_modules.endpoints.noteReplica(request->endpoint, request->model, false);
         m_modules.endpoints.refreshSoon(request->endpoint);
         endAttempt(*request, true, now);
@@ -177,6 +198,7 @@
         request.hasClaim = false;
     }
     if (!request.answered && !request.callerGone) {
+        stateRelayAnswer(request.id, request.responseHeaders, RelayOutcome::Answered);
         if (request.headSent)
             effects.push_back(FinishResponse { request.id });
         else
@@ -190,12 +212,20 @@
 
 void RequestFlow::handle(const AttemptFailed& failed, MonotonicTime now, EffectList& effects)
 {
+    if (handleProbe(failed, now, effects))
+        return;
     ActiveRequest* request = findByAttempt(failed.id);
     if (!request)
         return;
     effects.push_back(LogEntry { LogEvent::AttemptFailedEvent,
         { { "request", std::to_string(request->id.value) }, { "endpoint", request->endpoint.value },
+            { "relayed_to", request->relayedTo.value_or(HostId()).value },
             { "outcome", std::string(nameOf(failed.outcome)) }, { "reason", failed.reason } } });
+    if (request->relayedTo) {
+        handleBrokenRelay(*request, failed, now, effects);
+        return;
+    }
+    noteNotReached(*request, failed.failure, now, effects);
     m_modules.endpoints.attemptFailed(request->endpoint, now, effects);
     request->excluded.insert(request->endpoint);
     if (failed.outcome == AttemptOutcome::Unknown && failed.failure == AttemptFailure::Broken)
@@ -253,6 +283,8 @@
 
 void RequestFlow::noteBrokenAnswer(const ActiveRequest& request, MonotonicTime now)
 {
+    if (request.relayedTo)
+        return; // The serving host has seen what broke.
     const std::uint32_t events = request.proof.hasBegun() ? 1 : 0;
     m_modules.promptQuarantine.attemptBroken(request.endpoint,
         { request.fingerprint, request.promptParts, 1, events, now - request.attemptStartedAt, request.status != 0 },
@@ -317,17 +349,21 @@
         error.outcome = RunOutcome::Unknown;
     request.answered = true;
     effects.push_back(RecordMetric { Metric::RefusalsTotal, std::string(describe(error.code).name) });
-    m_modules.usage.requestRefused(request.account, request.model, std::string(describe(error.code).name));
+    if (!isRelayed(request.id))
+        m_modules.usage.requestRefused(request.account, request.model, std::string(describe(error.code).name));
     const LogEvent event = error.outcome == RunOutcome::NotRun ? LogEvent::RequestRefused : LogEvent::RequestFailed;
     effects.push_back(LogEntry { event,
         { { "request", std::to_string(request.id.value) }, { "account", request.account.value },
             { "model", request.model.value }, { "code", std::string(describe(error.code).name) },
             { "outcome", std::string(nameOf(error.outcome)) }, { "reason", error.message } } });
     if (!request.headSent) {
-        effects.push_back(apiErrorResponse(request.id, error));
+        SendWholeResponse response = apiErrorResponse(request.id, error);
+        stateRelayAnswer(request.id, response.headers, relayOutcomeOf(error), describe(error.code).name);
+        effects.push_back(std::move(response));
         return;
     }
-    if (!request.filter) {
+    // The relaying host tells its caller itself that the answer is incomplete.
+    if (!request.filter || isRelayed(request.id)) {
         effects.push_back(AbortResponse { request.id });
         return;
     }
@@ -347,12 +383,16 @@
 void RequestFlow::refuse(RequestId id, const AccountId& account, const ApiError& error, EffectList& effects)
 {
     effects.push_back(RecordMetric { Metric::RefusalsTotal, std::string(describe(error.code).name) });
-    m_modules.usage.requestRefused(account, ModelId(), std::string(describe(error.code).name));
+    if (!isRelayed(id))
+        m_modules.usage.requestRefused(account, ModelId(), std::string(describe(error.code).name));
     effects.push_back(LogEntry { LogEvent::RequestRefused,
         { { "request", std::to_string(id.value) }, { "account", account.value },
             { "code", std::string(describe(error.code).name) }, { "outcome", std::string(nameOf(error.outcome)) },
             { "reason", error.message } } });
-    effects.push_back(apiErrorResponse(id, error));
+    SendWholeResponse response = apiErrorResponse(id, error);
+    stateRelayAnswer(id, response.headers, relayOutcomeOf(error), describe(error.code).name);
+    effects.push_back(std::move(response));
+    m_relayedFrom.erase(id);
 }
 
 void RequestFlow::completeRequest(
@@ -364,7 +404,9 @@
     effects.push_back(RecordMetric { Metric::RequestsTotal, request.account.value });
     effects.push_back(RecordMetric { Metric::RequestSeconds, label, seconds });
     effects.push_back(RecordMetric { Metric::TokensTotal, request.account.value, static_cast<double>(used) });
-    m_modules.usage.tokensUsed(request.account, request.model, used);
+    // The relaying host accounts for a relayed request.
+    if (!isRelayed(request.id))
+        m_modules.usage.tokensUsed(request.account, request.model, used);
     effects.push_back(LogEntry { LogEvent::RequestFinished,
         { { "request", std::to_string(request.id.value) }, { "account", request.account.value },
             { "model", request.model.value }, { "endpoint", request.endpoint.value },
@@ -411,7 +453,8 @@
     m_modules.endpoints.attemptEnded(request.endpoint);
     m_modules.quarantine.attemptEnded(request.endpoint, request.fingerprint, clean, now);
     m_modules.trials.ended(request.id, now);
-    m_attempts.erase(request.attempt);
+    if (m_attempts.erase(request.attempt) > 0 && request.relayedTo)
+        --m_relaysUnderWay;
     capacityChanged();
 }
 
@@ -428,6 +471,7 @@
         return;
     m_deadlines.erase({ found->second->deadline, id });
     m_queue.remove(id);
+    m_relayedFrom.erase(id);
     m_requests.erase(found);
 }
 
--- a/src/requests/RequestFlow.cpp
+++ b/src/requests/RequestFlow.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 
+    constexpr Duration retryAfterLostPath = std::chrono::seconds(1);
     constexpr Duration longestStreamSilence = std::chrono::seconds(20);
     constexpr Duration silenceTimeoutMargin = std::chrono::milliseconds(250);
     // No model name begins with a space, so the queue of a service can't collide with the queue of a model.
@@ -180,6 +181,15 @@
 void RequestFlow::enqueue(ActiveRequest& request, MonotonicTime now, EffectList& effects)
 {
     request.stage = RequestStage::Queued;
+    if (needsRelay(request) && startRelay(request, now, effects))
+        return;
+    if (isRelayed(request.id) && m_reach.isLost(request.pool)) {
+        failRequest(request,
+            { ApiErrorCode::NoEndpoint, "this host cannot reach the endpoints either", RunOutcome::NotRun, "",
+                retryAfterLostPath },
+            now, effects);
+        return;
+    }
     if (!m_modules.endpoints.hasUsableEndpoint(request.pool, now) && request.model.value.empty()) {
         failRequest(request,
             { ApiErrorCode::NoEndpoint, "no endpoint of the pool \"" + request.pool + "\" is available",
@@ -306,6 +316,7 @@
     request.attempt = AttemptId(++m_lastAttempt);
     request.attemptStartedAt = now;
     request.endpoint = endpoint->id;
+    request.relayedTo.reset();
     request.status = 0;
     request.collected.clear();
     ++request.attempts;
@@ -344,6 +355,8 @@
 void RequestFlow::tick(MonotonicTime now, EffectList& effects)
 {
     capacityChanged();
+    updatePaths(now, effects);
+    failSilentRelays(now, effects);
     m_queue.takeExpired(now);
     std::erase_if(m_heldUntil, [now](const auto& entry) { return entry.second <= now; });
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
--- a/src/requests/RequestIntake.cpp
+++ b/src/requests/RequestIntake.cpp
@@ -14,14 +14,8 @@
     constexpr std::string_view modelsPath = "/v1/models";
     constexpr int lowestPriority = 0;
     constexpr int highestPriority = 9;
-    constexpr int defaultPriority = 5;
     constexpr Duration shortestDeadline = std::chrono::milliseconds(1);
 
-    bool isCompletionPath(const std::string& path)
-    {
-        return path == "/v1/completions" || path == "/v1/chat/completions";
-    }
-
     std::optional<std::int64_t> parseInteger(const std::string& text)
     {
         std::int64_t value = 0;
@@ -38,6 +32,8 @@
 
 } // namespace
 
+bool isCompletionPath(const std::string& path) { return path == "/v1/completions" || path == "/v1/chat/completions"; }
+
 void RequestFlow::handle(const RequestArrived& arrived, MonotonicTime now, EffectList& effects)
 {
     if (!arrived.rejection.empty()) {
@@ -80,7 +76,8 @@
         return;
     }
     m_retries.requestStarted(now);
-    if (!request.model.value.empty())
+    // The host that serves it counts a relayed request.
+    if (!request.model.value.empty() && !needsRelay(request))
         ++m_arrivals[request.model];
     m_deadlines.emplace(request.deadline, request.id);
     m_requests.emplace(request.id, std::move(intake.request));
@@ -196,7 +193,7 @@
         allowed = std::min<Duration>(allowed, std::chrono::milliseconds(*milliseconds));
     }
     request.deadline = now + std::max(allowed, shortestDeadline);
-    request.priority = defaultPriority;
+    request.priority = defaultRequestPriority;
     if (!arrived.priorityHeader.empty()) {
         const auto priority = parseInteger(arrived.priorityHeader);
         if (!priority || *priority < lowestPriority || *priority > highestPriority) {
--- a/src/routing/EndpointTable.cpp
+++ b/src/routing/EndpointTable.cpp
@@ -283,6 +283,37 @@
     entry.probeDue = true;
 }
 
+std::size_t EndpointTable::count(const std::string& pool) const
+{
+    return static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& entry) {
+        return entry.second.settings.pool == pool && !entry.second.leaving && !entry.second.reportedLeaving;
+    }));
+}
+
+std::optional<EndpointSettings> EndpointTable::chooseForProbe(
+    const std::string& pool, const std::function<bool(const EndpointId&)>& hasFailed) const
+{
+    const Entry* chosen = nullptr;
+    for (const auto& [id, entry] : m_entries) {
+        if (entry.settings.pool != pool || entry.leaving || entry.reportedLeaving)
+            continue;
+        if (!hasFailed(id))
+            return entry.settings;
+        chosen = &entry;
+    }
+    return chosen ? std::optional(chosen->settings) : std::nullopt;
+}
+
+void EndpointTable::forgetSuspicions(const std::string& pool)
+{
+    for (auto& [id, entry] : m_entries) {
+        if (entry.settings.pool != pool)
+            continue;
+        entry.suspectedUntil = MonotonicTime {};
+        entry.failedReports = 0;
+    }
+}
+
 void EndpointTable::suspect(Entry& entry, MonotonicTime until, const std::string& reason, EffectList& effects)
 {
     entry.suspectedUntil = std::max(entry.suspectedUntil, until);
--- a/src/runtime/CommonEffects.h
+++ b/src/runtime/CommonEffects.h
@@ -4,6 +4,7 @@
 #include <catkinwell/http/CallerListener.h>
 #include <catkinwell/logging/EventLog.h>
 #include <catkinwell/reducer/Effect.h>
+#include <catkinwell/runtime/RelayTransport.h>
 #include <catkinwell/store/HttpStoreClient.h>
 
 namespace Catkinwell {
@@ -41,4 +42,26 @@
     attempts.signalFailed().connect(slot);
 }
 
+// Returns the settings of the listener for relayed requests.
+inline ListenerSettings relayListenerAt(const std::string& address)
+{
+    // A caller's largest body with its head and the terms; the relaying host has checked it.
+    constexpr std::size_t largestRelayBytes = 64 * 1024 * 1024;
+    ListenerSettings listener;
+    listener.address = address;
+    listener.maximumBodyBytes = largestRelayBytes;
+    return listener;
+}
+
+// Connects the signals of the relay to the slot, and its log entries to the log.
+template <typename Slot>
+void connectRelayEvents(CallerListener& relays, RelayTransport& transport, EventLog& log, const Slot& slot)
+{
+    relays.signalCallerLeft().connect(slot);
+    relays.signalBackpressure().connect(slot);
+    transport.signalRequest().connect(slot);
+    transport.signalFailed().connect(slot);
+    transport.logEntry().connect([&log](const LogEntry& entry) { log.write(entry); });
+}
+
 } // namespace Catkinwell
--- a/src/runtime/GatewayRuntime.cpp
+++ b/src/runtime/GatewayRuntime.cpp
@@ -23,7 +23,6 @@
     constexpr std::uint64_t firstStatusId = 1ULL << 62;
     constexpr std::uint64_t firstMetricsId = 1ULL << 63;
     constexpr std::size_t secretBytes = 32;
-    constexpr std::size_t largestRelayBytes = 64 * 1024 * 1024;
 
     ListenerSettings callerSettingsOf(const GatewaySettings& settings)
     {
@@ -33,15 +32,6 @@
         return listener;
     }
 
-    ListenerSettings relaySettingsOf(const GatewaySettings& settings)
-    {
-        ListenerSettings listener;
-        listener.address = settings.relayAddress;
-        // A caller's largest body with its head and the terms; the relaying host has checked it.
-        listener.maximumBodyBytes = largestRelayBytes;
-        return listener;
-    }
-
     ListenerSettings statusSettingsOf(const std::string& address)
     {
         ListenerSettings listener;
@@ -153,7 +143,7 @@
     , m_log(m_settings.log, m_clock)
     , m_client(m_loop, m_settings.sourceAddress)
     , m_callers(m_loop, callerSettingsOf(m_settings), 0)
-    , m_relays(m_loop, relaySettingsOf(m_settings), firstRelayId)
+    , m_relays(m_loop, relayListenerAt(m_settings.relayAddress), firstRelayId)
     , m_status(m_loop, statusSettingsOf(m_settings.statusAddress), firstStatusId)
     , m_metrics(m_loop, statusSettingsOf(m_settings.metricsAddress), firstMetricsId)
     , m_store(m_loop, m_client, m_clock, m_settings.storeAddress, m_storeProtocol)
@@ -180,11 +170,7 @@
 {
     const auto postEvent = [this](const auto& event) { m_events.post(event); };
     connectCommonEvents(m_callers, m_attempts, postEvent);
-    m_relays.signalCallerLeft().connect(postEvent);
-    m_relays.signalBackpressure().connect(postEvent);
-    m_relayTransport.signalRequest().connect(postEvent);
-    m_relayTransport.signalFailed().connect(postEvent);
-    m_relayTransport.logEntry().connect([this](const LogEntry& entry) { m_log.write(entry); });
+    connectRelayEvents(m_relays, m_relayTransport, m_log, postEvent);
     for (CallerListener* listener : { &m_status, &m_metrics })
         listener->signalRequest().connect(
             [this](const RequestArrived& request) { m_events.post(AdminRequestArrived { request }); });
--- a/src/runtime/Runtime.cpp
+++ b/src/runtime/Runtime.cpp
@@ -6,6 +6,7 @@
 #include <catkinwell/http/HttpClient.h>
 #include <catkinwell/peer/PeerTransport.h>
 #include <catkinwell/reducer/Reducer.h>
+#include <catkinwell/runtime/RelayTransport.h>
 #include <catkinwell/store/ConsulStoreClient.h>
 #include <csignal>
 
@@ -15,7 +16,8 @@
 
     // Time to flush the output buffers after the reducer has finished.
     constexpr Duration flushTimeout = std::chrono::seconds(5);
-    // Request identifiers of the administration listener are above this value.
+    // Request identifiers of the relay and administration listeners are above these values.
+    constexpr std::uint64_t firstRelayId = 1ULL << 61;
     constexpr std::uint64_t firstAdministrationId = 1ULL << 62;
 
     class SystemSecretSource final : public SecretSource {
@@ -50,8 +52,12 @@
 
     void connectSignals();
     void apply(const Event&);
-    std::size_t unflushedAnswers() const { return m_callers.unflushedAnswers() + m_administration.unflushedAnswers(); }
-    CallerListener& listenerOf(RequestId id) { return id.value > firstAdministrationId ? m_administration : m_callers; }
+    std::size_t unflushedAnswers() const
+    {
+        return m_callers.unflushedAnswers() + m_relays.unflushedAnswers() + m_administration.unflushedAnswers();
+    }
+    std::vector<CallerListener*> listeners();
+    CallerListener& listenerOf(RequestId);
 
     ProcessSettings m_settings;
     SystemClock m_clock;
@@ -61,9 +67,11 @@
     EventLog m_log;
     HttpClient m_client;
     CallerListener m_callers;
+    CallerListener m_relays;
     CallerListener m_administration;
     ConsulStoreClient m_store;
     EngineClient m_engines;
+    RelayTransport m_relayTransport;
     PeerTransport m_peers;
     Reducer m_reducer;
     ReducerLoop<Event> m_events;
@@ -89,10 +97,10 @@
     void operator()(const FetchEndpointReport& effect) const { runtime.m_engines.execute(effect); }
     void operator()(const PlacementCommand& effect) const { runtime.m_engines.execute(effect); }
     void operator()(const SendToPeer& effect) const { runtime.m_peers.send(effect); }
+    void operator()(const StartRelay& effect) const { runtime.m_relayTransport.execute(effect); }
     void operator()(const SetPeerAddresses& effect) const { runtime.m_peers.setPeerAddresses(effect.addresses); }
     // Only a gateway has these effects.
     void operator()(const SetCallerLimits&) const { }
-    void operator()(const StartRelay&) const { }
     void operator()(const AnnounceClosing&) const { }
     void operator()(const StartPeerTransport&) const { }
     void operator()(const FetchEngineStatus&) const { }
@@ -111,20 +119,39 @@
     , m_log(m_settings.log, m_clock)
     , m_client(m_loop, m_settings.sourceAddress)
     , m_callers(m_loop, m_settings.callers, 0)
+    , m_relays(m_loop, relayListenerAt(m_settings.relayAddress), firstRelayId)
     , m_administration(m_loop, m_settings.administration, firstAdministrationId)
     , m_store(m_loop, m_client, m_clock, m_settings.storeAddress)
     , m_engines(m_loop, m_client, m_clock)
+    , m_relayTransport(m_settings.host, m_incarnation, m_relays, m_engines)
     , m_peers(m_loop.base(), peerSettingsOf(m_settings, m_incarnation))
     , m_reducer(reducerSettingsOf(m_settings, m_incarnation), m_secrets, m_clock.monotonicNow(), m_clock.wallNow())
     , m_events(m_loop, m_clock, m_log, [this](const Event& event) { apply(event); })
 {
+    m_relayTransport.setSecret(m_settings.clusterSecret);
     connectSignals();
 }
 
+std::vector<CallerListener*> Runtime::Implementation::listeners()
+{
+    std::vector<CallerListener*> listeners { &m_callers, &m_administration };
+    if (!m_settings.relayAddress.empty())
+        listeners.push_back(&m_relays);
+    return listeners;
+}
+
+CallerListener& Runtime::Implementation::listenerOf(RequestId id)
+{
+    if (id.value > firstAdministrationId)
+        return m_administration;
+    return id.value > firstRelayId ? m_relays : m_callers;
+}
+
 void Runtime::Implementation::connectSignals()
 {
     const auto postEvent = [this](const auto& event) { m_events.post(event); };
     connectCommonEvents(m_callers, m_engines, postEvent);
+    connectRelayEvents(m_relays, m_relayTransport, m_log, postEvent);
     m_administration.signalRequest().connect(
         [this](const RequestArrived& request) { m_events.post(AdminRequestArrived { request }); });
     m_administration.signalCallerLeft().connect(postEvent);
@@ -138,7 +165,7 @@
 
 Status Runtime::Implementation::start()
 {
-    for (CallerListener* listener : { &m_callers, &m_administration }) {
+    for (CallerListener* listener : listeners()) {
         Status status = listener->start();
         if (isError(status))
             return status;
--- a/src/settings/ProcessSettings.cpp
+++ b/src/settings/ProcessSettings.cpp
@@ -77,6 +77,11 @@
             if (isError(status))
                 return status;
         }
+        if (!settings.relayAddress.empty()) {
+            Status status = checkAddress(settings.relayAddress, "/peers/relay_listen");
+            if (isError(status))
+                return status;
+        }
         if (!settings.sourceAddress.empty() && !isIpAddress(settings.sourceAddress))
             return settingsError("/source_address: found \"" + settings.sourceAddress
                 + "\"; expected an IP address, for example 127.0.0.1");
@@ -109,6 +114,7 @@
     settings.administration = readListener(document["administration"], administrationHeaders);
     readCredentials(document["administration"], settings);
     settings.peerAddress = document["peers"]["listen"].get<std::string>();
+    settings.relayAddress = document["peers"].value("relay_listen", "");
     settings.storeAddress = document["store"]["address"].get<std::string>();
     settings.sourceAddress = document.value("source_address", "");
     const Json seeds = document["peers"].value("seeds", Json::object());
--- a/src/settings/ProcessSettingsSchema.h
+++ b/src/settings/ProcessSettingsSchema.h
@@ -54,6 +54,7 @@
           "oneOf": [ { "required": ["file"] }, { "required": ["environment"] } ],
           "properties": { "file": { "type": "string" }, "environment": { "type": "string" } }
         },
+        "relay_listen": { "type": "string" },
         "seeds": { "type": "object" }
       }
     },
--- a/tests/process/FleetFixture.cpp
+++ b/tests/process/FleetFixture.cpp
@@ -46,7 +46,7 @@
         m_endpointLinks = std::make_unique<EndpointLinks>(targets);
     }
     for (std::size_t i = 0; i < options.hosts; ++i)
-        m_hostPorts.push_back({ freePort(), freePort(), freePort() });
+        m_hostPorts.push_back({ freePort(), freePort(), freePort(), freePort() });
     m_hosts.resize(options.hosts);
     if (!eventually([this] { return answers(m_storePort, "/emulator/statistics"); }, startTimeout))
         throw std::runtime_error("the emulated store did not start");
@@ -93,7 +93,7 @@
                     Json::array({ { { "name", "tester" }, { "token_sha256", sha256Hex(adminToken) },
                         { "roles", { "read", "operate", "grant_keys" } } } }) } } },
         { "peers",
-            { { "listen", address(ports.peers) },
+            { { "listen", address(ports.peers) }, { "relay_listen", address(ports.relays) },
                 { "cluster_secret", { { "environment", "CATKINWELL_CLUSTER_SECRET" } } }, { "seeds", seeds } } },
         { "store", { { "address", address(m_storePort) } } } };
     if (m_endpointLinks)
--- a/tests/process/FleetFixture.h
+++ b/tests/process/FleetFixture.h
@@ -58,6 +58,7 @@
         std::uint16_t callers = 0;
         std::uint16_t administration = 0;
         std::uint16_t peers = 0;
+        std::uint16_t relays = 0;
     };
 
     nlohmann::json fleetDocument() const;
--- a/tests/process/LostPathTest.cpp
+++ b/tests/process/LostPathTest.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::size_t cutHost = 0;
-constexpr std::size_t otherHost = 1;
+constexpr std::size_t otherHost = 2;
 constexpr int rounds = 8;
 // From this time after the cut on, its callers must be served.
 constexpr std::chrono::milliseconds recoveryTime { 3000 };
@@ -19,6 +19,8 @@
     LinkState state;
     // Whether only the plain service is out of reach, or all endpoints.
     bool isServiceOnly;
+    // How many hosts lose their links, the first ones.
+    std::size_t hosts;
 };
 
 struct Outcomes {
@@ -51,14 +53,20 @@
             REQUIRE(send(m_fleet.completion("notes", "warm up", false, host)).status == 200);
     }
 
-    FleetFixture& fleet() { return m_fleet; }
-
     void cut(const LostPathCase& test)
     {
-        if (test.isServiceOnly)
-            m_fleet.setServiceLink(cutHost, test.state);
-        else
-            m_fleet.setEndpointLinks(cutHost, test.state);
+        for (std::size_t host = 0; host < test.hosts; ++host) {
+            if (test.isServiceOnly)
+                m_fleet.setServiceLink(host, test.state);
+            else
+                m_fleet.setEndpointLinks(host, test.state);
+        }
+    }
+
+    void heal(const LostPathCase& test)
+    {
+        for (std::size_t host = 0; host < test.hosts; ++host)
+            m_fleet.setEndpointLinks(host, LinkState::Open);
     }
 
     // One of each kind of request: plain, streamed, a keyed order and a lookup.
@@ -120,11 +128,12 @@
 TEST_CASE("A serving process without a path to endpoints has its callers served")
 {
     const auto test = GENERATE(values<LostPathCase>({
-        { "silent", LinkState::Silent, false },
-        { "reset", LinkState::Refused, false },
-        { "new connections silent", LinkState::SilentWhenNew, false },
-        { "new connections reset", LinkState::RefusedWhenNew, false },
-        { "the plain service alone", LinkState::Refused, true },
+        { "silent", LinkState::Silent, false, 1 },
+        { "reset", LinkState::Refused, false, 1 },
+        { "new connections silent", LinkState::SilentWhenNew, false, 1 },
+        { "new connections reset", LinkState::RefusedWhenNew, false, 1 },
+        { "the plain service alone", LinkState::Refused, true, 1 },
+        { "two hosts, reset", LinkState::Refused, false, 2 },
     }));
     LostPathFixture fixture;
     fixture.cut(test);
@@ -135,7 +144,7 @@
     const Outcomes cut = fixture.sendRounds(cutHost, rounds);
     const Outcomes other = fixture.sendRounds(otherHost, rounds);
     quarantined += cut.quarantined + other.quarantined;
-    fixture.fleet().setEndpointLinks(cutHost, LinkState::Open);
+    fixture.heal(test);
     std::this_thread::sleep_for(recoveryTime);
     const Outcomes after = fixture.sendRounds(cutHost, 2);
     std::vector<std::string> broken;
--- a/tests/settings/ProcessSettingsTest.cpp
+++ b/tests/settings/ProcessSettingsTest.cpp
@@ -50,6 +50,7 @@
         { "/callers/listen", 5, "/callers/listen", "5" },
         { "/callers/listen", "localhost:80", "/callers/listen", "IP address" },
         { "/store/address", "127.0.0.1", "/store/address", "IP address and port" },
+        { "/peers/relay_listen", "127.0.0.1", "/peers/relay_listen", "IP address and port" },
         { "/source_address", "127.0.0.1:80", "/source_address", "IP address" },
         { "/peers/cluster_secret", { { "environment", "NOT_SET_ANYWHERE" } }, "/peers/cluster_secret",
             "NOT_SET_ANYWHERE" },
