Answer only the paths of the models API as such

Cause: any path that begins with /v1/models counted. Change: that path itself, or one below it. The new row of "Bad requests get a typed error" failed before ("model_not_found" where "unknown_route" is due) and passes.

--- a/src/requests/RequestIntake.cpp
+++ b/src/requests/RequestIntake.cpp
@@ -16,6 +16,12 @@
     constexpr int highestPriority = 9;
     constexpr Duration shortestDeadline = std::chrono::milliseconds(1);
 
+    // The list of the models, or one of them.
+    bool isModelsPath(const std::string& path)
+    {
+        return path == modelsPath || path.starts_with(std::string(modelsPath) + '/');
+    }
+
     std::optional<std::int64_t> parseInteger(const std::string& text)
     {
         std::int64_t value = 0;
@@ -53,7 +59,7 @@
     intake.request->id = arrived.id;
     intake.request->arrivedAt = now;
     const RouteSettings* route = isCompletionPath(arrived.path) ? nullptr : findRoute(arrived.path);
-    if (!route && !isCompletionPath(arrived.path) && !arrived.path.starts_with(modelsPath)) {
+    if (!route && !isCompletionPath(arrived.path) && !isModelsPath(arrived.path)) {
         refuse(arrived.id, AccountId(), { ApiErrorCode::UnknownRoute, "no route serves the path " + arrived.path },
             effects);
         return;
@@ -61,7 +67,7 @@
     intake.open = route && route->access == RouteAccess::Open;
     if (!intake.open && !authenticate(arrived, intake, effects))
         return;
-    if (arrived.path.starts_with(modelsPath) && !route) {
+    if (isModelsPath(arrived.path) && !route) {
         answerModels(arrived, effects);
         return;
     }
--- a/tests/process/EndToEndTest.cpp
+++ b/tests/process/EndToEndTest.cpp
@@ -76,6 +76,7 @@
         { { port, "POST", "/v1/completions", {}, "{}" }, 401, "invalid_api_key" },
         { { port, "POST", "/v1/completions", { { "Authorization", "Bearer nope" } }, "{}" }, 401, "invalid_api_key" },
         { { port, "GET", "/nowhere", keyed }, 404, "unknown_route" },
+        { { port, "GET", "/v1/modelsx", keyed }, 404, "unknown_route" },
         { { port, "GET", "/v1/completions", keyed }, 405, "method_not_allowed" },
         { { port, "POST", "/v1/completions", keyed, "{\"model\":" }, 400, "invalid_json" },
         { { port, "POST", "/v1/completions", keyed, std::string(5000, '[') }, 400, "invalid_json" },
