Still try the last endpoint of a service after an answer that failed

Callers saw: once a service cut, reset or spoiled one answer, the next requests to it got 503 no_endpoint for two seconds.

Cause: any failed attempt made the endpoint suspected, also where it was the only one. Change: the last usable endpoint of a plain service is suspected only if no connection can be opened; a failed answer says little about the next one, and waiting helps nobody. Engines are suspected as before, since an engine that breaks a connection has often ended.

--- a/include/catkinwell/routing/EndpointTable.h
+++ b/include/catkinwell/routing/EndpointTable.h
@@ -70,8 +70,9 @@
 
     // Ends an attempt that choose() counted.
     void attemptEnded(const EndpointId&);
-    // Marks the endpoint as suspected for a few seconds, after it closed a connection or did not respond.
-    void attemptFailed(const EndpointId&, MonotonicTime now, EffectList&);
+    // Marks the endpoint as suspected for a few seconds, after it closed a connection or did not respond. The last
+    // usable endpoint of a service is suspected only if no connection can be opened.
+    void attemptFailed(const EndpointId&, AttemptFailure, MonotonicTime now, EffectList&);
 
     // Counts the endpoints of the pool that are not leaving.
     std::size_t count(const std::string& pool) const;
@@ -115,6 +116,7 @@
     };
 
     bool isUsable(const Entry&, MonotonicTime now) const;
+    bool isLastOfService(const Entry&, MonotonicTime now) const;
     bool canServe(const Entry&, const EndpointRequirements&, MonotonicTime now) const;
     EndpointScore scoreOf(const Entry&, const EndpointRequirements&, MonotonicTime now) const;
     void rememberPrefix(Entry&, std::uint64_t hash, MonotonicTime now);
--- a/src/requests/RequestAnswers.cpp
+++ b/src/requests/RequestAnswers.cpp
@@ -226,7 +226,7 @@
         return;
     }
     noteNotReached(*request, failed.failure, now, effects);
-    m_modules.endpoints.attemptFailed(request->endpoint, now, effects);
+    m_modules.endpoints.attemptFailed(request->endpoint, failed.failure, now, effects);
     request->excluded.insert(request->endpoint);
     if (failed.outcome == AttemptOutcome::Unknown && failed.failure == AttemptFailure::Broken)
         noteBrokenAnswer(*request, now);
--- a/src/routing/EndpointTable.cpp
+++ b/src/routing/EndpointTable.cpp
@@ -270,13 +270,25 @@
         --entry.reportedLoad;
 }
 
-void EndpointTable::attemptFailed(const EndpointId& endpoint, MonotonicTime now, EffectList& effects)
+// A plain service that fails one answer may work for the next; without another endpoint, waiting helps nobody.
+bool EndpointTable::isLastOfService(const Entry& entry, MonotonicTime now) const
+{
+    return entry.settings.kind == EndpointKind::Service
+        && std::none_of(m_entries.begin(), m_entries.end(), [&](const auto& other) {
+               return &other.second != &entry && other.second.settings.pool == entry.settings.pool
+                   && isUsable(other.second, now);
+           });
+}
+
+void EndpointTable::attemptFailed(
+    const EndpointId& endpoint, AttemptFailure failure, MonotonicTime now, EffectList& effects)
 {
     const auto found = m_entries.find(endpoint);
     if (found == m_entries.end())
         return;
     Entry& entry = found->second;
-    suspect(entry, now + suspicionAfterFailure, "an attempt failed", effects);
+    if (failure == AttemptFailure::Connect || !isLastOfService(entry, now))
+        suspect(entry, now + suspicionAfterFailure, "an attempt failed", effects);
     entry.nextReportAt = now;
     entry.attemptFailedAt = now;
     entry.deathDetected = false;
--- a/tests/routing/EndpointTableTest.cpp
+++ b/tests/routing/EndpointTableTest.cpp
@@ -79,7 +79,7 @@
 {
     TableFixture fixture;
     fixture.table.setLeaving({ EndpointId("near-1") }, fixture.now, fixture.effects);
-    fixture.table.attemptFailed(EndpointId("near-2"), fixture.now, fixture.effects);
+    fixture.table.attemptFailed(EndpointId("near-2"), AttemptFailure::Broken, fixture.now, fixture.effects);
     fixture.excluded = { EndpointId("far") };
     CHECK(fixture.choose() == "none");
     fixture.now += std::chrono::seconds(10);
@@ -128,3 +128,41 @@
     // Allows twice the rate of four per second, and one round at the start.
     CHECK(fetches <= static_cast<std::size_t>(seconds) * 8 + static_cast<std::size_t>(count));
 }
+
+namespace {
+
+struct FailedServiceCase {
+    const char* name;
+    std::vector<AttemptFailure> failures;
+    std::size_t endpoints;
+    bool isUsable;
+};
+
+} // namespace
+
+// Guards against callers of a service that are refused for seconds because one answer broke off.
+TEST_CASE("The last endpoint of a service is still tried after an answer that failed")
+{
+    const auto test = GENERATE(values<FailedServiceCase>({
+        { "one broken answer", { AttemptFailure::Broken }, 1, true },
+        { "one answer that cannot be read", { AttemptFailure::Garbage }, 1, true },
+        { "no connection", { AttemptFailure::Connect }, 1, false },
+        { "both endpoints broke an answer", { AttemptFailure::Broken, AttemptFailure::Broken }, 2, true },
+        { "neither accepts a connection", { AttemptFailure::Connect, AttemptFailure::Connect }, 2, false },
+    }));
+    INFO(test.name);
+    FleetConfiguration configuration;
+    EndpointTable table { DataCentreId("here"), 7 };
+    EffectList effects;
+    const MonotonicTime now { std::chrono::hours(1) };
+    for (std::size_t i = 0; i < test.endpoints; ++i) {
+        EndpointSettings service = engine("desk-" + std::to_string(i), "here");
+        service.kind = EndpointKind::Service;
+        configuration.endpoints[service.id] = service;
+    }
+    table.configure(configuration);
+    for (std::size_t i = 0; i < test.failures.size(); ++i)
+        table.attemptFailed(EndpointId("desk-" + std::to_string(i)), test.failures[i], now, effects);
+    CHECK(table.hasUsableEndpoint("p", now) == test.isUsable);
+    CHECK(table.choose({ RequestId(1), "p", ModelId(), 0, {} }, now, effects).has_value() == test.isUsable);
+}
