Wait in the process tests until the emulated endpoints listen

Cause: the fixture waited for the store and the hosts only, so the first request could come before the emulated service listened. It waits for all endpoints now.

--- a/tests/process/FleetFixture.cpp
+++ b/tests/process/FleetFixture.cpp
@@ -50,6 +50,12 @@
     m_hosts.resize(options.hosts);
     if (!eventually([this] { return answers(m_storePort, "/emulator/statistics"); }, startTimeout))
         throw std::runtime_error("the emulated store did not start");
+    std::vector<std::uint16_t> endpointPorts = m_enginePorts;
+    endpointPorts.push_back(m_servicePort);
+    for (const std::uint16_t port : endpointPorts) {
+        if (!eventually([port] { return answers(port, "/emulator/executions"); }, startTimeout))
+            throw std::runtime_error("an emulated endpoint did not start");
+    }
     for (std::size_t i = 0; i < options.hosts; ++i)
         startHost(i);
     Json document = fleetDocument();
