Keep the parts of a refusal suspected until they are answered

Change: for trials, another refusal does not clear a part that is itself in a refusal. It is tried with one request at a time until it is answered; what is refused does not change.

Why it works: copies wait for the first one, whose end says what the others would do.

--- a/include/catkinwell/routing/PromptQuarantine.h
+++ b/include/catkinwell/routing/PromptQuarantine.h
@@ -219,6 +219,12 @@
         MonotonicTime at {};
     };
 
+    // The crashes of a part's requests that speak against it: all, or those that no refusal without it accounts for.
+    enum class CrashesThatCount {
+        All,
+        NotExplained,
+    };
+
     // What speaks against a part.
     struct Evidence {
         unsigned crashes = 0;
@@ -255,7 +261,7 @@
     std::optional<std::uint32_t> eventsBeforeCrash(PromptPartHash) const;
     bool isExplained(const Crash&, PromptPartHash) const;
     PromptParts partsOfSeveralCrashes() const;
-    Evidence evidenceAgainst(PromptPartHash) const;
+    Evidence evidenceAgainst(PromptPartHash, CrashesThatCount = CrashesThatCount::NotExplained) const;
     bool isConclusive(const Evidence&, MonotonicTime now) const;
     static bool isStronger(const Evidence&, const Evidence&);
     PromptParts suspectedPartsOf(const Evidence&) const;
--- a/src/routing/PromptQuarantine.cpp
+++ b/src/routing/PromptQuarantine.cpp
@@ -138,11 +138,11 @@
     });
 }
 
-PromptQuarantine::Evidence PromptQuarantine::evidenceAgainst(PromptPartHash part) const
+PromptQuarantine::Evidence PromptQuarantine::evidenceAgainst(PromptPartHash part, CrashesThatCount which) const
 {
     Evidence evidence;
     for (const Crash& crash : m_crashes) {
-        if (wasAnsweredSince(part, crash.at) || isExplained(crash, part))
+        if (wasAnsweredSince(part, crash.at) || (which == CrashesThatCount::NotExplained && isExplained(crash, part)))
             continue;
         bool isInvolved = false;
         for (const auto& [fingerprint, involved] : crash.requests) {
@@ -304,7 +304,9 @@
     for (const PromptPartHash part : parts) {
         if (!isSuspected(part))
             continue;
-        const Evidence evidence = evidenceAgainst(part);
+        // Another refusal does not clear a part that is refused together with others.
+        const auto which = isInRefusal(part) ? CrashesThatCount::All : CrashesThatCount::NotExplained;
+        const Evidence evidence = evidenceAgainst(part, which);
         const bool isNew = !m_answeredParts.contains(part, now);
         const bool isStrong = evidence.crashes > 1 || (isNew && evidence.runs >= strongRuns);
         if (evidence.crashes == 0 || !(isNew || isStrong))
--- a/tests/routing/PromptQuarantineTest.cpp
+++ b/tests/routing/PromptQuarantineTest.cpp
@@ -398,3 +398,35 @@
     }
     CHECK_FALSE(quarantine.isRefused({ companion, 901 }, now + 1s));
 }
+
+// Guards against copies of a request that run at once, because another refusal explains the crashes of a part that they
+// share with a refused request.
+TEST_CASE("A part of a refusal stays suspected until it is answered")
+{
+    struct Case {
+        const char* name;
+        bool isAnswered;
+        bool isSuspected;
+    };
+    const auto test = GENERATE(values<Case>({ { "not answered", false, true }, { "answered since", true, false } }));
+    INFO(test.name);
+    PromptFleet fleet(1);
+    PromptQuarantine& host = fleet.hosts.front();
+    constexpr RequestFingerprint repeated = 500;
+    for (int i = 0; i < 3; ++i) {
+        const EndpointId endpoint("engine-" + std::to_string(i));
+        host.attemptBroken(endpoint, { repeated, { deadly, companion, popular, repeated } }, fleet.now);
+        // Another request with the companion ran beside it.
+        if (i == 0)
+            host.attemptBroken(endpoint, { 600, { companion, popular, 600 }, 1, 40 }, fleet.now);
+        fleet.pass(1s);
+        fleet.answer(0, { popular });
+    }
+    fleet.pass(1s);
+    REQUIRE(fleet.isRefused(0, { companion, 601 }));
+    REQUIRE(fleet.isRefused(0, { deadly, companion, popular, repeated }));
+    REQUIRE_FALSE(fleet.isRefused(0, { deadly, 700 }));
+    if (test.isAnswered)
+        host.answered({ deadly }, fleet.now);
+    CHECK(host.suspicionOf({ deadly, 700 }, fleet.now).strongParts.contains(deadly) == test.isSuspected);
+}
