Refuse a part alone only for crashes that no refusal accounts for

Cause: once {A, B, fingerprint} was refused, the same crashes still spoke against A, because a refusal that holds a part did not account for its crashes; a sound request that had run beside the first one made A the only common part, and {A} was refused. That refusal in turn accounted for the crashes that spoke against B.

Change: the parts of a refusal are refused apart only if a crash happened under requests of which none is refused. Then the parts that its requests share with the refusal are refused, which one crash under another request suffices for.

--- a/include/catkinwell/routing/PromptQuarantine.h
+++ b/include/catkinwell/routing/PromptQuarantine.h
@@ -237,6 +237,8 @@
         std::set<RequestFingerprint> requests;
         // The parts that all of these requests have in common.
         PromptParts commonParts;
+        // Whether a refused request ran in each of the crashes.
+        bool isAccountedFor = true;
     };
 
     void expire(MonotonicTime now);
@@ -260,6 +262,7 @@
     // Returns the most events after which an endpoint crashed under a request with the part; nullopt if none did.
     std::optional<std::uint32_t> eventsBeforeCrash(PromptPartHash) const;
     bool isExplained(const Crash&, PromptPartHash) const;
+    bool isAccountedFor(const Crash&) const;
     PromptParts partsOfSeveralCrashes() const;
     Evidence evidenceAgainst(PromptPartHash, CrashesThatCount = CrashesThatCount::NotExplained) const;
     bool isConclusive(const Evidence&, MonotonicTime now) const;
--- a/src/routing/PromptQuarantine.cpp
+++ b/src/routing/PromptQuarantine.cpp
@@ -138,6 +138,13 @@
     });
 }
 
+// Whether a refused request ran in the crash.
+bool PromptQuarantine::isAccountedFor(const Crash& crash) const
+{
+    return std::any_of(crash.requests.begin(), crash.requests.end(),
+        [&](const auto& request) { return refusalOf(request.second.parts).has_value(); });
+}
+
 PromptQuarantine::Evidence PromptQuarantine::evidenceAgainst(PromptPartHash part, CrashesThatCount which) const
 {
     Evidence evidence;
@@ -155,6 +162,7 @@
             evidence.events += involved.events;
             isInvolved = true;
         }
+        evidence.isAccountedFor = evidence.isAccountedFor && (!isInvolved || isAccountedFor(crash));
         const Duration sameCauseTime
             = evidence.requests.size() == 1 ? m_settings.sameCauseTimeOfOneRequest : m_settings.sameCauseTime;
         if (!isInvolved || (evidence.crashes > 0 && crash.at - evidence.latest < sameCauseTime))
@@ -173,7 +181,7 @@
     const bool isOneRequest = evidence.requests.size() == 1;
     const bool areOthersAnswered = m_answerTimes.size() >= neededAnswers && m_answerTimes.front() >= evidence.first;
     const unsigned needed = isOneRequest || areOthersAnswered ? crashLimit : crashLimitWithoutAnswers;
-    return evidence.crashes >= needed && now - evidence.latest >= m_settings.settleTime;
+    return !evidence.isAccountedFor && evidence.crashes >= needed && now - evidence.latest >= m_settings.settleTime;
 }
 
 PromptParts PromptQuarantine::partsOfSeveralCrashes() const
