Complete requests that a stopping host serves for another host

Callers of serving processes saw: a relayed stream was cut, "the other host is gone", as soon as the host that served it was asked to stop, although it went on serving.

Cause: the relaying host took every host that is not live for silent, and one that is leaving is not live. Gateways keep leaving hosts while they hear them. Change: only a dead host is silent; one that is leaving refuses new requests by itself.

--- a/include/catkinwell/reducer/Reducer.h
+++ b/include/catkinwell/reducer/Reducer.h
@@ -62,7 +62,7 @@
     void propagateConfiguration(MonotonicTime now, EffectList&);
     void configureClaims();
     void propagateMembership(MonotonicTime now, EffectList&);
-    void noteRelayPeersHeard(MonotonicTime now);
+    void updateRelayPeers(MonotonicTime now);
     void setLeavingEndpoints(const std::set<EndpointId>&, MonotonicTime now, EffectList&);
     void updateDigestContents(MonotonicTime now, EffectList&);
     void updatePromptQuarantine(MonotonicTime now, EffectList&);
--- a/include/catkinwell/relay/RelayPeers.h
+++ b/include/catkinwell/relay/RelayPeers.h
@@ -23,7 +23,7 @@
 
     // The host accepts relayed requests at this address; none if it is empty.
     void setAddress(const HostId&, const DataCentreId&, const std::string& address);
-    // Hosts that take part in the fleet and are not leaving.
+    // Hosts that take part in the fleet. One that is leaving completes what it has accepted, and accepts nothing new.
     void setLive(const std::set<HostId>&);
     // The host was heard and cannot reach the endpoints of these services.
     void noteHeard(const HostId&, std::set<std::string> unreachableServices, MonotonicTime now);
--- a/src/reducer/Reducer.cpp
+++ b/src/reducer/Reducer.cpp
@@ -422,23 +422,28 @@
     m_liveHosts = std::move(live);
     m_claims.setLiveHosts(m_liveHosts);
     std::set<HostId> peers;
-    for (const HostView& view : m_membership.liveHosts(now)) {
-        peers.insert(view.host);
-        m_relayPeers.setAddress(view.host, view.dataCentre, view.relayAddress);
+    for (const LiveHost& host : m_liveHosts) {
+        if (host.host != m_settings.host.host)
+            peers.insert(host.host);
     }
     m_trials.setPeers(peers);
-    m_relayPeers.setLive(peers);
-    noteRelayPeersHeard(now);
+    updateRelayPeers(now);
     effects.push_back(SetPeerAddresses { m_membership.peerAddresses() });
 }
 
-// A live host tells whether it reaches the endpoints when a request is relayed to it.
-void Reducer::noteRelayPeersHeard(MonotonicTime now)
+// A host that is leaving completes the requests that it has accepted. Any host tells whether it can serve a request
+// when that is relayed to it.
+void Reducer::updateRelayPeers(MonotonicTime now)
 {
-    for (const LiveHost& live : m_liveHosts) {
-        if (live.host != m_settings.host.host)
-            m_relayPeers.noteHeard(live.host, {}, now);
+    std::set<HostId> peers;
+    for (const HostView& view : m_membership.hosts(now)) {
+        if (view.state == HostState::Dead)
+            continue;
+        peers.insert(view.host);
+        m_relayPeers.setAddress(view.host, view.dataCentre, view.relayAddress);
+        m_relayPeers.noteHeard(view.host, {}, now);
     }
+    m_relayPeers.setLive(peers);
 }
 
 void Reducer::setLeavingEndpoints(const std::set<EndpointId>& leaving, MonotonicTime now, EffectList& effects)
@@ -463,7 +468,7 @@
     if (now < m_nextDigestUpdateAt)
         return;
     m_nextDigestUpdateAt = now + digestUpdateInterval;
-    noteRelayPeersHeard(now);
+    updateRelayPeers(now);
     m_membership.setSuspectFingerprints(m_quarantine.nextDigest(now));
     m_membership.setConfigurationState(m_configuration.accepted().version, m_configuration.revokedKeys());
 }
--- a/tests/process/LostPathTest.cpp
+++ b/tests/process/LostPathTest.cpp
@@ -1,5 +1,7 @@
 #include "process/FleetFixture.h"
 #include <catch2/catch.hpp>
+#include <csignal>
+#include <future>
 #include <set>
 #include <thread>
 
@@ -159,3 +161,27 @@
     INFO("broken links: " << test.name << "\n" << cut.failures << after.failures);
     CHECK(broken == std::vector<std::string> {});
 }
+
+// Guards against streams that are cut because the host that serves them for another one is stopped.
+TEST_CASE("A planned stop of a host completes the requests that it serves for another host")
+{
+    FleetOptions options;
+    options.hosts = 2;
+    options.hasEndpointLinks = true;
+    options.tokenMilliseconds = 500;
+    FleetFixture fleet(options);
+    for (std::size_t host = 0; host < 2; ++host)
+        REQUIRE(send(fleet.completion("notes", "warm up", false, host)).status == 200);
+    fleet.setEndpointLinks(cutHost, LinkState::Refused);
+    const HttpCall stream = fleet.completion("notes", "a long answer", true, cutHost);
+    REQUIRE(eventually([&] { return send(stream).status == 200; }, recoveryTime));
+    std::future<HttpAnswer> answer = std::async(std::launch::async, [&stream] { return send(stream); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(800));
+    fleet.host(1).signal(SIGTERM);
+    const HttpAnswer received = answer.get();
+    INFO(received.status << " " << received.body);
+    CHECK(received.status == 200);
+    CHECK(received.complete);
+    CHECK(received.body.find("[DONE]") != std::string::npos);
+    CHECK(fleet.host(1).waitForExit(std::chrono::seconds(20)) == 0);
+}
