Keep the order of delayed bytes in the tests' proxy also if their delays end together

Cause: each piece had a timer of its own; the loop's clock has a resolution of milliseconds, and timers that end at the same time fire in any order.

Change: the pieces of a direction wait in a queue, and each timer sends the first.

--- a/tests/fleet/FaultProxy.cpp
+++ b/tests/fleet/FaultProxy.cpp
@@ -1,6 +1,7 @@
 #include "fleet/FaultProxy.h"
 
 #include <array>
+#include <deque>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -49,8 +50,8 @@
     std::string callerHost;
     // Whether all bytes of the connection are discarded from now on.
     bool hasLostBytes = false;
-    // Pieces from the caller, and to it, that arrive later.
-    std::array<unsigned, 2> delayed {};
+    // Pieces from the caller, and to it, that arrive later, in their order. Timers that end together fire in any order.
+    std::array<std::deque<std::string>, 2> delayed;
     bool isClosed = false;
 };
 
@@ -153,18 +154,19 @@
         return;
     }
     // Bytes that follow delayed ones must not overtake them.
-    if (stateFor(link.callerHost) != LinkState::Delayed && link.delayed[isBack] == 0) {
+    if (stateFor(link.callerHost) != LinkState::Delayed && link.delayed[isBack].empty()) {
         bufferevent_write_buffer(to, input);
         return;
     }
-    ++link.delayed[isBack];
-    std::string bytes(evbuffer_get_length(input), '\0');
-    evbuffer_remove(input, bytes.data(), bytes.size());
-    m_loop.callLater(linkDelay, [weak = link.weak_from_this(), bytes, isBack] {
+    std::string received(evbuffer_get_length(input), '\0');
+    evbuffer_remove(input, received.data(), received.size());
+    link.delayed[isBack].push_back(std::move(received));
+    m_loop.callLater(linkDelay, [weak = link.weak_from_this(), isBack] {
         const auto alive = weak.lock();
         if (!alive)
             return;
-        --alive->delayed[isBack];
+        const std::string bytes = std::move(alive->delayed[isBack].front());
+        alive->delayed[isBack].pop_front();
         if (!alive->isClosed)
             bufferevent_write(isBack ? alive->caller : alive->target, bytes.data(), bytes.size());
     });
