--- a/include/catkinwell/gateway/StreamVersionRecords.h
+++ b/include/catkinwell/gateway/StreamVersionRecords.h
@@ -28,7 +28,7 @@
 class StreamVersionRecords {
 public:
     // Precondition: no other object uses StoreUser::Streams or StoreUser::StreamReads.
-    StreamVersionRecords(HostId self, Incarnation, StreamVersionRecordSettings settings = {});
+    StreamVersionRecords(const HostId& self, Incarnation, StreamVersionRecordSettings settings = {});
 
     // Time between two records; grows with the number of hosts that share the store's write rate.
     void setInterval(Duration interval) { m_writes.setInterval(interval); }
--- a/src/gateway/StreamVersionRecords.cpp
+++ b/src/gateway/StreamVersionRecords.cpp
@@ -21,7 +21,8 @@
 
 } // namespace
 
-StreamVersionRecords::StreamVersionRecords(HostId self, Incarnation incarnation, StreamVersionRecordSettings settings)
+StreamVersionRecords::StreamVersionRecords(
+    const HostId& self, Incarnation incarnation, StreamVersionRecordSettings settings)
     : m_keyStart(settings.keyPrefix + self.value + '/' + std::to_string(incarnation) + '/')
     , m_settings(std::move(settings))
     , m_writes(StoreUser::Streams, callTimeout, defaultInterval)
