Tell answers that broke off from whole ones where only the connection ends them

Cause: an answer with neither a length nor chunks is completed by the end of its connection, and an endpoint that ends closes its connections in the same way. The host took every orderly end for the answer's and ended its own chunks. What it looked at before was not enough: an unfinished comment or line, the CR of a CRLF, the empty rest of a resumed stream and a content type in capitals passed for a whole stream (two parsers disagreed on where events end), and an end between two events, or of an answer that is no stream, was not looked at. The class of fault: absence of an error taken for success. The same on the caller's side: a caller of HTTP/1.0 gets no chunks, and the orderly close of a broken answer, also by the operating system, completed it. Change: one parser (EventStreamPosition) also serves the buffer and calls every unfinished line a break. If it does not answer, or another endpoint does at its address, the answer is broken: resumed or repeated where the route allows, else cut. A connection to a caller without chunks resets on close until its answer is whole. The answer to an HTTP/1.0 caller whose last bytes were already written was closed only by the idle timeout before. EventStreamPositionTest: the row of an unfinished comment expected a whole stream; an unfinished line is a break, so it now expects the opposite, and a row with a whole comment line keeps what it guarded. Why it works: an endpoint that ended cannot answer, so an end between events no longer passes unasked. Undecidable remains an endpoint that is up again within the round trip of the check, or one that ends single answers in order and runs on. Costs: one status check for each answer without a length, none for others.

--- a/include/catkinwell/gateway/EventStreamBuffer.h
+++ b/include/catkinwell/gateway/EventStreamBuffer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <catkinwell/gateway/EventStreamPosition.h>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -15,7 +16,11 @@
     // Returns the identifier of the last returned event; empty if there was none.
     const std::string& lastEventId() const { return m_lastEventId; }
     // Discards the buffered part of an incomplete event.
-    void dropPartial() { m_partial.clear(); }
+    void dropPartial()
+    {
+        m_partial.clear();
+        m_position = EventStreamPosition();
+    }
     // Returns the remaining buffered bytes at the end of the stream.
     std::string takeRest() { return std::exchange(m_partial, {}); }
 
@@ -23,6 +28,7 @@
     void updateLastEventId(std::string_view events);
 
     std::string m_partial;
+    EventStreamPosition m_position;
     std::string m_lastEventId;
 };
 
--- a/include/catkinwell/gateway/ForwardingProtocol.h
+++ b/include/catkinwell/gateway/ForwardingProtocol.h
@@ -53,6 +53,12 @@
     std::optional<double> rejectionsPerSecond;
 };
 
+// A request by which an endpoint shows that it is running. It has no effect at the endpoint.
+struct StatusCheck {
+    std::string target;
+    HeaderList headers;
+};
+
 // Defines the headers, store keys and documents of one platform. Pure; implementations are thread safe.
 class ForwardingProtocol {
 public:
@@ -65,6 +71,9 @@
     virtual AnswerTerms termsOf(int status, const HeaderList&) const = 0;
     // Returns the headers of an answer that are forwarded to the caller.
     virtual HeaderList answerHeaders(const HeaderList&) const = 0;
+    // Returns the cheapest request to which an endpoint of the service answers. Another endpoint at its address answers
+    // that it is misdirected.
+    virtual StatusCheck statusCheckOf(const GatewayService&, const EndpointId&) const = 0;
     // Name of the header that an endpoint echoes in its answer.
     virtual std::string echoHeader() const = 0;
 
--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -135,6 +135,8 @@
         std::size_t receivedBytes = 0;
         // Whether the answer is streamed to the caller.
         bool isForwarded = false;
+        // Whether only the end of its connection ended the answer.
+        bool endsWithConnection = false;
         // Whether the answer goes on after events that another endpoint sent.
         bool isRest = false;
         // Whether the request is suspected of having crashed the endpoint.
@@ -279,9 +281,19 @@
     // No byte of the request was sent: tries the next endpoint or host.
     void handleNotSent(Request&, const std::string& reason, MonotonicTime now, EffectList&);
     void handleNotExecuted(Request&, MonotonicTime now, EffectList&);
-    // Precondition: the request has an attempt whose answer has ended.
-    static bool isBrokenOff(const Request&);
+    // Precondition of the following: the request has an attempt whose answer has ended.
+    // Returns why the answer cannot be whole, by its bytes; empty if it can.
+    static std::string_view faultOfAnswer(const Request&);
+    static std::string_view faultOfStream(const Request&);
     void handleCompleteAnswer(Request&, MonotonicTime now, EffectList&);
+    void handleBrokenAnswer(Request&, std::string reason, MonotonicTime now, EffectList&);
+    // Passes the end of a whole answer on to the caller.
+    void deliverAnswer(Request&, MonotonicTime now, EffectList&);
+    // An endpoint that ends closes its connections as if its answers were complete: asks whether it still runs.
+    void checkEndpointRuns(Request&, MonotonicTime now, EffectList&);
+    // The events of such a check. Return whether the attempt was one.
+    bool handleCheck(const AttemptHead&, MonotonicTime now, EffectList&);
+    bool handleCheck(const AttemptFailed&, MonotonicTime now, EffectList&);
     // Retries the request at another endpoint if that is safe and allowed; otherwise fails it.
     void handleFailedAttempt(Request&, std::string reason, AttemptVerdict, MonotonicTime now, EffectList&);
     bool mayRepeat(const Request&, MonotonicTime now) const;
@@ -321,6 +333,8 @@
     std::map<std::string, LossInDoubt> m_lossesInDoubt;
     // Probes under way.
     std::map<AttemptId, std::pair<std::string, EndpointId>> m_probes;
+    // Checks whether endpoints still run, with the attempts whose answers they decide on.
+    std::unordered_map<AttemptId, AttemptId> m_endpointChecks;
     std::map<std::string, RetryBudget> m_budgets;
     std::size_t m_hostCount = 1;
     RequestMap m_requests;
--- a/include/catkinwell/http/HttpClient.h
+++ b/include/catkinwell/http/HttpClient.h
@@ -36,11 +36,13 @@
     std::string echoHeader;
 };
 
-// Callbacks of an exchange: onOpened if a new connection was opened for it, onHead, then onData any number of times,
-// then onFinished. onFailed ends the exchange at any point instead.
+// Callbacks of an exchange: onOpened if a new connection was opened for it, onUnframed if the response has neither a
+// length nor chunks, onHead, then onData any number of times, then onFinished. onFailed ends the exchange at any point
+// instead.
 struct HttpExchangeObserver {
     // May be left empty.
     sigc::slot<void()> onOpened;
+    sigc::slot<void()> onUnframed;
     sigc::slot<void(int status, const HeaderList&)> onHead;
     sigc::slot<void(std::string data)> onData;
     sigc::slot<void()> onFinished;
--- a/include/catkinwell/http/HttpTypes.h
+++ b/include/catkinwell/http/HttpTypes.h
@@ -123,6 +123,8 @@
 // The endpoint's response is complete.
 struct AttemptFinished {
     AttemptId id;
+    // Whether the response had neither a length nor chunks, so that only the end of its connection ended it.
+    bool endsWithConnection = false;
 };
 
 enum class AttemptOutcome {
--- a/src/endpoint/EngineClient.cpp
+++ b/src/endpoint/EngineClient.cpp
@@ -42,13 +42,15 @@
     const AttemptId id = attempt.id;
     const auto isNewConnection = std::make_shared<bool>(false);
     observer.onOpened = [isNewConnection] { *isNewConnection = true; };
+    const auto endsWithConnection = std::make_shared<bool>(false);
+    observer.onUnframed = [endsWithConnection] { *endsWithConnection = true; };
     observer.onHead = [this, id, isNewConnection](int status, const HeaderList& headers) {
         m_signalHead.emit(AttemptHead { id, status, headers, *isNewConnection });
     };
     observer.onData = [this, id](std::string data) { m_signalData.emit(AttemptData { id, std::move(data) }); };
-    observer.onFinished = [this, id] {
+    observer.onFinished = [this, id, endsWithConnection] {
         m_exchanges.erase(id);
-        m_signalFinished.emit(AttemptFinished { id });
+        m_signalFinished.emit(AttemptFinished { id, *endsWithConnection });
     };
     observer.onFailed = [this, id](AttemptOutcome outcome, AttemptFailure failure, std::string reason) {
         m_exchanges.erase(id);
--- a/src/gateway/EventStreamBuffer.cpp
+++ b/src/gateway/EventStreamBuffer.cpp
@@ -1,6 +1,7 @@
 #include <catkinwell/gateway/EventStreamBuffer.h>
 
 #include "http/HeaderText.h"
+#include <algorithm>
 
 namespace Catkinwell {
 
@@ -9,26 +10,14 @@
     // A longer event is forwarded in parts.
     constexpr std::size_t maximumPartialBytes = 1024 * 1024;
 
-    // Returns the position after the last empty line; 0 if there is none.
-    std::size_t endOfEvents(const std::string& text)
-    {
-        std::size_t end = 0;
-        for (const std::string_view separator : { "\n\n", "\r\n\r\n" }) {
-            const std::size_t at = text.rfind(separator);
-            if (at != std::string::npos)
-                end = std::max(end, at + separator.size());
-        }
-        return end;
-    }
-
 } // namespace
 
 std::string EventStreamBuffer::take(std::string_view data)
 {
     m_partial.append(data);
-    std::size_t end = endOfEvents(m_partial);
-    if (end == 0 && m_partial.size() > maximumPartialBytes)
-        end = m_partial.size();
+    m_position.feed(data);
+    const std::size_t open = std::min(m_position.openBytes(), m_partial.size());
+    const std::size_t end = open > maximumPartialBytes ? m_partial.size() : m_partial.size() - open;
     std::string complete = m_partial.substr(0, end);
     m_partial.erase(0, end);
     updateLastEventId(complete);
@@ -41,14 +30,11 @@
     // Searches backwards for the last line with an identifier.
     std::size_t end = events.size();
     while (end > 0) {
-        const std::size_t begin = events.rfind('\n', end - 1);
+        const std::size_t begin = events.find_last_of("\r\n", end - 1);
         const std::size_t start = begin == std::string_view::npos ? 0 : begin + 1;
-        std::string_view line = events.substr(start, end - start);
+        const std::string_view line = events.substr(start, end - start);
         if (line.starts_with(field)) {
-            line = trimmedSpaces(line.substr(field.size()));
-            if (line.ends_with('\r'))
-                line.remove_suffix(1);
-            m_lastEventId = line;
+            m_lastEventId = trimmedSpaces(line.substr(field.size()));
             return;
         }
         if (begin == std::string_view::npos)
--- a/src/gateway/EventStreamPosition.cpp
+++ b/src/gateway/EventStreamPosition.cpp
@@ -1,6 +1,7 @@
 #include <catkinwell/gateway/EventStreamPosition.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Catkinwell {
 
@@ -9,15 +10,15 @@
     while (!data.empty()) {
         const char first = data.front();
         if (first == '\n' || first == '\r') {
-            const bool endsCarriageReturn = first == '\n' && m_lastWasCarriageReturn;
-            m_lastWasCarriageReturn = first == '\r';
-            ++m_openBytes;
-            if (!endsCarriageReturn)
-                endLine();
+            if (first == '\n')
+                feedLineFeed();
+            else
+                feedCarriageReturn();
             data.remove_prefix(1);
             continue;
         }
-        m_lastWasCarriageReturn = false;
+        endCarriageReturn();
+        m_endedWithCarriageReturn = false;
         if (m_line == Line::Empty)
             m_line = first == ':' ? Line::Comment : Line::Field;
         const std::size_t length = std::min(data.find_first_of("\r\n"), data.size());
@@ -26,6 +27,37 @@
     }
 }
 
+void EventStreamPosition::feedLineFeed()
+{
+    if (std::exchange(m_endedWithCarriageReturn, false)) {
+        // Belongs to the line end before it, and to the event that this may have ended.
+        m_usesCarriageReturnAlone = false;
+        m_openBytes += m_openBytes > 0 ? 1 : 0;
+        return;
+    }
+    m_isCarriageReturnOpen = false;
+    ++m_openBytes;
+    endLine();
+}
+
+void EventStreamPosition::feedCarriageReturn()
+{
+    endCarriageReturn();
+    ++m_openBytes;
+    m_endedWithCarriageReturn = m_usesCarriageReturnAlone;
+    m_isCarriageReturnOpen = !m_usesCarriageReturnAlone;
+    if (m_usesCarriageReturnAlone)
+        endLine();
+}
+
+void EventStreamPosition::endCarriageReturn()
+{
+    if (!std::exchange(m_isCarriageReturnOpen, false))
+        return;
+    m_usesCarriageReturnAlone = true;
+    endLine();
+}
+
 void EventStreamPosition::endLine()
 {
     if (m_line == Line::Empty) {
--- a/src/gateway/GatewayRequestOutcomes.cpp
+++ b/src/gateway/GatewayRequestOutcomes.cpp
@@ -37,19 +37,6 @@
 
 } // namespace
 
-// Whether a stream of events that ended in order is incomplete. A body that ends with its connection looks complete
-// wherever the endpoint stopped.
-bool GatewayRequests::isBrokenOff(const Request& request)
-{
-    const Attempt& attempt = *request.attempt;
-    const std::string* type = findHeader(attempt.headers, "content-type");
-    const bool hasEvents = !type || type->starts_with("text/event-stream");
-    // A stream that resumes after its last event is complete without another.
-    const bool mayBeEmpty = !request.terms.lastEventId.empty() || !request.eventBuffer.lastEventId().empty();
-    const bool isEmpty = attempt.position.events() == 0 && !mayBeEmpty;
-    return hasEvents && (attempt.position.isInsideEvent() || isEmpty);
-}
-
 void GatewayRequests::handleCompleteAnswer(Request& request, MonotonicTime now, EffectList& effects)
 {
     const Attempt& attempt = *request.attempt;
@@ -61,13 +48,17 @@
         handleNotExecuted(request, now, effects);
         return;
     }
-    if (attempt.isForwarded && isBrokenOff(request)) {
-        request.mayHaveRun = true;
-        noteBrokenAttempt(request, now);
-        handleFailedAttempt(
-            request, "the stream ended inside an event or before the first", AttemptVerdict::Bad, now, effects);
-        return;
-    }
+    if (const std::string_view fault = faultOfAnswer(request); !fault.empty())
+        handleBrokenAnswer(request, std::string(fault), now, effects);
+    else if (attempt.endsWithConnection)
+        checkEndpointRuns(request, now, effects);
+    else
+        deliverAnswer(request, now, effects);
+}
+
+void GatewayRequests::deliverAnswer(Request& request, MonotonicTime now, EffectList& effects)
+{
+    const Attempt& attempt = *request.attempt;
     if (attempt.isForwarded) {
         if (const std::string rest = request.eventBuffer.takeRest(); !rest.empty())
             effects.push_back(SendResponseData { request.arrived.id, rest });
@@ -279,6 +270,8 @@
             { "status", std::to_string(status) }, { "milliseconds", milliseconds(now - request.arrivedAt) },
             { "waited_ms", milliseconds(request.waited) }, { "first_byte_ms", milliseconds(request.firstByte) },
             { "attempts", std::to_string(request.attempts + (request.attempt ? 1 : 0)) },
+            { "events", std::to_string(request.attempt ? request.attempt->position.events() : 0) },
+            { "framing", request.attempt && request.attempt->endsWithConnection ? "connection" : "length_or_chunks" },
             { "configuration", std::to_string(m_configuration.version) } } };
     if (!request.terms.lastEventId.empty()) {
         entry.fields.emplace_back("resumes", request.terms.resumedRequestId);
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -319,7 +319,7 @@
 
 void GatewayRequests::handle(const AttemptHead& head, MonotonicTime now, EffectList& effects)
 {
-    if (handleProbe(head, now, effects))
+    if (handleProbe(head, now, effects) || handleCheck(head, now, effects))
         return;
     Request* request = requestOf(head.id);
     if (!request)
@@ -406,13 +406,16 @@
 {
     if (m_probes.erase(finished.id) > 0)
         return;
-    if (Request* request = requestOf(finished.id))
-        handleCompleteAnswer(*request, now, effects);
+    Request* request = requestOf(finished.id);
+    if (!request)
+        return;
+    request->attempt->endsWithConnection = finished.endsWithConnection;
+    handleCompleteAnswer(*request, now, effects);
 }
 
 void GatewayRequests::handle(const AttemptFailed& failed, MonotonicTime now, EffectList& effects)
 {
-    if (handleProbe(failed, now, effects))
+    if (handleProbe(failed, now, effects) || handleCheck(failed, now, effects))
         return;
     Request* request = requestOf(failed.id);
     if (!request)
--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "http/HeaderText.h"
 #include "http/RequestHeadCheck.h"
+#include "http/SocketOptions.h"
 #include <algorithm>
 #include <array>
 #include <catkinwell/loop/Timeval.h>
@@ -215,6 +216,11 @@
         head += "Connection: close\r\n";
     head += "\r\n";
     bufferevent_write(m_stream, head.data(), head.size());
+    // The end of the connection ends such an answer. Unless it is complete the connection is reset, also if the process
+    // is killed.
+    m_endsWithConnection = hasBody && !length && m_isVersion10;
+    if (m_endsWithConnection)
+        resetOnClose(bufferevent_getfd(m_stream));
 }
 
 void CallerConnection::sendHead(int status, const HeaderList& headers) { writeHead(status, headers, std::nullopt); }
@@ -261,6 +267,15 @@
     setTimer(m_owner.limits().idleTimeout);
     if (m_phase == Phase::Idle)
         process();
+    else if (!hasUnsentOutput())
+        closeAfterAnswer();
+}
+
+void CallerConnection::closeAfterAnswer()
+{
+    if (m_endsWithConnection)
+        closeInOrder(bufferevent_getfd(m_stream));
+    close();
 }
 
 bool CallerConnection::hasUnsentOutput() const { return evbuffer_get_length(bufferevent_get_output(m_stream)) > 0; }
@@ -269,7 +284,7 @@
 {
     auto& self = *static_cast<CallerConnection*>(context);
     if (self.m_phase == Phase::Closing) {
-        self.close();
+        self.closeAfterAnswer();
         return;
     }
     if (self.m_isFull) {
--- a/src/http/CallerConnection.h
+++ b/src/http/CallerConnection.h
@@ -85,6 +85,8 @@
     void deliver();
     void writeHead(int status, const HeaderList&, std::optional<std::size_t> length);
     void afterAnswer();
+    // Precondition: the answer is complete and written.
+    void closeAfterAnswer();
     void setTimer(Duration);
     void clearTimer();
     void close();
@@ -105,6 +107,7 @@
     bool m_closesAfterAnswer = false;
     bool m_isHeadRequest = false;
     bool m_isVersion10 = false;
+    bool m_endsWithConnection = false;
 };
 
 } // namespace Catkinwell
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -292,6 +292,8 @@
     m_keepsAlive = head.keepAlive && !head.endsWithConnection;
     if (m_keepsAlive)
         m_idleTime = idleTimeOf(head.headers);
+    if (!m_detached && head.endsWithConnection && m_observer.onUnframed)
+        m_observer.onUnframed();
     if (!m_detached)
         m_observer.onHead(head.status, head.headers);
     return !m_isHeadRequest;
--- a/src/http/SocketOptions.cpp
+++ b/src/http/SocketOptions.cpp
@@ -38,4 +38,10 @@
     setsockopt(socket, SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
 }
 
+void closeInOrder(int socket)
+{
+    const linger byDefault { 0, 0 };
+    setsockopt(socket, SOL_SOCKET, SO_LINGER, &byDefault, sizeof(byDefault));
+}
+
 } // namespace Catkinwell
--- a/src/http/SocketOptions.h
+++ b/src/http/SocketOptions.h
@@ -9,4 +9,7 @@
 // Makes close() reset the connection and discard undelivered data. Thread safe.
 void resetOnClose(int socket);
 
+// Makes close() deliver what was written and end the connection in order, as by default. Thread safe.
+void closeInOrder(int socket);
+
 } // namespace Catkinwell
--- a/src/replay/ReplayProtocol.h
+++ b/src/replay/ReplayProtocol.h
@@ -12,6 +12,10 @@
     HeaderList attemptHeaders(const HeaderList& callerHeaders, const AttemptTerms&) const override;
     AnswerTerms termsOf(int status, const HeaderList&) const override;
     HeaderList answerHeaders(const HeaderList& headers) const override { return headers; }
+    StatusCheck statusCheckOf(const GatewayService& service, const EndpointId&) const override
+    {
+        return { service.healthPath, {} };
+    }
     std::string echoHeader() const override { return "id"; }
     std::string configurationKey() const override { return ""; }
     std::string endpointPrefix() const override { return ""; }
--- a/tests/gateway/EventStreamBufferTest.cpp
+++ b/tests/gateway/EventStreamBufferTest.cpp
@@ -19,6 +19,18 @@
     }
 }
 
+// Guards against a stream that is taken up again behind an event of which the last byte is missing.
+TEST_CASE("An event is returned with its whole line end")
+{
+    const auto lineEnd = GENERATE(values<std::string>({ "\n", "\r\n", "\r" }));
+    const std::string stream = "id: 1" + lineEnd + "data: a" + lineEnd + lineEnd;
+    EventStreamBuffer buffer;
+    CHECK(buffer.take(stream.substr(0, stream.size() - 1)).empty());
+    CHECK(buffer.lastEventId().empty());
+    CHECK(buffer.take(stream.substr(stream.size() - 1)) == stream);
+    CHECK(buffer.lastEventId() == "1");
+}
+
 TEST_CASE("The part of an incomplete event can be discarded")
 {
     EventStreamBuffer buffer;
--- a/tests/gateway/EventStreamPositionTest.cpp
+++ b/tests/gateway/EventStreamPositionTest.cpp
@@ -26,7 +26,11 @@
         { "id: 1\r\ndata: a\r\n", 0, true },
         { "data: a\r\rdata: b\r\r", 2, false },
         { ": comment\n\ndata: a\n\n", 1, false },
-        { "data: a\n\n: comment", 1, false },
+        { "data: a\n\n: comment", 1, true },
+        { "data: a\n\n: comment\n", 1, false },
+        { "data: a\r\n\r", 0, true },
+        { "data: a\r\n\r\n: comment\r", 1, true },
+        { "data: a\r\rdata: b\r", 1, true },
         { "data: a\n\n\n\n", 1, false },
     }));
     for (std::size_t cut = 0; cut <= test.stream.size(); ++cut) {
--- a/tests/http/CallerListenerTest.cpp
+++ b/tests/http/CallerListenerTest.cpp
@@ -109,3 +109,74 @@
     CHECK(received.find("413 ") != std::string::npos);
     CHECK(fixture.requests == 0);
 }
+
+namespace {
+
+struct StreamEndCase {
+    const char* what;
+    const char* version;
+    bool isFinished;
+    // Whether the response is ended together with its last data, or later.
+    bool endsAtOnce;
+    const char* expectedEnd;
+};
+
+} // namespace
+
+// Guards against a caller of HTTP/1.0, which gets no chunks, that takes the end of a broken response for its end.
+TEST_CASE("A response that is not complete never ends in order for a caller that gets no chunks")
+{
+    const auto test = GENERATE(values<StreamEndCase>({
+        { "complete", "1.0", true, true, "part<closed>" },
+        { "complete a moment later", "1.0", true, false, "part<closed>" },
+        { "broken off", "1.0", false, true, "<reset>" },
+        { "broken off a moment later", "1.0", false, false, "part<reset>" },
+        { "complete, with chunks", "1.1", true, false, "0\r\n\r\n" },
+        { "broken off, with chunks", "1.1", false, false, "4\r\npart\r\n<closed>" },
+    }));
+    EventLoop loop;
+    ListenerSettings settings;
+    settings.address = "127.0.0.1:0";
+    settings.forwardsUnchanged = true;
+    CallerListener listener(loop, settings, 0);
+    REQUIRE_FALSE(isError(listener.start()));
+    listener.signalRequest().connect([&](const RequestArrived& request) {
+        listener.execute(SendResponseHead { request.id, 200, {} });
+        listener.execute(SendResponseData { request.id, "part" });
+        const auto end = [&listener, id = request.id, isFinished = test.isFinished] {
+            if (isFinished)
+                listener.execute(FinishResponse { id });
+            else
+                listener.execute(AbortResponse { id });
+        };
+        if (test.endsAtOnce)
+            end();
+        else
+            loop.callLater(std::chrono::milliseconds(50), end);
+    });
+    const std::string received = exchangeRaw(loop, listener.port(),
+        std::string("GET /a HTTP/") + test.version + "\r\nHost: h\r\n\r\n", std::chrono::milliseconds(500));
+    INFO(test.what << ": " << received);
+    CHECK(received.ends_with(test.expectedEnd));
+}
+
+// Guards against the operating system that ends the connections of a killed process in order.
+TEST_CASE("A response without chunks is reset if the process ends before it is complete")
+{
+    EventLoop loop;
+    ListenerSettings settings;
+    settings.address = "127.0.0.1:0";
+    settings.forwardsUnchanged = true;
+    auto listener = std::make_unique<CallerListener>(loop, settings, 0);
+    REQUIRE_FALSE(isError(listener->start()));
+    listener->signalRequest().connect([&](const RequestArrived& request) {
+        listener->execute(SendResponseHead { request.id, 200, {} });
+        listener->execute(SendResponseData { request.id, "part" });
+        // Closes the sockets as the end of the process does.
+        loop.callLater(std::chrono::milliseconds(50), [&] { listener.reset(); });
+    });
+    const std::string received
+        = exchangeRaw(loop, listener->port(), "GET /a HTTP/1.0\r\nHost: h\r\n\r\n", std::chrono::milliseconds(500));
+    INFO(received);
+    CHECK(received.ends_with("part<reset>"));
+}
--- a/tests/http/RawSockets.cpp
+++ b/tests/http/RawSockets.cpp
@@ -29,8 +29,8 @@
     struct Exchange {
         EventLoop& loop;
         std::string received;
-        bool isOver = false;
-    } exchange { loop, {}, false };
+        std::string end;
+    } exchange { loop, {}, {} };
     bufferevent* stream = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(
         stream,
@@ -46,7 +46,7 @@
             if (what & BEV_EVENT_CONNECTED)
                 return;
             auto& self = *static_cast<Exchange*>(context);
-            self.isOver = true;
+            self.end = what & BEV_EVENT_EOF ? "<closed>" : "<reset>";
             self.loop.stop();
         },
         &exchange);
@@ -58,7 +58,7 @@
     event_base_loopexit(loop.base(), &limit);
     loop.run();
     bufferevent_free(stream);
-    return exchange.received + (exchange.isOver ? "<closed>" : "");
+    return exchange.received + exchange.end;
 }
 
 struct ScriptedServer::State {
--- a/tests/http/RawSockets.h
+++ b/tests/http/RawSockets.h
@@ -10,7 +10,7 @@
 // Raw sockets on the loopback address, to send bytes that an HTTP library would not send.
 
 // Connects to the port, sends the text and runs the loop until the peer closes the connection or the duration has
-// passed. Returns the bytes received, followed by "<closed>" if the connection ended.
+// passed. Returns the bytes received, followed by "<closed>" if the connection ended in order, or "<reset>".
 std::string exchangeRaw(EventLoop&, std::uint16_t port, const std::string& text, Duration duration);
 
 // Accepts connections and answers each request head with the next step; the last step is repeated.
