Do not take a second copy of a refusal for the answer to the repeated request

Cause: a faulty endpoint writes an earlier refusal once more on a kept connection. HttpClient skips answers with another request's identifier, but a request that is tried again bears the same one; on the same connection the copy passed for its answer. Without an identifier (serve, relays, status checks, the store) nothing told them apart. Change: a connection remembers digests of the identifiers it has carried, at most 512 requests, and is not taken for a request with one of them. A connection on which a refusal without an identifier came is not kept. Why it works: a copy that arrives on another connection than its request's finds that connection idle, which closes it. Costs: 8 bytes a request on each connection, 4 KB at most; one new connection in 512 requests, and one after each refusal without an identifier.

--- a/include/catkinwell/http/HttpClient.h
+++ b/include/catkinwell/http/HttpClient.h
@@ -51,7 +51,9 @@
 
 // An HTTP/1.1 client on the event loop with a pool of idle connections for each address. A connection carries one
 // request at a time. A connection that received unsolicited bytes is closed and not reused, so that they cannot become
-// part of another response. Not thread safe.
+// part of another response. Nor is one that has carried a request with the same identifier, or that a refusal without
+// an identifier came on, so that a second copy of a refusal cannot pass for the response to the next request. Not
+// thread safe.
 class HttpClient {
 public:
     using ExchangeId = std::uint64_t;
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -6,6 +6,7 @@
 #include "http/SocketOptions.h"
 #include <algorithm>
 #include <arpa/inet.h>
+#include <catkinwell/core/Digest.h>
 #include <catkinwell/loop/Timeval.h>
 #include <cerrno>
 #include <charconv>
@@ -28,6 +29,8 @@
     // For a peer that announces no keep-alive time.
     constexpr Duration defaultIdleTime = std::chrono::seconds(2);
     constexpr std::size_t maximumIdleConnectionsPerAddress = 512;
+    // A connection remembers the identifiers of as many requests and is not reused after that.
+    constexpr std::size_t maximumRequestsPerConnection = 512;
     constexpr std::size_t readSize = 64 * 1024;
     // Most bytes of interim responses, and of responses to other requests, before the expected one.
     constexpr std::size_t maximumSkippedBytes = 1024 * 1024;
@@ -47,6 +50,15 @@
         return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds * reusableIdleFraction));
     }
 
+    // Whether the status tells that the request did not run.
+    bool isRefusal(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
+
+    // Returns the value of the request header that the peer repeats; empty if there is none.
+    std::string echoValueOf(const HttpExchange& request)
+    {
+        return request.echoHeader.empty() ? "" : headerValue(request.headers, request.echoHeader);
+    }
+
     std::string serializeRequest(const HttpExchange& request)
     {
         std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
@@ -84,7 +96,8 @@
     class Connection;
     using ConnectionList = std::vector<std::unique_ptr<Connection>>;
 
-    std::unique_ptr<Connection> takeIdleConnection(const std::string& address);
+    // Returns a connection that has not carried a request with the same identifier.
+    std::unique_ptr<Connection> takeIdleConnection(const std::string& address, const std::string& echoValue);
     void failLater(const HttpExchangeObserver&, std::string reason);
     // Moves the connection of a finished exchange to the idle pool, or closes it.
     void release(Connection&, bool reusable);
@@ -133,6 +146,9 @@
     void setPaused(bool paused);
     // Whether the idle connection can be reused at this time.
     bool isUsableAt(MonotonicTime now) const { return m_isOpen && now < m_usableUntil; }
+    // Whether a request with this identifier was sent before. A second copy of its response would pass for that of a
+    // new request with the same identifier.
+    bool hasCarried(const std::string& echoValue) const;
     void becomeIdle(MonotonicTime now);
 
     ExchangeId exchange() const { return m_exchange; }
@@ -162,12 +178,15 @@
     MonotonicTime m_usableUntil {};
     std::string m_echoHeader;
     std::string m_echoValue;
+    // Digests of the identifiers of all requests sent.
+    std::vector<std::uint64_t> m_carried;
     bool m_isOpen = false;
     bool m_detached = false;
     bool m_isHeadRequest = false;
     // State of the current message.
     bool m_isSkipped = false;
     bool m_keepsAlive = false;
+    int m_status = 0;
     // Bytes read since the request was sent: before the expected response, and of its body.
     std::size_t m_skippedBytes = 0;
     std::size_t m_bodyBytes = 0;
@@ -204,8 +223,9 @@
     m_silenceTimeout = request.silenceTimeout;
     m_isHeadRequest = request.method == "HEAD";
     m_echoHeader = request.echoHeader;
-    const std::string* sent = m_echoHeader.empty() ? nullptr : findHeader(request.headers, m_echoHeader);
-    m_echoValue = sent ? *sent : "";
+    m_echoValue = echoValueOf(request);
+    if (!m_echoValue.empty())
+        m_carried.push_back(stableHash(m_echoValue));
     m_maximumBodyBytes = request.maximumBodyBytes;
     m_bodyBytes = 0;
     m_skippedBytes = 0;
@@ -217,6 +237,12 @@
         setSilenceTimeout();
 }
 
+bool HttpClient::Implementation::Connection::hasCarried(const std::string& echoValue) const
+{
+    return !echoValue.empty()
+        && std::find(m_carried.begin(), m_carried.end(), stableHash(echoValue)) != m_carried.end();
+}
+
 void HttpClient::Implementation::Connection::setSilenceTimeout()
 {
     const timeval silence = toTimeval(m_silenceTimeout);
@@ -290,6 +316,7 @@
     if (m_isSkipped)
         return true;
     m_keepsAlive = head.keepAlive && !head.endsWithConnection;
+    m_status = head.status;
     if (m_keepsAlive)
         m_idleTime = idleTimeOf(head.headers);
     if (!m_detached && head.endsWithConnection && m_observer.onUnframed)
@@ -366,8 +393,11 @@
 void HttpClient::Implementation::Connection::finish(bool reusable)
 {
     const HttpExchangeObserver observer = std::move(m_observer);
-    m_detached = !reusable;
-    m_owner.release(*this, reusable);
+    // A second copy of a refusal without an identifier could not be told from the response to the next request.
+    const bool mayBeRepeated = m_echoValue.empty() && isRefusal(m_status);
+    const bool isKept = reusable && !mayBeRepeated && m_carried.size() < maximumRequestsPerConnection;
+    m_detached = !isKept;
+    m_owner.release(*this, isKept);
     observer.onFinished();
 }
 
@@ -381,7 +411,7 @@
     }
     std::unique_ptr<Connection> connection;
     if (!request.needsFreshConnection)
-        connection = takeIdleConnection(request.address);
+        connection = takeIdleConnection(request.address, echoValueOf(request));
     if (!connection && request.needsIdleConnection) {
         failLater(observer, "no idle connection to the peer is left");
         return id;
@@ -427,20 +457,21 @@
 }
 
 std::unique_ptr<HttpClient::Implementation::Connection> HttpClient::Implementation::takeIdleConnection(
-    const std::string& address)
+    const std::string& address, const std::string& echoValue)
 {
     const auto found = m_idle.find(address);
     if (found == m_idle.end())
         return nullptr;
     ConnectionList& idle = found->second;
     const MonotonicTime now = m_clock.monotonicNow();
-    while (!idle.empty()) {
-        std::unique_ptr<Connection> connection = std::move(idle.back());
-        idle.pop_back();
-        if (connection->isUsableAt(now))
-            return connection;
-    }
-    return nullptr;
+    std::erase_if(idle, [now](const auto& connection) { return !connection->isUsableAt(now); });
+    const auto chosen = std::find_if(idle.rbegin(), idle.rend(),
+        [&echoValue](const auto& connection) { return !connection->hasCarried(echoValue); });
+    if (chosen == idle.rend())
+        return nullptr;
+    std::unique_ptr<Connection> connection = std::move(*chosen);
+    idle.erase(std::next(chosen).base());
+    return connection;
 }
 
 void HttpClient::Implementation::failLater(const HttpExchangeObserver& observer, std::string reason)
--- a/tests/http/AnswerIntegrityTest.cpp
+++ b/tests/http/AnswerIntegrityTest.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t longestBody = 1024 * 1024;
 
 struct Outcome {
+    int status = 0;
     std::string body;
     bool isFinished = false;
     std::optional<AttemptFailure> failure;
@@ -35,13 +36,13 @@
         exchange.address = "127.0.0.1:" + std::to_string(server.port());
         exchange.target = "/";
         exchange.headers = { { "X-Id", id } };
-        exchange.echoHeader = "X-Id";
+        exchange.echoHeader = echoHeader;
         exchange.silenceTimeout = std::chrono::milliseconds(400);
         exchange.maximumBodyBytes = longestBody;
         exchange.totalTimeout = totalTimeout;
         Outcome outcome;
         HttpExchangeObserver observer;
-        observer.onHead = [](int, const HeaderList&) {};
+        observer.onHead = [&](int status, const HeaderList&) { outcome.status = status; };
         observer.onData = [&](const std::string& data) { outcome.body += data; };
         observer.onFinished = [&] {
             outcome.isFinished = true;
@@ -67,6 +68,7 @@
     ScriptedServer server;
     HttpClient client { loop };
     Duration totalTimeout = std::chrono::seconds(5);
+    std::string echoHeader = "X-Id";
 };
 
 } // namespace
@@ -99,6 +101,39 @@
     CHECK(outcome.body == "right");
 }
 
+struct RepeatedRefusalCase {
+    const char* statusLine;
+    // Whether the peer repeats the identifier of the request.
+    bool hasIdentifier;
+};
+
+// Guards against a peer that sends a refusal twice: the second copy must not tell that the repeated request, which
+// bears the same identifier, did not run.
+TEST_CASE("A second copy of a refusal is not taken for the response to the repeated request")
+{
+    const auto test = GENERATE(values<RepeatedRefusalCase>({
+        { "503 Service Unavailable", true },
+        { "503 Service Unavailable", false },
+        { "429 Too Many Requests", true },
+        { "429 Too Many Requests", false },
+        { "421 Misdirected Request", true },
+        { "421 Misdirected Request", false },
+        { "408 Request Timeout", false },
+    }));
+    const std::string identifier = test.hasIdentifier ? "X-Id: a\r\n" : "";
+    const std::string refusal
+        = std::string("HTTP/1.1 ") + test.statusLine + "\r\n" + identifier + "Content-Length: 0\r\n\r\n";
+    const std::string answer = "HTTP/1.1 200 OK\r\n" + identifier + "Content-Length: 3\r\n\r\nran";
+    ClientFixture fixture(
+        { { refusal, refusal, std::chrono::milliseconds(60) }, { "", answer, std::chrono::milliseconds(150) } });
+    fixture.echoHeader = test.hasIdentifier ? "X-Id" : "";
+    INFO(test.statusLine);
+    CHECK(fixture.request("a").status >= 400);
+    const Outcome second = fixture.request("a");
+    CHECK(second.status == 200);
+    CHECK(second.body == "ran");
+}
+
 struct UnframedCase {
     ScriptedServer::Step step;
     bool expectedFinished;
