Let one odd record in the store cost that record alone

Callers saw (report of another operator): nothing was served where an odd entry among those of the endpoints ended every host that read the list, again and again. Cause: serializing, copying and CBOR parsing recurse for each level of nesting, and documents from outside were built without a bound in most readers. PlatformProtocol::readEndpoint serialized a version that is no string: a record nested 100,000 levels deep is a segmentation fault. The entry of a host (fleet's own prefix) with an address of another type threw an exception that nothing caught. A port out of range was accepted as an address. The class of fault: input from outside that is trusted in form. Change: parseBoundedJson and parseBoundedCbor are the one home of the depth bound (three others went there) and read what comes from the store, peers, engines and relays. An address must be an IP address with a port from 1 to 65535. Fields of another type count as missing. A record that cannot be used is logged once, not at each heartbeat. Evidence: on the code before, PlatformProtocolTest ended with a segmentation fault on the nested record and accepted 3 rows of addresses; 2 of 3 reducer cases failed by the exception. Numbers too large, invalid UTF-8, duplicate and unknown fields cost at most their entry before already. All pass now. Costs: one callback a value while JSON is parsed, a second pass over CBOR; at most 1,024 identifiers of unusable records.

--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -78,6 +78,7 @@
 
     void applyConfiguration(const std::string& document, ConfigurationOrigin, MonotonicTime now, EffectList&);
     void applyEndpoint(const StoreEntry&, MonotonicTime now, EffectList&);
+    void noteUnusableRecord(const EndpointId&, const std::string& reason, EffectList&);
     void applyGatewayEntry(const StoreEntry&, MonotonicTime now, EffectList&);
     void applyRefusalRecord(const StoreEntry&, PromptRefusalId, MonotonicTime now);
     void updatePromptQuarantine(MonotonicTime now, EffectList&);
@@ -129,6 +130,8 @@
     std::string m_configurationDocument;
     // The store's epoch when the configuration was applied.
     StoreEpoch m_configurationEpoch = 0;
+    // Endpoints whose records cannot be used, each logged once.
+    std::set<EndpointId> m_unusableRecords;
     std::map<HostId, Peer> m_peers;
     std::set<HostId> m_livePeers;
     std::map<HostId, std::string> m_sentAddresses;
--- a/src/admin/AdminCall.cpp
+++ b/src/admin/AdminCall.cpp
@@ -4,6 +4,7 @@
 #include "http/PercentEncoding.h"
 #include <algorithm>
 #include <array>
+#include <catkinwell/core/BoundedJson.h>
 #include <catkinwell/core/Digest.h>
 #include <charconv>
 #include <event2/http.h>
@@ -15,8 +16,6 @@
 
     using Json = nlohmann::json;
 
-    // Serializing JSON is recursive; deeper nesting could exhaust the stack.
-    constexpr int maximumJsonDepth = 32;
     constexpr std::size_t maximumReasonBytes = 512;
     constexpr std::size_t maximumIdentifierBytes = 200;
     constexpr std::array<std::string_view, 5> knownParameters { "dry_run", "expected_version", "change_id", "reason",
@@ -54,15 +53,8 @@
 
     std::optional<Json> parseBody(const std::string& body)
     {
-        bool tooDeep = false;
-        const Json json = Json::parse(
-            body,
-            [&tooDeep](int depth, Json::parse_event_t, const Json&) {
-                tooDeep = tooDeep || depth > maximumJsonDepth;
-                return depth <= maximumJsonDepth;
-            },
-            false);
-        return json.is_discarded() || tooDeep ? std::nullopt : std::optional(json);
+        Json json = parseBoundedJson(body);
+        return json.is_discarded() ? std::nullopt : std::optional(std::move(json));
     }
 
     // Reads the expected version from If-Match, the query or the body; they must not differ.
--- a/src/endpoint/EngineProtocol.cpp
+++ b/src/endpoint/EngineProtocol.cpp
@@ -1,5 +1,6 @@
 #include "endpoint/EngineProtocol.h"
 
+#include <catkinwell/core/BoundedJson.h>
 #include <cstdlib>
 #include <event2/http.h>
 #include <memory>
@@ -45,7 +46,7 @@
 Result<EndpointReport> parseEngineReport(const std::string& json)
 {
     try {
-        const Json document = Json::parse(json);
+        const Json document = parseBoundedJson(json);
         EndpointReport report;
         report.leaving = document.value("leaving", false);
         report.running = document.at("running").get<std::uint32_t>();
@@ -100,7 +101,7 @@
 Result<PlacementCommand> parseCommandBody(const std::string& json)
 {
     try {
-        const Json document = Json::parse(json);
+        const Json document = parseBoundedJson(json);
         const Json& parameters = document.at("parameters");
         PlacementCommand command;
         command.fencingToken = parameters.value("fencing_token", FencingToken { 0 });
--- a/src/gateway/GatewayMessage.cpp
+++ b/src/gateway/GatewayMessage.cpp
@@ -1,6 +1,7 @@
 #include <catkinwell/gateway/GatewayMessage.h>
 
 #include "routing/PromptQuarantineCodec.h"
+#include <catkinwell/core/BoundedJson.h>
 #include <nlohmann/json.hpp>
 
 namespace Catkinwell {
@@ -245,7 +246,7 @@
 Result<GatewayMessage> decodeGatewayMessage(std::string_view cbor)
 {
     try {
-        return readMessage(Json::from_cbor(cbor));
+        return readMessage(parseBoundedCbor(cbor));
     } catch (const Json::exception& failure) {
         return Error { ErrorKind::InvalidMessage,
             std::string("cannot decode the message of another gateway (") + failure.what()
--- a/src/gateway/GatewayStoreEntries.cpp
+++ b/src/gateway/GatewayStoreEntries.cpp
@@ -1,5 +1,6 @@
 #include <catkinwell/gateway/GatewayReducer.h>
 
+#include <catkinwell/core/BoundedJson.h>
 #include <nlohmann/json.hpp>
 
 // What the store holds: how its entries are applied, and what is written again when the store lost it.
@@ -16,6 +17,8 @@
     // After a restore of the store the hosts write again one after the other, within the store's write rate.
     constexpr Duration restoreSpreadPerHost = std::chrono::milliseconds(10);
     constexpr Duration longestRestoreSpread = std::chrono::seconds(5);
+    // Records that cannot be used and were logged; no more are logged until some of them are gone.
+    constexpr std::size_t maximumUnusableRecords = 1024;
     constexpr Duration ownerRestoreLead = std::chrono::milliseconds(150);
 
 } // namespace
@@ -89,6 +92,7 @@
     if (!entry.isDeleted) {
         auto result = m_protocol.readEndpoint(entry.key, entry.value);
         if (!isError(result)) {
+            m_unusableRecords.erase(id);
             const EndpointRecord& record = valueOf(result);
             if (m_directory.isOutdated(record, isRecovering))
                 return;
@@ -101,8 +105,9 @@
             m_placement.put(record, now);
             return;
         }
-        effects.push_back(LogEntry { LogEvent::GatewayEndpointChanged,
-            { { "endpoint", id.value }, { "state", "unusable" }, { "reason", errorOf(result).message } } });
+        noteUnusableRecord(id, errorOf(result).message, effects);
+    } else {
+        m_unusableRecords.erase(id);
     }
     const bool mayBeLapsed = entry.isDeleted && isRecovering;
     m_directory.remove(id, mayBeLapsed ? recovered + lapsedRecordGrace : now, now, effects);
@@ -111,6 +116,16 @@
     m_placement.remove(id);
 }
 
+// A faulty writer may repeat its record as often as a sound one.
+void GatewayReducer::noteUnusableRecord(const EndpointId& id, const std::string& reason, EffectList& effects)
+{
+    if (m_unusableRecords.contains(id) || m_unusableRecords.size() >= maximumUnusableRecords)
+        return;
+    m_unusableRecords.insert(id);
+    effects.push_back(LogEntry { LogEvent::GatewayEndpointChanged,
+        { { "endpoint", id.value }, { "state", "unusable" }, { "reason", reason } } });
+}
+
 void GatewayReducer::applyGatewayEntry(const StoreEntry& entry, MonotonicTime now, EffectList& effects)
 {
     if (const auto refusal = m_refusalRecords.idOf(entry.key)) {
@@ -140,7 +155,11 @@
         }
         return;
     }
-    const Json value = Json::parse(entry.value, nullptr, false);
+    const Json value = parseBoundedJson(entry.value);
+    const auto textOf = [&value](const char* name) {
+        const auto field = value.find(name);
+        return field != value.end() && field->is_string() ? field->get<std::string>() : std::string();
+    };
     const auto incarnation
         = value.is_object() && value.contains("incarnation") && value["incarnation"].is_number_unsigned()
         ? value["incarnation"].get<Incarnation>()
@@ -150,8 +169,8 @@
     if (incarnation > peer.incarnation)
         peer.digestSequence = 0;
     peer.incarnation = incarnation;
-    peer.address = value.value("address", "");
-    m_relayPeers.setAddress(host, DataCentreId(value.value("data_centre", "")), value.value("relay_address", ""));
+    peer.address = textOf("address");
+    m_relayPeers.setAddress(host, DataCentreId(textOf("data_centre")), textOf("relay_address"));
     peer.isRegistered = true;
     peer.isLeaving = false;
 }
--- a/src/gateway/PromptRefusalRecords.cpp
+++ b/src/gateway/PromptRefusalRecords.cpp
@@ -1,6 +1,7 @@
 #include <catkinwell/gateway/PromptRefusalRecords.h>
 
 #include <algorithm>
+#include <catkinwell/core/BoundedJson.h>
 #include <charconv>
 #include <nlohmann/json.hpp>
 
@@ -53,7 +54,7 @@
 std::optional<PromptRefusal> PromptRefusalRecords::read(const StoreEntry& entry, WallTime now) const
 {
     const auto id = idOf(entry.key);
-    const Json value = Json::parse(entry.value, nullptr, false);
+    const Json value = parseBoundedJson(entry.value);
     if (!id || entry.isDeleted || !value.is_object())
         return std::nullopt;
     try {
--- a/src/gateway/StreamVersionRecords.cpp
+++ b/src/gateway/StreamVersionRecords.cpp
@@ -1,6 +1,7 @@
 #include <catkinwell/gateway/StreamVersionRecords.h>
 
 #include <algorithm>
+#include <catkinwell/core/BoundedJson.h>
 #include <nlohmann/json.hpp>
 
 namespace Catkinwell {
@@ -67,7 +68,7 @@
 {
     std::vector<StreamBeginning> beginnings;
     try {
-        const Json batch = Json::from_cbor(value);
+        const Json batch = parseBoundedCbor(value);
         const std::int64_t age = millisecondsSinceEpoch(wallNow) - batch.at(0).get<std::int64_t>();
         const auto versions = batch.at(1).get<std::vector<std::string>>();
         for (const Json& stream : batch.at(2)) {
--- a/src/membership/PlatformListReader.cpp
+++ b/src/membership/PlatformListReader.cpp
@@ -1,6 +1,7 @@
 #include "PlatformListReader.h"
 
 #include <algorithm>
+#include <catkinwell/core/BoundedJson.h>
 #include <nlohmann/json.hpp>
 
 namespace Catkinwell {
@@ -21,7 +22,7 @@
 
     std::optional<PlatformHost> parseHost(const std::string& id, const std::string& text)
     {
-        const Json value = Json::parse(text, nullptr, false);
+        const Json value = parseBoundedJson(text);
         if (!value.is_object() || id.empty())
             return std::nullopt;
         const auto textOf = [&](const char* name) {
--- a/src/orders/ShardValue.cpp
+++ b/src/orders/ShardValue.cpp
@@ -1,5 +1,6 @@
 #include "orders/ShardValue.h"
 
+#include <catkinwell/core/BoundedJson.h>
 #include <catkinwell/core/Digest.h>
 #include <charconv>
 #include <nlohmann/json.hpp>
@@ -81,7 +82,7 @@
 
     std::optional<ClaimEntry> entryFromPayload(std::string_view payload)
     {
-        const Json json = Json::from_cbor(payload, true, false);
+        const Json json = parseBoundedCbor(payload);
         if (json.is_discarded())
             return std::nullopt;
         try {
@@ -214,7 +215,7 @@
 
 std::optional<StoredOutcome> decodeOutcome(std::string_view text)
 {
-    const Json json = Json::from_cbor(text, true, false);
+    const Json json = parseBoundedCbor(text);
     if (json.is_discarded())
         return std::nullopt;
     try {
@@ -235,7 +236,7 @@
 
 std::optional<ClaimEntry> entryFromJson(std::string_view text)
 {
-    const Json json = Json::parse(text, nullptr, false);
+    const Json json = parseBoundedJson(text);
     if (json.is_discarded())
         return std::nullopt;
     try {
--- a/src/peer/PeerCodec.cpp
+++ b/src/peer/PeerCodec.cpp
@@ -1,5 +1,6 @@
 #include <catkinwell/peer/PeerCodec.h>
 
+#include <catkinwell/core/BoundedJson.h>
 #include <nlohmann/json.hpp>
 
 namespace Catkinwell {
@@ -228,28 +229,6 @@
         "config?", "config", "gateway", "prompts" };
     static_assert(std::size(typeNames) == std::variant_size_v<PeerMessage>);
 
-    // Rejects deep nesting before a document is built: the CBOR parser recurses for each level and would overflow the
-    // stack.
-    class DepthCheck final : public nlohmann::json_sax<Json> {
-    public:
-        bool null() override { return true; }
-        bool boolean(bool) override { return true; }
-        bool number_integer(number_integer_t) override { return true; }
-        bool number_unsigned(number_unsigned_t) override { return true; }
-        bool number_float(number_float_t, const string_t&) override { return true; }
-        bool string(string_t&) override { return true; }
-        bool binary(binary_t&) override { return true; }
-        bool start_object(std::size_t) override { return ++m_depth <= maximumDepth; }
-        bool key(string_t&) override { return true; }
-        bool end_object() override { return m_depth-- > 0; }
-        bool start_array(std::size_t) override { return ++m_depth <= maximumDepth; }
-        bool end_array() override { return m_depth-- > 0; }
-        bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception&) override { return false; }
-
-    private:
-        std::size_t m_depth = 0;
-    };
-
     Error messageError(const std::string& detail)
     {
         return { ErrorKind::InvalidMessage,
@@ -344,10 +323,9 @@
         return messageError("found " + std::to_string(cbor.size()) + " bytes, expected at most "
             + std::to_string(maximumPeerFrameBytes));
     try {
-        DepthCheck check;
-        if (!Json::sax_parse(cbor, &check, Json::input_format_t::cbor))
+        const Json document = parseBoundedCbor(cbor, maximumDepth);
+        if (document.is_discarded())
             return messageError("not valid CBOR or nested too deeply");
-        const Json document = Json::from_cbor(cbor, true, false);
         if (!document.is_object() || !document.contains("t") || !document["t"].is_string())
             return messageError("the message type is missing");
         return readTyped(document["t"].get_ref<const std::string&>(), document);
--- a/src/placement/LoadSlots.cpp
+++ b/src/placement/LoadSlots.cpp
@@ -1,6 +1,7 @@
 #include <catkinwell/placement/LoadSlots.h>
 
 #include <algorithm>
+#include <catkinwell/core/BoundedJson.h>
 #include <nlohmann/json.hpp>
 
 namespace Catkinwell {
@@ -188,7 +189,7 @@
 std::vector<LoadSlots::Entry> LoadSlots::decode(const std::string& bytes)
 {
     std::vector<Entry> entries;
-    const auto json = nlohmann::json::from_cbor(bytes, true, false);
+    const auto json = parseBoundedCbor(bytes);
     if (!json.is_array())
         return entries;
     for (const auto& entry : json) {
--- a/src/placement/PlacementPlan.cpp
+++ b/src/placement/PlacementPlan.cpp
@@ -1,5 +1,6 @@
 #include <catkinwell/placement/PlacementPlan.h>
 
+#include <catkinwell/core/BoundedJson.h>
 #include <catkinwell/core/EnumNames.h>
 #include <nlohmann/json.hpp>
 
@@ -46,7 +47,7 @@
     template <typename Value, typename Read> Result<Value> fromBytes(std::string_view bytes, int format, Read read)
     {
         try {
-            const Json json = Json::from_cbor(bytes);
+            const Json json = parseBoundedCbor(bytes);
             if (json.at(0).get<int>() != format)
                 return Error { ErrorKind::InvalidMessage,
                     "encoded plan has format " + json.at(0).dump() + ", expected " + std::to_string(format)
--- a/src/relay/RelayMessage.cpp
+++ b/src/relay/RelayMessage.cpp
@@ -3,6 +3,7 @@
 #include "http/HeaderText.h"
 #include <algorithm>
 #include <array>
+#include <catkinwell/core/BoundedJson.h>
 #include <catkinwell/core/EnumNames.h>
 #include <charconv>
 #include <nlohmann/json.hpp>
@@ -75,7 +76,7 @@
 Result<RelayedRequest> decodeRelayedRequest(std::string_view cbor)
 {
     try {
-        const Json list = Json::from_cbor(cbor);
+        const Json list = parseBoundedCbor(cbor);
         RelayedRequest request;
         request.terms = termsOf(list.at(0));
         request.method = list.at(1).get<std::string>();
@@ -117,7 +118,7 @@
     if (const std::string* reason = findHeader(headers, reasonHeader))
         answer.reason = *reason;
     if (const std::string* version = findHeader(headers, softwareVersionHeader)) {
-        const Json text = Json::parse(*version, nullptr, false);
+        const Json text = parseBoundedJson(*version);
         answer.softwareVersion = text.is_string() ? text.get<std::string>() : std::string();
     }
     constexpr std::array<std::string_view, 4> names { outcomeHeader, attemptsHeader, reasonHeader,
--- a/src/requests/StreamFilter.cpp
+++ b/src/requests/StreamFilter.cpp
@@ -1,5 +1,6 @@
 #include <catkinwell/requests/StreamFilter.h>
 
+#include <catkinwell/core/BoundedJson.h>
 #include <nlohmann/json.hpp>
 
 namespace Catkinwell {
@@ -61,7 +62,7 @@
     // Most events hold a token and no usage. Only those that mention it are parsed.
     if (payload.find("\"usage\"") == std::string_view::npos)
         return true;
-    const Json document = Json::parse(payload, nullptr, false);
+    const Json document = parseBoundedJson(payload);
     const auto total = totalTokensOf(document);
     if (!total)
         return true;
@@ -72,9 +73,6 @@
 
 bool StreamFilter::isOverlong() const { return m_partial.size() > maximumEventBytes; }
 
-std::optional<TokenCount> totalTokensOfAnswer(const std::string& body)
-{
-    return totalTokensOf(Json::parse(body, nullptr, false));
-}
+std::optional<TokenCount> totalTokensOfAnswer(const std::string& body) { return totalTokensOf(parseBoundedJson(body)); }
 
 } // namespace Catkinwell
--- a/src/routing/PromptQuarantineCodec.cpp
+++ b/src/routing/PromptQuarantineCodec.cpp
@@ -1,5 +1,6 @@
 #include "routing/PromptQuarantineCodec.h"
 
+#include <catkinwell/core/BoundedJson.h>
 #include <nlohmann/json.hpp>
 
 namespace Catkinwell {
@@ -80,7 +81,7 @@
 Result<PromptQuarantineDigest> decodePromptQuarantineDigest(std::string_view cbor)
 {
     try {
-        return promptQuarantineDigestOf(Json::from_cbor(cbor));
+        return promptQuarantineDigestOf(parseBoundedCbor(cbor));
     } catch (const Json::exception& failure) {
         return Error { ErrorKind::InvalidMessage,
             std::string("cannot decode another host's crash reports (") + failure.what()
--- a/src/shares/AllocationTable.cpp
+++ b/src/shares/AllocationTable.cpp
@@ -1,6 +1,7 @@
 #include "AllocationTable.h"
 
 #include <algorithm>
+#include <catkinwell/core/BoundedJson.h>
 #include <cmath>
 #include <nlohmann/json.hpp>
 #include <numeric>
@@ -126,7 +127,7 @@
 {
     if (value.empty())
         return AllocationTable {};
-    const Json document = Json::from_cbor(value, true, false);
+    const Json document = parseBoundedCbor(value);
     if (!document.is_object() || !document.contains("l") || !document.contains("f") || !document.contains("s")
         || !document.contains("w"))
         return std::nullopt;
--- a/src/store/ConsulProtocol.cpp
+++ b/src/store/ConsulProtocol.cpp
@@ -3,6 +3,7 @@
 #include "http/PercentEncoding.h"
 #include "store/Base64.h"
 #include <algorithm>
+#include <catkinwell/core/BoundedJson.h>
 #include <nlohmann/json.hpp>
 
 namespace Catkinwell {
@@ -165,7 +166,7 @@
     if (httpStatus != 200)
         return replyWith(StoreStatus::Unknown);
     try {
-        return std::visit(ReplyReader { Json::parse(body) }, operation);
+        return std::visit(ReplyReader { parseBoundedJson(body) }, operation);
     } catch (const Json::exception&) {
         return replyWith(StoreStatus::Unknown);
     }
--- a/tests/gateway/GatewayReducerTest.cpp
+++ b/tests/gateway/GatewayReducerTest.cpp
@@ -26,6 +26,8 @@
         else
             reply.entries = { { "catkinwell/secret", "s", 3 },
                 { "catkinwell/hosts/owner/1", R"({"incarnation":1,"address":"127.0.0.1:9"})", 4 },
+                { "catkinwell/hosts/odd/1", R"({"incarnation":"x","address":5,"data_centre":[],"relay_address":{}})",
+                    4 },
                 { "catkinwell/owner", "owner\n1\n7", 5 } };
         reply.isWholeList = true;
         return reply;
@@ -54,7 +56,12 @@
     void apply(const GatewayEvent& event)
     {
         for (const Effect& effect : reducer.apply(event, now)) {
-            if (const auto* call = std::get_if<StoreCall>(&effect)) {
+            if (const auto* entry = std::get_if<LogEntry>(&effect)) {
+                unusableRecords += entry->fields.size() > 1 && entry->fields[1].second == "unusable" ? 1 : 0;
+            } else if (const auto* call = std::get_if<StoreCall>(&effect)) {
+                const auto* watch = std::get_if<StoreWatchPrefix>(&call->operation);
+                if (watch && watch->prefix == "endpoints/")
+                    endpointWatch = call->id;
                 if (const auto reply = replyTo(*call))
                     apply(*reply);
             } else if (const auto* send = std::get_if<SendToPeer>(&effect)) {
@@ -77,6 +84,9 @@
 
     // Models reported to the placement owner.
     std::set<ModelId> reportedModels;
+    // The latest watch of the endpoints, and the log entries about records that cannot be used.
+    StoreCallId endpointWatch;
+    int unusableRecords = 0;
     MonotonicTime now { std::chrono::hours(1) };
 
 private:
@@ -137,3 +147,30 @@
     fixture.arrive("m1");
     CHECK(fixture.reportedModels.contains(ModelId("m1")));
 }
+
+// Guards against one record that cannot be used and that hides the others, or fills the log as often as it is written.
+TEST_CASE("A record that cannot be used is logged once and the others are followed")
+{
+    ReducerFixture fixture;
+    for (StoreVersion version = 10; version < 14; ++version) {
+        StoreReply reply { fixture.endpointWatch, StoreStatus::Ok };
+        reply.version = version;
+        reply.entries
+            = { { "endpoints/odd", "", version }, { "endpoints/e" + std::to_string(version), "notes", version } };
+        fixture.apply(reply);
+        for (int i = 0; i < 40; ++i)
+            fixture.tick();
+    }
+    CHECK(fixture.unusableRecords == 1);
+    RequestArrived status;
+    status.id = RequestId(99);
+    status.target = "/status";
+    status.path = "/status";
+    std::string body;
+    for (const Effect& effect : fixture.reducer.apply(AdminRequestArrived { status }, fixture.now)) {
+        if (const auto* answer = std::get_if<SendWholeResponse>(&effect))
+            body = answer->body;
+    }
+    INFO(body);
+    CHECK(body.find("\"endpoints\":5") != std::string::npos);
+}
--- a/tests/platform/PlatformProtocolTest.cpp
+++ b/tests/platform/PlatformProtocolTest.cpp
@@ -74,6 +74,17 @@
             false },
         { "no slots", R"({"service":"s","address":"1.2.3.4:5","zone":"z","state":"ready"})", false },
         { "not JSON", "\x01\x02", false },
+        { "a port out of range", R"({"service":"s","address":"1.2.3.4:65536","zone":"z","state":"ready","slots":6})",
+            false },
+        { "port 0", R"({"service":"s","address":"1.2.3.4:0","zone":"z","state":"ready","slots":6})", false },
+        { "a host name", R"({"service":"s","address":"localhost:5","zone":"z","state":"ready","slots":6})", false },
+        { "a number too large", R"({"service":"s","address":"1.2.3.4:5","zone":"z","state":"ready","slots":6e999})",
+            false },
+        { "invalid UTF-8",
+            "{\"service\":\"\xff\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\",\"state\":\"ready\",\"slots\":6}", false },
+        { "a field twice, and unknown ones",
+            R"({"service":"s","address":"1.2.3.4:5","zone":"z","state":"ready","slots":64,"slots":6,"x":[{}],"y":1e20})",
+            true },
         { "a list", "[1,2]", false },
     }));
     const auto result = PlatformProtocol().readEndpoint("servers/i-1", test.text);
@@ -83,6 +94,18 @@
         CHECK(valueOf(result).id == EndpointId("i-1"));
 }
 
+// Guards against a record that ends every host that reads it: serializing and copying recurse for each level.
+TEST_CASE("A record that is nested deeply is not accepted")
+{
+    const auto field = GENERATE(values<std::string>({ "version", "models", "at_hand", "born", "other" }));
+    constexpr std::size_t levels = 100'000;
+    const std::string record = R"({"service":"s","address":"1.2.3.4:5","zone":"z","state":"ready","slots":6,")" + field
+        + "\":" + std::string(levels, '[') + std::string(levels, ']') + "}";
+    INFO(field);
+    CHECK(isError(PlatformProtocol().readEndpoint("servers/i-1", record)));
+    CHECK(isError(PlatformProtocol().readConfiguration(R"({"version":7,"routes":)" + record + "}")));
+}
+
 // Guards against callers that set headers reserved for the platform.
 TEST_CASE("An attempt carries the caller's headers and those that the gateway sets")
 {
