Ask whether the list of endpoints is up to date before a stream is taken up

Cause: dispatchResumption asks which version began a stream only if this host knows of several. A host that is behind knows of one, and takes that for all. The class of fault: the age of knowledge is ignored. Found by reading. What the store has more is applied first, so that another version leads to the question of which began the stream. If the store does not answer, the stream goes on only if every registered host was heard within three digests; else it is refused with the time to retry, since another host may know more. Why it works: reads of the store are linearizable, so what any host had read before it sent the first event of the stream, the check reads too. With the store away for all, no host can know of an endpoint that this one does not, unless one that is not heard still reaches it. Costs: one read of the store for each stream that is taken up again, a few ms; no state that outlasts the request. Open: an endpoint that starts anew under its old identifier with another version is known by the old one until its record is read.

--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <catkinwell/gateway/EndpointListCheck.h>
 #include <catkinwell/gateway/EnginePlacement.h>
 #include <catkinwell/gateway/FleetQuota.h>
 #include <catkinwell/gateway/GatewayRequests.h>
@@ -86,6 +87,9 @@
     void useSecret(const std::string& secret, EffectList&);
     void updateStreamVersions(MonotonicTime now, EffectList&);
     void sendStreamBeginnings(MonotonicTime now, EffectList&);
+    void checkEndpointList(MonotonicTime now, EffectList&);
+    void handleListCheck(const EndpointListCheck::Result&, MonotonicTime now, EffectList&);
+    bool isEveryPeerHeard(MonotonicTime now) const;
     void askForStreamVersions(MonotonicTime now, EffectList&);
     std::vector<HostId> keepersOf(StreamKey, std::size_t count) const;
     void ensureSecret(MonotonicTime now, EffectList&);
@@ -116,6 +120,7 @@
     PrefixMirror m_configurationMirror;
     PrefixMirror m_endpointMirror;
     PrefixMirror m_gatewayMirror;
+    EndpointListCheck m_listCheck;
     PlacementOwnership m_ownership;
     EndpointDirectory m_directory;
     FleetQuota m_quota;
--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -75,6 +75,12 @@
     void noteRecordsRead(const std::vector<StreamBeginning>&, MonotonicTime now, EffectList&);
     // Another host reports, or answers a question.
     void handle(const StreamBeginning&, MonotonicTime now, EffectList&);
+    // Whether streams to be taken up wait until it is known that the list of endpoints is up to date.
+    bool wantsListCheck() const { return !m_awaitingList.empty(); }
+    // The list of endpoints holds all that the store had at this time.
+    void noteListChecked(MonotonicTime checkedAt, MonotonicTime now, EffectList&);
+    // The store could not be asked. The list counts as up to date if no host is out of reach that could know more.
+    void noteListUnchecked(bool isEveryPeerHeard, MonotonicTime now, EffectList&);
     PromptQuarantine& promptQuarantine() { return m_promptQuarantine; }
     // Which services this host has a path to.
     const EndpointReach& reach() const { return m_reach; }
@@ -191,6 +197,9 @@
         // answer.
         std::optional<MonotonicTime> versionDeadline;
         std::size_t askedHosts = 0;
+        // When the request began to wait for a check of the list of endpoints, and whether there was one.
+        MonotonicTime listAskedAt {};
+        bool isListChecked = false;
         // Whether the records in the store, which may know it too, are being read.
         bool awaitsRecords = false;
         EventStreamBuffer eventBuffer;
@@ -249,6 +258,8 @@
     bool isResumption(const Request&) const;
     // Starts the request at the version of its stream, asks other hosts for that version, or refuses the request.
     void dispatchResumption(Request&, MonotonicTime now, EffectList&);
+    void waitForListCheck(Request&, MonotonicTime now);
+    void goOnAfterListCheck(RequestId, MonotonicTime now, EffectList&);
     void refuseIfNobodyKnows(Request&, MonotonicTime now, EffectList&);
     void refuseUnknownVersion(Request&, MonotonicTime now, EffectList&);
     bool isVersionGone(const Request&, MonotonicTime now) const;
@@ -350,6 +361,8 @@
     std::vector<StreamKey> m_versionQuestions;
     // Requests that wait for other hosts to say at which version their stream began.
     std::set<RequestId> m_awaitingVersion;
+    // Requests that wait for a check of the list of endpoints.
+    std::set<RequestId> m_awaitingList;
     std::uint64_t m_lastAttempt = 0;
     bool m_newlyWaiting = false;
     bool m_hasReachNews = false;
--- a/include/catkinwell/gateway/PrefixMirror.h
+++ b/include/catkinwell/gateway/PrefixMirror.h
@@ -28,6 +28,9 @@
     // Returns the changed entries; deleted ones are marked. Ignores replies to other calls.
     std::vector<StoreEntry> handle(const StoreReply&, MonotonicTime now, EffectList&);
 
+    // Applies the reply to another call that watched from version() on. Precondition: isCurrent().
+    std::vector<StoreEntry> merge(const StoreReply&);
+
     // Forgets the versions of before the restore and reads the prefix again. The last copy is kept until then.
     void noteRestored(MonotonicTime now);
 
@@ -37,6 +40,8 @@
     // Whether the copy follows the store's present history; false from the loss of the history or a restore until the
     // prefix has been read again.
     bool isCurrent() const { return m_isRead && !m_needsList; }
+    // Up to which version of the store the copy is complete.
+    StoreVersion version() const { return m_version; }
     // The store's epoch when the prefix was last listed; 0 if unknown.
     StoreEpoch epoch() const { return m_epoch; }
     const std::map<std::string, StoreEntry>& entries() const { return m_entries; }
--- a/include/catkinwell/store/StoreCallIds.h
+++ b/include/catkinwell/store/StoreCallIds.h
@@ -18,6 +18,7 @@
     Versions,
     Streams,
     StreamReads,
+    EndpointCheck,
 };
 
 // Generates the call identifiers of one module. Part of the reducer's state; not thread safe.
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -97,6 +97,7 @@
           StoreUser::Configuration, mirrorOf(protocol.configurationKey(), std::chrono::milliseconds(50)), seed + 1)
     , m_endpointMirror(StoreUser::Membership, mirrorOf(protocol.endpointPrefix(), shortestRecordInterval), seed + 2)
     , m_gatewayMirror(StoreUser::Shares, mirrorOf(m_settings.storeKeyPrefix, std::chrono::milliseconds(100)), seed + 3)
+    , m_listCheck(protocol.endpointPrefix())
     , m_ownership(ownershipOf(m_settings, incarnation), seed + 4)
     , m_directory(m_settings.dataCentre, seed + 6, m_settings.host)
     , m_quota(m_settings.host)
@@ -121,12 +122,14 @@
     void operator()(const RequestArrived& event) const
     {
         reducer.m_requests.handle(event, now, effects);
+        reducer.checkEndpointList(now, effects);
         reducer.askForStreamVersions(now, effects);
         reducer.sendUrgentDemand(now, effects);
     }
     void operator()(const RelayedRequestArrived& event) const
     {
         reducer.m_requests.handle(event, now, effects);
+        reducer.checkEndpointList(now, effects);
         reducer.askForStreamVersions(now, effects);
         reducer.sendUrgentDemand(now, effects);
     }
@@ -205,6 +208,7 @@
     m_directory.tick(now);
     updatePromptQuarantine(now, effects);
     updateStreamVersions(now, effects);
+    checkEndpointList(now, effects);
     m_placement.tick(now, effects);
     sendPlacementUpdate(now, effects);
     sendDigests(now, effects);
@@ -265,6 +269,10 @@
         if (const auto beginnings = m_streamRecords.handle(reply, m_wallNow))
             m_requests.noteRecordsRead(*beginnings, now, effects);
         break;
+    case StoreUser::EndpointCheck:
+        if (const auto result = m_listCheck.handle(reply, m_endpointMirror))
+            handleListCheck(*result, now, effects);
+        break;
     case StoreUser::Orders:
         break;
     }
--- a/src/gateway/GatewayRequestOutcomes.cpp
+++ b/src/gateway/GatewayRequestOutcomes.cpp
@@ -291,6 +291,7 @@
         return;
     stopWaiting(found->second, now);
     m_awaitingVersion.erase(id);
+    m_awaitingList.erase(id);
     if (found->second.relayedFrom)
         --m_relayedRequests;
     m_requests.erase(found);
--- a/src/gateway/GatewayStreamKeepers.cpp
+++ b/src/gateway/GatewayStreamKeepers.cpp
@@ -11,6 +11,9 @@
 
     // Hosts, besides its own, that keep a stream's version.
     constexpr std::size_t keptCopies = 3;
+    // A host counts as heard until it missed this many digests, each of which may be late.
+    constexpr int missedDigests = 3;
+    constexpr Duration digestDelay = std::chrono::milliseconds(200);
     // One more is asked, as the ranking changes when hosts come and go.
     constexpr std::size_t askedHosts = keptCopies + 1;
 
@@ -50,6 +53,37 @@
         sendTo(host, message, effects);
 }
 
+void GatewayReducer::checkEndpointList(MonotonicTime now, EffectList& effects)
+{
+    if (!m_requests.wantsListCheck() || !m_listCheck.isFree())
+        return;
+    if (!m_listCheck.start(m_endpointMirror, now, effects))
+        m_requests.noteListUnchecked(isEveryPeerHeard(now), now, effects);
+}
+
+void GatewayReducer::handleListCheck(const EndpointListCheck::Result& result, MonotonicTime now, EffectList& effects)
+{
+    for (const StoreEntry& entry : result.changes)
+        applyEndpoint(entry, now, effects);
+    if (result.outcome == EndpointListCheck::Outcome::UpToDate)
+        m_requests.noteListChecked(result.startedAt, now, effects);
+    else
+        m_requests.noteListUnchecked(isEveryPeerHeard(now), now, effects);
+    checkEndpointList(now, effects);
+    askForStreamVersions(now, effects);
+}
+
+// Without the store no host learns of an endpoint that this one does not know of, unless a host that it does not hear
+// still reaches the store.
+bool GatewayReducer::isEveryPeerHeard(MonotonicTime now) const
+{
+    const Duration longestSilence = missedDigests * digestInterval() + digestDelay;
+    return std::all_of(m_peers.begin(), m_peers.end(), [&](const auto& item) {
+        const Peer& peer = item.second;
+        return !peer.isRegistered || peer.isLeaving || now - peer.heardAt <= longestSilence;
+    });
+}
+
 void GatewayReducer::askForStreamVersions(MonotonicTime now, EffectList& effects)
 {
     for (const StreamKey stream : m_requests.takeVersionQuestions()) {
--- a/src/gateway/GatewayStreamVersions.cpp
+++ b/src/gateway/GatewayStreamVersions.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+    // Longer than two calls of the store may take.
+    constexpr Duration listCheckTimeout = std::chrono::milliseconds(600);
     // Time for the hosts that may know a stream to answer.
     constexpr Duration versionQuestionTimeout = std::chrono::milliseconds(200);
     // Time for the store to answer as well.
@@ -37,10 +39,14 @@
     const bool isSeveral = m_directory.hasSeveralVersions(request.service, now);
     if (known && !known->empty())
         request.softwareVersion = *known;
-    if (request.softwareVersion || !isSeveral) {
+    if (request.softwareVersion || (!isSeveral && request.isListChecked)) {
         dispatch(request, now, effects);
         return;
     }
+    if (!isSeveral) {
+        waitForListCheck(request, now);
+        return;
+    }
     if (known || !isNamed) {
         refuseUnknownVersion(request, now, effects);
         return;
@@ -50,6 +56,42 @@
     m_versionQuestions.push_back(request.stream);
 }
 
+// That one version serves may be all that a host knows which was cut off or stood still.
+void GatewayRequests::waitForListCheck(Request& request, MonotonicTime now)
+{
+    request.versionDeadline = now + listCheckTimeout;
+    request.listAskedAt = now;
+    m_awaitingList.insert(request.arrived.id);
+}
+
+void GatewayRequests::goOnAfterListCheck(RequestId id, MonotonicTime now, EffectList& effects)
+{
+    m_awaitingList.erase(id);
+    Request& request = m_requests.at(id);
+    request.isListChecked = true;
+    dispatchResumption(request, now, effects);
+}
+
+void GatewayRequests::noteListChecked(MonotonicTime checkedAt, MonotonicTime now, EffectList& effects)
+{
+    for (const RequestId id : std::set<RequestId>(m_awaitingList)) {
+        if (m_awaitingList.contains(id) && m_requests.at(id).listAskedAt <= checkedAt)
+            goOnAfterListCheck(id, now, effects);
+    }
+}
+
+void GatewayRequests::noteListUnchecked(bool isEveryPeerHeard, MonotonicTime now, EffectList& effects)
+{
+    for (const RequestId id : std::set<RequestId>(m_awaitingList)) {
+        if (!m_awaitingList.contains(id))
+            continue;
+        if (isEveryPeerHeard)
+            goOnAfterListCheck(id, now, effects);
+        else
+            refuseUnknownVersion(m_requests.at(id), now, effects);
+    }
+}
+
 void GatewayRequests::refuseUnknownVersion(Request& request, MonotonicTime now, EffectList& effects)
 {
     refuse(request,
--- a/src/gateway/PrefixMirror.cpp
+++ b/src/gateway/PrefixMirror.cpp
@@ -69,13 +69,20 @@
         m_version = reply.version;
         m_epoch = reply.epoch;
     } else {
-        for (const StoreEntry& entry : reply.entries)
-            apply(entry, changes);
-        m_version = std::max(m_version, reply.version);
+        changes = merge(reply);
     }
     return changes;
 }
 
+std::vector<StoreEntry> PrefixMirror::merge(const StoreReply& reply)
+{
+    std::vector<StoreEntry> changes;
+    for (const StoreEntry& entry : reply.entries)
+        apply(entry, changes);
+    m_version = std::max(m_version, reply.version);
+    return changes;
+}
+
 void PrefixMirror::noteRestored(MonotonicTime now)
 {
     // The reply to a call that was sent before the restore is ignored.
--- a/src/reducer/Reducer.cpp
+++ b/src/reducer/Reducer.cpp
@@ -210,6 +210,7 @@
     case StoreUser::Versions:
     case StoreUser::Streams:
     case StoreUser::StreamReads:
+    case StoreUser::EndpointCheck:
         break;
     }
 }
--- a/tests/gateway/GatewayFixture.cpp
+++ b/tests/gateway/GatewayFixture.cpp
@@ -3,6 +3,7 @@
 #include "http/HeaderText.h"
 #include <catkinwell/core/Digest.h>
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 namespace Catkinwell::Testing {
 
@@ -34,7 +35,16 @@
 {
     if (document.empty())
         return Error { ErrorKind::InvalidMessage, "the record is empty" };
-    return sampleEndpoint(std::string(key.substr(endpointPrefix().size())), std::string(document));
+    std::istringstream words { std::string(document) };
+    std::string service;
+    std::string version;
+    words >> service >> version;
+    LoadedModels models;
+    for (std::string model; words >> model;)
+        models[ModelId(model)];
+    EndpointRecord record = sampleEndpoint(std::string(key.substr(endpointPrefix().size())), service, models);
+    record.softwareVersion = version;
+    return record;
 }
 
 GatewayConfiguration sampleConfiguration(std::uint64_t version)
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -6,7 +6,8 @@
 
 namespace Catkinwell::Testing {
 
-// The replay protocol's plain headers, with documents that refer to the sample configuration and sample endpoints.
+// The replay protocol's plain headers, with documents that refer to the sample configuration and sample endpoints. The
+// record of an endpoint is its service, its software version and its models, separated by spaces.
 class PlainProtocol final : public ReplayProtocol {
 public:
     std::string configurationKey() const override { return "configuration"; }
