Obey endpoints that say that they leave or want a pause

Change: EndpointNotices keeps what endpoints state of themselves: leaving holds until another run of the endpoint begins, whatever its record says, also over a lapse of the record; a pause holds until its end at this host. Answers to requests, health checks, checks of answers and the placement's status reads all count. Within a pause the host sends no request, retry, stream, probe, check, status read or order; after it one request each 50 ms for a second, beginning at a random moment within 0.3 s, so that neither the waiting requests nor all hosts return at once. Others of the service take the load; if all asked for a pause, callers are refused at once with the earliest end, and the model stays in demand. A relaying host learns of the leaving from the answer that it passes on (Relay-Endpoint, a new header that older releases ignore). 2125 logs each notice once. Also: an identifier with characters that are not printable, which would become part of a header, makes a record unusable. Open: serve reads neither; its engines state leaving in their reports.

--- a/include/catkinwell/gateway/EndpointDirectory.h
+++ b/include/catkinwell/gateway/EndpointDirectory.h
@@ -2,6 +2,7 @@
 
 #include <catkinwell/core/RandomGenerator.h>
 #include <catkinwell/gateway/EndpointLimits.h>
+#include <catkinwell/gateway/EndpointNotices.h>
 #include <catkinwell/gateway/EndpointRoom.h>
 #include <catkinwell/gateway/GatewayMessage.h>
 #include <catkinwell/reducer/Effect.h>
@@ -82,6 +83,12 @@
     EndpointLimits& limits() { return m_limits; }
     // The room of endpoints that fall over if they have to reject too many. choose() and hasReplica() keep within it.
     EndpointRoom& room() { return m_room; }
+    // The endpoint stated this in an answer to this host.
+    void noteNotice(const EndpointId&, const EndpointNotice&, MonotonicTime now, EffectList&);
+    // Whether the endpoint asked this host for a pause.
+    bool isPaused(const EndpointId& id, MonotonicTime now) const { return m_notices.isPaused(id, now); }
+    // Returns when the first endpoint that serves the need wants requests again; nullopt unless all asked for a pause.
+    std::optional<MonotonicTime> soonestPauseEnd(const EndpointNeed&, MonotonicTime now) const;
     // Returns the expected time until an ordered replica is ready; nullopt if none was ordered.
     std::optional<Duration> timeUntilOrderedReplica(const std::string& service, const ModelVariant&,
         const std::optional<std::string>& softwareVersion, MonotonicTime now) const;
@@ -182,6 +189,7 @@
     RandomGenerator m_random;
     EndpointLimits m_limits;
     EndpointRoom m_room;
+    EndpointNotices m_notices;
     std::map<EndpointId, Entry> m_entries;
     // Only of services whose room is limited.
     std::map<std::string, ServiceUse> m_serviceUse;
--- a/include/catkinwell/gateway/EndpointRecord.h
+++ b/include/catkinwell/gateway/EndpointRecord.h
@@ -14,6 +14,14 @@
 // Models and their adapters in the memory of an engine.
 using LoadedModels = std::map<ModelId, std::set<std::string>>;
 
+// What an endpoint states of itself in an answer of any kind.
+struct EndpointNotice {
+    // It will stop; it wants no new requests.
+    bool isLeaving = false;
+    // How long it wants no requests from this host; absent unless stated.
+    std::optional<Duration> pause;
+};
+
 // The record that an endpoint publishes about itself in the platform's store.
 struct EndpointRecord {
     EndpointId id;
@@ -58,6 +66,7 @@
     std::set<ModelId> onDisk;
     // When the status was requested.
     MonotonicTime requestedAt {};
+    EndpointNotice notice {};
 };
 
 // Event: the state of an engine could not be fetched or read.
@@ -66,6 +75,7 @@
     std::string reason;
     // How the connection failed; absent if the engine answered.
     std::optional<AttemptFailure> failure {};
+    EndpointNotice notice {};
 };
 
 // Effect: requests the state of an engine.
--- a/include/catkinwell/gateway/ForwardingProtocol.h
+++ b/include/catkinwell/gateway/ForwardingProtocol.h
@@ -51,6 +51,7 @@
     std::optional<double> requestsPerSecond;
     // Rejections for want of room that the endpoint bears in a second; with more it falls over. Absent unless stated.
     std::optional<double> rejectionsPerSecond;
+    EndpointNotice notice;
 };
 
 // A request by which an endpoint shows that it is running. It has no effect at the endpoint.
--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -285,6 +285,10 @@
     MonotonicTime waitLimit(const Request&) const;
     void waitForReplica(Request&, MonotonicTime now, EffectList&);
     void stopWaiting(Request&, MonotonicTime now);
+    // Refuses a request that no endpoint has started if all endpoints that serve it asked for a pause.
+    bool refuseIfPaused(Request&, const EndpointNeed&, MonotonicTime now, EffectList&);
+    // Keeps the model of a refused request in demand for a while.
+    void keepInDemand(const Request&, MonotonicTime now);
     // Records what the endpoint's answer states about the requests that it accepts.
     void noteLimits(const Request&, MonotonicTime now, EffectList&);
     void startAttempt(Request&, const EndpointChoice&, MonotonicTime now, EffectList&);
--- a/include/catkinwell/logging/LogEvent.h
+++ b/include/catkinwell/logging/LogEvent.h
@@ -129,6 +129,7 @@
     GatewayOrderDecided = 2122,
     GatewayOrderFinished = 2123,
     GatewayStatusFailed = 2124,
+    GatewayEndpointNotice = 2125,
     GatewayPathLost = 2130,
     GatewayPathRegained = 2131,
     GatewayRequestRelayed = 2132,
--- a/include/catkinwell/relay/RelayMessage.h
+++ b/include/catkinwell/relay/RelayMessage.h
@@ -83,6 +83,8 @@
     unsigned attempts = 0;
     // The software version of a resumable stream that begins; empty if it cannot be told.
     std::optional<std::string> softwareVersion {};
+    // The endpoint that answered; empty if none did, or an older release does not say.
+    EndpointId endpoint {};
 };
 
 // Adds the statement to the headers of an answer, in place of headers with its names, and removes it. Thread safe.
--- a/src/gateway/EndpointDirectory.cpp
+++ b/src/gateway/EndpointDirectory.cpp
@@ -52,6 +52,7 @@
     , m_random(seed)
     , m_limits(std::move(self), seed + 1)
     , m_room(seed + 2)
+    , m_notices(seed + 3)
 {
 }
 
@@ -80,9 +81,12 @@
     auto [found, isNew] = m_entries.try_emplace(record.id);
     Entry& entry = found->second;
     const bool isRestarted = !isNew && entry.record.incarnation != record.incarnation;
+    // An endpoint that said that it leaves does so, whatever its record says.
+    const bool isLeaving = record.isLeaving || m_notices.isLeaving(record.id, record.incarnation);
     const bool changesState
-        = isNew || isRestarted || entry.record.isLeaving != record.isLeaving || entry.usableUntil != MonotonicTime();
+        = isNew || isRestarted || entry.record.isLeaving != isLeaving || entry.usableUntil != MonotonicTime();
     if (isRestarted) {
+        m_notices.remove(record.id);
         m_limits.remove(record.id);
         m_room.remove(record.id);
         entry.update = EngineUpdate();
@@ -93,6 +97,7 @@
         entry.suspectedUntil = MonotonicTime();
     }
     entry.record = record;
+    entry.record.isLeaving = isLeaving;
     entry.recordAt = now;
     entry.usableUntil = MonotonicTime();
     noteVersion(record, now);
@@ -100,7 +105,7 @@
         effects.push_back(LogEntry { LogEvent::GatewayEndpointChanged,
             { { "endpoint", record.id.value }, { "service", record.service }, { "address", record.address },
                 { "software_version", record.softwareVersion },
-                { "state", record.isLeaving ? "leaving" : (isRestarted ? "restarted" : "ready") } } });
+                { "state", isLeaving ? "leaving" : (isRestarted ? "restarted" : "ready") } } });
 }
 
 void EndpointDirectory::remove(const EndpointId& id, MonotonicTime usableUntil, MonotonicTime now, EffectList& effects)
@@ -230,6 +235,33 @@
     std::erase_if(
         m_departures, [now](const auto& departure) { return now - departure.second.at >= departureLifetime; });
     m_limits.tick(now);
+    m_notices.tick(now);
+}
+
+void EndpointDirectory::noteNotice(
+    const EndpointId& id, const EndpointNotice& notice, MonotonicTime now, EffectList& effects)
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end())
+        return;
+    EndpointRecord& record = found->second.record;
+    m_notices.note(id, record.incarnation, notice, now, effects);
+    record.isLeaving = record.isLeaving || notice.isLeaving;
+}
+
+std::optional<MonotonicTime> EndpointDirectory::soonestPauseEnd(const EndpointNeed& need, MonotonicTime now) const
+{
+    std::optional<MonotonicTime> soonest;
+    for (const auto& [id, entry] : m_entries) {
+        if (entry.record.service != need.service || !isPresent(entry, now) || !hasVariant(entry, need.variant, now)
+            || !isVersionAccepted(entry, need.softwareVersion))
+            continue;
+        if (!m_notices.isPaused(id, now))
+            return std::nullopt;
+        const MonotonicTime end = m_notices.pauseEnd(id);
+        soonest = soonest ? std::min(*soonest, end) : end;
+    }
+    return soonest;
 }
 
 // Whether the endpoint is neither leaving nor gone.
@@ -240,7 +272,8 @@
 
 bool EndpointDirectory::isUsable(const Entry& entry, MonotonicTime now) const
 {
-    return isPresent(entry, now) && now >= entry.suspectedUntil && now >= entry.misdirectedUntil;
+    return isPresent(entry, now) && now >= entry.suspectedUntil && now >= entry.misdirectedUntil
+        && !m_notices.isPaused(entry.record.id, now);
 }
 
 bool EndpointDirectory::isAvailable(const Entry& entry, MonotonicTime now)
@@ -464,7 +497,7 @@
     std::vector<const Entry*> others;
     std::vector<const Entry*> failed;
     for (const auto& [id, entry] : m_entries) {
-        if (entry.record.service == service && isPresent(entry, now))
+        if (entry.record.service == service && isPresent(entry, now) && !m_notices.isPaused(id, now))
             (hasFailed(id) ? failed : others).push_back(&entry);
     }
     const std::vector<const Entry*>& candidates = others.empty() ? failed : others;
@@ -488,6 +521,7 @@
 void EndpointDirectory::attemptStarted(const EndpointId& id, const ModelVariant& variant, MonotonicTime now)
 {
     m_limits.attemptStarted(id, now);
+    m_notices.attemptStarted(id, now);
     const auto found = m_entries.find(id);
     if (found == m_entries.end())
         return;
--- a/src/gateway/EnginePlacement.cpp
+++ b/src/gateway/EnginePlacement.cpp
@@ -159,7 +159,7 @@
             finishPendingLoad(engine, now);
         if (engine.adapterPending && engine.adapterPending->isAccepted && now >= engine.adapterPending->expectedEnd)
             finishAdapterLoad(engine, now);
-        if (now >= engine.nextStatusAt && !engine.isStatusPending)
+        if (now >= engine.nextStatusAt && !engine.isStatusPending && !m_directory.isPaused(id, now))
             fetchStatus(engine, now, effects);
     }
     if (now < m_permission->from)
--- a/src/gateway/GatewayAnswerEnds.cpp
+++ b/src/gateway/GatewayAnswerEnds.cpp
@@ -66,6 +66,10 @@
     const Attempt& attempt = *request.attempt;
     const EndpointRecord* record = m_directory.find(attempt.endpoint);
     const auto service = m_configuration.services.find(request.service);
+    if (m_directory.isPaused(attempt.endpoint, now)) {
+        handleBrokenAnswer(request, "the endpoint cannot be asked whether it ran when its answer ended", now, effects);
+        return;
+    }
     if (!record || service == m_configuration.services.end()) {
         handleBrokenAnswer(request, "the endpoint was gone when its answer ended", now, effects);
         return;
@@ -93,7 +97,10 @@
     m_endpointChecks.erase(check);
     if (!request)
         return true;
-    if (m_protocol.termsOf(head.status, head.headers).isMisdirected)
+    const AnswerTerms terms = m_protocol.termsOf(head.status, head.headers);
+    if (!terms.isMisdirected)
+        m_directory.noteNotice(request->attempt->endpoint, terms.notice, now, effects);
+    if (terms.isMisdirected)
         handleBrokenAnswer(*request, "another endpoint had the address when the answer ended", now, effects);
     else
         deliverAnswer(*request, now, effects);
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -148,11 +148,13 @@
     void operator()(const EngineStatus& event) const
     {
         reducer.m_requests.noteStatusRead(event.endpoint, std::nullopt, now, effects);
+        reducer.m_directory.noteNotice(event.endpoint, event.notice, now, effects);
         reducer.m_placement.handle(event, now, effects);
     }
     void operator()(const EngineStatusFailed& event) const
     {
         reducer.m_requests.noteStatusRead(event.endpoint, event.failure, now, effects);
+        reducer.m_directory.noteNotice(event.endpoint, event.notice, now, effects);
         reducer.m_placement.handle(event, now, effects);
     }
     void operator()(const EngineOrderFinished& event) const
--- a/src/gateway/GatewayRelay.cpp
+++ b/src/gateway/GatewayRelay.cpp
@@ -119,6 +119,7 @@
     if (probe == m_probes.end())
         return false;
     m_reach.noteAnswer(probe->second.first, true, now, effects);
+    m_directory.noteNotice(probe->second.second, m_protocol.termsOf(head.status, head.headers).notice, now, effects);
     return true;
 }
 
@@ -239,7 +240,8 @@
 {
     if (request.relayedFrom)
         addRelayAnswer(headers,
-            { outcome, std::string(reason), request.attempts + (request.attempt ? 1 : 0), request.softwareVersion });
+            { outcome, std::string(reason), request.attempts + (request.attempt ? 1 : 0), request.softwareVersion,
+                request.attempt ? request.attempt->endpoint : EndpointId() });
 }
 
 } // namespace Catkinwell
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -108,6 +108,8 @@
         startAttempt(request, *choice, now, effects);
         return;
     }
+    if (refuseIfPaused(request, need, now, effects))
+        return;
     const bool isReachedByOthers = m_directory.isOnlyUnreachable(need, now);
     if (isReachedByOthers && startRelay(request, "the endpoints with the model cannot be reached", now, effects))
         return;
@@ -211,15 +213,32 @@
 {
     if (!soonest || request.mayHaveRun || now + *soonest <= waitLimit(request))
         return;
+    keepInDemand(request, now);
+    const std::string detail
+        = "the model can be ready in " + std::to_string(millisecondsOf(*soonest)) + " ms at the earliest";
+    refuse(request, { 503, "no_replica", detail, soonest }, now, effects);
+}
+
+void GatewayRequests::keepInDemand(const Request& request, MonotonicTime now)
+{
     const ServiceVariant key(request.service, request.terms.variant);
     const auto [known, isNew] = m_refusedWaits.try_emplace(key, now + refusedWaitTime);
     if (isNew)
         m_demand.waitBegan(key, now);
     if (const VersionedVariant need = needOf(request, now); need.second)
         m_refusedVersionWaits[{ key.first, key.second, *need.second }] = now + refusedWaitTime;
-    const std::string detail
-        = "the model can be ready in " + std::to_string(millisecondsOf(*soonest)) + " ms at the earliest";
-    refuse(request, { 503, "no_replica", detail, soonest }, now, effects);
+}
+
+bool GatewayRequests::refuseIfPaused(Request& request, const EndpointNeed& need, MonotonicTime now, EffectList& effects)
+{
+    const auto end = m_directory.soonestPauseEnd(need, now);
+    if (!end || request.mayHaveRun || request.isHeadSent)
+        return false;
+    if (!request.terms.variant.model.value.empty())
+        keepInDemand(request, now);
+    refuse(
+        request, { 503, "endpoints_paused", "all endpoints want no requests for a while", *end - now }, now, effects);
+    return true;
 }
 
 std::set<VersionWait> GatewayRequests::versionWaits(MonotonicTime now) const
@@ -335,6 +354,10 @@
     noteReached(*request, head.isNewConnection, now, effects);
     if (!attempt.relayedTo && (attempt.terms.isSealed || attempt.terms.isNotExecuted))
         noteLimits(*request, now, effects);
+    else if (attempt.relayedTo && attempt.relayAnswer.outcome == RelayOutcome::Answered)
+        // What it says of a pause concerns the host that it answered.
+        m_directory.noteNotice(
+            attempt.relayAnswer.endpoint, { attempt.terms.notice.isLeaving, std::nullopt }, now, effects);
     const bool isSuccess = head.status >= 200 && head.status < 300;
     const bool isUsable = isSuccess && attempt.terms.isSealed && !attempt.terms.isEncoded;
     attempt.isForwarded = request->route.isStream && isUsable;
@@ -357,6 +380,8 @@
     const Attempt& attempt = *request.attempt;
     m_directory.limits().noteAnswer(attempt.endpoint, attempt.terms.requestsPerSecond, now, effects);
     m_directory.room().noteAnswer(request.service, attempt.terms.rejectionsPerSecond, now, effects);
+    if (!attempt.terms.isMisdirected)
+        m_directory.noteNotice(attempt.endpoint, attempt.terms.notice, now, effects);
     if (attempt.terms.isNotExecuted && !attempt.terms.isMisdirected)
         m_directory.room().noteRejected(request.service, attempt.endpoint, now);
 }
--- a/src/logging/LogEvent.cpp
+++ b/src/logging/LogEvent.cpp
@@ -288,6 +288,9 @@
             "An engine answered an order, or its answer was lost.", "" },
         { LogEvent::GatewayStatusFailed, Warning, "gateway_status_failed", "An engine's state could not be read.",
             "If it persists, check the endpoint's host and network." },
+        { LogEvent::GatewayEndpointNotice, Info, "gateway_endpoint_notice",
+            "An endpoint stated in an answer that it leaves, or that it wants no requests from this host for a time.",
+            "If pauses repeat, check the endpoint's load and add capacity to its service." },
         { LogEvent::GatewayPathLost, Error, "gateway_path_lost",
             "No endpoint of a service answers this host, or none accepts a new connection. Its requests for the "
             "service "
--- a/src/relay/RelayMessage.cpp
+++ b/src/relay/RelayMessage.cpp
@@ -19,6 +19,7 @@
     constexpr std::string_view attemptsHeader = "Relay-Attempts";
     // A JSON string, so that it may hold any text.
     constexpr std::string_view softwareVersionHeader = "Relay-Software-Version";
+    constexpr std::string_view endpointHeader = "Relay-Endpoint";
 
     constexpr EnumNames<RelayOutcome, 4> outcomeNames { {
         { RelayOutcome::Answered, "answered" },
@@ -102,6 +103,8 @@
     headers.emplace_back(attemptsHeader, std::to_string(answer.attempts));
     if (!answer.reason.empty())
         headers.emplace_back(reasonHeader, answer.reason);
+    if (!answer.endpoint.value.empty())
+        headers.emplace_back(endpointHeader, answer.endpoint.value);
     if (answer.softwareVersion)
         headers.emplace_back(
             softwareVersionHeader, Json(*answer.softwareVersion).dump(-1, ' ', true, Json::error_handler_t::replace));
@@ -117,12 +120,14 @@
         std::from_chars(attempts->data(), attempts->data() + attempts->size(), answer.attempts);
     if (const std::string* reason = findHeader(headers, reasonHeader))
         answer.reason = *reason;
+    if (const std::string* endpoint = findHeader(headers, endpointHeader))
+        answer.endpoint = EndpointId(*endpoint);
     if (const std::string* version = findHeader(headers, softwareVersionHeader)) {
         const Json text = parseBoundedJson(*version);
         answer.softwareVersion = text.is_string() ? text.get<std::string>() : std::string();
     }
-    constexpr std::array<std::string_view, 4> names { outcomeHeader, attemptsHeader, reasonHeader,
-        softwareVersionHeader };
+    constexpr std::array<std::string_view, 5> names { outcomeHeader, attemptsHeader, reasonHeader,
+        softwareVersionHeader, endpointHeader };
     std::erase_if(headers, [&names](const auto& header) {
         return std::any_of(names.begin(), names.end(),
             [&header](std::string_view name) { return equalIgnoringCase(header.first, name); });
--- a/src/replay/ReplayProtocol.cpp
+++ b/src/replay/ReplayProtocol.cpp
@@ -44,6 +44,9 @@
         terms.requestsPerSecond = std::strtod(limit->c_str(), nullptr);
     if (const std::string* rejections = findHeader(headers, "brittle"))
         terms.rejectionsPerSecond = std::strtod(rejections->c_str(), nullptr);
+    terms.notice.isLeaving = findHeader(headers, "leaving") != nullptr;
+    if (const std::string* pause = findHeader(headers, "pause"))
+        terms.notice.pause = durationOfSeconds(std::strtod(pause->c_str(), nullptr));
     return terms;
 }
 
--- a/tests/platform/PlatformProtocolTest.cpp
+++ b/tests/platform/PlatformProtocolTest.cpp
@@ -106,6 +106,54 @@
     CHECK(isError(PlatformProtocol().readConfiguration(R"({"version":7,"routes":)" + record + "}")));
 }
 
+TEST_CASE("A key without a printable identifier names no endpoint")
+{
+    const auto key = GENERATE(values<std::string>({ "servers/", "servers/i 1", "servers/i\r\nX: 1", "servers/\x01" }));
+    const char* const record = R"({"service":"s","address":"1.2.3.4:5","zone":"z","state":"ready","slots":6})";
+    CHECK(isError(PlatformProtocol().readEndpoint(key, record)));
+}
+
+namespace {
+
+struct NoticeCase {
+    int status;
+    HeaderList headers;
+    bool expectedLeaving;
+    std::optional<std::int64_t> expectedPauseMs;
+};
+
+} // namespace
+
+// Guards against statements of endpoints that are not obeyed, and texts that pass for one.
+TEST_CASE("What an endpoint states of itself is read from its answers")
+{
+    const auto test = GENERATE(values<NoticeCase>({
+        { 200, {}, false, {} },
+        { 200, { { "server-leaving", "1" } }, true, {} },
+        { 503, { { "Server-Leaving", " 1 " }, { "Retry-After", "2" } }, true, 2000 },
+        { 200, { { "Server-Leaving", "0" } }, false, {} },
+        { 200, { { "Server-Leaving", "" } }, false, {} },
+        { 503, { { "Retry-After", "0.25" } }, false, 250 },
+        { 503, { { "Retry-After", "0" } }, false, 0 },
+        { 503, { { "Retry-After", "-1" } }, false, {} },
+        { 503, { { "Retry-After", "nan" } }, false, {} },
+        { 503, { { "Retry-After", "inf" } }, false, {} },
+        { 503, { { "Retry-After", "1e99" } }, false, {} },
+        { 503, { { "Retry-After", "Fri, 31 Dec 1999 23:59:59 GMT" } }, false, {} },
+        { 503, { { "Retry-After", "" } }, false, {} },
+        { 503, { { "Retry-After", "1" }, { "retry-after", "3" } }, false, 3000 },
+        { 503, { { "Retry-After", "x" }, { "Retry-After", "3" } }, false, 3000 },
+        { 429, { { "Retry-After", "1" } }, false, {} },
+        { 200, { { "Retry-After", "1" } }, false, {} },
+    }));
+    const EndpointNotice notice = PlatformProtocol().termsOf(test.status, test.headers).notice;
+    INFO(test.status << ' ' << (test.headers.empty() ? "" : test.headers.back().second));
+    CHECK(notice.isLeaving == test.expectedLeaving);
+    CHECK(notice.pause.has_value() == test.expectedPauseMs.has_value());
+    if (notice.pause && test.expectedPauseMs)
+        CHECK(millisecondsOf(*notice.pause) == *test.expectedPauseMs);
+}
+
 // Guards against callers that set headers reserved for the platform.
 TEST_CASE("An attempt carries the caller's headers and those that the gateway sets")
 {
