Ask in serving processes too whether an endpoint runs whose answer ended with its connection

Callers saw: half an answer of a plain service, with status 200 and complete, when the service ended while it answered without a length. Cause: the same as in gateways; streams of engines have an end marker, other answers have not. Change: such an answer is handled only once the endpoint has answered a request for its report, with any status; else it is a broken attempt: repeated where that is safe, else reported as failed.

--- a/include/catkinwell/requests/RequestFlow.h
+++ b/include/catkinwell/requests/RequestFlow.h
@@ -165,7 +165,14 @@
     void forwardStream(ActiveRequest&, const std::string& data, MonotonicTime now, EffectList&);
     void bufferOrForward(ActiveRequest&, const std::string& data, EffectList&);
     void finishStream(ActiveRequest&, MonotonicTime now, EffectList&);
+    // Handles an answer that is whole, other than a stream.
+    void handleWhole(ActiveRequest&, MonotonicTime now, EffectList&);
     void finishWhole(ActiveRequest&, MonotonicTime now, EffectList&);
+    // An answer ended with its connection, as it does if the endpoint ends: asks whether the endpoint still runs.
+    void checkEndpointRuns(const ActiveRequest&, EffectList&);
+    // Handle the events of such a check. Return false if the attempt is none.
+    bool handleCheck(const AttemptHead&, MonotonicTime now, EffectList&);
+    bool handleCheck(const AttemptFailed&, MonotonicTime now, EffectList&);
     // Returns true if the request was refused because it had crashed endpoints.
     bool refuseIfQuarantined(ActiveRequest&, MonotonicTime now, EffectList&);
     bool isQuarantined(const ActiveRequest&, MonotonicTime now) const;
@@ -211,6 +218,8 @@
     // Endpoints that seemed to die while the path to their pool was in doubt.
     std::set<EndpointId> m_deathsInDoubt;
     std::map<AttemptId, Probe> m_probes;
+    // Checks whether endpoints still run, with the attempts whose answers they decide on.
+    std::unordered_map<AttemptId, AttemptId> m_endpointChecks;
     // The requests that other hosts have this one serve.
     std::unordered_map<RequestId, HostId> m_relayedFrom;
     std::size_t m_relaysUnderWay = 0;
--- a/src/requests/RequestAnswers.cpp
+++ b/src/requests/RequestAnswers.cpp
@@ -71,7 +71,7 @@
 
 void RequestFlow::handle(const AttemptHead& head, MonotonicTime now, EffectList& effects)
 {
-    if (handleProbe(head, now, effects))
+    if (handleProbe(head, now, effects) || handleCheck(head, now, effects))
         return;
     ActiveRequest* request = findByAttempt(head.id);
     if (!request)
@@ -155,22 +155,30 @@
         finishStream(*request, now, effects);
         return;
     }
+    if (finished.endsWithConnection)
+        checkEndpointRuns(*request, effects);
+    else
+        handleWhole(*request, now, effects);
+}
+
+void RequestFlow::handleWhole(ActiveRequest& request, MonotonicTime now, EffectList& effects)
+{
     // The endpoint table was out of date: the engine has unloaded the model meanwhile, so the request did not run.
-    if (request->status == 404 && !request->model.value.empty() && !request->relayedTo) {
-        m_modules.endpoints.noteReplica(request->endpoint, request->model, false);
-        m_modules.endpoints.refreshSoon(request->endpoint);
-        endAttempt(*request, true, now);
-        request->mayHaveRun = request->mayHaveRunBefore;
-        enqueue(*request, now, effects);
+    if (request.status == 404 && !request.model.value.empty() && !request.relayedTo) {
+        m_modules.endpoints.noteReplica(request.endpoint, request.model, false);
+        m_modules.endpoints.refreshSoon(request.endpoint);
+        endAttempt(request, true, now);
+        request.mayHaveRun = request.mayHaveRunBefore;
+        enqueue(request, now, effects);
         return;
     }
-    if (request->idempotent && isTemporaryFailure(request->status) && !request->headSent) {
-        const std::string reason = "the endpoint answered with status " + std::to_string(request->status);
-        endAttempt(*request, true, now);
-        retryOrFail(*request, true, reason, now, effects);
+    if (request.idempotent && isTemporaryFailure(request.status) && !request.headSent) {
+        const std::string reason = "the endpoint answered with status " + std::to_string(request.status);
+        endAttempt(request, true, now);
+        retryOrFail(request, true, reason, now, effects);
         return;
     }
-    finishWhole(*request, now, effects);
+    finishWhole(request, now, effects);
 }
 
 void RequestFlow::finishStream(ActiveRequest& request, MonotonicTime now, EffectList& effects)
@@ -212,7 +220,7 @@
 
 void RequestFlow::handle(const AttemptFailed& failed, MonotonicTime now, EffectList& effects)
 {
-    if (handleProbe(failed, now, effects))
+    if (handleProbe(failed, now, effects) || handleCheck(failed, now, effects))
         return;
     ActiveRequest* request = findByAttempt(failed.id);
     if (!request)
