Teach the emulated endpoints and the soak to leave and to ask for pauses, and run two releases side by side

FakeEndpoint can refuse with a pause and say in its answers that it leaves, and records arrivals and notices. findUnwantedRequests judges them from what callers and endpoints saw; its test has eight cases, of which two must be found. CATKINWELL_OTHER_BINARY makes every second start of a host in the process tests run another release.

--- a/src/gateway/EndpointDirectory.cpp
+++ b/src/gateway/EndpointDirectory.cpp
@@ -31,11 +31,7 @@
     // A restored store can bring back the records of endpoints that left before.
     constexpr Duration departureLifetime = std::chrono::minutes(10);
     constexpr std::size_t maximumDepartures = 1024;
-    // No caller takes up a stream later than this time after its version was last seen.
-    constexpr Duration versionLifetime = std::chrono::seconds(120);
     constexpr Duration serviceUseInterval = std::chrono::milliseconds(50);
-    constexpr Duration versionInterval = std::chrono::seconds(1);
-    constexpr std::size_t maximumVersions = 64;
 
     std::uint64_t promptHash(const EndpointNeed& need, std::size_t parts)
     {
@@ -179,46 +175,6 @@
     }
 }
 
-void EndpointDirectory::noteVersion(const EndpointRecord& record, MonotonicTime now)
-{
-    std::map<std::string, MonotonicTime>& versions = m_versionsSeen[record.service];
-    if (versions.size() < maximumVersions || versions.contains(record.softwareVersion))
-        versions[record.softwareVersion] = now;
-}
-
-bool EndpointDirectory::hasSeveralVersions(const std::string& service, MonotonicTime now) const
-{
-    if (!m_recordedServices || m_recordedServices->contains(service))
-        return true;
-    const auto seen = m_versionsSeen.find(service);
-    return seen != m_versionsSeen.end()
-        && std::count_if(seen->second.begin(), seen->second.end(),
-               [now](const auto& version) { return now - version.second < versionLifetime; })
-        > 1;
-}
-
-std::vector<std::string> EndpointDirectory::servicesWithSeveralVersions(MonotonicTime now) const
-{
-    std::vector<std::string> services;
-    for (const auto& [service, versions] : m_versionsSeen) {
-        if (versions.size() > 1 && hasSeveralVersions(service, now))
-            services.push_back(service);
-    }
-    return services;
-}
-
-void EndpointDirectory::updateVersions(MonotonicTime now)
-{
-    if (now < m_nextVersionsAt)
-        return;
-    m_nextVersionsAt = now + versionInterval;
-    for (const auto& [id, entry] : m_entries)
-        noteVersion(entry.record, now);
-    for (auto& [service, versions] : m_versionsSeen)
-        std::erase_if(versions, [now](const auto& version) { return now - version.second >= versionLifetime; });
-    std::erase_if(m_versionsSeen, [](const auto& service) { return service.second.empty(); });
-}
-
 void EndpointDirectory::tick(MonotonicTime now)
 {
     updateVersions(now);
--- a/tests/fleet/EndpointFaultsTest.cpp
+++ b/tests/fleet/EndpointFaultsTest.cpp
@@ -116,3 +116,44 @@
     CHECK(findViolations(requests, records, fleet) == std::vector<std::string> {});
     CHECK(countOf(requests, 200) * 2 > requests.size());
 }
+
+namespace {
+
+struct NoticeCase {
+    const char* name;
+    // Zero if the endpoints leave.
+    Duration pause;
+    std::size_t endpoints;
+};
+
+} // namespace
+
+// Guards against requests to endpoints that want none, while the store's list says that they are ready.
+TEST_CASE("Endpoints that leave or asked for a pause are left alone and the others serve")
+{
+    const auto test = GENERATE(values<NoticeCase>({
+        { "one asks for a pause", 3s, 1 },
+        { "two leave", 0s, 2 },
+    }));
+    INFO(test.name);
+    GatewayFleet fleet;
+    fleet.waitUntilConnected();
+    CallerLoad load(fleet, 12, 24);
+    std::this_thread::sleep_for(1s);
+    fleet.onLoop([&fleet, &test] {
+        for (std::size_t i = 0; i < test.endpoints; ++i) {
+            if (test.pause > Duration::zero())
+                fleet.endpoint(i).setPause(test.pause);
+            else
+                fleet.endpoint(i).announceLeaving();
+        }
+    });
+    std::this_thread::sleep_for(6s);
+    const auto requests = load.stop();
+    const EndpointHistory records = fleet.records();
+    INFO(records.notices.size() << " notices, " << countOf(requests, 200) << " of " << requests.size() << " served");
+    CHECK(records.notices.size() > 0);
+    CHECK(findUnwantedRequests(requests, records, {}, {}) == std::vector<std::string> {});
+    CHECK(findViolations(requests, records, fleet) == std::vector<std::string> {});
+    CHECK(countOf(requests, 200) * 10 > requests.size() * 9);
+}
--- a/tests/fleet/FaultChecks.cpp
+++ b/tests/fleet/FaultChecks.cpp
@@ -14,6 +14,11 @@
     constexpr std::size_t allowedFalls = 2;
     constexpr std::size_t endpointsPerAllowedFall = 10;
 
+    constexpr Duration pauseReaction = std::chrono::milliseconds(500);
+    constexpr std::size_t allowedInPause = 2;
+    constexpr Duration drainTime = std::chrono::seconds(2);
+    constexpr Duration relayMargin = std::chrono::seconds(1);
+
     struct ServedCount {
         std::size_t served = 0;
         std::size_t sent = 0;
@@ -39,6 +44,12 @@
         return host != hosts.end() && disturbances.isCalm(host->second, at);
     }
 
+    bool isInPathLoss(const std::vector<PathLoss>& losses, MonotonicTime at)
+    {
+        return std::any_of(losses.begin(), losses.end(),
+            [at](const PathLoss& loss) { return at >= loss.from && at < loss.until + relayMargin; });
+    }
+
 } // namespace
 
 std::size_t DisturbanceLog::begin(std::optional<std::size_t> host, MonotonicTime at)
@@ -127,4 +138,38 @@
     return broken;
 }
 
+std::vector<std::string> findUnwantedRequests(const std::vector<CallerRequest>& requests,
+    const EndpointHistory& records, const std::vector<PathLoss>& losses, const DisturbanceLog& disturbances)
+{
+    std::map<std::string, const CallerRequest*> byId;
+    for (const CallerRequest& request : requests)
+        byId[request.id] = &request;
+    // The requests that reached each endpoint from each host.
+    std::map<std::pair<std::string, std::size_t>, std::vector<std::pair<MonotonicTime, MonotonicTime>>> arrivals;
+    for (const Arrival& arrival : records.arrivals) {
+        const auto request = byId.find(arrival.request);
+        if (request != byId.end() && disturbances.isCalm(request->second->host, arrival.at)
+            && !isInPathLoss(losses, arrival.at))
+            arrivals[{ arrival.endpoint, request->second->host }].emplace_back(arrival.at, request->second->sentAt);
+    }
+    std::vector<std::string> broken;
+    for (const RecordedNotice& notice : records.notices) {
+        const auto request = byId.find(notice.request);
+        if (request == byId.end() || isInPathLoss(losses, notice.at))
+            continue;
+        const std::size_t host = request->second->host;
+        const auto& own = arrivals[{ notice.endpoint, host }];
+        const bool isPause = notice.pause > Duration::zero();
+        const auto unwanted = static_cast<std::size_t>(std::count_if(own.begin(), own.end(), [&](const auto& times) {
+            const auto& [arrivedAt, sentAt] = times;
+            return isPause ? arrivedAt > notice.at + pauseReaction && arrivedAt < notice.at + notice.pause
+                           : sentAt > notice.at + drainTime;
+        }));
+        if (unwanted > (isPause ? allowedInPause : 0))
+            broken.push_back("host " + std::to_string(host) + " sent " + std::to_string(unwanted) + " requests to "
+                + notice.endpoint + (isPause ? " within its pause" : ", which had said that it leaves"));
+    }
+    return broken;
+}
+
 } // namespace Catkinwell::Testing
--- a/tests/fleet/FaultChecksTest.cpp
+++ b/tests/fleet/FaultChecksTest.cpp
@@ -127,3 +127,46 @@
     const std::vector<BrittleTime> times { { start, start + 9s, test.endpoints } };
     CHECK(findFalls(requests, records, times, disturbed(test.isDisturbed)).empty() != test.isViolation);
 }
+
+namespace {
+
+struct NoticeCase {
+    const char* what;
+    // Zero if the endpoint leaves.
+    Duration pause;
+    std::size_t later;
+    // When the requests were sent, and a moment later arrived, after the notice.
+    Duration after;
+    std::size_t host;
+    bool isDisturbed;
+    bool isViolation;
+};
+
+} // namespace
+
+// Guards against a check that overlooks requests to endpoints that want none.
+TEST_CASE("Requests to endpoints that leave or asked for a pause are found")
+{
+    const auto test = GENERATE(values<NoticeCase>({
+        { "two within the pause", 3s, 2, 1s, 0, false, false },
+        { "three within the pause", 3s, 3, 1s, 0, false, true },
+        { "at its beginning", 3s, 9, 400ms, 0, false, false },
+        { "after its end", 3s, 9, 3s, 0, false, false },
+        { "from another host", 3s, 9, 1s, 2, false, false },
+        { "from a disturbed host", 3s, 9, 1s, 0, true, false },
+        { "after the leaving", 0s, 1, 2100ms, 0, false, true },
+        { "soon after the leaving", 0s, 9, 1900ms, 0, false, false },
+    }));
+    INFO(test.what);
+    EndpointHistory records;
+    std::vector<CallerRequest> requests { requestAt("first", 0, 4s, 200) };
+    records.notices.push_back({ "e", "first", start + 4s, test.pause });
+    for (std::size_t i = 0; i < test.later; ++i) {
+        const std::string id = "r" + std::to_string(i);
+        requests.push_back(requestAt(id, test.host, 4s + test.after, 200));
+        records.arrivals.push_back({ "e", id, start + 4s + test.after + 1ms });
+    }
+    CHECK(findUnwantedRequests(requests, records, {}, disturbed(test.isDisturbed)).empty() != test.isViolation);
+    const std::vector<PathLoss> losses { { { 1 }, start, start + 20s } };
+    CHECK(findUnwantedRequests(requests, records, losses, {}).empty());
+}
--- a/tests/fleet/FaultSoak.cpp
+++ b/tests/fleet/FaultSoak.cpp
@@ -291,9 +291,31 @@
     });
 }
 
+void FaultSoak::askForPause()
+{
+    const std::size_t index = m_random.below(m_fleet.endpointCount());
+    const auto pause = std::chrono::milliseconds(700 + m_random.below(3000));
+    const auto duration = std::chrono::milliseconds(200 + m_random.below(4000));
+    note("endpoint " + std::to_string(index) + " asks for pauses of " + std::to_string(pause.count()) + " ms for "
+        + std::to_string(duration.count()) + " ms");
+    m_fleet.onLoop([this, index, pause] { m_fleet.endpoint(index).setPause(pause); });
+    later(
+        duration, [this, index] { m_fleet.onLoop([this, index] { m_fleet.endpoint(index).setPause(std::nullopt); }); });
+}
+
+void FaultSoak::announceLeaving()
+{
+    const std::size_t index = m_random.below(m_fleet.endpointCount());
+    const auto duration = std::chrono::milliseconds(2500 + m_random.below(4000));
+    note("endpoint " + std::to_string(index) + " says that it leaves and ends in " + std::to_string(duration.count())
+        + " ms");
+    m_fleet.onLoop([this, index] { m_fleet.endpoint(index).announceLeaving(); });
+    later(duration, [this, index] { m_fleet.onLoop([this, index] { m_fleet.endpoint(index).restart(); }); });
+}
+
 void FaultSoak::injectOne()
 {
-    static constexpr std::array<Fault, 12> faults { {
+    static constexpr std::array<Fault, 14> faults { {
         { 4, &FaultSoak::killHost },
         { 2, &FaultSoak::stopHost },
         { 4, &FaultSoak::freezeHost },
@@ -306,6 +328,8 @@
         { 4, &FaultSoak::losePath },
         { 2, &FaultSoak::sendDeadlyRequest },
         { 2, &FaultSoak::makeBrittle },
+        { 3, &FaultSoak::askForPause },
+        { 2, &FaultSoak::announceLeaving },
     } };
     unsigned total = 0;
     for (const Fault& fault : faults)
@@ -331,7 +355,8 @@
     for (const auto& broken :
         { findViolations(requests, records, m_fleet), findUnservedCallers(requests, m_pathLosses, m_disturbances),
             findRepeatedCrashes(deadly, records, m_disturbances),
-            findFalls(requests, records, m_brittleTimes, m_disturbances) })
+            findFalls(requests, records, m_brittleTimes, m_disturbances),
+            findUnwantedRequests(requests, records, m_pathLosses, m_disturbances) })
         m_report.broken.insert(m_report.broken.end(), broken.begin(), broken.end());
 }
 
--- a/tests/fleet/FaultSoak.h
+++ b/tests/fleet/FaultSoak.h
@@ -18,8 +18,9 @@
 // Injects random faults into a fleet under load from outside its processes: signals, restarts, changed settings and
 // configurations, links that are reset, slow, or silent in one or both directions, a store that is down, slow, loses
 // answers or is restored from a copy, endpoints that leave, return and fail requests, hosts that lose their path to all
-// endpoints, requests that end endpoints, and brittle endpoints. Faults follow at random intervals and overlap; all are
-// undone before the load ends. The seed determines the faults and the delays between them.
+// endpoints, requests that end endpoints, brittle endpoints, and endpoints that ask for a pause or say that they leave.
+// Faults follow at random intervals and overlap; all are undone before the load ends. The seed determines the faults
+// and the delays between them.
 class FaultSoak {
 public:
     explicit FaultSoak(std::uint64_t seed);
@@ -44,6 +45,8 @@
     void losePath();
     void sendDeadlyRequest();
     void makeBrittle();
+    void askForPause();
+    void announceLeaving();
     // Begins a disturbance of the host, or of all, and returns what ends it.
     std::function<void()> disturb(std::optional<std::size_t> host);
     void note(const std::string&);
--- a/tests/fleet/GatewayFleet.cpp
+++ b/tests/fleet/GatewayFleet.cpp
@@ -205,8 +205,12 @@
 void GatewayFleet::start(std::size_t host)
 {
     m_hosts[host].process.reset();
+    // With another release at hand, every second start of a host runs it, and neighbours run different ones.
+    const char* otherRelease = std::getenv("CATKINWELL_OTHER_BINARY");
+    const bool isOther = otherRelease && (host + m_hosts[host].starts++) % 2 == 1;
     m_hosts[host].process = std::make_unique<ChildProcess>(
-        std::vector<std::string> { binaryPath(), "gateway", "--config", settingsFile(host) }, logFile(host));
+        std::vector<std::string> { isOther ? otherRelease : binaryPath(), "gateway", "--config", settingsFile(host) },
+        logFile(host));
 }
 
 bool GatewayFleet::isReady(std::size_t host) const
--- a/tests/fleet/GatewayFleet.h
+++ b/tests/fleet/GatewayFleet.h
@@ -23,7 +23,8 @@
 // "orders" with plain endpoints, and "notes" with engines for the models m1 to m4, of which each engine holds two. The
 // accounts "a" and "b" have the keys "key-a" and "key-b". Requests to /order/ run at most once, requests to /read/ are
 // idempotent, and /note/ is a resumable stream. All connections of a host to the store, to other hosts and to endpoints
-// go through proxies.
+// go through proxies. If the environment variable CATKINWELL_OTHER_BINARY names the program of another release, hosts
+// of both run side by side and change the release at each start.
 class GatewayFleet {
 public:
     explicit GatewayFleet(GatewayFleetOptions = {});
@@ -75,6 +76,7 @@
         std::unique_ptr<FaultProxy> peerLink;
         std::unique_ptr<FaultProxy> relayLink;
         std::unique_ptr<ChildProcess> process;
+        std::size_t starts = 0;
     };
 
     struct Endpoint {
--- a/tests/gateway/GatewayMessageTest.cpp
+++ b/tests/gateway/GatewayMessageTest.cpp
@@ -56,3 +56,50 @@
             CHECK(errorOf(decoded).kind == ErrorKind::InvalidMessage);
     }
 }
+
+namespace {
+
+// The commits whose messages are recorded. A fleet runs two releases side by side while its hosts are replaced.
+const char* const release850f398 = "850f398";
+
+struct RecordedMessage {
+    const char* release;
+    const char* what;
+    // In hexadecimal digits, in the order of sampleMessage().
+    const char* bytes;
+};
+
+const RecordedMessage recordedMessages[] {
+    { release850f398, "a digest",
+        "8e000703f481836161fa41480000fa41a00000f58186616d6178656e6f74657302fa3f000000187881846165616d60048085"
+        "81831118288286058201020304f6f4860681020100f6f4818201098183088102190bb88218630281821118288281846165fa"
+        "402000001846f481836165fa40400000fa4110000081656e6f7465738184656e6f746573616d6178627631a1666f72646572"
+        "73fa40000000" },
+    { release850f398, "a placement update", "8401050681846165018182616d82617861798183616e60190320" },
+    { release850f398, "a configuration that is wanted", "820204" },
+    { release850f398, "a configuration", "8303056474657874" },
+    { release850f398, "streams that began", "8304830362763119038483046020" },
+    { release850f398, "a question about a stream", "820503" },
+};
+
+std::string bytesOf(const std::string& digits)
+{
+    std::string bytes;
+    for (std::size_t i = 0; i + 1 < digits.size(); i += 2)
+        bytes.push_back(static_cast<char>(std::stoi(digits.substr(i, 2), nullptr, 16)));
+    return bytes;
+}
+
+} // namespace
+
+// Guards against hosts of two releases that do not understand each other while hosts are replaced one by one.
+TEST_CASE("Messages of an earlier release are read, and it reads those of this one")
+{
+    const int kind = GENERATE(range(0, 6));
+    const RecordedMessage& recorded = recordedMessages[kind];
+    INFO(recorded.release << ": " << recorded.what);
+    const auto decoded = decodeGatewayMessage(bytesOf(recorded.bytes));
+    REQUIRE_FALSE(isError(decoded));
+    CHECK(valueOf(decoded).index() == sampleMessage(kind).index());
+    CHECK(encodeGatewayMessage(sampleMessage(kind)) == bytesOf(recorded.bytes));
+}
--- a/tests/platform/FakeEndpoint.cpp
+++ b/tests/platform/FakeEndpoint.cpp
@@ -158,9 +158,28 @@
 
 HeaderList FakeEndpoint::statements() const
 {
-    if (!m_brittleRejections)
-        return {};
-    return { { "Server-Brittle", std::to_string(*m_brittleRejections) } };
+    HeaderList headers;
+    if (m_brittleRejections)
+        headers.emplace_back("Server-Brittle", std::to_string(*m_brittleRejections));
+    if (m_announcesLeaving)
+        headers.emplace_back("Server-Leaving", "1");
+    return headers;
+}
+
+void FakeEndpoint::refuseForPause(const RequestArrived& request)
+{
+    const std::string id = headerValue(request.headers, "catkinwell-request-id");
+    m_history.notices.push_back({ m_id, id, m_clock.monotonicNow(), *m_pause });
+    HeaderList headers = statements();
+    headers.emplace_back("Catkinwell-Not-Executed", "1");
+    headers.emplace_back("Retry-After", std::to_string(secondsOf(*m_pause)));
+    m_listener.execute(SendWholeResponse { request.id, 503, headers, "" });
+}
+
+void FakeEndpoint::restart()
+{
+    if (!m_isDown)
+        end();
 }
 
 bool FakeEndpoint::hasRoom() const
@@ -201,6 +220,7 @@
 {
     const MonotonicTime now = m_clock.monotonicNow();
     m_isDown = false;
+    m_announcesLeaving = false;
     m_id = m_name + "." + std::to_string(++m_starts);
     m_born = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.wallNow().time_since_epoch()).count();
     m_heartbeat = 0;
@@ -217,6 +237,13 @@
     });
 }
 
+void FakeEndpoint::noteArrival(const RequestArrived& request)
+{
+    const std::string id = headerValue(request.headers, "catkinwell-request-id");
+    if (!id.empty())
+        m_history.arrivals.push_back({ m_id, id, m_clock.monotonicNow() });
+}
+
 void FakeEndpoint::handle(const RequestArrived& request)
 {
     if (m_isDown) {
@@ -227,6 +254,8 @@
         handleOrder(request);
     } else if (headerValue(request.headers, "catkinwell-expect-instance") != m_id) {
         refuse(request.id, 421);
+    } else if (noteArrival(request); m_pause) {
+        refuseForPause(request);
     } else if (m_random.unit() < faults.refusals) {
         refuse(request.id, 503);
     } else if (const std::string model = headerValue(request.headers, "catkinwell-model");
@@ -258,6 +287,8 @@
         m_listener.execute(AbortResponse { request.id });
         return;
     }
+    if (m_announcesLeaving)
+        m_history.notices.push_back({ m_id, id, m_clock.monotonicNow(), {} });
     HeaderList headers = statements();
     headers.emplace_back("Catkinwell-Request-Id", id);
     headers.emplace_back("Catkinwell-Response-Seal", "seal-" + id);
--- a/tests/platform/FakeEndpoint.h
+++ b/tests/platform/FakeEndpoint.h
@@ -41,12 +41,30 @@
     MonotonicTime at {};
 };
 
+// A request that an endpoint received, also if it did not run it.
+struct Arrival {
+    std::string endpoint;
+    std::string request;
+    MonotonicTime at {};
+};
+
+// An endpoint answered this request and stated that it leaves, or that it wants no requests from the host for a time.
+struct RecordedNotice {
+    std::string endpoint;
+    std::string request;
+    MonotonicTime at {};
+    // Zero if it leaves.
+    Duration pause {};
+};
+
 // What all fake endpoints of a test have recorded.
 struct EndpointHistory {
     std::vector<Execution> executions;
     std::vector<ReceivedOrder> orders;
     std::vector<RecordedCrash> crashes {};
     std::vector<RecordedFall> falls {};
+    std::vector<Arrival> arrivals {};
+    std::vector<RecordedNotice> notices {};
 };
 
 // Faults that a fake endpoint injects.
@@ -85,6 +103,12 @@
     // A brittle endpoint ends if it rejects more than this number of requests within a second for want of room. All its
     // answers say so, and after a reaction time it lets no request wait.
     void setBrittle(std::optional<unsigned> rejections);
+    // From now on it refuses every request and asks for a pause of this length; nullopt ends that.
+    void setPause(std::optional<Duration> pause) { m_pause = pause; }
+    // States in all its answers that it leaves, until it ends. Its record does not say so.
+    void announceLeaving() { m_announcesLeaving = true; }
+    // Ends as if it were killed, and starts again under another identifier.
+    void restart();
     // The software version, which the record and each event of a stream state.
     void setVersion(std::string version) { m_version = std::move(version); }
 
@@ -94,11 +118,13 @@
 
 private:
     void handle(const RequestArrived&);
+    void noteArrival(const RequestArrived&);
     void handleOrder(const RequestArrived&);
     void answerReport(RequestId);
     void run(const RequestArrived&);
     void streamEvents(RequestId, const std::string& request, unsigned next);
     void refuse(RequestId, int status);
+    void refuseForPause(const RequestArrived&);
     // Statements that all its answers carry.
     HeaderList statements() const;
     bool hasRoom() const;
@@ -127,6 +153,8 @@
     std::int64_t m_born = 0;
     std::uint64_t m_heartbeat = 0;
     bool m_isLeaving = false;
+    bool m_announcesLeaving = false;
+    std::optional<Duration> m_pause;
     std::string m_version = "v1";
     unsigned m_slots = 16;
     Duration m_processingTime = std::chrono::milliseconds(10);
