Take bytes that are no answer for a sign of a running endpoint, and every refusal's pause for one

Found while reading the change: a check of an endpoint that was answered with garbage made a whole answer count as broken, though only a running process sends bytes; and a pause in a 503 without the statement that the request was not run was not obeyed. Change: both, in serve the first as well. Evidence: BrokenAnswerTest "Only a process that runs", 4 cases.

--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -291,6 +291,8 @@
     void keepInDemand(const Request&, MonotonicTime now);
     // Records what the endpoint's answer states about the requests that it accepts.
     void noteLimits(const Request&, MonotonicTime now, EffectList&);
+    // Records that the endpoint leaves or wants a pause, if its answer says so.
+    void noteNotice(const Request&, MonotonicTime now, EffectList&);
     void startAttempt(Request&, const EndpointChoice&, MonotonicTime now, EffectList&);
     void endAttempt(Request&, AttemptVerdict, MonotonicTime now, EffectList&);
     // No byte of the request was sent: tries the next endpoint or host.
--- a/src/gateway/GatewayAnswerEnds.cpp
+++ b/src/gateway/GatewayAnswerEnds.cpp
@@ -114,7 +114,12 @@
         return false;
     Request* request = requestOf(check->second);
     m_endpointChecks.erase(check);
-    if (request)
+    if (!request)
+        return true;
+    // Bytes that are no answer come from a running process as well.
+    if (failed.failure == AttemptFailure::Garbage)
+        deliverAnswer(*request, now, effects);
+    else
         handleBrokenAnswer(
             *request, "the endpoint did not show that it ran when its answer ended: " + failed.reason, now, effects);
     return true;
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -229,18 +229,6 @@
         m_refusedVersionWaits[{ key.first, key.second, *need.second }] = now + refusedWaitTime;
 }
 
-bool GatewayRequests::refuseIfPaused(Request& request, const EndpointNeed& need, MonotonicTime now, EffectList& effects)
-{
-    const auto end = m_directory.soonestPauseEnd(need, now);
-    if (!end || request.mayHaveRun || request.isHeadSent)
-        return false;
-    if (!request.terms.variant.model.value.empty())
-        keepInDemand(request, now);
-    refuse(
-        request, { 503, "endpoints_paused", "all endpoints want no requests for a while", *end - now }, now, effects);
-    return true;
-}
-
 std::set<VersionWait> GatewayRequests::versionWaits(MonotonicTime now) const
 {
     std::set<VersionWait> waits;
@@ -354,10 +342,7 @@
     noteReached(*request, head.isNewConnection, now, effects);
     if (!attempt.relayedTo && (attempt.terms.isSealed || attempt.terms.isNotExecuted))
         noteLimits(*request, now, effects);
-    else if (attempt.relayedTo && attempt.relayAnswer.outcome == RelayOutcome::Answered)
-        // What it says of a pause concerns the host that it answered.
-        m_directory.noteNotice(
-            attempt.relayAnswer.endpoint, { attempt.terms.notice.isLeaving, std::nullopt }, now, effects);
+    noteNotice(*request, now, effects);
     const bool isSuccess = head.status >= 200 && head.status < 300;
     const bool isUsable = isSuccess && attempt.terms.isSealed && !attempt.terms.isEncoded;
     attempt.isForwarded = request->route.isStream && isUsable;
@@ -375,17 +360,6 @@
     effects.push_back(SendResponseHead { request->arrived.id, head.status, std::move(headers) });
 }
 
-void GatewayRequests::noteLimits(const Request& request, MonotonicTime now, EffectList& effects)
-{
-    const Attempt& attempt = *request.attempt;
-    m_directory.limits().noteAnswer(attempt.endpoint, attempt.terms.requestsPerSecond, now, effects);
-    m_directory.room().noteAnswer(request.service, attempt.terms.rejectionsPerSecond, now, effects);
-    if (!attempt.terms.isMisdirected)
-        m_directory.noteNotice(attempt.endpoint, attempt.terms.notice, now, effects);
-    if (attempt.terms.isNotExecuted && !attempt.terms.isMisdirected)
-        m_directory.room().noteRejected(request.service, attempt.endpoint, now);
-}
-
 void GatewayRequests::handle(const AttemptData& data, MonotonicTime now, EffectList& effects)
 {
     Request* request = requestOf(data.id);
--- a/src/requests/RequestEndpointChecks.cpp
+++ b/src/requests/RequestEndpointChecks.cpp
@@ -48,6 +48,12 @@
         return false;
     const AttemptId attempt = check->second;
     m_endpointChecks.erase(check);
+    // Bytes that are no answer come from a running process as well.
+    if (failed.failure == AttemptFailure::Garbage) {
+        if (ActiveRequest* request = findByAttempt(attempt))
+            handleWhole(*request, now, effects);
+        return true;
+    }
     handle(
         AttemptFailed { attempt, AttemptOutcome::Unknown,
             "the endpoint did not show that it ran when its answer ended: " + failed.reason, AttemptFailure::Broken },
--- a/tests/gateway/BrokenAnswerTest.cpp
+++ b/tests/gateway/BrokenAnswerTest.cpp
@@ -208,6 +208,32 @@
     CHECK(effectsOf<AbortResponse>(fixture.effects).size() == 1);
 }
 
+namespace {
+
+struct CheckCase {
+    AttemptOutcome outcome;
+    AttemptFailure failure;
+    bool expectedComplete;
+};
+
+} // namespace
+
+// Guards against whole answers of running endpoints that count as broken, and against the opposite.
+TEST_CASE("Only a process that runs can spoil the answer to a check")
+{
+    const auto test = GENERATE(values<CheckCase>({
+        { AttemptOutcome::NotSent, AttemptFailure::Connect, false },
+        { AttemptOutcome::Unknown, AttemptFailure::Broken, false },
+        { AttemptOutcome::Unknown, AttemptFailure::Silence, false },
+        { AttemptOutcome::Unknown, AttemptFailure::Garbage, true },
+    }));
+    AnswerFixture fixture("/note/1");
+    fixture.sendAnswer(fixture.takeAttempts().at(0).id, "text/event-stream", "id: 1\n\n", Framing::Connection);
+    const AttemptId check = fixture.takeAttempts().at(0).id;
+    fixture.requests.handle(AttemptFailed { check, test.outcome, "", test.failure }, fixture.now, fixture.effects);
+    CHECK(fixture.looksComplete() == test.expectedComplete);
+}
+
 // Guards against a caller that left while its endpoint was asked.
 TEST_CASE("The check of an endpoint ends without effect once the caller has left")
 {
