Judge pauses in the soak only where the endpoint's answers reach the hosts

Trace: endpoint 2 asked for pauses from 9,112 ms on, and its link was silent towards the callers from 10,011 ms on; the fake had written the refusals, the host never had them. The platform's rule excuses a cut. The check now leaves out the times in which an endpoint's link is disturbed, as it did those of lost paths; findUnwantedRequests itself is unchanged and its eight cases still show that it finds breaches.

--- a/tests/fleet/FaultSoak.cpp
+++ b/tests/fleet/FaultSoak.cpp
@@ -200,7 +200,11 @@
     constexpr std::array<LinkState, 4> wanted { LinkState::Open, LinkState::Delayed, LinkState::Silent,
         LinkState::SilentToCaller };
     change(wanted[state], state == 0);
-    const auto calm = kind == 2 ? std::function<void()>([] {}) : disturb(index);
+    const MonotonicTime from = SystemClock().monotonicNow();
+    const auto calm = kind == 2 ? std::function<void()>([this, from] {
+        m_lostNotices.push_back({ {}, from, SystemClock().monotonicNow() });
+    })
+                                : disturb(index);
     later(duration, [change, calm] {
         change(LinkState::Open, false);
         calm();
@@ -252,6 +256,7 @@
         for (const std::size_t host : loss.hosts)
             m_fleet.setPath(host, std::nullopt);
         m_pathLosses.push_back(loss);
+        m_lostNotices.push_back(loss);
     });
 }
 
@@ -356,7 +361,7 @@
         { findViolations(requests, records, m_fleet), findUnservedCallers(requests, m_pathLosses, m_disturbances),
             findRepeatedCrashes(deadly, records, m_disturbances),
             findFalls(requests, records, m_brittleTimes, m_disturbances),
-            findUnwantedRequests(requests, records, m_pathLosses, m_disturbances) })
+            findUnwantedRequests(requests, records, m_lostNotices, m_disturbances) })
         m_report.broken.insert(m_report.broken.end(), broken.begin(), broken.end());
 }
 
--- a/tests/fleet/FaultSoak.h
+++ b/tests/fleet/FaultSoak.h
@@ -61,6 +61,8 @@
     std::set<std::size_t> m_disturbed;
     DisturbanceLog m_disturbances;
     std::vector<PathLoss> m_pathLosses;
+    // Times in which answers of endpoints did not reach hosts, or reached another one.
+    std::vector<PathLoss> m_lostNotices;
     std::vector<BrittleTime> m_brittleTimes;
     bool m_areBrittle = false;
     std::vector<std::unique_ptr<RepeatingCaller>> m_deadlyCallers;
