Test that a response cut at any byte never ends in order

Report: a server stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body. The parser takes the end of the connection inside a head for an error.

--- a/tests/http/AnswerIntegrityTest.cpp
+++ b/tests/http/AnswerIntegrityTest.cpp
@@ -191,3 +191,49 @@
     CHECK(outcome.failure == AttemptFailure::Silence);
     CHECK(outcome.reason == "the response did not end in time");
 }
+
+namespace {
+
+struct CutCase {
+    const char* name;
+    const char* interim;
+    const char* framing;
+    const char* body;
+    // Whether an earlier response on the same connection was whole.
+    bool isConnectionKept;
+};
+
+} // namespace
+
+// Guards against a response whose head or body breaks off and that is taken for a short or empty whole one.
+TEST_CASE("A response that is cut at any byte never ends in order")
+{
+    const auto test = GENERATE(values<CutCase>({
+        { "length", "", "Content-Length: 4\r\n", "body", false },
+        { "chunks", "", "Transfer-Encoding: chunked\r\n", "4\r\nbody\r\n0\r\n\r\n", false },
+        { "connection, head only", "", "", "", false },
+        { "length on a kept connection", "", "Content-Length: 4\r\n", "body", true },
+        { "connection, head only, on a kept connection", "", "", "", true },
+        { "length after 100", "HTTP/1.1 100 Continue\r\n\r\n", "Content-Length: 4\r\n", "body", false },
+        { "length after 103", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", "Content-Length: 4\r\n", "body", false },
+    }));
+    const bool isReset = GENERATE(false, true);
+    INFO(test.name << (isReset ? ", reset" : ", closed"));
+    const std::string whole
+        = std::string(test.interim) + "HTTP/1.1 200 OK\r\nX-Id: b\r\n" + test.framing + "\r\n" + test.body;
+    std::vector<ScriptedServer::Step> steps;
+    for (std::size_t cut = 1; cut < whole.size(); ++cut) {
+        if (test.isConnectionKept)
+            steps.push_back({ answerTo("a", "first") });
+        steps.push_back({ whole.substr(0, cut), {}, {}, !isReset, isReset });
+    }
+    ClientFixture fixture(steps);
+    for (std::size_t cut = 1; cut < whole.size(); ++cut) {
+        if (test.isConnectionKept)
+            REQUIRE(fixture.request("a").isFinished);
+        const Outcome outcome = fixture.request("b");
+        INFO("cut at byte " << cut);
+        CHECK_FALSE(outcome.isFinished);
+        CHECK(outcome.failure.has_value());
+    }
+}
