Go on with a stream only with an answer like the one that began it; move stalled streams on

Cause: an attempt that took up a stream had its sealed 2xx answer forwarded whatever it was, so another endpoint's JSON error, text page, 204 or 206 went into the middle of the stream, and its end completed it. And every byte counted as a sign of life, so a stream whose endpoint sent comments or single bytes never moved on before its deadline. Change: the status and media type of the head that the caller has are kept; another answer is given up and counts as failed. A stream moves on after 5 s without a whole event or 256 bytes of a large one.

--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -131,6 +131,10 @@
         RelayAnswer relayAnswer;
         MonotonicTime startedAt {};
         MonotonicTime lastDataAt {};
+        // When the answer last came nearer to its end: a whole event, or a good part of a large one.
+        MonotonicTime lastProgressAt {};
+        std::size_t bytesAtProgress = 0;
+        std::size_t eventsAtProgress = 0;
         bool isHeadSeen = false;
         int status = 0;
         HeaderList headers;
@@ -175,6 +179,9 @@
         unsigned rejections = 0;
         bool mayHaveRun = false;
         bool isHeadSent = false;
+        // Status and media type of the head that the caller has.
+        int sentStatus = 0;
+        std::string sentMediaType;
         AnswerProof proof;
         bool isWaiting = false;
         WaitReason waitReason = WaitReason::Replica;
@@ -302,6 +309,11 @@
     // Returns why the answer cannot be whole, by its bytes; empty if it can.
     static std::string_view faultOfAnswer(const Request&);
     static std::string_view faultOfStream(const Request&);
+    // Whether the answer, of which the head was read, can go on with the stream that the caller already has a part of.
+    static bool continuesStream(const Request&);
+    void sendHead(Request&, MonotonicTime now, EffectList&);
+    static void noteProgress(Attempt&, MonotonicTime now);
+    bool isStalled(const Request&, MonotonicTime now) const;
     void handleCompleteAnswer(Request&, MonotonicTime now, EffectList&);
     void handleBrokenAnswer(Request&, std::string reason, MonotonicTime now, EffectList&);
     // Passes the end of a whole answer on to the caller.
@@ -315,7 +327,8 @@
     void handleFailedAttempt(Request&, std::string reason, AttemptVerdict, MonotonicTime now, EffectList&);
     bool mayRepeat(const Request&, MonotonicTime now) const;
     bool takeRetry(const Request&, MonotonicTime now);
-    void abandonEndlessAnswer(Request&, MonotonicTime now, EffectList&);
+    // Cancels the attempt, whose answer cannot be used, and treats it as failed.
+    void abandonAnswer(Request&, std::string_view reason, MonotonicTime now, EffectList&);
     void forwardData(Request&, std::string_view, EffectList&);
     void checkDeadlines(Request&, MonotonicTime now, EffectList&);
     void refuse(Request&, const Refusal&, MonotonicTime now, EffectList&);
--- a/src/gateway/GatewayAnswerEnds.cpp
+++ b/src/gateway/GatewayAnswerEnds.cpp
@@ -27,6 +27,24 @@
 
 } // namespace
 
+bool GatewayRequests::continuesStream(const Request& request)
+{
+    const Attempt& attempt = *request.attempt;
+    return attempt.status == request.sentStatus && mediaTypeOf(attempt.headers) == request.sentMediaType;
+}
+
+void GatewayRequests::sendHead(Request& request, MonotonicTime now, EffectList& effects)
+{
+    const Attempt& attempt = *request.attempt;
+    request.isHeadSent = true;
+    request.sentStatus = attempt.status;
+    request.sentMediaType = mediaTypeOf(attempt.headers);
+    effects.push_back(RecordMetric { Metric::FirstByteSeconds, request.service, secondsOf(now - request.arrivedAt) });
+    HeaderList headers = m_protocol.answerHeaders(attempt.headers);
+    stateRelayAnswer(request, headers, RelayOutcome::Answered);
+    effects.push_back(SendResponseHead { request.arrived.id, attempt.status, std::move(headers) });
+}
+
 std::string_view GatewayRequests::faultOfStream(const Request& request)
 {
     const Attempt& attempt = *request.attempt;
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -27,12 +27,16 @@
     constexpr Duration shortestSilenceTimeout = std::chrono::milliseconds(300);
     // A stream that may be repeated or resumed moves to another endpoint after a pause of this length.
     constexpr Duration streamPauseTimeout = std::chrono::milliseconds(1200);
+    // The same if bytes arrive, but no whole event and no good part of a large one.
+    constexpr Duration streamProgressTimeout = std::chrono::seconds(5);
+    constexpr std::size_t smallestProgressBytes = 256;
     // A refusal must reach the caller before the caller gives up.
     constexpr Duration refusalMargin = std::chrono::milliseconds(60);
     // Streams of more models than these wait for others to be loaded first.
     constexpr std::size_t maximumVersionWaits = 32;
     constexpr std::size_t maximumCollectedBytes = 8 * 1024 * 1024;
     constexpr std::size_t maximumEventBytes = 1024 * 1024;
+    constexpr std::string_view endlessAnswer = "the answer, or one event of it, is too long";
 
 } // namespace
 
@@ -334,6 +338,7 @@
     Attempt& attempt = *request->attempt;
     attempt.isHeadSeen = true;
     attempt.lastDataAt = now;
+    attempt.lastProgressAt = now;
     attempt.status = head.status;
     attempt.headers = head.headers;
     if (attempt.relayedTo)
@@ -348,16 +353,17 @@
     attempt.isForwarded = request->route.isStream && isUsable;
     if (request->firstByte == Duration::zero())
         request->firstByte = now - request->arrivedAt;
-    if (!attempt.isForwarded || request->isHeadSent)
+    if (!attempt.isForwarded)
         return;
-    request->isHeadSent = true;
+    if (request->isHeadSent) {
+        if (!continuesStream(*request))
+            abandonAnswer(*request, "the answer is no continuation of the stream", now, effects);
+        return;
+    }
     // The relaying host goes by the version that the head states.
     if (request->relayedFrom)
         noteStreamBegun(*request, now);
-    effects.push_back(RecordMetric { Metric::FirstByteSeconds, request->service, secondsOf(now - request->arrivedAt) });
-    HeaderList headers = m_protocol.answerHeaders(attempt.headers);
-    stateRelayAnswer(*request, headers, RelayOutcome::Answered);
-    effects.push_back(SendResponseHead { request->arrived.id, head.status, std::move(headers) });
+    sendHead(*request, now, effects);
 }
 
 void GatewayRequests::handle(const AttemptData& data, MonotonicTime now, EffectList& effects)
@@ -374,24 +380,51 @@
             noteAnswerGoesOn(*request, now);
             noteStreamBegun(*request, now);
         }
+        noteProgress(*request->attempt, now);
         if (request->attempt->position.openBytes() > maximumEventBytes)
-            abandonEndlessAnswer(*request, now, effects);
+            abandonAnswer(*request, endlessAnswer, now, effects);
         else
             forwardData(*request, data.data, effects);
         return;
     }
     if (request->attempt->body.size() + data.data.size() > maximumCollectedBytes)
-        abandonEndlessAnswer(*request, now, effects);
+        abandonAnswer(*request, endlessAnswer, now, effects);
     else
         request->attempt->body += data.data;
 }
 
-// Bytes without an end are no answer, and what was read of them must not pass for one.
-void GatewayRequests::abandonEndlessAnswer(Request& request, MonotonicTime now, EffectList& effects)
+// What was read of the answer must not pass for one.
+void GatewayRequests::abandonAnswer(
+    Request& request, std::string_view reason, MonotonicTime now, EffectList& effects)
 {
     request.mayHaveRun = true;
     effects.push_back(CancelAttempt { request.attempt->id });
-    handleFailedAttempt(request, "the answer, or one event of it, is too long", AttemptVerdict::Bad, now, effects);
+    handleFailedAttempt(request, std::string(reason), AttemptVerdict::Bad, now, effects);
+}
+
+// Comments and single bytes show that the endpoint lives, not that the answer goes on.
+void GatewayRequests::noteProgress(Attempt& attempt, MonotonicTime now)
+{
+    const std::size_t events = attempt.position.events();
+    if (events == attempt.eventsAtProgress && attempt.receivedBytes < attempt.bytesAtProgress + smallestProgressBytes)
+        return;
+    attempt.eventsAtProgress = events;
+    attempt.bytesAtProgress = attempt.receivedBytes;
+    attempt.lastProgressAt = now;
+}
+
+bool GatewayRequests::isStalled(const Request& request, MonotonicTime now) const
+{
+    const Attempt& attempt = *request.attempt;
+    if (attempt.isForwarded && now - attempt.lastProgressAt > streamProgressTimeout)
+        return true;
+    if (attempt.relayedTo)
+        return isRelaySilent(request, now);
+    const Duration silence = now - attempt.lastDataAt;
+    if (attempt.isHeadSeen && request.route.isStream)
+        return silence > streamPauseTimeout;
+    return silence > std::max<Duration>(
+               shortestSilenceTimeout, request.route.latencyGoal * (request.route.isStream ? 1 : silenceGoalFactor));
 }
 
 void GatewayRequests::forwardData(Request& request, std::string_view data, EffectList& effects)
@@ -524,18 +557,11 @@
     }
     if (!request.attempt)
         return;
-    const Attempt& attempt = *request.attempt;
-    const Duration silence = now - attempt.lastDataAt;
-    const bool isEndpointStalled = attempt.isHeadSeen && request.route.isStream
-        ? silence > streamPauseTimeout
-        : silence > std::max<Duration>(
-              shortestSilenceTimeout, request.route.latencyGoal * (request.route.isStream ? 1 : silenceGoalFactor));
-    const bool isStalled = attempt.relayedTo ? isRelaySilent(request, now) : isEndpointStalled;
-    if (!isStalled || !mayRepeat(request, now))
+    if (!isStalled(request, now) || !mayRepeat(request, now))
         return;
     request.mayHaveRun = true;
     noteNotReached(request, AttemptFailure::Silence, now, effects);
-    effects.push_back(CancelAttempt { attempt.id });
+    effects.push_back(CancelAttempt { request.attempt->id });
     handleFailedAttempt(request, "the endpoint sent no data in time", AttemptVerdict::Unreachable, now, effects);
 }
 
--- a/tests/gateway/BrokenAnswerTest.cpp
+++ b/tests/gateway/BrokenAnswerTest.cpp
@@ -244,3 +244,87 @@
     CHECK_FALSE(fixture.looksComplete());
     CHECK(fixture.requests.activeRequests() == 0);
 }
+
+namespace {
+
+struct ContinuationCase {
+    const char* name;
+    int status;
+    HeaderList headers;
+    const char* body;
+    bool expectedComplete;
+};
+
+const HeaderList eventHeaders { { "sealed", "1" }, { "Content-Type", "text/event-stream" } };
+
+} // namespace
+
+// Guards against another endpoint's error, or its page, in the middle of a stream, and against its end as the stream's.
+TEST_CASE("A stream goes on only with events of an answer like the one that began it")
+{
+    const auto test = GENERATE_COPY(values<ContinuationCase>({
+        { "events", 200, { { "sealed", "1" }, { "Content-Type", "Text/Event-Stream; charset=utf-8" } },
+            "id: 2\ndata: b\n\n", true },
+        { "JSON error", 200, { { "sealed", "1" }, { "Content-Type", "application/json" } }, "{\"error\":1}\n\n", false },
+        { "text page", 200, { { "sealed", "1" }, { "Content-Type", "text/html" } }, "<p>sorry\n\n", false },
+        { "no type", 200, { { "sealed", "1" } }, "sorry\n\n", false },
+        { "part of a document", 206, eventHeaders, "id: 2\ndata: b\n\n", false },
+        { "nothing", 204, eventHeaders, "", false },
+        { "failure", 500, eventHeaders, "id: 2\ndata: b\n\n", false },
+        { "refusal", 503, { { "not-executed", "1" }, { "Content-Type", "application/json" } }, "{\"error\":1}\n\n", false },
+        { "no seal", 200, { { "Content-Type", "text/event-stream" } }, "id: 2\ndata: b\n\n", false },
+    }));
+    INFO(test.name);
+    AnswerFixture fixture("/dossier/1", 2);
+    const AttemptId first = fixture.takeAttempts().at(0).id;
+    fixture.requests.handle(AttemptHead { first, 200, eventHeaders }, fixture.now, fixture.effects);
+    fixture.requests.handle(AttemptData { first, "id: 1\ndata: a\n\n" }, fixture.now, fixture.effects);
+    fixture.requests.handle(
+        AttemptFailed { first, AttemptOutcome::Unknown, "closed", AttemptFailure::Broken }, fixture.now, fixture.effects);
+    const auto rest = fixture.takeAttempts();
+    REQUIRE(rest.size() == 1);
+    fixture.answer(rest[0].id, test.status, test.headers, test.body);
+    CHECK(fixture.received() == (test.expectedComplete ? "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" : "id: 1\ndata: a\n\n"));
+    CHECK(fixture.looksComplete() == test.expectedComplete);
+    CHECK(fixture.takeAnswers().empty());
+    CHECK(effectsOf<AbortResponse>(fixture.effects).size() == (test.expectedComplete ? 0 : 1));
+}
+
+namespace {
+
+struct StallCase {
+    const char* name;
+    // Sent every 400 ms after the first event.
+    const char* bytes;
+    bool expectedMoved;
+};
+
+} // namespace
+
+// Guards against stalled streams that never end because a byte arrives now and then, and against sound ones that are
+// cut.
+TEST_CASE("A stream moves on if only comments or single bytes arrive for long")
+{
+    const auto test = GENERATE(values<StallCase>({
+        { "nothing", "", true },
+        { "comments", ": busy\n\n", true },
+        { "single bytes", "x", true },
+        { "line ends", "\n", true },
+        { "events", "data: a\n\n", false },
+        { "parts of a large event",
+            "data: 0123456789012345678901234567890123456789012345678901234567890123456789012345678901234567890123456789\n",
+            false },
+    }));
+    INFO(test.name);
+    AnswerFixture fixture("/dossier/1", 2);
+    const AttemptId first = fixture.takeAttempts().at(0).id;
+    fixture.requests.handle(AttemptHead { first, 200, eventHeaders }, fixture.now, fixture.effects);
+    fixture.requests.handle(AttemptData { first, "id: 1\ndata: a\n\n" }, fixture.now, fixture.effects);
+    fixture.takeEffects();
+    for (int i = 0; i < 18; ++i) {
+        fixture.advance(std::chrono::milliseconds(400));
+        if (*test.bytes)
+            fixture.requests.handle(AttemptData { first, test.bytes }, fixture.now, fixture.effects);
+    }
+    CHECK(effectsOf<CancelAttempt>(fixture.effects).size() == (test.expectedMoved ? 1 : 0));
+}
