Let the number of concurrent loads grow while they run at full speed

Change: a whole round at full speed lets the next one be larger by half, until a load shows the limit. Before: the two new rows of the test (18 and 60 at once, assumed 4) stayed at 4. After: 16 to 18, and 50 to 60.

--- a/include/catkinwell/gateway/StoreConcurrencyEstimator.h
+++ b/include/catkinwell/gateway/StoreConcurrencyEstimator.h
@@ -5,7 +5,8 @@
 namespace Catkinwell {
 
 // Estimates from load times how many loads the weight store serves concurrently at full speed. With more loads each one
-// takes proportionally longer, so that all are ready late and none earlier. Pure; not thread safe.
+// takes proportionally longer, so that all are ready late and none earlier. Rounds of loads at full speed make the
+// estimate grow until one shows the limit. Pure; not thread safe.
 class StoreConcurrencyEstimator {
 public:
     // State recorded at the start of a load.
@@ -27,13 +28,18 @@
     // Records the end of a load that would have taken the stated time at full speed.
     void finished(const Start&, Duration stated, MonotonicTime now);
 
-    // Returns the estimated number of concurrent loads at full speed, at least 1.
+    // Returns the number of loads to run at the same time, at least 1: the estimated number at full speed, or more
+    // before the limit is known.
     unsigned concurrency() const;
 
 private:
     void advance(MonotonicTime now);
 
     double m_estimate;
+    // Factor by which the next round of loads may exceed the estimate.
+    double m_growth = 1;
+    // Whether a load was slowed down by the others.
+    bool m_isLimitSeen = false;
     unsigned m_running = 0;
     double m_loadSeconds = 0;
     MonotonicTime m_advancedAt {};
--- a/src/gateway/StoreConcurrencyEstimator.cpp
+++ b/src/gateway/StoreConcurrencyEstimator.cpp
@@ -11,6 +11,9 @@
     constexpr double slowRatio = 1.2;
     constexpr double fullSpeedRatio = 1.1;
     constexpr double sampleWeight = 0.5;
+    constexpr double growthPerRound = 1.5;
+    // Loads that ran together, as a fraction of the estimate, from which on they show that the store bears more.
+    constexpr double wholeRound = 0.8;
 
 } // namespace
 
@@ -41,15 +44,20 @@
         return;
     const double running = std::max(1.0, (m_loadSeconds - start.loadSeconds) / seconds);
     const double ratio = seconds / secondsOf(stated);
+    m_isLimitSeen = m_isLimitSeen || ratio >= fullSpeedRatio;
+    if (m_isLimitSeen)
+        m_growth = 1;
+    else if (running >= m_estimate * wholeRound)
+        m_growth = growthPerRound;
     if (ratio > slowRatio)
         m_estimate += sampleWeight * (running / ratio - m_estimate);
-    else if (ratio < fullSpeedRatio)
-        m_estimate = std::max(m_estimate, running);
+    else
+        m_estimate = std::max(m_estimate, ratio < fullSpeedRatio ? running : running / ratio);
 }
 
 unsigned StoreConcurrencyEstimator::concurrency() const
 {
-    return static_cast<unsigned>(std::max(1L, std::lround(m_estimate)));
+    return static_cast<unsigned>(std::max(1L, std::lround(m_estimate * m_growth)));
 }
 
 } // namespace Catkinwell
--- a/tests/gateway/StoreConcurrencyEstimatorTest.cpp
+++ b/tests/gateway/StoreConcurrencyEstimatorTest.cpp
@@ -32,6 +32,8 @@
         { 4, 4, 4, 4 },
         { 4, 8, 4, 8 },
         { 1, 4, 1, 4 },
+        { 4, 18, 16, 18 },
+        { 4, 60, 50, 60 },
     }));
     constexpr double loadSeconds = 6;
     constexpr double step = 0.1;
