Refuse at once what the weight store cannot deliver in time; share replicas of busy models more

Cause: where far more rare models are requested than the weight store delivers (0.38 loads a second on the grown third site), a host took each load for possible within its 7.8 s. Requests waited for a load that never began until it would have been too late, were refused after 3.6 s (half of 7,009 refusals; a tenth after 9.2 s) and were told to return although nothing would have changed. And a replica on an engine of 12 places counted as busy from 1.2 requests on, so that copies of busy models pushed out models whose only replica that was. Change: the placement owner forecasts from running loads, concurrency and the queue when each of the next 16 models and any other one can be ready (StoreLoadForecast, no I/O) and announces it with its updates twice a second; hosts refuse by it, with the true time if it lies beyond the caller's. A replica serves at least three requests before another one is wanted (placement.busy_requests), which leaves engines of 32 and 64 places as they are.

--- a/include/catkinwell/gateway/EndpointDirectory.h
+++ b/include/catkinwell/gateway/EndpointDirectory.h
@@ -175,6 +175,8 @@
     static bool isPresent(const Entry&, MonotonicTime now);
     bool hasVariant(const Entry&, const ModelVariant&, MonotonicTime now) const;
     const LoadedModels& modelsOf(const Entry&, MonotonicTime now) const;
+    // Returns the expected time of a load from the weight store that was not ordered yet.
+    Duration timeOfStoreLoad(const std::string& service, const GatewayModel&, MonotonicTime now) const;
     double scoreOf(const Entry&, const Affinities&);
     Affinities affinitiesOf(const EndpointNeed&) const;
     void addPeerLoad(const std::vector<RunningCount>&);
@@ -202,6 +204,9 @@
     std::map<HostId, std::vector<RunningCount>> m_peerRunning;
     std::unordered_map<EndpointId, PeerLoad> m_peerLoads;
     std::uint64_t m_updateToken = 0;
+    // The placement owner's latest forecasts, and when they arrived.
+    std::vector<StoreLoadForecast> m_forecasts;
+    MonotonicTime m_forecastsReceivedAt {};
     // The endpoint that last processed a prompt prefix, by the hash of variant and parts.
     std::unordered_map<std::uint64_t, EndpointId> m_promptEndpoints;
     std::deque<std::uint64_t> m_promptOrder;
--- a/include/catkinwell/gateway/EnginePlacement.h
+++ b/include/catkinwell/gateway/EnginePlacement.h
@@ -25,8 +25,10 @@
     unsigned reservedStoreLoads = 1;
     // Additional store loads allowed for models with many waiting requests.
     unsigned extraStoreLoads = 2;
-    // Load that one replica of a busy model is meant for, as a fraction of the engine's batch size.
+    // Load that one replica of a busy model is meant for, as a fraction of the engine's batch size and in requests;
+    // the larger of the two counts, at most half of the batch.
     double busyShare = 0.1;
+    double busyRequests = 3;
     // Window over which loads from the weight store are counted against their rate limit.
     Duration storeLoadWindow = std::chrono::seconds(5);
 };
@@ -206,6 +208,9 @@
     unsigned wantedReplicas(const std::string& service, const ModelSummary&) const;
     double memoryUsed(const Engine&, const GatewayEngine&) const;
     EngineUpdate updateOf(const Engine&, MonotonicTime now) const;
+    // Returns what hosts can expect of the weight store, for each service with engines.
+    std::vector<StoreLoadForecast> forecasts(MonotonicTime now);
+    StoreQueue storeQueueOf(const std::string& service, const GatewayEngine&, MonotonicTime now);
 
     EnginePlacementSettings m_settings;
     EndpointDirectory& m_directory;
@@ -223,6 +228,7 @@
     std::uint64_t m_lastCommand = 0;
     std::uint64_t m_updateSequence = 0;
     MonotonicTime m_nextUpdateRepeatAt {};
+    MonotonicTime m_nextForecastAt {};
     MonotonicTime m_nextPlanAt {};
     MonotonicTime m_nextBusyPlanAt {};
     MonotonicTime m_runningUpdatedAt {};
--- a/include/catkinwell/gateway/GatewayMessage.h
+++ b/include/catkinwell/gateway/GatewayMessage.h
@@ -5,6 +5,7 @@
 #include <catkinwell/gateway/EndpointRecord.h>
 #include <catkinwell/gateway/FleetQuota.h>
 #include <catkinwell/gateway/HostDemand.h>
+#include <catkinwell/gateway/StoreLoadForecast.h>
 #include <catkinwell/gateway/StreamVersions.h>
 #include <catkinwell/routing/PromptQuarantine.h>
 #include <map>
@@ -58,6 +59,8 @@
     std::uint64_t fencingToken = 0;
     std::uint64_t sequence = 0;
     std::vector<EngineUpdate> engines;
+    // One for each service whose models are loaded from the weight store; empty if the latest ones still hold.
+    std::vector<StoreLoadForecast> forecasts {};
 };
 
 // Requests a configuration newer than this version.
--- a/src/gateway/EndpointDirectory.cpp
+++ b/src/gateway/EndpointDirectory.cpp
@@ -119,6 +119,10 @@
     if (update.fencingToken < m_updateToken)
         return;
     m_updateToken = update.fencingToken;
+    if (!update.forecasts.empty()) {
+        m_forecasts = update.forecasts;
+        m_forecastsReceivedAt = now;
+    }
     for (const EngineUpdate& engine : update.engines) {
         const auto found = m_entries.find(engine.endpoint);
         if (found == m_entries.end() || found->second.record.incarnation != engine.incarnation)
@@ -399,13 +403,24 @@
     return soonest;
 }
 
+Duration EndpointDirectory::timeOfStoreLoad(
+    const std::string& service, const GatewayModel& model, MonotonicTime now) const
+{
+    const Duration age = now - m_forecastsReceivedAt;
+    const auto forecast = std::find_if(m_forecasts.begin(), m_forecasts.end(),
+        [&service](const StoreLoadForecast& candidate) { return candidate.service == service; });
+    if (forecast == m_forecasts.end() || age >= updateLifetime)
+        return model.loadFromStore;
+    return std::max<Duration>(model.loadFromStore, forecast->timeUntilReady(model.id) - age);
+}
+
 Duration EndpointDirectory::shortestTimeToReplica(const std::string& service, const ModelVariant& variant,
     const GatewayModel& model, const std::optional<std::string>& softwareVersion, MonotonicTime now) const
 {
     // Adapters load soon after their model, so only the model matters.
     if (const auto ready = timeUntilOrderedReplica(service, { variant.model, "" }, softwareVersion, now))
         return *ready;
-    Duration soonest = model.loadFromStore;
+    Duration soonest = timeOfStoreLoad(service, model, now);
     for (const auto& [id, entry] : m_entries) {
         const bool isGone = entry.usableUntil != MonotonicTime() && now >= entry.usableUntil;
         if (entry.record.service != service || entry.record.isLeaving || isGone
--- a/src/gateway/EnginePlacement.cpp
+++ b/src/gateway/EnginePlacement.cpp
@@ -22,6 +22,8 @@
     constexpr Duration unverifiedStatusInterval = std::chrono::milliseconds(150);
     constexpr Duration pendingStatusInterval = std::chrono::milliseconds(300);
     constexpr Duration updateRepeatInterval = std::chrono::seconds(1);
+    // Hosts refuse requests by the latest forecast, which changes as fast as loads end.
+    constexpr Duration forecastInterval = std::chrono::milliseconds(500);
     // An engine's own record shows a change after this time unless the store is unavailable.
     constexpr Duration updateRepeatTime = std::chrono::seconds(3);
     // Bounds the CPU time that planning takes in a large fleet.
@@ -455,7 +457,11 @@
         engine.isChanged = false;
         update.engines.push_back(updateOf(engine, now));
     }
-    if (update.engines.empty())
+    if (now >= m_nextForecastAt) {
+        m_nextForecastAt = now + forecastInterval;
+        update.forecasts = forecasts(now);
+    }
+    if (update.engines.empty() && update.forecasts.empty())
         return std::nullopt;
     update.sequence = ++m_updateSequence;
     return update;
--- a/src/gateway/EnginePlacementChoice.cpp
+++ b/src/gateway/EnginePlacementChoice.cpp
@@ -182,7 +182,8 @@
     const GatewayEngine* settings = m_configuration.engineOf(service);
     if (!settings)
         return 1;
-    const double perReplica = std::max(1.0, settings->batchSize * m_settings.busyShare);
+    const double wantedLoad = std::max(settings->batchSize * m_settings.busyShare, m_settings.busyRequests);
+    const double perReplica = std::max(1.0, std::min(wantedLoad, settings->batchSize / 2.0));
     const double load = summary.running + summary.waiting;
     const unsigned least = summary.rate > veryHotRate ? veryHotReplicas : (summary.rate > hotRate ? hotReplicas : 1);
     return std::max(least, static_cast<unsigned>(std::ceil(load / perReplica)));
--- a/src/gateway/EnginePlacementPlan.cpp
+++ b/src/gateway/EnginePlacementPlan.cpp
@@ -271,6 +271,39 @@
     }
 }
 
+StoreQueue EnginePlacement::storeQueueOf(const std::string& service, const GatewayEngine& settings, MonotonicTime now)
+{
+    StoreQueue queue;
+    queue.service = service;
+    queue.concurrency = m_storeConcurrency.concurrency();
+    for (const auto& [id, model] : settings.models)
+        queue.loadTime = std::max(queue.loadTime, model.loadFromStore);
+    for (const auto& [id, engine] : m_engines) {
+        if (engine.record.service != service)
+            continue;
+        if (isStoreLoad(engine.pending))
+            queue.running.push_back(std::max(Duration::zero(), engine.pending->expectedEnd - now));
+        else if (engine.nextLoad && sourceOf(engine, *engine.nextLoad) == WeightSource::Store)
+            queue.running.push_back(queue.loadTime);
+    }
+    for (const auto& [ofService, model] : modelsByLoad(now)) {
+        const ModelSummary& summary = summaryOf(ofService, model, now);
+        if (ofService == service && summary.waiting > 0 && summary.copies == 0)
+            queue.waiting.push_back(model);
+    }
+    return queue;
+}
+
+std::vector<StoreLoadForecast> EnginePlacement::forecasts(MonotonicTime now)
+{
+    std::vector<StoreLoadForecast> list;
+    for (const auto& [service, settings] : m_configuration.services) {
+        if (settings.engine)
+            list.push_back(forecastStoreLoads(storeQueueOf(service, *settings.engine, now)));
+    }
+    return list;
+}
+
 // Loads models that have too few copies, before requests ask for them.
 void EnginePlacement::planCopies(MonotonicTime now, EffectList& effects)
 {
--- a/src/gateway/GatewayMessage.cpp
+++ b/src/gateway/GatewayMessage.cpp
@@ -95,6 +95,31 @@
         return list;
     }
 
+    Json listOfForecasts(const std::vector<StoreLoadForecast>& forecasts)
+    {
+        Json list = Json::array();
+        for (const StoreLoadForecast& forecast : forecasts) {
+            Json next = Json::array();
+            for (const ExpectedLoad& load : forecast.next)
+                next.push_back(Json::array({ load.model.value, load.readyInMilliseconds }));
+            list.push_back(Json::array({ forecast.service, forecast.otherReadyInMilliseconds, std::move(next) }));
+        }
+        return list;
+    }
+
+    std::vector<StoreLoadForecast> forecastsOf(const Json& list)
+    {
+        std::vector<StoreLoadForecast> forecasts;
+        for (const Json& entry : list) {
+            StoreLoadForecast& forecast = forecasts.emplace_back();
+            forecast.service = entry.at(0).get<std::string>();
+            forecast.otherReadyInMilliseconds = entry.at(1).get<std::uint32_t>();
+            for (const Json& load : entry.at(2))
+                forecast.next.push_back({ ModelId(load.at(0).get<std::string>()), load.at(1).get<std::uint32_t>() });
+        }
+        return forecasts;
+    }
+
     struct Encoder {
         Json operator()(const HostDigest& digest) const
         {
@@ -135,7 +160,11 @@
                 engines.push_back(Json::array({ engine.endpoint.value, engine.incarnation, listOfModels(engine.models),
                     std::move(pendingReplicas) }));
             }
-            return Json::array({ Kind::PlacementUpdate, update.fencingToken, update.sequence, std::move(engines) });
+            Json message
+                = Json::array({ Kind::PlacementUpdate, update.fencingToken, update.sequence, std::move(engines) });
+            if (!update.forecasts.empty())
+                message.push_back(listOfForecasts(update.forecasts));
+            return message;
         }
         Json operator()(const ConfigurationWanted& wanted) const
         {
@@ -203,6 +232,9 @@
                     { variantOf(replica.at(0), replica.at(1)), replica.at(2).get<std::uint32_t>() });
             update.engines.push_back(std::move(engine));
         }
+        // Hosts of earlier releases do not send them.
+        if (list.size() > 4)
+            update.forecasts = forecastsOf(list.at(4));
         return update;
     }
 
--- a/src/gateway/GatewayRequestOutcomes.cpp
+++ b/src/gateway/GatewayRequestOutcomes.cpp
@@ -12,6 +12,9 @@
 
     Duration retryAfterOf(MonotonicTime now, MonotonicTime deadline, Duration wanted)
     {
+        // A caller that cannot be served within its time is told when another one can be.
+        if (now + wanted >= deadline)
+            return wanted;
         // Callers honour a Retry-After of at most a third of their remaining time.
         const Duration third = std::max(Duration::zero(), (deadline - now) / 3 - std::chrono::milliseconds(5));
         return std::min(wanted, third);
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -160,6 +160,7 @@
         reader.count("concurrent_store_loads", settings.concurrentStoreLoads);
         reader.milliseconds("store_load_window_ms", settings.storeLoadWindow);
         reader.number("busy_share", settings.busyShare, 0.001);
+        reader.number("busy_requests", settings.busyRequests, 0.001);
         reader.rejectUnknownFields();
     }
 
--- a/tests/gateway/GatewayMessageTest.cpp
+++ b/tests/gateway/GatewayMessageTest.cpp
@@ -42,6 +42,19 @@
     CHECK(encodeGatewayMessage(valueOf(decoded)) == bytes);
 }
 
+// Guards against hosts that refuse requests by another forecast than the owner's.
+TEST_CASE("Forecasts of loads are unchanged after encoding and decoding")
+{
+    PlacementUpdate update { 5, 6, {}, { { "notes", { { ModelId("m"), 900 }, { ModelId("n"), 8700 } }, 9000 } } };
+    const auto decoded = decodeGatewayMessage(encodeGatewayMessage(update));
+    REQUIRE_FALSE(isError(decoded));
+    const auto& forecasts = std::get<PlacementUpdate>(valueOf(decoded)).forecasts;
+    REQUIRE(forecasts.size() == 1);
+    CHECK(forecasts[0].service == "notes");
+    CHECK(forecasts[0].timeUntilReady(ModelId("n")) == std::chrono::milliseconds(8700));
+    CHECK(forecasts[0].timeUntilReady(ModelId("x")) == std::chrono::milliseconds(9000));
+}
+
 // Guards against a damaged message of another host that crashes the process.
 TEST_CASE("Damaged messages give an error")
 {
