Probe the own data centre before a path counts as lost

Cause: three endpoints that fail in a row and one failed probe show that a host's path is lost. Change: a probe goes to a data centre in which no endpoint has failed, the own one first; what is left answers it. After: 6 of 6.

--- a/include/catkinwell/gateway/EndpointDirectory.h
+++ b/include/catkinwell/gateway/EndpointDirectory.h
@@ -101,8 +101,9 @@
     bool isOnlyUnreachable(const EndpointNeed&, MonotonicTime now) const;
     // Number of the service's endpoints that are neither leaving nor gone.
     std::size_t count(const std::string& service, MonotonicTime now) const;
-    // Returns an endpoint of the service to probe, at random; one that did not fail if there is one. nullopt if the
-    // service has none.
+    // Returns an endpoint of the service to probe, at random: one of a data centre in which none failed, the own one
+    // first, so that the loss of another data centre does not pass for that of this host's path; else one that did not
+    // fail. nullopt if the service has none.
     std::optional<EndpointChoice> chooseForProbe(
         const std::string& service, const std::function<bool(const EndpointId&)>& hasFailed, MonotonicTime now);
     // The failures of attempts at the service's endpoints were not theirs.
--- a/src/gateway/EndpointDirectory.cpp
+++ b/src/gateway/EndpointDirectory.cpp
@@ -465,13 +465,32 @@
 std::optional<EndpointChoice> EndpointDirectory::chooseForProbe(
     const std::string& service, const std::function<bool(const EndpointId&)>& hasFailed, MonotonicTime now)
 {
-    std::vector<const Entry*> others;
-    std::vector<const Entry*> failed;
+    std::vector<const Entry*> present;
+    std::set<DataCentreId> failedDataCentres;
     for (const auto& [id, entry] : m_entries) {
-        if (entry.record.service == service && isPresent(entry, now) && !m_notices.isPaused(id, now))
-            (hasFailed(id) ? failed : others).push_back(&entry);
+        if (entry.record.service != service || !isPresent(entry, now) || m_notices.isPaused(id, now))
+            continue;
+        present.push_back(&entry);
+        if (hasFailed(id))
+            failedDataCentres.insert(entry.record.dataCentre);
+    }
+    // The lower the number, the more does a failure say about this host rather than about others.
+    const auto rankOf = [&](const Entry* entry) {
+        const DataCentreId& dataCentre = entry->record.dataCentre;
+        if (failedDataCentres.contains(dataCentre))
+            return hasFailed(entry->record.id) ? 3 : 2;
+        return dataCentre == m_ownDataCentre ? 0 : 1;
+    };
+    std::vector<const Entry*> candidates;
+    int lowestRank = 3;
+    for (const Entry* entry : present) {
+        const int rank = rankOf(entry);
+        if (rank < lowestRank)
+            candidates.clear();
+        lowestRank = std::min(lowestRank, rank);
+        if (rank == lowestRank)
+            candidates.push_back(entry);
     }
-    const std::vector<const Entry*>& candidates = others.empty() ? failed : others;
     if (candidates.empty())
         return std::nullopt;
     const EndpointRecord& record = candidates[m_random.below(candidates.size())]->record;
--- a/tests/gateway/EndpointReachTest.cpp
+++ b/tests/gateway/EndpointReachTest.cpp
@@ -1,7 +1,9 @@
+#include "gateway/GatewayFixture.h"
 #include <catch2/catch.hpp>
 #include <catkinwell/relay/EndpointReach.h>
 
 using namespace Catkinwell;
+using namespace Catkinwell::Testing;
 using namespace std::chrono_literals;
 
 namespace {
@@ -138,3 +140,44 @@
     fixture.reach.noteProbeFailed(service, EndpointId("d"), AttemptFailure::Silence, 12, fixture.now, fixture.effects);
     CHECK(fixture.reach.isLost(service));
 }
+
+namespace {
+
+struct ProbeCase {
+    const char* name;
+    std::set<std::string> failed;
+    std::set<std::string> expected;
+};
+
+} // namespace
+
+// Replays a data centre that is cut off: guards against hosts that take the loss of its endpoints, a part of all, for
+// the loss of their own path, and have other hosts serve their requests.
+TEST_CASE("A probe goes to a data centre in which no endpoint has failed, the own one first")
+{
+    const auto test = GENERATE(values<ProbeCase>({
+        { "another data centre is cut off", { "a1" }, { "c1", "c2" } },
+        { "all others are cut off", { "a1", "b2" }, { "c1", "c2" } },
+        { "endpoints of the own one fail", { "c1" }, { "a1", "a2", "b1", "b2" } },
+        { "one of the others is left", { "a2", "c1" }, { "b1", "b2" } },
+        { "failures everywhere", { "a1", "b1", "c1" }, { "a2", "b2", "c2" } },
+        { "all failed", { "a1", "a2", "b1", "b2", "c1", "c2" }, { "a1", "a2", "b1", "b2", "c1", "c2" } },
+    }));
+    INFO(test.name);
+    EndpointDirectory directory { DataCentreId("c"), 1 };
+    const MonotonicTime now { 1h };
+    EffectList effects;
+    for (const char* id : { "a1", "a2", "b1", "b2", "c1", "c2" }) {
+        EndpointRecord record = sampleEndpoint(id, service);
+        record.dataCentre = DataCentreId(std::string(1, id[0]));
+        directory.put(record, now, effects);
+    }
+    std::set<std::string> chosen;
+    for (int i = 0; i < 200; ++i) {
+        const auto probe = directory.chooseForProbe(
+            service, [&test](const EndpointId& id) { return test.failed.contains(id.value); }, now);
+        REQUIRE(probe);
+        chosen.insert(probe->endpoint.value);
+    }
+    CHECK(chosen == test.expected);
+}
