Plan placement with one summary a plan, and report to its owner less often in large fleets

Cause: with many waiting models the owner computed the summaries of all engines and models again after each order, and judged every engine for every model, also those without a copy while the weight store was busy. Change: an order updates the summaries; engines with a copy are listed in them and only those are judged while the store takes no load; loads from the store are counted once a plan; updates go out every 2 ms for each host, urgent demand every 1.5 ms for each host (15 ms at least).

--- a/include/catkinwell/gateway/EnginePlacement.h
+++ b/include/catkinwell/gateway/EnginePlacement.h
@@ -132,6 +132,8 @@
         // Moving average of running requests.
         double running = 0;
         std::vector<Engine*> holders;
+        // Engines that do not hold the model but have its weights in host memory or on disk.
+        std::vector<Engine*> copyHolders;
         std::set<DataCentreId> dataCentres;
         // Reachable engines that hold the model, are loading it or load it next.
         unsigned usableReplicas = 0;
@@ -149,6 +151,8 @@
         double cost = 0;
     };
 
+    // Counts the loads from the weight store and forgets those that no longer count against its rate.
+    void updateStoreLoads(MonotonicTime now);
     void planAdapters(MonotonicTime now, EffectList&);
     void planWaitingModels(MonotonicTime now, EffectList&);
     void planVersionWaits(MonotonicTime now, EffectList&);
@@ -166,6 +170,9 @@
     Duration timeUntilFree(const Engine&, MonotonicTime now) const;
     std::optional<Candidate> candidateOn(
         Engine&, const GatewayModel&, const GatewayEngine&, bool mayUseStore, MonotonicTime now);
+    // As bestCandidate(), but judges one engine; nullopt if it does not come into question.
+    std::optional<Candidate> candidateFor(Engine&, const GatewayEngine&, const GatewayModel&, bool mayUseStore,
+        BusyEnginePolicy, MonotonicTime now, const std::optional<std::string>& softwareVersion);
     std::optional<Candidate> bestCopyCandidate(const std::string& service, const GatewayModel&, MonotonicTime now);
     double adapterRate(const Engine&, MonotonicTime now);
     double evictionCost(const Engine&, const ModelId&, MonotonicTime now);
@@ -182,6 +189,9 @@
     const ModelSummaries& summaries(MonotonicTime now);
     const ModelSummary& summaryOf(const std::string& service, const ModelId&, MonotonicTime now);
     void invalidateSummaries() { m_summaries.reset(); }
+    // Counts the model that the engine will load in the current summaries, so that a plan with many loads need not
+    // compute them again for each.
+    void noteUpcoming(const Engine&, const ModelId&, MonotonicTime now);
     Duration planInterval() const;
     Engine* adapterEngine(const ModelSummary&, const ModelVariant&, MonotonicTime now);
     void makeRoomForAdapter(Engine&, MonotonicTime now, EffectList&);
@@ -224,6 +234,8 @@
     std::map<ServiceModel, double> m_running;
     std::optional<ModelSummaries> m_summaries;
     std::deque<MonotonicTime> m_storeLoadStarts;
+    // Loads from the weight store that run or are planned, as of the current plan.
+    unsigned m_plannedStoreLoads = 0;
     StoreConcurrencyEstimator m_storeConcurrency;
     std::uint64_t m_lastCommand = 0;
     std::uint64_t m_updateSequence = 0;
--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -150,6 +150,7 @@
     // When urgent news may be sent next.
     MonotonicTime m_nextNewsAt {};
     MonotonicTime m_nextUrgentDigestAt {};
+    MonotonicTime m_nextPlacementUpdateAt {};
     // Whether a request started waiting that was not reported to the owner yet.
     bool m_isDemandUrgent = false;
     // The owner that received the whole demand, and when the whole demand is sent again.
--- a/src/gateway/EnginePlacement.cpp
+++ b/src/gateway/EnginePlacement.cpp
@@ -174,6 +174,7 @@
     m_nextPlanAt = now + planInterval();
     m_demand.update(now);
     invalidateSummaries();
+    updateStoreLoads(now);
     planAdapters(now, effects);
     planWaitingModels(now, effects);
     planVersionWaits(now, effects);
--- a/src/gateway/EnginePlacementChoice.cpp
+++ b/src/gateway/EnginePlacementChoice.cpp
@@ -104,7 +104,7 @@
 
 bool EnginePlacement::mayLoadFromStore(const std::string& service, unsigned waiting, MonotonicTime now) const
 {
-    return storeLoadsPlanned() < storeLoadBound(waiting) && isUnderStoreRate(service, now);
+    return m_plannedStoreLoads < storeLoadBound(waiting) && isUnderStoreRate(service, now);
 }
 
 // Whether one more load from the weight store stays within the rate limit.
@@ -155,12 +155,36 @@
         }
         if (const auto upcoming = upcomingModel(engine); upcoming && !engine.models.contains(*upcoming))
             addReplica(*upcoming);
-        for (const ModelId& model : engine.onDisk)
-            ++all[{ service, model }].copies;
+        for (const ModelId& model : engine.onDisk) {
+            ModelSummary& summary = all[{ service, model }];
+            ++summary.copies;
+            if (!engine.models.contains(model))
+                summary.copyHolders.push_back(&engine);
+        }
+        for (const ModelId& model : engine.inHostMemory) {
+            if (!engine.onDisk.contains(model) && !engine.models.contains(model))
+                all[{ service, model }].copyHolders.push_back(&engine);
+        }
     }
     return all;
 }
 
+void EnginePlacement::noteUpcoming(const Engine& engine, const ModelId& model, MonotonicTime now)
+{
+    if (!m_summaries || engine.models.contains(model))
+        return;
+    ModelSummary& summary = (*m_summaries)[{ engine.record.service, model }];
+    summary.usableReplicas += isReachable(engine, now) ? 1 : 0;
+    summary.copies += engine.onDisk.contains(model) ? 0 : 1;
+}
+
+void EnginePlacement::updateStoreLoads(MonotonicTime now)
+{
+    m_plannedStoreLoads = storeLoadsPlanned();
+    while (!m_storeLoadStarts.empty() && now - m_storeLoadStarts.front() >= m_settings.storeLoadWindow)
+        m_storeLoadStarts.pop_front();
+}
+
 const EnginePlacement::ModelSummary& EnginePlacement::summaryOf(
     const std::string& service, const ModelId& model, MonotonicTime now)
 {
@@ -286,20 +310,20 @@
     if (!settings || !settings->models.contains(model))
         return std::nullopt;
     std::optional<Candidate> best;
-    for (auto& [id, engine] : m_engines) {
-        const bool isFree = mayOrder(engine, now) && !engine.nextLoad;
-        const bool isWorthWaiting = policy == BusyEnginePolicy::WaitForCopy && engine.isVerified
-            && sourceOf(engine, model) != WeightSource::Store;
-        if (engine.record.service != service || !isReachable(engine, now) || engine.models.contains(model)
-            || (!isFree && !isWorthWaiting) || (softwareVersion && engine.record.softwareVersion != *softwareVersion))
-            continue;
-        auto candidate = candidateOn(engine, settings->models.at(model), *settings, mayUseStore, now);
-        if (!candidate)
-            continue;
-        if (!isFree)
-            candidate->cost += secondsOf(timeUntilFree(engine, now));
-        if (!best || candidate->cost < best->cost)
+    const auto consider = [&](Engine& engine) {
+        auto candidate
+            = candidateFor(engine, *settings, settings->models.at(model), mayUseStore, policy, now, softwareVersion);
+        if (candidate && (!best || candidate->cost < best->cost))
             best = std::move(candidate);
+    };
+    if (mayUseStore) {
+        for (auto& [id, engine] : m_engines) {
+            if (engine.record.service == service)
+                consider(engine);
+        }
+    } else {
+        for (Engine* engine : summaryOf(service, model, now).copyHolders)
+            consider(*engine);
     }
     // Waiting for a busy engine that has a copy is better than a load from the store now.
     if (best && (!mayOrder(*best->engine, now) || best->engine->nextLoad))
@@ -307,6 +331,22 @@
     return best;
 }
 
+std::optional<EnginePlacement::Candidate> EnginePlacement::candidateFor(Engine& engine, const GatewayEngine& settings,
+    const GatewayModel& model, bool mayUseStore, BusyEnginePolicy policy, MonotonicTime now,
+    const std::optional<std::string>& softwareVersion)
+{
+    const bool isFree = mayOrder(engine, now) && !engine.nextLoad;
+    const bool isWorthWaiting = policy == BusyEnginePolicy::WaitForCopy && engine.isVerified
+        && sourceOf(engine, model.id) != WeightSource::Store;
+    if (!isReachable(engine, now) || engine.models.contains(model.id) || (!isFree && !isWorthWaiting)
+        || (softwareVersion && engine.record.softwareVersion != *softwareVersion))
+        return std::nullopt;
+    auto candidate = candidateOn(engine, model, settings, mayUseStore, now);
+    if (candidate && !isFree)
+        candidate->cost += secondsOf(timeUntilFree(engine, now));
+    return candidate;
+}
+
 // Returns the models in demand, sorted by descending load.
 std::vector<EnginePlacement::ServiceModel> EnginePlacement::modelsByLoad(MonotonicTime now)
 {
--- a/src/gateway/EnginePlacementPlan.cpp
+++ b/src/gateway/EnginePlacementPlan.cpp
@@ -24,7 +24,8 @@
     Engine& engine = *candidate.engine;
     engine.nextLoad = model;
     engine.isChanged = true;
-    invalidateSummaries();
+    noteUpcoming(engine, model, now);
+    m_plannedStoreLoads += candidate.source == WeightSource::Store ? 1 : 0;
     if (candidate.victims.empty())
         continueLoad(engine, now, effects);
     else
@@ -96,7 +97,6 @@
             { "load_ms", std::to_string(millisecondsOf(loadTime(engine, variant.model, pending.source))) } } });
     effects.push_back(pending.order);
     (variant.adapter.empty() ? engine.pending : engine.adapterPending) = std::move(pending);
-    invalidateSummaries();
 }
 
 void EnginePlacement::planAdapters(MonotonicTime now, EffectList& effects)
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -16,7 +16,11 @@
     constexpr Duration digestIntervalPerHost = std::chrono::milliseconds(12);
     constexpr Duration shortestDigestInterval = std::chrono::milliseconds(200);
     constexpr Duration longestDigestInterval = std::chrono::seconds(2);
-    constexpr Duration urgentDigestInterval = std::chrono::milliseconds(15);
+    // All hosts report to one owner, so the interval grows with their number.
+    constexpr Duration shortestUrgentInterval = std::chrono::milliseconds(15);
+    constexpr Duration urgentIntervalPerHost = std::chrono::microseconds(1500);
+    // The owner sends each update to all hosts; changes of a short time share one.
+    constexpr Duration placementUpdateIntervalPerHost = std::chrono::milliseconds(2);
     // Minimum time between two digests with urgent news.
     constexpr Duration newsInterval = std::chrono::milliseconds(50);
     // The whole demand is repeated in case a report of changes was lost.
@@ -389,7 +393,9 @@
 void GatewayReducer::sendDemand(MonotonicTime now, EffectList& effects)
 {
     m_isDemandUrgent = false;
-    m_nextUrgentDigestAt = now + urgentDigestInterval;
+    m_nextUrgentDigestAt = now
+        + std::max<Duration>(
+            shortestUrgentInterval, urgentIntervalPerHost * static_cast<std::int64_t>(m_livePeers.size() + 1));
     if (m_placement.isOwner()) {
         m_placement.handle(m_settings.host, makeDemandDigest(now).demand, now);
         m_placement.tick(now, effects);
@@ -414,9 +420,12 @@
 
 void GatewayReducer::sendPlacementUpdate(MonotonicTime now, EffectList& effects)
 {
+    if (now < m_nextPlacementUpdateAt)
+        return;
     const auto update = m_placement.takeUpdate(now);
     if (!update)
         return;
+    m_nextPlacementUpdateAt = now + placementUpdateIntervalPerHost * static_cast<std::int64_t>(m_livePeers.size());
     m_directory.handle(*update, now);
     const std::string payload = encodeGatewayMessage(*update);
     for (const HostId& host : m_livePeers)
