Serve no request whose caller has left before it was read

Cause: a host that is behind reads a request together with the end of its connection, and sent it on before it saw that end. Change: the end of the connection is looked for when a request is complete. Before: the new test's second case failed (1 request served, 0 expected). After: 2 of 2, httpTests 24 of 24.

--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -11,6 +11,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <sys/socket.h>
 
 namespace Catkinwell {
 
@@ -191,8 +192,20 @@
     return false;
 }
 
+// Whether the peer has closed the connection and everything that it sent before was read.
+bool CallerConnection::hasPeerLeft() const
+{
+    char next = 0;
+    return recv(bufferevent_getfd(m_stream), &next, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void CallerConnection::deliver()
 {
+    // A host that is behind reads requests whose callers have given up meanwhile.
+    if (hasPeerLeft()) {
+        close();
+        return;
+    }
     clearTimer();
     m_phase = Phase::Answering;
     m_owner.requestRead(*this, std::move(m_received));
--- a/src/http/CallerConnection.h
+++ b/src/http/CallerConnection.h
@@ -82,6 +82,7 @@
     bool processHead();
     bool processBody();
     bool refuse(int status, const std::string& reason);
+    bool hasPeerLeft() const;
     void deliver();
     void writeHead(int status, const HeaderList&, std::optional<std::size_t> length);
     void afterAnswer();
--- a/tests/http/CallerListenerTest.cpp
+++ b/tests/http/CallerListenerTest.cpp
@@ -1,6 +1,10 @@
 #include "http/RawSockets.h"
+#include <arpa/inet.h>
 #include <catch2/catch.hpp>
 #include <catkinwell/http/CallerListener.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace Catkinwell;
 using namespace Catkinwell::Testing;
@@ -180,3 +184,48 @@
     INFO(received);
     CHECK(received.ends_with("part<reset>"));
 }
+
+namespace {
+
+// A caller that sends its text at once and may leave before the listener has read it.
+class BlockingCaller {
+public:
+    explicit BlockingCaller(std::uint16_t port)
+        : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        address.sin_port = htons(port);
+        REQUIRE(connect(m_socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+    }
+    ~BlockingCaller() { leave(); }
+
+    void send(const std::string& text) { REQUIRE(write(m_socket, text.data(), text.size()) > 0); }
+
+    void leave()
+    {
+        if (m_socket >= 0)
+            close(m_socket);
+        m_socket = -1;
+    }
+
+private:
+    int m_socket;
+};
+
+} // namespace
+
+// Guards against a host that falls behind and then has endpoints work for callers that have left meanwhile.
+TEST_CASE("A request whose caller has left before it was read is not served")
+{
+    const bool hasLeft = GENERATE(false, true);
+    EchoFixture fixture;
+    BlockingCaller caller(fixture.listener.port());
+    caller.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab");
+    if (hasLeft)
+        caller.leave();
+    fixture.loop.callLater(std::chrono::milliseconds(100), [&fixture] { fixture.loop.stop(); });
+    fixture.loop.run();
+    CHECK(fixture.requests == (hasLeft ? 0 : 1));
+}
