Send no order whose permission ran out while its connection opened

Report: a process that was paused acted on a permission that had run out meanwhile. Shown here: an order's validity was checked when it was handed to the HTTP client, which wrote it when the connection had opened or in the next round of the loop, so a pause in between sent it late.

--- a/include/catkinwell/http/HttpClient.h
+++ b/include/catkinwell/http/HttpClient.h
@@ -4,6 +4,7 @@
 #include <catkinwell/loop/EventLoop.h>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <sigc++/sigc++.h>
 #include <string>
 #include <string_view>
@@ -31,6 +32,9 @@
     // Reuses the most recently used idle connection and fails with NotSent if there is none. Because the peer closes
     // idle connections, a request that this process delays for long is lost instead of arriving late.
     bool needsIdleConnection = false;
+    // No byte of the request is sent at this time or later, also if the process stood still meanwhile; it then fails
+    // with NotSent. Absent if it may be sent at any time.
+    std::optional<MonotonicTime> sendBefore {};
     // Name of a request header that the peer repeats in its response. A response with another value belongs to another
     // request and is discarded. Empty to disable the check.
     std::string echoHeader;
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -165,6 +165,7 @@
     void readAvailable();
     void fail(AttemptFailure, const std::string& reason);
     void finish(bool reusable);
+    void send();
     void setSilenceTimeout();
 
     Implementation& m_owner;
@@ -173,6 +174,9 @@
     bufferevent* m_stream = nullptr;
     HttpExchangeObserver m_observer;
     ExchangeId m_exchange = 0;
+    // The request until the connection is open.
+    std::string m_unsent;
+    std::optional<MonotonicTime> m_sendBefore;
     Duration m_silenceTimeout {};
     Duration m_idleTime = defaultIdleTime;
     MonotonicTime m_usableUntil {};
@@ -230,11 +234,26 @@
     m_bodyBytes = 0;
     m_skippedBytes = 0;
     m_reader.restart();
-    const std::string text = serializeRequest(request);
-    bufferevent_write(m_stream, text.data(), text.size());
+    m_unsent = serializeRequest(request);
+    m_sendBefore = request.sendBefore;
     bufferevent_enable(m_stream, EV_READ | EV_WRITE);
-    if (m_isOpen)
-        setSilenceTimeout();
+    if (!m_isOpen)
+        return;
+    send();
+    setSilenceTimeout();
+}
+
+void HttpClient::Implementation::Connection::send()
+{
+    std::string_view rest = m_unsent;
+    if (m_sendBefore) {
+        // The loop writes in its next round, before which the process may stand still.
+        const ssize_t sent = ::send(bufferevent_getfd(m_stream), rest.data(), rest.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        rest.remove_prefix(static_cast<std::size_t>(std::max<ssize_t>(0, sent)));
+    }
+    if (!rest.empty())
+        bufferevent_write(m_stream, rest.data(), rest.size());
+    m_unsent.clear();
 }
 
 bool HttpClient::Implementation::Connection::hasCarried(const std::string& echoValue) const
@@ -343,7 +362,12 @@
     if (self.m_detached)
         return;
     if (what & BEV_EVENT_CONNECTED) {
+        if (self.m_sendBefore && self.m_owner.m_clock.monotonicNow() >= *self.m_sendBefore) {
+            self.fail(AttemptFailure::Connect, "the connection opened too late for the request");
+            return;
+        }
         self.m_isOpen = true;
+        self.send();
         self.setSilenceTimeout();
         if (self.m_observer.onOpened)
             self.m_observer.onOpened();
--- a/tests/http/AnswerIntegrityTest.cpp
+++ b/tests/http/AnswerIntegrityTest.cpp
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 #include <catkinwell/http/HttpClient.h>
 #include <optional>
+#include <thread>
 
 using namespace Catkinwell;
 using namespace Catkinwell::Testing;
@@ -40,6 +41,7 @@
         exchange.silenceTimeout = std::chrono::milliseconds(400);
         exchange.maximumBodyBytes = longestBody;
         exchange.totalTimeout = totalTimeout;
+        exchange.sendBefore = sendBefore;
         Outcome outcome;
         HttpExchangeObserver observer;
         observer.onHead = [&](int status, const HeaderList&) { outcome.status = status; };
@@ -54,6 +56,8 @@
             loop.stop();
         };
         client.start(exchange, observer);
+        // The process stands still.
+        std::this_thread::sleep_for(pauseAfterStart);
         loop.run();
         return outcome;
     }
@@ -69,6 +73,8 @@
     HttpClient client { loop };
     Duration totalTimeout = std::chrono::seconds(5);
     std::string echoHeader = "X-Id";
+    std::optional<MonotonicTime> sendBefore;
+    Duration pauseAfterStart {};
 };
 
 } // namespace
@@ -237,3 +243,40 @@
         CHECK(outcome.failure.has_value());
     }
 }
+
+namespace {
+
+struct LateSendCase {
+    const char* name;
+    bool isConnectionKept;
+    Duration validFor;
+    Duration pause;
+    bool expectedSent;
+};
+
+} // namespace
+
+// Guards against a process that stands still and then sends an order whose permission ran out meanwhile.
+TEST_CASE("A request is not sent once its time to be sent has passed")
+{
+    using namespace std::chrono_literals;
+    const auto test = GENERATE(values<LateSendCase>({
+        { "in time", false, 5s, 0ms, true },
+        { "paused, still valid", false, 5s, 60ms, true },
+        { "paused while the connection opens", false, 30ms, 60ms, false },
+        // The kernel has the request before the pause.
+        { "paused after sending on a kept connection", true, 30ms, 60ms, true },
+    }));
+    INFO(test.name);
+    ClientFixture fixture({ { answerTo("a", "first") } });
+    if (test.isConnectionKept)
+        REQUIRE(fixture.request("a").isFinished);
+    const std::size_t before = fixture.server.requests();
+    fixture.echoHeader = "";
+    fixture.sendBefore = SystemClock().monotonicNow() + test.validFor;
+    fixture.pauseAfterStart = test.pause;
+    const Outcome outcome = fixture.request("b");
+    fixture.pause(50ms);
+    CHECK(outcome.isFinished == test.expectedSent);
+    CHECK(fixture.server.requests() - before == (test.expectedSent ? 1 : 0));
+}
