--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -394,8 +394,7 @@
 }
 
 // What was read of the answer must not pass for one.
-void GatewayRequests::abandonAnswer(
-    Request& request, std::string_view reason, MonotonicTime now, EffectList& effects)
+void GatewayRequests::abandonAnswer(Request& request, std::string_view reason, MonotonicTime now, EffectList& effects)
 {
     request.mayHaveRun = true;
     effects.push_back(CancelAttempt { request.attempt->id });
--- a/src/gateway/StoreLoadForecast.cpp
+++ b/src/gateway/StoreLoadForecast.cpp
@@ -54,8 +54,8 @@
 
 Duration StoreLoadForecast::timeUntilReady(const ModelId& model) const
 {
-    const auto expected = std::find_if(
-        next.begin(), next.end(), [&model](const ExpectedLoad& load) { return load.model == model; });
+    const auto expected
+        = std::find_if(next.begin(), next.end(), [&model](const ExpectedLoad& load) { return load.model == model; });
     return std::chrono::milliseconds(expected == next.end() ? otherReadyInMilliseconds : expected->readyInMilliseconds);
 }
 
--- a/tests/gateway/BrokenAnswerTest.cpp
+++ b/tests/gateway/BrokenAnswerTest.cpp
@@ -265,13 +265,15 @@
     const auto test = GENERATE_COPY(values<ContinuationCase>({
         { "events", 200, { { "sealed", "1" }, { "Content-Type", "Text/Event-Stream; charset=utf-8" } },
             "id: 2\ndata: b\n\n", true },
-        { "JSON error", 200, { { "sealed", "1" }, { "Content-Type", "application/json" } }, "{\"error\":1}\n\n", false },
+        { "JSON error", 200, { { "sealed", "1" }, { "Content-Type", "application/json" } }, "{\"error\":1}\n\n",
+            false },
         { "text page", 200, { { "sealed", "1" }, { "Content-Type", "text/html" } }, "<p>sorry\n\n", false },
         { "no type", 200, { { "sealed", "1" } }, "sorry\n\n", false },
         { "part of a document", 206, eventHeaders, "id: 2\ndata: b\n\n", false },
         { "nothing", 204, eventHeaders, "", false },
         { "failure", 500, eventHeaders, "id: 2\ndata: b\n\n", false },
-        { "refusal", 503, { { "not-executed", "1" }, { "Content-Type", "application/json" } }, "{\"error\":1}\n\n", false },
+        { "refusal", 503, { { "not-executed", "1" }, { "Content-Type", "application/json" } }, "{\"error\":1}\n\n",
+            false },
         { "no seal", 200, { { "Content-Type", "text/event-stream" } }, "id: 2\ndata: b\n\n", false },
     }));
     INFO(test.name);
@@ -279,12 +281,13 @@
     const AttemptId first = fixture.takeAttempts().at(0).id;
     fixture.requests.handle(AttemptHead { first, 200, eventHeaders }, fixture.now, fixture.effects);
     fixture.requests.handle(AttemptData { first, "id: 1\ndata: a\n\n" }, fixture.now, fixture.effects);
-    fixture.requests.handle(
-        AttemptFailed { first, AttemptOutcome::Unknown, "closed", AttemptFailure::Broken }, fixture.now, fixture.effects);
+    fixture.requests.handle(AttemptFailed { first, AttemptOutcome::Unknown, "closed", AttemptFailure::Broken },
+        fixture.now, fixture.effects);
     const auto rest = fixture.takeAttempts();
     REQUIRE(rest.size() == 1);
     fixture.answer(rest[0].id, test.status, test.headers, test.body);
-    CHECK(fixture.received() == (test.expectedComplete ? "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" : "id: 1\ndata: a\n\n"));
+    CHECK(
+        fixture.received() == (test.expectedComplete ? "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" : "id: 1\ndata: a\n\n"));
     CHECK(fixture.looksComplete() == test.expectedComplete);
     CHECK(fixture.takeAnswers().empty());
     CHECK(effectsOf<AbortResponse>(fixture.effects).size() == (test.expectedComplete ? 0 : 1));
@@ -312,7 +315,8 @@
         { "line ends", "\n", true },
         { "events", "data: a\n\n", false },
         { "parts of a large event",
-            "data: 0123456789012345678901234567890123456789012345678901234567890123456789012345678901234567890123456789\n",
+            "data: "
+            "0123456789012345678901234567890123456789012345678901234567890123456789012345678901234567890123456789\n",
             false },
     }));
     INFO(test.name);
--- a/tests/http/AnswerIntegrityTest.cpp
+++ b/tests/http/AnswerIntegrityTest.cpp
@@ -221,7 +221,8 @@
         { "length on a kept connection", "", "Content-Length: 4\r\n", "body", true },
         { "connection, head only, on a kept connection", "", "", "", true },
         { "length after 100", "HTTP/1.1 100 Continue\r\n\r\n", "Content-Length: 4\r\n", "body", false },
-        { "length after 103", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", "Content-Length: 4\r\n", "body", false },
+        { "length after 103", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", "Content-Length: 4\r\n", "body",
+            false },
     }));
     const bool isReset = GENERATE(false, true);
     INFO(test.name << (isReset ? ", reset" : ", closed"));
