--- a/experiments/GatewaySlopes.cpp
+++ b/experiments/GatewaySlopes.cpp
@@ -30,6 +30,7 @@
 constexpr double requestsPerEngine = 1.4;
 constexpr double runSeconds = 2;
 constexpr Duration digestInterval = std::chrono::milliseconds(400);
+constexpr Duration waitTime = std::chrono::seconds(4);
 
 double processorSeconds() { return static_cast<double>(std::clock()) / CLOCKS_PER_SEC; }
 
@@ -120,8 +121,14 @@
             if (choice) {
                 m_directory.attemptStarted(choice->endpoint, variant.second, m_now);
                 m_running.emplace_back(m_now, choice->endpoint, variant.second);
+            } else {
+                wait(m_requests % m_hosts.size(), variant);
             }
         }
+        while (!m_waiting.empty() && m_now - std::get<0>(m_waiting.front()) > waitTime) {
+            m_hosts[std::get<1>(m_waiting.front())].waitEnded(std::get<2>(m_waiting.front()), m_now);
+            m_waiting.pop_front();
+        }
         while (
             !m_running.empty() && m_now - std::get<0>(m_running.front()) > std::chrono::duration<double>(runSeconds)) {
             EffectList ignored;
@@ -133,6 +140,13 @@
         plan();
     }
 
+    // A request without a replica waits for a load.
+    void wait(std::size_t host, const ServiceVariant& variant)
+    {
+        m_hosts[host].waitBegan(variant, m_now);
+        m_waiting.emplace_back(m_now, host, variant);
+    }
+
     // Each host reports once per interval.
     void reportDemand()
     {
@@ -183,6 +197,7 @@
     EnginePlacement m_placement;
     std::vector<HostDemand> m_hosts;
     std::deque<std::tuple<MonotonicTime, EndpointId, ModelVariant>> m_running;
+    std::deque<std::tuple<MonotonicTime, std::size_t, ServiceVariant>> m_waiting;
     double m_due = 0;
     double m_reportsDue = 0;
     std::size_t m_nextHost = 0;
@@ -203,7 +218,7 @@
     for (int i = 1; i + 3 < count; i += 4)
         sizes.push_back({ number(i), number(i + 1), number(i + 2), number(i + 3) });
     if (sizes.empty())
-        sizes = { { 4, 12, 65, 74 }, { 34, 60, 333, 284 }, { 26, 140, 456, 690 }, { 400, 600, 53, 2300 } };
+        sizes = { { 4, 12, 65, 74 }, { 34, 60, 333, 284 }, { 26, 140, 456, 690 }, { 34, 140, 824, 630 }, { 400, 600, 53, 2300 } };
     std::printf("%6s %8s %7s %9s %12s %13s %12s %10s\n", "hosts", "engines", "models", "adapters", "plans, %core",
         "choice, us", "update, kB/s", "digest, B");
     for (const Size& size : sizes)
