Try more loads from the weight store only while few engines load

Cause: in a fleet of 12 engines the growth by half let six loads slow each other down where the store bears four, and blocked half of the engines for other orders. Change: more loads than the estimate are tried only while at most 15% of the engines load.

--- a/experiments/GatewaySlopes.cpp
+++ b/experiments/GatewaySlopes.cpp
@@ -218,7 +218,8 @@
     for (int i = 1; i + 3 < count; i += 4)
         sizes.push_back({ number(i), number(i + 1), number(i + 2), number(i + 3) });
     if (sizes.empty())
-        sizes = { { 4, 12, 65, 74 }, { 34, 60, 333, 284 }, { 26, 140, 456, 690 }, { 34, 140, 824, 630 }, { 400, 600, 53, 2300 } };
+        sizes = { { 4, 12, 65, 74 }, { 34, 60, 333, 284 }, { 26, 140, 456, 690 }, { 34, 140, 824, 630 },
+            { 400, 600, 53, 2300 } };
     std::printf("%6s %8s %7s %9s %12s %13s %12s %10s\n", "hosts", "engines", "models", "adapters", "plans, %core",
         "choice, us", "update, kB/s", "digest, B");
     for (const Size& size : sizes)
--- a/include/catkinwell/gateway/EnginePlacement.h
+++ b/include/catkinwell/gateway/EnginePlacement.h
@@ -202,6 +202,8 @@
     void handleAdapterOrder(Engine&, const EngineOrderFinished&, MonotonicTime now);
     bool mayLoadFromStore(const std::string& service, unsigned waiting, MonotonicTime now) const;
     unsigned storeLoadBound(unsigned waiting) const;
+    // Returns how many loads from the weight store may run at full speed, or may be tried to.
+    unsigned storeConcurrency() const;
     bool isUnderStoreRate(const std::string& service, MonotonicTime now) const;
     unsigned storeLoadsPlanned() const;
     unsigned storeLoadsRunning() const;
--- a/include/catkinwell/gateway/StoreConcurrencyEstimator.h
+++ b/include/catkinwell/gateway/StoreConcurrencyEstimator.h
@@ -28,9 +28,9 @@
     // Records the end of a load that would have taken the stated time at full speed.
     void finished(const Start&, Duration stated, MonotonicTime now);
 
-    // Returns the number of loads to run at the same time, at least 1: the estimated number at full speed, or more
-    // before the limit is known.
-    unsigned concurrency() const;
+    // Returns the number of loads to run at the same time, at least 1: the estimated number at full speed, or more up
+    // to the given number before the limit is known.
+    unsigned concurrency(unsigned mostTried) const;
 
 private:
     void advance(MonotonicTime now);
--- a/src/gateway/EnginePlacementChoice.cpp
+++ b/src/gateway/EnginePlacementChoice.cpp
@@ -28,6 +28,9 @@
     constexpr unsigned veryHotReplicas = 3;
     constexpr double sameDataCentreCost = 0.6;
     constexpr double hotRate = 0.6;
+    // An engine carries out no other order during a load, so only this part of the engines tries how much the weight
+    // store bears.
+    constexpr double triedEngineShare = 0.15;
 
 } // namespace
 
@@ -74,12 +77,17 @@
 // they slow down the others.
 unsigned EnginePlacement::storeLoadBound(unsigned waiting) const
 {
-    const unsigned fullSpeed = m_storeConcurrency.concurrency();
+    const unsigned fullSpeed = storeConcurrency();
     if (waiting == 0)
         return std::max(1U, fullSpeed - std::min(fullSpeed, m_settings.reservedStoreLoads));
     return fullSpeed + (waiting >= manyWaiting ? m_settings.extraStoreLoads : 0);
 }
 
+unsigned EnginePlacement::storeConcurrency() const
+{
+    return m_storeConcurrency.concurrency(static_cast<unsigned>(triedEngineShare * m_engines.size()));
+}
+
 bool EnginePlacement::isStoreLoad(const std::optional<PendingOrder>& pending)
 {
     return pending && pending->order.kind == EngineOrderKind::Load && pending->order.adapter.empty()
--- a/src/gateway/EnginePlacementPlan.cpp
+++ b/src/gateway/EnginePlacementPlan.cpp
@@ -275,7 +275,7 @@
 {
     StoreQueue queue;
     queue.service = service;
-    queue.concurrency = m_storeConcurrency.concurrency();
+    queue.concurrency = storeConcurrency();
     for (const auto& [id, model] : settings.models)
         queue.loadTime = std::max(queue.loadTime, model.loadFromStore);
     for (const auto& [id, engine] : m_engines) {
--- a/src/gateway/StoreConcurrencyEstimator.cpp
+++ b/src/gateway/StoreConcurrencyEstimator.cpp
@@ -55,9 +55,10 @@
         m_estimate = std::max(m_estimate, ratio < fullSpeedRatio ? running : running / ratio);
 }
 
-unsigned StoreConcurrencyEstimator::concurrency() const
+unsigned StoreConcurrencyEstimator::concurrency(unsigned mostTried) const
 {
-    return static_cast<unsigned>(std::max(1L, std::lround(m_estimate * m_growth)));
+    const double tried = std::min(m_estimate * m_growth, static_cast<double>(mostTried));
+    return static_cast<unsigned>(std::max(1L, std::lround(std::max(m_estimate, tried))));
 }
 
 } // namespace Catkinwell
--- a/tests/gateway/StoreConcurrencyEstimatorTest.cpp
+++ b/tests/gateway/StoreConcurrencyEstimatorTest.cpp
@@ -35,6 +35,7 @@
         { 4, 18, 16, 18 },
         { 4, 60, 50, 60 },
     }));
+    constexpr unsigned mostTried = 1000;
     constexpr double loadSeconds = 6;
     constexpr double step = 0.1;
     StoreConcurrencyEstimator speed(test.assumed);
@@ -50,11 +51,27 @@
                 speed.finished(load.start, std::chrono::seconds(6), now);
         }
         std::erase_if(loads, [](const Load& load) { return load.secondsLeft <= 0; });
-        while (loads.size() < speed.concurrency())
+        while (loads.size() < speed.concurrency(mostTried))
             loads.push_back({ speed.started(now), loadSeconds });
         speed.setRunning(static_cast<unsigned>(loads.size()), now);
     }
     INFO("assumed " << test.assumed << ", actual " << test.actual);
-    CHECK(speed.concurrency() >= test.expectedLeast);
-    CHECK(speed.concurrency() <= test.expectedMost);
+    CHECK(speed.concurrency(mostTried) >= test.expectedLeast);
+    CHECK(speed.concurrency(mostTried) <= test.expectedMost);
+}
+
+// Guards against slow loads, and blocked engines, in a small fleet that tries how much its store bears.
+TEST_CASE("No more loads than allowed are tried at the same time")
+{
+    StoreConcurrencyEstimator speed(4);
+    MonotonicTime now { std::chrono::hours(1) };
+    for (int round = 0; round < 5; ++round) {
+        speed.setRunning(4, now);
+        const StoreConcurrencyEstimator::Start start = speed.started(now);
+        now += std::chrono::seconds(6);
+        speed.finished(start, std::chrono::seconds(6), now);
+    }
+    CHECK(speed.concurrency(0) == 4);
+    CHECK(speed.concurrency(5) == 5);
+    CHECK(speed.concurrency(100) == 6);
 }
