Decide deaths of endpoints by evidence that the host's own links work

Cause: a serving host counted a crash as soon as an endpoint's connections broke and its report could not be fetched. Change: EndpointDeaths, a module without input and output, counts a death once another endpoint answers on a new connection, or another host reaches none either.

A planned stop accepts the connections that wait in the kernel and answers what arrives until the process ends. How long a stopping host accepts and how long a watch waits come from the settings.

--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -70,6 +70,7 @@
 
     void handleTick(const Tick&, MonotonicTime now, EffectList&);
     void handleSettings(const GatewaySettings&);
+    void setStoreReconnect(Duration);
     void handleShutdown(MonotonicTime now, EffectList&);
     void handleStoreReply(const StoreReply&, MonotonicTime now, EffectList&);
     void handleStoreRestored(const StoreRestored&, MonotonicTime now, EffectList&);
--- a/include/catkinwell/gateway/GatewaySettings.h
+++ b/include/catkinwell/gateway/GatewaySettings.h
@@ -37,6 +37,12 @@
     Duration leaseTtl = std::chrono::seconds(2);
     // How long a new placement owner sends no orders.
     Duration ownerSilence = std::chrono::milliseconds(3300);
+    // Within this time a host notices that its connection to the store went silent, and opens a new one. A longer time
+    // needs fewer calls.
+    Duration storeReconnect = std::chrono::seconds(3);
+    // How long a host that shuts down still accepts requests, because the load balancer does not know of it yet; at
+    // most half of the time for the shutdown, so that they can be completed.
+    Duration shutdownAccepting = std::chrono::milliseconds(2900);
     // How long a shutdown may take.
     Duration shutdownGrace = std::chrono::seconds(8);
     GatewayRequestSettings requests;
--- a/include/catkinwell/gateway/PrefixMirror.h
+++ b/include/catkinwell/gateway/PrefixMirror.h
@@ -11,8 +11,8 @@
 
 struct PrefixMirrorSettings {
     std::string prefix;
-    // Longest wait of one watch. Bounds how long a dead connection stays unnoticed.
-    Duration wait = std::chrono::seconds(2);
+    // Within this time a connection that went silent is noticed, and a watch begins on a new one.
+    Duration reconnect = std::chrono::seconds(3);
     // Minimum time between the starts of two watches. Bounds the number of calls under frequent changes.
     Duration minimumInterval = std::chrono::milliseconds(100);
 };
@@ -35,6 +35,7 @@
     void noteRestored(MonotonicTime now);
 
     void setMinimumInterval(Duration interval) { m_settings.minimumInterval = interval; }
+    void setReconnect(Duration reconnect) { m_settings.reconnect = reconnect; }
     // Whether the prefix has been read completely at least once.
     bool isRead() const { return m_isRead; }
     // Whether the copy follows the store's present history; false from the loss of the history or a restore until the
@@ -53,6 +54,8 @@
     MonotonicTime recoveredAt() const { return m_recoveredAt; }
 
 private:
+    // The longest wait of one watch.
+    Duration watchWait() const;
     void replaceAll(const StoreReply&, std::vector<StoreEntry>& changes);
     void apply(const StoreEntry&, std::vector<StoreEntry>& changes);
     void noteFailure(StoreStatus, MonotonicTime now, EffectList&);
--- a/include/catkinwell/http/CallerListener.h
+++ b/include/catkinwell/http/CallerListener.h
@@ -66,8 +66,8 @@
     // Returns the bound port. Precondition: start() succeeded.
     std::uint16_t port() const;
 
-    // Closes the listening socket. Open connections stay open; each is closed after its current or next
-    // response.
+    // Accepts the connections that callers have opened so far and closes the listening socket. Open connections stay
+    // open; each is closed after its current or next response.
     void stopAccepting();
 
     // Sends "Connection: close" with each response from now on and closes the connection after it. New connections are
@@ -88,8 +88,9 @@
     void execute(const AbortResponse&);
 
     std::size_t openRequests() const;
-    // The number of finished responses that are not yet written to the socket completely.
-    std::size_t unflushedAnswers() const;
+    // The number of connections on which a request has arrived in part, waits for its response, or has a response that
+    // is not yet written to the socket completely.
+    std::size_t busyConnections() const;
 
     sigc::signal<void(RequestArrived)>& signalRequest();
     sigc::signal<void(CallerLeft)>& signalCallerLeft();
--- a/include/catkinwell/requests/RequestFlow.h
+++ b/include/catkinwell/requests/RequestFlow.h
@@ -7,6 +7,7 @@
 #include <catkinwell/orders/ClaimManager.h>
 #include <catkinwell/reducer/Effect.h>
 #include <catkinwell/reducer/Event.h>
+#include <catkinwell/relay/EndpointDeaths.h>
 #include <catkinwell/relay/EndpointReach.h>
 #include <catkinwell/relay/RelayMessage.h>
 #include <catkinwell/relay/RelayPeers.h>
@@ -124,12 +125,6 @@
     bool startAttempt(ActiveRequest&, MonotonicTime now, EffectList&);
 
     // Paths to endpoints, and requests that other hosts serve.
-    struct LossInDoubt {
-        MonotonicTime since {};
-        MonotonicTime expiresAt {};
-        // When an endpoint answered another host, while this one could reach none.
-        std::optional<MonotonicTime> servedElsewhereAt {};
-    };
     struct Probe {
         std::string pool;
         EndpointId endpoint;
@@ -137,10 +132,9 @@
     };
     void noteReached(const ActiveRequest&, bool isNewConnection, MonotonicTime now, EffectList&);
     void noteNotReached(const ActiveRequest&, AttemptFailure, MonotonicTime now, EffectList&);
-    void noteServedElsewhere(const std::string& pool, MonotonicTime now);
     void updatePaths(MonotonicTime now, EffectList&);
     void relayQueued(const std::string& pool, MonotonicTime now, EffectList&);
-    void decideDeaths(MonotonicTime now);
+    void decideDeaths(MonotonicTime now, EffectList&);
     void startProbe(const std::string& pool, MonotonicTime now, EffectList&);
     // Handle the events of a probe. Return false if the attempt is none.
     bool handleProbe(const AttemptHead&, MonotonicTime now, EffectList&);
@@ -214,10 +208,9 @@
     std::set<ModelId> m_loading;
     bool m_dispatchDue = false;
     EndpointReach m_reach;
-    std::map<std::string, LossInDoubt> m_lossesInDoubt;
-    // Endpoints that seemed to die while the path to their pool was in doubt.
-    std::set<EndpointId> m_deathsInDoubt;
+    EndpointDeaths m_deaths;
     std::map<AttemptId, Probe> m_probes;
+    MonotonicTime m_nextDeathProbesAt {};
     // Checks whether endpoints still run, with the attempts whose answers they decide on.
     std::unordered_map<AttemptId, AttemptId> m_endpointChecks;
     // The requests that other hosts have this one serve.
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -32,8 +32,6 @@
     // A peer that is no longer registered counts as live for this time after its last digest.
     constexpr Duration digestLifetime = std::chrono::seconds(2);
     constexpr Duration configurationAskInterval = std::chrono::milliseconds(300);
-    // The load balancer sends new connections for a few seconds after the host stopped being ready.
-    constexpr Duration shortestDrain = std::chrono::milliseconds(2900);
     constexpr Duration shutdownMargin = std::chrono::milliseconds(700);
     constexpr std::size_t maximumOfferBytes = 900 * 1024;
 
@@ -113,6 +111,7 @@
     , m_streamRecords(m_settings.host, incarnation, streamRecordsOf(m_settings))
     , m_random(seed + 5)
 {
+    setStoreReconnect(m_settings.storeReconnect);
 }
 
 // One overload for each event type.
@@ -192,11 +191,19 @@
 void GatewayReducer::handleSettings(const GatewaySettings& settings)
 {
     m_settings.shutdownGrace = settings.shutdownGrace;
+    m_settings.shutdownAccepting = settings.shutdownAccepting;
+    setStoreReconnect(settings.storeReconnect);
     m_ownership.setSilence(settings.ownerSilence);
     m_requests.setSettings(settings.requests);
     m_placement.setSettings(settings.placement);
 }
 
+void GatewayReducer::setStoreReconnect(Duration reconnect)
+{
+    for (PrefixMirror* mirror : { &m_configurationMirror, &m_endpointMirror, &m_gatewayMirror })
+        mirror->setReconnect(reconnect);
+}
+
 void GatewayReducer::handleTick(const Tick& tick, MonotonicTime now, EffectList& effects)
 {
     m_wallNow = tick.wallNow;
@@ -560,12 +567,13 @@
 {
     if (m_phase != Phase::Draining)
         return;
-    // The load balancer has stopped sending new connections by this time.
-    if (!m_isAcceptingStopped && now - m_shutdownAt >= shortestDrain) {
+    const Duration accepting = std::min(m_settings.shutdownAccepting, m_settings.shutdownGrace / 2);
+    const bool isAcceptingOver = now - m_shutdownAt >= accepting;
+    if (!m_isAcceptingStopped && isAcceptingOver) {
         m_isAcceptingStopped = true;
         m_requests.stopAccepting(now, effects);
     }
-    const bool isDrained = m_requests.activeRequests() == 0 && now - m_shutdownAt >= shortestDrain;
+    const bool isDrained = m_requests.activeRequests() == 0 && isAcceptingOver;
     const bool isOver = now - m_shutdownAt >= m_settings.shutdownGrace - shutdownMargin;
     if (!isDrained && !isOver)
         return;
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -211,6 +211,8 @@
         error = "the field \"store_key_prefix\" is \"" + settings.storeKeyPrefix + "\"; end it with a slash";
     reader.milliseconds("lease_ttl_ms", settings.leaseTtl);
     reader.milliseconds("owner_silence_ms", settings.ownerSilence);
+    reader.milliseconds("store_reconnect_ms", settings.storeReconnect);
+    reader.milliseconds("shutdown_accepting_ms", settings.shutdownAccepting);
     reader.milliseconds("shutdown_grace_ms", settings.shutdownGrace);
     readRequests(reader.object("requests"), settings.requests, error);
     readPlacement(reader.object("placement"), settings.placement, error);
--- a/src/gateway/PrefixMirror.cpp
+++ b/src/gateway/PrefixMirror.cpp
@@ -9,6 +9,9 @@
     constexpr Duration longestListTimeout = std::chrono::seconds(10);
     constexpr Duration shortestRetry = std::chrono::milliseconds(100);
     constexpr Duration longestRetry = std::chrono::milliseconds(1000);
+    // From the end of a watch's wait: its call times out, and the next one is sent and answered.
+    constexpr Duration reconnectAllowance = callTimeout + std::chrono::milliseconds(300);
+    constexpr Duration shortestWatchWait = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -31,7 +34,12 @@
         effects.push_back(StoreCall { m_pending, StoreList { m_settings.prefix }, m_listTimeout });
     else
         effects.push_back(
-            StoreCall { m_pending, StoreWatchPrefix { m_settings.prefix, m_version, m_settings.wait }, callTimeout });
+            StoreCall { m_pending, StoreWatchPrefix { m_settings.prefix, m_version, watchWait() }, callTimeout });
+}
+
+Duration PrefixMirror::watchWait() const
+{
+    return std::max(m_settings.reconnect - reconnectAllowance, shortestWatchWait);
 }
 
 std::vector<StoreEntry> PrefixMirror::handle(const StoreReply& reply, MonotonicTime now, EffectList& effects)
--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -11,6 +11,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace Catkinwell {
@@ -293,6 +294,13 @@
 
 bool CallerConnection::hasUnsentOutput() const { return evbuffer_get_length(bufferevent_get_output(m_stream)) > 0; }
 
+bool CallerConnection::isReceiving() const
+{
+    int unread = 0;
+    return m_phase == Phase::ReadingHead || m_phase == Phase::ReadingBody
+        || (m_phase == Phase::Idle && ioctl(bufferevent_getfd(m_stream), FIONREAD, &unread) == 0 && unread > 0);
+}
+
 void CallerConnection::drained(bufferevent*, void* context)
 {
     auto& self = *static_cast<CallerConnection*>(context);
--- a/src/http/CallerConnection.h
+++ b/src/http/CallerConnection.h
@@ -56,6 +56,8 @@
     void abort();
     // Whether response bytes are still buffered.
     bool hasUnsentOutput() const;
+    // Whether part of a request has arrived, also if it was not read yet.
+    bool isReceiving() const;
 
 private:
     enum class Phase {
--- a/src/http/CallerListener.cpp
+++ b/src/http/CallerListener.cpp
@@ -57,7 +57,8 @@
     Status reloadCertificates();
     CallerConnection* find(RequestId) const;
 
-    std::size_t unflushedAnswers() const;
+    std::size_t busyConnections() const;
+    void acceptWaiting();
 
     void requestRead(CallerConnection&, ReceivedRequest) override;
     void callerLeft(CallerConnection&) override;
@@ -163,10 +164,23 @@
     m_closing = true;
     if (!m_listener)
         return;
+    acceptWaiting();
     evconnlistener_free(m_listener);
     m_listener = nullptr;
 }
 
+// Connections that nobody has accepted are reset with the listening socket, although their callers may have sent a
+// request.
+void CallerListener::Implementation::acceptWaiting()
+{
+    const int listener = evconnlistener_get_fd(m_listener);
+    for (int socket = 0; socket >= 0;) {
+        socket = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (socket >= 0)
+            accept(socket);
+    }
+}
+
 Status CallerListener::Implementation::reloadCertificates()
 {
     if (m_settings.tls.certificateFile.empty())
@@ -223,10 +237,12 @@
     return found == m_requests.end() ? nullptr : found->second;
 }
 
-std::size_t CallerListener::Implementation::unflushedAnswers() const
+std::size_t CallerListener::Implementation::busyConnections() const
 {
-    return static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(),
-        [](const auto& entry) { return entry.first->currentRequest().value == 0 && entry.first->hasUnsentOutput(); }));
+    return static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(), [](const auto& entry) {
+        const CallerConnection& connection = *entry.first;
+        return connection.currentRequest().value != 0 || connection.hasUnsentOutput() || connection.isReceiving();
+    }));
 }
 
 CallerListener::CallerListener(EventLoop& loop, ListenerSettings settings, std::uint64_t firstRequestId)
@@ -289,7 +305,7 @@
 
 std::size_t CallerListener::openRequests() const { return m_implementation->openRequests(); }
 
-std::size_t CallerListener::unflushedAnswers() const { return m_implementation->unflushedAnswers(); }
+std::size_t CallerListener::busyConnections() const { return m_implementation->busyConnections(); }
 
 sigc::signal<void(RequestArrived)>& CallerListener::signalRequest() { return m_implementation->m_signalRequest; }
 
--- a/src/requests/RequestAnswers.cpp
+++ b/src/requests/RequestAnswers.cpp
@@ -84,7 +84,7 @@
     if (!request->relayedTo)
         noteReached(*request, head.isNewConnection, now, effects);
     else if (request->relayAnswer.outcome == RelayOutcome::Answered)
-        noteServedElsewhere(request->pool, now);
+        m_deaths.noteServedElsewhere(request->pool, now);
 }
 
 void RequestFlow::handle(const AttemptData& data, MonotonicTime now, EffectList& effects)
--- a/src/requests/RequestRelay.cpp
+++ b/src/requests/RequestRelay.cpp
@@ -20,6 +20,8 @@
     constexpr Duration doubtTime = std::chrono::milliseconds(400);
     // How long they wait for another host to be answered, after the path was lost.
     constexpr Duration lossDecisionTime = std::chrono::seconds(3);
+    // Several probes fit into the time for which a request that may have ended an endpoint is held back.
+    constexpr Duration deathProbeInterval = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -29,6 +31,9 @@
     if (request.relayedTo)
         return;
     m_reach.noteAnswer(request.pool, isNewConnection, now, effects);
+    if (isNewConnection)
+        m_deaths.noteConnected(request.pool, request.endpoint, request.attemptStartedAt);
+    m_deaths.noteAnswered(request.endpoint, request.attemptStartedAt);
     if (m_modules.promptQuarantine.endpointAnswered(request.endpoint, request.attemptStartedAt, now))
         effects.push_back(LogEntry { LogEvent::GatewayCrashWithdrawn,
             { { "endpoint", request.endpoint.value }, { "reason", "the endpoint goes on answering" } } });
@@ -59,33 +64,22 @@
 
 void RequestFlow::noteEndpointDied(const EndpointId& endpoint, MonotonicTime now)
 {
-    const EndpointSettings* settings = m_modules.endpoints.find(endpoint);
-    if (settings && (m_reach.isLost(settings->pool) || m_reach.isDoubtful(settings->pool)))
-        m_deathsInDoubt.insert(endpoint);
-    else
-        m_modules.quarantine.endpointDied(endpoint, now);
-}
-
-void RequestFlow::noteServedElsewhere(const std::string& pool, MonotonicTime now)
-{
-    const auto loss = m_lossesInDoubt.find(pool);
-    if (loss != m_lossesInDoubt.end())
-        loss->second.servedElsewhereAt = now;
+    if (const EndpointSettings* settings = m_modules.endpoints.find(endpoint))
+        m_deaths.noteDied(endpoint, settings->pool, m_modules.endpoints.count(settings->pool) < 2, now);
 }
 
 void RequestFlow::updatePaths(MonotonicTime now, EffectList& effects)
 {
     for (const auto& [pool, since] : m_reach.takeNewlyLost()) {
-        m_lossesInDoubt[pool] = { since, now + lossDecisionTime };
+        m_deaths.noteLost(pool, since, now);
         m_modules.promptQuarantine.holdReports(now + lossDecisionTime);
     }
     for (const std::string& pool : m_reach.takeRegained()) {
         m_modules.endpoints.forgetSuspicions(pool);
-        m_lossesInDoubt.erase(pool);
+        m_deaths.noteRegained(pool);
         m_modules.promptQuarantine.holdReports(now);
     }
-    std::erase_if(m_lossesInDoubt, [now](const auto& loss) { return now >= loss.second.expiresAt; });
-    decideDeaths(now);
+    decideDeaths(now, effects);
     for (const std::string& pool : m_reach.lostServices())
         relayQueued(pool, now, effects);
     for (const std::string& pool : m_reach.takeDueProbes(now))
@@ -103,26 +97,23 @@
         startRelay(*m_requests.at(id), now, effects);
 }
 
-// Once it is clear that the host's own links work, the endpoints are taken to have died.
-void RequestFlow::decideDeaths(MonotonicTime now)
+void RequestFlow::decideDeaths(MonotonicTime now, EffectList& effects)
 {
-    std::erase_if(m_deathsInDoubt, [&](const EndpointId& endpoint) {
-        const EndpointSettings* settings = m_modules.endpoints.find(endpoint);
-        if (!settings)
-            return true;
-        if (m_reach.isLost(settings->pool) ? m_lossesInDoubt.contains(settings->pool)
-                                           : m_reach.isDoubtful(settings->pool))
-            return false;
+    for (const EndpointId& endpoint : m_deaths.takeDied(now))
         m_modules.quarantine.endpointDied(endpoint, now);
-        return true;
-    });
+    if (now < m_nextDeathProbesAt)
+        return;
+    for (const std::string& pool : m_deaths.undecidedPools()) {
+        m_nextDeathProbesAt = now + deathProbeInterval;
+        startProbe(pool, now, effects);
+    }
 }
 
 // The probe reads the endpoint's report on a connection of its own.
 void RequestFlow::startProbe(const std::string& pool, MonotonicTime now, EffectList& effects)
 {
-    const auto endpoint
-        = m_modules.endpoints.chooseForProbe(pool, [&](const EndpointId& id) { return m_reach.hasFailed(pool, id); });
+    const auto endpoint = m_modules.endpoints.chooseForProbe(
+        pool, [&](const EndpointId& id) { return m_reach.hasFailed(pool, id) || m_deaths.isInDoubt(id); });
     if (!endpoint) {
         m_reach.noteProbeEnded(pool);
         return;
@@ -146,6 +137,7 @@
     if (probe == m_probes.end())
         return false;
     m_reach.noteAnswer(probe->second.pool, true, now, effects);
+    m_deaths.noteConnected(probe->second.pool, probe->second.endpoint, probe->second.startedAt);
     return true;
 }
 
@@ -160,18 +152,12 @@
     m_reach.noteProbeEnded(probe.pool);
     m_reach.noteProbeFailed(
         probe.pool, probe.endpoint, failed.failure, m_modules.endpoints.count(probe.pool), now, effects);
-    const auto loss = m_lossesInDoubt.find(probe.pool);
-    if (loss == m_lossesInDoubt.end() || !loss->second.servedElsewhereAt
-        || *loss->second.servedElsewhereAt > probe.startedAt)
+    const auto brokenSince = m_deaths.noteProbeFailed(probe.pool, probe.startedAt);
+    if (!brokenSince)
         return true;
-    if (m_modules.promptQuarantine.withdraw(loss->second.since))
+    if (m_modules.promptQuarantine.withdraw(*brokenSince))
         effects.push_back(LogEntry { LogEvent::GatewayCrashWithdrawn,
             { { "service", probe.pool }, { "reason", "this host lost its path to the endpoints" } } });
-    std::erase_if(m_deathsInDoubt, [&](const EndpointId& endpoint) {
-        const EndpointSettings* settings = m_modules.endpoints.find(endpoint);
-        return !settings || settings->pool == probe.pool;
-    });
-    m_lossesInDoubt.erase(loss);
     m_modules.promptQuarantine.holdReports(now);
     return true;
 }
@@ -203,6 +189,7 @@
     m_attempts[request.attempt] = request.id;
     request.mayHaveRunBefore = request.mayHaveRun;
     request.mayHaveRun = true;
+    m_deaths.noteAskedElsewhere(request.pool, now);
     RelayTerms terms;
     terms.account = request.account;
     terms.timeLeft = std::max(Duration::zero(), request.deadline - now);
@@ -242,6 +229,8 @@
     request.excludedHosts.insert(*request.relayedTo);
     if (answer.outcome != RelayOutcome::Failed)
         request.mayHaveRun = request.mayHaveRunBefore;
+    if (answer.outcome == RelayOutcome::NotServed && answer.reason == describe(ApiErrorCode::NoEndpoint).name)
+        m_deaths.noteUnreachableElsewhere(request.pool);
     if (answer.outcome == RelayOutcome::NotServed)
         enqueue(request, now, effects);
     else
--- a/src/routing/EndpointTable.cpp
+++ b/src/routing/EndpointTable.cpp
@@ -82,7 +82,9 @@
     // A plain service answers the probe with an error of its own, which shows that it is alive.
     if (entry.settings.kind == EndpointKind::Service && !failure.connectionFailed)
         return;
-    if (++entry.failedReports >= failedReportsBeforeSuspicion)
+    // One that broke an attempt and accepts no connection has ended.
+    const bool hasEnded = failure.connectionFailed && now - entry.attemptFailedAt <= deathWindow;
+    if (++entry.failedReports >= failedReportsBeforeSuspicion || hasEnded)
         suspect(entry, now + std::max(reportInterval() * 2, suspicionAfterFailure), failure.reason, effects);
 }
 
--- a/src/runtime/GatewayRuntime.cpp
+++ b/src/runtime/GatewayRuntime.cpp
@@ -16,8 +16,8 @@
 
 namespace {
 
-    // Time to flush the output buffers after the reducer has finished.
-    constexpr Duration flushTimeout = std::chrono::milliseconds(300);
+    // Time to refuse what arrives last and to write the answers out, after the reducer has finished.
+    constexpr Duration longestExit = std::chrono::milliseconds(300);
     // Request identifiers of the relay, status and metrics listeners are above these values.
     constexpr std::uint64_t firstRelayId = 1ULL << 61;
     constexpr std::uint64_t firstStatusId = 1ULL << 62;
@@ -130,9 +130,11 @@
     void operator()(const ExitProcess& effect) const
     {
         runtime.m_exitCode = effect.code;
+        runtime.m_callers.stopAccepting();
+        runtime.m_relays.stopAccepting();
         runtime.m_events.stop(
-            [&owner = runtime] { return owner.m_callers.unflushedAnswers() + owner.m_relays.unflushedAnswers(); },
-            flushTimeout);
+            [&owner = runtime] { return owner.m_callers.busyConnections() + owner.m_relays.busyConnections(); },
+            longestExit);
     }
 };
 
--- a/src/runtime/ReducerLoop.h
+++ b/src/runtime/ReducerLoop.h
@@ -33,8 +33,6 @@
 
     void post(EventType event)
     {
-        if (m_isStopping)
-            return;
         m_events.push_back(std::move(event));
         if (m_isDispatching)
             return;
@@ -56,29 +54,32 @@
                 { LogEvent::LoopStalled, { { "milliseconds", std::to_string(millisecondsOf(now - m_lastTick)) } } });
         }
         m_lastTick = now;
+        if (m_isStopping)
+            return;
         post(Tick { m_clock.wallNow() });
     }
 
-    // Accepts no further events, and stops the loop when all output buffers are flushed or flushTimeout has passed.
-    void stop(std::function<std::size_t()> unflushedAnswers, Duration flushTimeout)
+    // Posts no further ticks, and stops the loop when no connection is busy or the time has passed. Until then other
+    // events are handled, so that the reducer can refuse the requests that arrive last.
+    void stop(std::function<std::size_t()> busyConnections, Duration longestTime)
     {
         m_isStopping = true;
-        stopWhenFlushed(std::move(unflushedAnswers), m_clock.monotonicNow() + flushTimeout);
+        stopWhenIdle(std::move(busyConnections), m_clock.monotonicNow() + longestTime);
     }
 
 private:
     static constexpr Duration tickInterval = std::chrono::milliseconds(20);
     static constexpr Duration stallThreshold = std::chrono::milliseconds(500);
-    static constexpr Duration flushCheckInterval = std::chrono::milliseconds(20);
+    static constexpr Duration idleCheckInterval = std::chrono::milliseconds(20);
 
-    void stopWhenFlushed(std::function<std::size_t()> unflushedAnswers, MonotonicTime deadline)
+    void stopWhenIdle(std::function<std::size_t()> busyConnections, MonotonicTime deadline)
     {
-        if (unflushedAnswers() == 0 || m_clock.monotonicNow() >= deadline) {
+        if (busyConnections() == 0 || m_clock.monotonicNow() >= deadline) {
             m_loop.stop();
             return;
         }
         m_loop.callLater(
-            flushCheckInterval, [this, unflushedAnswers, deadline] { stopWhenFlushed(unflushedAnswers, deadline); });
+            idleCheckInterval, [this, busyConnections, deadline] { stopWhenIdle(busyConnections, deadline); });
     }
 
     EventLoop& m_loop;
--- a/src/runtime/Runtime.cpp
+++ b/src/runtime/Runtime.cpp
@@ -14,8 +14,8 @@
 
 namespace {
 
-    // Time to flush the output buffers after the reducer has finished.
-    constexpr Duration flushTimeout = std::chrono::seconds(5);
+    // Time to refuse what arrives last and to write the answers out, after the reducer has finished.
+    constexpr Duration longestExit = std::chrono::seconds(5);
     // Request identifiers of the relay and administration listeners are above these values.
     constexpr std::uint64_t firstRelayId = 1ULL << 61;
     constexpr std::uint64_t firstAdministrationId = 1ULL << 62;
@@ -52,9 +52,9 @@
 
     void connectSignals();
     void apply(const Event&);
-    std::size_t unflushedAnswers() const
+    std::size_t busyConnections() const
     {
-        return m_callers.unflushedAnswers() + m_relays.unflushedAnswers() + m_administration.unflushedAnswers();
+        return m_callers.busyConnections() + m_relays.busyConnections() + m_administration.busyConnections();
     }
     std::vector<CallerListener*> listeners();
     CallerListener& listenerOf(RequestId);
@@ -108,8 +108,10 @@
     void operator()(const ExitProcess& effect) const
     {
         runtime.m_exitCode = effect.code;
-        const Duration flushTime = effect.code == 0 ? flushTimeout : Duration::zero();
-        runtime.m_events.stop([&runtime = runtime] { return runtime.unflushedAnswers(); }, flushTime);
+        runtime.m_callers.stopAccepting();
+        runtime.m_relays.stopAccepting();
+        const Duration longestTime = effect.code == 0 ? longestExit : Duration::zero();
+        runtime.m_events.stop([&runtime = runtime] { return runtime.busyConnections(); }, longestTime);
     }
 };
 
--- a/tests/fleet/GatewayFleetTest.cpp
+++ b/tests/fleet/GatewayFleetTest.cpp
@@ -144,6 +144,8 @@
             return !now.empty() && now != owner;
         },
         6s));
+    // With all models loaded no order is needed, until an engine starts again without its models.
+    fleet.onLoop([&fleet] { fleet.endpoint(1).restart(); });
     std::this_thread::sleep_for(6s);
     fleet.process(hostNamed(owner)).signal(SIGCONT);
     std::this_thread::sleep_for(1s);
--- a/tests/gateway/GatewaySettingsTest.cpp
+++ b/tests/gateway/GatewaySettingsTest.cpp
@@ -77,6 +77,8 @@
         { "/requests/retry_fraction", 0.1, {} },
         { "/owner_silence_ms", 4000, {} },
         { "/shutdown_grace_ms", 5000, {} },
+        { "/shutdown_accepting_ms", 2000, {} },
+        { "/store_reconnect_ms", 5000, {} },
         { "/log/severity", "error", {} },
     }));
     const GatewaySettings running = valueOf(parseGatewaySettings(sample().dump()));
--- a/tests/gateway/PrefixMirrorTest.cpp
+++ b/tests/gateway/PrefixMirrorTest.cpp
@@ -35,6 +35,19 @@
         return mirror.handle(reply, now, effects);
     }
 
+    // When the next watch is sent after one that was sent to a connection which went silent.
+    Duration timeToNextWatch()
+    {
+        const auto list = *nextCall();
+        reply(list, StoreStatus::Ok, 5);
+        const auto lost = *nextCall();
+        const MonotonicTime sentAt = now;
+        now += std::get<StoreWatchPrefix>(lost.operation).wait + lost.timeout;
+        reply(lost, StoreStatus::Unknown);
+        nextCall();
+        return now - sentAt;
+    }
+
     MonotonicTime now { std::chrono::hours(1) };
     PrefixMirror mirror { StoreUser::Configuration, { "p/" }, 1 };
 };
@@ -110,3 +123,16 @@
     CHECK(fixture.mirror.find("p/a"));
     CHECK(fixture.mirror.failingSince() != MonotonicTime());
 }
+
+// Guards against a host that acts on an old copy for longer than its deployment allows, and against calls that tell
+// nothing.
+TEST_CASE("A watch waits as long as a silent connection may go unnoticed")
+{
+    const Duration reconnect = GENERATE(as<Duration>(), std::chrono::seconds(2), std::chrono::seconds(3),
+        std::chrono::seconds(5), std::chrono::seconds(10));
+    MirrorFixture fixture;
+    fixture.mirror.setReconnect(reconnect);
+    const Duration time = fixture.timeToNextWatch();
+    CHECK(time <= reconnect);
+    CHECK(time >= reconnect - std::chrono::seconds(1));
+}
--- a/tests/http/CallerListenerTest.cpp
+++ b/tests/http/CallerListenerTest.cpp
@@ -1,5 +1,6 @@
 #include "http/RawSockets.h"
 #include <arpa/inet.h>
+#include <array>
 #include <catch2/catch.hpp>
 #include <catkinwell/http/CallerListener.h>
 #include <netinet/in.h>
@@ -203,6 +204,14 @@
 
     void send(const std::string& text) { REQUIRE(write(m_socket, text.data(), text.size()) > 0); }
 
+    // Returns what has arrived so far.
+    std::string received() const
+    {
+        std::array<char, 4096> bytes {};
+        const ssize_t size = recv(m_socket, bytes.data(), bytes.size(), MSG_DONTWAIT);
+        return size > 0 ? std::string(bytes.data(), static_cast<std::size_t>(size)) : "";
+    }
+
     void leave()
     {
         if (m_socket >= 0)
@@ -229,3 +238,60 @@
     fixture.loop.run();
     CHECK(fixture.requests == (hasLeft ? 0 : 1));
 }
+
+// Guards against a planned stop that resets connections whose callers have sent a request, but which were not accepted
+// yet.
+TEST_CASE("Requests that were sent before the listener closed are answered")
+{
+    EchoFixture fixture;
+    std::vector<std::unique_ptr<BlockingCaller>> callers;
+    for (int i = 0; i < 20; ++i) {
+        callers.push_back(std::make_unique<BlockingCaller>(fixture.listener.port()));
+        callers.back()->send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    fixture.listener.stopAccepting();
+    fixture.loop.callLater(std::chrono::milliseconds(100), [&fixture] { fixture.loop.stop(); });
+    fixture.loop.run();
+    CHECK(fixture.requests == 20);
+    for (const auto& caller : callers)
+        CHECK(caller->received().find("[GET /a ]") != std::string::npos);
+    CHECK(fixture.listener.busyConnections() == 0);
+}
+
+namespace {
+
+struct BusyCase {
+    const char* name;
+    std::string sent;
+    // Whether the loop runs after the bytes have arrived.
+    bool isRead;
+    std::size_t expectedBusy;
+};
+
+} // namespace
+
+// Guards against a process that ends while a request is arriving.
+TEST_CASE("A connection is busy from the first byte of a request to the last of its answer")
+{
+    const auto test = GENERATE(values<BusyCase>({
+        { "nothing", "", true, 0 },
+        { "half a head", "GET /a HTTP/1.1\r\nHo", true, 1 },
+        { "half a body", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab", true, 1 },
+        { "a request that is not read yet", "GET /a HTTP/1.1\r\nHost: h\r\n\r\n", false, 1 },
+        { "an answered request", "GET /a HTTP/1.1\r\nHost: h\r\n\r\n", true, 0 },
+        { "an answered request and a part of the next", "GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET", true, 1 },
+    }));
+    INFO(test.name);
+    EchoFixture fixture;
+    BlockingCaller caller(fixture.listener.port());
+    const auto runBriefly = [&fixture] {
+        fixture.loop.callLater(std::chrono::milliseconds(50), [&fixture] { fixture.loop.stop(); });
+        fixture.loop.run();
+    };
+    runBriefly();
+    if (!test.sent.empty())
+        caller.send(test.sent);
+    if (test.isRead)
+        runBriefly();
+    CHECK(fixture.listener.busyConnections() == test.expectedBusy);
+}
--- a/tests/process/FleetFixture.cpp
+++ b/tests/process/FleetFixture.cpp
@@ -118,13 +118,18 @@
 
 void FleetFixture::setEndpointLinks(std::size_t host, LinkState state)
 {
-    for (std::size_t i = 0; i <= m_enginePorts.size(); ++i)
-        m_endpointLinks->setState(i, sourceAddress(host), state);
+    for (std::size_t i = 0; i < endpointLinkCount(); ++i)
+        setEndpointLink(host, i, state);
+}
+
+void FleetFixture::setEndpointLink(std::size_t host, std::size_t endpoint, LinkState state)
+{
+    m_endpointLinks->setState(endpoint, sourceAddress(host), state);
 }
 
 void FleetFixture::setServiceLink(std::size_t host, LinkState state)
 {
-    m_endpointLinks->setState(m_enginePorts.size(), sourceAddress(host), state);
+    setEndpointLink(host, m_enginePorts.size(), state);
 }
 
 Json FleetFixture::fleetDocument() const
--- a/tests/process/FleetFixture.h
+++ b/tests/process/FleetFixture.h
@@ -47,6 +47,9 @@
     // Precondition: the options ask for endpoint links.
     void setEndpointLinks(std::size_t host, LinkState);
     void setServiceLink(std::size_t host, LinkState);
+    // The links of a host to single endpoints: the engines and then the plain service.
+    std::size_t endpointLinkCount() const { return m_enginePorts.size() + 1; }
+    void setEndpointLink(std::size_t host, std::size_t endpoint, LinkState);
     void setStoreFaults(const nlohmann::json&) const;
     // Returns the requests that the plain service ran, oldest first.
     nlohmann::json serviceExecutions() const;
--- a/tests/process/LostPathTest.cpp
+++ b/tests/process/LostPathTest.cpp
@@ -23,6 +23,8 @@
     bool isServiceOnly;
     // How many hosts lose their links, the first ones.
     std::size_t hosts;
+    // Whether the links break one after the other, with requests between them.
+    bool isGradual = false;
 };
 
 struct Outcomes {
@@ -60,6 +62,8 @@
         for (std::size_t host = 0; host < test.hosts; ++host) {
             if (test.isServiceOnly)
                 m_fleet.setServiceLink(host, test.state);
+            else if (test.isGradual)
+                cutGradually(host, test.state);
             else
                 m_fleet.setEndpointLinks(host, test.state);
         }
@@ -120,6 +124,15 @@
         return options;
     }
 
+    // The endpoints that are still in reach answer between two breaks, as they would if the others had died.
+    void cutGradually(std::size_t host, LinkState state)
+    {
+        for (std::size_t endpoint = 0; endpoint < m_fleet.endpointLinkCount(); ++endpoint) {
+            m_fleet.setEndpointLink(host, endpoint, state);
+            sendRounds(host, 3);
+        }
+    }
+
     FleetFixture m_fleet;
     int m_orders = 0;
 };
@@ -136,6 +149,7 @@
         { "new connections reset", LinkState::RefusedWhenNew, false, 1 },
         { "the plain service alone", LinkState::Refused, true, 1 },
         { "two hosts, reset", LinkState::Refused, false, 2 },
+        { "reset one after the other", LinkState::Refused, false, 1, true },
     }));
     LostPathFixture fixture;
     fixture.cut(test);
--- a/tests/routing/EndpointTableTest.cpp
+++ b/tests/routing/EndpointTableTest.cpp
@@ -166,3 +166,23 @@
     CHECK(table.hasUsableEndpoint("p", now) == test.isUsable);
     CHECK(table.choose({ RequestId(1), "p", ModelId(), 0, {} }, now, effects).has_value() == test.isUsable);
 }
+
+// Guards against a dead endpoint, which is the least loaded of all, that is tried again before its next reports fail.
+TEST_CASE("An endpoint that ended gets no attempts between its failed reports")
+{
+    TableFixture fixture;
+    fixture.excluded = { EndpointId("near-2"), EndpointId("far") };
+    fixture.table.attemptFailed(EndpointId("near-1"), AttemptFailure::Broken, fixture.now, fixture.effects);
+    EndpointReportFailed failure;
+    failure.endpoint = EndpointId("near-1");
+    failure.connectionFailed = true;
+    const int failedReports = GENERATE(1, 2, 3, 6);
+    for (int i = 0; i < failedReports; ++i) {
+        fixture.table.handle(failure, fixture.now, fixture.effects);
+        fixture.now += std::chrono::milliseconds(1700);
+        CHECK(fixture.choose() == "none");
+    }
+    fixture.table.handle(report("near-1", 0, fixture.now), fixture.now, fixture.effects);
+    fixture.now += std::chrono::seconds(3);
+    CHECK(fixture.choose() == "near-1");
+}
