--- a/include/catkinwell/metrics/Metric.h
+++ b/include/catkinwell/metrics/Metric.h
@@ -31,6 +31,7 @@
     PeerMessagesTotal,
     PeerMessagesDropped,
     StoreCallsTotal,
+    StoreCallsByPurpose,
     StateAgeSeconds,
     AuthenticationFailuresTotal,
 };
--- a/include/catkinwell/relay/EndpointDeaths.h
+++ b/include/catkinwell/relay/EndpointDeaths.h
@@ -11,7 +11,7 @@
 namespace Catkinwell {
 
 struct EndpointDeathSettings {
-    // Time for another host to be answered, or to report that it reaches no endpoint either, after the path was lost.
+    // Time for another host to be answered, after the path was lost and after each request that one is asked to serve.
     Duration lossDecisionTime = std::chrono::seconds(3);
     // A death for which no evidence arrives is forgotten after this time.
     Duration longestDoubt = std::chrono::seconds(5);
@@ -19,8 +19,9 @@
 
 // Decides which endpoints that seem to have died did so. A host sees only its own connections break, so a death counts
 // once the host's links are shown to work: another endpoint of the pool answers on a connection that was opened after
-// the death, or another host reaches no endpoint either. It is forgotten if the endpoint goes on answering, or if
-// another host was answered while this one could connect to none. Pure; not thread safe.
+// the death. While the path to the pool is lost, it counts if no other host is answered for some time. It is forgotten
+// if the endpoint goes on answering, or if another host was answered while this one could connect to none. Pure; not
+// thread safe.
 class EndpointDeaths {
 public:
     explicit EndpointDeaths(EndpointDeathSettings settings = {});
@@ -39,7 +40,6 @@
     // Another host was asked to serve a request; its answer is awaited before the deaths are decided.
     void noteAskedElsewhere(const std::string& pool, MonotonicTime now);
     void noteServedElsewhere(const std::string& pool, MonotonicTime now);
-    void noteUnreachableElsewhere(const std::string& pool);
     // A probe that was started at this time failed. If an endpoint had answered another host before, only this host's
     // links are broken: forgets the deaths in the pool and returns since when the links are broken.
     std::optional<MonotonicTime> noteProbeFailed(const std::string& pool, MonotonicTime startedAt);
@@ -62,7 +62,6 @@
         MonotonicTime decidedAt {};
         // When an endpoint answered another host, while this one could reach none.
         std::optional<MonotonicTime> servedElsewhereAt {};
-        bool isUnreachableElsewhere = false;
     };
 
     void forgetDeathsIn(const std::string& pool);
--- a/include/catkinwell/store/StoreCallIds.h
+++ b/include/catkinwell/store/StoreCallIds.h
@@ -2,6 +2,7 @@
 
 #include <catkinwell/core/Identifiers.h>
 #include <cstdint>
+#include <string_view>
 
 namespace Catkinwell {
 
@@ -21,6 +22,9 @@
     EndpointCheck,
 };
 
+// Returns the label of the module in the metrics. Thread safe.
+std::string_view nameOf(StoreUser);
+
 // Generates the call identifiers of one module. Part of the reducer's state; not thread safe.
 class StoreCallIds {
 public:
--- a/src/metrics/MetricCatalogue.cpp
+++ b/src/metrics/MetricCatalogue.cpp
@@ -31,6 +31,8 @@
         { Metric::PeerMessagesTotal, Counter, "peer_messages_total", "kind", "Messages exchanged with peers." },
         { Metric::PeerMessagesDropped, Counter, "peer_messages_dropped_total", "reason", "Dropped peer messages." },
         { Metric::StoreCallsTotal, Counter, "store_calls_total", "status", "Calls to the platform's store." },
+        { Metric::StoreCallsByPurpose, Counter, "store_calls_by_purpose_total", "purpose",
+            "Calls to the platform's store, by the part of the process that made them." },
         { Metric::StateAgeSeconds, Gauge, "state_age_seconds", "state",
             "Age of the state on which the host bases its decisions." },
         { Metric::AuthenticationFailuresTotal, Counter, "authentication_failures_total", "listener",
--- a/src/reducer/Reducer.cpp
+++ b/src/reducer/Reducer.cpp
@@ -182,7 +182,9 @@
 void Reducer::handleStoreReply(const StoreReply& reply, MonotonicTime now, EffectList& effects)
 {
     effects.push_back(RecordMetric { Metric::StoreCallsTotal, std::string(nameOf(reply.status)) });
-    switch (StoreCallIds::userOf(reply.id)) {
+    const StoreUser user = StoreCallIds::userOf(reply.id);
+    effects.push_back(RecordMetric { Metric::StoreCallsByPurpose, std::string(nameOf(user)) });
+    switch (user) {
     case StoreUser::HostLease:
         m_lease.handle(reply, now, effects);
         break;
--- a/src/relay/EndpointDeaths.cpp
+++ b/src/relay/EndpointDeaths.cpp
@@ -60,13 +60,6 @@
         loss->second.servedElsewhereAt = now;
 }
 
-void EndpointDeaths::noteUnreachableElsewhere(const std::string& pool)
-{
-    const auto loss = m_losses.find(pool);
-    if (loss != m_losses.end())
-        loss->second.isUnreachableElsewhere = true;
-}
-
 std::optional<MonotonicTime> EndpointDeaths::noteProbeFailed(const std::string& pool, MonotonicTime startedAt)
 {
     const auto loss = m_losses.find(pool);
@@ -88,8 +81,7 @@
     const auto loss = m_losses.find(death.pool);
     if (loss == m_losses.end())
         return death.isShown;
-    const Loss& times = loss->second;
-    return !times.servedElsewhereAt && (times.isUnreachableElsewhere || now >= times.decidedAt);
+    return !loss->second.servedElsewhereAt && now >= loss->second.decidedAt;
 }
 
 std::vector<EndpointId> EndpointDeaths::takeDied(MonotonicTime now)
--- a/src/requests/RequestRelay.cpp
+++ b/src/requests/RequestRelay.cpp
@@ -229,8 +229,6 @@
     request.excludedHosts.insert(*request.relayedTo);
     if (answer.outcome != RelayOutcome::Failed)
         request.mayHaveRun = request.mayHaveRunBefore;
-    if (answer.outcome == RelayOutcome::NotServed && answer.reason == describe(ApiErrorCode::NoEndpoint).name)
-        m_deaths.noteUnreachableElsewhere(request.pool);
     if (answer.outcome == RelayOutcome::NotServed)
         enqueue(request, now, effects);
     else
--- a/tests/relay/EndpointDeathsTest.cpp
+++ b/tests/relay/EndpointDeathsTest.cpp
@@ -68,12 +68,12 @@
                 f.deaths.noteAskedElsewhere(pool, f.now + 2s);
             },
             4s, false },
-        { "another host reaches none either", false,
+        { "another host was asked and nothing came of it", false,
             [](DeathFixture& f) {
                 f.deaths.noteLost(pool, f.now, f.now);
-                f.deaths.noteUnreachableElsewhere(pool);
+                f.deaths.noteAskedElsewhere(pool, f.now + 2s);
             },
-            0s, true },
+            5s, true },
         { "another host was answered", false,
             [](DeathFixture& f) {
                 f.deaths.noteLost(pool, f.now, f.now);
