Recheck suspected endpoints when a path is back; refused connections cost no attempt

Change: suspicions end with an answer, probes for a death don't decide on the path, and an attempt without a connection counts neither as an attempt nor against the retry budget.

--- a/include/catkinwell/requests/ActiveRequest.h
+++ b/include/catkinwell/requests/ActiveRequest.h
@@ -71,6 +71,8 @@
     std::uint32_t attempts = 0;
     // Attempts whose connection broke after the request may have been sent. Each may have crashed an endpoint.
     std::uint32_t brokenAttempts = 0;
+    // Attempts for which no connection could be opened. They put no load on an endpoint.
+    std::uint32_t unsentAttempts = 0;
     AnswerProof proof;
     // Hosts that could not serve the request.
     std::set<HostId> excludedHosts;
--- a/include/catkinwell/requests/RequestFlow.h
+++ b/include/catkinwell/requests/RequestFlow.h
@@ -125,9 +125,15 @@
     bool startAttempt(ActiveRequest&, MonotonicTime now, EffectList&);
 
     // Paths to endpoints, and requests that other hosts serve.
+    // What a probe decides on: whether the path to the pool is lost, or whether another endpoint died.
+    enum class ProbePurpose {
+        Path,
+        Death,
+    };
     struct Probe {
         std::string pool;
         EndpointId endpoint;
+        ProbePurpose purpose = ProbePurpose::Path;
         MonotonicTime startedAt {};
     };
     void noteReached(const ActiveRequest&, bool isNewConnection, MonotonicTime now, EffectList&);
@@ -135,7 +141,7 @@
     void updatePaths(MonotonicTime now, EffectList&);
     void relayQueued(const std::string& pool, MonotonicTime now, EffectList&);
     void decideDeaths(MonotonicTime now, EffectList&);
-    void startProbe(const std::string& pool, MonotonicTime now, EffectList&);
+    void startProbe(const std::string& pool, ProbePurpose, MonotonicTime now, EffectList&);
     // Handle the events of a probe. Return false if the attempt is none.
     bool handleProbe(const AttemptHead&, MonotonicTime now, EffectList&);
     bool handleProbe(const AttemptFailed&, MonotonicTime now, EffectList&);
--- a/include/catkinwell/routing/EndpointTable.h
+++ b/include/catkinwell/routing/EndpointTable.h
@@ -79,8 +79,11 @@
     // Returns an endpoint of the pool for a probe of the path, preferably one that the predicate does not name.
     std::optional<EndpointSettings> chooseForProbe(
         const std::string& pool, const std::function<bool(const EndpointId&)>& hasFailed) const;
-    // Ends the suspicions of the pool's endpoints, because this host's own path to them was broken.
-    void forgetSuspicions(const std::string& pool);
+    // The endpoint answered a probe.
+    void endSuspicion(const EndpointId&);
+    // Has the reports of the pool's suspected endpoints fetched at once, because this host's own path to them was
+    // broken and is back. Those that answer are suspected no longer; others may have ended meanwhile.
+    void recheckSuspected(const std::string& pool, MonotonicTime now);
 
     const EndpointSettings* find(const EndpointId&) const;
     std::string statusJson(MonotonicTime now) const;
@@ -105,6 +108,8 @@
         MonotonicTime nextReportAt {};
         MonotonicTime suspectedUntil {};
         std::uint32_t failedReports = 0;
+        // Reports whose success ends the suspicion.
+        std::uint32_t rechecks = 0;
         MonotonicTime attemptFailedAt {};
         bool deathDetected = false;
         bool reportPending = false;
@@ -121,6 +126,8 @@
     EndpointScore scoreOf(const Entry&, const EndpointRequirements&, MonotonicTime now) const;
     void rememberPrefix(Entry&, std::uint64_t hash, MonotonicTime now);
     void suspect(Entry&, MonotonicTime until, const std::string& reason, EffectList&);
+    static void noteRecheckAnswered(Entry&);
+    static void noteRecheckFailed(Entry&, MonotonicTime now);
     Duration reportInterval() const;
 
     DataCentreId m_ownDataCentre;
--- a/src/requests/RequestAnswers.cpp
+++ b/src/requests/RequestAnswers.cpp
@@ -14,6 +14,7 @@
     // answer breaks off.
     constexpr std::size_t maximumCollectedBytes = 4 * 1024 * 1024;
     constexpr std::uint32_t maximumAttempts = 4;
+    constexpr std::uint32_t maximumUnsentAttempts = 8;
     // Limits the endpoints that one request can crash before the death of the first is detected.
     constexpr std::uint32_t maximumBrokenAttempts = 2;
     // After a broken attempt the endpoint's report is fetched at once, which detects a dead endpoint within a few tens
@@ -140,7 +141,8 @@
 void RequestFlow::handle(const AttemptFinished& finished, MonotonicTime now, EffectList& effects)
 {
     if (const auto probe = m_probes.find(finished.id); probe != m_probes.end()) {
-        m_reach.noteProbeEnded(probe->second.pool);
+        if (probe->second.purpose == ProbePurpose::Path)
+            m_reach.noteProbeEnded(probe->second.pool);
         m_probes.erase(probe);
         return;
     }
@@ -242,6 +244,8 @@
         noteBrokenAttempt(*request, now);
     else
         m_modules.quarantine.attemptNotSent(request->endpoint, request->fingerprint);
+    if (failed.outcome == AttemptOutcome::NotSent)
+        ++request->unsentAttempts;
     endAttempt(*request, false, now);
     retryOrFail(*request, failed.outcome != AttemptOutcome::NotSent, failed.reason, now, effects);
 }
@@ -319,9 +323,12 @@
     if (refuseIfQuarantined(request, now, effects))
         return;
     const bool mayCrashEndpoints = m_modules.promptQuarantine.isSuspicious(request.promptParts);
-    const bool wanted = safe && !mayCrashEndpoints && request.attempts < maximumAttempts
-        && request.brokenAttempts < maximumBrokenAttempts && now < request.deadline && !request.answered;
-    const bool affordable = wanted && m_retries.tryRetry(now);
+    // Several endpoints may have ended together; each of them is suspected after one attempt.
+    const bool mayRepeat
+        = request.unsentAttempts < maximumUnsentAttempts && request.attempts < maximumAttempts + request.unsentAttempts;
+    const bool wanted = safe && !mayCrashEndpoints && mayRepeat && request.brokenAttempts < maximumBrokenAttempts
+        && now < request.deadline && !request.answered;
+    const bool affordable = wanted && (!mayHaveRun || m_retries.tryRetry(now));
     if (wanted && !affordable)
         effects.push_back(
             LogEntry { LogEvent::RetryBudgetExhausted, { { "request", std::to_string(request.id.value) } } });
--- a/src/requests/RequestRelay.cpp
+++ b/src/requests/RequestRelay.cpp
@@ -75,7 +75,7 @@
         m_modules.promptQuarantine.holdReports(now + lossDecisionTime);
     }
     for (const std::string& pool : m_reach.takeRegained()) {
-        m_modules.endpoints.forgetSuspicions(pool);
+        m_modules.endpoints.recheckSuspected(pool, now);
         m_deaths.noteRegained(pool);
         m_modules.promptQuarantine.holdReports(now);
     }
@@ -83,7 +83,7 @@
     for (const std::string& pool : m_reach.lostServices())
         relayQueued(pool, now, effects);
     for (const std::string& pool : m_reach.takeDueProbes(now))
-        startProbe(pool, now, effects);
+        startProbe(pool, ProbePurpose::Path, now, effects);
 }
 
 void RequestFlow::relayQueued(const std::string& pool, MonotonicTime now, EffectList& effects)
@@ -105,17 +105,18 @@
         return;
     for (const std::string& pool : m_deaths.undecidedPools()) {
         m_nextDeathProbesAt = now + deathProbeInterval;
-        startProbe(pool, now, effects);
+        startProbe(pool, ProbePurpose::Death, now, effects);
     }
 }
 
 // The probe reads the endpoint's report on a connection of its own.
-void RequestFlow::startProbe(const std::string& pool, MonotonicTime now, EffectList& effects)
+void RequestFlow::startProbe(const std::string& pool, ProbePurpose purpose, MonotonicTime now, EffectList& effects)
 {
     const auto endpoint = m_modules.endpoints.chooseForProbe(
         pool, [&](const EndpointId& id) { return m_reach.hasFailed(pool, id) || m_deaths.isInDoubt(id); });
     if (!endpoint) {
-        m_reach.noteProbeEnded(pool);
+        if (purpose == ProbePurpose::Path)
+            m_reach.noteProbeEnded(pool);
         return;
     }
     StartAttempt probe;
@@ -127,7 +128,7 @@
     probe.connectTimeout = probeConnectTimeout;
     probe.silenceTimeout = probeSilenceTimeout;
     probe.needsFreshConnection = true;
-    m_probes[probe.id] = { pool, endpoint->id, now };
+    m_probes[probe.id] = { pool, endpoint->id, purpose, now };
     effects.push_back(std::move(probe));
 }
 
@@ -138,6 +139,7 @@
         return false;
     m_reach.noteAnswer(probe->second.pool, true, now, effects);
     m_deaths.noteConnected(probe->second.pool, probe->second.endpoint, probe->second.startedAt);
+    m_modules.endpoints.endSuspicion(probe->second.endpoint);
     return true;
 }
 
@@ -149,9 +151,12 @@
         return false;
     const Probe probe = found->second;
     m_probes.erase(found);
-    m_reach.noteProbeEnded(probe.pool);
-    m_reach.noteProbeFailed(
-        probe.pool, probe.endpoint, failed.failure, m_modules.endpoints.count(probe.pool), now, effects);
+    const std::size_t endpoints = m_modules.endpoints.count(probe.pool);
+    // The endpoint of the other kind of probe may have ended as well, so it does not decide on the path.
+    if (probe.purpose == ProbePurpose::Path)
+        m_reach.noteProbeFailed(probe.pool, probe.endpoint, failed.failure, endpoints, now, effects);
+    else
+        m_reach.noteFailure(probe.pool, probe.endpoint, failed.failure, endpoints, now, effects);
     const auto brokenSince = m_deaths.noteProbeFailed(probe.pool, probe.startedAt);
     if (!brokenSince)
         return true;
@@ -193,7 +198,7 @@
     RelayTerms terms;
     terms.account = request.account;
     terms.timeLeft = std::max(Duration::zero(), request.deadline - now);
-    terms.attempts = request.attempts;
+    terms.attempts = request.attempts - request.unsentAttempts;
     terms.priority = request.priority;
     effects.push_back(StartRelay { request.attempt, choice->host, choice->address, relayConnectTimeout,
         { std::move(terms), request.method, request.target, request.headers, request.body } });
--- a/src/routing/EndpointTable.cpp
+++ b/src/routing/EndpointTable.cpp
@@ -54,6 +54,7 @@
     Entry& entry = found->second;
     entry.reportPending = false;
     entry.failedReports = 0;
+    noteRecheckAnswered(entry);
     entry.deathDetected = false;
     entry.reportedAt = report.requestedAt;
     entry.reportedLoad = report.running + report.waiting;
@@ -80,8 +81,11 @@
     Entry& entry = found->second;
     entry.reportPending = false;
     // A plain service answers the probe with an error of its own, which shows that it is alive.
-    if (entry.settings.kind == EndpointKind::Service && !failure.connectionFailed)
+    if (entry.settings.kind == EndpointKind::Service && !failure.connectionFailed) {
+        noteRecheckAnswered(entry);
         return;
+    }
+    noteRecheckFailed(entry, now);
     // One that broke an attempt and accepts no connection has ended.
     const bool hasEnded = failure.connectionFailed && now - entry.attemptFailedAt <= deathWindow;
     if (++entry.failedReports >= failedReportsBeforeSuspicion || hasEnded)
@@ -318,16 +322,43 @@
     return chosen ? std::optional(chosen->settings) : std::nullopt;
 }
 
-void EndpointTable::forgetSuspicions(const std::string& pool)
+void EndpointTable::endSuspicion(const EndpointId& endpoint)
+{
+    const auto found = m_entries.find(endpoint);
+    if (found == m_entries.end())
+        return;
+    found->second.suspectedUntil = MonotonicTime {};
+    found->second.failedReports = 0;
+}
+
+void EndpointTable::recheckSuspected(const std::string& pool, MonotonicTime now)
 {
     for (auto& [id, entry] : m_entries) {
-        if (entry.settings.pool != pool)
+        if (entry.settings.pool != pool || now >= entry.suspectedUntil)
             continue;
-        entry.suspectedUntil = MonotonicTime {};
-        entry.failedReports = 0;
+        // A report that is under way may have been requested while the path was broken.
+        entry.rechecks = entry.reportPending ? 2 : 1;
+        entry.nextReportAt = now;
+        entry.probeDue = true;
     }
 }
 
+void EndpointTable::noteRecheckAnswered(Entry& entry)
+{
+    if (entry.rechecks == 0)
+        return;
+    entry.rechecks = 0;
+    entry.suspectedUntil = MonotonicTime {};
+}
+
+void EndpointTable::noteRecheckFailed(Entry& entry, MonotonicTime now)
+{
+    if (entry.rechecks == 0 || --entry.rechecks == 0)
+        return;
+    entry.nextReportAt = now;
+    entry.probeDue = true;
+}
+
 void EndpointTable::suspect(Entry& entry, MonotonicTime until, const std::string& reason, EffectList& effects)
 {
     entry.suspectedUntil = std::max(entry.suspectedUntil, until);
--- a/tests/process/FleetFaultsTest.cpp
+++ b/tests/process/FleetFaultsTest.cpp
@@ -1,8 +1,10 @@
 #include "process/FleetFixture.h"
+#include <algorithm>
 #include <array>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <set>
+#include <sstream>
 #include <thread>
 
 using namespace Catkinwell::Testing;
@@ -205,6 +207,23 @@
         return send(call);
     }
 
+    // Returns the hosts' log entries about broken attempts and what was concluded from them.
+    std::string crashLog()
+    {
+        constexpr std::array<const char*, 5> events { "attempt_failed", "prompt_refusal", "endpoint_state",
+            "request_failed", "request_retried" };
+        std::string lines;
+        for (std::size_t host = 0; host < 2; ++host) {
+            std::istringstream output(fleet.host(host).output());
+            for (std::string line; std::getline(output, line);) {
+                if (std::any_of(events.begin(), events.end(),
+                        [&line](const char* event) { return line.find(event) != std::string::npos; }))
+                    lines += "host " + std::to_string(host) + ": " + line + "\n";
+            }
+        }
+        return lines;
+    }
+
     std::string newQuestion() { return "question " + std::to_string(++m_lastQuestion); }
 
     std::size_t enginesAlive()
@@ -295,7 +314,7 @@
     CHECK(statuses[0] == 422);
     CHECK(statuses[1] == 422);
     const std::size_t alive = fixture.enginesAlive();
-    INFO("engines alive: " << alive);
+    INFO("engines alive: " << alive << "\n" << fixture.crashLog());
     CHECK(alive >= 2);
     CHECK(fixture.chat("be brief", fixture.newQuestion(), 0).status == 200);
     CHECK(fixture.chat("be brief", fixture.newQuestion(), 1).status == 200);
--- a/tests/routing/EndpointTableTest.cpp
+++ b/tests/routing/EndpointTableTest.cpp
@@ -186,3 +186,37 @@
     fixture.now += std::chrono::seconds(3);
     CHECK(fixture.choose() == "near-1");
 }
+
+// Guards against requests that are sent to endpoints which ended while this host had no path to any.
+TEST_CASE("When a path is back, suspicions end with an answer")
+{
+    TableFixture fixture;
+    const bool isAnswered = GENERATE(true, false);
+    // Whether a report was under way when the path came back; that one fails.
+    const bool isReportPending = GENERATE(true, false);
+    fixture.excluded = { EndpointId("near-2"), EndpointId("far") };
+    fixture.table.tick(fixture.now, fixture.effects);
+    EndpointReportFailed failure;
+    failure.endpoint = EndpointId("near-1");
+    failure.connectionFailed = true;
+    if (!isReportPending)
+        fixture.table.handle(failure, fixture.now, fixture.effects);
+    fixture.table.attemptFailed(EndpointId("near-1"), AttemptFailure::Broken, fixture.now, fixture.effects);
+    fixture.table.recheckSuspected("p", fixture.now);
+    if (isReportPending)
+        fixture.table.handle(failure, fixture.now, fixture.effects);
+    fixture.now += std::chrono::milliseconds(20);
+    fixture.effects.clear();
+    fixture.table.tick(fixture.now, fixture.effects);
+    const bool isFetched = std::any_of(fixture.effects.begin(), fixture.effects.end(), [](const Effect& effect) {
+        const auto* fetch = std::get_if<FetchEndpointReport>(&effect);
+        return fetch && fetch->endpoint == EndpointId("near-1");
+    });
+    CHECK(isFetched);
+    CHECK(fixture.choose() == "none");
+    if (isAnswered)
+        fixture.table.handle(report("near-1", 0, fixture.now), fixture.now, fixture.effects);
+    else
+        fixture.table.handle(failure, fixture.now, fixture.effects);
+    CHECK(fixture.choose() == (isAnswered ? "near-1" : "none"));
+}
