Ignore deaths behind links that are known to be broken; log why orders failed

Beside load LostPathTest failed once more (two hosts cut off, "after the cut 4 of 8 were served"): reports that failed after it was known that only the host's own links were broken counted as deaths once the path was back.

--- a/include/catkinwell/gateway/EndpointRecord.h
+++ b/include/catkinwell/gateway/EndpointRecord.h
@@ -134,6 +134,8 @@
 struct EngineOrderFinished {
     EngineOrder order;
     EngineOrderOutcome outcome = EngineOrderOutcome::Unknown;
+    // What the engine answered, or why no answer came; for the log.
+    std::string reason {};
 };
 
 } // namespace Catkinwell
--- a/include/catkinwell/relay/EndpointDeaths.h
+++ b/include/catkinwell/relay/EndpointDeaths.h
@@ -13,6 +13,8 @@
 struct EndpointDeathSettings {
     // Time for another host to be answered, after the path was lost and after each request that one is asked to serve.
     Duration lossDecisionTime = std::chrono::seconds(3);
+    // Longest time of a report. One that was requested while the path was lost may fail this long after its return.
+    Duration reportTime = std::chrono::seconds(1);
     // A death for which no evidence arrives is forgotten after this time.
     Duration longestDoubt = std::chrono::seconds(5);
 };
@@ -36,7 +38,7 @@
 
     // The path to the pool was lost; since is the time of the first failure that showed it.
     void noteLost(const std::string& pool, MonotonicTime since, MonotonicTime now);
-    void noteRegained(const std::string& pool);
+    void noteRegained(const std::string& pool, MonotonicTime now);
     // Another host was asked to serve a request; its answer is awaited before the deaths are decided.
     void noteAskedElsewhere(const std::string& pool, MonotonicTime now);
     void noteServedElsewhere(const std::string& pool, MonotonicTime now);
@@ -62,6 +64,8 @@
         MonotonicTime decidedAt {};
         // When an endpoint answered another host, while this one could reach none.
         std::optional<MonotonicTime> servedElsewhereAt {};
+        // Whether only this host's links turned out to be broken.
+        bool isOwn = false;
     };
 
     void forgetDeathsIn(const std::string& pool);
@@ -70,6 +74,7 @@
     EndpointDeathSettings m_settings;
     std::map<EndpointId, Death> m_deaths;
     std::map<std::string, Loss> m_losses;
+    std::map<std::string, MonotonicTime> m_regainedAt;
 };
 
 } // namespace Catkinwell
--- a/src/gateway/EnginePlacement.cpp
+++ b/src/gateway/EnginePlacement.cpp
@@ -309,7 +309,7 @@
         { { "endpoint", finished.order.endpoint.value }, { "order", std::to_string(finished.order.id.value) },
             { "kind", std::string(nameOf(finished.order.kind)) },
             { "model", ModelVariant { finished.order.model, finished.order.adapter }.text() },
-            { "outcome", std::string(nameOf(finished.outcome)) } } });
+            { "outcome", std::string(nameOf(finished.outcome)) }, { "reason", finished.reason } } });
     effects.push_back(RecordMetric { Metric::PlacementCommandsTotal, std::string(nameOf(finished.outcome)) });
     const auto found = m_engines.find(finished.order.endpoint);
     if (found == m_engines.end())
--- a/src/relay/EndpointDeaths.cpp
+++ b/src/relay/EndpointDeaths.cpp
@@ -12,6 +12,11 @@
 void EndpointDeaths::noteDied(
     const EndpointId& endpoint, const std::string& pool, bool isOnlyEndpoint, MonotonicTime now)
 {
+    const auto loss = m_losses.find(pool);
+    const auto regained = m_regainedAt.find(pool);
+    const bool isLateReport = regained != m_regainedAt.end() && now - regained->second < m_settings.reportTime;
+    if ((loss != m_losses.end() && loss->second.isOwn) || isLateReport)
+        return;
     m_deaths.try_emplace(endpoint, Death { pool, now, isOnlyEndpoint, false });
 }
 
@@ -36,8 +41,9 @@
     m_losses[pool] = { since, now + m_settings.lossDecisionTime };
 }
 
-void EndpointDeaths::noteRegained(const std::string& pool)
+void EndpointDeaths::noteRegained(const std::string& pool, MonotonicTime now)
 {
+    m_regainedAt[pool] = now;
     const auto loss = m_losses.find(pool);
     if (loss == m_losses.end())
         return;
@@ -63,12 +69,12 @@
 std::optional<MonotonicTime> EndpointDeaths::noteProbeFailed(const std::string& pool, MonotonicTime startedAt)
 {
     const auto loss = m_losses.find(pool);
-    if (loss == m_losses.end() || !loss->second.servedElsewhereAt || *loss->second.servedElsewhereAt > startedAt)
+    if (loss == m_losses.end() || loss->second.isOwn || !loss->second.servedElsewhereAt
+        || *loss->second.servedElsewhereAt > startedAt)
         return std::nullopt;
-    const MonotonicTime since = loss->second.since;
     forgetDeathsIn(pool);
-    m_losses.erase(loss);
-    return since;
+    loss->second.isOwn = true;
+    return loss->second.since;
 }
 
 void EndpointDeaths::forgetDeathsIn(const std::string& pool)
--- a/src/requests/RequestRelay.cpp
+++ b/src/requests/RequestRelay.cpp
@@ -76,7 +76,7 @@
     }
     for (const std::string& pool : m_reach.takeRegained()) {
         m_modules.endpoints.recheckSuspected(pool, now);
-        m_deaths.noteRegained(pool);
+        m_deaths.noteRegained(pool, now);
         m_modules.promptQuarantine.holdReports(now);
     }
     decideDeaths(now, effects);
--- a/tests/relay/EndpointDeathsTest.cpp
+++ b/tests/relay/EndpointDeathsTest.cpp
@@ -83,7 +83,7 @@
         { "the path is back, and nothing was heard elsewhere", false,
             [](DeathFixture& f) {
                 f.deaths.noteLost(pool, f.now, f.now);
-                f.deaths.noteRegained(pool);
+                f.deaths.noteRegained(pool, f.now);
                 f.deaths.noteConnected(pool, other, f.now);
             },
             0s, true },
@@ -91,7 +91,7 @@
             [](DeathFixture& f) {
                 f.deaths.noteLost(pool, f.now, f.now);
                 f.deaths.noteServedElsewhere(pool, f.now);
-                f.deaths.noteRegained(pool);
+                f.deaths.noteRegained(pool, f.now);
                 f.deaths.noteConnected(pool, other, f.now);
             },
             0s, false },
@@ -116,6 +116,23 @@
     CHECK_FALSE(fixture.deaths.isInDoubt(dead));
 }
 
+// Guards against reports which failed because of the host's own links, but after that was known.
+TEST_CASE("Nothing seems to die behind links that are known to be broken, or were just now")
+{
+    DeathFixture fixture;
+    fixture.deaths.noteLost(pool, fixture.now, fixture.now);
+    fixture.deaths.noteServedElsewhere(pool, fixture.now);
+    REQUIRE(fixture.deaths.noteProbeFailed(pool, fixture.now).has_value());
+    fixture.deaths.noteDied(dead, pool, false, fixture.now);
+    CHECK_FALSE(fixture.deaths.isInDoubt(dead));
+    fixture.now += 2s;
+    fixture.deaths.noteRegained(pool, fixture.now);
+    fixture.deaths.noteDied(dead, pool, false, fixture.now + 900ms);
+    CHECK_FALSE(fixture.deaths.isInDoubt(dead));
+    fixture.deaths.noteDied(dead, pool, false, fixture.now + 1100ms);
+    CHECK(fixture.deaths.isInDoubt(dead));
+}
+
 TEST_CASE("Another endpoint is probed while a death is undecided")
 {
     DeathFixture fixture;
