End a stopped host without waiting for the transport between hosts

What callers saw: in a planned stop a host that had no request left stayed until it was killed at the end of the grace time. Its callers' kept connections stayed open all the while and nobody read them: requests sent there got neither an answer nor a refusal.

Cause: nng_close() of a socket that accepts connections can wait for ever: its caller waits for the end of the connections while a timer thread of nng 1.5 waits for a task. The runtime closed that socket in the loop's thread: when the process ended, before the callers' connections, and in a running gateway when the secret of the fleet changed.

Change: sockets are closed on threads of their own, which the end of the process does not wait for, and a changed secret is replaced in place.

--- a/include/catkinwell/peer/PeerAuthenticator.h
+++ b/include/catkinwell/peer/PeerAuthenticator.h
@@ -55,6 +55,8 @@
     // Precondition: the incarnation is larger than that of every earlier run of this host.
     PeerAuthenticator(HostId self, Incarnation incarnation, std::string clusterSecret);
 
+    // Replaces the secret for all frames from now on. Frames signed with the former one are then unauthenticated.
+    void setSecret(std::string clusterSecret) { m_secret = std::move(clusterSecret); }
     // Returns the signed frame for a payload. Each call increments the counter.
     std::string sign(const HostId& receiver, std::string_view payload);
     // Returns the payload, or why the frame must be dropped. Drops are counted by the caller.
--- a/include/catkinwell/peer/PeerTransport.h
+++ b/include/catkinwell/peer/PeerTransport.h
@@ -34,6 +34,7 @@
 public:
     // Precondition: the event base outlives the transport.
     PeerTransport(event_base* base, PeerTransportSettings settings);
+    // Returns without waiting; the sockets are closed in the background.
     ~PeerTransport();
     PeerTransport(const PeerTransport&) = delete;
     PeerTransport& operator=(const PeerTransport&) = delete;
@@ -43,6 +44,8 @@
     // The port that peers connect to. Precondition: start() succeeded.
     int port() const;
 
+    // Signs and verifies with this secret from now on. Connections stay open.
+    void setSecret(std::string clusterSecret);
     // Replaces the table of peers' addresses ("ip:port"). Connections to changed or absent addresses are closed.
     void setPeerAddresses(std::map<HostId, std::string> addresses);
     // Executes the effect. Delivery is not guaranteed.
--- a/src/peer/PeerTransport.cpp
+++ b/src/peer/PeerTransport.cpp
@@ -1,7 +1,7 @@
 #include <catkinwell/peer/PeerTransport.h>
 
 #include "PushConnection.h"
-
+#include "peer/BackgroundClose.h"
 #include <algorithm>
 #include <catkinwell/peer/PeerCodec.h>
 #include <event2/event.h>
@@ -50,7 +50,7 @@
     {
         readable.reset();
         if (nng_socket_id(listener) > 0)
-            nng_close(listener);
+            closeInBackground(listener);
     }
 };
 
@@ -99,6 +99,8 @@
     return port;
 }
 
+void PeerTransport::setSecret(std::string clusterSecret) { m_authenticator.setSecret(std::move(clusterSecret)); }
+
 void PeerTransport::setPeerAddresses(std::map<HostId, std::string> addresses)
 {
     std::erase_if(m_sockets->connections, [&](const auto& connection) {
--- a/src/peer/PushConnection.cpp
+++ b/src/peer/PushConnection.cpp
@@ -1,5 +1,6 @@
 #include "PushConnection.h"
 
+#include "peer/BackgroundClose.h"
 #include <nng/protocol/pipeline0/push.h>
 
 namespace Catkinwell {
@@ -40,7 +41,7 @@
 {
 }
 
-PushConnection::~PushConnection() { nng_close(m_socket); }
+PushConnection::~PushConnection() { closeInBackground(m_socket); }
 
 std::optional<PeerDropReason> PushConnection::send(std::string_view frame, MonotonicTime now)
 {
--- a/src/runtime/GatewayRuntime.cpp
+++ b/src/runtime/GatewayRuntime.cpp
@@ -216,14 +216,17 @@
 
 void GatewayRuntime::Implementation::startPeers(const std::string& secret)
 {
+    m_relayTransport.setSecret(secret);
+    if (m_peers) {
+        m_peers->setSecret(secret);
+        m_peers->setPeerAddresses(m_peerAddresses);
+        return;
+    }
     PeerTransportSettings settings;
     settings.self = m_settings.host;
     settings.incarnation = m_incarnation;
     settings.listenAddress = m_settings.peerAddress;
     settings.clusterSecret = secret;
-    m_relayTransport.setSecret(secret);
-    // Frees the listening address.
-    m_peers.reset();
     m_peers = std::make_unique<PeerTransport>(m_loop.base(), settings);
     const Status status = m_peers->start();
     if (isError(status)) {
--- a/tests/peer/PeerTransportTest.cpp
+++ b/tests/peer/PeerTransportTest.cpp
@@ -56,6 +56,28 @@
     CHECK(std::get<ConfigurationOffer>(received[0].message).parts == large.parts);
 }
 
+// Guards against a host that cannot be heard once the secret of the fleet has changed.
+TEST_CASE("A changed secret takes effect on connections that are open")
+{
+    Loop loop;
+    PeerTransport receiver(loop.base.get(), settingsFor("a", "former"));
+    PeerTransport sender(loop.base.get(), settingsFor("b", "former"));
+    std::size_t received = 0;
+    receiver.messageReceived().connect([&](const PeerMessageReceived&) { ++received; });
+    for (auto* transport : { &receiver, &sender })
+        REQUIRE_FALSE(isError(transport->start()));
+    sender.setPeerAddresses({ { HostId("a"), addressOf(receiver) } });
+    sender.send({ HostId("a"), ConfigurationRequest { 1, {} } });
+    REQUIRE(loop.runUntil([&] { return received == 1; }));
+    sender.setSecret("present");
+    sender.send({ HostId("a"), ConfigurationRequest { 2, {} } });
+    CHECK(loop.runUntil([&] { return receiver.droppedCount(PeerDropReason::Unauthenticated) == 1; }));
+    receiver.setSecret("present");
+    sender.send({ HostId("a"), ConfigurationRequest { 3, {} } });
+    CHECK(loop.runUntil([&] { return received == 2; }));
+    CHECK(sender.connectionCount() == 1);
+}
+
 // Guards against an unreachable peer that blocks the loop or exhausts memory.
 TEST_CASE("Messages for an unreachable peer are dropped and counted once its buffer is full")
 {
