Let callers pause and read slowly without losing the rest of their answer

What callers saw: the connection was reset in the middle of an answer that was ready, after 2.5 s in which the caller had read nothing, or closed once the idle timeout had passed since the end of the answer was buffered, although the caller read all the time.

Cause: the kernel's user timeout also counts the time in which a peer reads nothing, and callers got the short one that is meant for peers that vanish; the timer of a finished answer ran from its end instead of from the last bytes read. Over two hops the host that relays stops reading when its caller does, so the same bound applies there.

Change: connections of callers and of relaying hosts have the idle timeout as user timeout, and the timer starts again while bytes are taken.

Evidence: SlowCallerTest: a pause of 4 s and a reader that takes longer than the idle timeout failed before (2 of 3 rows) and pass; a caller that reads nothing for longer than the idle timeout is still cut.

--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -55,16 +55,26 @@
 
 void CallerConnection::setTimer(Duration duration)
 {
+    m_unsentAtTimer = unsentBytes();
     const timeval timeout = toTimeval(duration);
     event_add(m_timer, &timeout);
 }
 
+// Whether the caller has taken bytes of a finished response since the timer was set.
+bool CallerConnection::hasReadOutput() const
+{
+    const bool isAnswered = m_phase == Phase::Idle || m_phase == Phase::Closing;
+    return isAnswered && unsentBytes() < m_unsentAtTimer;
+}
+
 void CallerConnection::clearTimer() { event_del(m_timer); }
 
 void CallerConnection::timedOut(int, short, void* context)
 {
     auto& self = *static_cast<CallerConnection*>(context);
-    if (self.m_phase == Phase::ReadingHead || self.m_phase == Phase::ReadingBody)
+    if (self.hasReadOutput())
+        self.setTimer(self.m_owner.limits().idleTimeout);
+    else if (self.m_phase == Phase::ReadingHead || self.m_phase == Phase::ReadingBody)
         self.refuse(408, "the request did not arrive completely in time; send it faster");
     else
         self.close();
@@ -292,7 +302,7 @@
     close();
 }
 
-bool CallerConnection::hasUnsentOutput() const { return evbuffer_get_length(bufferevent_get_output(m_stream)) > 0; }
+std::size_t CallerConnection::unsentBytes() const { return evbuffer_get_length(bufferevent_get_output(m_stream)); }
 
 bool CallerConnection::isReceiving() const
 {
--- a/src/http/CallerConnection.h
+++ b/src/http/CallerConnection.h
@@ -55,7 +55,7 @@
     // Closes the connection without completing the response.
     void abort();
     // Whether response bytes are still buffered.
-    bool hasUnsentOutput() const;
+    bool hasUnsentOutput() const { return unsentBytes() > 0; }
     // Whether part of a request has arrived, also if it was not read yet.
     bool isReceiving() const;
 
@@ -90,6 +90,8 @@
     void afterAnswer();
     // Precondition: the answer is complete and written.
     void closeAfterAnswer();
+    std::size_t unsentBytes() const;
+    bool hasReadOutput() const;
     void setTimer(Duration);
     void clearTimer();
     void close();
@@ -102,6 +104,8 @@
     ReceivedRequest m_received;
     RequestId m_request;
     Phase m_phase = Phase::Idle;
+    // Response bytes that were still buffered when the timer was set.
+    std::size_t m_unsentAtTimer = 0;
     bool m_processing = false;
     bool m_bodyTooLong = false;
     bool m_isFull = false;
--- a/src/http/CallerListener.cpp
+++ b/src/http/CallerListener.cpp
@@ -146,7 +146,8 @@
         evutil_closesocket(socket);
         return;
     }
-    setConnectionOptions(socket);
+    // A caller, or a host on behalf of one, may stop reading for as long as it may be idle.
+    setConnectionOptions(socket, std::max(m_limits.idleTimeout, longestPeerSilence));
     bufferevent* stream = m_tls ? bufferevent_openssl_socket_new(m_loop.base(), socket, m_tls->newSession(),
                               BUFFEREVENT_SSL_ACCEPTING, BEV_OPT_CLOSE_ON_FREE)
                                 : bufferevent_socket_new(m_loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
--- a/src/http/SocketOptions.cpp
+++ b/src/http/SocketOptions.cpp
@@ -11,10 +11,6 @@
     constexpr int keepAliveIdleSeconds = 2;
     constexpr int keepAliveIntervalSeconds = 1;
     constexpr int keepAliveProbes = 2;
-    // A sound peer may fall silent for a second or two and go on. The kernel also gives up an idle connection by this
-    // time, whatever the number of probes.
-    constexpr unsigned userTimeoutMilliseconds = 2500;
-
     void setOption(int socket, int level, int option, int value)
     {
         setsockopt(socket, level, option, &value, sizeof(value));
@@ -22,14 +18,15 @@
 
 } // namespace
 
-void setConnectionOptions(int socket)
+void setConnectionOptions(int socket, Duration longestSilence)
 {
     setOption(socket, IPPROTO_TCP, TCP_NODELAY, 1);
     setOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
     setOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
     setOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
     setOption(socket, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
-    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMilliseconds, sizeof(userTimeoutMilliseconds));
+    // Bounds an idle connection as well, whatever the number of probes.
+    setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(millisecondsOf(longestSilence)));
 }
 
 void resetOnClose(int socket)
