--- a/include/catkinwell/http/CallerListener.h
+++ b/include/catkinwell/http/CallerListener.h
@@ -32,8 +32,8 @@
     std::size_t maximumBodyBytes = 4 * 1024 * 1024;
     std::size_t maximumHeaderBytes = 32 * 1024;
     std::uint32_t maximumConnections = 20000;
-    // Longest pause within a request's body, longest time that an idle connection stays open, and longest time for which
-    // the caller may read nothing of a response.
+    // Longest pause within a request's body, longest time that an idle connection stays open, and longest time for
+    // which the caller may read nothing of a response.
     Duration idleTimeout = std::chrono::seconds(60);
     // Output bytes buffered for a slow caller above which its endpoint is throttled.
     std::size_t outputHighWatermark = 256 * 1024;
