Pass on nothing at a stopping gateway that cannot be expected to end in time

What callers saw: in a planned stop, requests that came late in the grace time were taken, passed on to an endpoint and cut at the end of it, among them orders, which nobody may send again.

Cause: the reducer stopped accepting after a constant time and never compared what it passed on with the time left. A request that was rejected, or not sent, at its first endpoint, or that had waited, went to the next one 0.8 s before the end; one that may take 5 s was taken when 4.8 s were left.

Change: each attempt starts only if it can be expected to end before the host does: the request's own time limit ends it before, or the time that the host has measured for the route does (AnswerTimes, the latest 256 answers). The measured time is used beside the limit because limits are mostly several times longer than answers, so that a host would refuse nearly everything from SIGTERM on. A request that may be repeated goes by the time of nine in ten answers. Any other goes by the longest one and 1.2 s for an endpoint that falls silent and goes on. A route with fewer than 16 answers goes by the limit. What has not run is refused at once with 503 `stopping`, Retry-After and not_run (a relaying host gets NotServed); a repeatable request that may have run ends with 502, so that its caller can try elsewhere. Nor does a request wait for a model that is ready only after waiting requests are refused. Streams of which the caller has a part go on as before. At the end, what waits for a version and has not run is refused instead of failed as unknown.

PlainProtocol of the fixture is no longer final, so that a test can derive records that have a model in memory.

--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -106,6 +106,7 @@
     bool shouldYieldOwnership(MonotonicTime now) const;
     Duration digestInterval() const;
     Duration restoreDelay();
+    GatewayRequests::StopTimes stopTimes() const;
     void advanceShutdown(MonotonicTime now, EffectList&);
     void reportReadiness(EffectList&);
     void recordMetrics(EffectList&);
--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <catkinwell/gateway/AnswerTimes.h>
 #include <catkinwell/gateway/EndpointDirectory.h>
 #include <catkinwell/gateway/EventStreamBuffer.h>
 #include <catkinwell/gateway/EventStreamPosition.h>
@@ -51,6 +52,13 @@
     void handle(const AttemptFailed&, MonotonicTime now, EffectList&);
     // Checks the deadlines of all requests.
     void tick(MonotonicTime now, EffectList&);
+    // When a host that stops refuses whatever does not run, and when it ends what still runs.
+    struct StopTimes {
+        MonotonicTime acceptingUntil {};
+        MonotonicTime endsAt {};
+    };
+    // The host is stopping. Passes on no request from now on that cannot be expected to end in the time left.
+    void setStop(const StopTimes&);
     // Refuses waiting requests that cannot have run, and all new ones, because the host is stopping. Running requests
     // continue.
     void stopAccepting(MonotonicTime now, EffectList&);
@@ -296,6 +304,16 @@
     bool refuseIfPaused(Request&, const EndpointNeed&, MonotonicTime now, EffectList&);
     // Keeps the model of a refused request in demand for a while.
     void keepInDemand(const Request&, MonotonicTime now);
+    static Refusal stoppingRefusal();
+    // Returns the last time at which an attempt can be expected to end before this host does.
+    MonotonicTime latestStart(const Request&) const;
+    // Returns until when the request may wait at a host that stops.
+    MonotonicTime stopWaitLimit(const Request&) const;
+    // Ends a request without a running attempt if the host is stopping and the next attempt would start after the
+    // limit. Returns whether it did.
+    bool endIfStopTooNear(Request&, MonotonicTime startsAt, MonotonicTime limit, MonotonicTime now, EffectList&);
+    // Records how long the running attempt took until its answer ended or was given up.
+    void noteAnswerTime(const Request&, MonotonicTime now);
     // Records what the endpoint's answer states about the requests that it accepts.
     void noteLimits(const Request&, MonotonicTime now, EffectList&);
     // Records that the endpoint leaves or wants a pause, if its answer says so.
@@ -385,6 +403,8 @@
     std::uint64_t m_lastAttempt = 0;
     bool m_newlyWaiting = false;
     bool m_hasReachNews = false;
+    AnswerTimes m_answerTimes;
+    std::optional<StopTimes> m_stop;
     bool m_isStopping = false;
 };
 
--- a/src/gateway/GatewayAdmission.cpp
+++ b/src/gateway/GatewayAdmission.cpp
@@ -74,7 +74,7 @@
 std::optional<GatewayRequests::Refusal> GatewayRequests::findRoute(Request& request) const
 {
     if (m_isStopping)
-        return Refusal { 503, "stopping", "this host is shutting down; retry at another host", soonRetryAfter };
+        return stoppingRefusal();
     if (!m_configuration.isKnown())
         return Refusal { 503, "no_configuration", "this host has not received a configuration yet", shortRetryAfter };
     const std::string* host = findHeader(request.arrived.headers, "host");
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -556,6 +556,7 @@
         return;
     m_phase = Phase::Draining;
     m_shutdownAt = now;
+    m_requests.setStop(stopTimes());
     effects.push_back(
         LogEntry { LogEvent::ShutdownRequested, { { "running", std::to_string(m_requests.activeRequests()) } } });
     effects.push_back(AnnounceClosing {});
@@ -565,18 +566,25 @@
     reportReadiness(effects);
 }
 
+GatewayRequests::StopTimes GatewayReducer::stopTimes() const
+{
+    const Duration accepting = std::min(m_settings.shutdownAccepting, m_settings.shutdownGrace / 2);
+    return { m_shutdownAt + accepting, m_shutdownAt + m_settings.shutdownGrace - shutdownMargin };
+}
+
 void GatewayReducer::advanceShutdown(MonotonicTime now, EffectList& effects)
 {
     if (m_phase != Phase::Draining)
         return;
-    const Duration accepting = std::min(m_settings.shutdownAccepting, m_settings.shutdownGrace / 2);
-    const bool isAcceptingOver = now - m_shutdownAt >= accepting;
+    const GatewayRequests::StopTimes times = stopTimes();
+    m_requests.setStop(times);
+    const bool isAcceptingOver = now >= times.acceptingUntil;
     if (!m_isAcceptingStopped && isAcceptingOver) {
         m_isAcceptingStopped = true;
         m_requests.stopAccepting(now, effects);
     }
     const bool isDrained = m_requests.activeRequests() == 0 && isAcceptingOver;
-    const bool isOver = now - m_shutdownAt >= m_settings.shutdownGrace - shutdownMargin;
+    const bool isOver = now >= times.endsAt;
     if (!isDrained && !isOver)
         return;
     m_phase = Phase::Finished;
--- a/src/gateway/GatewayRequestOutcomes.cpp
+++ b/src/gateway/GatewayRequestOutcomes.cpp
@@ -104,8 +104,10 @@
 void GatewayRequests::finish(Request& request, MonotonicTime now, EffectList& effects)
 {
     const int status = request.attempt->status;
-    if (status < 500)
+    if (status < 500) {
         noteAnswer(request, now);
+        noteAnswerTime(request, now);
+    }
     logEnd(LogEvent::GatewayRequestFinished, request, status, "", now, effects);
     effects.push_back(RecordMetric { Metric::RequestSeconds, request.service, secondsOf(now - request.arrivedAt) });
     endAttempt(request, status >= 500 ? AttemptVerdict::Bad : AttemptVerdict::Good, now, effects);
@@ -184,24 +186,6 @@
     fail(request, 502, "endpoint_failed", now, effects);
 }
 
-void GatewayRequests::stopAccepting(MonotonicTime now, EffectList& effects)
-{
-    m_isStopping = true;
-    for (const RequestId id : std::set<RequestId>(m_waiting)) {
-        Request& request = m_requests.at(id);
-        if (!request.mayHaveRun)
-            refuse(request, { 503, "stopping", "this host is shutting down; retry at another host", soonRetryAfter },
-                now, effects);
-    }
-}
-
-void GatewayRequests::endAll(MonotonicTime now, EffectList& effects)
-{
-    stopAccepting(now, effects);
-    while (!m_requests.empty())
-        fail(m_requests.begin()->second, 504, "stopped", now, effects);
-}
-
 void GatewayRequests::refuse(Request& request, const Refusal& refusal, MonotonicTime now, EffectList& effects)
 {
     HeaderList headers { { "Content-Type", "application/json" } };
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -55,6 +55,10 @@
 {
     m_configuration = configuration;
     m_routes.configure(configuration.routes);
+    std::set<std::string> routes;
+    for (const Route& route : configuration.routes)
+        routes.insert(route.name);
+    m_answerTimes.keepOnly(routes);
 }
 
 void GatewayRequests::setSettings(const GatewayRequestSettings& settings)
@@ -92,6 +96,8 @@
         endQuarantined(request, now, effects);
         return;
     }
+    if (endIfStopTooNear(request, now, latestStart(request), now, effects))
+        return;
     if (holdForTrial(request, now, effects))
         return;
     if (m_reach.isLost(request.service)) {
@@ -215,8 +221,12 @@
 void GatewayRequests::refuseIfTooLate(
     Request& request, std::optional<Duration> soonest, MonotonicTime now, EffectList& effects)
 {
-    if (!soonest || request.mayHaveRun || now + *soonest <= waitLimit(request))
+    if (!soonest || request.mayHaveRun)
+        return;
+    if (now + *soonest <= waitLimit(request)) {
+        endIfStopTooNear(request, now + *soonest, stopWaitLimit(request), now, effects);
         return;
+    }
     keepInDemand(request, now);
     const std::string detail
         = "the model can be ready in " + std::to_string(millisecondsOf(*soonest)) + " ms at the earliest";
@@ -545,10 +555,13 @@
         return;
     }
     if (now >= request.deadline) {
+        noteAnswerTime(request, now);
         fail(request, 504, "timeout", now, effects);
         return;
     }
     if (request.isWaiting) {
+        if (endIfStopTooNear(request, now, stopWaitLimit(request), now, effects))
+            return;
         if (now < waitLimit(request) || request.mayHaveRun)
             return;
         refuse(request, endOfWaiting(request), now, effects);
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -8,7 +8,7 @@
 
 // The replay protocol's plain headers, with documents that refer to the sample configuration and sample endpoints. The
 // record of an endpoint is its service, its software version and its models, separated by spaces.
-class PlainProtocol final : public ReplayProtocol {
+class PlainProtocol : public ReplayProtocol {
 public:
     std::string configurationKey() const override { return "configuration"; }
     std::string endpointPrefix() const override { return "endpoints/"; }
