Keep hosts of the settings in touch until the platform's list names them

Between hosts of `serve` that start together every message was lost for the first 4 to 6 s, and they could take each other for dead after that.

Cause: hosts that start together read the platform's list before any of them has registered. The list then dropped the hosts of the settings (`peers.seeds`): they lost their addresses until the next poll (5 s +- 20%), so digests and reports of crashes had nowhere to go. If that poll came later than the time a heartbeat may stall (4 s and more), the list and the silence together declared them dead.

Why it works: a host of the settings keeps its address until a list has contained it; from then on the list decides. One that never runs is still declared dead, because a list without it and its silence suffice for that.

--- a/include/catkinwell/membership/MembershipManager.h
+++ b/include/catkinwell/membership/MembershipManager.h
@@ -73,7 +73,11 @@
     // Handles a digest from an authenticated host. The caller passes the configuration state and the suspect
     // fingerprints in it to the modules that need them.
     void handle(const HostId& from, const MembershipDigest& digest, MonotonicTime now, EffectList& effects);
-    // Replaces the platform's list, as a poll does. For the hosts given in the settings and for tests.
+    // Adds the hosts that this host's settings name, with their addresses ("ip:port"). Such a host is reached at this
+    // address until the platform's list contains it: hosts that start together register only after they have read the
+    // list. To be called before the first tick.
+    void setSeeds(const std::map<HostId, std::string>& addresses, MonotonicTime now);
+    // Replaces the platform's list, as a poll does. For tests.
     void setPlatformList(const std::vector<PlatformHost>& hosts, MonotonicTime now, EffectList& effects);
 
     // Set what the next digests carry for other modules. The lists begin with the most important element, which is part
--- a/src/membership/HostTable.cpp
+++ b/src/membership/HostTable.cpp
@@ -118,6 +118,18 @@
     found->second.lastProbeAt = now;
 }
 
+void HostTable::addSeed(const HostId& id, const std::string& address, MonotonicTime now)
+{
+    if (id == m_self || m_hosts.size() >= maximumHosts)
+        return;
+    const auto [found, isNew] = m_hosts.try_emplace(id);
+    if (!isNew)
+        return;
+    found->second.isSeed = true;
+    found->second.address = address;
+    startIncarnation(found->second, 0, now);
+}
+
 void HostTable::mergePlatformList(const std::vector<PlatformHost>& hosts, MonotonicTime now)
 {
     std::set<HostId> listed;
@@ -133,6 +145,7 @@
             || host.relayAddress != entry.relayAddress;
         host.listed = true;
         host.dropped = false;
+        host.isSeed = false;
         host.address = entry.address;
         host.relayAddress = entry.relayAddress;
         host.dataCentre = entry.dataCentre;
@@ -142,7 +155,8 @@
     }
     m_sameDataCentre = 0;
     for (auto& [id, host] : m_hosts) {
-        if (host.listed && listed.count(id) == 0) {
+        // The hosts that started together with this one may not be in the list yet, so seeds keep their addresses.
+        if ((host.listed || (host.isSeed && !host.dropped)) && listed.count(id) == 0) {
             host.listed = false;
             host.dropped = m_changed = true;
         }
@@ -188,8 +202,8 @@
     const Duration silence = now - host.lastProgress;
     const Duration allowed = heartbeatTimeout(host.dataCentre == m_ownDataCentre);
     const bool wasProbed = host.probesSent >= m_rule.unansweredProbes && now - host.lastProbeAt >= probeTimeout;
-    // An unlisted host has no address to probe, and one of many silent hosts may wait long for its probes.
-    return silence > allowed && (wasProbed || !host.listed || silence > 2 * allowed);
+    // A host without an address cannot be probed, and one of many silent hosts may wait long for its probes.
+    return silence > allowed && (wasProbed || !host.isAddressable() || silence > 2 * allowed);
 }
 
 void HostTable::updateHostState(const HostId& id, Host& host, MonotonicTime now, EffectList& effects)
--- a/src/membership/HostTable.h
+++ b/src/membership/HostTable.h
@@ -16,9 +16,11 @@
         bool leaving = false;
         bool suspected = false;
         bool dead = false;
-        // Whether the platform's list contains the host, and whether it has dropped the host.
+        // Whether the platform's list contains the host, and whether it was read without the host.
         bool listed = false;
         bool dropped = false;
+        // Whether the settings name the host and no list has contained it yet.
+        bool isSeed = false;
         DataCentreId dataCentre;
         std::string address;
         std::string relayAddress;
@@ -29,12 +31,16 @@
         std::map<HostId, MonotonicTime> suspectedBy;
 
         HostState state() const;
+        // Whether messages can be sent to the host's address.
+        bool isAddressable() const { return listed || isSeed; }
     };
 
     HostTable(HostId self, DataCentreId ownDataCentre, SuspicionRule rule);
 
     // Merges one entry of a digest.
     void merge(const HostId& from, const DigestEntry& entry, MonotonicTime now);
+    // Adds a host that the settings name. It keeps this address until a list of the platform contains it.
+    void addSeed(const HostId&, const std::string& address, MonotonicTime now);
     // Merges a complete list of the platform.
     void mergePlatformList(const std::vector<PlatformHost>& hosts, MonotonicTime now);
     // Suspects silent hosts, declares hosts dead and forgets hosts that have been dead for long.
--- a/src/membership/MembershipManager.cpp
+++ b/src/membership/MembershipManager.cpp
@@ -145,6 +145,12 @@
     std::erase_if(unmarkedReads, [&](const auto& entry) { return leavingEndpoints.count(entry.first) == 0; });
 }
 
+void MembershipManager::setSeeds(const std::map<HostId, std::string>& addresses, MonotonicTime now)
+{
+    for (const auto& [host, address] : addresses)
+        m_state->table.addSeed(host, address, now);
+}
+
 void MembershipManager::setPlatformList(const std::vector<PlatformHost>& hosts, MonotonicTime now, EffectList& effects)
 {
     m_state->noteSelf(hosts, m_settings);
@@ -212,7 +218,7 @@
         const double part
             = static_cast<double>((now - host.lastProgress).count()) / (isOwn ? ownTimeout : otherTimeout);
         const bool isRecent = host.probesSent > 0 && now - host.lastProbeAt < probeInterval;
-        if (host.dead || !host.listed || isRecent || part <= longest)
+        if (host.dead || !host.isAddressable() || isRecent || part <= longest)
             continue;
         longest = part;
         silent = id;
@@ -222,14 +228,14 @@
     return silent;
 }
 
-// Chooses among all listed hosts. Dead ones are included if the choice is not limited to the data centre: the hosts on
-// both sides of a partition consider each other dead and find each other again this way.
+// Chooses among all hosts with an address. Dead ones are included if the choice is not limited to the data centre: the
+// hosts on both sides of a partition consider each other dead and find each other again this way.
 std::optional<HostId> MembershipManager::choosePeer(bool inDataCentre)
 {
     std::vector<const HostId*> candidates;
     for (const auto& [id, host] : m_state->table.hosts()) {
         const bool isSuitable = inDataCentre ? host.dataCentre == m_settings.dataCentre && !host.dead : true;
-        if (host.listed && isSuitable)
+        if (host.isAddressable() && isSuitable)
             candidates.push_back(&id);
     }
     if (candidates.empty())
@@ -327,7 +333,7 @@
 {
     std::map<HostId, std::string> addresses;
     for (const auto& [id, host] : m_state->table.hosts()) {
-        if (host.listed)
+        if (host.isAddressable())
             addresses.emplace(id, host.address);
     }
     return addresses;
--- a/src/reducer/Reducer.cpp
+++ b/src/reducer/Reducer.cpp
@@ -86,12 +86,7 @@
     m_liveHosts = { { m_settings.host.host, m_settings.host.incarnation } };
     configureClaims();
     m_placement.configure(m_configuration.effective());
-    // The hosts in the settings replace the platform's list until that has been read.
-    std::vector<PlatformHost> seeds;
-    for (const auto& [host, address] : m_settings.seedPeers)
-        seeds.push_back({ host, 0, DataCentreId(), address, false });
-    EffectList ignored;
-    m_membership.setPlatformList(seeds, now, ignored);
+    m_membership.setSeeds(m_settings.seedPeers, now);
 }
 
 Reducer::~Reducer() = default;
