Let a caller read the refusal of a request that it is still sending

What callers saw: a reset connection instead of 400, 413 or 431, when bytes of their request were still on the way; with a long head nothing of the refusal.

Cause: the connection was closed with unread bytes, which resets it and discards what the caller has not read yet.

Change: after such a refusal the connection is closed for writing only, and what still comes is read and discarded, at most 8 MiB and 2 s.

--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -22,6 +22,10 @@
     constexpr std::size_t readSize = 64 * 1024;
     // Limit on input buffered while a request is read or answered.
     constexpr std::size_t maximumReadAhead = 256 * 1024;
+    // A caller whose request was refused before all of it had arrived may send this much more, for this time. Closing a
+    // connection with unread bytes resets it, and the caller may then never see the refusal.
+    constexpr std::size_t maximumDiscardedBytes = 8 * 1024 * 1024;
+    constexpr Duration longestDiscarding = std::chrono::seconds(2);
 
     std::string errorBody(int status, const std::string& reason)
     {
@@ -97,6 +101,10 @@
         case Phase::ReadingBody:
             more = processBody();
             break;
+        case Phase::Discarding:
+            discardInput();
+            more = false;
+            break;
         case Phase::Answering:
         case Phase::Closing:
         case Phase::Closed:
@@ -199,6 +207,7 @@
 {
     m_phase = Phase::Answering;
     m_closesAfterAnswer = true;
+    m_isPartlyRead = true;
     sendWhole(status, { { "Content-Type", "application/json" } }, errorBody(status, reason));
     return false;
 }
@@ -297,11 +306,27 @@
 
 void CallerConnection::closeAfterAnswer()
 {
+    if (m_isPartlyRead) {
+        m_phase = Phase::Discarding;
+        shutdown(bufferevent_getfd(m_stream), SHUT_WR);
+        setTimer(longestDiscarding);
+        discardInput();
+        return;
+    }
     if (m_endsWithConnection)
         closeInOrder(bufferevent_getfd(m_stream));
     close();
 }
 
+void CallerConnection::discardInput()
+{
+    evbuffer* input = bufferevent_get_input(m_stream);
+    m_discardedBytes += evbuffer_get_length(input);
+    evbuffer_drain(input, evbuffer_get_length(input));
+    if (m_discardedBytes > maximumDiscardedBytes)
+        close();
+}
+
 std::size_t CallerConnection::unsentBytes() const { return evbuffer_get_length(bufferevent_get_output(m_stream)); }
 
 bool CallerConnection::isReceiving() const
--- a/src/http/CallerConnection.h
+++ b/src/http/CallerConnection.h
@@ -67,6 +67,8 @@
         Answering,
         // Closes the connection once the buffered response is written.
         Closing,
+        // Reads what the caller still sends of a refused request, until it closes the connection.
+        Discarding,
         Closed,
     };
 
@@ -90,6 +92,7 @@
     void afterAnswer();
     // Precondition: the answer is complete and written.
     void closeAfterAnswer();
+    void discardInput();
     std::size_t unsentBytes() const;
     bool hasReadOutput() const;
     void setTimer(Duration);
@@ -108,6 +111,9 @@
     std::size_t m_unsentAtTimer = 0;
     bool m_processing = false;
     bool m_bodyTooLong = false;
+    // Whether the request was refused before all of it was read.
+    bool m_isPartlyRead = false;
+    std::size_t m_discardedBytes = 0;
     bool m_isFull = false;
     // State of the current response.
     bool m_isChunked = false;
