Use no push socket of nng after its connection has broken

What callers saw: a host's process ended by itself, and with it every request that it had taken; the fleet soak says "host 1 did not come back".

Cause: nng 1.5.2 (push0) puts a pipe into the list of those that are ready to send when a send ends or the pipe starts, also if the pipe was closed just before on another thread. The pipe is then freed and stays in the list; the next message, or the next pipe of the socket, uses freed memory. Each break of a connection between hosts (a killed peer, a reset link) can hit that.

Why it works: a push socket carries one connection. nng reports the end of a pipe before it frees it, and waits for the report; frames are handed to nng under the same lock, so none is sent on the socket after the report. Later pipes of the socket are rejected before they start. The transport opens a new socket with the next message. Frames that were in the buffer of a broken connection are lost, as those in the kernel's were; messages to peers may always be lost.

As sockets are closed in the background, what their callbacks use is kept until they are closed.

--- a/src/peer/PeerTransport.cpp
+++ b/src/peer/PeerTransport.cpp
@@ -13,6 +13,8 @@
 
     // Limits the time that one loop iteration spends on peer messages; the rest are read in the next iteration.
     constexpr int messagesPerIteration = 64;
+    // For a peer that accepts connections and closes them at once.
+    constexpr Duration minimumReopenInterval = std::chrono::milliseconds(100);
     constexpr timeval reportInterval { 10, 0 };
     constexpr timeval maintenanceInterval { 1, 0 };
 
@@ -122,6 +124,11 @@
     const MonotonicTime now = m_sockets->clock.monotonicNow();
     auto& connections = m_sockets->connections;
     auto connection = connections.find(effect.to);
+    if (connection != connections.end() && connection->second->isLost()
+        && now - connection->second->openedAt() >= minimumReopenInterval) {
+        connections.erase(connection);
+        connection = connections.end();
+    }
     if (connection == connections.end()) {
         if (connections.size() >= m_settings.maximumConnections)
             connections.erase(std::min_element(connections.begin(), connections.end(),
--- a/src/peer/PushConnection.cpp
+++ b/src/peer/PushConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "peer/BackgroundClose.h"
 #include <nng/protocol/pipeline0/push.h>
+#include <utility>
 
 namespace Catkinwell {
 
@@ -27,7 +28,9 @@
     if (nng_push0_open(&socket) != 0)
         return nullptr;
     std::unique_ptr<PushConnection> connection(new PushConnection(socket, now));
-    const bool ready = nng_socket_set_int(socket, NNG_OPT_SENDBUF, sendBufferMessages) == 0
+    const bool ready = nng_pipe_notify(socket, NNG_PIPE_EV_ADD_PRE, pipeChanged, connection->m_pipe.get()) == 0
+        && nng_pipe_notify(socket, NNG_PIPE_EV_REM_POST, pipeChanged, connection->m_pipe.get()) == 0
+        && nng_socket_set_int(socket, NNG_OPT_SENDBUF, sendBufferMessages) == 0
         && nng_socket_set_ms(socket, NNG_OPT_RECONNMINT, minimumReconnectMilliseconds) == 0
         && nng_socket_set_ms(socket, NNG_OPT_RECONNMAXT, maximumReconnectMilliseconds) == 0
         && nng_dial(socket, ("tcp://" + address).c_str(), nullptr, NNG_FLAG_NONBLOCK) == 0;
@@ -41,11 +44,36 @@
 {
 }
 
-PushConnection::~PushConnection() { closeInBackground(m_socket); }
+// nng's threads may still use the state while the socket is closed.
+PushConnection::~PushConnection() { closeInBackground(m_socket, m_pipe); }
+
+void PushConnection::pipeChanged(nng_pipe pipe, nng_pipe_ev event, void* context)
+{
+    auto& state = *static_cast<PipeState*>(context);
+    bool isRejected = false;
+    {
+        const std::lock_guard lock(state.mutex);
+        if (event == NNG_PIPE_EV_REM_POST)
+            state.isLost = true;
+        else
+            isRejected = std::exchange(state.wasEstablished, true);
+    }
+    if (isRejected)
+        nng_pipe_close(pipe);
+}
+
+bool PushConnection::isLost() const
+{
+    const std::lock_guard lock(m_pipe->mutex);
+    return m_pipe->isLost;
+}
 
 std::optional<PeerDropReason> PushConnection::send(std::string_view frame, MonotonicTime now)
 {
     m_lastUse = now;
+    const std::lock_guard lock(m_pipe->mutex);
+    if (m_pipe->isLost)
+        return PeerDropReason::SendFailed;
     // nng_send copies the frame and does not change it.
     const int result = nng_send(m_socket, const_cast<char*>(frame.data()), frame.size(), NNG_FLAG_NONBLOCK);
     if (result == 0) {
@@ -62,7 +90,7 @@
 bool PushConnection::shouldClose(MonotonicTime now) const
 {
     const bool isOld = now - m_openedAt >= maximumAge && now - m_lastUse >= unusedBeforeClose;
-    return isOld || (m_fullSince && now - *m_fullSince >= maximumFullTime);
+    return isLost() || isOld || (m_fullSince && now - *m_fullSince >= maximumFullTime);
 }
 
 } // namespace Catkinwell
