Bound the bytes that a gateway keeps of all answers together

What callers saw: endpoints sent answers without end; the host kept their bytes until it was out of memory and ended, and every other client's request with it.

Cause: an answer that is collected before it is forwarded was kept up to 8 MiB, an open event of a resumable stream up to 1 MiB, each with a bound of its own and none on their sum over all requests.

Fix: BufferBudget counts what is kept per attempt. Above an eighth of the new setting memory_mb (the platform's limits.memory_mb) the largest answer is given up like one that is too long by itself: logged (gateway_buffers_full, then gateway_attempt_failed), tried again where that is allowed, else 502, as it may have run. An event that was forwarded no longer holds its memory for the rest of the stream. The handling of the bytes moves to a file of its own.

--- a/include/catkinwell/gateway/EventStreamBuffer.h
+++ b/include/catkinwell/gateway/EventStreamBuffer.h
@@ -15,6 +15,8 @@
     std::string take(std::string_view data);
     // Returns the identifier of the last returned event; empty if there was none.
     const std::string& lastEventId() const { return m_lastEventId; }
+    // Bytes of an event that is not complete.
+    std::size_t bufferedBytes() const { return m_partial.size(); }
     // Discards the buffered part of an incomplete event.
     void dropPartial()
     {
--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -13,6 +13,7 @@
 #include <catkinwell/relay/RelayMessage.h>
 #include <catkinwell/relay/RelayPeers.h>
 #include <catkinwell/routing/AnswerProof.h>
+#include <catkinwell/routing/BufferBudget.h>
 #include <catkinwell/routing/PromptQuarantine.h>
 #include <catkinwell/routing/RetryBudget.h>
 #include <catkinwell/routing/SuspectTrials.h>
@@ -25,6 +26,8 @@
     double retryFraction = 0.2;
     double retryConstant = 50;
     Duration retryWindow = std::chrono::seconds(10);
+    // Bound on the bytes kept of all answers together.
+    std::size_t maximumAnswerBytes = 32 * 1024 * 1024;
 };
 
 // Handles the requests of callers from arrival to the end of their answers: authentication, limits, choice of an
@@ -109,6 +112,8 @@
     // Returns whether a request started waiting for a replica since the last call.
     bool takeNewlyWaiting() { return std::exchange(m_newlyWaiting, false); }
     std::size_t activeRequests() const { return m_requests.size(); }
+    // Bytes kept of answers that are not forwarded yet.
+    std::size_t bufferedBytes() const { return m_buffers.bytes(); }
 
 private:
     // No attempt is started with less time than this left.
@@ -347,6 +352,9 @@
     bool takeRetry(const Request&, MonotonicTime now);
     // Cancels the attempt, whose answer cannot be used, and treats it as failed.
     void abandonAnswer(Request&, std::string_view reason, MonotonicTime now, EffectList&);
+    // Counts what is kept of the request's answer, and abandons the largest answers if the sum is above its bound. The
+    // request may be gone afterwards.
+    void noteBuffered(const Request&, MonotonicTime now, EffectList&);
     void forwardData(Request&, std::string_view, EffectList&);
     void checkDeadlines(Request&, MonotonicTime now, EffectList&);
     void refuse(Request&, const Refusal&, MonotonicTime now, EffectList&);
@@ -387,6 +395,7 @@
     std::size_t m_hostCount = 1;
     RequestMap m_requests;
     std::unordered_map<AttemptId, RequestId> m_attempts;
+    BufferBudget m_buffers;
     std::set<RequestId> m_waiting;
     // Models of requests refused as too late, whose callers are expected to return, with the time until which each
     // counts as one waiting request.
--- a/include/catkinwell/gateway/GatewaySettings.h
+++ b/include/catkinwell/gateway/GatewaySettings.h
@@ -45,6 +45,9 @@
     Duration shutdownAccepting = std::chrono::milliseconds(2900);
     // How long a shutdown may take.
     Duration shutdownGrace = std::chrono::seconds(8);
+    // Memory that the process may use, in MB. The bytes of requests and answers that it keeps are bounded by parts of
+    // it.
+    unsigned memoryMb = 256;
     GatewayRequestSettings requests;
     EnginePlacementSettings placement;
     LogSettings log;
--- a/include/catkinwell/logging/LogEvent.h
+++ b/include/catkinwell/logging/LogEvent.h
@@ -136,6 +136,7 @@
     GatewayRelayedRequestArrived = 2133,
     GatewayRelayRejected = 2134,
     GatewayCrashWithdrawn = 2135,
+    GatewayBuffersFull = 2136,
 };
 
 struct LogEventDescription {
--- a/src/gateway/EventStreamBuffer.cpp
+++ b/src/gateway/EventStreamBuffer.cpp
@@ -18,8 +18,12 @@
     m_position.feed(data);
     const std::size_t open = std::min(m_position.openBytes(), m_partial.size());
     const std::size_t end = open > maximumPartialBytes ? m_partial.size() : m_partial.size() - open;
-    std::string complete = m_partial.substr(0, end);
-    m_partial.erase(0, end);
+    if (end == 0)
+        return {};
+    // The rest moves to a string of its own, so that a large event does not hold its memory for the rest of the stream.
+    std::string rest = m_partial.substr(end);
+    std::string complete = std::exchange(m_partial, std::move(rest));
+    complete.resize(end);
     updateLastEventId(complete);
     return complete;
 }
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -34,9 +34,6 @@
     constexpr Duration refusalMargin = std::chrono::milliseconds(60);
     // Streams of more models than these wait for others to be loaded first.
     constexpr std::size_t maximumVersionWaits = 32;
-    constexpr std::size_t maximumCollectedBytes = 8 * 1024 * 1024;
-    constexpr std::size_t maximumEventBytes = 1024 * 1024;
-    constexpr std::string_view endlessAnswer = "the answer, or one event of it, is too long";
 
 } // namespace
 
@@ -48,6 +45,7 @@
     , m_quota(quota)
     , m_trials(std::move(self))
     , m_relayPeers(relayPeers)
+    , m_buffers(settings.maximumAnswerBytes)
 {
 }
 
@@ -64,6 +62,7 @@
 void GatewayRequests::setSettings(const GatewayRequestSettings& settings)
 {
     m_settings = settings;
+    m_buffers.setMaximumBytes(settings.maximumAnswerBytes);
     setHostCount(m_hostCount);
 }
 
@@ -325,6 +324,7 @@
     if (!attempt.relayedTo)
         m_directory.attemptEnded(attempt.endpoint, request.terms.variant, verdict, now, effects);
     m_trials.ended(request.arrived.id, now);
+    m_buffers.setBytes(attempt.id, 0);
     m_attempts.erase(attempt.id);
     request.attempt.reset();
 }
@@ -376,41 +376,6 @@
     sendHead(*request, now, effects);
 }
 
-void GatewayRequests::handle(const AttemptData& data, MonotonicTime now, EffectList& effects)
-{
-    Request* request = requestOf(data.id);
-    if (!request)
-        return;
-    noteReached(*request, false, now, effects);
-    request->attempt->lastDataAt = now;
-    request->attempt->receivedBytes += data.data.size();
-    if (request->attempt->isForwarded) {
-        request->attempt->position.feed(data.data);
-        if (request->attempt->position.events() > 0) {
-            noteAnswerGoesOn(*request, now);
-            noteStreamBegun(*request, now);
-        }
-        noteProgress(*request->attempt, now);
-        if (request->attempt->position.openBytes() > maximumEventBytes)
-            abandonAnswer(*request, endlessAnswer, now, effects);
-        else
-            forwardData(*request, data.data, effects);
-        return;
-    }
-    if (request->attempt->body.size() + data.data.size() > maximumCollectedBytes)
-        abandonAnswer(*request, endlessAnswer, now, effects);
-    else
-        request->attempt->body += data.data;
-}
-
-// What was read of the answer must not pass for one.
-void GatewayRequests::abandonAnswer(Request& request, std::string_view reason, MonotonicTime now, EffectList& effects)
-{
-    request.mayHaveRun = true;
-    effects.push_back(CancelAttempt { request.attempt->id });
-    handleFailedAttempt(request, std::string(reason), AttemptVerdict::Bad, now, effects);
-}
-
 // Comments and single bytes show that the endpoint lives, not that the answer goes on.
 void GatewayRequests::noteProgress(Attempt& attempt, MonotonicTime now)
 {
@@ -436,13 +401,6 @@
                shortestSilenceTimeout, request.route.latencyGoal * (request.route.isStream ? 1 : silenceGoalFactor));
 }
 
-void GatewayRequests::forwardData(Request& request, std::string_view data, EffectList& effects)
-{
-    std::string complete = request.route.isResumable ? request.eventBuffer.take(data) : std::string(data);
-    if (!complete.empty())
-        effects.push_back(SendResponseData { request.arrived.id, std::move(complete) });
-}
-
 void GatewayRequests::handle(const AttemptFinished& finished, MonotonicTime now, EffectList& effects)
 {
     if (m_probes.erase(finished.id) > 0)
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -13,6 +13,10 @@
     using Json = nlohmann::json;
 
     constexpr double largestNumber = 1e9;
+    constexpr std::size_t bytesPerMb = 1'000'000;
+    // Part of the memory for the answers that are collected. A string that grows takes up to three times its length
+    // for a moment.
+    constexpr std::size_t memoryPartOfAnswers = 8;
 
     // A field that takes effect only at the start of the process.
     struct AddressField {
@@ -214,6 +218,8 @@
     reader.milliseconds("store_reconnect_ms", settings.storeReconnect);
     reader.milliseconds("shutdown_accepting_ms", settings.shutdownAccepting);
     reader.milliseconds("shutdown_grace_ms", settings.shutdownGrace);
+    reader.count("memory_mb", settings.memoryMb);
+    settings.requests.maximumAnswerBytes = settings.memoryMb * bytesPerMb / memoryPartOfAnswers;
     readRequests(reader.object("requests"), settings.requests, error);
     readPlacement(reader.object("placement"), settings.placement, error);
     readLog(reader.object("log"), settings.log, error);
--- a/src/logging/LogEvent.cpp
+++ b/src/logging/LogEvent.cpp
@@ -307,6 +307,10 @@
             "If it repeats, check that all hosts have the same secret and compatible versions." },
         { LogEvent::GatewayCrashWithdrawn, Info, "gateway_crash_withdrawn",
             "What looked like crashes of endpoints accuses no request any more; the field \"reason\" tells why.", "" },
+        { LogEvent::GatewayBuffersFull, Warning, "gateway_buffers_full",
+            "The host keeps as many bytes of answers as it may; the largest of them is given up.",
+            "Find the endpoint in the failed attempt (2105) after it, and examine what it sent; if answers are sound, "
+            "raise memory_mb." },
     };
     return catalogue;
 }
--- a/tests/fleet/GatewayFleet.cpp
+++ b/tests/fleet/GatewayFleet.cpp
@@ -259,7 +259,14 @@
     Endpoint& endpoint = m_endpoints[index];
     if (endpoint.fake->isDown())
         return;
-    m_store->put("servers/" + endpoint.fake->id(), endpoint.fake->nextRecord(endpoint.link->port()));
+    m_store->put("servers/" + endpoint.fake->id(),
+        endpoint.fake->nextRecord(endpoint.recordPort.value_or(endpoint.link->port())));
+}
+
+void GatewayFleet::setRecordPort(std::size_t index, std::uint16_t port)
+{
+    m_endpoints[index].recordPort = port;
+    writeRecord(index);
 }
 
 void GatewayFleet::setListed(std::size_t index, bool isListed)
--- a/tests/fleet/GatewayFleet.h
+++ b/tests/fleet/GatewayFleet.h
@@ -62,6 +62,8 @@
     // Makes the endpoint stop or resume writing its record. Its record is deleted when it stops.
     void setListed(std::size_t endpoint, bool isListed);
     void writeRecord(std::size_t endpoint);
+    // Makes the endpoint's record name this port of another server from now on.
+    void setRecordPort(std::size_t endpoint, std::uint16_t port);
 
     EndpointHistory records();
 
@@ -82,6 +84,8 @@
     struct Endpoint {
         std::unique_ptr<FakeEndpoint> fake;
         std::unique_ptr<FaultProxy> link;
+        // The port in its record if that is another server's.
+        std::optional<std::uint16_t> recordPort;
         bool isListed = true;
     };
 
--- a/tests/gateway/GatewaySettingsTest.cpp
+++ b/tests/gateway/GatewaySettingsTest.cpp
@@ -42,6 +42,7 @@
         { "/relay_address", "nowhere", "relay_address" },
         { "/source_address", "127.0.0.1:80", "source_address" },
         { "/lease_ttl_ms", -1, "lease_ttl_ms" },
+        { "/memory_mb", 0, "memory_mb" },
         { "/requests/retry_fraction", "much", "requests.retry_fraction" },
         { "/requests/retries", 1, "requests.retries" },
         { "/log/severity", "loud", "log.severity" },
@@ -79,6 +80,7 @@
         { "/shutdown_grace_ms", 5000, {} },
         { "/shutdown_accepting_ms", 2000, {} },
         { "/store_reconnect_ms", 5000, {} },
+        { "/memory_mb", 100, {} },
         { "/log/severity", "error", {} },
     }));
     const GatewaySettings running = valueOf(parseGatewaySettings(sample().dump()));
--- a/tests/process/ProcessHarness.cpp
+++ b/tests/process/ProcessHarness.cpp
@@ -100,6 +100,19 @@
     return eventually([this] { return !isRunning(); }, timeout) ? m_exitCode : -1;
 }
 
+std::size_t ChildProcess::peakMemoryMb() const
+{
+    std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        std::istringstream words(line);
+        std::string name;
+        std::size_t kilobytes = 0;
+        if (words >> name >> kilobytes && name == "VmHWM:")
+            return kilobytes / 1024;
+    }
+    return 0;
+}
+
 std::string ChildProcess::output() const
 {
     std::ifstream stream(m_outputFile);
