Keep the stream of a slow caller at its endpoint and paused

What callers saw: the resumable stream of a caller that read slowly was broken off at a sound endpoint after 1.2 s and begun at another one; the first endpoint counted as unreachable.

Cause: the host stops reading an endpoint's answer while its caller's connection is full, and then took the silence that it made itself for the endpoint's. The next attempt was not paused: the connection announces only once that it is full, so what the next endpoint sent was kept for the caller without a bound.

Fix: the request remembers that its caller does not read. Its attempt does not count as silent meanwhile, and a new attempt, or a relayed one, begins paused. The deadline still bounds it.

Evidence: SlowCallerTest without the fix: within 4 s the attempt is cancelled and another one started, the answer of the first never finishes ("0 == 1"), and a second attempt gets no pause ("0 == 1"). With it both pass. The growth of a process by such a stream was not measured.

--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -192,6 +192,8 @@
         unsigned rejections = 0;
         bool mayHaveRun = false;
         bool isHeadSent = false;
+        // Whether the caller does not read what was sent to it, so that its attempt is paused.
+        bool isCallerSlow = false;
         // Status and media type of the head that the caller has.
         int sentStatus = 0;
         std::string sentMediaType;
@@ -324,6 +326,8 @@
     // Records that the endpoint leaves or wants a pause, if its answer says so.
     void noteNotice(const Request&, MonotonicTime now, EffectList&);
     void startAttempt(Request&, const EndpointChoice&, MonotonicTime now, EffectList&);
+    // Pauses the new attempt of a caller that does not read.
+    static void pauseIfCallerSlow(const Request&, EffectList&);
     void endAttempt(Request&, AttemptVerdict, MonotonicTime now, EffectList&);
     // No byte of the request was sent: tries the next endpoint or host.
     void handleNotSent(Request&, const std::string& reason, MonotonicTime now, EffectList&);
--- a/src/gateway/GatewayRelay.cpp
+++ b/src/gateway/GatewayRelay.cpp
@@ -182,6 +182,7 @@
             { "reason", std::string(reason) } } });
     effects.push_back(RecordMetric { Metric::RelaysTotal, request.service });
     effects.push_back(std::move(start));
+    pauseIfCallerSlow(request, effects);
     return true;
 }
 
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -316,6 +316,13 @@
     effects.push_back(RecordMetric { Metric::AttemptsTotal, request.service });
     request.attempt = std::move(attempt);
     effects.push_back(std::move(start));
+    pauseIfCallerSlow(request, effects);
+}
+
+void GatewayRequests::pauseIfCallerSlow(const Request& request, EffectList& effects)
+{
+    if (request.isCallerSlow)
+        effects.push_back(ThrottleAttempt { request.attempt->id, true });
 }
 
 void GatewayRequests::endAttempt(Request& request, AttemptVerdict verdict, MonotonicTime now, EffectList& effects)
@@ -465,7 +472,10 @@
 void GatewayRequests::handle(const CallerBackpressure& pressure, EffectList& effects)
 {
     const auto found = m_requests.find(pressure.id);
-    if (found != m_requests.end() && found->second.attempt)
+    if (found == m_requests.end())
+        return;
+    found->second.isCallerSlow = pressure.full;
+    if (found->second.attempt)
         effects.push_back(ThrottleAttempt { found->second.attempt->id, pressure.full });
 }
 
@@ -527,6 +537,12 @@
     }
     if (!request.attempt)
         return;
+    if (request.isCallerSlow) {
+        // The endpoint is silent because this host does not read.
+        request.attempt->lastDataAt = now;
+        request.attempt->lastProgressAt = now;
+        return;
+    }
     if (!isStalled(request, now) || !mayRepeat(request, now))
         return;
     request.mayHaveRun = true;
