Bound the number of header fields of a response

Cause: the parser bounds the bytes of a head and of trailers to 80 KB, but a line of four bytes becomes two strings of 64 bytes together, and a growing list holds up to twice that, for each connection at once.

Fix: a response with more than 512 fields in its head or its trailers is invalid, and ends as other bytes that are no answer.

Evidence: the new test in AnswerIntegrityTest without the bound: 3,000 fields in a head, in trailers or in an interim response pass for a response (6 of 10 assertions failed); with it all pass, also 400 fields.

--- a/src/http/MessageReader.cpp
+++ b/src/http/MessageReader.cpp
@@ -2,6 +2,14 @@
 
 namespace Catkinwell {
 
+namespace {
+
+    // The parser bounds the bytes of a response's head and of its trailers, but a field takes many times the memory of
+    // its shortest line. Requests are bounded by the limits on callers.
+    constexpr std::size_t maximumResponseFields = 512;
+
+} // namespace
+
 MessageReader::MessageReader(Kind kind, MessageObserver& observer)
     : m_kind(kind)
     , m_observer(observer)
@@ -19,8 +27,7 @@
             return 0;
         };
         table.on_header_field = [](http_parser* parser, const char* at, std::size_t size) {
-            self(parser).appendName({ at, size });
-            return 0;
+            return self(parser).appendName({ at, size }) ? 0 : 1;
         };
         table.on_header_value = [](http_parser* parser, const char* at, std::size_t size) {
             self(parser).appendValue({ at, size });
@@ -51,14 +58,17 @@
     m_begun = false;
     m_ended = false;
     m_failed = false;
+    m_hasTooManyFields = false;
 }
 
-void MessageReader::appendName(std::string_view part)
+bool MessageReader::appendName(std::string_view part)
 {
     if (m_head.headers.empty() || m_lastWasValue)
         m_head.headers.emplace_back();
     m_head.headers.back().first.append(part);
     m_lastWasValue = false;
+    m_hasTooManyFields = m_kind == Kind::Response && m_head.headers.size() > maximumResponseFields;
+    return !m_hasTooManyFields;
 }
 
 void MessageReader::appendValue(std::string_view part)
@@ -104,6 +114,9 @@
         m_observer.messageEnded();
 }
 
-std::string MessageReader::failure() const { return http_errno_description(HTTP_PARSER_ERRNO(&m_parser)); }
+std::string MessageReader::failure() const
+{
+    return m_hasTooManyFields ? "it has too many header fields" : http_errno_description(HTTP_PARSER_ERRNO(&m_parser));
+}
 
 } // namespace Catkinwell
--- a/src/http/MessageReader.h
+++ b/src/http/MessageReader.h
@@ -62,7 +62,8 @@
     static MessageReader& self(http_parser* parser) { return *static_cast<MessageReader*>(parser->data); }
     static const http_parser_settings& callbacks();
 
-    void appendName(std::string_view);
+    // Returns whether the message may have another field.
+    bool appendName(std::string_view);
     void appendValue(std::string_view);
     bool finishHead();
 
@@ -74,6 +75,7 @@
     bool m_begun = false;
     bool m_ended = false;
     bool m_failed = false;
+    bool m_hasTooManyFields = false;
 };
 
 } // namespace Catkinwell
--- a/tests/http/AnswerIntegrityTest.cpp
+++ b/tests/http/AnswerIntegrityTest.cpp
@@ -107,6 +107,40 @@
     CHECK(outcome.body == "right");
 }
 
+namespace {
+
+struct FieldsCase {
+    const char* name;
+    const char* start;
+    std::size_t fields;
+    const char* end;
+    bool expectedFinished;
+};
+
+} // namespace
+
+// Guards against a head of the shortest lines, which takes many times the memory of its bytes.
+TEST_CASE("A response with very many header fields is invalid")
+{
+    const char* const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+    const auto test = GENERATE_COPY(values<FieldsCase>({
+        { "head", "HTTP/1.1 200 OK\r\n", 3000, "Content-Length: 0\r\n\r\n", false },
+        { "trailers", chunked, 3000, "\r\n", false },
+        { "interim response", "HTTP/1.1 102 Processing\r\n", 3000, "\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+            false },
+        { "long but sound head", "HTTP/1.1 200 OK\r\n", 400, "Content-Length: 0\r\n\r\n", true },
+        { "long but sound trailers", chunked, 400, "\r\n", true },
+    }));
+    INFO(test.name);
+    std::string answer = test.start;
+    for (std::size_t i = 0; i < test.fields; ++i)
+        answer += "a:\r\n";
+    ClientFixture fixture({ { answer + test.end } });
+    const Outcome outcome = fixture.request("a");
+    CHECK(outcome.isFinished == test.expectedFinished);
+    CHECK((outcome.failure == AttemptFailure::Garbage) == !test.expectedFinished);
+}
+
 struct RepeatedRefusalCase {
     const char* statusLine;
     // Whether the peer repeats the identifier of the request.
