Answer no further request of a caller that does not read its answers

Cause: a connection took the next request as soon as the answer before it was buffered. Streams are paused above the high watermark, whole answers were not: a caller that sent request after request and read nothing had every answer kept for it, without a bound.

Fix: the next request of a connection stays unread while more than the watermark is unsent, and is taken when the output is written.

Evidence: the new test in CallerListenerTest (800 requests, answers of 64 KiB) without the fix: "800 < 400" failed, all answers were made while the caller read none; with it the test passes, and all 800 arrive once the caller reads.

--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -123,6 +123,9 @@
         return false;
     const CallerLimits& limits = m_owner.limits();
     if (m_phase == Phase::Idle) {
+        // A caller that sends on without reading its answers is not answered further meanwhile.
+        if (evbuffer_get_length(bufferevent_get_output(m_stream)) > m_outputHighWatermark)
+            return false;
         m_phase = Phase::ReadingHead;
         setTimer(limits.headerTimeout);
     }
@@ -347,6 +350,8 @@
         self.m_isFull = false;
         self.m_owner.outputFull(self, false);
     }
+    if (self.m_phase == Phase::Idle)
+        self.process();
 }
 
 void CallerConnection::eventOccurred(bufferevent*, short, void* context)
--- a/tests/http/CallerListenerTest.cpp
+++ b/tests/http/CallerListenerTest.cpp
@@ -258,6 +258,44 @@
     CHECK(fixture.listener.busyConnections() == 0);
 }
 
+// Guards against a host that runs out of memory because a caller sends request after request and reads no answer.
+TEST_CASE("A caller that does not read its answers gets no further ones until it does")
+{
+    constexpr int requestCount = 800;
+    constexpr int mostUnread = 400;
+    constexpr std::size_t answerBytes = 64 * 1024;
+    ListenerSettings settings;
+    settings.address = "127.0.0.1:0";
+    EventLoop loop;
+    CallerListener listener(loop, settings, 0);
+    REQUIRE_FALSE(isError(listener.start()));
+    int requests = 0;
+    listener.signalRequest().connect([&](const RequestArrived& request) {
+        ++requests;
+        listener.execute(SendWholeResponse { request.id, 200, {}, std::string(answerBytes, 'x') });
+    });
+    BlockingCaller caller(listener.port());
+    std::string pipelined;
+    for (int i = 0; i < requestCount; ++i)
+        pipelined += "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+    caller.send(pipelined);
+    loop.callLater(std::chrono::milliseconds(500), [&loop] { loop.stop(); });
+    loop.run();
+    CHECK(requests > 0);
+    CHECK(requests < mostUnread);
+    std::size_t received = 0;
+    loop.callEvery(std::chrono::milliseconds(1), [&] {
+        for (std::string part = caller.received(); !part.empty(); part = caller.received())
+            received += part.size();
+        if (received > requestCount * answerBytes)
+            loop.stop();
+    });
+    loop.callLater(std::chrono::seconds(10), [&loop] { loop.stop(); });
+    loop.run();
+    CHECK(requests == requestCount);
+    CHECK(received > requestCount * answerBytes);
+}
+
 namespace {
 
 struct BusyCase {
