Announce to callers of a stopping serving process that their connections close

What callers saw: they kept their connections to a stopping `serve` until the process was gone, and lost one request with each.

Cause: the reducer did not emit AnnounceClosing at the signal and Runtime did nothing on it, unlike gateways; refusals with 503 did not say that the connection closes.

Change: the reducer emits it, and Runtime has the listeners of callers and of relayed requests close each connection after its answer. Administration keeps its connections.

Evidence: EndToEndTest "A stopping host announces to its callers that it closes their connections" failed on the program before (no `Connection: close` in the 503, the connection stayed open: 2 of 7 assertions); now it passes. In one of 14 runs of the changed program beside a load of 25 on 8 cores, one of the four tests of planned stops failed (4 assertions; which one was not recorded, the assertions fit the first form of this test). It slept before the signal; that the stream had not begun by then is likely, not shown. It now waits until an engine runs the stream; 3 of 3 runs passed since.

--- a/src/reducer/Reducer.cpp
+++ b/src/reducer/Reducer.cpp
@@ -370,6 +370,7 @@
     m_membership.announceLeaving();
     effects.push_back(
         LogEntry { LogEvent::ShutdownRequested, { { "running", std::to_string(m_requests.activeRequests()) } } });
+    effects.push_back(AnnounceClosing {});
 }
 
 void Reducer::advanceShutdown(MonotonicTime now, EffectList& effects)
--- a/src/runtime/Runtime.cpp
+++ b/src/runtime/Runtime.cpp
@@ -99,9 +99,14 @@
     void operator()(const SendToPeer& effect) const { runtime.m_peers.send(effect); }
     void operator()(const StartRelay& effect) const { runtime.m_relayTransport.execute(effect); }
     void operator()(const SetPeerAddresses& effect) const { runtime.m_peers.setPeerAddresses(effect.addresses); }
+    // Administration goes on until the process ends.
+    void operator()(const AnnounceClosing&) const
+    {
+        runtime.m_callers.beginClosing();
+        runtime.m_relays.beginClosing();
+    }
     // Only a gateway has these effects.
     void operator()(const SetCallerLimits&) const { }
-    void operator()(const AnnounceClosing&) const { }
     void operator()(const StartPeerTransport&) const { }
     void operator()(const FetchEngineStatus&) const { }
     void operator()(const EngineOrder&) const { }
--- a/tests/process/EndToEndTest.cpp
+++ b/tests/process/EndToEndTest.cpp
@@ -1,9 +1,11 @@
+#include "http/RawSockets.h"
 #include "process/FleetFixture.h"
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <future>
 #include <thread>
 
+using namespace Catkinwell;
 using namespace Catkinwell::Testing;
 using Json = nlohmann::json;
 
@@ -210,6 +212,33 @@
     CHECK(fleet.host().waitForExit(std::chrono::seconds(15)) == 0);
 }
 
+// Guards against callers that keep their connections to a stopping host until it is gone, and lose a request with each.
+TEST_CASE("A stopping host announces to its callers that it closes their connections")
+{
+    FleetOptions options;
+    options.tokenMilliseconds = 100;
+    FleetFixture fleet(options);
+    REQUIRE(send(fleet.completion("notes", "warm up")).status == 200);
+    auto running = std::async(std::launch::async, [&] { return send(fleet.completion("notes", "long", true)); });
+    const auto isRunningOn = [&fleet](std::size_t engine) {
+        const HttpAnswer report = send({ fleet.enginePort(engine), "GET", "/v2/repository/report" });
+        return parsed(report).at("running").get<int>() > 0;
+    };
+    REQUIRE(eventually([&] { return isRunningOn(0) || isRunningOn(1); }, std::chrono::seconds(5)));
+    EventLoop loop;
+    const std::string request = "GET /readyz HTTP/1.1\r\nHost: h\r\n\r\n";
+    const std::string before = exchangeRaw(loop, fleet.callerPort(), request, std::chrono::milliseconds(100));
+    CHECK(before.find("Connection: close") == std::string::npos);
+    CHECK(before.find("<closed>") == std::string::npos);
+    fleet.host().signal(SIGTERM);
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    const std::string after = exchangeRaw(loop, fleet.callerPort(), request, std::chrono::milliseconds(500));
+    CHECK(after.starts_with("HTTP/1.1 503"));
+    CHECK(after.find("Connection: close") != std::string::npos);
+    CHECK(after.ends_with("<closed>"));
+    CHECK(running.get().complete);
+}
+
 TEST_CASE("A second SIGTERM ends the process at once and names the cut requests")
 {
     FleetOptions options;
