Send a stopping gateway's last store calls before the process ends

What callers saw: after a planned stop the fleet took the host for live, and for the owner of the placement, until its lease lapsed (2 s); streams that had begun just before could be taken up at no host that learns of them from the store.

Cause: the reducer emits its last store calls in the same step as ExitProcess. With no caller connection busy, ReducerLoop::stop ended the loop at once, but the HTTP client writes in the loop's next round.

Change: HttpStoreClient counts calls without a reply that may change the store, and the gateway's loop goes on until they have one, at most 0.3 s as before.

Evidence: GatewayFleetTest "A host without callers gives up its lease and the ownership before it exits" failed 3 of 3 times on the program before (both keys were still in the store after the exit); now it passed 4 of 4 times. The effect on stream records follows by reading; it was not run.

--- a/include/catkinwell/store/HttpStoreClient.h
+++ b/include/catkinwell/store/HttpStoreClient.h
@@ -34,6 +34,9 @@
     // its wait.
     void execute(const StoreCall&);
 
+    // Returns the number of calls without a reply that may change the store.
+    std::size_t runningWrites() const { return m_runningWrites; }
+
     sigc::signal<void(StoreReply)>& signalReply() { return m_signalReply; }
     // Emitted before the reply that shows the new epoch.
     sigc::signal<void(StoreRestored)>& signalRestored() { return m_signalRestored; }
@@ -53,6 +56,7 @@
     sigc::signal<void(StoreReply)> m_signalReply;
     sigc::signal<void(StoreRestored)> m_signalRestored;
     StoreEpochTracker m_epochs;
+    std::size_t m_runningWrites = 0;
 };
 
 } // namespace Catkinwell
--- a/src/runtime/GatewayRuntime.cpp
+++ b/src/runtime/GatewayRuntime.cpp
@@ -16,7 +16,8 @@
 
 namespace {
 
-    // Time to refuse what arrives last and to write the answers out, after the reducer has finished.
+    // Time to refuse what arrives last, to write the answers out and to have the last store calls answered, after the
+    // reducer has finished.
     constexpr Duration longestExit = std::chrono::milliseconds(300);
     // Request identifiers of the relay, status and metrics listeners are above these values.
     constexpr std::uint64_t firstRelayId = 1ULL << 61;
@@ -133,7 +134,10 @@
         runtime.m_callers.stopAccepting();
         runtime.m_relays.stopAccepting();
         runtime.m_events.stop(
-            [&owner = runtime] { return owner.m_callers.busyConnections() + owner.m_relays.busyConnections(); },
+            [&owner = runtime] {
+                return owner.m_callers.busyConnections() + owner.m_relays.busyConnections()
+                    + owner.m_store.runningWrites();
+            },
             longestExit);
     }
 };
--- a/src/runtime/ReducerLoop.h
+++ b/src/runtime/ReducerLoop.h
@@ -59,12 +59,12 @@
         post(Tick { m_clock.wallNow() });
     }
 
-    // Posts no further ticks, and stops the loop when no connection is busy or the time has passed. Until then other
-    // events are handled, so that the reducer can refuse the requests that arrive last.
-    void stop(std::function<std::size_t()> busyConnections, Duration longestTime)
+    // Posts no further ticks, and stops the loop when nothing that the function counts is left or the time has passed.
+    // Until then other events are handled, so that the reducer can refuse the requests that arrive last.
+    void stop(std::function<std::size_t()> countUnfinished, Duration longestTime)
     {
         m_isStopping = true;
-        stopWhenIdle(std::move(busyConnections), m_clock.monotonicNow() + longestTime);
+        stopWhenIdle(std::move(countUnfinished), m_clock.monotonicNow() + longestTime);
     }
 
 private:
@@ -72,14 +72,14 @@
     static constexpr Duration stallThreshold = std::chrono::milliseconds(500);
     static constexpr Duration idleCheckInterval = std::chrono::milliseconds(20);
 
-    void stopWhenIdle(std::function<std::size_t()> busyConnections, MonotonicTime deadline)
+    void stopWhenIdle(std::function<std::size_t()> countUnfinished, MonotonicTime deadline)
     {
-        if (busyConnections() == 0 || m_clock.monotonicNow() >= deadline) {
+        if (countUnfinished() == 0 || m_clock.monotonicNow() >= deadline) {
             m_loop.stop();
             return;
         }
         m_loop.callLater(
-            idleCheckInterval, [this, busyConnections, deadline] { stopWhenIdle(busyConnections, deadline); });
+            idleCheckInterval, [this, countUnfinished, deadline] { stopWhenIdle(countUnfinished, deadline); });
     }
 
     EventLoop& m_loop;
--- a/src/store/HttpStoreClient.cpp
+++ b/src/store/HttpStoreClient.cpp
@@ -9,6 +9,13 @@
     constexpr Duration connectTimeout = std::chrono::milliseconds(500);
     constexpr std::size_t maximumResponseBytes = 64 * 1024 * 1024;
 
+    bool isWrite(const StoreOperation& operation)
+    {
+        return std::holds_alternative<StoreCompareAndSwap>(operation) || std::holds_alternative<StoreDelete>(operation)
+            || std::holds_alternative<LeaseCreate>(operation) || std::holds_alternative<LeaseRenew>(operation)
+            || std::holds_alternative<LeaseRevoke>(operation);
+    }
+
     Duration maximumResponseTime(const StoreCall& call)
     {
         if (const auto* watch = std::get_if<StoreWatch>(&call.operation))
@@ -50,6 +57,7 @@
     auto pending = std::make_shared<PendingCall>();
     pending->call = call;
     pending->sentAt = m_clock.monotonicNow();
+    m_runningWrites += isWrite(call.operation) ? 1 : 0;
     send(pending);
     m_loop.callLater(maximumResponseTime(call), [this, weak = std::weak_ptr(pending)] {
         const auto late = weak.lock();
@@ -117,6 +125,7 @@
 void HttpStoreClient::complete(const std::shared_ptr<PendingCall>& pending, StoreReply reply)
 {
     pending->isDone = true;
+    m_runningWrites -= isWrite(pending->call.operation) ? 1 : 0;
     reply.id = pending->call.id;
     reply.sentAt = pending->sentAt;
     reply.epoch = pending->epoch;
--- a/tests/fleet/GatewayFleetTest.cpp
+++ b/tests/fleet/GatewayFleetTest.cpp
@@ -112,6 +112,24 @@
     }
 }
 
+// Guards against a process that ends before its last store calls are sent, so that the fleet takes it for live, and for
+// the owner of the placement, until its lease lapses.
+TEST_CASE("A host without callers gives up its lease and the ownership before it exits")
+{
+    GatewayFleet fleet({ 1, 1, 1 });
+    const auto hasKey = [&fleet](const std::string& prefix) {
+        bool found = false;
+        fleet.onLoop([&] { found = fleet.store().hasKey(prefix); });
+        return found;
+    };
+    REQUIRE(eventually([&] { return hasKey("catkinwell/owner"); }, 10s));
+    REQUIRE(hasKey("catkinwell/hosts/host-0/"));
+    fleet.process(0).signal(SIGTERM);
+    REQUIRE(fleet.process(0).waitForExit(8s) == 0);
+    CHECK_FALSE(hasKey("catkinwell/owner"));
+    CHECK_FALSE(hasKey("catkinwell/hosts/host-0/"));
+}
+
 // Guards against a process that does not apply changed settings, or that exits because of them.
 TEST_CASE("Changed settings are applied at SIGHUP")
 {
--- a/tests/platform/FakeMetadataStore.cpp
+++ b/tests/platform/FakeMetadataStore.cpp
@@ -288,4 +288,10 @@
     return found == m_state.items.end() ? "" : found->second.value;
 }
 
+bool FakeMetadataStore::hasKey(const std::string& prefix) const
+{
+    const auto found = m_state.items.lower_bound(prefix);
+    return found != m_state.items.end() && found->first.starts_with(prefix);
+}
+
 } // namespace Catkinwell::Testing
--- a/tests/platform/FakeMetadataStore.h
+++ b/tests/platform/FakeMetadataStore.h
@@ -37,6 +37,8 @@
     void erase(const std::string& key);
     // Returns the value of a key, or an empty text if the key does not exist.
     std::string value(const std::string& key) const;
+    // Whether a key begins with this text.
+    bool hasKey(const std::string& prefix) const;
     std::uint64_t calls() const { return m_calls; }
 
     // Keeps a copy of everything, to which restore() goes back: items, leases, which begin anew, and revisions, which
