Let requests run at a stopping gateway as long as its own end allows

What callers saw: what ran was cut 0.7 s before the end of the grace time, on a host in time as on a slow one, which was then killed in its last steps. The log line at the end said that nothing ran.

Cause: the margin was a constant, and the line was written after the requests were ended.

Change: the margin is what the runtime may take to write the answers out (0.3 s), the time for the process's own end (0.2 s) and twice the longest recent interval between two ticks, by which the host is late, at most a sixth of the grace time: 0.54 s at 8 s on a host in time. shutdown_forced names the number of requests that were cut; each has a line of its own, as before.

Evidence: PlannedStopTest on the code before: an answer 7.4 s after the signal was replaced by 504, a host with a tick every 0.4 s had less than 0.3 s and a tick left, and the log said "running":"0" (3 of 133 assertions failed). Now all pass, as do all gateway tests. A second signal while stopping changes nothing; its test passed before and after.

--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -27,6 +27,10 @@
     CallerLeft, CallerBackpressure, AttemptHead, AttemptData, AttemptFinished, AttemptFailed, StoreReply,
     PeerMessageReceived, EngineStatus, EngineStatusFailed, EngineOrderFinished, GatewaySettingsChanged, StoreRestored>;
 
+// How long the runtime may go on after ExitProcess, to refuse what arrives last, to write the answers out and to have
+// the last store calls answered.
+constexpr Duration longestGatewayExit = std::chrono::milliseconds(300);
+
 // State machine of a gateway. apply() is pure: the same state, events and times give the same effects. Not thread
 // safe.
 class GatewayReducer {
@@ -68,6 +72,7 @@
     struct Dispatch;
     struct MessageDispatch;
 
+    void noteTickInterval(MonotonicTime now);
     void handleTick(const Tick&, MonotonicTime now, EffectList&);
     void handleSettings(const GatewaySettings&);
     void setStoreReconnect(Duration);
@@ -160,6 +165,9 @@
     MonotonicTime m_nextWholeDemandAt {};
     Phase m_phase = Phase::Serving;
     MonotonicTime m_shutdownAt {};
+    MonotonicTime m_lastTickAt {};
+    // The longest recent time between two ticks, by which this host is late.
+    Duration m_tickInterval {};
     bool m_isAcceptingStopped = false;
     bool m_wasReady = false;
 };
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -32,7 +32,6 @@
     // A peer that is no longer registered counts as live for this time after its last digest.
     constexpr Duration digestLifetime = std::chrono::seconds(2);
     constexpr Duration configurationAskInterval = std::chrono::milliseconds(300);
-    constexpr Duration shutdownMargin = std::chrono::milliseconds(700);
     constexpr std::size_t maximumOfferBytes = 900 * 1024;
 
     HostLeaseSettings leaseSettingsOf(const GatewaySettings& settings)
@@ -206,6 +205,7 @@
 
 void GatewayReducer::handleTick(const Tick& tick, MonotonicTime now, EffectList& effects)
 {
+    noteTickInterval(now);
     m_wallNow = tick.wallNow;
     m_lease.tick(now, effects);
     m_configurationMirror.tick(now, effects);
@@ -550,53 +550,4 @@
             { "endpoints", std::to_string(m_directory.size()) } } });
 }
 
-void GatewayReducer::handleShutdown(MonotonicTime now, EffectList& effects)
-{
-    if (m_phase != Phase::Serving)
-        return;
-    m_phase = Phase::Draining;
-    m_shutdownAt = now;
-    m_requests.setStop(stopTimes());
-    effects.push_back(
-        LogEntry { LogEvent::ShutdownRequested, { { "running", std::to_string(m_requests.activeRequests()) } } });
-    effects.push_back(AnnounceClosing {});
-    m_ownership.stopCompeting();
-    m_nextDigestAt = now;
-    sendDigests(now, effects);
-    reportReadiness(effects);
-}
-
-GatewayRequests::StopTimes GatewayReducer::stopTimes() const
-{
-    const Duration accepting = std::min(m_settings.shutdownAccepting, m_settings.shutdownGrace / 2);
-    return { m_shutdownAt + accepting, m_shutdownAt + m_settings.shutdownGrace - shutdownMargin };
-}
-
-void GatewayReducer::advanceShutdown(MonotonicTime now, EffectList& effects)
-{
-    if (m_phase != Phase::Draining)
-        return;
-    const GatewayRequests::StopTimes times = stopTimes();
-    m_requests.setStop(times);
-    const bool isAcceptingOver = now >= times.acceptingUntil;
-    if (!m_isAcceptingStopped && isAcceptingOver) {
-        m_isAcceptingStopped = true;
-        m_requests.stopAccepting(now, effects);
-    }
-    const bool isDrained = m_requests.activeRequests() == 0 && isAcceptingOver;
-    const bool isOver = now >= times.endsAt;
-    if (!isDrained && !isOver)
-        return;
-    m_phase = Phase::Finished;
-    m_requests.endAll(now, effects);
-    sendStreamBeginnings(now, effects);
-    m_streamRecords.flush(m_wallNow, now, effects);
-    m_ownership.release(effects);
-    m_placement.setPermission(std::nullopt, now);
-    m_lease.revoke(effects);
-    effects.push_back(LogEntry { isDrained ? LogEvent::ShutdownFinished : LogEvent::ShutdownForced,
-        { { "running", std::to_string(m_requests.activeRequests()) } } });
-    effects.push_back(ExitProcess { 0 });
-}
-
 } // namespace Catkinwell
--- a/src/runtime/GatewayRuntime.cpp
+++ b/src/runtime/GatewayRuntime.cpp
@@ -16,9 +16,6 @@
 
 namespace {
 
-    // Time to refuse what arrives last, to write the answers out and to have the last store calls answered, after the
-    // reducer has finished.
-    constexpr Duration longestExit = std::chrono::milliseconds(300);
     // Request identifiers of the relay, status and metrics listeners are above these values.
     constexpr std::uint64_t firstRelayId = 1ULL << 61;
     constexpr std::uint64_t firstStatusId = 1ULL << 62;
@@ -138,7 +135,7 @@
                 return owner.m_callers.busyConnections() + owner.m_relays.busyConnections()
                     + owner.m_store.runningWrites();
             },
-            longestExit);
+            longestGatewayExit);
     }
 };
 
--- a/tests/gateway/PlannedStopTest.cpp
+++ b/tests/gateway/PlannedStopTest.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr Duration tickTime = 20ms;
 constexpr Duration grace = 8s;
 
 // Engines have the model m1 in their hosts' memory, from which a load takes 0.8 s.
@@ -142,6 +141,7 @@
     std::vector<LogEntry> log;
     int openRequests = 0;
     std::optional<MonotonicTime> exitAt;
+    Duration tickTime = 20ms;
     MonotonicTime now { std::chrono::hours(1) };
     MonotonicTime stoppedAt {};
 
@@ -304,3 +304,91 @@
     if (isRefused)
         CHECK(isStoppingRefusal(fixture.answers.at(id)));
 }
+
+namespace {
+
+struct EndCase {
+    const char* name;
+    // Time between two ticks.
+    Duration tickTime;
+    // When the answer ends after the signal.
+    Duration answeredAt;
+    bool isExpectedToArrive;
+};
+
+} // namespace
+
+// Guards against answers that are cut although time is left to deliver them, and against a slow host that is killed
+// before it has written its answers out.
+TEST_CASE("A stopping gateway lets requests run as long as its own end allows")
+{
+    const auto test = GENERATE(values<EndCase>({
+        { "a host in time", 20ms, 7400ms, true },
+        { "a host in time, too late", 20ms, 7600ms, false },
+        { "a slow host", 400ms, 6400ms, true },
+        { "a slow host, too late", 400ms, 7600ms, false },
+    }));
+    INFO(test.name);
+    StopFixture fixture;
+    fixture.tickTime = test.tickTime;
+    fixture.measure("/order/1", 20, 400ms);
+    const RequestId id = fixture.arrive("/order/1");
+    const auto attempts = fixture.takeAttempts();
+    REQUIRE(attempts.size() == 1);
+    fixture.stop();
+    fixture.advance(test.answeredAt);
+    fixture.apply(AttemptHead { attempts[0].id, 200, { { "sealed", "1" } } });
+    fixture.apply(AttemptFinished { attempts[0].id });
+    fixture.advance(grace);
+    CHECK(fixture.answers.at(id).status == (test.isExpectedToArrive ? 200 : 504));
+    CHECK(fixture.openRequests == 0);
+    REQUIRE(fixture.exitAt);
+    // The runtime takes 0.3 s at most to write the answers out.
+    CHECK(*fixture.exitAt + 300ms + test.tickTime <= fixture.stoppedAt + grace);
+}
+
+// Guards against a request that is cut without a line in the log that names it.
+TEST_CASE("What a stopping gateway cuts at the end is logged with its request")
+{
+    StopFixture fixture;
+    fixture.measure("/order/1", 20, 400ms);
+    const RequestId id = fixture.arrive("/order/1");
+    fixture.stop();
+    fixture.advance(grace);
+    CHECK(fixture.answers.at(id).status == 504);
+    const auto hasField = [](const LogEntry& entry, const std::string& name, const std::string& value) {
+        return std::find(entry.fields.begin(), entry.fields.end(), std::pair(name, value)) != entry.fields.end();
+    };
+    const auto isLogged = [&](LogEvent event, const std::string& name, const std::string& value) {
+        return std::any_of(fixture.log.begin(), fixture.log.end(),
+            [&](const LogEntry& entry) { return entry.event == event && hasField(entry, name, value); });
+    };
+    CHECK(isLogged(LogEvent::GatewayRequestFailed, "request", std::to_string(id.value)));
+    CHECK(isLogged(LogEvent::ShutdownForced, "running", "1"));
+}
+
+// Guards against a stop that a second signal cuts short or begins anew.
+TEST_CASE("A second signal changes nothing at a stopping gateway")
+{
+    const bool isFinished = GENERATE(false, true);
+    StopFixture fixture;
+    fixture.measure("/order/1", 20, 400ms);
+    const RequestId id = fixture.arrive("/order/1");
+    const auto attempts = fixture.takeAttempts();
+    fixture.stop();
+    fixture.advance(4s);
+    if (!isFinished)
+        fixture.apply(ShutdownSignal {});
+    fixture.advance(2s);
+    fixture.apply(AttemptHead { attempts.at(0).id, 200, { { "sealed", "1" } } });
+    fixture.apply(AttemptFinished { attempts.at(0).id });
+    CHECK(fixture.answers.at(id).status == 200);
+    fixture.advance(20ms);
+    REQUIRE(fixture.exitAt);
+    const MonotonicTime exitAt = *fixture.exitAt;
+    if (isFinished)
+        fixture.apply(ShutdownSignal {});
+    fixture.advance(1s);
+    CHECK(*fixture.exitAt == exitAt);
+    CHECK(fixture.openRequests == 0);
+}
