Keep a silent endpoint's request until another attempt can begin

Callers of a sound endpoint that fell silent for 1.2 to 2 s (0.3 s or three times the goal before the head) and then went on lost their answers: a stream that had begun was aborted when no retry was left, and any request waited for its deadline and ended with 504 when no other endpoint could take it.

The decision to give an attempt up did not ask whether anything better existed. It cancelled the run first, then looked for a retry and an endpoint. Each of the requests that one silence stalled also counted as a failure of its own, so that five streams kept the endpoint unused for 3 s.

A silent attempt is now cancelled only if a retry is left and dispatch would start another one at once, here or by way of another host; the search is repeated while the silence lasts. A run is still cancelled before the next one begins, so none runs beside another. Silence is still evidence for a lost path, once for each silence. It keeps the endpoint from new requests for a time, once however many requests it stalls, and does not enter the endpoint's share of failures; connections that fail count as before.

--- a/include/catkinwell/gateway/EndpointDirectory.h
+++ b/include/catkinwell/gateway/EndpointDirectory.h
@@ -37,8 +37,10 @@
     Good,
     // A server error, a broken connection or an invalid answer.
     Bad,
-    // No connection, or no data in time.
+    // No connection, or one whose other end is gone.
     Unreachable,
+    // No data in time, over a connection that was not seen to fail.
+    Silent,
     // Says nothing about the endpoint: the caller left, or the endpoint did not run the request.
     Neutral,
 };
@@ -64,6 +66,8 @@
 
     // Returns the best endpoint for the request and logs the decision; nullopt if none is available.
     std::optional<EndpointChoice> choose(const EndpointNeed&, MonotonicTime now, EffectList&);
+    // Whether choose() would return an endpoint.
+    bool canChoose(const EndpointNeed&, MonotonicTime now);
     // Whether a usable endpoint of the service that accepts a request now holds the variant, regardless of its load.
     bool hasReplica(const std::string& service, const ModelVariant&, const std::optional<std::string>& softwareVersion,
         MonotonicTime now);
@@ -170,6 +174,7 @@
     using Affinities = std::map<EndpointId, double>;
 
     bool isUsable(const Entry&, MonotonicTime now) const;
+    bool canTake(const Entry&, const EndpointNeed&, MonotonicTime now);
     // Whether the endpoint's limits leave a place for a request of this host.
     bool isAvailable(const Entry&, MonotonicTime now);
     EndpointRoom::Use useOf(const Entry&, MonotonicTime now);
@@ -178,6 +183,8 @@
     const LoadedModels& modelsOf(const Entry&, MonotonicTime now) const;
     // Returns the expected time of a load from the weight store that was not ordered yet.
     Duration timeOfStoreLoad(const std::string& service, const GatewayModel&, MonotonicTime now) const;
+    // Keeps new requests from the endpoint for a time that grows with its consecutive failures.
+    static void suspect(Entry&, MonotonicTime now, EffectList&);
     double scoreOf(const Entry&, const Affinities&);
     Affinities affinitiesOf(const EndpointNeed&) const;
     void addPeerLoad(const std::vector<RunningCount>&);
--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -144,6 +144,10 @@
         RelayAnswer relayAnswer;
         MonotonicTime startedAt {};
         MonotonicTime lastDataAt {};
+        // When the latest silence was counted as a failure to reach the endpoint.
+        MonotonicTime silenceNotedAt {};
+        // When another endpoint is next looked for because this one is silent.
+        MonotonicTime nextMoveCheckAt {};
         // When the answer last came nearer to its end: a whole event, or a good part of a large one.
         MonotonicTime lastProgressAt {};
         std::size_t bytesAtProgress = 0;
@@ -294,6 +298,7 @@
     void reportVersion(Request&, MonotonicTime now);
     void reportIfBroken(Request&, MonotonicTime now);
     std::vector<RequestId> requestsAwaiting(StreamKey) const;
+    static EndpointNeed endpointNeedOf(const Request&);
     void dispatch(Request&, MonotonicTime now, EffectList&);
     // A variant, and the only software version that serves it if there is one.
     using VersionedVariant = std::pair<ServiceVariant, std::optional<std::string>>;
@@ -340,7 +345,11 @@
     static bool continuesStream(const Request&);
     void sendHead(Request&, MonotonicTime now, EffectList&);
     static void noteProgress(Attempt&, MonotonicTime now);
-    bool isStalled(const Request&, MonotonicTime now) const;
+    // Moves the request if its attempt makes no progress and another one can begin.
+    void checkSilence(Request&, MonotonicTime now, EffectList&);
+    bool isSilent(const Request&, MonotonicTime now) const;
+    // Whether another attempt could begin at once in place of the present one.
+    bool canMove(const Request&, MonotonicTime now);
     void handleCompleteAnswer(Request&, MonotonicTime now, EffectList&);
     void handleBrokenAnswer(Request&, std::string reason, MonotonicTime now, EffectList&);
     // Passes the end of a whole answer on to the caller.
--- a/include/catkinwell/relay/RelayPeers.h
+++ b/include/catkinwell/relay/RelayPeers.h
@@ -34,6 +34,8 @@
 
     // Returns a host that reaches the service, preferably one in the same data centre; nullopt if there is none.
     std::optional<Choice> choose(const std::string& service, const std::set<HostId>& excluded, MonotonicTime now);
+    // Whether choose() would return a host.
+    bool hasChoice(const std::string& service, const std::set<HostId>& excluded, MonotonicTime now) const;
     // Whether a live host reaches the service.
     bool isReachedBySome(const std::string& service, MonotonicTime now) const;
 
--- a/include/catkinwell/routing/RetryBudget.h
+++ b/include/catkinwell/routing/RetryBudget.h
@@ -27,6 +27,8 @@
     void requestStarted(MonotonicTime now);
     // Takes one retry from the budget. Returns false if none is available.
     bool tryRetry(MonotonicTime now);
+    // Whether tryRetry() would succeed now.
+    bool hasRetry(MonotonicTime now);
     double available() const { return m_available; }
 
 private:
--- a/src/gateway/EndpointDirectory.cpp
+++ b/src/gateway/EndpointDirectory.cpp
@@ -324,6 +324,20 @@
     return load + distance + failures - (affinity == affinities.end() ? 0 : affinity->second) + tie;
 }
 
+// Whether the endpoint may get the request now.
+bool EndpointDirectory::canTake(const Entry& entry, const EndpointNeed& need, MonotonicTime now)
+{
+    return entry.record.service == need.service && !need.excluded.contains(entry.record.id) && isUsable(entry, now)
+        && hasVariant(entry, need.variant, now) && isVersionAccepted(entry, need.softwareVersion)
+        && isAvailable(entry, now);
+}
+
+bool EndpointDirectory::canChoose(const EndpointNeed& need, MonotonicTime now)
+{
+    return std::any_of(
+        m_entries.begin(), m_entries.end(), [&](const auto& item) { return canTake(item.second, need, now); });
+}
+
 std::optional<EndpointChoice> EndpointDirectory::choose(
     const EndpointNeed& need, MonotonicTime now, EffectList& effects)
 {
@@ -332,10 +346,8 @@
     const Entry* bestUnreliable = nullptr;
     double bestScore = 0;
     double bestUnreliableScore = 0;
-    for (auto& [id, entry] : m_entries) {
-        if (entry.record.service != need.service || need.excluded.contains(id) || !isUsable(entry, now)
-            || !hasVariant(entry, need.variant, now) || !isVersionAccepted(entry, need.softwareVersion)
-            || !isAvailable(entry, now))
+    for (const auto& [id, entry] : m_entries) {
+        if (!canTake(entry, need, now))
             continue;
         const double score = scoreOf(entry, affinities);
         const bool isReliable = entry.failureShare <= tolerableFailureShare || m_random.unit() < unreliableProbeShare;
@@ -488,21 +500,33 @@
     }
     if (verdict == AttemptVerdict::Neutral)
         return;
+    if (verdict == AttemptVerdict::Silent) {
+        // One pause of an endpoint stalls all its requests.
+        if (now >= entry.suspectedUntil)
+            suspect(entry, now, effects);
+        return;
+    }
     const bool isBad = verdict != AttemptVerdict::Good;
     entry.failureShare += failureWeight * ((isBad ? 1.0 : 0.0) - entry.failureShare);
     if (!isBad) {
         entry.consecutiveFailures = 0;
         return;
     }
+    // A single bad answer is no reason to suspect an endpoint; a failed connection is.
+    if (verdict != AttemptVerdict::Unreachable && entry.consecutiveFailures < 2)
+        ++entry.consecutiveFailures;
+    else
+        suspect(entry, now, effects);
+}
+
+void EndpointDirectory::suspect(Entry& entry, MonotonicTime now, EffectList& effects)
+{
     ++entry.consecutiveFailures;
-    // A single bad answer is no reason to suspect an endpoint; a failed connection or silence is.
-    if (verdict != AttemptVerdict::Unreachable && entry.consecutiveFailures < 3)
-        return;
     const Duration suspicion = std::min<Duration>(
         longestSuspicion, shortestSuspicion * (std::int64_t { 1 } << std::min(entry.consecutiveFailures - 1, 4U)));
     entry.suspectedUntil = now + suspicion;
     effects.push_back(LogEntry { LogEvent::GatewayEndpointSuspected,
-        { { "endpoint", id.value }, { "failures", std::to_string(entry.consecutiveFailures) },
+        { { "endpoint", entry.record.id.value }, { "failures", std::to_string(entry.consecutiveFailures) },
             { "milliseconds", std::to_string(millisecondsOf(suspicion)) } } });
 }
 
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -21,15 +21,6 @@
     constexpr Duration connectTimeout = std::chrono::milliseconds(400);
     constexpr Duration attemptSilenceTimeout = std::chrono::hours(1);
     constexpr Duration longRetryAfter = std::chrono::seconds(2);
-    // A repeatable request other than a stream moves to another endpoint after this many times its latency goal without
-    // data.
-    constexpr int silenceGoalFactor = 3;
-    constexpr Duration shortestSilenceTimeout = std::chrono::milliseconds(300);
-    // A stream that may be repeated or resumed moves to another endpoint after a pause of this length.
-    constexpr Duration streamPauseTimeout = std::chrono::milliseconds(1200);
-    // The same if bytes arrive, but no whole event and no good part of a large one.
-    constexpr Duration streamProgressTimeout = std::chrono::seconds(5);
-    constexpr std::size_t smallestProgressBytes = 256;
     // A refusal must reach the caller before the caller gives up.
     constexpr Duration refusalMargin = std::chrono::milliseconds(60);
     // Streams of more models than these wait for others to be loaded first.
@@ -85,6 +76,12 @@
     return budget;
 }
 
+EndpointNeed GatewayRequests::endpointNeedOf(const Request& request)
+{
+    return { request.terms.callerRequestId, request.service, request.terms.variant, request.terms.promptParts,
+        request.excluded, request.softwareVersion };
+}
+
 void GatewayRequests::dispatch(Request& request, MonotonicTime now, EffectList& effects)
 {
     if (request.deadline - now < shortestAttempt) {
@@ -104,8 +101,7 @@
             waitForPath(request, now, effects);
         return;
     }
-    EndpointNeed need { request.terms.callerRequestId, request.service, request.terms.variant,
-        request.terms.promptParts, request.excluded, request.softwareVersion };
+    EndpointNeed need = endpointNeedOf(request);
     auto choice = m_directory.choose(need, now, effects);
     if (!choice && !need.excluded.empty() && !request.mayHaveRun) {
         // A request that no endpoint has started may return to an endpoint that rejected it.
@@ -383,31 +379,6 @@
     sendHead(*request, now, effects);
 }
 
-// Comments and single bytes show that the endpoint lives, not that the answer goes on.
-void GatewayRequests::noteProgress(Attempt& attempt, MonotonicTime now)
-{
-    const std::size_t events = attempt.position.events();
-    if (events == attempt.eventsAtProgress && attempt.receivedBytes < attempt.bytesAtProgress + smallestProgressBytes)
-        return;
-    attempt.eventsAtProgress = events;
-    attempt.bytesAtProgress = attempt.receivedBytes;
-    attempt.lastProgressAt = now;
-}
-
-bool GatewayRequests::isStalled(const Request& request, MonotonicTime now) const
-{
-    const Attempt& attempt = *request.attempt;
-    if (attempt.isForwarded && now - attempt.lastProgressAt > streamProgressTimeout)
-        return true;
-    if (attempt.relayedTo)
-        return isRelaySilent(request, now);
-    const Duration silence = now - attempt.lastDataAt;
-    if (attempt.isHeadSeen && request.route.isStream)
-        return silence > streamPauseTimeout;
-    return silence > std::max<Duration>(
-               shortestSilenceTimeout, request.route.latencyGoal * (request.route.isStream ? 1 : silenceGoalFactor));
-}
-
 void GatewayRequests::handle(const AttemptFinished& finished, MonotonicTime now, EffectList& effects)
 {
     if (m_probes.erase(finished.id) > 0)
@@ -543,12 +514,7 @@
         request.attempt->lastProgressAt = now;
         return;
     }
-    if (!isStalled(request, now) || !mayRepeat(request, now))
-        return;
-    request.mayHaveRun = true;
-    noteNotReached(request, AttemptFailure::Silence, now, effects);
-    effects.push_back(CancelAttempt { request.attempt->id });
-    handleFailedAttempt(request, "the endpoint sent no data in time", AttemptVerdict::Unreachable, now, effects);
+    checkSilence(request, now, effects);
 }
 
 void GatewayRequests::dispatchWaiting(MonotonicTime now, EffectList& effects)
--- a/src/relay/RelayPeers.cpp
+++ b/src/relay/RelayPeers.cpp
@@ -72,10 +72,16 @@
     return choices[m_random.below(choices.size())];
 }
 
+bool RelayPeers::hasChoice(const std::string& service, const std::set<HostId>& excluded, MonotonicTime now) const
+{
+    return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& peer) {
+        return !excluded.contains(peer.first) && isUsable(peer.first, peer.second, service, now);
+    });
+}
+
 bool RelayPeers::isReachedBySome(const std::string& service, MonotonicTime now) const
 {
-    return std::any_of(m_peers.begin(), m_peers.end(),
-        [&](const auto& peer) { return isUsable(peer.first, peer.second, service, now); });
+    return hasChoice(service, {}, now);
 }
 
 } // namespace Catkinwell
--- a/src/routing/RetryBudget.cpp
+++ b/src/routing/RetryBudget.cpp
@@ -29,10 +29,15 @@
     m_available = std::min(m_available + m_settings.fraction, m_settings.capacity);
 }
 
-bool RetryBudget::tryRetry(MonotonicTime now)
+bool RetryBudget::hasRetry(MonotonicTime now)
 {
     refill(now);
-    if (m_available < 1)
+    return m_available >= 1;
+}
+
+bool RetryBudget::tryRetry(MonotonicTime now)
+{
+    if (!hasRetry(now))
         return false;
     m_available -= 1;
     return true;
--- /dev/null
+++ b/tests/gateway/SilentEndpointTest.cpp
@@ -0,0 +1,176 @@
+#include "gateway/GatewayFixture.h"
+#include <catch2/catch.hpp>
+
+using namespace Catkinwell;
+using namespace Catkinwell::Testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+const LoadedModels withM1 { { ModelId("m1"), {} } };
+const HeaderList eventHeaders { { "sealed", "1" }, { "Content-Type", "text/event-stream" } };
+constexpr const char* firstEvent = "id: 1\ndata: a\n\n";
+constexpr const char* lastEvent = "id: 2\ndata: b\n\n";
+
+struct RequestKind {
+    const char* name;
+    const char* path;
+    // Whether the caller has the first event of the answer.
+    bool hasBegun;
+};
+
+const RequestKind readRequest { "a repeatable request", "/read/1", false };
+const RequestKind newStream { "a stream before its first event", "/dossier/1", false };
+const RequestKind openStream { "a stream after its first event", "/dossier/1", true };
+
+// A request at one of two endpoints, which falls silent.
+class SilenceFixture : public RequestsFixture {
+public:
+    explicit SilenceFixture(const RequestKind& kind)
+        : m_kind(kind)
+        , m_service(std::string(kind.path).starts_with("/dossier/") ? "notes" : "orders")
+    {
+        for (const char* id : { "x0", "x1" })
+            directory.put(endpoint(id), now, effects);
+        arrive(kind.path);
+        const StartAttempt start = takeAttempts().at(0);
+        first = start.id;
+        silent = start.endpoint;
+        other = EndpointId(start.endpoint.value == "x0" ? "x1" : "x0");
+        if (kind.hasBegun) {
+            requests.handle(AttemptHead { first, 200, eventHeaders }, now, effects);
+            requests.handle(AttemptData { first, firstEvent }, now, effects);
+        }
+    }
+
+    EndpointRecord endpoint(const std::string& id) const { return sampleEndpoint(id, m_service, withM1); }
+
+    // The rest of the answer.
+    void goOn(AttemptId id)
+    {
+        if (!m_kind.hasBegun)
+            requests.handle(AttemptHead { id, 200, eventHeaders }, now, effects);
+        requests.handle(AttemptData { id, lastEvent }, now, effects);
+        requests.handle(AttemptFinished { id }, now, effects);
+    }
+
+    bool isAnswered() const
+    {
+        const auto whole = effectsOf<SendWholeResponse>(effects);
+        return effectsOf<FinishResponse>(effects).size() == 1 || (whole.size() == 1 && whole[0].status == 200);
+    }
+
+    AttemptId first;
+    EndpointId silent;
+    EndpointId other;
+
+private:
+    const RequestKind& m_kind;
+    std::string m_service;
+};
+
+struct ObstacleCase {
+    const char* name;
+    // Keeps a second attempt from beginning.
+    void (*arise)(SilenceFixture&);
+};
+
+void leave(SilenceFixture& fixture)
+{
+    EndpointRecord record = fixture.endpoint(fixture.other.value);
+    record.isLeaving = true;
+    fixture.directory.put(record, fixture.now, fixture.effects);
+}
+
+void useUpRetries(SilenceFixture& fixture) { fixture.requests.setSettings({ 0, 0, 10s }); }
+
+void askForPause(SilenceFixture& fixture)
+{
+    fixture.directory.noteNotice(fixture.other, { false, Duration(30s) }, fixture.now, fixture.effects);
+}
+
+void failConnections(SilenceFixture& fixture)
+{
+    for (int i = 0; i < 6; ++i)
+        fixture.directory.attemptEnded(
+            fixture.other, { ModelId("m1"), "" }, AttemptVerdict::Unreachable, fixture.now, fixture.effects);
+}
+
+} // namespace
+
+// Guards against an answer that is cut although its endpoint would have gone on and nobody else could.
+TEST_CASE("A silent endpoint keeps its request while no other attempt can begin")
+{
+    const RequestKind& kind = GENERATE(readRequest, newStream, openStream);
+    const auto obstacle = GENERATE(values<ObstacleCase>({
+        { "no other endpoint", leave },
+        { "no retry is left", useUpRetries },
+        { "the other endpoint asked for a pause", askForPause },
+        { "the other endpoint could not be reached", failConnections },
+    }));
+    INFO(kind.name << ", " << obstacle.name);
+    SilenceFixture fixture(kind);
+    obstacle.arise(fixture);
+    fixture.advance(1900ms);
+    CHECK(effectsOf<CancelAttempt>(fixture.effects).empty());
+    CHECK(fixture.directory.isUsable(fixture.silent, fixture.now));
+    fixture.goOn(fixture.first);
+    CHECK(fixture.isAnswered());
+    CHECK(effectsOf<AbortResponse>(fixture.effects).empty());
+}
+
+// Guards against a caller that waits for an endpoint that is gone although another one is free, and against a request
+// that runs at both.
+TEST_CASE("A silent endpoint's request moves to another one that is free")
+{
+    const RequestKind& kind = GENERATE(readRequest, newStream, openStream);
+    INFO(kind.name);
+    SilenceFixture fixture(kind);
+    fixture.advance(1700ms);
+    REQUIRE(effectsOf<CancelAttempt>(fixture.effects).size() == 1);
+    CHECK(effectsOf<CancelAttempt>(fixture.effects)[0].id == fixture.first);
+    const auto second = fixture.takeAttempts();
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].endpoint == fixture.other);
+    fixture.requests.handle(AttemptHead { second[0].id, 200, eventHeaders }, fixture.now, fixture.effects);
+    fixture.requests.handle(AttemptData { second[0].id, lastEvent }, fixture.now, fixture.effects);
+    fixture.requests.handle(AttemptFinished { second[0].id }, fixture.now, fixture.effects);
+    CHECK(fixture.isAnswered());
+}
+
+// Guards against a request that stays at a silent endpoint after another one has become free.
+TEST_CASE("A silent endpoint's request moves once another one is free")
+{
+    SilenceFixture fixture(openStream);
+    leave(fixture);
+    fixture.advance(1300ms);
+    REQUIRE(fixture.takeAttempts().empty());
+    fixture.directory.put(fixture.endpoint("x2"), fixture.now, fixture.effects);
+    fixture.advance(200ms);
+    const auto second = fixture.takeAttempts();
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].endpoint == EndpointId("x2"));
+}
+
+// Guards against an endpoint that gets nothing for seconds because one pause stalled many of its streams.
+TEST_CASE("One silence of an endpoint counts once, however many requests it stalls")
+{
+    SilenceFixture fixture(openStream);
+    std::vector<AttemptId> atOther;
+    for (int i = 2; i < 8; ++i) {
+        fixture.arrive("/dossier/" + std::to_string(i));
+        const StartAttempt start = fixture.takeAttempts().at(0);
+        fixture.requests.handle(AttemptHead { start.id, 200, eventHeaders }, fixture.now, fixture.effects);
+        fixture.requests.handle(AttemptData { start.id, firstEvent }, fixture.now, fixture.effects);
+        if (start.endpoint == fixture.other)
+            atOther.push_back(start.id);
+    }
+    fixture.advance(1000ms);
+    for (const AttemptId id : atOther)
+        fixture.requests.handle(AttemptData { id, lastEvent }, fixture.now, fixture.effects);
+    fixture.advance(240ms);
+    REQUIRE(effectsOf<CancelAttempt>(fixture.effects).size() > 2);
+    CHECK_FALSE(fixture.directory.isUsable(fixture.silent, fixture.now));
+    fixture.advance(400ms);
+    CHECK(fixture.directory.isUsable(fixture.silent, fixture.now));
+}
