Do not take a host's own pause for the silence of its endpoints

A host that stood still or was behind for longer than its silence timeouts cancelled all its attempts at once afterwards, although the answers lay in the kernel: requests ran twice, and those for which no other endpoint was free ended with 504 at their deadlines.

Ticks compare the present time with the time at which the last bytes were handled. After SIGCONT epoll_wait returns EINTR, so that all timers run before any socket is read; a host that is behind handles a tick in the middle of what it has yet to read.

SilentEndpointTest "A host's own pause does not count as the silence of its endpoints": 9 of 15 cases failed without this commit.

Time beyond 100 ms between two ticks is not counted as silence, neither of an endpoint nor of a host to which requests are relayed. What was silent before stays as silent as it was, so a peer that is gone is noticed as long after the pause as it would have been without one.

--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -345,6 +345,8 @@
     static bool continuesStream(const Request&);
     void sendHead(Request&, MonotonicTime now, EffectList&);
     static void noteProgress(Attempt&, MonotonicTime now);
+    // Does not count time in which this host did not read as silence of those from whom it reads.
+    void excludeOwnPauses(MonotonicTime now);
     // Moves the request if its attempt makes no progress and another one can begin.
     void checkSilence(Request&, MonotonicTime now, EffectList&);
     bool isSilent(const Request&, MonotonicTime now) const;
@@ -423,6 +425,7 @@
     // Requests that wait for a check of the list of endpoints.
     std::set<RequestId> m_awaitingList;
     std::uint64_t m_lastAttempt = 0;
+    MonotonicTime m_lastTickAt {};
     bool m_newlyWaiting = false;
     bool m_hasReachNews = false;
     AnswerTimes m_answerTimes;
--- a/include/catkinwell/relay/RelayPeers.h
+++ b/include/catkinwell/relay/RelayPeers.h
@@ -29,6 +29,8 @@
     void noteHeard(const HostId&, std::set<std::string> unreachableServices, MonotonicTime now);
     // No connection to the host could be opened, or it did not accept a request for the service.
     void noteFailure(const HostId&, MonotonicTime now);
+    // This host read no messages for this time until now.
+    void excludePause(Duration, MonotonicTime now);
     // Whether nothing was heard from the host for longer than its reports take, so that it does not answer either.
     bool isSilent(const HostId&, MonotonicTime now) const;
 
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -453,6 +453,7 @@
 void GatewayRequests::tick(MonotonicTime now, EffectList& effects)
 {
     endRefusedWaits(now);
+    excludeOwnPauses(now);
     std::vector<RequestId> ids;
     ids.reserve(m_requests.size());
     for (const auto& [id, request] : m_requests)
--- a/src/gateway/GatewaySilence.cpp
+++ b/src/gateway/GatewaySilence.cpp
@@ -18,6 +18,9 @@
     constexpr std::size_t smallestProgressBytes = 256;
     // Time between two searches for another endpoint.
     constexpr Duration moveCheckInterval = std::chrono::milliseconds(100);
+    // If two ticks are further apart, this host was behind or stood still, and bytes that arrived meanwhile may be
+    // unread.
+    constexpr Duration longestTickGap = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -32,6 +35,20 @@
     attempt.lastProgressAt = now;
 }
 
+void GatewayRequests::excludeOwnPauses(MonotonicTime now)
+{
+    const MonotonicTime lastTick = std::exchange(m_lastTickAt, now);
+    const Duration gap = lastTick == MonotonicTime() ? Duration::zero() : now - lastTick;
+    const Duration pause = std::max<Duration>(Duration::zero(), gap - longestTickGap);
+    if (pause > Duration::zero())
+        m_relayPeers.excludePause(pause, now);
+    for (const auto& [id, requestId] : m_attempts) {
+        Attempt& attempt = *m_requests.at(requestId).attempt;
+        attempt.lastDataAt = std::min(now, attempt.lastDataAt + pause);
+        attempt.lastProgressAt = std::min(now, attempt.lastProgressAt + pause);
+    }
+}
+
 bool GatewayRequests::isSilent(const Request& request, MonotonicTime now) const
 {
     const Attempt& attempt = *request.attempt;
--- a/src/relay/RelayPeers.cpp
+++ b/src/relay/RelayPeers.cpp
@@ -45,6 +45,14 @@
         found->second.avoidedUntil = now + failureTime;
 }
 
+void RelayPeers::excludePause(Duration pause, MonotonicTime now)
+{
+    for (auto& [host, peer] : m_peers) {
+        if (peer.heardAt != MonotonicTime())
+            peer.heardAt = std::min(now, peer.heardAt + pause);
+    }
+}
+
 bool RelayPeers::isSilent(const HostId& host, MonotonicTime now) const
 {
     const auto found = m_peers.find(host);
--- a/tests/gateway/SilentEndpointTest.cpp
+++ b/tests/gateway/SilentEndpointTest.cpp
@@ -174,3 +174,40 @@
     fixture.advance(400ms);
     CHECK(fixture.directory.isUsable(fixture.silent, fixture.now));
 }
+
+namespace {
+
+struct PauseCase {
+    const char* name;
+    // How long this host stands still, and how long after that the endpoint's next bytes are read.
+    Duration pause;
+    Duration readAfter;
+    bool expectedMoved;
+};
+
+} // namespace
+
+// Guards against a host that was behind and takes the time in which it read nothing for the silence of its endpoints,
+// and against silence that goes unnoticed from then on.
+TEST_CASE("A host's own pause does not count as the silence of its endpoints")
+{
+    const RequestKind& kind = GENERATE(readRequest, newStream, openStream);
+    const auto test = GENERATE(values<PauseCase>({
+        { "bytes that lay unread", 2s, 0ms, false },
+        { "bytes that follow soon", 2s, 200ms, false },
+        { "a long pause", 5s, 200ms, false },
+        { "none for long", 2s, 1600ms, true },
+        { "no pause, none for long", 0s, 1600ms, true },
+    }));
+    INFO(kind.name << ", " << test.name);
+    SilenceFixture fixture(kind);
+    fixture.advance(20ms);
+    fixture.now += test.pause;
+    fixture.requests.tick(fixture.now, fixture.effects);
+    fixture.advance(test.readAfter);
+    CHECK(effectsOf<CancelAttempt>(fixture.effects).size() == (test.expectedMoved ? 1 : 0));
+    if (test.expectedMoved)
+        return;
+    fixture.goOn(fixture.first);
+    CHECK(fixture.isAnswered());
+}
