Do not take an answer that is not read for silence

While a caller reads slowly the host stops reading from the endpoint. A resumable stream whose caller paused for 1.2 s was then cancelled at its sound endpoint and begun again at another one, at the cost of a retry; the first one was suspected and counted as out of reach.

--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -507,15 +507,8 @@
         refuse(request, endOfWaiting(request), now, effects);
         return;
     }
-    if (!request.attempt)
-        return;
-    if (request.isCallerSlow) {
-        // The endpoint is silent because this host does not read.
-        request.attempt->lastDataAt = now;
-        request.attempt->lastProgressAt = now;
-        return;
-    }
-    checkSilence(request, now, effects);
+    if (request.attempt)
+        checkSilence(request, now, effects);
 }
 
 void GatewayRequests::dispatchWaiting(MonotonicTime now, EffectList& effects)
--- a/src/gateway/GatewaySilence.cpp
+++ b/src/gateway/GatewaySilence.cpp
@@ -43,9 +43,11 @@
     if (pause > Duration::zero())
         m_relayPeers.excludePause(pause, now);
     for (const auto& [id, requestId] : m_attempts) {
-        Attempt& attempt = *m_requests.at(requestId).attempt;
-        attempt.lastDataAt = std::min(now, attempt.lastDataAt + pause);
-        attempt.lastProgressAt = std::min(now, attempt.lastProgressAt + pause);
+        Request& request = m_requests.at(requestId);
+        Attempt& attempt = *request.attempt;
+        const Duration unread = request.isCallerSlow ? now - attempt.lastDataAt : pause;
+        attempt.lastDataAt = std::min(now, attempt.lastDataAt + unread);
+        attempt.lastProgressAt = std::min(now, attempt.lastProgressAt + unread);
     }
 }
 
--- a/tests/gateway/SilentEndpointTest.cpp
+++ b/tests/gateway/SilentEndpointTest.cpp
@@ -211,3 +211,18 @@
     fixture.goOn(fixture.first);
     CHECK(fixture.isAnswered());
 }
+
+// Guards against a sound endpoint whose stream is cut because its caller reads slowly.
+TEST_CASE("An answer that this host does not read does not count as silence")
+{
+    SilenceFixture fixture(openStream);
+    const RequestId request = effectsOf<SendResponseHead>(fixture.effects).at(0).id;
+    fixture.requests.handle(CallerBackpressure { request, true }, fixture.effects);
+    fixture.advance(6s);
+    CHECK(effectsOf<CancelAttempt>(fixture.effects).empty());
+    fixture.requests.handle(CallerBackpressure { request, false }, fixture.effects);
+    fixture.advance(1000ms);
+    CHECK(effectsOf<CancelAttempt>(fixture.effects).empty());
+    fixture.advance(400ms);
+    CHECK(effectsOf<CancelAttempt>(fixture.effects).size() == 1);
+}
