Read what has arrived before an exchange counts as silent

After the loop stood still, exchanges whose answers lay in the kernel failed as silent: store calls, reports, probes, and checks whether an endpoint runs, whose failure turns a whole answer into a broken one. libevent reports a socket that is ready, and whose timer has run out as well, as timed out.

HttpClientTest "Time in which the loop stood still is not the peer's silence" failed before: 0 of 100 exchanges finished, with answers that arrived during the lag and with answers 100 ms after it. Now 100 of 100 finish, and peers that stay silent are still given up.

When a timeout is noticed and the socket is ready, the exchange goes on; also, once more for the whole timeout, if the timeout is noticed over 100 ms late. The same holds for connections that were opened while the loop was behind.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -16,6 +16,7 @@
 #include <event2/util.h>
 #include <map>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unordered_map>
 #include <vector>
@@ -31,6 +32,8 @@
     constexpr std::size_t maximumIdleConnectionsPerAddress = 512;
     // A connection remembers the identifiers of as many requests and is not reused after that.
     constexpr std::size_t maximumRequestsPerConnection = 512;
+    // If a timeout is noticed later than this, the loop was behind, and so were its own writes and reads.
+    constexpr Duration longestLag = std::chrono::milliseconds(100);
     constexpr std::size_t readSize = 64 * 1024;
     // Most bytes of interim responses, and of responses to other requests, before the expected one.
     constexpr std::size_t maximumSkippedBytes = 1024 * 1024;
@@ -167,6 +170,8 @@
     void finish(bool reusable);
     void send();
     void setSilenceTimeout();
+    // Whether the timeout says nothing about the peer, because the loop was behind. The exchange then goes on.
+    bool goOnAfterLag(short what);
 
     Implementation& m_owner;
     std::string m_address;
@@ -178,6 +183,8 @@
     std::string m_unsent;
     std::optional<MonotonicTime> m_sendBefore;
     Duration m_silenceTimeout {};
+    // When the silence timeout was set, or bytes were read after that.
+    MonotonicTime m_lastReadAt {};
     Duration m_idleTime = defaultIdleTime;
     MonotonicTime m_usableUntil {};
     std::string m_echoHeader;
@@ -266,6 +273,21 @@
 {
     const timeval silence = toTimeval(m_silenceTimeout);
     bufferevent_set_timeouts(m_stream, &silence, &silence);
+    m_lastReadAt = m_owner.m_clock.monotonicNow();
+}
+
+bool HttpClient::Implementation::Connection::goOnAfterLag(short what)
+{
+    const bool isWriting = what & BEV_EVENT_WRITING;
+    pollfd socket { bufferevent_getfd(m_stream), static_cast<short>(isWriting ? POLLOUT : POLLIN), 0 };
+    const bool isReady = poll(&socket, 1, 0) > 0;
+    const MonotonicTime now = m_owner.m_clock.monotonicNow();
+    const bool wasBehind = m_isOpen && now - m_lastReadAt > m_silenceTimeout + longestLag;
+    if (!isReady && !wasBehind)
+        return false;
+    m_lastReadAt = now;
+    bufferevent_enable(m_stream, isWriting ? EV_WRITE : EV_READ);
+    return true;
 }
 
 void HttpClient::Implementation::Connection::setPaused(bool paused)
@@ -298,6 +320,7 @@
         m_owner.dropIdle(*this);
         return;
     }
+    m_lastReadAt = m_owner.m_clock.monotonicNow();
     evbuffer* input = bufferevent_get_input(m_stream);
     while (const std::size_t size = std::min(evbuffer_get_length(input), readSize)) {
         const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
@@ -377,6 +400,8 @@
         self.m_owner.dropIdle(self);
         return;
     }
+    if ((what & BEV_EVENT_TIMEOUT) && self.goOnAfterLag(what))
+        return;
     if (!self.m_isOpen) {
         self.fail(AttemptFailure::Connect, "the connection to " + self.m_address + " could not be opened");
         return;
--- a/tests/http/HttpClientTest.cpp
+++ b/tests/http/HttpClientTest.cpp
@@ -7,9 +7,14 @@
 #include <event2/util.h>
 #include <functional>
 #include <memory>
+#include <netinet/in.h>
 #include <optional>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
 
 using namespace Catkinwell;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -278,3 +283,97 @@
     fixture.loop.run();
     CHECK(finished == callers);
 }
+
+namespace {
+
+// Accepts connections on a thread of its own and answers each after a delay.
+class DelayedServer {
+public:
+    DelayedServer(int connections, std::chrono::milliseconds delay)
+        : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(address);
+        REQUIRE(bind(m_socket, reinterpret_cast<sockaddr*>(&address), size) == 0);
+        REQUIRE(listen(m_socket, connections) == 0);
+        REQUIRE(getsockname(m_socket, reinterpret_cast<sockaddr*>(&address), &size) == 0);
+        port = ntohs(address.sin_port);
+        m_thread = std::thread([this, connections, delay] { run(connections, delay); });
+    }
+    ~DelayedServer()
+    {
+        m_thread.join();
+        for (const int peer : m_peers)
+            close(peer);
+        close(m_socket);
+    }
+
+    std::uint16_t port = 0;
+
+private:
+    void run(int connections, std::chrono::milliseconds delay)
+    {
+        for (int i = 0; i < connections; ++i)
+            m_peers.push_back(accept(m_socket, nullptr, nullptr));
+        std::this_thread::sleep_for(delay);
+        constexpr std::string_view answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        for (const int peer : m_peers)
+            static_cast<void>(write(peer, answer.data(), answer.size()));
+    }
+
+    int m_socket;
+    std::vector<int> m_peers;
+    std::thread m_thread;
+};
+
+struct LagCase {
+    const char* name;
+    std::chrono::milliseconds answerAfter;
+    // When the loop begins to stand still, and for how long.
+    std::chrono::milliseconds lagAfter;
+    std::chrono::milliseconds lag;
+    bool expectedFinished;
+};
+
+} // namespace
+
+// Guards against answers that are lost, and peers that count as silent, because this process was behind.
+TEST_CASE("Time in which the loop stood still is not the peer's silence")
+{
+    const auto test = GENERATE(values<LagCase>({
+        { "answers that arrived meanwhile", 250ms, 150ms, 400ms, true },
+        { "answers soon after it", 650ms, 150ms, 400ms, true },
+        { "no answer for long after it", 1500ms, 150ms, 400ms, false },
+        { "no answer and no lag", 800ms, 150ms, 0ms, false },
+    }));
+    INFO(test.name);
+    constexpr int exchanges = 100;
+    DelayedServer server(exchanges, test.answerAfter);
+    EventLoop loop;
+    HttpClient client(loop);
+    int finished = 0;
+    int ended = 0;
+    const auto end = [&] {
+        if (++ended == exchanges)
+            loop.stop();
+    };
+    for (int i = 0; i < exchanges; ++i) {
+        HttpExchange exchange;
+        exchange.address = "127.0.0.1:" + std::to_string(server.port);
+        exchange.silenceTimeout = 300ms;
+        HttpExchangeObserver observer;
+        observer.onHead = [](int, const HeaderList&) {};
+        observer.onData = [](const std::string&) {};
+        observer.onFinished = [&] {
+            ++finished;
+            end();
+        };
+        observer.onFailed = [&](AttemptOutcome, AttemptFailure, const std::string&) { end(); };
+        client.start(exchange, observer);
+    }
+    loop.callLater(test.lagAfter, [&test] { std::this_thread::sleep_for(test.lag); });
+    loop.run();
+    CHECK(finished == (test.expectedFinished ? exchanges : 0));
+}
