Read a request that has arrived before its caller counts as slow

A host that was behind for longer than its header or idle timeout answered 408 to requests that lay whole in the kernel, and closed idle connections on which a request had arrived without any answer.

CallerListenerTest "Requests that have arrived are read before their time counts as passed" failed before: 32 of 120 requests were served, for a head, a body and a request on an idle connection; libevent asks the kernel for 32 ready sockets at a time. Now 120 of 120.

While bytes are unread the timer is put off by up to 8 rounds of the loop, in which they are read. A slow caller gains no more than that.

--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -26,6 +26,8 @@
     // connection with unread bytes resets it, and the caller may then never see the refusal.
     constexpr std::size_t maximumDiscardedBytes = 8 * 1024 * 1024;
     constexpr Duration longestDiscarding = std::chrono::seconds(2);
+    // Rounds of the loop in which bytes that have arrived are read.
+    constexpr unsigned maximumTimerDelays = 8;
 
     std::string errorBody(int status, const std::string& reason)
     {
@@ -62,6 +64,7 @@
     m_unsentAtTimer = unsentBytes();
     const timeval timeout = toTimeval(duration);
     event_add(m_timer, &timeout);
+    m_timerDelays = 0;
 }
 
 // Whether the caller has taken bytes of a finished response since the timer was set.
@@ -76,9 +79,18 @@
 void CallerConnection::timedOut(int, short, void* context)
 {
     auto& self = *static_cast<CallerConnection*>(context);
-    if (self.hasReadOutput())
+    if (self.hasReadOutput()) {
         self.setTimer(self.m_owner.limits().idleTimeout);
-    else if (self.m_phase == Phase::ReadingHead || self.m_phase == Phase::ReadingBody)
+        return;
+    }
+    // A host that was behind reads what has arrived before it takes the caller for slow.
+    if (self.hasUnreadBytes() && self.m_timerDelays < maximumTimerDelays) {
+        const unsigned delays = self.m_timerDelays + 1;
+        self.setTimer(Duration::zero());
+        self.m_timerDelays = delays;
+        return;
+    }
+    if (self.m_phase == Phase::ReadingHead || self.m_phase == Phase::ReadingBody)
         self.refuse(408, "the request did not arrive completely in time; send it faster");
     else
         self.close();
@@ -334,9 +346,14 @@
 
 bool CallerConnection::isReceiving() const
 {
+    return m_phase == Phase::ReadingHead || m_phase == Phase::ReadingBody || hasUnreadBytes();
+}
+
+bool CallerConnection::hasUnreadBytes() const
+{
+    const bool isReading = m_phase == Phase::Idle || m_phase == Phase::ReadingHead || m_phase == Phase::ReadingBody;
     int unread = 0;
-    return m_phase == Phase::ReadingHead || m_phase == Phase::ReadingBody
-        || (m_phase == Phase::Idle && ioctl(bufferevent_getfd(m_stream), FIONREAD, &unread) == 0 && unread > 0);
+    return isReading && ioctl(bufferevent_getfd(m_stream), FIONREAD, &unread) == 0 && unread > 0;
 }
 
 void CallerConnection::drained(bufferevent*, void* context)
--- a/src/http/CallerConnection.h
+++ b/src/http/CallerConnection.h
@@ -97,6 +97,8 @@
     bool hasReadOutput() const;
     void setTimer(Duration);
     void clearTimer();
+    // Whether bytes of a request have arrived that were not read yet.
+    bool hasUnreadBytes() const;
     void close();
 
     CallerConnectionOwner& m_owner;
@@ -110,6 +112,8 @@
     // Response bytes that were still buffered when the timer was set.
     std::size_t m_unsentAtTimer = 0;
     bool m_processing = false;
+    // Rounds of the loop that the timer was put off for unread bytes.
+    unsigned m_timerDelays = 0;
     bool m_bodyTooLong = false;
     // Whether the request was refused before all of it was read.
     bool m_isPartlyRead = false;
--- a/tests/http/CallerListenerTest.cpp
+++ b/tests/http/CallerListenerTest.cpp
@@ -333,3 +333,47 @@
         runBriefly();
     CHECK(fixture.listener.busyConnections() == test.expectedBusy);
 }
+
+namespace {
+
+struct LateReadCase {
+    const char* name;
+    // Sent before the loop stands still, and while it does.
+    std::string first;
+    std::string rest;
+};
+
+} // namespace
+
+// Guards against callers that get 408, or no answer at all, because the host did not read their requests in time.
+TEST_CASE("Requests that have arrived are read before their time counts as passed")
+{
+    const auto test = GENERATE(values<LateReadCase>({
+        { "a head", "GET /a HTTP/1.1\r\nHo", "st: h\r\n\r\n" },
+        { "a body", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab", "cd" },
+        { "a request on an idle connection", "", "GET /a HTTP/1.1\r\nHost: h\r\n\r\n" },
+    }));
+    INFO(test.name);
+    // More connections than libevent asks the kernel for at a time.
+    constexpr int callerCount = 120;
+    ListenerSettings settings;
+    settings.headerTimeout = std::chrono::milliseconds(1000);
+    settings.idleTimeout = std::chrono::milliseconds(1000);
+    EchoFixture fixture(settings);
+    const auto runFor = [&fixture](Duration duration) {
+        fixture.loop.callLater(duration, [&fixture] { fixture.loop.stop(); });
+        fixture.loop.run();
+    };
+    std::vector<std::unique_ptr<BlockingCaller>> callers;
+    for (int i = 0; i < callerCount; ++i) {
+        callers.push_back(std::make_unique<BlockingCaller>(fixture.listener.port()));
+        if (!test.first.empty())
+            callers.back()->send(test.first);
+        runFor(std::chrono::milliseconds(2));
+    }
+    for (const auto& caller : callers)
+        caller->send(test.rest);
+    usleep(1'200'000);
+    runFor(std::chrono::milliseconds(300));
+    CHECK(fixture.requests == callerCount);
+}
