--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -23,9 +23,10 @@
 };
 
 // All events that a gateway handles.
-using GatewayEvent = std::variant<Tick, ShutdownSignal, RequestArrived, RelayedRequestArrived, AdminRequestArrived,
-    CallerLeft, CallerBackpressure, AttemptHead, AttemptData, AttemptFinished, AttemptFailed, StoreReply,
-    PeerMessageReceived, EngineStatus, EngineStatusFailed, EngineOrderFinished, GatewaySettingsChanged, StoreRestored>;
+using GatewayEvent
+    = std::variant<Tick, ShutdownSignal, RequestArrived, RelayedRequestArrived, AdminRequestArrived, CallerLeft,
+        CallerBackpressure, AttemptHead, AttemptData, AttemptFinished, AttemptFailed, StoreReply, PeerMessageReceived,
+        EngineStatus, EngineStatusFailed, EngineOrderFinished, GatewaySettingsChanged, StoreRestored, RequestsCounted>;
 
 // How long the runtime may go on after ExitProcess, to refuse what arrives last, to write the answers out and to have
 // the last store calls answered.
@@ -74,13 +75,14 @@
 
     void noteTickInterval(MonotonicTime now);
     void handleTick(const Tick&, MonotonicTime now, EffectList&);
-    void handleSettings(const GatewaySettings&);
+    void handleSettings(const GatewaySettings&, MonotonicTime now);
     void setStoreReconnect(Duration);
     void handleShutdown(MonotonicTime now, EffectList&);
     void handleStoreReply(const StoreReply&, MonotonicTime now, EffectList&);
     void handleStoreRestored(const StoreRestored&, MonotonicTime now, EffectList&);
     void handleMessage(const PeerMessageReceived&, MonotonicTime now, EffectList&);
     void handleDigest(const PeerMessageReceived&, const HostDigest&, MonotonicTime now, EffectList&);
+    void handle(const RequestsCounted&, EffectList&);
     void handleStatusRequest(const RequestArrived&, MonotonicTime now, EffectList&);
 
     void applyConfiguration(const std::string& document, ConfigurationOrigin, MonotonicTime now, EffectList&);
@@ -115,6 +117,7 @@
     void advanceShutdown(MonotonicTime now, EffectList&);
     void reportReadiness(EffectList&);
     void recordMetrics(EffectList&);
+    void logStopEnd(LogEvent, std::size_t cut, EffectList&) const;
     std::string statusJson(MonotonicTime now) const;
 
     GatewaySettings m_settings;
@@ -123,6 +126,7 @@
     // The fleet's secret, or the one to set if the fleet has none yet.
     std::string m_secret;
     MetricsRegistry m_metrics;
+    RequestCounts m_callerCounts;
     HostLease m_lease;
     PrefixMirror m_configurationMirror;
     PrefixMirror m_endpointMirror;
--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -7,6 +7,7 @@
 #include <catkinwell/gateway/FleetQuota.h>
 #include <catkinwell/gateway/ForwardingProtocol.h>
 #include <catkinwell/gateway/HostDemand.h>
+#include <catkinwell/gateway/RequestEnds.h>
 #include <catkinwell/gateway/RouteTable.h>
 #include <catkinwell/gateway/StreamVersions.h>
 #include <catkinwell/relay/EndpointReach.h>
@@ -38,9 +39,12 @@
     GatewayRequests(
         GatewayRequestSettings, const ForwardingProtocol&, EndpointDirectory&, FleetQuota&, RelayPeers&, HostId self);
 
-    void configure(const GatewayConfiguration&);
+    void configure(const GatewayConfiguration&, MonotonicTime now);
     // Applies to the retry budgets of all services immediately.
     void setSettings(const GatewayRequestSettings&);
+    // The settings of the process were read again, and the process was asked to stop. Both are logged with failures.
+    void noteReloaded(MonotonicTime now) { m_reloadedAt = now; }
+    void noteStopRequested(MonotonicTime now) { m_stopsSince = now; }
     // Number of hosts that share the retry budget, including this one.
     void setHostCount(std::size_t);
 
@@ -114,6 +118,8 @@
     std::size_t activeRequests() const { return m_requests.size(); }
     // Bytes kept of answers that are not forwarded yet.
     std::size_t bufferedBytes() const { return m_buffers.bytes(); }
+    // Each accepted request is counted with one end at most, and logged when it is.
+    const RequestEnds& ends() const { return m_ends; }
 
 private:
     // No attempt is started with less time than this left.
@@ -381,7 +387,8 @@
     RetryBudget& budgetOf(const std::string& service);
     LogEntry failedAttemptEntry(
         const Request&, std::string_view reason, std::string_view outcome, MonotonicTime now) const;
-    void logEnd(LogEvent, const Request&, int status, std::string_view reason, MonotonicTime now, EffectList&) const;
+    // Logs and counts the end of a request. Precondition: it is called once for each request.
+    void logEnd(RequestEnd, const Request&, int status, std::string_view reason, MonotonicTime now, EffectList&);
 
     GatewayRequestSettings m_settings;
     const ForwardingProtocol& m_protocol;
@@ -409,6 +416,10 @@
     std::map<std::string, RetryBudget> m_budgets;
     std::size_t m_hostCount = 1;
     RequestMap m_requests;
+    RequestEnds m_ends;
+    std::optional<MonotonicTime> m_configuredAt;
+    std::optional<MonotonicTime> m_reloadedAt;
+    std::optional<MonotonicTime> m_stopsSince;
     std::unordered_map<AttemptId, RequestId> m_attempts;
     BufferBudget m_buffers;
     std::set<RequestId> m_waiting;
--- a/include/catkinwell/http/CallerListener.h
+++ b/include/catkinwell/http/CallerListener.h
@@ -2,6 +2,7 @@
 
 #include <catkinwell/core/Error.h>
 #include <catkinwell/http/HttpTypes.h>
+#include <catkinwell/http/RequestCounts.h>
 #include <catkinwell/loop/EventLoop.h>
 #include <cstdint>
 #include <memory>
@@ -43,6 +44,8 @@
     std::vector<std::string> allowedHeaders;
     // Forwards the target and all headers as the caller sent them, except Authorization and hop-by-hop headers.
     bool forwardsUnchanged = false;
+    // The header in which callers state the identifiers of their requests, for AnswerCut; empty if there is none.
+    std::string requestIdHeader;
     // Empty file names select plain HTTP.
     TlsFiles tls;
 };
@@ -88,11 +91,17 @@
     void execute(const AbortResponse&);
 
     std::size_t openRequests() const;
+    // All requests so far. Each one that was read whole is counted with one end at most.
+    const RequestCounts& counts() const;
+    // Reports the requests whose complete answer is not written as ended with the process. Precondition: the event loop
+    // has stopped and does not run again.
+    void endAtProcessEnd();
     // The number of connections on which a request has arrived in part, waits for its response, or has a response that
     // is not yet written to the socket completely.
     std::size_t busyConnections() const;
 
     sigc::signal<void(RequestArrived)>& signalRequest();
+    sigc::signal<void(AnswerCut)>& signalAnswerCut();
     sigc::signal<void(CallerLeft)>& signalCallerLeft();
     sigc::signal<void(CallerBackpressure)>& signalBackpressure();
 
--- a/include/catkinwell/logging/LogEvent.h
+++ b/include/catkinwell/logging/LogEvent.h
@@ -31,6 +31,7 @@
     LoopStalled = 1005,
     SettingsReloaded = 1006,
     LogLinesDropped = 1007,
+    RequestsCounted = 1008,
     // 1100: requests
     RequestRefused = 1100,
     RequestFinished = 1101,
@@ -38,6 +39,8 @@
     RequestQueued = 1103,
     CallerDisconnected = 1104,
     AuthenticationFailed = 1105,
+    AnswerCutOff = 1106,
+    CallerGone = 1107,
     // 1200: routing
     EndpointChosen = 1200,
     AttemptFailedEvent = 1201,
--- a/include/catkinwell/metrics/Metric.h
+++ b/include/catkinwell/metrics/Metric.h
@@ -34,6 +34,12 @@
     StoreCallsByPurpose,
     StateAgeSeconds,
     AuthenticationFailuresTotal,
+    RequestsReadTotal,
+    AnswersEndedTotal,
+    RequestsRejectedTotal,
+    ConnectionsRejectedTotal,
+    RequestsOpen,
+    RequestsEndedTotal,
 };
 
 // An effect: adds to a counter, sets a gauge or records a sample of a summary.
--- a/include/catkinwell/reducer/Event.h
+++ b/include/catkinwell/reducer/Event.h
@@ -2,6 +2,7 @@
 
 #include <catkinwell/endpoint/EndpointReport.h>
 #include <catkinwell/http/HttpTypes.h>
+#include <catkinwell/http/RequestCounts.h>
 #include <catkinwell/peer/PeerMessage.h>
 #include <catkinwell/placement/PlacementCommand.h>
 #include <catkinwell/relay/RelayMessage.h>
@@ -19,6 +20,11 @@
 // The operator or the platform asked the process to stop.
 struct ShutdownSignal { };
 
+// What the listener for callers has counted so far. Precedes each AdminRequestArrived.
+struct RequestsCounted {
+    RequestCounts counts;
+};
+
 // A request on the administration listener. It is answered with the same response effects as a caller's request.
 struct AdminRequestArrived {
     RequestArrived request;
@@ -27,6 +33,6 @@
 // The events that a host's reducer handles.
 using Event = std::variant<Tick, ShutdownSignal, RequestArrived, AdminRequestArrived, CallerLeft, CallerBackpressure,
     AttemptHead, AttemptData, AttemptFinished, AttemptFailed, StoreReply, PeerMessageReceived, EndpointReport,
-    EndpointReportFailed, PlacementCommandFinished, RelayedRequestArrived>;
+    EndpointReportFailed, PlacementCommandFinished, RelayedRequestArrived, RequestsCounted>;
 
 } // namespace Catkinwell
--- a/include/catkinwell/reducer/Reducer.h
+++ b/include/catkinwell/reducer/Reducer.h
@@ -94,6 +94,7 @@
 
     ReducerSettings m_settings;
     MetricsRegistry m_metrics;
+    RequestCounts m_callerCounts;
     DecisionJournal m_journal;
     UsageAccounting m_usage;
     HostLease m_lease;
--- a/src/gateway/GatewayAdmission.cpp
+++ b/src/gateway/GatewayAdmission.cpp
@@ -28,6 +28,7 @@
 
 void GatewayRequests::handle(const RequestArrived& arrived, MonotonicTime now, EffectList& effects)
 {
+    ++m_ends.accepted;
     Request& request = m_requests[arrived.id];
     request.arrived = arrived;
     request.arrivedAt = now;
@@ -135,6 +136,7 @@
 // The relaying host has checked the key and the rate, and counts the request's arrival.
 void GatewayRequests::handle(const RelayedRequestArrived& relayed, MonotonicTime now, EffectList& effects)
 {
+    ++m_ends.accepted;
     Request& request = m_requests[relayed.arrived.id];
     request.arrived = relayed.arrived;
     request.arrivedAt = now;
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -165,7 +165,8 @@
         reducer.m_placement.tick(now, effects);
         reducer.sendPlacementUpdate(now, effects);
     }
-    void operator()(const GatewaySettingsChanged& event) const { reducer.handleSettings(event.settings); }
+    void operator()(const GatewaySettingsChanged& event) const { reducer.handleSettings(event.settings, now); }
+    void operator()(const RequestsCounted& event) const { reducer.handle(event, effects); }
     void operator()(const StoreRestored& event) const { reducer.handleStoreRestored(event, now, effects); }
 };
 
@@ -187,8 +188,9 @@
 }
 
 // Fields listed by fieldsThatNeedRestart() keep their initial values.
-void GatewayReducer::handleSettings(const GatewaySettings& settings)
+void GatewayReducer::handleSettings(const GatewaySettings& settings, MonotonicTime now)
 {
+    m_requests.noteReloaded(now);
     m_settings.shutdownGrace = settings.shutdownGrace;
     m_settings.shutdownAccepting = settings.shutdownAccepting;
     setStoreReconnect(settings.storeReconnect);
--- a/src/gateway/GatewayRequestOutcomes.cpp
+++ b/src/gateway/GatewayRequestOutcomes.cpp
@@ -38,6 +38,34 @@
 
     std::string milliseconds(Duration duration) { return std::to_string(millisecondsOf(duration)); }
 
+    std::string millisecondsSince(std::optional<MonotonicTime> moment, MonotonicTime now)
+    {
+        return moment ? milliseconds(now - *moment) : "never";
+    }
+
+    LogEvent eventOf(RequestEnd end)
+    {
+        switch (end) {
+        case RequestEnd::Finished:
+            return LogEvent::GatewayRequestFinished;
+        case RequestEnd::Refused:
+            return LogEvent::GatewayRequestRefused;
+        case RequestEnd::Failed:
+        case RequestEnd::Aborted:
+        case RequestEnd::CallerLeft:
+            break;
+        }
+        return LogEvent::GatewayRequestFailed;
+    }
+
+    // What the caller got of an answer that no endpoint completed.
+    std::string_view answerOf(RequestEnd end)
+    {
+        if (end == RequestEnd::CallerLeft)
+            return "none";
+        return end == RequestEnd::Aborted ? "broken_off" : "complete";
+    }
+
 } // namespace
 
 void GatewayRequests::handleCompleteAnswer(Request& request, MonotonicTime now, EffectList& effects)
@@ -108,7 +136,7 @@
         noteAnswer(request, now);
         noteAnswerTime(request, now);
     }
-    logEnd(LogEvent::GatewayRequestFinished, request, status, "", now, effects);
+    logEnd(RequestEnd::Finished, request, status, "", now, effects);
     effects.push_back(RecordMetric { Metric::RequestSeconds, request.service, secondsOf(now - request.arrivedAt) });
     endAttempt(request, status >= 500 ? AttemptVerdict::Bad : AttemptVerdict::Good, now, effects);
     removeRequest(request.arrived.id, now);
@@ -200,7 +228,7 @@
     if (request.units > 0)
         m_quota.refund(request.account, request.units, now);
     request.failure = refusal.message;
-    logEnd(LogEvent::GatewayRequestRefused, request, refusal.status, refusal.reason, now, effects);
+    logEnd(RequestEnd::Refused, request, refusal.status, refusal.reason, now, effects);
     removeRequest(request.arrived.id, now);
 }
 
@@ -221,7 +249,7 @@
         effects.push_back(SendWholeResponse {
             request.arrived.id, status, std::move(headers), errorBody(reason, "the request may have run", "unknown") });
     }
-    logEnd(LogEvent::GatewayRequestFailed, request, status, reason, now, effects);
+    logEnd(request.isHeadSent ? RequestEnd::Aborted : RequestEnd::Failed, request, status, reason, now, effects);
     removeRequest(request.arrived.id, now);
 }
 
@@ -248,10 +276,12 @@
             { "part_hashes", hashes } } };
 }
 
-void GatewayRequests::logEnd(LogEvent event, const Request& request, int status, std::string_view reason,
-    MonotonicTime now, EffectList& effects) const
+void GatewayRequests::logEnd(
+    RequestEnd end, const Request& request, int status, std::string_view reason, MonotonicTime now, EffectList& effects)
 {
-    LogEntry entry { event,
+    ++m_ends.endedBy(end);
+    effects.push_back(RecordMetric { Metric::RequestsEndedTotal, std::string(nameOf(end)) });
+    LogEntry entry { eventOf(end),
         { { "request", request.terms.callerRequestId }, { "account", request.account.value },
             { "route", request.route.name }, { "service", request.service }, { "model", request.terms.variant.text() },
             { "status", std::to_string(status) }, { "milliseconds", milliseconds(now - request.arrivedAt) },
@@ -264,6 +294,12 @@
         entry.fields.emplace_back("resumes", request.terms.resumedRequestId);
         entry.fields.emplace_back("after_event", request.terms.lastEventId);
     }
+    if (entry.event == LogEvent::GatewayRequestFailed) {
+        entry.fields.emplace_back("answer", answerOf(end));
+        entry.fields.emplace_back("configured_ms_ago", millisecondsSince(m_configuredAt, now));
+        entry.fields.emplace_back("reloaded_ms_ago", millisecondsSince(m_reloadedAt, now));
+        entry.fields.emplace_back("stopping", m_stopsSince ? "yes" : "no");
+    }
     if (!reason.empty())
         entry.fields.emplace_back("reason", reason);
     if (!request.failure.empty())
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -40,8 +40,9 @@
 {
 }
 
-void GatewayRequests::configure(const GatewayConfiguration& configuration)
+void GatewayRequests::configure(const GatewayConfiguration& configuration, MonotonicTime now)
 {
+    m_configuredAt = now;
     m_configuration = configuration;
     m_routes.configure(configuration.routes);
     std::set<std::string> routes;
@@ -431,7 +432,7 @@
     if (found == m_requests.end())
         return;
     Request& request = found->second;
-    logEnd(LogEvent::GatewayRequestFailed, request, 0, "caller_left", now, effects);
+    logEnd(RequestEnd::CallerLeft, request, 0, "caller_left", now, effects);
     reportIfBroken(request, now);
     if (request.attempt) {
         effects.push_back(CancelAttempt { request.attempt->id });
--- a/src/gateway/GatewayShutdown.cpp
+++ b/src/gateway/GatewayShutdown.cpp
@@ -31,6 +31,7 @@
     m_phase = Phase::Draining;
     m_shutdownAt = now;
     m_requests.setStop(stopTimes());
+    m_requests.noteStopRequested(now);
     effects.push_back(
         LogEntry { LogEvent::ShutdownRequested, { { "running", std::to_string(m_requests.activeRequests()) } } });
     effects.push_back(AnnounceClosing {});
@@ -65,15 +66,14 @@
     if (!isDrained && !isOver)
         return;
     m_phase = Phase::Finished;
-    const std::string cut = std::to_string(m_requests.activeRequests());
+    const std::size_t cut = m_requests.activeRequests();
     m_requests.endAll(now, effects);
     sendStreamBeginnings(now, effects);
     m_streamRecords.flush(m_wallNow, now, effects);
     m_ownership.release(effects);
     m_placement.setPermission(std::nullopt, now);
     m_lease.revoke(effects);
-    effects.push_back(
-        LogEntry { isDrained ? LogEvent::ShutdownFinished : LogEvent::ShutdownForced, { { "running", cut } } });
+    logStopEnd(isDrained ? LogEvent::ShutdownFinished : LogEvent::ShutdownForced, cut, effects);
     effects.push_back(ExitProcess { 0 });
 }
 
--- a/src/gateway/GatewayStatus.cpp
+++ b/src/gateway/GatewayStatus.cpp
@@ -1,8 +1,9 @@
 #include <catkinwell/gateway/GatewayReducer.h>
 
+#include <catkinwell/metrics/RequestMetrics.h>
 #include <nlohmann/json.hpp>
 
-// Answers on the status and metrics listeners.
+// What a gateway tells of itself: answers on the status and metrics listeners, and the end of a stop.
 namespace Catkinwell {
 
 namespace {
@@ -25,6 +26,24 @@
     effects.push_back(std::move(response));
 }
 
+void GatewayReducer::handle(const RequestsCounted& counted, EffectList& effects)
+{
+    for (RecordMetric& metric : metricsOf(m_callerCounts, counted.counts))
+        effects.push_back(std::move(metric));
+    m_callerCounts = counted.counts;
+}
+
+void GatewayReducer::logStopEnd(LogEvent event, std::size_t cut, EffectList& effects) const
+{
+    const RequestEnds& ends = m_requests.ends();
+    LogEntry entry { event,
+        { { "running", std::to_string(cut) }, { "accepted", std::to_string(ends.accepted) },
+            { "open", std::to_string(ends.open()) } } };
+    for (std::size_t end = 0; end < requestEndCount; ++end)
+        entry.fields.emplace_back(nameOf(static_cast<RequestEnd>(end)), std::to_string(ends.ended[end]));
+    effects.push_back(std::move(entry));
+}
+
 std::string GatewayReducer::statusJson(MonotonicTime now) const
 {
     Json peers = Json::object();
@@ -32,10 +51,17 @@
         peers[host.value] = { { "registered", peer.isRegistered }, { "silent_ms", millisecondsOf(now - peer.heardAt) },
             { "configuration", peer.configurationVersion } };
     }
+    Json answers = Json::object();
+    for (std::size_t end = 0; end < answerEndCount; ++end)
+        answers[nameOf(static_cast<AnswerEnd>(end))] = m_callerCounts.ended[end];
+    const Json callers { { "read", m_callerCounts.read }, { "open", m_callerCounts.open() }, { "ended", answers },
+        { "rejected", m_callerCounts.rejected } };
+    const RequestEnds& ends = m_requests.ends();
     return Json {
         { "host", m_settings.host.value }, { "ready", isReady() }, { "configuration", m_configuration.version },
         { "endpoints", m_directory.size() }, { "requests", m_requests.activeRequests() },
-        { "owner", m_ownership.owner().value }, { "peers", peers }
+        { "owner", m_ownership.owner().value }, { "peers", peers }, { "callers", callers },
+        { "accepted", ends.accepted }, { "open", ends.open() }
     }.dump();
 }
 
--- a/src/gateway/GatewayStoreEntries.cpp
+++ b/src/gateway/GatewayStoreEntries.cpp
@@ -67,7 +67,7 @@
     m_configurationEpoch = m_configurationMirror.epoch();
     m_configuration = std::move(configuration);
     m_configurationDocument = document;
-    m_requests.configure(m_configuration);
+    m_requests.configure(m_configuration, now);
     m_placement.configure(m_configuration);
     m_quota.configure(m_configuration.accounts, now);
     effects.push_back(SetCallerLimits { m_configuration.limits });
--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -93,7 +93,7 @@
     if (self.m_phase == Phase::ReadingHead || self.m_phase == Phase::ReadingBody)
         self.refuse(408, "the request did not arrive completely in time; send it faster");
     else
-        self.close();
+        self.close(AnswerEnd::Idle);
 }
 
 void CallerConnection::readable(bufferevent*, void* context) { static_cast<CallerConnection*>(context)->process(); }
@@ -220,6 +220,7 @@
 
 bool CallerConnection::refuse(int status, const std::string& reason)
 {
+    m_owner.requestRejected();
     m_phase = Phase::Answering;
     m_closesAfterAnswer = true;
     m_isPartlyRead = true;
@@ -236,9 +237,11 @@
 
 void CallerConnection::deliver()
 {
+    m_owner.requestCounted();
+    m_openRequests.push_back({ RequestId(), headerValue(m_received.head.headers, m_owner.requestIdHeader()) });
     // A host that is behind reads requests whose callers have given up meanwhile.
     if (hasPeerLeft()) {
-        close();
+        close(AnswerEnd::CallerLeft);
         return;
     }
     clearTimer();
@@ -246,6 +249,12 @@
     m_owner.requestRead(*this, std::move(m_received));
 }
 
+void CallerConnection::setCurrentRequest(RequestId id)
+{
+    m_request = id;
+    m_openRequests.back().id = id;
+}
+
 void CallerConnection::writeHead(int status, const HeaderList& headers, std::optional<std::size_t> length)
 {
     m_closesAfterAnswer = m_closesAfterAnswer || m_owner.isClosing();
@@ -313,6 +322,8 @@
     m_isFull = false;
     m_phase = m_closesAfterAnswer ? Phase::Closing : Phase::Idle;
     setTimer(m_owner.limits().idleTimeout);
+    if (!hasUnsentOutput())
+        noteWritten();
     if (m_phase == Phase::Idle)
         process();
     else if (!hasUnsentOutput())
@@ -330,7 +341,28 @@
     }
     if (m_endsWithConnection)
         closeInOrder(bufferevent_getfd(m_stream));
-    close();
+    close(AnswerEnd::Written);
+}
+
+void CallerConnection::noteWritten()
+{
+    const bool isLastOpen = isAnswering();
+    while (m_openRequests.size() > (isLastOpen ? 1 : 0)) {
+        m_owner.requestEnded({ m_openRequests.front().id, "", AnswerEnd::Written, true, true });
+        m_openRequests.pop_front();
+    }
+}
+
+void CallerConnection::endOpenRequests(AnswerEnd end)
+{
+    const bool isLastUnanswered = isAnswering();
+    while (!m_openRequests.empty()) {
+        const OpenRequest request = m_openRequests.front();
+        m_openRequests.pop_front();
+        const bool isUnanswered = m_openRequests.empty() && isLastUnanswered;
+        const bool wasDelivered = request.id.value != 0;
+        m_owner.requestEnded({ request.id, request.callerRequestId, end, wasDelivered, wasDelivered && !isUnanswered });
+    }
 }
 
 void CallerConnection::discardInput()
@@ -339,7 +371,7 @@
     m_discardedBytes += evbuffer_get_length(input);
     evbuffer_drain(input, evbuffer_get_length(input));
     if (m_discardedBytes > maximumDiscardedBytes)
-        close();
+        close(AnswerEnd::Written);
 }
 
 std::size_t CallerConnection::unsentBytes() const { return evbuffer_get_length(bufferevent_get_output(m_stream)); }
@@ -359,6 +391,7 @@
 void CallerConnection::drained(bufferevent*, void* context)
 {
     auto& self = *static_cast<CallerConnection*>(context);
+    self.noteWritten();
     if (self.m_phase == Phase::Closing) {
         self.closeAfterAnswer();
         return;
@@ -371,22 +404,24 @@
         self.process();
 }
 
-void CallerConnection::eventOccurred(bufferevent*, short, void* context)
+void CallerConnection::eventOccurred(bufferevent*, short what, void* context)
 {
-    static_cast<CallerConnection*>(context)->close();
+    const bool isWriteError = (what & BEV_EVENT_ERROR) != 0 && (what & BEV_EVENT_WRITING) != 0;
+    static_cast<CallerConnection*>(context)->close(isWriteError ? AnswerEnd::WriteError : AnswerEnd::CallerLeft);
 }
 
-void CallerConnection::abort() { close(); }
+void CallerConnection::abort() { close(AnswerEnd::Aborted); }
 
-void CallerConnection::close()
+void CallerConnection::close(AnswerEnd end)
 {
     if (m_phase == Phase::Closed)
         return;
-    const bool wasAnswering = m_phase == Phase::Answering;
+    const bool wasAnswering = isAnswering();
+    endOpenRequests(end);
     m_phase = Phase::Closed;
     clearTimer();
     bufferevent_disable(m_stream, EV_READ | EV_WRITE);
-    if (wasAnswering && m_request.value != 0)
+    if (wasAnswering)
         m_owner.callerLeft(*this);
     m_owner.closed(*this);
 }
--- a/src/http/CallerConnection.h
+++ b/src/http/CallerConnection.h
@@ -2,6 +2,7 @@
 
 #include "http/MessageReader.h"
 #include <catkinwell/http/CallerListener.h>
+#include <deque>
 #include <optional>
 
 struct bufferevent;
@@ -22,7 +23,13 @@
 class CallerConnectionOwner {
 public:
     virtual ~CallerConnectionOwner() = default;
+    // Called for each request that was read whole, before requestRead().
+    virtual void requestCounted() = 0;
     virtual void requestRead(CallerConnection&, ReceivedRequest) = 0;
+    // Called once for each request that was read whole.
+    virtual void requestEnded(const AnswerCut&) = 0;
+    // The listener rejected a request while it read it.
+    virtual void requestRejected() = 0;
     virtual void callerLeft(CallerConnection&) = 0;
     virtual void outputFull(CallerConnection&, bool full) = 0;
     // The connection may be destroyed after the current callback has returned.
@@ -30,6 +37,8 @@
     // Whether each connection is to be closed after its response.
     virtual bool isClosing() const = 0;
     virtual const CallerLimits& limits() const = 0;
+    // The header in which callers state the identifiers of their requests; empty if there is none.
+    virtual const std::string& requestIdHeader() const = 0;
 };
 
 // One connection of a caller. Reads one request at a time; the bytes of pipelined requests stay buffered until its
@@ -44,7 +53,8 @@
 
     // The request whose response is being sent; 0 if there is none.
     RequestId currentRequest() const { return m_request; }
-    void setCurrentRequest(RequestId id) { m_request = id; }
+    // Precondition: requestRead() is being called.
+    void setCurrentRequest(RequestId);
 
     // Precondition of the following four: a request was delivered and its response is not complete.
     void sendHead(int status, const HeaderList&);
@@ -54,6 +64,9 @@
 
     // Closes the connection without completing the response.
     void abort();
+    // Reports the requests that have no complete response as ended by the end of the process. The connection stays open
+    // until it is destroyed.
+    void endAtProcessEnd() { endOpenRequests(AnswerEnd::ProcessEnd); }
     // Whether response bytes are still buffered.
     bool hasUnsentOutput() const { return unsentBytes() > 0; }
     // Whether part of a request has arrived, also if it was not read yet.
@@ -99,7 +112,17 @@
     void clearTimer();
     // Whether bytes of a request have arrived that were not read yet.
     bool hasUnreadBytes() const;
-    void close();
+    void close(AnswerEnd);
+    // All complete answers are written.
+    void noteWritten();
+    void endOpenRequests(AnswerEnd);
+    bool isAnswering() const { return m_phase == Phase::Answering && m_request.value != 0; }
+
+    // A request that was read whole, and whose complete answer is not written yet.
+    struct OpenRequest {
+        RequestId id;
+        std::string callerRequestId;
+    };
 
     CallerConnectionOwner& m_owner;
     bufferevent* m_stream;
@@ -108,6 +131,8 @@
     MessageReader m_reader;
     ReceivedRequest m_received;
     RequestId m_request;
+    // In the order of their arrival; only the last one may still wait for its answer.
+    std::deque<OpenRequest> m_openRequests;
     Phase m_phase = Phase::Idle;
     // Response bytes that were still buffered when the timer was set.
     std::size_t m_unsentAtTimer = 0;
--- a/src/http/CallerListener.cpp
+++ b/src/http/CallerListener.cpp
@@ -60,12 +60,16 @@
     std::size_t busyConnections() const;
     void acceptWaiting();
 
+    void requestCounted() override { ++m_counts.read; }
     void requestRead(CallerConnection&, ReceivedRequest) override;
+    void requestEnded(const AnswerCut&) override;
+    void requestRejected() override { ++m_counts.rejected; }
     void callerLeft(CallerConnection&) override;
     void outputFull(CallerConnection&, bool full) override;
     void closed(CallerConnection&) override;
     bool isClosing() const override { return m_closing; }
     const CallerLimits& limits() const override { return m_limits; }
+    const std::string& requestIdHeader() const override { return m_settings.requestIdHeader; }
 
     std::uint16_t m_port = 0;
     bool m_closing = false;
@@ -74,7 +78,10 @@
     // Removes the request's entry once its response is complete or aborted.
     void forget(RequestId id) { m_requests.erase(id); }
     std::size_t openRequests() const { return m_requests.size(); }
+    const RequestCounts& counts() const { return m_counts; }
+    void endAtProcessEnd();
 
+    sigc::signal<void(AnswerCut)> m_signalAnswerCut;
     sigc::signal<void(RequestArrived)> m_signalRequest;
     sigc::signal<void(CallerLeft)> m_signalCallerLeft;
     sigc::signal<void(CallerBackpressure)> m_signalBackpressure;
@@ -86,6 +93,7 @@
     EventLoop& m_loop;
     ListenerSettings m_settings;
     CallerLimits m_limits;
+    RequestCounts m_counts;
     std::uint64_t m_lastId;
     std::shared_ptr<bool> m_alive;
     evconnlistener* m_listener = nullptr;
@@ -143,6 +151,7 @@
 void CallerListener::Implementation::accept(evutil_socket_t socket)
 {
     if (m_connections.size() >= m_settings.maximumConnections) {
+        ++m_counts.rejectedConnections;
         evutil_closesocket(socket);
         return;
     }
@@ -209,6 +218,19 @@
     m_signalRequest.emit(arrived);
 }
 
+void CallerListener::Implementation::requestEnded(const AnswerCut& request)
+{
+    ++m_counts.endedBy(request.end);
+    if (request.end != AnswerEnd::Written)
+        m_signalAnswerCut.emit(request);
+}
+
+void CallerListener::Implementation::endAtProcessEnd()
+{
+    for (const auto& [connection, owned] : m_connections)
+        connection->endAtProcessEnd();
+}
+
 void CallerListener::Implementation::callerLeft(CallerConnection& connection)
 {
     const RequestId id = connection.currentRequest();
@@ -306,6 +328,12 @@
 
 std::size_t CallerListener::openRequests() const { return m_implementation->openRequests(); }
 
+const RequestCounts& CallerListener::counts() const { return m_implementation->counts(); }
+
+void CallerListener::endAtProcessEnd() { m_implementation->endAtProcessEnd(); }
+
+sigc::signal<void(AnswerCut)>& CallerListener::signalAnswerCut() { return m_implementation->m_signalAnswerCut; }
+
 std::size_t CallerListener::busyConnections() const { return m_implementation->busyConnections(); }
 
 sigc::signal<void(RequestArrived)>& CallerListener::signalRequest() { return m_implementation->m_signalRequest; }
--- a/src/logging/LogEvent.cpp
+++ b/src/logging/LogEvent.cpp
@@ -46,6 +46,10 @@
         { LogEvent::LogLinesDropped, Warning, "log_lines_dropped",
             "Log lines were dropped because the reader of standard output was too slow.",
             "Make the log collector read faster, or raise log.severity." },
+        { LogEvent::RequestsCounted, Info, "requests_counted",
+            "The process ends; the fields give the requests of one listener that were read whole, how they ended, and "
+            "the number of those that had not ended when the event loop stopped.",
+            "If \"open\" is not 0, find the requests in the entries 1106 with the reason process_end." },
         // 1100: requests
         { LogEvent::RequestRefused, Info, "request_refused",
             "A request was refused; the fields give the code, the outcome and the reason.", "" },
@@ -57,6 +61,16 @@
             "The caller closed the connection before the answer was complete.", "" },
         { LogEvent::AuthenticationFailed, Warning, "authentication_failed", "A request had no valid key.",
             "If it repeats, check whether the caller's key was revoked." },
+        { LogEvent::AnswerCutOff, Warning, "answer_cut_off",
+            "The host closed a connection after it had read a whole request and before the complete answer was "
+            "written; "
+            "\"answered\" tells whether the complete answer existed.",
+            "Find the end of the request (2100 to 2102, 1100 to 1102) and, for the reason process_end, the stop "
+            "(1001)." },
+        { LogEvent::CallerGone, Info, "caller_gone",
+            "A caller closed its connection before its request was served (\"delivered\" is no) or before the complete "
+            "answer was written.",
+            "" },
         // 1200: routing
         { LogEvent::EndpointChosen, Info, "endpoint_chosen",
             "A request was sent to the chosen endpoint; the fields give each candidate's score.", "" },
@@ -227,7 +241,10 @@
             "A request was refused and did not run; the field \"reason\" gives the reason.",
             "Check the limits in the configuration, and the endpoints and orders of the model at this time." },
         { LogEvent::GatewayRequestFailed, Warning, "gateway_request_failed",
-            "A request ended without a complete answer and may have run.",
+            "A request ended without a complete answer of an endpoint and may have run. The field \"answer\" tells "
+            "whether its caller got a complete error answer, one that broke off, or none because it had left; the "
+            "fields \"configured_ms_ago\" and \"reloaded_ms_ago\" tell how long ago the configuration and the "
+            "settings changed.",
             "Find its attempts (2105) and examine the logs of their endpoints." },
         { LogEvent::GatewayRequestWaits, Info, "gateway_request_waits",
             "A request is waiting for a replica of its model, for an adapter, or because another request with a "
--- a/src/metrics/MetricCatalogue.cpp
+++ b/src/metrics/MetricCatalogue.cpp
@@ -37,6 +37,17 @@
             "Age of the state on which the host bases its decisions." },
         { Metric::AuthenticationFailuresTotal, Counter, "authentication_failures_total", "listener",
             "Requests without a valid key or token." },
+        { Metric::RequestsReadTotal, Counter, "requests_read_total", "listener", "Requests that were read whole." },
+        { Metric::AnswersEndedTotal, Counter, "answers_ended_total", "end",
+            "Requests that were read whole, by how their answers ended on their connections." },
+        { Metric::RequestsRejectedTotal, Counter, "requests_rejected_total", "listener",
+            "Requests that were rejected while they were read." },
+        { Metric::ConnectionsRejectedTotal, Counter, "connections_rejected_total", "listener",
+            "Connections that were closed because there were too many." },
+        { Metric::RequestsOpen, Gauge, "requests_open", "listener",
+            "Requests that were read whole and whose answers have not ended." },
+        { Metric::RequestsEndedTotal, Counter, "requests_ended_total", "end",
+            "Requests whose end was logged, by how they ended." },
     };
     return catalogue;
 }
--- a/src/reducer/Reducer.cpp
+++ b/src/reducer/Reducer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <catkinwell/core/Digest.h>
+#include <catkinwell/metrics/RequestMetrics.h>
 
 namespace Catkinwell {
 
@@ -99,6 +100,12 @@
     void operator()(const Tick& tick) const { reducer.handleTick(tick, now, effects); }
     void operator()(const ShutdownSignal&) const { reducer.handleShutdown(now, effects); }
     void operator()(const RequestArrived& event) const { reducer.m_requests.handle(event, now, effects); }
+    void operator()(const RequestsCounted& event) const
+    {
+        for (const RecordMetric& metric : metricsOf(reducer.m_callerCounts, event.counts))
+            reducer.m_metrics.record(metric);
+        reducer.m_callerCounts = event.counts;
+    }
     void operator()(const AdminRequestArrived& event) const
     {
         reducer.m_admin.handle(event, now, reducer.m_wallNow, effects);
--- a/src/replay/Replay.cpp
+++ b/src/replay/Replay.cpp
@@ -152,7 +152,7 @@
         }
         const GatewayConfiguration shared = replayConfiguration(settings, m_load);
         for (const auto& host : m_hosts) {
-            host->requests.configure(shared);
+            host->requests.configure(shared, m_start);
             host->requests.setHostCount(m_hosts.size());
             host->quota.configure(shared.accounts, m_now);
             std::set<HostId> peers = names;
--- a/src/runtime/CommonEffects.h
+++ b/src/runtime/CommonEffects.h
@@ -9,6 +9,10 @@
 
 namespace Catkinwell {
 
+// The names of listeners in log entries.
+constexpr std::string_view callersName = "callers";
+constexpr std::string_view relaysName = "relays";
+
 // Carries out the effects that serving processes and gateways have in common: answers to callers, attempts at
 // endpoints, store calls and log lines. CRTP base class; Executor provides listenerOf(RequestId), attempts(), store()
 // and log().
@@ -53,6 +57,36 @@
     return listener;
 }
 
+// Logs each answer of the listener that is cut off.
+inline void logCutAnswers(CallerListener& listener, std::string_view name, EventLog& log)
+{
+    listener.signalAnswerCut().connect([&log, name = std::string(name)](const AnswerCut& cut) {
+        const LogEvent event = cut.end == AnswerEnd::CallerLeft ? LogEvent::CallerGone : LogEvent::AnswerCutOff;
+        // The reducer logs the end of a request whose caller leaves while it is served.
+        if (event == LogEvent::CallerGone && cut.wasDelivered && !cut.wasAnswered)
+            return;
+        log.write({ event,
+            { { "request", cut.callerRequestId.empty() ? std::to_string(cut.id.value) : cut.callerRequestId },
+                { "listener", name }, { "reason", std::string(nameOf(cut.end)) },
+                { "delivered", cut.wasDelivered ? "yes" : "no" }, { "answered", cut.wasAnswered ? "yes" : "no" } } });
+    });
+}
+
+// Logs how the requests of a listener ended, and those that are cut off by the end of the process. Precondition: the
+// event loop has stopped and does not run again.
+inline void logProcessEnd(CallerListener& listener, std::string_view name, EventLog& log)
+{
+    const RequestCounts& counts = listener.counts();
+    LogEntry entry { LogEvent::RequestsCounted,
+        { { "listener", std::string(name) }, { "read", std::to_string(counts.read) },
+            { "open", std::to_string(counts.open()) }, { "rejected", std::to_string(counts.rejected) },
+            { "rejected_connections", std::to_string(counts.rejectedConnections) } } };
+    for (std::size_t end = 0; end < answerEndCount; ++end)
+        entry.fields.emplace_back(nameOf(static_cast<AnswerEnd>(end)), std::to_string(counts.ended[end]));
+    log.write(entry);
+    listener.endAtProcessEnd();
+}
+
 // Connects the signals of the relay to the slot, and its log entries to the log.
 template <typename Slot>
 void connectRelayEvents(CallerListener& relays, RelayTransport& transport, EventLog& log, const Slot& slot)
--- a/src/runtime/GatewayRuntime.cpp
+++ b/src/runtime/GatewayRuntime.cpp
@@ -27,6 +27,7 @@
         ListenerSettings listener;
         listener.address = settings.callerAddress;
         listener.forwardsUnchanged = true;
+        listener.requestIdHeader = PlatformProtocol().echoHeader();
         return listener;
     }
 
@@ -174,9 +175,13 @@
     const auto postEvent = [this](const auto& event) { m_events.post(event); };
     connectCommonEvents(m_callers, m_attempts, postEvent);
     connectRelayEvents(m_relays, m_relayTransport, m_log, postEvent);
+    logCutAnswers(m_callers, callersName, m_log);
+    logCutAnswers(m_relays, relaysName, m_log);
     for (CallerListener* listener : { &m_status, &m_metrics })
-        listener->signalRequest().connect(
-            [this](const RequestArrived& request) { m_events.post(AdminRequestArrived { request }); });
+        listener->signalRequest().connect([this](const RequestArrived& request) {
+            m_events.post(RequestsCounted { m_callers.counts() });
+            m_events.post(AdminRequestArrived { request });
+        });
     m_store.signalRestored().connect(postEvent);
     m_store.signalReply().connect(postEvent);
     m_engines.signalStatus().connect(postEvent);
@@ -212,6 +217,8 @@
 int GatewayRuntime::Implementation::run()
 {
     m_loop.run();
+    logProcessEnd(m_callers, callersName, m_log);
+    logProcessEnd(m_relays, relaysName, m_log);
     return m_exitCode;
 }
 
--- a/src/runtime/Runtime.cpp
+++ b/src/runtime/Runtime.cpp
@@ -159,8 +159,12 @@
     const auto postEvent = [this](const auto& event) { m_events.post(event); };
     connectCommonEvents(m_callers, m_engines, postEvent);
     connectRelayEvents(m_relays, m_relayTransport, m_log, postEvent);
-    m_administration.signalRequest().connect(
-        [this](const RequestArrived& request) { m_events.post(AdminRequestArrived { request }); });
+    logCutAnswers(m_callers, callersName, m_log);
+    logCutAnswers(m_relays, relaysName, m_log);
+    m_administration.signalRequest().connect([this](const RequestArrived& request) {
+        m_events.post(RequestsCounted { m_callers.counts() });
+        m_events.post(AdminRequestArrived { request });
+    });
     m_administration.signalCallerLeft().connect(postEvent);
     m_store.signalReply().connect(postEvent);
     m_peers.messageReceived().connect(postEvent);
@@ -199,6 +203,8 @@
 int Runtime::Implementation::run()
 {
     m_loop.run();
+    logProcessEnd(m_callers, callersName, m_log);
+    logProcessEnd(m_relays, relaysName, m_log);
     return m_exitCode;
 }
 
--- a/tests/fleet/CallerLoad.h
+++ b/tests/fleet/CallerLoad.h
@@ -22,9 +22,11 @@
 // breaks after its first event is taken up again, once, at any host; nothing else is retried.
 class CallerLoad {
 public:
+    static constexpr std::chrono::milliseconds usualPatience = std::chrono::seconds(8);
+
     // Callers wait for an answer for the time of their patience, which their requests state.
-    CallerLoad(GatewayFleet&, std::size_t callers, std::uint64_t seed,
-        std::chrono::milliseconds patience = std::chrono::seconds(8));
+    CallerLoad(
+        GatewayFleet&, std::size_t callers, std::uint64_t seed, std::chrono::milliseconds patience = usualPatience);
     ~CallerLoad();
 
     // Ends the load and returns all requests.
--- a/tests/fleet/FaultChecks.cpp
+++ b/tests/fleet/FaultChecks.cpp
@@ -60,11 +60,14 @@
 
 void DisturbanceLog::end(std::size_t disturbance, MonotonicTime at) { m_disturbances.at(disturbance).until = at; }
 
-bool DisturbanceLog::isCalm(std::size_t host, MonotonicTime at) const
+bool DisturbanceLog::isCalm(std::size_t host, MonotonicTime at) const { return isCalmDuring(host, at, at); }
+
+bool DisturbanceLog::isCalmDuring(std::size_t host, MonotonicTime from, MonotonicTime until) const
 {
     return std::none_of(m_disturbances.begin(), m_disturbances.end(), [&](const Disturbance& disturbance) {
         const bool isConcerned = !disturbance.host || *disturbance.host == host;
-        return isConcerned && disturbance.from <= at && (!disturbance.until || *disturbance.until + reactionTime > at);
+        return isConcerned && disturbance.from <= until
+            && (!disturbance.until || *disturbance.until + reactionTime > from);
     });
 }
 
@@ -172,4 +175,27 @@
     return broken;
 }
 
+std::vector<std::string> findOpenRequests(const std::vector<RequestAccounts>& accounts)
+{
+    std::vector<std::string> broken;
+    for (const RequestAccounts& account : accounts) {
+        if (account.read != account.ended)
+            broken.push_back(account.moment + ": " + std::to_string(account.read) + " requests were read whole, "
+                + std::to_string(account.ended) + " ended");
+    }
+    return broken;
+}
+
+std::vector<std::string> findUnansweredRequests(
+    const std::vector<CallerRequest>& requests, Duration patience, const DisturbanceLog& disturbances)
+{
+    std::vector<std::string> broken;
+    for (const CallerRequest& request : requests) {
+        if (request.answer.status == 0
+            && disturbances.isCalmDuring(request.host, request.sentAt, request.sentAt + patience))
+            broken.push_back(request.path + request.id + " got no answer from host " + std::to_string(request.host));
+    }
+    return broken;
+}
+
 } // namespace Catkinwell::Testing
--- a/tests/fleet/FaultChecks.h
+++ b/tests/fleet/FaultChecks.h
@@ -20,6 +20,8 @@
 
     // Whether no fault was in force at the host within the reaction time before this moment.
     bool isCalm(std::size_t host, MonotonicTime) const;
+    // Whether no fault was in force at the host from the reaction time before the first moment to the second one.
+    bool isCalmDuring(std::size_t host, MonotonicTime from, MonotonicTime until) const;
 
 private:
     struct Disturbance {
@@ -67,4 +69,12 @@
 std::vector<std::string> findUnwantedRequests(
     const std::vector<CallerRequest>&, const EndpointHistory&, const std::vector<PathLoss>&, const DisturbanceLog&);
 
+// Returns a line for each host at which not exactly as many requests ended as were read whole. Precondition: no caller
+// waited any more when the counts were taken.
+std::vector<std::string> findOpenRequests(const std::vector<RequestAccounts>&);
+
+// Returns a line for each request that got no answer at all from a host that was calm as long as its caller waited.
+std::vector<std::string> findUnansweredRequests(
+    const std::vector<CallerRequest>&, Duration patience, const DisturbanceLog&);
+
 } // namespace Catkinwell::Testing
--- a/tests/fleet/FaultChecksTest.cpp
+++ b/tests/fleet/FaultChecksTest.cpp
@@ -170,3 +170,54 @@
     const std::vector<PathLoss> losses { { { 1 }, start, start + 20s } };
     CHECK(findUnwantedRequests(requests, records, losses, {}).empty());
 }
+
+namespace {
+
+struct AccountCase {
+    const char* what;
+    std::vector<RequestAccounts> accounts;
+    std::size_t violations;
+};
+
+struct UnansweredCase {
+    const char* what;
+    int status;
+    // When the host is disturbed, after the request was sent; nullopt if it is not.
+    std::optional<Duration> disturbedAt;
+    bool isViolation;
+};
+
+} // namespace
+
+// Guards against a check that overlooks a request that was read whole and never ended, or that ended twice.
+TEST_CASE("Requests that did not end are found")
+{
+    const auto test = GENERATE(values<AccountCase>({
+        { "no hosts", {}, 0 },
+        { "all ended", { { "a", 7, 7 }, { "b", 0, 0 } }, 0 },
+        { "one open", { { "a", 7, 6 }, { "b", 3, 3 } }, 1 },
+        { "one counted twice", { { "a", 7, 8 } }, 1 },
+        { "an open one and a repeated one at two hosts", { { "a", 7, 8 }, { "b", 8, 7 } }, 2 },
+    }));
+    INFO(test.what);
+    CHECK(findOpenRequests(test.accounts).size() == test.violations);
+}
+
+// Guards against a check that overlooks a request without an answer.
+TEST_CASE("Requests without an answer are found")
+{
+    const auto test = GENERATE(values<UnansweredCase>({
+        { "answered", 200, std::nullopt, false },
+        { "refused", 503, std::nullopt, false },
+        { "without an answer", 0, std::nullopt, true },
+        { "at a host that is disturbed before", 0, -1s, false },
+        { "at a host that is disturbed meanwhile", 0, 7s, false },
+        { "at a host that is disturbed later", 0, 9s, true },
+    }));
+    INFO(test.what);
+    DisturbanceLog disturbances;
+    if (test.disturbedAt)
+        disturbances.begin(0, start + 10s + *test.disturbedAt);
+    CHECK(
+        findUnansweredRequests({ requestAt("r", 0, 10s, test.status) }, 8s, disturbances).empty() != test.isViolation);
+}
--- a/tests/fleet/FaultSoak.cpp
+++ b/tests/fleet/FaultSoak.cpp
@@ -95,6 +95,8 @@
     later(9s, [this, host, calm = disturb(host)] {
         if (m_fleet.process(host).waitForExit(0ms) != 0)
             m_report.broken.push_back("host " + std::to_string(host) + " did not end in time after SIGTERM");
+        if (const auto accounts = m_fleet.accountsAtEnd(host))
+            m_accounts.push_back(*accounts);
         m_fleet.start(host);
         calm();
         m_disturbed.erase(host);
@@ -349,6 +351,21 @@
     }
 }
 
+// Waits until no request is open, since a request may be on its way when its caller gives up.
+void FaultSoak::countRequests()
+{
+    for (std::size_t i = 0; i < m_fleet.hostCount(); ++i) {
+        RequestAccounts accounts;
+        eventually(
+            [&] {
+                accounts = m_fleet.accounts(i, "end of the load");
+                return accounts.read == accounts.ended;
+            },
+            recoveryBound);
+        m_accounts.push_back(accounts);
+    }
+}
+
 void FaultSoak::check(const std::vector<CallerRequest>& requests)
 {
     const EndpointHistory records = m_fleet.records();
@@ -361,7 +378,8 @@
         { findViolations(requests, records, m_fleet), findUnservedCallers(requests, m_pathLosses, m_disturbances),
             findRepeatedCrashes(deadly, records, m_disturbances),
             findFalls(requests, records, m_brittleTimes, m_disturbances),
-            findUnwantedRequests(requests, records, m_lostNotices, m_disturbances) })
+            findUnwantedRequests(requests, records, m_lostNotices, m_disturbances), findOpenRequests(m_accounts),
+            findUnansweredRequests(requests, CallerLoad::usualPatience, m_disturbances) })
         m_report.broken.insert(m_report.broken.end(), broken.begin(), broken.end());
 }
 
@@ -395,6 +413,7 @@
                 + std::to_string(m_version) + " after all faults");
     }
     const auto requests = load.stop();
+    countRequests();
     check(requests);
     m_report.requests = requests.size();
     for (const CallerRequest& request : requests)
--- a/tests/fleet/FaultSoak.h
+++ b/tests/fleet/FaultSoak.h
@@ -50,6 +50,7 @@
     // Begins a disturbance of the host, or of all, and returns what ends it.
     std::function<void()> disturb(std::optional<std::size_t> host);
     void note(const std::string&);
+    void countRequests();
     void check(const std::vector<CallerRequest>&);
 
     std::uint64_t m_seed;
@@ -64,6 +65,7 @@
     // Times in which answers of endpoints did not reach hosts, or reached another one.
     std::vector<PathLoss> m_lostNotices;
     std::vector<BrittleTime> m_brittleTimes;
+    std::vector<RequestAccounts> m_accounts;
     bool m_areBrittle = false;
     std::vector<std::unique_ptr<RepeatingCaller>> m_deadlyCallers;
     std::uint64_t m_version = 1;
--- a/tests/fleet/GatewayFleet.cpp
+++ b/tests/fleet/GatewayFleet.cpp
@@ -1,7 +1,9 @@
 #include "fleet/GatewayFleet.h"
 
+#include <catkinwell/logging/LogEvent.h>
 #include <fstream>
 #include <future>
+#include <sstream>
 #include <stdexcept>
 
 namespace Catkinwell::Testing {
@@ -241,6 +243,30 @@
     }
 }
 
+RequestAccounts GatewayFleet::accounts(std::size_t host, const std::string& moment) const
+{
+    const Json callers = status(host).value("callers", Json::object());
+    RequestAccounts accounts { moment + ", " + m_hosts[host].name, callers.value("read", std::uint64_t { 0 }), 0 };
+    for (const Json& count : callers.value("ended", Json::object()))
+        accounts.ended += count.get<std::uint64_t>();
+    return accounts;
+}
+
+std::optional<RequestAccounts> GatewayFleet::accountsAtEnd(std::size_t host) const
+{
+    std::optional<RequestAccounts> accounts;
+    std::istringstream lines(m_hosts[host].process->output());
+    for (std::string line; std::getline(lines, line);) {
+        const Json entry = Json::parse(line, nullptr, false);
+        if (!entry.is_object() || entry.value("event", 0) != static_cast<int>(LogEvent::RequestsCounted)
+            || entry.value("listener", "") != "callers")
+            continue;
+        const std::uint64_t read = std::stoull(entry.value("read", "0"));
+        accounts = { "end of " + m_hosts[host].name, read, read - std::stoull(entry.value("open", "0")) };
+    }
+    return accounts;
+}
+
 Json GatewayFleet::status(std::size_t host) const
 {
     const HttpAnswer answer
@@ -249,9 +275,11 @@
     return body.is_object() ? body : Json::object();
 }
 
-void GatewayFleet::configure(std::uint64_t version)
+void GatewayFleet::configure(std::uint64_t version, const Json& changes)
 {
-    onLoop([this, version] { m_store->put("op/config", configuration(version).dump()); });
+    Json document = configuration(version);
+    document.update(changes);
+    onLoop([this, &document] { m_store->put("op/config", document.dump()); });
 }
 
 void GatewayFleet::writeRecord(std::size_t index)
--- a/tests/fleet/GatewayFleet.h
+++ b/tests/fleet/GatewayFleet.h
@@ -6,6 +6,7 @@
 #include "process/ProcessHarness.h"
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 namespace Catkinwell::Testing {
@@ -19,6 +20,14 @@
     bool hasTwoVersions = false;
 };
 
+// What a host has counted of its callers' requests.
+struct RequestAccounts {
+    // When the counts were taken, for a report.
+    std::string moment;
+    std::uint64_t read = 0;
+    std::uint64_t ended = 0;
+};
+
 // Gateway processes with fakes of the platform's services, which run on a thread of the test. There are two services:
 // "orders" with plain endpoints, and "notes" with engines for the models m1 to m4, of which each engine holds two. The
 // accounts "a" and "b" have the keys "key-a" and "key-b". Requests to /order/ run at most once, requests to /read/ are
@@ -42,12 +51,17 @@
     void waitUntilReady(std::chrono::milliseconds timeout = std::chrono::seconds(12));
     // Waits until every host receives messages from all others. Throws std::runtime_error on timeout.
     void waitUntilConnected();
+    // What the host has counted of its callers' requests; zeros if it does not answer.
+    RequestAccounts accounts(std::size_t host, const std::string& moment) const;
+    // The same as its process logged it when it last ended; nullopt if it has not.
+    std::optional<RequestAccounts> accountsAtEnd(std::size_t host) const;
     // Returns the host's answer to /status.
     nlohmann::json status(std::size_t host) const;
     void writeSettings(std::size_t host, const nlohmann::json& changes) const;
 
-    // Writes an operators' configuration with this version to the store.
-    void configure(std::uint64_t version);
+    // Writes an operators' configuration with this version, and with these fields in place of the usual ones, to the
+    // store.
+    void configure(std::uint64_t version, const nlohmann::json& changes = nlohmann::json::object());
 
     // Runs the function on the thread of the fakes and waits for it. The fakes may be used only on that thread.
     void onLoop(const std::function<void()>&);
--- a/tests/fleet/GatewayFleetTest.cpp
+++ b/tests/fleet/GatewayFleetTest.cpp
@@ -1,4 +1,5 @@
 #include "fleet/CallerLoad.h"
+#include "fleet/FaultChecks.h"
 #include <catch2/catch.hpp>
 #include <csignal>
 
@@ -100,6 +101,10 @@
     const MonotonicTime leftAt = SystemClock().monotonicNow();
     const auto requests = load.stop();
     CHECK(findViolations(requests, fleet.records(), fleet) == std::vector<std::string> {});
+    const auto accounts = fleet.accountsAtEnd(1);
+    REQUIRE(accounts);
+    CHECK(accounts->read > 0);
+    CHECK(findOpenRequests({ *accounts }) == std::vector<std::string> {});
     for (const CallerRequest& request : requests) {
         // A load balancer sends no more requests once the host has reported for some time that it is not ready.
         if (request.host != 1 || request.sentAt > leftAt - 200ms)
@@ -130,6 +135,42 @@
     CHECK_FALSE(hasKey("catkinwell/hosts/host-0/"));
 }
 
+// Guards against a request that gets no answer because the configuration changes or the settings are read again.
+TEST_CASE("No request is lost beside changes of the configuration and reloads")
+{
+    GatewayFleet fleet;
+    CallerLoad load(fleet, 12, 8);
+    std::uint64_t version = 1;
+    for (int i = 0; i < 25; ++i) {
+        std::this_thread::sleep_for(200ms);
+        const bool isNarrow = i % 2 == 0;
+        fleet.configure(++version,
+            { { "limits",
+                { { "max_header_bytes", isNarrow ? 2048 : 32768 }, { "max_body_bytes", isNarrow ? 4096 : 1048576 },
+                    { "header_timeout_ms", isNarrow ? 1000 : 9000 },
+                    { "idle_timeout_ms", isNarrow ? 1000 : 9000 } } } });
+        const std::size_t host = static_cast<std::size_t>(i) % fleet.hostCount();
+        fleet.writeSettings(host, { { "placement", { { "busy_share", isNarrow ? 0.2 : 0.6 } } } });
+        fleet.process(host).signal(SIGHUP);
+    }
+    const auto requests = load.stop();
+    CHECK(findViolations(requests, fleet.records(), fleet) == std::vector<std::string> {});
+    CHECK(findUnansweredRequests(requests, CallerLoad::usualPatience, {}) == std::vector<std::string> {});
+    // The rest is refused while the engines load.
+    std::map<int, std::size_t> statuses;
+    for (const CallerRequest& request : requests)
+        ++statuses[request.answer.status];
+    INFO(Catch::Detail::stringify(statuses));
+    CHECK(statuses[200] + statuses[503] == requests.size());
+    CHECK(statuses[200] * 2 > requests.size());
+    std::vector<RequestAccounts> accounts;
+    for (std::size_t i = 0; i < fleet.hostCount(); ++i) {
+        accounts.push_back(fleet.accounts(i, "after " + std::to_string(version) + " versions"));
+        CHECK(accounts.back().read > 0);
+    }
+    CHECK(findOpenRequests(accounts) == std::vector<std::string> {});
+}
+
 // Guards against a process that does not apply changed settings, or that exits because of them.
 TEST_CASE("Changed settings are applied at SIGHUP")
 {
--- a/tests/gateway/GatewayFixture.cpp
+++ b/tests/gateway/GatewayFixture.cpp
@@ -124,7 +124,7 @@
     : requests({}, protocol, directory, quota, relayPeers, HostId("self"))
 {
     const GatewayConfiguration configuration = sampleConfiguration();
-    requests.configure(configuration);
+    requests.configure(configuration, now);
     quota.configure(configuration.accounts, now);
     now += std::chrono::seconds(5);
 }
--- a/tests/gateway/StoreLoadForecastTest.cpp
+++ b/tests/gateway/StoreLoadForecastTest.cpp
@@ -95,7 +95,7 @@
     GatewayConfiguration configuration = sampleConfiguration();
     for (Route& route : configuration.routes)
         route.latencyGoal = std::chrono::seconds(3);
-    fixture.requests.configure(configuration);
+    fixture.requests.configure(configuration, fixture.now);
     fixture.directory.put(sampleEndpoint("notes0", "notes"), fixture.now, fixture.effects);
     PlacementUpdate update { 1, 1, {}, {} };
     if (test.others > 0)
--- a/tests/http/CallerListenerTest.cpp
+++ b/tests/http/CallerListenerTest.cpp
@@ -1,11 +1,6 @@
 #include "http/RawSockets.h"
-#include <arpa/inet.h>
-#include <array>
 #include <catch2/catch.hpp>
 #include <catkinwell/http/CallerListener.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 using namespace Catkinwell;
 using namespace Catkinwell::Testing;
@@ -186,45 +181,6 @@
     CHECK(received.ends_with("part<reset>"));
 }
 
-namespace {
-
-// A caller that sends its text at once and may leave before the listener has read it.
-class BlockingCaller {
-public:
-    explicit BlockingCaller(std::uint16_t port)
-        : m_socket(socket(AF_INET, SOCK_STREAM, 0))
-    {
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        address.sin_port = htons(port);
-        REQUIRE(connect(m_socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
-    }
-    ~BlockingCaller() { leave(); }
-
-    void send(const std::string& text) { REQUIRE(write(m_socket, text.data(), text.size()) > 0); }
-
-    // Returns what has arrived so far.
-    std::string received() const
-    {
-        std::array<char, 4096> bytes {};
-        const ssize_t size = recv(m_socket, bytes.data(), bytes.size(), MSG_DONTWAIT);
-        return size > 0 ? std::string(bytes.data(), static_cast<std::size_t>(size)) : "";
-    }
-
-    void leave()
-    {
-        if (m_socket >= 0)
-            close(m_socket);
-        m_socket = -1;
-    }
-
-private:
-    int m_socket;
-};
-
-} // namespace
-
 // Guards against a host that falls behind and then has endpoints work for callers that have left meanwhile.
 TEST_CASE("A request whose caller has left before it was read is not served")
 {
--- a/tests/http/RawSockets.cpp
+++ b/tests/http/RawSockets.cpp
@@ -1,13 +1,17 @@
 #include "http/RawSockets.h"
 
 #include <arpa/inet.h>
+#include <array>
 #include <catkinwell/loop/Timeval.h>
+#include <cerrno>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
 #include <stdexcept>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace Catkinwell::Testing {
 
@@ -61,6 +65,41 @@
     return exchange.received + exchange.end;
 }
 
+BlockingCaller::BlockingCaller(std::uint16_t port)
+    : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+{
+    sockaddr_in address = loopback(port);
+    if (connect(m_socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0)
+        throw std::runtime_error("the caller cannot connect");
+}
+
+void BlockingCaller::send(const std::string& text) const
+{
+    if (write(m_socket, text.data(), text.size()) <= 0)
+        throw std::runtime_error("the caller cannot send");
+}
+
+std::string BlockingCaller::received() const
+{
+    std::array<char, 4096> bytes {};
+    const ssize_t size = recv(m_socket, bytes.data(), bytes.size(), MSG_DONTWAIT);
+    return size > 0 ? std::string(bytes.data(), static_cast<std::size_t>(size)) : "";
+}
+
+bool BlockingCaller::isClosed() const
+{
+    char next = 0;
+    const ssize_t size = recv(m_socket, &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size == 0 || (size < 0 && errno == ECONNRESET);
+}
+
+void BlockingCaller::leave()
+{
+    if (m_socket >= 0)
+        close(m_socket);
+    m_socket = -1;
+}
+
 struct ScriptedServer::State {
     struct Connection {
         State* owner = nullptr;
--- a/tests/http/RawSockets.h
+++ b/tests/http/RawSockets.h
@@ -13,6 +13,26 @@
 // passed. Returns the bytes received, followed by "<closed>" if the connection ended in order, or "<reset>".
 std::string exchangeRaw(EventLoop&, std::uint16_t port, const std::string& text, Duration duration);
 
+// A caller that sends its text at once and may leave before the listener has read it. Throws std::runtime_error if a
+// socket call fails.
+class BlockingCaller {
+public:
+    explicit BlockingCaller(std::uint16_t port);
+    ~BlockingCaller() { leave(); }
+    BlockingCaller(const BlockingCaller&) = delete;
+    BlockingCaller& operator=(const BlockingCaller&) = delete;
+
+    void send(const std::string& text) const;
+    // Returns what has arrived so far.
+    std::string received() const;
+    // Whether the peer has closed the connection and all that it sent was received.
+    bool isClosed() const;
+    void leave();
+
+private:
+    int m_socket;
+};
+
 // Accepts connections and answers each request head with the next step; the last step is repeated.
 class ScriptedServer {
 public:
