Keep requests and kept connections over a change of the listener's limits

What callers saw: a request that was half sent when a configuration with smaller limits came into force was refused with 413 or 431 although it kept the limits under which it began; a connection that was idle when the idle timeout was raised was still closed after the old one, under a caller that reuses it; an answer larger than the sockets buffer was cut off one idle timeout after its end even while its caller went on taking it, so that a shorter timeout cut answers that had been written whole before.

Causes: limits were read at each step of a request; the timer kept the duration with which it was started; it counted from the end of the answer, not from the last byte taken.

A request is now bound by the larger of the limits at its first byte and those in force; a timer whose limit has grown meanwhile runs on; it starts again as long as unsent bytes become fewer.

--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -50,7 +50,7 @@
     bufferevent_setcb(m_stream, readable, drained, eventOccurred, this);
     bufferevent_setwatermark(m_stream, EV_READ, 0, maximumReadAhead);
     bufferevent_enable(m_stream, EV_READ | EV_WRITE);
-    setTimer(m_owner.limits().idleTimeout);
+    setTimer(&CallerLimits::idleTimeout);
 }
 
 CallerConnection::~CallerConnection()
@@ -59,19 +59,43 @@
     bufferevent_free(m_stream);
 }
 
-void CallerConnection::setTimer(Duration duration)
+void CallerConnection::setTimer(Duration CallerLimits::*limit)
+{
+    m_timerLimit = limit;
+    m_timerDuration = m_owner.limits().*limit;
+    m_unsentAtStart = unsentBytes();
+    m_timerDelays = 0;
+    addTimer(m_timerDuration);
+}
+
+void CallerConnection::addTimer(Duration duration)
 {
-    m_unsentAtTimer = unsentBytes();
     const timeval timeout = toTimeval(duration);
     event_add(m_timer, &timeout);
-    m_timerDelays = 0;
 }
 
-// Whether the caller has taken bytes of a finished response since the timer was set.
-bool CallerConnection::hasReadOutput() const
+bool CallerConnection::isTimerExtended()
 {
-    const bool isAnswered = m_phase == Phase::Idle || m_phase == Phase::Closing;
-    return isAnswered && unsentBytes() < m_unsentAtTimer;
+    if (hasUnsentOutput() && unsentBytes() < m_unsentAtStart) {
+        setTimer(m_timerLimit);
+        return true;
+    }
+    const Duration missing = m_owner.limits().*m_timerLimit - m_timerDuration;
+    if (missing <= Duration::zero())
+        return false;
+    m_timerDuration += missing;
+    addTimer(missing);
+    return true;
+}
+
+std::size_t CallerConnection::maximumHeaderBytes() const
+{
+    return std::max(m_requestLimits.maximumHeaderBytes, m_owner.limits().maximumHeaderBytes);
+}
+
+std::size_t CallerConnection::maximumBodyBytes() const
+{
+    return std::max(m_requestLimits.maximumBodyBytes, m_owner.limits().maximumBodyBytes);
 }
 
 void CallerConnection::clearTimer() { event_del(m_timer); }
@@ -79,15 +103,12 @@
 void CallerConnection::timedOut(int, short, void* context)
 {
     auto& self = *static_cast<CallerConnection*>(context);
-    if (self.hasReadOutput()) {
-        self.setTimer(self.m_owner.limits().idleTimeout);
+    if (self.m_phase != Phase::Discarding && self.isTimerExtended())
         return;
-    }
     // A host that was behind reads what has arrived before it takes the caller for slow.
     if (self.hasUnreadBytes() && self.m_timerDelays < maximumTimerDelays) {
-        const unsigned delays = self.m_timerDelays + 1;
-        self.setTimer(Duration::zero());
-        self.m_timerDelays = delays;
+        ++self.m_timerDelays;
+        self.addTimer(Duration::zero());
         return;
     }
     if (self.m_phase == Phase::ReadingHead || self.m_phase == Phase::ReadingBody)
@@ -133,19 +154,19 @@
     const std::size_t available = evbuffer_get_length(input);
     if (available == 0)
         return false;
-    const CallerLimits& limits = m_owner.limits();
     if (m_phase == Phase::Idle) {
         // A caller that sends on without reading its answers is not answered further meanwhile.
         if (evbuffer_get_length(bufferevent_get_output(m_stream)) > m_outputHighWatermark)
             return false;
         m_phase = Phase::ReadingHead;
-        setTimer(limits.headerTimeout);
+        m_requestLimits = m_owner.limits();
+        setTimer(&CallerLimits::headerTimeout);
     }
     const evbuffer_ptr end = evbuffer_search(input, endOfHead.data(), endOfHead.size(), nullptr);
     const std::size_t size = end.pos < 0 ? available : static_cast<std::size_t>(end.pos) + endOfHead.size();
-    if (size > limits.maximumHeaderBytes)
+    if (size > maximumHeaderBytes())
         return refuse(431,
-            "the head of the request is longer than " + std::to_string(limits.maximumHeaderBytes)
+            "the head of the request is longer than " + std::to_string(maximumHeaderBytes())
                 + " bytes; send fewer or shorter headers");
     if (end.pos < 0)
         return false;
@@ -166,8 +187,8 @@
     }
     if (m_bodyTooLong)
         return refuse(
-            413, "the body is longer than " + std::to_string(limits.maximumBodyBytes) + " bytes; send a shorter one");
-    setTimer(limits.idleTimeout);
+            413, "the body is longer than " + std::to_string(maximumBodyBytes()) + " bytes; send a shorter one");
+    setTimer(&CallerLimits::idleTimeout);
     const std::string* expect = findHeader(m_received.head.headers, "expect");
     if (expect && equalIgnoringCase(*expect, "100-continue") && evbuffer_get_length(input) == 0) {
         constexpr std::string_view proceed = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -188,13 +209,12 @@
     if (m_reader.hasFailed())
         return refuse(400, "the body is malformed: " + m_reader.failure());
     if (m_bodyTooLong)
-        return refuse(413,
-            "the body is longer than " + std::to_string(m_owner.limits().maximumBodyBytes)
-                + " bytes; send a shorter one");
+        return refuse(
+            413, "the body is longer than " + std::to_string(maximumBodyBytes()) + " bytes; send a shorter one");
     if (m_reader.hasEnded())
         deliver();
     else
-        setTimer(m_owner.limits().idleTimeout);
+        setTimer(&CallerLimits::idleTimeout);
     return true;
 }
 
@@ -204,14 +224,14 @@
     m_isVersion10 = head.isVersion10;
     m_closesAfterAnswer = !head.keepAlive;
     const std::string* length = findHeader(head.headers, "content-length");
-    m_bodyTooLong = length && std::stoull(*length) > m_owner.limits().maximumBodyBytes;
+    m_bodyTooLong = length && std::stoull(*length) > maximumBodyBytes();
     m_received.head = std::move(head);
     return true;
 }
 
 void CallerConnection::bodyRead(std::string_view data)
 {
-    m_bodyTooLong = m_bodyTooLong || m_received.body.size() + data.size() > m_owner.limits().maximumBodyBytes;
+    m_bodyTooLong = m_bodyTooLong || m_received.body.size() + data.size() > maximumBodyBytes();
     if (!m_bodyTooLong)
         m_received.body.append(data);
 }
@@ -321,7 +341,7 @@
     m_request = RequestId();
     m_isFull = false;
     m_phase = m_closesAfterAnswer ? Phase::Closing : Phase::Idle;
-    setTimer(m_owner.limits().idleTimeout);
+    setTimer(&CallerLimits::idleTimeout);
     if (!hasUnsentOutput())
         noteWritten();
     if (m_phase == Phase::Idle)
@@ -335,7 +355,7 @@
     if (m_isPartlyRead) {
         m_phase = Phase::Discarding;
         shutdown(bufferevent_getfd(m_stream), SHUT_WR);
-        setTimer(longestDiscarding);
+        addTimer(longestDiscarding);
         discardInput();
         return;
     }
--- a/src/http/CallerConnection.h
+++ b/src/http/CallerConnection.h
@@ -106,10 +106,16 @@
     // Precondition: the answer is complete and written.
     void closeAfterAnswer();
     void discardInput();
-    std::size_t unsentBytes() const;
-    bool hasReadOutput() const;
-    void setTimer(Duration);
+    // Starts the timer with one of the limits. If that limit grows meanwhile, the timer runs on.
+    void setTimer(Duration CallerLimits::*);
+    void addTimer(Duration);
     void clearTimer();
+    // Whether the timer was started again, because its limit has grown or the caller goes on taking its answer.
+    bool isTimerExtended();
+    // The limits of the request that is being read: those in force when it began, or those now if they are larger.
+    std::size_t maximumHeaderBytes() const;
+    std::size_t maximumBodyBytes() const;
+    std::size_t unsentBytes() const;
     // Whether bytes of a request have arrived that were not read yet.
     bool hasUnreadBytes() const;
     void close(AnswerEnd);
@@ -128,14 +134,18 @@
     bufferevent* m_stream;
     event* m_timer;
     std::size_t m_outputHighWatermark;
+    // The limit that the timer keeps, how long it has run with that limit, and the unsent bytes when it was started.
+    Duration CallerLimits::*m_timerLimit = &CallerLimits::idleTimeout;
+    Duration m_timerDuration {};
+    std::size_t m_unsentAtStart = 0;
+    // The limits when the request that is being read began.
+    CallerLimits m_requestLimits;
     MessageReader m_reader;
     ReceivedRequest m_received;
     RequestId m_request;
     // In the order of their arrival; only the last one may still wait for its answer.
     std::deque<OpenRequest> m_openRequests;
     Phase m_phase = Phase::Idle;
-    // Response bytes that were still buffered when the timer was set.
-    std::size_t m_unsentAtTimer = 0;
     bool m_processing = false;
     // Rounds of the loop that the timer was put off for unread bytes.
     unsigned m_timerDelays = 0;
