Pass answers on whose service went away from the configuration

What callers saw: an answer without a length that was ready when the configuration dropped its service became a 502, and a stream that ended so was broken off.

Cause: such an answer is passed on after its endpoint has shown that it runs, and how to ask it was looked up in the configuration and the directory at the end of the answer. A request now keeps what the check needs from its admission (health path, and whether the service has engines), an attempt its address.

--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -146,6 +146,8 @@
         AttemptId id;
         // Empty if the request was relayed.
         EndpointId endpoint;
+        // Stays known if the endpoint's record goes away.
+        std::string address;
         std::optional<HostId> relayedTo;
         RelayAnswer relayAnswer;
         MonotonicTime startedAt {};
@@ -183,6 +185,9 @@
         RequestTerms terms;
         Route route;
         std::string service;
+        // How to ask an endpoint of the service whether it runs, also once the service goes away; empty if the service
+        // was not known when the request was admitted.
+        std::optional<GatewayService> checkedService;
         AccountId account;
         std::optional<int> priority;
         double units = 0;
--- a/src/gateway/GatewayAdmission.cpp
+++ b/src/gateway/GatewayAdmission.cpp
@@ -19,6 +19,19 @@
 
     std::string wholeNumber(double value) { return std::to_string(static_cast<std::int64_t>(value)); }
 
+    // What the check of an endpoint needs to know of its service. The models are left out, since every request keeps a
+    // copy.
+    std::optional<GatewayService> serviceToCheck(const GatewayConfiguration& configuration, const std::string& name)
+    {
+        const auto service = configuration.services.find(name);
+        if (service == configuration.services.end())
+            return std::nullopt;
+        GatewayService checked { name, service->second.healthPath, std::nullopt };
+        if (service->second.engine)
+            checked.engine.emplace();
+        return checked;
+    }
+
     std::string_view pathOf(const RequestArrived& request)
     {
         return std::string_view(request.target).substr(0, request.target.find('?'));
@@ -86,6 +99,7 @@
     const bool namesStream = isResumption(request) && !request.terms.resumedRequestId.empty();
     const std::string& firstRequest = namesStream ? request.terms.resumedRequestId : request.terms.callerRequestId;
     request.service = chooseService(*route, firstRequest);
+    request.checkedService = serviceToCheck(m_configuration, request.service);
     request.stream = streamKeyOf(request.service, firstRequest);
     return std::nullopt;
 }
--- a/src/gateway/GatewayAnswerEnds.cpp
+++ b/src/gateway/GatewayAnswerEnds.cpp
@@ -82,21 +82,19 @@
 void GatewayRequests::checkEndpointRuns(Request& request, MonotonicTime now, EffectList& effects)
 {
     const Attempt& attempt = *request.attempt;
-    const EndpointRecord* record = m_directory.find(attempt.endpoint);
-    const auto service = m_configuration.services.find(request.service);
     if (m_directory.isPaused(attempt.endpoint, now)) {
         handleBrokenAnswer(request, "the endpoint cannot be asked whether it ran when its answer ended", now, effects);
         return;
     }
-    if (!record || service == m_configuration.services.end()) {
-        handleBrokenAnswer(request, "the endpoint was gone when its answer ended", now, effects);
+    if (!request.checkedService) {
+        handleBrokenAnswer(request, "the endpoint's service is not known", now, effects);
         return;
     }
-    StatusCheck check = m_protocol.statusCheckOf(service->second, attempt.endpoint);
+    StatusCheck check = m_protocol.statusCheckOf(*request.checkedService, attempt.endpoint);
     StartAttempt start;
     start.id = AttemptId(++m_lastAttempt);
     start.endpoint = attempt.endpoint;
-    start.address = record->address;
+    start.address = attempt.address;
     start.method = "GET";
     start.target = std::move(check.target);
     start.headers = std::move(check.headers);
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -286,6 +286,7 @@
     Attempt attempt;
     attempt.id = AttemptId(++m_lastAttempt);
     attempt.endpoint = choice.endpoint;
+    attempt.address = choice.address;
     attempt.startedAt = now;
     attempt.lastDataAt = now;
     AttemptTerms terms;
--- a/tests/gateway/GatewayReducerTest.cpp
+++ b/tests/gateway/GatewayReducerTest.cpp
@@ -62,20 +62,24 @@
                 const auto* watch = std::get_if<StoreWatchPrefix>(&call->operation);
                 if (watch && watch->prefix == "endpoints/")
                     endpointWatch = call->id;
+                if (watch && watch->prefix == "configuration")
+                    configurationWatch = call->id;
                 if (const auto reply = replyTo(*call))
                     apply(*reply);
+            } else if (std::holds_alternative<StartAttempt>(effect)) {
+                ++attempts;
             } else if (const auto* send = std::get_if<SendToPeer>(&effect)) {
                 note(*send);
             }
         }
     }
 
-    void arrive(const std::string& model)
+    void arrive(const std::string& model, const std::string& target = "/note/1")
     {
         RequestArrived request;
         request.id = RequestId(++m_lastRequest);
         request.method = "POST";
-        request.target = "/note/1";
+        request.target = target;
         request.keyDigest = sha256Hex("key-a");
         request.headers
             = { { "Host", "h:80" }, { "id", std::to_string(m_lastRequest) }, { "left", "10000" }, { "model", model } };
@@ -86,6 +90,9 @@
     std::set<ModelId> reportedModels;
     // The latest watch of the endpoints, and the log entries about records that cannot be used.
     StoreCallId endpointWatch;
+    // The latest watch of the configuration, and the attempts started so far.
+    StoreCallId configurationWatch;
+    int attempts = 0;
     int unusableRecords = 0;
     MonotonicTime now { std::chrono::hours(1) };
 
@@ -174,3 +181,82 @@
     INFO(body);
     CHECK(body.find("\"endpoints\":5") != std::string::npos);
 }
+
+namespace {
+
+// A version of the configuration that arrives, from the store or from a peer.
+struct ArrivingVersion {
+    bool isFromPeer;
+    std::uint64_t version;
+};
+
+struct VersionsCase {
+    const char* what;
+    std::vector<ArrivingVersion> versions;
+};
+
+void deliver(ReducerFixture& fixture, const ArrivingVersion& arriving)
+{
+    const std::string document = std::to_string(arriving.version);
+    if (arriving.isFromPeer) {
+        const ConfigurationDocumentOffer offer { arriving.version, document };
+        fixture.apply(PeerMessageReceived { owner, 1, GatewayEnvelope { encodeGatewayMessage(offer) } });
+        return;
+    }
+    StoreReply reply { fixture.configurationWatch, StoreStatus::Ok };
+    reply.version = 10 + arriving.version;
+    reply.entries = { { "configuration", document, reply.version } };
+    fixture.apply(reply);
+    // The next watch follows after a moment.
+    for (int i = 0; i < 5; ++i)
+        fixture.tick();
+}
+
+std::string statusOf(ReducerFixture& fixture)
+{
+    RequestArrived status;
+    status.id = RequestId(99);
+    status.path = "/status";
+    std::string body;
+    for (const Effect& effect : fixture.reducer.apply(AdminRequestArrived { status }, fixture.now)) {
+        if (const auto* answer = std::get_if<SendWholeResponse>(&effect))
+            body = answer->body;
+    }
+    return body;
+}
+
+} // namespace
+
+// Guards against a configuration that goes back to an older version, and against a request that waits and is forgotten
+// when versions arrive in quick succession.
+TEST_CASE("The newest of several versions stays in force and a waiting request is served")
+{
+    const auto test = GENERATE(values<VersionsCase>({
+        { "in order", { { false, 2 }, { false, 3 } } },
+        { "from the store, then an older one from a peer", { { false, 3 }, { true, 2 } } },
+        { "from a peer, then an older one from the store", { { true, 3 }, { false, 2 } } },
+        { "the same from both", { { true, 3 }, { false, 3 } } },
+        { "from peers out of order", { { true, 3 }, { true, 2 }, { true, 3 } } },
+    }));
+    const bool isReloaded = GENERATE(false, true);
+    INFO(test.what << (isReloaded ? ", with changed settings" : ""));
+    ReducerFixture fixture;
+    fixture.arrive("", "/order/1");
+    REQUIRE(fixture.attempts == 0);
+    for (const ArrivingVersion& version : test.versions) {
+        deliver(fixture, version);
+        if (isReloaded)
+            fixture.apply(GatewaySettingsChanged { GatewaySettings() });
+    }
+    const std::string status = statusOf(fixture);
+    INFO(status);
+    CHECK(status.find("\"configuration\":3") != std::string::npos);
+    CHECK(status.find("\"open\":1") != std::string::npos);
+    StoreReply record { fixture.endpointWatch, StoreStatus::Ok };
+    record.version = 20;
+    record.entries = { { "endpoints/o1", "orders", 20 } };
+    fixture.apply(record);
+    for (int i = 0; i < 10; ++i)
+        fixture.tick();
+    CHECK(fixture.attempts == 1);
+}
