Check an endpoint that went away from the configuration where it was

What callers of serve saw: an answer without a length that was ready when the configuration dropped its endpoint became an error.

Cause: such an answer is passed on after its endpoint has shown that it runs, and the endpoint's address was looked up at the end of the answer; without one the check could only fail. The request now keeps the address of its attempt.

--- a/include/catkinwell/requests/ActiveRequest.h
+++ b/include/catkinwell/requests/ActiveRequest.h
@@ -83,6 +83,8 @@
     RelayAnswer relayAnswer;
     MonotonicTime attemptStartedAt {};
     EndpointId endpoint;
+    // Stays known if the endpoint goes away from the configuration.
+    std::string endpointAddress;
     int status = 0;
     HeaderList responseHeaders;
     std::string collected;
--- a/src/requests/RequestEndpointChecks.cpp
+++ b/src/requests/RequestEndpointChecks.cpp
@@ -19,8 +19,7 @@
     StartAttempt check;
     check.id = AttemptId(++m_lastAttempt);
     check.endpoint = request.endpoint;
-    if (const EndpointSettings* settings = m_modules.endpoints.find(request.endpoint))
-        check.address = settings->address;
+    check.address = request.endpointAddress;
     check.method = "GET";
     check.target = engineReportTarget;
     check.connectTimeout = checkConnectTimeout;
--- a/src/requests/RequestFlow.cpp
+++ b/src/requests/RequestFlow.cpp
@@ -316,6 +316,7 @@
     request.attempt = AttemptId(++m_lastAttempt);
     request.attemptStartedAt = now;
     request.endpoint = endpoint->id;
+    request.endpointAddress = endpoint->address;
     request.relayedTo.reset();
     request.status = 0;
     request.collected.clear();
--- a/src/requests/RequestRelay.cpp
+++ b/src/requests/RequestRelay.cpp
@@ -185,6 +185,7 @@
     request.attempt = AttemptId(++m_lastAttempt);
     request.attemptStartedAt = now;
     request.endpoint = EndpointId();
+    request.endpointAddress.clear();
     request.relayedTo = choice->host;
     request.relayAnswer = {};
     request.status = 0;
