Refuse requests that wait for a model which goes away

What callers of serve saw: the process ended, and with it all requests of the host, when a configuration dropped a model for which a request waited.

Cause: the queue of a model that is not in the configuration was taken for the queue of a service, and a fixed length was cut from its name (std::out_of_range for names shorter than 9 characters; by reading, with longer ones the request waits until its deadline for nothing). Requests for a model that moved to another pool also waited in the old one until their deadline.

A change of configuration now refuses waiting requests whose model is gone, at once and as not run, and lets the others wait in the model's present pool.

--- a/src/requests/RequestFlow.cpp
+++ b/src/requests/RequestFlow.cpp
@@ -269,7 +269,9 @@
 {
     const auto& models = m_modules.configuration.effective().models;
     const auto model = models.find(queueKey);
-    const bool isService = model == models.end();
+    const bool isService = queueKey.value.starts_with(serviceQueuePrefix);
+    if (!isService && model == models.end())
+        return;
     const std::string pool = isService ? queueKey.value.substr(serviceQueuePrefix.size()) : model->second.pool;
     const ModelId modelId = isService ? ModelId() : queueKey;
     std::vector<QueuedRequest> unplaced;
@@ -413,6 +415,25 @@
     }
     for (const RequestId id : revoked)
         failForRevokedKey(*m_requests[id], now, effects);
+    followModels(now, effects);
+}
+
+// No replica will come for a model that went away; one that moved has its replicas in another pool.
+void RequestFlow::followModels(MonotonicTime now, EffectList& effects)
+{
+    const auto& models = m_modules.configuration.effective().models;
+    std::vector<RequestId> unserved;
+    for (const auto& [id, request] : m_requests) {
+        if (request->stage == RequestStage::Running || request->model.value.empty())
+            continue;
+        const auto model = models.find(request->model);
+        if (model == models.end())
+            unserved.push_back(id);
+        else
+            request->pool = model->second.pool;
+    }
+    for (const RequestId id : unserved)
+        failRequest(*m_requests[id], { ApiErrorCode::ModelNotFound, "the model no longer exists" }, now, effects);
 }
 
 void RequestFlow::failForRevokedKey(ActiveRequest& request, MonotonicTime now, EffectList& effects)
--- a/tests/requests/ChangedConfigurationTest.cpp
+++ b/tests/requests/ChangedConfigurationTest.cpp
@@ -80,3 +80,37 @@
     CHECK(answers[0].body == "answer");
     CHECK(fixture.requests.isIdle());
 }
+
+// Guards against a process that ends because the model goes away for which a request waits, and against a request that
+// waits for nothing.
+TEST_CASE("A request that waits for a model is served or refused whatever the configuration becomes")
+{
+    const auto change = GENERATE(from_range(changes));
+    INFO(change.what);
+    RequestFlowFixture fixture;
+    fixture.arriveForModel("m1");
+    REQUIRE(fixture.takeAttempts().empty());
+    REQUIRE(fixture.takeAnswers().empty());
+    apply(fixture, change);
+    fixture.endpoints.noteReplica(EndpointId("e1"), ModelId("m1"), true);
+    fixture.advance(100ms);
+    const auto attempts = fixture.takeAttempts();
+    CHECK(attempts.size() == (change.waiting == Waiting::Served ? 1 : 0));
+    auto answers = fixture.takeAnswers();
+    CHECK(answers.size() == (change.waiting == Waiting::RefusedAtOnce ? 1 : 0));
+    if (!attempts.empty()) {
+        fixture.requests.handle(AttemptHead { attempts[0].id, 200, {} }, fixture.now, fixture.effects);
+        fixture.requests.handle(AttemptData { attempts[0].id, "{}" }, fixture.now, fixture.effects);
+        fixture.requests.handle(AttemptFinished { attempts[0].id }, fixture.now, fixture.effects);
+    } else {
+        fixture.advance(61s);
+    }
+    const auto late = fixture.takeAnswers();
+    answers.insert(answers.end(), late.begin(), late.end());
+    REQUIRE(answers.size() == 1);
+    if (attempts.empty())
+        CHECK(answers[0].body.find("\"not_run\"") != std::string::npos);
+    else
+        CHECK(answers[0].status == 200);
+    CHECK(fixture.requests.isIdle());
+}
