Keep a request's place in a queue that was shortened

What callers of serve saw: a request that waited between two attempts (another one with its prompt is tried, or its endpoint may have crashed) got no further attempt when a configuration shortened the queues meanwhile, and was refused at its deadline.

Cause: dispatching takes requests from the queue and puts those back that could not start; that counted as a new arrival, which the smaller limit refused.

"A request that waits for its next attempt keeps its place when the queues are shortened" failed before (no further attempt within 1 s).

--- a/include/catkinwell/admission/FairQueue.h
+++ b/include/catkinwell/admission/FairQueue.h
@@ -61,6 +61,9 @@
 
     // Returns nothing if the request was queued, and the reason for the refusal otherwise.
     std::optional<QueueRefusal> push(const QueuedRequest&, MonotonicTime now);
+    // Queues a request again that pop() returned and no replica took, also beyond limits that were lowered meanwhile.
+    // Precondition: it is not queued. One whose deadline has passed is not queued.
+    void putBack(const QueuedRequest&, MonotonicTime now);
     // Removes and returns the next request of the model that has not expired. Must only be called when a replica
     // has capacity.
     std::optional<QueuedRequest> pop(const ModelId&, MonotonicTime now);
@@ -103,6 +106,7 @@
     };
 
     double weightOf(const AccountId&) const;
+    void insert(const QueuedRequest&);
     QueuedRequest take(RequestId, bool served);
     void removeIdleFlows(ModelQueue&);
 
--- a/src/admission/FairQueue.cpp
+++ b/src/admission/FairQueue.cpp
@@ -50,6 +50,18 @@
         return QueueRefusal::ModelFull;
     if (length(request.model, request.account) >= m_limits.perAccountAndModel)
         return QueueRefusal::AccountFull;
+    insert(request);
+    return std::nullopt;
+}
+
+void FairQueue::putBack(const QueuedRequest& request, MonotonicTime now)
+{
+    if (now < request.deadline)
+        insert(request);
+}
+
+void FairQueue::insert(const QueuedRequest& request)
+{
     ModelQueue& queue = m_models[request.model];
     const auto [flowItem, isNew] = queue.flows.try_emplace(request.account);
     Flow& flow = flowItem->second;
@@ -65,7 +77,6 @@
     ++queue.length;
     m_deadlines.emplace(request.deadline, request.id.value);
     m_requests.emplace(request.id, Item { request, rank });
-    return std::nullopt;
 }
 
 std::optional<QueuedRequest> FairQueue::pop(const ModelId& model, MonotonicTime now)
--- a/src/requests/RequestFlow.cpp
+++ b/src/requests/RequestFlow.cpp
@@ -289,7 +289,7 @@
             unplaced.push_back(*next); // The endpoints with capacity are excluded, or attempts are on hold.
     }
     for (const QueuedRequest& request : unplaced)
-        m_queue.push(request, now);
+        m_queue.putBack(request, now);
     const bool loaded = isService || m_modules.endpoints.isLoaded(pool, modelId, now);
     const std::size_t length = m_queue.length(queueKey);
     m_waits.setBacklogged(queueKey, loaded && length > 0, now);
--- a/tests/requests/ChangedConfigurationTest.cpp
+++ b/tests/requests/ChangedConfigurationTest.cpp
@@ -114,3 +114,26 @@
         CHECK(answers[0].status == 200);
     CHECK(fixture.requests.isIdle());
 }
+
+// Guards against a request that waits between two attempts and is forgotten because the queues were shortened
+// meanwhile.
+TEST_CASE("A request that waits for its next attempt keeps its place when the queues are shortened")
+{
+    RequestFlowFixture fixture;
+    fixture.arrive("/read/1");
+    const auto attempts = fixture.takeAttempts();
+    REQUIRE(attempts.size() == 1);
+    fixture.requests.handle(AttemptFailed { attempts[0].id, AttemptOutcome::Unknown, "reset", AttemptFailure::Broken },
+        fixture.now, fixture.effects);
+    FleetConfiguration changed = fixture.configuration.value;
+    changed.defaults.maximumQueuedPerAccountAndModel = 0;
+    changed.defaults.maximumQueuedPerHost = 0;
+    fixture.configure(changed);
+    REQUIRE(fixture.takeAttempts().empty());
+    REQUIRE(fixture.takeAnswers().empty());
+    fixture.advance(1s);
+    // A lost path is probed as well.
+    const auto next = fixture.takeAttempts();
+    CHECK(std::count_if(next.begin(), next.end(), [](const StartAttempt& attempt) { return attempt.method == "POST"; })
+        == 1);
+}
