--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -76,7 +76,7 @@
 
 bool CallerConnection::isTimerExtended()
 {
-    if (hasUnsentOutput() && unsentBytes() < m_unsentAtStart) {
+    if (unsentBytes() < m_unsentAtStart) {
         setTimer(m_timerLimit);
         return true;
     }
