Look in the fleet soak for requests that end with a closed connection

The soak had only callers that open a connection for each request, and no planned work but single stops and changes. Added: * KeptCallers: callers that keep their connection and send on it until the host closes it or announces that it will. * Planned work in series (FaultSoakPlannedWork): two hosts stop one after the other, overlapping, while the configuration changes eight times in a second and SIGHUP arrives at one host after the other, also at those that stop. * An endpoint is silent for 0.8 to 1.8 s, works on and then sends what was due. It has a generator of its own, as has the planned work, so that the series of the other faults stay what they were for each seed. * findLostRequests(): a request that was written whole on a kept connection and reached an endpoint must not end with a closed connection and without a complete answer. Only hosts are judged that no unplanned fault has disturbed. FaultChecksTest shows that it fails.

No check was weakened. The SIGHUP of the planned work spares a process in its first second, in which it does not handle signals yet.

--- a/tests/fleet/CallerLoad.cpp
+++ b/tests/fleet/CallerLoad.cpp
@@ -22,23 +22,6 @@
     // Returns whether the status guarantees that the request did not run.
     bool guaranteesNotRun(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
-    HttpCall callOf(
-        const CallerRequest& request, std::uint16_t port, const std::string& model, std::chrono::milliseconds patience)
-    {
-        HttpCall call { port, "POST", request.path + request.id,
-            { { "Host", "test.example" }, { "Catkinwell-Request-Id", request.id },
-                { "Catkinwell-Deadline-Ms", std::to_string(patience.count()) },
-                { "Authorization", "Bearer key-" + request.account } },
-            "body of " + request.id, patience + lateAnswerTime };
-        if (request.path == "/note/")
-            call.headers["Catkinwell-Model"] = model;
-        if (!request.resumes.empty()) {
-            call.headers["Resumes"] = request.resumes;
-            call.headers["Last-Event-Id"] = std::to_string(request.lastEvent);
-        }
-        return call;
-    }
-
     // Returns the software version that the first event of an answer states; empty if there is no event.
     std::string versionOf(const CallerRequest& request)
     {
@@ -111,6 +94,23 @@
 
 } // namespace
 
+HttpCall callOf(
+    const CallerRequest& request, std::uint16_t port, const std::string& model, std::chrono::milliseconds patience)
+{
+    HttpCall call { port, "POST", request.path + request.id,
+        { { "Host", "test.example" }, { "Catkinwell-Request-Id", request.id },
+            { "Catkinwell-Deadline-Ms", std::to_string(patience.count()) },
+            { "Authorization", "Bearer key-" + request.account } },
+        "body of " + request.id, patience + lateAnswerTime };
+    if (request.path == "/note/")
+        call.headers["Catkinwell-Model"] = model;
+    if (!request.resumes.empty()) {
+        call.headers["Resumes"] = request.resumes;
+        call.headers["Last-Event-Id"] = std::to_string(request.lastEvent);
+    }
+    return call;
+}
+
 CallerLoad::CallerLoad(GatewayFleet& fleet, std::size_t callers, std::uint64_t seed, std::chrono::milliseconds patience)
     : m_fleet(fleet)
     , m_patience(patience)
--- a/tests/fleet/CallerLoad.h
+++ b/tests/fleet/CallerLoad.h
@@ -16,8 +16,15 @@
     // If the request takes up a stream: the request that began it, and the last event of that one's answer.
     std::string resumes {};
     unsigned lastEvent = 0;
+    // If the caller keeps its connection: when the exchange ended, and whether the connection closed after the whole
+    // request was written and before its answer was complete.
+    MonotonicTime endedAt {};
+    bool wasClosed = false;
 };
 
+// Returns the call that sends the request to the port, with a caller that waits for an answer for the given time.
+HttpCall callOf(const CallerRequest&, std::uint16_t port, const std::string& model, std::chrono::milliseconds patience);
+
 // Runs callers that send orders, reads and streams to all hosts. Each caller sends one request at a time. A stream that
 // breaks after its first event is taken up again, once, at any host; nothing else is retried.
 class CallerLoad {
--- a/tests/fleet/FaultChecks.cpp
+++ b/tests/fleet/FaultChecks.cpp
@@ -19,6 +19,15 @@
     constexpr Duration drainTime = std::chrono::seconds(2);
     constexpr Duration relayMargin = std::chrono::seconds(1);
 
+    // The grace time of a host with the default settings, and how long after the SIGTERM a host may take requests that
+    // it need not complete.
+    constexpr Duration grace = std::chrono::seconds(8);
+    constexpr Duration lateGrace = grace * 5 / 6;
+    constexpr Duration excusedSendTime = std::chrono::seconds(3);
+    // The time limit of all routes, and the largest error of its measurement.
+    constexpr Duration timeLimit = std::chrono::seconds(8);
+    constexpr Duration timeLimitMargin = std::chrono::milliseconds(100);
+
     struct ServedCount {
         std::size_t served = 0;
         std::size_t sent = 0;
@@ -50,19 +59,31 @@
             [at](const PathLoss& loss) { return at >= loss.from && at < loss.until + relayMargin; });
     }
 
+    bool isWithinPathLoss(const std::vector<PathLoss>& losses, MonotonicTime from, MonotonicTime until)
+    {
+        return std::any_of(losses.begin(), losses.end(),
+            [&](const PathLoss& loss) { return loss.from <= until && loss.until + relayMargin > from; });
+    }
+
+    bool isExcusedByStop(const std::vector<PlannedStop>& stops, const CallerRequest& request)
+    {
+        return std::any_of(stops.begin(), stops.end(), [&](const PlannedStop& stop) {
+            return stop.host == request.host && request.sentAt <= stop.at + excusedSendTime
+                && request.endedAt >= stop.at + lateGrace;
+        });
+    }
+
 } // namespace
 
-std::size_t DisturbanceLog::begin(std::optional<std::size_t> host, MonotonicTime at)
+std::size_t DisturbanceLog::begin(std::optional<std::size_t> host, MonotonicTime at, DisturbanceCause cause)
 {
-    m_disturbances.push_back({ host, at, std::nullopt });
+    m_disturbances.push_back({ host, at, std::nullopt, cause });
     return m_disturbances.size() - 1;
 }
 
 void DisturbanceLog::end(std::size_t disturbance, MonotonicTime at) { m_disturbances.at(disturbance).until = at; }
 
-bool DisturbanceLog::isCalm(std::size_t host, MonotonicTime at) const { return isCalmDuring(host, at, at); }
-
-bool DisturbanceLog::isCalmDuring(std::size_t host, MonotonicTime from, MonotonicTime until) const
+bool DisturbanceLog::isCalm(std::size_t host, MonotonicTime from, MonotonicTime until) const
 {
     return std::none_of(m_disturbances.begin(), m_disturbances.end(), [&](const Disturbance& disturbance) {
         const bool isConcerned = !disturbance.host || *disturbance.host == host;
@@ -71,6 +92,14 @@
     });
 }
 
+DisturbanceLog DisturbanceLog::withoutPlannedWork() const
+{
+    DisturbanceLog faults = *this;
+    std::erase_if(faults.m_disturbances,
+        [](const Disturbance& disturbance) { return disturbance.cause == DisturbanceCause::PlannedWork; });
+    return faults;
+}
+
 std::vector<std::string> findUnservedCallers(
     const std::vector<CallerRequest>& requests, const std::vector<PathLoss>& losses, const DisturbanceLog& disturbances)
 {
@@ -192,10 +221,34 @@
     std::vector<std::string> broken;
     for (const CallerRequest& request : requests) {
         if (request.answer.status == 0
-            && disturbances.isCalmDuring(request.host, request.sentAt, request.sentAt + patience))
+            && disturbances.isCalm(request.host, request.sentAt, request.sentAt + patience))
             broken.push_back(request.path + request.id + " got no answer from host " + std::to_string(request.host));
     }
     return broken;
 }
 
+std::vector<std::string> findLostRequests(const std::vector<CallerRequest>& requests, const EndpointHistory& records,
+    const std::vector<PlannedStop>& stops, const std::vector<PathLoss>& losses, const DisturbanceLog& unplanned)
+{
+    std::map<std::string, std::string> reached;
+    for (const Arrival& arrival : records.arrivals)
+        reached[arrival.request] = arrival.endpoint;
+    for (const RecordedBreak& broken : records.breaks)
+        reached.erase(broken.request);
+    std::vector<std::string> lost;
+    for (const CallerRequest& request : requests) {
+        const auto endpoint = reached.find(request.id);
+        const Duration time = request.endedAt - request.sentAt;
+        if (!request.wasClosed || endpoint == reached.end() || time >= timeLimit - timeLimitMargin
+            || isExcusedByStop(stops, request) || isWithinPathLoss(losses, request.sentAt, request.endedAt)
+            || !unplanned.isCalm(request.host, request.sentAt, request.endedAt))
+            continue;
+        lost.push_back("lost: " + request.path + request.id + " reached " + endpoint->second + " and host "
+            + std::to_string(request.host) + " closed its connection after "
+            + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count())
+            + " ms without a complete answer (status " + std::to_string(request.answer.status) + ")");
+    }
+    return lost;
+}
+
 } // namespace Catkinwell::Testing
--- a/tests/fleet/FaultChecks.h
+++ b/tests/fleet/FaultChecks.h
@@ -10,24 +10,31 @@
 // disturbed for this long.
 constexpr Duration reactionTime = std::chrono::seconds(3);
 
+enum class DisturbanceCause {
+    Fault,
+    PlannedWork,
+};
+
 // When faults were injected into hosts, their links or the store, so that checks leave out what a host could not know.
 // Thread safe if each thread calls only const functions.
 class DisturbanceLog {
 public:
     // A fault begins at a host, or at all of them. It goes on until end() is called with the returned number.
-    std::size_t begin(std::optional<std::size_t> host, MonotonicTime);
+    std::size_t begin(std::optional<std::size_t> host, MonotonicTime, DisturbanceCause = DisturbanceCause::Fault);
     void end(std::size_t disturbance, MonotonicTime);
 
-    // Whether no fault was in force at the host within the reaction time before this moment.
-    bool isCalm(std::size_t host, MonotonicTime) const;
-    // Whether no fault was in force at the host from the reaction time before the first moment to the second one.
-    bool isCalmDuring(std::size_t host, MonotonicTime from, MonotonicTime until) const;
+    // Whether no fault was in force at the host within the reaction time before this moment, or before the first of
+    // two and until the second.
+    bool isCalm(std::size_t host, MonotonicTime at) const { return isCalm(host, at, at); }
+    bool isCalm(std::size_t host, MonotonicTime from, MonotonicTime until) const;
+    DisturbanceLog withoutPlannedWork() const;
 
 private:
     struct Disturbance {
         std::optional<std::size_t> host;
         MonotonicTime from {};
         std::optional<MonotonicTime> until;
+        DisturbanceCause cause = DisturbanceCause::Fault;
     };
 
     std::vector<Disturbance> m_disturbances;
@@ -40,6 +47,13 @@
     MonotonicTime until {};
 };
 
+// A planned stop of a host.
+struct PlannedStop {
+    std::size_t host = 0;
+    // When it was sent SIGTERM.
+    MonotonicTime at {};
+};
+
 // A time in which endpoints were brittle.
 struct BrittleTime {
     MonotonicTime from {};
@@ -77,4 +91,12 @@
 std::vector<std::string> findUnansweredRequests(
     const std::vector<CallerRequest>&, Duration patience, const DisturbanceLog&);
 
+// Returns a line for each request that was written whole to a host, reached an endpoint, and ended with a closed
+// connection and without a complete answer. Hosts that nothing but planned work has disturbed are judged: a planned
+// stop, changes of the configuration and of the settings. Not counted: the endpoint broke off, its links were
+// disturbed, the time limit was reached, or the endpoint was still at work in the last sixth of the grace time of a
+// stop on a request that was sent no later than 3 s after the SIGTERM.
+std::vector<std::string> findLostRequests(const std::vector<CallerRequest>&, const EndpointHistory&,
+    const std::vector<PlannedStop>&, const std::vector<PathLoss>&, const DisturbanceLog& unplanned);
+
 } // namespace Catkinwell::Testing
--- a/tests/fleet/FaultChecksTest.cpp
+++ b/tests/fleet/FaultChecksTest.cpp
@@ -221,3 +221,62 @@
     CHECK(
         findUnansweredRequests({ requestAt("r", 0, 10s, test.status) }, 8s, disturbances).empty() != test.isViolation);
 }
+
+namespace {
+
+struct LostCase {
+    const char* what;
+    // When the request was sent and when its connection closed.
+    Duration sentAt;
+    Duration endedAt;
+    // Whether the connection closed before the answer was complete, and whether the request had reached an endpoint.
+    bool wasClosed;
+    bool hasReached;
+    // When the host got a SIGTERM, and when an unplanned fault ended.
+    std::optional<Duration> stoppedAt;
+    std::optional<Duration> calmSince;
+    bool isViolation;
+};
+
+} // namespace
+
+// Guards against a check that overlooks requests of which the caller hears nothing more.
+TEST_CASE("Requests that reached an endpoint and ended with a closed connection are found")
+{
+    const auto test = GENERATE(values<LostCase>({
+        { "in calm", 4s, 5s, true, true, {}, {}, true },
+        { "with an answer", 4s, 5s, false, true, {}, {}, false },
+        { "not passed on", 4s, 5s, true, false, {}, {}, false },
+        { "at the time limit", 4s, 12s, true, true, {}, {}, false },
+        { "soon after a fault", 4s, 5s, true, true, {}, 2s, false },
+        { "long after a fault", 4s, 5s, true, true, {}, 1s, true },
+        { "before a fault that goes on", 4s, 5s, true, true, {}, 20s, false },
+        { "early in a planned stop", 4s, 9s, true, true, 3s, {}, true },
+        { "late in a planned stop", 4s, 11s, true, true, 3s, {}, false },
+        { "late in a planned stop and sent late", 7s, 11s, true, true, 3s, {}, true },
+        { "at the end of a process that stopped long ago", 20s, 21s, true, true, 3s, {}, true },
+    }));
+    INFO(test.what);
+    CallerRequest request { "r", "/order/", "a", 0, {}, start + test.sentAt };
+    request.endedAt = start + test.endedAt;
+    request.wasClosed = test.wasClosed;
+    EndpointHistory records;
+    if (test.hasReached)
+        records.arrivals.push_back({ "o-0", "r", request.sentAt + 1ms });
+    std::vector<PlannedStop> stops;
+    if (test.stoppedAt)
+        stops.push_back({ 0, start + *test.stoppedAt });
+    DisturbanceLog disturbances;
+    if (test.calmSince)
+        disturbances.end(disturbances.begin(0, start), start + *test.calmSince);
+    disturbances.begin(0, start, DisturbanceCause::PlannedWork);
+    CHECK_FALSE(disturbances.isCalm(0, request.sentAt));
+    const DisturbanceLog unplanned = disturbances.withoutPlannedWork();
+    CHECK(findLostRequests({ request }, records, stops, {}, unplanned).empty() != test.isViolation);
+
+    // What the endpoint or its link did is not the host's fault.
+    const std::vector<PathLoss> losses { { {}, start, start + 30s } };
+    CHECK(findLostRequests({ request }, records, stops, losses, unplanned).empty());
+    records.breaks.push_back({ "o-0", "r", request.endedAt });
+    CHECK(findLostRequests({ request }, records, stops, {}, unplanned).empty());
+}
--- a/tests/fleet/FaultSoak.cpp
+++ b/tests/fleet/FaultSoak.cpp
@@ -1,7 +1,9 @@
 #include "fleet/FaultSoak.h"
 
+#include "fleet/KeptCallers.h"
 #include <array>
 #include <csignal>
+#include <numeric>
 
 namespace Catkinwell::Testing {
 
@@ -10,6 +12,11 @@
 namespace {
 
     constexpr std::size_t callers = 12;
+    constexpr std::size_t keptCallers = 6;
+    constexpr std::chrono::milliseconds keptPatience = 8s;
+    constexpr std::uint64_t plannedSeedFactor = 7919;
+    constexpr std::uint64_t shortestPlannedPause = 400;
+    constexpr std::uint64_t plannedPauseSpread = 1600;
     constexpr std::uint64_t shortestPause = 150;
     constexpr std::uint64_t pauseSpread = 1200;
     // The maximum time until a host is ready after the end of all faults.
@@ -35,6 +42,7 @@
 FaultSoak::FaultSoak(std::uint64_t seed)
     : m_seed(seed)
     , m_random(seed)
+    , m_plannedRandom(seed * plannedSeedFactor)
     , m_fleet({ 4, plainEndpoints, 4, seed, seed % 2 == 0 })
     , m_startedAt(std::chrono::steady_clock::now())
 {
@@ -64,9 +72,9 @@
     }
 }
 
-std::function<void()> FaultSoak::disturb(std::optional<std::size_t> host)
+std::function<void()> FaultSoak::disturb(std::optional<std::size_t> host, DisturbanceCause cause)
 {
-    const std::size_t disturbance = m_disturbances.begin(host, SystemClock().monotonicNow());
+    const std::size_t disturbance = m_disturbances.begin(host, SystemClock().monotonicNow(), cause);
     return [this, disturbance] { m_disturbances.end(disturbance, SystemClock().monotonicNow()); };
 }
 
@@ -79,7 +87,7 @@
     note("kill host " + std::to_string(host));
     m_fleet.process(host).signal(SIGKILL);
     later(pause, [this, host, calm = disturb(host)] {
-        m_fleet.start(host);
+        startAgain(host);
         calm();
         m_disturbed.erase(host);
     });
@@ -88,19 +96,8 @@
 void FaultSoak::stopHost()
 {
     const std::size_t host = m_random.below(m_fleet.hostCount());
-    if (!m_disturbed.insert(host).second)
-        return;
-    note("stop host " + std::to_string(host));
-    m_fleet.process(host).signal(SIGTERM);
-    later(9s, [this, host, calm = disturb(host)] {
-        if (m_fleet.process(host).waitForExit(0ms) != 0)
-            m_report.broken.push_back("host " + std::to_string(host) + " did not end in time after SIGTERM");
-        if (const auto accounts = m_fleet.accountsAtEnd(host))
-            m_accounts.push_back(*accounts);
-        m_fleet.start(host);
-        calm();
-        m_disturbed.erase(host);
-    });
+    if (!m_disturbed.contains(host))
+        stop(host);
 }
 
 void FaultSoak::freezeHost()
@@ -338,9 +335,8 @@
         { 3, &FaultSoak::askForPause },
         { 2, &FaultSoak::announceLeaving },
     } };
-    unsigned total = 0;
-    for (const Fault& fault : faults)
-        total += fault.weight;
+    constexpr unsigned total = std::accumulate(
+        faults.begin(), faults.end(), 0U, [](unsigned sum, const Fault& fault) { return sum + fault.weight; });
     std::uint64_t drawn = m_random.below(total);
     for (const Fault& fault : faults) {
         if (drawn < fault.weight) {
@@ -378,7 +374,9 @@
         { findViolations(requests, records, m_fleet), findUnservedCallers(requests, m_pathLosses, m_disturbances),
             findRepeatedCrashes(deadly, records, m_disturbances),
             findFalls(requests, records, m_brittleTimes, m_disturbances),
-            findUnwantedRequests(requests, records, m_lostNotices, m_disturbances), findOpenRequests(m_accounts),
+            findUnwantedRequests(requests, records, m_lostNotices, m_disturbances),
+            findLostRequests(requests, records, m_stops, m_lostNotices, m_disturbances.withoutPlannedWork()),
+            findOpenRequests(m_accounts),
             findUnansweredRequests(requests, CallerLoad::usualPatience, m_disturbances) })
         m_report.broken.insert(m_report.broken.end(), broken.begin(), broken.end());
 }
@@ -386,14 +384,20 @@
 SoakReport FaultSoak::run(std::chrono::milliseconds duration)
 {
     CallerLoad load(m_fleet, callers, m_seed);
+    KeptCallers kept(m_fleet, keptCallers, m_seed, keptPatience);
     const auto end = std::chrono::steady_clock::now() + duration;
     auto nextFault = std::chrono::steady_clock::now();
+    auto nextPlanned = nextFault;
     while (std::chrono::steady_clock::now() < end) {
         undoDue(false);
         if (std::chrono::steady_clock::now() >= nextFault) {
             injectOne();
             nextFault += std::chrono::milliseconds(shortestPause + m_random.below(pauseSpread));
         }
+        if (std::chrono::steady_clock::now() >= nextPlanned) {
+            plannedWork();
+            nextPlanned += std::chrono::milliseconds(shortestPlannedPause + m_plannedRandom.below(plannedPauseSpread));
+        }
         std::this_thread::sleep_for(10ms);
     }
     while (!m_undo.empty()) {
@@ -412,7 +416,9 @@
             m_report.broken.push_back("host " + std::to_string(i) + " does not have configuration "
                 + std::to_string(m_version) + " after all faults");
     }
-    const auto requests = load.stop();
+    auto requests = load.stop();
+    const auto ofKept = kept.stop();
+    requests.insert(requests.end(), ofKept.begin(), ofKept.end());
     countRequests();
     check(requests);
     m_report.requests = requests.size();
--- a/tests/fleet/FaultSoak.h
+++ b/tests/fleet/FaultSoak.h
@@ -18,9 +18,11 @@
 // Injects random faults into a fleet under load from outside its processes: signals, restarts, changed settings and
 // configurations, links that are reset, slow, or silent in one or both directions, a store that is down, slow, loses
 // answers or is restored from a copy, endpoints that leave, return and fail requests, hosts that lose their path to all
-// endpoints, requests that end endpoints, brittle endpoints, and endpoints that ask for a pause or say that they leave.
-// Faults follow at random intervals and overlap; all are undone before the load ends. The seed determines the faults
-// and the delays between them.
+// endpoints, requests that end endpoints, brittle endpoints, and endpoints that ask for a pause, say that they leave,
+// or fall silent for a time. In between comes planned work: hosts that stop one after the other while the configuration
+// and the settings change in quick succession. Some callers keep their connections until they are closed. Faults follow
+// at random intervals and overlap; all are undone before the load ends. The seed determines the faults and the delays
+// between them.
 class FaultSoak {
 public:
     explicit FaultSoak(std::uint64_t seed);
@@ -47,20 +49,35 @@
     void makeBrittle();
     void askForPause();
     void announceLeaving();
+    // Planned work and silences follow at intervals of their own, so that they leave the series of the faults
+    // unchanged.
+    void plannedWork();
+    void silenceEndpoint();
+    void changeInSuccession();
+    void stopTwoHosts();
+    void reload(std::size_t host);
+    void startAgain(std::size_t host);
+    // Begins a planned stop and has the host start again. Precondition: the host is not in m_disturbed.
+    void stop(std::size_t host);
     // Begins a disturbance of the host, or of all, and returns what ends it.
-    std::function<void()> disturb(std::optional<std::size_t> host);
+    std::function<void()> disturb(std::optional<std::size_t> host, DisturbanceCause = DisturbanceCause::Fault);
     void note(const std::string&);
     void countRequests();
     void check(const std::vector<CallerRequest>&);
 
     std::uint64_t m_seed;
     RandomGenerator m_random;
+    // Chooses the planned work and the silences.
+    RandomGenerator m_plannedRandom;
     GatewayFleet m_fleet;
     std::chrono::steady_clock::time_point m_startedAt;
     std::vector<std::pair<std::chrono::steady_clock::time_point, std::function<void()>>> m_undo;
     // Hosts that are killed, stopping or frozen.
     std::set<std::size_t> m_disturbed;
     DisturbanceLog m_disturbances;
+    std::vector<PlannedStop> m_stops;
+    // When hosts were started again.
+    std::map<std::size_t, MonotonicTime> m_startTimes;
     std::vector<PathLoss> m_pathLosses;
     // Times in which answers of endpoints did not reach hosts, or reached another one.
     std::vector<PathLoss> m_lostNotices;
--- /dev/null
+++ b/tests/fleet/KeptConnection.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "http/MessageReader.h"
+#include "process/ProcessHarness.h"
+
+namespace Catkinwell::Testing {
+
+// How an exchange on a kept connection ended.
+enum class ExchangeEnd {
+    Answered,
+    // The peer closed or reset the connection after the whole request was written, before its answer was complete.
+    Closed,
+    // The peer closed or reset it before that.
+    NotSent,
+    TimedOut,
+};
+
+struct KeptExchange {
+    ExchangeEnd end = ExchangeEnd::NotSent;
+    HttpAnswer answer;
+};
+
+// A connection to 127.0.0.1 on which a caller sends one request after the other until the peer closes it or announces
+// that it will. Blocks; not thread safe.
+class KeptConnection {
+public:
+    explicit KeptConnection(std::uint16_t port);
+    ~KeptConnection();
+    KeptConnection(const KeptConnection&) = delete;
+    KeptConnection& operator=(const KeptConnection&) = delete;
+
+    bool isOpen() const { return m_socket >= 0; }
+    // Precondition: isOpen(). Any end but an answer closes the connection.
+    KeptExchange exchange(const HttpCall&);
+
+private:
+    class AnswerReader;
+
+    bool write(const std::string&) const;
+    ExchangeEnd read(AnswerReader&, std::chrono::milliseconds timeout) const;
+    void close();
+
+    int m_socket = -1;
+};
+
+} // namespace Catkinwell::Testing
--- a/tests/platform/FakeEndpoint.cpp
+++ b/tests/platform/FakeEndpoint.cpp
@@ -71,7 +71,11 @@
     , m_born(std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.wallNow().time_since_epoch()).count())
 {
     m_listener.signalRequest().connect([this](const RequestArrived& request) { handle(request); });
-    m_listener.signalCallerLeft().connect([this](const CallerLeft& left) { m_running.erase(left.id); });
+    m_listener.signalCallerLeft().connect([this](const CallerLeft& left) {
+        m_running.erase(left.id);
+        m_unanswered.erase(left.id);
+        m_notices.erase(left.id);
+    });
 }
 
 void FakeEndpoint::setCapacity(unsigned slots, Duration processingTime)
@@ -130,7 +134,7 @@
     Json report = state();
     report["sequence"] = status.orderCount;
     report["busy"] = status.isBusy;
-    m_listener.execute(SendWholeResponse { id, 200, { { "Content-Type", "application/json" } }, report.dump() });
+    send(SendWholeResponse { id, 200, { { "Content-Type", "application/json" } }, report.dump() });
 }
 
 void FakeEndpoint::handleOrder(const RequestArrived& request)
@@ -146,14 +150,14 @@
     const auto outcome = m_engine->handle(order, now);
     if (outcome == EngineOrderOutcome::Accepted || outcome == EngineOrderOutcome::AlreadyDone)
         m_history.orders.push_back({ m_id, body.value("holder", ""), now });
-    m_listener.execute(SendWholeResponse { request.id, statusOf(*outcome), {}, "" });
+    send(SendWholeResponse { request.id, statusOf(*outcome), {}, "" });
 }
 
 void FakeEndpoint::refuse(RequestId id, int status)
 {
     HeaderList headers = statements();
     headers.emplace_back("Catkinwell-Not-Executed", "1");
-    m_listener.execute(SendWholeResponse { id, status, headers, "" });
+    send(SendWholeResponse { id, status, headers, "" });
 }
 
 HeaderList FakeEndpoint::statements() const
@@ -169,11 +173,11 @@
 void FakeEndpoint::refuseForPause(const RequestArrived& request)
 {
     const std::string id = headerValue(request.headers, "catkinwell-request-id");
-    m_history.notices.push_back({ m_id, id, m_clock.monotonicNow(), *m_pause });
+    m_notices[request.id] = { m_id, id, {}, *m_pause };
     HeaderList headers = statements();
     headers.emplace_back("Catkinwell-Not-Executed", "1");
     headers.emplace_back("Retry-After", std::to_string(secondsOf(*m_pause)));
-    m_listener.execute(SendWholeResponse { request.id, 503, headers, "" });
+    send(SendWholeResponse { request.id, 503, headers, "" });
 }
 
 void FakeEndpoint::restart()
@@ -182,6 +186,11 @@
         end();
 }
 
+bool FakeEndpoint::lacksModel(const RequestArrived& request) const
+{
+    return m_engine && !m_engine->models().contains(ModelId(headerValue(request.headers, "catkinwell-model")));
+}
+
 bool FakeEndpoint::hasRoom() const
 {
     const bool mayWait = !m_brittleRejections || m_clock.monotonicNow() < m_brittleSince + reactionTime;
@@ -202,16 +211,64 @@
     for (const auto& [at, rejected] : m_rejections)
         fall.rejected.push_back(rejected);
     m_history.falls.push_back(std::move(fall));
-    m_listener.execute(AbortResponse { request.id });
+    send(AbortResponse { request.id });
     end();
 }
 
+void FakeEndpoint::setSilent(bool isSilent)
+{
+    m_isSilent = isSilent;
+    if (isSilent)
+        return;
+    for (Output& output : std::exchange(m_held, {}))
+        send(std::move(output));
+}
+
+void FakeEndpoint::send(Output output)
+{
+    if (m_isSilent) {
+        m_held.push_back(std::move(output));
+        return;
+    }
+    noteNotice(output);
+    noteEndOf(output);
+    std::visit([this](const auto& effect) { m_listener.execute(effect); }, output);
+}
+
+// A host knows of a notice when the answer begins.
+void FakeEndpoint::noteNotice(const Output& output)
+{
+    const auto notice = m_notices.find(std::visit([](const auto& effect) { return effect.id; }, output));
+    if (notice == m_notices.end())
+        return;
+    if (std::holds_alternative<SendResponseHead>(output) || std::holds_alternative<SendWholeResponse>(output)) {
+        notice->second.at = m_clock.monotonicNow();
+        m_history.notices.push_back(notice->second);
+    }
+    m_notices.erase(notice);
+}
+
+void FakeEndpoint::noteEndOf(const Output& output)
+{
+    const bool isPart
+        = std::holds_alternative<SendResponseHead>(output) || std::holds_alternative<SendResponseData>(output);
+    const auto request = m_unanswered.find(std::visit([](const auto& effect) { return effect.id; }, output));
+    if (isPart || request == m_unanswered.end())
+        return;
+    if (std::holds_alternative<AbortResponse>(output))
+        m_history.breaks.push_back({ m_id, request->second, m_clock.monotonicNow() });
+    m_unanswered.erase(request);
+}
+
 void FakeEndpoint::end()
 {
     m_isDown = true;
+    m_isSilent = false;
     m_rejections.clear();
+    for (const Output& output : std::exchange(m_held, {}))
+        send(AbortResponse { std::visit([](const auto& effect) { return effect.id; }, output) });
     for (const RequestId id : std::exchange(m_running, {}))
-        m_listener.execute(AbortResponse { id });
+        send(AbortResponse { id });
     m_signalEnded.emit(m_id);
     m_loop.callLater(downTime, [this] { startAgain(); });
 }
@@ -240,14 +297,16 @@
 void FakeEndpoint::noteArrival(const RequestArrived& request)
 {
     const std::string id = headerValue(request.headers, "catkinwell-request-id");
-    if (!id.empty())
-        m_history.arrivals.push_back({ m_id, id, m_clock.monotonicNow() });
+    if (id.empty())
+        return;
+    m_history.arrivals.push_back({ m_id, id, m_clock.monotonicNow() });
+    m_unanswered[request.id] = id;
 }
 
 void FakeEndpoint::handle(const RequestArrived& request)
 {
     if (m_isDown) {
-        m_listener.execute(AbortResponse { request.id });
+        send(AbortResponse { request.id });
     } else if (m_engine && request.path == "/report") {
         answerReport(request.id);
     } else if (m_engine && request.path == "/order") {
@@ -256,10 +315,7 @@
         refuse(request.id, 421);
     } else if (noteArrival(request); m_pause) {
         refuseForPause(request);
-    } else if (m_random.unit() < faults.refusals) {
-        refuse(request.id, 503);
-    } else if (const std::string model = headerValue(request.headers, "catkinwell-model");
-               m_engine && !m_engine->models().contains(ModelId(model))) {
+    } else if (m_random.unit() < faults.refusals || lacksModel(request)) {
         refuse(request.id, 503);
     } else if (!hasRoom()) {
         rejectForRoom(request);
@@ -284,16 +340,16 @@
     }
     if (m_random.unit() < faults.lostAnswers) {
         m_running.erase(request.id);
-        m_listener.execute(AbortResponse { request.id });
+        send(AbortResponse { request.id });
         return;
     }
     if (m_announcesLeaving)
-        m_history.notices.push_back({ m_id, id, m_clock.monotonicNow(), {} });
+        m_notices[request.id] = { m_id, id, {}, {} };
     HeaderList headers = statements();
     headers.emplace_back("Catkinwell-Request-Id", id);
     headers.emplace_back("Catkinwell-Response-Seal", "seal-" + id);
     if (m_engine) {
-        m_listener.execute(SendResponseHead { request.id, 200, headers });
+        send(SendResponseHead { request.id, 200, headers });
         // A resumed stream continues after the last event that the client received.
         const std::string last = headerValue(request.headers, "last-event-id");
         const unsigned done = last.empty() ? 0 : static_cast<unsigned>(std::stoul(last));
@@ -303,7 +359,7 @@
         return;
     }
     m_running.erase(request.id);
-    m_listener.execute(SendWholeResponse { request.id, 200, headers, "answer to " + id });
+    send(SendWholeResponse { request.id, 200, headers, "answer to " + id });
 }
 
 void FakeEndpoint::crash(const std::string& path)
@@ -316,14 +372,13 @@
 {
     if (m_random.unit() < faults.cutAnswers) {
         m_running.erase(id);
-        m_listener.execute(AbortResponse { id });
+        send(AbortResponse { id });
         return;
     }
-    m_listener.execute(
-        SendResponseData { id, "id: " + std::to_string(next) + "\ndata: " + request + " " + m_version + "\n\n" });
+    send(SendResponseData { id, "id: " + std::to_string(next) + "\ndata: " + request + " " + m_version + "\n\n" });
     if (next == eventsPerStream) {
         m_running.erase(id);
-        m_listener.execute(FinishResponse { id });
+        send(FinishResponse { id });
         return;
     }
     laterFor(id, eventInterval, [this, id, request, next] { streamEvents(id, request, next + 1); });
--- a/tests/platform/FakeEndpoint.h
+++ b/tests/platform/FakeEndpoint.h
@@ -4,9 +4,11 @@
 #include <catkinwell/http/CallerListener.h>
 #include <deque>
 #include <functional>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
+#include <variant>
 
 namespace Catkinwell::Testing {
 
@@ -57,6 +59,13 @@
     Duration pause {};
 };
 
+// An endpoint closed the connection of a request that it had received, before its answer was complete.
+struct RecordedBreak {
+    std::string endpoint;
+    std::string request;
+    MonotonicTime at {};
+};
+
 // What all fake endpoints of a test have recorded.
 struct EndpointHistory {
     std::vector<Execution> executions;
@@ -65,6 +74,7 @@
     std::vector<RecordedFall> falls {};
     std::vector<Arrival> arrivals {};
     std::vector<RecordedNotice> notices {};
+    std::vector<RecordedBreak> breaks {};
 };
 
 // Faults that a fake endpoint injects.
@@ -107,6 +117,9 @@
     void setPause(std::optional<Duration> pause) { m_pause = pause; }
     // States in all its answers that it leaves, until it ends. Its record does not say so.
     void announceLeaving() { m_announcesLeaving = true; }
+    // While it is silent it works on, but sends nothing; then it sends everything that was due. Its record is written
+    // on.
+    void setSilent(bool isSilent);
     // Ends as if it were killed, and starts again under another identifier.
     void restart();
     // The software version, which the record and each event of a stream state.
@@ -117,6 +130,8 @@
     EndpointFaults faults;
 
 private:
+    using Output = std::variant<SendResponseHead, SendResponseData, FinishResponse, SendWholeResponse, AbortResponse>;
+
     void handle(const RequestArrived&);
     void noteArrival(const RequestArrived&);
     void handleOrder(const RequestArrived&);
@@ -127,6 +142,7 @@
     void refuseForPause(const RequestArrived&);
     // Statements that all its answers carry.
     HeaderList statements() const;
+    bool lacksModel(const RequestArrived&) const;
     bool hasRoom() const;
     void rejectForRoom(const RequestArrived&);
     // Ends because of the request with this path.
@@ -134,6 +150,10 @@
     // Ends like a killed process: answers break off and connections close until it starts again.
     void end();
     void startAgain();
+    // Sends the part of an answer, at the end of the silence if there is one.
+    void send(Output);
+    void noteNotice(const Output&);
+    void noteEndOf(const Output&);
     // Calls the function after the delay unless the endpoint has ended meanwhile or the caller has left.
     void laterFor(RequestId, Duration, std::function<void()>);
     nlohmann::json state() const;
@@ -163,6 +183,12 @@
     bool m_isDown = false;
     unsigned m_starts = 1;
     std::set<RequestId> m_running;
+    // Identifiers of the requests whose answers have not ended.
+    std::map<RequestId, std::string> m_unanswered;
+    // What the answers that have not begun state.
+    std::map<RequestId, RecordedNotice> m_notices;
+    bool m_isSilent = false;
+    std::vector<Output> m_held;
     // Rejections for want of room within the last second.
     std::deque<std::pair<MonotonicTime, std::string>> m_rejections;
     sigc::signal<void(const std::string&)> m_signalEnded;
