Search each byte of a stream's open event once

What callers saw (suspected): while endless bodies streamed through `serve`, a plain request to the same endpoint got no answer within 0.3 s.

Cause: each part that arrives for an event without end made the filter search the whole event again, up to 1 MiB, so the loop spent time that grows with the square of the event.

Fix: the search begins where the last one ended.

Evidence: the new test in StreamFilterTest (1,000 KiB in parts of 16 bytes) without the fix: 1.41 s of processor time, "1.413458 < 0.2" failed; with it the test passes. The plain request beside endless bodies was not measured again on `serve`.

--- a/src/requests/StreamFilter.cpp
+++ b/src/requests/StreamFilter.cpp
@@ -38,10 +38,13 @@
 
 std::string StreamFilter::feed(std::string_view data)
 {
+    // The end of an event may begin with the last byte that is kept; the bytes before it were searched.
+    const std::size_t searched = m_partial.empty() ? 0 : m_partial.size() - 1;
     m_partial.append(data);
     std::string passed;
     std::size_t start = 0;
-    for (std::size_t end = m_partial.find("\n\n"); end != std::string::npos; end = m_partial.find("\n\n", start)) {
+    for (std::size_t end = m_partial.find("\n\n", searched); end != std::string::npos;
+         end = m_partial.find("\n\n", start)) {
         const std::string_view event = std::string_view(m_partial).substr(start, end + 2 - start);
         if (processEvent(event))
             passed.append(event);
--- a/tests/requests/StreamFilterTest.cpp
+++ b/tests/requests/StreamFilterTest.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 #include <catkinwell/requests/StreamFilter.h>
+#include <ctime>
 #include <string>
 
 using namespace Catkinwell;
@@ -45,3 +46,21 @@
     StreamFilter filter(false);
     CHECK(filter.feed(token + usage + end) == token + usage + end);
 }
+
+// Guards against a host that stands still because each part of a long event makes it search the whole event again.
+TEST_CASE("A long event in small parts takes little processor time")
+{
+    constexpr std::size_t partBytes = 16;
+    constexpr std::size_t eventBytes = 1000 * 1024;
+    constexpr double mostSeconds = 0.2;
+    StreamFilter filter(false);
+    const std::string part(partBytes, 'x');
+    const std::clock_t start = std::clock();
+    for (std::size_t sent = 0; sent < eventBytes; sent += partBytes)
+        filter.feed(part);
+    const double seconds = static_cast<double>(std::clock() - start) / CLOCKS_PER_SEC;
+    CHECK(seconds < mostSeconds);
+    CHECK_FALSE(filter.isOverlong());
+    CHECK(filter.feed("\n").empty());
+    CHECK(filter.feed("\n").size() == eventBytes + 2);
+}
