--- a/tests/fleet/FaultChecks.cpp
+++ b/tests/fleet/FaultChecks.cpp
@@ -220,8 +220,7 @@
 {
     std::vector<std::string> broken;
     for (const CallerRequest& request : requests) {
-        if (request.answer.status == 0
-            && disturbances.isCalm(request.host, request.sentAt, request.sentAt + patience))
+        if (request.answer.status == 0 && disturbances.isCalm(request.host, request.sentAt, request.sentAt + patience))
             broken.push_back(request.path + request.id + " got no answer from host " + std::to_string(request.host));
     }
     return broken;
--- a/tests/fleet/FaultSoak.cpp
+++ b/tests/fleet/FaultSoak.cpp
@@ -376,8 +376,7 @@
             findFalls(requests, records, m_brittleTimes, m_disturbances),
             findUnwantedRequests(requests, records, m_lostNotices, m_disturbances),
             findLostRequests(requests, records, m_stops, m_lostNotices, m_disturbances.withoutPlannedWork()),
-            findOpenRequests(m_accounts),
-            findUnansweredRequests(requests, CallerLoad::usualPatience, m_disturbances) })
+            findOpenRequests(m_accounts), findUnansweredRequests(requests, CallerLoad::usualPatience, m_disturbances) })
         m_report.broken.insert(m_report.broken.end(), broken.begin(), broken.end());
 }
 
