Keep a silent request at a stopping host, and waiting for a stream's next chance

What callers saw: at a gateway that stops, a request whose endpoint was silent for a moment was cancelled and ended with 502, and a complete 500 of an endpoint became 502, as the host then found no time left for the next attempt. A stream that had begun was closed when the host that should go on with it had no room. In serve, a request whose model went away while its attempt was open waited until its deadline if the attempt was not sent.

Cause: whether an attempt may be given up was asked without the stop; a refusal of a relayed stream ended it although its caller cannot be refused any more; and only waiting requests followed their models.

Besides: an answer that is whole is not moved while its endpoint is asked whether it runs, a request whose head was sent counts as run, and a connection's idle time begins when its answer is written (the line before had made it twice as long, ChangedLimitsTest).

--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -330,6 +330,8 @@
     static Refusal stoppingRefusal();
     // Returns the last time at which an attempt can be expected to end before this host does.
     MonotonicTime latestStart(const Request&) const;
+    // Whether an attempt that starts now can be expected to end before this host does.
+    bool hasTimeForAttempt(const Request&, MonotonicTime now) const;
     // Returns until when the request may wait at a host that stops.
     MonotonicTime stopWaitLimit(const Request&) const;
     // Ends a request without a running attempt if the host is stopping and the next attempt would start after the
--- a/include/catkinwell/requests/RequestFlow.h
+++ b/include/catkinwell/requests/RequestFlow.h
@@ -188,6 +188,8 @@
     void refuse(RequestId, const AccountId&, const ApiError&, EffectList&);
     void expire(ActiveRequest&, MonotonicTime now, EffectList&);
     void failForRevokedKey(ActiveRequest&, MonotonicTime now, EffectList&);
+    // Takes the pool in which the request's model is now. Returns false if the model went away.
+    bool followModel(ActiveRequest&) const;
     // Refuses waiting requests whose model went away, and lets the others wait in their model's present pool.
     void followModels(MonotonicTime now, EffectList&);
     void completeRequest(ActiveRequest&, std::optional<TokenCount> usedTokens, MonotonicTime now, EffectList&);
--- a/src/gateway/GatewayAnswerEnds.cpp
+++ b/src/gateway/GatewayAnswerEnds.cpp
@@ -37,6 +37,7 @@
 {
     const Attempt& attempt = *request.attempt;
     request.isHeadSent = true;
+    request.mayHaveRun = true;
     request.sentStatus = attempt.status;
     request.sentMediaType = mediaTypeOf(attempt.headers);
     effects.push_back(RecordMetric { Metric::FirstByteSeconds, request.service, secondsOf(now - request.arrivedAt) });
--- a/src/gateway/GatewayRelay.cpp
+++ b/src/gateway/GatewayRelay.cpp
@@ -197,8 +197,11 @@
     request.failure = answer.reason + " at " + attempt.relayedTo->value;
     request.mayHaveRun = request.mayHaveRun || answer.outcome == RelayOutcome::Failed;
     ++request.rejections;
-    const bool mayTryAgain = answer.outcome == RelayOutcome::NotServed && request.rejections < maximumRejections
-        && request.deadline - now > shortestAttempt;
+    // The caller of a stream that has begun cannot be refused any more.
+    const bool isUnserved
+        = answer.outcome == RelayOutcome::NotServed || (answer.outcome == RelayOutcome::Refused && request.isHeadSent);
+    const bool mayTryAgain
+        = isUnserved && request.rejections < maximumRejections && request.deadline - now > shortestAttempt;
     if (mayTryAgain)
         dispatch(request, now, effects);
     else if (request.mayHaveRun || request.isHeadSent)
--- a/src/gateway/GatewayRequestOutcomes.cpp
+++ b/src/gateway/GatewayRequestOutcomes.cpp
@@ -105,7 +105,7 @@
         return;
     }
     // The serving host has repeated a relayed request as far as it may be.
-    const bool mayTryAgain = !attempt.relayedTo && mayRepeat(request, now);
+    const bool mayTryAgain = !attempt.relayedTo && mayRepeat(request, now) && hasTimeForAttempt(request, now);
     if (request.isHeadSent || (attempt.status >= 500 && mayTryAgain)) {
         handleFailedAttempt(request, "status " + std::to_string(attempt.status), AttemptVerdict::Bad, now, effects);
         return;
--- a/src/gateway/GatewaySilence.cpp
+++ b/src/gateway/GatewaySilence.cpp
@@ -67,6 +67,9 @@
 void GatewayRequests::checkSilence(Request& request, MonotonicTime now, EffectList& effects)
 {
     Attempt& attempt = *request.attempt;
+    // The answer is whole; its endpoint is being asked whether it still runs.
+    if (attempt.endsWithConnection)
+        return;
     const bool isWithoutProgress = attempt.isForwarded && now - attempt.lastProgressAt > streamProgressTimeout;
     const bool isWithoutData = isSilent(request, now);
     if (!(isWithoutProgress || isWithoutData) || !mayRepeat(request, now))
@@ -87,7 +90,7 @@
 
 bool GatewayRequests::canMove(const Request& request, MonotonicTime now)
 {
-    if (!budgetOf(request.service).hasRetry(now))
+    if (!hasTimeForAttempt(request, now) || !budgetOf(request.service).hasRetry(now))
         return false;
     EndpointNeed need = endpointNeedOf(request);
     std::set<HostId> excludedHosts = request.excludedHosts;
--- a/src/gateway/GatewayStop.cpp
+++ b/src/gateway/GatewayStop.cpp
@@ -34,6 +34,12 @@
     return m_stop->endsAt - *time - (isRepeatable ? Duration::zero() : longestSoundSilence);
 }
 
+bool GatewayRequests::hasTimeForAttempt(const Request& request, MonotonicTime now) const
+{
+    // The caller can have the rest of a stream from another host, whenever this one ends.
+    return !m_stop || request.isHeadSent || now <= latestStart(request);
+}
+
 MonotonicTime GatewayRequests::stopWaitLimit(const Request& request) const
 {
     const MonotonicTime latest = latestStart(request);
--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -76,7 +76,7 @@
 
 bool CallerConnection::isTimerExtended()
 {
-    if (unsentBytes() < m_unsentAtStart) {
+    if (hasUnsentOutput() && unsentBytes() < m_unsentAtStart) {
         setTimer(m_timerLimit);
         return true;
     }
@@ -420,8 +420,10 @@
         self.m_isFull = false;
         self.m_owner.outputFull(self, false);
     }
-    if (self.m_phase == Phase::Idle)
+    if (self.m_phase == Phase::Idle) {
+        self.setTimer(&CallerLimits::idleTimeout);
         self.process();
+    }
 }
 
 void CallerConnection::eventOccurred(bufferevent*, short what, void* context)
--- a/src/requests/RequestFlow.cpp
+++ b/src/requests/RequestFlow.cpp
@@ -181,6 +181,10 @@
 void RequestFlow::enqueue(ActiveRequest& request, MonotonicTime now, EffectList& effects)
 {
     request.stage = RequestStage::Queued;
+    if (!followModel(request)) {
+        failRequest(request, { ApiErrorCode::ModelNotFound, "the model no longer exists" }, now, effects);
+        return;
+    }
     if (needsRelay(request) && startRelay(request, now, effects))
         return;
     if (isRelayed(request.id) && m_reach.isLost(request.pool)) {
@@ -418,19 +422,25 @@
     followModels(now, effects);
 }
 
+bool RequestFlow::followModel(ActiveRequest& request) const
+{
+    if (request.model.value.empty())
+        return true;
+    const auto& models = m_modules.configuration.effective().models;
+    const auto model = models.find(request.model);
+    if (model == models.end())
+        return false;
+    request.pool = model->second.pool;
+    return true;
+}
+
 // No replica will come for a model that went away; one that moved has its replicas in another pool.
 void RequestFlow::followModels(MonotonicTime now, EffectList& effects)
 {
-    const auto& models = m_modules.configuration.effective().models;
     std::vector<RequestId> unserved;
     for (const auto& [id, request] : m_requests) {
-        if (request->stage == RequestStage::Running || request->model.value.empty())
-            continue;
-        const auto model = models.find(request->model);
-        if (model == models.end())
+        if (request->stage != RequestStage::Running && !followModel(*request))
             unserved.push_back(id);
-        else
-            request->pool = model->second.pool;
     }
     for (const RequestId id : unserved)
         failRequest(*m_requests[id], { ApiErrorCode::ModelNotFound, "the model no longer exists" }, now, effects);
--- a/tests/gateway/RelayTest.cpp
+++ b/tests/gateway/RelayTest.cpp
@@ -420,3 +420,25 @@
     for (std::size_t length = 0; length < bytes.size(); ++length)
         CHECK(isError(decodeRelayedRequest(bytes.substr(0, length))));
 }
+
+// Guards against a stream that is closed for its caller because the host that should go on with it has no room.
+TEST_CASE("A stream that has begun waits for another chance if the other host refuses it")
+{
+    const auto reason = GENERATE(values<std::string>({ "no_replica", "endpoints_full" }));
+    INFO(reason);
+    RelayFixture fixture({ "b" });
+    fixture.arrive("/dossier/900");
+    const AttemptId open = fixture.takeAttempts().at(0).id;
+    fixture.requests.handle(AttemptHead { open, 200, { { "sealed", "1" }, { "Content-Type", "text/event-stream" } } },
+        fixture.now, fixture.effects);
+    fixture.requests.handle(AttemptData { open, "id: 1\ndata: a\n\n" }, fixture.now, fixture.effects);
+    fixture.losePath("/note/1");
+    for (int i = 0; i < 65; ++i) {
+        fixture.advance(20ms);
+        fixture.relayPeers.noteHeard(HostId("b"), {}, fixture.now);
+    }
+    const auto relays = fixture.takeRelays();
+    REQUIRE(relays.size() == 1);
+    fixture.refuseRelay(relays[0].id, 503, RelayOutcome::Refused, reason);
+    CHECK(effectsOf<AbortResponse>(fixture.effects).empty());
+}
--- a/tests/gateway/SilentEndpointTest.cpp
+++ b/tests/gateway/SilentEndpointTest.cpp
@@ -226,3 +226,15 @@
     fixture.advance(400ms);
     CHECK(effectsOf<CancelAttempt>(fixture.effects).size() == 1);
 }
+
+// Guards against a host that gives up a silent attempt during its planned stop, when it may not start another one.
+TEST_CASE("A stopping host keeps a silent endpoint's request")
+{
+    const RequestKind& kind = GENERATE(readRequest, newStream);
+    INFO(kind.name);
+    SilenceFixture fixture(kind);
+    fixture.requests.setStop({ fixture.now + 2900ms, fixture.now + 7s });
+    fixture.advance(1900ms);
+    CHECK(effectsOf<CancelAttempt>(fixture.effects).empty());
+    CHECK(effectsOf<SendWholeResponse>(fixture.effects).empty());
+}
--- a/tests/requests/ChangedConfigurationTest.cpp
+++ b/tests/requests/ChangedConfigurationTest.cpp
@@ -137,3 +137,24 @@
     CHECK(std::count_if(next.begin(), next.end(), [](const StartAttempt& attempt) { return attempt.method == "POST"; })
         == 1);
 }
+
+// Guards against a request that waits until its deadline for a model that went away while its attempt was open.
+TEST_CASE("A request whose model went away is refused when its attempt was not sent")
+{
+    RequestFlowFixture fixture;
+    fixture.endpoints.noteReplica(EndpointId("e1"), ModelId("m1"), true);
+    fixture.arriveForModel("m1");
+    const auto attempts = fixture.takeAttempts();
+    REQUIRE(attempts.size() == 1);
+    FleetConfiguration changed = fixture.configuration.value;
+    changed.models.clear();
+    ++changed.version;
+    fixture.configure(changed);
+    fixture.requests.handle(
+        AttemptFailed { attempts[0].id, AttemptOutcome::NotSent, "refused", AttemptFailure::Connect }, fixture.now,
+        fixture.effects);
+    fixture.advance(1s);
+    const std::vector<SendWholeResponse> answers = fixture.takeAnswers();
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].body.find("not_run") != std::string::npos);
+}
