--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include <catkinwell/http/HttpClient.h>
 
+#include "http/ExchangeText.h"
 #include "http/HeaderText.h"
 #include "http/MessageReader.h"
 #include "http/SocketAddress.h"
@@ -9,7 +10,6 @@
 #include <catkinwell/core/Digest.h>
 #include <catkinwell/loop/Timeval.h>
 #include <cerrno>
-#include <charconv>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -25,10 +25,6 @@
 
 namespace {
 
-    // Fraction of the keep-alive time announced by the peer during which an idle connection is reused.
-    constexpr double reusableIdleFraction = 0.6;
-    // For a peer that announces no keep-alive time.
-    constexpr Duration defaultIdleTime = std::chrono::seconds(2);
     constexpr std::size_t maximumIdleConnectionsPerAddress = 512;
     // A connection remembers the identifiers of as many requests and is not reused after that.
     constexpr std::size_t maximumRequestsPerConnection = 512;
@@ -38,42 +34,6 @@
     // Most bytes of interim responses, and of responses to other requests, before the expected one.
     constexpr std::size_t maximumSkippedBytes = 1024 * 1024;
 
-    // Returns how long a connection may stay idle, from the Keep-Alive header of its response.
-    Duration idleTimeOf(const HeaderList& headers)
-    {
-        const std::string* keepAlive = findHeader(headers, "keep-alive");
-        if (!keepAlive)
-            return defaultIdleTime;
-        const std::size_t at = keepAlive->find("timeout=");
-        if (at == std::string::npos)
-            return defaultIdleTime;
-        int seconds = 0;
-        const char* begin = keepAlive->data() + at + 8;
-        std::from_chars(begin, keepAlive->data() + keepAlive->size(), seconds);
-        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds * reusableIdleFraction));
-    }
-
-    // Whether the status tells that the request did not run.
-    bool isRefusal(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
-
-    // Returns the value of the request header that the peer repeats; empty if there is none.
-    std::string echoValueOf(const HttpExchange& request)
-    {
-        return request.echoHeader.empty() ? "" : headerValue(request.headers, request.echoHeader);
-    }
-
-    std::string serializeRequest(const HttpExchange& request)
-    {
-        std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
-        if (!findHeader(request.headers, "host"))
-            text += "Host: " + request.address + "\r\n";
-        for (const auto& [name, value] : request.headers)
-            text += name + ": " + value + "\r\n";
-        if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD"))
-            text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
-        return text + "\r\n" + request.body;
-    }
-
 } // namespace
 
 class HttpClient::Implementation {
