--- a/review/standins/servers.h
+++ b/review/standins/servers.h
@@ -225,11 +225,22 @@
         if (!isLoaded)
             return 400;
         std::set<std::string>& adapters = m_loaded[model.name];
+        const bool isLeaving = m_leaving.count({ model.name, adapter }) > 0;
         const bool isHeld = adapters.count(adapter) > 0 || m_coming.count({ model.name, adapter }) > 0;
-        if (isHeld == (type == "loading"))
+        if (!isLeaving && isHeld == (type == "loading"))
             return 200;
         ++m_sequence;
+        if (isLeaving) {
+            if (type == "loading")
+                m_leaving.erase({ model.name, adapter });
+            return 202;
+        }
         if (type == "unloading") {
+            // One that a request uses goes when its runs have finished, and keeps its place until then.
+            if (m_adapterRuns[{ model.name, adapter }] > 0) {
+                m_leaving.insert({ model.name, adapter });
+                return 202;
+            }
             adapters.erase(adapter);
             return 200;
         }
@@ -253,10 +264,13 @@
             const auto loaded = m_loaded.find(model);
             if (loaded == m_loaded.end() || (!adapter.empty() && !loaded->second.count(adapter)))
                 refusal = 421;
+            else if (m_leaving.count({ model, adapter }))
+                refusal = 503;
             else if ((!m_busyWith.empty() && m_busyWith[1] == model) || m_running >= m_settings.places)
                 refusal = 503;
             else {
                 ++m_runs[model];
+                ++m_adapterRuns[{ model, adapter }];
                 ++m_running;
                 run = m_runLog.size();
                 m_runLog.push_back({ id, firstEvent, m_record.milliseconds() });
@@ -287,6 +301,8 @@
             m_runLog[run].to = m_record.milliseconds();
             m_runLog[run].isComplete = event > m_settings.events;
             --m_runs[model];
+            if (--m_adapterRuns[{ model, adapter }] == 0 && m_leaving.erase({ model, adapter }) > 0)
+                m_loaded[model].erase(adapter);
             --m_running;
         }
         if (m_hasCrashed) {
@@ -360,6 +376,9 @@
     std::map<std::pair<std::string, std::string>, Clock::time_point> m_coming;
     std::set<std::string> m_onDisk;
     std::map<std::string, unsigned> m_runs;
+    std::map<std::pair<std::string, std::string>, unsigned> m_adapterRuns;
+    // Adapters that are unloaded when their runs have finished.
+    std::set<std::pair<std::string, std::string>> m_leaving;
     unsigned m_running = 0;
     // The kind and the model of the order that is being carried out; empty if there is none.
     std::vector<std::string> m_busyWith;
