Review: make the cases fairer and run them again

Case 2 used a burst above the site file's largest; now the same clients move to another model. The servers of case 3 had no queue and preempted every run; now they queue, and the two newest runs of each are preempted. The answers of case 4 came faster than the machine's link; now they come at 800 of 1,500 Mbit/s, and the burst is 2.4 times the usual. No server of case 5 dropped a request when its channel closed; now one of three works on.

--- a/review/standins/adapters.cpp
+++ b/review/standins/adapters.cpp
@@ -1,4 +1,4 @@
-// Case "adapters": a rare model with large adapters is asked for, beside a busy model with small ones.
+// Case "adapters": demand moves from a model with small adapters to one with large adapters.
 #include "servers.h"
 
 using namespace Review;
@@ -6,6 +6,9 @@
 namespace {
 
 constexpr unsigned rareAdapters = 16;
+constexpr unsigned clientCount = 22;
+// The time in which the demand moves.
+constexpr Milliseconds shiftTime { 6000 };
 
 } // namespace
 
@@ -21,7 +24,7 @@
     settings.adapterSlots = 8;
     settings.events = 40;
     settings.eventTime = Milliseconds(25);
-    settings.models = { { "busy-model", 100000, 12, 0 }, { "rare-model", 99000, 200, rareAdapters } };
+    settings.models = { { "busy-model", 100000, 12, 0 }, { "next-model", 99000, 200, rareAdapters } };
     settings.loaded = { "busy-model" };
     store.put("op/config",
         manifestJson(Json::array({ routeJson("write", "streaming", "writer", 15000) }),
@@ -50,6 +53,7 @@
             return;
         Channel channel(socket);
         ++sent;
+        record("client: sends request " + id + " for " + model);
         channel.send(requestText("POST", "/write/note", headers, "{}"));
         const Response response = readResponse(channel, Clock::now() + std::chrono::seconds(15));
         served += response.status == 200 && response.isComplete ? 1 : 0;
@@ -60,21 +64,19 @@
             std::this_thread::sleep_for(Milliseconds(200));
     };
     std::vector<std::thread> clients;
-    for (int client = 0; client < 6; ++client)
+    const auto shiftAt = Clock::now() + std::chrono::seconds(5);
+    for (unsigned client = 0; client < clientCount; ++client)
         clients.emplace_back([&, client] {
-            for (int i = 0; isRunning; ++i)
-                ask("busy" + std::to_string(client) + "-" + std::to_string(i), "busy-model");
+            const auto movesAt = shiftAt + shiftTime * client / clientCount;
+            for (int i = 0; isRunning; ++i) {
+                const bool hasMoved = hasTrouble() && Clock::now() >= movesAt;
+                ask("note" + std::to_string(client) + "-" + std::to_string(i),
+                    hasMoved ? "next-model/a" + std::to_string(client % rareAdapters + 1) : "busy-model");
+            }
         });
-    std::this_thread::sleep_for(std::chrono::seconds(5));
-    if (hasTrouble()) {
-        record("clients ask for the adapters of the rare model at once");
-        for (unsigned client = 1; client <= rareAdapters; ++client)
-            clients.emplace_back([&, client] {
-                for (int i = 0; isRunning; ++i)
-                    ask("rare" + std::to_string(client) + "-" + std::to_string(i),
-                        "rare-model/a" + std::to_string(client));
-            });
-    }
+    std::this_thread::sleep_until(shiftAt);
+    if (hasTrouble())
+        record("the demand begins to move to the next model");
     for (const auto until = Clock::now() + std::chrono::seconds(20); Clock::now() < until;) {
         std::this_thread::sleep_for(Milliseconds(50));
         if (first.hasCrashed() || second.hasCrashed())
--- a/review/standins/memory.cpp
+++ b/review/standins/memory.cpp
@@ -12,11 +12,15 @@
 constexpr std::size_t bytesPerSecond = 200'000;
 constexpr int clientBuffer = 32 * 1024;
 constexpr int segmentBytes = 1460;
+// Answers come at 333 Mbit/s, and at 800 Mbit/s in the burst, of the 1,500 Mbit/s that the machine's link has.
 constexpr int usualClients = 60;
+constexpr Milliseconds usualInterval { 96 };
 // The largest burst of the site file multiplies the traffic by 2.4.
 constexpr int burstClients = 144;
+constexpr Milliseconds burstInterval { 40 };
 constexpr int orderingClients = 10;
 constexpr long memoryLimitMb = 390;
+constexpr long bytesPerMb = 1024 * 1024;
 
 long residentMb(pid_t process)
 {
@@ -24,7 +28,7 @@
     long size = 0;
     long resident = 0;
     statm >> size >> resident;
-    return resident * sysconf(_SC_PAGESIZE) / 1000000;
+    return resident * sysconf(_SC_PAGESIZE) / bytesPerMb;
 }
 
 } // namespace
@@ -92,6 +96,7 @@
                 const std::string id = "order-" + std::to_string(client) + "-" + std::to_string(i);
                 if (!channel.send(requestText("POST", "/order/" + id, clientHeaders(id, 5000), "{}")))
                     break;
+                record("client: sends request " + id);
                 const Response response = readResponse(channel, Clock::now() + std::chrono::seconds(5));
                 if (response.isComplete) {
                     ++answered;
@@ -99,7 +104,7 @@
                     continue;
                 }
                 const std::lock_guard lock(mutex);
-                if (ran.count(id)) {
+                if (i > 0 && ran.count(id)) {
                     ++unanswered;
                     record("client: request " + id + " on a kept channel has run and got no answer (" + response.error + ")");
                 }
@@ -112,10 +117,11 @@
     std::atomic<int> done = 0;
     for (int client = 0; client < wanted && couldRun; ++client)
         clients.emplace_back([&, client] {
-            std::this_thread::sleep_for(Milliseconds(15 * client));
+            std::this_thread::sleep_for((hasTrouble() ? burstInterval : usualInterval) * client);
             const std::string id = "document-" + std::to_string(client);
             const int socket = connectTo(gateway.ports().caller, clientBuffer, segmentBytes);
             Channel channel(socket);
+            record("client: sends request " + id);
             if (socket >= 0 && channel.send(requestText("POST", "/document/" + id, clientHeaders(id, timeLimitMs), "{}"))) {
                 const Response response = readResponse(channel, Clock::now() + Milliseconds(timeLimitMs), bytesPerSecond);
                 whole += response.isComplete && response.status == 200 ? 1 : 0;
--- a/review/standins/moved_stream.cpp
+++ b/review/standins/moved_stream.cpp
@@ -7,8 +7,11 @@
 namespace {
 
 constexpr Milliseconds pauseTime { 1500 };
-constexpr unsigned eventCount = 30;
-constexpr unsigned requestCount = 6;
+constexpr unsigned eventCount = 20;
+// Six run and four wait, so that both servers are full.
+constexpr unsigned requestCount = 10;
+constexpr unsigned placeCount = 3;
+constexpr unsigned queueLength = 2;
 constexpr long graceMs = 8000;
 
 } // namespace
@@ -22,13 +25,16 @@
     Store store;
     EngineSettings settings;
     settings.memoryMb = 200000;
-    settings.places = requestCount / 2;
+    settings.places = placeCount;
+    settings.queue = queueLength;
     settings.events = eventCount;
     settings.eventTime = Milliseconds(50);
     settings.models = { { "model-0", 65000, 12, 0 } };
     settings.loaded = { "model-0" };
-    if (hasTrouble())
+    if (hasTrouble()) {
         settings.pause = pauseTime;
+        settings.preempted = 2;
+    }
     Json route = routeJson("dossier", "streaming", "writer", 30000);
     route["resumable"] = true;
     route["max_attempts"] = 2;
@@ -57,7 +63,7 @@
     std::vector<std::thread> clients;
     for (unsigned client = 0; client < requestCount; ++client)
         clients.emplace_back([&, client] {
-            std::this_thread::sleep_for(Milliseconds(40 * client));
+            std::this_thread::sleep_for(Milliseconds(30 * client));
             const std::string id = "dossier-" + std::to_string(client);
             Headers headers = clientHeaders(id, 30000);
             headers.emplace_back("Catkinwell-Model", "model-0");
--- a/review/standins/paused_stream.cpp
+++ b/review/standins/paused_stream.cpp
@@ -1,5 +1,6 @@
 // Case "paused-stream": a server stands still in the middle of resumable streams and then goes on with them.
 #include "servers.h"
+#include <algorithm>
 
 using namespace Review;
 
@@ -9,7 +10,8 @@
 constexpr long toleratedOverlapMs = 400;
 constexpr Milliseconds pauseTime { 1500 };
 constexpr unsigned eventCount = 60;
-constexpr unsigned requestCount = 6;
+constexpr unsigned requestCount = 9;
+constexpr unsigned serverCount = 3;
 
 } // namespace
 
@@ -26,20 +28,27 @@
     settings.eventTime = Milliseconds(50);
     settings.models = { { "model-0", 65000, 12, 0 } };
     settings.loaded = { "model-0" };
-    settings.dropsClosed = false;
-    if (hasTrouble())
-        settings.pause = pauseTime;
+    settings.pause = pauseTime;
+    settings.firstRuns = requestCount / serverCount;
     Json route = routeJson("dossier", "streaming", "writer", 30000);
     route["resumable"] = true;
     route["max_attempts"] = 2;
     route["target_latency_ms"] = 4000;
+    Json engine = engineJson(settings, 6, 3);
+    engine["slots"] = settings.places;
     store.put("op/config",
         manifestJson(Json::array({ route }),
             Json::array({ { { "name", "writer" }, { "health_path", "/health" }, { "max_conns", 360 },
-                { "protocol", "h1" }, { "tls", false }, { "engine", engineJson(settings, 6, 3) } } }))
+                { "protocol", "h1" }, { "tls", false }, { "engine", engine } } }))
             .dump());
-    Engine first(store, record, "server-1", settings);
-    Engine second(store, record, "server-2", settings);
+    // Most servers drop a request when its channel closes; the first one does not.
+    std::vector<std::unique_ptr<Engine>> engines;
+    for (unsigned i = 0; i < serverCount; ++i) {
+        settings.dropsClosed = i > 0;
+        // Only the first one is short of memory.
+        settings.preempted = hasTrouble() && i == 0 ? 2 : 0;
+        engines.push_back(std::make_unique<Engine>(store, record, "server-" + std::to_string(i + 1), settings));
+    }
     Gateway gateway(folder, "front-a", "zone-a", store.open());
     gateway.start();
     if (!gateway.waitUntilReady()) {
@@ -52,13 +61,14 @@
     std::vector<std::thread> clients;
     for (unsigned client = 0; client < requestCount; ++client)
         clients.emplace_back([&, client] {
-            std::this_thread::sleep_for(Milliseconds(200 * client));
+            std::this_thread::sleep_for(Milliseconds(40 * client));
             const std::string id = "dossier-" + std::to_string(client);
             Headers headers = clientHeaders(id, 30000);
             headers.emplace_back("Catkinwell-Model", "model-0");
             headers.emplace_back("Catkinwell-Token-Usage", "100,180");
             headers.emplace_back("Catkinwell-Prompt-Prefix", "5c1e07a2:60,91bd3f0" + std::to_string(client) + ":40");
             Channel channel(connectTo(gateway.ports().caller));
+            record("client: sends request " + id);
             channel.send(requestText("POST", "/dossier/" + id, headers, "{}"));
             const Response response = readResponse(channel, Clock::now() + std::chrono::seconds(30));
             std::size_t events = 0;
@@ -70,22 +80,25 @@
         });
     for (std::thread& client : clients)
         client.join();
-    for (int i = 0; i < 200 && !(first.isIdle() && second.isIdle()); ++i)
+    for (int i = 0; i < 200 && std::any_of(engines.begin(), engines.end(), [](const auto& one) { return !one->isIdle(); }); ++i)
         std::this_thread::sleep_for(Milliseconds(50));
     gateway.kill();
     bool isBroken = false;
     std::size_t runs = 0;
-    for (const auto& [before, after] : { std::pair(&first, &second), std::pair(&second, &first) }) {
+    for (const auto& before : engines) {
         for (const Engine::Run& run : before->runs()) {
             ++runs;
-            for (const Engine::Run& next : after->runs()) {
-                if (next.id != run.id || next.from <= run.from)
-                    continue;
-                const long overlap = run.to - next.from;
-                record("request " + run.id + " was at work at " + before->id() + " from " + std::to_string(run.from) + " to "
-                    + std::to_string(run.to) + " ms and, from event " + std::to_string(next.firstEvent) + ", at "
-                    + after->id() + " from " + std::to_string(next.from) + " ms: " + std::to_string(overlap) + " ms at both");
-                isBroken = isBroken || overlap > toleratedOverlapMs;
+            for (const auto& after : engines) {
+                for (const Engine::Run& next : after->runs()) {
+                    if (after == before || next.id != run.id || next.from <= run.from)
+                        continue;
+                    const long overlap = run.to - next.from;
+                    record("request " + run.id + " was at work at " + before->id() + " from " + std::to_string(run.from)
+                        + " to " + std::to_string(run.to) + " ms and, from event " + std::to_string(next.firstEvent)
+                        + ", at " + after->id() + " from " + std::to_string(next.from) + " ms: " + std::to_string(overlap)
+                        + " ms at both");
+                    isBroken = isBroken || overlap > toleratedOverlapMs;
+                }
             }
         }
     }
--- a/review/standins/servers.h
+++ b/review/standins/servers.h
@@ -21,13 +21,16 @@
     unsigned adapterSlots = 8;
     Milliseconds loadTime { 300 };
     Milliseconds adapterTime { 10 };
-    // Requests that it runs at once; it turns others away.
+    // Requests that it runs at once, and that wait for a place; it turns others away.
     unsigned places = 64;
+    unsigned queue = 192;
     unsigned events = 10;
     Milliseconds eventTime { 20 };
     std::vector<std::string> loaded;
-    // How long a run that begins with the first event stands still after its fifth one.
+    // How long a run is preempted after its fifth event, and how many of the first runs, the newest ones, are.
     Milliseconds pause {};
+    unsigned firstRuns = 3;
+    unsigned preempted = 0;
     // Whether a run goes on when its channel is closed. "Most servers drop a request when its channel closes."
     bool dropsClosed = true;
 };
@@ -57,6 +60,7 @@
         // -1 while it is at work.
         long to = -1;
         bool isComplete = false;
+        unsigned events = 0;
     };
 
     Engine(Store& store, Record& record, std::string id, EngineSettings settings)
@@ -156,12 +160,14 @@
             Json atWork = Json::array();
             for (const Run& run : m_runLog) {
                 if (run.to < 0)
-                    atWork.push_back(Json::array({ run.id, 100, 1, 5 }));
+                    atWork.push_back(Json::array({ run.id, 100 + run.events, run.events, 5 }));
             }
+            const bool isShort = m_settings.preempted > 0 && m_running > 0;
             body = { { "stage", "prefill_decode" }, { "models", modelsJson() }, { "busy", !m_busyWith.empty() },
-                { "sequence", m_sequence }, { "waiting", 0 }, { "running", m_running }, { "kv_used", 0 },
+                { "sequence", m_sequence }, { "waiting", m_queued }, { "running", m_running },
+                { "kv_used", isShort ? 100000 : m_running * 100 },
                 { "kv_total", 100000 }, { "handles", 0 }, { "born", m_born },
-                { "runs", atWork }, { "at_hand", { { "in_memory", Json::array() }, { "on_disk", m_onDisk } } } };
+                { "runs", atWork }, { "at_hand", { { "in_memory", m_onDisk }, { "on_disk", m_onDisk } } } };
         }
         return channel.send(responseText(200, { { "Content-Type", "application/json" } }, body.dump()));
     }
@@ -260,13 +266,28 @@
         int refusal = 0;
         std::size_t run = 0;
         {
-            const std::lock_guard lock(m_mutex);
+            std::unique_lock lock(m_mutex);
+            // The server queues a few more than it runs.
+            if (m_running >= m_settings.places && m_queued < m_settings.queue) {
+                ++m_queued;
+                while (m_running >= m_settings.places && m_isRunning && !m_hasCrashed && !channel.hasPeerLeft()) {
+                    lock.unlock();
+                    std::this_thread::sleep_for(Milliseconds(5));
+                    lock.lock();
+                }
+                --m_queued;
+                if (channel.hasPeerLeft())
+                    return false;
+            }
+            const bool isOrdered = (!m_busyWith.empty() && m_busyWith[1] == model) || m_coming.count({ model, adapter });
             const auto loaded = m_loaded.find(model);
-            if (loaded == m_loaded.end() || (!adapter.empty() && !loaded->second.count(adapter)))
+            if (isOrdered)
+                refusal = 503;
+            else if (loaded == m_loaded.end() || (!adapter.empty() && !loaded->second.count(adapter)))
                 refusal = 421;
             else if (m_leaving.count({ model, adapter }))
                 refusal = 503;
-            else if ((!m_busyWith.empty() && m_busyWith[1] == model) || m_running >= m_settings.places)
+            else if (m_running >= m_settings.places)
                 refusal = 503;
             else {
                 ++m_runs[model];
@@ -286,11 +307,21 @@
                                    "Catkinwell-Request-Id: "
             + id + "\r\nCatkinwell-Response-Seal: seal-" + id + "\r\n\r\n");
         const auto goesOn = [&] { return (isGood || !m_settings.dropsClosed) && !m_hasCrashed && m_isRunning; };
+        const bool isPreempted = run < m_settings.firstRuns && run + m_settings.preempted >= m_settings.firstRuns;
         unsigned event = firstEvent;
         for (; event <= m_settings.events && goesOn(); ++event) {
             std::this_thread::sleep_for(m_settings.eventTime);
-            if (firstEvent == 1 && event == 6)
-                std::this_thread::sleep_for(m_settings.pause);
+            if (isPreempted && firstEvent == 1 && event == 6) {
+                m_record("server " + m_id + ": request " + id + " is preempted after 5 events");
+                for (const auto until = Clock::now() + m_settings.pause; Clock::now() < until && goesOn();) {
+                    std::this_thread::sleep_for(Milliseconds(10));
+                    isGood = isGood && !channel.hasPeerLeft();
+                }
+            }
+            {
+                const std::lock_guard lock(m_mutex);
+                m_runLog[run].events = event;
+            }
             const std::string text = "id: " + std::to_string(event) + "\ndata: piece " + std::to_string(event) + "\n\n";
             char size[16];
             std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
@@ -320,6 +351,9 @@
         while (m_isRunning) {
             if (m_hasCrashed) {
                 m_server.stop();
+                // Its entry goes after three check-in intervals of silence.
+                for (const auto until = Clock::now() + Milliseconds(3600); Clock::now() < until && m_isRunning;)
+                    std::this_thread::sleep_for(Milliseconds(20));
                 m_store.erase("servers/" + m_id);
                 return;
             }
@@ -361,7 +395,7 @@
                 { "zone", "zone-a" }, { "version", "v1" }, { "slots", 64 }, { "state", "ready" },
                 { "cold_remaining_ms", 0 }, { "stage", "prefill_decode" }, { "models", modelsJson() },
                 { "sequence", ++m_checkIns }, { "born", m_born },
-                { "at_hand", { { "in_memory", Json::array() }, { "on_disk", m_onDisk } } } };
+                { "at_hand", { { "in_memory", m_onDisk }, { "on_disk", m_onDisk } } } };
         }
         m_store.put("servers/" + m_id, entry.dump());
     }
@@ -380,6 +414,7 @@
     // Adapters that are unloaded when their runs have finished.
     std::set<std::pair<std::string, std::string>> m_leaving;
     unsigned m_running = 0;
+    unsigned m_queued = 0;
     // The kind and the model of the order that is being carried out; empty if there is none.
     std::vector<std::string> m_busyWith;
     Clock::time_point m_busyUntil;
--- a/review/standins/slow_reader.cpp
+++ b/review/standins/slow_reader.cpp
@@ -57,7 +57,7 @@
     bool couldRun = gateway.waitUntilReady();
     int broken = 0;
     if (couldRun) {
-        std::this_thread::sleep_for(std::chrono::seconds(2));
+        std::this_thread::sleep_for(std::chrono::seconds(4));
         std::vector<std::thread> clients;
         std::atomic<int> cut = 0;
         std::atomic<int> whole = 0;
@@ -85,6 +85,7 @@
             int status = 0;
             while (record.milliseconds() - stoppedAt < graceMs && !gateway.hasEnded(&status))
                 std::this_thread::sleep_for(Milliseconds(10));
+            gateway.kill();
             record("platform: the process ended " + std::to_string(record.milliseconds() - stoppedAt)
                 + " ms after SIGTERM, wait status " + std::to_string(status));
         }
