Check the head of a request also behind empty lines

What callers could do: with an empty line before a request, no header was checked; with two, the rest of the head was not even taken for one and had no bound.

Cause: the search for the end of the head found the empty lines in front of it, and findRequestHeadFault() ended at the first empty line, while the parser skips them.

Change: empty lines before a request are dropped before the search, and a head that begins with one is rejected.

--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -18,6 +18,7 @@
 
 namespace {
 
+    constexpr std::string_view endOfLine = "\r\n";
     constexpr std::string_view endOfHead = "\r\n\r\n";
     constexpr std::size_t readSize = 64 * 1024;
     // Limit on input buffered while a request is read or answered.
@@ -29,6 +30,15 @@
     // Rounds of the loop in which bytes that have arrived are read.
     constexpr unsigned maximumTimerDelays = 8;
 
+    // Some callers send an empty line after a request's body. The search for the end of the next head must not find it.
+    void skipEmptyLines(evbuffer* input)
+    {
+        char start[endOfLine.size()];
+        while (evbuffer_copyout(input, start, sizeof(start)) == static_cast<ev_ssize_t>(sizeof(start))
+            && std::string_view(start, sizeof(start)) == endOfLine)
+            evbuffer_drain(input, endOfLine.size());
+    }
+
     std::string errorBody(int status, const std::string& reason)
     {
         ApiError error;
@@ -151,6 +161,7 @@
 bool CallerConnection::processHead()
 {
     evbuffer* input = bufferevent_get_input(m_stream);
+    skipEmptyLines(input);
     const std::size_t available = evbuffer_get_length(input);
     if (available == 0)
         return false;
--- a/src/http/RequestHeadCheck.cpp
+++ b/src/http/RequestHeadCheck.cpp
@@ -112,6 +112,8 @@
             return RequestHeadFault { 400, "a line of the head does not end with CR LF" };
         const std::string_view line = head.substr(start, end - start);
         start = end + 2;
+        if (line.empty() && isFirst)
+            return RequestHeadFault { 400, "the request begins with an empty line" };
         if (line.empty())
             break;
         auto fault = isFirst ? requestLineFault(line) : fieldFault(line, framing);
--- a/tests/http/CallerListenerTest.cpp
+++ b/tests/http/CallerListenerTest.cpp
@@ -72,6 +72,17 @@
             "GET /a HTTP/1.1\r\nHost: h\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nGET /b HTTP/1.1\r\nHost: "
             "h\r\n\r\n",
             { "[GET /a ]", "[GET /b ]" }, 2 },
+        { "empty lines before a request", "\r\n\r\n\r\nGET /a HTTP/1.1\r\nHost: h\r\n\r\n", { "[GET /a ]" }, 1 },
+        { "an empty line between two requests",
+            "GET /a HTTP/1.1\r\nHost: h\r\n\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n", { "[GET /a ]", "[GET /b ]" },
+            2 },
+        { "an empty line before a name with a space", "\r\nGET /a HTTP/1.1\r\nHost: h\r\nX-Account : evil\r\n\r\n",
+            { "400 Bad Request", "<closed>" }, 0 },
+        { "empty lines before a name with a space",
+            "\r\n\r\nGET /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding : chunked\r\n\r\n",
+            { "400 Bad Request", "<closed>" }, 0 },
+        { "a carriage return that begins no empty line", "\rGET /a HTTP/1.1\r\nHost: h\r\n\r\n",
+            { "400 Bad Request", "<closed>" }, 0 },
     }));
     EchoFixture fixture;
     const std::string received = fixture.send(test.sent);
--- a/tests/http/RequestHeadCheckTest.cpp
+++ b/tests/http/RequestHeadCheckTest.cpp
@@ -39,6 +39,8 @@
         { "a parent segment", "GET /d/../secret HTTP/1.1\r\nHost: h\r\n\r\n", 400 },
         { "an encoded parent segment", "GET /d/%2E%2e/secret HTTP/1.1\r\nHost: h\r\n\r\n", 400 },
         { "a lone line feed", "GET / HTTP/1.1\nHost: h\r\n\r\n", 400 },
+        { "an empty line before a name with a space", "\r\n" + withFields("X-Account : evil\r\n"), 400 },
+        { "nothing but empty lines", "\r\n\r\n", 400 },
         { "another version", "GET / HTTP/2.0\r\nHost: h\r\n\r\n", 505 },
     }));
     const auto fault = findRequestHeadFault(test.head);
