Write the last owner anew in each ownership

What endpoints saw: orders of two hosts 0.8 to 1.4 s apart at one engine (review/other/hand-over; the silence is 3.3 s).

Cause: a host took its own name in last-owner for a proof that nobody else had given orders since. Another owner that also found its own name there gave orders without writing the key, so that a write of the first host, whose answer was lost, could still be carried out afterwards and then vouch for it.

Change: the record names the ownership as well, and each ownership writes it before its first order, also without a silence. A late write then fails, because the key has another version.

The simulation of PlacementOwnershipTest carries half of the lost writes out late now.

--- a/include/catkinwell/gateway/PlacementOwnership.h
+++ b/include/catkinwell/gateway/PlacementOwnership.h
@@ -7,9 +7,10 @@
 namespace Catkinwell {
 
 // Competes for the store key that makes a host the placement owner. The key is bound to the host's lease. A second key
-// without a lease names the host that last sent orders, and the store's epoch: any other host waits for a while after
-// it has become the owner and before its first order, so that orders of two hosts never interleave at an engine. A
-// record of an earlier epoch, or none after a restore, does not tell who sent the last orders. Pure; not thread safe.
+// without a lease names the host that last sent orders, the store's epoch and that host's ownership: any other host
+// waits for a while after it has become the owner and before its first order, so that orders of two hosts never
+// interleave at an engine. A record of an earlier epoch, or none after a restore, does not tell who sent the last
+// orders. Pure; not thread safe.
 class PlacementOwnership {
 public:
     struct Settings {
@@ -50,6 +51,8 @@
     std::string ownerKey() const { return m_settings.keyPrefix + "owner"; }
     std::string lastOwnerKey() const { return m_settings.keyPrefix + "last-owner"; }
     std::string ownValue(const LeaseId&) const;
+    // Records in the last-owner key: of any ownership of this host in the present epoch, and of the present one.
+    std::string recordPrefix() const;
     std::string ownRecord() const;
     bool mustWait(const StoreEntry* lastOwner, MonotonicTime now) const;
     std::uint64_t fencingToken() const;
--- a/src/gateway/PlacementOwnership.cpp
+++ b/src/gateway/PlacementOwnership.cpp
@@ -39,7 +39,12 @@
     return m_settings.self.value + '\n' + std::to_string(m_settings.incarnation) + '\n' + lease;
 }
 
-std::string PlacementOwnership::ownRecord() const { return m_settings.self.value + '\n' + std::to_string(m_epoch); }
+std::string PlacementOwnership::recordPrefix() const
+{
+    return m_settings.self.value + '\n' + std::to_string(m_epoch) + '\n';
+}
+
+std::string PlacementOwnership::ownRecord() const { return recordPrefix() + std::to_string(m_heldVersion); }
 
 std::uint64_t PlacementOwnership::fencingToken() const { return (m_epoch << versionBits) | m_heldVersion; }
 
@@ -123,7 +128,8 @@
 }
 
 // The last-owner key changes only after the silence. If this host loses the ownership during its silence, the key still
-// names the host before it, whose orders the next owner has to wait for.
+// names the host before it, whose orders the next owner has to wait for. Each ownership writes the key before its first
+// order, also if it names this host already: a write of another host that is carried out late then fails.
 void PlacementOwnership::recordOwner(const PrefixMirror& mirror, MonotonicTime now, EffectList& effects)
 {
     const StoreEntry* last = mirror.find(lastOwnerKey());
@@ -131,7 +137,8 @@
         beginOrders(now, effects);
         return;
     }
-    if (mustWait(last, now))
+    const bool sentLastOrders = last && last->value.starts_with(recordPrefix());
+    if (!sentLastOrders && mustWait(last, now))
         return;
     call(StoreCompareAndSwap { lastOwnerKey(), ownRecord(), last ? last->version : 0, {} }, effects);
 }
--- a/tests/gateway/PlacementOwnershipTest.cpp
+++ b/tests/gateway/PlacementOwnershipTest.cpp
@@ -26,6 +26,7 @@
         for (int i = 0; i < steps; ++i) {
             m_now += std::chrono::milliseconds(20);
             expireLeases();
+            carryOutLateWrites();
             for (auto& host : m_hosts)
                 step(*host);
         }
@@ -110,9 +111,13 @@
         StoreReply reply;
         reply.id = call.id;
         reply.status = StoreStatus::Unknown;
-        // A write may succeed although its answer is lost.
+        // A write may succeed although its answer is lost, also seconds later.
         const bool isLost = isDisconnected || m_random.unit() < 0.1;
-        if (!isDisconnected)
+        const bool isLate
+            = isLost && std::holds_alternative<StoreCompareAndSwap>(call.operation) && m_random.unit() < 0.5;
+        if (isLate)
+            m_lateWrites.emplace_back(m_now + std::chrono::milliseconds(200 + m_random.below(6000)), call);
+        else if (!isDisconnected)
             answer(call, reply);
         if (isLost)
             reply = StoreReply { call.id, StoreStatus::Unknown };
@@ -127,7 +132,7 @@
         if (const auto* swap = std::get_if<StoreCompareAndSwap>(&call.operation)) {
             const auto item = m_items.find(swap->key);
             const StoreVersion version = item == m_items.end() ? 0 : item->second.entry.version;
-            if (version != swap->expectedVersion) {
+            if (version != swap->expectedVersion || (!swap->lease.empty() && !isLive(swap->lease))) {
                 reply.status = StoreStatus::Conflict;
                 return;
             }
@@ -142,6 +147,25 @@
         reply.isWholeList = true;
     }
 
+    bool isLive(const LeaseId& lease) const
+    {
+        return std::any_of(m_hosts.begin(), m_hosts.end(), [&lease](const auto& host) {
+            return host->storeLease == lease && host->storeLeaseEnds != MonotonicTime();
+        });
+    }
+
+    void carryOutLateWrites()
+    {
+        const auto due = std::exchange(m_lateWrites, {});
+        for (const auto& [at, call] : due) {
+            StoreReply ignored;
+            if (m_now >= at)
+                answer(call, ignored);
+            else
+                m_lateWrites.emplace_back(at, call);
+        }
+    }
+
     struct Item {
         StoreEntry entry;
         LeaseId lease;
@@ -151,6 +175,7 @@
     MonotonicTime m_now { std::chrono::hours(1) };
     std::vector<std::unique_ptr<Host>> m_hosts;
     std::map<std::string, Item> m_items;
+    std::vector<std::pair<MonotonicTime, StoreCall>> m_lateWrites;
     StoreVersion m_version = 1;
     std::vector<OrderOpportunity> m_opportunities;
 };
@@ -158,7 +183,8 @@
 } // namespace
 
 // Guards against orders of two hosts that are closer together than the silence, and against an older fencing token
-// after a newer one, under lost connections to the store, frozen hosts and lost answers.
+// after a newer one, under lost connections to the store, frozen hosts, lost answers and writes that are carried out
+// late.
 TEST_CASE("Orders of two hosts are always separated by the silence")
 {
     const std::uint64_t seed = GENERATE(range(1, 25));
