Count the memory of adapters, not only their places

Cause: planAdapter() compared the number of adapters with the places only. The memory that was to be kept free for them was computed from the larger of two sums, either of which left out the other model's weights or adapters.

A model that fills an engine alone is still loaded, and gets as many adapters as there is memory for.

--- a/include/catkinwell/gateway/EnginePlacement.h
+++ b/include/catkinwell/gateway/EnginePlacement.h
@@ -218,7 +218,10 @@
     std::vector<ServiceModel> modelsByLoad(MonotonicTime now);
     bool isReachable(const Engine&, MonotonicTime now) const;
     unsigned wantedReplicas(const std::string& service, const ModelSummary&) const;
-    double memoryUsed(const Engine&, const GatewayEngine&) const;
+    // Whether an engine can hold these models and, beside them, as many adapters as it has places.
+    static bool fits(const std::set<ModelId>&, const GatewayEngine&);
+    // Whether the engine has a place and the memory for one more adapter of the model.
+    bool hasRoomForAdapter(const Engine&, const ModelId&) const;
     EngineUpdate updateOf(const Engine&, MonotonicTime now) const;
     // Returns what hosts can expect of the weight store, for each service with engines.
     std::vector<StoreLoadForecast> forecasts(MonotonicTime now);
--- a/src/gateway/EnginePlacementChoice.cpp
+++ b/src/gateway/EnginePlacementChoice.cpp
@@ -221,20 +221,6 @@
     return std::max(least, static_cast<unsigned>(std::ceil(load / perReplica)));
 }
 
-double EnginePlacement::memoryUsed(const Engine& engine, const GatewayEngine& settings) const
-{
-    double used = 0;
-    double largestAdapter = 0;
-    for (const auto& [model, adapters] : engine.models) {
-        const auto found = settings.models.find(model);
-        if (found == settings.models.end())
-            continue;
-        used += found->second.memoryMb;
-        largestAdapter = std::max(largestAdapter, found->second.adapterMb);
-    }
-    return used + largestAdapter * settings.adapterSlots;
-}
-
 // Requests per second for adapters of the models that the engine holds, as its share among all holders.
 double EnginePlacement::adapterRate(const Engine& engine, MonotonicTime now)
 {
@@ -272,13 +258,12 @@
     candidate.source = sourceOf(engine, model.id);
     if (candidate.source == WeightSource::Store && !mayUseStore)
         return std::nullopt;
-    const double reserve = model.adapterMb * settings.adapterSlots;
-    double freeMb = settings.memoryMb - std::max(reserve, memoryUsed(engine, settings));
-    if (memoryUsed(engine, settings) < reserve)
-        freeMb = settings.memoryMb - reserve;
+    std::set<ModelId> held { model.id };
     std::vector<std::pair<double, ModelId>> others;
-    for (const auto& [other, adapters] : engine.models)
+    for (const auto& [other, adapters] : engine.models) {
         others.emplace_back(evictionCost(engine, other, now), other);
+        held.insert(other);
+    }
     std::sort(others.begin(), others.end());
     const double seconds = secondsOf(loadTime(engine, model.id, candidate.source));
     const bool hasReplicaInDataCentre
@@ -287,14 +272,13 @@
     candidate.cost = seconds + seconds * adapterRate(engine, now) * adapterMissShare
         + (hasReplicaInDataCentre ? sameDataCentreCost : 0);
     for (const auto& [value, other] : others) {
-        if (freeMb >= model.memoryMb)
+        if (fits(held, settings))
             break;
-        const GatewayModel* otherSettings = settingsOf(engine, other);
-        freeMb += otherSettings ? otherSettings->memoryMb : 0;
+        held.erase(other);
         candidate.victims.push_back(other);
         candidate.cost += value + unloadCost;
     }
-    if (freeMb < model.memoryMb)
+    if (!fits(held, settings))
         return std::nullopt;
     return candidate;
 }
--- a/src/gateway/EnginePlacementPlan.cpp
+++ b/src/gateway/EnginePlacementPlan.cpp
@@ -125,11 +125,7 @@
     Engine* engine = adapterEngine(summary, variant, now);
     if (!engine)
         return;
-    unsigned used = 0;
-    for (const auto& [model, adapters] : engine->models)
-        used += static_cast<unsigned>(adapters.size());
-    const GatewayEngine* settings = m_configuration.engineOf(engine->record.service);
-    if (settings && used < settings->adapterSlots)
+    if (hasRoomForAdapter(*engine, variant.model))
         giveOrder(*engine, EngineOrderKind::Load, variant, "adapter_wanted", now, effects);
     else
         makeRoomForAdapter(*engine, now, effects);
--- a/tests/gateway/EnginePlacementTest.cpp
+++ b/tests/gateway/EnginePlacementTest.cpp
@@ -263,6 +263,56 @@
     CHECK(fixture.violations().empty());
 }
 
+namespace {
+
+struct AdapterSizeCase {
+    const char* name;
+    double busyAdapterMb;
+    double nextAdapterMb;
+    double nextModelMb;
+};
+
+} // namespace
+
+// Guards against an engine that is overfilled, and crashes, because adapters were counted and not measured.
+TEST_CASE("Adapters of any size fit into the memory beside the models")
+{
+    const auto test = GENERATE(values<AdapterSizeCase>({
+        { "the next model has larger adapters", 12, 200, 99'000 },
+        { "the next model has smaller adapters", 200, 12, 99'000 },
+        { "the next model fills the engine", 12, 60, 199'900 },
+    }));
+    INFO(test.name);
+    GatewayConfiguration configuration = sampleConfiguration();
+    GatewayEngine& settings = *configuration.services["notes"].engine;
+    settings.memoryMb = 200'000;
+    settings.adapterSlots = 8;
+    settings.models[ModelId("m1")].memoryMb = 100'000;
+    settings.models[ModelId("m1")].adapterMb = test.busyAdapterMb;
+    settings.models[ModelId("m2")].memoryMb = test.nextModelMb;
+    settings.models[ModelId("m2")].adapterMb = test.nextAdapterMb;
+    PlacementFixture fixture;
+    fixture.placement.configure(configuration);
+    FakeEngine& engine = fixture.add("e", holding({ "m1" }));
+    engine.setSizes({ settings.memoryMb, settings.adapterSlots, settings.models });
+    for (const char* model : { "m2", "m3", "m4" })
+        engine.putOnDisk(ModelId(model));
+    fixture.publish(engine);
+    fixture.grantPermission();
+    fixture.run(std::chrono::seconds(1));
+    for (int i = 1; i <= 8; ++i)
+        fixture.demand("m1/a" + std::to_string(i), 1, 1);
+    fixture.run(std::chrono::seconds(4));
+    for (int i = 1; i <= 8; ++i)
+        fixture.demand("m1/a" + std::to_string(i), 0, 1);
+    for (int i = 1; i <= 16; ++i)
+        fixture.demand("m2/a" + std::to_string(i), 1, 1);
+    fixture.run(std::chrono::seconds(20));
+    CHECK(fixture.violations().empty());
+    REQUIRE(engine.models().contains(ModelId("m2")));
+    CHECK_FALSE(engine.models().at(ModelId("m2")).empty());
+}
+
 // Guards against orders from a host that has no permission, or whose permission has not started or has ended.
 TEST_CASE("No order is sent outside the permission")
 {
--- a/tests/gateway/FakeEngine.cpp
+++ b/tests/gateway/FakeEngine.cpp
@@ -45,19 +45,18 @@
         return EngineOrderOutcome::Rejected;
     if (order.kind == EngineOrderKind::Unload) {
         ++m_orderCount;
-        if (isAdapter) {
-            model->second.erase(order.adapter);
-            return EngineOrderOutcome::AlreadyDone;
-        }
+        if (isAdapter)
+            return unloadAdapter({ order.model, order.adapter }, now);
         m_work = Work { order, std::max(now + unloadTime, m_runningUntil[order.model]) };
         return EngineOrderOutcome::Accepted;
     }
+    if (isAdapter && m_leavingAdapters.erase({ order.model, order.adapter }) > 0) {
+        ++m_orderCount;
+        return EngineOrderOutcome::Accepted;
+    }
     if (isAdapter ? model->second.contains(order.adapter) : model != m_models.end())
         return EngineOrderOutcome::AlreadyDone;
-    std::size_t adapters = 0;
-    for (const auto& [name, list] : m_models)
-        adapters += list.size();
-    if (isAdapter ? adapters >= adapterCapacity : m_models.size() >= modelCapacity)
+    if (isOverfilledBy(order))
         m_violations.push_back(m_id.value + " was ordered to load more than its capacity");
     ++m_orderCount;
     if (isAdapter) {
@@ -70,10 +69,45 @@
     return EngineOrderOutcome::Accepted;
 }
 
+EngineOrderOutcome FakeEngine::unloadAdapter(const ModelVariant& adapter, MonotonicTime now)
+{
+    const auto used = m_adapterUsedUntil.find(adapter);
+    if (used != m_adapterUsedUntil.end() && now < used->second && m_models[adapter.model].contains(adapter.adapter)) {
+        m_leavingAdapters.insert(adapter);
+        return EngineOrderOutcome::Accepted;
+    }
+    m_models[adapter.model].erase(adapter.adapter);
+    return EngineOrderOutcome::AlreadyDone;
+}
+
+std::size_t FakeEngine::adapterCount() const
+{
+    std::size_t count = 0;
+    for (const auto& [model, adapters] : m_models)
+        count += adapters.size();
+    return count;
+}
+
+bool FakeEngine::isOverfilledBy(const EngineOrder& order) const
+{
+    const bool isAdapter = !order.adapter.empty();
+    if (!m_sizes)
+        return isAdapter ? adapterCount() >= adapterCapacity : m_models.size() >= modelCapacity;
+    const GatewayModel& ordered = m_sizes->models.at(order.model);
+    double needed = isAdapter ? ordered.adapterMb : ordered.memoryMb;
+    for (const auto& [id, adapters] : m_models) {
+        const GatewayModel& model = m_sizes->models.at(id);
+        needed += model.memoryMb + model.adapterMb * static_cast<double>(adapters.size());
+    }
+    return needed > m_sizes->memoryMb || (isAdapter && adapterCount() >= m_sizes->adapterPlaces);
+}
+
 void FakeEngine::complete(const EngineOrder& order)
 {
     if (order.kind == EngineOrderKind::Unload) {
         m_models.erase(order.model);
+        std::erase_if(
+            m_leavingAdapters, [&order](const ModelVariant& adapter) { return adapter.model == order.model; });
         return;
     }
     m_models[order.model];
@@ -87,6 +121,12 @@
         m_work.reset();
         ++m_heartbeat;
     }
+    std::erase_if(m_leavingAdapters, [&](const ModelVariant& adapter) {
+        if (now < m_adapterUsedUntil[adapter])
+            return false;
+        m_models[adapter.model].erase(adapter.adapter);
+        return true;
+    });
     for (std::size_t i = 0; i < m_lateOrders.size();) {
         if (now < m_lateOrders[i].first) {
             ++i;
@@ -141,6 +181,7 @@
     m_orderCount = 0;
     m_heartbeat = 0;
     m_models.clear();
+    m_leavingAdapters.clear();
     m_work.reset();
     m_snapshots.clear();
     snapshot(now);
--- a/tests/gateway/FakeEngine.h
+++ b/tests/gateway/FakeEngine.h
@@ -14,8 +14,16 @@
     double lateOrders = 0;
 };
 
-// An engine with memory for two models that carries out one order at a time, reports its state with a delay of 200 ms
-// and lets an unload wait for running requests. It records each order that would exceed its capacity.
+// What an engine can hold, and what each model and each of its adapters needs.
+struct EngineSizes {
+    double memoryMb = 0;
+    std::size_t adapterPlaces = 0;
+    std::map<ModelId, GatewayModel> models;
+};
+
+// An engine with memory for two models, unless it is given other sizes, that carries out one order at a time, reports
+// its state with a delay of 200 ms and lets an unload wait for running requests. It records each order that would
+// exceed its capacity.
 class FakeEngine {
 public:
     FakeEngine(std::string id, LoadedModels, EngineFaults, std::uint64_t seed);
@@ -32,6 +40,10 @@
     // An unload of the model waits until this time.
     void keepRunning(const ModelId& model, MonotonicTime until) { m_runningUntil[model] = until; }
 
+    // Requests use the adapter until this time; its unload waits for them.
+    void useAdapter(const ModelVariant& adapter, MonotonicTime until) { m_adapterUsedUntil[adapter] = until; }
+    void setSizes(EngineSizes sizes) { m_sizes = std::move(sizes); }
+
     // The software version in its record.
     void setVersion(std::string version) { m_version = std::move(version); }
     void putOnDisk(const ModelId& model) { m_onDisk.insert(model); }
@@ -53,6 +65,9 @@
     };
 
     EngineOrderOutcome accept(const EngineOrder&, MonotonicTime now);
+    EngineOrderOutcome unloadAdapter(const ModelVariant&, MonotonicTime now);
+    std::size_t adapterCount() const;
+    bool isOverfilledBy(const EngineOrder&) const;
     void complete(const EngineOrder&);
     void snapshot(MonotonicTime now);
 
@@ -69,6 +84,10 @@
     std::vector<std::pair<MonotonicTime, EngineOrder>> m_lateOrders;
     std::deque<Snapshot> m_snapshots;
     std::map<ModelId, MonotonicTime> m_runningUntil;
+    std::map<ModelVariant, MonotonicTime> m_adapterUsedUntil;
+    // Adapters that go when nothing uses them any more.
+    std::set<ModelVariant> m_leavingAdapters;
+    std::optional<EngineSizes> m_sizes;
     std::vector<std::string> m_violations;
     unsigned m_storeLoads = 0;
 };
