Keep the place of an adapter that requests still use

Cause: handleAdapterOrder() took an accepted unload for a finished one. An engine that answers 202 unloads the adapter once its requests have ended.

Change: such an adapter counts until the engine's report, which has the same number of orders, no longer lists it; it gets no new requests, no second one is sent away meanwhile, and it can be wanted again in its place. An engine that answers 200 has unloaded the adapter at once.

--- a/include/catkinwell/gateway/EnginePlacement.h
+++ b/include/catkinwell/gateway/EnginePlacement.h
@@ -105,6 +105,8 @@
         std::optional<ModelId> nextLoad;
         // Models whose unload may still be waiting for running requests.
         std::set<ModelId> unloading;
+        // Adapters whose unload waits for the requests that use them. They keep their places and their memory.
+        std::set<ModelVariant> leavingAdapters;
         // Consecutive refusals because of another order or a differing order count.
         unsigned conflicts = 0;
         // Consecutive failed status calls and orders.
@@ -222,6 +224,10 @@
     static bool fits(const std::set<ModelId>&, const GatewayEngine&);
     // Whether the engine has a place and the memory for one more adapter of the model.
     bool hasRoomForAdapter(const Engine&, const ModelId&) const;
+    // Forgets adapters as leaving that the engine no longer lists.
+    static void noteUnloadedAdapters(Engine&, const LoadedModels&);
+    // Returns the models without the adapters that leave the engine.
+    static LoadedModels withoutLeaving(const Engine&, LoadedModels);
     EngineUpdate updateOf(const Engine&, MonotonicTime now) const;
     // Returns what hosts can expect of the weight store, for each service with engines.
     std::vector<StoreLoadForecast> forecasts(MonotonicTime now);
--- a/src/gateway/EnginePlacement.cpp
+++ b/src/gateway/EnginePlacement.cpp
@@ -67,6 +67,7 @@
         engine.pending.reset();
         engine.adapterPending.reset();
         engine.nextLoad.reset();
+        engine.leavingAdapters.clear();
         engine.isChanged = true;
         engine.nextStatusAt = now;
     }
@@ -190,7 +191,7 @@
 void EnginePlacement::fetchStatus(Engine& engine, MonotonicTime now, EffectList& effects)
 {
     engine.isStatusPending = true;
-    const bool isWaiting = engine.pending && engine.pending->isAccepted;
+    const bool isWaiting = (engine.pending && engine.pending->isAccepted) || !engine.leavingAdapters.empty();
     engine.nextStatusAt = now
         + (!engine.isVerified ? unverifiedStatusInterval
                 : isWaiting   ? pendingStatusInterval
@@ -222,6 +223,7 @@
         return;
     model->second.insert(order.adapter);
     engine.adapterUse[{ order.model, order.adapter }] = now;
+    engine.leavingAdapters.erase({ order.model, order.adapter });
 }
 
 // Replaces the known models with those of a status report that is at least as recent.
@@ -230,8 +232,9 @@
     noteCompletion(engine, models, now);
     if (engine.pending)
         return;
-    if (engine.models != models) {
-        LoadedModels merged = models;
+    noteUnloadedAdapters(engine, models);
+    LoadedModels merged = withoutLeaving(engine, models);
+    if (engine.models != merged) {
         for (const ModelId& model : engine.unloading)
             merged.erase(model);
         // The report may be older than the latest adapter orders, so keep adapters that were loaded within its lag.
@@ -275,7 +278,8 @@
         return;
     engine.isVerified = true;
     engine.orderCount = status.orderCount;
-    engine.models = status.models;
+    noteUnloadedAdapters(engine, status.models);
+    engine.models = withoutLeaving(engine, status.models);
     engine.unloading.clear();
     engine.conflicts = 0;
     engine.isChanged = true;
@@ -388,6 +392,11 @@
         if (order.kind == EngineOrderKind::Unload) {
             dropFrom(engine.models, order);
             engine.adapterPending.reset();
+            // One that no request uses is gone at once.
+            if (finished.outcome == EngineOrderOutcome::Accepted) {
+                engine.leavingAdapters.insert({ order.model, order.adapter });
+                engine.nextStatusAt = now + pendingStatusInterval;
+            }
         } else if (finished.outcome == EngineOrderOutcome::AlreadyDone) {
             finishAdapterLoad(engine, now);
         } else {
--- a/src/gateway/EnginePlacementMemory.cpp
+++ b/src/gateway/EnginePlacementMemory.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-// Memory and places for adapters: what fits into an engine.
+// Memory and places for adapters: what fits into an engine, and what is still there after an unload.
 namespace Catkinwell {
 
 bool EnginePlacement::fits(const std::set<ModelId>& models, const GatewayEngine& settings)
@@ -39,7 +39,26 @@
         memory += held ? held->memoryMb : 0;
         addAdapters(id, adapters.size());
     }
+    for (const ModelVariant& leaving : engine.leavingAdapters)
+        addAdapters(leaving.model, 1);
     return places <= settings->adapterSlots && memory <= settings->memoryMb;
 }
 
+void EnginePlacement::noteUnloadedAdapters(Engine& engine, const LoadedModels& listed)
+{
+    std::erase_if(engine.leavingAdapters, [&listed](const ModelVariant& variant) {
+        const auto model = listed.find(variant.model);
+        return model == listed.end() || !model->second.contains(variant.adapter);
+    });
+}
+
+LoadedModels EnginePlacement::withoutLeaving(const Engine& engine, LoadedModels models)
+{
+    for (const ModelVariant& variant : engine.leavingAdapters) {
+        if (const auto model = models.find(variant.model); model != models.end())
+            model->second.erase(variant.adapter);
+    }
+    return models;
+}
+
 } // namespace Catkinwell
--- a/src/gateway/EnginePlacementPlan.cpp
+++ b/src/gateway/EnginePlacementPlan.cpp
@@ -125,7 +125,8 @@
     Engine* engine = adapterEngine(summary, variant, now);
     if (!engine)
         return;
-    if (hasRoomForAdapter(*engine, variant.model))
+    // One that was about to leave still has its place.
+    if (engine->leavingAdapters.contains(variant) || hasRoomForAdapter(*engine, variant.model))
         giveOrder(*engine, EngineOrderKind::Load, variant, "adapter_wanted", now, effects);
     else
         makeRoomForAdapter(*engine, now, effects);
@@ -161,9 +162,11 @@
         demand == m_demand.entries().end() ? MonotonicTime() : demand->second.lastArrivalAt);
 }
 
-// Unloads the least recently used adapter, unless all were used recently.
+// Unloads the least recently used adapter, unless all were used recently or a place becomes free anyway.
 void EnginePlacement::makeRoomForAdapter(Engine& engine, MonotonicTime now, EffectList& effects)
 {
+    if (!engine.leavingAdapters.empty())
+        return;
     std::optional<ModelVariant> oldest;
     MonotonicTime oldestAt = now - adapterIdleTime;
     for (const auto& [model, adapters] : engine.models) {
--- a/tests/gateway/EnginePlacementTest.cpp
+++ b/tests/gateway/EnginePlacementTest.cpp
@@ -313,6 +313,31 @@
     CHECK_FALSE(engine.models().at(ModelId("m2")).empty());
 }
 
+// Guards against an adapter that is loaded into the place of one that requests still use.
+TEST_CASE("An adapter in use keeps its place after it was ordered to leave")
+{
+    PlacementFixture fixture;
+    FakeEngine& engine = fixture.add("e", holding({ "m1", "m2" }));
+    for (const char* model : { "m3", "m4" })
+        engine.putOnDisk(ModelId(model));
+    fixture.publish(engine);
+    fixture.grantPermission();
+    fixture.run(std::chrono::seconds(1));
+    for (const char* adapter : { "a1", "a2" }) {
+        fixture.demand("m1/" + std::string(adapter), 1, 1);
+        fixture.run(std::chrono::milliseconds(400));
+        fixture.demand("m1/" + std::string(adapter), 0, 1);
+        engine.useAdapter({ ModelId("m1"), adapter }, fixture.now + std::chrono::seconds(4));
+    }
+    fixture.demand("m1/a3", 1, 1);
+    fixture.run(std::chrono::seconds(3));
+    CHECK(fixture.violations().empty());
+    CHECK(engine.models().at(ModelId("m1")).size() == 2);
+    fixture.run(std::chrono::seconds(3));
+    CHECK(fixture.violations().empty());
+    CHECK(engine.models().at(ModelId("m1")).contains("a3"));
+}
+
 // Guards against orders from a host that has no permission, or whose permission has not started or has ended.
 TEST_CASE("No order is sent outside the permission")
 {
@@ -391,6 +416,9 @@
         FakeEngine& engine = *fixture.engines[random.below(3)];
         if (random.unit() < 0.2)
             engine.keepRunning(ModelId(variants[random.below(4)]), fixture.now + std::chrono::milliseconds(900));
+        if (random.unit() < 0.2)
+            engine.useAdapter({ ModelId(variants[random.below(2)]), "a" + std::to_string(1 + random.below(3)) },
+                fixture.now + std::chrono::milliseconds(1500));
         if (test.restarts && random.unit() < 0.01) {
             engine.restart(fixture.now);
             fixture.publish(engine);
