Keep the part of a host that serves on behind a cut

Cause: a host that was neither registered nor heard any more was forgotten, and the others spent its part of each rate, while it went on spending it behind its cut. What it spent was never counted, as its next report was taken for a first one.

Change: a host that goes without saying so keeps its part for 90 minutes, the longest cut that a deployment has to bear; one that says that it leaves gives it back at once. The same holds for the limits that endpoints state.

--- a/include/catkinwell/gateway/EndpointLimits.h
+++ b/include/catkinwell/gateway/EndpointLimits.h
@@ -49,6 +49,8 @@
     void attemptNotSent(const EndpointId&, MonotonicTime now);
 
     void setPeers(const std::set<HostId>&, MonotonicTime now);
+    // The host has ended; it sends nothing any more.
+    void removePeer(const HostId& host) { m_quota.removePeer(host); }
     void setReportInterval(Duration);
     EndpointLimitDigest digest(MonotonicTime now) const;
     // Whether a statement should be reported without delay. Resets the flag.
--- a/include/catkinwell/gateway/FleetQuota.h
+++ b/include/catkinwell/gateway/FleetQuota.h
@@ -3,6 +3,7 @@
 #include <catkinwell/core/Clock.h>
 #include <catkinwell/gateway/GatewayConfiguration.h>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace Catkinwell {
@@ -41,8 +42,13 @@
     explicit FleetQuota(HostId self, QuotaSharing sharing = QuotaSharing::WhenLow);
 
     void configure(const std::map<AccountId, GatewayAccount>&, MonotonicTime now);
-    // Sets the other live hosts.
+    // Sets the other live hosts. One that is no longer among them is assumed to serve behind a cut, unless it was
+    // removed.
     void setPeers(const std::set<HostId>&, MonotonicTime now);
+    // The host has ended; it admits nothing any more.
+    void removePeer(const HostId& host) { m_peers.erase(host); }
+    // Number of hosts that are not live but may serve behind a cut.
+    std::size_t missingPeers() const;
     // How often the hosts report to each other.
     void setReportInterval(Duration interval) { m_reportInterval = interval; }
     // Merges the totals that a peer has counted since it started.
@@ -76,6 +82,8 @@
         Incarnation incarnation = 0;
         MonotonicTime heardAt {};
         MonotonicTime assumedUntil {};
+        // Since when the host is not live; absent while it is.
+        std::optional<MonotonicTime> missingSince;
         AccountUsage reported;
         // Units taken from the buckets on assumption, since the last report.
         std::map<AccountId, double> assumed;
--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -101,6 +101,7 @@
     void askForStreamVersions(MonotonicTime now, EffectList&);
     std::vector<HostId> keepersOf(StreamKey, std::size_t count) const;
     void ensureSecret(MonotonicTime now, EffectList&);
+    void updateQuotaPeers(const std::set<HostId>& before, MonotonicTime now);
     void updatePeers(MonotonicTime now, EffectList&);
     void hastenDigest(MonotonicTime now);
     void sendDigests(MonotonicTime now, EffectList&);
--- a/src/gateway/FleetQuota.cpp
+++ b/src/gateway/FleetQuota.cpp
@@ -13,6 +13,9 @@
     constexpr int silentIntervals = 3;
     // Up to this report interval, the units that several hosts spend twice stay within the tolerance of a limit.
     constexpr Duration toleratedReportInterval = std::chrono::milliseconds(250);
+    // A host that neither the store nor a report names any more may serve behind a cut for this long. Until then its
+    // part of each rate is kept for it.
+    constexpr Duration longestCut = std::chrono::minutes(90);
     constexpr Duration sharesInterval = std::chrono::milliseconds(250);
     // Averaging time of the demand.
     constexpr double demandAverageSeconds = 1.5;
@@ -58,9 +61,13 @@
 
 void FleetQuota::setPeers(const std::set<HostId>& peers, MonotonicTime now)
 {
-    std::erase_if(m_peers, [&peers](const auto& entry) { return !peers.contains(entry.first); });
+    for (auto& [host, peer] : m_peers) {
+        if (!peers.contains(host) && !peer.missingSince)
+            peer.missingSince = now;
+    }
     for (const HostId& host : peers) {
         auto [entry, isNew] = m_peers.try_emplace(host);
+        entry->second.missingSince.reset();
         if (!isNew || host == m_self)
             continue;
         entry->second.heardAt = now;
@@ -72,6 +79,7 @@
 {
     auto [entry, isNew] = m_peers.try_emplace(host);
     Peer& peer = entry->second;
+    peer.missingSince.reset();
     const MonotonicTime heardBefore = std::exchange(peer.heardAt, now);
     peer.assumedUntil = now;
     if (peer.incarnation != incarnation) {
@@ -104,6 +112,10 @@
 void FleetQuota::tick(MonotonicTime now)
 {
     updateShares(now);
+    std::erase_if(m_peers, [now](const auto& entry) {
+        const std::optional<MonotonicTime>& since = entry.second.missingSince;
+        return since && now - *since >= longestCut;
+    });
     const double hosts = static_cast<double>(m_peers.size()) + 1;
     for (auto& [host, peer] : m_peers) {
         if (now - peer.heardAt < silenceTimeout() || peer.assumedUntil >= now)
@@ -118,6 +130,12 @@
     }
 }
 
+std::size_t FleetQuota::missingPeers() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_peers.begin(), m_peers.end(), [](const auto& entry) { return entry.second.missingSince.has_value(); }));
+}
+
 Duration FleetQuota::silenceTimeout() const { return m_reportInterval * silentIntervals; }
 
 void FleetQuota::updateShares(MonotonicTime now)
@@ -136,6 +154,8 @@
         const double base = bucket.settings.unitsPerSecond * baseDemand;
         double total = own + base;
         for (const auto& [host, peer] : m_peers) {
+            if (peer.missingSince)
+                continue;
             const auto demand = peer.demand.find(account);
             total += base + (demand == peer.demand.end() ? 0 : demand->second);
         }
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -320,11 +320,8 @@
             m_placement.removeHost(host);
         }
     }
-    m_livePeers = std::move(live);
-    m_quota.setPeers(m_livePeers, now);
-    m_quota.setReportInterval(digestInterval());
-    m_directory.limits().setPeers(m_livePeers, now);
-    m_directory.limits().setReportInterval(digestInterval());
+    const std::set<HostId> before = std::exchange(m_livePeers, std::move(live));
+    updateQuotaPeers(before, now);
     m_directory.room().setHosts(m_livePeers.size() + 1);
     m_directory.room().setReportInterval(digestInterval());
     m_requests.setHostCount(m_livePeers.size() + 1);
@@ -341,6 +338,21 @@
     effects.push_back(LogEntry { LogEvent::GatewayPeersChanged, { { "live", names } } });
 }
 
+// What hosts spend that have gone without saying so is not known; those that said so spend nothing.
+void GatewayReducer::updateQuotaPeers(const std::set<HostId>& before, MonotonicTime now)
+{
+    m_quota.setPeers(m_livePeers, now);
+    m_quota.setReportInterval(digestInterval());
+    m_directory.limits().setPeers(m_livePeers, now);
+    m_directory.limits().setReportInterval(digestInterval());
+    for (const HostId& host : before) {
+        if (m_livePeers.contains(host) || !m_peers[host].isLeaving)
+            continue;
+        m_quota.removePeer(host);
+        m_directory.limits().removePeer(host);
+    }
+}
+
 Duration GatewayReducer::digestInterval() const
 {
     return std::clamp<Duration>(digestIntervalPerHost * static_cast<std::int64_t>(m_livePeers.size() + 1),
--- a/tests/gateway/FleetQuotaTest.cpp
+++ b/tests/gateway/FleetQuotaTest.cpp
@@ -142,6 +142,78 @@
     CHECK(fleet.total() >= rate * 40 * test.minimumShare);
 }
 
+namespace {
+
+struct CutCase {
+    const char* name;
+    // How long after the cut the other hosts no longer count the host as live; it comes back later.
+    int droppedAfterSeconds;
+    bool saidSo;
+    // Bounds on the fraction of the rate that the other hosts admit while they do not count it.
+    double minimumShare;
+    double maximumShare;
+};
+
+} // namespace
+
+// Guards against an account that exceeds its rate because a host serves on behind a cut, and against a part of the rate
+// that is kept for a host that has ended.
+TEST_CASE("The part of a host that is no longer heard is kept for it unless it has ended")
+{
+    const auto test = GENERATE(values<CutCase>({
+        { "a cut", 1, false, 0.65, 0.8 },
+        { "a planned stop", 1, true, 0.9, 1.02 },
+    }));
+    INFO(test.name);
+    const HostId cut("cut");
+    MonotonicTime now { std::chrono::hours(1) };
+    std::vector<HostId> names { cut, HostId("b"), HostId("c"), HostId("d") };
+    std::deque<FleetQuota> quotas;
+    for (const HostId& name : names) {
+        quotas.emplace_back(name).configure(accounts(), now);
+        quotas.back().setPeers({ names.begin(), names.end() }, now);
+        quotas.back().removePeer(name);
+    }
+    RandomGenerator random(7);
+    double byOthers = 0;
+    double byCut = 0;
+    constexpr int cutAt = 10;
+    constexpr int seconds = 40;
+    const int droppedAt = cutAt + test.droppedAfterSeconds;
+    for (int step = 0; step < seconds * 100; ++step) {
+        now += std::chrono::milliseconds(10);
+        const int second = step / 100;
+        for (FleetQuota& quota : quotas)
+            quota.tick(now);
+        if (step == droppedAt * 100) {
+            for (std::size_t i = 1; i < quotas.size(); ++i) {
+                std::set<HostId> live { names.begin() + 1, names.end() };
+                live.erase(names[i]);
+                quotas[i].setPeers(live, now);
+                if (test.saidSo)
+                    quotas[i].removePeer(cut);
+            }
+        }
+        for (std::size_t from = 0; step % 20 == 0 && from < quotas.size(); ++from) {
+            for (std::size_t to = 0; to < quotas.size(); ++to) {
+                const bool isCut = second >= cutAt && (from == 0 || to == 0);
+                if (from != to && !isCut)
+                    quotas[to].merge(names[from], 1, quotas[from].ownUsage(), now);
+            }
+        }
+        for (int i = 0; i < 4; ++i) {
+            const std::size_t host = random.below(quotas.size());
+            const bool isEnded = host == 0 && test.saidSo && second >= cutAt;
+            if (!isEnded && quotas[host].admit(account, 50, now).isAdmitted && second >= droppedAt + 5)
+                (host == 0 ? byCut : byOthers) += 50;
+        }
+    }
+    const double allowed = rate * (seconds - droppedAt - 5);
+    CHECK(byOthers >= allowed * test.minimumShare);
+    CHECK(byOthers <= allowed * test.maximumShare);
+    CHECK(byOthers + byCut <= allowed * 1.05);
+}
+
 // Guards against losing the units of each request that did not run.
 TEST_CASE("Refunded units can be used again")
 {
