Let callers read their answers until the end of the grace time

Cause: the reducer takes a request for ended once its answer was handed to the connection, and the runtime then had 0.3 s to write it out, whatever was left.

Change: ExitProcess says how long callers may still read: what is left of the grace time. Calls to the store are waited for as long as before.

--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -28,8 +28,8 @@
         CallerBackpressure, AttemptHead, AttemptData, AttemptFinished, AttemptFailed, StoreReply, PeerMessageReceived,
         EngineStatus, EngineStatusFailed, EngineOrderFinished, GatewaySettingsChanged, StoreRestored, RequestsCounted>;
 
-// How long the runtime may go on after ExitProcess, to refuse what arrives last, to write the answers out and to have
-// the last store calls answered.
+// How long the runtime may go on after the grace time's last attempt has ended, to refuse what arrives last and to
+// write the answers out, and after ExitProcess to have the last store calls answered.
 constexpr Duration longestGatewayExit = std::chrono::milliseconds(300);
 
 // State machine of a gateway. apply() is pure: the same state, events and times give the same effects. Not thread
--- a/include/catkinwell/reducer/Effect.h
+++ b/include/catkinwell/reducer/Effect.h
@@ -20,6 +20,8 @@
 // Ends the event loop; the process exits with this code.
 struct ExitProcess {
     int code = 0;
+    // How long callers may still read the answers that they have not read yet.
+    Duration longestFlush {};
 };
 
 // Replaces the peer transport's table of the hosts' addresses ("ip:port").
--- a/src/gateway/GatewayShutdown.cpp
+++ b/src/gateway/GatewayShutdown.cpp
@@ -74,7 +74,8 @@
     m_placement.setPermission(std::nullopt, now);
     m_lease.revoke(effects);
     logStopEnd(isDrained ? LogEvent::ShutdownFinished : LogEvent::ShutdownForced, cut, effects);
-    effects.push_back(ExitProcess { 0 });
+    const Duration timeLeft = std::max(Duration::zero(), times.endsAt - now);
+    effects.push_back(ExitProcess { 0, timeLeft + longestGatewayExit });
 }
 
 } // namespace Catkinwell
--- a/src/runtime/GatewayRuntime.cpp
+++ b/src/runtime/GatewayRuntime.cpp
@@ -131,12 +131,14 @@
         runtime.m_exitCode = effect.code;
         runtime.m_callers.stopAccepting();
         runtime.m_relays.stopAccepting();
+        const MonotonicTime storeDeadline = runtime.m_clock.monotonicNow() + longestGatewayExit;
         runtime.m_events.stop(
-            [&owner = runtime] {
+            [&owner = runtime, storeDeadline] {
+                const bool isStoreAwaited = owner.m_clock.monotonicNow() < storeDeadline;
                 return owner.m_callers.busyConnections() + owner.m_relays.busyConnections()
-                    + owner.m_store.runningWrites();
+                    + (isStoreAwaited ? owner.m_store.runningWrites() : 0);
             },
-            longestGatewayExit);
+            effect.longestFlush);
     }
 };
 
--- a/src/runtime/Runtime.cpp
+++ b/src/runtime/Runtime.cpp
@@ -75,6 +75,7 @@
     PeerTransport m_peers;
     Reducer m_reducer;
     ReducerLoop<Event> m_events;
+    MonotonicTime m_stopRequestedAt {};
     int m_exitCode = 0;
 };
 
@@ -115,7 +116,9 @@
         runtime.m_exitCode = effect.code;
         runtime.m_callers.stopAccepting();
         runtime.m_relays.stopAccepting();
-        const Duration longestTime = effect.code == 0 ? longestExit : Duration::zero();
+        const Duration graceLeft
+            = runtime.m_settings.shutdownGrace - (runtime.m_clock.monotonicNow() - runtime.m_stopRequestedAt);
+        const Duration longestTime = effect.code == 0 ? std::max<Duration>(longestExit, graceLeft) : Duration::zero();
         runtime.m_events.stop([&runtime = runtime] { return runtime.busyConnections(); }, longestTime);
     }
 };
@@ -188,7 +191,10 @@
     }
     m_events.startTicks();
     for (const int signalNumber : { SIGTERM, SIGINT })
-        m_loop.onSignal(signalNumber, [this] { m_events.post(ShutdownSignal {}); });
+        m_loop.onSignal(signalNumber, [this] {
+            m_stopRequestedAt = m_clock.monotonicNow();
+            m_events.post(ShutdownSignal {});
+        });
     m_loop.onSignal(SIGHUP, [this] {
         for (CallerListener* listener : { &m_callers, &m_administration })
             listener->reloadCertificates();
--- a/tests/gateway/PlannedStopTest.cpp
+++ b/tests/gateway/PlannedStopTest.cpp
@@ -141,6 +141,7 @@
     std::vector<LogEntry> log;
     int openRequests = 0;
     std::optional<MonotonicTime> exitAt;
+    Duration longestFlush {};
     Duration tickTime = 20ms;
     MonotonicTime now { std::chrono::hours(1) };
     MonotonicTime stoppedAt {};
@@ -170,7 +171,11 @@
         aborted.insert(abort.id);
     }
     void note(const LogEntry& entry) { log.push_back(entry); }
-    void note(const ExitProcess&) { exitAt = now; }
+    void note(const ExitProcess& exit)
+    {
+        exitAt = now;
+        longestFlush = exit.longestFlush;
+    }
 
     static GatewaySettings settings()
     {
@@ -392,3 +397,19 @@
     CHECK(*fixture.exitAt == exitAt);
     CHECK(fixture.openRequests == 0);
 }
+
+// Guards against answers that are cut although their callers could have read them in the grace time that is left.
+TEST_CASE("Callers may read their answers until the grace time of a stop is over")
+{
+    const bool isRunningAtEnd = GENERATE(false, true);
+    StopFixture fixture;
+    fixture.measure("/order/1", 40, 300ms);
+    if (isRunningAtEnd)
+        fixture.arrive("/order/1", 20s);
+    fixture.stop();
+    fixture.advance(grace);
+    REQUIRE(fixture.exitAt);
+    const Duration end = *fixture.exitAt + fixture.longestFlush - fixture.stoppedAt;
+    CHECK(end > grace - 600ms);
+    CHECK(end < grace - 100ms);
+}
