Let a begun stream wait for room where every endpoint rejects it

Cause: the rejection of a resumption counted as a failed attempt, and the last one of its route ended the answer. Rejections run nothing; what is missing is room, which comes back.

Change: a request of which a part has run, and that may be repeated, is tried at the other endpoints and then waits, 250 ms at a time and within the retry budget, until one has room or its time is over. The same for a stream that other hosts refuse to go on with.

--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -130,6 +130,8 @@
 private:
     // No attempt is started with less time than this left.
     static constexpr Duration shortestAttempt = std::chrono::milliseconds(30);
+    // How long a request that has begun to run waits after its rejections before it is sent again.
+    static constexpr Duration rejectionPause = std::chrono::milliseconds(250);
     static constexpr Duration soonRetryAfter = std::chrono::milliseconds(100);
     static constexpr Duration shortRetryAfter = std::chrono::milliseconds(500);
     // Endpoints and hosts that may reject a request before it is refused.
@@ -205,8 +207,9 @@
         // The caller abandons a stream that has not started by this time.
         MonotonicTime firstByteDeadline {};
         std::optional<Attempt> attempt;
-        // Endpoints that failed or rejected this request.
+        // Endpoints that failed or rejected this request, and those that only rejected it.
         std::set<EndpointId> excluded;
+        std::set<EndpointId> rejecting;
         // Attempts that may have run.
         unsigned attempts = 0;
         // Attempts that were not run, as their endpoints stated.
@@ -230,6 +233,8 @@
         Duration waited {};
         Duration firstByte {};
         MonotonicTime nextTryAt {};
+        // Whether its next attempt counts against the retry budget.
+        bool needsRetry = false;
         // The stream that the answer belongs to, also over several requests of the caller.
         StreamKey stream = 0;
         // The version at which the stream began, once the caller has an event of it; empty if it cannot be told.
@@ -356,6 +361,9 @@
     // No byte of the request was sent: tries the next endpoint or host.
     void handleNotSent(Request&, const std::string& reason, MonotonicTime now, EffectList&);
     void handleNotExecuted(Request&, MonotonicTime now, EffectList&);
+    // Whether the request waits for its turn if every endpoint rejects it, because a part of it has run.
+    static bool mayWaitForRoom(const Request&);
+    void waitForRoom(Request&, MonotonicTime now, EffectList&);
     // Precondition of the following: the request has an attempt whose answer has ended.
     // Returns why the answer cannot be whole, by its bytes; empty if it can.
     static std::string_view faultOfAnswer(const Request&);
--- a/src/gateway/GatewayRelay.cpp
+++ b/src/gateway/GatewayRelay.cpp
@@ -202,12 +202,17 @@
         = answer.outcome == RelayOutcome::NotServed || (answer.outcome == RelayOutcome::Refused && request.isHeadSent);
     const bool mayTryAgain
         = isUnserved && request.rejections < maximumRejections && request.deadline - now > shortestAttempt;
-    if (mayTryAgain)
+    if (mayTryAgain) {
         dispatch(request, now, effects);
-    else if (request.mayHaveRun || request.isHeadSent)
+    } else if (isUnserved && mayWaitForRoom(request)) {
+        request.excludedHosts.clear();
+        request.needsRetry = true;
+        waitForRoom(request, now, effects);
+    } else if (request.mayHaveRun || request.isHeadSent) {
         fail(request, attempt.status == 504 ? 504 : 502, "endpoint_failed", now, effects);
-    else
+    } else {
         refuse(request, refusalOf(attempt), now, effects);
+    }
 }
 
 // Passes on why the other host refused the request, and when its caller should come back.
--- a/src/gateway/GatewayRequestOutcomes.cpp
+++ b/src/gateway/GatewayRequestOutcomes.cpp
@@ -156,21 +156,37 @@
     else if (attempt.terms.isMisdirected)
         m_directory.noteMisdirected(attempt.endpoint, now);
     request.excluded.insert(attempt.endpoint);
-    if (request.isHeadSent) {
-        handleFailedAttempt(request, "no endpoint resumed the stream", AttemptVerdict::Bad, now, effects);
-        return;
-    }
+    request.rejecting.insert(attempt.endpoint);
     const bool mayTryAgain
         = request.rejections < maximumRejections && request.deadline - now > shortestAttempt && takeRetry(request, now);
-    if (!mayTryAgain) {
-        if (request.mayHaveRun)
-            fail(request, 502, "endpoints_failed", now, effects);
-        else
-            refuse(request, { 503, "endpoints_full", "no endpoint has free capacity", shortRetryAfter }, now, effects);
-        return;
+    if (mayTryAgain) {
+        request.nextTryAt = now;
+        dispatch(request, now, effects);
+    } else if (mayWaitForRoom(request)) {
+        request.needsRetry = true;
+        waitForRoom(request, now, effects);
+    } else if (request.mayHaveRun) {
+        fail(request, 502, "endpoints_failed", now, effects);
+    } else {
+        refuse(request, { 503, "endpoints_full", "no endpoint has free capacity", shortRetryAfter }, now, effects);
     }
-    request.nextTryAt = now;
-    dispatch(request, now, effects);
+}
+
+// Nobody has to try again for a request that has not run; its caller can do so elsewhere.
+bool GatewayRequests::mayWaitForRoom(const Request& request)
+{
+    return request.mayHaveRun && (request.route.isIdempotent || request.route.isResumable);
+}
+
+// Those that rejected the request may have room for it later.
+void GatewayRequests::waitForRoom(Request& request, MonotonicTime now, EffectList& effects)
+{
+    for (const EndpointId& endpoint : request.rejecting)
+        request.excluded.erase(endpoint);
+    request.rejecting.clear();
+    request.rejections = 0;
+    request.nextTryAt = now + rejectionPause;
+    waitForReplica(request, now, effects);
 }
 
 bool GatewayRequests::mayRepeat(const Request& request, MonotonicTime now) const
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -119,7 +119,9 @@
     const bool isReachedByOthers = m_directory.isOnlyUnreachable(need, now);
     if (isReachedByOthers && startRelay(request, "the endpoints with the model cannot be reached", now, effects))
         return;
-    if (!endIfVersionGone(request, now, effects))
+    if (!request.rejecting.empty() && mayWaitForRoom(request))
+        waitForRoom(request, now, effects);
+    else if (!endIfVersionGone(request, now, effects))
         waitForReplica(request, now, effects);
 }
 
@@ -539,6 +541,9 @@
         if (found == m_requests.end())
             continue;
         found->second.nextTryAt = now + retryPause;
+        if (found->second.needsRetry && !takeRetry(found->second, now))
+            continue;
+        found->second.needsRetry = false;
         dispatch(found->second, now, effects);
     }
 }
