Ask an endpoint whether it runs a silent stream before moving the stream

Cause: silence was taken for an end. Nothing asked the endpoint, which lists the requests that it runs.

Change: after 500 ms without data the endpoint is asked, at most twice a second for all its silent streams together (RunChecks). The stream stays where it runs or may have been put back into the queue, however long the caller waits; it moves at once if the endpoint does not know it, is gone or has been replaced, after 1.2 s if the endpoint made events that did not arrive, and after 1.5 s if the endpoint does not answer either. Only the latter counts against the endpoint's reach. Requests that have not begun, and plain services, which list nothing, move as before. 2137 logs what the endpoint said; without it a paused endpoint and a dead one looked alike in 2105.

--- a/include/catkinwell/gateway/EndpointRecord.h
+++ b/include/catkinwell/gateway/EndpointRecord.h
@@ -84,6 +84,33 @@
     std::string address;
 };
 
+// Effect: asks an engine which requests it runs.
+struct FetchRuns {
+    EndpointId endpoint;
+    std::string address;
+    // Identifies the question in its answer.
+    MonotonicTime requestedAt {};
+    Duration timeout {};
+};
+
+// Event: which requests an engine runs, a few hundred milliseconds ago.
+struct RunReport {
+    EndpointId endpoint;
+    MonotonicTime requestedAt {};
+    // Events made for each running request, by its caller's identifier; absent if the engine does not list them.
+    std::optional<std::map<std::string, std::uint64_t>> events;
+    // Requests in the engine's queue.
+    unsigned waiting = 0;
+};
+
+// Event: an engine did not say which requests it runs, or another endpoint has its address.
+struct RunReportFailed {
+    EndpointId endpoint;
+    MonotonicTime requestedAt {};
+    // How the connection failed; absent if there was an answer.
+    std::optional<AttemptFailure> failure {};
+};
+
 enum class EngineOrderKind {
     Load,
     Unload,
--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -25,8 +25,8 @@
 // All events that a gateway handles.
 using GatewayEvent = std::variant<Tick, ShutdownSignal, RequestArrived, RelayedRequestArrived, AdminRequestArrived,
     CallerLeft, CallerBackpressure, AttemptHead, AttemptData, AttemptFinished, AttemptFailed, StoreReply,
-    PeerMessageReceived, EngineStatus, EngineStatusFailed, EngineOrderFinished, GatewaySettingsChanged, StoreRestored,
-    RequestsCounted, OutputBuffered>;
+    PeerMessageReceived, EngineStatus, EngineStatusFailed, EngineOrderFinished, RunReport, RunReportFailed,
+    GatewaySettingsChanged, StoreRestored, RequestsCounted, OutputBuffered>;
 
 // How long the runtime may go on after the grace time's last attempt has ended, to refuse what arrives last and to
 // write the answers out, and after ExitProcess to have the last store calls answered.
--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -9,6 +9,7 @@
 #include <catkinwell/gateway/HostDemand.h>
 #include <catkinwell/gateway/RequestEnds.h>
 #include <catkinwell/gateway/RouteTable.h>
+#include <catkinwell/gateway/RunChecks.h>
 #include <catkinwell/gateway/StreamVersions.h>
 #include <catkinwell/relay/EndpointReach.h>
 #include <catkinwell/relay/RelayMessage.h>
@@ -61,6 +62,9 @@
     void handle(const AttemptData&, MonotonicTime now, EffectList&);
     void handle(const AttemptFinished&, MonotonicTime now, EffectList&);
     void handle(const AttemptFailed&, MonotonicTime now, EffectList&);
+    // An endpoint says which requests it runs, or does not.
+    void handle(const RunReport&, MonotonicTime now, EffectList&);
+    void handle(const RunReportFailed&, MonotonicTime now, EffectList&);
     // Checks the deadlines of all requests.
     void tick(MonotonicTime now, EffectList&);
     // When a host that stops refuses whatever does not run, and when it ends what still runs.
@@ -164,6 +168,8 @@
         MonotonicTime silenceNotedAt {};
         // When another endpoint is next looked for because this one is silent.
         MonotonicTime nextMoveCheckAt {};
+        // What its endpoint was last known to say of a silent stream.
+        RunState loggedRunState = RunState::Unknown;
         // When the answer last came nearer to its end: a whole event, or a good part of a large one.
         MonotonicTime lastProgressAt {};
         std::size_t bytesAtProgress = 0;
@@ -377,6 +383,13 @@
     // Moves the request if its attempt makes no progress and another one can begin.
     void checkSilence(Request&, MonotonicTime now, EffectList&);
     bool isSilent(const Request&, MonotonicTime now) const;
+    bool isWithoutProgress(const Attempt&, MonotonicTime now) const;
+    // Returns why a silent attempt may be given up for another one; empty while its endpoint may go on with it.
+    std::string_view reasonToGiveUp(Request&, MonotonicTime now, EffectList&);
+    // Whether the endpoint of the silent attempt can say whether it runs the request.
+    static bool canAskForRun(const Request&);
+    // Asks the endpoint whether it still runs the request, and returns what is known.
+    RunState askForRun(Request&, MonotonicTime now, EffectList&);
     // Whether another attempt could begin at once in place of the present one.
     bool canMove(const Request&, MonotonicTime now);
     void handleCompleteAnswer(Request&, MonotonicTime now, EffectList&);
@@ -444,6 +457,7 @@
     std::map<AttemptId, std::pair<std::string, EndpointId>> m_probes;
     // Checks whether endpoints still run, with the attempts whose answers they decide on.
     std::unordered_map<AttemptId, AttemptId> m_endpointChecks;
+    RunChecks m_runChecks;
     std::map<std::string, RetryBudget> m_budgets;
     std::size_t m_hostCount = 1;
     RequestMap m_requests;
--- a/include/catkinwell/logging/LogEvent.h
+++ b/include/catkinwell/logging/LogEvent.h
@@ -140,6 +140,7 @@
     GatewayRelayRejected = 2134,
     GatewayCrashWithdrawn = 2135,
     GatewayBuffersFull = 2136,
+    GatewaySilentStreamChecked = 2137,
     GatewayMemoryFullChanged = 2138,
 };
 
--- a/include/catkinwell/reducer/Effect.h
+++ b/include/catkinwell/reducer/Effect.h
@@ -46,7 +46,7 @@
 using Effect = std::variant<SendResponseHead, SendResponseData, FinishResponse, SendWholeResponse, AbortResponse,
     StartAttempt, StartRelay, CancelAttempt, ThrottleAttempt, StoreCall, SendToPeer, FetchEndpointReport,
     PlacementCommand, LogEntry, RecordMetric, SetPeerAddresses, SetCallerLimits, AnnounceClosing, StartPeerTransport,
-    FetchEngineStatus, EngineOrder, ExitProcess>;
+    FetchEngineStatus, FetchRuns, EngineOrder, ExitProcess>;
 
 using EffectList = std::vector<Effect>;
 
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -159,6 +159,8 @@
         reducer.m_directory.noteNotice(event.endpoint, event.notice, now, effects);
         reducer.m_placement.handle(event, now, effects);
     }
+    void operator()(const RunReport& event) const { reducer.m_requests.handle(event, now, effects); }
+    void operator()(const RunReportFailed& event) const { reducer.m_requests.handle(event, now, effects); }
     void operator()(const EngineOrderFinished& event) const
     {
         reducer.m_placement.handle(event, now, effects);
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -458,6 +458,7 @@
 {
     endRefusedWaits(now);
     excludeOwnPauses(now);
+    m_runChecks.tick(now);
     noteMemory(effects);
     std::vector<RequestId> ids;
     ids.reserve(m_requests.size());
--- a/src/logging/LogEvent.cpp
+++ b/src/logging/LogEvent.cpp
@@ -328,6 +328,10 @@
             "The host keeps as many bytes of answers as it may; the largest of them is given up.",
             "Find the endpoint in the failed attempt (2105) after it, and examine what it sent; if answers are sound, "
             "raise memory_mb." },
+        { LogEvent::GatewaySilentStreamChecked, Info, "gateway_silent_stream_checked",
+            "Nothing came of a stream for a while, and its endpoint was asked whether it still runs it; the field "
+            "\"state\" gives the answer.",
+            "If one endpoint pauses often, examine its memory and its load." },
         { LogEvent::GatewayMemoryFullChanged, Warning, "gateway_memory_full_changed",
             "The host refuses new requests because those that it has, and the answers that callers have not read yet, "
             "take as much memory as they may; or it accepts them again.",
--- a/src/replay/Replay.cpp
+++ b/src/replay/Replay.cpp
@@ -66,6 +66,7 @@
             std::size_t host = 0;
             AttemptId attempt;
             EndpointId engine;
+            std::string requestId;
         };
 
         void addEngines();
@@ -84,6 +85,7 @@
         void cancelAttempt(std::size_t host, const AttemptId&);
         void give(const EngineOrder&);
         void fetchStatus(const FetchEngineStatus&);
+        void fetchRuns(std::size_t host, const FetchRuns&);
         void handle(const JobEvent&);
         ReplayEngine* engineOf(const EndpointId&);
         unsigned storeLoads() const;
@@ -117,6 +119,7 @@
         void operator()(const CancelAttempt& effect) const { run.cancelAttempt(host, effect.id); }
         void operator()(const EngineOrder& effect) const { run.give(effect); }
         void operator()(const FetchEngineStatus& effect) const { run.fetchStatus(effect); }
+        void operator()(const FetchRuns& effect) const { run.fetchRuns(host, effect); }
         void operator()(const SendResponseHead&) const { }
         void operator()(const SendResponseData& effect) const { run.m_callers.noteFirstPiece(effect.id, run.m_now); }
         void operator()(const FinishResponse& effect) const { run.m_callers.end(effect.id, true, run.m_now); }
@@ -347,9 +350,10 @@
 
     void ReplayRun::startAttempt(std::size_t host, const StartAttempt& start)
     {
-        EngineJob job = m_callers.job(RequestId(std::stoull(headerValue(start.headers, "id"))));
+        const std::string requestId = headerValue(start.headers, "id");
+        EngineJob job = m_callers.job(RequestId(std::stoull(requestId)));
         job.id = AttemptId(++m_lastJob);
-        m_jobs[job.id] = { host, start.id, start.endpoint };
+        m_jobs[job.id] = { host, start.id, start.endpoint, requestId };
         later(networkDelay, [this, job, endpoint = start.endpoint] {
             if (m_jobs.contains(job.id) && !engineOf(endpoint)->add(job, m_now))
                 later(networkDelay, [this, id = job.id] { handle({ id, JobEvent::Kind::Rejected, m_now }); });
@@ -425,6 +429,21 @@
         });
     }
 
+    // Engines know every job that they have not ended; events arrive at once.
+    void ReplayRun::fetchRuns(std::size_t host, const FetchRuns& fetch)
+    {
+        later(orderDelay, [this, host, fetch] {
+            RunReport report { fetch.endpoint, fetch.requestedAt, std::map<std::string, std::uint64_t>() };
+            for (const auto& [id, job] : m_jobs) {
+                if (job.engine == fetch.endpoint)
+                    report.events->emplace(job.requestId, 0);
+            }
+            EffectList effects;
+            m_hosts[host]->requests.handle(report, m_now, effects);
+            execute(host, effects);
+        });
+    }
+
     void ReplayRun::finishReport()
     {
         m_callers.fill(m_report);
--- a/src/runtime/GatewayRuntime.cpp
+++ b/src/runtime/GatewayRuntime.cpp
@@ -101,6 +101,7 @@
     Implementation& runtime;
 
     void operator()(const FetchEngineStatus& effect) const { runtime.m_engines.execute(effect); }
+    void operator()(const FetchRuns& effect) const { runtime.m_engines.execute(effect); }
     void operator()(const EngineOrder& effect) const { runtime.m_engines.execute(effect); }
     void operator()(const StartRelay& effect) const { runtime.m_relayTransport.execute(effect); }
     void operator()(const SendToPeer& effect) const
@@ -191,6 +192,8 @@
     m_store.signalReply().connect(postEvent);
     m_engines.signalStatus().connect(postEvent);
     m_engines.signalStatusFailed().connect(postEvent);
+    m_engines.signalRuns().connect(postEvent);
+    m_engines.signalRunsFailed().connect(postEvent);
     m_engines.signalOrderFinished().connect(postEvent);
 }
 
--- a/src/runtime/Runtime.cpp
+++ b/src/runtime/Runtime.cpp
@@ -110,6 +110,7 @@
     void operator()(const SetCallerLimits&) const { }
     void operator()(const StartPeerTransport&) const { }
     void operator()(const FetchEngineStatus&) const { }
+    void operator()(const FetchRuns&) const { }
     void operator()(const EngineOrder&) const { }
     void operator()(const ExitProcess& effect) const
     {
