--- a/include/catkinwell/gateway/RunChecks.h
+++ b/include/catkinwell/gateway/RunChecks.h
@@ -58,6 +58,7 @@
         std::optional<RunReport> report;
     };
 
+    void noteAnswer(const EndpointId&, MonotonicTime requestedAt, std::optional<RunReport>);
     static RunState stateOf(const RunReport&, const SilentStream&);
 
     std::map<EndpointId, Endpoint> m_endpoints;
--- a/src/gateway/RunChecks.cpp
+++ b/src/gateway/RunChecks.cpp
@@ -27,32 +27,25 @@
     if (wasAsked && now - endpoint.askedAt < interval)
         return;
     if (endpoint.isAnswerOut)
-        handle(RunReportFailed { id, endpoint.askedAt });
+        noteAnswer(id, endpoint.askedAt, std::nullopt);
     endpoint.askedAt = now;
     endpoint.isAnswerOut = true;
     effects.push_back(FetchRuns { id, address, now, answerTimeout });
 }
 
-void RunChecks::handle(const RunReport& report)
-{
-    const auto found = m_endpoints.find(report.endpoint);
-    if (found == m_endpoints.end() || report.requestedAt < found->second.answeredQuestionAt)
-        return;
-    Endpoint& endpoint = found->second;
-    endpoint.isAnswerOut = endpoint.isAnswerOut && report.requestedAt < endpoint.askedAt;
-    endpoint.answeredQuestionAt = report.requestedAt;
-    endpoint.report = report;
-}
+void RunChecks::handle(const RunReport& report) { noteAnswer(report.endpoint, report.requestedAt, report); }
+
+void RunChecks::handle(const RunReportFailed& failed) { noteAnswer(failed.endpoint, failed.requestedAt, std::nullopt); }
 
-void RunChecks::handle(const RunReportFailed& failed)
+void RunChecks::noteAnswer(const EndpointId& id, MonotonicTime requestedAt, std::optional<RunReport> report)
 {
-    const auto found = m_endpoints.find(failed.endpoint);
-    if (found == m_endpoints.end() || failed.requestedAt < found->second.answeredQuestionAt)
+    const auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end() || requestedAt < found->second.answeredQuestionAt)
         return;
     Endpoint& endpoint = found->second;
-    endpoint.isAnswerOut = endpoint.isAnswerOut && failed.requestedAt < endpoint.askedAt;
-    endpoint.answeredQuestionAt = failed.requestedAt;
-    endpoint.report.reset();
+    endpoint.isAnswerOut = endpoint.isAnswerOut && requestedAt < endpoint.askedAt;
+    endpoint.answeredQuestionAt = requestedAt;
+    endpoint.report = std::move(report);
 }
 
 RunState RunChecks::stateOf(const SilentStream& stream, MonotonicTime now) const
