Emulate preempted runs, reports of runs and large answers of endpoints

It can let its newest runs stand still for a while as if they were preempted, run no more at a time than it has slots and queue a few, work on after a connection closes, and answer a plain request with a large body. The history states when each run ended. Unless a test asks for it, nothing changes but the report.

--- a/tests/platform/FakeEndpoint.cpp
+++ b/tests/platform/FakeEndpoint.cpp
@@ -9,9 +9,12 @@
 
     using Json = nlohmann::json;
 
-    constexpr unsigned eventsPerStream = 5;
     constexpr unsigned eventsBeforeCrash = 2;
-    constexpr Duration eventInterval = std::chrono::milliseconds(15);
+    // Reports are up to twice as old.
+    constexpr Duration reportInterval = std::chrono::milliseconds(100);
+    // What reports state of each run beside its events.
+    constexpr unsigned tokensOfRun = 100;
+    constexpr unsigned usualPriority = 5;
     constexpr Duration downTime = std::chrono::milliseconds(1500);
     // The platform's time for hosts to react to a statement of brittleness.
     constexpr Duration reactionTime = std::chrono::seconds(3);
@@ -71,11 +74,16 @@
     , m_born(std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.wallNow().time_since_epoch()).count())
 {
     m_listener.signalRequest().connect([this](const RequestArrived& request) { handle(request); });
-    m_listener.signalCallerLeft().connect([this](const CallerLeft& left) {
-        m_running.erase(left.id);
-        m_unanswered.erase(left.id);
-        m_notices.erase(left.id);
-    });
+    m_listener.signalCallerLeft().connect([this](const CallerLeft& left) { handleLeft(left.id); });
+}
+
+void FakeEndpoint::handleLeft(RequestId id)
+{
+    std::erase_if(m_waiting, [id](const RequestArrived& request) { return request.id == id; });
+    if (!m_isWorkingOn)
+        endRun(id);
+    m_unanswered.erase(id);
+    m_notices.erase(id);
 }
 
 void FakeEndpoint::setCapacity(unsigned slots, Duration processingTime)
@@ -84,6 +92,19 @@
     m_processingTime = processingTime;
 }
 
+void FakeEndpoint::setStream(unsigned events, Duration interval)
+{
+    m_eventsPerStream = events;
+    m_eventInterval = interval;
+}
+
+void FakeEndpoint::preemptNewest(std::size_t runs, Duration duration)
+{
+    // Identifiers ascend.
+    for (auto run = m_running.rbegin(); run != m_running.rend() && runs > 0; ++run, --runs)
+        run->second.pausedUntil = m_clock.monotonicNow() + duration;
+}
+
 void FakeEndpoint::setBrittle(std::optional<unsigned> rejections)
 {
     m_brittleRejections = rejections;
@@ -96,6 +117,8 @@
     m_engine = std::make_unique<FakeEngine>(m_id, models, EngineFaults {}, m_random.next());
     m_engine->advance(m_clock.monotonicNow());
     m_loop.callEvery(std::chrono::milliseconds(20), [this] { m_engine->advance(m_clock.monotonicNow()); });
+    m_reportedRuns = m_nextReportedRuns = runsJson();
+    m_loop.callEvery(reportInterval, [this] { m_reportedRuns = std::exchange(m_nextReportedRuns, runsJson()); });
 }
 
 void FakeEndpoint::open()
@@ -134,9 +157,20 @@
     Json report = state();
     report["sequence"] = status.orderCount;
     report["busy"] = status.isBusy;
+    report["waiting"] = m_waiting.size();
+    report["running"] = m_reportedRuns.size();
+    report["runs"] = m_reportedRuns;
     send(SendWholeResponse { id, 200, { { "Content-Type", "application/json" } }, report.dump() });
 }
 
+Json FakeEndpoint::runsJson() const
+{
+    Json runs = Json::array();
+    for (const auto& [id, run] : m_running)
+        runs.push_back({ run.request, tokensOfRun, run.events, usualPriority });
+    return runs;
+}
+
 void FakeEndpoint::handleOrder(const RequestArrived& request)
 {
     const Json body = Json::parse(request.body, nullptr, false);
@@ -267,8 +301,13 @@
     m_rejections.clear();
     for (const Output& output : std::exchange(m_held, {}))
         send(AbortResponse { std::visit([](const auto& effect) { return effect.id; }, output) });
-    for (const RequestId id : std::exchange(m_running, {}))
+    for (const RequestArrived& request : std::exchange(m_waiting, {}))
+        send(AbortResponse { request.id });
+    while (!m_running.empty()) {
+        const RequestId id = m_running.begin()->first;
+        endRun(id);
         send(AbortResponse { id });
+    }
     m_signalEnded.emit(m_id);
     m_loop.callLater(downTime, [this] { startAgain(); });
 }
@@ -283,6 +322,7 @@
     m_heartbeat = 0;
     if (m_engine)
         m_engine->restartAs(m_id, now);
+    m_reportedRuns = m_nextReportedRuns = runsJson();
     m_signalStarted.emit();
 }
 
@@ -319,11 +359,46 @@
         refuse(request.id, 503);
     } else if (!hasRoom()) {
         rejectForRoom(request);
+    } else if (m_queueLength && m_running.size() >= m_slots) {
+        waitForSlot(request);
     } else {
-        m_history.executions.push_back({ m_id, headerValue(request.headers, "catkinwell-request-id"),
-            headerValue(request.headers, "catkinwell-tenant"), m_clock.monotonicNow(), request.path });
-        m_running.insert(request.id);
-        laterFor(request.id, m_processingTime, [this, request] { run(request); });
+        begin(request);
+    }
+}
+
+void FakeEndpoint::waitForSlot(const RequestArrived& request)
+{
+    if (m_waiting.size() < *m_queueLength)
+        m_waiting.push_back(request);
+    else
+        refuse(request.id, 503);
+}
+
+void FakeEndpoint::begin(const RequestArrived& request)
+{
+    const std::string id = headerValue(request.headers, "catkinwell-request-id");
+    m_running[request.id] = { id, m_history.executions.size() };
+    m_history.executions.push_back(
+        { m_id, id, headerValue(request.headers, "catkinwell-tenant"), m_clock.monotonicNow(), request.path });
+    laterFor(request.id, m_processingTime, [this, request] { run(request); });
+}
+
+void FakeEndpoint::endRun(RequestId id)
+{
+    const auto run = m_running.find(id);
+    if (run == m_running.end())
+        return;
+    m_history.executions[run->second.execution].endedAt = m_clock.monotonicNow();
+    m_running.erase(run);
+    beginWaiting();
+}
+
+void FakeEndpoint::beginWaiting()
+{
+    while (!m_waiting.empty() && m_running.size() < m_slots) {
+        const RequestArrived request = std::move(m_waiting.front());
+        m_waiting.pop_front();
+        begin(request);
     }
 }
 
@@ -339,7 +414,7 @@
         return;
     }
     if (m_random.unit() < faults.lostAnswers) {
-        m_running.erase(request.id);
+        endRun(request.id);
         send(AbortResponse { request.id });
         return;
     }
@@ -353,13 +428,21 @@
         // A resumed stream continues after the last event that the client received.
         const std::string last = headerValue(request.headers, "last-event-id");
         const unsigned done = last.empty() ? 0 : static_cast<unsigned>(std::stoul(last));
-        streamEvents(request.id, id, std::min(done + 1, eventsPerStream));
+        streamEvents(request.id, id, std::min(done + 1, m_eventsPerStream));
         if (isDeadly)
-            laterFor(request.id, eventInterval * eventsBeforeCrash, [this, path = request.path] { crash(path); });
+            laterFor(request.id, m_eventInterval * eventsBeforeCrash, [this, path = request.path] { crash(path); });
         return;
     }
-    m_running.erase(request.id);
-    send(SendWholeResponse { request.id, 200, headers, "answer to " + id });
+    endRun(request.id);
+    send(SendWholeResponse { request.id, 200, headers, plainAnswer(id, request.path) });
+}
+
+std::string FakeEndpoint::plainAnswer(const std::string& request, const std::string& path) const
+{
+    std::string answer = "answer to " + request;
+    if (path.find("large") != std::string::npos)
+        answer.resize(std::max(answer.size(), m_largeAnswerBytes), 'x');
+    return answer;
 }
 
 void FakeEndpoint::crash(const std::string& path)
@@ -370,18 +453,24 @@
 
 void FakeEndpoint::streamEvents(RequestId id, const std::string& request, unsigned next)
 {
+    const Duration pause = m_running.at(id).pausedUntil - m_clock.monotonicNow();
+    if (pause > Duration::zero()) {
+        laterFor(id, pause, [this, id, request, next] { streamEvents(id, request, next); });
+        return;
+    }
     if (m_random.unit() < faults.cutAnswers) {
-        m_running.erase(id);
+        endRun(id);
         send(AbortResponse { id });
         return;
     }
+    ++m_running.at(id).events;
     send(SendResponseData { id, "id: " + std::to_string(next) + "\ndata: " + request + " " + m_version + "\n\n" });
-    if (next == eventsPerStream) {
-        m_running.erase(id);
+    if (next == m_eventsPerStream) {
+        endRun(id);
         send(FinishResponse { id });
         return;
     }
-    laterFor(id, eventInterval, [this, id, request, next] { streamEvents(id, request, next + 1); });
+    laterFor(id, m_eventInterval, [this, id, request, next] { streamEvents(id, request, next + 1); });
 }
 
 } // namespace Catkinwell::Testing
--- a/tests/platform/FakeEndpoint.h
+++ b/tests/platform/FakeEndpoint.h
@@ -19,6 +19,8 @@
     std::string account;
     MonotonicTime at {};
     std::string path {};
+    // When the endpoint stopped its work on it.
+    std::optional<MonotonicTime> endedAt {};
 };
 
 // An endpoint ended while it ran this request.
@@ -110,6 +112,17 @@
     void setLeaving(bool isLeaving) { m_isLeaving = isLeaving; }
     // Requests that run at a time if it is brittle, and the time until the answer of one begins.
     void setCapacity(unsigned slots, Duration processingTime);
+    // From now on it runs no more requests at a time than it has slots, lets this many wait for one, and rejects
+    // others.
+    void setQueue(unsigned length) { m_queueLength = length; }
+    // Streams that begin from now on have this many events, this far apart.
+    void setStream(unsigned events, Duration interval);
+    // The newest runs stand still for this time and then go on, as if they were preempted. Everything else goes on.
+    void preemptNewest(std::size_t runs, Duration);
+    // Whether it works on a request whose connection has closed.
+    void setWorkingOn(bool isWorkingOn) { m_isWorkingOn = isWorkingOn; }
+    // A plain answer to a request whose path contains "large" has this many bytes.
+    void setLargeAnswer(std::size_t bytes) { m_largeAnswerBytes = bytes; }
     // A brittle endpoint ends if it rejects more than this number of requests within a second for want of room. All its
     // answers say so, and after a reaction time it lets no request wait.
     void setBrittle(std::optional<unsigned> rejections);
@@ -130,12 +143,29 @@
     EndpointFaults faults;
 
 private:
+    // A request that it works on.
+    struct Run {
+        std::string request;
+        // Its place in the history.
+        std::size_t execution = 0;
+        // The events that it has made.
+        unsigned events = 0;
+        MonotonicTime pausedUntil {};
+    };
+
     using Output = std::variant<SendResponseHead, SendResponseData, FinishResponse, SendWholeResponse, AbortResponse>;
 
     void handle(const RequestArrived&);
     void noteArrival(const RequestArrived&);
     void handleOrder(const RequestArrived&);
     void answerReport(RequestId);
+    void handleLeft(RequestId);
+    void waitForSlot(const RequestArrived&);
+    void begin(const RequestArrived&);
+    void beginWaiting();
+    void endRun(RequestId);
+    nlohmann::json runsJson() const;
+    std::string plainAnswer(const std::string& request, const std::string& path) const;
     void run(const RequestArrived&);
     void streamEvents(RequestId, const std::string& request, unsigned next);
     void refuse(RequestId, int status);
@@ -182,7 +212,16 @@
     MonotonicTime m_brittleSince {};
     bool m_isDown = false;
     unsigned m_starts = 1;
-    std::set<RequestId> m_running;
+    std::map<RequestId, Run> m_running;
+    std::deque<RequestArrived> m_waiting;
+    std::optional<unsigned> m_queueLength;
+    unsigned m_eventsPerStream = 5;
+    Duration m_eventInterval = std::chrono::milliseconds(15);
+    bool m_isWorkingOn = false;
+    std::size_t m_largeAnswerBytes = 0;
+    // What reports list of its runs, which is a little old, and what they will list next.
+    nlohmann::json m_reportedRuns;
+    nlohmann::json m_nextReportedRuns;
     // Identifiers of the requests whose answers have not ended.
     std::map<RequestId, std::string> m_unanswered;
     // What the answers that have not begun state.
