--- a/tests/fleet/KeptConnection.cpp
+++ b/tests/fleet/KeptConnection.cpp
@@ -1,16 +1,24 @@
 #include "fleet/KeptConnection.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 namespace Catkinwell::Testing {
 
 namespace {
 
+    constexpr int segmentBytes = 1460;
+    constexpr int slowReceiveBuffer = 32 * 1024;
+    constexpr std::size_t usualRead = 16384;
+    constexpr std::size_t slowReadsPerSecond = 50;
+
     std::string textOf(const HttpCall& call)
     {
         std::string text = call.method + " " + call.target + " HTTP/1.1\r\n";
@@ -55,9 +63,15 @@
     bool m_keepsAlive = false;
 };
 
-KeptConnection::KeptConnection(std::uint16_t port)
-    : m_socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+KeptConnection::KeptConnection(std::uint16_t port, std::size_t bytesPerSecond)
+    : m_bytesPerSecond(bytesPerSecond)
+    , m_socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
+    if (m_bytesPerSecond > 0) {
+        // Without these, the kernel takes in a large answer at once.
+        setsockopt(m_socket, IPPROTO_TCP, TCP_MAXSEG, &segmentBytes, sizeof(segmentBytes));
+        setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &slowReceiveBuffer, sizeof(slowReceiveBuffer));
+    }
     sockaddr_in address {};
     address.sin_family = AF_INET;
     address.sin_port = htons(port);
@@ -87,23 +101,38 @@
     return true;
 }
 
+std::size_t KeptConnection::maximumRead() const
+{
+    return m_bytesPerSecond == 0 ? usualRead : std::min(usualRead, m_bytesPerSecond / slowReadsPerSecond);
+}
+
+void KeptConnection::waitForLink(std::chrono::steady_clock::time_point start, std::size_t bytes) const
+{
+    if (m_bytesPerSecond > 0)
+        std::this_thread::sleep_until(start + std::chrono::milliseconds(bytes * 1000 / m_bytesPerSecond));
+}
+
 ExchangeEnd KeptConnection::read(AnswerReader& reader, std::chrono::milliseconds timeout) const
 {
-    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    const auto start = std::chrono::steady_clock::now();
+    const auto deadline = start + timeout;
+    std::size_t bytesRead = 0;
     while (!reader.hasEnded()) {
         const auto left
             = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - std::chrono::steady_clock::now());
         pollfd readable { m_socket, POLLIN, 0 };
         if (left.count() <= 0 || poll(&readable, 1, static_cast<int>(left.count())) == 0)
             return ExchangeEnd::TimedOut;
-        std::array<char, 16384> bytes {};
-        const ssize_t size = recv(m_socket, bytes.data(), bytes.size(), 0);
+        waitForLink(start, bytesRead);
+        std::array<char, usualRead> bytes {};
+        const ssize_t size = recv(m_socket, bytes.data(), maximumRead(), 0);
         if (size == 0)
             reader.noteClosed();
         if (size <= 0)
             return reader.hasEnded() ? ExchangeEnd::Answered : ExchangeEnd::Closed;
         if (!reader.consume({ bytes.data(), static_cast<std::size_t>(size) }))
             return ExchangeEnd::Closed;
+        bytesRead += static_cast<std::size_t>(size);
     }
     return ExchangeEnd::Answered;
 }
--- a/tests/fleet/KeptConnection.h
+++ b/tests/fleet/KeptConnection.h
@@ -24,7 +24,9 @@
 // that it will. Blocks; not thread safe.
 class KeptConnection {
 public:
-    explicit KeptConnection(std::uint16_t port);
+    // A caller on a slow link has small buffers, the segments of Ethernet, and reads this many bytes per second; zero
+    // means as many as arrive.
+    explicit KeptConnection(std::uint16_t port, std::size_t bytesPerSecond = 0);
     ~KeptConnection();
     KeptConnection(const KeptConnection&) = delete;
     KeptConnection& operator=(const KeptConnection&) = delete;
@@ -39,7 +41,11 @@
     bool write(const std::string&) const;
     ExchangeEnd read(AnswerReader&, std::chrono::milliseconds timeout) const;
     void close();
+    std::size_t maximumRead() const;
+    // Waits until so many bytes are due since the start.
+    void waitForLink(std::chrono::steady_clock::time_point start, std::size_t bytes) const;
 
+    std::size_t m_bytesPerSecond;
     int m_socket = -1;
 };
 
