--- a/tests/process/EndToEndTest.cpp
+++ b/tests/process/EndToEndTest.cpp
@@ -1,3 +1,4 @@
+#include "fleet/KeptConnection.h"
 #include "http/RawSockets.h"
 #include "process/FleetFixture.h"
 #include <catch2/catch.hpp>
@@ -212,6 +213,33 @@
     CHECK(fleet.host().waitForExit(std::chrono::seconds(15)) == 0);
 }
 
+// Guards against a planned stop that cuts an answer which its caller still reads, with grace time left.
+TEST_CASE("SIGTERM leaves a caller on a slow link the time to read its whole answer")
+{
+    // About 4 MB, which take 10 s on the link.
+    constexpr unsigned tokens = 500'000;
+    constexpr std::size_t bytesPerSecond = 400'000;
+    FleetOptions options;
+    options.tokenMilliseconds = 0;
+    FleetFixture fleet(options);
+    REQUIRE(send(fleet.completion("notes", "warm up")).status == 200);
+    HttpCall call = fleet.completion("notes", "large");
+    call.headers["Host"] = "test.example";
+    Json body = Json::parse(call.body);
+    body["max_tokens"] = tokens;
+    call.body = body.dump();
+    auto reading
+        = std::async(std::launch::async, [&call] { return KeptConnection(call.port, bytesPerSecond).exchange(call); });
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    fleet.host().signal(SIGTERM);
+    const KeptExchange exchange = reading.get();
+    INFO(exchange.answer.body.size() << " bytes");
+    REQUIRE(exchange.end == ExchangeEnd::Answered);
+    CHECK(exchange.answer.status == 200);
+    CHECK(parsed(exchange.answer)["usage"]["completion_tokens"] == tokens);
+    CHECK(fleet.host().waitForExit(std::chrono::seconds(5)) == 0);
+}
+
 // Guards against callers that keep their connections to a stopping host until it is gone, and lose a request with each.
 TEST_CASE("A stopping host announces to its callers that it closes their connections")
 {
