Pass on only answers that state a length which a host would collect

What callers saw: with 16 MB of kept bytes, an idempotent request that a server answers without an end got a 200 that went on without a bound and was cut (200, not complete, 16 MB at the client's own bound), instead of the whole answer of another endpoint or a 502.

Cause: an answer was passed on under pressure also if it was chunked, or stated a length of 100 TB; the bound of 8 MB on answers does not hold for what is passed on.

Change: only answers that state a length of at most 8 MB are passed on. Chunked ones are collected as before the repair, and count against the bound on kept bytes; the largest is given up if they are too many.

KeptAnswersTest expected a chunked answer to be passed on. Nothing tells that one from one without an end, so this row now expects that it is collected; an idempotent request with a stated length takes its place, and a length above the bound is tried as well.

--- a/src/gateway/GatewayAnswerBytes.cpp
+++ b/src/gateway/GatewayAnswerBytes.cpp
@@ -1,6 +1,7 @@
 #include <catkinwell/gateway/GatewayRequests.h>
 
 #include "http/HeaderText.h"
+#include <charconv>
 
 // The bytes of answers: what is kept of them, forwarded to callers, and given up.
 namespace Catkinwell {
@@ -14,6 +15,15 @@
     constexpr std::string_view endlessAnswer = "the answer, or one event of it, is too long";
     constexpr std::string_view largestAnswer = "this host keeps too many bytes of answers, and of this one the most";
 
+    std::optional<std::size_t> statedLength(const HeaderList& headers)
+    {
+        const std::string* text = findHeader(headers, "content-length");
+        std::size_t length = 0;
+        if (!text || std::from_chars(text->data(), text->data() + text->size(), length).ec != std::errc())
+            return std::nullopt;
+        return length;
+    }
+
 } // namespace
 
 void GatewayRequests::handle(const AttemptData& data, MonotonicTime now, EffectList& effects)
@@ -50,15 +60,16 @@
     return attempt.position.openBytes() <= maximumEventBytes;
 }
 
-// An answer that ends with its connection is whole only once its endpoint has shown that it runs.
+// An answer that does not state its length may have no end, or one that only its endpoint can vouch for; it is better
+// given up, and tried elsewhere, than passed on.
 bool GatewayRequests::mayPassOn(const Request& request) const
 {
     const Attempt& attempt = *request.attempt;
     const bool isAcceptable = attempt.terms.isSealed && !attempt.terms.isEncoded && !attempt.terms.isNotExecuted
         && attempt.status < 500 && !impliesNotRun(attempt.status)
         && attempt.relayAnswer.outcome == RelayOutcome::Answered;
-    const bool hasStatedEnd
-        = findHeader(attempt.headers, "content-length") || findHeader(attempt.headers, "transfer-encoding");
+    const auto length = statedLength(attempt.headers);
+    const bool hasStatedEnd = length && *length <= maximumCollectedBytes;
     return isAcceptable && hasStatedEnd && !request.isHeadSent && attempt.body.size() >= smallestPassedOnBytes
         && keptBytes() > m_settings.maximumAnswerBytes;
 }
--- a/tests/gateway/KeptAnswersTest.cpp
+++ b/tests/gateway/KeptAnswersTest.cpp
@@ -109,7 +109,11 @@
 {
     const auto test = GENERATE(values<PassedOnCase>({
         { "an order", "/order/1", { { "sealed", "1" }, { "Content-Length", "131072" } }, 200, true },
-        { "an idempotent request", "/read/1", { { "sealed", "1" }, { "Transfer-Encoding", "chunked" } }, 200, true },
+        { "an idempotent request", "/read/1", { { "sealed", "1" }, { "Content-Length", "131072" } }, 200, true },
+        { "a length that is not stated", "/read/1", { { "sealed", "1" }, { "Transfer-Encoding", "chunked" } }, 200,
+            false },
+        { "a length that no host would collect", "/read/1", { { "sealed", "1" }, { "Content-Length", "8388609" } }, 200,
+            false },
         { "an answer that ends with its connection", "/order/1", { { "sealed", "1" } }, 200, false },
         { "no seal", "/order/1", { { "Content-Length", "131072" } }, 200, false },
         { "an error", "/order/1", { { "sealed", "1" }, { "Content-Length", "131072" } }, 500, false },
