Record a disturbance of the soak before its fault

Cause: killHost() sent SIGKILL before it recorded the disturbance. A caller that saw the close in between had an exchange that ended before the disturbance began, and counted as lost at an undisturbed host.

Change: the disturbance begins before the fault in each place that had the same order: - SIGKILL, as traced; SIGSTOP and SIGTERM: a request sent in between gets no answer, or a refusal, that the platform allows (findUnservedCallers()). - links and the store: the change runs on another thread, and the recording waited for it (2 ms or more); a link that is reset closes answers meanwhile, and the losses of endpoint links are the excuse of findLostRequests(). - the restore of the store, which runs on that thread as well. losePath(), makeBrittle() and the list of planned stops had the right order.

Each check is narrowed by the time between the fault and its recording, and by nothing else. The ends of the disturbances, and what is drawn from the seed, stay as they were.

--- a/tests/fleet/FaultSoak.cpp
+++ b/tests/fleet/FaultSoak.cpp
@@ -85,8 +85,9 @@
     if (!m_disturbed.insert(host).second)
         return;
     note("kill host " + std::to_string(host));
+    const auto calm = disturb(host);
     m_fleet.process(host).signal(SIGKILL);
-    later(pause, [this, host, calm = disturb(host)] {
+    later(pause, [this, host, calm] {
         startAgain(host);
         calm();
         m_disturbed.erase(host);
@@ -107,8 +108,9 @@
     if (!m_disturbed.insert(host).second)
         return;
     note("freeze host " + std::to_string(host) + " for " + std::to_string(duration.count()) + " ms");
+    const auto calm = disturb(host);
     m_fleet.process(host).signal(SIGSTOP);
-    later(duration, [this, host, calm = disturb(host)] {
+    later(duration, [this, host, calm] {
         m_fleet.process(host).signal(SIGCONT);
         calm();
         m_disturbed.erase(host);
@@ -152,8 +154,9 @@
     faults.delay = kind == 1 ? 250ms : 0ms;
     faults.lostAnswers = kind == 2 ? 6 : 0;
     faults.lostHistories = kind == 3 ? 3 : 0;
+    const auto calm = disturb(isForAll ? std::nullopt : std::optional(host));
     change(faults);
-    later(duration, [change, calm = disturb(isForAll ? std::nullopt : std::optional(host))] {
+    later(duration, [change, calm] {
         change({});
         calm();
     });
@@ -166,9 +169,10 @@
     note("the store goes back to this moment in " + std::to_string(age.count()) + " ms");
     m_fleet.onLoop([this] { m_fleet.store().saveCopy(); });
     later(age, [this] {
+        const auto calm = disturb(std::nullopt);
         m_fleet.onLoop([this] { m_fleet.store().restore(); });
         note("the store was restored");
-        later(rewriteTime, [this, calm = disturb(std::nullopt)] {
+        later(rewriteTime, [this, calm] {
             m_fleet.configure(m_version);
             calm();
         });
@@ -198,12 +202,12 @@
     };
     constexpr std::array<LinkState, 4> wanted { LinkState::Open, LinkState::Delayed, LinkState::Silent,
         LinkState::SilentToCaller };
-    change(wanted[state], state == 0);
     const MonotonicTime from = SystemClock().monotonicNow();
     const auto calm = kind == 2 ? std::function<void()>([this, from] {
         m_lostNotices.push_back({ {}, from, SystemClock().monotonicNow() });
     })
                                 : disturb(index);
+    change(wanted[state], state == 0);
     later(duration, [change, calm] {
         change(LinkState::Open, false);
         calm();
--- a/tests/fleet/FaultSoak.h
+++ b/tests/fleet/FaultSoak.h
@@ -59,7 +59,8 @@
     void startAgain(std::size_t host);
     // Begins a planned stop and has the host start again. Precondition: the host is not in m_disturbed.
     void stop(std::size_t host);
-    // Begins a disturbance of the host, or of all, and returns what ends it.
+    // Begins a disturbance of the host, or of all, and returns what ends it. To be called before the fault itself, as
+    // callers may see its effect at once.
     std::function<void()> disturb(std::optional<std::size_t> host, DisturbanceCause = DisturbanceCause::Fault);
     void note(const std::string&);
     void countRequests();
--- a/tests/fleet/FaultSoakPlannedWork.cpp
+++ b/tests/fleet/FaultSoakPlannedWork.cpp
@@ -28,8 +28,9 @@
     m_disturbed.insert(host);
     note("stop host " + std::to_string(host));
     m_stops.push_back({ host, SystemClock().monotonicNow() });
+    const auto calm = disturb(host, DisturbanceCause::PlannedWork);
     m_fleet.process(host).signal(SIGTERM);
-    later(stopTime, [this, host, calm = disturb(host, DisturbanceCause::PlannedWork)] {
+    later(stopTime, [this, host, calm] {
         if (m_fleet.process(host).waitForExit(0ms) != 0)
             m_report.broken.push_back("host " + std::to_string(host) + " did not end in time after SIGTERM");
         if (const auto accounts = m_fleet.accountsAtEnd(host))
