Put callers on slow links, and stops in series, into the fault soak

The soak's callers read at once, leave a host when it announces the end of their connection, and its stops take a host away for 9 s, so that no more than a few come in a run.

Change: the seed draws, from a generator of its own, which of these a run has more; the faults and the planned work draw what they drew before. - Callers on slow links (SlowCallers) keep 8 to 39 requests under way on a connection with a small receive buffer, and read 80 to 319 bytes every 10 ms. The emulated endpoints give no large answers of plain requests, so many small ones pile up instead: at the host and in its socket, not beyond what the kernel buffers. Answers of megabytes remain to be done. - Callers that use a connection until the host closes it, whatever it announces, and connect to the same host until that is refused. - Stops of all hosts in turn, each started again as soon as it has ended, while an endpoint falls silent and the configuration and the settings change.

They are judged by findViolations(), findLostRequests() and findUnansweredRequests(). Two things are new there, for these callers only: - A request behind others counts from the time when those were answered, both for the time limit (stricter than from its writing) and for the time in which its host must be calm (a host reads one request at a time). - findUnansweredRequests() leaves out what a host need not have read: requests behind an announced end, or behind one without an answer. findLostRequests() judges them like all others: nothing of them may reach an endpoint without an answer. findUnservedCallers() counts the callers that it counted before.

--- a/tests/fleet/CallerLoad.h
+++ b/tests/fleet/CallerLoad.h
@@ -20,6 +20,11 @@
     // request was written and before its answer was complete.
     MonotonicTime endedAt {};
     bool wasClosed = false;
+    // If the caller writes requests without waiting for answers: when all before it on its connection were answered.
+    MonotonicTime firstAt {};
+    // Whether the host need not have read it: an answer before it on the connection announced the end of the
+    // connection, or a request before it got no answer.
+    bool mayBeUnread = false;
 };
 
 // Returns the call that sends the request to the port, with a caller that waits for an answer for the given time.
--- a/tests/fleet/FaultChecks.cpp
+++ b/tests/fleet/FaultChecks.cpp
@@ -65,6 +65,9 @@
             [&](const PathLoss& loss) { return loss.from <= until && loss.until + relayMargin > from; });
     }
 
+    // Since when the host could work on the request alone.
+    MonotonicTime turnOf(const CallerRequest& request) { return std::max(request.sentAt, request.firstAt); }
+
     bool isExcusedByStop(const std::vector<PlannedStop>& stops, const CallerRequest& request)
     {
         return std::any_of(stops.begin(), stops.end(), [&](const PlannedStop& stop) {
@@ -220,7 +223,8 @@
 {
     std::vector<std::string> broken;
     for (const CallerRequest& request : requests) {
-        if (request.answer.status == 0 && disturbances.isCalm(request.host, request.sentAt, request.sentAt + patience))
+        const bool isJudged = request.answer.status == 0 && !request.mayBeUnread;
+        if (isJudged && disturbances.isCalm(request.host, request.sentAt, turnOf(request) + patience))
             broken.push_back(request.path + request.id + " got no answer from host " + std::to_string(request.host));
     }
     return broken;
@@ -237,7 +241,7 @@
     std::vector<std::string> lost;
     for (const CallerRequest& request : requests) {
         const auto endpoint = reached.find(request.id);
-        const Duration time = request.endedAt - request.sentAt;
+        const Duration time = request.endedAt - turnOf(request);
         if (!request.wasClosed || endpoint == reached.end() || time >= timeLimit - timeLimitMargin
             || isExcusedByStop(stops, request) || isWithinPathLoss(losses, request.sentAt, request.endedAt)
             || !unplanned.isCalm(request.host, request.sentAt, request.endedAt))
--- a/tests/fleet/FaultChecks.h
+++ b/tests/fleet/FaultChecks.h
@@ -87,15 +87,16 @@
 // waited any more when the counts were taken.
 std::vector<std::string> findOpenRequests(const std::vector<RequestAccounts>&);
 
-// Returns a line for each request that got no answer at all from a host that was calm as long as its caller waited.
+// Returns a line for each request that got no answer at all from a host that was calm as long as its caller waited. Not
+// judged: requests that the host need not have read.
 std::vector<std::string> findUnansweredRequests(
     const std::vector<CallerRequest>&, Duration patience, const DisturbanceLog&);
 
 // Returns a line for each request that was written whole to a host, reached an endpoint, and ended with a closed
-// connection and without a complete answer. Hosts that nothing but planned work has disturbed are judged: a planned
-// stop, changes of the configuration and of the settings. Not counted: the endpoint broke off, its links were
-// disturbed, the time limit was reached, or the endpoint was still at work in the last sixth of the grace time of a
-// stop on a request that was sent no later than 3 s after the SIGTERM.
+// connection and without a complete answer, also if the host need not have read it. Hosts that nothing but planned work
+// has disturbed are judged: a planned stop, changes of the configuration and of the settings. Not counted: the endpoint
+// broke off, its links were disturbed, the time limit was reached, or the endpoint was still at work in the last sixth
+// of the grace time of a stop on a request that was sent no later than 3 s after the SIGTERM.
 std::vector<std::string> findLostRequests(const std::vector<CallerRequest>&, const EndpointHistory&,
     const std::vector<PlannedStop>&, const std::vector<PathLoss>&, const DisturbanceLog& unplanned);
 
--- a/tests/fleet/FaultChecksTest.cpp
+++ b/tests/fleet/FaultChecksTest.cpp
@@ -185,6 +185,9 @@
     // When the host is disturbed, after the request was sent; nullopt if it is not.
     std::optional<Duration> disturbedAt;
     bool isViolation;
+    // When all requests before it on its connection were answered, after it was sent.
+    Duration turn {};
+    bool mayBeUnread = false;
 };
 
 } // namespace
@@ -213,13 +216,18 @@
         { "at a host that is disturbed before", 0, -1s, false },
         { "at a host that is disturbed meanwhile", 0, 7s, false },
         { "at a host that is disturbed later", 0, 9s, true },
+        { "behind others at a host that is disturbed meanwhile", 0, 9s, false, 2s },
+        { "behind others at a host that is disturbed later", 0, 11s, true, 2s },
+        { "behind an announced end", 0, std::nullopt, false, {}, true },
     }));
     INFO(test.what);
     DisturbanceLog disturbances;
     if (test.disturbedAt)
         disturbances.begin(0, start + 10s + *test.disturbedAt);
-    CHECK(
-        findUnansweredRequests({ requestAt("r", 0, 10s, test.status) }, 8s, disturbances).empty() != test.isViolation);
+    CallerRequest request = requestAt("r", 0, 10s, test.status);
+    request.firstAt = request.sentAt + test.turn;
+    request.mayBeUnread = test.mayBeUnread;
+    CHECK(findUnansweredRequests({ request }, 8s, disturbances).empty() != test.isViolation);
 }
 
 namespace {
@@ -236,6 +244,9 @@
     std::optional<Duration> stoppedAt;
     std::optional<Duration> calmSince;
     bool isViolation;
+    // When all requests before it on its connection were answered, if there were any.
+    std::optional<Duration> turn {};
+    bool mayBeUnread = false;
 };
 
 } // namespace
@@ -255,11 +266,17 @@
         { "late in a planned stop", 4s, 11s, true, true, 3s, {}, false },
         { "late in a planned stop and sent late", 7s, 11s, true, true, 3s, {}, true },
         { "at the end of a process that stopped long ago", 20s, 21s, true, true, 3s, {}, true },
+        { "long behind others", 4s, 12s, true, true, {}, {}, true, 9s },
+        { "at the time limit behind others", 4s, 17s, true, true, {}, {}, false, 9s },
+        { "behind an announced end", 4s, 5s, true, true, {}, {}, true, {}, true },
+        { "not passed on, behind an announced end", 4s, 5s, true, false, {}, {}, false, {}, true },
     }));
     INFO(test.what);
     CallerRequest request { "r", "/order/", "a", 0, {}, start + test.sentAt };
     request.endedAt = start + test.endedAt;
     request.wasClosed = test.wasClosed;
+    request.firstAt = start + test.turn.value_or(0s);
+    request.mayBeUnread = test.mayBeUnread;
     EndpointHistory records;
     if (test.hasReached)
         records.arrivals.push_back({ "o-0", "r", request.sentAt + 1ms });
--- a/tests/fleet/FaultSoak.cpp
+++ b/tests/fleet/FaultSoak.cpp
@@ -1,6 +1,7 @@
 #include "fleet/FaultSoak.h"
 
 #include "fleet/KeptCallers.h"
+#include "fleet/SlowCallers.h"
 #include <array>
 #include <csignal>
 #include <numeric>
@@ -14,9 +15,14 @@
     constexpr std::size_t callers = 12;
     constexpr std::size_t keptCallers = 6;
     constexpr std::chrono::milliseconds keptPatience = 8s;
+    constexpr std::size_t slowCallers = 3;
+    constexpr std::size_t stayingCallers = 4;
     constexpr std::uint64_t plannedSeedFactor = 7919;
+    constexpr std::uint64_t worldSeedFactor = 104729;
     constexpr std::uint64_t shortestPlannedPause = 400;
     constexpr std::uint64_t plannedPauseSpread = 1600;
+    constexpr std::uint64_t shortestSeriesPause = 1000;
+    constexpr std::uint64_t seriesPauseSpread = 4000;
     constexpr std::uint64_t shortestPause = 150;
     constexpr std::uint64_t pauseSpread = 1200;
     // The maximum time until a host is ready after the end of all faults.
@@ -43,6 +49,7 @@
     : m_seed(seed)
     , m_random(seed)
     , m_plannedRandom(seed * plannedSeedFactor)
+    , m_worldRandom(seed * worldSeedFactor)
     , m_fleet({ 4, plainEndpoints, 4, seed, seed % 2 == 0 })
     , m_startedAt(std::chrono::steady_clock::now())
 {
@@ -366,8 +373,10 @@
     }
 }
 
-void FaultSoak::check(const std::vector<CallerRequest>& requests)
+void FaultSoak::check(const std::vector<CallerRequest>& usual, const std::vector<CallerRequest>& stubborn)
 {
+    auto requests = usual;
+    requests.insert(requests.end(), stubborn.begin(), stubborn.end());
     const EndpointHistory records = m_fleet.records();
     std::vector<CallerRequest> deadly;
     for (const auto& caller : m_deadlyCallers) {
@@ -375,7 +384,7 @@
         deadly.insert(deadly.end(), own.begin(), own.end());
     }
     for (const auto& broken :
-        { findViolations(requests, records, m_fleet), findUnservedCallers(requests, m_pathLosses, m_disturbances),
+        { findViolations(requests, records, m_fleet), findUnservedCallers(usual, m_pathLosses, m_disturbances),
             findRepeatedCrashes(deadly, records, m_disturbances),
             findFalls(requests, records, m_brittleTimes, m_disturbances),
             findUnwantedRequests(requests, records, m_lostNotices, m_disturbances),
@@ -388,9 +397,18 @@
 {
     CallerLoad load(m_fleet, callers, m_seed);
     KeptCallers kept(m_fleet, keptCallers, m_seed, keptPatience);
+    const bool hasSlowCallers = m_worldRandom.unit() < 0.5;
+    const bool hasStayingCallers = m_worldRandom.unit() < 0.5;
+    const bool hasSeries = m_worldRandom.unit() < 0.5;
+    SlowCallers slow(m_fleet, hasSlowCallers ? slowCallers : 0, m_seed, keptPatience);
+    KeptCallers staying(
+        m_fleet, hasStayingCallers ? stayingCallers : 0, m_seed, keptPatience, KeptHabit::StaysUntilGone);
     const auto end = std::chrono::steady_clock::now() + duration;
     auto nextFault = std::chrono::steady_clock::now();
     auto nextPlanned = nextFault;
+    const auto seriesPause
+        = [this] { return std::chrono::milliseconds(shortestSeriesPause + m_worldRandom.below(seriesPauseSpread)); };
+    auto nextSeries = nextFault + seriesPause();
     while (std::chrono::steady_clock::now() < end) {
         undoDue(false);
         if (std::chrono::steady_clock::now() >= nextFault) {
@@ -401,8 +419,14 @@
             plannedWork();
             nextPlanned += std::chrono::milliseconds(shortestPlannedPause + m_plannedRandom.below(plannedPauseSpread));
         }
+        if (hasSeries && !m_isInSeries && std::chrono::steady_clock::now() >= nextSeries) {
+            m_isInSeries = true;
+            stopNext(m_worldRandom.below(m_fleet.hostCount()), m_fleet.hostCount());
+            nextSeries += seriesPause();
+        }
         std::this_thread::sleep_for(10ms);
     }
+    m_isEnding = true;
     while (!m_undo.empty()) {
         undoDue(false);
         std::this_thread::sleep_for(10ms);
@@ -422,8 +446,12 @@
     auto requests = load.stop();
     const auto ofKept = kept.stop();
     requests.insert(requests.end(), ofKept.begin(), ofKept.end());
+    auto stubborn = slow.stop();
+    const auto ofStaying = staying.stop();
+    stubborn.insert(stubborn.end(), ofStaying.begin(), ofStaying.end());
     countRequests();
-    check(requests);
+    check(requests, stubborn);
+    requests.insert(requests.end(), stubborn.begin(), stubborn.end());
     m_report.requests = requests.size();
     for (const CallerRequest& request : requests)
         m_report.served += request.answer.status == 200 && request.answer.complete ? 1 : 0;
--- a/tests/fleet/KeptCallers.cpp
+++ b/tests/fleet/KeptCallers.cpp
@@ -16,9 +16,10 @@
 } // namespace
 
 KeptCallers::KeptCallers(
-    GatewayFleet& fleet, std::size_t callers, std::uint64_t seed, std::chrono::milliseconds patience)
+    GatewayFleet& fleet, std::size_t callers, std::uint64_t seed, std::chrono::milliseconds patience, KeptHabit habit)
     : m_fleet(fleet)
     , m_patience(patience)
+    , m_habit(habit)
     , m_requests(callers)
 {
     for (std::size_t i = 0; i < callers; ++i)
@@ -33,22 +34,28 @@
     const char* const paths[] { "/order/", "/read/", "/note/" };
     const char* const models[] { "m1", "m2", "m3", "m4" };
     const SystemClock clock;
+    const bool stays = m_habit == KeptHabit::StaysUntilGone;
     std::optional<KeptConnection> connection;
     std::size_t host = 0;
+    bool isGone = true;
     for (unsigned number = 0; !m_isStopping;) {
         if (!connection || !connection->isOpen()) {
-            host = random.below(m_fleet.hostCount());
-            connection.emplace(m_fleet.callerPort(host));
-            if (!connection->isOpen()) {
+            if (!stays || isGone)
+                host = random.below(m_fleet.hostCount());
+            connection.emplace(
+                m_fleet.callerPort(host), stays ? CloseAnnouncement::Ignored : CloseAnnouncement::Followed);
+            isGone = !connection->isOpen();
+            if (isGone) {
                 std::this_thread::sleep_for(pauseAfterRefusedConnection);
                 continue;
             }
         }
         CallerRequest request;
-        request.id = "k" + std::to_string(caller) + "-" + std::to_string(number++);
+        request.id = (stays ? "g" : "k") + std::to_string(caller) + "-" + std::to_string(number++);
         request.path = paths[random.below(3)];
         request.account = random.unit() < 0.5 ? "a" : "b";
         request.host = host;
+        request.mayBeUnread = connection->isCloseAnnounced();
         request.sentAt = clock.monotonicNow();
         const HttpCall call = callOf(request, m_fleet.callerPort(host), models[random.below(4)], m_patience);
         KeptExchange exchange = connection->exchange(call);
--- a/tests/fleet/KeptConnection.cpp
+++ b/tests/fleet/KeptConnection.cpp
@@ -9,17 +9,13 @@
 
 namespace Catkinwell::Testing {
 
-namespace {
-
-    std::string textOf(const HttpCall& call)
-    {
-        std::string text = call.method + " " + call.target + " HTTP/1.1\r\n";
-        for (const auto& [name, value] : call.headers)
-            text += name + ": " + value + "\r\n";
-        return text + "Content-Length: " + std::to_string(call.body.size()) + "\r\n\r\n" + call.body;
-    }
-
-} // namespace
+std::string textOf(const HttpCall& call)
+{
+    std::string text = call.method + " " + call.target + " HTTP/1.1\r\n";
+    for (const auto& [name, value] : call.headers)
+        text += name + ": " + value + "\r\n";
+    return text + "Content-Length: " + std::to_string(call.body.size()) + "\r\n\r\n" + call.body;
+}
 
 class KeptConnection::AnswerReader final : public MessageObserver {
 public:
@@ -55,8 +51,9 @@
     bool m_keepsAlive = false;
 };
 
-KeptConnection::KeptConnection(std::uint16_t port)
+KeptConnection::KeptConnection(std::uint16_t port, CloseAnnouncement announcement)
     : m_socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    , m_announcement(announcement)
 {
     sockaddr_in address {};
     address.sin_family = AF_INET;
@@ -116,7 +113,8 @@
     }
     AnswerReader reader;
     const ExchangeEnd end = read(reader, call.timeout);
-    if (end != ExchangeEnd::Answered || !reader.keepsAlive())
+    m_isCloseAnnounced = m_isCloseAnnounced || (end == ExchangeEnd::Answered && !reader.keepsAlive());
+    if (end != ExchangeEnd::Answered || (m_isCloseAnnounced && m_announcement == CloseAnnouncement::Followed))
         close();
     return { end, reader.takeAnswer() };
 }
--- a/tests/fleet/KeptConnection.h
+++ b/tests/fleet/KeptConnection.h
@@ -20,16 +20,27 @@
     HttpAnswer answer;
 };
 
+// Returns the bytes of the request.
+std::string textOf(const HttpCall&);
+
+enum class CloseAnnouncement {
+    Followed,
+    // The caller goes on until the peer closes the connection.
+    Ignored,
+};
+
 // A connection to 127.0.0.1 on which a caller sends one request after the other until the peer closes it or announces
 // that it will. Blocks; not thread safe.
 class KeptConnection {
 public:
-    explicit KeptConnection(std::uint16_t port);
+    explicit KeptConnection(std::uint16_t port, CloseAnnouncement = CloseAnnouncement::Followed);
     ~KeptConnection();
     KeptConnection(const KeptConnection&) = delete;
     KeptConnection& operator=(const KeptConnection&) = delete;
 
     bool isOpen() const { return m_socket >= 0; }
+    // Whether an answer has announced that the peer closes the connection.
+    bool isCloseAnnounced() const { return m_isCloseAnnounced; }
     // Precondition: isOpen(). Any end but an answer closes the connection.
     KeptExchange exchange(const HttpCall&);
 
@@ -41,6 +52,8 @@
     void close();
 
     int m_socket = -1;
+    CloseAnnouncement m_announcement;
+    bool m_isCloseAnnounced = false;
 };
 
 } // namespace Catkinwell::Testing
--- /dev/null
+++ b/tests/fleet/SlowCallers.cpp
@@ -0,0 +1,108 @@
+#include "fleet/SlowCallers.h"
+
+namespace Catkinwell::Testing {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr auto pauseAfterRefusedConnection = 50ms;
+    constexpr auto readInterval = 10ms;
+    // How long callers read on beyond the time that they stated.
+    constexpr auto lateAnswerTime = 1s;
+    constexpr std::uint64_t shallowest = 8;
+    constexpr std::uint64_t depthSpread = 32;
+    constexpr std::uint64_t slowest = 80;
+    constexpr std::uint64_t paceSpread = 240;
+    constexpr std::uint64_t smallestBuffer = 16384;
+    constexpr std::uint64_t bufferSpread = 32768;
+
+    // What a caller on a slow link does with one connection.
+    struct Habits {
+        std::size_t depth = 0;
+        // Bytes that it reads at a time.
+        std::size_t pace = 0;
+        int receiveBuffer = 0;
+    };
+
+    Habits drawHabits(RandomGenerator& random)
+    {
+        Habits habits;
+        habits.depth = shallowest + random.below(depthSpread);
+        habits.pace = slowest + random.below(paceSpread);
+        habits.receiveBuffer = static_cast<int>(smallestBuffer + random.below(bufferSpread));
+        return habits;
+    }
+
+} // namespace
+
+SlowCallers::SlowCallers(
+    GatewayFleet& fleet, std::size_t callers, std::uint64_t seed, std::chrono::milliseconds patience)
+    : m_fleet(fleet)
+    , m_patience(patience)
+{
+    for (std::size_t i = 0; i < callers; ++i) {
+        m_callers.push_back({ "s" + std::to_string(i) + "-", RandomGenerator(seed * 1000 + i) });
+        m_threads.emplace_back([this, &caller = m_callers.back()] { run(caller); });
+    }
+}
+
+SlowCallers::~SlowCallers() { stop(); }
+
+// Writes as many requests as the caller keeps under way.
+void SlowCallers::fill(Caller& caller, PipelinedConnection& connection, std::size_t host, std::size_t depth)
+{
+    const char* const paths[] { "/order/", "/read/", "/note/" };
+    const char* const models[] { "m1", "m2", "m3", "m4" };
+    while (!m_isStopping && connection.mayWrite() && connection.pending() < depth) {
+        CallerRequest request;
+        request.id = caller.name + std::to_string(caller.number++);
+        request.path = paths[caller.random.below(3)];
+        request.account = caller.random.unit() < 0.5 ? "a" : "b";
+        request.host = host;
+        request.sentAt = SystemClock().monotonicNow();
+        const char* const model = models[caller.random.below(4)];
+        const HttpCall call = callOf(request, m_fleet.callerPort(host), model, m_patience);
+        connection.write(std::move(request), call);
+    }
+}
+
+void SlowCallers::useConnection(Caller& caller)
+{
+    const std::size_t host = caller.random.below(m_fleet.hostCount());
+    const Habits habits = drawHabits(caller.random);
+    PipelinedConnection connection(m_fleet.callerPort(host), habits.receiveBuffer);
+    if (!connection.isOpen())
+        std::this_thread::sleep_for(pauseAfterRefusedConnection);
+    while (connection.isOpen() && (!m_isStopping || connection.pending() > 0)) {
+        fill(caller, connection, host, habits.depth);
+        std::this_thread::sleep_for(readInterval);
+        connection.read(habits.pace);
+        const bool isWaiting = connection.isOpen() && connection.pending() > 0;
+        if (isWaiting && SystemClock().monotonicNow() > connection.waitsSince() + m_patience + lateAnswerTime)
+            connection.giveUp();
+        for (CallerRequest& request : connection.takeEnded())
+            caller.requests.push_back(std::move(request));
+    }
+}
+
+void SlowCallers::run(Caller& caller)
+{
+    while (!m_isStopping)
+        useConnection(caller);
+}
+
+std::vector<CallerRequest> SlowCallers::stop()
+{
+    m_isStopping = true;
+    for (std::thread& thread : m_threads) {
+        if (thread.joinable())
+            thread.join();
+    }
+    std::vector<CallerRequest> all;
+    for (const Caller& caller : m_callers)
+        all.insert(all.end(), caller.requests.begin(), caller.requests.end());
+    return all;
+}
+
+} // namespace Catkinwell::Testing
--- /dev/null
+++ b/tests/fleet/SlowCallers.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "fleet/PipelinedConnection.h"
+#include <catkinwell/core/RandomGenerator.h>
+
+namespace Catkinwell::Testing {
+
+// Runs callers on slow links: each sends many requests at once on a connection with a small receive buffer, reads their
+// answers a few bytes at a time, and sends a new request for each answer, so that answers pile up at the host. When the
+// host closes the connection the caller reads what has arrived and goes on at any host. Nothing is retried.
+class SlowCallers {
+public:
+    // The seed determines the depth of the queue, the pace and the buffer of each connection. Hosts are asked for an
+    // answer within the patience.
+    SlowCallers(GatewayFleet&, std::size_t callers, std::uint64_t seed, std::chrono::milliseconds patience);
+    ~SlowCallers();
+
+    // Ends the load, waits for the answers to what was sent, and returns all requests that were written.
+    std::vector<CallerRequest> stop();
+
+private:
+    struct Caller {
+        std::string name;
+        RandomGenerator random;
+        unsigned number = 0;
+        std::vector<CallerRequest> requests {};
+    };
+
+    void run(Caller&);
+    void useConnection(Caller&);
+    void fill(Caller&, PipelinedConnection&, std::size_t host, std::size_t depth);
+
+    GatewayFleet& m_fleet;
+    std::chrono::milliseconds m_patience;
+    std::atomic<bool> m_isStopping = false;
+    std::deque<Caller> m_callers;
+    std::vector<std::thread> m_threads;
+};
+
+} // namespace Catkinwell::Testing
