Keep a connection open until its caller has taken its last answers

Cause: a connection was closed as soon as its last answer was in the socket. A caller on a slow link that keeps several requests under way has not seen the announcement then, and sends on. Bytes that arrive at a closed socket reset the connection, and all that the caller's system has not taken yet is dropped: also whole answers before the last one.

Change: after the last answer a connection is half closed, and what the caller still sends is read and dropped, as was done after refusals of partly read requests: for 2 s, and on while the caller takes its answers.

--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -23,8 +23,8 @@
     constexpr std::size_t readSize = 64 * 1024;
     // Limit on input buffered while a request is read or answered.
     constexpr std::size_t maximumReadAhead = 256 * 1024;
-    // A caller whose request was refused before all of it had arrived may send this much more, for this time. Closing a
-    // connection with unread bytes resets it, and the caller may then never see the refusal.
+    // After the last answer a caller may send this much more, for this time, or for as long as it goes on taking its
+    // answers. Bytes that arrive at a closed connection reset it, and the caller then loses what it has not taken yet.
     constexpr std::size_t maximumDiscardedBytes = 8 * 1024 * 1024;
     constexpr Duration longestDiscarding = std::chrono::seconds(2);
     // Rounds of the loop in which bytes that have arrived are read.
@@ -99,6 +99,16 @@
     return true;
 }
 
+bool CallerConnection::isDiscardingExtended()
+{
+    const std::size_t untaken = untakenBytes();
+    if (untaken == 0 || untaken >= m_untakenAtStart)
+        return false;
+    m_untakenAtStart = untaken;
+    addTimer(longestDiscarding);
+    return true;
+}
+
 std::size_t CallerConnection::maximumHeaderBytes() const
 {
     return std::max(m_requestLimits.maximumHeaderBytes, m_owner.limits().maximumHeaderBytes);
@@ -114,7 +124,7 @@
 void CallerConnection::timedOut(int, short, void* context)
 {
     auto& self = *static_cast<CallerConnection*>(context);
-    if (self.m_phase != Phase::Discarding && self.isTimerExtended())
+    if (self.m_phase == Phase::Discarding ? self.isDiscardingExtended() : self.isTimerExtended())
         return;
     // A host that was behind reads what has arrived before it takes the caller for slow.
     if (self.hasUnreadBytes() && self.m_timerDelays < maximumTimerDelays) {
@@ -255,7 +265,6 @@
     m_owner.requestRejected();
     m_phase = Phase::Answering;
     m_closesAfterAnswer = true;
-    m_isPartlyRead = true;
     sendWhole(status, { { "Content-Type", "application/json" } }, errorBody(status, reason));
     return false;
 }
@@ -364,16 +373,13 @@
 
 void CallerConnection::closeAfterAnswer()
 {
-    if (m_isPartlyRead) {
-        m_phase = Phase::Discarding;
-        shutdown(bufferevent_getfd(m_stream), SHUT_WR);
-        addTimer(longestDiscarding);
-        discardInput();
-        return;
-    }
     if (m_endsWithConnection)
         closeInOrder(bufferevent_getfd(m_stream));
-    close(AnswerEnd::Written);
+    m_phase = Phase::Discarding;
+    shutdown(bufferevent_getfd(m_stream), SHUT_WR);
+    m_untakenAtStart = untakenBytes();
+    addTimer(longestDiscarding);
+    discardInput();
 }
 
 void CallerConnection::noteWritten()
@@ -408,6 +414,12 @@
 
 std::size_t CallerConnection::unsentBytes() const { return evbuffer_get_length(bufferevent_get_output(m_stream)); }
 
+std::size_t CallerConnection::untakenBytes() const
+{
+    int untaken = 0;
+    return ioctl(bufferevent_getfd(m_stream), TIOCOUTQ, &untaken) == 0 ? static_cast<std::size_t>(untaken) : 0;
+}
+
 bool CallerConnection::isReceiving() const
 {
     return m_phase == Phase::ReadingHead || m_phase == Phase::ReadingBody || hasUnreadBytes();
--- a/src/http/CallerConnection.h
+++ b/src/http/CallerConnection.h
@@ -73,6 +73,8 @@
     void endAtProcessEnd() { endOpenRequests(AnswerEnd::ProcessEnd); }
     // Whether response bytes are still buffered.
     bool hasUnsentOutput() const { return unsentBytes() > 0; }
+    // Bytes that were sent and that the caller's system has not taken yet.
+    std::size_t untakenBytes() const;
     // Whether part of a request has arrived, also if it was not read yet.
     bool isReceiving() const;
 
@@ -84,7 +86,7 @@
         Answering,
         // Closes the connection once the buffered response is written.
         Closing,
-        // Reads what the caller still sends of a refused request, until it closes the connection.
+        // Reads what the caller still sends after its last answer, until it closes the connection.
         Discarding,
         Closed,
     };
@@ -117,6 +119,8 @@
     void clearTimer();
     // Whether the timer was started again, because its limit has grown or the caller goes on taking its answer.
     bool isTimerExtended();
+    // Whether the timer was started again, because the caller goes on taking its last answers.
+    bool isDiscardingExtended();
     // The limits of the request that is being read: those in force when it began, or those now if they are larger.
     std::size_t maximumHeaderBytes() const;
     std::size_t maximumBodyBytes() const;
@@ -143,6 +147,7 @@
     Duration CallerLimits::*m_timerLimit = &CallerLimits::idleTimeout;
     Duration m_timerDuration {};
     std::size_t m_unsentAtStart = 0;
+    std::size_t m_untakenAtStart = 0;
     // The limits when the request that is being read began.
     CallerLimits m_requestLimits;
     MessageReader m_reader;
@@ -155,8 +160,6 @@
     // Rounds of the loop that the timer was put off for unread bytes.
     unsigned m_timerDelays = 0;
     bool m_bodyTooLong = false;
-    // Whether the request was refused before all of it was read.
-    bool m_isPartlyRead = false;
     std::size_t m_discardedBytes = 0;
     bool m_isFull = false;
     // State of the current response.
