--- a/tests/fleet/FaultSoak.cpp
+++ b/tests/fleet/FaultSoak.cpp
@@ -1,6 +1,7 @@
 #include "fleet/FaultSoak.h"
 
 #include "fleet/KeptCallers.h"
+#include "fleet/SlowCallers.h"
 #include <array>
 #include <csignal>
 #include <numeric>
@@ -14,9 +15,14 @@
     constexpr std::size_t callers = 12;
     constexpr std::size_t keptCallers = 6;
     constexpr std::chrono::milliseconds keptPatience = 8s;
+    constexpr std::size_t slowCallers = 3;
+    constexpr std::size_t stayingCallers = 4;
     constexpr std::uint64_t plannedSeedFactor = 7919;
+    constexpr std::uint64_t worldSeedFactor = 104729;
     constexpr std::uint64_t shortestPlannedPause = 400;
     constexpr std::uint64_t plannedPauseSpread = 1600;
+    constexpr std::uint64_t shortestSeriesPause = 1000;
+    constexpr std::uint64_t seriesPauseSpread = 4000;
     constexpr std::uint64_t shortestPause = 150;
     constexpr std::uint64_t pauseSpread = 1200;
     // The maximum time until a host is ready after the end of all faults.
@@ -43,6 +49,7 @@
     : m_seed(seed)
     , m_random(seed)
     , m_plannedRandom(seed * plannedSeedFactor)
+    , m_worldRandom(seed * worldSeedFactor)
     , m_fleet({ 4, plainEndpoints, 4, seed, seed % 2 == 0 })
     , m_startedAt(std::chrono::steady_clock::now())
 {
@@ -85,8 +92,9 @@
     if (!m_disturbed.insert(host).second)
         return;
     note("kill host " + std::to_string(host));
+    const auto calm = disturb(host);
     m_fleet.process(host).signal(SIGKILL);
-    later(pause, [this, host, calm = disturb(host)] {
+    later(pause, [this, host, calm] {
         startAgain(host);
         calm();
         m_disturbed.erase(host);
@@ -107,8 +115,9 @@
     if (!m_disturbed.insert(host).second)
         return;
     note("freeze host " + std::to_string(host) + " for " + std::to_string(duration.count()) + " ms");
+    const auto calm = disturb(host);
     m_fleet.process(host).signal(SIGSTOP);
-    later(duration, [this, host, calm = disturb(host)] {
+    later(duration, [this, host, calm] {
         m_fleet.process(host).signal(SIGCONT);
         calm();
         m_disturbed.erase(host);
@@ -152,8 +161,9 @@
     faults.delay = kind == 1 ? 250ms : 0ms;
     faults.lostAnswers = kind == 2 ? 6 : 0;
     faults.lostHistories = kind == 3 ? 3 : 0;
+    const auto calm = disturb(isForAll ? std::nullopt : std::optional(host));
     change(faults);
-    later(duration, [change, calm = disturb(isForAll ? std::nullopt : std::optional(host))] {
+    later(duration, [change, calm] {
         change({});
         calm();
     });
@@ -166,9 +176,10 @@
     note("the store goes back to this moment in " + std::to_string(age.count()) + " ms");
     m_fleet.onLoop([this] { m_fleet.store().saveCopy(); });
     later(age, [this] {
+        const auto calm = disturb(std::nullopt);
         m_fleet.onLoop([this] { m_fleet.store().restore(); });
         note("the store was restored");
-        later(rewriteTime, [this, calm = disturb(std::nullopt)] {
+        later(rewriteTime, [this, calm] {
             m_fleet.configure(m_version);
             calm();
         });
@@ -198,12 +209,12 @@
     };
     constexpr std::array<LinkState, 4> wanted { LinkState::Open, LinkState::Delayed, LinkState::Silent,
         LinkState::SilentToCaller };
-    change(wanted[state], state == 0);
     const MonotonicTime from = SystemClock().monotonicNow();
     const auto calm = kind == 2 ? std::function<void()>([this, from] {
         m_lostNotices.push_back({ {}, from, SystemClock().monotonicNow() });
     })
                                 : disturb(index);
+    change(wanted[state], state == 0);
     later(duration, [change, calm] {
         change(LinkState::Open, false);
         calm();
@@ -362,8 +373,10 @@
     }
 }
 
-void FaultSoak::check(const std::vector<CallerRequest>& requests)
+void FaultSoak::check(const std::vector<CallerRequest>& usual, const std::vector<CallerRequest>& stubborn)
 {
+    auto requests = usual;
+    requests.insert(requests.end(), stubborn.begin(), stubborn.end());
     const EndpointHistory records = m_fleet.records();
     std::vector<CallerRequest> deadly;
     for (const auto& caller : m_deadlyCallers) {
@@ -371,7 +384,7 @@
         deadly.insert(deadly.end(), own.begin(), own.end());
     }
     for (const auto& broken :
-        { findViolations(requests, records, m_fleet), findUnservedCallers(requests, m_pathLosses, m_disturbances),
+        { findViolations(requests, records, m_fleet), findUnservedCallers(usual, m_pathLosses, m_disturbances),
             findRepeatedCrashes(deadly, records, m_disturbances),
             findFalls(requests, records, m_brittleTimes, m_disturbances),
             findUnwantedRequests(requests, records, m_lostNotices, m_disturbances),
@@ -384,9 +397,18 @@
 {
     CallerLoad load(m_fleet, callers, m_seed);
     KeptCallers kept(m_fleet, keptCallers, m_seed, keptPatience);
+    const bool hasSlowCallers = m_worldRandom.unit() < 0.5;
+    const bool hasStayingCallers = m_worldRandom.unit() < 0.5;
+    const bool hasSeries = m_worldRandom.unit() < 0.5;
+    SlowCallers slow(m_fleet, hasSlowCallers ? slowCallers : 0, m_seed, keptPatience);
+    KeptCallers staying(
+        m_fleet, hasStayingCallers ? stayingCallers : 0, m_seed, keptPatience, KeptHabit::StaysUntilGone);
     const auto end = std::chrono::steady_clock::now() + duration;
     auto nextFault = std::chrono::steady_clock::now();
     auto nextPlanned = nextFault;
+    const auto seriesPause
+        = [this] { return std::chrono::milliseconds(shortestSeriesPause + m_worldRandom.below(seriesPauseSpread)); };
+    auto nextSeries = nextFault + seriesPause();
     while (std::chrono::steady_clock::now() < end) {
         undoDue(false);
         if (std::chrono::steady_clock::now() >= nextFault) {
@@ -397,8 +419,14 @@
             plannedWork();
             nextPlanned += std::chrono::milliseconds(shortestPlannedPause + m_plannedRandom.below(plannedPauseSpread));
         }
+        if (hasSeries && !m_isInSeries && std::chrono::steady_clock::now() >= nextSeries) {
+            m_isInSeries = true;
+            stopNext(m_worldRandom.below(m_fleet.hostCount()), m_fleet.hostCount());
+            nextSeries += seriesPause();
+        }
         std::this_thread::sleep_for(10ms);
     }
+    m_isEnding = true;
     while (!m_undo.empty()) {
         undoDue(false);
         std::this_thread::sleep_for(10ms);
@@ -418,8 +446,12 @@
     auto requests = load.stop();
     const auto ofKept = kept.stop();
     requests.insert(requests.end(), ofKept.begin(), ofKept.end());
+    auto stubborn = slow.stop();
+    const auto ofStaying = staying.stop();
+    stubborn.insert(stubborn.end(), ofStaying.begin(), ofStaying.end());
     countRequests();
-    check(requests);
+    check(requests, stubborn);
+    requests.insert(requests.end(), stubborn.begin(), stubborn.end());
     m_report.requests = requests.size();
     for (const CallerRequest& request : requests)
         m_report.served += request.answer.status == 200 && request.answer.complete ? 1 : 0;
--- a/tests/fleet/KeptConnection.cpp
+++ b/tests/fleet/KeptConnection.cpp
@@ -19,16 +19,16 @@
     constexpr std::size_t usualRead = 16384;
     constexpr std::size_t slowReadsPerSecond = 50;
 
-    std::string textOf(const HttpCall& call)
-    {
-        std::string text = call.method + " " + call.target + " HTTP/1.1\r\n";
-        for (const auto& [name, value] : call.headers)
-            text += name + ": " + value + "\r\n";
-        return text + "Content-Length: " + std::to_string(call.body.size()) + "\r\n\r\n" + call.body;
-    }
-
 } // namespace
 
+std::string textOf(const HttpCall& call)
+{
+    std::string text = call.method + " " + call.target + " HTTP/1.1\r\n";
+    for (const auto& [name, value] : call.headers)
+        text += name + ": " + value + "\r\n";
+    return text + "Content-Length: " + std::to_string(call.body.size()) + "\r\n\r\n" + call.body;
+}
+
 class KeptConnection::AnswerReader final : public MessageObserver {
 public:
     // Returns false if the bytes are no answer.
@@ -63,9 +63,10 @@
     bool m_keepsAlive = false;
 };
 
-KeptConnection::KeptConnection(std::uint16_t port, std::size_t bytesPerSecond)
+KeptConnection::KeptConnection(std::uint16_t port, CloseAnnouncement announcement, std::size_t bytesPerSecond)
     : m_bytesPerSecond(bytesPerSecond)
     , m_socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    , m_announcement(announcement)
 {
     if (m_bytesPerSecond > 0) {
         // Without these, the kernel takes in a large answer at once.
@@ -145,7 +146,8 @@
     }
     AnswerReader reader;
     const ExchangeEnd end = read(reader, call.timeout);
-    if (end != ExchangeEnd::Answered || !reader.keepsAlive())
+    m_isCloseAnnounced = m_isCloseAnnounced || (end == ExchangeEnd::Answered && !reader.keepsAlive());
+    if (end != ExchangeEnd::Answered || (m_isCloseAnnounced && m_announcement == CloseAnnouncement::Followed))
         close();
     return { end, reader.takeAnswer() };
 }
--- a/tests/fleet/KeptConnection.h
+++ b/tests/fleet/KeptConnection.h
@@ -20,18 +20,30 @@
     HttpAnswer answer;
 };
 
+// Returns the bytes of the request.
+std::string textOf(const HttpCall&);
+
+enum class CloseAnnouncement {
+    Followed,
+    // The caller goes on until the peer closes the connection.
+    Ignored,
+};
+
 // A connection to 127.0.0.1 on which a caller sends one request after the other until the peer closes it or announces
 // that it will. Blocks; not thread safe.
 class KeptConnection {
 public:
     // A caller on a slow link has small buffers, the segments of Ethernet, and reads this many bytes per second; zero
     // means as many as arrive.
-    explicit KeptConnection(std::uint16_t port, std::size_t bytesPerSecond = 0);
+    explicit KeptConnection(
+        std::uint16_t port, CloseAnnouncement = CloseAnnouncement::Followed, std::size_t bytesPerSecond = 0);
     ~KeptConnection();
     KeptConnection(const KeptConnection&) = delete;
     KeptConnection& operator=(const KeptConnection&) = delete;
 
     bool isOpen() const { return m_socket >= 0; }
+    // Whether an answer has announced that the peer closes the connection.
+    bool isCloseAnnounced() const { return m_isCloseAnnounced; }
     // Precondition: isOpen(). Any end but an answer closes the connection.
     KeptExchange exchange(const HttpCall&);
 
@@ -47,6 +59,8 @@
 
     std::size_t m_bytesPerSecond;
     int m_socket = -1;
+    CloseAnnouncement m_announcement;
+    bool m_isCloseAnnounced = false;
 };
 
 } // namespace Catkinwell::Testing
