Do not wait for a body that a status does not allow

What callers saw: an answer 304 or 204 that states the length of the body which it leaves out, as HTTP allows, was waited for until the route's timeout; the caller got 504. After a 1xx that states one, the bytes of the whole answer were taken for that body.

Cause: http-parser expects a body by the headers alone. Only the answer to HEAD was known to have none.

Change: MessageReader tells the parser that no body follows a 1xx, 204 or 304.

AnswerIntegrityTest "A response without a body", two cases: on the code before, 14 of 46 assertions failed, for 304, 204 and 1xx with a length and with chunks; answers to HEAD passed. Now all pass.

--- a/src/http/MessageReader.cpp
+++ b/src/http/MessageReader.cpp
@@ -88,7 +88,8 @@
     const bool isChunked = (m_parser.flags & F_CHUNKED) != 0;
     const bool mayHaveBody = m_head.status >= 200 && m_head.status != 204 && m_head.status != 304;
     m_head.endsWithConnection = m_kind == Kind::Response && mayHaveBody && !hasLength && !isChunked;
-    return m_observer.headRead(std::move(m_head));
+    const bool mayFollow = m_kind == Kind::Request || mayHaveBody;
+    return m_observer.headRead(std::move(m_head)) && mayFollow;
 }
 
 std::size_t MessageReader::consume(std::string_view bytes)
--- a/src/http/MessageReader.h
+++ b/src/http/MessageReader.h
@@ -25,7 +25,8 @@
 class MessageObserver {
 public:
     virtual ~MessageObserver() = default;
-    // Returns whether a body may follow. A response to HEAD has no body, whatever its headers say.
+    // Returns whether a body may follow. A response to HEAD has no body, whatever its headers say; nor has one with a
+    // status that allows none, which the reader sees itself.
     virtual bool headRead(MessageHead) = 0;
     virtual void bodyRead(std::string_view) = 0;
     virtual void messageEnded() = 0;
--- a/tests/http/AnswerIntegrityTest.cpp
+++ b/tests/http/AnswerIntegrityTest.cpp
@@ -35,6 +35,7 @@
     {
         HttpExchange exchange;
         exchange.address = "127.0.0.1:" + std::to_string(server.port());
+        exchange.method = method;
         exchange.target = "/";
         exchange.headers = { { "X-Id", id } };
         exchange.echoHeader = echoHeader;
@@ -72,6 +73,7 @@
     ScriptedServer server;
     HttpClient client { loop };
     Duration totalTimeout = std::chrono::seconds(5);
+    std::string method = "GET";
     std::string echoHeader = "X-Id";
     std::optional<MonotonicTime> sendBefore;
     Duration pauseAfterStart {};
@@ -109,6 +111,62 @@
 
 namespace {
 
+struct BodylessCase {
+    const char* method;
+    const char* statusLine;
+    // What the head says about a body that is left out.
+    const char* framing;
+    // What follows the head.
+    std::string rest;
+    int expectedStatus;
+};
+
+} // namespace
+
+// Guards against waiting for a body that HTTP does not allow, which ends with the caller's request at its timeout.
+TEST_CASE("A response without a body is complete after its head, whatever that says of a body")
+{
+    const auto test = GENERATE(values<BodylessCase>({
+        { "GET", "304 Not Modified", "Content-Length: 5\r\n", "", 304 },
+        { "GET", "304 Not Modified", "Transfer-Encoding: chunked\r\n", "", 304 },
+        { "GET", "304 Not Modified", "", "", 304 },
+        { "GET", "204 No Content", "Content-Length: 5\r\n", "", 204 },
+        { "GET", "204 No Content", "Transfer-Encoding: chunked\r\n", "", 204 },
+        { "GET", "103 Early Hints", "Content-Length: 5\r\n", answerTo("a", "whole"), 200 },
+        { "GET", "100 Continue", "Transfer-Encoding: chunked\r\n", answerTo("a", "whole"), 200 },
+        { "HEAD", "200 OK", "Content-Length: 5\r\n", "", 200 },
+        { "HEAD", "200 OK", "Transfer-Encoding: chunked\r\n", "", 200 },
+        { "HEAD", "304 Not Modified", "Content-Length: 5\r\n", "", 304 },
+    }));
+    const std::string head = std::string("HTTP/1.1 ") + test.statusLine + "\r\nX-Id: a\r\n" + test.framing + "\r\n";
+    INFO(test.method << ": " << head);
+    ClientFixture fixture({ { head + test.rest }, { answerTo("b", "second") } });
+    fixture.method = test.method;
+    const Outcome first = fixture.request("a");
+    INFO(first.reason);
+    CHECK(first.isFinished);
+    CHECK(first.status == test.expectedStatus);
+    CHECK(first.body == (test.rest.empty() ? "" : "whole"));
+    fixture.method = "GET";
+    // The connection carries the next request.
+    CHECK(fixture.request("b").body == "second");
+}
+
+// Guards against a stranger's response without a body that swallows the expected one.
+TEST_CASE("A response without a body to another request is discarded")
+{
+    const auto framing
+        = GENERATE(values<std::string>({ "", "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n" }));
+    INFO(framing);
+    ClientFixture fixture(
+        { { "HTTP/1.1 304 Not Modified\r\nX-Id: x\r\n" + framing + "\r\n" + answerTo("a", "right") } });
+    const Outcome outcome = fixture.request("a");
+    CHECK(outcome.isFinished);
+    CHECK(outcome.body == "right");
+}
+
+namespace {
+
 struct FieldsCase {
     const char* name;
     const char* start;
