Keep signals that come before a host handles them

What operators saw: a SIGHUP in the first milliseconds of a process ended it (signal 1); an early SIGTERM ended it as if it had failed.

Cause: the handlers are set after the listeners have started.

What comes before main(), while the program is being loaded, ends it as before; a parent that blocks the signals over the start avoids that.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -2,11 +2,24 @@
 
 #include <CLI/CLI.hpp>
 #include <catkinwell/admin/AdminCommand.h>
+#include <catkinwell/loop/HeldSignals.h>
 #include <csignal>
 #include <string_view>
 
+namespace {
+
+// Whether the command runs a host, which handles these signals once its listeners have started.
+bool isHostCommand(std::string_view command) { return command == "serve" || command == "gateway"; }
+
+} // namespace
+
 int main(int argc, char** argv)
 {
+    // Comes first: until then a request to read the settings again ends the process.
+    if (argc > 1 && isHostCommand(argv[1])) {
+        for (const int signalNumber : { SIGHUP, SIGTERM, SIGINT })
+            Catkinwell::holdSignal(signalNumber);
+    }
     // A write to a connection that the peer has closed then fails with an error instead of ending the process.
     std::signal(SIGPIPE, SIG_IGN);
     // The administration client parses its own arguments.
--- /dev/null
+++ b/src/loop/HeldSignals.cpp
@@ -0,0 +1,23 @@
+#include <catkinwell/loop/HeldSignals.h>
+
+#include <csignal>
+
+namespace Catkinwell {
+
+namespace {
+
+    void changeMask(int how, int signalNumber)
+    {
+        sigset_t signals;
+        sigemptyset(&signals);
+        sigaddset(&signals, signalNumber);
+        pthread_sigmask(how, &signals, nullptr);
+    }
+
+} // namespace
+
+void holdSignal(int signalNumber) { changeMask(SIG_BLOCK, signalNumber); }
+
+void passHeldSignal(int signalNumber) { changeMask(SIG_UNBLOCK, signalNumber); }
+
+} // namespace Catkinwell
--- a/tests/process/ProcessHarness.cpp
+++ b/tests/process/ProcessHarness.cpp
@@ -113,6 +113,19 @@
     return 0;
 }
 
+bool ChildProcess::ignoresSignal(int signalNumber) const
+{
+    std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        std::istringstream words(line);
+        std::string name;
+        std::uint64_t signals = 0;
+        if (words >> name >> std::hex >> signals && name == "SigIgn:")
+            return (signals >> (signalNumber - 1) & 1) != 0;
+    }
+    return false;
+}
+
 std::string ChildProcess::output() const
 {
     std::ifstream stream(m_outputFile);
--- a/tests/process/ProcessHarness.h
+++ b/tests/process/ProcessHarness.h
@@ -24,6 +24,8 @@
     // Returns the exit code, or -1 if the process did not exit in time or was killed.
     int waitForExit(std::chrono::milliseconds timeout);
     bool isRunning();
+    // Whether the process ignores the signal.
+    bool ignoresSignal(int signalNumber) const;
     // Returns the most memory that the process has had resident so far, in MB; 0 if it does not run.
     std::size_t peakMemoryMb() const;
     std::string output() const;
