Bind the entry of a host to its present lease

What other hosts would see: a host that serves, but whose entry is gone, after the store's answers were lost for longer than its lease. Found by reading in the review; shown here by a test.

Cause: HostLease took a conflict of its registration for its own earlier write. It was that, but bound to the lease that the host had given up when the answers were lost, and with which the store removes the entry. It was not written again.

Change: after a conflict the host reads the version of its entry and writes it again under its present lease. That costs two calls after a lost answer.

HostLeaseTest: on the code before, the case "all answers, until the lease is given up" failed: 0.5 s after the answers were back, the entry was still bound to the first lease. Now all five cases pass.

--- a/include/catkinwell/store/HostLease.h
+++ b/include/catkinwell/store/HostLease.h
@@ -65,10 +65,12 @@
         Create,
         Renew,
         Register,
+        ReadEntry,
         Revoke,
     };
 
     void start(Call, StoreOperation, EffectList&);
+    void handleRegistration(StoreStatus, MonotonicTime now);
     void updateReachability(bool reachable, EffectList&);
     void dropLease(EffectList&);
     std::string registrationKey() const;
@@ -86,6 +88,10 @@
     MonotonicTime m_nextAt {};
     RetryBackoff m_backoff;
     bool m_registered = false;
+    // Whether the version of the host's entry has to be read before the entry is written.
+    bool m_mustReadEntry = false;
+    // The version that the next write of the entry replaces.
+    StoreVersion m_entryVersion = 0;
     bool m_leaving = false;
     bool m_revoked = false;
     bool m_storeReachable = true;
--- a/src/store/HostLease.cpp
+++ b/src/store/HostLease.cpp
@@ -1,9 +1,16 @@
 #include <catkinwell/store/HostLease.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace Catkinwell {
 
+namespace {
+
+    constexpr Duration conflictRetry = std::chrono::seconds(1);
+
+} // namespace
+
 HostLease::HostLease(HostRegistration registration, std::uint64_t seed, HostLeaseSettings settings)
     : m_settings(std::move(settings))
     , m_registration(std::move(registration))
@@ -51,8 +58,11 @@
         return;
     if (m_status.id.empty())
         start(Call::Create, LeaseCreate { m_settings.ttl }, effects);
+    else if (m_mustReadEntry)
+        start(Call::ReadEntry, StoreGet { registrationKey() }, effects);
     else if (!m_registered)
-        start(Call::Register, StoreCompareAndSwap { registrationKey(), registrationValue(), 0, m_status.id }, effects);
+        start(Call::Register,
+            StoreCompareAndSwap { registrationKey(), registrationValue(), m_entryVersion, m_status.id }, effects);
     else
         start(Call::Renew, LeaseRenew { m_status.id }, effects);
 }
@@ -82,12 +92,13 @@
     if (call != Call::Register || reply.status == StoreStatus::Ok)
         m_backoff.reset();
     if (call == Call::Register) {
-        // An existing key of this incarnation was written by an earlier call whose reply was lost.
-        m_registered = reply.status == StoreStatus::Ok
-            || (m_settings.isKeyPerIncarnation && reply.status == StoreStatus::Conflict);
-        // An entry of an earlier run of this host blocks the key until its lease expires, so the write is repeated.
-        m_nextAt
-            = m_registered ? m_status.lastRenewalSentAt + m_settings.renewalInterval : now + std::chrono::seconds(1);
+        handleRegistration(reply.status, now);
+        return;
+    }
+    if (call == Call::ReadEntry) {
+        m_mustReadEntry = false;
+        m_entryVersion = reply.status == StoreStatus::Ok ? reply.version : 0;
+        m_nextAt = now;
         return;
     }
     if (reply.status != StoreStatus::Ok) {
@@ -106,6 +117,21 @@
     m_nextAt = call == Call::Create ? now : reply.sentAt + m_settings.renewalInterval;
 }
 
+void HostLease::handleRegistration(StoreStatus status, MonotonicTime now)
+{
+    m_registered = status == StoreStatus::Ok;
+    if (m_registered) {
+        m_nextAt = m_status.lastRenewalSentAt + m_settings.renewalInterval;
+        return;
+    }
+    // An existing key of this incarnation was written by an earlier call whose reply was lost. Its lease may be one
+    // that was given up since, with which the entry would end, so it is written again under the present one. An entry
+    // of an earlier run of this host blocks the key until its lease expires.
+    m_mustReadEntry = m_settings.isKeyPerIncarnation && status == StoreStatus::Conflict;
+    const bool isUnread = m_mustReadEntry && m_entryVersion == 0;
+    m_nextAt = isUnread ? now : now + std::min<Duration>(conflictRetry, m_settings.renewalInterval);
+}
+
 void HostLease::updateReachability(bool reachable, EffectList& effects)
 {
     if (reachable != m_storeReachable)
@@ -120,6 +146,8 @@
     effects.push_back(LogEntry { LogEvent::HostLeaseLost, { { "lease", m_status.id } } });
     m_status = LeaseStatus {};
     m_registered = false;
+    m_mustReadEntry = false;
+    m_entryVersion = 0;
     m_changed = true;
 }
 
