Tell hosts that start during a cut which hosts are behind it

What the operator could see: an account that exceeds its rate over all hosts because a host that starts while another one serves on behind a cut does not know of it, and spends its part.

Cause: FleetQuota keeps the part of a host that it saw go; a host that starts anew has seen none.

Change: a digest lists, in a trailing field that earlier releases ignore and do not send, up to 512 hosts that are missing, and for how long. FleetQuota takes over those that it does not know: neither as live or missing itself, nor as one that said that it leaves or whose 90 minutes are over here, which is remembered for 90 minutes. The same for the limits that endpoints state. /status gives the number as missing_hosts.

--- a/include/catkinwell/gateway/EndpointLimits.h
+++ b/include/catkinwell/gateway/EndpointLimits.h
@@ -50,7 +50,8 @@
 
     void setPeers(const std::set<HostId>&, MonotonicTime now);
     // The host has ended; it sends nothing any more.
-    void removePeer(const HostId& host) { m_quota.removePeer(host); }
+    void removePeer(const HostId& host, MonotonicTime now) { m_quota.removePeer(host, now); }
+    void noteMissing(const std::vector<MissingHost>& missing, MonotonicTime now) { m_quota.noteMissing(missing, now); }
     void setReportInterval(Duration);
     EndpointLimitDigest digest(MonotonicTime now) const;
     // Whether a statement should be reported without delay. Resets the flag.
--- a/include/catkinwell/gateway/FleetQuota.h
+++ b/include/catkinwell/gateway/FleetQuota.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace Catkinwell {
 
@@ -17,6 +18,15 @@
 
 using AccountUsage = std::map<AccountId, UsageCount>;
 
+// A host that is not live but may serve behind a cut.
+struct MissingHost {
+    HostId host;
+    Duration missingFor {};
+};
+
+// Bounds a list of missing hosts. A fleet has some hundred hosts.
+inline constexpr std::size_t maximumMissingHosts = 512;
+
 // The quota's decision on one request.
 struct QuotaDecision {
     bool isAdmitted = true;
@@ -46,7 +56,11 @@
     // removed.
     void setPeers(const std::set<HostId>&, MonotonicTime now);
     // The host has ended; it admits nothing any more.
-    void removePeer(const HostId& host) { m_peers.erase(host); }
+    void removePeer(const HostId&, MonotonicTime now);
+    // Takes over the hosts that a peer misses, unless this host knows better from what it heard of them.
+    void noteMissing(const std::vector<MissingHost>&, MonotonicTime now);
+    // The hosts whose part of each rate is kept, for the peers.
+    std::vector<MissingHost> missingHosts(MonotonicTime now) const;
     // Number of hosts that are not live but may serve behind a cut.
     std::size_t missingPeers() const;
     // How often the hosts report to each other.
@@ -91,6 +105,7 @@
         std::map<AccountId, double> demand;
     };
 
+    void dropOutdated(MonotonicTime now);
     void refill(Bucket&, MonotonicTime now) const;
     // Returns the bucket's maximum level. It may exceed the burst by what accrues in one report interval, since the
     // other hosts' usage of that time is not known yet.
@@ -104,6 +119,8 @@
     QuotaSharing m_sharing;
     std::map<AccountId, Bucket> m_buckets;
     std::map<HostId, Peer> m_peers;
+    // Hosts that have ended or were missing for too long, and when that was noticed.
+    std::map<HostId, MonotonicTime> m_ended;
     AccountUsage m_ownUsage;
     // Units offered at this host up to the last update of the shares, and the moving average of its demand.
     AccountUsage m_usageAtUpdate;
--- a/include/catkinwell/gateway/GatewayMessage.h
+++ b/include/catkinwell/gateway/GatewayMessage.h
@@ -38,6 +38,8 @@
     std::set<std::string> unreachableServices;
     // Services whose endpoints fall over if they reject more requests in a second than given.
     std::map<std::string, double> brittleServices;
+    // Hosts that are not live but may serve behind a cut.
+    std::vector<MissingHost> missingHosts;
 };
 
 // A replica that is being loaded.
--- a/src/gateway/FleetQuota.cpp
+++ b/src/gateway/FleetQuota.cpp
@@ -68,6 +68,7 @@
     for (const HostId& host : peers) {
         auto [entry, isNew] = m_peers.try_emplace(host);
         entry->second.missingSince.reset();
+        m_ended.erase(host);
         if (!isNew || host == m_self)
             continue;
         entry->second.heardAt = now;
@@ -75,11 +76,53 @@
     }
 }
 
+void FleetQuota::removePeer(const HostId& host, MonotonicTime now)
+{
+    m_peers.erase(host);
+    m_ended[host] = now;
+}
+
+void FleetQuota::noteMissing(const std::vector<MissingHost>& missing, MonotonicTime now)
+{
+    for (const MissingHost& entry : missing) {
+        const bool isKnown = entry.host == m_self || m_peers.contains(entry.host) || m_ended.contains(entry.host);
+        if (isKnown || entry.missingFor >= longestCut || m_peers.size() >= maximumMissingHosts)
+            continue;
+        Peer& peer = m_peers[entry.host];
+        peer.missingSince = now - entry.missingFor;
+        peer.assumedUntil = now;
+    }
+}
+
+std::vector<MissingHost> FleetQuota::missingHosts(MonotonicTime now) const
+{
+    std::vector<MissingHost> missing;
+    for (const auto& [host, peer] : m_peers) {
+        if (peer.missingSince && missing.size() < maximumMissingHosts)
+            missing.push_back({ host, now - *peer.missingSince });
+    }
+    return missing;
+}
+
+// A peer may still list a host whose time is over here, so that is remembered for as long again.
+void FleetQuota::dropOutdated(MonotonicTime now)
+{
+    std::erase_if(m_ended, [now](const auto& entry) { return now - entry.second >= longestCut; });
+    std::erase_if(m_peers, [this, now](const auto& entry) {
+        const std::optional<MonotonicTime>& since = entry.second.missingSince;
+        const bool isOver = since && now - *since >= longestCut;
+        if (isOver)
+            m_ended[entry.first] = now;
+        return isOver;
+    });
+}
+
 void FleetQuota::merge(const HostId& host, Incarnation incarnation, const AccountUsage& usage, MonotonicTime now)
 {
     auto [entry, isNew] = m_peers.try_emplace(host);
     Peer& peer = entry->second;
     peer.missingSince.reset();
+    m_ended.erase(host);
     const MonotonicTime heardBefore = std::exchange(peer.heardAt, now);
     peer.assumedUntil = now;
     if (peer.incarnation != incarnation) {
@@ -112,10 +155,7 @@
 void FleetQuota::tick(MonotonicTime now)
 {
     updateShares(now);
-    std::erase_if(m_peers, [now](const auto& entry) {
-        const std::optional<MonotonicTime>& since = entry.second.missingSince;
-        return since && now - *since >= longestCut;
-    });
+    dropOutdated(now);
     const double hosts = static_cast<double>(m_peers.size()) + 1;
     for (auto& [host, peer] : m_peers) {
         if (now - peer.heardAt < silenceTimeout() || peer.assumedUntil >= now)
--- a/src/gateway/GatewayMessage.cpp
+++ b/src/gateway/GatewayMessage.cpp
@@ -1,6 +1,7 @@
 #include <catkinwell/gateway/GatewayMessage.h>
 
 #include "routing/PromptQuarantineCodec.h"
+#include <algorithm>
 #include <catkinwell/core/BoundedJson.h>
 #include <nlohmann/json.hpp>
 
@@ -86,6 +87,22 @@
         return digest;
     }
 
+    Json listOfMissingHosts(const std::vector<MissingHost>& missing)
+    {
+        Json list = Json::array();
+        for (const MissingHost& entry : missing)
+            list.push_back(Json::array({ entry.host.value, millisecondsOf(entry.missingFor) }));
+        return list;
+    }
+
+    std::vector<MissingHost> missingHostsOf(const Json& list)
+    {
+        std::vector<MissingHost> missing;
+        for (std::size_t i = 0; i < std::min(list.size(), maximumMissingHosts); ++i)
+            missing.push_back({ HostId(list[i].at(0).get<std::string>()), ageOf(list[i].at(1)) });
+        return missing;
+    }
+
     Json listOfVersionWaits(const std::set<VersionWait>& waits)
     {
         Json list = Json::array();
@@ -139,7 +156,7 @@
                     std::move(usage), digest.demand.isWhole, std::move(demand), std::move(running), unusedList });
             const bool hasRareNews = !digest.prompts.isEmpty() || !digest.limits.isEmpty()
                 || !digest.unreachableServices.empty() || !digest.demand.versionWaits.empty()
-                || !digest.brittleServices.empty();
+                || !digest.brittleServices.empty() || !digest.missingHosts.empty();
             if (hasRareNews) {
                 message.push_back(jsonOf(digest.prompts));
                 message.push_back(listOfLimits(digest.limits));
@@ -147,6 +164,8 @@
                 message.push_back(listOfVersionWaits(digest.demand.versionWaits));
                 message.push_back(digest.brittleServices);
             }
+            if (!digest.missingHosts.empty())
+                message.push_back(listOfMissingHosts(digest.missingHosts));
             return message;
         }
         Json operator()(const PlacementUpdate& update) const
@@ -211,6 +230,8 @@
             digest.unreachableServices = list.at(11).get<std::set<std::string>>();
         if (list.size() > 13)
             digest.brittleServices = list.at(13).get<std::map<std::string, double>>();
+        if (list.size() > 14)
+            digest.missingHosts = missingHostsOf(list.at(14));
         for (const Json& wait : list.size() > 12 ? list.at(12) : Json::array())
             digest.demand.versionWaits.insert(
                 { wait.at(0).get<std::string>(), variantOf(wait.at(1), wait.at(2)), wait.at(3).get<std::string>() });
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -351,8 +351,8 @@
     for (const HostId& host : before) {
         if (m_livePeers.contains(host) || !m_peers[host].isLeaving)
             continue;
-        m_quota.removePeer(host);
-        m_directory.limits().removePeer(host);
+        m_quota.removePeer(host, now);
+        m_directory.limits().removePeer(host, now);
     }
 }
 
@@ -375,6 +375,7 @@
     digest.prompts = m_requests.promptQuarantine().nextDigest(now);
     digest.prompts.trials = m_requests.trials().report(now);
     digest.unreachableServices = m_requests.reach().lostServices();
+    digest.missingHosts = m_quota.missingHosts(now);
     return digest;
 }
 
@@ -532,6 +533,8 @@
     peer.isLeaving = digest.isLeaving;
     peer.configurationVersion = digest.configurationVersion;
     m_quota.merge(received.from, received.incarnation, digest.usage, now);
+    m_quota.noteMissing(digest.missingHosts, now);
+    m_directory.limits().noteMissing(digest.missingHosts, now);
     m_directory.handle(received.from, digest);
     m_directory.room().merge(digest.brittleServices, now, effects);
     m_directory.limits().merge(received.from, received.incarnation, digest.limits, now, effects);
--- a/src/gateway/GatewayStatus.cpp
+++ b/src/gateway/GatewayStatus.cpp
@@ -61,7 +61,8 @@
         { "kept_bytes", m_requests.keptBytes() }, { "host", m_settings.host.value }, { "ready", isReady() },
         { "configuration", m_configuration.version }, { "endpoints", m_directory.size() },
         { "requests", m_requests.activeRequests() }, { "owner", m_ownership.owner().value }, { "peers", peers },
-        { "callers", callers }, { "accepted", ends.accepted }, { "open", ends.open() }
+        { "missing_hosts", m_quota.missingPeers() }, { "callers", callers }, { "accepted", ends.accepted },
+        { "open", ends.open() }
     }.dump();
 }
 
--- a/tests/gateway/FleetQuotaTest.cpp
+++ b/tests/gateway/FleetQuotaTest.cpp
@@ -172,7 +172,7 @@
     for (const HostId& name : names) {
         quotas.emplace_back(name).configure(accounts(), now);
         quotas.back().setPeers({ names.begin(), names.end() }, now);
-        quotas.back().removePeer(name);
+        quotas.back().removePeer(name, now);
     }
     RandomGenerator random(7);
     double byOthers = 0;
@@ -191,7 +191,7 @@
                 live.erase(names[i]);
                 quotas[i].setPeers(live, now);
                 if (test.saidSo)
-                    quotas[i].removePeer(cut);
+                    quotas[i].removePeer(cut, now);
             }
         }
         for (std::size_t from = 0; step % 20 == 0 && from < quotas.size(); ++from) {
@@ -214,6 +214,147 @@
     CHECK(byOthers + byCut <= allowed * 1.05);
 }
 
+namespace {
+
+struct NewcomerCase {
+    const char* name;
+    // Number of hosts that start while one is behind a cut, and of those that have seen it before.
+    std::size_t newcomers;
+    std::size_t witnesses;
+};
+
+} // namespace
+
+// Guards against an account that exceeds its rate because hosts that started during a cut do not know whom it cut off.
+TEST_CASE("Hosts that start during a cut keep the part of the host behind it")
+{
+    const auto test = GENERATE(values<NewcomerCase>({
+        { "one witness, one newcomer", 1, 1 },
+        { "one witness, three newcomers", 3, 1 },
+        { "three witnesses, one newcomer", 1, 3 },
+    }));
+    INFO(test.name);
+    MonotonicTime now { std::chrono::hours(1) };
+    const HostId cut("cut");
+    std::set<HostId> serving;
+    for (std::size_t i = 0; i < test.witnesses + test.newcomers; ++i)
+        serving.insert(HostId("h" + std::to_string(i)));
+    std::map<HostId, FleetQuota> quotas;
+    for (const HostId& host : serving) {
+        FleetQuota& quota = quotas.emplace(host, host).first->second;
+        quota.configure(accounts(), now);
+        std::set<HostId> others = serving;
+        others.erase(host);
+        const bool isWitness = quotas.size() <= test.witnesses;
+        if (isWitness)
+            quota.setPeers({ cut }, now);
+        quota.setPeers(others, now);
+    }
+    RandomGenerator random(7);
+    double admitted = 0;
+    constexpr int seconds = 40;
+    constexpr int settled = 10;
+    for (int step = 0; step < seconds * 100; ++step) {
+        now += std::chrono::milliseconds(10);
+        for (auto& [host, quota] : quotas)
+            quota.tick(now);
+        for (auto& [from, sender] : quotas) {
+            for (auto& [to, receiver] : quotas) {
+                if (step % 20 != 0 || from == to)
+                    continue;
+                receiver.merge(from, 1, sender.ownUsage(), now);
+                receiver.noteMissing(sender.missingHosts(now), now);
+            }
+        }
+        // All requests reach the newcomers.
+        for (int i = 0; i < 4; ++i) {
+            const std::size_t at = test.witnesses + random.below(test.newcomers);
+            FleetQuota& quota = std::next(quotas.begin(), static_cast<std::ptrdiff_t>(at))->second;
+            if (quota.admit(account, 50, now).isAdmitted && step >= settled * 100)
+                admitted += 50;
+        }
+    }
+    const double kept = rate / static_cast<double>(serving.size() + 1);
+    const double allowed = (rate - kept) * (seconds - settled);
+    CHECK(admitted <= allowed * 1.05);
+    CHECK(admitted >= allowed * 0.9);
+}
+
+namespace {
+
+constexpr Duration longestKept = std::chrono::minutes(90);
+
+struct ReportCase {
+    const char* name;
+    // What the host knows itself of the one that its peer misses.
+    enum class Own { Nothing, Live, Heard, Missing, Left, Returned, Itself } own;
+    Duration missingFor;
+    // For how long the host keeps the part; zero if it does not.
+    Duration kept;
+};
+
+} // namespace
+
+// Guards against a part of the rate that is kept for a host that serves or has ended, or for longer than a cut lasts.
+TEST_CASE("What a host has heard itself comes before what its peers miss")
+{
+    using Own = ReportCase::Own;
+    const auto test = GENERATE(values<ReportCase>({
+        { "an unknown host", Own::Nothing, std::chrono::minutes(10), std::chrono::minutes(80) },
+        { "an unknown host that is missing for very long", Own::Nothing, longestKept, Duration::zero() },
+        { "a live host", Own::Live, std::chrono::minutes(10), Duration::zero() },
+        { "a host that was heard", Own::Heard, std::chrono::minutes(10), Duration::zero() },
+        { "a host that is missing here as well", Own::Missing, std::chrono::minutes(10), longestKept },
+        { "a host that said that it leaves", Own::Left, std::chrono::minutes(10), Duration::zero() },
+        { "a host that left and came back", Own::Returned, std::chrono::minutes(10), Duration::zero() },
+        { "the host itself", Own::Itself, std::chrono::minutes(10), Duration::zero() },
+    }));
+    INFO(test.name);
+    const MonotonicTime now { std::chrono::hours(10) };
+    const HostId other("other");
+    FleetQuota quota(test.own == Own::Itself ? other : HostId("self"));
+    quota.configure(accounts(), now);
+    if (test.own != Own::Nothing && test.own != Own::Itself)
+        quota.setPeers({ other }, now);
+    if (test.own == Own::Missing)
+        quota.setPeers({}, now);
+    if (test.own == Own::Left || test.own == Own::Returned)
+        quota.removePeer(other, now);
+    if (test.own == Own::Heard || test.own == Own::Returned)
+        quota.merge(other, 1, {}, now);
+    const std::vector<MissingHost> report { { other, test.missingFor } };
+    quota.noteMissing(report, now);
+    // A peer whose clock started later may still list the host when its time is over here.
+    const Duration step = std::chrono::minutes(1);
+    Duration kept {};
+    for (MonotonicTime at = now; at < now + 2 * longestKept; at += step) {
+        quota.tick(at);
+        const std::vector<MissingHost> missing = quota.missingHosts(at);
+        CHECK(missing.size() == quota.missingPeers());
+        kept += missing.empty() ? Duration::zero() : step;
+        if (!missing.empty()) {
+            CHECK(missing[0].host == other);
+            CHECK(missing[0].missingFor < longestKept);
+        }
+        if (at == now + test.kept && test.kept > Duration::zero())
+            quota.noteMissing({ { other, longestKept - step } }, at);
+    }
+    CHECK(kept == test.kept);
+}
+
+// Guards against lists that grow with the number of names that were ever used.
+TEST_CASE("The list of missing hosts is bounded")
+{
+    const MonotonicTime now { std::chrono::hours(10) };
+    std::vector<MissingHost> report;
+    for (std::size_t i = 0; i < 3 * maximumMissingHosts; ++i)
+        report.push_back({ HostId(std::to_string(i)), std::chrono::minutes(1) });
+    FleetQuota quota(HostId("self"));
+    quota.noteMissing(report, now);
+    CHECK(quota.missingHosts(now).size() == maximumMissingHosts);
+    CHECK(quota.missingPeers() == maximumMissingHosts);
+}
+
 // Guards against losing the units of each request that did not run.
 TEST_CASE("Refunded units can be used again")
 {
--- a/tests/gateway/GatewayMessageTest.cpp
+++ b/tests/gateway/GatewayMessageTest.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <catkinwell/core/RandomGenerator.h>
 #include <catkinwell/gateway/GatewayMessage.h>
@@ -42,6 +43,23 @@
     CHECK(encodeGatewayMessage(valueOf(decoded)) == bytes);
 }
 
+// Guards against hosts that do not learn which hosts serve behind a cut, and against a list of them without a bound.
+TEST_CASE("Missing hosts are unchanged after encoding and decoding")
+{
+    const std::size_t sent = GENERATE(0U, 1U, 2U, 2 * maximumMissingHosts);
+    HostDigest digest;
+    for (std::size_t i = 0; i < sent; ++i)
+        digest.missingHosts.push_back({ HostId(std::to_string(i)), std::chrono::milliseconds(5'399'000 + i) });
+    const auto decoded = decodeGatewayMessage(encodeGatewayMessage(digest));
+    REQUIRE_FALSE(isError(decoded));
+    const auto& missing = std::get<HostDigest>(valueOf(decoded)).missingHosts;
+    REQUIRE(missing.size() == std::min(sent, maximumMissingHosts));
+    for (std::size_t i = 0; i < missing.size(); ++i) {
+        CHECK(missing[i].host == digest.missingHosts[i].host);
+        CHECK(missing[i].missingFor == digest.missingHosts[i].missingFor);
+    }
+}
+
 // Guards against hosts that refuse requests by another forecast than the owner's.
 TEST_CASE("Forecasts of loads are unchanged after encoding and decoding")
 {
