Count answers as read once their callers have read them

What operators and callers would see: kept_bytes in /status stays above zero after all answers were written, and such bytes count towards the bounds above which new requests are refused and large answers are passed on.

Cause: the reducer adds the bytes of an answer when it sends it and relies on the next report to correct that, but the runtime sent no report if nothing was unread now and nothing had been at the last report. Answers that were written out between two reports were never taken off.

Change: the runtime reports whenever what is unread differs from what the reducer counts.

--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -44,6 +44,8 @@
     EffectList apply(const GatewayEvent&, MonotonicTime now);
 
     bool isReady() const;
+    // Bytes of answers that callers have not read, as far as the reducer knows.
+    std::size_t unreadBytes() const { return m_requests.unreadBytes(); }
 
 private:
     enum class Phase {
--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -128,6 +128,8 @@
     std::size_t bufferedBytes() const { return m_buffers.bytes(); }
     // Bytes of the bodies of requests, of answers that are not forwarded yet and of those that callers have not read.
     std::size_t keptBytes() const { return m_bodyBytes + m_buffers.bytes() + m_outputBytes; }
+    // Of these, what callers have not read, as far as it is known.
+    std::size_t unreadBytes() const { return m_outputBytes; }
     // Each accepted request is counted with one end at most, and logged when it is.
     const RequestEnds& ends() const { return m_ends; }
 
--- a/src/runtime/GatewayRuntime.cpp
+++ b/src/runtime/GatewayRuntime.cpp
@@ -80,7 +80,6 @@
     std::map<HostId, std::string> m_peerAddresses;
     GatewayReducer m_reducer;
     ReducerLoop<GatewayEvent> m_events;
-    std::size_t m_reportedOutput = 0;
     int m_exitCode = 0;
 };
 
@@ -234,10 +233,9 @@
 void GatewayRuntime::Implementation::reportOutput()
 {
     const std::size_t bytes = m_callers.unsentBytes() + m_relays.unsentBytes();
-    if (bytes == 0 && m_reportedOutput == 0)
-        return;
-    m_reportedOutput = bytes;
-    m_events.post(OutputBuffered { bytes });
+    // The reducer adds what it sends at once.
+    if (bytes != m_reducer.unreadBytes())
+        m_events.post(OutputBuffered { bytes });
 }
 
 void GatewayRuntime::Implementation::startPeers(const std::string& secret)
--- a/tests/fleet/EndlessAnswersTest.cpp
+++ b/tests/fleet/EndlessAnswersTest.cpp
@@ -186,3 +186,23 @@
     CHECK(plain.sent() > 0);
     CHECK(plain.served() == plain.sent());
 }
+
+// Guards against a host that refuses every request for want of memory because it counts answers as unread after their
+// callers have read them.
+TEST_CASE("A host that has sent all its answers keeps no bytes")
+{
+    GatewayFleetOptions options;
+    options.hosts = 1;
+    options.plainEndpoints = 2;
+    options.engines = 1;
+    GatewayFleet fleet(options);
+    fleet.waitUntilReady();
+    std::size_t served = 0;
+    const auto keepsNothing = [&fleet] { return fleet.status(0).value("kept_bytes", std::size_t { 1 }) == 0; };
+    for (int i = 0; i < 20; ++i) {
+        INFO(i << " requests before this one");
+        served += isWhole(Testing::send(callOf(fleet, "/read/plain", "r" + std::to_string(i)))) ? 1 : 0;
+        REQUIRE(eventually(keepsNothing, 1s));
+    }
+    CHECK(served == 20);
+}
