Try endpoints again that a begun request could not connect to

What callers saw: a stream whose endpoint broke off and whose next endpoint could not be connected to once, for example because it had all the connections that it accepts, waited until its deadline and was broken off, although that endpoint accepted connections again soon.

Cause: an endpoint that a request was not sent to stayed excluded from it for good. A request of which nothing has run may go back to excluded endpoints, one of which a part has run may not, and only those that rejected it were tried again.

Change: an endpoint that got nothing of the request counts as one that did not run it, and is tried again after a pause.

SilentEndpointTest: 2 of 2 cases of "A begun stream goes on at an endpoint that could not be connected to before" failed before.

--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -215,7 +215,7 @@
         // The caller abandons a stream that has not started by this time.
         MonotonicTime firstByteDeadline {};
         std::optional<Attempt> attempt;
-        // Endpoints that failed or rejected this request, and those that only rejected it.
+        // Endpoints that failed or rejected this request, and those of them that did not run it.
         std::set<EndpointId> excluded;
         std::set<EndpointId> rejecting;
         // Attempts that may have run.
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -424,6 +424,7 @@
     } else {
         m_directory.limits().attemptNotSent(attempt.endpoint, now);
         request.excluded.insert(attempt.endpoint);
+        request.rejecting.insert(attempt.endpoint);
     }
     endAttempt(request, AttemptVerdict::Unreachable, now, effects);
     dispatch(request, now, effects);
--- a/tests/gateway/SilentEndpointTest.cpp
+++ b/tests/gateway/SilentEndpointTest.cpp
@@ -323,3 +323,40 @@
     CHECK(fixture.isAnswered());
     CHECK(effectsOf<AbortResponse>(fixture.effects).empty());
 }
+
+namespace {
+
+struct UnsentCase {
+    const char* name;
+    AttemptFailure failure;
+};
+
+} // namespace
+
+// Guards against a begun stream that waits until its deadline although the endpoint that could not be connected to once
+// accepts connections again.
+TEST_CASE("A begun stream goes on at an endpoint that could not be connected to before")
+{
+    const auto test = GENERATE(values<UnsentCase>({
+        { "no connection in time", AttemptFailure::Connect },
+        { "a connection that was reset at once", AttemptFailure::Broken },
+    }));
+    INFO(test.name);
+    SilenceFixture fixture(openStream);
+    fixture.requests.handle(AttemptFailed { fixture.first, AttemptOutcome::Unknown, "reset", AttemptFailure::Broken },
+        fixture.now, fixture.effects);
+    const auto second = fixture.takeAttempts();
+    REQUIRE(second.size() == 1);
+    REQUIRE(second[0].endpoint == fixture.other);
+    fixture.requests.handle(
+        AttemptFailed { second[0].id, AttemptOutcome::NotSent, "refused", test.failure }, fixture.now, fixture.effects);
+    CHECK(fixture.takeAttempts().empty());
+    fixture.advance(4s);
+    const auto third = fixture.takeAttempts();
+    REQUIRE(third.size() == 1);
+    CHECK(third[0].endpoint == fixture.other);
+    fixture.requests.handle(AttemptHead { third[0].id, 200, eventHeaders }, fixture.now, fixture.effects);
+    fixture.requests.handle(AttemptData { third[0].id, lastEvent }, fixture.now, fixture.effects);
+    fixture.requests.handle(AttemptFinished { third[0].id }, fixture.now, fixture.effects);
+    CHECK(fixture.isAnswered());
+}
