Ask hosts again that had no room for a begun stream

What callers saw: a stream of a host without a path to its endpoints, which the other hosts refused to go on with once (full, short of memory, stopping), waited until its deadline and was broken off, unless four hosts or more refused it.

Cause: hosts that refused a request stayed excluded from it. They were asked again only after the largest number of refusals in a row, which fewer hosts than that cannot give.

Change: a request that may be repeated and has run in part asks all hosts again, after a pause and within the retry budget, once it waits for a path.

--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -184,6 +184,13 @@
         stopWaiting(request, now);
     if (!request.isWaiting)
         beginWaiting(request, WaitReason::Path, now, effects);
+    if (!mayWaitForRoom(request) || request.excludedHosts.empty())
+        return;
+    // Hosts that had no room for the request may have some later.
+    request.excludedHosts.clear();
+    request.rejections = 0;
+    request.needsRetry = true;
+    request.nextTryAt = now + rejectionPause;
 }
 
 void GatewayRequests::beginWaiting(Request& request, WaitReason reason, MonotonicTime now, EffectList& effects)
--- a/tests/gateway/RelayTest.cpp
+++ b/tests/gateway/RelayTest.cpp
@@ -442,3 +442,53 @@
     fixture.refuseRelay(relays[0].id, 503, RelayOutcome::Refused, reason);
     CHECK(effectsOf<AbortResponse>(fixture.effects).empty());
 }
+
+namespace {
+
+struct RoomCase {
+    const char* name;
+    std::vector<std::string> hosts;
+    RelayOutcome outcome;
+};
+
+} // namespace
+
+// Guards against a begun stream that waits until its deadline for hosts that had no room for it once.
+TEST_CASE("A begun stream goes on at a host that has room again after it refused the stream")
+{
+    const auto test = GENERATE(values<RoomCase>({
+        { "one host, full", { "b" }, RelayOutcome::Refused },
+        { "one host, without memory", { "b" }, RelayOutcome::NotServed },
+        { "two hosts", { "b", "c" }, RelayOutcome::Refused },
+        { "more hosts than are tried in a row", { "b", "c", "d", "e", "f" }, RelayOutcome::Refused },
+    }));
+    INFO(test.name);
+    RelayFixture fixture(test.hosts);
+    const auto hearAll = [&] {
+        for (const std::string& host : test.hosts)
+            fixture.relayPeers.noteHeard(HostId(host), {}, fixture.now);
+    };
+    fixture.arrive("/dossier/900");
+    const AttemptId open = fixture.takeAttempts().at(0).id;
+    fixture.requests.handle(AttemptHead { open, 200, { { "sealed", "1" }, { "Content-Type", "text/event-stream" } } },
+        fixture.now, fixture.effects);
+    fixture.requests.handle(AttemptData { open, "id: 1\ndata: a\n\n" }, fixture.now, fixture.effects);
+    fixture.losePath("/note/1");
+    std::vector<StartRelay> relays;
+    std::size_t refusals = 0;
+    for (int i = 0; i < 150; ++i) {
+        fixture.advance(20ms);
+        hearAll();
+        relays = fixture.takeRelays();
+        if (!relays.empty() && ++refusals > test.hosts.size())
+            break;
+        for (const StartRelay& relay : relays)
+            fixture.refuseRelay(relay.id, 503, test.outcome, "a reason");
+    }
+    REQUIRE(relays.size() == 1);
+    CHECK(relays[0].request.terms.lastEventId == "1");
+    fixture.answer(
+        relays[0].id, 200, { { "sealed", "1" }, { "Content-Type", "text/event-stream" } }, "id: 2\ndata: b\n\n");
+    CHECK(effectsOf<FinishResponse>(fixture.effects).size() == 1);
+    CHECK(effectsOf<AbortResponse>(fixture.effects).empty());
+}
