Do not count a serving host's own pause as the silence of others

What callers saw (`serve`): after a host had stood still for 2.5 s or longer, all requests that other hosts served for it were given up at once: orders with an unknown outcome, idempotent requests for a second run.

Cause: the first tick after the pause found that nothing had been heard from any host for that time; what they had sent meanwhile was not read yet. Gateways exclude their own pauses there, serving hosts did not.

--- a/include/catkinwell/requests/RequestFlow.h
+++ b/include/catkinwell/requests/RequestFlow.h
@@ -153,6 +153,8 @@
     void handleBrokenRelay(ActiveRequest&, const AttemptFailed&, MonotonicTime now, EffectList&);
     void handleRelayRefusal(ActiveRequest&, MonotonicTime now, EffectList&);
     void passOnError(ActiveRequest&, MonotonicTime now, EffectList&);
+    // Does not count time in which this host did not read as silence of the other hosts.
+    void excludeOwnPause(MonotonicTime now);
     void failSilentRelays(MonotonicTime now, EffectList&);
     // How a relayed request ended that this host refused or failed with the error.
     static RelayOutcome relayOutcomeOf(const ApiError&);
@@ -226,6 +228,7 @@
     // The requests that other hosts have this one serve.
     std::unordered_map<RequestId, HostId> m_relayedFrom;
     std::size_t m_relaysUnderWay = 0;
+    MonotonicTime m_lastTickAt {};
     std::map<ModelId, std::uint32_t> m_arrivals;
     // Requests that were refused because their model would be loaded too late. They count as demand for the model.
     std::map<ModelId, std::uint32_t> m_refusedColdStarts;
--- a/src/requests/RequestFlow.cpp
+++ b/src/requests/RequestFlow.cpp
@@ -363,6 +363,7 @@
 {
     capacityChanged();
     updatePaths(now, effects);
+    excludeOwnPause(now);
     failSilentRelays(now, effects);
     m_queue.takeExpired(now);
     std::erase_if(m_heldUntil, [now](const auto& entry) { return entry.second <= now; });
