Wait only a moment for the place of an adapter that is still used

What callers would see: requests for an adapter wait as long as a stream goes on that uses another one, which was ordered to leave, although a third one on the same engine is idle.

Cause: since adapters in use keep their places, no second one was sent away until the first had gone, and that takes as long as the requests that use it.

Change: another one is sent away after 1 s, if no more than half of the places (and at least two) belong to adapters that leave.

EnginePlacementTest: "An adapter that stays in use does not keep the place of an unused one" failed before.

--- a/src/gateway/EnginePlacement.cpp
+++ b/src/gateway/EnginePlacement.cpp
@@ -395,6 +395,7 @@
             // One that no request uses is gone at once.
             if (finished.outcome == EngineOrderOutcome::Accepted) {
                 engine.leavingAdapters.insert({ order.model, order.adapter });
+                engine.adapterUse[{ order.model, order.adapter }] = now;
                 engine.nextStatusAt = now + pendingStatusInterval;
             }
         } else if (finished.outcome == EngineOrderOutcome::AlreadyDone) {
--- a/src/gateway/EnginePlacementPlan.cpp
+++ b/src/gateway/EnginePlacementPlan.cpp
@@ -9,6 +9,8 @@
 namespace {
 
     constexpr Duration adapterIdleTime = std::chrono::milliseconds(700);
+    // How long the place of an adapter that was ordered to leave is waited for. A stream may use it for much longer.
+    constexpr Duration longestLeaving = std::chrono::seconds(1);
     constexpr Duration busyPlanInterval = std::chrono::milliseconds(100);
     // A model is overloaded if its load needs at least this many times its usable replicas.
     constexpr unsigned overloadFactor = 2;
@@ -162,10 +164,18 @@
         demand == m_demand.entries().end() ? MonotonicTime() : demand->second.lastArrivalAt);
 }
 
-// Unloads the least recently used adapter, unless all were used recently or a place becomes free anyway.
+// Unloads the least recently used adapter, unless all were used recently or a place may become free anyway.
 void EnginePlacement::makeRoomForAdapter(Engine& engine, MonotonicTime now, EffectList& effects)
 {
-    if (!engine.leavingAdapters.empty())
+    const auto leavesSoon = [&](const ModelVariant& leaving) {
+        const auto ordered = engine.adapterUse.find(leaving);
+        return ordered != engine.adapterUse.end() && now - ordered->second < longestLeaving;
+    };
+    // Adapters that leave get no new requests, so only some of them may do so at a time.
+    const GatewayEngine* settings = m_configuration.engineOf(engine.record.service);
+    const std::size_t maximumLeaving = std::max<std::size_t>(2, settings ? settings->adapterSlots / 2 : 0);
+    if (engine.leavingAdapters.size() >= maximumLeaving
+        || std::any_of(engine.leavingAdapters.begin(), engine.leavingAdapters.end(), leavesSoon))
         return;
     std::optional<ModelVariant> oldest;
     MonotonicTime oldestAt = now - adapterIdleTime;
--- a/tests/gateway/EnginePlacementTest.cpp
+++ b/tests/gateway/EnginePlacementTest.cpp
@@ -338,6 +338,28 @@
     CHECK(engine.models().at(ModelId("m1")).contains("a3"));
 }
 
+// Guards against requests that wait for an adapter as long as a stream uses another one that was ordered to leave.
+TEST_CASE("An adapter that stays in use does not keep the place of an unused one")
+{
+    PlacementFixture fixture;
+    FakeEngine& engine = fixture.add("e", holding({ "m1", "m2" }));
+    for (const char* model : { "m3", "m4" })
+        engine.putOnDisk(ModelId(model));
+    fixture.publish(engine);
+    fixture.grantPermission();
+    fixture.run(std::chrono::seconds(1));
+    for (const char* adapter : { "a1", "a2" }) {
+        fixture.demand("m1/" + std::string(adapter), 1, 1);
+        fixture.run(std::chrono::milliseconds(400));
+        fixture.demand("m1/" + std::string(adapter), 0, 1);
+    }
+    engine.useAdapter({ ModelId("m1"), "a1" }, fixture.now + std::chrono::seconds(60));
+    fixture.demand("m1/a3", 1, 1);
+    fixture.run(std::chrono::seconds(5));
+    CHECK(fixture.violations().empty());
+    CHECK(engine.models().at(ModelId("m1")) == std::set<std::string> { "a1", "a3" });
+}
+
 // Guards against orders from a host that has no permission, or whose permission has not started or has ended.
 TEST_CASE("No order is sent outside the permission")
 {
