--- a/tests/process/EndToEndTest.cpp
+++ b/tests/process/EndToEndTest.cpp
@@ -228,8 +228,8 @@
     Json body = Json::parse(call.body);
     body["max_tokens"] = tokens;
     call.body = body.dump();
-    auto reading
-        = std::async(std::launch::async, [&call] { return KeptConnection(call.port, bytesPerSecond).exchange(call); });
+    auto reading = std::async(std::launch::async,
+        [&call] { return KeptConnection(call.port, CloseAnnouncement::Followed, bytesPerSecond).exchange(call); });
     std::this_thread::sleep_for(std::chrono::seconds(1));
     fleet.host().signal(SIGTERM);
     const KeptExchange exchange = reading.get();
