Do not take one reset question for an endpoint that is gone

What endpoints would see: a stream that still runs is moved, and runs twice, because the question about it was sent on a connection that the endpoint had dropped, or that it reset since it has too many.

Change: a reset counts from the second one in a row on; a refused connection, no answer and another endpoint at the address count at once, as before.

RunChecksTest: the new case fails without the change, by construction (the first reset gave Unreachable).

--- a/include/catkinwell/gateway/RunChecks.h
+++ b/include/catkinwell/gateway/RunChecks.h
@@ -52,6 +52,8 @@
     struct Endpoint {
         MonotonicTime askedAt {};
         bool isAnswerOut = false;
+        // Whether a connection was reset since the endpoint last answered. One reset alone says nothing.
+        bool wasReset = false;
         // Of the latest question that was answered, or that ended without an answer.
         MonotonicTime answeredQuestionAt {};
         // Empty if the latest question ended without an answer.
--- a/src/gateway/RunChecks.cpp
+++ b/src/gateway/RunChecks.cpp
@@ -1,6 +1,7 @@
 #include <catkinwell/gateway/RunChecks.h>
 
 #include <array>
+#include <utility>
 
 namespace Catkinwell {
 
@@ -35,7 +36,19 @@
 
 void RunChecks::handle(const RunReport& report) { noteAnswer(report.endpoint, report.requestedAt, report); }
 
-void RunChecks::handle(const RunReportFailed& failed) { noteAnswer(failed.endpoint, failed.requestedAt, std::nullopt); }
+void RunChecks::handle(const RunReportFailed& failed)
+{
+    const auto found = m_endpoints.find(failed.endpoint);
+    if (found == m_endpoints.end())
+        return;
+    Endpoint& endpoint = found->second;
+    const bool isReset = failed.failure == AttemptFailure::Broken;
+    // An endpoint with too many connections resets new ones, and an idle one may have been dropped.
+    if (isReset && !std::exchange(endpoint.wasReset, true) && failed.requestedAt == endpoint.askedAt)
+        endpoint.isAnswerOut = false;
+    else
+        noteAnswer(failed.endpoint, failed.requestedAt, std::nullopt);
+}
 
 void RunChecks::noteAnswer(const EndpointId& id, MonotonicTime requestedAt, std::optional<RunReport> report)
 {
@@ -45,6 +58,7 @@
     Endpoint& endpoint = found->second;
     endpoint.isAnswerOut = endpoint.isAnswerOut && requestedAt < endpoint.askedAt;
     endpoint.answeredQuestionAt = requestedAt;
+    endpoint.wasReset = endpoint.wasReset && !report;
     endpoint.report = std::move(report);
 }
 
--- a/tests/gateway/RunChecksTest.cpp
+++ b/tests/gateway/RunChecksTest.cpp
@@ -72,6 +72,27 @@
     CHECK(checks.stateOf(streamOf("a", start - 500ms), start + 1100ms) == RunState::Unreachable);
 }
 
+// Guards against a stream that moves, and runs twice, because a full endpoint reset the connection of a question.
+TEST_CASE("One reset connection does not show that an endpoint is gone")
+{
+    RunChecks checks;
+    const FetchRuns first = askAt(checks, start);
+    checks.handle(RunReportFailed { engine, first.requestedAt, AttemptFailure::Broken });
+    CHECK(checks.stateOf(streamOf("a", start - 500ms), start + 10ms) == RunState::Unknown);
+    CHECK_FALSE(isAskedAt(checks, start + 400ms));
+    const FetchRuns second = askAt(checks, start + 500ms);
+    SECTION("an answer follows")
+    {
+        checks.handle(RunReport { engine, second.requestedAt, { { { "a", 1 } } } });
+        CHECK(checks.stateOf(streamOf("a", start - 500ms), start + 510ms) == RunState::Running);
+    }
+    SECTION("another reset follows")
+    {
+        checks.handle(RunReportFailed { engine, second.requestedAt, AttemptFailure::Broken });
+        CHECK(checks.stateOf(streamOf("a", start - 500ms), start + 510ms) == RunState::Unreachable);
+    }
+}
+
 // Guards against the endpoint's count of another start that passes for events that got lost.
 TEST_CASE("Events are compared only where both count from the same start")
 {
--- a/tests/platform/EngineStateTest.cpp
+++ b/tests/platform/EngineStateTest.cpp
@@ -24,6 +24,8 @@
         { R"({"runs":[]})", std::map<std::string, std::uint64_t>(), 0 },
         { R"({"runs":"none","waiting":-1})", std::nullopt, 0 },
         { R"({"waiting":1})", std::nullopt, 1 },
+        { R"(["runs"])", std::nullopt, 0 },
+        { "null", std::nullopt, 0 },
     }));
     INFO(test.text);
     const RunReport report = readRunReport(nlohmann::json::parse(test.text), EndpointId("x"), MonotonicTime());
