Share what stood twice, and name things by the field's terms

Nothing but these changes: - OwnPause measures a host's own pause for gateways and `serve`, which had the same lines and constant each. - In `serve` the reducer decides how long callers may still read at a stop, as in gateways; Runtime computed it from the time of the latest signal, so that a second SIGTERM could move it. - SignalMask with blockSignal() and unblockSignal(), unacknowledgedBytes(), longestPartition: the terms of the field instead of "held", "untaken", "cut". - Tests: one connectToLoopback() for two kinds of connections; a fixture for the three setups of EnginePlacementTest. No check was touched.

--- a/include/catkinwell/gateway/FleetQuota.h
+++ b/include/catkinwell/gateway/FleetQuota.h
@@ -18,7 +18,7 @@
 
 using AccountUsage = std::map<AccountId, UsageCount>;
 
-// A host that is not live but may serve behind a cut.
+// A host that is not live but may serve across a partition.
 struct MissingHost {
     HostId host;
     Duration missingFor {};
@@ -52,7 +52,7 @@
     explicit FleetQuota(HostId self, QuotaSharing sharing = QuotaSharing::WhenLow);
 
     void configure(const std::map<AccountId, GatewayAccount>&, MonotonicTime now);
-    // Sets the other live hosts. One that is no longer among them is assumed to serve behind a cut, unless it was
+    // Sets the other live hosts. One that is no longer among them is assumed to serve across a partition, unless it was
     // removed.
     void setPeers(const std::set<HostId>&, MonotonicTime now);
     // The host has ended; it admits nothing any more.
@@ -61,7 +61,7 @@
     void noteMissing(const std::vector<MissingHost>&, MonotonicTime now);
     // The hosts whose part of each rate is kept, for the peers.
     std::vector<MissingHost> missingHosts(MonotonicTime now) const;
-    // Number of hosts that are not live but may serve behind a cut.
+    // Number of hosts that are not live but may serve across a partition.
     std::size_t missingPeers() const;
     // How often the hosts report to each other.
     void setReportInterval(Duration interval) { m_reportInterval = interval; }
--- a/include/catkinwell/gateway/GatewayMessage.h
+++ b/include/catkinwell/gateway/GatewayMessage.h
@@ -38,7 +38,7 @@
     std::set<std::string> unreachableServices;
     // Services whose endpoints fall over if they reject more requests in a second than given.
     std::map<std::string, double> brittleServices;
-    // Hosts that are not live but may serve behind a cut.
+    // Hosts that are not live but may serve across a partition.
     std::vector<MissingHost> missingHosts;
 };
 
--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <catkinwell/core/OwnPause.h>
 #include <catkinwell/gateway/AnswerTimes.h>
 #include <catkinwell/gateway/EndpointDirectory.h>
 #include <catkinwell/gateway/EventStreamBuffer.h>
@@ -487,7 +488,7 @@
     // Requests that wait for a check of the list of endpoints.
     std::set<RequestId> m_awaitingList;
     std::uint64_t m_lastAttempt = 0;
-    MonotonicTime m_lastTickAt {};
+    OwnPause m_ownPause;
     bool m_newlyWaiting = false;
     bool m_hasReachNews = false;
     AnswerTimes m_answerTimes;
--- a/include/catkinwell/loop/SignalMask.h
+++ b/include/catkinwell/loop/SignalMask.h
@@ -2,11 +2,11 @@
 
 namespace Catkinwell {
 
-// Keeps the signal until passHeldSignal(), so that it cannot end the process before it is handled. Threads that start
-// afterwards keep it as well.
-void holdSignal(int signalNumber);
-// Delivers the signal, also one that has arrived meanwhile. EventLoop::onSignal() calls this once it handles the
-// signal.
-void passHeldSignal(int signalNumber);
+// Blocks the signal in the calling thread, and in threads that it starts afterwards, so that the signal cannot end the
+// process before it is handled. Thread safe.
+void blockSignal(int signalNumber);
+// Unblocks the signal in the calling thread, which gets one that has arrived meanwhile. EventLoop::onSignal() calls
+// this once it handles the signal. Thread safe.
+void unblockSignal(int signalNumber);
 
 } // namespace Catkinwell
--- a/include/catkinwell/reducer/Reducer.h
+++ b/include/catkinwell/reducer/Reducer.h
@@ -24,6 +24,8 @@
     std::uint64_t seed = 0;
     std::vector<AdminCredential> credentials;
     std::map<HostId, std::string> seedPeers;
+    // Longest time from a request to shut down to the end of the process.
+    Duration shutdownGrace = std::chrono::seconds(120);
 };
 
 ReducerSettings reducerSettingsOf(const ProcessSettings&, Incarnation);
@@ -114,6 +116,7 @@
     WallTime m_wallNow;
     Phase m_phase = Phase::Serving;
     MonotonicTime m_phaseDeadline {};
+    MonotonicTime m_shutdownAt {};
     MonotonicTime m_nextDemandAt {};
     std::uint64_t m_seenPlanVersion = 0;
     bool m_wasOwner = false;
--- a/include/catkinwell/requests/RequestFlow.h
+++ b/include/catkinwell/requests/RequestFlow.h
@@ -4,6 +4,7 @@
 #include <catkinwell/admission/FairQueue.h>
 #include <catkinwell/admission/WaitEstimator.h>
 #include <catkinwell/configuration/ConfigurationAccess.h>
+#include <catkinwell/core/OwnPause.h>
 #include <catkinwell/orders/ClaimManager.h>
 #include <catkinwell/reducer/Effect.h>
 #include <catkinwell/reducer/Event.h>
@@ -228,7 +229,7 @@
     // The requests that other hosts have this one serve.
     std::unordered_map<RequestId, HostId> m_relayedFrom;
     std::size_t m_relaysUnderWay = 0;
-    MonotonicTime m_lastTickAt {};
+    OwnPause m_ownPause;
     std::map<ModelId, std::uint32_t> m_arrivals;
     // Requests that were refused because their model would be loaded too late. They count as demand for the model.
     std::map<ModelId, std::uint32_t> m_refusedColdStarts;
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -2,7 +2,7 @@
 
 #include <CLI/CLI.hpp>
 #include <catkinwell/admin/AdminCommand.h>
-#include <catkinwell/loop/HeldSignals.h>
+#include <catkinwell/loop/SignalMask.h>
 #include <csignal>
 #include <string_view>
 
@@ -18,7 +18,7 @@
     // Comes first: until then a request to read the settings again ends the process.
     if (argc > 1 && isHostCommand(argv[1])) {
         for (const int signalNumber : { SIGHUP, SIGTERM, SIGINT })
-            Catkinwell::holdSignal(signalNumber);
+            Catkinwell::blockSignal(signalNumber);
     }
     // A write to a connection that the peer has closed then fails with an error instead of ending the process.
     std::signal(SIGPIPE, SIG_IGN);
--- a/src/gateway/FleetQuota.cpp
+++ b/src/gateway/FleetQuota.cpp
@@ -13,9 +13,9 @@
     constexpr int silentIntervals = 3;
     // Up to this report interval, the units that several hosts spend twice stay within the tolerance of a limit.
     constexpr Duration toleratedReportInterval = std::chrono::milliseconds(250);
-    // A host that neither the store nor a report names any more may serve behind a cut for this long. Until then its
-    // part of each rate is kept for it.
-    constexpr Duration longestCut = std::chrono::minutes(90);
+    // A host that neither the store nor a report names any more may serve across a partition for this long. Until then
+    // its part of each rate is kept for it.
+    constexpr Duration longestPartition = std::chrono::minutes(90);
     constexpr Duration sharesInterval = std::chrono::milliseconds(250);
     // Averaging time of the demand.
     constexpr double demandAverageSeconds = 1.5;
@@ -86,7 +86,7 @@
 {
     for (const MissingHost& entry : missing) {
         const bool isKnown = entry.host == m_self || m_peers.contains(entry.host) || m_ended.contains(entry.host);
-        if (isKnown || entry.missingFor >= longestCut || m_peers.size() >= maximumMissingHosts)
+        if (isKnown || entry.missingFor >= longestPartition || m_peers.size() >= maximumMissingHosts)
             continue;
         Peer& peer = m_peers[entry.host];
         peer.missingSince = now - entry.missingFor;
@@ -107,10 +107,10 @@
 // A peer may still list a host whose time is over here, so that is remembered for as long again.
 void FleetQuota::dropOutdated(MonotonicTime now)
 {
-    std::erase_if(m_ended, [now](const auto& entry) { return now - entry.second >= longestCut; });
+    std::erase_if(m_ended, [now](const auto& entry) { return now - entry.second >= longestPartition; });
     std::erase_if(m_peers, [this, now](const auto& entry) {
         const std::optional<MonotonicTime>& since = entry.second.missingSince;
-        const bool isOver = since && now - *since >= longestCut;
+        const bool isOver = since && now - *since >= longestPartition;
         if (isOver)
             m_ended[entry.first] = now;
         return isOver;
--- a/src/gateway/GatewaySilence.cpp
+++ b/src/gateway/GatewaySilence.cpp
@@ -21,9 +21,6 @@
     constexpr std::size_t smallestProgressBytes = 256;
     // Time between two searches for another endpoint.
     constexpr Duration moveCheckInterval = std::chrono::milliseconds(100);
-    // If two ticks are further apart, this host was behind or stood still, and bytes that arrived meanwhile may be
-    // unread.
-    constexpr Duration longestTickGap = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -40,9 +37,7 @@
 
 void GatewayRequests::excludeOwnPauses(MonotonicTime now)
 {
-    const MonotonicTime lastTick = std::exchange(m_lastTickAt, now);
-    const Duration gap = lastTick == MonotonicTime() ? Duration::zero() : now - lastTick;
-    const Duration pause = std::max<Duration>(Duration::zero(), gap - longestTickGap);
+    const Duration pause = m_ownPause.beforeTick(now);
     if (pause > Duration::zero())
         m_relayPeers.excludePause(pause, now);
     for (const auto& [id, requestId] : m_attempts) {
--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -101,10 +101,10 @@
 
 bool CallerConnection::isDiscardingExtended()
 {
-    const std::size_t untaken = untakenBytes();
-    if (untaken == 0 || untaken >= m_untakenAtStart)
+    const std::size_t unacknowledged = unacknowledgedBytes();
+    if (unacknowledged == 0 || unacknowledged >= m_unacknowledgedAtStart)
         return false;
-    m_untakenAtStart = untaken;
+    m_unacknowledgedAtStart = unacknowledged;
     addTimer(longestDiscarding);
     return true;
 }
@@ -377,7 +377,7 @@
         closeInOrder(bufferevent_getfd(m_stream));
     m_phase = Phase::Discarding;
     shutdown(bufferevent_getfd(m_stream), SHUT_WR);
-    m_untakenAtStart = untakenBytes();
+    m_unacknowledgedAtStart = unacknowledgedBytes();
     addTimer(longestDiscarding);
     discardInput();
 }
@@ -414,10 +414,11 @@
 
 std::size_t CallerConnection::unsentBytes() const { return evbuffer_get_length(bufferevent_get_output(m_stream)); }
 
-std::size_t CallerConnection::untakenBytes() const
+std::size_t CallerConnection::unacknowledgedBytes() const
 {
-    int untaken = 0;
-    return ioctl(bufferevent_getfd(m_stream), TIOCOUTQ, &untaken) == 0 ? static_cast<std::size_t>(untaken) : 0;
+    int unacknowledged = 0;
+    return ioctl(bufferevent_getfd(m_stream), TIOCOUTQ, &unacknowledged) == 0 ? static_cast<std::size_t>(unacknowledged)
+                                                                              : 0;
 }
 
 bool CallerConnection::isReceiving() const
--- a/src/http/CallerConnection.h
+++ b/src/http/CallerConnection.h
@@ -74,7 +74,7 @@
     // Whether response bytes are still buffered.
     bool hasUnsentOutput() const { return unsentBytes() > 0; }
     // Bytes that were sent and that the caller's system has not taken yet.
-    std::size_t untakenBytes() const;
+    std::size_t unacknowledgedBytes() const;
     // Whether part of a request has arrived, also if it was not read yet.
     bool isReceiving() const;
 
@@ -147,7 +147,7 @@
     Duration CallerLimits::*m_timerLimit = &CallerLimits::idleTimeout;
     Duration m_timerDuration {};
     std::size_t m_unsentAtStart = 0;
-    std::size_t m_untakenAtStart = 0;
+    std::size_t m_unacknowledgedAtStart = 0;
     // The limits when the request that is being read began.
     CallerLimits m_requestLimits;
     MessageReader m_reader;
--- a/src/http/CallerListener.cpp
+++ b/src/http/CallerListener.cpp
@@ -268,7 +268,7 @@
     return static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(), [](const auto& entry) {
         const CallerConnection& connection = *entry.first;
         return connection.currentRequest().value != 0 || connection.hasUnsentOutput() || connection.isReceiving()
-            || connection.untakenBytes() > 0;
+            || connection.unacknowledgedBytes() > 0;
     }));
 }
 
--- a/src/loop/EventLoop.cpp
+++ b/src/loop/EventLoop.cpp
@@ -1,6 +1,6 @@
 #include <catkinwell/loop/EventLoop.h>
 
-#include <catkinwell/loop/HeldSignals.h>
+#include <catkinwell/loop/SignalMask.h>
 #include <catkinwell/loop/Timeval.h>
 #include <csignal>
 #include <event2/event.h>
@@ -94,7 +94,7 @@
         [](evutil_socket_t, short, void* context) { static_cast<Registration*>(context)->slot(); }, registration.get());
     event_add(registration->handle, nullptr);
     addRegistration(std::move(registration));
-    passHeldSignal(signalNumber);
+    unblockSignal(signalNumber);
 }
 
 void EventLoop::addRegistration(std::unique_ptr<Registration> registration)
--- a/src/loop/SignalMask.cpp
+++ b/src/loop/SignalMask.cpp
@@ -1,4 +1,4 @@
-#include <catkinwell/loop/HeldSignals.h>
+#include <catkinwell/loop/SignalMask.h>
 
 #include <csignal>
 
@@ -16,8 +16,8 @@
 
 } // namespace
 
-void holdSignal(int signalNumber) { changeMask(SIG_BLOCK, signalNumber); }
+void blockSignal(int signalNumber) { changeMask(SIG_BLOCK, signalNumber); }
 
-void passHeldSignal(int signalNumber) { changeMask(SIG_UNBLOCK, signalNumber); }
+void unblockSignal(int signalNumber) { changeMask(SIG_UNBLOCK, signalNumber); }
 
 } // namespace Catkinwell
--- a/src/reducer/Reducer.cpp
+++ b/src/reducer/Reducer.cpp
@@ -19,6 +19,8 @@
     // How often the contents are updated that membership digests carry for other modules.
     constexpr Duration digestUpdateInterval = std::chrono::seconds(1);
     constexpr Duration revokeTimeout = std::chrono::seconds(2);
+    // To refuse what arrives last and to write the answers out, also if the grace time is over.
+    constexpr Duration shortestFlush = std::chrono::seconds(5);
 
     // Derives the seed of a module's random generator from the host's seed, so that modules and hosts differ and a run
     // can be replayed.
@@ -61,6 +63,7 @@
     for (const auto& credential : settings.credentials)
         reducer.credentials.push_back({ credential.name, credential.tokenSha256, rolesOf(credential.roles) });
     reducer.seedPeers = settings.seedPeers;
+    reducer.shutdownGrace = settings.shutdownGrace;
     return reducer;
 }
 
@@ -372,6 +375,7 @@
         return;
     }
     m_phase = Phase::Draining;
+    m_shutdownAt = now;
     m_requests.beginShutdown();
     m_lease.announceLeaving(now);
     m_membership.announceLeaving();
@@ -398,7 +402,8 @@
     } else if (m_phase == Phase::Revoking && (m_lease.isRevoked() || now >= m_phaseDeadline)) {
         m_phase = Phase::Finished;
         effects.push_back(LogEntry { LogEvent::ShutdownFinished, {} });
-        effects.push_back(ExitProcess { 0 });
+        const Duration timeLeft = m_settings.shutdownGrace - (now - m_shutdownAt);
+        effects.push_back(ExitProcess { 0, std::max<Duration>(shortestFlush, timeLeft) });
     }
 }
 
--- a/src/requests/RequestRelay.cpp
+++ b/src/requests/RequestRelay.cpp
@@ -22,8 +22,6 @@
     constexpr Duration lossDecisionTime = std::chrono::seconds(3);
     // Several probes fit into the time for which a request that may have ended an endpoint is held back.
     constexpr Duration deathProbeInterval = std::chrono::milliseconds(100);
-    // If two ticks are further apart, this host was behind or stood still.
-    constexpr Duration longestTickGap = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -260,10 +258,8 @@
 // What the other hosts sent while this one stood still is not read yet.
 void RequestFlow::excludeOwnPause(MonotonicTime now)
 {
-    const MonotonicTime lastTick = std::exchange(m_lastTickAt, now);
-    const Duration gap = lastTick == MonotonicTime() ? Duration::zero() : now - lastTick;
-    if (gap > longestTickGap)
-        m_modules.relayPeers.excludePause(gap - longestTickGap, now);
+    if (const Duration pause = m_ownPause.beforeTick(now); pause > Duration::zero())
+        m_modules.relayPeers.excludePause(pause, now);
 }
 
 // A host that died or froze ends no connection.
--- a/src/runtime/Runtime.cpp
+++ b/src/runtime/Runtime.cpp
@@ -14,8 +14,6 @@
 
 namespace {
 
-    // Time to refuse what arrives last and to write the answers out, after the reducer has finished.
-    constexpr Duration longestExit = std::chrono::seconds(5);
     // Request identifiers of the relay and administration listeners are above these values.
     constexpr std::uint64_t firstRelayId = 1ULL << 61;
     constexpr std::uint64_t firstAdministrationId = 1ULL << 62;
@@ -75,7 +73,6 @@
     PeerTransport m_peers;
     Reducer m_reducer;
     ReducerLoop<Event> m_events;
-    MonotonicTime m_stopRequestedAt {};
     int m_exitCode = 0;
 };
 
@@ -117,10 +114,7 @@
         runtime.m_exitCode = effect.code;
         runtime.m_callers.stopAccepting();
         runtime.m_relays.stopAccepting();
-        const Duration graceLeft
-            = runtime.m_settings.shutdownGrace - (runtime.m_clock.monotonicNow() - runtime.m_stopRequestedAt);
-        const Duration longestTime = effect.code == 0 ? std::max<Duration>(longestExit, graceLeft) : Duration::zero();
-        runtime.m_events.stop([&runtime = runtime] { return runtime.busyConnections(); }, longestTime);
+        runtime.m_events.stop([&runtime = runtime] { return runtime.busyConnections(); }, effect.longestFlush);
     }
 };
 
@@ -192,10 +186,7 @@
     }
     m_events.startTicks();
     for (const int signalNumber : { SIGTERM, SIGINT })
-        m_loop.onSignal(signalNumber, [this] {
-            m_stopRequestedAt = m_clock.monotonicNow();
-            m_events.post(ShutdownSignal {});
-        });
+        m_loop.onSignal(signalNumber, [this] { m_events.post(ShutdownSignal {}); });
     m_loop.onSignal(SIGHUP, [this] {
         for (CallerListener* listener : { &m_callers, &m_administration })
             listener->reloadCertificates();
--- a/tests/fleet/KeptConnection.cpp
+++ b/tests/fleet/KeptConnection.cpp
@@ -21,6 +21,15 @@
 
 } // namespace
 
+bool connectToLoopback(int socket, std::uint16_t port)
+{
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+}
+
 std::string textOf(const HttpCall& call)
 {
     std::string text = call.method + " " + call.target + " HTTP/1.1\r\n";
@@ -73,11 +82,7 @@
         setsockopt(m_socket, IPPROTO_TCP, TCP_MAXSEG, &segmentBytes, sizeof(segmentBytes));
         setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &slowReceiveBuffer, sizeof(slowReceiveBuffer));
     }
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    if (connect(m_socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0)
+    if (!connectToLoopback(m_socket, port))
         close();
 }
 
--- a/tests/fleet/KeptConnection.h
+++ b/tests/fleet/KeptConnection.h
@@ -20,6 +20,9 @@
     HttpAnswer answer;
 };
 
+// Connects the socket to the port on 127.0.0.1. Returns whether it could.
+bool connectToLoopback(int socket, std::uint16_t port);
+
 // Returns the bytes of the request.
 std::string textOf(const HttpCall&);
 
--- a/tests/fleet/PipelinedConnection.cpp
+++ b/tests/fleet/PipelinedConnection.cpp
@@ -1,9 +1,7 @@
 #include "fleet/PipelinedConnection.h"
 
 #include "fleet/KeptConnection.h"
-#include <arpa/inet.h>
 #include <cerrno>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -14,11 +12,7 @@
 {
     // Before the connection is made, as the window is agreed on then.
     setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof(receiveBuffer));
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    if (connect(m_socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0)
+    if (!connectToLoopback(m_socket, port))
         close();
 }
 
--- a/tests/gateway/EnginePlacementTest.cpp
+++ b/tests/gateway/EnginePlacementTest.cpp
@@ -313,20 +313,39 @@
     CHECK_FALSE(engine.models().at(ModelId("m2")).empty());
 }
 
+namespace {
+
+// An engine that holds two models, while no load of a copy is due.
+class AdapterFixture : public PlacementFixture {
+public:
+    AdapterFixture()
+    {
+        FakeEngine& engine = add("e", holding({ "m1", "m2" }));
+        for (const char* model : { "m3", "m4" })
+            engine.putOnDisk(ModelId(model));
+        publish(engine);
+        grantPermission();
+        run(std::chrono::seconds(1));
+    }
+
+    // Lets one request wait for the adapter of the first model until it is loaded.
+    void load(const std::string& adapter)
+    {
+        demand("m1/" + adapter, 1, 1);
+        run(std::chrono::milliseconds(400));
+        demand("m1/" + adapter, 0, 1);
+    }
+};
+
+} // namespace
+
 // Guards against an adapter that is loaded into the place of one that requests still use.
 TEST_CASE("An adapter in use keeps its place after it was ordered to leave")
 {
-    PlacementFixture fixture;
-    FakeEngine& engine = fixture.add("e", holding({ "m1", "m2" }));
-    for (const char* model : { "m3", "m4" })
-        engine.putOnDisk(ModelId(model));
-    fixture.publish(engine);
-    fixture.grantPermission();
-    fixture.run(std::chrono::seconds(1));
+    AdapterFixture fixture;
+    FakeEngine& engine = *fixture.engines[0];
     for (const char* adapter : { "a1", "a2" }) {
-        fixture.demand("m1/" + std::string(adapter), 1, 1);
-        fixture.run(std::chrono::milliseconds(400));
-        fixture.demand("m1/" + std::string(adapter), 0, 1);
+        fixture.load(adapter);
         engine.useAdapter({ ModelId("m1"), adapter }, fixture.now + std::chrono::seconds(4));
     }
     fixture.demand("m1/a3", 1, 1);
@@ -341,18 +360,10 @@
 // Guards against requests that wait for an adapter as long as a stream uses another one that was ordered to leave.
 TEST_CASE("An adapter that stays in use does not keep the place of an unused one")
 {
-    PlacementFixture fixture;
-    FakeEngine& engine = fixture.add("e", holding({ "m1", "m2" }));
-    for (const char* model : { "m3", "m4" })
-        engine.putOnDisk(ModelId(model));
-    fixture.publish(engine);
-    fixture.grantPermission();
-    fixture.run(std::chrono::seconds(1));
-    for (const char* adapter : { "a1", "a2" }) {
-        fixture.demand("m1/" + std::string(adapter), 1, 1);
-        fixture.run(std::chrono::milliseconds(400));
-        fixture.demand("m1/" + std::string(adapter), 0, 1);
-    }
+    AdapterFixture fixture;
+    FakeEngine& engine = *fixture.engines[0];
+    for (const char* adapter : { "a1", "a2" })
+        fixture.load(adapter);
     engine.useAdapter({ ModelId("m1"), "a1" }, fixture.now + std::chrono::seconds(60));
     fixture.demand("m1/a3", 1, 1);
     fixture.run(std::chrono::seconds(5));
