Wait for an endpoint that is out of reach only for a moment

EndpointDirectory::shortestTimeToReplica() gave the time of a replica that was being loaded at another endpoint, although an endpoint that held the model was only suspected to be out of reach for 400 ms.

Now the end of the suspicion counts as the time of that endpoint, and the earliest of all times is taken. Where nothing was ordered, a holder counts as ready at once, as before.

--- a/include/catkinwell/gateway/EndpointDirectory.h
+++ b/include/catkinwell/gateway/EndpointDirectory.h
@@ -96,7 +96,8 @@
     // Returns the expected time until an ordered replica is ready; nullopt if none was ordered.
     std::optional<Duration> timeUntilOrderedReplica(const std::string& service, const ModelVariant&,
         const std::optional<std::string>& softwareVersion, MonotonicTime now) const;
-    // Returns the shortest time until a replica can be ready: one that was ordered, or a load ordered now.
+    // Returns the shortest time until a replica can be ready: one at an endpoint that is only suspected to be out of
+    // reach, one that was ordered, or a load ordered now.
     // With a software version, only endpoints of it count.
     Duration shortestTimeToReplica(const std::string& service, const ModelVariant&, const GatewayModel&,
         const std::optional<std::string>& softwareVersion, MonotonicTime now) const;
--- a/src/gateway/EndpointDirectory.cpp
+++ b/src/gateway/EndpointDirectory.cpp
@@ -430,17 +430,20 @@
     const GatewayModel& model, const std::optional<std::string>& softwareVersion, MonotonicTime now) const
 {
     // Adapters load soon after their model, so only the model matters.
-    if (const auto ready = timeUntilOrderedReplica(service, { variant.model, "" }, softwareVersion, now))
-        return *ready;
-    Duration soonest = timeOfStoreLoad(service, model, now);
+    const auto ordered = timeUntilOrderedReplica(service, { variant.model, "" }, softwareVersion, now);
+    Duration soonest = ordered.value_or(timeOfStoreLoad(service, model, now));
     for (const auto& [id, entry] : m_entries) {
         const bool isGone = entry.usableUntil != MonotonicTime() && now >= entry.usableUntil;
         if (entry.record.service != service || entry.record.isLeaving || isGone
             || !isVersionAccepted(entry, softwareVersion))
             continue;
+        // Unless a load was ordered, the owner of the placement takes this endpoint for sound.
         if (modelsOf(entry, now).contains(variant.model) || entry.record.models.contains(variant.model))
-            return Duration::zero();
-        if (entry.record.inHostMemory.contains(variant.model))
+            soonest = ordered ? std::min(soonest, std::max(Duration::zero(), entry.suspectedUntil - now))
+                              : Duration::zero();
+        else if (ordered)
+            continue;
+        else if (entry.record.inHostMemory.contains(variant.model))
             soonest = std::min(soonest, model.loadFromMemory);
         else if (entry.record.onDisk.contains(variant.model))
             soonest = std::min(soonest, model.loadFromDisk);
--- a/tests/gateway/GatewayRequestsTest.cpp
+++ b/tests/gateway/GatewayRequestsTest.cpp
@@ -273,6 +273,46 @@
     CHECK(fixture.requests.demand().report(true, fixture.now).entries.at(0).waiting == 0);
 }
 
+namespace {
+
+struct SuspectedHolderCase {
+    const char* what;
+    // Attempts in a row that did not reach the endpoint that holds the model.
+    int failures;
+    // Time until the replica ordered elsewhere is ready; 0 if none was ordered.
+    std::uint32_t readyInMs;
+    bool isRefused;
+};
+
+} // namespace
+
+// Guards against a request refused, or a stream ended, over an endpoint that is out of reach for a moment only.
+TEST_CASE("A model is waited for at the endpoint that holds it, although it is loaded elsewhere")
+{
+    const auto test = GENERATE(values<SuspectedHolderCase>({
+        { "a short suspicion", 1, 6000, false },
+        { "a long suspicion and a load that takes longer than the caller waits", 5, 6000, true },
+        { "a long suspicion and a load that ends in time", 5, 1000, false },
+        { "a long suspicion and no load", 5, 0, false },
+    }));
+    RequestsFixture fixture;
+    addEndpoints(fixture, "notes", 1, withM1);
+    fixture.directory.put(sampleEndpoint("notes1", "notes"), fixture.now, fixture.effects);
+    if (test.readyInMs > 0)
+        fixture.directory.handle(
+            PlacementUpdate {
+                1, 1, { { EndpointId("notes1"), 1, {}, { { { ModelId("m1"), "" }, test.readyInMs } } } } },
+            fixture.now);
+    for (int i = 0; i < test.failures; ++i)
+        fixture.directory.attemptEnded(
+            EndpointId("notes0"), { ModelId("m1"), "" }, AttemptVerdict::Unreachable, fixture.now, fixture.effects);
+    fixture.arrive("/note/1");
+    INFO(test.what);
+    CHECK(fixture.takeAnswers().empty() != test.isRefused);
+    fixture.advance(std::chrono::milliseconds(500));
+    CHECK(fixture.takeAttempts().size() == (test.failures == 1 ? 1 : 0));
+}
+
 // Guards against a drain that leaves a request without an answer or accepts requests that it cannot finish.
 TEST_CASE("A stopping host answers all requests that it can no longer serve")
 {
