Signal hosts in the soak only once their program has begun

Until the dynamic linker has reached main(), no program can keep a signal from ending its process.

startAgain() now waits until main() has begun, by the same means as EarlySignalTest. The guard that left hosts out for a second after their start is gone, so that reloads and planned stops come right after it as well: no check is narrower.

--- a/tests/fleet/FaultSoak.cpp
+++ b/tests/fleet/FaultSoak.cpp
@@ -28,6 +28,8 @@
     // The maximum time until a host is ready after the end of all faults.
     constexpr auto recoveryBound = 12s;
     constexpr auto configurationBound = 2s;
+    // Of a host that does not come back.
+    constexpr std::size_t logLinesShown = 40;
     constexpr std::size_t plainEndpoints = 3;
     constexpr unsigned brittleSlots = 2;
     constexpr auto brittleProcessingTime = 120ms;
@@ -432,8 +434,12 @@
         std::this_thread::sleep_for(10ms);
     }
     for (std::size_t i = 0; i < m_fleet.hostCount(); ++i) {
-        if (!eventually([this, i] { return m_fleet.isReady(i); }, recoveryBound))
-            m_report.broken.push_back("host " + std::to_string(i) + " did not come back");
+        if (eventually([this, i] { return m_fleet.isReady(i); }, recoveryBound))
+            continue;
+        const std::string host = "host " + std::to_string(i);
+        ChildProcess& process = m_fleet.process(i);
+        m_report.broken.push_back(host + " did not come back");
+        m_report.faults.push_back(host + ": the process " + process.state() + "\n" + process.lastLines(logLinesShown));
     }
     changeConfiguration();
     for (std::size_t i = 0; i < m_fleet.hostCount(); ++i) {
--- a/tests/fleet/FaultSoak.h
+++ b/tests/fleet/FaultSoak.h
@@ -58,9 +58,8 @@
     void stopTwoHosts();
     void stopNext(std::size_t host, std::size_t left);
     void reload(std::size_t host, RandomGenerator&);
+    // Starts the host, which may get signals from then on.
     void startAgain(std::size_t host);
-    // Whether the host may not handle signals yet.
-    bool isJustStarted(std::size_t host) const;
     // Begins a planned stop and has the host start again. Precondition: the host is not in m_disturbed.
     void stop(std::size_t host);
     // The same, but the host starts as soon as it has ended, and then the function is called.
@@ -89,8 +88,6 @@
     std::set<std::size_t> m_disturbed;
     DisturbanceLog m_disturbances;
     std::vector<PlannedStop> m_stops;
-    // When hosts were started again.
-    std::map<std::size_t, MonotonicTime> m_startTimes;
     std::vector<PathLoss> m_pathLosses;
     // Times in which answers of endpoints did not reach hosts, or reached another one.
     std::vector<PathLoss> m_lostNotices;
--- a/tests/fleet/FaultSoakPlannedWork.cpp
+++ b/tests/fleet/FaultSoakPlannedWork.cpp
@@ -11,8 +11,6 @@
 
     // When a host must have ended after SIGTERM.
     constexpr auto stopTime = 9s;
-    // A process that has just been started does not handle signals yet.
-    constexpr auto signalTime = 1s;
     constexpr unsigned changesInSuccession = 8;
     constexpr auto changeInterval = 130ms;
     constexpr unsigned changesPerReload = 2;
@@ -80,7 +78,7 @@
     if (!m_isInSeries)
         return;
     const auto next = [this, host, left] { stopNext((host + 1) % m_fleet.hostCount(), left - 1); };
-    if (m_disturbed.contains(host) || isJustStarted(host)) {
+    if (m_disturbed.contains(host)) {
         next();
         return;
     }
@@ -93,19 +91,11 @@
 void FaultSoak::startAgain(std::size_t host)
 {
     m_fleet.start(host);
-    m_startTimes[host] = SystemClock().monotonicNow();
-}
-
-bool FaultSoak::isJustStarted(std::size_t host) const
-{
-    const auto started = m_startTimes.find(host);
-    return started != m_startTimes.end() && SystemClock().monotonicNow() - started->second < signalTime;
+    m_fleet.process(host).waitUntilBegun();
 }
 
 void FaultSoak::reload(std::size_t host, RandomGenerator& random)
 {
-    if (isJustStarted(host))
-        return;
     note("reload the settings of host " + std::to_string(host));
     m_fleet.writeSettings(host, { { "placement", { { "busy_share", 0.1 + random.unit() } } } });
     m_fleet.process(host).signal(SIGHUP);
--- a/tests/process/EarlySignalTest.cpp
+++ b/tests/process/EarlySignalTest.cpp
@@ -38,20 +38,16 @@
         { "store", { { "address", freeAddress() } } } };
 }
 
-// The host at once after main() has begun, which makes it ignore SIGPIPE. It has no store.
+// The host at once after main() has begun. It has no store.
 class StartingHost {
 public:
     explicit StartingHost(const std::string& command)
     {
         const std::string file = m_folder.path() + "/settings.json";
         std::ofstream(file) << (command == "serve" ? serveSettings() : gatewaySettings()).dump();
-        // Whether a signal is ignored passes on to the child.
-        const auto handler = std::signal(SIGPIPE, SIG_DFL);
         m_process.emplace(
             std::vector<std::string> { binaryPath(), command, "--config", file }, m_folder.path() + "/log");
-        std::signal(SIGPIPE, handler);
-        const auto deadline = std::chrono::steady_clock::now() + 10s;
-        while (!m_process->ignoresSignal(SIGPIPE) && std::chrono::steady_clock::now() < deadline) { }
+        m_process->waitUntilBegun();
     }
 
     ChildProcess& process() { return *m_process; }
--- a/tests/process/ProcessHarness.cpp
+++ b/tests/process/ProcessHarness.cpp
@@ -30,6 +30,8 @@
     constexpr unsigned portBlocks = 24;
     // Ports belong to the machine, so the locks do not follow TMPDIR.
     constexpr const char* lockFolder = "/tmp";
+    // From the start of a process until its main(), on a busy machine.
+    constexpr auto longestBeginning = std::chrono::seconds(10);
 
     // Reserves a block of ports against other test processes on this machine. The lock ends with the process.
     unsigned firstPortOfReservedBlock()
@@ -62,7 +64,16 @@
     posix_spawn_file_actions_adddup2(&actions, 1, 2);
     // A copy of the fakes' and proxies' sockets in this process would keep connections open that they have closed.
     posix_spawn_file_actions_addclosefrom_np(&actions, 3);
-    const int error = posix_spawn(&m_pid, arguments[0], &actions, nullptr, arguments.data(), environ);
+    // The child would inherit that this process ignores the signal, see waitUntilBegun().
+    sigset_t defaultSignals;
+    sigemptyset(&defaultSignals);
+    sigaddset(&defaultSignals, SIGPIPE);
+    posix_spawnattr_t attributes;
+    posix_spawnattr_init(&attributes);
+    posix_spawnattr_setsigdefault(&attributes, &defaultSignals);
+    posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGDEF);
+    const int error = posix_spawn(&m_pid, arguments[0], &actions, &attributes, arguments.data(), environ);
+    posix_spawnattr_destroy(&attributes);
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0)
         throw std::runtime_error("the program " + command[0] + " cannot be started");
@@ -92,9 +103,18 @@
         return true;
     m_reaped = true;
     m_exitCode = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    m_endSignal = WIFSIGNALED(status) ? WTERMSIG(status) : 0;
     return false;
 }
 
+std::string ChildProcess::state()
+{
+    if (isRunning())
+        return "runs";
+    return m_endSignal != 0 ? "was ended by signal " + std::to_string(m_endSignal)
+                            : "exited with " + std::to_string(m_exitCode);
+}
+
 int ChildProcess::waitForExit(std::chrono::milliseconds timeout)
 {
     return eventually([this] { return !isRunning(); }, timeout) ? m_exitCode : -1;
@@ -113,6 +133,13 @@
     return 0;
 }
 
+void ChildProcess::waitUntilBegun()
+{
+    const auto deadline = std::chrono::steady_clock::now() + longestBeginning;
+    while (isRunning() && !ignoresSignal(SIGPIPE) && std::chrono::steady_clock::now() < deadline)
+        std::this_thread::yield();
+}
+
 bool ChildProcess::ignoresSignal(int signalNumber) const
 {
     std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
@@ -134,6 +161,17 @@
     return text.str();
 }
 
+std::string ChildProcess::lastLines(std::size_t count) const
+{
+    const std::string text = output();
+    std::size_t begin = text.size();
+    for (std::size_t line = 0; line <= count && begin > 0; ++line) {
+        const std::size_t end = text.rfind('\n', begin - 1);
+        begin = end == std::string::npos ? 0 : end;
+    }
+    return text.substr(begin);
+}
+
 std::vector<HttpAnswer> sendTogether(const std::vector<HttpCall>& calls)
 {
     EventLoop loop;
--- a/tests/process/ProcessHarness.h
+++ b/tests/process/ProcessHarness.h
@@ -24,16 +24,25 @@
     // Returns the exit code, or -1 if the process did not exit in time or was killed.
     int waitForExit(std::chrono::milliseconds timeout);
     bool isRunning();
-    // Whether the process ignores the signal.
-    bool ignoresSignal(int signalNumber) const;
+    // Returns "runs", or how the process ended.
+    std::string state();
+    // Waits until the program's main() has begun, which ignores SIGPIPE first. A signal that comes earlier ends the
+    // process, whatever its program does; from then on a host keeps signals until it handles them.
+    void waitUntilBegun();
     // Returns the most memory that the process has had resident so far, in MB; 0 if it does not run.
     std::size_t peakMemoryMb() const;
     std::string output() const;
+    // Returns the last lines of the output.
+    std::string lastLines(std::size_t count) const;
 
 private:
+    bool ignoresSignal(int signalNumber) const;
+
     pid_t m_pid = -1;
     bool m_reaped = false;
     int m_exitCode = -1;
+    // 0 unless a signal ended the process.
+    int m_endSignal = 0;
     std::string m_outputFile;
 };
 
