Wait only for endpoints that are expected to serve the request

A request then waited for nothing instead of being refused at once with a true Retry-After.

timeUntilHolderIsTried() names the one case: an endpoint with the variant, in place and suspected for now; a pause it asked for counts as well.

--- a/include/catkinwell/gateway/EndpointDirectory.h
+++ b/include/catkinwell/gateway/EndpointDirectory.h
@@ -184,6 +184,10 @@
     const LoadedModels& modelsOf(const Entry&, MonotonicTime now) const;
     // Returns the expected time of a load from the weight store that was not ordered yet.
     Duration timeOfStoreLoad(const std::string& service, const GatewayModel&, MonotonicTime now) const;
+    // Returns the time until an endpoint with the variant that is suspected to be out of reach is tried again; nullopt
+    // if there is none.
+    std::optional<Duration> timeUntilHolderIsTried(const std::string& service, const ModelVariant&,
+        const std::optional<std::string>& softwareVersion, MonotonicTime now) const;
     // Keeps new requests from the endpoint for a time that grows with its consecutive failures.
     static void suspect(Entry&, MonotonicTime now, EffectList&);
     double scoreOf(const Entry&, const Affinities&);
--- a/src/gateway/EndpointDirectory.cpp
+++ b/src/gateway/EndpointDirectory.cpp
@@ -430,20 +430,17 @@
     const GatewayModel& model, const std::optional<std::string>& softwareVersion, MonotonicTime now) const
 {
     // Adapters load soon after their model, so only the model matters.
-    const auto ordered = timeUntilOrderedReplica(service, { variant.model, "" }, softwareVersion, now);
-    Duration soonest = ordered.value_or(timeOfStoreLoad(service, model, now));
+    if (const auto ready = timeUntilOrderedReplica(service, { variant.model, "" }, softwareVersion, now))
+        return std::min(*ready, timeUntilHolderIsTried(service, variant, softwareVersion, now).value_or(*ready));
+    Duration soonest = timeOfStoreLoad(service, model, now);
     for (const auto& [id, entry] : m_entries) {
         const bool isGone = entry.usableUntil != MonotonicTime() && now >= entry.usableUntil;
         if (entry.record.service != service || entry.record.isLeaving || isGone
             || !isVersionAccepted(entry, softwareVersion))
             continue;
-        // Unless a load was ordered, the owner of the placement takes this endpoint for sound.
         if (modelsOf(entry, now).contains(variant.model) || entry.record.models.contains(variant.model))
-            soonest = ordered ? std::min(soonest, std::max(Duration::zero(), entry.suspectedUntil - now))
-                              : Duration::zero();
-        else if (ordered)
-            continue;
-        else if (entry.record.inHostMemory.contains(variant.model))
+            return Duration::zero();
+        if (entry.record.inHostMemory.contains(variant.model))
             soonest = std::min(soonest, model.loadFromMemory);
         else if (entry.record.onDisk.contains(variant.model))
             soonest = std::min(soonest, model.loadFromDisk);
@@ -451,6 +448,21 @@
     return soonest;
 }
 
+// A suspicion ends long before a load from the store.
+std::optional<Duration> EndpointDirectory::timeUntilHolderIsTried(const std::string& service,
+    const ModelVariant& variant, const std::optional<std::string>& softwareVersion, MonotonicTime now) const
+{
+    std::optional<Duration> soonest;
+    for (const auto& [id, entry] : m_entries) {
+        if (entry.record.service != service || !isPresent(entry, now) || now >= entry.suspectedUntil
+            || !hasVariant(entry, variant, now) || !isVersionAccepted(entry, softwareVersion))
+            continue;
+        const Duration left = std::max({ entry.suspectedUntil, entry.misdirectedUntil, m_notices.pauseEnd(id) }) - now;
+        soonest = std::min(soonest.value_or(left), left);
+    }
+    return soonest;
+}
+
 bool EndpointDirectory::hasUsableEndpoint(const std::string& service, MonotonicTime now) const
 {
     return std::any_of(m_entries.begin(), m_entries.end(),
--- a/tests/gateway/GatewayRequestsTest.cpp
+++ b/tests/gateway/GatewayRequestsTest.cpp
@@ -279,6 +279,8 @@
     const char* what;
     // Attempts in a row that did not reach the endpoint that holds the model.
     int failures;
+    // Whether the endpoint has said that it lacks the model.
+    bool isMissing;
     // Time until the replica ordered elsewhere is ready; 0 if none was ordered.
     std::uint32_t readyInMs;
     bool isRefused;
@@ -290,10 +292,11 @@
 TEST_CASE("A model is waited for at the endpoint that holds it, although it is loaded elsewhere")
 {
     const auto test = GENERATE(values<SuspectedHolderCase>({
-        { "a short suspicion", 1, 6000, false },
-        { "a long suspicion and a load that takes longer than the caller waits", 5, 6000, true },
-        { "a long suspicion and a load that ends in time", 5, 1000, false },
-        { "a long suspicion and no load", 5, 0, false },
+        { "a short suspicion", 1, false, 6000, false },
+        { "an endpoint that lacks the model after all", 1, true, 6000, true },
+        { "a long suspicion and a load that takes longer than the caller waits", 5, false, 6000, true },
+        { "a long suspicion and a load that ends in time", 5, false, 1000, false },
+        { "a long suspicion and no load", 5, false, 0, false },
     }));
     RequestsFixture fixture;
     addEndpoints(fixture, "notes", 1, withM1);
@@ -306,11 +309,13 @@
     for (int i = 0; i < test.failures; ++i)
         fixture.directory.attemptEnded(
             EndpointId("notes0"), { ModelId("m1"), "" }, AttemptVerdict::Unreachable, fixture.now, fixture.effects);
+    if (test.isMissing)
+        fixture.directory.noteMissing(EndpointId("notes0"), { ModelId("m1"), "" }, fixture.now);
     fixture.arrive("/note/1");
     INFO(test.what);
     CHECK(fixture.takeAnswers().empty() != test.isRefused);
     fixture.advance(std::chrono::milliseconds(500));
-    CHECK(fixture.takeAttempts().size() == (test.failures == 1 ? 1 : 0));
+    CHECK(fixture.takeAttempts().size() == (test.failures == 1 && !test.isRefused ? 1 : 0));
 }
 
 // Guards against a drain that leaves a request without an answer or accepts requests that it cannot finish.
