Change settings in the soak by one function

changeSettings() and reload() wrote the same settings and sent the same signal; the first left out hosts that are killed, stopping or frozen, the second did not. Now both reload such hosts as well, so no check is narrower.

--- a/tests/fleet/FaultSoak.cpp
+++ b/tests/fleet/FaultSoak.cpp
@@ -126,14 +126,7 @@
     });
 }
 
-void FaultSoak::changeSettings()
-{
-    const std::size_t host = m_random.below(m_fleet.hostCount());
-    note("change the settings of host " + std::to_string(host));
-    m_fleet.writeSettings(host, { { "placement", { { "busy_share", 0.1 + m_random.unit() } } } });
-    if (!m_disturbed.contains(host))
-        m_fleet.process(host).signal(SIGHUP);
-}
+void FaultSoak::changeSettings() { reload(m_random.below(m_fleet.hostCount()), m_random); }
 
 void FaultSoak::changeConfiguration()
 {
