Wait for endpoints that rejected a request a moment ago

A begun stream that its only endpoint had rejected for want of room was ended (stream_version_gone) although it is meant to wait for room, if the model was being loaded elsewhere as well; requests that had not run were refused as no_replica.

Cause: any "not run" answer marks the model as missing at the endpoint for 400 ms, and took that for a statement that the endpoint lacks it. Now the end of the mark counts, as the end of a suspicion or a pause does. An endpoint to which a stream may not return is left out, so that nobody waits for it.

--- a/include/catkinwell/gateway/EndpointDirectory.h
+++ b/include/catkinwell/gateway/EndpointDirectory.h
@@ -96,11 +96,11 @@
     // Returns the expected time until an ordered replica is ready; nullopt if none was ordered.
     std::optional<Duration> timeUntilOrderedReplica(const std::string& service, const ModelVariant&,
         const std::optional<std::string>& softwareVersion, MonotonicTime now) const;
-    // Returns the shortest time until a replica can be ready: one at an endpoint that is only suspected to be out of
-    // reach, one that was ordered, or a load ordered now.
-    // With a software version, only endpoints of it count.
+    // Returns the shortest time until a replica can be ready: one at an endpoint that gets no requests for a moment,
+    // one that was ordered, or a load ordered now. With a software version, only endpoints of it count.
     Duration shortestTimeToReplica(const std::string& service, const ModelVariant&, const GatewayModel&,
-        const std::optional<std::string>& softwareVersion, MonotonicTime now) const;
+        const std::optional<std::string>& softwareVersion, const std::set<EndpointId>& excluded,
+        MonotonicTime now) const;
     bool hasUsableEndpoint(const std::string& service, MonotonicTime now) const;
     // Whether endpoints that serve the need exist, and all of them failed the request or are suspected by this host.
     bool isOnlyUnreachable(const EndpointNeed&, MonotonicTime now) const;
@@ -181,13 +181,17 @@
     EndpointRoom::Use useOf(const Entry&, MonotonicTime now);
     static bool isPresent(const Entry&, MonotonicTime now);
     bool hasVariant(const Entry&, const ModelVariant&, MonotonicTime now) const;
+    // Whether it is listed with the variant, also if it rejected a request for it a moment ago.
+    bool isListedWith(const Entry&, const ModelVariant&, MonotonicTime now) const;
+    static MonotonicTime endOfMissing(const Entry&, const ModelVariant&);
     const LoadedModels& modelsOf(const Entry&, MonotonicTime now) const;
     // Returns the expected time of a load from the weight store that was not ordered yet.
     Duration timeOfStoreLoad(const std::string& service, const GatewayModel&, MonotonicTime now) const;
-    // Returns the time until an endpoint with the variant that is suspected to be out of reach is tried again; nullopt
-    // if there is none.
+    // Returns the time until an endpoint with the variant is tried again that is suspected, asked for a pause or
+    // rejected a request for it; nullopt if there is none.
     std::optional<Duration> timeUntilHolderIsTried(const std::string& service, const ModelVariant&,
-        const std::optional<std::string>& softwareVersion, MonotonicTime now) const;
+        const std::optional<std::string>& softwareVersion, const std::set<EndpointId>& excluded,
+        MonotonicTime now) const;
     // Keeps new requests from the endpoint for a time that grows with its consecutive failures.
     static void suspect(Entry&, MonotonicTime now, EffectList&);
     double scoreOf(const Entry&, const Affinities&);
--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -335,7 +335,8 @@
     using VersionedVariant = std::pair<ServiceVariant, std::optional<std::string>>;
     VersionedVariant needOf(const Request&, MonotonicTime now) const;
     // Returns the shortest time until a replica can be ready; nullopt for a plain service or an unknown model.
-    std::optional<Duration> shortestTimeToReplica(const VersionedVariant&, MonotonicTime now) const;
+    std::optional<Duration> shortestTimeToReplica(
+        const VersionedVariant&, MonotonicTime now, const std::set<EndpointId>& excluded = {}) const;
     // Refuses a waiting request whose model cannot be ready in time. The model stays in demand for a while.
     void refuseIfTooLate(Request&, std::optional<Duration> soonest, MonotonicTime now, EffectList&);
     void endRefusedWaits(MonotonicTime now);
--- a/src/gateway/EndpointDirectory.cpp
+++ b/src/gateway/EndpointDirectory.cpp
@@ -272,18 +272,24 @@
     return isUpdateFresh ? entry.update.models : entry.record.models;
 }
 
-bool EndpointDirectory::hasVariant(const Entry& entry, const ModelVariant& variant, MonotonicTime now) const
+bool EndpointDirectory::isListedWith(const Entry& entry, const ModelVariant& variant, MonotonicTime now) const
 {
     if (variant.model.value.empty())
         return true;
     const LoadedModels& models = modelsOf(entry, now);
     const auto model = models.find(variant.model);
-    if (model == models.end())
-        return false;
-    if (!variant.adapter.empty() && !model->second.contains(variant.adapter))
-        return false;
+    return model != models.end() && (variant.adapter.empty() || model->second.contains(variant.adapter));
+}
+
+MonotonicTime EndpointDirectory::endOfMissing(const Entry& entry, const ModelVariant& variant)
+{
     const auto missing = entry.missingUntil.find(variant);
-    return missing == entry.missingUntil.end() || now >= missing->second;
+    return missing == entry.missingUntil.end() ? MonotonicTime() : missing->second;
+}
+
+bool EndpointDirectory::hasVariant(const Entry& entry, const ModelVariant& variant, MonotonicTime now) const
+{
+    return isListedWith(entry, variant, now) && now >= endOfMissing(entry, variant);
 }
 
 EndpointDirectory::Affinities EndpointDirectory::affinitiesOf(const EndpointNeed& need) const
@@ -427,11 +433,13 @@
 }
 
 Duration EndpointDirectory::shortestTimeToReplica(const std::string& service, const ModelVariant& variant,
-    const GatewayModel& model, const std::optional<std::string>& softwareVersion, MonotonicTime now) const
+    const GatewayModel& model, const std::optional<std::string>& softwareVersion, const std::set<EndpointId>& excluded,
+    MonotonicTime now) const
 {
     // Adapters load soon after their model, so only the model matters.
     if (const auto ready = timeUntilOrderedReplica(service, { variant.model, "" }, softwareVersion, now))
-        return std::min(*ready, timeUntilHolderIsTried(service, variant, softwareVersion, now).value_or(*ready));
+        return std::min(
+            *ready, timeUntilHolderIsTried(service, variant, softwareVersion, excluded, now).value_or(*ready));
     Duration soonest = timeOfStoreLoad(service, model, now);
     for (const auto& [id, entry] : m_entries) {
         const bool isGone = entry.usableUntil != MonotonicTime() && now >= entry.usableUntil;
@@ -448,17 +456,21 @@
     return soonest;
 }
 
-// A suspicion ends long before a load from the store.
+// Suspicions, pauses and rejections pass long before a load from the store ends.
 std::optional<Duration> EndpointDirectory::timeUntilHolderIsTried(const std::string& service,
-    const ModelVariant& variant, const std::optional<std::string>& softwareVersion, MonotonicTime now) const
+    const ModelVariant& variant, const std::optional<std::string>& softwareVersion,
+    const std::set<EndpointId>& excluded, MonotonicTime now) const
 {
     std::optional<Duration> soonest;
     for (const auto& [id, entry] : m_entries) {
-        if (entry.record.service != service || !isPresent(entry, now) || now >= entry.suspectedUntil
-            || !hasVariant(entry, variant, now) || !isVersionAccepted(entry, softwareVersion))
+        if (entry.record.service != service || !isPresent(entry, now) || excluded.contains(id)
+            || !isListedWith(entry, variant, now) || !isVersionAccepted(entry, softwareVersion))
             continue;
-        const Duration left = std::max({ entry.suspectedUntil, entry.misdirectedUntil, m_notices.pauseEnd(id) }) - now;
-        soonest = std::min(soonest.value_or(left), left);
+        const Duration left = std::max({ entry.suspectedUntil, entry.misdirectedUntil, m_notices.pauseEnd(id),
+                                  endOfMissing(entry, variant) })
+            - now;
+        if (left > Duration::zero())
+            soonest = std::min(soonest.value_or(left), left);
     }
     return soonest;
 }
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -204,7 +204,8 @@
             { "model", request.terms.variant.text() }, { "reason", std::string(textOf(reason)) } } });
 }
 
-std::optional<Duration> GatewayRequests::shortestTimeToReplica(const VersionedVariant& key, MonotonicTime now) const
+std::optional<Duration> GatewayRequests::shortestTimeToReplica(
+    const VersionedVariant& key, MonotonicTime now, const std::set<EndpointId>& excluded) const
 {
     const auto& [service, variant] = key.first;
     const GatewayEngine* engine = m_configuration.engineOf(service);
@@ -213,7 +214,7 @@
     const auto model = engine->models.find(variant.model);
     if (model == engine->models.end())
         return std::nullopt;
-    return m_directory.shortestTimeToReplica(service, variant, model->second, key.second, now);
+    return m_directory.shortestTimeToReplica(service, variant, model->second, key.second, excluded, now);
 }
 
 // The version counts only where several serve.
--- a/src/gateway/GatewayStreamVersions.cpp
+++ b/src/gateway/GatewayStreamVersions.cpp
@@ -113,7 +113,7 @@
     if (!m_directory.hasVersion(need, now))
         return true;
     // The caller of an interrupted answer does not wait for a load; it may take up the stream again.
-    const auto soonest = shortestTimeToReplica(needOf(request, now), now);
+    const auto soonest = shortestTimeToReplica(needOf(request, now), now, failed);
     return request.isHeadSent && soonest && *soonest > longestInterruption;
 }
 
