--- a/src/gateway/EndpointDirectory.cpp
+++ b/src/gateway/EndpointDirectory.cpp
@@ -378,11 +378,6 @@
     return EndpointChoice { chosen->record.id, chosen->record.address };
 }
 
-bool EndpointDirectory::isVersionAccepted(const Entry& entry, const std::optional<std::string>& softwareVersion)
-{
-    return !softwareVersion || entry.record.softwareVersion == *softwareVersion;
-}
-
 bool EndpointDirectory::hasReplica(const std::string& service, const ModelVariant& variant,
     const std::optional<std::string>& softwareVersion, MonotonicTime now)
 {
@@ -393,15 +388,6 @@
     });
 }
 
-bool EndpointDirectory::hasVersion(const EndpointNeed& need, MonotonicTime now) const
-{
-    return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto& item) {
-        const Entry& entry = item.second;
-        return entry.record.service == need.service && isVersionAccepted(entry, need.softwareVersion)
-            && isPresent(entry, now) && !need.excluded.contains(item.first);
-    });
-}
-
 std::optional<Duration> EndpointDirectory::timeUntilOrderedReplica(const std::string& service,
     const ModelVariant& variant, const std::optional<std::string>& softwareVersion, MonotonicTime now) const
 {
--- a/src/gateway/EndpointDirectoryVersions.cpp
+++ b/src/gateway/EndpointDirectoryVersions.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-// Which software versions the endpoints of a service had of late.
+// The software versions of endpoints, and which of them a service had of late.
 namespace Catkinwell {
 
 namespace {
@@ -54,4 +54,18 @@
     std::erase_if(m_versionsSeen, [](const auto& service) { return service.second.empty(); });
 }
 
+bool EndpointDirectory::isVersionAccepted(const Entry& entry, const std::optional<std::string>& softwareVersion)
+{
+    return !softwareVersion || entry.record.softwareVersion == *softwareVersion;
+}
+
+bool EndpointDirectory::hasVersion(const EndpointNeed& need, MonotonicTime now) const
+{
+    return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto& item) {
+        const Entry& entry = item.second;
+        return entry.record.service == need.service && isVersionAccepted(entry, need.softwareVersion)
+            && isPresent(entry, now) && !need.excluded.contains(item.first);
+    });
+}
+
 } // namespace Catkinwell
