Let a begun stream return to the endpoint that it left

Callers saw a stream cut off at the end of a planned stop although its endpoint still worked on it. Cause: a stream whose endpoint listed its run late, or did not answer the question for its runs, moved to another endpoint. If that one was full, the stream waited for room there only: the endpoint that it had left stayed excluded until the end of the request, also when it was sound and had room. An endpoint that fell silent now counts as one to try again, like one that rejected the request; one that broke the answer stays excluded.

The new test, "A begun stream returns to the endpoint that it left if the others stay full", failed before in both of its rows; gatewayTests pass (196 cases).

--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -216,9 +216,10 @@
         // The caller abandons a stream that has not started by this time.
         MonotonicTime firstByteDeadline {};
         std::optional<Attempt> attempt;
-        // Endpoints that failed or rejected this request, and those of them that did not run it.
+        // Endpoints that failed or rejected this request, and those of them that may serve it later: they did not run
+        // it, or fell silent and may be sound.
         std::set<EndpointId> excluded;
-        std::set<EndpointId> rejecting;
+        std::set<EndpointId> retriable;
         // Attempts that may have run.
         unsigned attempts = 0;
         // Attempts that were not run, as their endpoints stated.
--- a/src/gateway/GatewayRequestOutcomes.cpp
+++ b/src/gateway/GatewayRequestOutcomes.cpp
@@ -156,7 +156,7 @@
     else if (attempt.terms.isMisdirected)
         m_directory.noteMisdirected(attempt.endpoint, now);
     request.excluded.insert(attempt.endpoint);
-    request.rejecting.insert(attempt.endpoint);
+    request.retriable.insert(attempt.endpoint);
     const bool mayTryAgain
         = request.rejections < maximumRejections && request.deadline - now > shortestAttempt && takeRetry(request, now);
     if (mayTryAgain) {
@@ -178,12 +178,12 @@
     return request.mayHaveRun && (request.route.isIdempotent || request.route.isResumable);
 }
 
-// Those that rejected the request may have room for it later.
+// Those that rejected the request may have room for it later, and one that fell silent may only have paused.
 void GatewayRequests::waitForRoom(Request& request, MonotonicTime now, EffectList& effects)
 {
-    for (const EndpointId& endpoint : request.rejecting)
+    for (const EndpointId& endpoint : request.retriable)
         request.excluded.erase(endpoint);
-    request.rejecting.clear();
+    request.retriable.clear();
     request.rejections = 0;
     request.nextTryAt = now + rejectionPause;
     waitForReplica(request, now, effects);
@@ -217,6 +217,8 @@
             request.attempts += std::max(1U, request.attempt->relayAnswer.attempts) - 1;
         } else {
             request.excluded.insert(endpoint);
+            if (verdict == AttemptVerdict::Silent)
+                request.retriable.insert(endpoint);
         }
         endAttempt(request, verdict, now, effects);
     }
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -119,7 +119,7 @@
     const bool isReachedByOthers = m_directory.isOnlyUnreachable(need, now);
     if (isReachedByOthers && startRelay(request, "the endpoints with the model cannot be reached", now, effects))
         return;
-    if (!request.rejecting.empty() && mayWaitForRoom(request))
+    if (!request.retriable.empty() && mayWaitForRoom(request))
         waitForRoom(request, now, effects);
     else if (!endIfVersionGone(request, now, effects))
         waitForReplica(request, now, effects);
@@ -432,7 +432,7 @@
     } else {
         m_directory.limits().attemptNotSent(attempt.endpoint, now);
         request.excluded.insert(attempt.endpoint);
-        request.rejecting.insert(attempt.endpoint);
+        request.retriable.insert(attempt.endpoint);
     }
     endAttempt(request, AttemptVerdict::Unreachable, now, effects);
     dispatch(request, now, effects);
--- a/tests/gateway/SilentEndpointTest.cpp
+++ b/tests/gateway/SilentEndpointTest.cpp
@@ -326,6 +326,61 @@
 
 namespace {
 
+struct DepartureCase {
+    const char* name;
+    // Tells the host why the stream moves away from its endpoint, which goes on working meanwhile.
+    void (*mislead)(SilenceFixture&, const FetchRuns&);
+};
+
+void omitRun(SilenceFixture& fixture, const FetchRuns& fetch)
+{
+    fixture.requests.handle(RunReport { fetch.endpoint, fetch.requestedAt, std::map<std::string, std::uint64_t> {}, 0 },
+        fixture.now, fixture.effects);
+}
+
+void leaveUnanswered(SilenceFixture& fixture, const FetchRuns& fetch)
+{
+    fixture.requests.handle(
+        RunReportFailed { fetch.endpoint, fetch.requestedAt, std::nullopt }, fixture.now, fixture.effects);
+}
+
+} // namespace
+
+// Guards against a begun stream that is cut off at the end of a planned stop: its endpoint was sound but listed it late
+// or not at all, and the only other one is full for longer than the host runs on.
+TEST_CASE("A begun stream returns to the endpoint that it left if the others stay full")
+{
+    const auto test = GENERATE(values<DepartureCase>({
+        { "the endpoint does not list the run", omitRun },
+        { "the endpoint does not answer the question", leaveUnanswered },
+    }));
+    INFO(test.name);
+    SilenceFixture fixture(openStream);
+    fixture.advance(540ms);
+    const auto questions = effectsOf<FetchRuns>(fixture.effects);
+    REQUIRE(questions.size() == 1);
+    test.mislead(fixture, questions[0]);
+    fixture.advance(120ms);
+    std::optional<AttemptId> resumed;
+    for (int i = 0; i < 30 && !resumed; ++i) {
+        for (const StartAttempt& start : fixture.takeAttempts()) {
+            if (start.endpoint == fixture.silent)
+                resumed = start.id;
+            else
+                fixture.answer(start.id, 503, { { "not-executed", "1" } });
+        }
+        fixture.advance(100ms);
+    }
+    REQUIRE(resumed);
+    fixture.requests.handle(AttemptHead { *resumed, 200, eventHeaders }, fixture.now, fixture.effects);
+    fixture.requests.handle(AttemptData { *resumed, lastEvent }, fixture.now, fixture.effects);
+    fixture.requests.handle(AttemptFinished { *resumed }, fixture.now, fixture.effects);
+    CHECK(fixture.isAnswered());
+    CHECK(effectsOf<AbortResponse>(fixture.effects).empty());
+}
+
+namespace {
+
 struct UnsentCase {
     const char* name;
     AttemptFailure failure;
