Send nothing new to data centres that operators evacuate (gateways)

Cause: operators have to keep work away from the endpoints of a data centre within 5 s of a write to the store, on every host in contact.

Change: the mirror of op/config reads the prefix op/, without more calls. EvacuatedDataCentres keeps the data centres whose key op/evacuate/ZONE exists. Their endpoints count as leaving wherever an endpoint is chosen, and their engines get no orders and count for no replica. Requests and orders whose connections are still being opened are withheld and dispatched again; the others are written at once instead of in the event loop's next round. A host takes no configuration, and so serves nothing, before it has read op/. After the end of an evacuation requests return in steps; EvacuatedDataCentres::endedAt() tells when. The watch of op/ notices a silent connection within 3.5 s at most, also if store_reconnect_ms is longer.

--- a/include/catkinwell/endpoint/EngineClient.h
+++ b/include/catkinwell/endpoint/EngineClient.h
@@ -19,6 +19,8 @@
     void execute(const StartAttempt&);
     void execute(const CancelAttempt&);
     void execute(const ThrottleAttempt&);
+    // Applies to all exchanges of the HTTP client that name the endpoint, also those that others started.
+    void execute(const WithholdUnsent&);
     void execute(const FetchEndpointReport&);
     // Fetches a report first and sends the command on an idle connection, normally the one that the report used. If
     // this process is delayed in between, the engine closes the idle connection, and the command is not sent instead of
--- a/include/catkinwell/gateway/EndpointDirectory.h
+++ b/include/catkinwell/gateway/EndpointDirectory.h
@@ -3,7 +3,9 @@
 #include <catkinwell/core/RandomGenerator.h>
 #include <catkinwell/gateway/EndpointLimits.h>
 #include <catkinwell/gateway/EndpointNotices.h>
+#include <catkinwell/gateway/EndpointReturn.h>
 #include <catkinwell/gateway/EndpointRoom.h>
+#include <catkinwell/gateway/EvacuatedDataCentres.h>
 #include <catkinwell/gateway/GatewayMessage.h>
 #include <catkinwell/reducer/Effect.h>
 #include <deque>
@@ -87,6 +89,17 @@
     EndpointLimits& limits() { return m_limits; }
     // The room of endpoints that fall over if they have to reject too many. choose() and hasReplica() keep within it.
     EndpointRoom& room() { return m_room; }
+    // The data centres whose endpoints get nothing new.
+    EvacuatedDataCentres& evacuated() { return m_evacuated; }
+    const EvacuatedDataCentres& evacuated() const { return m_evacuated; }
+    // The pace at which requests return after an evacuation. choose() and hasReplica() keep to it.
+    EndpointReturn& returning() { return m_return; }
+    bool isEvacuated(const EndpointId&) const;
+    std::vector<EndpointId> endpointsIn(const DataCentreId&) const;
+    // Whether the service has endpoints, and all of them that neither leave nor are gone are under evacuation.
+    bool isWhollyEvacuated(const std::string& service, MonotonicTime now) const;
+    // Logs the services for which that began or ended since the last call.
+    void reportEvacuatedServices(MonotonicTime now, EffectList&);
     // The endpoint stated this in an answer to this host.
     void noteNotice(const EndpointId&, const EndpointNotice&, MonotonicTime now, EffectList&);
     // Whether the endpoint asked this host for a pause.
@@ -104,7 +117,7 @@
     bool hasUsableEndpoint(const std::string& service, MonotonicTime now) const;
     // Whether endpoints that serve the need exist, and all of them failed the request or are suspected by this host.
     bool isOnlyUnreachable(const EndpointNeed&, MonotonicTime now) const;
-    // Number of the service's endpoints that are neither leaving nor gone.
+    // Number of the service's endpoints that are neither leaving nor gone nor under evacuation.
     std::size_t count(const std::string& service, MonotonicTime now) const;
     // Returns an endpoint of the service to probe, at random: one of a data centre in which none failed, the own one
     // first, so that the loss of another data centre does not pass for that of this host's path; else one that did not
@@ -179,7 +192,9 @@
     // Whether the endpoint's limits leave a place for a request of this host.
     bool isAvailable(const Entry&, MonotonicTime now);
     EndpointRoom::Use useOf(const Entry&, MonotonicTime now);
-    static bool isPresent(const Entry&, MonotonicTime now);
+    static bool isInService(const Entry&, MonotonicTime now);
+    // Whether the endpoint is in service and not under evacuation.
+    bool isPresent(const Entry&, MonotonicTime now) const;
     bool hasVariant(const Entry&, const ModelVariant&, MonotonicTime now) const;
     // Whether it is listed with the variant, also if it rejected a request for it a moment ago.
     bool isListedWith(const Entry&, const ModelVariant&, MonotonicTime now) const;
@@ -209,6 +224,10 @@
     EndpointLimits m_limits;
     EndpointRoom m_room;
     EndpointNotices m_notices;
+    EvacuatedDataCentres m_evacuated;
+    EndpointReturn m_return;
+    // The services that were last reported as wholly evacuated.
+    std::set<std::string> m_evacuatedServices;
     std::map<EndpointId, Entry> m_entries;
     // Only of services whose room is limited.
     std::map<std::string, ServiceUse> m_serviceUse;
--- a/include/catkinwell/gateway/EnginePlacement.h
+++ b/include/catkinwell/gateway/EnginePlacement.h
@@ -219,6 +219,10 @@
     const GatewayModel* settingsOf(const Engine&, const ModelId&) const;
     std::vector<ServiceModel> modelsByLoad(MonotonicTime now);
     bool isReachable(const Engine&, MonotonicTime now) const;
+    // Whether the engine gets no orders and does not count, because its data centre is under evacuation.
+    bool isEvacuated(const Engine&) const;
+    // Gives up loads that have not been ordered yet at engines under evacuation.
+    void dropEvacuatedLoads();
     unsigned wantedReplicas(const std::string& service, const ModelSummary&) const;
     // Whether an engine can hold these models and, beside them, as many adapters as it has places.
     static bool fits(const std::set<ModelId>&, const GatewayEngine&);
--- a/include/catkinwell/gateway/ForwardingProtocol.h
+++ b/include/catkinwell/gateway/ForwardingProtocol.h
@@ -78,10 +78,15 @@
     // Name of the header that an endpoint echoes in its answer.
     virtual std::string echoHeader() const = 0;
 
-    // The key of the operators' configuration and the prefix of the endpoints' records in the store.
+    // The prefix of what operators write to the store, the key of the configuration under it, and the prefix of the
+    // endpoints' records.
+    virtual std::string operatorPrefix() const = 0;
     virtual std::string configurationKey() const = 0;
     virtual std::string endpointPrefix() const = 0;
 
+    // Returns the data centre that is under evacuation while the key exists; nullopt for other keys.
+    virtual std::optional<DataCentreId> evacuatedDataCentre(std::string_view key) const = 0;
+
     // Errors: InvalidConfiguration that names the invalid field.
     virtual Result<GatewayConfiguration> readConfiguration(std::string_view document) const = 0;
     // Errors: InvalidMessage for a record that does not describe a usable endpoint.
--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -88,6 +88,10 @@
     void handleStatusRequest(const RequestArrived&, MonotonicTime now, EffectList&);
 
     void applyConfiguration(const std::string& document, ConfigurationOrigin, MonotonicTime now, EffectList&);
+    void applyOperatorEntries(const std::vector<StoreEntry>&, MonotonicTime now, EffectList&);
+    // Returns whether an evacuation began or ended.
+    bool applyEvacuation(const DataCentreId&, const StoreEntry&, MonotonicTime now, EffectList&);
+    void updateEvacuations(MonotonicTime now, EffectList&);
     void applyEndpoint(const StoreEntry&, MonotonicTime now, EffectList&);
     void noteUnusableRecord(const EndpointId&, const std::string& reason, EffectList&);
     void applyGatewayEntry(const StoreEntry&, MonotonicTime now, EffectList&);
@@ -131,6 +135,7 @@
     MetricsRegistry m_metrics;
     RequestCounts m_callerCounts;
     HostLease m_lease;
+    // Of all that operators write.
     PrefixMirror m_configurationMirror;
     PrefixMirror m_endpointMirror;
     PrefixMirror m_gatewayMirror;
--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -368,6 +368,11 @@
     // Pauses the new attempt of a caller that does not read.
     static void pauseIfCallerSlow(const Request&, EffectList&);
     void endAttempt(Request&, AttemptVerdict, MonotonicTime now, EffectList&);
+    // Ends a request without a running attempt if all endpoints of its service are under evacuation. Returns whether
+    // it did.
+    bool endIfEvacuated(Request&, MonotonicTime now, EffectList&);
+    // This host gave the attempt up before it was sent: tries the next endpoint.
+    void handleWithheld(Request&, const std::string& reason, MonotonicTime now, EffectList&);
     // No byte of the request was sent: tries the next endpoint or host.
     void handleNotSent(Request&, const std::string& reason, MonotonicTime now, EffectList&);
     void handleNotExecuted(Request&, MonotonicTime now, EffectList&);
--- a/include/catkinwell/http/HttpClient.h
+++ b/include/catkinwell/http/HttpClient.h
@@ -35,6 +35,9 @@
     // No byte of the request is sent at this time or later, also if the process stood still meanwhile; it then fails
     // with NotSent. Absent if it may be sent at any time.
     std::optional<MonotonicTime> sendBefore {};
+    // Key by which withholdUnsent() finds the exchange; empty if it may not be withheld. Such a request is written as
+    // soon as its connection is open, not in the event loop's next round.
+    std::string withholdKey {};
     // Name of a request header that the peer repeats in its response. A response with another value belongs to another
     // request and is discarded. Empty to disable the check.
     std::string echoHeader;
@@ -76,6 +79,9 @@
     // identifier.
     void cancel(ExchangeId);
 
+    // Fails all exchanges with this key whose connections are still being opened, with NotSent and Withheld.
+    void withholdUnsent(const std::string& key);
+
     // Stops or resumes reading the response. While paused, TCP flow control slows the peer down.
     void setPaused(ExchangeId, bool paused);
 
--- a/include/catkinwell/http/HttpTypes.h
+++ b/include/catkinwell/http/HttpTypes.h
@@ -98,6 +98,8 @@
     // Name of a header that the endpoint repeats in its response. A response with another value belongs to another
     // request and is discarded. Empty to disable the check.
     std::string echoHeader;
+    // Whether WithholdUnsent applies to it. Not set for checks of an endpoint's state.
+    bool mayBeWithheld = false;
 };
 
 // An effect: cancels the attempt. No event with this identifier follows.
@@ -105,6 +107,12 @@
     AttemptId id;
 };
 
+// An effect: ends the attempts and orders for the endpoint whose connections are still being opened. They fail with
+// NotSent and Withheld.
+struct WithholdUnsent {
+    EndpointId endpoint;
+};
+
 // An effect: stops or resumes reading from the endpoint while the caller reads slowly.
 struct ThrottleAttempt {
     AttemptId id;
@@ -151,6 +159,8 @@
     Silence,
     // The peer sent bytes that are not a valid HTTP response.
     Garbage,
+    // This host gave the attempt up before it was sent; this says nothing about the peer.
+    Withheld,
 };
 
 std::string_view nameOf(AttemptFailure);
--- a/include/catkinwell/logging/LogEvent.h
+++ b/include/catkinwell/logging/LogEvent.h
@@ -142,6 +142,9 @@
     GatewayBuffersFull = 2136,
     GatewaySilentStreamChecked = 2137,
     GatewayMemoryFullChanged = 2138,
+    EvacuationChanged = 2140,
+    EvacuationUnmatched = 2141,
+    ServiceEvacuated = 2142,
 };
 
 struct LogEventDescription {
--- a/include/catkinwell/reducer/Effect.h
+++ b/include/catkinwell/reducer/Effect.h
@@ -44,9 +44,9 @@
 
 // The actions that a reducer can request from its runtime.
 using Effect = std::variant<SendResponseHead, SendResponseData, FinishResponse, SendWholeResponse, AbortResponse,
-    StartAttempt, StartRelay, CancelAttempt, ThrottleAttempt, StoreCall, SendToPeer, FetchEndpointReport,
-    PlacementCommand, LogEntry, RecordMetric, SetPeerAddresses, SetCallerLimits, AnnounceClosing, StartPeerTransport,
-    FetchEngineStatus, FetchRuns, EngineOrder, ExitProcess>;
+    StartAttempt, StartRelay, CancelAttempt, ThrottleAttempt, WithholdUnsent, StoreCall, SendToPeer,
+    FetchEndpointReport, PlacementCommand, LogEntry, RecordMetric, SetPeerAddresses, SetCallerLimits, AnnounceClosing,
+    StartPeerTransport, FetchEngineStatus, FetchRuns, EngineOrder, ExitProcess>;
 
 using EffectList = std::vector<Effect>;
 
--- a/src/endpoint/EngineClient.cpp
+++ b/src/endpoint/EngineClient.cpp
@@ -36,6 +36,8 @@
     request.silenceTimeout = attempt.silenceTimeout;
     request.needsFreshConnection = attempt.needsFreshConnection;
     request.echoHeader = attempt.echoHeader;
+    if (attempt.mayBeWithheld)
+        request.withholdKey = attempt.endpoint.value;
     // Whoever started the attempt bounds it by its deadline and by what it keeps.
     request.maximumBodyBytes = std::numeric_limits<std::size_t>::max();
     HttpExchangeObserver observer;
@@ -75,6 +77,8 @@
         m_client.setPaused(found->second, throttle.paused);
 }
 
+void EngineClient::execute(const WithholdUnsent& withhold) { m_client.withholdUnsent(withhold.endpoint.value); }
+
 void EngineClient::execute(const FetchEndpointReport& fetch)
 {
     HttpExchange request;
--- a/src/gateway/EndpointDirectory.cpp
+++ b/src/gateway/EndpointDirectory.cpp
@@ -49,6 +49,7 @@
     , m_limits(std::move(self), seed + 1)
     , m_room(seed + 2)
     , m_notices(seed + 3)
+    , m_return(seed + 4)
 {
 }
 
@@ -196,6 +197,7 @@
         m_departures, [now](const auto& departure) { return now - departure.second.at >= departureLifetime; });
     m_limits.tick(now);
     m_notices.tick(now);
+    m_return.tick(now);
 }
 
 void EndpointDirectory::noteNotice(
@@ -224,26 +226,12 @@
     return soonest;
 }
 
-// Whether the endpoint is neither leaving nor gone.
-bool EndpointDirectory::isPresent(const Entry& entry, MonotonicTime now)
-{
-    return !entry.record.isLeaving && (entry.usableUntil == MonotonicTime() || now < entry.usableUntil);
-}
-
 bool EndpointDirectory::isUsable(const Entry& entry, MonotonicTime now) const
 {
     return isPresent(entry, now) && now >= entry.suspectedUntil && now >= entry.misdirectedUntil
         && !m_notices.isPaused(entry.record.id, now);
 }
 
-bool EndpointDirectory::isAvailable(const Entry& entry, MonotonicTime now)
-{
-    const EndpointRecord& record = entry.record;
-    if (!m_limits.isAvailable(record.id, now))
-        return false;
-    return !m_room.isBrittle(record.service, now) || m_room.hasRoom(record.service, record.id, useOf(entry, now), now);
-}
-
 EndpointRoom::Use EndpointDirectory::useOf(const Entry& entry, MonotonicTime now)
 {
     ServiceUse& use = m_serviceUse[entry.record.service];
@@ -393,7 +381,7 @@
 {
     std::optional<Duration> soonest;
     for (const auto& [id, entry] : m_entries) {
-        if (entry.record.service != service || now - entry.updateReceivedAt >= updateLifetime
+        if (entry.record.service != service || now - entry.updateReceivedAt >= updateLifetime || isEvacuated(id)
             || !isVersionAccepted(entry, softwareVersion))
             continue;
         for (const PendingReplica& replica : entry.update.pendingReplicas) {
@@ -428,9 +416,7 @@
             *ready, timeUntilHolderIsTried(service, variant, softwareVersion, excluded, now).value_or(*ready));
     Duration soonest = timeOfStoreLoad(service, model, now);
     for (const auto& [id, entry] : m_entries) {
-        const bool isGone = entry.usableUntil != MonotonicTime() && now >= entry.usableUntil;
-        if (entry.record.service != service || entry.record.isLeaving || isGone
-            || !isVersionAccepted(entry, softwareVersion))
+        if (entry.record.service != service || !isPresent(entry, now) || !isVersionAccepted(entry, softwareVersion))
             continue;
         if (modelsOf(entry, now).contains(variant.model) || entry.record.models.contains(variant.model))
             return Duration::zero();
@@ -495,6 +481,8 @@
     if (found == m_entries.end())
         return;
     m_room.attemptStarted(found->second.record.service, id, now);
+    if (const auto endedAt = m_evacuated.endedAt(found->second.record.dataCentre))
+        m_return.attemptStarted(id, *endedAt, now);
     ++found->second.ownRunning[variant];
     ++found->second.ownTotal;
 }
--- a/src/gateway/EnginePlacement.cpp
+++ b/src/gateway/EnginePlacement.cpp
@@ -174,6 +174,7 @@
         return;
     m_nextPlanAt = now + planInterval();
     m_demand.update(now);
+    dropEvacuatedLoads();
     invalidateSummaries();
     updateStoreLoads(now);
     planAdapters(now, effects);
--- a/src/gateway/EnginePlacementChoice.cpp
+++ b/src/gateway/EnginePlacementChoice.cpp
@@ -148,6 +148,8 @@
         all[key].running = running;
     for (auto& item : m_engines) {
         Engine& engine = item.second;
+        if (isEvacuated(engine))
+            continue;
         const std::string& service = engine.record.service;
         const unsigned usable = isReachable(engine, now) ? 1 : 0;
         const auto addReplica = [&](const ModelId& model) -> ModelSummary& {
@@ -209,6 +211,11 @@
         && m_directory.isUsable(engine.record.id, now);
 }
 
+bool EnginePlacement::isEvacuated(const Engine& engine) const
+{
+    return m_directory.evacuated().contains(engine.record.dataCentre);
+}
+
 unsigned EnginePlacement::wantedReplicas(const std::string& service, const ModelSummary& summary) const
 {
     const GatewayEngine* settings = m_configuration.engineOf(service);
--- a/src/gateway/EnginePlacementPlan.cpp
+++ b/src/gateway/EnginePlacementPlan.cpp
@@ -34,6 +34,19 @@
         giveOrder(engine, EngineOrderKind::Unload, { candidate.victims.front(), "" }, reason, now, effects);
 }
 
+// Such a load would take a place among those from the weight store without ever being ordered.
+void EnginePlacement::dropEvacuatedLoads()
+{
+    if (m_directory.evacuated().isEmpty())
+        return;
+    for (auto& [id, engine] : m_engines) {
+        if (!engine.nextLoad || !isEvacuated(engine))
+            continue;
+        engine.nextLoad.reset();
+        engine.isChanged = true;
+    }
+}
+
 void EnginePlacement::continueLoad(Engine& engine, MonotonicTime now, EffectList& effects)
 {
     if (!engine.nextLoad || !mayOrder(engine, now))
--- a/src/gateway/GatewayQuarantine.cpp
+++ b/src/gateway/GatewayQuarantine.cpp
@@ -72,7 +72,9 @@
 void GatewayRequests::noteBrokenAttempt(Request& request, MonotonicTime now)
 {
     Attempt& attempt = *request.attempt;
-    if (attempt.relayedTo || m_reach.isLost(request.service) || std::exchange(attempt.isAccused, true))
+    // What runs on in an evacuated data centre may be shut down with it.
+    if (attempt.relayedTo || m_reach.isLost(request.service) || m_directory.isEvacuated(attempt.endpoint)
+        || std::exchange(attempt.isAccused, true))
         return;
     const auto events = static_cast<std::uint32_t>(attempt.position.events());
     m_promptQuarantine.attemptBroken(attempt.endpoint,
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -32,6 +32,9 @@
     // A peer that is no longer registered counts as live for this time after its last digest.
     constexpr Duration digestLifetime = std::chrono::seconds(2);
     constexpr Duration configurationAskInterval = std::chrono::milliseconds(300);
+    // An evacuation holds 5 s after its key was written, also on a host whose connection to the store went silent and
+    // whose event loop is late.
+    constexpr Duration longestOperatorReconnect = std::chrono::milliseconds(3500);
     constexpr std::size_t maximumOfferBytes = 900 * 1024;
 
     HostLeaseSettings leaseSettingsOf(const GatewaySettings& settings)
@@ -95,7 +98,7 @@
                   relayAddressOf(m_settings) },
           seed, leaseSettingsOf(m_settings))
     , m_configurationMirror(
-          StoreUser::Configuration, mirrorOf(protocol.configurationKey(), std::chrono::milliseconds(50)), seed + 1)
+          StoreUser::Configuration, mirrorOf(protocol.operatorPrefix(), std::chrono::milliseconds(50)), seed + 1)
     , m_endpointMirror(StoreUser::Membership, mirrorOf(protocol.endpointPrefix(), shortestRecordInterval), seed + 2)
     , m_gatewayMirror(StoreUser::Shares, mirrorOf(m_settings.storeKeyPrefix, std::chrono::milliseconds(100)), seed + 3)
     , m_listCheck(protocol.endpointPrefix())
@@ -204,8 +207,9 @@
 
 void GatewayReducer::setStoreReconnect(Duration reconnect)
 {
-    for (PrefixMirror* mirror : { &m_configurationMirror, &m_endpointMirror, &m_gatewayMirror })
+    for (PrefixMirror* mirror : { &m_endpointMirror, &m_gatewayMirror })
         mirror->setReconnect(reconnect);
+    m_configurationMirror.setReconnect(std::min(reconnect, longestOperatorReconnect));
 }
 
 void GatewayReducer::handleTick(const Tick& tick, MonotonicTime now, EffectList& effects)
@@ -224,6 +228,7 @@
     m_requests.updateReach(now, effects);
     m_quota.tick(now);
     m_directory.tick(now);
+    updateEvacuations(now, effects);
     updatePromptQuarantine(now, effects);
     updateStreamVersions(now, effects);
     checkEndpointList(now, effects);
@@ -256,10 +261,7 @@
         m_lease.handle(reply, now, effects);
         break;
     case StoreUser::Configuration:
-        for (const StoreEntry& entry : m_configurationMirror.handle(reply, now, effects)) {
-            if (entry.key == m_protocol.configurationKey() && !entry.isDeleted)
-                applyConfiguration(entry.value, ConfigurationOrigin::Store, now, effects);
-        }
+        applyOperatorEntries(m_configurationMirror.handle(reply, now, effects), now, effects);
         m_configurationMirror.tick(now, effects);
         break;
     case StoreUser::Membership:
@@ -326,6 +328,7 @@
     const std::set<HostId> before = std::exchange(m_livePeers, std::move(live));
     updateQuotaPeers(before, now);
     m_directory.room().setHosts(m_livePeers.size() + 1);
+    m_directory.returning().setHosts(m_livePeers.size() + 1);
     m_directory.room().setReportInterval(digestInterval());
     m_requests.setHostCount(m_livePeers.size() + 1);
     m_requests.trials().setPeers(m_livePeers);
@@ -497,7 +500,9 @@
     }
     void operator()(const ConfigurationDocumentOffer& offer) const
     {
-        reducer.applyConfiguration(offer.document, ConfigurationOrigin::Peer, now, effects);
+        // Without the evacuations, which only the store states, no request may be served.
+        if (reducer.m_configurationMirror.isRead())
+            reducer.applyConfiguration(offer.document, ConfigurationOrigin::Peer, now, effects);
     }
 };
 
@@ -547,7 +552,7 @@
         m_placement.tick(now, effects);
         sendPlacementUpdate(now, effects);
     }
-    if (digest.configurationVersion > m_configuration.version
+    if (digest.configurationVersion > m_configuration.version && m_configurationMirror.isRead()
         && now - peer.configurationRequestedAt >= configurationAskInterval) {
         peer.configurationRequestedAt = now;
         sendTo(received.from, ConfigurationWanted { m_configuration.version }, effects);
@@ -556,8 +561,8 @@
 
 bool GatewayReducer::isReady() const
 {
-    return m_phase == Phase::Serving && m_configuration.isKnown() && m_endpointMirror.isRead()
-        && m_gatewayMirror.isRead();
+    return m_phase == Phase::Serving && m_configuration.isKnown() && m_configurationMirror.isRead()
+        && m_endpointMirror.isRead() && m_gatewayMirror.isRead();
 }
 
 void GatewayReducer::reportReadiness(EffectList& effects)
--- a/src/gateway/GatewayRelay.cpp
+++ b/src/gateway/GatewayRelay.cpp
@@ -34,7 +34,7 @@
     const Request& request, AttemptFailure failure, MonotonicTime now, EffectList& effects)
 {
     const Attempt& attempt = *request.attempt;
-    if (attempt.relayedTo || failure == AttemptFailure::Garbage)
+    if (attempt.relayedTo || failure == AttemptFailure::Garbage || m_directory.isEvacuated(attempt.endpoint))
         return;
     m_reach.noteFailure(
         request.service, attempt.endpoint, failure, m_directory.count(request.service, now), now, effects);
@@ -51,7 +51,7 @@
     const std::string& service = record->service;
     if (!failure || *failure == AttemptFailure::Garbage)
         m_reach.noteAnswer(service, false, now, effects);
-    else
+    else if (!m_directory.isEvacuated(endpoint))
         m_reach.noteFailure(service, endpoint, *failure, m_directory.count(service, now), now, effects);
 }
 
@@ -131,6 +131,9 @@
     const auto [service, endpoint] = probe->second;
     m_probes.erase(probe);
     m_reach.noteProbeEnded(service);
+    // The evacuation may have begun meanwhile; what is shut down then fails.
+    if (m_directory.isEvacuated(endpoint))
+        return true;
     m_reach.noteProbeFailed(service, endpoint, failed.failure, m_directory.count(service, now), now, effects);
     return true;
 }
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -95,7 +95,7 @@
     }
     if (endIfStopTooNear(request, now, latestStart(request), now, effects))
         return;
-    if (holdForTrial(request, now, effects))
+    if (endIfEvacuated(request, now, effects) || holdForTrial(request, now, effects))
         return;
     if (m_reach.isLost(request.service)) {
         if (!startRelay(request, "no endpoint of the service can be reached", now, effects))
@@ -318,6 +318,7 @@
     start.connectTimeout = std::min(connectTimeout, terms.timeLeft);
     start.silenceTimeout = attemptSilenceTimeout;
     start.echoHeader = m_protocol.echoHeader();
+    start.mayBeWithheld = true;
     m_directory.attemptStarted(choice.endpoint, request.terms.variant, now);
     m_trials.started(request.arrived.id, m_promptQuarantine.suspicionOf(request.parts, now));
     m_attempts[attempt.id] = request.arrived.id;
@@ -409,6 +410,10 @@
     Request* request = requestOf(failed.id);
     if (!request)
         return;
+    if (failed.failure == AttemptFailure::Withheld && !request->attempt->relayedTo) {
+        handleWithheld(*request, failed.reason, now, effects);
+        return;
+    }
     noteNotReached(*request, failed.failure, now, effects);
     if (failed.outcome == AttemptOutcome::NotSent) {
         handleNotSent(*request, failed.reason, now, effects);
@@ -543,7 +548,7 @@
         if (isNew)
             known->second
                 = m_directory.hasReplica(request.service, request.terms.variant, request.softwareVersion, now);
-        if (known->second || isVersionGone(request, now))
+        if (known->second || isVersionGone(request, now) || m_directory.isWhollyEvacuated(request.service, now))
             ready.push_back(id);
     }
     for (const RequestId id : ready) {
--- a/src/gateway/GatewayStatus.cpp
+++ b/src/gateway/GatewayStatus.cpp
@@ -57,12 +57,15 @@
     const Json callers { { "read", m_callerCounts.read }, { "open", m_callerCounts.open() }, { "ended", answers },
         { "rejected", m_callerCounts.rejected } };
     const RequestEnds& ends = m_requests.ends();
+    Json evacuated = Json::array();
+    for (const auto& [dataCentre, evacuation] : m_directory.evacuated().evacuations())
+        evacuated.push_back(dataCentre.value);
     return Json {
         { "kept_bytes", m_requests.keptBytes() }, { "host", m_settings.host.value }, { "ready", isReady() },
         { "configuration", m_configuration.version }, { "endpoints", m_directory.size() },
         { "requests", m_requests.activeRequests() }, { "owner", m_ownership.owner().value }, { "peers", peers },
         { "missing_hosts", m_quota.missingPeers() }, { "callers", callers }, { "accepted", ends.accepted },
-        { "open", ends.open() }
+        { "open", ends.open() }, { "evacuated_data_centres", evacuated }
     }.dump();
 }
 
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -52,6 +52,7 @@
     ExchangeId start(const HttpExchange& request, HttpExchangeObserver observer);
     void cancel(ExchangeId id);
     void failOverdue(ExchangeId id);
+    void withholdUnsent(const std::string& key);
     void setPaused(ExchangeId id, bool paused);
     std::size_t runningExchanges() const { return m_running.size(); }
 
@@ -104,6 +105,8 @@
     bool open(const SocketAddress&, Duration connectTimeout);
     void begin(ExchangeId, const HttpExchange&, HttpExchangeObserver);
     void failOverdue() { fail(AttemptFailure::Silence, "the response did not end in time"); }
+    bool canBeWithheld(const std::string& key) const { return !m_isOpen && m_withholdKey == key; }
+    void withhold() { fail(AttemptFailure::Withheld, "this host gave the request up before its connection opened"); }
     // Ensures that the observer is not called again.
     void detach() { m_detached = true; }
     void setPaused(bool paused);
@@ -142,6 +145,7 @@
     // The request until the connection is open.
     std::string m_unsent;
     std::optional<MonotonicTime> m_sendBefore;
+    std::string m_withholdKey;
     Duration m_silenceTimeout {};
     // When the silence timeout was set, or bytes were read after that.
     MonotonicTime m_lastReadAt {};
@@ -203,6 +207,7 @@
     m_reader.restart();
     m_unsent = serializeRequest(request);
     m_sendBefore = request.sendBefore;
+    m_withholdKey = request.withholdKey;
     bufferevent_enable(m_stream, EV_READ | EV_WRITE);
     if (!m_isOpen)
         return;
@@ -213,7 +218,7 @@
 void HttpClient::Implementation::Connection::send()
 {
     std::string_view rest = m_unsent;
-    if (m_sendBefore) {
+    if (m_sendBefore || !m_withholdKey.empty()) {
         // The loop writes in its next round, before which the process may stand still.
         const ssize_t sent = ::send(bufferevent_getfd(m_stream), rest.data(), rest.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
         rest.remove_prefix(static_cast<std::size_t>(std::max<ssize_t>(0, sent)));
@@ -545,6 +550,19 @@
         found->second->failOverdue();
 }
 
+void HttpClient::Implementation::withholdUnsent(const std::string& key)
+{
+    std::vector<ExchangeId> unsent;
+    for (const auto& [id, connection] : m_running) {
+        if (connection->canBeWithheld(key))
+            unsent.push_back(id);
+    }
+    for (const ExchangeId id : unsent) {
+        if (const auto found = m_running.find(id); found != m_running.end())
+            found->second->withhold();
+    }
+}
+
 void HttpClient::Implementation::setPaused(ExchangeId id, bool paused)
 {
     const auto found = m_running.find(id);
@@ -575,6 +593,8 @@
 
 void HttpClient::cancel(ExchangeId id) { m_implementation->cancel(id); }
 
+void HttpClient::withholdUnsent(const std::string& key) { m_implementation->withholdUnsent(key); }
+
 void HttpClient::setPaused(ExchangeId id, bool paused) { m_implementation->setPaused(id, paused); }
 
 std::size_t HttpClient::runningExchanges() const { return m_implementation->runningExchanges(); }
--- a/src/http/HttpTypes.cpp
+++ b/src/http/HttpTypes.cpp
@@ -11,11 +11,12 @@
         { AttemptOutcome::Unknown, "unknown" },
     } };
 
-    constexpr EnumNames<AttemptFailure, 4> attemptFailureNames { {
+    constexpr EnumNames<AttemptFailure, 5> attemptFailureNames { {
         { AttemptFailure::Connect, "connect" },
         { AttemptFailure::Broken, "broken" },
         { AttemptFailure::Silence, "silence" },
         { AttemptFailure::Garbage, "garbage" },
+        { AttemptFailure::Withheld, "withheld" },
     } };
 
 } // namespace
--- a/src/logging/LogEvent.cpp
+++ b/src/logging/LogEvent.cpp
@@ -336,6 +336,18 @@
             "The host refuses new requests because those that it has, and the answers that callers have not read yet, "
             "take as much memory as they may; or it accepts them again.",
             "If it persists, find callers that read slowly, add hosts or raise memory_mb." },
+        { LogEvent::EvacuationChanged, Warning, "evacuation_changed",
+            "The evacuation of a data centre began or ended on this host; while it lasts, the host sends nothing new "
+            "to the endpoints there. After its end the requests return in steps.",
+            "Delete the key in the field \"key\" from the store, or run `catkinwell admin data-centre restore`, to end "
+            "it." },
+        { LogEvent::EvacuationUnmatched, Warning, "evacuation_unmatched",
+            "No endpoint names the data centre that is under evacuation. The evacuation is kept.",
+            "Compare the name with the data centres of the endpoints; evacuate again with the right name." },
+        { LogEvent::ServiceEvacuated, Error, "service_evacuated",
+            "All endpoints of a service are in data centres under evacuation, so that its requests are refused, or no "
+            "longer are; the field \"state\" tells which.",
+            "End an evacuation, or add endpoints of the service in another data centre." },
     };
     return catalogue;
 }
--- a/src/metrics/MetricCatalogue.cpp
+++ b/src/metrics/MetricCatalogue.cpp
@@ -48,6 +48,8 @@
             "Requests that were read whole and whose answers have not ended." },
         { Metric::RequestsEndedTotal, Counter, "requests_ended_total", "end",
             "Requests whose end was logged, by how they ended." },
+        { Metric::EvacuatedDataCentre, Gauge, "evacuated_data_centre", "data_centre",
+            "1 while the data centre is under evacuation, 0 after that." },
     };
     return catalogue;
 }
--- a/src/replay/ReplayProtocol.h
+++ b/src/replay/ReplayProtocol.h
@@ -17,8 +17,10 @@
         return { service.healthPath, {} };
     }
     std::string echoHeader() const override { return "id"; }
+    std::string operatorPrefix() const override { return ""; }
     std::string configurationKey() const override { return ""; }
     std::string endpointPrefix() const override { return ""; }
+    std::optional<DataCentreId> evacuatedDataCentre(std::string_view) const override { return std::nullopt; }
     Result<GatewayConfiguration> readConfiguration(std::string_view document) const override;
     Result<EndpointRecord> readEndpoint(std::string_view key, std::string_view document) const override;
 };
--- a/src/runtime/CommonEffects.h
+++ b/src/runtime/CommonEffects.h
@@ -25,6 +25,7 @@
     void operator()(const StartAttempt& effect) const { self().attempts().execute(effect); }
     void operator()(const CancelAttempt& effect) const { self().attempts().execute(effect); }
     void operator()(const ThrottleAttempt& effect) const { self().attempts().execute(effect); }
+    void operator()(const WithholdUnsent& effect) const { self().attempts().execute(effect); }
     void operator()(const StoreCall& effect) const { self().store().execute(effect); }
     void operator()(const LogEntry& effect) const { self().log().write(effect); }
     // The reducer records the metrics.
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -6,12 +6,23 @@
 
 namespace Catkinwell::Testing {
 
+// Returns what follows the prefix; nullopt if the key does not begin with it.
+inline std::optional<DataCentreId> evacuatedUnder(std::string_view prefix, std::string_view key)
+{
+    return key.starts_with(prefix) ? std::optional(DataCentreId(std::string(key.substr(prefix.size())))) : std::nullopt;
+}
+
 // The replay protocol's plain headers, with documents that refer to the sample configuration and sample endpoints. The
 // record of an endpoint is its service, its software version and its models, separated by spaces.
 class PlainProtocol : public ReplayProtocol {
 public:
+    std::string operatorPrefix() const override { return "configuration"; }
     std::string configurationKey() const override { return "configuration"; }
     std::string endpointPrefix() const override { return "endpoints/"; }
+    std::optional<DataCentreId> evacuatedDataCentre(std::string_view key) const override
+    {
+        return evacuatedUnder("configuration/evacuate/", key);
+    }
     Result<GatewayConfiguration> readConfiguration(std::string_view document) const override;
     Result<EndpointRecord> readEndpoint(std::string_view key, std::string_view document) const override;
 };
--- a/tests/gateway/SimulatedFleet.cpp
+++ b/tests/gateway/SimulatedFleet.cpp
@@ -173,6 +173,7 @@
     record.heartbeat = fields.value("heartbeat", std::uint64_t { 0 });
     record.isLeaving = fields.value("leaving", false);
     record.softwareVersion = fields.value("version", "");
+    record.dataCentre = DataCentreId(fields.value("zone", record.dataCentre.value));
     record.incarnation = fields.value("incarnation", record.incarnation);
     for (const Json& model : fields.value("models", Json::array()))
         record.models[ModelId(model.get<std::string>())];
@@ -250,7 +251,8 @@
 void SimulatedFleet::execute(std::size_t index, const StoreCall& call)
 {
     Host& host = m_hosts[index];
-    if (!host.isConnected) {
+    const auto* list = std::get_if<StoreList>(&call.operation);
+    if (!host.isConnected || (list && list->prefix == unansweredPrefix)) {
         host.inbox.emplace_back(StoreReply { call.id, StoreStatus::Unknown });
         return;
     }
@@ -395,6 +397,8 @@
             execute(index, *relay);
         } else if (const auto* cancel = std::get_if<CancelAttempt>(&effect)) {
             cancelRelay(index, cancel->id);
+        } else if (const auto* withhold = std::get_if<WithholdUnsent>(&effect)) {
+            withheld.push_back(withhold->endpoint);
         } else if (const auto* answer = std::get_if<SendWholeResponse>(&effect)) {
             if (!passOn(index, *answer))
                 answers.push_back(*answer);
@@ -426,7 +430,9 @@
             for (const auto& [model, adapters] : engine.models())
                 models.push_back(model.value);
             store.put("endpoints/" + id.value,
-                Json { { "service", "notes" }, { "heartbeat", ++m_heartbeat }, { "models", models } }.dump());
+                Json { { "service", "notes" }, { "heartbeat", ++m_heartbeat }, { "models", models },
+                    { "zone", zones.contains(id) ? zones.at(id) : "here" } }
+                    .dump());
         }
     }
     for (std::size_t i = 0; i < m_hosts.size(); ++i) {
--- a/tests/gateway/SimulatedFleet.h
+++ b/tests/gateway/SimulatedFleet.h
@@ -52,13 +52,18 @@
     StoreEpoch m_epoch = 1;
 };
 
-// Documents in JSON: {"service", "heartbeat", "leaving", "version", "incarnation", "models"} for endpoints, a version
-// for a configuration. A configuration whose document ends with a space has an additional route; one that ends with "
-// split" divides resumable streams between the services "notes" and "drafts".
+// Documents in JSON: {"service", "heartbeat", "leaving", "version", "incarnation", "models", "zone"} for endpoints, a
+// version for a configuration. A configuration whose document ends with a space has an additional route; one that ends
+// with " split" divides resumable streams between the services "notes" and "drafts".
 class SimulatedProtocol final : public ReplayProtocol {
 public:
+    std::string operatorPrefix() const override { return "configuration"; }
     std::string configurationKey() const override { return "configuration"; }
     std::string endpointPrefix() const override { return "endpoints/"; }
+    std::optional<DataCentreId> evacuatedDataCentre(std::string_view key) const override
+    {
+        return evacuatedUnder("configuration/evacuate/", key);
+    }
     Result<GatewayConfiguration> readConfiguration(std::string_view document) const override;
     Result<EndpointRecord> readEndpoint(std::string_view key, std::string_view document) const override;
 };
@@ -123,6 +128,12 @@
     // Whether the host can open connections to the endpoint; answers probes.
     std::function<bool(std::size_t host, const EndpointId&)> reaches
         = [](std::size_t, const EndpointId&) { return true; };
+    // The data centres of engines that are not in "here".
+    std::map<EndpointId, std::string> zones;
+    // Endpoints for which a host ended what was not sent yet.
+    std::vector<EndpointId> withheld;
+    // Lists of this prefix get no answer.
+    std::string unansweredPrefix;
     // Whether requests for one target have the same body.
     bool areBodiesEqual = false;
     // Whether attempts get an empty answer at once.
--- a/tests/http/HttpClientTest.cpp
+++ b/tests/http/HttpClientTest.cpp
@@ -377,3 +377,41 @@
     loop.run();
     CHECK(finished == (test.expectedFinished ? exchanges : 0));
 }
+
+// Guards against a request that is sent after its host gave it up, because its connection opened late.
+TEST_CASE("An exchange whose connection is still being opened can be withheld, and nothing of it is sent")
+{
+    struct Case {
+        const char* exchangeKey;
+        const char* withheldKey;
+        bool isSent;
+    };
+    const Case test = GENERATE(values<Case>({ { "o1", "o1", false }, { "o1", "o2", true }, { "", "o1", true } }));
+    ClientFixture fixture;
+    HttpExchange exchange;
+    exchange.address = "127.0.0.1:" + std::to_string(fixture.emulator->port());
+    exchange.method = "POST";
+    exchange.target = "/v1/completions";
+    exchange.body = R"({"model":"m","max_tokens":1,"stream":false,"prompt":"hello"})";
+    exchange.withholdKey = test.exchangeKey;
+    bool isFinished = false;
+    std::optional<std::pair<AttemptOutcome, AttemptFailure>> failure;
+    HttpExchangeObserver observer;
+    observer.onHead = [](int, const HeaderList&) {};
+    observer.onData = [](const std::string&) {};
+    observer.onFinished = [&] {
+        isFinished = true;
+        fixture.loop.stop();
+    };
+    observer.onFailed = [&](AttemptOutcome outcome, AttemptFailure reason, const std::string&) {
+        failure = std::pair(outcome, reason);
+        fixture.loop.callLater(100ms, [&] { fixture.loop.stop(); });
+    };
+    fixture.client.start(exchange, observer);
+    fixture.client.withholdUnsent(test.withheldKey);
+    fixture.loop.run();
+    CHECK(isFinished == test.isSent);
+    CHECK(failure.has_value() != test.isSent);
+    if (failure)
+        CHECK(*failure == std::pair(AttemptOutcome::NotSent, AttemptFailure::Withheld));
+}
--- a/tests/platform/PlatformProtocolTest.cpp
+++ b/tests/platform/PlatformProtocolTest.cpp
@@ -228,3 +228,24 @@
     CHECK(terms.requestsPerSecond == test.expectedRequests);
     CHECK(terms.rejectionsPerSecond == test.expectedRejections);
 }
+
+// Guards against evacuations that are overlooked, and other keys of the operators that pass for one.
+TEST_CASE("Only a key of an evacuation names an evacuated data centre")
+{
+    struct Case {
+        const char* key;
+        std::optional<DataCentreId> expected;
+    };
+    const Case test = GENERATE(values<Case>({
+        { "op/evacuate/zone-a", DataCentreId("zone-a") },
+        { "op/evacuate/a/b", DataCentreId("a/b") },
+        { "op/evacuate/", std::nullopt },
+        { "op/evacuate", std::nullopt },
+        { "op/config", std::nullopt },
+        { "servers/op/evacuate/a", std::nullopt },
+    }));
+    const PlatformProtocol protocol;
+    CHECK(protocol.evacuatedDataCentre(test.key) == test.expected);
+    CHECK(std::string("op/evacuate/a").starts_with(protocol.operatorPrefix()));
+    CHECK(protocol.configurationKey().starts_with(protocol.operatorPrefix()));
+}
