Keep requests to cold endpoints within what they bear

Cause: an endpoint bears only a few requests per second after its start, and crashes above cold_per_s x cold_over + cold_slack in any second, summed over all hosts. Nothing limited what the hosts send to it together.

Change: ColdEndpoints knows which endpoints are cold, from records, answers, new runs, broken connections and the end of an evacuation, and which requests still count. ColdShares divides the rate among the registered hosts by a hash, without messages; larger parts come into force after three seconds, and vanished hosts keep theirs. Probes and health checks of plain services count. Without cold_over in the settings nothing changes.

--- a/include/catkinwell/gateway/EndpointDirectory.h
+++ b/include/catkinwell/gateway/EndpointDirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <catkinwell/core/RandomGenerator.h>
+#include <catkinwell/gateway/ColdEndpoints.h>
 #include <catkinwell/gateway/EndpointLimits.h>
 #include <catkinwell/gateway/EndpointNotices.h>
 #include <catkinwell/gateway/EndpointRoom.h>
@@ -87,6 +88,9 @@
     EndpointLimits& limits() { return m_limits; }
     // The room of endpoints that fall over if they have to reject too many. choose() and hasReplica() keep within it.
     EndpointRoom& room() { return m_room; }
+    // Endpoints that can handle only a few requests per second. choose() and hasReplica() keep within this host's part.
+    ColdEndpoints& cold() { return m_cold; }
+    const ColdEndpoints& cold() const { return m_cold; }
     // The endpoint stated this in an answer to this host.
     void noteNotice(const EndpointId&, const EndpointNotice&, MonotonicTime now, EffectList&);
     // Whether the endpoint asked this host for a pause.
@@ -101,6 +105,10 @@
     Duration shortestTimeToReplica(const std::string& service, const ModelVariant&, const GatewayModel&,
         const std::optional<std::string>& softwareVersion, const std::set<EndpointId>& excluded,
         MonotonicTime now) const;
+    // Returns when a cold endpoint that serves the plain service accepts the next request of this host; nullopt unless
+    // all usable endpoints are cold and accept none now.
+    std::optional<Duration> timeUntilColdAccepts(
+        const std::string& service, const std::optional<std::string>& softwareVersion, MonotonicTime now) const;
     bool hasUsableEndpoint(const std::string& service, MonotonicTime now) const;
     // Whether endpoints that serve the need exist, and all of them failed the request or are suspected by this host.
     bool isOnlyUnreachable(const EndpointNeed&, MonotonicTime now) const;
@@ -108,7 +116,7 @@
     std::size_t count(const std::string& service, MonotonicTime now) const;
     // Returns an endpoint of the service to probe, at random: one of a data centre in which none failed, the own one
     // first, so that the loss of another data centre does not pass for that of this host's path; else one that did not
-    // fail. nullopt if the service has none.
+    // fail. nullopt if the service has none that may get a request now.
     std::optional<EndpointChoice> chooseForProbe(
         const std::string& service, const std::function<bool(const EndpointId&)>& hasFailed, MonotonicTime now);
     // The failures of attempts at the service's endpoints were not theirs.
@@ -134,6 +142,9 @@
     std::size_t size() const { return m_entries.size(); }
 
 private:
+    // The owner repeats its updates every second. After this time the endpoint's own record is used instead.
+    static constexpr Duration updateLifetime = std::chrono::milliseconds(2500);
+
     struct Entry {
         EndpointRecord record;
         MonotonicTime recordAt {};
@@ -209,6 +220,7 @@
     EndpointLimits m_limits;
     EndpointRoom m_room;
     EndpointNotices m_notices;
+    ColdEndpoints m_cold;
     std::map<EndpointId, Entry> m_entries;
     // Only of services whose room is limited.
     std::map<std::string, ServiceUse> m_serviceUse;
--- a/include/catkinwell/gateway/EndpointRecord.h
+++ b/include/catkinwell/gateway/EndpointRecord.h
@@ -20,6 +20,10 @@
     bool isLeaving = false;
     // How long it wants no requests from this host; absent unless stated.
     std::optional<Duration> pause;
+    // For how long it can handle only a few requests, because it started a short time ago; absent unless stated.
+    std::optional<Duration> coldRemaining {};
+    // Whether a cold time was stated that is no sensible duration.
+    bool isColdTimeInvalid = false;
 };
 
 // The record that an endpoint publishes about itself in the platform's store.
@@ -43,6 +47,10 @@
     LoadedModels models;
     std::set<ModelId> inHostMemory;
     std::set<ModelId> onDisk;
+    // For how long from the time of the record it can handle only a few requests; absent unless stated.
+    std::optional<Duration> coldRemaining {};
+    // Whether a cold time was stated that is no sensible duration.
+    bool isColdTimeInvalid = false;
 
     // Whether the other record is from the same run and was written earlier.
     bool isNewerThan(const EndpointRecord& other) const
--- a/include/catkinwell/gateway/GatewayConfiguration.h
+++ b/include/catkinwell/gateway/GatewayConfiguration.h
@@ -80,6 +80,12 @@
     std::string healthPath;
     // Absent for a plain service.
     std::optional<GatewayEngine> engine;
+    // For how long an endpoint is cold after its start, and the requests per second over all hosts that it can handle
+    // meanwhile; 0 if its endpoints are never cold.
+    Duration coldStart {};
+    double coldRequestsPerSecond = 0;
+    // Whether one of these two values is no sensible one.
+    bool isColdInvalid = false;
 };
 
 struct GatewayAccount {
--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -91,6 +91,7 @@
     void applyEndpoint(const StoreEntry&, MonotonicTime now, EffectList&);
     void noteUnusableRecord(const EndpointId&, const std::string& reason, EffectList&);
     void applyGatewayEntry(const StoreEntry&, MonotonicTime now, EffectList&);
+    void updateRegisteredHosts(MonotonicTime now);
     void applyRefusalRecord(const StoreEntry&, PromptRefusalId, MonotonicTime now);
     void updatePromptQuarantine(MonotonicTime now, EffectList&);
     void handlePromptChanges(MonotonicTime now, EffectList&);
--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -362,6 +362,10 @@
     void noteAnswerTime(const Request&, MonotonicTime now);
     // Records what the endpoint's answer states about the requests that it accepts.
     void noteLimits(const Request&, MonotonicTime now, EffectList&);
+    // The answer shows when the request had arrived at the latest, and whether it counts for a cold endpoint.
+    void noteArrival(const Attempt&, MonotonicTime now);
+    // A probe or a health check was sent.
+    void noteHealthCheck(const GatewayService&, const EndpointId&, MonotonicTime now);
     // Records that the endpoint leaves or wants a pause, if its answer says so.
     void noteNotice(const Request&, MonotonicTime now, EffectList&);
     void startAttempt(Request&, const EndpointChoice&, MonotonicTime now, EffectList&);
@@ -402,6 +406,8 @@
     void deliverAnswer(Request&, MonotonicTime now, EffectList&);
     // An endpoint that ends closes its connections as if its answers were complete: asks whether it still runs.
     void checkEndpointRuns(Request&, MonotonicTime now, EffectList&);
+    // Sends the checks that had to wait because their endpoints were cold.
+    void startDelayedChecks(MonotonicTime now, EffectList&);
     // The events of such a check. Return whether the attempt was one.
     bool handleCheck(const AttemptHead&, MonotonicTime now, EffectList&);
     bool handleCheck(const AttemptFailed&, MonotonicTime now, EffectList&);
@@ -461,6 +467,8 @@
     std::map<AttemptId, std::pair<std::string, EndpointId>> m_probes;
     // Checks whether endpoints still run, with the attempts whose answers they decide on.
     std::unordered_map<AttemptId, AttemptId> m_endpointChecks;
+    // Attempts whose checks wait until their cold endpoints accept them; bounded by the attempts.
+    std::set<AttemptId> m_delayedChecks;
     RunChecks m_runChecks;
     std::map<std::string, RetryBudget> m_budgets;
     std::size_t m_hostCount = 1;
--- a/include/catkinwell/gateway/GatewaySettings.h
+++ b/include/catkinwell/gateway/GatewaySettings.h
@@ -48,6 +48,8 @@
     // Memory that the process may use, in MB. The bytes of requests and answers that it keeps are bounded by parts of
     // it.
     unsigned memoryMb = 256;
+    // How far the requests to a cold endpoint may exceed its rate; absent if cold endpoints are not treated apart.
+    std::optional<ColdBounds> coldBounds;
     GatewayRequestSettings requests;
     EnginePlacementSettings placement;
     LogSettings log;
--- a/include/catkinwell/logging/LogEvent.h
+++ b/include/catkinwell/logging/LogEvent.h
@@ -142,6 +142,8 @@
     GatewayBuffersFull = 2136,
     GatewaySilentStreamChecked = 2137,
     GatewayMemoryFullChanged = 2138,
+    GatewayEndpointColdChanged = 2150,
+    GatewayColdTimeInvalid = 2151,
 };
 
 struct LogEventDescription {
--- a/include/catkinwell/metrics/Metric.h
+++ b/include/catkinwell/metrics/Metric.h
@@ -40,6 +40,8 @@
     ConnectionsRejectedTotal,
     RequestsOpen,
     RequestsEndedTotal,
+    ColdEndpoints,
+    ColdAttemptsTotal,
 };
 
 // An effect: adds to a counter, sets a gauge or records a sample of a summary.
--- a/src/gateway/EndpointDirectory.cpp
+++ b/src/gateway/EndpointDirectory.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-    // The owner repeats its updates every second. After this time the endpoint's own record is used instead.
-    constexpr Duration updateLifetime = std::chrono::milliseconds(2500);
     constexpr Duration shortestSuspicion = std::chrono::milliseconds(400);
     constexpr Duration longestSuspicion = std::chrono::milliseconds(3000);
     // An endpoint that rejected a request for a variant is tried again after this time if it is still listed as a
@@ -46,9 +44,10 @@
 EndpointDirectory::EndpointDirectory(DataCentreId own, std::uint64_t seed, HostId self)
     : m_ownDataCentre(std::move(own))
     , m_random(seed)
-    , m_limits(std::move(self), seed + 1)
+    , m_limits(self, seed + 1)
     , m_room(seed + 2)
     , m_notices(seed + 3)
+    , m_cold(std::move(self))
 {
 }
 
@@ -96,6 +95,7 @@
     entry.record.isLeaving = isLeaving;
     entry.recordAt = now;
     entry.usableUntil = MonotonicTime();
+    m_cold.noteRecord(record, now, effects);
     noteVersion(record, now);
     if (changesState)
         effects.push_back(LogEntry { LogEvent::GatewayEndpointChanged,
@@ -188,6 +188,7 @@
         if (isGone) {
             m_limits.remove(item.first);
             m_room.remove(item.first);
+            m_cold.remove(item.first, now);
             rememberDeparture(entry.record, now);
         }
         return isGone;
@@ -206,6 +207,7 @@
         return;
     EndpointRecord& record = found->second.record;
     m_notices.note(id, record.incarnation, notice, now, effects);
+    m_cold.noteNotice(id, notice, now, effects);
     record.isLeaving = record.isLeaving || notice.isLeaving;
 }
 
@@ -239,7 +241,7 @@
 bool EndpointDirectory::isAvailable(const Entry& entry, MonotonicTime now)
 {
     const EndpointRecord& record = entry.record;
-    if (!m_limits.isAvailable(record.id, now))
+    if (!m_cold.isAvailable(record.id, now) || !m_limits.isAvailable(record.id, now))
         return false;
     return !m_room.isBrittle(record.service, now) || m_room.hasRoom(record.service, record.id, useOf(entry, now), now);
 }
@@ -388,79 +390,6 @@
     });
 }
 
-std::optional<Duration> EndpointDirectory::timeUntilOrderedReplica(const std::string& service,
-    const ModelVariant& variant, const std::optional<std::string>& softwareVersion, MonotonicTime now) const
-{
-    std::optional<Duration> soonest;
-    for (const auto& [id, entry] : m_entries) {
-        if (entry.record.service != service || now - entry.updateReceivedAt >= updateLifetime
-            || !isVersionAccepted(entry, softwareVersion))
-            continue;
-        for (const PendingReplica& replica : entry.update.pendingReplicas) {
-            if (replica.variant != variant)
-                continue;
-            const Duration left = std::max(Duration::zero(),
-                entry.updateReceivedAt + std::chrono::milliseconds(replica.readyInMilliseconds) - now);
-            soonest = soonest ? std::min(*soonest, left) : left;
-        }
-    }
-    return soonest;
-}
-
-Duration EndpointDirectory::timeOfStoreLoad(
-    const std::string& service, const GatewayModel& model, MonotonicTime now) const
-{
-    const Duration age = now - m_forecastsReceivedAt;
-    const auto forecast = std::find_if(m_forecasts.begin(), m_forecasts.end(),
-        [&service](const StoreLoadForecast& candidate) { return candidate.service == service; });
-    if (forecast == m_forecasts.end() || age >= updateLifetime)
-        return model.loadFromStore;
-    return std::max<Duration>(model.loadFromStore, forecast->timeUntilReady(model.id) - age);
-}
-
-Duration EndpointDirectory::shortestTimeToReplica(const std::string& service, const ModelVariant& variant,
-    const GatewayModel& model, const std::optional<std::string>& softwareVersion, const std::set<EndpointId>& excluded,
-    MonotonicTime now) const
-{
-    // Adapters load soon after their model, so only the model matters.
-    if (const auto ready = timeUntilOrderedReplica(service, { variant.model, "" }, softwareVersion, now))
-        return std::min(
-            *ready, timeUntilHolderIsTried(service, variant, softwareVersion, excluded, now).value_or(*ready));
-    Duration soonest = timeOfStoreLoad(service, model, now);
-    for (const auto& [id, entry] : m_entries) {
-        const bool isGone = entry.usableUntil != MonotonicTime() && now >= entry.usableUntil;
-        if (entry.record.service != service || entry.record.isLeaving || isGone
-            || !isVersionAccepted(entry, softwareVersion))
-            continue;
-        if (modelsOf(entry, now).contains(variant.model) || entry.record.models.contains(variant.model))
-            return Duration::zero();
-        if (entry.record.inHostMemory.contains(variant.model))
-            soonest = std::min(soonest, model.loadFromMemory);
-        else if (entry.record.onDisk.contains(variant.model))
-            soonest = std::min(soonest, model.loadFromDisk);
-    }
-    return soonest;
-}
-
-// Suspicions, pauses and rejections pass long before a load from the store ends.
-std::optional<Duration> EndpointDirectory::timeUntilHolderIsTried(const std::string& service,
-    const ModelVariant& variant, const std::optional<std::string>& softwareVersion,
-    const std::set<EndpointId>& excluded, MonotonicTime now) const
-{
-    std::optional<Duration> soonest;
-    for (const auto& [id, entry] : m_entries) {
-        if (entry.record.service != service || !isPresent(entry, now) || excluded.contains(id)
-            || !isListedWith(entry, variant, now) || !isVersionAccepted(entry, softwareVersion))
-            continue;
-        const Duration left = std::max({ entry.suspectedUntil, entry.misdirectedUntil, m_notices.pauseEnd(id),
-                                  endOfMissing(entry, variant) })
-            - now;
-        if (left > Duration::zero())
-            soonest = std::min(soonest.value_or(left), left);
-    }
-    return soonest;
-}
-
 bool EndpointDirectory::hasUsableEndpoint(const std::string& service, MonotonicTime now) const
 {
     return std::any_of(m_entries.begin(), m_entries.end(),
@@ -490,6 +419,7 @@
 void EndpointDirectory::attemptStarted(const EndpointId& id, const ModelVariant& variant, MonotonicTime now)
 {
     m_limits.attemptStarted(id, now);
+    m_cold.attemptStarted(id, now);
     m_notices.attemptStarted(id, now);
     const auto found = m_entries.find(id);
     if (found == m_entries.end())
--- a/src/gateway/EndpointDirectoryProbes.cpp
+++ b/src/gateway/EndpointDirectoryProbes.cpp
@@ -11,7 +11,8 @@
     std::vector<const Entry*> present;
     std::set<DataCentreId> failedDataCentres;
     for (const auto& [id, entry] : m_entries) {
-        if (entry.record.service != service || !isPresent(entry, now) || m_notices.isPaused(id, now))
+        if (entry.record.service != service || !isPresent(entry, now) || m_notices.isPaused(id, now)
+            || !m_cold.isAvailable(id, now))
             continue;
         present.push_back(&entry);
         if (hasFailed(id))
--- a/src/gateway/GatewayAnswerEnds.cpp
+++ b/src/gateway/GatewayAnswerEnds.cpp
@@ -91,6 +91,11 @@
         handleBrokenAnswer(request, "the endpoint's service is not known", now, effects);
         return;
     }
+    if (!request.checkedService->engine && !m_directory.cold().isAvailable(attempt.endpoint, now)) {
+        m_delayedChecks.insert(attempt.id);
+        return;
+    }
+    noteHealthCheck(*request.checkedService, attempt.endpoint, now);
     StatusCheck check = m_protocol.statusCheckOf(*request.checkedService, attempt.endpoint);
     StartAttempt start;
     start.id = AttemptId(++m_lastAttempt);
@@ -105,6 +110,15 @@
     effects.push_back(std::move(start));
 }
 
+// The deadline of the request bounds the delay.
+void GatewayRequests::startDelayedChecks(MonotonicTime now, EffectList& effects)
+{
+    for (const AttemptId id : std::exchange(m_delayedChecks, {})) {
+        if (Request* request = requestOf(id))
+            checkEndpointRuns(*request, now, effects);
+    }
+}
+
 bool GatewayRequests::handleCheck(const AttemptHead& head, MonotonicTime now, EffectList& effects)
 {
     const auto check = m_endpointChecks.find(head.id);
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -111,6 +111,7 @@
     , m_random(seed + 5)
 {
     setStoreReconnect(m_settings.storeReconnect);
+    m_directory.cold().setBounds(m_settings.coldBounds);
 }
 
 // One overload for each event type.
@@ -199,6 +200,8 @@
     setStoreReconnect(settings.storeReconnect);
     m_ownership.setSilence(settings.ownerSilence);
     m_requests.setSettings(settings.requests);
+    m_settings.coldBounds = settings.coldBounds;
+    m_directory.cold().setBounds(settings.coldBounds);
     m_placement.setSettings(settings.placement);
 }
 
@@ -224,6 +227,9 @@
     m_requests.updateReach(now, effects);
     m_quota.tick(now);
     m_directory.tick(now);
+    updateRegisteredHosts(now);
+    m_directory.cold().tick(
+        m_endpointMirror.isCurrent() && m_endpointMirror.failingSince() == MonotonicTime(), now, effects);
     updatePromptQuarantine(now, effects);
     updateStreamVersions(now, effects);
     checkEndpointList(now, effects);
@@ -270,6 +276,7 @@
     case StoreUser::Shares:
         for (const StoreEntry& entry : m_gatewayMirror.handle(reply, now, effects))
             applyGatewayEntry(entry, now, effects);
+        updateRegisteredHosts(now);
         break;
     case StoreUser::Placement:
         m_ownership.handle(reply, now, effects);
--- a/src/gateway/GatewayRelay.cpp
+++ b/src/gateway/GatewayRelay.cpp
@@ -36,6 +36,8 @@
     const Attempt& attempt = *request.attempt;
     if (attempt.relayedTo || failure == AttemptFailure::Garbage)
         return;
+    if (failure != AttemptFailure::Silence)
+        m_directory.cold().noteConnectionLost(attempt.endpoint, now);
     m_reach.noteFailure(
         request.service, attempt.endpoint, failure, m_directory.count(request.service, now), now, effects);
     if (m_reach.isDoubtful(request.service))
@@ -53,6 +55,9 @@
         m_reach.noteAnswer(service, false, now, effects);
     else
         m_reach.noteFailure(service, endpoint, *failure, m_directory.count(service, now), now, effects);
+    // A reset alone says nothing: an idle connection may have been dropped.
+    if (failure == AttemptFailure::Connect)
+        m_directory.cold().noteConnectionLost(endpoint, now);
 }
 
 void GatewayRequests::updateReach(MonotonicTime now, EffectList& effects)
@@ -109,6 +114,8 @@
     probe.connectTimeout = probeConnectTimeout;
     probe.silenceTimeout = probeSilenceTimeout;
     probe.needsFreshConnection = true;
+    // It asks for the path of a plain server, whatever the service is.
+    m_directory.cold().attemptStarted(endpoint->endpoint, now);
     m_probes[probe.id] = { service, endpoint->endpoint };
     effects.push_back(std::move(probe));
 }
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -210,7 +210,7 @@
     const auto& [service, variant] = key.first;
     const GatewayEngine* engine = m_configuration.engineOf(service);
     if (!engine)
-        return std::nullopt;
+        return m_directory.timeUntilColdAccepts(service, key.second, now);
     const auto model = engine->models.find(variant.model);
     if (model == engine->models.end())
         return std::nullopt;
@@ -234,8 +234,9 @@
         return;
     }
     keepInDemand(request, now);
-    const std::string detail
-        = "the model can be ready in " + std::to_string(millisecondsOf(*soonest)) + " ms at the earliest";
+    const std::string detail = (request.terms.variant.model.value.empty() ? "an endpoint can take the request in "
+                                                                          : "the model can be ready in ")
+        + std::to_string(millisecondsOf(*soonest)) + " ms at the earliest";
     refuse(request, { 503, "no_replica", detail, soonest }, now, effects);
 }
 
@@ -373,6 +374,7 @@
     if (!attempt.relayedTo && (attempt.terms.isSealed || attempt.terms.isNotExecuted))
         noteLimits(*request, now, effects);
     noteNotice(*request, now, effects);
+    noteArrival(attempt, now);
     const bool isSuccess = head.status >= 200 && head.status < 300;
     const bool isUsable = isSuccess && attempt.terms.isSealed && !attempt.terms.isEncoded;
     attempt.isForwarded = request->route.isStream && isUsable;
@@ -431,6 +433,7 @@
         request.excludedHosts.insert(*attempt.relayedTo);
     } else {
         m_directory.limits().attemptNotSent(attempt.endpoint, now);
+        m_directory.cold().attemptNotCounted(attempt.endpoint, attempt.startedAt);
         request.excluded.insert(attempt.endpoint);
         request.rejecting.insert(attempt.endpoint);
     }
@@ -468,6 +471,7 @@
     endRefusedWaits(now);
     excludeOwnPauses(now);
     m_runChecks.tick(now);
+    startDelayedChecks(now, effects);
     noteMemory(effects);
     std::vector<RequestId> ids;
     ids.reserve(m_requests.size());
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -147,6 +147,15 @@
         return host + ":" + std::to_string(address->port + 1);
     }
 
+    // Without the factor cold endpoints are not treated apart.
+    void readColdBounds(SettingsReader& reader, std::optional<ColdBounds>& target)
+    {
+        ColdBounds bounds;
+        reader.number("cold_slack", bounds.slack, 0);
+        if (reader.number("cold_over", bounds.factor, 0.001))
+            target = bounds;
+    }
+
     void readRequests(const Json* object, GatewayRequestSettings& settings, std::string& error)
     {
         if (!object)
@@ -221,6 +230,7 @@
     reader.milliseconds("shutdown_accepting_ms", settings.shutdownAccepting);
     reader.milliseconds("shutdown_grace_ms", settings.shutdownGrace);
     reader.count("memory_mb", settings.memoryMb);
+    readColdBounds(reader, settings.coldBounds);
     settings.requests.maximumAnswerBytes = settings.memoryMb * bytesPerMb / memoryPartOfAnswers;
     settings.requests.maximumKeptBytes = settings.memoryMb * bytesPerMb / memoryPartOfRequests;
     readRequests(reader.object("requests"), settings.requests, error);
--- a/src/gateway/GatewayStatements.cpp
+++ b/src/gateway/GatewayStatements.cpp
@@ -25,6 +25,23 @@
         m_directory.room().noteRejected(request.service, attempt.endpoint, now);
 }
 
+void GatewayRequests::noteArrival(const Attempt& attempt, MonotonicTime now)
+{
+    if (attempt.relayedTo)
+        return;
+    if (attempt.terms.isMisdirected)
+        m_directory.cold().attemptNotCounted(attempt.endpoint, attempt.startedAt);
+    else
+        m_directory.cold().attemptAnswered(attempt.endpoint, attempt.startedAt, now);
+}
+
+// An engine's report takes no place among its requests; the health check of other servers does.
+void GatewayRequests::noteHealthCheck(const GatewayService& service, const EndpointId& endpoint, MonotonicTime now)
+{
+    if (!service.engine)
+        m_directory.cold().attemptStarted(endpoint, now);
+}
+
 bool GatewayRequests::refuseIfPaused(Request& request, const EndpointNeed& need, MonotonicTime now, EffectList& effects)
 {
     const auto end = m_directory.soonestPauseEnd(need, now);
--- a/src/gateway/GatewayStoreEntries.cpp
+++ b/src/gateway/GatewayStoreEntries.cpp
@@ -68,6 +68,7 @@
     m_configuration = std::move(configuration);
     m_configurationDocument = document;
     m_requests.configure(m_configuration, now);
+    m_directory.cold().configure(m_configuration.services, effects);
     m_placement.configure(m_configuration);
     m_quota.configure(m_configuration.accounts, now);
     effects.push_back(SetCallerLimits { m_configuration.limits });
@@ -175,6 +176,22 @@
     peer.isLeaving = false;
 }
 
+// The hosts of the last complete list, whether or not they can be heard.
+void GatewayReducer::updateRegisteredHosts(MonotonicTime now)
+{
+    if (!m_settings.coldBounds || !m_gatewayMirror.isCurrent())
+        return;
+    std::set<HostId> registered;
+    std::set<HostId> stopped;
+    for (const auto& [host, peer] : m_peers) {
+        if (peer.isRegistered)
+            registered.insert(host);
+        else if (peer.isLeaving)
+            stopped.insert(host);
+    }
+    m_directory.cold().setHosts(registered, stopped, now);
+}
+
 // The secret in the store is that of the fleet, also if it differs from the one in use: a restored store may have lost
 // that one, and a host that started then has set another.
 void GatewayReducer::useSecret(const std::string& secret, EffectList& effects)
--- a/src/logging/LogEvent.cpp
+++ b/src/logging/LogEvent.cpp
@@ -336,6 +336,15 @@
             "The host refuses new requests because those that it has, and the answers that callers have not read yet, "
             "take as much memory as they may; or it accepts them again.",
             "If it persists, find callers that read slowly, add hosts or raise memory_mb." },
+        { LogEvent::GatewayEndpointColdChanged, Info, "gateway_endpoint_cold_changed",
+            "An endpoint became cold, so that all hosts together send it only a few requests per second, or is no "
+            "longer cold. The field \"reason\" tells why it is cold, the field \"quota\" how many requests per second "
+            "this host may send it.",
+            "If requests wait, compare cold_start_s and cold_per_s of the service with what its endpoints need." },
+        { LogEvent::GatewayColdTimeInvalid, Warning, "gateway_cold_time_invalid",
+            "An endpoint or the configuration of a service states a cold time or rate that is no sensible value. It is "
+            "ignored; the last valid value stays in force. Logged once for each source.",
+            "Correct the record of the endpoint, or cold_start_s and cold_per_s of the service." },
     };
     return catalogue;
 }
--- a/src/metrics/MetricCatalogue.cpp
+++ b/src/metrics/MetricCatalogue.cpp
@@ -48,6 +48,10 @@
             "Requests that were read whole and whose answers have not ended." },
         { Metric::RequestsEndedTotal, Counter, "requests_ended_total", "end",
             "Requests whose end was logged, by how they ended." },
+        { Metric::ColdEndpoints, Gauge, "cold_endpoints", "service",
+            "Endpoints that this host treats as cold after their start." },
+        { Metric::ColdAttemptsTotal, Counter, "cold_attempts_total", "service",
+            "Attempts and health checks that this host sent to cold endpoints." },
     };
     return catalogue;
 }
--- a/tests/gateway/GatewaySettingsTest.cpp
+++ b/tests/gateway/GatewaySettingsTest.cpp
@@ -30,6 +30,11 @@
     CHECK(valueOf(settings).requests.retryFraction == Approx(0.2));
     CHECK(valueOf(settings).log.minimumSeverity == LogSeverity::Warning);
     CHECK(valueOf(settings).relayAddress == "127.0.0.1:4");
+    CHECK_FALSE(valueOf(settings).coldBounds);
+    nlohmann::json cold = sample();
+    cold["cold_over"] = 1.5;
+    cold["cold_slack"] = 5;
+    CHECK(valueOf(parseGatewaySettings(cold.dump())).coldBounds == ColdBounds { 1.5, 5 });
 }
 
 // Guards against an invalid setting that is silently ignored.
@@ -43,6 +48,8 @@
         { "/source_address", "127.0.0.1:80", "source_address" },
         { "/lease_ttl_ms", -1, "lease_ttl_ms" },
         { "/memory_mb", 0, "memory_mb" },
+        { "/cold_over", -1, "cold_over" },
+        { "/cold_slack", "much", "cold_slack" },
         { "/requests/retry_fraction", "much", "requests.retry_fraction" },
         { "/requests/retries", 1, "requests.retries" },
         { "/log/severity", "loud", "log.severity" },
--- a/tests/gateway/SimulatedFleet.cpp
+++ b/tests/gateway/SimulatedFleet.cpp
@@ -152,6 +152,10 @@
         configuration.routes.push_back(configuration.routes.front());
         configuration.routes.back().prefix = "/added/";
     }
+    if (configuration.version >= 100) {
+        configuration.services["orders"].coldStart = std::chrono::seconds(30);
+        configuration.services["orders"].coldRequestsPerSecond = 11;
+    }
     if (isSplit) {
         configuration.services["drafts"] = configuration.services["notes"];
         configuration.services["drafts"].name = "drafts";
@@ -198,6 +202,7 @@
     settings.dataCentre = DataCentreId("here");
     settings.peerAddress = "127.0.0.1:" + std::to_string(1000 + index);
     settings.relayAddress = "127.0.0.1:" + std::to_string(2000 + index);
+    settings.coldBounds = coldBounds;
     Host& host = m_hosts[index];
     host = Host();
     host.incarnation = ++m_lastIncarnation;
--- a/tests/gateway/SimulatedFleet.h
+++ b/tests/gateway/SimulatedFleet.h
@@ -123,6 +123,8 @@
     // Whether the host can open connections to the endpoint; answers probes.
     std::function<bool(std::size_t host, const EndpointId&)> reaches
         = [](std::size_t, const EndpointId&) { return true; };
+    // Setting of hosts that are started from then on.
+    std::optional<ColdBounds> coldBounds;
     // Whether requests for one target have the same body.
     bool areBodiesEqual = false;
     // Whether attempts get an empty answer at once.
--- a/tests/platform/PlatformProtocolTest.cpp
+++ b/tests/platform/PlatformProtocolTest.cpp
@@ -228,3 +228,43 @@
     CHECK(terms.requestsPerSecond == test.expectedRequests);
     CHECK(terms.rejectionsPerSecond == test.expectedRejections);
 }
+
+namespace {
+
+// A cold time as text, and what is read from it in milliseconds; absent for an invalid one.
+struct ColdCase {
+    const char* text;
+    std::optional<std::int64_t> expectedMs;
+};
+
+} // namespace
+
+// Guards against a damaged cold time that passes for a valid one, in records, answers and the configuration.
+TEST_CASE("Cold times are read, and invalid ones are told apart")
+{
+    const auto test = GENERATE(values<ColdCase>({ { "0", 0 }, { "2500", 2500 }, { "3600000", 3'600'000 }, { "-1", {} },
+        { "1e99", {} }, { "99999999999", {} }, { "\"soon\"", {} }, { "[]", {} }, { "nan", {} } }));
+    INFO(test.text);
+    const std::string text = test.text;
+    const PlatformProtocol protocol;
+    const EndpointNotice notice = protocol.termsOf(200, { { "Catkinwell-Cold-Ms", text } }).notice;
+    CHECK(notice.isColdTimeInvalid == !test.expectedMs);
+    CHECK(notice.coldRemaining.has_value() == test.expectedMs.has_value());
+    CHECK_FALSE(protocol.termsOf(421, { { "Catkinwell-Cold-Ms", text } }).notice.coldRemaining);
+    if (text == "nan")
+        return;
+    const auto record = protocol.readEndpoint("servers/i-1",
+        R"({"service":"s","address":"127.0.0.1:1","zone":"z","state":"ready","slots":1,"cold_remaining_ms":)" + text
+            + "}");
+    REQUIRE_FALSE(isError(record));
+    CHECK(valueOf(record).isColdTimeInvalid == !test.expectedMs);
+    if (test.expectedMs)
+        CHECK(millisecondsOf(valueOf(record).coldRemaining.value()) == *test.expectedMs);
+    const auto configuration = protocol.readConfiguration(
+        R"({"version":1,"services":[{"name":"s","cold_per_s":11,"cold_start_s":)" + text + "}]}");
+    REQUIRE_FALSE(isError(configuration));
+    const GatewayService& service = valueOf(configuration).services.at("s");
+    // The configuration states seconds, of which 2500 are the most among the valid values.
+    CHECK(service.isColdInvalid == (!test.expectedMs || *test.expectedMs > 2500));
+    CHECK(service.coldRequestsPerSecond == (service.isColdInvalid ? 0 : 11));
+}
