--- a/include/catkinwell/logging/LogEvent.h
+++ b/include/catkinwell/logging/LogEvent.h
@@ -145,6 +145,8 @@
     EvacuationChanged = 2140,
     EvacuationUnmatched = 2141,
     ServiceEvacuated = 2142,
+    GatewayEndpointColdChanged = 2150,
+    GatewayColdTimeInvalid = 2151,
 };
 
 struct LogEventDescription {
--- a/include/catkinwell/metrics/Metric.h
+++ b/include/catkinwell/metrics/Metric.h
@@ -41,6 +41,8 @@
     RequestsOpen,
     RequestsEndedTotal,
     EvacuatedDataCentre,
+    ColdEndpoints,
+    ColdAttemptsTotal,
 };
 
 // An effect: adds to a counter, sets a gauge or records a sample of a summary.
--- a/src/gateway/EndpointDirectoryEvacuation.cpp
+++ b/src/gateway/EndpointDirectoryEvacuation.cpp
@@ -27,7 +27,7 @@
 bool EndpointDirectory::isAvailable(const Entry& entry, MonotonicTime now)
 {
     const EndpointRecord& record = entry.record;
-    if (!m_limits.isAvailable(record.id, now))
+    if (!m_cold.isAvailable(record.id, now) || !m_limits.isAvailable(record.id, now))
         return false;
     if (const auto endedAt = m_evacuated.endedAt(record.dataCentre); endedAt)
         if (!m_return.isAvailable(record.id, *endedAt, now))
--- a/src/gateway/GatewayEvacuation.cpp
+++ b/src/gateway/GatewayEvacuation.cpp
@@ -42,9 +42,11 @@
             { "version", std::to_string(entry.version) }, { "endpoints", std::to_string(endpoints.size()) },
             { "reason", entry.isLost ? "the restored store does not have the key" : "" } } });
     effects.push_back(RecordMetric { Metric::EvacuatedDataCentre, dataCentre.value, hasBegun ? 1.0 : 0.0 });
-    if (hasBegun) {
-        for (const EndpointId& endpoint : endpoints)
+    for (const EndpointId& endpoint : endpoints) {
+        if (hasBegun)
             effects.push_back(WithholdUnsent { endpoint });
+        else
+            m_directory.cold().noteMaybeCold(endpoint, now);
     }
     return true;
 }
--- a/src/logging/LogEvent.cpp
+++ b/src/logging/LogEvent.cpp
@@ -348,6 +348,15 @@
             "All endpoints of a service are in data centres under evacuation, so that its requests are refused, or no "
             "longer are; the field \"state\" tells which.",
             "End an evacuation, or add endpoints of the service in another data centre." },
+        { LogEvent::GatewayEndpointColdChanged, Info, "gateway_endpoint_cold_changed",
+            "An endpoint became cold, so that all hosts together send it only a few requests per second, or is no "
+            "longer cold. The field \"reason\" tells why it is cold, the field \"quota\" how many requests per second "
+            "this host may send it.",
+            "If requests wait, compare cold_start_s and cold_per_s of the service with what its endpoints need." },
+        { LogEvent::GatewayColdTimeInvalid, Warning, "gateway_cold_time_invalid",
+            "An endpoint or the configuration of a service states a cold time or rate that is no sensible value. It is "
+            "ignored; the last valid value stays in force. Logged once for each source.",
+            "Correct the record of the endpoint, or cold_start_s and cold_per_s of the service." },
     };
     return catalogue;
 }
--- a/src/metrics/MetricCatalogue.cpp
+++ b/src/metrics/MetricCatalogue.cpp
@@ -50,6 +50,10 @@
             "Requests whose end was logged, by how they ended." },
         { Metric::EvacuatedDataCentre, Gauge, "evacuated_data_centre", "data_centre",
             "1 while the data centre is under evacuation, 0 after that." },
+        { Metric::ColdEndpoints, Gauge, "cold_endpoints", "service",
+            "Endpoints that this host treats as cold after their start." },
+        { Metric::ColdAttemptsTotal, Counter, "cold_attempts_total", "service",
+            "Attempts and health checks that this host sent to cold endpoints." },
     };
     return catalogue;
 }
--- a/tests/gateway/SimulatedFleet.h
+++ b/tests/gateway/SimulatedFleet.h
@@ -134,6 +134,8 @@
     std::vector<EndpointId> withheld;
     // Lists of this prefix get no answer.
     std::string unansweredPrefix;
+    // Setting of hosts that are started from then on.
+    std::optional<ColdBounds> coldBounds;
     // Whether requests for one target have the same body.
     bool areBodiesEqual = false;
     // Whether attempts get an empty answer at once.
