Count the calls to the store by purpose and kind

Cause: the metric by purpose does not tell a renewal, which costs a tenth, from a list, and counts answers instead of calls.

Change: store_calls_by_kind_total counts each call of a gateway when it is sent, by purpose and kind (list, watch, read, write, renewal).

Result: a test reads the counts of the calls at a host's start.

--- a/include/catkinwell/metrics/Metric.h
+++ b/include/catkinwell/metrics/Metric.h
@@ -32,6 +32,7 @@
     PeerMessagesDropped,
     StoreCallsTotal,
     StoreCallsByPurpose,
+    StoreCallsByKind,
     StateAgeSeconds,
     AuthenticationFailuresTotal,
     RequestsReadTotal,
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -1,6 +1,7 @@
 #include <catkinwell/gateway/GatewayReducer.h>
 
 #include <algorithm>
+#include <catkinwell/store/StoreCallKind.h>
 #include <nlohmann/json.hpp>
 
 namespace Catkinwell {
@@ -186,6 +187,10 @@
     for (const Effect& effect : effects) {
         if (const auto* metric = std::get_if<RecordMetric>(&effect))
             m_metrics.record(*metric);
+        if (const auto* call = std::get_if<StoreCall>(&effect))
+            m_metrics.record({ Metric::StoreCallsByKind,
+                std::string(nameOf(StoreCallIds::userOf(call->id))) + '_'
+                    + std::string(nameOf(kindOf(call->operation))) });
     }
     std::erase_if(effects, [](const Effect& effect) { return std::holds_alternative<RecordMetric>(effect); });
 }
--- a/src/metrics/MetricCatalogue.cpp
+++ b/src/metrics/MetricCatalogue.cpp
@@ -33,6 +33,8 @@
         { Metric::StoreCallsTotal, Counter, "store_calls_total", "status", "Calls to the platform's store." },
         { Metric::StoreCallsByPurpose, Counter, "store_calls_by_purpose_total", "purpose",
             "Calls to the platform's store, by the part of the process that made them." },
+        { Metric::StoreCallsByKind, Counter, "store_calls_by_kind_total", "call",
+            "Calls sent to the platform's store, by the part of the process that made them and their kind." },
         { Metric::StateAgeSeconds, Gauge, "state_age_seconds", "state",
             "Age of the state on which the host bases its decisions." },
         { Metric::AuthenticationFailuresTotal, Counter, "authentication_failures_total", "listener",
--- a/tests/gateway/GatewayReducerTest.cpp
+++ b/tests/gateway/GatewayReducerTest.cpp
@@ -68,6 +68,8 @@
                     apply(*reply);
             } else if (std::holds_alternative<StartAttempt>(effect)) {
                 ++attempts;
+            } else if (const auto* answer = std::get_if<SendWholeResponse>(&effect)) {
+                lastBody = answer->body;
             } else if (const auto* send = std::get_if<SendToPeer>(&effect)) {
                 note(*send);
             }
@@ -94,6 +96,7 @@
     StoreCallId configurationWatch;
     int attempts = 0;
     int unusableRecords = 0;
+    std::string lastBody;
     MonotonicTime now { std::chrono::hours(1) };
 
 private:
@@ -260,3 +263,17 @@
         fixture.tick();
     CHECK(fixture.attempts == 1);
 }
+
+// Guards against a bill of the store that cannot be traced to the calls behind it.
+TEST_CASE("Store calls are counted by purpose and kind when they are sent")
+{
+    ReducerFixture fixture;
+    RequestArrived request;
+    request.id = RequestId(1000);
+    request.path = "/metrics";
+    fixture.apply(AdminRequestArrived { request });
+    const auto* call = GENERATE("configuration_list", "configuration_watch", "membership_list", "membership_watch",
+        "shares_list", "shares_watch", "host_lease_write");
+    INFO(fixture.lastBody);
+    CHECK(fixture.lastBody.find("store_calls_by_kind_total{call=\"" + std::string(call) + "\"} ") != std::string::npos);
+}
