Let the watch of the gateways' own entries wait four times as long

Cause: an idle host watches two prefixes anew each store_reconnect_ms less 1 s, so that a connection that went silent is noticed in time.

Change: a failed renewal of the lease, of which one is sent each 0.67 s, shows the same sooner. The watch of the gateways' entries waits four times as long, and begins anew at the first renewal that succeeds after a failed one. The watch of the operators' prefix keeps its length, because its bound also holds for losses that no other call shows.

--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -105,6 +105,7 @@
     void ensureSecret(MonotonicTime now, EffectList&);
     void updateQuotaPeers(const std::set<HostId>& before, MonotonicTime now);
     void updatePeers(MonotonicTime now, EffectList&);
+    void checkStoreConnection(const StoreReply&, MonotonicTime now);
     void hastenDigest(MonotonicTime now);
     void sendDigests(MonotonicTime now, EffectList&);
     void sendUrgentDemand(MonotonicTime now, EffectList&);
@@ -134,6 +135,8 @@
     PrefixMirror m_configurationMirror;
     PrefixMirror m_endpointMirror;
     PrefixMirror m_gatewayMirror;
+    // Whether a renewal of the lease failed since the store last answered one.
+    bool m_isStoreSuspected = false;
     EndpointListCheck m_listCheck;
     PlacementOwnership m_ownership;
     EndpointDirectory m_directory;
--- a/include/catkinwell/gateway/PrefixMirror.h
+++ b/include/catkinwell/gateway/PrefixMirror.h
@@ -31,6 +31,8 @@
     // Applies the reply to another call that watched from version() on. Precondition: isCurrent().
     std::vector<StoreEntry> merge(const StoreReply&);
 
+    // Ends the wait for the present watch, whose connection may be lost, and watches anew at the next tick.
+    void renewWatch(MonotonicTime now);
     // Forgets the versions of before the restore and reads the prefix again. The last copy is kept until then.
     void noteRestored(MonotonicTime now);
 
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -30,6 +30,9 @@
     constexpr Duration shortestRecordInterval = std::chrono::milliseconds(300);
     constexpr Duration recordIntervalPerHost = std::chrono::milliseconds(30);
     constexpr Duration longestRecordInterval = std::chrono::milliseconds(1200);
+    // What the gateways write of themselves also passes in their digests, and a lost connection shows in the renewals of
+    // the lease, so that the watch of it may wait longer than a silent connection may go unnoticed.
+    constexpr int gatewayWatchFactor = 4;
     // A peer that is no longer registered counts as live for this time after its last digest.
     constexpr Duration digestLifetime = std::chrono::seconds(2);
     constexpr Duration configurationAskInterval = std::chrono::milliseconds(300);
@@ -209,8 +212,9 @@
 
 void GatewayReducer::setStoreReconnect(Duration reconnect)
 {
-    for (PrefixMirror* mirror : { &m_configurationMirror, &m_endpointMirror, &m_gatewayMirror })
-        mirror->setReconnect(reconnect);
+    m_configurationMirror.setReconnect(reconnect);
+    m_endpointMirror.setReconnect(reconnect);
+    m_gatewayMirror.setReconnect(gatewayWatchFactor * reconnect);
 }
 
 void GatewayReducer::handleTick(const Tick& tick, MonotonicTime now, EffectList& effects)
@@ -258,6 +262,7 @@
     effects.push_back(RecordMetric { Metric::StoreCallsByPurpose, std::string(nameOf(user)) });
     switch (user) {
     case StoreUser::HostLease:
+        checkStoreConnection(reply, now);
         m_lease.handle(reply, now, effects);
         break;
     case StoreUser::Configuration:
--- a/src/gateway/PrefixMirror.cpp
+++ b/src/gateway/PrefixMirror.cpp
@@ -91,6 +91,14 @@
     return changes;
 }
 
+void PrefixMirror::renewWatch(MonotonicTime now)
+{
+    if (m_needsList || m_pending.value == 0)
+        return;
+    m_pending = StoreCallId();
+    m_nextAt = now;
+}
+
 void PrefixMirror::noteRestored(MonotonicTime now)
 {
     // The reply to a call that was sent before the restore is ignored.
--- a/tests/gateway/PrefixMirrorTest.cpp
+++ b/tests/gateway/PrefixMirrorTest.cpp
@@ -124,6 +124,22 @@
     CHECK(fixture.mirror.failingSince() != MonotonicTime());
 }
 
+// Guards against a lost connection that shows only after the long wait of a watch.
+TEST_CASE("A watch is renewed at once, and what the former one brings is ignored")
+{
+    MirrorFixture fixture;
+    fixture.reply(*fixture.nextCall(), StoreStatus::Ok, 5, { { "p/a", "1", 3 } });
+    const auto former = *fixture.nextCall();
+    const MonotonicTime before = fixture.now;
+    fixture.mirror.renewWatch(fixture.now);
+    const auto renewed = fixture.nextCall();
+    REQUIRE(renewed);
+    CHECK(fixture.now == before);
+    CHECK(std::get<StoreWatchPrefix>(renewed->operation).afterVersion == 5);
+    CHECK(fixture.reply(former, StoreStatus::Ok, 8, { { "p/a", "2", 8 } }).empty());
+    CHECK(fixture.reply(*renewed, StoreStatus::Ok, 8, { { "p/a", "2", 8 } }).size() == 1);
+}
+
 // Guards against a host that acts on an old copy for longer than its deployment allows, and against calls that tell
 // nothing.
 TEST_CASE("A watch waits as long as a silent connection may go unnoticed")
