Spread requests by expected room where the hosts' reports are old

Cause: a host's information about the other hosts' requests is as old as 12 ms times the number of hosts. All hosts sent their requests to the endpoint that was least loaded in the last reports, and an endpoint that rejected a request for want of room counted as not holding the model.

Change: EndpointChooser (routing/) scores the candidates; from spread_from_hosts (12) hosts on it draws one in proportion to its speed and to the free places to be expected from the load, the age of the reports and the rate of requests. Rejections for want of room (not 421) are kept apart from missing models. All hosts agree by a hash on the endpoint that they prefer for the first part of a prompt, while it is not full. If all endpoints of a model are full, requests wait at the host by priority and deadline (RoomTurns, GatewayRoomWaits). Fewer hosts choose as before.

--- a/include/catkinwell/gateway/EndpointDirectory.h
+++ b/include/catkinwell/gateway/EndpointDirectory.h
@@ -5,7 +5,9 @@
 #include <catkinwell/gateway/EndpointNotices.h>
 #include <catkinwell/gateway/EndpointRoom.h>
 #include <catkinwell/gateway/GatewayMessage.h>
+#include <catkinwell/gateway/RoomTurns.h>
 #include <catkinwell/reducer/Effect.h>
+#include <catkinwell/routing/EndpointChooser.h>
 #include <deque>
 #include <functional>
 #include <unordered_map>
@@ -60,14 +62,26 @@
     // usable until the given time.
     void remove(const EndpointId&, MonotonicTime usableUntil, MonotonicTime now, EffectList&);
     void handle(const PlacementUpdate&, MonotonicTime now);
-    void handle(const HostId& from, const HostDigest&);
+    void handle(const HostId& from, const HostDigest&, MonotonicTime now);
     void removeHost(const HostId&);
     void tick(MonotonicTime now);
 
+    // Number of hosts that choose, including this one, and the time between their reports.
+    void setHosts(std::size_t count, Duration reportInterval);
+    // From this number of hosts on, requests are spread and rejections count as want of room; before, each goes to the
+    // least loaded endpoint.
+    void setSpreadFrom(std::size_t hosts) { m_spreadFromHosts = hosts; }
+    ChoiceRule rule() const;
+
     // Returns the best endpoint for the request and logs the decision; nullopt if none is available.
     std::optional<EndpointChoice> choose(const EndpointNeed&, MonotonicTime now, EffectList&);
     // Whether choose() would return an endpoint.
     bool canChoose(const EndpointNeed&, MonotonicTime now);
+    // Whether endpoints could take the request and all of them lack room: they rejected a request within the age of the
+    // reports, or run as many as when they last did. Always false with ChoiceRule::LeastLoad.
+    bool isWithoutRoom(const EndpointNeed&, MonotonicTime now);
+    // Whether this host may send one of the requests that wait for room. Counts it as sent if so.
+    bool takeRoomTurn(const EndpointNeed&, MonotonicTime now);
     // Whether a usable endpoint of the service that accepts a request now holds the variant, regardless of its load.
     bool hasReplica(const std::string& service, const ModelVariant&, const std::optional<std::string>& softwareVersion,
         MonotonicTime now);
@@ -119,6 +133,10 @@
     // The endpoint did not run a request for the variant. It counts as not holding the variant for a short time,
     // regardless of its record.
     void noteMissing(const EndpointId&, const ModelVariant&, MonotonicTime now);
+    // The endpoint did not run a request for the variant because it has no room.
+    void noteRejected(const EndpointId&, const ModelVariant&, MonotonicTime now);
+    // Time from the start of an attempt to the first byte of the answer's body.
+    void noteFirstByte(const EndpointId&, Duration);
     // Another endpoint now has the address of the record.
     void noteMisdirected(const EndpointId&, MonotonicTime now);
 
@@ -150,6 +168,11 @@
         // Moving average of failures among attempts, from 0 to 1.
         double failureShare = 0;
         std::map<ModelVariant, MonotonicTime> missingUntil;
+        std::optional<MonotonicTime> rejectedAt;
+        // Running requests at which it rejects, as its rejections and answers show; 0 until it has rejected one.
+        double acceptsUpTo = 0;
+        // Moving average of the times to the first byte, in seconds; 0 if unknown.
+        double firstByteSeconds = 0;
     };
 
     // The last record of an endpoint that has left.
@@ -171,6 +194,18 @@
         std::map<ModelId, unsigned> byModel;
     };
 
+    // What another host reported last.
+    struct PeerReport {
+        std::vector<RunningCount> running;
+        MonotonicTime at {};
+    };
+
+    // Moving average of the attempts that this host starts at a service.
+    struct StartRate {
+        double perSecond = 0;
+        MonotonicTime at {};
+    };
+
     // Endpoints that last processed a prefix of a prompt, with the resulting bonus for the choice.
     using Affinities = std::map<EndpointId, double>;
 
@@ -194,7 +229,19 @@
         MonotonicTime now) const;
     // Keeps new requests from the endpoint for a time that grows with its consecutive failures.
     static void suspect(Entry&, MonotonicTime now, EffectList&);
-    double scoreOf(const Entry&, const Affinities&);
+    EndpointCandidate candidateOf(const Entry&, const Affinities&, Duration reportAge, MonotonicTime now) const;
+    std::vector<const Entry*> takers(const EndpointNeed&, MonotonicTime now);
+    std::vector<EndpointCandidate> candidatesOf(
+        const EndpointNeed&, const std::vector<const Entry*>&, MonotonicTime now) const;
+    static void setSpeeds(const std::vector<const Entry*>&, std::vector<EndpointCandidate>&);
+    // The endpoint that all hosts prefer for the first part of the prompt.
+    static std::optional<std::size_t> agreedEndpoint(const EndpointNeed&, const std::vector<const Entry*>&);
+    // Free places at an endpoint by the reports; 0 if it rejected a request a moment ago.
+    double freePlaces(const Entry&, MonotonicTime now) const;
+    Duration reportAge(MonotonicTime now) const;
+    // Estimate of the requests per second that all hosts start at the endpoints.
+    double startsPerSecond(const std::string& service, const std::vector<const Entry*>&, MonotonicTime now) const;
+    void noteStart(const std::string& service, MonotonicTime now);
     Affinities affinitiesOf(const EndpointNeed&) const;
     void addPeerLoad(const std::vector<RunningCount>&);
     void removePeerLoad(const std::vector<RunningCount>&);
@@ -218,8 +265,16 @@
     std::optional<std::set<std::string>> m_recordedServices = std::set<std::string>();
     MonotonicTime m_nextVersionsAt {};
     // The latest report of each other host, and the sum over all of them.
-    std::map<HostId, std::vector<RunningCount>> m_peerRunning;
+    std::map<HostId, PeerReport> m_peerReports;
     std::unordered_map<EndpointId, PeerLoad> m_peerLoads;
+    // Sum of the times of these reports since the epoch of the clock.
+    Duration m_reportTimes {};
+    std::size_t m_hostCount = 1;
+    std::size_t m_spreadFromHosts = 12;
+    Duration m_reportInterval = std::chrono::milliseconds(200);
+    EndpointChooser m_chooser;
+    RoomTurns m_roomTurns;
+    std::map<std::string, StartRate> m_startRates;
     std::uint64_t m_updateToken = 0;
     // The placement owner's latest forecasts, and when they arrived.
     std::vector<StoreLoadForecast> m_forecasts;
--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -145,6 +145,8 @@
     static constexpr unsigned maximumRejections = 4;
     // Requests of other hosts that this one serves at a time.
     static constexpr std::size_t maximumRelayedRequests = 512;
+    // Requests that wait for room at a time, in addition to those of which a part has run.
+    static constexpr std::size_t maximumRoomWaits = 256;
 
     // Why a request waits.
     enum class WaitReason {
@@ -154,6 +156,8 @@
         Trial,
         // Neither this host nor another one has a path to an endpoint.
         Path,
+        // All endpoints that hold the model are full.
+        Room,
     };
 
     // One attempt of a request at an endpoint, or at another host.
@@ -331,6 +335,8 @@
     std::vector<RequestId> requestsAwaiting(StreamKey) const;
     static EndpointNeed endpointNeedOf(const Request&);
     void dispatch(Request&, MonotonicTime now, EffectList&);
+    // Chooses an endpoint and starts an attempt, or lets the request wait for a replica.
+    void dispatchToEndpoint(Request&, MonotonicTime now, EffectList&);
     // A variant, and the only software version that serves it if there is one.
     using VersionedVariant = std::pair<ServiceVariant, std::optional<std::string>>;
     VersionedVariant needOf(const Request&, MonotonicTime now) const;
@@ -374,6 +380,15 @@
     // Whether the request waits for its turn if every endpoint rejects it, because a part of it has run.
     static bool mayWaitForRoom(const Request&);
     void waitForRoom(Request&, MonotonicTime now, EffectList&);
+    // Whether the request may wait until an endpoint has a place, because its caller can still be served afterwards.
+    bool mayWaitForPlace(const Request&, MonotonicTime now) const;
+    // Lets the request wait if all endpoints are full, or others of the same model wait already. Returns whether it
+    // does.
+    bool waitForPlace(Request&, MonotonicTime now, EffectList&);
+    // Sends the waiting requests for which there is room, the most urgent first, then those with the next deadline.
+    void dispatchRoomWaits(MonotonicTime now, EffectList&);
+    MonotonicTime roomWaitLimit(const Request&) const;
+    static RoomTurns::Key roomKeyOf(const Request& request) { return { request.service, request.terms.variant.model }; }
     // Precondition of the following: the request has an attempt whose answer has ended.
     // Returns why the answer cannot be whole, by its bytes; empty if it can.
     static std::string_view faultOfAnswer(const Request&);
@@ -417,6 +432,7 @@
     // request may be gone afterwards.
     void noteBuffered(const Request&, MonotonicTime now, EffectList&);
     void forwardData(Request&, std::string_view, EffectList&);
+    void noteFirstByte(const Request&, MonotonicTime now);
     // Follows the events of a stream. Returns false if one of them has no end.
     bool followStream(Request&, std::string_view data, MonotonicTime now);
     // Whether a large answer that is being collected is passed on from now on, because this host keeps too many bytes.
@@ -476,6 +492,9 @@
     std::size_t m_outputBytes = 0;
     bool m_isMemoryFull = false;
     std::set<RequestId> m_waiting;
+    // Requests that wait for room, by service and model.
+    std::map<RoomTurns::Key, std::set<RequestId>> m_roomWaits;
+    std::size_t m_roomWaitCount = 0;
     // Models of requests refused as too late, whose callers are expected to return, with the time until which each
     // counts as one waiting request.
     std::map<ServiceVariant, MonotonicTime> m_refusedWaits;
--- a/include/catkinwell/gateway/GatewaySettings.h
+++ b/include/catkinwell/gateway/GatewaySettings.h
@@ -48,6 +48,9 @@
     // Memory that the process may use, in MB. The bytes of requests and answers that it keeps are bounded by parts of
     // it.
     unsigned memoryMb = 256;
+    // From this number of hosts on, requests are spread over endpoints by the room to be expected, because reports of
+    // the other hosts are old; with fewer hosts each request goes to the least loaded endpoint.
+    unsigned spreadFromHosts = 12;
     GatewayRequestSettings requests;
     EnginePlacementSettings placement;
     LogSettings log;
--- a/src/gateway/EndpointDirectory.cpp
+++ b/src/gateway/EndpointDirectory.cpp
@@ -17,30 +17,11 @@
     constexpr Duration misdirectedTime = std::chrono::seconds(3);
     // Weight of the latest attempt in the moving average of failures.
     constexpr double failureWeight = 0.15;
-    // An endpoint with a larger failure share is used only if there is no other, and occasionally to probe it.
-    constexpr double tolerableFailureShare = 0.35;
-    constexpr double unreliableProbeShare = 0.02;
-    // Costs and bonuses, as fractions of an endpoint's capacity.
-    constexpr double failureCost = 1.0;
-    constexpr double otherDataCentreCost = 0.03;
-    // An endpoint that limits its requests is in need; others are preferred.
-    constexpr double limitedCost = 0.5;
-    constexpr double wholePromptBonus = 0.10;
-    constexpr double sharedPromptBonus = 0.04;
-    constexpr std::size_t maximumPromptEntries = 4096;
     // A restored store can bring back the records of endpoints that left before.
     constexpr Duration departureLifetime = std::chrono::minutes(10);
     constexpr std::size_t maximumDepartures = 1024;
     constexpr Duration serviceUseInterval = std::chrono::milliseconds(50);
 
-    std::uint64_t promptHash(const EndpointNeed& need, std::size_t parts)
-    {
-        std::string text = need.variant.text();
-        for (std::size_t i = 0; i < parts; ++i)
-            text += "|" + need.promptParts[i];
-        return stableHash(text);
-    }
-
 } // namespace
 
 EndpointDirectory::EndpointDirectory(DataCentreId own, std::uint64_t seed, HostId self)
@@ -88,6 +69,9 @@
         entry.update = EngineUpdate();
         entry.updateReceivedAt = MonotonicTime();
         entry.missingUntil.clear();
+        entry.rejectedAt.reset();
+        entry.acceptsUpTo = 0;
+        entry.firstByteSeconds = 0;
         entry.consecutiveFailures = 0;
         entry.failureShare = 0;
         entry.suspectedUntil = MonotonicTime();
@@ -138,21 +122,22 @@
     }
 }
 
-void EndpointDirectory::handle(const HostId& from, const HostDigest& digest)
+void EndpointDirectory::handle(const HostId& from, const HostDigest& digest, MonotonicTime now)
 {
-    std::vector<RunningCount>& running = m_peerRunning[from];
-    removePeerLoad(running);
-    running = digest.running;
-    addPeerLoad(running);
+    removeHost(from);
+    m_peerReports[from] = { digest.running, now };
+    m_reportTimes += now.time_since_epoch();
+    addPeerLoad(digest.running);
 }
 
 void EndpointDirectory::removeHost(const HostId& host)
 {
-    const auto found = m_peerRunning.find(host);
-    if (found == m_peerRunning.end())
+    const auto found = m_peerReports.find(host);
+    if (found == m_peerReports.end())
         return;
-    removePeerLoad(found->second);
-    m_peerRunning.erase(found);
+    removePeerLoad(found->second.running);
+    m_reportTimes -= found->second.at.time_since_epoch();
+    m_peerReports.erase(found);
 }
 
 void EndpointDirectory::addPeerLoad(const std::vector<RunningCount>& list)
@@ -196,6 +181,7 @@
         m_departures, [now](const auto& departure) { return now - departure.second.at >= departureLifetime; });
     m_limits.tick(now);
     m_notices.tick(now);
+    m_roomTurns.tick(now);
 }
 
 void EndpointDirectory::noteNotice(
@@ -292,44 +278,6 @@
     return isListedWith(entry, variant, now) && now >= endOfMissing(entry, variant);
 }
 
-EndpointDirectory::Affinities EndpointDirectory::affinitiesOf(const EndpointNeed& need) const
-{
-    // Only the longest prefix that an endpoint has processed counts.
-    Affinities affinities;
-    for (std::size_t parts = need.promptParts.size(); parts > 0; --parts) {
-        const auto found = m_promptEndpoints.find(promptHash(need, parts));
-        if (found != m_promptEndpoints.end())
-            affinities.try_emplace(
-                found->second, parts == need.promptParts.size() ? wholePromptBonus : sharedPromptBonus);
-    }
-    return affinities;
-}
-
-void EndpointDirectory::rememberPrompt(const EndpointNeed& need, const EndpointId& endpoint)
-{
-    for (std::size_t parts = 1; parts <= need.promptParts.size(); ++parts) {
-        const std::uint64_t hash = promptHash(need, parts);
-        const auto [entry, isNew] = m_promptEndpoints.insert_or_assign(hash, endpoint);
-        if (isNew)
-            m_promptOrder.push_back(hash);
-    }
-    while (m_promptOrder.size() > maximumPromptEntries) {
-        m_promptEndpoints.erase(m_promptOrder.front());
-        m_promptOrder.pop_front();
-    }
-}
-
-double EndpointDirectory::scoreOf(const Entry& entry, const Affinities& affinities)
-{
-    const double load = (runningOn(entry.record.id) + 1.0) / entry.record.slots;
-    const double distance = entry.record.dataCentre == m_ownDataCentre ? 0 : otherDataCentreCost;
-    const double failures = entry.failureShare * failureCost + (m_limits.isLimited(entry.record.id) ? limitedCost : 0);
-    // Breaks ties at random, so that the hosts do not all choose the same endpoint.
-    const double tie = m_random.unit() * 0.001;
-    const auto affinity = affinities.find(entry.record.id);
-    return load + distance + failures - (affinity == affinities.end() ? 0 : affinity->second) + tie;
-}
-
 // Whether the endpoint may get the request now.
 bool EndpointDirectory::canTake(const Entry& entry, const EndpointNeed& need, MonotonicTime now)
 {
@@ -338,46 +286,6 @@
         && isAvailable(entry, now);
 }
 
-bool EndpointDirectory::canChoose(const EndpointNeed& need, MonotonicTime now)
-{
-    return std::any_of(
-        m_entries.begin(), m_entries.end(), [&](const auto& item) { return canTake(item.second, need, now); });
-}
-
-std::optional<EndpointChoice> EndpointDirectory::choose(
-    const EndpointNeed& need, MonotonicTime now, EffectList& effects)
-{
-    const Affinities affinities = affinitiesOf(need);
-    const Entry* best = nullptr;
-    const Entry* bestUnreliable = nullptr;
-    double bestScore = 0;
-    double bestUnreliableScore = 0;
-    for (const auto& [id, entry] : m_entries) {
-        if (!canTake(entry, need, now))
-            continue;
-        const double score = scoreOf(entry, affinities);
-        const bool isReliable = entry.failureShare <= tolerableFailureShare || m_random.unit() < unreliableProbeShare;
-        const Entry*& leader = isReliable ? best : bestUnreliable;
-        double& leaderScore = isReliable ? bestScore : bestUnreliableScore;
-        if (!leader || score < leaderScore) {
-            leader = &entry;
-            leaderScore = score;
-        }
-    }
-    const Entry* chosen = best ? best : bestUnreliable;
-    if (!chosen)
-        return std::nullopt;
-    const std::int64_t ageMilliseconds = millisecondsOf(now - std::max(chosen->recordAt, chosen->updateReceivedAt));
-    effects.push_back(LogEntry { LogEvent::GatewayEndpointChosen,
-        { { "request", need.callerRequestId }, { "endpoint", chosen->record.id.value },
-            { "software_version", chosen->record.softwareVersion }, { "model", need.variant.text() },
-            { "running", std::to_string(runningOn(chosen->record.id)) },
-            { "known_for_ms", std::to_string(ageMilliseconds) } } });
-    if (!need.promptParts.empty())
-        rememberPrompt(need, chosen->record.id);
-    return EndpointChoice { chosen->record.id, chosen->record.address };
-}
-
 bool EndpointDirectory::hasReplica(const std::string& service, const ModelVariant& variant,
     const std::optional<std::string>& softwareVersion, MonotonicTime now)
 {
@@ -495,6 +403,7 @@
     if (found == m_entries.end())
         return;
     m_room.attemptStarted(found->second.record.service, id, now);
+    noteStart(found->second.record.service, now);
     ++found->second.ownRunning[variant];
     ++found->second.ownTotal;
 }
@@ -513,6 +422,8 @@
     }
     if (verdict == AttemptVerdict::Neutral)
         return;
+    if (verdict == AttemptVerdict::Good)
+        m_roomTurns.placeFreed({ entry.record.service, variant.model }, now);
     if (verdict == AttemptVerdict::Silent) {
         // One pause of an endpoint stalls all its requests.
         if (now >= entry.suspectedUntil)
--- a/src/gateway/GatewayAnswerBytes.cpp
+++ b/src/gateway/GatewayAnswerBytes.cpp
@@ -32,6 +32,7 @@
     if (!request)
         return;
     noteReached(*request, false, now, effects);
+    noteFirstByte(*request, now);
     request->attempt->lastDataAt = now;
     request->attempt->receivedBytes += data.data.size();
     if (request->attempt->isForwarded) {
@@ -48,6 +49,15 @@
     noteBuffered(*request, now, effects);
 }
 
+// The rest of a stream begins as fast as its endpoint can repeat it.
+void GatewayRequests::noteFirstByte(const Request& request, MonotonicTime now)
+{
+    const Attempt& attempt = *request.attempt;
+    if (attempt.receivedBytes == 0 && !attempt.relayedTo && !attempt.isRest && attempt.terms.isSealed
+        && attempt.status < 300)
+        m_directory.noteFirstByte(attempt.endpoint, now - attempt.startedAt);
+}
+
 bool GatewayRequests::followStream(Request& request, std::string_view data, MonotonicTime now)
 {
     Attempt& attempt = *request.attempt;
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -111,6 +111,7 @@
     , m_random(seed + 5)
 {
     setStoreReconnect(m_settings.storeReconnect);
+    m_directory.setSpreadFrom(m_settings.spreadFromHosts);
 }
 
 // One overload for each event type.
@@ -200,6 +201,7 @@
     m_ownership.setSilence(settings.ownerSilence);
     m_requests.setSettings(settings.requests);
     m_placement.setSettings(settings.placement);
+    m_directory.setSpreadFrom(settings.spreadFromHosts);
 }
 
 void GatewayReducer::setStoreReconnect(Duration reconnect)
@@ -325,8 +327,7 @@
     }
     const std::set<HostId> before = std::exchange(m_livePeers, std::move(live));
     updateQuotaPeers(before, now);
-    m_directory.room().setHosts(m_livePeers.size() + 1);
-    m_directory.room().setReportInterval(digestInterval());
+    m_directory.setHosts(m_livePeers.size() + 1, digestInterval());
     m_requests.setHostCount(m_livePeers.size() + 1);
     m_requests.trials().setPeers(m_livePeers);
     m_relayPeers.setLive(m_livePeers);
@@ -535,7 +536,7 @@
     m_quota.merge(received.from, received.incarnation, digest.usage, now);
     m_quota.noteMissing(digest.missingHosts, now);
     m_directory.limits().noteMissing(digest.missingHosts, now);
-    m_directory.handle(received.from, digest);
+    m_directory.handle(received.from, digest, now);
     m_directory.room().merge(digest.brittleServices, now, effects);
     m_directory.limits().merge(received.from, received.incarnation, digest.limits, now, effects);
     m_placement.handle(received.from, digest.demand, now);
--- a/src/gateway/GatewayRequestOutcomes.cpp
+++ b/src/gateway/GatewayRequestOutcomes.cpp
@@ -151,12 +151,16 @@
     effects.push_back(failedAttemptEntry(request, "the endpoint did not run the request", "not_run", now));
     endAttempt(request, AttemptVerdict::Neutral, now, effects);
     ++request.rejections;
-    if (!request.terms.variant.model.value.empty())
+    if (!attempt.terms.isMisdirected)
+        m_directory.noteRejected(attempt.endpoint, request.terms.variant, now);
+    else if (!request.terms.variant.model.value.empty())
         m_directory.noteMissing(attempt.endpoint, request.terms.variant, now);
-    else if (attempt.terms.isMisdirected)
+    else
         m_directory.noteMisdirected(attempt.endpoint, now);
     request.excluded.insert(attempt.endpoint);
     request.rejecting.insert(attempt.endpoint);
+    if (waitForPlace(request, now, effects))
+        return;
     const bool mayTryAgain
         = request.rejections < maximumRejections && request.deadline - now > shortestAttempt && takeRetry(request, now);
     if (mayTryAgain) {
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -102,6 +102,12 @@
             waitForPath(request, now, effects);
         return;
     }
+    if (!waitForPlace(request, now, effects))
+        dispatchToEndpoint(request, now, effects);
+}
+
+void GatewayRequests::dispatchToEndpoint(Request& request, MonotonicTime now, EffectList& effects)
+{
     EndpointNeed need = endpointNeedOf(request);
     auto choice = m_directory.choose(need, now, effects);
     if (!choice && !need.excluded.empty() && !request.mayHaveRun) {
@@ -132,6 +138,8 @@
         return "another request with a suspected prompt is tried";
     case WaitReason::Path:
         return "no host has a path to an endpoint";
+    case WaitReason::Room:
+        return "all endpoints are full";
     case WaitReason::Replica:
         break;
     }
@@ -146,6 +154,8 @@
             longRetryAfter };
     case WaitReason::Path:
         return { 503, "no_path", "no endpoint of the service can be reached", shortRetryAfter };
+    case WaitReason::Room:
+        return { 503, "endpoints_full", "no endpoint has free capacity", shortRetryAfter };
     case WaitReason::Replica:
         break;
     }
@@ -286,8 +296,16 @@
     request.waited += now - request.waitingSince;
     m_waiting.erase(request.arrived.id);
     const WaitReason reason = std::exchange(request.waitReason, WaitReason::Replica);
-    if (reason == WaitReason::Replica && !request.terms.variant.model.value.empty())
+    const bool isInDemand = reason == WaitReason::Replica || reason == WaitReason::Room;
+    if (isInDemand && !request.terms.variant.model.value.empty())
         m_demand.waitEnded({ request.service, request.terms.variant }, now);
+    if (reason != WaitReason::Room)
+        return;
+    --m_roomWaitCount;
+    const auto waits = m_roomWaits.find(roomKeyOf(request));
+    waits->second.erase(request.arrived.id);
+    if (waits->second.empty())
+        m_roomWaits.erase(waits);
 }
 
 void GatewayRequests::startAttempt(
@@ -517,7 +535,8 @@
     if (request.isWaiting) {
         if (endIfStopTooNear(request, now, stopWaitLimit(request), now, effects))
             return;
-        if (now < waitLimit(request) || request.mayHaveRun)
+        const bool isForRoom = request.waitReason == WaitReason::Room;
+        if (now < (isForRoom ? roomWaitLimit(request) : waitLimit(request)) || request.mayHaveRun)
             return;
         refuse(request, endOfWaiting(request), now, effects);
         return;
@@ -528,11 +547,12 @@
 
 void GatewayRequests::dispatchWaiting(MonotonicTime now, EffectList& effects)
 {
+    dispatchRoomWaits(now, effects);
     std::vector<RequestId> ready;
     std::map<std::pair<ServiceVariant, std::optional<std::string>>, bool> hasReplica;
     for (const RequestId id : m_waiting) {
         const Request& request = m_requests.at(id);
-        if (now < request.nextTryAt)
+        if (now < request.nextTryAt || request.waitReason == WaitReason::Room)
             continue;
         if (request.waitReason == WaitReason::Path) {
             ready.push_back(id);
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -216,6 +216,7 @@
     if (error.empty() && !settings.storeKeyPrefix.ends_with('/'))
         error = "the field \"store_key_prefix\" is \"" + settings.storeKeyPrefix + "\"; end it with a slash";
     reader.milliseconds("lease_ttl_ms", settings.leaseTtl);
+    reader.count("spread_from_hosts", settings.spreadFromHosts);
     reader.milliseconds("owner_silence_ms", settings.ownerSilence);
     reader.milliseconds("store_reconnect_ms", settings.storeReconnect);
     reader.milliseconds("shutdown_accepting_ms", settings.shutdownAccepting);
--- a/src/logging/LogEvent.cpp
+++ b/src/logging/LogEvent.cpp
@@ -247,12 +247,13 @@
             "settings changed.",
             "Find its attempts (2105) and examine the logs of their endpoints." },
         { LogEvent::GatewayRequestWaits, Info, "gateway_request_waits",
-            "A request is waiting for a replica of its model, for an adapter, or because another request with a "
-            "suspected "
-            "prompt is being tried; the field \"reason\" tells which.",
+            "A request is waiting for a replica of its model, for an adapter, for room because all endpoints are full, "
+            "or because another request with a suspected prompt is being tried; the field \"reason\" tells which.",
             "If many requests wait, check that there is a placement owner (2120), and its orders (2122, 2123)." },
         { LogEvent::GatewayEndpointChosen, Info, "gateway_endpoint_chosen",
-            "An endpoint was chosen for a request; the fields give its load and the age of its last known state.", "" },
+            "An endpoint was chosen for a request; the fields give its load, the age of its last known state, the rule "
+            "(least_load or spread) and the number of candidates.",
+            "" },
         { LogEvent::GatewayAttemptFailed, Warning, "gateway_attempt_failed",
             "An attempt received no usable answer from an endpoint.",
             "If it repeats for one endpoint, check its health; a status of 421 means that its state changed." },
--- a/src/replay/Replay.cpp
+++ b/src/replay/Replay.cpp
@@ -320,7 +320,7 @@
                     if (to == from)
                         continue;
                     m_hosts[to]->quota.merge(m_hosts[from]->name, 1, digest.usage, m_now);
-                    m_hosts[to]->directory.handle(m_hosts[from]->name, digest);
+                    m_hosts[to]->directory.handle(m_hosts[from]->name, digest, m_now);
                 }
             });
         }
--- a/tests/gateway/GatewayFixture.cpp
+++ b/tests/gateway/GatewayFixture.cpp
@@ -120,8 +120,9 @@
     return mirror;
 }
 
-RequestsFixture::RequestsFixture()
-    : requests({}, protocol, directory, quota, relayPeers, HostId("self"))
+RequestsFixture::RequestsFixture(std::uint64_t seed)
+    : directory(DataCentreId("here"), seed)
+    , requests({}, protocol, directory, quota, relayPeers, HostId("self"))
 {
     const GatewayConfiguration configuration = sampleConfiguration();
     requests.configure(configuration, now);
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -41,7 +41,7 @@
 // The request handling of one host, with a manual clock.
 class RequestsFixture {
 public:
-    RequestsFixture();
+    explicit RequestsFixture(std::uint64_t seed = 1);
 
     // Sends a request, by default of account "a". The path selects the route: /order/ is not repeatable, /read/ is
     // idempotent, /note/ is a stream and /dossier/ a resumable stream. Streams use the model. The prompt consists of
@@ -63,7 +63,7 @@
 
     PlainProtocol protocol;
     MonotonicTime now { std::chrono::hours(1) };
-    EndpointDirectory directory { DataCentreId("here"), 1 };
+    EndpointDirectory directory;
     FleetQuota quota { HostId("self") };
     RelayPeers relayPeers { DataCentreId("here"), 1 };
     GatewayRequests requests;
