--- a/include/catkinwell/gateway/GatewaySettings.h
+++ b/include/catkinwell/gateway/GatewaySettings.h
@@ -50,6 +50,9 @@
     unsigned memoryMb = 256;
     // How far the requests to a cold endpoint may exceed its rate; absent if cold endpoints are not treated apart.
     std::optional<ColdBounds> coldBounds;
+    // From this number of hosts on, requests are spread over endpoints by the room to be expected, because reports of
+    // the other hosts are old; with fewer hosts each request goes to the least loaded endpoint.
+    unsigned spreadFromHosts = 12;
     GatewayRequestSettings requests;
     EnginePlacementSettings placement;
     LogSettings log;
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -30,8 +30,8 @@
     constexpr Duration shortestRecordInterval = std::chrono::milliseconds(300);
     constexpr Duration recordIntervalPerHost = std::chrono::milliseconds(30);
     constexpr Duration longestRecordInterval = std::chrono::milliseconds(1200);
-    // What the gateways write of themselves also passes in their digests, and a lost connection shows in the renewals of
-    // the lease, so that the watch of it may wait longer than a silent connection may go unnoticed.
+    // What the gateways write of themselves also passes in their digests, and a lost connection shows in the renewals
+    // of the lease, so that the watch of it may wait longer than a silent connection may go unnoticed.
     constexpr int gatewayWatchFactor = 4;
     // A peer that is no longer registered counts as live for this time after its last digest.
     constexpr Duration digestLifetime = std::chrono::seconds(2);
@@ -119,6 +119,7 @@
 {
     setStoreReconnect(m_settings.storeReconnect);
     m_directory.cold().setBounds(m_settings.coldBounds);
+    m_directory.setSpreadFrom(m_settings.spreadFromHosts);
 }
 
 // One overload for each event type.
@@ -214,6 +215,7 @@
     m_settings.coldBounds = settings.coldBounds;
     m_directory.cold().setBounds(settings.coldBounds);
     m_placement.setSettings(settings.placement);
+    m_directory.setSpreadFrom(settings.spreadFromHosts);
 }
 
 void GatewayReducer::setStoreReconnect(Duration reconnect)
@@ -343,9 +345,8 @@
     }
     const std::set<HostId> before = std::exchange(m_livePeers, std::move(live));
     updateQuotaPeers(before, now);
-    m_directory.room().setHosts(m_livePeers.size() + 1);
+    m_directory.setHosts(m_livePeers.size() + 1, digestInterval());
     m_directory.returning().setHosts(m_livePeers.size() + 1);
-    m_directory.room().setReportInterval(digestInterval());
     m_requests.setHostCount(m_livePeers.size() + 1);
     m_requests.trials().setPeers(m_livePeers);
     m_relayPeers.setLive(m_livePeers);
@@ -556,7 +557,7 @@
     m_quota.merge(received.from, received.incarnation, digest.usage, now);
     m_quota.noteMissing(digest.missingHosts, now);
     m_directory.limits().noteMissing(digest.missingHosts, now);
-    m_directory.handle(received.from, digest);
+    m_directory.handle(received.from, digest, now);
     m_directory.room().merge(digest.brittleServices, now, effects);
     m_directory.limits().merge(received.from, received.incarnation, digest.limits, now, effects);
     m_placement.handle(received.from, digest.demand, now);
