Send delayed health checks of cold endpoints before waiting requests

Cause: a check whether a plain endpoint still runs has to wait for a place at a cold endpoint, and waiting requests could take each place first.

Change: dispatchWaiting() sends delayed checks first. A test follows a check that waits.

--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -471,7 +471,6 @@
     endRefusedWaits(now);
     excludeOwnPauses(now);
     m_runChecks.tick(now);
-    startDelayedChecks(now, effects);
     noteMemory(effects);
     std::vector<RequestId> ids;
     ids.reserve(m_requests.size());
@@ -532,6 +531,8 @@
 
 void GatewayRequests::dispatchWaiting(MonotonicTime now, EffectList& effects)
 {
+    // Before the requests, which could take every place that becomes free.
+    startDelayedChecks(now, effects);
     std::vector<RequestId> ready;
     std::map<std::pair<ServiceVariant, std::optional<std::string>>, bool> hasReplica;
     for (const RequestId id : m_waiting) {
--- a/tests/gateway/ColdEndpointsTest.cpp
+++ b/tests/gateway/ColdEndpointsTest.cpp
@@ -338,6 +338,16 @@
     CHECK_FALSE(fixture.directory.cold().isAvailable(cold, fixture.now));
     fixture.answer(attempts[0].id, 421);
     CHECK(fixture.directory.cold().isAvailable(cold, fixture.now));
+    // An answer that ends with its connection needs a health check, which takes a place and may have to wait for one.
+    for (std::size_t i = 1; i < 3; ++i) {
+        fixture.requests.handle(AttemptHead { attempts[i].id, 200, { { "sealed", "1" } } }, fixture.now, effects);
+        fixture.requests.handle(AttemptFinished { attempts[i].id, true }, fixture.now, effects);
+        CHECK(fixture.takeAttempts().size() == 2 - i);
+    }
+    fixture.advance(1100ms);
+    const auto checks = fixture.takeAttempts();
+    REQUIRE(checks.size() == 1);
+    CHECK(checks[0].method == "GET");
 }
 
 // Guards against parts that are not wired to the settings, the configuration, the list of hosts and the records.
