--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -494,7 +494,6 @@
     endRefusedWaits(now);
     excludeOwnPauses(now);
     m_runChecks.tick(now);
-    startDelayedChecks(now, effects);
     noteMemory(effects);
     std::vector<RequestId> ids;
     ids.reserve(m_requests.size());
@@ -556,6 +555,8 @@
 
 void GatewayRequests::dispatchWaiting(MonotonicTime now, EffectList& effects)
 {
+    // Before the requests, which could take every place that becomes free.
+    startDelayedChecks(now, effects);
     dispatchRoomWaits(now, effects);
     std::vector<RequestId> ready;
     std::map<std::pair<ServiceVariant, std::optional<std::string>>, bool> hasReplica;
