Evacuate data centres in serve

Cause: operators of serve evacuate data centres as well, and have no store key for it.

Each host applies it with EvacuatedDataCentres: the endpoints count as leaving in EndpointTable and in the placement. The list is written only if it is not empty, since hosts of earlier versions refuse unknown fields.

The reducer of serve has no test of its own for this.

--- a/include/catkinwell/configuration/FleetConfiguration.h
+++ b/include/catkinwell/configuration/FleetConfiguration.h
@@ -121,6 +121,13 @@
     std::optional<WallTime> expires;
 };
 
+// Keeps new requests and placement commands away from the endpoints of a data centre.
+struct DataCentreEvacuation {
+    DataCentreId dataCentre;
+    // Why an operator evacuates it.
+    std::string reason;
+};
+
 // The complete accepted configuration at one version. Exceptions are stored separately; applying the unexpired ones
 // gives the effective settings.
 struct FleetConfiguration {
@@ -133,6 +140,7 @@
     std::map<ModelId, ModelSettings> models;
     std::vector<RouteSettings> routes;
     std::vector<ConfigurationException> exceptions;
+    std::map<DataCentreId, DataCentreEvacuation> evacuations;
 };
 
 std::string_view nameOf(EndpointKind);
--- a/include/catkinwell/reducer/Reducer.h
+++ b/include/catkinwell/reducer/Reducer.h
@@ -4,6 +4,7 @@
 #include <catkinwell/admin/DecisionJournal.h>
 #include <catkinwell/admin/UsageAccounting.h>
 #include <catkinwell/configuration/ConfigurationManager.h>
+#include <catkinwell/gateway/EvacuatedDataCentres.h>
 #include <catkinwell/membership/EndpointDrains.h>
 #include <catkinwell/membership/MembershipManager.h>
 #include <catkinwell/metrics/MetricsRegistry.h>
@@ -62,6 +63,7 @@
     // Propagates changes in one module to the others.
     void propagate(MonotonicTime now, EffectList&);
     void propagateConfiguration(MonotonicTime now, EffectList&);
+    void applyEvacuations(MonotonicTime now, EffectList&);
     void configureClaims();
     void propagateMembership(MonotonicTime now, EffectList&);
     void updateRelayPeers(MonotonicTime now);
@@ -128,7 +130,10 @@
     MonotonicTime m_nextPromptNewsAt {};
     MonotonicTime m_nextPromptRepetitionAt {};
     std::size_t m_nextPromptPeer = 0;
+    // Endpoints that are drained or in data centres under evacuation.
     std::set<EndpointId> m_leavingEndpoints;
+    EvacuatedDataCentres m_evacuated;
+    std::set<EndpointId> m_evacuatedEndpoints;
     // The replicas whose usage this host accounts for.
     std::map<EndpointId, std::set<ModelId>> m_countedReplicas;
 };
--- a/src/admin/AdminApi.cpp
+++ b/src/admin/AdminApi.cpp
@@ -137,7 +137,8 @@
             { "report", "GET", None, Read, &State::read },
             { "audit", "GET", None, Read, &State::read },
         };
-        for (const std::string_view section : { "accounts", "models", "adapters", "endpoints", "routes" }) {
+        for (const std::string_view section :
+            { "accounts", "models", "adapters", "endpoints", "routes", "evacuations" }) {
             operations.push_back({ section, "GET", None, Read, &State::read });
             operations.push_back({ section, "GET", Required, Read, &State::read });
             operations.push_back({ section, "PUT", Required, Operate, &State::putItem });
--- a/src/admin/AdminCall.cpp
+++ b/src/admin/AdminCall.cpp
@@ -176,7 +176,7 @@
         return *problem;
     if (auto problem = readVersion(request, call))
         return *problem;
-    const bool reasonIsContent = call.resource == "exceptions";
+    const bool reasonIsContent = call.resource == "exceptions" || call.resource == "evacuations";
     if (auto problem = readText(request, call, "X-Audit-Reason", "reason", reasonIsContent, call.reason))
         return *problem;
     if (auto problem = readText(request, call, "X-Change-Id", "change_id", false, call.changeId))
--- a/src/admin/AdminCommand.cpp
+++ b/src/admin/AdminCommand.cpp
@@ -70,6 +70,7 @@
     addKeyCommands();
     addExceptionCommands();
     addOperationCommands();
+    addDataCentreCommands();
     addQuarantineCommands();
     addDiagnosisCommands();
 }
@@ -232,6 +233,25 @@
         *m_app, "drains", "List the drained endpoints", [this] { return listItems(pathOf("drains"), { "endpoint" }); });
 }
 
+void AdminCommand::addDataCentreCommands()
+{
+    CLI::App* group = addCommand(*m_app, "data-centre", "Evacuation of data centres", {});
+    addCommand(*group, "list", "List the data centres under evacuation", [this] {
+        return listItems(pathOf("evacuations"), { "data_centre", "reason" });
+    });
+    const auto add = [this, group](const char* name, const char* method, const char* description) {
+        CLI::App* command = addCommand(*group, name, description, [this, method] {
+            const bool begins = std::string_view(method) == "PUT";
+            const Json body = begins ? Json { { "reason", m_options.reason } } : Json();
+            return changeAt(
+                pathOf("evacuations"), { method, pathOf("evacuations", m_identifier), body, {}, begins, true });
+        });
+        command->add_option("name", m_identifier, "the data centre")->required();
+    };
+    add("evacuate", "PUT", "Send nothing new to the endpoints of a data centre");
+    add("restore", "DELETE", "Send requests to the endpoints of a data centre again");
+}
+
 void AdminCommand::addQuarantineCommands()
 {
     CLI::App* group = addCommand(*m_app, "quarantine", "Requests that crashed endpoints", {});
--- a/src/admin/AdminCommand.h
+++ b/src/admin/AdminCommand.h
@@ -40,6 +40,7 @@
     void addKeyCommands();
     void addExceptionCommands();
     void addOperationCommands();
+    void addDataCentreCommands();
     void addQuarantineCommands();
     void addDiagnosisCommands();
 
--- a/src/admin/ConfigurationDocument.cpp
+++ b/src/admin/ConfigurationDocument.cpp
@@ -10,11 +10,12 @@
 
     using Json = nlohmann::json;
 
-    constexpr std::array<DocumentSection, 4> sections { {
+    constexpr std::array<DocumentSection, 5> sections { {
         { "accounts", "id" },
         { "models", "id" },
         { "endpoints", "id" },
         { "routes", "path_prefix" },
+        { "evacuations", "data_centre" },
     } };
 
     // Precondition: the document is an object. A missing section is created as an empty array.
--- a/src/configuration/ConfigurationDocument.cpp
+++ b/src/configuration/ConfigurationDocument.cpp
@@ -22,7 +22,7 @@
     constexpr int maximumDepth = 16;
 
     const std::vector<std::string_view> topLevelFields { "version", "defaults", "accounts", "keys", "endpoints",
-        "models", "routes", "exceptions" };
+        "models", "routes", "exceptions", "evacuations" };
 
     // Detects an object that contains a field twice, of which the parser alone would keep the last one, and a document
     // that is nested too deeply.
@@ -153,7 +153,9 @@
             return status;
         if (auto status = readRoutes(document, target.routes); isError(status))
             return status;
-        return readExceptions(document, target.exceptions);
+        if (auto status = readExceptions(document, target.exceptions); isError(status))
+            return status;
+        return readMap(document, "evacuations", "data_centre", &DataCentreEvacuation::dataCentre, target.evacuations);
     }
 
     void appendObjects(std::string& text, std::string_view name, const std::vector<std::string>& objects)
@@ -222,6 +224,9 @@
     appendObjects(text, "models", valuesToJson(configuration.models));
     appendObjects(text, "routes", listToJson(configuration.routes));
     appendObjects(text, "exceptions", listToJson(configuration.exceptions));
+    // Hosts of earlier versions refuse a document with this field.
+    if (!configuration.evacuations.empty())
+        appendObjects(text, "evacuations", valuesToJson(configuration.evacuations));
     return text + "}\n";
 }
 
--- a/src/configuration/ConfigurationParts.cpp
+++ b/src/configuration/ConfigurationParts.cpp
@@ -141,6 +141,7 @@
     splitSection("models", configuration.models, texts);
     splitList("routes", configuration.routes, texts);
     splitList("exceptions", configuration.exceptions, texts);
+    splitSection("evacuations", configuration.evacuations, texts);
     std::map<std::string, std::string> parts;
     for (auto& text : texts) {
         if (text.size() > maximumPartBytes)
--- a/src/configuration/FieldJson.cpp
+++ b/src/configuration/FieldJson.cpp
@@ -268,7 +268,9 @@
 template Status readField(const Json&, const std::string&, std::string_view, FleetDefaults&);
 template std::string fieldsToJson(const FleetDefaults&);
 template Status readFields(const Json&, const std::string&, ConfigurationException&);
+template Status readFields(const Json&, const std::string&, DataCentreEvacuation&);
 template Status readField(const Json&, const std::string&, std::string_view, ConfigurationException&);
 template std::string fieldsToJson(const ConfigurationException&);
+template std::string fieldsToJson(const DataCentreEvacuation&);
 
 } // namespace Catkinwell
--- a/src/configuration/FieldTable.cpp
+++ b/src/configuration/FieldTable.cpp
@@ -85,6 +85,11 @@
         { "expires", &ConfigurationException::expires, fixedRule },
     };
 
+    constexpr Field<DataCentreEvacuation> evacuationFields[] {
+        { "data_centre", &DataCentreEvacuation::dataCentre, text(TextForm::Name) },
+        { "reason", &DataCentreEvacuation::reason, text(TextForm::Reason) },
+    };
+
 } // namespace
 
 std::span<const Field<ClientAccount>> fieldsOf(const ClientAccount&) { return accountFields; }
@@ -93,6 +98,7 @@
 std::span<const Field<ModelSettings>> fieldsOf(const ModelSettings&) { return modelFields; }
 std::span<const Field<RouteSettings>> fieldsOf(const RouteSettings&) { return routeFields; }
 std::span<const Field<FleetDefaults>> fieldsOf(const FleetDefaults&) { return defaultsFields; }
+std::span<const Field<DataCentreEvacuation>> fieldsOf(const DataCentreEvacuation&) { return evacuationFields; }
 std::span<const Field<ConfigurationException>> fieldsOf(const ConfigurationException&) { return exceptionFields; }
 
 } // namespace Catkinwell
--- a/src/configuration/FieldTable.h
+++ b/src/configuration/FieldTable.h
@@ -59,6 +59,7 @@
 std::span<const Field<ModelSettings>> fieldsOf(const ModelSettings&);
 std::span<const Field<RouteSettings>> fieldsOf(const RouteSettings&);
 std::span<const Field<FleetDefaults>> fieldsOf(const FleetDefaults&);
+std::span<const Field<DataCentreEvacuation>> fieldsOf(const DataCentreEvacuation&);
 std::span<const Field<ConfigurationException>> fieldsOf(const ConfigurationException&);
 
 } // namespace Catkinwell
--- a/src/reducer/Reducer.cpp
+++ b/src/reducer/Reducer.cpp
@@ -303,6 +303,7 @@
         return;
     const FleetConfiguration& configuration = m_configuration.effective();
     m_endpoints.configure(configuration);
+    applyEvacuations(now, effects);
     m_shares.configure(configuration.accounts, now, effects);
     m_placement.configure(configuration);
     configureClaims();
@@ -410,7 +411,8 @@
 void Reducer::propagateMembership(MonotonicTime now, EffectList& effects)
 {
     const bool membershipChanged = m_membership.changedSinceLastTake();
-    const std::set<EndpointId> leaving = m_drains.withLocalChanges(m_membership.leavingEndpoints());
+    std::set<EndpointId> leaving = m_drains.withLocalChanges(m_membership.leavingEndpoints());
+    leaving.insert(m_evacuatedEndpoints.begin(), m_evacuatedEndpoints.end());
     if (leaving != m_leavingEndpoints)
         setLeavingEndpoints(leaving, now, effects);
     if (!membershipChanged && m_hasPropagatedMembership)
@@ -493,7 +495,11 @@
     return {};
 }
 
-std::vector<EndpointId> Reducer::draining() const { return { m_leavingEndpoints.begin(), m_leavingEndpoints.end() }; }
+std::vector<EndpointId> Reducer::draining() const
+{
+    const std::set<EndpointId> drained = m_drains.withLocalChanges(m_membership.leavingEndpoints());
+    return { drained.begin(), drained.end() };
+}
 
 Status Reducer::setDraining(
     const EndpointId& endpoint, bool draining, const std::string& reason, MonotonicTime now, EffectList&)
--- a/src/reducer/StatusSections.cpp
+++ b/src/reducer/StatusSections.cpp
@@ -77,10 +77,13 @@
     Json leaving = Json::array();
     for (const EndpointId& endpoint : m_leavingEndpoints)
         leaving.push_back(endpoint.value);
+    Json evacuated = Json::array();
+    for (const auto& [dataCentre, evacuation] : m_evacuated.evacuations())
+        evacuated.push_back(dataCentre.value);
     return Json {
         { "live_hosts", m_membership.liveHosts(now).size() + 1 },
         { "live_in_data_centre", m_membership.liveHosts(m_settings.host.dataCentre, now).size() + 1 },
-        { "leaving_endpoints", leaving }
+        { "leaving_endpoints", leaving }, { "evacuated_data_centres", evacuated }
     }.dump();
 }
 
--- a/tests/admin/AdminCommandTest.cpp
+++ b/tests/admin/AdminCommandTest.cpp
@@ -166,6 +166,13 @@
             0, "\"value\":7" },
         { { "exception", "remove", "account/quay-3", "rate_tokens_per_second", "--reason", "x", "--yes" }, 1,
             "there is no" },
+        { { "data-centre", "evacuate", "north", "--reason", "cooling works tonight", "--yes" }, 0, "done, version 18" },
+        { { "data-centre", "evacuate", "north", "--reason", "cooling works tonight" }, 1, "Type yes" },
+        { { "data-centre", "evacuate", "north", "--reason", "cooling works tonight", "--dry-run" }, 0,
+            "cooling works tonight" },
+        { { "data-centre", "evacuate", "north" }, 2, "--reason" },
+        { { "data-centre", "restore", "north", "--reason", "works have ended" }, 1, "there is no evacuations/north" },
+        { { "data-centre", "list" }, 0, "(none)" },
         { { "key", "list" }, 0, "old-key" },
         { { "key", "grant", "--account", "quay-3", "--label", "a", "--reason", "x" }, 1, "grant_keys" },
         { { "status", "hosts" }, 0, "host-1  alive" },
@@ -191,6 +198,19 @@
     CHECK(proposals == ((out.str().find("done, version") == std::string::npos) ? 0 : 1));
 }
 
+// Guards against an evacuation that is stored without its reason, or that cannot be ended.
+TEST_CASE_METHOD(CommandFixture, "a data centre is evacuated and restored")
+{
+    const DataCentreId north("north");
+    CHECK(run({ "data-centre", "evacuate", "north", "--reason", "cooling works tonight", "--yes" }) == 0);
+    REQUIRE(configuration.evacuations.contains(north));
+    CHECK(configuration.evacuations.at(north).reason == "cooling works tonight");
+    CHECK(run({ "data-centre", "list" }) == 0);
+    CHECK_THAT(out.str(), Contains("north") && Contains("cooling works tonight"));
+    CHECK(run({ "data-centre", "restore", "north", "--reason", "works have ended" }) == 0);
+    CHECK(configuration.evacuations.empty());
+}
+
 // Guards against a change that is reported as failed or made twice because its answer was lost.
 TEST_CASE_METHOD(CommandFixture, "a change whose answer is lost is made once")
 {
--- a/tests/configuration/ConfigurationDocumentTest.cpp
+++ b/tests/configuration/ConfigurationDocumentTest.cpp
@@ -54,6 +54,20 @@
     CHECK(configuration.exceptions.at(0).expires.has_value());
 }
 
+// Guards against evacuations that are lost when a configuration is stored, and against a field that hosts of earlier
+// versions refuse although no data centre is evacuated.
+TEST_CASE("Evacuations survive reading and writing, and are written only if there are any")
+{
+    auto result = parseFleetConfiguration(sampleDocument());
+    REQUIRE_FALSE(isError(result));
+    FleetConfiguration configuration = valueOf(result);
+    CHECK(fleetConfigurationToJson(configuration).find("evacuations") == std::string::npos);
+    configuration.evacuations[DataCentreId("north")] = { DataCentreId("north"), "cooling works tonight" };
+    result = parseFleetConfiguration(fleetConfigurationToJson(configuration));
+    REQUIRE_FALSE(isError(result));
+    CHECK(valueOf(result).evacuations.at(DataCentreId("north")).reason == "cooling works tonight");
+}
+
 // Guards against invalid documents that are accepted, and against errors without a path or an expected value.
 TEST_CASE("A wrong document is refused with its path and the expected value")
 {
