Check evacuations with real processes

Cause: the evacuations were tested without a network only.

Change: a fleet of gateways evacuates a data centre in the platform's fake store under the load of 8 callers, and serve evacuates one through the administration API. The fake endpoint's record has a settable zone.

--- a/tests/fleet/GatewayFleetTest.cpp
+++ b/tests/fleet/GatewayFleetTest.cpp
@@ -15,6 +15,8 @@
 constexpr auto recoveryBound = 12s;
 // The time after which a leaving endpoint must get no new request.
 constexpr auto leavingBound = 3s;
+// The time after which an endpoint of an evacuated data centre must get no new request.
+constexpr auto evacuationBound = 5s;
 
 std::vector<std::uint64_t> versions(GatewayFleet& fleet)
 {
@@ -242,6 +244,46 @@
     CHECK(findViolations(requests, fleet.records(), fleet) == std::vector<std::string> {});
 }
 
+// Guards against requests to a data centre that operators evacuate, and against one that stays out of use when the
+// evacuation has ended.
+TEST_CASE("An evacuated data centre gets no new request after 5 s")
+{
+    GatewayFleet fleet({ 3, 3, 0, 5 });
+    fleet.onLoop([&] {
+        fleet.endpoint(0).setZone("dc2");
+        fleet.writeRecord(0);
+    });
+    CallerLoad load(fleet, 8, 8);
+    std::this_thread::sleep_for(2s);
+    MonotonicTime acknowledgedAt;
+    fleet.onLoop([&] {
+        fleet.store().put("op/evacuate/dc2", "\xff not readable");
+        acknowledgedAt = SystemClock().monotonicNow();
+    });
+    std::this_thread::sleep_for(evacuationBound + 3s);
+    MonotonicTime endedAt;
+    fleet.onLoop([&] {
+        fleet.store().erase("op/evacuate/dc2");
+        endedAt = SystemClock().monotonicNow();
+    });
+    std::this_thread::sleep_for(12s);
+    const auto requests = load.stop();
+    std::size_t before = 0;
+    std::size_t later = 0;
+    std::size_t after = 0;
+    for (const Execution& execution : fleet.records().executions) {
+        if (execution.endpoint != "o-0")
+            continue;
+        before += execution.at < acknowledgedAt ? 1 : 0;
+        later += execution.at > acknowledgedAt + evacuationBound && execution.at < endedAt ? 1 : 0;
+        after += execution.at > endedAt ? 1 : 0;
+    }
+    CHECK(before > 0);
+    CHECK(later == 0);
+    CHECK(after > 0);
+    CHECK(findViolations(requests, fleet.records(), fleet) == std::vector<std::string> {});
+}
+
 // Guards against a configuration that comes back older, hosts that lose each other, and orders of two hosts, when the
 // store is restored from a copy, also twice and while a host starts.
 TEST_CASE("The promises hold when the store is restored from a copy")
--- a/tests/platform/FakeEndpoint.cpp
+++ b/tests/platform/FakeEndpoint.cpp
@@ -144,7 +144,7 @@
     Json record = state();
     record["service"] = m_service;
     record["address"] = "127.0.0.1:" + std::to_string(port);
-    record["zone"] = "dc1";
+    record["zone"] = m_zone;
     record["version"] = m_version;
     record["slots"] = m_slots;
     record["state"] = m_isLeaving ? "draining" : "ready";
--- a/tests/platform/FakeEndpoint.h
+++ b/tests/platform/FakeEndpoint.h
@@ -110,6 +110,8 @@
     sigc::signal<void(const std::string&)>& signalEnded() { return m_signalEnded; }
     sigc::signal<void()>& signalStarted() { return m_signalStarted; }
     void setLeaving(bool isLeaving) { m_isLeaving = isLeaving; }
+    // The data centre in its record.
+    void setZone(std::string zone) { m_zone = std::move(zone); }
     // Requests that run at a time if it is brittle, and the time until the answer of one begins.
     void setCapacity(unsigned slots, Duration processingTime);
     // From now on it runs no more requests at a time than it has slots, lets this many wait for one, and rejects
@@ -203,6 +205,7 @@
     std::int64_t m_born = 0;
     std::uint64_t m_heartbeat = 0;
     bool m_isLeaving = false;
+    std::string m_zone = "dc1";
     bool m_announcesLeaving = false;
     std::optional<Duration> m_pause;
     std::string m_version = "v1";
--- a/tests/process/EndToEndTest.cpp
+++ b/tests/process/EndToEndTest.cpp
@@ -304,3 +304,29 @@
     CHECK(stream.body.find("[DONE]") == std::string::npos);
     CHECK(send(fleet.completion("notes", "again")).status == 401);
 }
+
+// Guards against requests to a data centre that operators evacuate, and against one that stays out of use afterwards.
+TEST_CASE("An evacuated data centre gets no requests until it is restored")
+{
+    FleetFixture fleet;
+    REQUIRE(send(fleet.order("grease 4", "")).status == 200);
+    const auto change = [&](const std::string& method, const Json& body, const char* version) {
+        HttpCall call = fleet.admin(method, "/admin/v1/evacuations/dc1", body);
+        call.headers["If-Match"] = version;
+        call.headers["X-Audit-Reason"] = "cooling works tonight";
+        const HttpAnswer answer = send(call);
+        INFO(answer.body);
+        CHECK(answer.status == 200);
+    };
+    const auto isServed = [&] { return send(fleet.order("grease 5", "")).status == 200; };
+    change("PUT", { { "reason", "cooling works tonight" } }, "1");
+    REQUIRE(eventually([&] { return !isServed(); }, std::chrono::seconds(3)));
+    const std::size_t before = fleet.serviceExecutions().size();
+    CHECK(send(fleet.order("grease 6", "")).status == 503);
+    CHECK(fleet.serviceExecutions().size() == before);
+    const Json status = parsed(send(fleet.admin("GET", "/admin/v1/status/membership")));
+    CHECK(status["status"]["evacuated_data_centres"] == Json { "dc1" });
+    CHECK(fleet.host().output().find("\"name\":\"evacuation_changed\"") != std::string::npos);
+    change("DELETE", {}, "2");
+    CHECK(eventually(isServed, std::chrono::seconds(3)));
+}
