Let hosts of large fleets try rejected requests again

Cause: a host's part of the retry budget's constant was the capacity of its budget.

Change: where the part is less than one retry, half the fraction of the host's requests of about the last window adds to the capacity. A rejected request that may not be tried again now waits for the budget or for room while its caller can still be served, instead of being refused; one that waits only for the budget does not hold up others.

--- a/include/catkinwell/gateway/GatewayRequests.h
+++ b/include/catkinwell/gateway/GatewayRequests.h
@@ -385,6 +385,9 @@
     // Lets the request wait if all endpoints are full, or others of the same model wait already. Returns whether it
     // does.
     bool waitForPlace(Request&, MonotonicTime now, EffectList&);
+    void beginRoomWait(Request&, MonotonicTime now, EffectList&);
+    bool hasRoomWaitBefore(const Request&) const;
+    static bool isResent(const Request& request) { return request.needsRetry || request.rejections > 0; }
     // Sends the waiting requests for which there is room, the most urgent first, then those with the next deadline.
     void dispatchRoomWaits(MonotonicTime now, EffectList&);
     MonotonicTime roomWaitLimit(const Request&) const;
--- a/include/catkinwell/routing/RetryBudget.h
+++ b/include/catkinwell/routing/RetryBudget.h
@@ -11,10 +11,14 @@
     double constantPerSecond = 1;
     // Maximum number of retries that can accumulate.
     double capacity = 20;
+    // If not zero, the fraction of the requests of about this time adds to the capacity, so that a process with few
+    // requests can save up a whole retry.
+    Duration requestMemory {};
 };
 
 // Limits retries to a fraction of the requests, so that retries cannot multiply the load on failing
-// endpoints. In any period, retries <= fraction * requests + constantPerSecond * seconds + capacity.
+// endpoints. In any period, retries <= fraction * requests + constantPerSecond * seconds + capacity, where the requests
+// include those of the request memory before it.
 // Not thread safe.
 class RetryBudget {
 public:
@@ -33,9 +37,12 @@
 
 private:
     void refill(MonotonicTime now);
+    double capacity() const { return m_settings.capacity + m_settings.fraction * m_recentRequests; }
 
     RetryBudgetSettings m_settings;
     double m_available = 1;
+    // Requests of the request memory, the older ones counting less.
+    double m_recentRequests = 0;
     MonotonicTime m_refilledAt {};
 };
 
--- a/src/gateway/GatewayRequestOutcomes.cpp
+++ b/src/gateway/GatewayRequestOutcomes.cpp
@@ -166,6 +166,8 @@
     if (mayTryAgain) {
         request.nextTryAt = now;
         dispatch(request, now, effects);
+    } else if (mayWaitForPlace(request, now)) {
+        beginRoomWait(request, now, effects);
     } else if (mayWaitForRoom(request)) {
         request.needsRetry = true;
         waitForRoom(request, now, effects);
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -63,8 +63,14 @@
     m_hostCount = std::max<std::size_t>(1, count);
     const double part = m_settings.retryConstant / static_cast<double>(m_hostCount);
     const double seconds = secondsOf(m_settings.retryWindow);
-    for (auto& [service, budget] : m_budgets)
-        budget.setSettings({ m_settings.retryFraction * 0.8, part * 0.4 / seconds, part * 0.4 });
+    RetryBudgetSettings budget { m_settings.retryFraction * 0.8, part * 0.4 / seconds, part * 0.4 };
+    if (budget.capacity < 1) {
+        // The part of one of many hosts is less than a retry, so retries are saved up from requests. Those of two
+        // windows count for one, so each counts half.
+        budget = { m_settings.retryFraction / 2, part * 0.2 / seconds, part * 0.6, m_settings.retryWindow };
+    }
+    for (auto& [service, held] : m_budgets)
+        held.setSettings(budget);
 }
 
 RetryBudget& GatewayRequests::budgetOf(const std::string& service)
--- a/src/gateway/GatewayRoomWaits.cpp
+++ b/src/gateway/GatewayRoomWaits.cpp
@@ -14,25 +14,40 @@
 
 bool GatewayRequests::mayWaitForPlace(const Request& request, MonotonicTime now) const
 {
-    return !request.mayHaveRun && now < roomWaitLimit(request)
+    return m_directory.rule() == ChoiceRule::Spread && !request.mayHaveRun && now < roomWaitLimit(request)
         && (request.waitReason == WaitReason::Room || m_roomWaitCount < maximumRoomWaits);
 }
 
+// Those that only wait for the retry budget do not hold up others.
+bool GatewayRequests::hasRoomWaitBefore(const Request& request) const
+{
+    const auto waits = m_roomWaits.find(roomKeyOf(request));
+    return waits != m_roomWaits.end() && std::any_of(waits->second.begin(), waits->second.end(), [this](RequestId id) {
+        return !m_requests.at(id).needsRetry;
+    });
+}
+
 bool GatewayRequests::waitForPlace(Request& request, MonotonicTime now, EffectList& effects)
 {
-    if (!mayWaitForPlace(request, now) || m_directory.rule() == ChoiceRule::LeastLoad)
+    if (!mayWaitForPlace(request, now))
         return false;
     EndpointNeed need = endpointNeedOf(request);
     for (const EndpointId& endpoint : request.rejecting)
         need.excluded.erase(endpoint);
-    const auto waits = m_roomWaits.find(roomKeyOf(request));
-    const bool isBehindOthers = waits != m_roomWaits.end() && m_directory.canChoose(need, now);
+    const bool isBehindOthers = !isResent(request) && hasRoomWaitBefore(request) && m_directory.canChoose(need, now);
     if (!isBehindOthers && !m_directory.isWithoutRoom(need, now))
         return false;
+    beginRoomWait(request, now, effects);
+    return true;
+}
+
+void GatewayRequests::beginRoomWait(Request& request, MonotonicTime now, EffectList& effects)
+{
+    request.needsRetry = isResent(request);
     // Those that rejected the request may have room for it later.
-    request.excluded = std::move(need.excluded);
+    for (const EndpointId& endpoint : request.rejecting)
+        request.excluded.erase(endpoint);
     request.rejecting.clear();
-    request.needsRetry = request.needsRetry || request.rejections > 0;
     request.rejections = 0;
     stopWaiting(request, now);
     beginWaiting(request, WaitReason::Room, now, effects);
@@ -41,7 +56,6 @@
     m_roomWaits[roomKeyOf(request)].insert(request.arrived.id);
     ++m_roomWaitCount;
     endIfStopTooNear(request, now, stopWaitLimit(request), now, effects);
-    return true;
 }
 
 void GatewayRequests::dispatchRoomWaits(MonotonicTime now, EffectList& effects)
@@ -65,9 +79,11 @@
             if (request.needsRetry && !budgetOf(request.service).hasRetry(now))
                 continue;
             const EndpointNeed need = endpointNeedOf(request);
-            // Without an endpoint that holds the model, the request waits for a replica instead.
-            const bool hasEndpoint = m_directory.canChoose(need, now);
-            if (hasEndpoint && !m_directory.takeRoomTurn(need, now))
+            // Without an endpoint that holds the model, the request waits for a replica instead. One that only waited
+            // for the retry budget needs no turn while endpoints have room.
+            const bool needsTurn
+                = m_directory.canChoose(need, now) && (!request.needsRetry || m_directory.isWithoutRoom(need, now));
+            if (needsTurn && !m_directory.takeRoomTurn(need, now))
                 break;
             if (std::exchange(request.needsRetry, false))
                 takeRetry(request, now);
--- a/src/routing/RetryBudget.cpp
+++ b/src/routing/RetryBudget.cpp
@@ -1,6 +1,7 @@
 #include <catkinwell/routing/RetryBudget.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace Catkinwell {
 
@@ -12,21 +13,29 @@
 void RetryBudget::setSettings(RetryBudgetSettings settings)
 {
     m_settings = settings;
-    m_available = std::min(m_available, m_settings.capacity);
+    if (settings.requestMemory == Duration::zero())
+        m_recentRequests = 0;
+    m_available = std::min(m_available, capacity());
 }
 
 void RetryBudget::refill(MonotonicTime now)
 {
-    if (m_refilledAt != MonotonicTime {} && now > m_refilledAt)
-        m_available += std::chrono::duration<double>(now - m_refilledAt).count() * m_settings.constantPerSecond;
-    m_available = std::min(m_available, m_settings.capacity);
+    if (m_refilledAt != MonotonicTime {} && now > m_refilledAt) {
+        const double seconds = std::chrono::duration<double>(now - m_refilledAt).count();
+        m_available += seconds * m_settings.constantPerSecond;
+        if (m_settings.requestMemory > Duration::zero())
+            m_recentRequests *= std::exp(-seconds / secondsOf(m_settings.requestMemory));
+    }
+    m_available = std::min(m_available, capacity());
     m_refilledAt = std::max(m_refilledAt, now);
 }
 
 void RetryBudget::requestStarted(MonotonicTime now)
 {
     refill(now);
-    m_available = std::min(m_available + m_settings.fraction, m_settings.capacity);
+    if (m_settings.requestMemory > Duration::zero())
+        m_recentRequests += 1;
+    m_available = std::min(m_available + m_settings.fraction, capacity());
 }
 
 bool RetryBudget::hasRetry(MonotonicTime now)
