Let one host of a data centre read the endpoints' records for all

Change: where shared_reading_hosts (5) hosts of a data centre are live, the host that all of them rank first (fit, then by processor_share) reads twice as often and sends what changed otherwise than by heartbeats. The others read by themselves whenever their copy is older than 1.5 to 1.75 of its intervals, the standby after 1.25, so that a change is known sooner than by a host that reads alone. Batches of another epoch, older ones and those with a gap are dropped; a deletion goes out with the record's last state, by whose heartbeat a restored store's copy of it is rejected. A mirror skips entries up to its version, also of keys that were deleted since.

--- a/include/catkinwell/gateway/EndpointRecord.h
+++ b/include/catkinwell/gateway/EndpointRecord.h
@@ -44,6 +44,8 @@
     std::set<ModelId> inHostMemory;
     std::set<ModelId> onDisk;
 
+    friend bool operator==(const EndpointRecord&, const EndpointRecord&) = default;
+
     // Whether the other record is from the same run and was written earlier.
     bool isNewerThan(const EndpointRecord& other) const
     {
--- a/include/catkinwell/gateway/GatewayMessage.h
+++ b/include/catkinwell/gateway/GatewayMessage.h
@@ -5,10 +5,12 @@
 #include <catkinwell/gateway/EndpointRecord.h>
 #include <catkinwell/gateway/FleetQuota.h>
 #include <catkinwell/gateway/HostDemand.h>
+#include <catkinwell/gateway/SharedReading.h>
 #include <catkinwell/gateway/StoreLoadForecast.h>
 #include <catkinwell/gateway/StreamVersions.h>
 #include <catkinwell/routing/PromptQuarantine.h>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -40,6 +42,8 @@
     std::map<std::string, double> brittleServices;
     // Hosts that are not live but may serve across a partition.
     std::vector<MissingHost> missingHosts;
+    // Sent only to hosts of the same data centre, if one of them may read for the others.
+    std::optional<ReadingFitness> reading;
 };
 
 // A replica that is being loaded.
@@ -87,7 +91,7 @@
 };
 
 using GatewayMessage = std::variant<HostDigest, PlacementUpdate, ConfigurationWanted, ConfigurationDocumentOffer,
-    StreamBeginnings, StreamVersionWanted>;
+    StreamBeginnings, StreamVersionWanted, RecordBatch>;
 
 // Encodes a message as CBOR. Thread safe.
 std::string encodeGatewayMessage(const GatewayMessage&);
--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -8,6 +8,8 @@
 #include <catkinwell/gateway/PlacementOwnership.h>
 #include <catkinwell/gateway/PrefixMirror.h>
 #include <catkinwell/gateway/PromptRefusalRecords.h>
+#include <catkinwell/gateway/RecordChanges.h>
+#include <catkinwell/gateway/SharedReading.h>
 #include <catkinwell/gateway/StreamVersionRecords.h>
 #include <catkinwell/gateway/VersionMixRecords.h>
 #include <catkinwell/metrics/MetricsRegistry.h>
@@ -64,6 +66,9 @@
     struct Peer {
         Incarnation incarnation = 0;
         std::string address;
+        DataCentreId dataCentre;
+        // Absent if the host neither reads for others nor follows one that does.
+        std::optional<ReadingFitness> reading;
         bool isRegistered = false;
         bool isLeaving = false;
         MonotonicTime heardAt {};
@@ -105,6 +110,18 @@
     void ensureSecret(MonotonicTime now, EffectList&);
     void updateQuotaPeers(const std::set<HostId>& before, MonotonicTime now);
     void updatePeers(MonotonicTime now, EffectList&);
+    bool isInOwnDataCentre(const HostId&) const;
+    std::map<HostId, SharedReading::Candidate> readingCandidates(MonotonicTime now) const;
+    std::optional<ReadingFitness> readingFitness() const;
+    Duration recordInterval() const;
+    bool areRecordsKnown() const;
+    void readEndpoints(MonotonicTime now, EffectList&);
+    void prepareSharing(MonotonicTime now, EffectList&);
+    void handleEndpointReply(const StoreReply&, MonotonicTime now, EffectList&);
+    void applyEndpoints(const std::vector<StoreEntry>&, MonotonicTime now, EffectList&);
+    void sendRecords(MonotonicTime now, EffectList&);
+    void handleRecords(const PeerMessageReceived&, const RecordBatch&, MonotonicTime now, EffectList&);
+    bool mergeRecords(const RecordBatch&, MonotonicTime now, EffectList&);
     void checkStoreConnection(const StoreReply&, MonotonicTime now);
     void hastenDigest(MonotonicTime now);
     void sendDigests(MonotonicTime now, EffectList&);
@@ -135,6 +152,15 @@
     PrefixMirror m_configurationMirror;
     PrefixMirror m_endpointMirror;
     PrefixMirror m_gatewayMirror;
+    SharedReading m_reading;
+    RecordChanges m_recordChanges;
+    // The epoch whose records m_recordChanges knows; absent if it does not know those of the mirror.
+    std::optional<StoreEpoch> m_knownRecordsEpoch;
+    // Changes that were not passed on yet, and the version from which on they are complete. Kept while this host sends.
+    std::vector<StoreEntry> m_unsentRecords;
+    StoreVersion m_sentVersion = 0;
+    bool m_isSendingRecords = false;
+    std::string m_loggedReading;
     // Whether a renewal of the lease failed since the store last answered one.
     bool m_isStoreSuspected = false;
     EndpointListCheck m_listCheck;
--- a/include/catkinwell/gateway/GatewaySettings.h
+++ b/include/catkinwell/gateway/GatewaySettings.h
@@ -48,6 +48,10 @@
     // Memory that the process may use, in MB. The bytes of requests and answers that it keeps are bounded by parts of
     // it.
     unsigned memoryMb = 256;
+    // Cores that the process may use. Hosts with more of them read the endpoints' records for the others.
+    double processorShare = 1;
+    // Hosts of a data centre from which on one of them reads the endpoints' records for all; 0 for never.
+    unsigned sharedReadingHosts = 5;
     GatewayRequestSettings requests;
     EnginePlacementSettings placement;
     LogSettings log;
--- a/include/catkinwell/gateway/PrefixMirror.h
+++ b/include/catkinwell/gateway/PrefixMirror.h
@@ -4,6 +4,7 @@
 #include <catkinwell/reducer/Effect.h>
 #include <catkinwell/store/StoreCallIds.h>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,16 +29,22 @@
     // Returns the changed entries; deleted ones are marked. Ignores replies to other calls.
     std::vector<StoreEntry> handle(const StoreReply&, MonotonicTime now, EffectList&);
 
-    // Applies the reply to another call that watched from version() on. Precondition: isCurrent().
-    std::vector<StoreEntry> merge(const StoreReply&);
+    // Applies all changes up to a version, read by another call or another host. Entries up to version() are known and
+    // have no effect. Returns the changed entries. Precondition: isCurrent().
+    std::vector<StoreEntry> merge(const std::vector<StoreEntry>&, StoreVersion);
 
     // Ends the wait for the present watch, whose connection may be lost, and watches anew at the next tick.
     void renewWatch(MonotonicTime now);
+    // Notes that another host's calls succeeded again after failures at the time.
+    void noteRecovered(MonotonicTime);
+
     // Forgets the versions of before the restore and reads the prefix again. The last copy is kept until then.
     void noteRestored(MonotonicTime now);
 
     void setMinimumInterval(Duration interval) { m_settings.minimumInterval = interval; }
     void setReconnect(Duration reconnect) { m_settings.reconnect = reconnect; }
+    // The longest wait of a watch, if it is shorter than the one that follows from the time to reconnect.
+    void setLongestWait(std::optional<Duration> wait) { m_longestWait = wait; }
     // Whether the prefix has been read completely at least once.
     bool isRead() const { return m_isRead; }
     // Whether the copy follows the store's present history; false from the loss of the history or a restore until the
@@ -50,6 +57,8 @@
     const std::map<std::string, StoreEntry>& entries() const { return m_entries; }
     const StoreEntry* find(const std::string& key) const;
     bool hasKeyWithPrefix(const std::string& prefix) const;
+    // When the last call that succeeded was sent; zero if there is none.
+    MonotonicTime readAt() const { return m_readAt; }
     // When calls started to fail; zero if the last call succeeded.
     MonotonicTime failingSince() const { return m_failingSince; }
     // When a call last succeeded after failures, or the store was last restored; zero if neither ever happened.
@@ -74,6 +83,8 @@
     // Whether the next list is the first after a restore.
     bool m_isRestored = false;
     Duration m_listTimeout;
+    std::optional<Duration> m_longestWait;
+    MonotonicTime m_readAt {};
     StoreCallId m_pending;
     MonotonicTime m_nextAt {};
     MonotonicTime m_failingSince {};
--- a/include/catkinwell/logging/LogEvent.h
+++ b/include/catkinwell/logging/LogEvent.h
@@ -142,6 +142,7 @@
     GatewayBuffersFull = 2136,
     GatewaySilentStreamChecked = 2137,
     GatewayMemoryFullChanged = 2138,
+    GatewayReadingChanged = 2145,
 };
 
 struct LogEventDescription {
--- a/include/catkinwell/metrics/Metric.h
+++ b/include/catkinwell/metrics/Metric.h
@@ -33,6 +33,7 @@
     StoreCallsTotal,
     StoreCallsByPurpose,
     StoreCallsByKind,
+    RecordBatchesTotal,
     StateAgeSeconds,
     AuthenticationFailuresTotal,
     RequestsReadTotal,
--- a/src/gateway/EndpointListCheck.cpp
+++ b/src/gateway/EndpointListCheck.cpp
@@ -34,7 +34,7 @@
     if (reply.status != StoreStatus::Ok || reply.isWholeList || !mirror.isCurrent())
         return result;
     result.outcome = Outcome::UpToDate;
-    result.changes = mirror.merge(reply);
+    result.changes = mirror.merge(reply.entries, reply.version);
     return result;
 }
 
--- a/src/gateway/GatewayMessage.cpp
+++ b/src/gateway/GatewayMessage.cpp
@@ -19,6 +19,7 @@
         ConfigurationDocumentOffer,
         StreamBeginnings,
         StreamVersionWanted,
+        RecordBatch,
     };
 
     Json listOfModels(const LoadedModels& models)
@@ -156,7 +157,7 @@
                     std::move(usage), digest.demand.isWhole, std::move(demand), std::move(running), unusedList });
             const bool hasRareNews = !digest.prompts.isEmpty() || !digest.limits.isEmpty()
                 || !digest.unreachableServices.empty() || !digest.demand.versionWaits.empty()
-                || !digest.brittleServices.empty() || !digest.missingHosts.empty();
+                || !digest.brittleServices.empty() || !digest.missingHosts.empty() || digest.reading;
             if (hasRareNews) {
                 message.push_back(jsonOf(digest.prompts));
                 message.push_back(listOfLimits(digest.limits));
@@ -164,8 +165,10 @@
                 message.push_back(listOfVersionWaits(digest.demand.versionWaits));
                 message.push_back(digest.brittleServices);
             }
-            if (!digest.missingHosts.empty())
+            if (!digest.missingHosts.empty() || digest.reading)
                 message.push_back(listOfMissingHosts(digest.missingHosts));
+            if (digest.reading)
+                message.push_back(Json::array({ digest.reading->processorShare, digest.reading->isFit }));
             return message;
         }
         Json operator()(const PlacementUpdate& update) const
@@ -204,6 +207,19 @@
         {
             return Json::array({ Kind::StreamVersionWanted, wanted.stream });
         }
+        Json operator()(const RecordBatch& batch) const
+        {
+            // A null in the place of the value tells that the record was deleted.
+            Json entries = Json::array();
+            for (const StoreEntry& entry : batch.entries)
+                entries.push_back(
+                    Json::array({ entry.key, entry.version, entry.isDeleted ? Json() : Json(entry.value) }));
+            Json message = Json::array({ Kind::RecordBatch, batch.epoch, batch.from, batch.to, batch.sentAt.count(),
+                batch.age.count(), std::move(entries) });
+            if (batch.recoveredAgo)
+                message.push_back(batch.recoveredAgo->count());
+            return message;
+        }
     };
 
     HostDigest readDigest(const Json& list)
@@ -232,6 +248,8 @@
             digest.brittleServices = list.at(13).get<std::map<std::string, double>>();
         if (list.size() > 14)
             digest.missingHosts = missingHostsOf(list.at(14));
+        if (list.size() > 15)
+            digest.reading = ReadingFitness { list.at(15).at(0).get<double>(), list.at(15).at(1).get<bool>() };
         for (const Json& wait : list.size() > 12 ? list.at(12) : Json::array())
             digest.demand.versionWaits.insert(
                 { wait.at(0).get<std::string>(), variantOf(wait.at(1), wait.at(2)), wait.at(3).get<std::string>() });
@@ -268,6 +286,27 @@
         return message;
     }
 
+    RecordBatch readRecordBatch(const Json& list)
+    {
+        RecordBatch batch;
+        batch.epoch = list.at(1).get<StoreEpoch>();
+        batch.from = list.at(2).get<StoreVersion>();
+        batch.to = list.at(3).get<StoreVersion>();
+        batch.sentAt = std::chrono::microseconds(list.at(4).get<std::int64_t>());
+        batch.age = std::chrono::milliseconds(list.at(5).get<std::uint32_t>());
+        for (const Json& item : list.at(6)) {
+            StoreEntry& entry = batch.entries.emplace_back();
+            entry.key = item.at(0).get<std::string>();
+            entry.version = item.at(1).get<StoreVersion>();
+            entry.isDeleted = item.at(2).is_null();
+            if (!entry.isDeleted)
+                entry.value = item.at(2).get<std::string>();
+        }
+        if (list.size() > 7)
+            batch.recoveredAgo = std::chrono::milliseconds(list.at(7).get<std::uint32_t>());
+        return batch;
+    }
+
     GatewayMessage readMessage(const Json& list)
     {
         switch (static_cast<Kind>(list.at(0).get<std::uint8_t>())) {
@@ -283,6 +322,8 @@
             return readStreamBeginnings(list);
         case Kind::StreamVersionWanted:
             return StreamVersionWanted { list.at(1).get<StreamKey>() };
+        case Kind::RecordBatch:
+            return readRecordBatch(list);
         }
         throw Json::other_error::create(501, "unknown message kind", nullptr);
     }
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -26,12 +26,9 @@
     constexpr Duration newsInterval = std::chrono::milliseconds(50);
     // The whole demand is repeated in case a report of changes was lost.
     constexpr Duration wholeDemandInterval = std::chrono::seconds(2);
-    // The interval grows with the number of hosts to bound the store calls; records then arrive a little later.
-    constexpr Duration shortestRecordInterval = std::chrono::milliseconds(300);
-    constexpr Duration recordIntervalPerHost = std::chrono::milliseconds(30);
-    constexpr Duration longestRecordInterval = std::chrono::milliseconds(1200);
-    // What the gateways write of themselves also passes in their digests, and a lost connection shows in the renewals of
-    // the lease, so that the watch of it may wait longer than a silent connection may go unnoticed.
+    constexpr Duration firstRecordInterval = std::chrono::milliseconds(300);
+    // What the gateways write of themselves also passes in their digests, and a lost connection shows in the renewals
+    // of the lease, so that the watch of it may wait longer than a silent connection may go unnoticed.
     constexpr int gatewayWatchFactor = 4;
     // A peer that is no longer registered counts as live for this time after its last digest.
     constexpr Duration digestLifetime = std::chrono::seconds(2);
@@ -100,8 +97,10 @@
           seed, leaseSettingsOf(m_settings))
     , m_configurationMirror(
           StoreUser::Configuration, mirrorOf(protocol.configurationKey(), std::chrono::milliseconds(50)), seed + 1)
-    , m_endpointMirror(StoreUser::Membership, mirrorOf(protocol.endpointPrefix(), shortestRecordInterval), seed + 2)
+    , m_endpointMirror(StoreUser::Membership, mirrorOf(protocol.endpointPrefix(), firstRecordInterval), seed + 2)
     , m_gatewayMirror(StoreUser::Shares, mirrorOf(m_settings.storeKeyPrefix, std::chrono::milliseconds(100)), seed + 3)
+    , m_reading({ m_settings.host, incarnation, m_settings.sharedReadingHosts }, seed + 8)
+    , m_recordChanges(protocol)
     , m_listCheck(protocol.endpointPrefix())
     , m_ownership(ownershipOf(m_settings, incarnation), seed + 4)
     , m_directory(m_settings.dataCentre, seed + 6, m_settings.host)
@@ -205,6 +204,9 @@
     m_settings.shutdownGrace = settings.shutdownGrace;
     m_settings.shutdownAccepting = settings.shutdownAccepting;
     setStoreReconnect(settings.storeReconnect);
+    m_settings.processorShare = settings.processorShare;
+    m_reading.setFromHosts(settings.sharedReadingHosts);
+    m_settings.sharedReadingHosts = settings.sharedReadingHosts;
     m_ownership.setSilence(settings.ownerSilence);
     m_requests.setSettings(settings.requests);
     m_placement.setSettings(settings.placement);
@@ -223,7 +225,7 @@
     m_wallNow = tick.wallNow;
     m_lease.tick(now, effects);
     m_configurationMirror.tick(now, effects);
-    m_endpointMirror.tick(now, effects);
+    readEndpoints(now, effects);
     m_gatewayMirror.tick(now, effects);
     ensureSecret(now, effects);
     m_ownership.setYielding(shouldYieldOwnership(now));
@@ -273,9 +275,7 @@
         m_configurationMirror.tick(now, effects);
         break;
     case StoreUser::Membership:
-        for (const StoreEntry& entry : m_endpointMirror.handle(reply, now, effects))
-            applyEndpoint(entry, now, effects);
-        m_requests.dispatchWaiting(now, effects);
+        handleEndpointReply(reply, now, effects);
         break;
     case StoreUser::Shares:
         for (const StoreEntry& entry : m_gatewayMirror.handle(reply, now, effects))
@@ -342,9 +342,6 @@
     m_relayPeers.setLive(m_livePeers);
     m_streamRecords.setInterval(std::max<Duration>(
         shortestStreamRecordInterval, streamRecordIntervalPerHost * static_cast<std::int64_t>(m_livePeers.size() + 1)));
-    m_endpointMirror.setMinimumInterval(
-        std::clamp<Duration>(recordIntervalPerHost * static_cast<std::int64_t>(m_livePeers.size() + 1),
-            shortestRecordInterval, longestRecordInterval));
     std::string names;
     for (const HostId& host : m_livePeers)
         names += (names.empty() ? "" : " ") + host.value;
@@ -386,6 +383,7 @@
     digest.prompts.trials = m_requests.trials().report(now);
     digest.unreachableServices = m_requests.reach().lostServices();
     digest.missingHosts = m_quota.missingHosts(now);
+    digest.reading = readingFitness();
     return digest;
 }
 
@@ -410,10 +408,14 @@
     if (now < m_nextDigestAt)
         return;
     m_nextDigestAt = now + digestInterval();
-    const std::string payload = encodeGatewayMessage(makeDigest(now));
+    HostDigest digest = makeDigest(now);
+    const std::string payloadInDataCentre = encodeGatewayMessage(digest);
+    digest.reading.reset();
+    const std::string payload = encodeGatewayMessage(digest);
     for (const HostId& host : m_livePeers) {
         if (host != m_ownership.owner())
-            effects.push_back(SendToPeer { host, GatewayEnvelope { payload } });
+            effects.push_back(
+                SendToPeer { host, GatewayEnvelope { isInOwnDataCentre(host) ? payloadInDataCentre : payload } });
     }
     sendDemand(now, effects);
 }
@@ -452,6 +454,8 @@
     HostDigest digest = makeDigest(now);
     digest.demand = m_requests.demand().report(isWhole, now);
     digest.demand.versionWaits = m_requests.versionWaits(now);
+    if (!isInOwnDataCentre(m_ownership.owner()))
+        digest.reading.reset();
     return digest;
 }
 
@@ -509,6 +513,7 @@
     {
         reducer.applyConfiguration(offer.document, ConfigurationOrigin::Peer, now, effects);
     }
+    void operator()(const RecordBatch& batch) const { reducer.handleRecords(envelope, batch, now, effects); }
 };
 
 void GatewayReducer::handleMessage(const PeerMessageReceived& received, MonotonicTime now, EffectList& effects)
@@ -541,6 +546,7 @@
     peer.digestSequence = digest.sequence;
     peer.heardAt = now;
     peer.isLeaving = digest.isLeaving;
+    peer.reading = digest.reading;
     peer.configurationVersion = digest.configurationVersion;
     m_quota.merge(received.from, received.incarnation, digest.usage, now);
     m_quota.noteMissing(digest.missingHosts, now);
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -221,6 +221,10 @@
     reader.milliseconds("shutdown_accepting_ms", settings.shutdownAccepting);
     reader.milliseconds("shutdown_grace_ms", settings.shutdownGrace);
     reader.count("memory_mb", settings.memoryMb);
+    reader.number("processor_share", settings.processorShare, 0.001);
+    double sharedReadingHosts = settings.sharedReadingHosts;
+    reader.number("shared_reading_hosts", sharedReadingHosts, 0);
+    settings.sharedReadingHosts = static_cast<unsigned>(sharedReadingHosts);
     settings.requests.maximumAnswerBytes = settings.memoryMb * bytesPerMb / memoryPartOfAnswers;
     settings.requests.maximumKeptBytes = settings.memoryMb * bytesPerMb / memoryPartOfRequests;
     readRequests(reader.object("requests"), settings.requests, error);
--- a/src/gateway/GatewayStatus.cpp
+++ b/src/gateway/GatewayStatus.cpp
@@ -57,12 +57,16 @@
     const Json callers { { "read", m_callerCounts.read }, { "open", m_callerCounts.open() }, { "ended", answers },
         { "rejected", m_callerCounts.rejected } };
     const RequestEnds& ends = m_requests.ends();
+    const Json reading { { "role", nameOf(m_reading.role()) }, { "reader", m_reading.reader().value },
+        { "version", m_endpointMirror.version() },
+        { "own_call_age_ms", millisecondsOf(now - m_endpointMirror.readAt()) },
+        { "age_ms", millisecondsOf(now - std::max(m_reading.freshAt(), m_endpointMirror.readAt())) } };
     return Json {
         { "kept_bytes", m_requests.keptBytes() }, { "host", m_settings.host.value }, { "ready", isReady() },
         { "configuration", m_configuration.version }, { "endpoints", m_directory.size() },
         { "requests", m_requests.activeRequests() }, { "owner", m_ownership.owner().value }, { "peers", peers },
         { "missing_hosts", m_quota.missingPeers() }, { "callers", callers }, { "accepted", ends.accepted },
-        { "open", ends.open() }
+        { "open", ends.open() }, { "reading", reading }
     }.dump();
 }
 
--- a/src/gateway/GatewayStoreEntries.cpp
+++ b/src/gateway/GatewayStoreEntries.cpp
@@ -179,6 +179,7 @@
         peer.digestSequence = 0;
     peer.incarnation = incarnation;
     peer.address = textOf("address");
+    peer.dataCentre = DataCentreId(textOf("data_centre"));
     m_relayPeers.setAddress(host, DataCentreId(textOf("data_centre")), textOf("relay_address"));
     peer.isRegistered = true;
     peer.isLeaving = false;
--- a/src/gateway/GatewayStreamKeepers.cpp
+++ b/src/gateway/GatewayStreamKeepers.cpp
@@ -63,8 +63,7 @@
 
 void GatewayReducer::handleListCheck(const EndpointListCheck::Result& result, MonotonicTime now, EffectList& effects)
 {
-    for (const StoreEntry& entry : result.changes)
-        applyEndpoint(entry, now, effects);
+    applyEndpoints(result.changes, now, effects);
     if (result.outcome == EndpointListCheck::Outcome::UpToDate)
         m_requests.noteListChecked(result.startedAt, now, effects);
     else
--- a/src/gateway/PrefixMirror.cpp
+++ b/src/gateway/PrefixMirror.cpp
@@ -39,7 +39,8 @@
 
 Duration PrefixMirror::watchWait() const
 {
-    return std::max(m_settings.reconnect - reconnectAllowance, shortestWatchWait);
+    const Duration wait = std::max(m_settings.reconnect - reconnectAllowance, shortestWatchWait);
+    return m_longestWait ? std::min(wait, *m_longestWait) : wait;
 }
 
 std::vector<StoreEntry> PrefixMirror::handle(const StoreReply& reply, MonotonicTime now, EffectList& effects)
@@ -63,6 +64,7 @@
     if (m_failingSince != MonotonicTime())
         m_recoveredAt = now;
     m_failingSince = MonotonicTime();
+    m_readAt = reply.sentAt;
     m_backoff.reset();
     if (m_needsList || reply.isWholeList) {
         replaceAll(reply, changes);
@@ -77,17 +79,20 @@
         m_version = reply.version;
         m_epoch = reply.epoch;
     } else {
-        changes = merge(reply);
+        changes = merge(reply.entries, reply.version);
     }
     return changes;
 }
 
-std::vector<StoreEntry> PrefixMirror::merge(const StoreReply& reply)
+std::vector<StoreEntry> PrefixMirror::merge(const std::vector<StoreEntry>& entries, StoreVersion version)
 {
     std::vector<StoreEntry> changes;
-    for (const StoreEntry& entry : reply.entries)
-        apply(entry, changes);
-    m_version = std::max(m_version, reply.version);
+    for (const StoreEntry& entry : entries) {
+        // Also of a key that was deleted since.
+        if (entry.version > m_version)
+            apply(entry, changes);
+    }
+    m_version = std::max(m_version, version);
     return changes;
 }
 
@@ -99,6 +104,8 @@
     m_nextAt = now;
 }
 
+void PrefixMirror::noteRecovered(MonotonicTime at) { m_recoveredAt = std::max(m_recoveredAt, at); }
+
 void PrefixMirror::noteRestored(MonotonicTime now)
 {
     // The reply to a call that was sent before the restore is ignored.
--- a/src/logging/LogEvent.cpp
+++ b/src/logging/LogEvent.cpp
@@ -336,6 +336,11 @@
             "The host refuses new requests because those that it has, and the answers that callers have not read yet, "
             "take as much memory as they may; or it accepts them again.",
             "If it persists, find callers that read slowly, add hosts or raise memory_mb." },
+        { LogEvent::GatewayReadingChanged, Info, "gateway_reading_changed",
+            "The host reads the endpoints' records in another way; the field \"mode\" tells whether it reads by "
+            "itself, "
+            "reads for its data centre, or follows the host in the field \"reader\".",
+            "If hosts of a data centre fall back repeatedly, check the reader's processor and its links." },
     };
     return catalogue;
 }
--- a/tests/gateway/GatewaySettingsTest.cpp
+++ b/tests/gateway/GatewaySettingsTest.cpp
@@ -43,6 +43,8 @@
         { "/source_address", "127.0.0.1:80", "source_address" },
         { "/lease_ttl_ms", -1, "lease_ttl_ms" },
         { "/memory_mb", 0, "memory_mb" },
+        { "/processor_share", 0, "processor_share" },
+        { "/shared_reading_hosts", -1, "shared_reading_hosts" },
         { "/requests/retry_fraction", "much", "requests.retry_fraction" },
         { "/requests/retries", 1, "requests.retries" },
         { "/log/severity", "loud", "log.severity" },
@@ -81,6 +83,8 @@
         { "/shutdown_accepting_ms", 2000, {} },
         { "/store_reconnect_ms", 5000, {} },
         { "/memory_mb", 100, {} },
+        { "/processor_share", 0.09, {} },
+        { "/shared_reading_hosts", 0, {} },
         { "/log/severity", "error", {} },
     }));
     const GatewaySettings running = valueOf(parseGatewaySettings(sample().dump()));
--- a/tests/gateway/SimulatedFleet.cpp
+++ b/tests/gateway/SimulatedFleet.cpp
@@ -1,5 +1,6 @@
 #include "gateway/SimulatedFleet.h"
 
+#include <algorithm>
 #include <array>
 #include <catkinwell/core/Digest.h>
 #include <nlohmann/json.hpp>
@@ -94,10 +95,10 @@
 std::vector<StoreEntry> SimulatedStore::changesOf(const StoreWatchPrefix& watch) const
 {
     std::vector<StoreEntry> changes;
-    for (const StoreEntry& entry : m_state.history) {
-        if (entry.version > watch.afterVersion && entry.key.starts_with(watch.prefix))
-            changes.push_back(entry);
-    }
+    const auto first = std::upper_bound(m_state.history.begin(), m_state.history.end(), watch.afterVersion,
+        [](StoreVersion version, const StoreEntry& entry) { return version < entry.version; });
+    std::copy_if(first, m_state.history.end(), std::back_inserter(changes),
+        [&watch](const StoreEntry& entry) { return entry.key.starts_with(watch.prefix); });
     return changes;
 }
 
@@ -179,8 +180,9 @@
     return record;
 }
 
-SimulatedFleet::SimulatedFleet(std::size_t hosts, std::size_t engines)
-    : m_hosts(hosts)
+SimulatedFleet::SimulatedFleet(std::size_t hosts, std::size_t engines, Adjust adjust)
+    : m_adjust(std::move(adjust))
+    , m_hosts(hosts)
 {
     store.put("configuration", "1");
     for (std::size_t i = 0; i < engines; ++i) {
@@ -198,6 +200,8 @@
     settings.dataCentre = DataCentreId("here");
     settings.peerAddress = "127.0.0.1:" + std::to_string(1000 + index);
     settings.relayAddress = "127.0.0.1:" + std::to_string(2000 + index);
+    if (m_adjust)
+        m_adjust(index, settings);
     Host& host = m_hosts[index];
     host = Host();
     host.incarnation = ++m_lastIncarnation;
@@ -254,6 +258,7 @@
         host.inbox.emplace_back(StoreReply { call.id, StoreStatus::Unknown });
         return;
     }
+    ++calls[StoreCallIds::userOf(call.id)];
     lists += std::holds_alternative<StoreList>(call.operation);
     writes += std::holds_alternative<StoreCompareAndSwap>(call.operation)
         || std::holds_alternative<StoreDelete>(call.operation) || std::holds_alternative<LeaseCreate>(call.operation);
@@ -375,7 +380,7 @@
         } else if (const auto* send = std::get_if<SendToPeer>(&effect)) {
             for (std::size_t i = 0; i < m_hosts.size(); ++i) {
                 const bool isReached = m_hosts[i].reducer && !m_hosts[i].isIsolated && !host.isIsolated;
-                if (idOf(i) == send->to && isReached && m_hosts[i].secret == host.secret)
+                if (idOf(i) == send->to && isReached && links(index, i) && m_hosts[i].secret == host.secret)
                     m_hosts[i].inbox.emplace_back(PeerMessageReceived { idOf(index), host.incarnation, send->message });
             }
         } else if (const auto* probe = std::get_if<StartAttempt>(&effect); probe && probe->target == "/health") {
--- a/tests/gateway/SimulatedFleet.h
+++ b/tests/gateway/SimulatedFleet.h
@@ -74,7 +74,10 @@
         MonotonicTime at {};
     };
 
-    explicit SimulatedFleet(std::size_t hosts, std::size_t engines = 0);
+    using Adjust = std::function<void(std::size_t host, GatewaySettings&)>;
+
+    // The settings of each host are adjusted before it starts.
+    explicit SimulatedFleet(std::size_t hosts, std::size_t engines = 0, Adjust adjust = {});
 
     void run(Duration);
     // Runs with requests for models in turn, so that the owner gives orders.
@@ -92,7 +95,11 @@
     void callerLeaves(std::size_t host, RequestId id) { apply(host, CallerLeft { id }); }
 
     void start(std::size_t host);
-    void kill(std::size_t host) { m_hosts[host].reducer.reset(); }
+    void kill(std::size_t host)
+    {
+        m_hosts[host].reducer.reset();
+        m_hosts[host].watches.clear();
+    }
     bool isRunning(std::size_t host) const { return m_hosts[host].reducer != nullptr; }
     // The host gets no answers from the store while it is disconnected.
     void setConnected(std::size_t host, bool isConnected);
@@ -123,6 +130,8 @@
     // Whether the host can open connections to the endpoint; answers probes.
     std::function<bool(std::size_t host, const EndpointId&)> reaches
         = [](std::size_t, const EndpointId&) { return true; };
+    // Whether messages from one host reach the other.
+    std::function<bool(std::size_t from, std::size_t to)> links = [](std::size_t, std::size_t) { return true; };
     // Whether requests for one target have the same body.
     bool areBodiesEqual = false;
     // Whether attempts get an empty answer at once.
@@ -134,6 +143,8 @@
     // Store calls by operation: lists, other reads and watches, writes.
     std::size_t lists = 0;
     std::size_t writes = 0;
+    // All calls and watches by their purpose.
+    std::map<StoreUser, std::size_t> calls;
 
 private:
     struct PendingWatch {
@@ -174,6 +185,7 @@
     HostId idOf(std::size_t host) const { return HostId("host" + std::to_string(host)); }
 
     SimulatedProtocol m_protocol;
+    Adjust m_adjust;
     std::vector<Host> m_hosts;
     std::vector<Relay> m_relays;
     std::map<EndpointId, FakeEngine> m_engines;
