--- a/include/catkinwell/gateway/EndpointRecord.h
+++ b/include/catkinwell/gateway/EndpointRecord.h
@@ -52,6 +52,8 @@
     // Whether a cold time was stated that is no sensible duration.
     bool isColdTimeInvalid = false;
 
+    friend bool operator==(const EndpointRecord&, const EndpointRecord&) = default;
+
     // Whether the other record is from the same run and was written earlier.
     bool isNewerThan(const EndpointRecord& other) const
     {
--- a/include/catkinwell/gateway/GatewaySettings.h
+++ b/include/catkinwell/gateway/GatewaySettings.h
@@ -53,6 +53,10 @@
     // From this number of hosts on, requests are spread over endpoints by the room to be expected, because reports of
     // the other hosts are old; with fewer hosts each request goes to the least loaded endpoint.
     unsigned spreadFromHosts = 12;
+    // Cores that the process may use. Hosts with more of them read the endpoints' records for the others.
+    double processorShare = 1;
+    // Hosts of a data centre from which on one of them reads the endpoints' records for all; 0 for never.
+    unsigned sharedReadingHosts = 5;
     GatewayRequestSettings requests;
     EnginePlacementSettings placement;
     LogSettings log;
--- a/include/catkinwell/logging/LogEvent.h
+++ b/include/catkinwell/logging/LogEvent.h
@@ -145,6 +145,7 @@
     EvacuationChanged = 2140,
     EvacuationUnmatched = 2141,
     ServiceEvacuated = 2142,
+    GatewayReadingChanged = 2145,
     GatewayEndpointColdChanged = 2150,
     GatewayColdTimeInvalid = 2151,
 };
--- a/src/logging/LogEvent.cpp
+++ b/src/logging/LogEvent.cpp
@@ -349,6 +349,11 @@
             "All endpoints of a service are in data centres under evacuation, so that its requests are refused, or no "
             "longer are; the field \"state\" tells which.",
             "End an evacuation, or add endpoints of the service in another data centre." },
+        { LogEvent::GatewayReadingChanged, Info, "gateway_reading_changed",
+            "The host reads the endpoints' records in another way; the field \"mode\" tells whether it reads by "
+            "itself, "
+            "reads for its data centre, or follows the host in the field \"reader\".",
+            "If hosts of a data centre fall back repeatedly, check the reader's processor and its links." },
         { LogEvent::GatewayEndpointColdChanged, Info, "gateway_endpoint_cold_changed",
             "An endpoint became cold, so that all hosts together send it only a few requests per second, or is no "
             "longer cold. The field \"reason\" tells why it is cold, the field \"quota\" how many requests per second "
