--- a/experiments/EndpointChoice.cpp
+++ b/experiments/EndpointChoice.cpp
@@ -71,7 +71,7 @@
 }
 
 // Leaves out the endpoints that rejected a request within the age of the reports.
-ChoiceMethod withRejections(ChoiceMethod method)
+ChoiceMethod withRejections(const ChoiceMethod& method)
 {
     return [method](const ChoiceView& view, RandomGenerator& random) {
         ChoiceView part = view;
@@ -128,7 +128,7 @@
 }
 
 // All hosts prefer the same endpoint for a part of the prompt, by a hash, instead of the one that this host used last.
-ChoiceMethod rendezvous(ChoiceMethod method)
+ChoiceMethod rendezvous(const ChoiceMethod& method)
 {
     return [method](const ChoiceView& view, RandomGenerator& random) {
         ChoiceView changed = view;
