Bound the memory that unfinished requests take

Cause: a caller that sends most of a body and stops, sends it in one-byte chunks or far beyond the limit made a process hold the bytes of all its connections; a body that was refused was kept until the connection closed.

Change: one account for all listeners of a process (InputBudget). Above its limit (a quarter of memory_mb, in gateways together with what they keep of complete requests and answers) the unfinished requests with the least progress are rejected with 503 memory_full, not_run; one is always left. Bodies of declared length take one block, chunked ones blocks of 16 KB. Refused bodies are freed at once. "Expect: 100-continue" is answered with 100 only if there is room. Bodies must come at 64 byte/s beyond one idle timeout. One-byte chunks are read 2 KB at a time. Three quarters of the file descriptors are for callers. Log events 1108 and 1109, counter requests_rejected_by_reason_total, settings memory_mb and minimum_body_bytes_per_second (serve), min_body_bytes_per_s (gateways).

TLS connections were closed at the end of their handshake, because the event of the handshake was taken for the end of the connection; no request over TLS was served. Found by the test's case for TLS.

--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -46,6 +46,8 @@
     bool isReady() const;
     // Bytes of answers that callers have not read, as far as the reducer knows.
     std::size_t unreadBytes() const { return m_requests.unreadBytes(); }
+    // The bytes of requests and answers that the host keeps.
+    std::size_t keptBytes() const { return m_requests.keptBytes(); }
 
 private:
     enum class Phase {
--- a/include/catkinwell/gateway/GatewaySettings.h
+++ b/include/catkinwell/gateway/GatewaySettings.h
@@ -48,6 +48,8 @@
     // Memory that the process may use, in MB. The bytes of requests and answers that it keeps are bounded by parts of
     // it.
     unsigned memoryMb = 256;
+    // See ListenerSettings; at least 1.
+    unsigned minimumBodyBytesPerSecond = 64;
     GatewayRequestSettings requests;
     EnginePlacementSettings placement;
     LogSettings log;
@@ -58,7 +60,7 @@
 Result<GatewaySettings> parseGatewaySettings(std::string_view json);
 
 // Returns the names of the fields that differ and take effect only at the next start: identity, addresses, lease and
-// log file. All others may change while the process runs. Thread safe.
+// log file, and the least rate of bodies. All others may change while the process runs. Thread safe.
 std::vector<std::string> fieldsThatNeedRestart(const GatewaySettings& running, const GatewaySettings& wanted);
 
 // Reads a settings file. Errors: those of parseGatewaySettings, and NotFound for an unreadable file. Thread safe.
--- a/include/catkinwell/http/CallerListener.h
+++ b/include/catkinwell/http/CallerListener.h
@@ -12,6 +12,8 @@
 
 namespace Catkinwell {
 
+class InputBudget;
+
 struct TlsFiles {
     // PEM files of the certificate chain and of its private key.
     std::string certificateFile;
@@ -40,6 +42,9 @@
     std::size_t outputHighWatermark = 256 * 1024;
     // Longest time from the first to the last byte of a request's head.
     Duration headerTimeout = std::chrono::seconds(10);
+    // A body that arrives more slowly than this, over the time beyond one idle timeout, is rejected; 0 for no minimum.
+    // The slowest modems bring twenty times as much.
+    std::size_t minimumBodyBytesPerSecond = 64;
     // Lower-case names of the request headers that are forwarded.
     std::vector<std::string> allowedHeaders;
     // Forwards the target and all headers as the caller sent them, except Authorization and hop-by-hop headers.
@@ -62,6 +67,10 @@
     CallerListener(const CallerListener&) = delete;
     CallerListener& operator=(const CallerListener&) = delete;
 
+    // Accounts for the bytes of unfinished requests together with the other listeners that share the budget; without
+    // one the listener has a budget without limits. Precondition: start() was not called.
+    void shareInput(std::shared_ptr<InputBudget>);
+
     // Starts listening. Errors: Unavailable if the address cannot be bound, InvalidSettings for an invalid address or
     // unusable certificate files.
     Status start();
--- a/include/catkinwell/http/RequestCounts.h
+++ b/include/catkinwell/http/RequestCounts.h
@@ -28,6 +28,22 @@
 
 std::string_view nameOf(AnswerEnd);
 
+// Why a listener rejected a request while it read it.
+enum class RejectionReason {
+    // The head or the body is malformed, or the head is too long.
+    Malformed,
+    // The body is longer than the limit.
+    TooLarge,
+    // The request did not arrive in time, or its body arrived too slowly.
+    TooSlow,
+    // The unfinished requests of the process took as much memory as they may.
+    MemoryFull,
+};
+
+constexpr std::size_t rejectionReasonCount = 4;
+
+std::string_view nameOf(RejectionReason);
+
 // The requests of one listener since it started.
 struct RequestCounts {
     // Requests that were read whole, and how many of them came to which end.
@@ -35,6 +51,8 @@
     std::array<std::uint64_t, answerEndCount> ended {};
     // Requests that the listener rejected itself while it read them.
     std::uint64_t rejected = 0;
+    // The same by reason.
+    std::array<std::uint64_t, rejectionReasonCount> rejectedFor {};
     // Connections that were closed at once because there were too many.
     std::uint64_t rejectedConnections = 0;
 
--- a/include/catkinwell/logging/LogEvent.h
+++ b/include/catkinwell/logging/LogEvent.h
@@ -41,6 +41,8 @@
     AuthenticationFailed = 1105,
     AnswerCutOff = 1106,
     CallerGone = 1107,
+    UnfinishedRequestsRejected = 1108,
+    ConnectionsRefused = 1109,
     // 1200: routing
     EndpointChosen = 1200,
     AttemptFailedEvent = 1201,
--- a/include/catkinwell/metrics/Metric.h
+++ b/include/catkinwell/metrics/Metric.h
@@ -40,6 +40,7 @@
     ConnectionsRejectedTotal,
     RequestsOpen,
     RequestsEndedTotal,
+    RequestsRejectedByReason,
 };
 
 // An effect: adds to a counter, sets a gauge or records a sample of a summary.
--- a/include/catkinwell/requests/ApiError.h
+++ b/include/catkinwell/requests/ApiError.h
@@ -31,6 +31,7 @@
     StoreUnavailable,
     RequestQuarantined,
     ShuttingDown,
+    MemoryFull,
 };
 
 // Whether a refused or failed request ran on an endpoint.
--- a/include/catkinwell/settings/ProcessSettings.h
+++ b/include/catkinwell/settings/ProcessSettings.h
@@ -40,6 +40,8 @@
     std::string sourceAddress;
     LogSettings log;
     Duration shutdownGrace = std::chrono::seconds(120);
+    // Memory that the process may use, in MB. A quarter of it may be taken by requests that have not arrived whole.
+    unsigned memoryMb = 1024;
 };
 
 // Parses and validates settings. Secrets are read from the files or environment variables named in
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -221,6 +221,7 @@
     reader.milliseconds("shutdown_accepting_ms", settings.shutdownAccepting);
     reader.milliseconds("shutdown_grace_ms", settings.shutdownGrace);
     reader.count("memory_mb", settings.memoryMb);
+    reader.count("min_body_bytes_per_s", settings.minimumBodyBytesPerSecond);
     settings.requests.maximumAnswerBytes = settings.memoryMb * bytesPerMb / memoryPartOfAnswers;
     settings.requests.maximumKeptBytes = settings.memoryMb * bytesPerMb / memoryPartOfRequests;
     readRequests(reader.object("requests"), settings.requests, error);
@@ -245,6 +246,8 @@
         names.emplace_back("data_centre");
     if (running.leaseTtl != wanted.leaseTtl)
         names.emplace_back("lease_ttl_ms");
+    if (running.minimumBodyBytesPerSecond != wanted.minimumBodyBytesPerSecond)
+        names.emplace_back("min_body_bytes_per_s");
     if (running.log.file != wanted.log.file)
         names.emplace_back("log.file");
     return names;
--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -23,6 +23,14 @@
     constexpr std::size_t readSize = 64 * 1024;
     // Limit on input buffered while a request is read or answered.
     constexpr std::size_t maximumReadAhead = 256 * 1024;
+    // The same while an answer is awaited or sent.
+    constexpr std::size_t answeringReadAhead = 64 * 1024;
+    // What is read at once of a body of very small chunks. The work is done for each chunk, so that 16 KB of them, the
+    // usual read, would keep the loop from other connections for long.
+    constexpr std::size_t denseReadSize = 2 * 1024;
+    constexpr std::size_t densePart = 4;
+    // Room that a body of unknown length must find.
+    constexpr std::size_t unknownBodyBytes = 64 * 1024;
     // After the last answer a caller may send this much more, for this time, or for as long as it goes on taking its
     // answers. Bytes that arrive at a closed connection reset it, and the caller then loses what it has not taken yet.
     constexpr std::size_t maximumDiscardedBytes = 8 * 1024 * 1024;
@@ -39,26 +47,27 @@
             evbuffer_drain(input, endOfLine.size());
     }
 
-    std::string errorBody(int status, const std::string& reason)
+    std::size_t memoryOf(const HeaderList& headers)
     {
-        ApiError error;
-        error.code = status == 413 ? ApiErrorCode::BodyTooLarge : ApiErrorCode::InvalidRequest;
-        error.message = reason;
-        return apiErrorBody(error);
+        std::size_t bytes = headers.capacity() * sizeof(HeaderList::value_type);
+        for (const auto& [name, value] : headers)
+            bytes += name.size() + value.size();
+        return bytes;
     }
 
 } // namespace
 
-CallerConnection::CallerConnection(
-    CallerConnectionOwner& owner, event_base* base, bufferevent* stream, std::size_t outputHighWatermark)
+CallerConnection::CallerConnection(CallerConnectionOwner& owner, event_base* base, bufferevent* stream,
+    std::size_t outputHighWatermark, std::shared_ptr<InputBudget> budget, std::string address)
     : m_owner(owner)
     , m_stream(stream)
     , m_timer(event_new(base, -1, 0, timedOut, this))
     , m_outputHighWatermark(outputHighWatermark)
     , m_reader(MessageReader::Kind::Request, *this)
+    , m_input(std::move(budget), *this, std::move(address))
 {
     bufferevent_setcb(m_stream, readable, drained, eventOccurred, this);
-    bufferevent_setwatermark(m_stream, EV_READ, 0, maximumReadAhead);
+    setReadAhead(maximumReadAhead);
     evbuffer_add_cb(bufferevent_get_output(m_stream), outputChanged, this);
     bufferevent_enable(m_stream, EV_READ | EV_WRITE);
     setTimer(&CallerLimits::idleTimeout);
@@ -133,12 +142,20 @@
         return;
     }
     if (self.m_phase == Phase::ReadingHead || self.m_phase == Phase::ReadingBody)
-        self.refuse(408, "the request did not arrive completely in time; send it faster");
+        self.refuse(408, "the request did not arrive completely in time; send it faster", RejectionReason::TooSlow);
     else
         self.close(AnswerEnd::Idle);
 }
 
-void CallerConnection::readable(bufferevent*, void* context) { static_cast<CallerConnection*>(context)->process(); }
+void CallerConnection::readable(bufferevent*, void* context)
+{
+    auto& self = *static_cast<CallerConnection*>(context);
+    self.process();
+    self.noteInput();
+    InputBudget& budget = self.m_input.budget();
+    if (budget.isFull())
+        budget.enforce(self.m_owner.now());
+}
 
 void CallerConnection::process()
 {
@@ -196,6 +213,7 @@
     if (const auto fault = findRequestHeadFault({ bytes, size }))
         return refuse(fault->status, fault->message);
     m_received = ReceivedRequest();
+    m_body.clear();
     m_bodyTooLong = false;
     m_reader.restart();
     m_phase = Phase::ReadingBody;
@@ -208,11 +226,13 @@
         return true;
     }
     if (m_bodyTooLong)
-        return refuse(
-            413, "the body is longer than " + std::to_string(maximumBodyBytes()) + " bytes; send a shorter one");
+        return refuseTooLarge();
     setTimer(&CallerLimits::idleTimeout);
-    const std::string* expect = findHeader(m_received.head.headers, "expect");
-    if (expect && equalIgnoringCase(*expect, "100-continue") && evbuffer_get_length(input) == 0) {
+    m_progress.begin(m_owner.now());
+    if (evbuffer_get_length(input) == 0 && expectsContinue()) {
+        const std::string* length = findHeader(m_received.head.headers, "content-length");
+        if (!m_input.hasRoomFor(length ? std::stoull(*length) : unknownBodyBytes))
+            return refuseForMemory();
         constexpr std::string_view proceed = "HTTP/1.1 100 Continue\r\n\r\n";
         bufferevent_write(m_stream, proceed.data(), proceed.size());
     }
@@ -226,17 +246,23 @@
     if (size == 0)
         return false;
     const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
+    const std::size_t sizeBefore = m_body.size();
     const std::size_t consumed = m_reader.consume({ bytes, size });
     evbuffer_drain(input, consumed);
     if (m_reader.hasFailed())
         return refuse(400, "the body is malformed: " + m_reader.failure());
     if (m_bodyTooLong)
-        return refuse(
-            413, "the body is longer than " + std::to_string(maximumBodyBytes()) + " bytes; send a shorter one");
-    if (m_reader.hasEnded())
+        return refuseTooLarge();
+    if (m_reader.hasEnded()) {
         deliver();
-    else
-        setTimer(&CallerLimits::idleTimeout);
+        return true;
+    }
+    setTimer(&CallerLimits::idleTimeout);
+    if (consumed >= denseReadSize / 2 && (m_body.size() - sizeBefore) * densePart < consumed)
+        bufferevent_set_max_single_read(m_stream, denseReadSize);
+    if (evbuffer_get_length(input) == 0
+        && m_progress.isBehind(m_body.size(), m_owner.minimumBodyRate(), m_owner.limits().idleTimeout, m_owner.now()))
+        return refuse(408, "the body arrives too slowly; send it faster", RejectionReason::TooSlow);
     return true;
 }
 
@@ -246,29 +272,24 @@
     m_isVersion10 = head.isVersion10;
     m_closesAfterAnswer = !head.keepAlive;
     const std::string* length = findHeader(head.headers, "content-length");
-    m_bodyTooLong = length && std::stoull(*length) > maximumBodyBytes();
+    const std::size_t declared = length ? std::stoull(*length) : 0;
+    m_bodyTooLong = declared > maximumBodyBytes();
+    if (!m_bodyTooLong)
+        m_body.expect(declared);
+    m_headMemory = memoryOf(head.headers);
     m_received.head = std::move(head);
     return true;
 }
 
 void CallerConnection::bodyRead(std::string_view data)
 {
-    m_bodyTooLong = m_bodyTooLong || m_received.body.size() + data.size() > maximumBodyBytes();
+    m_bodyTooLong = m_bodyTooLong || m_body.size() + data.size() > maximumBodyBytes();
     if (!m_bodyTooLong)
-        m_received.body.append(data);
+        m_body.append(data);
 }
 
 void CallerConnection::messageEnded() { }
 
-bool CallerConnection::refuse(int status, const std::string& reason)
-{
-    m_owner.requestRejected();
-    m_phase = Phase::Answering;
-    m_closesAfterAnswer = true;
-    sendWhole(status, { { "Content-Type", "application/json" } }, errorBody(status, reason));
-    return false;
-}
-
 // Whether the peer has closed the connection and everything that it sent before was read.
 bool CallerConnection::hasPeerLeft() const
 {
@@ -287,6 +308,11 @@
     }
     clearTimer();
     m_phase = Phase::Answering;
+    m_received.body = m_body.take();
+    m_headMemory = 0;
+    bufferevent_set_max_single_read(m_stream, 0);
+    setReadAhead(answeringReadAhead);
+    m_input.holdComplete(evbuffer_get_length(bufferevent_get_input(m_stream)));
     m_owner.requestRead(*this, std::move(m_received));
 }
 
@@ -362,13 +388,16 @@
     m_request = RequestId();
     m_isFull = false;
     m_phase = m_closesAfterAnswer ? Phase::Closing : Phase::Idle;
+    setReadAhead(m_closesAfterAnswer ? answeringReadAhead : maximumReadAhead);
     setTimer(&CallerLimits::idleTimeout);
     if (!hasUnsentOutput())
         noteWritten();
-    if (m_phase == Phase::Idle)
+    if (m_phase == Phase::Idle) {
         process();
-    else if (!hasUnsentOutput())
+        noteInput();
+    } else if (!hasUnsentOutput()) {
         closeAfterAnswer();
+    }
 }
 
 void CallerConnection::closeAfterAnswer()
@@ -448,11 +477,15 @@
     if (self.m_phase == Phase::Idle) {
         self.setTimer(&CallerLimits::idleTimeout);
         self.process();
+        self.noteInput();
     }
 }
 
 void CallerConnection::eventOccurred(bufferevent*, short what, void* context)
 {
+    // The end of a TLS handshake.
+    if ((what & BEV_EVENT_CONNECTED) != 0)
+        return;
     const bool isWriteError = (what & BEV_EVENT_ERROR) != 0 && (what & BEV_EVENT_WRITING) != 0;
     static_cast<CallerConnection*>(context)->close(isWriteError ? AnswerEnd::WriteError : AnswerEnd::CallerLeft);
 }
@@ -473,6 +506,8 @@
     endOpenRequests(end);
     m_phase = Phase::Closed;
     clearTimer();
+    m_body.clear();
+    m_input.release();
     evbuffer_remove_cb(bufferevent_get_output(m_stream), outputChanged, this);
     m_owner.outputChanged(-static_cast<std::ptrdiff_t>(unsentBytes()));
     bufferevent_disable(m_stream, EV_READ | EV_WRITE);
--- a/src/http/CallerConnection.h
+++ b/src/http/CallerConnection.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "http/BodyBuffer.h"
+#include "http/BodyProgress.h"
 #include "http/MessageReader.h"
 #include <catkinwell/http/CallerListener.h>
+#include <catkinwell/http/InputBudget.h>
 #include <deque>
 #include <optional>
 
@@ -31,7 +34,7 @@
     // Called once for each request that was read whole.
     virtual void requestEnded(const AnswerCut&) = 0;
     // The listener rejected a request while it read it.
-    virtual void requestRejected() = 0;
+    virtual void requestRejected(RejectionReason) = 0;
     virtual void callerLeft(CallerConnection&) = 0;
     virtual void outputFull(CallerConnection&, bool full) = 0;
     // The bytes that are buffered for the caller became more, or fewer.
@@ -41,16 +44,21 @@
     // Whether each connection is to be closed after its response.
     virtual bool isClosing() const = 0;
     virtual const CallerLimits& limits() const = 0;
+    // The least rate of bodies; see ListenerSettings.
+    virtual std::size_t minimumBodyRate() const = 0;
+    virtual MonotonicTime now() const = 0;
     // The header in which callers state the identifiers of their requests; empty if there is none.
     virtual const std::string& requestIdHeader() const = 0;
 };
 
 // One connection of a caller. Reads one request at a time; the bytes of pipelined requests stay buffered until its
 // response is complete. Answers requests that the head check or the parser rejects with a typed error. Not thread safe.
-class CallerConnection final : public MessageObserver {
+class CallerConnection final : public MessageObserver, private InputHolder {
 public:
-    // Takes ownership of the stream. Precondition: the owner outlives the connection.
-    CallerConnection(CallerConnectionOwner&, event_base*, bufferevent* stream, std::size_t outputHighWatermark);
+    // Takes ownership of the stream. The bytes of unfinished requests are accounted for in the budget, under the
+    // caller's IP address. Precondition: the owner outlives the connection.
+    CallerConnection(CallerConnectionOwner&, event_base*, bufferevent* stream, std::size_t outputHighWatermark,
+        std::shared_ptr<InputBudget>, std::string address);
     ~CallerConnection() override;
     CallerConnection(const CallerConnection&) = delete;
     CallerConnection& operator=(const CallerConnection&) = delete;
@@ -105,7 +113,18 @@
     // These return whether buffered input may allow further progress.
     bool processHead();
     bool processBody();
-    bool refuse(int status, const std::string& reason);
+    bool refuse(int status, const std::string& reason, RejectionReason = RejectionReason::Malformed);
+    bool refuseTooLarge();
+    bool refuseForMemory();
+    void rejectInput() override;
+    // Frees what has arrived of the request that is being read, and what follows it.
+    void dropInput();
+    // Updates this connection's part in the account of unfinished requests.
+    void noteInput();
+    // How many bytes may be read ahead.
+    void setReadAhead(std::size_t);
+    // Whether the caller waits for a "100 Continue" before it sends its body.
+    bool expectsContinue() const;
     bool hasPeerLeft() const;
     void deliver();
     void writeHead(int status, const HeaderList&, std::optional<std::size_t> length);
@@ -152,6 +171,12 @@
     CallerLimits m_requestLimits;
     MessageReader m_reader;
     ReceivedRequest m_received;
+    BodyBuffer m_body;
+    BodyProgress m_progress;
+    // What the fields of the head take, which is many times the bytes of very short ones.
+    std::size_t m_headMemory = 0;
+    InputShare m_input;
+    std::size_t m_readAhead = 0;
     RequestId m_request;
     // In the order of their arrival; only the last one may still wait for its answer.
     std::deque<OpenRequest> m_openRequests;
--- a/src/http/CallerListener.cpp
+++ b/src/http/CallerListener.cpp
@@ -7,6 +7,7 @@
 #include "http/SocketOptions.h"
 #include "http/TlsContext.h"
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <cstring>
 #include <event2/bufferevent.h>
@@ -23,6 +24,20 @@
     // A backlog of 128 drops connections in a burst: of 1,000 streams opened at once, 365 were served.
     constexpr int listenBacklog = 4096;
 
+    // Returns the IP address at the other end of the connection; empty if it is gone.
+    std::string peerAddressOf(evutil_socket_t socket)
+    {
+        sockaddr_storage address {};
+        socklen_t size = sizeof(address);
+        std::array<char, INET6_ADDRSTRLEN> text {};
+        if (getpeername(socket, reinterpret_cast<sockaddr*>(&address), &size) != 0)
+            return "";
+        const void* ip = address.ss_family == AF_INET6
+            ? static_cast<const void*>(&reinterpret_cast<sockaddr_in6*>(&address)->sin6_addr)
+            : static_cast<const void*>(&reinterpret_cast<sockaddr_in*>(&address)->sin_addr);
+        return evutil_inet_ntop(address.ss_family, ip, text.data(), text.size()) ? text.data() : "";
+    }
+
     RawRequest rawRequestOf(ReceivedRequest received)
     {
         RawRequest raw;
@@ -45,6 +60,7 @@
         , m_settings(std::move(settings))
         , m_limits { m_settings.maximumHeaderBytes, m_settings.maximumBodyBytes, m_settings.headerTimeout,
             m_settings.idleTimeout }
+        , m_input(std::make_shared<InputBudget>())
         , m_lastId(firstRequestId)
         , m_alive(std::make_shared<bool>(true))
     {
@@ -63,18 +79,25 @@
     void requestCounted() override { ++m_counts.read; }
     void requestRead(CallerConnection&, ReceivedRequest) override;
     void requestEnded(const AnswerCut&) override;
-    void requestRejected() override { ++m_counts.rejected; }
+    void requestRejected(RejectionReason reason) override
+    {
+        ++m_counts.rejected;
+        ++m_counts.rejectedFor.at(static_cast<std::size_t>(reason));
+    }
     void callerLeft(CallerConnection&) override;
     void outputFull(CallerConnection&, bool full) override;
     void outputChanged(std::ptrdiff_t bytes) override { m_unsentBytes += static_cast<std::size_t>(bytes); }
     void closed(CallerConnection&) override;
     bool isClosing() const override { return m_closing; }
     const CallerLimits& limits() const override { return m_limits; }
+    std::size_t minimumBodyRate() const override { return m_settings.minimumBodyBytesPerSecond; }
+    MonotonicTime now() const override { return m_clock.monotonicNow(); }
     const std::string& requestIdHeader() const override { return m_settings.requestIdHeader; }
 
     std::uint16_t m_port = 0;
     bool m_closing = false;
     ListenerSettings& settings() { return m_settings; }
+    void shareInput(std::shared_ptr<InputBudget> budget) { m_input = std::move(budget); }
     void setLimits(const CallerLimits& limits) { m_limits = limits; }
     // Removes the request's entry once its response is complete or aborted.
     void forget(RequestId id) { m_requests.erase(id); }
@@ -97,6 +120,8 @@
     CallerLimits m_limits;
     RequestCounts m_counts;
     std::size_t m_unsentBytes = 0;
+    SystemClock m_clock;
+    std::shared_ptr<InputBudget> m_input;
     std::uint64_t m_lastId;
     std::shared_ptr<bool> m_alive;
     evconnlistener* m_listener = nullptr;
@@ -153,7 +178,7 @@
 
 void CallerListener::Implementation::accept(evutil_socket_t socket)
 {
-    if (m_connections.size() >= m_settings.maximumConnections) {
+    if (m_connections.size() >= m_settings.maximumConnections || !m_input->admitConnection(m_connections.size())) {
         ++m_counts.rejectedConnections;
         evutil_closesocket(socket);
         return;
@@ -167,7 +192,8 @@
         evutil_closesocket(socket);
         return;
     }
-    auto connection = std::make_unique<CallerConnection>(*this, m_loop.base(), stream, m_settings.outputHighWatermark);
+    auto connection = std::make_unique<CallerConnection>(
+        *this, m_loop.base(), stream, m_settings.outputHighWatermark, m_input, peerAddressOf(socket));
     CallerConnection* key = connection.get();
     m_connections.emplace(key, std::move(connection));
 }
@@ -279,6 +305,11 @@
 
 CallerListener::~CallerListener() = default;
 
+void CallerListener::shareInput(std::shared_ptr<InputBudget> budget)
+{
+    m_implementation->shareInput(std::move(budget));
+}
+
 Status CallerListener::start() { return m_implementation->start(); }
 
 std::uint16_t CallerListener::port() const { return m_implementation->m_port; }
--- a/src/http/RequestCounts.cpp
+++ b/src/http/RequestCounts.cpp
@@ -16,10 +16,19 @@
         { AnswerEnd::ProcessEnd, "process_end" },
     } };
 
+    constexpr EnumNames<RejectionReason, rejectionReasonCount> reasonNames { {
+        { RejectionReason::Malformed, "malformed" },
+        { RejectionReason::TooLarge, "too_large" },
+        { RejectionReason::TooSlow, "too_slow" },
+        { RejectionReason::MemoryFull, "memory_full" },
+    } };
+
 } // namespace
 
 std::string_view nameOf(AnswerEnd end) { return endNames.nameOf(end); }
 
+std::string_view nameOf(RejectionReason reason) { return reasonNames.nameOf(reason); }
+
 std::uint64_t RequestCounts::open() const
 {
     return read - std::accumulate(ended.begin(), ended.end(), std::uint64_t { 0 });
--- a/src/logging/LogEvent.cpp
+++ b/src/logging/LogEvent.cpp
@@ -71,6 +71,15 @@
             "A caller closed its connection before its request was served (\"delivered\" is no) or before the complete "
             "answer was written.",
             "" },
+        { LogEvent::UnfinishedRequestsRejected, Warning, "unfinished_requests_rejected",
+            "Requests that had not arrived whole were rejected with 503, because their bytes took as much memory as "
+            "they may; none of them has run.",
+            "Find the caller with the address in the field \"address\"; if its requests are sound, add hosts or raise "
+            "memory_mb." },
+        { LogEvent::ConnectionsRefused, Warning, "connections_refused",
+            "Callers' connections were closed at once, because the process keeps the remaining file descriptors for "
+            "the store, other hosts and endpoints.",
+            "Find callers that open connections without need, add hosts, or raise the limit on open files." },
         // 1200: routing
         { LogEvent::EndpointChosen, Info, "endpoint_chosen",
             "A request was sent to the chosen endpoint; the fields give each candidate's score.", "" },
--- a/src/metrics/RequestMetrics.cpp
+++ b/src/metrics/RequestMetrics.cpp
@@ -14,6 +14,9 @@
         add(Metric::AnswersEndedTotal, std::string(nameOf(static_cast<AnswerEnd>(end))),
             now.ended[end] - before.ended[end]);
     add(Metric::RequestsRejectedTotal, listener, now.rejected - before.rejected);
+    for (std::size_t reason = 0; reason < rejectionReasonCount; ++reason)
+        add(Metric::RequestsRejectedByReason, std::string(nameOf(static_cast<RejectionReason>(reason))),
+            now.rejectedFor[reason] - before.rejectedFor[reason]);
     add(Metric::ConnectionsRejectedTotal, listener, now.rejectedConnections - before.rejectedConnections);
     add(Metric::RequestsOpen, listener, now.open());
     return metrics;
--- a/src/requests/ApiError.cpp
+++ b/src/requests/ApiError.cpp
@@ -12,7 +12,7 @@
     constexpr std::string_view invalidRequestType = "invalid_request_error";
     constexpr std::string_view serverErrorType = "server_error";
 
-    constexpr std::array<ApiErrorDescription, 22> descriptions { {
+    constexpr std::array<ApiErrorDescription, 23> descriptions { {
         { ApiErrorCode::InvalidRequest, "invalid_request", 400, invalidRequestType, "Correct the named field." },
         { ApiErrorCode::InvalidJson, "invalid_json", 400, invalidRequestType, "Send a JSON object in UTF-8." },
         { ApiErrorCode::BodyTooLarge, "body_too_large", 413, invalidRequestType, "Send a shorter body." },
@@ -51,6 +51,7 @@
             "This request crashed endpoints. Change it, or ask the operators to release it." },
         { ApiErrorCode::ShuttingDown, "shutting_down", 503, serverErrorType,
             "Send the request again; another host will accept it." },
+        { ApiErrorCode::MemoryFull, "memory_full", 503, serverErrorType, "Retry after the time given in Retry-After." },
     } };
 
     constexpr EnumNames<RunOutcome, 3> runOutcomeNames { {
--- a/src/runtime/GatewayRuntime.cpp
+++ b/src/runtime/GatewayRuntime.cpp
@@ -4,6 +4,8 @@
 #include "platform/KeyValueProtocol.h"
 #include "platform/PlatformProtocol.h"
 #include "runtime/CommonEffects.h"
+#include "runtime/DescriptorLimit.h"
+#include "runtime/InputReport.h"
 #include "runtime/ReducerLoop.h"
 #include <catkinwell/core/Digest.h>
 #include <catkinwell/gateway/GatewayReducer.h>
@@ -28,6 +30,7 @@
         ListenerSettings listener;
         listener.address = settings.callerAddress;
         listener.forwardsUnchanged = true;
+        listener.minimumBodyBytesPerSecond = settings.minimumBodyBytesPerSecond;
         listener.requestIdHeader = PlatformProtocol().echoHeader();
         return listener;
     }
@@ -68,6 +71,9 @@
     HttpClient m_client;
     PlatformProtocol m_protocol;
     KeyValueProtocol m_storeProtocol;
+    // What callers' unfinished requests take, over all listeners.
+    std::shared_ptr<InputBudget> m_input;
+    InputReport m_inputReport;
     CallerListener m_callers;
     CallerListener m_relays;
     CallerListener m_status;
@@ -151,6 +157,8 @@
     , m_incarnation(newIncarnation(m_clock))
     , m_log(m_settings.log, m_clock)
     , m_client(m_loop, m_settings.sourceAddress)
+    , m_input(std::make_shared<InputBudget>(InputLimits { m_settings.requests.maximumKeptBytes, connectionLimit() }))
+    , m_inputReport(*m_input, m_log)
     , m_callers(m_loop, callerSettingsOf(m_settings), 0)
     , m_relays(m_loop, relayListenerAt(m_settings.relayAddress), firstRelayId)
     , m_status(m_loop, statusSettingsOf(m_settings.statusAddress), firstStatusId)
@@ -204,11 +212,13 @@
     if (!m_settings.relayAddress.empty())
         listeners.push_back(&m_relays);
     for (CallerListener* listener : listeners) {
+        listener->shareInput(m_input);
         Status status = listener->start();
         if (isError(status))
             return status;
     }
     m_events.startTicks();
+    m_loop.callEvery(InputReport::interval, [this] { m_inputReport.write(); });
     m_loop.callEvery(outputReportInterval, [this] { reportOutput(); });
     for (const int signalNumber : { SIGTERM, SIGINT })
         m_loop.onSignal(signalNumber, [this] { m_events.post(ShutdownSignal {}); });
@@ -233,6 +243,7 @@
 void GatewayRuntime::Implementation::reportOutput()
 {
     const std::size_t bytes = m_callers.unsentBytes() + m_relays.unsentBytes();
+    m_input->setOtherBytes(m_reducer.keptBytes());
     // The reducer adds what it sends at once.
     if (bytes != m_reducer.unreadBytes())
         m_events.post(OutputBuffered { bytes });
@@ -279,6 +290,7 @@
     m_log.write({ LogEvent::SettingsReloaded,
         { { "file", m_settingsFile }, { "outcome", "applied" }, { "need_restart", restartFields } } });
     m_log.setLimits(settings.log);
+    m_input->setMaximumBytes(settings.requests.maximumKeptBytes);
     m_events.post(GatewaySettingsChanged { std::move(settings) });
 }
 
--- a/src/runtime/Runtime.cpp
+++ b/src/runtime/Runtime.cpp
@@ -1,6 +1,8 @@
 #include <catkinwell/runtime/Runtime.h>
 
 #include "runtime/CommonEffects.h"
+#include "runtime/DescriptorLimit.h"
+#include "runtime/InputReport.h"
 #include "runtime/ReducerLoop.h"
 #include <catkinwell/core/Digest.h>
 #include <catkinwell/http/HttpClient.h>
@@ -18,6 +20,10 @@
     constexpr std::uint64_t firstRelayId = 1ULL << 61;
     constexpr std::uint64_t firstAdministrationId = 1ULL << 62;
 
+    constexpr std::size_t bytesPerMb = 1024 * 1024;
+    // The part of the memory that requests may take before they have arrived whole.
+    constexpr std::size_t unfinishedPart = 4;
+
     class SystemSecretSource final : public SecretSource {
     public:
         std::string nextSecretHex(std::size_t bytes) override { return randomHex(bytes); }
@@ -64,6 +70,9 @@
     EventLoop m_loop;
     EventLog m_log;
     HttpClient m_client;
+    // What callers' unfinished requests take, over all listeners.
+    std::shared_ptr<InputBudget> m_input;
+    InputReport m_inputReport;
     CallerListener m_callers;
     CallerListener m_relays;
     CallerListener m_administration;
@@ -123,6 +132,9 @@
     , m_incarnation(newIncarnation(m_clock))
     , m_log(m_settings.log, m_clock)
     , m_client(m_loop, m_settings.sourceAddress)
+    , m_input(std::make_shared<InputBudget>(
+          InputLimits { std::size_t { m_settings.memoryMb } * bytesPerMb / unfinishedPart, connectionLimit() }))
+    , m_inputReport(*m_input, m_log)
     , m_callers(m_loop, m_settings.callers, 0)
     , m_relays(m_loop, relayListenerAt(m_settings.relayAddress), firstRelayId)
     , m_administration(m_loop, m_settings.administration, firstAdministrationId)
@@ -175,6 +187,7 @@
 Status Runtime::Implementation::start()
 {
     for (CallerListener* listener : listeners()) {
+        listener->shareInput(m_input);
         Status status = listener->start();
         if (isError(status))
             return status;
@@ -185,6 +198,7 @@
         return peerStatus;
     }
     m_events.startTicks();
+    m_loop.callEvery(InputReport::interval, [this] { m_inputReport.write(); });
     for (const int signalNumber : { SIGTERM, SIGINT })
         m_loop.onSignal(signalNumber, [this] { m_events.post(ShutdownSignal {}); });
     m_loop.onSignal(SIGHUP, [this] {
--- a/src/settings/ProcessSettings.cpp
+++ b/src/settings/ProcessSettings.cpp
@@ -55,6 +55,8 @@
         listener.address = object["listen"].get<std::string>();
         listener.maximumBodyBytes = object.value("maximum_body_bytes", listener.maximumBodyBytes);
         listener.idleTimeout = std::chrono::seconds(object.value("idle_timeout_seconds", std::int64_t { 60 }));
+        listener.minimumBodyBytesPerSecond
+            = object.value("minimum_body_bytes_per_second", listener.minimumBodyBytesPerSecond);
         listener.allowedHeaders = allowedHeaders;
         if (object.contains("tls"))
             listener.tls = { object["tls"]["certificate_file"].get<std::string>(),
@@ -126,6 +128,7 @@
         settings.log.file = document["log"].value("file", "");
     }
     settings.shutdownGrace = std::chrono::seconds(document.value("shutdown_grace_seconds", std::int64_t { 120 }));
+    settings.memoryMb = document.value("memory_mb", settings.memoryMb);
     const Status addressStatus = checkAddresses(settings);
     if (isError(addressStatus))
         return errorOf(addressStatus);
--- a/src/settings/ProcessSettingsSchema.h
+++ b/src/settings/ProcessSettingsSchema.h
@@ -10,12 +10,14 @@
   "properties": {
     "host": { "type": "string", "minLength": 1, "maxLength": 64 },
     "data_centre": { "type": "string", "minLength": 1, "maxLength": 64 },
+    "memory_mb": { "type": "integer", "minimum": 16, "maximum": 1048576 },
     "callers": {
       "type": "object", "additionalProperties": false, "required": ["listen"],
       "properties": {
         "listen": { "type": "string" },
         "maximum_body_bytes": { "type": "integer", "minimum": 1024, "maximum": 67108864 },
         "idle_timeout_seconds": { "type": "integer", "minimum": 1, "maximum": 3600 },
+        "minimum_body_bytes_per_second": { "type": "integer", "minimum": 0, "maximum": 1048576 },
         "tls": {
           "type": "object", "additionalProperties": false, "required": ["certificate_file", "private_key_file"],
           "properties": { "certificate_file": { "type": "string" }, "private_key_file": { "type": "string" } }
@@ -28,6 +30,7 @@
         "listen": { "type": "string" },
         "maximum_body_bytes": { "type": "integer", "minimum": 1024, "maximum": 67108864 },
         "idle_timeout_seconds": { "type": "integer", "minimum": 1, "maximum": 3600 },
+        "minimum_body_bytes_per_second": { "type": "integer", "minimum": 0, "maximum": 1048576 },
         "tls": {
           "type": "object", "additionalProperties": false, "required": ["certificate_file", "private_key_file"],
           "properties": { "certificate_file": { "type": "string" }, "private_key_file": { "type": "string" } }
--- a/tests/process/FleetFixture.cpp
+++ b/tests/process/FleetFixture.cpp
@@ -26,6 +26,7 @@
 } // namespace
 
 FleetFixture::FleetFixture(FleetOptions options)
+    : m_settings(options.settings)
 {
     setenv("CATKINWELL_CLUSTER_SECRET", "secret-of-the-process-tests", 1);
     m_storePort = freePort();
@@ -104,6 +105,7 @@
         { "store", { { "address", address(m_storePort) } } } };
     if (m_endpointLinks)
         settings["source_address"] = sourceAddress(index);
+    settings.merge_patch(m_settings);
     const std::string file = m_folder.path() + "/" + name + ".json";
     std::ofstream(file) << settings.dump();
     m_hosts[index] = start({ "serve", "--config", file }, name);
--- a/tests/process/FleetFixture.h
+++ b/tests/process/FleetFixture.h
@@ -15,6 +15,8 @@
     bool enginesIgnoreFencing = false;
     // Places a proxy before each endpoint, which can break the links of one host.
     bool hasEndpointLinks = false;
+    // Merged into the settings of each host.
+    nlohmann::json settings = nlohmann::json::object();
     // Changes the fleet document before it is proposed.
     std::function<void(nlohmann::json&)> adjust = [](nlohmann::json&) {};
 };
@@ -30,6 +32,7 @@
 
     std::uint16_t callerPort(std::size_t host = 0) const { return m_hostPorts[host].callers; }
     std::uint16_t adminPort(std::size_t host = 0) const { return m_hostPorts[host].administration; }
+    std::uint16_t relayPort(std::size_t host = 0) const { return m_hostPorts[host].relays; }
     std::uint16_t enginePort(std::size_t engine) const { return m_enginePorts[engine]; }
     std::uint16_t servicePort() const { return m_servicePort; }
     std::uint16_t storePort() const { return m_storePort; }
@@ -53,6 +56,8 @@
     void setStoreFaults(const nlohmann::json&) const;
     // Returns the requests that the plain service ran, oldest first.
     nlohmann::json serviceExecutions() const;
+    // Takes effect when a host starts.
+    void changeSettings(const nlohmann::json& changes) { m_settings.merge_patch(changes); }
     void startHost(std::size_t index);
     void stopHost(std::size_t index) { m_hosts[index].reset(); }
 
@@ -70,6 +75,7 @@
     std::unique_ptr<ChildProcess> start(const std::vector<std::string>& arguments, const std::string& name);
 
     TemporaryFolder m_folder;
+    nlohmann::json m_settings;
     std::uint16_t m_storePort = 0;
     std::uint16_t m_servicePort = 0;
     std::vector<std::uint16_t> m_enginePorts;
--- a/tests/process/ProcessHarness.cpp
+++ b/tests/process/ProcessHarness.cpp
@@ -133,6 +133,29 @@
     return 0;
 }
 
+std::size_t ChildProcess::settledPeakMemoryMb() const
+{
+    constexpr auto longestRise = std::chrono::seconds(20);
+    constexpr auto settlingTime = std::chrono::milliseconds(500);
+    std::size_t peak = 0;
+    eventually(
+        [this, &peak, settlingTime] {
+            const std::size_t before = std::exchange(peak, peakMemoryMb());
+            if (before != peak)
+                std::this_thread::sleep_for(settlingTime);
+            return before == peak;
+        },
+        longestRise);
+    return peak;
+}
+
+std::size_t ChildProcess::openDescriptors() const
+{
+    std::error_code error;
+    const std::filesystem::directory_iterator entries("/proc/" + std::to_string(m_pid) + "/fd", error);
+    return error ? 0 : static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
 void ChildProcess::waitUntilBegun()
 {
     const auto deadline = std::chrono::steady_clock::now() + longestBeginning;
--- a/tests/process/ProcessHarness.h
+++ b/tests/process/ProcessHarness.h
@@ -31,6 +31,10 @@
     void waitUntilBegun();
     // Returns the most memory that the process has had resident so far, in MB; 0 if it does not run.
     std::size_t peakMemoryMb() const;
+    // The same once it no longer rises: what callers have sent may wait in the kernel.
+    std::size_t settledPeakMemoryMb() const;
+    // Returns the number of the process's open descriptors; 0 if it does not run.
+    std::size_t openDescriptors() const;
     std::string output() const;
     // Returns the last lines of the output.
     std::string lastLines(std::size_t count) const;
