--- a/include/catkinwell/gateway/GatewaySettings.h
+++ b/include/catkinwell/gateway/GatewaySettings.h
@@ -57,6 +57,8 @@
     double processorShare = 1;
     // Hosts of a data centre from which on one of them reads the endpoints' records for all; 0 for never.
     unsigned sharedReadingHosts = 5;
+    // See ListenerSettings; at least 1.
+    unsigned minimumBodyBytesPerSecond = 64;
     GatewayRequestSettings requests;
     EnginePlacementSettings placement;
     LogSettings log;
@@ -67,7 +69,7 @@
 Result<GatewaySettings> parseGatewaySettings(std::string_view json);
 
 // Returns the names of the fields that differ and take effect only at the next start: identity, addresses, lease and
-// log file. All others may change while the process runs. Thread safe.
+// log file, and the least rate of bodies. All others may change while the process runs. Thread safe.
 std::vector<std::string> fieldsThatNeedRestart(const GatewaySettings& running, const GatewaySettings& wanted);
 
 // Reads a settings file. Errors: those of parseGatewaySettings, and NotFound for an unreadable file. Thread safe.
--- a/include/catkinwell/metrics/Metric.h
+++ b/include/catkinwell/metrics/Metric.h
@@ -42,6 +42,7 @@
     ConnectionsRejectedTotal,
     RequestsOpen,
     RequestsEndedTotal,
+    RequestsRejectedByReason,
     EvacuatedDataCentre,
     ColdEndpoints,
     ColdAttemptsTotal,
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -236,6 +236,7 @@
     double sharedReadingHosts = settings.sharedReadingHosts;
     reader.number("shared_reading_hosts", sharedReadingHosts, 0);
     settings.sharedReadingHosts = static_cast<unsigned>(sharedReadingHosts);
+    reader.count("min_body_bytes_per_s", settings.minimumBodyBytesPerSecond);
     settings.requests.maximumAnswerBytes = settings.memoryMb * bytesPerMb / memoryPartOfAnswers;
     settings.requests.maximumKeptBytes = settings.memoryMb * bytesPerMb / memoryPartOfRequests;
     readRequests(reader.object("requests"), settings.requests, error);
@@ -260,6 +261,8 @@
         names.emplace_back("data_centre");
     if (running.leaseTtl != wanted.leaseTtl)
         names.emplace_back("lease_ttl_ms");
+    if (running.minimumBodyBytesPerSecond != wanted.minimumBodyBytesPerSecond)
+        names.emplace_back("min_body_bytes_per_s");
     if (running.log.file != wanted.log.file)
         names.emplace_back("log.file");
     return names;
--- a/src/metrics/MetricCatalogue.cpp
+++ b/src/metrics/MetricCatalogue.cpp
@@ -52,6 +52,8 @@
             "Requests that were read whole and whose answers have not ended." },
         { Metric::RequestsEndedTotal, Counter, "requests_ended_total", "end",
             "Requests whose end was logged, by how they ended." },
+        { Metric::RequestsRejectedByReason, Counter, "requests_rejected_by_reason_total", "reason",
+            "Requests that were rejected while they were read, by the reason." },
         { Metric::EvacuatedDataCentre, Gauge, "evacuated_data_centre", "data_centre",
             "1 while the data centre is under evacuation, 0 after that." },
         { Metric::ColdEndpoints, Gauge, "cold_endpoints", "service",
