List the counter of rejected requests before the last metric

The metrics' test requires requests_ended_total to be the last of the catalogue; the new counter had been added after it. The test passes again.

--- a/include/catkinwell/metrics/Metric.h
+++ b/include/catkinwell/metrics/Metric.h
@@ -39,8 +39,8 @@
     RequestsRejectedTotal,
     ConnectionsRejectedTotal,
     RequestsOpen,
-    RequestsEndedTotal,
     RequestsRejectedByReason,
+    RequestsEndedTotal,
 };
 
 // An effect: adds to a counter, sets a gauge or records a sample of a summary.
--- a/src/metrics/MetricCatalogue.cpp
+++ b/src/metrics/MetricCatalogue.cpp
@@ -46,10 +46,10 @@
             "Connections that were closed because there were too many." },
         { Metric::RequestsOpen, Gauge, "requests_open", "listener",
             "Requests that were read whole and whose answers have not ended." },
-        { Metric::RequestsEndedTotal, Counter, "requests_ended_total", "end",
-            "Requests whose end was logged, by how they ended." },
         { Metric::RequestsRejectedByReason, Counter, "requests_rejected_by_reason_total", "reason",
             "Requests that were rejected while they were read, by the reason." },
+        { Metric::RequestsEndedTotal, Counter, "requests_ended_total", "end",
+            "Requests whose end was logged, by how they ended." },
     };
     return catalogue;
 }
