Share the scripted exchanges of the HTTP tests, and let a script answer by the request

Cause: the tests of answers need the client and the scripted server of AnswerIntegrityTest, a server that answers by the path, one on a thread of its own, the count of its connections, and answers that come byte by byte. Change: moved to ScriptedExchanges, ScriptedServer and ScriptedServerThread; no check is changed.

--- a/tests/http/AnswerIntegrityTest.cpp
+++ b/tests/http/AnswerIntegrityTest.cpp
@@ -1,8 +1,5 @@
-#include "http/RawSockets.h"
+#include "http/ScriptedExchanges.h"
 #include <catch2/catch.hpp>
-#include <catkinwell/http/HttpClient.h>
-#include <optional>
-#include <thread>
 
 using namespace Catkinwell;
 using namespace Catkinwell::Testing;
@@ -14,71 +11,6 @@
     return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-constexpr std::size_t longestBody = 1024 * 1024;
-
-struct Outcome {
-    int status = 0;
-    std::string body;
-    bool isFinished = false;
-    std::optional<AttemptFailure> failure;
-    std::string reason;
-};
-
-class ClientFixture {
-public:
-    explicit ClientFixture(std::vector<ScriptedServer::Step> steps)
-        : server(loop, std::move(steps))
-    {
-    }
-
-    Outcome request(const std::string& id)
-    {
-        HttpExchange exchange;
-        exchange.address = "127.0.0.1:" + std::to_string(server.port());
-        exchange.method = method;
-        exchange.target = "/";
-        exchange.headers = { { "X-Id", id } };
-        exchange.echoHeader = echoHeader;
-        exchange.silenceTimeout = std::chrono::milliseconds(400);
-        exchange.maximumBodyBytes = longestBody;
-        exchange.totalTimeout = totalTimeout;
-        exchange.sendBefore = sendBefore;
-        Outcome outcome;
-        HttpExchangeObserver observer;
-        observer.onHead = [&](int status, const HeaderList&) { outcome.status = status; };
-        observer.onData = [&](const std::string& data) { outcome.body += data; };
-        observer.onFinished = [&] {
-            outcome.isFinished = true;
-            loop.stop();
-        };
-        observer.onFailed = [&](AttemptOutcome, AttemptFailure failure, const std::string& reason) {
-            outcome.failure = failure;
-            outcome.reason = reason;
-            loop.stop();
-        };
-        client.start(exchange, observer);
-        // The process stands still.
-        std::this_thread::sleep_for(pauseAfterStart);
-        loop.run();
-        return outcome;
-    }
-
-    void pause(Duration duration)
-    {
-        loop.callLater(duration, [this] { loop.stop(); });
-        loop.run();
-    }
-
-    EventLoop loop;
-    ScriptedServer server;
-    HttpClient client { loop };
-    Duration totalTimeout = std::chrono::seconds(5);
-    std::string method = "GET";
-    std::string echoHeader = "X-Id";
-    std::optional<MonotonicTime> sendBefore;
-    Duration pauseAfterStart {};
-};
-
 } // namespace
 
 // Guards against a caller that receives the response to another caller's request.
@@ -92,10 +24,10 @@
         // Bytes that are not an HTTP response.
         { answerTo("a", "first") + "garbage" },
     }));
-    ClientFixture fixture({ extra, { answerTo("b", "second") } });
+    ScriptedExchanges fixture({ extra, { answerTo("b", "second") } });
     CHECK(fixture.request("a").body == "first");
     fixture.pause(std::chrono::milliseconds(80));
-    const Outcome second = fixture.request("b");
+    const ExchangeOutcome second = fixture.request("b");
     CHECK(second.isFinished);
     CHECK(second.body == "second");
 }
@@ -103,8 +35,8 @@
 // Guards against a late extra response that is taken for the response to the next request.
 TEST_CASE("A response to another request is discarded")
 {
-    ClientFixture fixture({ { answerTo("x", "wrong") + answerTo("a", "right") } });
-    const Outcome outcome = fixture.request("a");
+    ScriptedExchanges fixture({ { answerTo("x", "wrong") + answerTo("a", "right") } });
+    const ExchangeOutcome outcome = fixture.request("a");
     CHECK(outcome.isFinished);
     CHECK(outcome.body == "right");
 }
@@ -140,9 +72,9 @@
     }));
     const std::string head = std::string("HTTP/1.1 ") + test.statusLine + "\r\nX-Id: a\r\n" + test.framing + "\r\n";
     INFO(test.method << ": " << head);
-    ClientFixture fixture({ { head + test.rest }, { answerTo("b", "second") } });
+    ScriptedExchanges fixture({ { head + test.rest }, { answerTo("b", "second") } });
     fixture.method = test.method;
-    const Outcome first = fixture.request("a");
+    const ExchangeOutcome first = fixture.request("a");
     INFO(first.reason);
     CHECK(first.isFinished);
     CHECK(first.status == test.expectedStatus);
@@ -158,9 +90,9 @@
     const auto framing
         = GENERATE(values<std::string>({ "", "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n" }));
     INFO(framing);
-    ClientFixture fixture(
+    ScriptedExchanges fixture(
         { { "HTTP/1.1 304 Not Modified\r\nX-Id: x\r\n" + framing + "\r\n" + answerTo("a", "right") } });
-    const Outcome outcome = fixture.request("a");
+    const ExchangeOutcome outcome = fixture.request("a");
     CHECK(outcome.isFinished);
     CHECK(outcome.body == "right");
 }
@@ -193,8 +125,8 @@
     std::string answer = test.start;
     for (std::size_t i = 0; i < test.fields; ++i)
         answer += "a:\r\n";
-    ClientFixture fixture({ { answer + test.end } });
-    const Outcome outcome = fixture.request("a");
+    ScriptedExchanges fixture({ { answer + test.end } });
+    const ExchangeOutcome outcome = fixture.request("a");
     CHECK(outcome.isFinished == test.expectedFinished);
     CHECK((outcome.failure == AttemptFailure::Garbage) == !test.expectedFinished);
 }
@@ -222,12 +154,12 @@
     const std::string refusal
         = std::string("HTTP/1.1 ") + test.statusLine + "\r\n" + identifier + "Content-Length: 0\r\n\r\n";
     const std::string answer = "HTTP/1.1 200 OK\r\n" + identifier + "Content-Length: 3\r\n\r\nran";
-    ClientFixture fixture(
+    ScriptedExchanges fixture(
         { { refusal, refusal, std::chrono::milliseconds(60) }, { "", answer, std::chrono::milliseconds(150) } });
     fixture.echoHeader = test.hasIdentifier ? "X-Id" : "";
     INFO(test.statusLine);
     CHECK(fixture.request("a").status >= 400);
-    const Outcome second = fixture.request("a");
+    const ExchangeOutcome second = fixture.request("a");
     CHECK(second.status == 200);
     CHECK(second.body == "ran");
 }
@@ -247,8 +179,8 @@
         { { head + "part", {}, {}, false, true }, false },
         { { "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 9\r\n\r\npart", {}, {}, true, false }, false },
     }));
-    ClientFixture fixture({ test.step });
-    const Outcome outcome = fixture.request("a");
+    ScriptedExchanges fixture({ test.step });
+    const ExchangeOutcome outcome = fixture.request("a");
     INFO(test.step.answer);
     CHECK(outcome.isFinished == test.expectedFinished);
     CHECK(outcome.failure.has_value() != test.expectedFinished);
@@ -270,21 +202,21 @@
         "HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\n" + endless,
         interim,
     }));
-    ClientFixture fixture({ { bytes } });
-    const Outcome outcome = fixture.request("a");
+    ScriptedExchanges fixture({ { bytes } });
+    const ExchangeOutcome outcome = fixture.request("a");
     INFO(bytes.substr(0, 60) << ": " << outcome.reason);
     REQUIRE(outcome.failure);
     CHECK(*outcome.failure == AttemptFailure::Garbage);
-    CHECK(outcome.body.size() <= longestBody);
+    CHECK(outcome.body.size() <= ScriptedExchanges::longestBody);
 }
 
 // Guards against a peer that sends its bytes so slowly that no silence ever ends the exchange.
 TEST_CASE("A response that never ends is given up after the total time")
 {
     // Without the total time the silence after the second part would end the exchange at 700 ms.
-    ClientFixture fixture({ { "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nx", "y", std::chrono::milliseconds(300) } });
+    ScriptedExchanges fixture({ { "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nx", "y", std::chrono::milliseconds(300) } });
     fixture.totalTimeout = std::chrono::milliseconds(500);
-    const Outcome outcome = fixture.request("a");
+    const ExchangeOutcome outcome = fixture.request("a");
     CHECK(outcome.body == "xy");
     CHECK(outcome.failure == AttemptFailure::Silence);
     CHECK(outcome.reason == "the response did not end in time");
@@ -326,11 +258,11 @@
             steps.push_back({ answerTo("a", "first") });
         steps.push_back({ whole.substr(0, cut), {}, {}, !isReset, isReset });
     }
-    ClientFixture fixture(steps);
+    ScriptedExchanges fixture(steps);
     for (std::size_t cut = 1; cut < whole.size(); ++cut) {
         if (test.isConnectionKept)
             REQUIRE(fixture.request("a").isFinished);
-        const Outcome outcome = fixture.request("b");
+        const ExchangeOutcome outcome = fixture.request("b");
         INFO("cut at byte " << cut);
         CHECK_FALSE(outcome.isFinished);
         CHECK(outcome.failure.has_value());
@@ -361,14 +293,14 @@
         { "paused after sending on a kept connection", true, 30ms, 60ms, true },
     }));
     INFO(test.name);
-    ClientFixture fixture({ { answerTo("a", "first") } });
+    ScriptedExchanges fixture({ { answerTo("a", "first") } });
     if (test.isConnectionKept)
         REQUIRE(fixture.request("a").isFinished);
     const std::size_t before = fixture.server.requests();
     fixture.echoHeader = "";
     fixture.sendBefore = SystemClock().monotonicNow() + test.validFor;
     fixture.pauseAfterStart = test.pause;
-    const Outcome outcome = fixture.request("b");
+    const ExchangeOutcome outcome = fixture.request("b");
     fixture.pause(50ms);
     CHECK(outcome.isFinished == test.expectedSent);
     CHECK(fixture.server.requests() - before == (test.expectedSent ? 1 : 0));
--- a/tests/http/RawSockets.cpp
+++ b/tests/http/RawSockets.cpp
@@ -1,5 +1,6 @@
 #include "http/RawSockets.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <catkinwell/loop/Timeval.h>
@@ -9,6 +10,7 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -106,15 +108,15 @@
         bufferevent* stream = nullptr;
     };
 
-    State(EventLoop& eventLoop, std::vector<Step> script)
+    State(EventLoop& eventLoop, Script answerScript)
         : loop(eventLoop)
-        , steps(std::move(script))
+        , script(std::move(answerScript))
     {
     }
 
     EventLoop& loop;
-    std::vector<Step> steps;
-    std::size_t next = 0;
+    Script script;
+    std::size_t requests = 0;
     evconnlistener* listener = nullptr;
     std::vector<std::unique_ptr<Connection>> connections;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
@@ -126,16 +128,35 @@
         const evbuffer_ptr end = evbuffer_search(input, "\r\n\r\n", 4, nullptr);
         if (end.pos < 0)
             return;
+        std::string head(static_cast<std::size_t>(end.pos), '\0');
+        evbuffer_copyout(input, head.data(), head.size());
         evbuffer_drain(input, evbuffer_get_length(input));
-        connection.owner->answer(connection);
+        connection.owner->answer(connection, head);
     }
 
-    void answer(Connection& connection)
+    // Sends the byte, and the next one in a later round of the loop, so that the peer reads each by itself.
+    void sendByte(Connection& connection, const std::string& text, std::size_t at)
     {
-        const Step step = steps.at(std::min(next, steps.size() - 1));
-        ++next;
+        if (at == text.size() || send(bufferevent_getfd(connection.stream), text.data() + at, 1, MSG_NOSIGNAL) < 0)
+            return;
+        loop.callLater(Duration::zero(), [this, &connection, text, at, isAlive = std::weak_ptr(alive)] {
+            if (!isAlive.expired() && connection.stream)
+                sendByte(connection, text, at + 1);
+        });
+    }
+
+    void answer(Connection& connection, const std::string& head)
+    {
+        const Step step = script(head);
+        ++requests;
         const int socket = bufferevent_getfd(connection.stream);
         // Written directly to the socket, so that the bytes are sent before a reset.
+        if (step.isSlow) {
+            const int enabled = 1;
+            setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
+            sendByte(connection, step.answer, 0);
+            return;
+        }
         if (send(socket, step.answer.data(), step.answer.size(), MSG_NOSIGNAL) < 0)
             return;
         if (step.resets || step.closes) {
@@ -158,7 +179,14 @@
 };
 
 ScriptedServer::ScriptedServer(EventLoop& loop, std::vector<Step> steps)
-    : m_state(std::make_unique<State>(loop, std::move(steps)))
+    : ScriptedServer(loop, [steps = std::move(steps), next = std::size_t { 0 }](const std::string&) mutable {
+        return steps.at(std::min(next++, steps.size() - 1));
+    })
+{
+}
+
+ScriptedServer::ScriptedServer(EventLoop& loop, Script script)
+    : m_state(std::make_unique<State>(loop, std::move(script)))
 {
     sockaddr_in address = loopback(0);
     m_state->listener = evconnlistener_new_bind(
@@ -194,6 +222,26 @@
     return ntohs(bound.sin_port);
 }
 
-std::size_t ScriptedServer::requests() const { return m_state->next; }
+std::size_t ScriptedServer::requests() const { return m_state->requests; }
+
+std::size_t ScriptedServer::connections() const { return m_state->connections.size(); }
+
+ScriptedServerThread::ScriptedServerThread(ScriptedServer::Script script)
+    : m_server(m_loop, std::move(script))
+    , m_port(m_server.port())
+{
+    constexpr Duration stopInterval = std::chrono::milliseconds(10);
+    m_loop.callEvery(stopInterval, [this] {
+        if (m_isStopping)
+            m_loop.stop();
+    });
+    m_thread = std::thread([this] { m_loop.run(); });
+}
+
+ScriptedServerThread::~ScriptedServerThread()
+{
+    m_isStopping = true;
+    m_thread.join();
+}
 
 } // namespace Catkinwell::Testing
--- a/tests/http/RawSockets.h
+++ b/tests/http/RawSockets.h
@@ -1,8 +1,12 @@
 #pragma once
 
+#include <atomic>
 #include <catkinwell/loop/EventLoop.h>
 #include <cstdint>
+#include <functional>
+#include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace Catkinwell::Testing {
@@ -33,7 +37,7 @@
     int m_socket;
 };
 
-// Accepts connections and answers each request head with the next step; the last step is repeated.
+// Accepts connections and answers each request head with a step.
 class ScriptedServer {
 public:
     struct Step {
@@ -44,10 +48,16 @@
         // Close the connection in order, or reset it, after the answer.
         bool closes = false;
         bool resets = false;
+        // Send each byte of the answer by itself.
+        bool isSlow = false;
     };
 
-    // Precondition: the loop outlives the server.
+    // Returns the step that answers a request with this head.
+    using Script = std::function<Step(const std::string& head)>;
+
+    // Answers each request with the next step; the last step is repeated. Precondition: the loop outlives the server.
     ScriptedServer(EventLoop&, std::vector<Step>);
+    ScriptedServer(EventLoop&, Script);
     ~ScriptedServer();
     ScriptedServer(const ScriptedServer&) = delete;
     ScriptedServer& operator=(const ScriptedServer&) = delete;
@@ -55,10 +65,30 @@
     std::uint16_t port() const;
     // The number of requests received.
     std::size_t requests() const;
+    // The number of connections accepted.
+    std::size_t connections() const;
 
 private:
     struct State;
     std::unique_ptr<State> m_state;
 };
 
+// A scripted server on a thread of its own, which also calls the script.
+class ScriptedServerThread {
+public:
+    explicit ScriptedServerThread(ScriptedServer::Script);
+    ~ScriptedServerThread();
+    ScriptedServerThread(const ScriptedServerThread&) = delete;
+    ScriptedServerThread& operator=(const ScriptedServerThread&) = delete;
+
+    std::uint16_t port() const { return m_port; }
+
+private:
+    EventLoop m_loop;
+    ScriptedServer m_server;
+    std::uint16_t m_port;
+    std::atomic<bool> m_isStopping = false;
+    std::thread m_thread;
+};
+
 } // namespace Catkinwell::Testing
