Refuse responses whose status is not a number from 100 to 599

What callers saw: a server in trouble sent "HTTP/1.1 000 OK" with a body of 6 bytes; the caller of serve got "HTTP/1.1 0 Status" with no body, as an answer. Cause: the parser takes any digits for a status (000, 099, 2, 20, 0200, 600, 999), and nothing between it and the callers asked what they mean; a status below 200 that is not interim counts as one without a body. Change: ResponseCheck sees the raw lines of every response before the parser does, and a status line without a status of three digits, 100 to 599, fails the exchange like any invalid response: nothing of its head is told, its connection is closed, and whoever sent the request decides as after an answer that broke off. This is below all readers of answers but the administration client. RFC 9110, 15: other values are invalid, and a client should treat such a response as a server error. RFC 9112, 4: blanks between the parts, a missing reason and any bytes in the reason, which is not passed on, stay accepted; so does an empty line before the response.

--- a/src/http/MessageReader.cpp
+++ b/src/http/MessageReader.cpp
@@ -7,7 +7,6 @@
     // The parser bounds the bytes of a response's head and of its trailers, but a field takes many times the memory of
     // its shortest line. Requests are bounded by the limits on callers.
     constexpr std::size_t maximumResponseFields = 512;
-
 } // namespace
 
 MessageReader::MessageReader(Kind kind, MessageObserver& observer)
@@ -53,6 +52,7 @@
 {
     http_parser_init(&m_parser, m_kind == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
     m_parser.data = this;
+    m_check = ResponseCheck();
     m_head = MessageHead();
     m_lastWasValue = false;
     m_begun = false;
@@ -97,6 +97,24 @@
     if (bytes.empty() || m_failed || m_ended)
         return 0;
     m_begun = true;
+    return m_kind == Kind::Response ? checkAndParse(bytes) : parse(bytes);
+}
+
+std::size_t MessageReader::checkAndParse(std::string_view bytes)
+{
+    std::size_t consumed = 0;
+    while (consumed < bytes.size() && !m_failed && !m_ended) {
+        const std::string_view rest = bytes.substr(consumed);
+        // The parser takes an empty text for the end of the connection.
+        if (const std::size_t accepted = m_check.accept(rest); accepted > 0)
+            consumed += parse(rest.substr(0, accepted));
+        m_failed = m_failed || !m_check.fault().empty();
+    }
+    return consumed;
+}
+
+std::size_t MessageReader::parse(std::string_view bytes)
+{
     const std::size_t consumed = http_parser_execute(&m_parser, &callbacks(), bytes.data(), bytes.size());
     const auto error = HTTP_PARSER_ERRNO(&m_parser);
     if (m_ended)
@@ -117,6 +135,8 @@
 
 std::string MessageReader::failure() const
 {
+    if (!m_check.fault().empty())
+        return std::string(m_check.fault());
     return m_hasTooManyFields ? "it has too many header fields" : http_errno_description(HTTP_PARSER_ERRNO(&m_parser));
 }
 
--- a/src/http/MessageReader.h
+++ b/src/http/MessageReader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/ResponseCheck.h"
 #include <catkinwell/http/HttpTypes.h>
 #include <http_parser.h>
 #include <string>
@@ -32,7 +33,8 @@
     virtual void messageEnded() = 0;
 };
 
-// Incremental parser for the HTTP messages of one connection. Not thread safe.
+// Incremental parser for the HTTP messages of one connection. The bytes of responses are checked before they are
+// parsed; the heads of requests are checked by findRequestHeadFault(). Not thread safe.
 class MessageReader {
 public:
     enum class Kind {
@@ -67,10 +69,13 @@
     bool appendName(std::string_view);
     void appendValue(std::string_view);
     bool finishHead();
+    std::size_t parse(std::string_view);
+    std::size_t checkAndParse(std::string_view);
 
     Kind m_kind;
     MessageObserver& m_observer;
     http_parser m_parser {};
+    ResponseCheck m_check;
     MessageHead m_head;
     bool m_lastWasValue = false;
     bool m_begun = false;
--- /dev/null
+++ b/src/http/ResponseCheck.cpp
@@ -0,0 +1,57 @@
+#include "http/ResponseCheck.h"
+
+#include "http/ResponseLines.h"
+
+namespace Catkinwell {
+
+std::size_t ResponseCheck::accept(std::string_view bytes)
+{
+    std::size_t accepted = 0;
+    while (accepted < bytes.size() && m_fault.empty()) {
+        const Stage stage = m_stage;
+        if (stage == Stage::Body)
+            return bytes.size();
+        accepted += acceptLine(bytes.substr(accepted));
+        // The parser decides what follows.
+        if (stage != m_stage && m_stage == Stage::Body)
+            break;
+    }
+    return accepted;
+}
+
+std::size_t ResponseCheck::acceptLine(std::string_view bytes)
+{
+    const std::size_t end = bytes.find('\n');
+    std::string_view line = bytes.substr(0, end);
+    // The parser bounds the bytes of a head.
+    if (end == std::string_view::npos || !m_line.empty())
+        m_line += line;
+    if (end == std::string_view::npos)
+        return bytes.size();
+    if (!m_line.empty())
+        line = m_line;
+    if (line.ends_with('\r'))
+        line.remove_suffix(1);
+    checkLine(line);
+    m_line.clear();
+    return m_fault.empty() ? end + 1 : 0;
+}
+
+void ResponseCheck::checkLine(std::string_view line)
+{
+    if (m_stage == Stage::StatusLine)
+        checkStatusLine(line);
+    else if (line.empty())
+        m_stage = Stage::Body;
+}
+
+void ResponseCheck::checkStatusLine(std::string_view line)
+{
+    // An empty line before the response is ignored.
+    if (line.empty())
+        return;
+    m_fault = findStatusLineFault(line);
+    m_stage = Stage::Fields;
+}
+
+} // namespace Catkinwell
--- /dev/null
+++ b/src/http/ResponseCheck.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace Catkinwell {
+
+// Checks the raw bytes of a response before they are parsed, because the parser takes more than RFC 9110 and RFC 9112
+// let a recipient take, and other readers may take that differently. Not thread safe.
+class ResponseCheck {
+public:
+    // Returns how many of the bytes may be parsed next. These are fewer than all if the head ends there,
+    // or if a fault follows.
+    std::size_t accept(std::string_view bytes);
+
+    // The defect that was found; empty if there is none.
+    std::string_view fault() const { return m_fault; }
+
+private:
+    enum class Stage {
+        StatusLine,
+        Fields,
+        // Bytes that the parser delimits without this check.
+        Body,
+    };
+
+    std::size_t acceptLine(std::string_view bytes);
+
+    void checkLine(std::string_view line);
+    void checkStatusLine(std::string_view line);
+
+    Stage m_stage = Stage::StatusLine;
+    // What was accepted of a line whose end has not arrived.
+    std::string m_line;
+    std::string_view m_fault;
+};
+
+} // namespace Catkinwell
--- /dev/null
+++ b/src/http/ResponseLines.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <string_view>
+
+// The lines of a response's head, without their ends. All functions are pure and thread safe. A defect is
+// returned as a text that continues "the response is invalid: "; empty if there is none.
+namespace Catkinwell {
+
+// Blanks between the parts, a missing or odd reason and a later minor version are accepted, as RFC 9112 advises.
+std::string_view findStatusLineFault(std::string_view line);
+
+} // namespace Catkinwell
--- /dev/null
+++ b/tests/http/InvalidResponseTest.cpp
@@ -0,0 +1,118 @@
+#include "http/HeaderText.h"
+#include "http/ScriptedExchanges.h"
+#include <catch2/catch.hpp>
+
+using namespace Catkinwell;
+using namespace Catkinwell::Testing;
+
+namespace {
+
+const std::string length = "Content-Length: 6\r\n";
+const std::string chunked = "Transfer-Encoding: chunked\r\n";
+const std::string wholeChunk = "6\r\nwhole!\r\n";
+
+std::string withStatusLine(const std::string& line) { return line + "\r\n" + length + "\r\nwhole!"; }
+
+std::string withFields(const std::string& fields) { return "HTTP/1.1 200 OK\r\n" + fields + "\r\nwhole!"; }
+
+std::string withChunks(const std::string& chunks) { return "HTTP/1.1 200 OK\r\n" + chunked + "\r\n" + chunks; }
+
+// Where in the life of a connection a response comes.
+enum class Place {
+    First,
+    OnKeptConnection,
+    BehindInterimResponse,
+};
+
+// Checks that the response is given up with nothing of its head passed on, and that its connection is closed.
+void checkInvalid(const std::string& name, const std::string& response, Place place)
+{
+    const std::string sound = withStatusLine("HTTP/1.1 200 OK");
+    const std::string interim = place == Place::BehindInterimResponse ? "HTTP/1.1 103 Early Hints\r\n\r\n" : "";
+    std::vector<ScriptedServer::Step> steps { { interim + response }, { sound } };
+    const bool isKept = place == Place::OnKeptConnection;
+    if (isKept)
+        steps.insert(steps.begin(), { sound });
+    ScriptedExchanges fixture(steps);
+    fixture.echoHeader = "";
+    INFO(name << ", place " << static_cast<int>(place));
+    if (isKept)
+        REQUIRE(fixture.request("first").body == "whole!");
+    const ExchangeOutcome outcome = fixture.request("invalid");
+    INFO("status " << outcome.status << ", body \"" << outcome.body << "\", reason: " << outcome.reason);
+    CHECK_FALSE(outcome.isFinished);
+    CHECK(outcome.failure == AttemptFailure::Garbage);
+    CHECK(outcome.status == 0);
+    CHECK(outcome.headers.empty());
+    CHECK(fixture.request("next").body == "whole!");
+    CHECK(fixture.server.connections() == 2);
+}
+
+} // namespace
+
+// Guards against a server in trouble whose status, which no client knows, reaches callers.
+TEST_CASE("A response whose status is not a number from 100 to 599 is invalid")
+{
+    const auto statusLine = GENERATE(values<std::string>({ "HTTP/1.1 000 OK", "HTTP/1.1 000", "HTTP/1.1 099 Early",
+        "HTTP/1.1 600 Odd", "HTTP/1.1 999 Denied", "HTTP/1.1 1000 OK", "HTTP/1.1 20 OK", "HTTP/1.1 2",
+        "HTTP/1.1 0200 OK", "HTTP/1.1 -200 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1 OK", "HTTP/1.0 000 OK" }));
+    const auto place = GENERATE(Place::First, Place::OnKeptConnection, Place::BehindInterimResponse);
+    checkInvalid(statusLine, withStatusLine(statusLine), place);
+}
+
+namespace {
+
+struct OddCase {
+    const char* name;
+    std::string response;
+    // The value of the field X-Odd.
+    const char* expectedValue;
+};
+
+} // namespace
+
+// Guards against sound responses of unusual form that are refused: RFC 9110 and RFC 9112 let recipients take them.
+TEST_CASE("An odd response that a recipient may take is taken")
+{
+    const auto test = GENERATE(values<OddCase>({
+        { "no reason phrase", withStatusLine("HTTP/1.1 200 "), "" },
+        { "no blank after the status", withStatusLine("HTTP/1.1 200"), "" },
+        { "more blanks in the status line", withStatusLine("HTTP/1.1  200   OK"), "" },
+        { "a later minor version", withStatusLine("HTTP/1.2 200 OK"), "" },
+        { "HTTP/1.0", withStatusLine("HTTP/1.0 200 OK"), "" },
+        { "bytes above 0x7f in the reason phrase", withStatusLine("HTTP/1.1 200 \xd0\x9e\xd0\x9a"), "" },
+        { "an empty line before the status line", "\r\n" + withStatusLine("HTTP/1.1 200 OK"), "" },
+        { "lines that end with LF", "HTTP/1.1 200 OK\nContent-Length: 6\nX-Odd: 1\n\nwhole!", "1" },
+        { "no blank after the colon", withFields(length + "X-Odd:1\r\n"), "1" },
+        { "an empty value", withFields(length + "X-Odd:\r\n"), "" },
+        { "all characters of a token", withFields(length + "!#$%&'*+-.^_`|~09azAZ: 1\r\nX-Odd: 1\r\n"), "1" },
+        { "a tab in the value", withFields(length + "X-Odd: a\tb\r\n"), "a\tb" },
+        { "bytes above 0x7f in the value", withFields(length + "X-Odd: \xe9\xff\r\n"), "\xe9\xff" },
+        { "a folded value", withFields("X-Odd: a\r\n b\r\n" + length), "a b" },
+        { "a folded length", withFields("Content-Length:\r\n 6\r\n"), "" },
+        { "leading zeros", withFields("Content-Length: 0006\r\n"), "" },
+        { "upper case", "HTTP/1.1 200 OK\r\nTRANSFER-ENCODING: CHUNKED\r\n\r\n" + wholeChunk + "0\r\n\r\n", "" },
+        { "a folded encoding", "HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\n chunked\r\n\r\n" + wholeChunk + "0\r\n\r\n",
+            "" },
+        { "a chunk extension", withChunks("6;a=b;c=\"d e\"\r\nwhole!\r\n0;e\r\n\r\n"), "" },
+        { "blanks around an extension", withChunks("6 ; a\r\nwhole!\r\n0\r\n\r\n"), "" },
+        { "blanks after the size", withChunks("6  \r\nwhole!\r\n0 \r\n\r\n"), "" },
+        { "zeros before the size", withChunks("0000006\r\nwhole!\r\n000\r\n\r\n"), "" },
+        { "trailers", withChunks(wholeChunk + "0\r\nX-Late: a\r\nX-Later:\r\n folded\r\n\r\n"), "" },
+        { "trailers that state a length", withChunks(wholeChunk + "0\r\nContent-Length: 3\r\n\r\n"), "" },
+        { "trailers that end with LF", withChunks(wholeChunk + "0\r\nX-Late: a\n\n"), "" },
+    }));
+    // Whether the response comes byte by byte.
+    const bool isSlow = GENERATE(false, true);
+    INFO(test.name << (isSlow ? ", byte by byte" : ""));
+    ScriptedServer::Step step { test.response };
+    step.isSlow = isSlow;
+    ScriptedExchanges fixture({ step });
+    fixture.echoHeader = "";
+    const ExchangeOutcome outcome = fixture.request("odd");
+    INFO(outcome.reason);
+    CHECK(outcome.isFinished);
+    CHECK(outcome.status == 200);
+    CHECK(outcome.body == "whole!");
+    CHECK(headerValue(outcome.headers, "X-Odd") == test.expectedValue);
+}
