Refuse responses with a blank or a control byte in the name of a field

What callers saw: of an answer with "X Odd: 1", "X-Odd : 1", "Content-Length : 6" or "Transfer-Encoding : chunked" they got status 200, that line, and a Content-Length of the host's own beside it; whoever reads it as RFC 9112 warns takes the body for something else. The hop-by-hop fields were passed on, since their names did not compare equal. Cause: Debian builds the parser in its lenient mode, where a blank is a character of names; heads of requests have a check of this project's own, heads of answers had none. Change: ResponseCheck checks the name of each field with the same rule as RequestHeadCheck (FieldSyntax, moved there). Interim responses pass the same check. RFC 9110, 5.1 and 5.6.2: a name is a token. RFC 9112, 5.1: a proxy must not forward a blank between name and colon; the answer is given up instead of being repaired, because the same section names it as a cause of differing lengths, and no field of such an answer is to be passed on. Folded values (5.2) stay accepted.

--- a/src/http/RequestHeadCheck.cpp
+++ b/src/http/RequestHeadCheck.cpp
@@ -1,5 +1,6 @@
 #include "http/RequestHeadCheck.h"
 
+#include "http/FieldSyntax.h"
 #include "http/HeaderText.h"
 #include "http/PercentEncoding.h"
 #include <algorithm>
@@ -10,26 +11,8 @@
 
     constexpr std::size_t maximumLengthDigits = 15;
 
-    bool isTokenCharacter(char c)
-    {
-        constexpr std::string_view others = "!#$%&'*+-.^_`|~";
-        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9')
-            || others.find(c) != std::string_view::npos;
-    }
-
-    bool isToken(std::string_view text)
-    {
-        return !text.empty() && std::all_of(text.begin(), text.end(), isTokenCharacter);
-    }
-
     bool isVisible(char c) { return c > 0x20 && c != 0x7f; }
 
-    bool isFieldValueCharacter(char c)
-    {
-        const auto byte = static_cast<unsigned char>(c);
-        return byte == '\t' || (byte >= 0x20 && byte != 0x7f);
-    }
-
     // Whether the path has a segment "." or "..", possibly percent-encoded: servers resolve these differently.
     bool hasDotSegment(std::string_view target)
     {
@@ -81,7 +64,7 @@
             return RequestHeadFault { 400, "a header line is not \"Name: value\" with a token as the name" };
         const std::string name = toLowerCase(line.substr(0, colon));
         const std::string_view value = trimmedSpaces(line.substr(colon + 1));
-        if (!std::all_of(value.begin(), value.end(), isFieldValueCharacter))
+        if (!isFieldValue(value))
             return RequestHeadFault { 400, "the header \"" + name + "\" contains a control character" };
         if (name == "host")
             ++framing.hosts;
--- a/src/http/ResponseCheck.cpp
+++ b/src/http/ResponseCheck.cpp
@@ -41,8 +41,8 @@
 {
     if (m_stage == Stage::StatusLine)
         checkStatusLine(line);
-    else if (line.empty())
-        m_stage = Stage::Body;
+    else
+        checkField(line);
 }
 
 void ResponseCheck::checkStatusLine(std::string_view line)
@@ -54,4 +54,15 @@
     m_stage = Stage::Fields;
 }
 
+void ResponseCheck::checkField(std::string_view line)
+{
+    if (line.empty()) {
+        m_stage = Stage::Body;
+        return;
+    }
+    if (!m_hasField || !isFoldedLine(line))
+        m_fault = findFieldLineFault(line);
+    m_hasField = true;
+}
+
 } // namespace Catkinwell
--- a/src/http/ResponseCheck.h
+++ b/src/http/ResponseCheck.h
@@ -28,10 +28,13 @@
 
     void checkLine(std::string_view line);
     void checkStatusLine(std::string_view line);
+    void checkField(std::string_view line);
 
     Stage m_stage = Stage::StatusLine;
     // What was accepted of a line whose end has not arrived.
     std::string m_line;
+    // Whether the head has a field, which the next line may continue.
+    bool m_hasField = false;
     std::string_view m_fault;
 };
 
--- a/src/http/ResponseLines.cpp
+++ b/src/http/ResponseLines.cpp
@@ -1,5 +1,6 @@
 #include "http/ResponseLines.h"
 
+#include "http/FieldSyntax.h"
 #include "http/HeaderText.h"
 #include <algorithm>
 
@@ -27,4 +28,14 @@
     return {};
 }
 
+std::string_view findFieldLineFault(std::string_view line)
+{
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos || !isToken(line.substr(0, colon)))
+        return "the name of a field is missing or has a character that names may not have";
+    return {};
+}
+
+bool isFoldedLine(std::string_view line) { return line.starts_with(' ') || line.starts_with('\t'); }
+
 } // namespace Catkinwell
--- a/src/http/ResponseLines.h
+++ b/src/http/ResponseLines.h
@@ -9,4 +9,10 @@
 // Blanks between the parts, a missing or odd reason and a later minor version are accepted, as RFC 9112 advises.
 std::string_view findStatusLineFault(std::string_view line);
 
+// The line is one of a head, and does not continue another.
+std::string_view findFieldLineFault(std::string_view line);
+
+// Whether the line begins with a blank, as one that continues another does.
+bool isFoldedLine(std::string_view line);
+
 } // namespace Catkinwell
--- a/tests/http/InvalidResponseTest.cpp
+++ b/tests/http/InvalidResponseTest.cpp
@@ -17,6 +17,13 @@
 
 std::string withChunks(const std::string& chunks) { return "HTTP/1.1 200 OK\r\n" + chunked + "\r\n" + chunks; }
 
+// Returns the text with each "@" replaced by the byte.
+std::string withByte(std::string text, char byte)
+{
+    std::replace(text.begin(), text.end(), '@', byte);
+    return text;
+}
+
 // Where in the life of a connection a response comes.
 enum class Place {
     First,
@@ -48,6 +55,11 @@
     CHECK(fixture.server.connections() == 2);
 }
 
+struct InvalidHeadCase {
+    const char* name;
+    std::string response;
+};
+
 } // namespace
 
 // Guards against a server in trouble whose status, which no client knows, reaches callers.
@@ -60,6 +72,29 @@
     checkInvalid(statusLine, withStatusLine(statusLine), place);
 }
 
+// Guards against a field whose name other readers understand differently, for example as a length.
+TEST_CASE("A response with a blank or a control byte in the name of a field is invalid")
+{
+    const auto test = GENERATE(values<InvalidHeadCase>({
+        { "blank inside", withFields(length + "X Odd: 1\r\n") },
+        { "blank before the colon", withFields(length + "X-Odd : 1\r\n") },
+        { "tab before the colon", withFields(length + "X-Odd\t: 1\r\n") },
+        { "blank before the first name", withFields(" X-Odd: 1\r\n" + length) },
+        { "NUL", withByte(withFields(length + "X@Odd: 1\r\n"), '\0') },
+        { "0x01", withByte(withFields(length + "X@Odd: 1\r\n"), '\x01') },
+        { "0x7f", withByte(withFields(length + "X@Odd: 1\r\n"), '\x7f') },
+        { "bare CR", withFields(length + "X\rOdd: 1\r\n") },
+        { "no name", withFields(length + ": 1\r\n") },
+        { "no colon", withFields(length + "X-Odd\r\n") },
+        { "length", withFields("Content-Length : 6\r\n") },
+        { "length beside another", withFields(length + "Content-Length : 3\r\n") },
+        { "chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n" + wholeChunk + "0\r\n\r\n" },
+        { "connection", withFields(length + "Connection : close\r\n") },
+    }));
+    const auto place = GENERATE(Place::First, Place::OnKeptConnection, Place::BehindInterimResponse);
+    checkInvalid(test.name, test.response, place);
+}
+
 namespace {
 
 struct OddCase {
