Refuse responses with a control byte in the value of a field, or a bare CR

What callers saw: a value that begins with a control byte, such as "X-Odd: NUL a", was passed on as it came; "X-Odd:" and a bare CR before another field became two fields, the second without its first letter. Cause: the parser does not look at the first byte of a value, and swallows the byte behind some CRs. Change: ResponseCheck refuses control bytes but the tab in values and folded values, and a CR without LF anywhere in a head. RFC 9110, 5.5: CR, LF and NUL must be refused or replaced; other control bytes are invalid and may be kept only where no reader of HTTP follows, which a host cannot know. RFC 9112, 2.2: a bare CR is invalid. Lines that end with LF alone (2.2), tabs and bytes above 0x7f stay accepted. Evidence: InvalidResponseTest, "A response with a control byte in the value", "... a bare CR in a field", "An interim response is checked": on the rows "X-Odd: @", "X-Odd:@", "X-Odd: @a" failed with each of seven bytes, one of four with a bare CR, and all three interim ones; all pass now.

--- a/src/http/ResponseCheck.cpp
+++ b/src/http/ResponseCheck.cpp
@@ -39,7 +39,9 @@
 
 void ResponseCheck::checkLine(std::string_view line)
 {
-    if (m_stage == Stage::StatusLine)
+    if (line.find('\r') != std::string_view::npos)
+        m_fault = "it has a CR without LF";
+    else if (m_stage == Stage::StatusLine)
         checkStatusLine(line);
     else
         checkField(line);
@@ -60,8 +62,8 @@
         m_stage = Stage::Body;
         return;
     }
-    if (!m_hasField || !isFoldedLine(line))
-        m_fault = findFieldLineFault(line);
+    const bool isFolded = m_hasField && isFoldedLine(line);
+    m_fault = isFolded ? findFoldedLineFault(line) : findFieldLineFault(line);
     m_hasField = true;
 }
 
--- a/src/http/ResponseLines.cpp
+++ b/src/http/ResponseLines.cpp
@@ -33,7 +33,12 @@
     const std::size_t colon = line.find(':');
     if (colon == std::string_view::npos || !isToken(line.substr(0, colon)))
         return "the name of a field is missing or has a character that names may not have";
-    return {};
+    return findFoldedLineFault(line.substr(colon + 1));
+}
+
+std::string_view findFoldedLineFault(std::string_view line)
+{
+    return isFieldValue(line) ? "" : "the value of a field has a control character";
 }
 
 bool isFoldedLine(std::string_view line) { return line.starts_with(' ') || line.starts_with('\t'); }
--- a/src/http/ResponseLines.h
+++ b/src/http/ResponseLines.h
@@ -12,6 +12,9 @@
 // The line is one of a head, and does not continue another.
 std::string_view findFieldLineFault(std::string_view line);
 
+// The line continues the value of the field before it.
+std::string_view findFoldedLineFault(std::string_view line);
+
 // Whether the line begins with a blank, as one that continues another does.
 bool isFoldedLine(std::string_view line);
 
--- a/tests/http/InvalidResponseTest.cpp
+++ b/tests/http/InvalidResponseTest.cpp
@@ -95,6 +95,31 @@
     checkInvalid(test.name, test.response, place);
 }
 
+// Guards against an interim response that is broken and skipped as if it were sound.
+TEST_CASE("An interim response is checked like any other")
+{
+    const auto interim = GENERATE(values<std::string>({ "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\nX-Odd : 1\r\n\r\n", "HTTP/1.1 102 Processing\r\nX-Odd: \x01\r\n\r\n" }));
+    checkInvalid(interim, interim + withStatusLine("HTTP/1.1 200 OK"), Place::First);
+}
+
+// Guards against a control byte that a reader behind this host takes for the end of a line or of the value.
+TEST_CASE("A response with a control byte in the value of a field is invalid")
+{
+    const char byte = GENERATE('\0', '\x01', '\x08', '\x0b', '\x1b', '\x1f', '\x7f');
+    const auto fields = GENERATE(values<std::string>(
+        { "X-Odd: @\r\n", "X-Odd:@\r\n", "X-Odd: @a\r\n", "X-Odd: a@\r\n", "X-Odd: a@b\r\n", "X-Odd: a\r\n @b\r\n" }));
+    checkInvalid(fields + std::to_string(byte), withByte(withFields(fields + length), byte), Place::First);
+}
+
+// Guards against a line that one reader ends at a bare CR and another does not.
+TEST_CASE("A response with a bare CR in a field is invalid")
+{
+    const auto fields = GENERATE(values<std::string>({ "X-Odd: \rContent-Length: 3\r\n",
+        "X-Odd:\rContent-Length: 3\r\n", "X-Odd: a\rContent-Length: 3\r\n", "X-Odd: a\r\r\n" }));
+    checkInvalid(fields, withFields(fields + length), Place::First);
+}
+
 namespace {
 
 struct OddCase {
