Refuse responses whose status line is not one of HTTP/1

What callers saw: answers that begin with "HTTP/2.0 200 OK", "HTTP/0.9", "HTTP/3.1" or "HXXX/1.1" reached them as answers; with a CR inside the status line the fields became part of the body. Cause: in its lenient mode the parser compares the first letter of "HTTP" alone, takes any digits as the version, and swallows the byte behind a CR. Change: ResponseCheck asks for "HTTP/1." and one digit. RFC 9112, 2.3, and RFC 9110, 2.5: the name is case-sensitive; the major version states the syntax, so another one cannot be read with this one; a later minor version (HTTP/1.2) is read as HTTP/1.1 and stays accepted.

--- a/src/http/ResponseLines.cpp
+++ b/src/http/ResponseLines.cpp
@@ -2,14 +2,22 @@
 
 #include "http/FieldSyntax.h"
 #include "http/HeaderText.h"
-#include <algorithm>
 
 namespace Catkinwell {
 
 namespace {
 
+    constexpr std::string_view protocol = "HTTP/1.";
+
     bool isDigit(char c) { return c >= '0' && c <= '9'; }
 
+    // Whether the line begins with a version HTTP/1.x and a blank.
+    bool hasVersion(std::string_view line)
+    {
+        const std::size_t end = protocol.size() + 1;
+        return line.starts_with(protocol) && line.size() > end && isDigit(line[end - 1]) && line[end] == ' ';
+    }
+
     // RFC 9110 knows the classes 1 to 5.
     bool isStatus(std::string_view text)
     {
@@ -20,8 +28,9 @@
 
 std::string_view findStatusLineFault(std::string_view line)
 {
-    const std::size_t blank = std::min(line.find(' '), line.size());
-    std::string_view status = trimmedSpaces(line.substr(blank));
+    if (!hasVersion(line))
+        return "its version is not HTTP/1";
+    std::string_view status = trimmedSpaces(line.substr(protocol.size() + 1));
     status = status.substr(0, status.find(' '));
     if (!isStatus(status))
         return "its status is not a number from 100 to 599";
--- a/tests/http/InvalidResponseTest.cpp
+++ b/tests/http/InvalidResponseTest.cpp
@@ -103,6 +103,15 @@
     checkInvalid(interim, interim + withStatusLine("HTTP/1.1 200 OK"), Place::First);
 }
 
+// Guards against bytes of another protocol or version, and against a status line whose end readers see elsewhere.
+TEST_CASE("A response whose status line is not one of HTTP/1 is invalid")
+{
+    const auto statusLine = GENERATE(values<std::string>({ "HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/3.1 200 OK",
+        "HXXX/1.1 200 OK", "HTTX/1.1 200 OK", "http/1.1 200 OK", "HTTP/1.10 200 OK", "HTTP/1.1200 OK",
+        "HTTP/1.1 200 O\rK", "HTTP/1.1 200 OK\rX-Odd: 1", "HTTP/1.1 200 OK\r", "\r\r\nHTTP/1.1 200 OK" }));
+    checkInvalid(statusLine, withStatusLine(statusLine), Place::First);
+}
+
 // Guards against a control byte that a reader behind this host takes for the end of a line or of the value.
 TEST_CASE("A response with a control byte in the value of a field is invalid")
 {
