Refuse responses that switch to another protocol

What callers saw: after "101 Switching Protocols" the next bytes, which are those of another protocol, were read as the response. Cause: 101 was skipped like other interim responses. Change: ResponseCheck refuses 101. RFC 9110, 7.8 and 15.2.2: a server may switch only to a protocol that the request asks for, and this program sends no Upgrade field. Evidence: InvalidResponseTest, "A switch to another protocol": both rows failed on (the 200 behind it was told); both pass now. 100, 102 and 103 are skipped as before (AnswerIntegrityTest).

--- a/src/http/ResponseLines.cpp
+++ b/src/http/ResponseLines.cpp
@@ -8,6 +8,7 @@
 namespace {
 
     constexpr std::string_view protocol = "HTTP/1.";
+    constexpr std::string_view switchingProtocols = "101";
 
     bool isDigit(char c) { return c >= '0' && c <= '9'; }
 
@@ -34,6 +35,9 @@
     status = status.substr(0, status.find(' '));
     if (!isStatus(status))
         return "its status is not a number from 100 to 599";
+    // Nothing that this program sends asks for it.
+    if (status == switchingProtocols)
+        return "it switches to another protocol";
     return {};
 }
 
--- a/tests/http/InvalidResponseTest.cpp
+++ b/tests/http/InvalidResponseTest.cpp
@@ -103,6 +103,14 @@
     checkInvalid(interim, interim + withStatusLine("HTTP/1.1 200 OK"), Place::First);
 }
 
+// Guards against the bytes of another protocol that are taken for a response.
+TEST_CASE("A switch to another protocol, which no request asks for, is invalid")
+{
+    const auto fields = GENERATE(values<std::string>({ "", "Connection: upgrade\r\nUpgrade: websocket\r\n" }));
+    checkInvalid(fields, "HTTP/1.1 101 Switching Protocols\r\n" + fields + "\r\n" + withStatusLine("HTTP/1.1 200 OK"),
+        Place::First);
+}
+
 // Guards against bytes of another protocol or version, and against a status line whose end readers see elsewhere.
 TEST_CASE("A response whose status line is not one of HTTP/1 is invalid")
 {
