Refuse responses whose Transfer-Encoding is not "chunked" alone

What callers saw: of an answer in "gzip, chunked" they got the compressed bytes without the word that says so, since fields of one hop are not passed on; of one in "chunked, gzip", "chunked;a=b", "chunked" and a tab, or an empty one, the raw chunks as the body. Cause: the parser looks for "chunked" as the last word of the list and takes everything else as a body that ends with its connection. Change: ResponseCheck collects the field's lines and accepts "chunked" alone, as RequestHeadCheck does, and not in HTTP/1.0; it also fails if the parser reads the field differently. RFC 9112, 6.1 and 7: only chunked may be sent to a client that asked for nothing else (RFC 9110, 10.1.4), and this program cannot decode another one; it is applied once and has no parameters (7.1); with HTTP/1.0 the framing counts as faulty. "identity" is no transfer coding any more and is refused. Upper case and folded lines stay accepted. The parser already refused a length beside chunks, two lengths, signs, other digits, none, and more than 64 bits; these rows stay as tests.

--- a/src/http/MessageReader.cpp
+++ b/src/http/MessageReader.cpp
@@ -7,6 +7,12 @@
     // The parser bounds the bytes of a response's head and of its trailers, but a field takes many times the memory of
     // its shortest line. Requests are bounded by the limits on callers.
     constexpr std::size_t maximumResponseFields = 512;
+
+    // What the callback for the end of a head returns to the parser.
+    constexpr int bodyMayFollow = 0;
+    constexpr int noBodyFollows = 1;
+    constexpr int headIsInvalid = -1;
+
 } // namespace
 
 MessageReader::MessageReader(Kind kind, MessageObserver& observer)
@@ -32,8 +38,7 @@
             self(parser).appendValue({ at, size });
             return 0;
         };
-        // A return value of 1 tells the parser that no body follows.
-        table.on_headers_complete = [](http_parser* parser) { return self(parser).finishHead() ? 0 : 1; };
+        table.on_headers_complete = [](http_parser* parser) { return self(parser).finishHead(); };
         table.on_body = [](http_parser* parser, const char* at, std::size_t size) {
             self(parser).m_observer.bodyRead({ at, size });
             return 0;
@@ -77,7 +82,7 @@
     m_lastWasValue = true;
 }
 
-bool MessageReader::finishHead()
+int MessageReader::finishHead()
 {
     if (m_kind == Kind::Request)
         m_head.method = http_method_str(static_cast<http_method>(m_parser.method));
@@ -86,10 +91,14 @@
     m_head.isVersion10 = m_parser.http_major == 1 && m_parser.http_minor == 0;
     const bool hasLength = (m_parser.flags & F_CONTENTLENGTH) != 0;
     const bool isChunked = (m_parser.flags & F_CHUNKED) != 0;
+    if (m_kind == Kind::Response)
+        m_check.beginBody(isChunked);
+    if (!m_check.fault().empty())
+        return headIsInvalid;
     const bool mayHaveBody = m_head.status >= 200 && m_head.status != 204 && m_head.status != 304;
     m_head.endsWithConnection = m_kind == Kind::Response && mayHaveBody && !hasLength && !isChunked;
     const bool mayFollow = m_kind == Kind::Request || mayHaveBody;
-    return m_observer.headRead(std::move(m_head)) && mayFollow;
+    return m_observer.headRead(std::move(m_head)) && mayFollow ? bodyMayFollow : noBodyFollows;
 }
 
 std::size_t MessageReader::consume(std::string_view bytes)
--- a/src/http/MessageReader.h
+++ b/src/http/MessageReader.h
@@ -68,7 +68,8 @@
     // Returns whether the message may have another field.
     bool appendName(std::string_view);
     void appendValue(std::string_view);
-    bool finishHead();
+    // Returns what the parser's callback for the end of a head returns.
+    int finishHead();
     std::size_t parse(std::string_view);
     std::size_t checkAndParse(std::string_view);
 
--- a/src/http/ResponseCheck.cpp
+++ b/src/http/ResponseCheck.cpp
@@ -1,9 +1,16 @@
 #include "http/ResponseCheck.h"
 
+#include "http/HeaderText.h"
 #include "http/ResponseLines.h"
 
 namespace Catkinwell {
 
+namespace {
+
+    constexpr std::string_view encodingName = "transfer-encoding";
+
+} // namespace
+
 std::size_t ResponseCheck::accept(std::string_view bytes)
 {
     std::size_t accepted = 0;
@@ -19,6 +26,12 @@
     return accepted;
 }
 
+void ResponseCheck::beginBody(bool isChunked)
+{
+    if (isChunked != m_hasEncoding)
+        m_fault = "its Transfer-Encoding cannot be read";
+}
+
 std::size_t ResponseCheck::acceptLine(std::string_view bytes)
 {
     const std::size_t end = bytes.find('\n');
@@ -53,18 +66,48 @@
     if (line.empty())
         return;
     m_fault = findStatusLineFault(line);
+    m_isVersion10 = line.starts_with("HTTP/1.0");
     m_stage = Stage::Fields;
 }
 
 void ResponseCheck::checkField(std::string_view line)
 {
     if (line.empty()) {
+        m_fault = encodingFault();
         m_stage = Stage::Body;
         return;
     }
     const bool isFolded = m_hasField && isFoldedLine(line);
     m_fault = isFolded ? findFoldedLineFault(line) : findFieldLineFault(line);
     m_hasField = true;
+    noteEncoding(line);
+}
+
+void ResponseCheck::noteEncoding(std::string_view line)
+{
+    const bool isFolded = isFoldedLine(line);
+    const std::size_t colon = line.find(':');
+    if (!isFolded)
+        m_isEncoding = equalIgnoringCase(line.substr(0, colon), encodingName);
+    if (!m_isEncoding)
+        return;
+    // The values of several lines form one list.
+    if (m_hasEncoding && !isFolded)
+        m_encoding += ',';
+    m_encoding += isFolded ? line : line.substr(colon + 1);
+    m_hasEncoding = true;
+}
+
+std::string_view ResponseCheck::encodingFault() const
+{
+    if (!m_hasEncoding)
+        return {};
+    if (m_isVersion10)
+        return "it has a Transfer-Encoding, which HTTP/1.0 does not have";
+    // No other one was asked for, and the body could not be passed on without it.
+    if (!equalIgnoringCase(trimmedSpaces(m_encoding), "chunked"))
+        return "its Transfer-Encoding is not \"chunked\"";
+    return {};
 }
 
 } // namespace Catkinwell
--- a/src/http/ResponseCheck.h
+++ b/src/http/ResponseCheck.h
@@ -12,6 +12,8 @@
     // Returns how many of the bytes may be parsed next. These are fewer than all if the head ends there,
     // or if a fault follows.
     std::size_t accept(std::string_view bytes);
+    // Notes how the parser delimits the body. Precondition: accept() has returned the end of the head.
+    void beginBody(bool isChunked);
 
     // The defect that was found; empty if there is none.
     std::string_view fault() const { return m_fault; }
@@ -29,12 +31,19 @@
     void checkLine(std::string_view line);
     void checkStatusLine(std::string_view line);
     void checkField(std::string_view line);
+    void noteEncoding(std::string_view line);
+    std::string_view encodingFault() const;
 
     Stage m_stage = Stage::StatusLine;
     // What was accepted of a line whose end has not arrived.
     std::string m_line;
+    bool m_isVersion10 = false;
     // Whether the head has a field, which the next line may continue.
     bool m_hasField = false;
+    // Whether the last field is a Transfer-Encoding; the values of all of them.
+    bool m_isEncoding = false;
+    bool m_hasEncoding = false;
+    std::string m_encoding;
     std::string_view m_fault;
 };
 
--- a/tests/http/InvalidResponseTest.cpp
+++ b/tests/http/InvalidResponseTest.cpp
@@ -137,6 +137,39 @@
     checkInvalid(fields, withFields(fields + length), Place::First);
 }
 
+// Guards against a body that is passed on in an encoding whose name is not, or with a length that readers dispute.
+TEST_CASE("A response whose length cannot be told for certain is invalid")
+{
+    const std::string start = "HTTP/1.1 200 OK\r\n";
+    const std::string chunks = "\r\n" + wholeChunk + "0\r\n\r\n";
+    const auto test = GENERATE_COPY(values<InvalidHeadCase>({
+        { "another encoding before the chunks", start + "Transfer-Encoding: gzip, chunked\r\n" + chunks },
+        { "another encoding on a line before", start + "Transfer-Encoding: gzip\r\n" + chunked + chunks },
+        { "another encoding after the chunks", start + "Transfer-Encoding: chunked, gzip\r\n" + chunks },
+        { "another encoding on a line after", start + chunked + "Transfer-Encoding: gzip\r\n" + chunks },
+        { "another encoding alone", start + "Transfer-Encoding: gzip\r\n" + chunks },
+        { "no encoding", start + "Transfer-Encoding: identity\r\n" + chunks },
+        { "empty", start + "Transfer-Encoding:\r\n" + chunks },
+        { "chunks twice", start + chunked + chunked + chunks },
+        { "chunks twice on a line", start + "Transfer-Encoding: chunked, chunked\r\n" + chunks },
+        { "chunks with a parameter", start + "Transfer-Encoding: chunked;a=b\r\n" + chunks },
+        { "quoted", start + "Transfer-Encoding: \"chunked\"\r\n" + chunks },
+        { "a longer word", start + "Transfer-Encoding: xchunked\r\n" + chunks },
+        { "a tab after the word", start + "Transfer-Encoding: chunked\t\r\n" + chunks },
+        { "chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\n" + chunked + chunks },
+        { "chunks and a length", start + chunked + length + chunks },
+        { "a length and chunks", start + length + chunked + chunks },
+        { "two lengths", withFields(length + "Content-Length: 7\r\n") },
+        { "two lengths on a line", withFields("Content-Length: 6, 7\r\n") },
+        { "a sign", withFields("Content-Length: +6\r\n") },
+        { "hexadecimal digits", withFields("Content-Length: 0x6\r\n") },
+        { "two numbers", withFields("Content-Length: 6 6\r\n") },
+        { "no number", withFields("Content-Length:\r\n") },
+        { "more than 64 bits", withFields("Content-Length: 18446744073709551622\r\n") },
+    }));
+    checkInvalid(test.name, test.response, Place::First);
+}
+
 namespace {
 
 struct OddCase {
