Refuse chunks that do not end as their sizes say, and malformed sizes

Cause: in its lenient mode the parser swallows the two bytes behind a chunk and the one behind a CR without a look, and ignores everything between a size and CR. Change: ResponseCheck follows the chunks: the size is hexadecimal digits with extensions behind a semicolon and no control byte, its line ends with CR LF, and so does the chunk. What came before the fault may have been passed on; the answer then ends like one that broke off. RFC 9112, 7.1. Extensions, which a recipient must ignore (7.1.1), blanks around them, blanks behind a size, which leave its meaning plain (RFC 9110, 2.4), and leading zeros stay accepted.

--- a/src/http/ResponseCheck.cpp
+++ b/src/http/ResponseCheck.cpp
@@ -2,11 +2,13 @@
 
 #include "http/HeaderText.h"
 #include "http/ResponseLines.h"
+#include <algorithm>
 
 namespace Catkinwell {
 
 namespace {
 
+    constexpr std::string_view chunkEnd = "\r\n";
     constexpr std::string_view encodingName = "transfer-encoding";
 
 } // namespace
@@ -16,9 +18,7 @@
     std::size_t accepted = 0;
     while (accepted < bytes.size() && m_fault.empty()) {
         const Stage stage = m_stage;
-        if (stage == Stage::Body)
-            return bytes.size();
-        accepted += acceptLine(bytes.substr(accepted));
+        accepted += acceptStage(bytes.substr(accepted));
         // The parser decides what follows.
         if (stage != m_stage && m_stage == Stage::Body)
             break;
@@ -30,32 +30,77 @@
 {
     if (isChunked != m_hasEncoding)
         m_fault = "its Transfer-Encoding cannot be read";
+    if (isChunked)
+        m_stage = Stage::ChunkSize;
+}
+
+std::size_t ResponseCheck::acceptStage(std::string_view bytes)
+{
+    switch (m_stage) {
+    case Stage::Body:
+        return bytes.size();
+    case Stage::ChunkData:
+        return acceptChunkData(bytes);
+    case Stage::ChunkEnd:
+        return acceptChunkEnd(bytes);
+    case Stage::StatusLine:
+    case Stage::Fields:
+    case Stage::ChunkSize:
+        break;
+    }
+    return acceptLine(bytes);
 }
 
 std::size_t ResponseCheck::acceptLine(std::string_view bytes)
 {
     const std::size_t end = bytes.find('\n');
     std::string_view line = bytes.substr(0, end);
-    // The parser bounds the bytes of a head.
+    // The parser bounds the bytes of a head, of the size of a chunk and of trailers.
     if (end == std::string_view::npos || !m_line.empty())
         m_line += line;
     if (end == std::string_view::npos)
         return bytes.size();
     if (!m_line.empty())
         line = m_line;
-    if (line.ends_with('\r'))
+    const bool endsWithCrLf = line.ends_with('\r');
+    if (endsWithCrLf)
         line.remove_suffix(1);
-    checkLine(line);
+    checkLine(line, endsWithCrLf);
     m_line.clear();
     return m_fault.empty() ? end + 1 : 0;
 }
 
-void ResponseCheck::checkLine(std::string_view line)
+std::size_t ResponseCheck::acceptChunkData(std::string_view bytes)
+{
+    const std::size_t accepted = std::min<std::uint64_t>(bytes.size(), m_chunkRest);
+    m_chunkRest -= accepted;
+    if (m_chunkRest == 0)
+        m_stage = Stage::ChunkEnd;
+    return accepted;
+}
+
+std::size_t ResponseCheck::acceptChunkEnd(std::string_view bytes)
+{
+    if (bytes.front() != chunkEnd[m_chunkEndRead]) {
+        m_fault = "a chunk does not end where its size says";
+        return 0;
+    }
+    ++m_chunkEndRead;
+    if (m_chunkEndRead == chunkEnd.size()) {
+        m_chunkEndRead = 0;
+        m_stage = Stage::ChunkSize;
+    }
+    return 1;
+}
+
+void ResponseCheck::checkLine(std::string_view line, bool endsWithCrLf)
 {
     if (line.find('\r') != std::string_view::npos)
         m_fault = "it has a CR without LF";
     else if (m_stage == Stage::StatusLine)
         checkStatusLine(line);
+    else if (m_stage == Stage::ChunkSize)
+        checkChunkSize(line, endsWithCrLf);
     else
         checkField(line);
 }
@@ -110,4 +155,15 @@
     return {};
 }
 
+void ResponseCheck::checkChunkSize(std::string_view line, bool endsWithCrLf)
+{
+    const auto size = chunkSizeOf(line);
+    if (!size || !endsWithCrLf) {
+        m_fault = "the size of a chunk is malformed";
+        return;
+    }
+    m_chunkRest = *size;
+    m_stage = *size == 0 ? Stage::Body : Stage::ChunkData;
+}
+
 } // namespace Catkinwell
--- a/src/http/ResponseCheck.h
+++ b/src/http/ResponseCheck.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -24,13 +25,21 @@
         Fields,
         // Bytes that the parser delimits without this check.
         Body,
+        ChunkSize,
+        ChunkData,
+        ChunkEnd,
     };
 
+    // Each returns how many bytes it accepts.
+    std::size_t acceptStage(std::string_view bytes);
     std::size_t acceptLine(std::string_view bytes);
+    std::size_t acceptChunkData(std::string_view bytes);
+    std::size_t acceptChunkEnd(std::string_view bytes);
 
-    void checkLine(std::string_view line);
+    void checkLine(std::string_view line, bool endsWithCrLf);
     void checkStatusLine(std::string_view line);
     void checkField(std::string_view line);
+    void checkChunkSize(std::string_view line, bool endsWithCrLf);
     void noteEncoding(std::string_view line);
     std::string_view encodingFault() const;
 
@@ -44,6 +53,8 @@
     bool m_isEncoding = false;
     bool m_hasEncoding = false;
     std::string m_encoding;
+    std::uint64_t m_chunkRest = 0;
+    std::size_t m_chunkEndRead = 0;
     std::string_view m_fault;
 };
 
--- a/src/http/ResponseLines.cpp
+++ b/src/http/ResponseLines.cpp
@@ -2,6 +2,7 @@
 
 #include "http/FieldSyntax.h"
 #include "http/HeaderText.h"
+#include <charconv>
 
 namespace Catkinwell {
 
@@ -56,4 +57,16 @@
 
 bool isFoldedLine(std::string_view line) { return line.starts_with(' ') || line.starts_with('\t'); }
 
+std::optional<std::uint64_t> chunkSizeOf(std::string_view line)
+{
+    std::uint64_t size = 0;
+    const char* const end = line.data() + line.size();
+    const auto digits = std::from_chars(line.data(), end, size, 16);
+    if (digits.ec != std::errc())
+        return std::nullopt;
+    const std::string_view extensions = trimmedSpaces({ digits.ptr, static_cast<std::size_t>(end - digits.ptr) });
+    const bool isSound = extensions.empty() || (extensions.starts_with(';') && isFieldValue(extensions));
+    return isSound ? std::optional(size) : std::nullopt;
+}
+
 } // namespace Catkinwell
--- a/src/http/ResponseLines.h
+++ b/src/http/ResponseLines.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <cstdint>
+#include <optional>
 #include <string_view>
 
-// The lines of a response's head, without their ends. All functions are pure and thread safe. A defect is
-// returned as a text that continues "the response is invalid: "; empty if there is none.
+// The lines of a response that are not its body, without their ends. All functions are pure and thread safe. A defect
+// is returned as a text that continues "the response is invalid: "; empty if there is none.
 namespace Catkinwell {
 
 // Blanks between the parts, a missing or odd reason and a later minor version are accepted, as RFC 9112 advises.
@@ -18,4 +20,7 @@
 // Whether the line begins with a blank, as one that continues another does.
 bool isFoldedLine(std::string_view line);
 
+// Returns the size that the line states, whose extensions are ignored; nullopt if it is malformed.
+std::optional<std::uint64_t> chunkSizeOf(std::string_view line);
+
 } // namespace Catkinwell
--- a/tests/http/InvalidResponseTest.cpp
+++ b/tests/http/InvalidResponseTest.cpp
@@ -172,6 +172,71 @@
 
 namespace {
 
+struct BrokenChunksCase {
+    const char* name;
+    std::string chunks;
+    // The part of the body that came before the fault.
+    const char* expectedBody;
+};
+
+void checkChunksInvalid(const BrokenChunksCase& test)
+{
+    const bool inParts = GENERATE(false, true);
+    const std::string response = withChunks(test.chunks);
+    ScriptedServer::Step step { response };
+    if (inParts)
+        step = { response.substr(0, response.size() - 1), response.substr(response.size() - 1),
+            std::chrono::milliseconds(20) };
+    ScriptedExchanges fixture({ step, { withStatusLine("HTTP/1.1 200 OK") } });
+    fixture.echoHeader = "";
+    INFO(test.name << (inParts ? ", last byte later" : ""));
+    const ExchangeOutcome outcome = fixture.request("invalid");
+    INFO("body \"" << outcome.body << "\", reason: " << outcome.reason);
+    CHECK_FALSE(outcome.isFinished);
+    CHECK(outcome.failure == AttemptFailure::Garbage);
+    CHECK(outcome.body == test.expectedBody);
+    CHECK(fixture.request("next").body == "whole!");
+    CHECK(fixture.server.connections() == 2);
+}
+
+} // namespace
+
+// Guards against a body that is read with other limits than its server meant.
+TEST_CASE("A response whose chunks do not end as their sizes say is invalid")
+{
+    checkChunksInvalid(GENERATE(values<BrokenChunksCase>({
+        { "longer than its size", "6\r\nwhole!XX0\r\n\r\n", "whole!" },
+        { "longer by one byte", "6\r\nwhole!X\r\n0\r\n\r\n", "whole!" },
+        { "CR without LF after it", "6\r\nwhole!\rX0\r\n\r\n", "whole!" },
+        { "LF alone after it", "6\r\nwhole!\n0\r\n\r\n", "whole!" },
+        { "shorter than its size", "8\r\nwhole!\r\n0\r\n\r\n", "whole!\r\n" },
+        { "second chunk longer", wholeChunk + "3\r\nsome\r\n0\r\n\r\n", "whole!som" },
+    })));
+}
+
+TEST_CASE("A response with a malformed size of a chunk is invalid")
+{
+    checkChunksInvalid(GENERATE(values<BrokenChunksCase>({
+        { "CR without LF", "6\rXwhole!\r\n0\r\n\r\n", "" },
+        { "LF alone", "6\nwhole!\r\n0\r\n\r\n", "" },
+        { "LF alone after an extension", "6;a\nwhole!\r\n0\r\n\r\n", "" },
+        { "control byte in an extension", "6;\x01\r\nwhole!\r\n0\r\n\r\n", "" },
+        { "bare CR in an extension", "6;a\rb\r\nwhole!\r\n0\r\n\r\n", "" },
+        { "two numbers", "6 7\r\nwhole!\r\n0\r\n\r\n", "" },
+        { "a name without a semicolon", "6 a=b\r\nwhole!\r\n0\r\n\r\n", "" },
+        { "blank before it", " 6\r\nwhole!\r\n0\r\n\r\n", "" },
+        { "sign", "+6\r\nwhole!\r\n0\r\n\r\n", "" },
+        { "prefix", "0x6\r\nwhole!\r\n0\r\n\r\n", "" },
+        { "no digits", "\r\nwhole!\r\n0\r\n\r\n", "" },
+        { "no digits before an extension", ";a\r\nwhole!\r\n0\r\n\r\n", "" },
+        { "more than 64 bits", "10000000000000006\r\nwhole!\r\n0\r\n\r\n", "" },
+        { "of the last chunk", wholeChunk + "0\rX\r\n", "whole!" },
+        { "of the last chunk, two numbers", wholeChunk + "0 1\r\n\r\n", "whole!" },
+    })));
+}
+
+namespace {
+
 struct OddCase {
     const char* name;
     std::string response;
