Refuse heads that end with CR and another byte than LF

What callers saw: an answer whose head ends with CR and another byte counted as whole, without that byte. Cause: the parser ends a head at the byte behind the CR, whatever it is, and it was given the bytes of a line before the line was checked whole. Change: ResponseCheck refuses a CR without LF as soon as the byte behind it comes, so the parser never sees that byte.

--- a/src/http/ResponseCheck.cpp
+++ b/src/http/ResponseCheck.cpp
@@ -10,6 +10,7 @@
 
     constexpr std::string_view chunkEnd = "\r\n";
     constexpr std::string_view encodingName = "transfer-encoding";
+    constexpr std::string_view bareCrFault = "it has a CR without LF";
 
 } // namespace
 
@@ -54,14 +55,13 @@
 std::size_t ResponseCheck::acceptLine(std::string_view bytes)
 {
     const std::size_t end = bytes.find('\n');
+    if (end == std::string_view::npos)
+        return acceptPartOfLine(bytes);
     std::string_view line = bytes.substr(0, end);
-    // The parser bounds the bytes of a head, of the size of a chunk and of trailers.
-    if (end == std::string_view::npos || !m_line.empty())
+    if (!m_line.empty()) {
         m_line += line;
-    if (end == std::string_view::npos)
-        return bytes.size();
-    if (!m_line.empty())
         line = m_line;
+    }
     const bool endsWithCrLf = line.ends_with('\r');
     if (endsWithCrLf)
         line.remove_suffix(1);
@@ -70,6 +70,18 @@
     return m_fault.empty() ? end + 1 : 0;
 }
 
+// The parser ends some lines at a CR, so only LF may come behind one. It bounds the bytes of a line.
+std::size_t ResponseCheck::acceptPartOfLine(std::string_view bytes)
+{
+    const std::size_t unchecked = m_line.empty() ? 0 : m_line.size() - 1;
+    m_line += bytes;
+    const std::size_t found = m_line.find('\r', unchecked);
+    if (found == std::string::npos || found + 1 == m_line.size())
+        return bytes.size();
+    m_fault = bareCrFault;
+    return 0;
+}
+
 std::size_t ResponseCheck::acceptChunkData(std::string_view bytes)
 {
     const std::size_t accepted = std::min<std::uint64_t>(bytes.size(), m_chunkRest);
@@ -96,7 +108,7 @@
 void ResponseCheck::checkLine(std::string_view line, bool endsWithCrLf)
 {
     if (line.find('\r') != std::string_view::npos)
-        m_fault = "it has a CR without LF";
+        m_fault = bareCrFault;
     else if (m_stage == Stage::StatusLine)
         checkStatusLine(line);
     else if (m_stage == Stage::ChunkSize)
--- a/src/http/ResponseCheck.h
+++ b/src/http/ResponseCheck.h
@@ -33,6 +33,7 @@
     // Each returns how many bytes it accepts.
     std::size_t acceptStage(std::string_view bytes);
     std::size_t acceptLine(std::string_view bytes);
+    std::size_t acceptPartOfLine(std::string_view bytes);
     std::size_t acceptChunkData(std::string_view bytes);
     std::size_t acceptChunkEnd(std::string_view bytes);
 
--- a/tests/http/InvalidResponseTest.cpp
+++ b/tests/http/InvalidResponseTest.cpp
@@ -137,6 +137,22 @@
     checkInvalid(fields, withFields(fields + length), Place::First);
 }
 
+// Guards against a head that the parser ends at a CR, although its line goes on.
+TEST_CASE("A response whose head ends with CR and another byte than LF is invalid")
+{
+    const auto end = GENERATE(values<std::string>({ "\rX", "\r\r\n", "\r \n" }));
+    const std::string response = "HTTP/1.1 200 OK\r\n" + length + end + "whole!";
+    checkInvalid(end, response, Place::First);
+    // The byte behind the CR comes in a read of its own.
+    ScriptedServer::Step step { response };
+    step.isSlow = true;
+    ScriptedExchanges fixture({ step });
+    fixture.echoHeader = "";
+    const ExchangeOutcome outcome = fixture.request("slow");
+    CHECK(outcome.failure == AttemptFailure::Garbage);
+    CHECK(outcome.status == 0);
+}
+
 // Guards against a body that is passed on in an encoding whose name is not, or with a length that readers dispute.
 TEST_CASE("A response whose length cannot be told for certain is invalid")
 {
