Refuse responses with malformed trailers

What callers saw: an answer in chunks whose trailer has a blank in its name, a control byte in its value, or another byte than LF at its end counted as whole. Trailers themselves are not passed on. Cause: the same as for the fields of a head: the parser's lenient mode alone. Change: ResponseCheck checks trailers like the fields of a head. RFC 9112, 7.1.2: trailers are fields. Those that state a length or an encoding are ignored with the others (RFC 9110, 6.5.1), and lines that end with LF stay accepted.

--- a/src/http/ResponseCheck.cpp
+++ b/src/http/ResponseCheck.cpp
@@ -47,6 +47,7 @@
     case Stage::StatusLine:
     case Stage::Fields:
     case Stage::ChunkSize:
+    case Stage::Trailers:
         break;
     }
     return acceptLine(bytes);
@@ -137,7 +138,8 @@
     const bool isFolded = m_hasField && isFoldedLine(line);
     m_fault = isFolded ? findFoldedLineFault(line) : findFieldLineFault(line);
     m_hasField = true;
-    noteEncoding(line);
+    if (m_stage == Stage::Fields)
+        noteEncoding(line);
 }
 
 void ResponseCheck::noteEncoding(std::string_view line)
@@ -175,7 +177,8 @@
         return;
     }
     m_chunkRest = *size;
-    m_stage = *size == 0 ? Stage::Body : Stage::ChunkData;
+    m_stage = *size == 0 ? Stage::Trailers : Stage::ChunkData;
+    m_hasField = false;
 }
 
 } // namespace Catkinwell
--- a/src/http/ResponseCheck.h
+++ b/src/http/ResponseCheck.h
@@ -10,7 +10,7 @@
 // let a recipient take, and other readers may take that differently. Not thread safe.
 class ResponseCheck {
 public:
-    // Returns how many of the bytes may be parsed next. These are fewer than all if the head ends there,
+    // Returns how many of the bytes may be parsed next. These are fewer than all if the head or the trailers end there,
     // or if a fault follows.
     std::size_t accept(std::string_view bytes);
     // Notes how the parser delimits the body. Precondition: accept() has returned the end of the head.
@@ -28,6 +28,7 @@
         ChunkSize,
         ChunkData,
         ChunkEnd,
+        Trailers,
     };
 
     // Each returns how many bytes it accepts.
@@ -48,7 +49,7 @@
     // What was accepted of a line whose end has not arrived.
     std::string m_line;
     bool m_isVersion10 = false;
-    // Whether the head has a field, which the next line may continue.
+    // Whether the head or the trailers have a field, which the next line may continue.
     bool m_hasField = false;
     // Whether the last field is a Transfer-Encoding; the values of all of them.
     bool m_isEncoding = false;
--- a/src/http/ResponseLines.h
+++ b/src/http/ResponseLines.h
@@ -11,7 +11,7 @@
 // Blanks between the parts, a missing or odd reason and a later minor version are accepted, as RFC 9112 advises.
 std::string_view findStatusLineFault(std::string_view line);
 
-// The line is one of a head, and does not continue another.
+// The line is one of a head or of trailers, and does not continue another.
 std::string_view findFieldLineFault(std::string_view line);
 
 // The line continues the value of the field before it.
--- a/tests/http/InvalidResponseTest.cpp
+++ b/tests/http/InvalidResponseTest.cpp
@@ -251,6 +251,22 @@
     })));
 }
 
+// Guards against a trailer that is taken for sound though its name, value or end is not.
+TEST_CASE("A response with a malformed trailer is invalid")
+{
+    checkChunksInvalid(GENERATE(values<BrokenChunksCase>({
+        { "blank in the name", wholeChunk + "0\r\nX Odd: 1\r\n\r\n", "whole!" },
+        { "blank before the colon", wholeChunk + "0\r\nX-Odd : 1\r\n\r\n", "whole!" },
+        { "blank before the name", wholeChunk + "0\r\n X-Odd: 1\r\n\r\n", "whole!" },
+        { "tab before the colon", wholeChunk + "0\r\nX-Odd\t: 1\r\n\r\n", "whole!" },
+        { "control byte in the name", wholeChunk + "0\r\nX\x01Odd: 1\r\n\r\n", "whole!" },
+        { "control byte in the value", wholeChunk + "0\r\nX-Odd: \x01\r\n\r\n", "whole!" },
+        { "second field", wholeChunk + "0\r\nX-Even: 1\r\nX-Odd : 1\r\n\r\n", "whole!" },
+        { "bare CR", wholeChunk + "0\r\nX-Odd: \rX-Even: 1\r\n\r\n", "whole!" },
+        { "no LF at the end", wholeChunk + "0\r\n\rX", "whole!" },
+    })));
+}
+
 namespace {
 
 struct OddCase {
