Read the answers of hosts in the administration client like all other answers

What operators saw: catkinwell admin took an answer with status 20, 200x or 999, with blanks and control bytes in the names and values of fields, with a sign in its length, with an encoding that it does not know, "0x2" as the size of a chunk, or a blank in the name of a trailer for the host's answer, and showed or acted on its body. Cause: HttpAdminTransport was the last reader on evhttp, which is as lenient as the parser and has no check before it. Change: HttpAdminTransport reads with HttpClient, and so with ResponseCheck. An answer that is not valid HTTP is an error of its own that names the defect; as before, the operator is told that a change may have taken effect. Names of hosts are resolved as before. evhttp dropped fields whose values it would not send; the client now says so and sends nothing. Evidence: AdminTransportTest, "The client takes no broken answer of a host": on 11 of its 18 rows were taken as answers; the other 7 (status 000, HTTP/2.0, two lengths, a length beside chunks, a chunk longer than its size, a blank in the name of the length, no answer) were reported as no answer at all. All pass now, as do the tests of the command over a connection.

--- a/src/admin/AdminClient.cpp
+++ b/src/admin/AdminClient.cpp
@@ -1,62 +1,66 @@
 #include <admin/AdminClient.h>
 
-#include <catkinwell/core/EnumNames.h>
+#include "http/FieldSyntax.h"
+#include <array>
+#include <catkinwell/http/HttpClient.h>
 #include <charconv>
-#include <event2/buffer.h>
-#include <event2/event.h>
-#include <event2/http.h>
-#include <event2/keyvalq_struct.h>
+#include <event2/util.h>
 #include <memory>
+#include <netdb.h>
 
 namespace Catkinwell {
 
 namespace {
 
-    constexpr EnumNames<evhttp_cmd_type, 4> methodNames { {
-        { EVHTTP_REQ_GET, "GET" },
-        { EVHTTP_REQ_PUT, "PUT" },
-        { EVHTTP_REQ_POST, "POST" },
-        { EVHTTP_REQ_DELETE, "DELETE" },
-    } };
+    constexpr std::size_t maximumAnswerBytes = 64 << 20;
 
-    constexpr ev_ssize_t maximumAnswerBytes = 64 << 20;
+    using AddressList = std::unique_ptr<evutil_addrinfo, decltype(&evutil_freeaddrinfo)>;
 
-    using BasePointer = std::unique_ptr<event_base, decltype(&event_base_free)>;
-    using ConnectionPointer = std::unique_ptr<evhttp_connection, decltype(&evhttp_connection_free)>;
+    // Returns the first IP address and port that the name stands for; empty if there is none.
+    std::string resolve(const std::string& host, std::uint16_t port)
+    {
+        evutil_addrinfo hints {};
+        hints.ai_socktype = SOCK_STREAM;
+        evutil_addrinfo* found = nullptr;
+        const std::string portText = std::to_string(port);
+        if (evutil_getaddrinfo(host.c_str(), portText.c_str(), &hints, &found) != 0)
+            return {};
+        const AddressList list(found, &evutil_freeaddrinfo);
+        std::array<char, NI_MAXHOST> address {};
+        if (getnameinfo(list->ai_addr, list->ai_addrlen, address.data(), address.size(), nullptr, 0, NI_NUMERICHOST)
+            != 0)
+            return {};
+        const std::string text = address.data();
+        return (list->ai_family == AF_INET6 ? "[" + text + "]" : text) + ":" + portText;
+    }
 
+    // One exchange that has been waited for.
     struct Exchange {
-        event_base* base = nullptr;
-        bool answered = false;
         ClientResponse response;
+        std::optional<AttemptFailure> failure;
+        std::string reason;
     };
 
-    void receive(evhttp_request* request, void* context)
-    {
-        auto* exchange = static_cast<Exchange*>(context);
-        event_base_loopbreak(exchange->base);
-        // The response code is 0 if the connection was refused or closed before an answer.
-        if (!request || evhttp_request_get_response_code(request) == 0)
-            return;
-        exchange->answered = true;
-        exchange->response.status = evhttp_request_get_response_code(request);
-        const evkeyvalq* headers = evhttp_request_get_input_headers(request);
-        for (const evkeyval* header = headers->tqh_first; header; header = header->next.tqe_next)
-            exchange->response.headers.emplace_back(header->key, header->value);
-        evbuffer* buffer = evhttp_request_get_input_buffer(request);
-        exchange->response.body.resize(evbuffer_get_length(buffer));
-        evbuffer_copyout(buffer, exchange->response.body.data(), exchange->response.body.size());
-    }
-
-    void addHeader(evhttp_request* request, const std::string& name, const std::string& value)
-    {
-        evhttp_add_header(evhttp_request_get_output_headers(request), name.c_str(), value.c_str());
-    }
-
-    timeval timevalOf(Duration duration)
+    Exchange waitFor(const HttpExchange& request)
     {
-        const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(duration);
-        const auto rest = std::chrono::duration_cast<std::chrono::microseconds>(duration - seconds);
-        return { seconds.count(), rest.count() };
+        EventLoop loop;
+        HttpClient client(loop);
+        Exchange exchange;
+        HttpExchangeObserver observer;
+        observer.onHead = [&exchange](int status, const HeaderList& headers) {
+            exchange.response.status = status;
+            exchange.response.headers = headers;
+        };
+        observer.onData = [&exchange](const std::string& data) { exchange.response.body += data; };
+        observer.onFinished = [&loop] { loop.stop(); };
+        observer.onFailed = [&](AttemptOutcome, AttemptFailure failure, std::string reason) {
+            exchange.failure = failure;
+            exchange.reason = std::move(reason);
+            loop.stop();
+        };
+        client.start(request, std::move(observer));
+        loop.run();
+        return exchange;
     }
 
 } // namespace
@@ -91,35 +95,34 @@
 
 Result<ClientResponse> HttpAdminTransport::send(const ClientRequest& request)
 {
-    const auto method = methodNames.valueOf(request.method);
-    if (!method)
-        return Error { ErrorKind::Internal, "the method " + request.method + " is not supported" };
-    const BasePointer base(event_base_new(), &event_base_free);
-    const ConnectionPointer connection(
-        evhttp_connection_base_new(base.get(), nullptr, m_host.c_str(), m_port), &evhttp_connection_free);
-    if (!base || !connection)
-        return Error { ErrorKind::Internal, "the HTTP connection object could not be created" };
-    const timeval timeout = timevalOf(m_timeout);
-    evhttp_connection_set_timeout_tv(connection.get(), &timeout);
-    evhttp_connection_set_max_body_size(connection.get(), maximumAnswerBytes);
-    Exchange exchange { base.get(), false, {} };
-    evhttp_request* message = evhttp_request_new(&receive, &exchange);
-    addHeader(message, "Host", m_authority);
-    addHeader(message, "Connection", "close");
+    HttpExchange exchange;
+    exchange.address = resolve(m_host, m_port);
+    exchange.method = request.method;
+    exchange.target = request.target;
+    exchange.headers = { { "Host", m_authority }, { "Connection", "close" } };
     if (!m_token.empty())
-        addHeader(message, "Authorization", "Bearer " + m_token);
-    for (const auto& [name, value] : request.headers)
-        addHeader(message, name, value);
-    if (!request.body.empty()) {
-        addHeader(message, "Content-Type", "application/json");
-        evbuffer_add(evhttp_request_get_output_buffer(message), request.body.data(), request.body.size());
+        exchange.headers.emplace_back("Authorization", "Bearer " + m_token);
+    if (!request.body.empty())
+        exchange.headers.emplace_back("Content-Type", "application/json");
+    exchange.headers.insert(exchange.headers.end(), request.headers.begin(), request.headers.end());
+    for (const auto& [name, value] : exchange.headers) {
+        if (!isFieldValue(value))
+            return Error { ErrorKind::InvalidRequest,
+                "the value of " + name + " has a control character; write it on one line" };
     }
-    if (evhttp_make_request(connection.get(), message, *method, request.target.c_str()) == 0)
-        event_base_dispatch(base.get());
-    if (!exchange.answered)
+    exchange.body = request.body;
+    exchange.connectTimeout = m_timeout;
+    exchange.silenceTimeout = m_timeout;
+    exchange.maximumBodyBytes = maximumAnswerBytes;
+    Exchange ended = waitFor(exchange);
+    if (ended.failure == AttemptFailure::Garbage)
+        return Error { ErrorKind::InvalidMessage,
+            "the answer of " + m_authority + " cannot be read (" + ended.reason
+                + "); check that the address is that of a host's administration listener" };
+    if (ended.failure)
         return Error { ErrorKind::Timeout,
             "no answer from " + m_authority + "; check the address and whether the host is running" };
-    return exchange.response;
+    return std::move(ended.response);
 }
 
 } // namespace Catkinwell
--- a/src/admin/AdminClient.h
+++ b/src/admin/AdminClient.h
@@ -25,7 +25,8 @@
 class AdminTransport {
 public:
     virtual ~AdminTransport() = default;
-    // Errors: Timeout if no answer arrived; the host may have carried out the request.
+    // Errors: Timeout if no answer arrived, InvalidMessage if it is not valid HTTP; the host may have carried out the
+    // request. InvalidRequest if a field cannot be sent; the request was not sent.
     virtual Result<ClientResponse> send(const ClientRequest&) = 0;
 };
 
