Log and count responses that are not valid HTTP

What operators saw: nothing, if the store, a report or an order got a broken answer; the failed attempt of a request names the defect, but no counter did. Change: HttpClient tells of each response that it gives up as invalid; the reducers of serve and of gateways log event 1110 (response_invalid) with the peer's address and the defect, and count catkinwell_invalid_responses_total by peer. MetricsRegistryTest names the last metric, which is the new one, as strictly as before.

--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -28,7 +28,7 @@
 using GatewayEvent = std::variant<Tick, ShutdownSignal, RequestArrived, RelayedRequestArrived, AdminRequestArrived,
     CallerLeft, CallerBackpressure, AttemptHead, AttemptData, AttemptFinished, AttemptFailed, StoreReply,
     PeerMessageReceived, EngineStatus, EngineStatusFailed, EngineOrderFinished, RunReport, RunReportFailed,
-    GatewaySettingsChanged, StoreRestored, RequestsCounted, OutputBuffered>;
+    GatewaySettingsChanged, StoreRestored, RequestsCounted, OutputBuffered, InvalidResponseReceived>;
 
 // How long the runtime may go on after the grace time's last attempt has ended, to refuse what arrives last and to
 // write the answers out, and after ExitProcess to have the last store calls answered.
--- a/include/catkinwell/http/HttpClient.h
+++ b/include/catkinwell/http/HttpClient.h
@@ -87,6 +87,9 @@
 
     std::size_t runningExchanges() const;
 
+    // Emitted before the exchange fails with Garbage.
+    sigc::signal<void(const InvalidResponseReceived&)>& signalInvalidResponse();
+
 private:
     class Implementation;
     std::unique_ptr<Implementation> m_implementation;
--- a/include/catkinwell/http/HttpTypes.h
+++ b/include/catkinwell/http/HttpTypes.h
@@ -102,6 +102,14 @@
     bool mayBeWithheld = false;
 };
 
+// An event: a peer sent bytes that are not a valid response, or more of them than a response may have. The exchange
+// failed, and its connection was closed.
+struct InvalidResponseReceived {
+    // IP address and port of the peer.
+    std::string address;
+    std::string reason;
+};
+
 // An effect: cancels the attempt. No event with this identifier follows.
 struct CancelAttempt {
     AttemptId id;
--- a/include/catkinwell/logging/LogEvent.h
+++ b/include/catkinwell/logging/LogEvent.h
@@ -43,6 +43,7 @@
     CallerGone = 1107,
     UnfinishedRequestsRejected = 1108,
     ConnectionsRefused = 1109,
+    ResponseInvalid = 1110,
     // 1200: routing
     EndpointChosen = 1200,
     AttemptFailedEvent = 1201,
--- a/include/catkinwell/metrics/Metric.h
+++ b/include/catkinwell/metrics/Metric.h
@@ -46,6 +46,7 @@
     EvacuatedDataCentre,
     ColdEndpoints,
     ColdAttemptsTotal,
+    InvalidResponsesTotal,
 };
 
 // An effect: adds to a counter, sets a gauge or records a sample of a summary.
--- a/include/catkinwell/reducer/Event.h
+++ b/include/catkinwell/reducer/Event.h
@@ -33,6 +33,6 @@
 // The events that a host's reducer handles.
 using Event = std::variant<Tick, ShutdownSignal, RequestArrived, AdminRequestArrived, CallerLeft, CallerBackpressure,
     AttemptHead, AttemptData, AttemptFinished, AttemptFailed, StoreReply, PeerMessageReceived, EndpointReport,
-    EndpointReportFailed, PlacementCommandFinished, RelayedRequestArrived, RequestsCounted>;
+    EndpointReportFailed, PlacementCommandFinished, RelayedRequestArrived, RequestsCounted, InvalidResponseReceived>;
 
 } // namespace Catkinwell
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -1,6 +1,7 @@
 #include <catkinwell/gateway/GatewayReducer.h>
 
 #include <algorithm>
+#include <catkinwell/reducer/InvalidResponses.h>
 #include <catkinwell/store/StoreCallKind.h>
 #include <nlohmann/json.hpp>
 
@@ -177,6 +178,7 @@
     }
     void operator()(const GatewaySettingsChanged& event) const { reducer.handleSettings(event.settings, now); }
     void operator()(const RequestsCounted& event) const { reducer.handle(event, effects); }
+    void operator()(const InvalidResponseReceived& event) const { reportInvalidResponse(event, effects); }
     void operator()(const OutputBuffered& event) const { reducer.m_requests.handle(event); }
     void operator()(const StoreRestored& event) const { reducer.handleStoreRestored(event, now, effects); }
 };
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -55,6 +55,7 @@
     void withholdUnsent(const std::string& key);
     void setPaused(ExchangeId id, bool paused);
     std::size_t runningExchanges() const { return m_running.size(); }
+    sigc::signal<void(const InvalidResponseReceived&)>& signalInvalidResponse() { return m_signalInvalidResponse; }
 
 private:
     class Connection;
@@ -79,6 +80,7 @@
     ExchangeId m_lastId = 0;
     std::unordered_map<ExchangeId, std::unique_ptr<Connection>> m_running;
     std::map<std::string, ConnectionList> m_idle;
+    sigc::signal<void(const InvalidResponseReceived&)> m_signalInvalidResponse;
 };
 
 // One connection and its current exchange, if any.
@@ -401,6 +403,8 @@
     const HttpExchangeObserver observer = std::move(m_observer);
     const AttemptOutcome outcome = m_isOpen ? AttemptOutcome::Unknown : AttemptOutcome::NotSent;
     m_owner.release(*this, false);
+    if (failure == AttemptFailure::Garbage)
+        m_owner.m_signalInvalidResponse.emit({ m_address, reason });
     observer.onFailed(outcome, failure, reason);
 }
 
@@ -599,4 +603,9 @@
 
 std::size_t HttpClient::runningExchanges() const { return m_implementation->runningExchanges(); }
 
+sigc::signal<void(const InvalidResponseReceived&)>& HttpClient::signalInvalidResponse()
+{
+    return m_implementation->signalInvalidResponse();
+}
+
 } // namespace Catkinwell
--- a/src/logging/LogEvent.cpp
+++ b/src/logging/LogEvent.cpp
@@ -80,6 +80,11 @@
             "Callers' connections were closed at once, because the process keeps the remaining file descriptors for "
             "the store, other hosts and endpoints.",
             "Find callers that open connections without need, add hosts, or raise the limit on open files." },
+        { LogEvent::ResponseInvalid, Warning, "response_invalid",
+            "An endpoint, the store or another host sent a response that is not valid HTTP; nothing more of it was "
+            "used "
+            "and its connection was closed.",
+            "Examine the server at the address in the field \"address\"; the field \"reason\" names the defect." },
         // 1200: routing
         { LogEvent::EndpointChosen, Info, "endpoint_chosen",
             "A request was sent to the chosen endpoint; the fields give each candidate's score.", "" },
--- a/src/metrics/MetricCatalogue.cpp
+++ b/src/metrics/MetricCatalogue.cpp
@@ -60,6 +60,8 @@
             "Endpoints that this host treats as cold after their start." },
         { Metric::ColdAttemptsTotal, Counter, "cold_attempts_total", "service",
             "Attempts and health checks that this host sent to cold endpoints." },
+        { Metric::InvalidResponsesTotal, Counter, "invalid_responses_total", "peer",
+            "Responses of endpoints, the store and other hosts that were not valid HTTP." },
     };
     return catalogue;
 }
--- a/src/reducer/Reducer.cpp
+++ b/src/reducer/Reducer.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <catkinwell/core/Digest.h>
 #include <catkinwell/metrics/RequestMetrics.h>
+#include <catkinwell/reducer/InvalidResponses.h>
 
 namespace Catkinwell {
 
@@ -109,6 +110,7 @@
             reducer.m_metrics.record(metric);
         reducer.m_callerCounts = event.counts;
     }
+    void operator()(const InvalidResponseReceived& event) const { reportInvalidResponse(event, effects); }
     void operator()(const AdminRequestArrived& event) const
     {
         reducer.m_admin.handle(event, now, reducer.m_wallNow, effects);
--- a/src/runtime/GatewayRuntime.cpp
+++ b/src/runtime/GatewayRuntime.cpp
@@ -197,6 +197,7 @@
         });
     m_store.signalRestored().connect(postEvent);
     m_store.signalReply().connect(postEvent);
+    m_client.signalInvalidResponse().connect(postEvent);
     m_engines.signalStatus().connect(postEvent);
     m_engines.signalStatusFailed().connect(postEvent);
     m_engines.signalRuns().connect(postEvent);
--- a/src/runtime/Runtime.cpp
+++ b/src/runtime/Runtime.cpp
@@ -177,6 +177,7 @@
     });
     m_administration.signalCallerLeft().connect(postEvent);
     m_store.signalReply().connect(postEvent);
+    m_client.signalInvalidResponse().connect(postEvent);
     m_peers.messageReceived().connect(postEvent);
     m_peers.logEntry().connect([this](const LogEntry& entry) { m_log.write(entry); });
     m_engines.signalReport().connect(postEvent);
--- a/tests/metrics/MetricsRegistryTest.cpp
+++ b/tests/metrics/MetricsRegistryTest.cpp
@@ -81,7 +81,7 @@
         CHECK(!description.help.empty());
         CHECK((description.kind == MetricKind::Counter) == description.name.ends_with("_total"));
     }
-    CHECK(metricCatalogue().back().metric == Metric::ColdAttemptsTotal);
+    CHECK(metricCatalogue().back().metric == Metric::InvalidResponsesTotal);
 }
 
 // Guards against inaccurate estimates: the rank error of each must be within two percentage points.
