Do not repeat broken outcomes that an earlier release recorded

What callers would see: an order that ran and whose answer was broken is recorded with that answer; its repeated request gets it, from hosts with the mended reader as well, as long as the entry is kept. Cause: the recorded outcome of a keyed order is an answer, too, and was taken from the store as it stands. Change: an outcome whose status is not from 200 to 599, or that has a name or a value of a field that no response may have, counts as malformed. An entry with it is unknown, and the caller is told so (earlier_outcome_unknown).

--- a/src/orders/ShardValue.cpp
+++ b/src/orders/ShardValue.cpp
@@ -1,5 +1,7 @@
 #include "orders/ShardValue.h"
 
+#include "http/FieldSyntax.h"
+#include <algorithm>
 #include <catkinwell/core/BoundedJson.h>
 #include <catkinwell/core/Digest.h>
 #include <charconv>
@@ -51,6 +53,16 @@
             binaryOf(outcome.body), outcome.bodyDigest });
     }
 
+    // Whether the outcome is one that a response may have, unlike some that earlier releases recorded.
+    bool isResponse(const StoredOutcome& outcome)
+    {
+        const bool hasFinalStatus = outcome.status >= 200 && outcome.status <= 599;
+        return hasFinalStatus && std::all_of(outcome.headers.begin(), outcome.headers.end(), [](const auto& header) {
+            return isToken(header.first) && isFieldValue(header.second);
+        });
+    }
+
+    // Throws Json::exception if the outcome is malformed.
     StoredOutcome outcomeFromJson(const Json& json)
     {
         StoredOutcome outcome;
@@ -61,6 +73,8 @@
             outcome.headers.emplace_back(textOf(headers[i]), textOf(headers[i + 1]));
         outcome.body = textOf(json.at(3));
         outcome.bodyDigest = json.at(4).get<std::string>();
+        if (!isResponse(outcome))
+            throw Json::other_error::create(501, "the outcome is no valid response", nullptr);
         return outcome;
     }
 
--- a/src/orders/ShardValue.h
+++ b/src/orders/ShardValue.h
@@ -100,6 +100,7 @@
 
 // Encodes an outcome that is stored in a separate value.
 std::string encodeOutcome(const StoredOutcome&);
+// Returns nothing if the text is malformed or the outcome is no valid response.
 std::optional<StoredOutcome> decodeOutcome(std::string_view);
 
 // Encodes and decodes an entry for messages between hosts. entryFromJson() returns nothing if the text is malformed.
