Pass on no event twice when a stream goes on behind its last event

What callers saw: a stream whose last chunk is broken now goes on at another endpoint, behind its last event; an endpoint that begins with that event again got it passed on twice. Cause: the buffer of a resumable stream took whatever the next endpoint sent as new. Change: the first event of a continuation is left out if it bears the identifier of the last one passed on.

--- a/include/catkinwell/gateway/EventStreamBuffer.h
+++ b/include/catkinwell/gateway/EventStreamBuffer.h
@@ -11,15 +11,17 @@
 // can resume at another endpoint without a truncated or repeated event. Not thread safe.
 class EventStreamBuffer {
 public:
-    // Appends data and returns the buffered bytes up to the end of the last complete event.
+    // Appends data and returns the buffered bytes up to the end of the last complete event. A stream that goes on
+    // behind its last event may begin with that event, which is left out.
     std::string take(std::string_view data);
     // Returns the identifier of the last returned event; empty if there was none.
     const std::string& lastEventId() const { return m_lastEventId; }
     // Bytes of an event that is not complete.
     std::size_t bufferedBytes() const { return m_partial.size(); }
-    // Discards the buffered part of an incomplete event.
+    // Discards the buffered part of an incomplete event; another stream goes on behind the last returned one.
     void dropPartial()
     {
+        m_mayRepeat = !m_lastEventId.empty();
         m_partial.clear();
         m_position = EventStreamPosition();
     }
@@ -27,11 +29,13 @@
     std::string takeRest() { return std::exchange(m_partial, {}); }
 
 private:
-    void updateLastEventId(std::string_view events);
+    // Returns the size of the first of the complete events if it repeats the last returned one, otherwise 0.
+    std::size_t repeatedBytes(std::string_view events) const;
 
     std::string m_partial;
     EventStreamPosition m_position;
     std::string m_lastEventId;
+    bool m_mayRepeat = false;
 };
 
 } // namespace Catkinwell
--- a/tests/gateway/EventStreamBufferTest.cpp
+++ b/tests/gateway/EventStreamBufferTest.cpp
@@ -39,3 +39,38 @@
     CHECK(buffer.take("id: 2\n\n") == "id: 2\n\n");
     CHECK(buffer.lastEventId() == "2");
 }
+
+namespace {
+
+struct RepeatCase {
+    const char* name;
+    std::string before;
+    std::string rest;
+    std::string expectedRest;
+};
+
+} // namespace
+
+// Guards against an event that comes twice because the stream broke behind it and an endpoint begins with it again.
+TEST_CASE("A stream that goes on does not repeat the last event")
+{
+    const auto test = GENERATE(values<RepeatCase>({
+        { "the last event again", "id: 1\n\nid: 2\ndata: b\n\n", "id: 2\ndata: b\n\n", "" },
+        { "and others", "id: 1\n\n", "id: 1\n\nid: 2\n\nid: 3\n\n", "id: 2\n\nid: 3\n\n" },
+        { "CRLF", "id: 1\r\n\r\n", "id: 1\r\n\r\nid: 2\r\n\r\n", "id: 2\r\n\r\n" },
+        { "CR", "id: 1\r\r", "id: 1\r\rid: 2\r\r", "id: 2\r\r" },
+        { "only others", "id: 1\n\n", "id: 2\n\nid: 1\n\n", "id: 2\n\nid: 1\n\n" },
+        { "no identifiers", "data: a\n\n", "data: a\n\n", "data: a\n\n" },
+        { "events without an identifier", "id: 1\n\n", "data: a\n\nid: 2\n\n", "data: a\n\nid: 2\n\n" },
+        { "twice the same in one stream", "id: 1\n\nid: 1\n\n", "id: 2\n\nid: 2\n\n", "id: 2\n\nid: 2\n\n" },
+    }));
+    for (std::size_t cut = 0; cut <= test.rest.size(); ++cut) {
+        INFO(test.name << ", cut at byte " << cut);
+        EventStreamBuffer buffer;
+        CHECK(buffer.take(test.before) == test.before);
+        buffer.dropPartial();
+        std::string passed = buffer.take(test.rest.substr(0, cut));
+        passed += buffer.take(test.rest.substr(cut));
+        CHECK(passed + buffer.takeRest() == test.expectedRest);
+    }
+}
