--- a/tests/fleet/FaultProxy.cpp
+++ b/tests/fleet/FaultProxy.cpp
@@ -153,13 +153,15 @@
         evbuffer_drain(input, evbuffer_get_length(input));
         return;
     }
+    std::string received(evbuffer_get_length(input), '\0');
+    evbuffer_remove(input, received.data(), received.size());
+    if (isBack)
+        replaceIn(received);
     // Bytes that follow delayed ones must not overtake them.
     if (stateFor(link.callerHost) != LinkState::Delayed && link.delayed[isBack].empty()) {
-        bufferevent_write_buffer(to, input);
+        bufferevent_write(to, received.data(), received.size());
         return;
     }
-    std::string received(evbuffer_get_length(input), '\0');
-    evbuffer_remove(input, received.data(), received.size());
     link.delayed[isBack].push_back(std::move(received));
     m_loop.callLater(linkDelay, [weak = link.weak_from_this(), isBack] {
         const auto alive = weak.lock();
@@ -172,6 +174,20 @@
     });
 }
 
+void FaultProxy::setReplacement(std::string text, std::string replacement)
+{
+    m_replaced = std::move(text);
+    m_replacement = std::move(replacement);
+}
+
+void FaultProxy::replaceIn(std::string& bytes) const
+{
+    if (m_replaced.empty())
+        return;
+    for (std::size_t at = bytes.find(m_replaced); at != std::string::npos; at = bytes.find(m_replaced, at))
+        bytes.replace(at, m_replaced.size(), m_replacement);
+}
+
 // Closes the connection after a delay, so that bytes read before its end still arrive.
 void FaultProxy::closeLater(Link& link)
 {
--- a/tests/fleet/FaultProxy.h
+++ b/tests/fleet/FaultProxy.h
@@ -44,6 +44,9 @@
     void setState(LinkState);
     // Applies to the connections that begin at this IP address; nullopt ends it.
     void setStateFor(const std::string& caller, std::optional<LinkState>);
+    // From now on each occurrence of the first text in what callers receive becomes the second one, unless two reads
+    // divide it; two empty texts end that. Precondition: the texts have the same length.
+    void setReplacement(std::string text, std::string replacement);
     // Resets all open connections.
     void resetConnections();
 
@@ -55,6 +58,7 @@
     bool isDiscarding(const Link&, bool isBack) const;
     void resetRefused();
     void forward(Link&, bufferevent* from, bufferevent* to, bool isBack);
+    void replaceIn(std::string& bytes) const;
     void closeLater(Link&);
     void close(Link&, bool isReset);
 
@@ -64,6 +68,8 @@
     evconnlistener* m_listener = nullptr;
     LinkState m_state = LinkState::Open;
     std::map<std::string, LinkState> m_stateFor;
+    std::string m_replaced;
+    std::string m_replacement;
     std::list<std::shared_ptr<Link>> m_links;
 };
 
