Let the administration client try each address of a host's name

Cause: a name may stand for addresses at which the host does not listen, such as ::1 for localhost, and the client tried the first one alone. Its new test uses such a name, and this machine knows one address for it. Change: the next address is tried if no connection to the one before could be opened; nothing was sent then. Result: adminTests pass. A name with several addresses was not run.

--- a/src/admin/AdminClient.cpp
+++ b/src/admin/AdminClient.cpp
@@ -7,6 +7,8 @@
 #include <event2/util.h>
 #include <memory>
 #include <netdb.h>
+#include <optional>
+#include <vector>
 
 namespace Catkinwell {
 
@@ -16,8 +18,17 @@
 
     using AddressList = std::unique_ptr<evutil_addrinfo, decltype(&evutil_freeaddrinfo)>;
 
-    // Returns the first IP address and port that the name stands for; empty if there is none.
-    std::string resolve(const std::string& host, std::uint16_t port)
+    std::string textOf(const evutil_addrinfo& entry, const std::string& port)
+    {
+        std::array<char, NI_MAXHOST> host {};
+        if (getnameinfo(entry.ai_addr, entry.ai_addrlen, host.data(), host.size(), nullptr, 0, NI_NUMERICHOST) != 0)
+            return {};
+        const std::string text = host.data();
+        return (entry.ai_family == AF_INET6 ? "[" + text + "]" : text) + ":" + port;
+    }
+
+    // Returns the IP addresses that the name stands for, each with the port.
+    std::vector<std::string> resolve(const std::string& host, std::uint16_t port)
     {
         evutil_addrinfo hints {};
         hints.ai_socktype = SOCK_STREAM;
@@ -26,18 +37,17 @@
         if (evutil_getaddrinfo(host.c_str(), portText.c_str(), &hints, &found) != 0)
             return {};
         const AddressList list(found, &evutil_freeaddrinfo);
-        std::array<char, NI_MAXHOST> address {};
-        if (getnameinfo(list->ai_addr, list->ai_addrlen, address.data(), address.size(), nullptr, 0, NI_NUMERICHOST)
-            != 0)
-            return {};
-        const std::string text = address.data();
-        return (list->ai_family == AF_INET6 ? "[" + text + "]" : text) + ":" + portText;
+        std::vector<std::string> addresses;
+        for (const evutil_addrinfo* entry = list.get(); entry; entry = entry->ai_next)
+            addresses.push_back(textOf(*entry, portText));
+        return addresses;
     }
 
-    // One exchange that has been waited for.
+    // One exchange that has been waited for; it was not begun at first.
     struct Exchange {
         ClientResponse response;
-        std::optional<AttemptFailure> failure;
+        std::optional<AttemptFailure> failure = AttemptFailure::Connect;
+        AttemptOutcome outcome = AttemptOutcome::NotSent;
         std::string reason;
     };
 
@@ -52,9 +62,13 @@
             exchange.response.headers = headers;
         };
         observer.onData = [&exchange](const std::string& data) { exchange.response.body += data; };
-        observer.onFinished = [&loop] { loop.stop(); };
-        observer.onFailed = [&](AttemptOutcome, AttemptFailure failure, std::string reason) {
+        observer.onFinished = [&] {
+            exchange.failure = std::nullopt;
+            loop.stop();
+        };
+        observer.onFailed = [&](AttemptOutcome outcome, AttemptFailure failure, std::string reason) {
             exchange.failure = failure;
+            exchange.outcome = outcome;
             exchange.reason = std::move(reason);
             loop.stop();
         };
@@ -96,7 +110,6 @@
 Result<ClientResponse> HttpAdminTransport::send(const ClientRequest& request)
 {
     HttpExchange exchange;
-    exchange.address = resolve(m_host, m_port);
     exchange.method = request.method;
     exchange.target = request.target;
     exchange.headers = { { "Host", m_authority }, { "Connection", "close" } };
@@ -114,7 +127,14 @@
     exchange.connectTimeout = m_timeout;
     exchange.silenceTimeout = m_timeout;
     exchange.maximumBodyBytes = maximumAnswerBytes;
-    Exchange ended = waitFor(exchange);
+    Exchange ended;
+    // Names such as localhost may stand for an address at which the host does not listen.
+    for (const std::string& address : resolve(m_host, m_port)) {
+        exchange.address = address;
+        ended = waitFor(exchange);
+        if (!ended.failure || ended.outcome != AttemptOutcome::NotSent)
+            break;
+    }
     if (ended.failure == AttemptFailure::Garbage)
         return Error { ErrorKind::InvalidMessage,
             "the answer of " + m_authority + " cannot be read (" + ended.reason
