Move the recording of metrics to the status of a gateway

Change: recordMetrics() stands in GatewayStatus.cpp, with what else a gateway tells of itself; moved unchanged.

--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <catkinwell/reducer/InvalidResponses.h>
-#include <catkinwell/store/StoreCallKind.h>
 #include <nlohmann/json.hpp>
 
 namespace Catkinwell {
@@ -191,19 +190,6 @@
     return effects;
 }
 
-void GatewayReducer::recordMetrics(EffectList& effects)
-{
-    for (const Effect& effect : effects) {
-        if (const auto* metric = std::get_if<RecordMetric>(&effect))
-            m_metrics.record(*metric);
-        if (const auto* call = std::get_if<StoreCall>(&effect))
-            m_metrics.record({ Metric::StoreCallsByKind,
-                std::string(nameOf(StoreCallIds::userOf(call->id))) + '_'
-                    + std::string(nameOf(kindOf(call->operation))) });
-    }
-    std::erase_if(effects, [](const Effect& effect) { return std::holds_alternative<RecordMetric>(effect); });
-}
-
 // Fields listed by fieldsThatNeedRestart() keep their initial values.
 void GatewayReducer::handleSettings(const GatewaySettings& settings, MonotonicTime now)
 {
--- a/src/gateway/GatewayStatus.cpp
+++ b/src/gateway/GatewayStatus.cpp
@@ -1,9 +1,11 @@
 #include <catkinwell/gateway/GatewayReducer.h>
 
 #include <catkinwell/metrics/RequestMetrics.h>
+#include <catkinwell/store/StoreCallKind.h>
 #include <nlohmann/json.hpp>
 
-// What a gateway tells of itself: answers on the status and metrics listeners, and the end of a stop.
+// What a gateway tells of itself: its metrics, answers on the status and metrics listeners, and the
+// end of a stop.
 namespace Catkinwell {
 
 namespace {
@@ -26,6 +28,19 @@
     effects.push_back(std::move(response));
 }
 
+void GatewayReducer::recordMetrics(EffectList& effects)
+{
+    for (const Effect& effect : effects) {
+        if (const auto* metric = std::get_if<RecordMetric>(&effect))
+            m_metrics.record(*metric);
+        if (const auto* call = std::get_if<StoreCall>(&effect))
+            m_metrics.record({ Metric::StoreCallsByKind,
+                std::string(nameOf(StoreCallIds::userOf(call->id))) + '_'
+                    + std::string(nameOf(kindOf(call->operation))) });
+    }
+    std::erase_if(effects, [](const Effect& effect) { return std::holds_alternative<RecordMetric>(effect); });
+}
+
 void GatewayReducer::handle(const RequestsCounted& counted, EffectList& effects)
 {
     for (RecordMetric& metric : metricsOf(m_callerCounts, counted.counts))
