--- a/tests/endpoint/EngineClientTest.cpp
+++ b/tests/endpoint/EngineClientTest.cpp
@@ -1,7 +1,5 @@
-#include "http/RawSockets.h"
-#include <catch2/catch.hpp>
+#include "endpoint/EffectRunner.h"
 #include <catkinwell/endpoint/EngineClient.h>
-#include <optional>
 
 using namespace Catkinwell;
 using namespace Catkinwell::Testing;
@@ -30,41 +28,6 @@
     };
 }
 
-// A client for endpoints and an endpoint with one answer, on one loop.
-class EngineClientFixture {
-public:
-    explicit EngineClientFixture(const std::string& answer)
-        : m_server(m_loop, { { answer } })
-    {
-    }
-
-    std::string address() const { return "127.0.0.1:" + std::to_string(m_server.port()); }
-
-    // Runs the loop until the signal is emitted, and returns what it told.
-    template <typename Event, typename Effect> Event wait(sigc::signal<void(Event)>& signal, const Effect& effect)
-    {
-        std::optional<Event> received;
-        signal.connect([&](const Event& event) {
-            received = event;
-            m_loop.stop();
-        });
-        client.execute(effect);
-        m_loop.callLater(std::chrono::seconds(5), [this] { m_loop.stop(); });
-        m_loop.run();
-        REQUIRE(received);
-        return *received;
-    }
-
-private:
-    EventLoop m_loop;
-    SystemClock m_clock;
-    HttpClient m_http { m_loop };
-    ScriptedServer m_server;
-
-public:
-    EngineClient client { m_loop, m_http, m_clock };
-};
-
 } // namespace
 
 // Guards against a broken answer of an endpoint, or of a host that relays one, that is passed on.
@@ -72,17 +35,18 @@
 {
     const auto test = GENERATE(from_range(invalidAnswers()));
     INFO(test.name);
-    EngineClientFixture fixture(test.answer);
+    EffectRunner runner(test.answer);
+    EngineClient client(runner.loop, runner.http, runner.clock);
     std::string data;
     std::size_t heads = 0;
-    fixture.client.signalHead().connect([&](const AttemptHead&) { ++heads; });
-    fixture.client.signalData().connect([&](const AttemptData& part) { data += part.data; });
+    client.signalHead().connect([&](const AttemptHead&) { ++heads; });
+    client.signalData().connect([&](const AttemptData& part) { data += part.data; });
     StartAttempt attempt;
     attempt.id = AttemptId(1);
-    attempt.address = fixture.address();
+    attempt.address = runner.address();
     attempt.method = "POST";
     attempt.target = "/v1/completions";
-    const AttemptFailed failed = fixture.wait(fixture.client.signalFailed(), attempt);
+    const AttemptFailed failed = runner.wait(client.signalFailed(), client, attempt);
     CHECK(nameOf(failed.failure) == nameOf(AttemptFailure::Garbage));
     CHECK(nameOf(failed.outcome) == nameOf(AttemptOutcome::Unknown));
     CHECK(data == test.expectedData);
@@ -94,8 +58,9 @@
 {
     const auto test = GENERATE(from_range(invalidAnswers()));
     INFO(test.name);
-    EngineClientFixture fixture(test.answer);
+    EffectRunner runner(test.answer);
+    EngineClient client(runner.loop, runner.http, runner.clock);
     const EndpointReportFailed failed
-        = fixture.wait(fixture.client.signalReportFailed(), FetchEndpointReport { EndpointId("e"), fixture.address() });
+        = runner.wait(client.signalReportFailed(), client, FetchEndpointReport { EndpointId("e"), runner.address() });
     CHECK(failed.reason.find("invalid HTTP response") != std::string::npos);
 }
--- a/tests/platform/EngineControlTest.cpp
+++ b/tests/platform/EngineControlTest.cpp
@@ -1,7 +1,5 @@
 #include "platform/EngineControl.h"
-#include "http/RawSockets.h"
-#include <catch2/catch.hpp>
-#include <optional>
+#include "endpoint/EffectRunner.h"
 
 using namespace Catkinwell;
 using namespace Catkinwell::Testing;
@@ -28,42 +26,6 @@
     };
 }
 
-// The control of engines and an engine with one answer, on one loop.
-class EngineControlFixture {
-public:
-    explicit EngineControlFixture(const std::string& answer)
-        : m_server(m_loop, { { answer } })
-    {
-    }
-
-    std::string address() const { return "127.0.0.1:" + std::to_string(m_server.port()); }
-    MonotonicTime now() const { return m_clock.monotonicNow(); }
-
-    // Runs the loop until the signal is emitted, and returns what it told.
-    template <typename Event, typename Effect> Event wait(sigc::signal<void(Event)>& signal, const Effect& effect)
-    {
-        std::optional<Event> received;
-        signal.connect([&](const Event& event) {
-            received = event;
-            m_loop.stop();
-        });
-        control.execute(effect);
-        m_loop.callLater(std::chrono::seconds(5), [this] { m_loop.stop(); });
-        m_loop.run();
-        REQUIRE(received);
-        return *received;
-    }
-
-private:
-    EventLoop m_loop;
-    SystemClock m_clock;
-    HttpClient m_http { m_loop };
-    ScriptedServer m_server;
-
-public:
-    EngineControl control { m_http, m_clock };
-};
-
 } // namespace
 
 // Guards against a broken answer of an engine that settles an order or states what the engine holds.
@@ -71,17 +33,17 @@
 {
     const auto test = GENERATE(from_range(invalidAnswers()));
     INFO(test.name);
-    EngineControlFixture fixture(test.answer);
-    EngineControl& control = fixture.control;
+    EffectRunner runner(test.answer);
+    EngineControl control(runner.http, runner.clock);
     const EngineStatusFailed status
-        = fixture.wait(control.signalStatusFailed(), FetchEngineStatus { EndpointId("e"), fixture.address() });
+        = runner.wait(control.signalStatusFailed(), control, FetchEngineStatus { EndpointId("e"), runner.address() });
     CHECK(status.failure == AttemptFailure::Garbage);
-    FetchRuns fetch { EndpointId("e"), fixture.address(), fixture.now(), std::chrono::seconds(2) };
-    CHECK(fixture.wait(control.signalRunsFailed(), fetch).failure == AttemptFailure::Garbage);
+    FetchRuns fetch { EndpointId("e"), runner.address(), runner.clock.monotonicNow(), std::chrono::seconds(2) };
+    CHECK(runner.wait(control.signalRunsFailed(), control, fetch).failure == AttemptFailure::Garbage);
     EngineOrder order;
     order.endpoint = EndpointId("e");
-    order.address = fixture.address();
-    order.validUntil = fixture.now() + std::chrono::seconds(5);
-    const EngineOrderFinished finished = fixture.wait(control.signalOrderFinished(), order);
+    order.address = runner.address();
+    order.validUntil = runner.clock.monotonicNow() + std::chrono::seconds(5);
+    const EngineOrderFinished finished = runner.wait(control.signalOrderFinished(), control, order);
     CHECK((finished.outcome == EngineOrderOutcome::Unknown));
 }
