Check that every request beside invalid answers ends

Change: InvalidAnswersTest compares what each host has read whole and what has ended after the load.

--- a/tests/fleet/InvalidAnswersTest.cpp
+++ b/tests/fleet/InvalidAnswersTest.cpp
@@ -111,6 +111,13 @@
     const auto requests = load.stop();
     const auto served = static_cast<std::size_t>(std::count_if(
         requests.begin(), requests.end(), [](const CallerRequest& request) { return request.answer.status == 200; }));
+    for (std::size_t host = 0; host < fleet.hostCount(); ++host) {
+        const auto allEnded = [&fleet, host] {
+            const RequestAccounts accounts = fleet.accounts(host, "after the load");
+            return accounts.read > 0 && accounts.read == accounts.ended;
+        };
+        CHECK(eventually(allEnded, 3s));
+    }
     INFO(served << " of " << requests.size() << " requests served");
     CHECK(findPassedOn(requests) == std::vector<std::string> {});
     CHECK(findViolations(requests, fleet.records(), fleet) == std::vector<std::string> {});
