--- a/src/http/ResponseCheck.h
+++ b/src/http/ResponseCheck.h
@@ -6,8 +6,8 @@
 
 namespace Catkinwell {
 
-// Checks the raw bytes of a response before they are parsed, because the parser takes more than RFC 9110 and RFC 9112
-// let a recipient take, and other readers may take that differently. Not thread safe.
+// Checks the raw bytes of a response before they are parsed, because the parser accepts more than RFC 9110 and RFC 9112
+// allow, and other parsers may interpret that differently. Not thread safe.
 class ResponseCheck {
 public:
     // Returns how many of the bytes may be parsed next. These are fewer than all if the head or the trailers end there,
--- a/tests/http/InvalidResponseTest.cpp
+++ b/tests/http/InvalidResponseTest.cpp
@@ -269,7 +269,7 @@
 
 namespace {
 
-struct OddCase {
+struct UnusualCase {
     const char* name;
     std::string response;
     // The value of the field X-Odd.
@@ -278,10 +278,10 @@
 
 } // namespace
 
-// Guards against sound responses of unusual form that are refused: RFC 9110 and RFC 9112 let recipients take them.
-TEST_CASE("An odd response that a recipient may take is taken")
+// Guards against sound responses of unusual form that are refused.
+TEST_CASE("A response of unusual form that RFC 9110 and RFC 9112 let recipients accept is accepted")
 {
-    const auto test = GENERATE(values<OddCase>({
+    const auto test = GENERATE(values<UnusualCase>({
         { "no reason phrase", withStatusLine("HTTP/1.1 200 "), "" },
         { "no blank after the status", withStatusLine("HTTP/1.1 200"), "" },
         { "more blanks in the status line", withStatusLine("HTTP/1.1  200   OK"), "" },
@@ -316,7 +316,7 @@
     step.isSlow = isSlow;
     ScriptedExchanges fixture({ step });
     fixture.echoHeader = "";
-    const ExchangeOutcome outcome = fixture.request("odd");
+    const ExchangeOutcome outcome = fixture.request("unusual");
     INFO(outcome.reason);
     CHECK(outcome.isFinished);
     CHECK(outcome.status == 200);
