--- a/tests/gateway/SharedReadingFleetTest.cpp
+++ b/tests/gateway/SharedReadingFleetTest.cpp
@@ -156,8 +156,54 @@
         } },
 };
 
+// What the store does to some hosts of the first data centre, of which one reads for the others.
+const Fault turnedAway[] = {
+    { "the store turns the reader away",
+        [](SharedReadingHistory& history, std::size_t reader) { history.fleet.setConnected(reader, false); } },
+    { "the store does not answer the reader",
+        [](SharedReadingHistory& history, std::size_t reader) { history.fleet.setSilent(reader, true); } },
+    { "the store turns all but one away",
+        [](SharedReadingHistory& history, std::size_t reader) {
+            for (std::size_t host = 0; host < hosts; host += dataCentres)
+                history.fleet.setConnected(host, host == (reader + dataCentres) % hosts);
+        } },
+    { "the store turns the followers away, and each misses a batch",
+        [](SharedReadingHistory& history, std::size_t reader) {
+            for (std::size_t host = 0; host < hosts; host += dataCentres)
+                history.fleet.setConnected(host, host == reader);
+            history.fleet.links = [&history, until = history.fleet.now + milliseconds(400)](
+                                      std::size_t, std::size_t) { return history.fleet.now >= until; };
+        } },
+    { "the store does not answer the followers, and each misses a batch",
+        [](SharedReadingHistory& history, std::size_t reader) {
+            for (std::size_t host = 0; host < hosts; host += dataCentres)
+                history.fleet.setSilent(host, host != reader);
+            history.fleet.links = [&history, until = history.fleet.now + milliseconds(400)](
+                                      std::size_t, std::size_t) { return history.fleet.now >= until; };
+        } },
+};
+
 } // namespace
 
+// Guards against a host that sends requests to an endpoint which has left, because it missed a change and the store
+// does not let it read.
+TEST_CASE("A host that the store turns away knows what another host of its data centre reads")
+{
+    const Fault& fault = turnedAway[GENERATE(range(std::size_t { 0 }, std::size(turnedAway)))];
+    INFO(fault.name);
+    SharedReadingHistory history;
+    history.run(seconds(4) + GENERATE(milliseconds(0), milliseconds(100), milliseconds(200), milliseconds(300)));
+    const std::size_t reader = history.reader();
+    REQUIRE(reader < history.fleet.hostCount());
+    fault.begin(history, reader);
+    // The hosts learn who reads now, and what they missed.
+    history.run(longestAge + milliseconds(400));
+    history.oldest = Duration::zero();
+    history.run(seconds(6));
+    INFO("host " << history.oldestHost << ", reader " << reader);
+    CHECK(millisecondsOf(history.oldest) <= millisecondsOf(longestAge));
+}
+
 // Answers the load that the calls of each host are at 65 hosts. Guards against hosts that act on records older than
 // those that they would read by themselves.
 TEST_CASE("Whatever happens to the reader, no records are older than those that a host would read by itself")
--- a/tests/gateway/SimulatedFleet.cpp
+++ b/tests/gateway/SimulatedFleet.cpp
@@ -223,6 +223,18 @@
         breakWatches(host);
 }
 
+void SimulatedFleet::setSilent(std::size_t index, bool isSilent)
+{
+    Host& host = m_hosts[index];
+    host.isSilent = isSilent;
+    if (!isSilent)
+        return;
+    for (PendingWatch& watch : std::exchange(host.watches, {})) {
+        watch.endsAt += watch.call.timeout;
+        host.lostCalls.push_back(std::move(watch));
+    }
+}
+
 void SimulatedFleet::setIsolated(std::size_t index, bool isIsolated)
 {
     m_hosts[index].isIsolated = isIsolated;
@@ -242,7 +254,8 @@
         breakWatches(host);
 }
 
-void SimulatedFleet::reply(std::size_t index, const StoreCall& call, StoreReply reply, StoreEpoch atSending)
+void SimulatedFleet::reply(
+    std::size_t index, const StoreCall& call, StoreReply reply, MonotonicTime sentAt, StoreEpoch atSending)
 {
     Host& host = m_hosts[index];
     if (const auto restored = host.epochs.note(store.epoch()))
@@ -252,7 +265,7 @@
         reply.status = StoreEpochTracker::statusAcrossRestore(call.operation);
     }
     reply.id = call.id;
-    reply.sentAt = now;
+    reply.sentAt = sentAt;
     reply.epoch = store.epoch();
     apply(index, reply);
 }
@@ -265,15 +278,20 @@
         host.inbox.emplace_back(StoreReply { call.id, StoreStatus::Unknown });
         return;
     }
+    if (host.isSilent) {
+        const auto* watch = std::get_if<StoreWatchPrefix>(&call.operation);
+        host.lostCalls.push_back({ call, now, now + call.timeout + (watch ? watch->wait : Duration::zero()) });
+        return;
+    }
     ++calls[StoreCallIds::userOf(call.id)];
     lists += std::holds_alternative<StoreList>(call.operation);
     writes += std::holds_alternative<StoreCompareAndSwap>(call.operation)
         || std::holds_alternative<StoreDelete>(call.operation) || std::holds_alternative<LeaseCreate>(call.operation);
     const StoreEpoch atSending = host.epochs.current();
     if (const auto answered = store.answer(call, now))
-        reply(index, call, *answered, atSending);
+        reply(index, call, *answered, now, atSending);
     else
-        host.watches.push_back({ call, now + std::get<StoreWatchPrefix>(call.operation).wait });
+        host.watches.push_back({ call, now, now + std::get<StoreWatchPrefix>(call.operation).wait });
 }
 
 void SimulatedFleet::answerWatches(std::size_t index)
@@ -286,7 +304,44 @@
         }
         StoreReply unchanged { watch.call.id, StoreStatus::Ok };
         unchanged.version = store.version();
-        reply(index, watch.call, answered.value_or(unchanged), m_hosts[index].epochs.current());
+        reply(index, watch.call, answered.value_or(unchanged), watch.sentAt, m_hosts[index].epochs.current());
+    }
+}
+
+void SimulatedFleet::endLostCalls(std::size_t index)
+{
+    for (PendingWatch& lost : std::exchange(m_hosts[index].lostCalls, {})) {
+        if (now < lost.endsAt)
+            m_hosts[index].lostCalls.push_back(std::move(lost));
+        else
+            m_hosts[index].inbox.emplace_back(StoreReply { lost.call.id, StoreStatus::Unknown });
+    }
+}
+
+void SimulatedFleet::deliver(std::size_t index, PeerMessageReceived message)
+{
+    Host& host = m_hosts[index];
+    const auto* envelope = std::get_if<GatewayEnvelope>(&message.message);
+    if (documentTime == Duration::zero() || !envelope) {
+        host.inbox.emplace_back(std::move(message));
+        return;
+    }
+    const auto decoded = decodeGatewayMessage(envelope->payload);
+    if (std::holds_alternative<ConfigurationDocumentOffer>(valueOf(decoded))) {
+        ++documents[index];
+        host.linkFreeAt = std::max(host.linkFreeAt, now) + documentTime;
+    }
+    host.delayed.push_back({ std::move(message), std::max(host.linkFreeAt, now) });
+}
+
+void SimulatedFleet::deliverDelayed(std::size_t index)
+{
+    Host& host = m_hosts[index];
+    for (DelayedMessage& delayed : std::exchange(host.delayed, {})) {
+        if (now < delayed.at)
+            host.delayed.push_back(std::move(delayed));
+        else
+            host.inbox.emplace_back(std::move(delayed.message));
     }
 }
 
@@ -388,7 +443,7 @@
             for (std::size_t i = 0; i < m_hosts.size(); ++i) {
                 const bool isReached = m_hosts[i].reducer && !m_hosts[i].isIsolated && !host.isIsolated;
                 if (idOf(i) == send->to && isReached && links(index, i) && m_hosts[i].secret == host.secret)
-                    m_hosts[i].inbox.emplace_back(PeerMessageReceived { idOf(index), host.incarnation, send->message });
+                    deliver(i, { idOf(index), host.incarnation, send->message });
             }
         } else if (const auto* probe = std::get_if<StartAttempt>(&effect); probe && probe->target == "/health") {
             if (reaches(index, probe->endpoint))
@@ -451,6 +506,8 @@
             continue;
         if (host.isConnected)
             answerWatches(i);
+        endLostCalls(i);
+        deliverDelayed(i);
         for (const GatewayEvent& event : std::exchange(host.inbox, {}))
             apply(i, event);
         apply(i, Tick { WallTime(std::chrono::hours(500000) + now.time_since_epoch()) });
--- a/tests/gateway/SimulatedFleet.h
+++ b/tests/gateway/SimulatedFleet.h
@@ -108,6 +108,8 @@
     bool isRunning(std::size_t host) const { return m_hosts[host].reducer != nullptr; }
     // The host gets no answers from the store while it is disconnected.
     void setConnected(std::size_t host, bool isConnected);
+    // The store does not answer the host's calls, also those that wait, so that they end with their timeouts.
+    void setSilent(std::size_t host, bool isSilent);
     // The host reaches neither the store nor other hosts while it is isolated.
     void setIsolated(std::size_t host, bool isIsolated);
     // The host does nothing while it is frozen; messages to it wait.
@@ -145,6 +147,10 @@
     std::optional<ColdBounds> coldBounds;
     // Whether messages from one host reach the other.
     std::function<bool(std::size_t from, std::size_t to)> links = [](std::size_t, std::size_t) { return true; };
+    // How long a document of the configuration takes on the link of the host that receives it, one after the other.
+    Duration documentTime {};
+    // Documents that were sent to each host.
+    std::map<std::size_t, std::size_t> documents;
     // Whether requests for one target have the same body.
     bool areBodiesEqual = false;
     // Whether attempts get an empty answer at once.
@@ -162,16 +168,25 @@
 private:
     struct PendingWatch {
         StoreCall call;
+        MonotonicTime sentAt {};
         MonotonicTime endsAt {};
     };
+    struct DelayedMessage {
+        PeerMessageReceived message;
+        MonotonicTime at {};
+    };
     struct Host {
         std::unique_ptr<GatewayReducer> reducer;
         std::vector<PendingWatch> watches;
+        std::vector<PendingWatch> lostCalls;
+        std::vector<DelayedMessage> delayed;
+        MonotonicTime linkFreeAt {};
         std::vector<GatewayEvent> inbox;
         StoreEpochTracker epochs;
         std::string secret;
         Incarnation incarnation = 0;
         bool isConnected = true;
+        bool isSilent = false;
         bool isFrozen = false;
         bool isIsolated = false;
     };
@@ -192,8 +207,11 @@
     void apply(std::size_t host, const GatewayEvent&);
     void execute(std::size_t host, const StoreCall&);
     void execute(std::size_t host, const EngineOrder&);
-    void reply(std::size_t host, const StoreCall&, StoreReply, StoreEpoch atSending);
+    void reply(std::size_t host, const StoreCall&, StoreReply, MonotonicTime sentAt, StoreEpoch atSending);
     void answerWatches(std::size_t host);
+    void endLostCalls(std::size_t host);
+    void deliver(std::size_t host, PeerMessageReceived);
+    void deliverDelayed(std::size_t host);
     static void breakWatches(Host&);
     HostId idOf(std::size_t host) const { return HostId("host" + std::to_string(host)); }
 
