Ask one host at a time for a newer configuration

What callers saw: on hosts with slow links a version came into force seconds after it had been acknowledged, and meanwhile requests were refused by the older one (CONFIG).

Cause: a digest with a newer version led to a question to its sender, for each sender anew every 0.3 s, so that up to 64 hosts sent the same 40 kB over a link of 10 Mbit/s. The link was full, so the host's own calls to the store failed and it depended on the others all the more. Each document was parsed before its version was looked at.

ConfigurationExchange asks one host, and another one only when no newer version came into force within a time that doubles; a store that answers is given 0.3 s to deliver the version itself. Documents that are not newer are dropped unparsed.

Test: "Versions in a row are in force in time ..." failed before with 80 to 83 documents on each host that the store turns away (bound 30), and passes.

--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -72,7 +72,6 @@
         MonotonicTime heardAt {};
         std::uint64_t digestSequence = 0;
         std::uint64_t configurationVersion = 0;
-        MonotonicTime configurationRequestedAt {};
     };
 
     struct Dispatch;
@@ -96,6 +95,7 @@
     LogEntry configurationEntry(
         const std::optional<HostId>& from, std::optional<Duration> statedFor, MonotonicTime now) const;
     void handleOffer(const HostId& from, const ConfigurationDocumentOffer&, MonotonicTime now, EffectList&);
+    void askForConfiguration(MonotonicTime now, EffectList&);
     void answer(const HostId& from, const ConfigurationWanted&, EffectList&);
     // Tells the requests how far the copy of the configuration can be trusted.
     void shareConfigurationCopy();
@@ -181,6 +181,7 @@
     EndpointDirectory m_directory;
     FleetQuota m_quota;
     RelayPeers m_relayPeers;
+    ConfigurationExchange m_exchange;
     GatewayRequests m_requests;
     EnginePlacement m_placement;
     PromptRefusalRecords m_refusalRecords;
@@ -191,7 +192,6 @@
     std::string m_configurationDocument;
     // Documents that other hosts sent since a version came into force.
     std::size_t m_receivedDocuments = 0;
-    ConfigurationExchange m_exchange;
     // The store's epoch when the configuration was applied.
     StoreEpoch m_configurationEpoch = 0;
     // Endpoints whose records cannot be used, each logged once.
--- a/src/gateway/GatewayConfigurationCopy.cpp
+++ b/src/gateway/GatewayConfigurationCopy.cpp
@@ -18,6 +18,8 @@
 void GatewayReducer::applyConfiguration(
     const std::string& document, const std::optional<HostId>& from, MonotonicTime now, EffectList& effects)
 {
+    if (document == m_configurationDocument)
+        return;
     auto result = m_protocol.readConfiguration(document);
     if (isError(result)) {
         effects.push_back(LogEntry { LogEvent::GatewayConfigurationRejected,
@@ -40,7 +42,7 @@
     m_quota.configure(m_configuration.accounts, now);
     effects.push_back(SetCallerLimits { m_configuration.limits });
     const auto statedFor = m_exchange.behindFor(now);
-    m_exchange.noteInForce(m_configuration.version);
+    m_exchange.noteInForce(m_configuration.version, now);
     effects.push_back(configurationEntry(from, statedFor, now));
     m_receivedDocuments = 0;
     shareConfigurationCopy();
@@ -72,6 +74,19 @@
     m_requests.setConfigurationCopy(m_configurationMirror.confirmedAt(), m_exchange.newestStated());
 }
 
+void GatewayReducer::askForConfiguration(MonotonicTime now, EffectList& effects)
+{
+    // Without the evacuations, which only the store states, no request may be served.
+    if (!m_configurationMirror.isRead())
+        return;
+    const bool isStoreAnswering = !m_isStoreSuspected && m_configurationMirror.failingSince() == MonotonicTime();
+    const auto host = m_exchange.takeQuestion(isStoreAnswering, now);
+    if (!host)
+        return;
+    sendTo(*host, ConfigurationWanted { m_configuration.version }, effects);
+    count("asked", effects);
+}
+
 void GatewayReducer::answer(const HostId& from, const ConfigurationWanted& wanted, EffectList& effects)
 {
     if (m_configuration.version <= wanted.haveVersion || m_configurationDocument.size() > maximumOfferBytes)
@@ -84,9 +99,9 @@
     const HostId& from, const ConfigurationDocumentOffer& offer, MonotonicTime now, EffectList& effects)
 {
     ++m_receivedDocuments;
-    count(offer.version > m_configuration.version ? "received" : "received_known", effects);
-    // Without the evacuations, which only the store states, no request may be served.
-    if (m_configurationMirror.isRead())
+    const bool isNewer = offer.version > m_configuration.version;
+    count(isNewer ? "received" : "received_known", effects);
+    if (isNewer && m_configurationMirror.isRead())
         applyConfiguration(offer.document, from, now, effects);
 }
 
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -32,7 +32,6 @@
     constexpr int gatewayWatchFactor = 4;
     // A peer that is no longer registered counts as live for this time after its last digest.
     constexpr Duration digestLifetime = std::chrono::seconds(2);
-    constexpr Duration configurationAskInterval = std::chrono::milliseconds(300);
     // An evacuation holds 5 s after its key was written, also on a host whose connection to the store went silent and
     // whose event loop is late.
     constexpr Duration longestOperatorReconnect = std::chrono::milliseconds(3500);
@@ -108,6 +107,7 @@
     , m_directory(m_settings.dataCentre, seed + 6, m_settings.host)
     , m_quota(m_settings.host)
     , m_relayPeers(m_settings.dataCentre, seed + 7)
+    , m_exchange(seed + 9)
     , m_requests(m_settings.requests, protocol, m_directory, m_quota, m_relayPeers, m_settings.host)
     , m_placement(m_settings.placement, m_directory)
     , m_refusalRecords(m_settings.storeKeyPrefix + "quarantine/")
@@ -237,6 +237,7 @@
     updatePromptQuarantine(now, effects);
     updateStreamVersions(now, effects);
     checkEndpointList(now, effects);
+    askForConfiguration(now, effects);
     m_placement.tick(now, effects);
     sendPlacementUpdate(now, effects);
     sendDigests(now, effects);
@@ -557,12 +558,7 @@
         m_placement.tick(now, effects);
         sendPlacementUpdate(now, effects);
     }
-    if (digest.configurationVersion > m_configuration.version && m_configurationMirror.isRead()
-        && now - peer.configurationRequestedAt >= configurationAskInterval) {
-        peer.configurationRequestedAt = now;
-        sendTo(received.from, ConfigurationWanted { m_configuration.version }, effects);
-        effects.push_back(RecordMetric { Metric::ConfigurationDocumentsTotal, "asked" });
-    }
+    askForConfiguration(now, effects);
 }
 
 bool GatewayReducer::isReady() const
