List the operators' prefix after a failure instead of reading all missed documents

Cause: a watch that goes on from an old version returns every document written meanwhile, here 14 to 17 of 55 kB each, which a link of 10 Mbit/s carries in about the time that the call may take. A call that times out begins with the first of them again.

After a failure the mirror of this prefix lists, so it reads the newest document alone. Its list waits 2.8 s at most, because a list that went silent must not hold up the next one.

Test: "After a failure, a mirror of large values reads the newest ones only", new with the setting.

--- a/include/catkinwell/gateway/PrefixMirror.h
+++ b/include/catkinwell/gateway/PrefixMirror.h
@@ -16,6 +16,11 @@
     Duration reconnect = std::chrono::seconds(3);
     // Minimum time between the starts of two watches. Bounds the number of calls under frequent changes.
     Duration minimumInterval = std::chrono::milliseconds(100);
+    // A list of many pages takes long when all hosts request it at the same time.
+    Duration longestListTimeout = std::chrono::seconds(10);
+    // Whether a call that follows a failure lists. A watch returns each state that a key had meanwhile, which is more
+    // than a list if few keys change often and their values are large.
+    bool listsAfterFailure = false;
 };
 
 // Mirrors all keys under a prefix of the store, with one list and then watches. The last copy is kept while the store
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -35,6 +35,11 @@
     // An evacuation holds 5 s after its key was written, also on a host whose connection to the store went silent and
     // whose event loop is late.
     constexpr Duration longestOperatorReconnect = std::chrono::milliseconds(3500);
+    // A list of the operators' prefix is one large document at most, and a connection that went silent must not hold up
+    // the next one.
+    constexpr Duration longestOperatorListTimeout = std::chrono::milliseconds(2800);
+    // For the answer of the store and the delay of this host's loop.
+    constexpr Duration confirmationMargin = std::chrono::milliseconds(500);
 
     HostLeaseSettings leaseSettingsOf(const GatewaySettings& settings)
     {
@@ -67,6 +72,15 @@
         return settings;
     }
 
+    // Each version of the configuration is a whole document, of which only the newest one counts.
+    PrefixMirrorSettings operatorMirrorOf(std::string prefix)
+    {
+        PrefixMirrorSettings settings = mirrorOf(std::move(prefix), std::chrono::milliseconds(50));
+        settings.listsAfterFailure = true;
+        settings.longestListTimeout = longestOperatorListTimeout;
+        return settings;
+    }
+
     // Beside the prefix that every host mirrors.
     StreamVersionRecordSettings streamRecordsOf(const GatewaySettings& settings)
     {
@@ -96,8 +110,7 @@
     , m_lease({ m_settings.host, incarnation, m_settings.dataCentre, announcedAddressOf(m_settings),
                   relayAddressOf(m_settings) },
           seed, leaseSettingsOf(m_settings))
-    , m_configurationMirror(
-          StoreUser::Configuration, mirrorOf(protocol.operatorPrefix(), std::chrono::milliseconds(50)), seed + 1)
+    , m_configurationMirror(StoreUser::Configuration, operatorMirrorOf(protocol.operatorPrefix()), seed + 1)
     , m_endpointMirror(StoreUser::Membership, mirrorOf(protocol.endpointPrefix(), firstRecordInterval), seed + 2)
     , m_gatewayMirror(StoreUser::Shares, mirrorOf(m_settings.storeKeyPrefix, std::chrono::milliseconds(100)), seed + 3)
     , m_reading({ m_settings.host, incarnation, m_settings.sharedReadingHosts }, seed + 8)
--- a/src/gateway/PrefixMirror.cpp
+++ b/src/gateway/PrefixMirror.cpp
@@ -5,8 +5,6 @@
 namespace {
 
     constexpr Duration callTimeout = std::chrono::milliseconds(700);
-    // A list of many pages takes long when all hosts request it at the same time.
-    constexpr Duration longestListTimeout = std::chrono::seconds(10);
     constexpr Duration shortestRetry = std::chrono::milliseconds(100);
     constexpr Duration longestRetry = std::chrono::milliseconds(1000);
     // From the end of a watch's wait: its call times out, and the next one is sent and answered.
@@ -58,7 +56,7 @@
     if (reply.status != StoreStatus::Ok && !isEmptyList) {
         // Only a list without a complete answer in time needs a longer timeout.
         if (m_needsList && reply.status == StoreStatus::Unknown)
-            m_listTimeout = std::min(m_listTimeout * 2, longestListTimeout);
+            m_listTimeout = std::min(m_listTimeout * 2, m_settings.longestListTimeout);
         noteFailure(reply.status, now, effects);
         return changes;
     }
@@ -145,6 +143,7 @@
             { { "prefix", m_settings.prefix }, { "status", std::string(nameOf(status)) },
                 { "version", std::to_string(m_version) } } });
     }
+    m_needsList = m_needsList || m_settings.listsAfterFailure;
     m_nextAt = now + m_backoff.next(m_random);
 }
 
--- a/tests/gateway/PrefixMirrorTest.cpp
+++ b/tests/gateway/PrefixMirrorTest.cpp
@@ -152,3 +152,22 @@
     CHECK(time <= reconnect);
     CHECK(time >= reconnect - std::chrono::seconds(1));
 }
+
+// Guards against a host with a slow link that reads each document which it missed, and times out before the last one.
+TEST_CASE("After a failure, a mirror of large values reads the newest ones only")
+{
+    const bool listsAfterFailure = GENERATE(false, true);
+    MirrorFixture fixture;
+    PrefixMirrorSettings settings { "p/" };
+    settings.listsAfterFailure = listsAfterFailure;
+    fixture.mirror = PrefixMirror(StoreUser::Configuration, settings, 1);
+    fixture.reply(*fixture.nextCall(), StoreStatus::Ok, 5, { { "p/a", "1", 4 } });
+    fixture.reply(*fixture.nextCall(), StoreStatus::Unavailable);
+    const auto call = *fixture.nextCall();
+    CHECK(std::holds_alternative<StoreList>(call.operation) == listsAfterFailure);
+    const auto changes = fixture.reply(call, StoreStatus::Ok, 9, { { "p/a", "3", 8 } });
+    REQUIRE(changes.size() == 1);
+    CHECK(changes[0].value == "3");
+    CHECK(fixture.mirror.version() == 9);
+    CHECK(std::holds_alternative<StoreWatchPrefix>(fixture.nextCall()->operation));
+}
