Let a host that the store turns away ask another one for the records that it lacks

Cause: the hosts of a data centre follow the records that one of them reads and passes on. A host that missed one batch could not use any later one and had to read by itself. If the store turned it away, or its link was full, its copy stayed as old as it was until the store answered.

Such a host asks the sender of the batch, or any host that reaches the store, for the changes since its own version, and gets the whole list if those are no longer known.

--- a/include/catkinwell/gateway/GatewayMessage.h
+++ b/include/catkinwell/gateway/GatewayMessage.h
@@ -91,7 +91,7 @@
 };
 
 using GatewayMessage = std::variant<HostDigest, PlacementUpdate, ConfigurationWanted, ConfigurationDocumentOffer,
-    StreamBeginnings, StreamVersionWanted, RecordBatch>;
+    StreamBeginnings, StreamVersionWanted, RecordBatch, RecordsWanted>;
 
 // Encodes a message as CBOR. Thread safe.
 std::string encodeGatewayMessage(const GatewayMessage&);
--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -132,8 +132,13 @@
     void handleEndpointReply(const StoreReply&, MonotonicTime now, EffectList&);
     void applyEndpoints(const std::vector<StoreEntry>&, MonotonicTime now, EffectList&);
     void sendRecords(MonotonicTime now, EffectList&);
+    // A batch of these changes between the version and that of the mirror. Precondition: areRecordsKnown().
+    RecordBatch batchFrom(StoreVersion, std::vector<StoreEntry>, MonotonicTime now) const;
+    void askForRecords(const HostId&, MonotonicTime now, EffectList&);
+    void answer(const HostId& from, const RecordsWanted&, MonotonicTime now, EffectList&);
     void handleRecords(const PeerMessageReceived&, const RecordBatch&, MonotonicTime now, EffectList&);
     bool mergeRecords(const RecordBatch&, MonotonicTime now, EffectList&);
+    void replaceRecords(const RecordBatch&, MonotonicTime now, EffectList&);
     void checkStoreConnection(const StoreReply&, MonotonicTime now);
     void hastenDigest(MonotonicTime now);
     void sendDigests(MonotonicTime now, EffectList&);
--- a/include/catkinwell/gateway/PrefixMirror.h
+++ b/include/catkinwell/gateway/PrefixMirror.h
@@ -37,6 +37,9 @@
     // Applies all changes up to a version, read by another call or another host. Entries up to version() are known and
     // have no effect. Returns the changed entries. Precondition: isCurrent().
     std::vector<StoreEntry> merge(const std::vector<StoreEntry>&, StoreVersion);
+    // Applies a whole copy of the prefix as of a version, read by another host. Returns the changed entries; deleted
+    // ones are marked. Precondition: isCurrent(), and the version is not below version().
+    std::vector<StoreEntry> replace(const std::vector<StoreEntry>&, StoreVersion);
 
     // Ends the wait for the present watch, whose connection may be lost, and watches anew at the next tick.
     void renewWatch(MonotonicTime now);
@@ -74,7 +77,7 @@
 private:
     // The longest wait of one watch.
     Duration watchWait() const;
-    void replaceAll(const StoreReply&, std::vector<StoreEntry>& changes);
+    void replaceAll(const std::vector<StoreEntry>&, std::vector<StoreEntry>& changes);
     void apply(const StoreEntry&, std::vector<StoreEntry>& changes);
     void noteFailure(StoreStatus, MonotonicTime now, EffectList&);
     void noteSuccess(const StoreReply&, MonotonicTime now, EffectList&);
--- a/include/catkinwell/gateway/RecordChanges.h
+++ b/include/catkinwell/gateway/RecordChanges.h
@@ -3,6 +3,7 @@
 #include <catkinwell/gateway/ForwardingProtocol.h>
 #include <catkinwell/store/StoreTypes.h>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,8 @@
     // Returns the entries that are new or deleted, differ in more than the heartbeat, or cannot be read. A deletion
     // follows the latest state of its record, by whose heartbeat an older one of a restored store is rejected.
     std::vector<StoreEntry> note(const std::vector<StoreEntry>& changes);
+    // Returns the last state of each record that changed after the version; nullopt if that is no longer known.
+    std::optional<std::vector<StoreEntry>> since(StoreVersion) const;
     // Whether a key changed after the version that is not among these entries. Those who knew only the states before
     // and after may have seen no change of it.
     bool hasOtherChangeSince(StoreVersion, const std::vector<StoreEntry>&) const;
--- a/include/catkinwell/gateway/SharedReading.h
+++ b/include/catkinwell/gateway/SharedReading.h
@@ -35,6 +35,14 @@
     // ago.
     std::optional<std::chrono::milliseconds> recoveredAgo;
     std::vector<StoreEntry> entries;
+    // Whether the entries are all records, so that any older copy is complete afterwards.
+    bool isWhole = false;
+};
+
+// Asks for a batch that begins at the version of a copy, which the batches that were received do not complete.
+struct RecordsWanted {
+    StoreEpoch epoch = 0;
+    StoreVersion have = 0;
 };
 
 // Decides which host of a data centre reads the endpoints' records for the others, and when this host reads by itself.
@@ -97,6 +105,10 @@
     MonotonicTime timeOf(const HostId& from, Incarnation, const RecordBatch&, MonotonicTime now);
     // Notes that the copy is complete as of the time. A host of a different fitness or none may have sent it.
     void noteFresh(MonotonicTime asOf);
+    // Returns another host that states that it reaches the store; nullopt if there is none.
+    std::optional<HostId> chooseFit();
+    // Whether a host may be asked for a batch now, because none was asked a moment ago. Notes that one is.
+    bool takeQuestion(MonotonicTime now);
     MonotonicTime freshAt() const { return m_freshAt; }
     const std::map<HostId, Candidate>& others() const { return m_others; }
 
@@ -120,6 +132,7 @@
     Role m_role = Role::Alone;
     HostId m_reader;
     MonotonicTime m_freshAt {};
+    MonotonicTime m_nextQuestionAt {};
     // Random part of an interval, drawn anew with each fresh copy.
     double m_spread = 0;
 };
--- a/src/gateway/GatewayMessage.cpp
+++ b/src/gateway/GatewayMessage.cpp
@@ -20,6 +20,7 @@
         StreamBeginnings,
         StreamVersionWanted,
         RecordBatch,
+        RecordsWanted,
     };
 
     Json listOfModels(const LoadedModels& models)
@@ -216,10 +217,16 @@
                     Json::array({ entry.key, entry.version, entry.isDeleted ? Json() : Json(entry.value) }));
             Json message = Json::array({ Kind::RecordBatch, batch.epoch, batch.from, batch.to, batch.sentAt.count(),
                 batch.age.count(), std::move(entries) });
-            if (batch.recoveredAgo)
-                message.push_back(batch.recoveredAgo->count());
+            if (batch.recoveredAgo || batch.isWhole)
+                message.push_back(batch.recoveredAgo ? Json(batch.recoveredAgo->count()) : Json());
+            if (batch.isWhole)
+                message.push_back(true);
             return message;
         }
+        Json operator()(const RecordsWanted& wanted) const
+        {
+            return Json::array({ Kind::RecordsWanted, wanted.epoch, wanted.have });
+        }
     };
 
     HostDigest readDigest(const Json& list)
@@ -302,7 +309,8 @@
             if (!entry.isDeleted)
                 entry.value = item.at(2).get<std::string>();
         }
-        if (list.size() > 7)
+        batch.isWhole = list.size() > 8 && list.at(8).get<bool>();
+        if (list.size() > 7 && !list.at(7).is_null())
             batch.recoveredAgo = std::chrono::milliseconds(list.at(7).get<std::uint32_t>());
         return batch;
     }
@@ -324,6 +332,8 @@
             return StreamVersionWanted { list.at(1).get<StreamKey>() };
         case Kind::RecordBatch:
             return readRecordBatch(list);
+        case Kind::RecordsWanted:
+            return RecordsWanted { list.at(1).get<StoreEpoch>(), list.at(2).get<StoreVersion>() };
         }
         throw Json::other_error::create(501, "unknown message kind", nullptr);
     }
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -528,6 +528,7 @@
         reducer.handleOffer(envelope.from, offer, now, effects);
     }
     void operator()(const RecordBatch& batch) const { reducer.handleRecords(envelope, batch, now, effects); }
+    void operator()(const RecordsWanted& wanted) const { reducer.answer(envelope.from, wanted, now, effects); }
 };
 
 void GatewayReducer::handleMessage(const PeerMessageReceived& received, MonotonicTime now, EffectList& effects)
--- a/src/gateway/GatewaySharedReading.cpp
+++ b/src/gateway/GatewaySharedReading.cpp
@@ -113,8 +113,13 @@
     m_isSendingRecords = isSending;
     m_endpointMirror.setMinimumInterval(m_reading.readingInterval());
     m_endpointMirror.setLongestWait(m_reading.longestWait());
-    if (m_reading.mayRead(now))
-        m_endpointMirror.tick(now, effects);
+    if (!m_reading.mayRead(now))
+        return;
+    m_endpointMirror.tick(now, effects);
+    if (m_endpointMirror.failingSince() == MonotonicTime())
+        return;
+    if (const auto host = m_reading.chooseFit())
+        askForRecords(*host, now, effects);
 }
 
 void GatewayReducer::handleEndpointReply(const StoreReply& reply, MonotonicTime now, EffectList& effects)
@@ -144,25 +149,62 @@
 {
     if (!m_isSendingRecords || !areRecordsKnown())
         return;
+    const StoreVersion from = std::exchange(m_sentVersion, m_endpointMirror.version());
+    const std::string payload = encodeGatewayMessage(batchFrom(from, std::exchange(m_unsentRecords, {}), now));
+    if (payload.size() > maximumBatchBytes) {
+        count("too_large", effects);
+        return;
+    }
+    for (const auto& [host, candidate] : m_reading.others()) {
+        effects.push_back(SendToPeer { host, GatewayEnvelope { payload } });
+        count("sent", effects);
+    }
+}
+
+RecordBatch GatewayReducer::batchFrom(StoreVersion from, std::vector<StoreEntry> entries, MonotonicTime now) const
+{
     RecordBatch batch;
     batch.epoch = m_endpointMirror.epoch();
-    batch.from = std::exchange(m_sentVersion, m_endpointMirror.version());
+    batch.from = from;
     batch.to = m_endpointMirror.version();
     batch.sentAt = std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch());
-    batch.age = std::chrono::ceil<std::chrono::milliseconds>(now - m_endpointMirror.readAt());
+    const MonotonicTime asOf = std::max(m_reading.freshAt(), m_endpointMirror.readAt());
+    batch.age = std::chrono::ceil<std::chrono::milliseconds>(now - asOf);
     const MonotonicTime recovered = m_endpointMirror.recoveredAt();
     if (recovered != MonotonicTime() && now - recovered < longestRecovery)
         batch.recoveredAgo = std::chrono::floor<std::chrono::milliseconds>(now - recovered);
-    batch.entries = std::exchange(m_unsentRecords, {});
+    batch.entries = std::move(entries);
+    return batch;
+}
+
+// A host that the store turns away cannot complete its copy by itself.
+void GatewayReducer::askForRecords(const HostId& host, MonotonicTime now, EffectList& effects)
+{
+    if (!m_reading.takeQuestion(now))
+        return;
+    sendTo(host, RecordsWanted { m_endpointMirror.epoch(), m_endpointMirror.version() }, effects);
+    count("asked", effects);
+}
+
+void GatewayReducer::answer(const HostId& from, const RecordsWanted& wanted, MonotonicTime now, EffectList& effects)
+{
+    if (!m_reading.isShared() || !areRecordsKnown() || wanted.epoch != m_endpointMirror.epoch()
+        || wanted.have > m_endpointMirror.version())
+        return;
+    auto entries = m_recordChanges.since(wanted.have);
+    RecordBatch batch = batchFrom(wanted.have, std::move(entries).value_or(std::vector<StoreEntry>()), now);
+    if (!entries) {
+        batch.isWhole = true;
+        for (const auto& [key, entry] : m_endpointMirror.entries())
+            batch.entries.push_back(entry);
+    }
     const std::string payload = encodeGatewayMessage(batch);
     if (payload.size() > maximumBatchBytes) {
         count("too_large", effects);
         return;
     }
-    for (const auto& [host, candidate] : m_reading.others()) {
-        effects.push_back(SendToPeer { host, GatewayEnvelope { payload } });
-        count("sent", effects);
-    }
+    effects.push_back(SendToPeer { from, GatewayEnvelope { payload } });
+    count(batch.isWhole ? "answered_whole" : "answered", effects);
 }
 
 void GatewayReducer::handleRecords(
@@ -179,6 +221,7 @@
         count("older", effects);
     } else if (!mergeRecords(batch, now, effects)) {
         count("gap", effects);
+        askForRecords(received.from, now, effects);
     } else {
         count("applied", effects);
         m_reading.noteFresh(asOf);
@@ -186,15 +229,28 @@
     }
 }
 
+void GatewayReducer::replaceRecords(const RecordBatch& batch, MonotonicTime now, EffectList& effects)
+{
+    for (const StoreEntry& entry : m_endpointMirror.replace(batch.entries, batch.to))
+        applyEndpoint(entry, now, effects);
+    // What changed before the version is not known.
+    m_knownRecordsEpoch.reset();
+}
+
 // Returns whether the copy is complete up to the batch's version afterwards. If it is not, this host reads by itself as
 // soon as its copy is too old, and knows a version within a later batch then.
 bool GatewayReducer::mergeRecords(const RecordBatch& batch, MonotonicTime now, EffectList& effects)
 {
     const StoreVersion known = m_endpointMirror.version();
-    if (batch.from > known || m_recordChanges.hasOtherChangeSince(batch.from, batch.entries))
+    const bool isGap = batch.from > known || m_recordChanges.hasOtherChangeSince(batch.from, batch.entries);
+    if (isGap && !batch.isWhole)
         return false;
     if (batch.recoveredAgo)
         m_endpointMirror.noteRecovered(now - *batch.recoveredAgo);
+    if (batch.isWhole) {
+        replaceRecords(batch, now, effects);
+        return true;
+    }
     for (const StoreEntry& entry : batch.entries) {
         // The latest state before a deletion may be older than the batch, whose sender told nothing of the heartbeat.
         const StoreEntry* former = m_endpointMirror.find(entry.key);
--- a/src/gateway/PrefixMirror.cpp
+++ b/src/gateway/PrefixMirror.cpp
@@ -62,7 +62,7 @@
     }
     noteSuccess(reply, now, effects);
     if (m_needsList || reply.isWholeList) {
-        replaceAll(reply, changes);
+        replaceAll(reply.entries, changes);
         if (m_needsList)
             effects.push_back(LogEntry { LogEvent::GatewayMirrorRead,
                 { { "prefix", m_settings.prefix }, { "entries", std::to_string(m_entries.size()) },
@@ -114,6 +114,14 @@
     return reply.entries.empty() && now >= waitEnd ? waitEnd : reply.sentAt;
 }
 
+std::vector<StoreEntry> PrefixMirror::replace(const std::vector<StoreEntry>& entries, StoreVersion version)
+{
+    std::vector<StoreEntry> changes;
+    replaceAll(entries, changes);
+    m_version = version;
+    return changes;
+}
+
 void PrefixMirror::renewWatch(MonotonicTime now)
 {
     if (m_needsList || m_pending.value == 0)
@@ -147,11 +155,11 @@
     m_nextAt = now + m_backoff.next(m_random);
 }
 
-void PrefixMirror::replaceAll(const StoreReply& reply, std::vector<StoreEntry>& changes)
+void PrefixMirror::replaceAll(const std::vector<StoreEntry>& entries, std::vector<StoreEntry>& changes)
 {
     std::map<std::string, StoreEntry> previous = std::move(m_entries);
     m_entries.clear();
-    for (const StoreEntry& entry : reply.entries) {
+    for (const StoreEntry& entry : entries) {
         const auto known = previous.find(entry.key);
         // A restored store gives out the same version for another value.
         const bool isKnown
--- a/src/gateway/RecordChanges.cpp
+++ b/src/gateway/RecordChanges.cpp
@@ -69,6 +69,22 @@
     }
 }
 
+std::optional<std::vector<StoreEntry>> RecordChanges::since(StoreVersion version) const
+{
+    if (version < m_forgottenUntil)
+        return std::nullopt;
+    std::map<std::string, StoreEntry> latest;
+    for (auto change = m_changes.upper_bound(version); change != m_changes.end(); ++change) {
+        const auto& [changedAt, key] = *change;
+        const auto known = m_known.find(key);
+        latest[key] = known == m_known.end() ? StoreEntry { key, "", changedAt, true } : known->second.latest;
+    }
+    std::vector<StoreEntry> entries;
+    for (auto& [key, entry] : latest)
+        entries.push_back(std::move(entry));
+    return entries;
+}
+
 bool RecordChanges::hasOtherChangeSince(StoreVersion version, const std::vector<StoreEntry>& entries) const
 {
     if (version < m_forgottenUntil)
--- a/src/gateway/SharedReading.cpp
+++ b/src/gateway/SharedReading.cpp
@@ -13,6 +13,8 @@
     constexpr double standbyAge = 1.25;
     constexpr double followerAge = 1.5;
     constexpr double followerSpread = 0.25;
+    // A question is answered within a small part of the interval, and is repeated if its answer is lost.
+    constexpr double questionInterval = 0.5;
     // Clocks of two hosts drift apart by at most this part of the time.
     constexpr double clockDrift = 1e-4;
 
@@ -103,6 +105,24 @@
     m_spread = m_random.unit();
 }
 
+std::optional<HostId> SharedReading::chooseFit()
+{
+    std::vector<HostId> fit;
+    for (const auto& [host, candidate] : m_others) {
+        if (candidate.fitness.isFit)
+            fit.push_back(host);
+    }
+    return fit.empty() ? std::nullopt : std::optional(fit[m_random.below(fit.size())]);
+}
+
+bool SharedReading::takeQuestion(MonotonicTime now)
+{
+    if (now < m_nextQuestionAt)
+        return false;
+    m_nextQuestionAt = now + times(readingInterval(), questionInterval);
+    return true;
+}
+
 MonotonicTime SharedReading::timeOf(
     const HostId& from, Incarnation incarnation, const RecordBatch& batch, MonotonicTime now)
 {
--- a/tests/gateway/SharedReadingTest.cpp
+++ b/tests/gateway/SharedReadingTest.cpp
@@ -109,15 +109,39 @@
     CHECK(changes.hasOtherChangeSince(4, { record(12, 5, "v1"), record(12, 5, "v1", "y") }));
 }
 
+TEST_CASE("The changes since a version are the last states of the records, as long as they are known")
+{
+    SimulatedProtocol protocol;
+    RecordChanges changes(protocol);
+    changes.reset({ { "endpoints/x", record(5, 1, "v1") }, { "endpoints/y", record(4, 1, "v1", "y") } }, 5);
+    changes.note({ record(6, 2, "v2"), record(7, 3, "v3"), { "endpoints/y", "", 8, true }, record(9, 4, "v3") });
+    CHECK_FALSE(changes.since(4));
+    const auto all = changes.since(5);
+    REQUIRE(all);
+    REQUIRE(all->size() == 2);
+    CHECK(all->at(0).value == record(9, 4, "v3").value);
+    CHECK(all->at(1).isDeleted);
+    CHECK(all->at(1).version == 8);
+    // Heartbeats alone are no changes.
+    CHECK(changes.since(8)->empty());
+    const auto decoded = decodeGatewayMessage(encodeGatewayMessage(RecordsWanted { 3, 17 }));
+    REQUIRE_FALSE(isError(decoded));
+    CHECK(std::get<RecordsWanted>(valueOf(decoded)).epoch == 3);
+    CHECK(std::get<RecordsWanted>(valueOf(decoded)).have == 17);
+}
+
 TEST_CASE("Batches and the fitness to read keep their content when they are sent")
 {
     RecordBatch batch { 3, 10, 20, std::chrono::microseconds(123456789), milliseconds(15), milliseconds(1700),
         { record(11, 1, "v1"), { "endpoints/y", "", 12, true } } };
+    if (GENERATE(false, true))
+        batch.recoveredAgo.reset();
+    batch.isWhole = GENERATE(false, true);
     const auto decoded = decodeGatewayMessage(encodeGatewayMessage(batch));
     REQUIRE_FALSE(isError(decoded));
     const auto& read = std::get<RecordBatch>(valueOf(decoded));
-    CHECK(std::tuple(read.epoch, read.from, read.to, read.sentAt, read.age, read.recoveredAgo)
-        == std::tuple(batch.epoch, batch.from, batch.to, batch.sentAt, batch.age, batch.recoveredAgo));
+    CHECK(std::tuple(read.epoch, read.from, read.to, read.sentAt, read.age, read.recoveredAgo, read.isWhole)
+        == std::tuple(batch.epoch, batch.from, batch.to, batch.sentAt, batch.age, batch.recoveredAgo, batch.isWhole));
     REQUIRE(read.entries.size() == 2);
     CHECK(read.entries[0].value == batch.entries[0].value);
     CHECK(read.entries[1].isDeleted);
