End the wait for all watches when the store answers a renewal again

Cause: a renewal of the lease that succeeds after a failure shows that the answers to calls sent before may be lost. Only the watch of the gateways' prefix was sent again; those of the operators' prefix and of the endpoints' records waited for their timeouts.

All are sent again, with them the operators' list after a failure.

--- a/include/catkinwell/gateway/PrefixMirror.h
+++ b/include/catkinwell/gateway/PrefixMirror.h
@@ -41,7 +41,8 @@
     // ones are marked. Precondition: isCurrent(), and the version is not below version().
     std::vector<StoreEntry> replace(const std::vector<StoreEntry>&, StoreVersion);
 
-    // Ends the wait for the present watch, whose connection may be lost, and watches anew at the next tick.
+    // Ends the wait for the present watch, or the list after a failure, whose connection may be lost, and calls anew at
+    // the next tick.
     void renewWatch(MonotonicTime now);
     // Notes that another host's calls succeeded again after failures at the time.
     void noteRecovered(MonotonicTime);
--- a/src/gateway/GatewayStoreEntries.cpp
+++ b/src/gateway/GatewayStoreEntries.cpp
@@ -39,13 +39,15 @@
     m_streamRecords.noteRestored(now + restoreDelay());
 }
 
-// What ends the answers to renewals also ends those to a watch, which would show it only after its long wait.
+// What ends the answers to renewals also ends those to a watch, which would show it only after its wait.
 void GatewayReducer::checkStoreConnection(const StoreReply& reply, MonotonicTime now)
 {
     if (reply.status == StoreStatus::Unknown || reply.status == StoreStatus::Unavailable)
         m_isStoreSuspected = true;
-    else if (std::exchange(m_isStoreSuspected, false))
-        m_gatewayMirror.renewWatch(now);
+    else if (std::exchange(m_isStoreSuspected, false)) {
+        for (PrefixMirror* mirror : { &m_configurationMirror, &m_endpointMirror, &m_gatewayMirror })
+            mirror->renewWatch(now);
+    }
 }
 
 // All hosts notice a restore at the same moment; each writes again after a time of its own.
--- a/src/gateway/PrefixMirror.cpp
+++ b/src/gateway/PrefixMirror.cpp
@@ -124,9 +124,11 @@
 
 void PrefixMirror::renewWatch(MonotonicTime now)
 {
-    if (m_needsList || m_pending.value == 0)
+    // A list of many pages may take long on a sound connection too.
+    if (m_pending.value == 0 || (m_needsList && !m_settings.listsAfterFailure))
         return;
     m_pending = StoreCallId();
+    m_listTimeout = callTimeout;
     m_nextAt = now;
 }
 
--- a/tests/gateway/ConfigurationCopyTest.cpp
+++ b/tests/gateway/ConfigurationCopyTest.cpp
@@ -174,3 +174,21 @@
     CHECK(statusOf(fleet, "/added/1") == test.addedStatus);
     CHECK(statusOf(fleet, "/never/1") == test.unknownStatus);
 }
+
+// Guards against a host that waits for the answer to a call which was lost, although others are answered again.
+TEST_CASE("A host that the store answers again soon knows the newest version")
+{
+    // The shortest time after which a host counts as being in contact again.
+    constexpr Duration contact = seconds(3);
+    const int quarters = GENERATE(range(32, 52));
+    INFO("silent for " << quarters << " quarters of a second");
+    SimulatedFleet fleet(2);
+    fleet.run(seconds(4));
+    silence(fleet);
+    fleet.run(seconds(2));
+    fleet.store.put("configuration", "2");
+    fleet.run(quarters * milliseconds(250));
+    fleet.setSilent(0, false);
+    fleet.run(contact);
+    CHECK(fleet.status(0)["configuration"] == 2);
+}
