--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -38,8 +38,6 @@
     // A list of the operators' prefix is one large document at most, and a connection that went silent must not hold up
     // the next one.
     constexpr Duration longestOperatorListTimeout = std::chrono::milliseconds(2800);
-    // For the answer of the store and the delay of this host's loop.
-    constexpr Duration confirmationMargin = std::chrono::milliseconds(500);
 
     HostLeaseSettings leaseSettingsOf(const GatewaySettings& settings)
     {
@@ -229,12 +227,6 @@
     m_gatewayMirror.setReconnect(gatewayWatchFactor * reconnect);
 }
 
-// The copy is confirmed by each answer, so a host with a store that answers is never outdated.
-void GatewayReducer::setConfigurationBound(Duration bound)
-{
-    m_configurationMirror.setLongestWait(std::max<Duration>(bound - confirmationMargin, confirmationMargin));
-}
-
 void GatewayReducer::handleTick(const Tick& tick, MonotonicTime now, EffectList& effects)
 {
     noteTickInterval(now);
