--- a/src/gateway/GatewaySharedReading.cpp
+++ b/src/gateway/GatewaySharedReading.cpp
@@ -21,6 +21,15 @@
     // Below the largest message between hosts. More changes at once are read by each host itself.
     constexpr std::size_t maximumBatchBytes = 900 * 1024;
 
+    std::vector<StoreEntry> valuesOf(const std::map<std::string, StoreEntry>& entries)
+    {
+        std::vector<StoreEntry> values;
+        values.reserve(entries.size());
+        for (const auto& [key, entry] : entries)
+            values.push_back(entry);
+        return values;
+    }
+
     void count(std::string_view outcome, EffectList& effects)
     {
         effects.push_back(RecordMetric { Metric::RecordBatchesTotal, std::string(outcome) });
@@ -191,13 +200,9 @@
     if (!m_reading.isShared() || !areRecordsKnown() || wanted.epoch != m_endpointMirror.epoch()
         || wanted.have > m_endpointMirror.version())
         return;
-    auto entries = m_recordChanges.since(wanted.have);
-    RecordBatch batch = batchFrom(wanted.have, std::move(entries).value_or(std::vector<StoreEntry>()), now);
-    if (!entries) {
-        batch.isWhole = true;
-        for (const auto& [key, entry] : m_endpointMirror.entries())
-            batch.entries.push_back(entry);
-    }
+    const auto changes = m_recordChanges.since(wanted.have);
+    RecordBatch batch = batchFrom(wanted.have, changes ? *changes : valuesOf(m_endpointMirror.entries()), now);
+    batch.isWhole = !changes;
     const std::string payload = encodeGatewayMessage(batch);
     if (payload.size() > maximumBatchBytes) {
         count("too_large", effects);
--- a/src/gateway/RecordChanges.cpp
+++ b/src/gateway/RecordChanges.cpp
@@ -80,6 +80,7 @@
         latest[key] = known == m_known.end() ? StoreEntry { key, "", changedAt, true } : known->second.latest;
     }
     std::vector<StoreEntry> entries;
+    entries.reserve(latest.size());
     for (auto& [key, entry] : latest)
         entries.push_back(std::move(entry));
     return entries;
