Let an idle host watch the operators' prefix as seldom as before

The watch waits as long as before again. Where wait and bound are both 2 s, the copy is as old as the bound for two round trips before each answer; a request that it does not allow gets 503 then, not 401 or 404. Elsewhere an answered host stays sure: ConfigurationCopyTest, "nothing happens for long".

--- a/include/catkinwell/gateway/GatewayReducer.h
+++ b/include/catkinwell/gateway/GatewayReducer.h
@@ -81,7 +81,6 @@
     void handleTick(const Tick&, MonotonicTime now, EffectList&);
     void handleSettings(const GatewaySettings&, MonotonicTime now);
     void setStoreReconnect(Duration);
-    void setConfigurationBound(Duration);
     void handleShutdown(MonotonicTime now, EffectList&);
     void handleStoreReply(const StoreReply&, MonotonicTime now, EffectList&);
     void handleStoreRestored(const StoreRestored&, MonotonicTime now, EffectList&);
--- a/src/gateway/GatewayConfigurationCopy.cpp
+++ b/src/gateway/GatewayConfigurationCopy.cpp
@@ -5,8 +5,6 @@
 
 namespace {
 
-    // For the answer of the store and the delay of this host's loop.
-    constexpr Duration confirmationMargin = std::chrono::milliseconds(500);
     // Below the largest message between hosts.
     constexpr std::size_t maximumOfferBytes = 900 * 1024;
 
@@ -17,12 +15,6 @@
 
 } // namespace
 
-// Each answer of the store confirms the copy, so the copy of a host that is answered does not become outdated.
-void GatewayReducer::setConfigurationBound(Duration bound)
-{
-    m_configurationMirror.setLongestWait(std::max<Duration>(bound - confirmationMargin, confirmationMargin));
-}
-
 void GatewayReducer::applyConfiguration(
     const std::string& document, const std::optional<HostId>& from, MonotonicTime now, EffectList& effects)
 {
--- a/src/gateway/GatewayReducer.cpp
+++ b/src/gateway/GatewayReducer.cpp
@@ -127,7 +127,6 @@
     , m_random(seed + 5)
 {
     setStoreReconnect(m_settings.storeReconnect);
-    setConfigurationBound(m_settings.requests.configurationBound);
     m_directory.cold().setBounds(m_settings.coldBounds);
     m_directory.setSpreadFrom(m_settings.spreadFromHosts);
 }
@@ -208,7 +207,6 @@
     m_settings.shutdownGrace = settings.shutdownGrace;
     m_settings.shutdownAccepting = settings.shutdownAccepting;
     setStoreReconnect(settings.storeReconnect);
-    setConfigurationBound(settings.requests.configurationBound);
     m_settings.processorShare = settings.processorShare;
     m_reading.setFromHosts(settings.sharedReadingHosts);
     m_settings.sharedReadingHosts = settings.sharedReadingHosts;
