--- a/src/gateway/GatewayAdmission.cpp
+++ b/src/gateway/GatewayAdmission.cpp
@@ -107,6 +107,12 @@
     return std::nullopt;
 }
 
+void GatewayRequests::setConfigurationCopy(MonotonicTime confirmedAt, std::uint64_t newestStated)
+{
+    m_configurationConfirmedAt = confirmedAt;
+    m_newestStatedVersion = newestStated;
+}
+
 bool GatewayRequests::isConfigurationOutdated(MonotonicTime now) const
 {
     return m_newestStatedVersion > m_configuration.version
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -51,12 +51,6 @@
     m_answerTimes.keepOnly(routes);
 }
 
-void GatewayRequests::setConfigurationCopy(MonotonicTime confirmedAt, std::uint64_t newestStated)
-{
-    m_configurationConfirmedAt = confirmedAt;
-    m_newestStatedVersion = newestStated;
-}
-
 void GatewayRequests::setSettings(const GatewayRequestSettings& settings)
 {
     m_settings = settings;
