Say that the store rejects a host's calls, and keep a check as it was

"Turned away" was no term of the field. The check of a batch's fields in SharedReadingTest is the former one again; that the batch is whole is checked beside it.

--- a/src/gateway/GatewaySharedReading.cpp
+++ b/src/gateway/GatewaySharedReading.cpp
@@ -186,7 +186,7 @@
     return batch;
 }
 
-// A host that the store turns away cannot complete its copy by itself.
+// A host whose calls the store rejects cannot complete its copy by itself.
 void GatewayReducer::askForRecords(const HostId& host, MonotonicTime now, EffectList& effects)
 {
     if (!m_reading.takeQuestion(now))
--- a/tests/gateway/ConfigurationCopyTest.cpp
+++ b/tests/gateway/ConfigurationCopyTest.cpp
@@ -29,9 +29,9 @@
     { "the store does not answer it", [](SimulatedFleet& fleet, std::size_t host) { fleet.setSilent(host, true); } },
 };
 
-bool isTurnedAway(std::size_t host) { return host % 3 == 1; }
+bool isWithoutStore(std::size_t host) { return host % 3 == 1; }
 
-// Versions follow each other, and the loops of the hosts that the store turns away come round every few steps.
+// Versions follow each other, and the loops of the hosts without the store come round every few steps.
 class VersionsInARow {
 public:
     explicit VersionsInARow(const StoreTrouble& trouble)
@@ -42,7 +42,7 @@
         fleet.run(seconds(4));
         fleet.documentTime = documentTime;
         for (std::size_t host = 0; host < hosts; ++host) {
-            if (isTurnedAway(host))
+            if (isWithoutStore(host))
                 trouble.begin(fleet, host);
         }
         run(seconds(1));
@@ -54,7 +54,7 @@
         for (const MonotonicTime end = fleet.now + duration; fleet.now < end;) {
             ++m_steps;
             for (std::size_t host = 0; host < hosts; ++host)
-                fleet.setFrozen(host, isTurnedAway(host) && (m_steps + host) % loopSteps != 0);
+                fleet.setFrozen(host, isWithoutStore(host) && (m_steps + host) % loopSteps != 0);
             fleet.run(step);
         }
     }
--- a/tests/gateway/SharedReadingFleetTest.cpp
+++ b/tests/gateway/SharedReadingFleetTest.cpp
@@ -157,17 +157,17 @@
 };
 
 // What the store does to some hosts of the first data centre, of which one reads for the others.
-const Fault turnedAway[] = {
-    { "the store turns the reader away",
+const Fault storeFaults[] = {
+    { "the store rejects the reader's calls",
         [](SharedReadingHistory& history, std::size_t reader) { history.fleet.setConnected(reader, false); } },
     { "the store does not answer the reader",
         [](SharedReadingHistory& history, std::size_t reader) { history.fleet.setSilent(reader, true); } },
-    { "the store turns all but one away",
+    { "the store rejects the calls of all but one",
         [](SharedReadingHistory& history, std::size_t reader) {
             for (std::size_t host = 0; host < hosts; host += dataCentres)
                 history.fleet.setConnected(host, host == (reader + dataCentres) % hosts);
         } },
-    { "the store turns the followers away, and each misses a batch",
+    { "the store rejects the followers' calls, and each misses a batch",
         [](SharedReadingHistory& history, std::size_t reader) {
             for (std::size_t host = 0; host < hosts; host += dataCentres)
                 history.fleet.setConnected(host, host == reader);
@@ -187,9 +187,9 @@
 
 // Guards against a host that sends requests to an endpoint which has left, because it missed a change and the store
 // does not let it read.
-TEST_CASE("A host that the store turns away knows what another host of its data centre reads")
+TEST_CASE("A host whose calls fail knows what another host of its data centre reads")
 {
-    const Fault& fault = turnedAway[GENERATE(range(std::size_t { 0 }, std::size(turnedAway)))];
+    const Fault& fault = storeFaults[GENERATE(range(std::size_t { 0 }, std::size(storeFaults)))];
     INFO(fault.name);
     SharedReadingHistory history;
     history.run(seconds(4) + GENERATE(milliseconds(0), milliseconds(100), milliseconds(200), milliseconds(300)));
--- a/tests/gateway/SharedReadingTest.cpp
+++ b/tests/gateway/SharedReadingTest.cpp
@@ -140,8 +140,9 @@
     const auto decoded = decodeGatewayMessage(encodeGatewayMessage(batch));
     REQUIRE_FALSE(isError(decoded));
     const auto& read = std::get<RecordBatch>(valueOf(decoded));
-    CHECK(std::tuple(read.epoch, read.from, read.to, read.sentAt, read.age, read.recoveredAgo, read.isWhole)
-        == std::tuple(batch.epoch, batch.from, batch.to, batch.sentAt, batch.age, batch.recoveredAgo, batch.isWhole));
+    CHECK(std::tuple(read.epoch, read.from, read.to, read.sentAt, read.age, read.recoveredAgo)
+        == std::tuple(batch.epoch, batch.from, batch.to, batch.sentAt, batch.age, batch.recoveredAgo));
+    CHECK(read.isWhole == batch.isWhole);
     REQUIRE(read.entries.size() == 2);
     CHECK(read.entries[0].value == batch.entries[0].value);
     CHECK(read.entries[1].isDeleted);
