--- a/review/standins-2/servers.h
+++ b/review/standins-2/servers.h
@@ -193,7 +193,7 @@
     {
         const Json order = Json::parse(m.body, nullptr, false);
         ++orders;
-        m_record.line("order at " + id + ": " + m.body);
+        m_record.line("order at " + id + ": " + m.body.substr(0, 200));
         if (!order.is_object() || !order.contains("holder") || !order.contains("fence"))
             return c->write(jsonAnswer(400, Json::object()));
         if (m_isBusy || (order.contains("expected") && order["expected"] != m_sequence))
