--- a/review/standins-2/adapter_name.cpp
+++ b/review/standins-2/adapter_name.cpp
@@ -6,7 +6,8 @@
 int main(int argc, char** argv)
 {
     Record record(argc > 1 ? argv[1] : "record.txt");
-    const std::string folder = makeFolder();
+    const Folder temporary;
+    const std::string& folder = temporary.path();
     Loop loop;
     Installation site(loop, record, folder);
     if (!site.waitUntilReady(12000)) {
@@ -92,7 +93,7 @@
             { id, "POST", "/note/2f",
                 withKey({ { "Catkinwell-Model", "m0/" + adapter }, { "Catkinwell-Token-Usage", "1460,80" },
                     { "Catkinwell-Prompt-Prefix", "5c1e07a2:800,e4402b7d:660" } }),
-                "prompt", 15000 },
+                "prompt", 2400 },
             [&, id](const Answer& answer) { record.line("end " + id + " status " + std::to_string(answer.status)); });
         loop.after(1500, nextNote);
     };
@@ -119,11 +120,7 @@
     std::printf("ended %d, orders %d, answered %d, lost %d\n", ended, orders, answered, lost);
     for (Gateway& gateway : site.gateways)
         gateway.killAndWait();
-    if (std::getenv("KEEP") == nullptr)
-        std::system(("rm -rf " + folder).c_str());
-    else
-        std::printf("%s\n", folder.c_str());
-    if (!trouble && answered < orders * 9 / 10)
+    if (Loop::isTerminated() || (!trouble && answered < orders * 9 / 10))
         return 2;
     // LOST: more than three requests were passed on from a kept channel that ended without an answer.
     return lost > 3 ? 1 : 0;
--- a/review/standins-2/servers.h
+++ b/review/standins-2/servers.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "stand.h"
+#include <deque>
 
 namespace Stand {
 
@@ -38,7 +39,7 @@
     void checkIn()
     {
         const Json entry { { "service", m_service }, { "address", "127.0.0.1:" + std::to_string(port) },
-            { "zone", m_zone }, { "version", "v1" }, { "slots", 6 }, { "state", "ready" }, { "cold_remaining_ms", 0 },
+            { "zone", m_zone }, { "version", "v1" }, { "slots", slots }, { "state", "ready" }, { "cold_remaining_ms", 0 },
             { "sequence", ++m_sequence }, { "born", 1700000000000 } };
         m_store.put("servers/" + id, entry.dump());
         m_loop.after(1200, [this] { checkIn(); });
@@ -50,14 +51,36 @@
             return c->write(wholeAnswer(421, { { "Catkinwell-Instance-Id", id } }, ""));
         if (m.word(1) == "/health")
             return c->write(wholeAnswer(200, { { "Catkinwell-Instance-Id", id } }, "ok"));
+        if (m_running >= slots && m_queue.size() >= queueLength)
+            return c->write(wholeAnswer(503,
+                { { "Catkinwell-Request-Id", m.header("Catkinwell-Request-Id") }, { "Catkinwell-Not-Executed", "1" } },
+                ""));
+        m_queue.emplace_back(c, m);
+        runNext();
+    }
+    void runNext()
+    {
+        while (m_running < slots && !m_queue.empty()) {
+            const auto [c, m] = m_queue.front();
+            m_queue.pop_front();
+            // The server drops a request whose channel has closed.
+            if (c->isOpen())
+                run(c, m);
+        }
+    }
+    void run(const ConnectionPtr& c, const Message& m)
+    {
         const std::string request = m.header("Catkinwell-Request-Id");
+        ++m_running;
         m_runs.push_back({ request, id, nowMs(), m.word(1), m.word(0), m.body });
         m_record.line("run " + request + " at " + id);
         m_loop.after(workMs, [c, request, this] {
+            --m_running;
             if (c->isOpen())
                 c->write(wholeAnswer(200,
                     { { "Catkinwell-Request-Id", request }, { "Catkinwell-Response-Seal", "seal-" + request } },
                     "done " + request));
+            runNext();
         });
     }
 
@@ -66,6 +89,10 @@
     Record& m_record;
     std::vector<Run>& m_runs;
     std::uint64_t m_sequence = 0;
+    static constexpr std::size_t slots = 6;
+    static constexpr std::size_t queueLength = 24;
+    std::size_t m_running = 0;
+    std::deque<std::pair<ConnectionPtr, Message>> m_queue;
 
 public:
     std::string id;
@@ -93,36 +120,6 @@
         listen(0);
         checkIn();
     }
-    // Crashes: resets all channels and says nothing for a while, then starts again and holds nothing.
-    void crash(std::int64_t downMs)
-    {
-        m_isDown = true;
-        ++m_boot;
-        m_loop.stopListening(m_listener);
-        for (const auto& connection : std::exchange(m_open, {})) {
-            if (connection->isOpen())
-                connection->reset();
-        }
-        m_record.line("crash of " + id);
-        m_loop.after(3600, [this, boot = m_boot] {
-            if (m_isDown && m_boot == boot)
-                m_store.erase("servers/" + id);
-        });
-        m_loop.after(downMs, [this] {
-            m_store.erase("servers/" + id);
-            m_isDown = false;
-            id += "r";
-            // A restart preserves the disk; the server holds nothing.
-            for (const auto& [model, adapters] : m_models)
-                m_disk.insert(model);
-            m_models.clear();
-            m_sequence = 0;
-            m_isBusy = false;
-            listen(port);
-            m_record.line("start of " + id);
-            writeEntry();
-        });
-    }
     std::uint16_t port = 0;
     int events = 20;
     std::int64_t eventMs = 30;
@@ -151,14 +148,13 @@
     }
     void checkIn()
     {
-        if (!m_isDown)
-            writeEntry();
+        writeEntry();
         m_loop.after(1200, [this] { checkIn(); });
     }
     void writeEntry()
     {
         const Json entry { { "service", m_service }, { "address", "127.0.0.1:" + std::to_string(port) },
-            { "zone", m_zone }, { "version", "v1" }, { "slots", 64 }, { "state", "ready" }, { "cold_remaining_ms", 0 },
+            { "zone", m_zone }, { "version", "v1" }, { "slots", slots }, { "state", "ready" }, { "cold_remaining_ms", 0 },
             { "stage", "prefill_decode" }, { "models", modelList() }, { "sequence", m_sequence },
             { "born", 1700000000000 }, { "at_hand", { { "in_memory", Json::array() }, { "on_disk", m_disk } } } };
         m_store.put("servers/" + id, entry.dump());
@@ -181,8 +177,8 @@
         else if (path == "/report")
             c->write(jsonAnswer(200,
                 { { "stage", "prefill_decode" }, { "models", modelList() }, { "busy", m_isBusy },
-                    { "sequence", m_sequence }, { "waiting", 0 }, { "running", m_running }, { "kv_used", 0 },
-                    { "kv_total", 100000 }, { "handles", 0 }, { "born", 1700000000000 }, { "runs", runList() },
+                    { "sequence", m_sequence }, { "waiting", 0 }, { "running", m_running }, { "kv_used", m_running * 1000 },
+                    { "kv_total", 121735 }, { "handles", 0 }, { "born", 1700000000000 }, { "runs", runList() },
                     { "at_hand", { { "in_memory", Json::array() }, { "on_disk", m_disk } } } }));
         else if (path == "/order")
             order(c, m);
@@ -236,6 +232,9 @@
         const std::string adapter = variant.find('/') == std::string::npos ? "" : variant.substr(variant.find('/') + 1);
         if (!m_models.contains(model) || (!adapter.empty() && !m_models[model].contains(adapter)))
             return c->write(wholeAnswer(421, { { "Catkinwell-Request-Id", request } }, ""));
+        if (m_running >= slots)
+            return c->write(
+                wholeAnswer(503, { { "Catkinwell-Request-Id", request }, { "Catkinwell-Not-Executed", "1" } }, ""));
         m_runs.push_back({ request, id, nowMs(), m.word(1), m.word(0), m.body });
         m_record.line("run " + request + " at " + id + " model " + variant);
         ++m_running;
@@ -244,7 +243,8 @@
             if (c->isOpen())
                 c->write(headText("HTTP/1.1 200 OK",
                     { { "Content-Type", "text/event-stream" }, { "Catkinwell-Request-Id", request },
-                        { "Catkinwell-Response-Seal", "seal-" + request }, { "Transfer-Encoding", "chunked" } }));
+                        { "Catkinwell-Response-Seal", "seal-" + request }, { "Catkinwell-Weight-Versions", "1" },
+                        { "Transfer-Encoding", "chunked" } }));
             next(c, request, first);
         });
     }
@@ -275,9 +275,8 @@
     std::map<std::string, std::set<std::string>> m_models;
     std::uint64_t m_sequence = 0;
     bool m_isBusy = false;
-    bool m_isDown = false;
-    int m_boot = 0;
     int m_listener = -1;
+    static constexpr int slots = 64;
     int m_running = 0;
     std::set<ConnectionPtr> m_open;
     std::set<std::string> m_disk;
@@ -309,6 +308,8 @@
     bool wasClosed = false;
     bool wasReset = false;
     bool wasSent = false;
+    // When the request was written to its open channel.
+    std::int64_t sentAt = 0;
 };
 
 inline void call(Loop& loop, std::uint16_t port, const Call& call, std::function<void(const Answer&)> done)
@@ -316,21 +317,22 @@
     auto c = loop.connect(port);
     auto reader = std::make_shared<Reader>();
     auto isDone = std::make_shared<bool>(false);
-    auto wasSent = std::make_shared<bool>(false);
-    const auto end = [isDone, done, wasSent](Answer answer) {
+    auto sentAt = std::make_shared<std::int64_t>(0);
+    const auto end = [isDone, done, sentAt](Answer answer) {
         if (std::exchange(*isDone, true))
             return;
-        answer.wasSent = *wasSent;
+        answer.wasSent = *sentAt > 0;
+        answer.sentAt = *sentAt;
         done(answer);
     };
-    c->onOpen = [call, wasSent](Connection& open) {
+    c->onOpen = [call, sentAt](Connection& open) {
         Headers headers { { "Host", "ficu95.example" }, { "Catkinwell-Request-Id", call.id },
             { "Catkinwell-Deadline-Ms", std::to_string(call.timeoutMs) } };
         headers.insert(headers.end(), call.headers.begin(), call.headers.end());
         if (call.method != "GET")
             headers.emplace_back("Content-Length", std::to_string(call.body.size()));
         open.write(headText(call.method + " " + call.path + " HTTP/1.1", headers) + call.body);
-        *wasSent = true;
+        *sentAt = nowMs();
     };
     c->onData = [reader, end](Connection& open) {
         if (reader->read(open.in, true)) {
@@ -390,7 +392,7 @@
                   { "tls", false },
                   { "engine",
                       { { "slots", 64 }, { "kv_capacity", 121735 }, { "weights_mb", 220000.0 }, { "adapter_slots", 8 },
-                          { "loads_per_s", 2.8 }, { "models", { model("m0", 42), model("m1", 0), model("m2", 16) } } } } },
+                          { "loads_per_s", 2.8 }, { "models", { model("m0", 42), model("m1", 0), model("m2", 16), model("m3", 0) } } } } },
                 { { "name", "rampdesk" }, { "health_path", "/health" }, { "max_conns", 100 }, { "protocol", "h1" },
                     { "tls", false } } } },
         { "limits",
@@ -407,11 +409,11 @@
     return headers;
 }
 
-// A small installation: four gateways in three zones, three plain servers, three model servers.
+// A small installation: four gateways in three zones, two with 390 MB and two with 520 MB as on the site, three plain
+// servers and three model servers.
 class Installation {
 public:
-    Installation(Loop& loop, Record& record, const std::string& folder, int gatewayCount = 4, int memoryMb = 390,
-        int modelServers = 3)
+    Installation(Loop& loop, Record& record, const std::string& folder, int gatewayCount = 4, int modelServers = 3)
         : store(loop)
         , m_loop(loop)
         , m_folder(folder)
@@ -430,7 +432,7 @@
         for (int i = 0; i < gatewayCount; ++i) {
             gateways.push_back(makeGateway(
                 folder, std::string("front-") + zones[i % 3] + "-" + std::to_string(i), zones[i % 3], store.port,
-                memoryMb));
+                i % 3 == 0 ? 390 : 520));
             gateways.back().start(folder);
         }
     }
--- a/review/standins-2/stand.h
+++ b/review/standins-2/stand.h
@@ -11,6 +11,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -26,6 +27,7 @@
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
+#include <utility>
 #include <vector>
 
 namespace Stand {
@@ -141,10 +143,15 @@
 
     void run(std::int64_t until)
     {
-        while (nowMs() < until && !m_stopped)
+        // SIGTERM ends the test and all that it started.
+        static bool isSet = false;
+        if (!std::exchange(isSet, true))
+            std::signal(SIGTERM, [](int) { s_isTerminated = 1; });
+        while (nowMs() < until && !m_stopped && !s_isTerminated)
             step(until);
     }
     void stop() { m_stopped = true; }
+    static bool isTerminated() { return s_isTerminated != 0; }
     void forget(const ConnectionPtr& connection) { m_connections.erase(connection); }
 
 private:
@@ -267,6 +274,7 @@
             connection->onClosed(*connection, isReset);
     }
 
+    static inline volatile std::sig_atomic_t s_isTerminated = 0;
     bool m_stopped = false;
     std::multimap<std::int64_t, std::function<void()>> m_timers;
     std::map<int, std::function<void(ConnectionPtr)>> m_listeners;
@@ -673,6 +681,7 @@
     int starts = 0;
     int endedByItself = 0;
     int lastStatus = 0;
+    int memoryMb = 0;
 
     void start(const std::string& folder)
     {
@@ -729,22 +738,26 @@
     rlim_t maxFds = 6150;
 };
 
+inline bool isFree(int port)
+{
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    address.sin_addr.s_addr = htonl(INADDR_ANY);
+    const bool isFree = bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+    ::close(fd);
+    return isFree;
+}
+
+// The first of two free ports in a row, below those that the kernel gives to connections.
 inline std::uint16_t freePort()
 {
-    static std::set<std::uint16_t> used;
-    while (true) {
-        const int fd = socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-        socklen_t size = sizeof(address);
-        getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-        ::close(fd);
-        const std::uint16_t port = ntohs(address.sin_port);
-        if (used.insert(port).second)
-            return port;
-    }
+    static int next = 12000 + getpid() % 300 * 64;
+    while (!isFree(next) || !isFree(next + 1))
+        next += 2;
+    next += 2;
+    return static_cast<std::uint16_t>(next - 2);
 }
 
 inline Gateway makeGateway(const std::string& folder, const std::string& name, const std::string& zone,
@@ -757,18 +770,9 @@
     gateway.ready = freePort();
     gateway.metrics = freePort();
     // The relay listens on the port after that of the peers.
-    do {
-        gateway.peer = freePort();
-        const int fd = socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(gateway.peer + 1);
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        const bool isFree = bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
-        ::close(fd);
-        if (isFree)
-            break;
-    } while (true);
+    gateway.peer = freePort();
+    gateway.memoryMb = memoryMb;
+    gateway.maxFds = memoryMb > 400 ? 8200 : 6150;
     const auto address = [](std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); };
     const Json settings { { "host", name }, { "data_centre", zone }, { "caller_address", address(gateway.front) },
         { "status_address", address(gateway.ready) }, { "peer_address", address(gateway.peer) },
@@ -782,11 +786,20 @@
     return gateway;
 }
 
-inline std::string makeFolder()
-{
-    char pattern[] = "/tmp/review-XXXXXX";
-    return mkdtemp(pattern);
-}
+// A temporary folder that ends with the test.
+class Folder {
+public:
+    Folder()
+    {
+        std::string pattern = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
+        m_path = mkdtemp(pattern.data());
+    }
+    ~Folder() { std::filesystem::remove_all(m_path); }
+    const std::string& path() const { return m_path; }
+
+private:
+    std::string m_path;
+};
 
 inline bool hasTrouble()
 {
