--- a/review/standins-2/connect_body.cpp
+++ b/review/standins-2/connect_body.cpp
@@ -6,7 +6,8 @@
 int main(int argc, char** argv)
 {
     Record record(argc > 1 ? argv[1] : "record.txt");
-    const std::string folder = makeFolder();
+    const Folder temporary;
+    const std::string& folder = temporary.path();
     Loop loop;
     Installation site(loop, record, folder);
     if (!site.waitUntilReady(12000)) {
@@ -71,8 +72,7 @@
     std::printf("%s\n", text.c_str());
     for (Gateway& gateway : site.gateways)
         gateway.killAndWait();
-    std::system(("rm -rf " + folder).c_str());
-    if (!hasTrouble() && answers < requests)
+    if (Loop::isTerminated() || (!hasTrouble() && answers < requests))
         return 2;
     return smuggled + changed > 0 ? 1 : 0;
 }
